Program, Transport: HTTP both ways, checked settings, structured logs

Cause: the path of a request needs a listener, calls to endpoints and settings that fail loudly. Change: Beast listener and client as coroutines with bounds and timeouts, one table of settings, key=value events, JSON of completions and endpoints, problem+json with ran, sealed event ids. Not measured yet: nothing runs over it.

--- /dev/null
+++ b/src/program/Settings.h
@@ -0,0 +1,82 @@
+// All settings of one node as an immutable value, made from a checked document.
+#pragma once
+
+#include "protocol/Seal.h"
+#include "state/Address.h"
+#include "state/Ids.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lavenderthread::program {
+
+struct AccountSetting
+{
+    state::ClientAccountId id;
+    std::string key; // bearer key; never logged
+    bool isOperator = false;
+};
+
+struct ServiceSetting
+{
+    state::ServiceName name;
+    std::vector<std::string> nonIdempotent; // "METHOD /path-prefix"
+};
+
+struct ControlMemberSetting
+{
+    state::VmId id;
+    state::Address address; // consensus
+    state::Address entry;   // HTTP
+};
+
+struct EntrySettings
+{
+    state::Address listen;
+    std::uint32_t workers = 4;
+    std::chrono::milliseconds directoryTtl{};
+    std::uint32_t headerBytes = 0;
+    std::uint64_t bodyBytes = 0;
+    std::uint32_t connections = 0;
+    std::chrono::milliseconds requestTimeout{};
+    std::chrono::milliseconds idleTimeout{};
+    std::chrono::milliseconds defaultDeadline{};
+    std::chrono::milliseconds shutdownGrace{};
+    std::chrono::milliseconds shutdownLimit{};
+};
+
+struct EndpointSettings
+{
+    std::chrono::milliseconds renew{};
+    std::chrono::milliseconds expire{};
+    std::chrono::milliseconds connectTimeout{};
+    std::chrono::milliseconds silence{};
+};
+
+struct Settings
+{
+    std::string clusterName;
+    protocol::SealKeys keys;
+    std::vector<state::Address> seeds;
+    state::VmId vm;
+    state::FailureDomain failureDomain;
+    state::Region region;
+    EntrySettings entry;
+    EndpointSettings endpoint;
+    std::optional<state::Address> gossipListen;
+    std::optional<state::Address> controlListen;
+    std::string dataFolder;
+    std::vector<ControlMemberSetting> controlMembers;
+    std::vector<AccountSetting> accounts;
+    std::vector<ServiceSetting> services;
+    std::string logLevel;
+
+    // Reads and checks the file. Errors: NotFound (step "settings.read"), InvalidArgument.
+    static state::Result<Settings> load(const std::string &file);
+    static state::Result<Settings> parse(std::string_view json, const std::string &file);
+};
+
+} // namespace lavenderthread::program
--- /dev/null
+++ b/src/program/SettingsRules.cpp
@@ -0,0 +1,77 @@
+// The table of settings. A new setting is one line here and one member in Settings.
+#include "program/SettingsSchema.h"
+
+namespace lavenderthread::program {
+
+const std::vector<SettingRule> &settingRules()
+{
+    using enum SettingType;
+    constexpr double minute = 60'000;  // ms
+    constexpr double hour = 3'600'000; // ms
+    constexpr double mebibyte = 1U << 20U;
+    static const std::vector<SettingRule> rules = {
+            {"cluster.name", Text, "", nullptr, true, 1, 64,
+             "nodes of another cluster name are refused"},
+            {"cluster.keys", TextList, "", nullptr, true, 1, 4,
+             "secrets that authenticate messages between nodes; the first one seals, all are "
+             "accepted"},
+            {"cluster.seeds", AddressList, "", boost::json::array(), false, 0, 64,
+             "gossip addresses of some other nodes, for joining only"},
+            {"vm.id", Text, "", nullptr, true, 1, 128, "name of this node, the same over restarts"},
+            {"vm.failure_domain", Text, "", nullptr, true, 1, 64, "failure domain of this VM"},
+            {"vm.region", Text, "", "default", false, 1, 64, "region of this VM"},
+            {"entry.listen", IpAddress, "", nullptr, true, 0, 0,
+             "where callers, operators and endpoints connect; told to callers as it stands"},
+            {"entry.workers", Integer, "threads", 4, false, 1, 64, "threads that serve requests"},
+            {"entry.directory_ttl_ms", Integer, "ms", 5'000, false, 100, 10 * minute,
+             "how long callers may keep the answer of GET /v1/entries"},
+            {"entry.header_limit_bytes", Integer, "bytes", 16'384, false, 1'024, mebibyte,
+             "larger request headers are refused with 431"},
+            {"entry.body_limit_bytes", Integer, "bytes", 16 * mebibyte, false, 1'024,
+             256 * mebibyte, "larger request bodies are refused with 413"},
+            {"entry.connections", Integer, "", 10'000, false, 1, 1'000'000,
+             "connections at once; further ones are closed"},
+            {"entry.request_timeout_ms", Integer, "ms", 30'000, false, 50, 10 * minute,
+             "a request that takes longer to arrive is refused with 408"},
+            {"entry.idle_timeout_ms", Integer, "ms", 60'000, false, 50, hour,
+             "a connection without a request is closed after this time"},
+            {"entry.default_deadline_ms", Integer, "ms", 60'000, false, 1, 24 * hour,
+             "deadline of a request that names none and has no table row"},
+            {"entry.shutdown_grace_ms", Integer, "ms", 5'000, false, 0, 10 * minute,
+             "after SIGTERM requests are still accepted this long, until callers' answers age out"},
+            {"entry.shutdown_limit_ms", Integer, "ms", 10 * minute, false, 0, 24 * hour,
+             "requests in flight may take this long to finish after SIGTERM"},
+            {"endpoint.renew_ms", Integer, "ms", 1'000, false, 50, minute,
+             "endpoints announce themselves again after this time"},
+            {"endpoint.expire_ms", Integer, "ms", 3'000, false, 100, 10 * minute,
+             "an endpoint not heard of for this time gets no new work"},
+            {"endpoint.connect_timeout_ms", Integer, "ms", 1'000, false, 10, minute,
+             "limit on connecting to an endpoint"},
+            {"endpoint.silence_ms", Integer, "ms", 10'000, false, 50, hour,
+             "a stream without a byte for this time is taken up at another engine"},
+            {"gossip.listen", IpAddress, "", nullptr, false, 0, 0,
+             "UDP address of membership; absent: this node stays alone"},
+            {"control.listen", IpAddress, "", nullptr, false, 0, 0,
+             "TCP address of consensus; absent: this node is no control member"},
+            {"control.data_folder", Text, "", "", false, 0, 4'096,
+             "folder of the replicated log, on a disk; needed by control members"},
+            {"control.members[].id", Text, "", nullptr, true, 1, 128, "vm.id of a control member"},
+            {"control.members[].address", IpAddress, "", nullptr, true, 0, 0,
+             "its control.listen address"},
+            {"control.members[].entry", IpAddress, "", nullptr, true, 0, 0,
+             "its entry.listen address"},
+            {"accounts[].id", Text, "", nullptr, true, 1, 128, "client account"},
+            {"accounts[].key", Text, "", nullptr, true, 8, 256,
+             "bearer key of the account; written to no log"},
+            {"accounts[].operator", Flag, "", false, false, 0, 0,
+             "the account may use the operators' calls"},
+            {"services[].name", Text, "", nullptr, true, 1, 64,
+             "plain service, reached as /services/NAME/"},
+            {"services[].non_idempotent", TextList, "", boost::json::array(), false, 0, 256,
+             "calls that may run at most once, as \"METHOD /path-prefix\""},
+            {"log.level", Text, "", "info", false, 1, 16, "debug, info, warning or error"},
+    };
+    return rules;
+}
+
+} // namespace lavenderthread::program
--- /dev/null
+++ b/src/protocol/EndpointJson.h
@@ -0,0 +1,38 @@
+// JSON of the endpoints' calls to an entry: announcements, load reports, cache events.
+#pragma once
+
+#include "state/Endpoint.h"
+#include "state/Error.h"
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace lavenderthread::protocol {
+
+struct CacheEvent
+{
+    enum class Kind : std::uint8_t { Stored, Evicted, Cleared };
+    Kind kind = Kind::Cleared;
+    std::uint64_t block = 0;
+
+    auto operator<=>(const CacheEvent &) const = default;
+};
+
+// Events number firstSequence, firstSequence + 1, … of one incarnation; gaps happen.
+struct CacheEventBatch
+{
+    std::uint64_t incarnation = 0;
+    std::uint64_t firstSequence = 0;
+    std::vector<CacheEvent> events;
+
+    auto operator<=>(const CacheEventBatch &) const = default;
+};
+
+// All fail with InvalidArgument; the step names the call, the cause the member.
+state::Result<state::EndpointDescription> parseAnnouncement(std::string_view json);
+state::Result<state::LoadReport> parseLoadReport(const state::EndpointId &endpoint,
+                                                 std::string_view json);
+state::Result<CacheEventBatch> parseCacheEvents(std::string_view json);
+
+} // namespace lavenderthread::protocol
--- /dev/null
+++ b/src/transport/HttpClient.h
@@ -0,0 +1,72 @@
+// HTTP/1.1 calls to endpoints and other entries, whole or as a stream. Each call has a connection
+// of its own: a pooled one may be half closed, and then nobody could tell whether the request ran.
+#pragma once
+
+#include "protocol/HttpMessage.h"
+#include "state/Address.h"
+#include "state/Error.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace lavenderthread::transport {
+
+// Steps of a call, as errors name them. Only after connectStep alone is it certain that the peer
+// has not seen the request.
+constexpr std::string_view connectStep = "peer.connect";
+constexpr std::string_view sendStep = "peer.send";
+constexpr std::string_view receiveStep = "peer.receive";
+
+struct HttpCallLimits
+{
+    std::chrono::milliseconds connectTimeout{1'000};
+    std::chrono::milliseconds timeout{
+            10'000};                      // from connected to the answer's head, then each read
+    std::uint64_t bodyBytes = 16U << 20U; // of a whole answer; streams are not limited
+};
+
+// An answer whose body is read piece by piece. Used from one coroutine at a time; closing drops the
+// connection.
+class HttpAnswerStream
+{
+public:
+    struct State; // connection and parser
+
+    explicit HttpAnswerStream(std::unique_ptr<State> state);
+    HttpAnswerStream(HttpAnswerStream &&) noexcept;
+    HttpAnswerStream &operator=(HttpAnswerStream &&) noexcept;
+    ~HttpAnswerStream();
+
+    unsigned status() const;
+    protocol::HttpHeaders headers() const;
+
+    // The next piece, as much as has arrived; nothing at the proper end of the body. Errors have
+    // step receiveStep; Timeout if no byte came within `timeout`.
+    boost::asio::awaitable<state::Result<std::optional<std::string>>>
+    read(std::chrono::milliseconds timeout);
+
+    // Makes a pending read end with Cancelled. Call on the stream's executor.
+    void close();
+
+private:
+    std::unique_ptr<State> state;
+};
+
+// Sends the request and reads the answer's head. Errors: step tells how far it got.
+boost::asio::awaitable<state::Result<HttpAnswerStream>>
+openHttpStream(boost::asio::any_io_executor executor, state::Address peer,
+               protocol::HttpRequest request, HttpCallLimits limits);
+
+// The whole answer. Errors as above, and Corrupt if the body is over the limit.
+boost::asio::awaitable<state::Result<protocol::HttpResponse>>
+httpCall(boost::asio::any_io_executor executor, state::Address peer, protocol::HttpRequest request,
+         HttpCallLimits limits);
+
+} // namespace lavenderthread::transport
--- /dev/null
+++ b/src/transport/HttpServer.cpp
@@ -0,0 +1,361 @@
+// One coroutine accepts; one coroutine a connection reads requests in turn and runs the handler.
+#include "transport/HttpServer.h"
+
+#include "transport/BeastConversion.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <atomic>
+#include <optional>
+#include <utility>
+
+namespace lavenderthread::transport {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+// Pause after accept fails, for example when descriptors run out: without it the loop would spin.
+constexpr std::chrono::milliseconds acceptRetryDelay{50};
+
+state::Error writeError(const beast::error_code &problem, const std::string &peer)
+{
+    return state::makeError(state::ErrorCode::Unavailable, "caller.write", problem.message(), peer);
+}
+
+} // namespace
+
+struct HttpServer::Shared
+{
+    Shared(asio::io_context &context, tcp::acceptor acceptor, HttpLimits limits,
+           HttpServer::Hooks hooks)
+        : context(context)
+        , acceptor(std::move(acceptor))
+        , limits(limits)
+        , hooks(std::move(hooks))
+    {}
+
+    asio::io_context &context;
+    tcp::acceptor acceptor;
+    HttpLimits limits;
+    HttpServer::Hooks hooks;
+    std::atomic<std::size_t> connections = 0;
+    std::atomic<bool> accepting = true;
+};
+
+namespace {
+
+using Shared = HttpServer::Shared;
+
+// One caller's connection. Lives as long as its coroutine; all work is on its strand.
+class Connection
+{
+public:
+    Connection(std::shared_ptr<Shared> server, tcp::socket socket, std::string peer)
+        : server(std::move(server))
+        , stream(std::move(socket))
+        , peer(std::move(peer))
+    {}
+
+    asio::awaitable<void> run()
+    {
+        bool first = true;
+        while (first || this->server->accepting) {
+            std::optional<protocol::HttpRequest> request = co_await this->readRequest(first);
+            if (!request)
+                break;
+            first = false;
+            HttpExchange exchange(std::move(*request), this->peer, this->stream.get_executor(),
+                                  this->exchangeHooks());
+            co_await this->server->hooks.handle(exchange);
+            if (!this->keepAlive || !exchange.answered() || this->broken)
+                break;
+        }
+        beast::error_code ignored;
+        this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+private:
+    HttpExchange::Hooks exchangeHooks()
+    {
+        return HttpExchange::Hooks{
+                [this](protocol::HttpResponse response) { return this->respond(response); },
+                [this](protocol::HttpResponse head) { return this->beginStream(head); },
+                [this](std::string_view piece) { return this->writeChunk(piece); },
+                [this] { return this->finishStream(); },
+        };
+    }
+
+    // Nothing when the connection is to be closed; rejections have been answered by then.
+    asio::awaitable<std::optional<protocol::HttpRequest>> readRequest(bool first)
+    {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(this->server->limits.headerBytes);
+        parser.body_limit(this->server->limits.bodyBytes);
+        // The first request must arrive at once; later ones may follow after an idle time.
+        this->stream.expires_after(first ? this->server->limits.requestTimeout
+                                         : this->server->limits.idleTimeout);
+        auto [headProblem, headBytes] = co_await http::async_read_header(
+                this->stream, this->buffer, parser, asio::as_tuple(asio::use_awaitable));
+        if (headProblem) {
+            co_await this->reject(headProblem, headBytes);
+            co_return std::nullopt;
+        }
+        this->stream.expires_after(this->server->limits.requestTimeout);
+        if (parser.get()[http::field::expect] == "100-continue")
+            co_await this->sendContinue();
+        auto [bodyProblem, bodyBytes] = co_await http::async_read(
+                this->stream, this->buffer, parser, asio::as_tuple(asio::use_awaitable));
+        if (bodyProblem) {
+            co_await this->reject(bodyProblem, headBytes + bodyBytes);
+            co_return std::nullopt;
+        }
+        this->keepAlive = parser.get().keep_alive();
+        co_return toHttpRequest(parser.release());
+    }
+
+    asio::awaitable<void> sendContinue()
+    {
+        http::response<http::empty_body> go(http::status::continue_, httpVersion);
+        co_await http::async_write(this->stream, go, asio::as_tuple(asio::use_awaitable));
+    }
+
+    // A peer that closed, or sent nothing at all, gets no answer; a broken request does.
+    asio::awaitable<void> reject(beast::error_code problem, std::size_t bytesRead)
+    {
+        unsigned status = 400;
+        if (problem == http::error::body_limit)
+            status = 413;
+        else if (problem == http::error::header_limit || problem == http::error::buffer_overflow)
+            status = 431;
+        else if (problem == beast::error::timeout && bytesRead + this->buffer.size() > 0)
+            status = 408;
+        else if (problem.category() != http::make_error_code(http::error::bad_method).category()
+                 || problem == http::error::end_of_stream)
+            co_return;
+        this->keepAlive = false;
+        co_await this->respond(this->server->hooks.reject(status, problem.message()));
+        co_await this->drainInput();
+    }
+
+    // Closing with unread input resets the connection, and the caller would lose the refusal.
+    asio::awaitable<void> drainInput()
+    {
+        constexpr std::size_t drainBytes = 64U << 10U;
+        constexpr int drainReads = 512;
+        constexpr std::chrono::seconds drainTime{2};
+        beast::error_code ignored;
+        this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        std::string sink(drainBytes, '\0');
+        this->stream.expires_after(drainTime);
+        for (int reads = 0; reads < drainReads; ++reads) {
+            auto [problem, bytes] = co_await this->stream.async_read_some(
+                    asio::buffer(sink), asio::as_tuple(asio::use_awaitable));
+            if (problem || bytes == 0)
+                break;
+        }
+    }
+
+    asio::awaitable<state::Result<void>> respond(protocol::HttpResponse response)
+    {
+        http::response<http::string_body> message = toBeast(std::move(response));
+        message.keep_alive(this->keepAlive && this->server->accepting);
+        message.prepare_payload();
+        this->keepAlive = message.keep_alive();
+        this->stream.expires_after(this->server->limits.writeTimeout);
+        auto [problem, bytes] = co_await http::async_write(this->stream, message,
+                                                           asio::as_tuple(asio::use_awaitable));
+        co_return this->outcomeOf(problem);
+    }
+
+    asio::awaitable<state::Result<void>> beginStream(protocol::HttpResponse head)
+    {
+        http::response<http::empty_body> message(toBeast(std::move(head)).base());
+        message.chunked(true);
+        message.keep_alive(this->keepAlive);
+        http::response_serializer<http::empty_body> serializer(message);
+        this->stream.expires_after(this->server->limits.writeTimeout);
+        auto [problem, bytes] = co_await http::async_write_header(
+                this->stream, serializer, asio::as_tuple(asio::use_awaitable));
+        co_return this->outcomeOf(problem);
+    }
+
+    asio::awaitable<state::Result<void>> writeChunk(std::string_view piece)
+    {
+        this->stream.expires_after(this->server->limits.writeTimeout);
+        auto [problem, bytes] = co_await asio::async_write(
+                this->stream, http::make_chunk(asio::buffer(piece.data(), piece.size())),
+                asio::as_tuple(asio::use_awaitable));
+        co_return this->outcomeOf(problem);
+    }
+
+    asio::awaitable<state::Result<void>> finishStream()
+    {
+        this->stream.expires_after(this->server->limits.writeTimeout);
+        auto [problem, bytes] = co_await asio::async_write(this->stream, http::make_chunk_last(),
+                                                           asio::as_tuple(asio::use_awaitable));
+        co_return this->outcomeOf(problem);
+    }
+
+    state::Result<void> outcomeOf(const beast::error_code &problem)
+    {
+        if (!problem)
+            return state::outcome::success();
+        this->broken = true;
+        return writeError(problem, this->peer);
+    }
+
+    std::shared_ptr<Shared> server;
+    beast::tcp_stream stream;
+    std::string peer;
+    beast::flat_buffer buffer;
+    bool keepAlive = false;
+    bool broken = false; // a write failed; nothing more can be sent
+};
+
+asio::awaitable<void> serveConnection(std::shared_ptr<Shared> server, tcp::socket socket,
+                                      std::string peer)
+{
+    Connection connection(server, std::move(socket), std::move(peer));
+    try {
+        co_await connection.run();
+    } catch (const std::exception &) {
+        // The handler's own failures end in its answer; what comes here only costs the connection.
+    }
+    --server->connections;
+}
+
+std::string peerOf(const tcp::socket &socket)
+{
+    beast::error_code problem;
+    const tcp::endpoint remote = socket.remote_endpoint(problem);
+    if (problem)
+        return {};
+    return state::Address{remote.address().to_string(), remote.port()}.toString();
+}
+
+asio::awaitable<void> acceptLoop(std::shared_ptr<Shared> server)
+{
+    asio::steady_timer pause(server->acceptor.get_executor());
+    while (server->accepting) {
+        const asio::any_io_executor strand = asio::make_strand(server->context);
+        auto [problem, socket] =
+                co_await server->acceptor.async_accept(strand, asio::as_tuple(asio::use_awaitable));
+        if (problem == asio::error::operation_aborted)
+            break;
+        if (problem) {
+            pause.expires_after(acceptRetryDelay);
+            co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+            continue;
+        }
+        if (server->connections >= server->limits.connections)
+            continue; // closes the socket
+        beast::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        ++server->connections;
+        std::string peer = peerOf(socket);
+        asio::co_spawn(strand, serveConnection(server, std::move(socket), std::move(peer)),
+                       asio::detached);
+    }
+}
+
+} // namespace
+
+HttpExchange::HttpExchange(protocol::HttpRequest request, std::string peer,
+                           asio::any_io_executor executor, Hooks hooks)
+    : received(std::move(request))
+    , peerText(std::move(peer))
+    , strand(std::move(executor))
+    , hooks(std::move(hooks))
+{}
+
+asio::awaitable<state::Result<void>> HttpExchange::respond(protocol::HttpResponse response)
+{
+    this->answerBegun = true;
+    return this->hooks.respond(std::move(response));
+}
+
+asio::awaitable<state::Result<void>> HttpExchange::beginStream(protocol::HttpResponse head)
+{
+    this->answerBegun = true;
+    return this->hooks.beginStream(std::move(head));
+}
+
+asio::awaitable<state::Result<void>> HttpExchange::write(std::string_view piece)
+{
+    return this->hooks.write(piece);
+}
+
+asio::awaitable<state::Result<void>> HttpExchange::finishStream()
+{
+    return this->hooks.finishStream();
+}
+
+state::Result<std::shared_ptr<HttpServer>> HttpServer::create(asio::io_context &context,
+                                                              const state::Address &address,
+                                                              HttpLimits limits, Hooks hooks)
+{
+    const auto fail = [&](const std::string &cause) {
+        return state::makeError(state::ErrorCode::Unavailable, "listener.bind", cause,
+                                address.toString());
+    };
+    beast::error_code problem;
+    const auto ip = asio::ip::make_address(address.ip, problem);
+    if (problem)
+        return fail(problem.message());
+    tcp::acceptor acceptor(asio::make_strand(context));
+    const tcp::endpoint local(ip, address.port);
+    acceptor.open(local.protocol(), problem);
+    if (!problem)
+        acceptor.set_option(asio::socket_base::reuse_address(true), problem);
+    if (!problem)
+        acceptor.bind(local, problem);
+    if (!problem)
+        acceptor.listen(asio::socket_base::max_listen_connections, problem);
+    if (problem)
+        return fail(problem.message());
+    auto shared = std::make_shared<Shared>(context, std::move(acceptor), limits, std::move(hooks));
+    return std::make_shared<HttpServer>(std::move(shared));
+}
+
+HttpServer::HttpServer(std::shared_ptr<Shared> shared)
+    : shared(std::move(shared))
+{}
+
+void HttpServer::start()
+{
+    asio::co_spawn(this->shared->acceptor.get_executor(), acceptLoop(this->shared), asio::detached);
+}
+
+void HttpServer::stopAccepting()
+{
+    this->shared->accepting = false;
+    asio::post(this->shared->acceptor.get_executor(), [shared = this->shared] {
+        beast::error_code ignored;
+        shared->acceptor.close(ignored);
+    });
+}
+
+std::size_t HttpServer::openConnections() const
+{
+    return this->shared->connections;
+}
+
+state::Address HttpServer::address() const
+{
+    beast::error_code problem;
+    const tcp::endpoint local = this->shared->acceptor.local_endpoint(problem);
+    return state::Address{local.address().to_string(), local.port()};
+}
+
+} // namespace lavenderthread::transport
