--- /dev/null
+++ b/src/program/Clock.h
@@ -0,0 +1,29 @@
+// The one place where the process reads its monotonic clock.
+#pragma once
+
+#include "state/Time.h"
+
+#include <chrono>
+
+namespace lavenderthread::program {
+
+inline state::Instant monotonicNow()
+{
+    return state::Instant(std::chrono::duration_cast<state::Duration>(
+            std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+inline state::WallTime wallNow()
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now());
+}
+
+// Time left until `deadline`, never negative, rounded up so that 1 µs left is not "none".
+inline std::chrono::milliseconds remaining(state::Instant deadline)
+{
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadline - monotonicNow());
+    return std::max(left, std::chrono::milliseconds(0));
+}
+
+} // namespace lavenderthread::program
--- /dev/null
+++ b/src/program/Commands.h
@@ -0,0 +1,44 @@
+// The subcommands behind main: each takes its parsed options and gives the process's exit code.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace lavenderthread::program {
+
+// Exit codes, the same for every subcommand; `--help` lists them.
+constexpr int exitOk = 0;
+constexpr int exitFailed = 1;      // it was tried and failed
+constexpr int exitUsage = 2;       // the command line is wrong
+constexpr int exitSettings = 3;    // the settings file is wrong
+constexpr int exitAddress = 4;     // an address can't be bound
+constexpr int exitNotRun = 5;      // the request certainly did not run
+constexpr int exitUnknown = 6;     // whether the request ran is not known
+constexpr int exitUnreachable = 7; // no entry could be reached
+
+struct CallOptions
+{
+    std::vector<std::string> entries;
+    std::string account;
+    std::string key;
+    std::string model;
+    std::string prompt;
+    std::string promptFile;
+    std::uint64_t promptTokens = 0; // made up, when neither prompt nor file is given
+    std::uint32_t maxTokens = 16;
+    std::uint32_t deadlineMs = 60'000;
+    std::string workClass;
+    std::string service; // a plain service call instead of a completion
+    std::string method = "GET";
+    std::string path = "/";
+    std::string body;
+    std::string idempotencyKey;
+    bool json = false;
+};
+
+int runServe(const std::string &settingsFile);
+int runCheckSettings(const std::string &settingsFile, bool reference, bool json);
+int runCall(const CallOptions &options);
+int runStatus(const std::vector<std::string> &entries, bool json);
+
+} // namespace lavenderthread::program
--- /dev/null
+++ b/src/program/EndpointRegistry.cpp
@@ -0,0 +1,88 @@
+// Writers change a private table under a mutex and publish a copy, but only when something that
+// readers see has changed: renewals alone copy nothing.
+#include "program/EndpointRegistry.h"
+
+namespace lavenderthread::program {
+
+const RegisteredEndpoint *EndpointTable::find(const state::EndpointId &id,
+                                              std::uint64_t incarnation) const
+{
+    const auto found = this->endpoints.find(id);
+    if (found == this->endpoints.end() || found->second.description.incarnation != incarnation)
+        return nullptr;
+    return &found->second;
+}
+
+EndpointRegistry::EndpointRegistry(state::Duration expiry)
+    : expiry(expiry)
+{}
+
+state::Result<void> EndpointRegistry::announce(const state::EndpointDescription &endpoint,
+                                               state::Instant now)
+{
+    const std::lock_guard lock(this->writers);
+    const auto known = this->current.endpoints.find(endpoint.id);
+    if (known != this->current.endpoints.end()) {
+        if (known->second.description.incarnation > endpoint.incarnation)
+            return state::makeError(state::ErrorCode::Conflict, "endpoint.announce",
+                                    "a newer incarnation is known", endpoint.id.value());
+        this->lastHeard[endpoint.id] = now;
+        if (known->second.description == endpoint)
+            return state::outcome::success();
+        // A restart ends the drain of the incarnation before it only if an operator says so.
+        known->second.description = endpoint;
+    } else {
+        this->lastHeard[endpoint.id] = now;
+        this->current.endpoints[endpoint.id] = RegisteredEndpoint{endpoint, false};
+    }
+    this->publish();
+    return state::outcome::success();
+}
+
+bool EndpointRegistry::leave(const state::EndpointId &id, std::uint64_t incarnation)
+{
+    const std::lock_guard lock(this->writers);
+    if (this->current.find(id, incarnation) == nullptr)
+        return false;
+    this->current.endpoints.erase(id);
+    this->lastHeard.erase(id);
+    this->publish();
+    return true;
+}
+
+bool EndpointRegistry::setDraining(const state::EndpointId &id, bool draining)
+{
+    const std::lock_guard lock(this->writers);
+    const auto known = this->current.endpoints.find(id);
+    if (known == this->current.endpoints.end())
+        return false;
+    if (known->second.draining != draining) {
+        known->second.draining = draining;
+        this->publish();
+    }
+    return true;
+}
+
+std::vector<state::EndpointId> EndpointRegistry::expire(state::Instant now)
+{
+    const std::lock_guard lock(this->writers);
+    std::vector<state::EndpointId> dropped;
+    for (const auto &[id, heard] : this->lastHeard) {
+        if (now - heard > this->expiry)
+            dropped.push_back(id);
+    }
+    for (const state::EndpointId &id : dropped) {
+        this->current.endpoints.erase(id);
+        this->lastHeard.erase(id);
+    }
+    if (!dropped.empty())
+        this->publish();
+    return dropped;
+}
+
+void EndpointRegistry::publish()
+{
+    this->published.publish(this->current);
+}
+
+} // namespace lavenderthread::program
--- /dev/null
+++ b/src/program/Entry.cpp
@@ -0,0 +1,315 @@
+// Routes of the entry.
+#include "program/Entry.h"
+
+#include "program/Clock.h"
+#include "program/HeaderValues.h"
+#include "program/Log.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace lavenderthread::program {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using protocol::Problem;
+using protocol::Ran;
+
+namespace {
+
+constexpr std::string_view endpointsPrefix = "/v1/endpoints/";
+constexpr std::string_view servicesPrefix = "/services/";
+constexpr std::string_view bearerPrefix = "Bearer ";
+constexpr std::chrono::milliseconds retryElsewhereAfter{100};
+
+protocol::HttpResponse jsonAnswer(unsigned status, const json::value &value)
+{
+    protocol::HttpResponse answer;
+    answer.status = status;
+    answer.headers.add("Content-Type", "application/json");
+    answer.body = json::serialize(value);
+    return answer;
+}
+
+protocol::HttpResponse simpleProblem(unsigned status, std::string title, std::string detail)
+{
+    return toResponse(Problem{status, std::move(title), std::move(detail), Ran::No, std::nullopt});
+}
+
+transport::HttpLimits limitsOf(const EntrySettings &entry)
+{
+    transport::HttpLimits limits;
+    limits.headerBytes = entry.headerBytes;
+    limits.bodyBytes = entry.bodyBytes;
+    limits.connections = entry.connections;
+    limits.requestTimeout = entry.requestTimeout;
+    limits.idleTimeout = entry.idleTimeout;
+    return limits;
+}
+
+// Counts one request for as long as it is worked on.
+class InFlight
+{
+public:
+    explicit InFlight(std::atomic<std::size_t> &counter)
+        : counter(counter)
+    {
+        ++this->counter;
+    }
+    ~InFlight() { --this->counter; }
+    InFlight(const InFlight &) = delete;
+    InFlight &operator=(const InFlight &) = delete;
+
+private:
+    std::atomic<std::size_t> &counter;
+};
+
+} // namespace
+
+std::string_view toString(EntryPhase phase)
+{
+    switch (phase) {
+    case EntryPhase::Serving:
+        return "serving";
+    case EntryPhase::Leaving:
+        return "leaving";
+    case EntryPhase::Refusing:
+        return "refusing";
+    }
+    return "refusing";
+}
+
+Entry::Entry(const Settings &settings, std::shared_ptr<EndpointRegistry> registry, Hooks hooks)
+    : settings(settings)
+    , registry(std::move(registry))
+    , hooks(std::move(hooks))
+    , completions(settings, {this->hooks.scheduler, [this] { return this->nextRequestId(); },
+                             this->hooks.completionFinished})
+    , services(settings, {[this] { return this->registry->table(); }, this->hooks.claims,
+                          [this] { return this->nextRequestId(); }, this->hooks.serviceFinished})
+    , requestPrefix(settings.vm.value() + "-" + std::to_string(wallNow().time_since_epoch().count())
+                    + "-")
+{
+    for (const AccountSetting &account : settings.accounts)
+        this->accountsByKey[account.key] = account;
+}
+
+state::Result<std::shared_ptr<Entry>> Entry::create(const Settings &settings,
+                                                    asio::io_context &context,
+                                                    std::shared_ptr<EndpointRegistry> registry,
+                                                    Hooks hooks)
+{
+    std::shared_ptr<Entry> entry(new Entry(settings, std::move(registry), std::move(hooks)));
+    transport::HttpServer::Hooks serverHooks;
+    serverHooks.handle = [self = entry.get()](transport::HttpExchange &exchange) {
+        return self->handle(exchange);
+    };
+    serverHooks.reject = [](unsigned status, std::string_view cause) {
+        return simpleProblem(status, "invalid-request", std::string(cause));
+    };
+    BOOST_OUTCOME_TRY(entry->server, transport::HttpServer::create(context, settings.entry.listen,
+                                                                   limitsOf(settings.entry),
+                                                                   std::move(serverHooks)));
+    return entry;
+}
+
+void Entry::start()
+{
+    this->server->start();
+}
+
+void Entry::enter(EntryPhase phase)
+{
+    this->currentPhase = phase;
+    logEvent(LogLevel::Info, "entry.phase",
+             {{"phase", toString(phase)}, {"in_flight", std::uint64_t(this->inFlight())}});
+}
+
+asio::awaitable<void> Entry::handle(transport::HttpExchange &exchange)
+{
+    const protocol::HttpRequest &request = exchange.request();
+    const std::string_view path = request.path();
+    if (path == "/v1/entries" && request.method == "GET") {
+        co_await exchange.respond(this->directoryAnswer(request));
+        co_return;
+    }
+    if (path == "/v1/status" && request.method == "GET") {
+        co_await exchange.respond(this->statusAnswer());
+        co_return;
+    }
+    if (path.starts_with(endpointsPrefix)) {
+        co_await this->handleEndpointCall(exchange, path.substr(endpointsPrefix.size()));
+        co_return;
+    }
+    const AccountSetting *account = this->authenticate(request);
+    if (this->hooks.extraRoutes && co_await this->hooks.extraRoutes(exchange, account))
+        co_return;
+    if (account == nullptr) {
+        co_await exchange.respond(
+                simpleProblem(401, "unauthorized", "the bearer key is missing or not known"));
+        co_return;
+    }
+    co_await this->handleWork(exchange, *account);
+}
+
+asio::awaitable<void> Entry::handleWork(transport::HttpExchange &exchange,
+                                        const AccountSetting &account)
+{
+    const InFlight counted(this->requestsInFlight);
+    const protocol::HttpRequest &request = exchange.request();
+    const std::string_view path = request.path();
+    if (this->currentPhase == EntryPhase::Refusing) {
+        co_await exchange.respond(this->refuseElsewhere(account.id));
+        co_return;
+    }
+    if (path.starts_with(servicesPrefix)) {
+        co_await this->services.run(exchange, account);
+        co_return;
+    }
+    const bool text = path == "/v1/completions";
+    if (!text && path != "/v1/chat/completions") {
+        co_await exchange.respond(simpleProblem(404, "not-found", "no such path"));
+        co_return;
+    }
+    if (request.method != "POST") {
+        co_await exchange.respond(simpleProblem(405, "method-not-allowed", "use POST"));
+        co_return;
+    }
+    co_await this->completions.run(
+            exchange, text ? protocol::CompletionKind::Text : protocol::CompletionKind::Chat,
+            account);
+}
+
+asio::awaitable<void> Entry::handleEndpointCall(transport::HttpExchange &exchange,
+                                                std::string_view path)
+{
+    const protocol::HttpRequest &request = exchange.request();
+    const auto slash = path.find('/');
+    protocol::HttpResponse answer;
+    if (request.method != "POST")
+        answer = simpleProblem(405, "method-not-allowed", "use POST");
+    else if (path == "announce")
+        answer = this->announce(request);
+    else if (slash == std::string_view::npos)
+        answer = simpleProblem(404, "not-found", "no such path");
+    else
+        answer = this->endpointNews(request, state::EndpointId(std::string(path.substr(0, slash))),
+                                    path.substr(slash + 1));
+    co_await exchange.respond(std::move(answer));
+}
+
+protocol::HttpResponse Entry::announce(const protocol::HttpRequest &request)
+{
+    const auto endpoint = protocol::parseAnnouncement(request.body);
+    if (!endpoint)
+        return toResponse(invalidRequest(endpoint.error()));
+    const auto accepted = this->registry->announce(endpoint.value(), monotonicNow());
+    if (!accepted)
+        return simpleProblem(409, "old-incarnation", accepted.error().cause);
+    this->hooks.announced(endpoint.value());
+    return jsonAnswer(200, {{"renew_after_ms", this->settings.endpoint.renew.count()},
+                            {"expires_after_ms", this->settings.endpoint.expire.count()},
+                            {"owner", this->address().toString()}});
+}
+
+protocol::HttpResponse Entry::endpointNews(const protocol::HttpRequest &request,
+                                           const state::EndpointId &id, std::string_view call)
+{
+    const protocol::HttpResponse noContent{204, {}, {}};
+    const auto unknown = [] {
+        return simpleProblem(404, "not-announced", "announce the endpoint again");
+    };
+    if (call == "load") {
+        const auto report = protocol::parseLoadReport(id, request.body);
+        if (!report)
+            return toResponse(invalidRequest(report.error()));
+        if (this->registry->table()->find(id, report.value().incarnation) == nullptr)
+            return unknown();
+        this->hooks.loadReported(report.value());
+        return noContent;
+    }
+    if (call != "cache-events" && call != "leave")
+        return simpleProblem(404, "not-found", "no such path");
+    const bool isCache = call == "cache-events";
+    const auto batch =
+            isCache ? protocol::parseCacheEvents(request.body) : protocol::parseLeave(request.body);
+    if (!batch)
+        return toResponse(invalidRequest(batch.error()));
+    if (isCache) {
+        if (this->registry->table()->find(id, batch.value().incarnation) == nullptr)
+            return unknown();
+        this->hooks.cacheChanged(id, batch.value());
+    } else if (this->registry->leave(id, batch.value().incarnation)) {
+        this->hooks.left(id, batch.value().incarnation);
+    }
+    return noContent;
+}
+
+protocol::HttpResponse Entry::directoryAnswer(const protocol::HttpRequest &request) const
+{
+    const DirectoryAnswer answer =
+            this->hooks.directory(state::ClientAccountId(request.query("account").value_or("")));
+    json::array entries;
+    for (const state::Address &address : answer.entries)
+        entries.emplace_back(json::object{{"address", address.toString()}});
+    return jsonAnswer(200, {{"entries", std::move(entries)}, {"ttl_ms", answer.ttl.count()}});
+}
+
+protocol::HttpResponse Entry::statusAnswer() const
+{
+    json::array endpoints;
+    const auto table = this->registry->table();
+    for (const auto &[id, endpoint] : table->endpoints) {
+        const bool engine = endpoint.description.kind == state::EndpointKind::Engine;
+        endpoints.emplace_back(
+                json::object{{"id", id.value()},
+                             {"address", endpoint.description.address.toString()},
+                             {"kind", engine ? "engine" : "plain-service"},
+                             {"failure_domain", endpoint.description.failureDomain.value()},
+                             {"incarnation", endpoint.description.incarnation},
+                             {"draining", endpoint.draining}});
+    }
+    return jsonAnswer(200, {{"vm", this->settings.vm.value()},
+                            {"failure_domain", this->settings.failureDomain.value()},
+                            {"phase", std::string(toString(this->currentPhase.load()))},
+                            {"in_flight", this->inFlight()},
+                            {"endpoints", std::move(endpoints)}});
+}
+
+protocol::HttpResponse Entry::refuseElsewhere(const state::ClientAccountId &account) const
+{
+    json::array others;
+    for (const state::Address &address : this->hooks.directory(account).entries) {
+        if (address != this->address())
+            others.emplace_back(address.toString());
+    }
+    json::object body{{"title", "leaving"},
+                      {"status", 503},
+                      {"detail", "this entry is shutting down; use another"},
+                      {"ran", std::string(protocol::toString(Ran::No))},
+                      {"retry_after_ms", retryElsewhereAfter.count()},
+                      {"entries", std::move(others)}};
+    protocol::HttpResponse answer = jsonAnswer(503, body);
+    answer.headers = {{"Content-Type", "application/problem+json"}, {"Retry-After", "1"}};
+    return answer;
+}
+
+const AccountSetting *Entry::authenticate(const protocol::HttpRequest &request) const
+{
+    const auto header = request.headers.find("Authorization");
+    if (!header || !header->starts_with(bearerPrefix))
+        return nullptr;
+    const auto found = this->accountsByKey.find(std::string(header->substr(bearerPrefix.size())));
+    return found == this->accountsByKey.end() ? nullptr : &found->second;
+}
+
+state::RequestId Entry::nextRequestId()
+{
+    return state::RequestId(this->requestPrefix + std::to_string(++this->requestCounter));
+}
+
+} // namespace lavenderthread::program
--- /dev/null
+++ b/src/program/LocalClaims.cpp
@@ -0,0 +1,110 @@
+// Claims in the memory of one process, bounded in number. They are lost with the process.
+#include "program/Claims.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace lavenderthread::program {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t mostClaims = 100'000;
+
+class LocalClaims
+{
+public:
+    state::Result<ClaimAnswer> take(const ClaimKey &key, std::uint64_t digest,
+                                    const std::string &attempt)
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto known = this->claims.find(key);
+        if (known == this->claims.end()) {
+            // Forgetting a claim could let its call run twice; refusing a new one can't.
+            if (this->claims.size() >= mostClaims)
+                return state::makeError(state::ErrorCode::Overloaded, "claim.take",
+                                        "too many claims are held");
+            this->claims[key] = Claim{digest, attempt, Phase::Taken, {}};
+            return ClaimAnswer{ClaimVerdict::Granted, {}};
+        }
+        const Claim &claim = known->second;
+        if (claim.digest != digest)
+            return ClaimAnswer{ClaimVerdict::Conflict, {}};
+        if (claim.phase == Phase::Finished)
+            return ClaimAnswer{ClaimVerdict::Finished, claim.result};
+        return ClaimAnswer{
+                claim.phase == Phase::Taken ? ClaimVerdict::InProgress : ClaimVerdict::Unknown, {}};
+    }
+
+    bool beginDispatch(const ClaimKey &key, const std::string &attempt)
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto known = this->claims.find(key);
+        if (known == this->claims.end() || known->second.attempt != attempt
+            || known->second.phase != Phase::Taken)
+            return false;
+        known->second.phase = Phase::Dispatched;
+        return true;
+    }
+
+    bool release(const ClaimKey &key, const std::string &attempt)
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto known = this->claims.find(key);
+        if (known == this->claims.end() || known->second.attempt != attempt)
+            return false;
+        this->claims.erase(known);
+        return true;
+    }
+
+    void finish(const ClaimKey &key, const std::string &attempt, protocol::HttpResponse result)
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto known = this->claims.find(key);
+        if (known == this->claims.end() || known->second.attempt != attempt)
+            return;
+        known->second.phase = Phase::Finished;
+        known->second.result = std::move(result);
+    }
+
+private:
+    enum class Phase { Taken, Dispatched, Finished };
+    struct Claim
+    {
+        std::uint64_t digest = 0;
+        std::string attempt;
+        Phase phase = Phase::Taken;
+        protocol::HttpResponse result;
+    };
+
+    std::mutex mutex;
+    std::map<ClaimKey, Claim> claims;
+};
+
+} // namespace
+
+ClaimGate makeLocalClaims()
+{
+    auto claims = std::make_shared<LocalClaims>();
+    ClaimGate gate;
+    gate.take = [claims](ClaimKey key, std::uint64_t digest,
+                         std::string attempt) -> asio::awaitable<state::Result<ClaimAnswer>> {
+        co_return claims->take(key, digest, attempt);
+    };
+    gate.beginDispatch = [claims](ClaimKey key, std::string attempt) -> asio::awaitable<bool> {
+        co_return claims->beginDispatch(key, attempt);
+    };
+    gate.release = [claims](ClaimKey key, std::string attempt) -> asio::awaitable<bool> {
+        co_return claims->release(key, attempt);
+    };
+    gate.finish = [claims](ClaimKey key, std::string attempt,
+                           protocol::HttpResponse result) -> asio::awaitable<void> {
+        claims->finish(key, attempt, std::move(result));
+        co_return;
+    };
+    return gate;
+}
+
+} // namespace lavenderthread::program
--- /dev/null
+++ b/src/program/Node.cpp
@@ -0,0 +1,153 @@
+// Start, service and graceful end of one process.
+#include "program/Node.h"
+
+#include "program/Clock.h"
+#include "program/Entry.h"
+#include "program/LeastOutstanding.h"
+#include "program/Log.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <csignal>
+#include <thread>
+#include <vector>
+
+namespace lavenderthread::program {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds expiryCheckInterval{200};
+constexpr milliseconds drainCheckInterval{20};
+
+asio::awaitable<void> pause(milliseconds time)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+void logCompletion(const CompletionOutcome &outcome)
+{
+    logEvent(LogLevel::Info, "completion.finished",
+             {{"request", outcome.id.value()},
+              {"account", outcome.account.value()},
+              {"work_class", outcome.workClass.value()},
+              {"prompt_tokens", outcome.promptTokens},
+              {"output_tokens", outcome.outputTokens},
+              {"status", outcome.status},
+              {"ran", protocol::toString(outcome.ran)},
+              {"whole", outcome.whole ? "yes" : "no"},
+              {"attempts", outcome.attempts},
+              {"first_token_us", std::int64_t(outcome.firstToken.count())},
+              {"total_us", std::int64_t(outcome.total.count())}});
+}
+
+void logService(const ServiceOutcome &outcome)
+{
+    logEvent(LogLevel::Info, "service.finished",
+             {{"request", outcome.id.value()},
+              {"account", outcome.account.value()},
+              {"service", outcome.service.value()},
+              {"status", outcome.status},
+              {"ran", protocol::toString(outcome.ran)},
+              {"total_us", std::int64_t(outcome.total.count())}});
+}
+
+class Node
+{
+public:
+    explicit Node(const Settings &settings)
+        : settings(settings)
+        , context(static_cast<int>(settings.entry.workers))
+        , registry(std::make_shared<EndpointRegistry>(settings.endpoint.expire))
+    {}
+
+    state::Result<void> start()
+    {
+        Entry::Hooks hooks;
+        hooks.scheduler = makeLeastOutstanding(this->registry);
+        hooks.claims = makeLocalClaims();
+        hooks.directory = [this](const state::ClientAccountId &) {
+            return DirectoryAnswer{{this->settings.entry.listen},
+                                   this->settings.entry.directoryTtl};
+        };
+        hooks.announced = [](const state::EndpointDescription &) {};
+        hooks.left = [](const state::EndpointId &, std::uint64_t) {};
+        hooks.loadReported = [](const state::LoadReport &) {};
+        hooks.cacheChanged = [](const state::EndpointId &, const protocol::CacheEventBatch &) {};
+        hooks.completionFinished = logCompletion;
+        hooks.serviceFinished = logService;
+        BOOST_OUTCOME_TRY(this->entry, Entry::create(this->settings, this->context, this->registry,
+                                                     std::move(hooks)));
+        this->entry->start();
+        asio::co_spawn(this->context, this->expireLoop(), asio::detached);
+        asio::co_spawn(this->context, this->leaveOnSignal(), asio::detached);
+        return state::outcome::success();
+    }
+
+    void run()
+    {
+        std::vector<std::thread> workers;
+        for (std::uint32_t worker = 1; worker < this->settings.entry.workers; ++worker)
+            workers.emplace_back([this] { this->context.run(); });
+        this->context.run();
+        for (std::thread &worker : workers)
+            worker.join();
+    }
+
+private:
+    asio::awaitable<void> expireLoop()
+    {
+        while (true) {
+            co_await pause(expiryCheckInterval);
+            for (const state::EndpointId &id : this->registry->expire(monotonicNow()))
+                logEvent(LogLevel::Warning, "endpoint.expired", {{"endpoint", id.value()}});
+        }
+    }
+
+    asio::awaitable<void> leaveOnSignal()
+    {
+        asio::signal_set signals(this->context, SIGTERM, SIGINT);
+        co_await signals.async_wait(asio::as_tuple(asio::use_awaitable));
+        // An operator who signals twice does not want to wait.
+        signals.async_wait([this](auto, auto) { this->context.stop(); });
+        this->entry->enter(EntryPhase::Leaving);
+        co_await pause(this->settings.entry.shutdownGrace);
+        this->entry->enter(EntryPhase::Refusing);
+        const state::Instant limit = monotonicNow() + this->settings.entry.shutdownLimit;
+        while (this->entry->inFlight() > 0 && monotonicNow() < limit)
+            co_await pause(drainCheckInterval);
+        this->entry->stopAccepting();
+        // Answers that were just written leave the sockets before the process does.
+        co_await pause(drainCheckInterval);
+        logEvent(LogLevel::Info, "node.stopped",
+                 {{"in_flight", std::uint64_t(this->entry->inFlight())}});
+        this->context.stop();
+    }
+
+    const Settings &settings;
+    asio::io_context context;
+    std::shared_ptr<EndpointRegistry> registry;
+    std::shared_ptr<Entry> entry;
+};
+
+} // namespace
+
+state::Result<void> runNode(const Settings &settings)
+{
+    Node node(settings);
+    BOOST_OUTCOME_TRY(node.start());
+    logEvent(LogLevel::Info, "node.started",
+             {{"vm", settings.vm.value()}, {"listen", settings.entry.listen.toString()}});
+    node.run();
+    return state::outcome::success();
+}
+
+} // namespace lavenderthread::program
--- /dev/null
+++ b/src/program/ServiceRelay.cpp
@@ -0,0 +1,313 @@
+// The life of one plain service call.
+#include "program/ServiceRelay.h"
+
+#include "program/Clock.h"
+#include "program/HeaderValues.h"
+#include "transport/HttpClient.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <optional>
+
+namespace lavenderthread::program {
+
+namespace asio = boost::asio;
+using protocol::Problem;
+using protocol::Ran;
+
+namespace {
+
+constexpr std::string_view servicesPrefix = "/services/";
+constexpr std::chrono::milliseconds retryAfterRefusal{500};
+constexpr std::chrono::milliseconds retryAfterInProgress{1'000};
+constexpr std::size_t longestIdempotencyKey = 255;
+constexpr int maximumAttempts = 3;
+
+// "/services/NAME/rest?query" in parts.
+struct ServiceTarget
+{
+    state::ServiceName service;
+    std::string rest; // from the slash after the name on
+};
+
+std::optional<ServiceTarget> splitTarget(const std::string &target)
+{
+    const std::string_view tail = std::string_view(target).substr(servicesPrefix.size());
+    const auto end = tail.find_first_of("/?");
+    const std::string_view name = tail.substr(0, end);
+    if (name.empty())
+        return std::nullopt;
+    std::string rest(end == std::string_view::npos ? std::string_view() : tail.substr(end));
+    if (rest.empty() || rest.front() != '/')
+        rest.insert(rest.begin(), '/');
+    return ServiceTarget{state::ServiceName(std::string(name)), std::move(rest)};
+}
+
+std::uint64_t digestOf(const protocol::HttpRequest &request)
+{
+    const std::uint64_t head = XXH3_64bits(request.target.data(), request.target.size());
+    const std::uint64_t method =
+            XXH3_64bits_withSeed(request.method.data(), request.method.size(), head);
+    return XXH3_64bits_withSeed(request.body.data(), request.body.size(), method);
+}
+
+// One call while it is relayed.
+class RelayedCall
+{
+public:
+    RelayedCall(const Settings &settings, const ServiceRelay::Hooks &hooks,
+                transport::HttpExchange &exchange, const AccountSetting &account,
+                ServiceTarget target, state::Instant deadline)
+        : settings(settings)
+        , hooks(hooks)
+        , exchange(exchange)
+        , account(account.id)
+        , target(std::move(target))
+        , deadline(deadline)
+        , id(hooks.nextRequestId())
+        , arrival(monotonicNow())
+    {}
+
+    asio::awaitable<ServiceOutcome> run()
+    {
+        const protocol::HttpRequest &request = this->exchange.request();
+        const Repeatability repeatability =
+                repeatabilityOf(this->findSetting(), request.method, this->pathOfRest());
+        protocol::HttpResponse answer;
+        if (repeatability == Repeatability::Claimed)
+            answer = co_await this->runClaimed();
+        else
+            answer = co_await this->runUnclaimed(repeatability == Repeatability::Idempotent);
+        answer.headers.add("Request-Id", this->id.value());
+        ServiceOutcome outcome{this->id,      this->account, this->target.service,
+                               answer.status, this->ran,     monotonicNow() - this->arrival};
+        co_await this->exchange.respond(std::move(answer));
+        co_return outcome;
+    }
+
+private:
+    const ServiceSetting *findSetting() const
+    {
+        for (const ServiceSetting &service : this->settings.services) {
+            if (service.name == this->target.service)
+                return &service;
+        }
+        return nullptr;
+    }
+
+    std::string pathOfRest() const
+    {
+        return this->target.rest.substr(0, this->target.rest.find('?'));
+    }
+
+    // Live replicas, those of this failure domain first, in an order that differs by request.
+    std::vector<state::EndpointDescription> replicas() const
+    {
+        std::vector<state::EndpointDescription> found;
+        const auto table = this->hooks.endpoints();
+        for (const auto &[endpointId, endpoint] : table->endpoints) {
+            if (endpoint.description.kind == state::EndpointKind::PlainService
+                && endpoint.description.service == this->target.service && !endpoint.draining)
+                found.push_back(endpoint.description);
+        }
+        const auto rank = [&](const state::EndpointDescription &endpoint) {
+            const std::string text = endpoint.id.value() + this->id.value();
+            return std::pair(endpoint.failureDomain != this->settings.failureDomain,
+                             XXH3_64bits(text.data(), text.size()));
+        };
+        std::sort(found.begin(), found.end(),
+                  [&](const auto &a, const auto &b) { return rank(a) < rank(b); });
+        return found;
+    }
+
+    asio::awaitable<protocol::HttpResponse> runClaimed()
+    {
+        const auto header = this->exchange.request().headers.find("Idempotency-Key");
+        if (!header || header->empty() || header->size() > longestIdempotencyKey)
+            co_return this->problem({400, "idempotency-key-needed",
+                                     "this call needs an Idempotency-Key of 1 to 255 characters",
+                                     Ran::No, std::nullopt});
+        const ClaimKey key{this->account, std::string(*header)};
+        const auto claim = co_await this->hooks.claims.take(key, digestOf(this->exchange.request()),
+                                                            this->id.value());
+        if (!claim)
+            co_return this->problem(
+                    {503, "claim-unavailable", claim.error().cause, Ran::No, retryAfterRefusal});
+        if (claim.value().verdict != ClaimVerdict::Granted)
+            co_return this->answerWithoutRunning(claim.value());
+        co_return co_await this->dispatchOnce(key);
+    }
+
+    protocol::HttpResponse answerWithoutRunning(const ClaimAnswer &claim)
+    {
+        switch (claim.verdict) {
+        case ClaimVerdict::Finished: {
+            this->ran = Ran::Yes;
+            protocol::HttpResponse first = claim.result;
+            first.headers.add("Idempotent-Replay", "true");
+            return first;
+        }
+        case ClaimVerdict::Conflict:
+            return this->problem({422, "idempotency-key-reused",
+                                  "the same Idempotency-Key came with another request", Ran::No,
+                                  std::nullopt});
+        case ClaimVerdict::InProgress:
+            return this->problem({409, "in-progress", "the first request with this key is running",
+                                  Ran::Unknown, retryAfterInProgress});
+        default:
+            return this->problem({409, "fate-unknown",
+                                  "a request with this key was sent and its result was lost; it is "
+                                  "not sent again",
+                                  Ran::Unknown, std::nullopt});
+        }
+    }
+
+    // Goes to replicas in turn until one accepts the connection; from then on there is no other
+    // try.
+    asio::awaitable<protocol::HttpResponse> dispatchOnce(const ClaimKey &key)
+    {
+        const std::string attempt = this->id.value();
+        if (!co_await this->hooks.claims.beginDispatch(key, attempt))
+            co_return this->problem({503, "claim-lost",
+                                     "the claim was lost before the call was sent", Ran::No,
+                                     retryAfterRefusal});
+        const auto answer = co_await this->callReplicas(false);
+        if (answer) {
+            co_await this->hooks.claims.finish(key, attempt, answer.value());
+            co_return answer.value();
+        }
+        // "No" is said only after the claim's release is recorded: else a resend could find the key
+        // taken and be told "unknown" about a call that never ran, or worse, the reverse.
+        if (this->ran == Ran::No && !co_await this->hooks.claims.release(key, attempt))
+            this->ran = Ran::Unknown;
+        co_return this->failure(answer.error());
+    }
+
+    asio::awaitable<protocol::HttpResponse> runUnclaimed(bool repeatable)
+    {
+        const auto answer = co_await this->callReplicas(repeatable);
+        co_return answer ? answer.value() : this->failure(answer.error());
+    }
+
+    asio::awaitable<state::Result<protocol::HttpResponse>> callReplicas(bool repeatable)
+    {
+        state::Error last = state::makeError(state::ErrorCode::Unavailable, "service.choose",
+                                             "no replica of the service is ready");
+        int attempts = 0;
+        for (const state::EndpointDescription &replica : this->replicas()) {
+            const auto left = remaining(this->deadline);
+            if (left == std::chrono::milliseconds(0) || attempts++ == maximumAttempts)
+                break;
+            transport::HttpCallLimits limits;
+            limits.connectTimeout = std::min(this->settings.endpoint.connectTimeout, left);
+            limits.timeout = left;
+            const auto answer = co_await transport::httpCall(
+                    this->exchange.executor(), replica.address, this->forwarded(attempts), limits);
+            if (answer) {
+                this->ran = Ran::Yes;
+                co_return answer.value();
+            }
+            last = answer.error();
+            if (last.step == transport::connectStep)
+                continue;
+            this->ran = Ran::Unknown;
+            if (!repeatable)
+                break;
+        }
+        co_return last;
+    }
+
+    protocol::HttpRequest forwarded(int attempt) const
+    {
+        const protocol::HttpRequest &request = this->exchange.request();
+        protocol::HttpRequest call;
+        call.method = request.method;
+        call.target = this->target.rest;
+        call.body = request.body;
+        for (const char *name : {"Content-Type", "Accept", "Idempotency-Key"}) {
+            if (const auto value = request.headers.find(name))
+                call.headers.add(name, std::string(*value));
+        }
+        call.headers.add("Attempt-Id", this->id.value() + "." + std::to_string(attempt));
+        return call;
+    }
+
+    protocol::HttpResponse failure(const state::Error &error)
+    {
+        const bool late = remaining(this->deadline) == std::chrono::milliseconds(0);
+        std::optional<std::chrono::milliseconds> retryAfter;
+        if (this->ran == Ran::No)
+            retryAfter = retryAfterRefusal;
+        return this->problem({late                   ? 504U
+                              : this->ran == Ran::No ? 503U
+                                                     : 502U,
+                              late ? "deadline" : "service-failed", error.step + ": " + error.cause,
+                              this->ran, retryAfter});
+    }
+
+    protocol::HttpResponse problem(const Problem &problem)
+    {
+        this->ran = problem.ran;
+        return protocol::toResponse(problem);
+    }
+
+    const Settings &settings;
+    const ServiceRelay::Hooks &hooks;
+    transport::HttpExchange &exchange;
+    state::ClientAccountId account;
+    ServiceTarget target;
+    state::Instant deadline;
+    state::RequestId id;
+    state::Instant arrival;
+    Ran ran = Ran::No;
+};
+
+bool matches(const std::string &rule, const std::string &method, const std::string &path)
+{
+    const auto blank = rule.find(' ');
+    return blank != std::string::npos && rule.substr(0, blank) == method
+           && path.starts_with(rule.substr(blank + 1));
+}
+
+} // namespace
+
+Repeatability repeatabilityOf(const ServiceSetting *service, const std::string &method,
+                              const std::string &path)
+{
+    if (service != nullptr) {
+        for (const std::string &rule : service->nonIdempotent) {
+            if (matches(rule, method, path))
+                return Repeatability::Claimed;
+        }
+    }
+    // The methods that HTTP itself defines as idempotent.
+    static const std::vector<std::string> idempotent = {"GET", "HEAD", "PUT", "DELETE", "OPTIONS"};
+    const bool safe = std::find(idempotent.begin(), idempotent.end(), method) != idempotent.end();
+    return safe ? Repeatability::Idempotent : Repeatability::NeverRepeated;
+}
+
+ServiceRelay::ServiceRelay(const Settings &settings, Hooks hooks)
+    : settings(settings)
+    , hooks(std::move(hooks))
+{}
+
+asio::awaitable<void> ServiceRelay::run(transport::HttpExchange &exchange,
+                                        const AccountSetting &account) const
+{
+    auto target = splitTarget(exchange.request().target);
+    const auto deadline = deadlineOf(exchange.request(), this->settings.entry.defaultDeadline);
+    if (!target || !deadline) {
+        const state::Error error =
+                deadline ? state::makeError(state::ErrorCode::InvalidArgument, "service.target",
+                                            "the path must be /services/NAME/…")
+                         : deadline.error();
+        co_await exchange.respond(toResponse(invalidRequest(error)));
+        co_return;
+    }
+    RelayedCall call(this->settings, this->hooks, exchange, account, std::move(*target),
+                     monotonicNow() + deadline.value());
+    this->hooks.finished(co_await call.run());
+}
+
+} // namespace lavenderthread::program
--- a/src/protocol/EndpointJson.cpp
+++ b/src/protocol/EndpointJson.cpp
@@ -210,4 +210,14 @@
     return batch;
 }
 
+state::Result<CacheEventBatch> parseLeave(std::string_view text)
+{
+    MemberReader reader(text, "endpoint.leave");
+    CacheEventBatch batch;
+    batch.incarnation = reader.count("incarnation");
+    if (reader.failed())
+        return reader.error();
+    return batch;
+}
+
 } // namespace lavenderthread::protocol
--- a/src/protocol/EndpointJson.h
+++ b/src/protocol/EndpointJson.h
@@ -34,5 +34,7 @@
 state::Result<state::LoadReport> parseLoadReport(const state::EndpointId &endpoint,
                                                  std::string_view json);
 state::Result<CacheEventBatch> parseCacheEvents(std::string_view json);
+// The incarnation that leaves, in a batch without events.
+state::Result<CacheEventBatch> parseLeave(std::string_view json);
 
 } // namespace lavenderthread::protocol
