Consensus: Raft-like state machine for the control members

Votes and answers are held until the writes they rest on are reported synced; a failed sync stops the member; a leader whose disk hangs resigns.

--- /dev/null
+++ b/src/coordination/consensus/Following.cpp
@@ -0,0 +1,92 @@
+// A member that hears a leader: it stores what the leader sends and says so once it is synced.
+#include "coordination/consensus/Consensus.h"
+
+#include <algorithm>
+
+namespace lavenderthread::coordination::consensus {
+
+using state::log::LogEntry;
+using state::log::LogPosition;
+
+void Consensus::hearLeader(const state::VmId &from, std::uint64_t term)
+{
+    if (term > this->hardState.currentTerm || this->role != Role::Follower || this->leader != from)
+        this->becomeFollower(term, from);
+    this->leaderHeard = this->now;
+    this->resetElectionTimer();
+}
+
+void Consensus::handle(const state::VmId &from, const AppendRequest &request)
+{
+    const std::uint64_t current = this->hardState.currentTerm;
+    if (request.term < current) {
+        this->sendWhenPersisted(from, AppendResponse{current, false, 0, request.stamp});
+        return;
+    }
+    if (request.term == current && this->role == Role::Leader)
+        return; // a term has one leader; this is a forged or misdirected message
+    this->hearLeader(from, request.term);
+    if (request.previous.index < this->log.beginning().index) {
+        // What stood there is in the snapshot, so it is committed and agrees with any leader.
+        this->sendWhenPersisted(from, AppendResponse{request.term, true,
+                                                     this->log.beginning().index, request.stamp});
+        return;
+    }
+    if (!this->log.contains(request.previous)) {
+        this->sendWhenPersisted(from,
+                                AppendResponse{request.term, false,
+                                               this->matchHint(request.previous), request.stamp});
+        return;
+    }
+    this->storeEntries(request);
+    if (this->role == Role::Stopped)
+        return;
+    const std::uint64_t match = request.previous.index + request.entries.size();
+    if (std::min(request.commitIndex, match) > this->commit)
+        this->commit = std::min(request.commitIndex, match);
+    this->sendWhenPersisted(from, AppendResponse{request.term, true, match, request.stamp});
+    this->applyCommitted();
+}
+
+void Consensus::storeEntries(const AppendRequest &request)
+{
+    std::uint64_t index = request.previous.index;
+    for (const LogEntry &entry : request.entries) {
+        ++index;
+        if (entry.position.index != index || entry.position.term > request.term) {
+            this->halt(state::makeError(state::ErrorCode::Corrupt, "consensus.append",
+                                        "entries out of order at " + std::to_string(index),
+                                        this->leader.value()));
+            return;
+        }
+        if (this->log.contains(entry.position))
+            continue;
+        if (index <= this->commit) {
+            this->halt(state::makeError(state::ErrorCode::Corrupt, "consensus.append",
+                                        "would replace committed entry " + std::to_string(index),
+                                        this->leader.value()));
+            return;
+        }
+        if (index <= this->log.last().index)
+            this->truncateFrom(index);
+        this->appendEntry(entry);
+        if (this->role == Role::Stopped)
+            return;
+    }
+}
+
+// Where the leader should try next: the end of this log, or before the whole term that differs, so
+// that a long stale tail costs one round trip a term and not one an entry.
+std::uint64_t Consensus::matchHint(const LogPosition &previous) const
+{
+    const std::optional<std::uint64_t> term = this->log.termAt(previous.index);
+    if (!term)
+        return this->log.last().index;
+    std::uint64_t index = previous.index;
+    while (index > this->commit && index > this->log.beginning().index
+           && this->log.termAt(index) == term)
+        --index;
+    return index;
+}
+
+} // namespace lavenderthread::coordination::consensus
--- /dev/null
+++ b/src/coordination/consensus/Proposals.cpp
@@ -0,0 +1,159 @@
+// What callers ask of the leader: changes, reads, members.
+#include "coordination/consensus/Consensus.h"
+
+#include <utility>
+
+namespace lavenderthread::coordination::consensus {
+
+using state::ErrorCode;
+using state::makeError;
+using state::log::LogEntry;
+using state::log::LogEntryKind;
+
+// Why nothing may be proposed now. Certain: what is refused here never enters the log.
+std::optional<ProposalAnswer> Consensus::refusal(ProposalId id) const
+{
+    ProposalAnswer answer{.id = id};
+    if (this->role != Role::Leader) {
+        answer.outcome = ProposalOutcome::NotLeader;
+        answer.leader = this->knownLeader();
+        return answer;
+    }
+    answer.outcome = ProposalOutcome::Refused;
+    if (this->established && !this->holdsLease(this->now)) {
+        answer.error = makeError(ErrorCode::Unavailable, "consensus.propose", "no quorum answers");
+        return answer;
+    }
+    if (this->log.last().index - this->commit >= this->settings.maximumUncommitted) {
+        answer.error = makeError(ErrorCode::Overloaded, "consensus.propose", "too many wait");
+        return answer;
+    }
+    return std::nullopt;
+}
+
+void Consensus::handle(const Propose &propose)
+{
+    for (const Proposal &proposal : propose.proposals) {
+        std::optional<ProposalAnswer> refused = this->refusal(proposal.id);
+        if (!refused && proposal.payload.size() > this->settings.maximumPayloadBytes) {
+            refused = ProposalAnswer{.id = proposal.id, .outcome = ProposalOutcome::Refused};
+            refused->error =
+                    makeError(ErrorCode::InvalidArgument, "consensus.propose", "payload too large");
+        }
+        if (refused) {
+            this->actions.answers.push_back(*refused);
+            continue;
+        }
+        const state::log::LogPosition position{this->hardState.currentTerm,
+                                               this->log.last().index + 1};
+        this->appendEntry(LogEntry{position, LogEntryKind::Command, proposal.payload});
+        this->pending.push_back({proposal.id, position});
+    }
+    if (this->role == Role::Leader)
+        this->sendNewEntries();
+}
+
+void Consensus::handle(const ProposeChange &propose)
+{
+    std::optional<ProposalAnswer> refused = this->refusal(propose.id);
+    if (refused) {
+        this->actions.answers.push_back(*refused);
+        return;
+    }
+    const state::Result<MemberSet> next = this->checkChange(propose.change);
+    if (next.has_error()) {
+        this->actions.answers.push_back(ProposalAnswer{
+                .id = propose.id, .outcome = ProposalOutcome::Refused, .error = next.error()});
+        return;
+    }
+    const state::log::LogPosition position{this->hardState.currentTerm, this->log.last().index + 1};
+    this->appendEntry(LogEntry{position, LogEntryKind::Configuration, next.value().encode()});
+    this->pending.push_back({propose.id, position});
+    this->syncProgress();
+    this->sendNewEntries();
+}
+
+state::Result<MemberSet> Consensus::checkChange(const MemberChange &change) const
+{
+    const auto refuse = [](const char *cause) {
+        return makeError(ErrorCode::Conflict, "consensus.members", cause);
+    };
+    // Two sets that differ by more than one member may have quorums without a common member, and
+    // so two leaders. An own entry must be committed first, or a change left by a deposed leader
+    // could still come between this set and the one before it.
+    if (!this->established || this->configurations.back().index > this->commit)
+        return refuse("another change is under way");
+    BOOST_OUTCOME_TRY(MemberSet next, this->members().withChange(change));
+    if (change.kind == MemberChangeKind::Promote
+        && !this->caughtUpLearners(this->now).contains(change.member.id))
+        return refuse("the learner is not caught up");
+    // A set whose quorum does not answer could commit nothing, its own repair included.
+    if (!this->quorumAnswersSince(this->now - this->settings.electionTimeout, next))
+        return refuse("too few of the remaining voters answer");
+    return next;
+}
+
+std::set<state::VmId> Consensus::caughtUpLearners(state::Instant at) const
+{
+    std::set<state::VmId> found;
+    for (const auto &[id, known] : this->progress) {
+        const bool answers = known.acked && *known.acked + this->settings.electionTimeout >= at;
+        if (!this->members().isVoter(id) && answers && known.match >= this->commit)
+            found.insert(id);
+    }
+    return found;
+}
+
+void Consensus::handle(const Read &read)
+{
+    if (this->role != Role::Leader
+        || this->waitingReads.size() >= this->settings.maximumWaitingReads) {
+        this->actions.reads.push_back({read.id, false, 0, this->knownLeader()});
+        return;
+    }
+    this->waitingReads.push_back({read, this->now, std::nullopt});
+    if (read.kind == ReadKind::Round)
+        this->heartbeat();
+}
+
+// Hands out what is committed, applied and covered by the lease. A deposed leader may still receive
+// late answers that commit an entry; without the lease it leaves telling so to its successor.
+void Consensus::answerReady()
+{
+    if (this->role != Role::Leader || !this->established)
+        return;
+    const bool lease = this->holdsLease(this->now);
+    while (lease && !this->pending.empty()
+           && this->pending.front().position.index <= this->applied) {
+        this->actions.answers.push_back(ProposalAnswer{.id = this->pending.front().id,
+                                                       .outcome = ProposalOutcome::Committed,
+                                                       .position = this->pending.front().position});
+        this->pending.pop_front();
+    }
+    const std::optional<state::Instant> acked = this->quorumAcked();
+    std::deque<WaitingRead> still;
+    for (WaitingRead waiting : this->waitingReads) {
+        const bool round = acked && *acked >= waiting.arrived;
+        const bool confirmed = waiting.read.kind == ReadKind::Lease ? lease : round;
+        if (confirmed && !waiting.index)
+            waiting.index = this->commit;
+        if (confirmed && this->applied >= *waiting.index)
+            this->actions.reads.push_back({waiting.read.id, true, this->applied, std::nullopt});
+        else
+            still.push_back(waiting);
+    }
+    this->waitingReads = std::move(still);
+}
+
+void Consensus::abandonProposals()
+{
+    for (const PendingProposal &proposal : this->pending)
+        this->actions.answers.push_back(
+                ProposalAnswer{.id = proposal.id, .outcome = ProposalOutcome::LeadershipLost});
+    for (const WaitingRead &waiting : this->waitingReads)
+        this->actions.reads.push_back({waiting.read.id, false, 0, std::nullopt});
+    this->pending.clear();
+    this->waitingReads.clear();
+}
+
+} // namespace lavenderthread::coordination::consensus
--- /dev/null
+++ b/src/coordination/consensus/Settings.cpp
@@ -0,0 +1,43 @@
+// Ranges of the settings, and the lease that follows from them.
+#include "coordination/consensus/Settings.h"
+
+namespace lavenderthread::coordination::consensus {
+
+namespace {
+
+constexpr std::int64_t perMille = 1000;
+constexpr std::uint32_t maximumDriftPerMille = 200;
+
+} // namespace
+
+state::Result<void> Settings::check() const
+{
+    const auto refuse = [](const char *cause) {
+        return state::makeError(state::ErrorCode::InvalidArgument, "consensus.settings", cause);
+    };
+    if (this->heartbeat.count() <= 0)
+        return refuse("heartbeat must be above 0");
+    if (this->electionTimeout < 3 * this->heartbeat)
+        return refuse("electionTimeout must be at least three heartbeats");
+    if (this->diskStall < this->electionTimeout)
+        return refuse("diskStall must be at least electionTimeout");
+    if (this->clockDriftPerMille > maximumDriftPerMille)
+        return refuse("clockDriftPerMille must be at most 200");
+    if (this->maximumBatchEntries == 0 || this->maximumBatchBytes == 0
+        || this->maximumInFlightEntries < this->maximumBatchEntries)
+        return refuse("batch bounds must be above 0 and fit the entries in flight");
+    if (this->maximumPayloadBytes == 0 || this->maximumPayloadBytes > this->maximumBatchBytes)
+        return refuse("maximumPayloadBytes must be 1 to maximumBatchBytes");
+    if (this->snapshotPieceBytes == 0 || this->compactionEntries <= this->trailingEntries)
+        return refuse("snapshot pieces must not be empty, compaction must exceed the trail");
+    return state::outcome::success();
+}
+
+state::Duration Settings::lease() const
+{
+    const std::int64_t drift = this->clockDriftPerMille;
+    return this->electionTimeout * (perMille - drift) / (perMille + drift)
+           - state::Duration(1); // rounding down of both clocks
+}
+
+} // namespace lavenderthread::coordination::consensus
