--- a/src/program/Entry.cpp
+++ b/src/program/Entry.cpp
@@ -219,7 +219,7 @@
 protocol::HttpResponse Entry::endpointNews(const protocol::HttpRequest &request,
                                            const state::EndpointId &id, std::string_view call)
 {
-    const protocol::HttpResponse noContent{204, {}, {}};
+    protocol::HttpResponse noContent{204, {}, {}};
     const auto unknown = [] {
         return simpleProblem(404, "not-announced", "announce the endpoint again");
     };
