Program: one await a statement

Cause: free(): invalid pointer in the load caller's first run; gdb shows CheckedCall destroyed twice after a co_await inside ?: and inside braces (g++ 12).

--- a/src/program/Caller.cpp
+++ b/src/program/Caller.cpp
@@ -203,9 +203,12 @@
     StreamedCall call(std::move(request), this->settings);
     for (int attempt = 0; attempt < this->settings.tries; ++attempt) {
         const std::vector<state::Address> order = co_await this->directory();
-        if (!order.empty()
-            && co_await call.tryAt(order[static_cast<std::size_t>(attempt) % order.size()]))
-            break;
+        if (!order.empty()) {
+            const state::Address entry = order[static_cast<std::size_t>(attempt) % order.size()];
+            const bool ended = co_await call.tryAt(entry);
+            if (ended)
+                break;
+        }
         asio::steady_timer timer(co_await asio::this_coro::executor,
                                  this->settings.pauseBetweenTries);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/src/program/CompletionRelay.cpp
+++ b/src/program/CompletionRelay.cpp
@@ -38,8 +38,11 @@
 
     asio::awaitable<CompletionOutcome> run()
     {
-        if (this->resume && co_await this->joinRunningStream())
-            co_return this->outcome();
+        if (this->resume) {
+            const bool ended = co_await this->joinRunningStream();
+            if (ended)
+                co_return this->outcome();
+        }
         PlacementResult placement = co_await this->hooks.scheduler.place(this->request);
         if (!placement) {
             // A resumed stream ran elsewhere before: "no" would be a lie.
@@ -173,7 +176,8 @@
     {
         if (remaining(this->request.deadline) > std::chrono::milliseconds(0))
             co_return false;
-        co_await this->fail({504, "deadline", "the deadline has passed", this->ran, std::nullopt});
+        Problem problem{504, "deadline", "the deadline has passed", this->ran, std::nullopt};
+        co_await this->fail(std::move(problem));
         co_return true;
     }
 
--- a/src/program/Entry.cpp
+++ b/src/program/Entry.cpp
@@ -146,8 +146,11 @@
         co_return;
     }
     const AccountSetting *account = this->authenticate(request);
-    if (this->hooks.extraRoutes && co_await this->hooks.extraRoutes(exchange, account))
-        co_return;
+    if (this->hooks.extraRoutes) {
+        const bool handled = co_await this->hooks.extraRoutes(exchange, account);
+        if (handled)
+            co_return;
+    }
     if (account == nullptr) {
         co_await exchange.respond(
                 simpleProblem(401, "unauthorized", "the bearer key is missing or not known"));
--- a/src/program/ServiceRelay.cpp
+++ b/src/program/ServiceRelay.cpp
@@ -179,8 +179,10 @@
         }
         // "No" is said only after the claim's release is recorded: else a resend could find the key
         // taken and be told "unknown" about a call that never ran, or worse, the reverse.
-        if (this->ran == Ran::No && !co_await this->hooks.claims.release(key, attempt))
-            this->ran = Ran::Unknown;
+        if (this->ran == Ran::No) {
+            const bool released = co_await this->hooks.claims.release(key, attempt);
+            this->ran = released ? Ran::No : Ran::Unknown;
+        }
         co_return this->failure(answer.error());
     }
 
--- a/tests/system/LoadCaller.cpp
+++ b/tests/system/LoadCaller.cpp
@@ -66,7 +66,9 @@
                                                               {"prompt", prompt},
                                                               {"max_tokens", run.options.maxTokens},
                                                               {"stream", true}});
-    CheckedCall checked{call, co_await caller.complete(std::move(request))};
+    CheckedCall checked;
+    checked.plan = call;
+    checked.result = co_await caller.complete(std::move(request));
     checked.contentRight =
             checked.result.text == fakes::ExpectedAnswer(prompt).text(0, run.options.maxTokens);
     co_return checked;
@@ -112,9 +114,11 @@
         call.number += static_cast<std::uint32_t>(round * run.plan.size());
         if (!call.key.empty())
             call.key += "-" + std::to_string(round);
-        CheckedCall checked = call.kind == PlannedCall::Kind::Posting
-                                      ? co_await sendPosting(run, caller, call)
-                                      : co_await sendCompletion(run, caller, call);
+        CheckedCall checked;
+        if (call.kind == PlannedCall::Kind::Posting)
+            checked = co_await sendPosting(run, caller, call);
+        else
+            checked = co_await sendCompletion(run, caller, call);
         const std::lock_guard lock(run.mutex);
         run.finished.push_back(std::move(checked));
     }
