Membership: gossip, directory, owners and endpoint life as state machines

Cause: no balancer and no list of endpoints; 18 VMs today and 370 in the plan have to act as one within 5 KB a second.

Change: coordination/membership (probe, indirect probe, suspicion with refutation, news piggy-backed on bounded datagrams under a byte budget, full-state exchange by digest), directory (steering, graceful end of an entry), ownership (rendezvous with regions, hand-over), endpoints (announce to leave, damping of flapping, memory audit). Fault and spread tests for membership.

Causes were statuses in every datagram of news, which used up the byte budget, refutations sent with whole descriptions, and countdowns that were not restarted when a refutation got lost. A last direct probe before the end of a suspicion closes what remains.

Ruled out: ending the spread of urgent news early when they are heard again. A drain then missed entries even without loss.

--- /dev/null
+++ b/src/coordination/endpoints/EndpointRecord.cpp
@@ -0,0 +1,103 @@
+// Order, merge and size of endpoint records.
+#include "coordination/endpoints/EndpointRecord.h"
+
+#include <xxhash.h>
+
+#include <array>
+#include <tuple>
+
+namespace lavenderthread::coordination::endpoints {
+
+namespace {
+
+constexpr std::size_t stringOverheadBytes = 1;
+constexpr std::size_t fixedRecordBytes = 44;
+constexpr std::size_t fixedDescriptionBytes = 32;
+
+auto lifeOrder(const EndpointRecord &record)
+{
+    return std::tuple(record.incarnation, record.version, record.phase, record.home);
+}
+
+void copyLife(EndpointRecord &into, const EndpointRecord &from)
+{
+    into.incarnation = from.incarnation;
+    into.version = from.version;
+    into.descriptionVersion = from.descriptionVersion;
+    into.phase = from.phase;
+    into.home = from.home;
+    if (from.description)
+        into.description = from.description;
+}
+
+} // namespace
+
+bool EndpointRecord::isUsable() const
+{
+    return this->phase == EndpointPhase::Live && !this->drain.draining
+           && this->description != nullptr;
+}
+
+bool EndpointRecord::operator==(const EndpointRecord &other) const
+{
+    const bool sameDescription =
+            this->description == other.description
+            || (this->description && other.description && *this->description == *other.description);
+    return sameDescription && this->id == other.id && lifeOrder(*this) == lifeOrder(other)
+           && this->descriptionVersion == other.descriptionVersion && this->drain == other.drain;
+}
+
+bool livesLater(const EndpointRecord &next, const EndpointRecord &known)
+{
+    return lifeOrder(next) > lifeOrder(known);
+}
+
+MergeResult merge(const EndpointRecord &known, const EndpointRecord &news)
+{
+    MergeResult result{known};
+    const bool fits = news.description != nullptr
+                      || (news.incarnation == known.incarnation
+                          && news.descriptionVersion == known.descriptionVersion);
+    if (livesLater(news, known) && fits) {
+        result.descriptionChanged =
+                news.description != nullptr
+                && std::tuple(news.incarnation, news.descriptionVersion)
+                           != std::tuple(known.incarnation, known.descriptionVersion);
+        copyLife(result.record, news);
+        result.changed = true;
+    }
+    if (news.drain.position > known.drain.position) {
+        result.record.drain = news.drain;
+        result.changed = true;
+    }
+    result.newsIsOlder = livesLater(known, news) || known.drain.position > news.drain.position;
+    return result;
+}
+
+std::uint64_t fingerprint(const EndpointRecord &record)
+{
+    const std::array<std::uint64_t, 6> parts{
+            XXH64(record.id.value().data(), record.id.value().size(), 1),
+            record.incarnation,
+            (std::uint64_t{record.version} << 32U) | record.descriptionVersion,
+            XXH64(record.home.value().data(), record.home.value().size(),
+                  static_cast<std::uint64_t>(record.phase)),
+            record.drain.position.term,
+            record.drain.position.index};
+    return XXH64(parts.data(), sizeof(parts), 0);
+}
+
+std::size_t wireBytes(const EndpointRecord &record)
+{
+    std::size_t bytes = fixedRecordBytes + record.id.value().size() + record.home.value().size();
+    if (!record.description)
+        return bytes;
+    const state::EndpointDescription &description = *record.description;
+    bytes += fixedDescriptionBytes + description.address.ip.size()
+             + description.failureDomain.value().size() + description.service.value().size();
+    for (const state::ModelName &model : description.models)
+        bytes += stringOverheadBytes + model.value().size();
+    return bytes;
+}
+
+} // namespace lavenderthread::coordination::endpoints
--- /dev/null
+++ b/src/coordination/membership/ByteBudget.h
@@ -0,0 +1,38 @@
+// Token bucket over the bytes that one member sends for gossip.
+#pragma once
+
+#include "state/Time.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace lavenderthread::coordination::membership {
+
+class ByteBudget
+{
+public:
+    ByteBudget(double bytesPerSecond, double burstBytes, state::Instant start)
+        : rate(bytesPerSecond)
+        , burst(burstBytes)
+        , available(burstBytes)
+        , refilledAt(start)
+    {}
+
+    // Below zero once probes, which are sent in any case, have used more than there was.
+    double left(state::Instant now)
+    {
+        const std::chrono::duration<double> elapsed = now - this->refilledAt;
+        this->refilledAt = now;
+        this->available = std::min(this->burst, this->available + elapsed.count() * this->rate);
+        return this->available;
+    }
+    void spend(std::size_t bytes) { this->available -= static_cast<double>(bytes); }
+
+private:
+    double rate;  // bytes a second
+    double burst; // bytes
+    double available;
+    state::Instant refilledAt;
+};
+
+} // namespace lavenderthread::coordination::membership
--- /dev/null
+++ b/src/coordination/membership/Membership.cpp
@@ -0,0 +1,336 @@
+// Outgoing half: ticks, probes, spreading news within the byte budget, and this member's own
+// record.
+#include "coordination/membership/Membership.h"
+
+#include "coordination/membership/AntiEntropy.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lavenderthread::coordination::membership {
+
+namespace {
+
+constexpr std::size_t sealAndHeaderBytes = 16 + 28; // seal, IPv4 and UDP headers
+constexpr std::size_t sealBytes = 16;
+// The exchange may go this far below an empty budget. Else a flood of news would leave no room to
+// teach a newcomer, who would stay out for as long as the flood lasts.
+constexpr double exchangeReserveBytes = 4'000;
+constexpr state::Duration forgetInterval = std::chrono::seconds(10);
+
+} // namespace
+
+state::Result<Membership> Membership::create(MembershipSettings settings, state::Instant now)
+{
+    constexpr std::size_t maximumCluster = 32;
+    constexpr std::size_t maximumId = 128;
+    constexpr std::size_t smallestDatagram = 900; // a digest or the largest record with its headers
+    const auto fail = [](const char *cause) {
+        return state::makeError(state::ErrorCode::InvalidArgument, "membership.create", cause);
+    };
+    if (settings.cluster.empty() || settings.cluster.size() > maximumCluster)
+        return fail("the cluster name must have 1 to 32 characters");
+    if (settings.self.empty() || settings.self.value().size() > maximumId)
+        return fail("the VM id must have 1 to 128 characters");
+    if (settings.incarnation == 0)
+        return fail("the incarnation must be above 0");
+    if (settings.datagramBytes < smallestDatagram)
+        return fail("datagrams must hold 900 bytes at least");
+    const auto longest = std::max(settings.description.failureDomain.value().size(),
+                                  settings.description.region.value().size());
+    if (longest > maximumId)
+        return fail("failure domain and region must have 128 characters at most");
+    return Membership(std::move(settings), now);
+}
+
+Membership::Membership(MembershipSettings chosen, state::Instant now)
+    : settings(std::move(chosen))
+    , random(this->settings.randomSeed)
+    , failureDetector(this->settings.failureDetector, this->settings.self, now)
+    , budget(this->settings.bytesPerSecond, this->settings.burstBytes, now)
+    , startedAt(now)
+    , nextGossip(now)
+    , nextExchange(now)
+    , nextReconnect(now + this->settings.reconnectInterval)
+    , nextForget(now + forgetInterval)
+{
+    MemberRecord own{this->settings.self, this->settings.incarnation};
+    own.description = std::make_shared<const MemberDescription>(this->settings.description);
+    this->memberTable.apply(own, now);
+    this->ownStatus.member = memberKey(own.id);
+    this->ownStatus.sequence = own.incarnation;
+    this->memberTable.applyStatus(this->ownStatus);
+}
+
+GossipActions Membership::tick(state::Instant now)
+{
+    GossipActions actions;
+    if (this->superseded)
+        return actions;
+    this->probe(actions, now);
+    this->gossip(actions, now);
+    this->exchange(actions, now);
+    this->reconnect(actions, now);
+    this->forget(actions, now);
+    std::erase_if(this->relays, [&](const auto &item) { return now >= item.second.until; });
+    return actions;
+}
+
+void Membership::probe(GossipActions &actions, state::Instant now)
+{
+    const ProbeActions wanted = this->failureDetector.tick(this->memberTable, this->random, now);
+    if (wanted.suspect)
+        this->declare(*wanted.suspect, MemberHealth::Suspect, actions, now);
+    for (const state::VmId &id : wanted.dead)
+        this->declare(id, MemberHealth::Dead, actions, now);
+    if (wanted.ping) {
+        const MemberRecord &target = this->memberTable.find(*wanted.ping)->record;
+        GossipMessage message = this->makeMessage(GossipKind::Ping, wanted.sequence);
+        message.target = target.id;
+        // A suspect hears of the accusation from the probe itself, in time to refute it.
+        if (target.health != MemberHealth::Alive)
+            message.members.push_back(target);
+        this->send(actions, target.description->gossip, std::move(message), now);
+    }
+    for (const state::VmId &id : wanted.check)
+        this->pingAccused(this->memberTable.find(id)->record, actions);
+    if (!wanted.pingThroughOthers)
+        return;
+    constexpr std::size_t indirectProbes = 3; // enough that one lossy path decides nothing
+    for (const MemberEntry *helper : this->memberTable.randomLive(
+                 indirectProbes, this->settings.self, *wanted.pingThroughOthers, this->random)) {
+        GossipMessage message = this->makeMessage(GossipKind::PingRequest, wanted.sequence);
+        message.target = *wanted.pingThroughOthers;
+        this->sendBare(actions, helper->record.description->gossip, std::move(message));
+    }
+}
+
+void Membership::gossip(GossipActions &actions, state::Instant now)
+{
+    if (now < this->nextGossip || this->news.empty())
+        return;
+    this->nextGossip = now + this->settings.gossipInterval;
+    for (const MemberEntry *peer :
+         this->memberTable.randomLive(this->settings.gossipFanout, this->settings.self,
+                                      this->settings.self, this->random)) {
+        if (this->news.empty() || this->budget.left(now) <= 0)
+            return;
+        this->send(actions, peer->record.description->gossip, this->makeMessage(GossipKind::News),
+                   now);
+    }
+}
+
+void Membership::exchange(GossipActions &actions, state::Instant now)
+{
+    if (!this->synced && now - this->startedAt >= this->settings.joinTimeout)
+        this->synced = true;
+    if (now < this->nextExchange)
+        return;
+    this->nextExchange =
+            now + (this->synced ? this->settings.syncInterval : this->settings.joinSyncInterval);
+    const std::optional<state::Address> peer = this->exchangePeer();
+    if (!peer) {
+        this->synced = true; // the first member of its cluster
+        return;
+    }
+    if (!this->mayExchange(now))
+        return;
+    GossipMessage message = this->makeMessage(GossipKind::Digest);
+    message.digest = makeDigest({this->memberTable, this->endpointRecords}, now);
+    if (!this->synced)
+        this->addSelf(message);
+    this->sendBare(actions, *peer, std::move(message));
+}
+
+std::optional<state::Address> Membership::exchangePeer()
+{
+    const auto peers =
+            this->memberTable.randomLive(1, this->settings.self, this->settings.self, this->random);
+    if (!peers.empty())
+        return peers.front()->record.description->gossip;
+    std::vector<state::Address> seeds = this->settings.seeds;
+    std::erase(seeds, this->settings.description.gossip);
+    if (seeds.empty())
+        return std::nullopt;
+    return seeds[this->random() % seeds.size()];
+}
+
+void Membership::reconnect(GossipActions &actions, state::Instant now)
+{
+    if (now < this->nextReconnect)
+        return;
+    this->nextReconnect = now + this->settings.reconnectInterval;
+    std::vector<const MemberEntry *> dead;
+    for (const auto &[id, entry] : this->memberTable.entries()) {
+        if (entry.record.health == MemberHealth::Dead && entry.record.phase != MemberPhase::Left)
+            dead.push_back(&entry);
+    }
+    if (dead.empty())
+        return;
+    this->pingAccused(dead[this->random() % dead.size()]->record, actions);
+}
+
+void Membership::pingAccused(const MemberRecord &target, GossipActions &actions)
+{
+    GossipMessage message = this->makeMessage(GossipKind::Ping);
+    message.target = target.id;
+    message.members.push_back(target);
+    this->addSelf(message);
+    this->sendBare(actions, target.description->gossip, std::move(message));
+}
+
+void Membership::forget(GossipActions &actions, state::Instant now)
+{
+    if (now < this->nextForget)
+        return;
+    this->nextForget = now + forgetInterval;
+    actions.membersChanged |=
+            this->memberTable.forget(now, this->settings.leftKept, this->settings.deadKept);
+    actions.endpointsChanged |= this->endpointRecords.forget(now, this->settings.leftKept);
+}
+
+GossipActions Membership::setSelf(const SelfState &next, state::Instant now)
+{
+    GossipActions actions;
+    MemberRecord own = this->selfRecord();
+    if (next.phase != own.phase || next.ready != own.ready) {
+        own.phase = next.phase;
+        own.ready = next.ready;
+        ++own.version;
+        this->changeSelf(own, actions, now);
+    }
+    if (next.tableVersion != this->ownStatus.tableVersion || next.load != this->ownStatus.load) {
+        this->ownStatus.tableVersion = next.tableVersion;
+        this->ownStatus.load = std::min(next.load, maximumLoad);
+        ++this->ownStatus.sequence;
+        this->memberTable.applyStatus(this->ownStatus);
+    }
+    return actions;
+}
+
+GossipActions Membership::publish(const endpoints::EndpointRecord &record, state::Instant now)
+{
+    GossipActions actions;
+    const endpoints::MergeResult merged = this->endpointRecords.apply(record, now);
+    if (!merged.changed)
+        return actions;
+    actions.endpointsChanged = true;
+    const bool full = merged.descriptionChanged;
+    this->news.add({NewsSubject::Endpoint, record.id.value()},
+                   full ? NewsForm::Full : NewsForm::Short,
+                   full ? NewsUrgency::Ordinary : NewsUrgency::Urgent);
+    return actions;
+}
+
+const MemberRecord &Membership::selfRecord() const
+{
+    return this->memberTable.find(this->settings.self)->record;
+}
+
+bool Membership::isIsolated(state::Instant now) const
+{
+    return this->failureDetector.isIsolated(this->memberTable, now);
+}
+
+void Membership::changeSelf(const MemberRecord &next, GossipActions &actions, state::Instant now)
+{
+    const bool isNew = next.incarnation != this->selfRecord().incarnation
+                       || this->selfRecord().phase == MemberPhase::Joining;
+    this->memberTable.apply(next, now);
+    this->news.add({NewsSubject::Member, next.id.value()}, isNew ? NewsForm::Full : NewsForm::Short,
+                   NewsUrgency::Urgent);
+    actions.membersChanged = true;
+}
+
+void Membership::declare(const state::VmId &member, MemberHealth health, GossipActions &actions,
+                         state::Instant now)
+{
+    const MemberEntry *entry = this->memberTable.find(member);
+    if (entry == nullptr || !entry->record.isLive())
+        return;
+    MemberRecord worse = entry->record;
+    worse.health = health;
+    if (this->memberTable.apply(worse, now) != ApplyResult::Changed)
+        return;
+    this->failureDetector.observe(worse, this->memberTable.liveCount(), now);
+    this->news.add({NewsSubject::Member, member.value()}, NewsForm::Short, NewsUrgency::Urgent);
+    actions.membersChanged = true;
+}
+
+GossipMessage Membership::makeMessage(GossipKind kind, std::uint32_t sequence) const
+{
+    GossipMessage message;
+    message.kind = kind;
+    message.cluster = this->settings.cluster;
+    message.sender = this->settings.self;
+    message.senderIncarnation = this->selfRecord().incarnation;
+    message.sequence = sequence;
+    return message;
+}
+
+void Membership::addSelf(GossipMessage &message) const
+{
+    message.members.push_back(this->selfRecord());
+}
+
+void Membership::send(GossipActions &actions, const state::Address &to, GossipMessage message,
+                      state::Instant now)
+{
+    if (this->budget.left(now) > 0) {
+        this->news.fill(message, this->room(message), this->newsLimits(), this->memberTable,
+                        this->endpointRecords);
+        // Statuses go with probes only, whose number is fixed; with every datagram of news they
+        // would use up the budget when news are many and must go out.
+        const bool isProbe = message.kind != GossipKind::News;
+        const std::size_t statuses =
+                std::min(this->settings.statusesPerDatagram, this->room(message) / statusWireBytes);
+        if (isProbe)
+            message.statuses = this->memberTable.takeStatuses(statuses, this->settings.self);
+    }
+    this->sendBare(actions, to, std::move(message));
+}
+
+void Membership::sendBare(GossipActions &actions, const state::Address &to, GossipMessage message)
+{
+    const std::size_t bytes = wireBytes(message) + sealAndHeaderBytes;
+    this->budget.spend(bytes);
+    this->gossipCounters.sentBytes += bytes;
+    ++this->gossipCounters.sentDatagrams;
+    actions.sends.push_back({to, std::move(message)});
+}
+
+void Membership::sendRecords(GossipActions &actions, const state::Address &to,
+                             const std::vector<std::uint64_t> &keys, std::size_t maximumMessages,
+                             state::Instant now)
+{
+    const std::size_t bytes = this->room(this->makeMessage(GossipKind::Records));
+    for (const GossipMessage &part :
+         collect({this->memberTable, this->endpointRecords}, keys, bytes, maximumMessages)) {
+        if (!this->mayExchange(now))
+            return;
+        GossipMessage message = this->makeMessage(GossipKind::Records);
+        message.members = part.members;
+        message.endpointRecords = part.endpointRecords;
+        this->sendBare(actions, to, std::move(message));
+    }
+}
+
+bool Membership::mayExchange(state::Instant now)
+{
+    return this->budget.left(now) > -exchangeReserveBytes;
+}
+
+std::size_t Membership::room(const GossipMessage &message) const
+{
+    const std::size_t used = wireBytes(message) + sealBytes;
+    return used >= this->settings.datagramBytes ? 0 : this->settings.datagramBytes - used;
+}
+
+NewsLimits Membership::newsLimits() const
+{
+    const double members = static_cast<double>(this->memberTable.entries().size());
+    const auto digits = static_cast<unsigned>(std::max(1.0, std::ceil(std::log10(members + 1))));
+    return {this->settings.urgentNewsFactor * digits, this->settings.ordinaryNewsFactor * digits};
+}
+
+} // namespace lavenderthread::coordination::membership
--- /dev/null
+++ b/src/coordination/membership/MembershipReceive.cpp
@@ -0,0 +1,221 @@
+// Incoming half: what is refused, what is merged, and what each kind of message is answered with.
+#include "coordination/membership/AntiEntropy.h"
+#include "coordination/membership/Membership.h"
+
+#include <algorithm>
+
+namespace lavenderthread::coordination::membership {
+
+namespace {
+
+// Pings sent for others have sequences of their own, so that their acks can't be taken for those
+// of this member's probes.
+constexpr std::uint32_t relaySequenceBit = 1U << 31U;
+constexpr state::Duration relayKept = std::chrono::seconds(2);
+constexpr std::size_t recordMessagesPerPull = 8;
+
+} // namespace
+
+GossipActions Membership::receive(const GossipMessage &message, const state::Address &from,
+                                  state::Instant now)
+{
+    GossipActions actions;
+    if (this->superseded || this->isRefused(message, from, actions, now))
+        return actions;
+    this->failureDetector.heard(now);
+    this->applyRecords(message, from, actions, now);
+    if (!this->superseded)
+        this->answer(message, from, actions, now);
+    return actions;
+}
+
+bool Membership::isRefused(const GossipMessage &message, const state::Address &from,
+                           GossipActions &actions, state::Instant now)
+{
+    if (message.cluster != this->settings.cluster) {
+        ++this->gossipCounters.refusedCluster;
+        return true;
+    }
+    if (message.sender == this->settings.self) {
+        MemberRecord twin = this->selfRecord();
+        twin.incarnation = message.senderIncarnation;
+        if (twin.incarnation > this->selfRecord().incarnation)
+            this->applySelf(twin, actions, now);
+        return true;
+    }
+    const MemberEntry *sender = this->memberTable.find(message.sender);
+    if (sender == nullptr || message.senderIncarnation >= sender->record.incarnation)
+        return false;
+    // A process that was replaced, or one started with a clock behind its predecessor's. What it
+    // says is old; the answer tells it so, and it stops or takes a higher incarnation.
+    ++this->gossipCounters.refusedIncarnation;
+    if (this->budget.left(now) > 0) {
+        GossipMessage correction = this->makeMessage(GossipKind::Records);
+        correction.members.push_back(sender->record);
+        this->sendBare(actions, from, std::move(correction));
+    }
+    return true;
+}
+
+void Membership::applyRecords(const GossipMessage &message, const state::Address &from,
+                              GossipActions &actions, state::Instant now)
+{
+    const bool spread = message.kind != GossipKind::Records;
+    std::vector<std::uint64_t> outdatedAtSender;
+    for (const MemberRecord &record : message.members) {
+        if (record.id == this->settings.self) {
+            this->applySelf(record, actions, now);
+            continue;
+        }
+        const ApplyResult result = this->memberTable.apply(record, now);
+        if (result == ApplyResult::Older)
+            outdatedAtSender.push_back(memberKey(record.id));
+        if (result == ApplyResult::Same)
+            this->news.heardAgain({NewsSubject::Member, record.id.value()});
+        if (result != ApplyResult::Changed)
+            continue;
+        actions.membersChanged = true;
+        this->failureDetector.observe(record, this->memberTable.liveCount(), now);
+        if (spread)
+            this->news.add({NewsSubject::Member, record.id.value()},
+                           record.description ? NewsForm::Full : NewsForm::Short,
+                           NewsUrgency::Urgent);
+    }
+    for (const endpoints::EndpointRecord &record : message.endpointRecords) {
+        const endpoints::MergeResult merged = this->endpointRecords.apply(record, now);
+        if (merged.newsIsOlder)
+            outdatedAtSender.push_back(endpoints::endpointKey(record.id));
+        if (!merged.changed) {
+            if (!merged.newsIsOlder)
+                this->news.heardAgain({NewsSubject::Endpoint, record.id.value()});
+            continue;
+        }
+        actions.endpointsChanged = true;
+        if (spread)
+            this->news.add({NewsSubject::Endpoint, record.id.value()},
+                           record.description ? NewsForm::Full : NewsForm::Short,
+                           record.description ? NewsUrgency::Ordinary : NewsUrgency::Urgent);
+    }
+    for (const MemberStatus &status : message.statuses) {
+        if (status.member != this->ownStatus.member)
+            this->memberTable.applyStatus(status);
+    }
+    // News is often behind what the receiver knows; only a full-state exchange that pushed an old
+    // record is corrected, else every late piece of news would be answered.
+    if (!spread && !outdatedAtSender.empty())
+        this->sendRecords(actions, from, outdatedAtSender, 1, now);
+}
+
+void Membership::applySelf(const MemberRecord &claim, GossipActions &actions, state::Instant now)
+{
+    MemberRecord own = this->selfRecord();
+    if (!claim.supersedes(own))
+        return;
+    if (claim.incarnation == own.incarnation) {
+        own.version = claim.version + 1; // refutes suspicion, death, or an earlier life's phase
+        this->changeSelf(own, actions, now);
+        return;
+    }
+    if (own.phase != MemberPhase::Joining) {
+        this->superseded = true;
+        return;
+    }
+    // Not yet serving, so nobody relies on this process: the other incarnation is an earlier one
+    // that ran with a clock ahead of ours.
+    own.incarnation = claim.incarnation + 1;
+    own.version = 0;
+    this->ownStatus.sequence = std::max(this->ownStatus.sequence, own.incarnation);
+    this->changeSelf(own, actions, now);
+    this->memberTable.applyStatus(this->ownStatus);
+}
+
+void Membership::answer(const GossipMessage &message, const state::Address &from,
+                        GossipActions &actions, state::Instant now)
+{
+    switch (message.kind) {
+    case GossipKind::Ping: {
+        // An address may be used again by another VM; the ack must come from the one that is meant.
+        if (message.target != this->settings.self)
+            return;
+        GossipMessage ack = this->makeMessage(GossipKind::Ack, message.sequence);
+        const MemberEntry *sender = this->memberTable.find(message.sender);
+        if (sender != nullptr && sender->record.health != MemberHealth::Alive)
+            ack.members.push_back(sender->record);
+        const bool accused = std::any_of(
+                message.members.begin(), message.members.end(),
+                [&](const MemberRecord &record) { return record.id == this->settings.self; });
+        if (accused)
+            this->addSelf(ack);
+        this->send(actions, from, std::move(ack), now);
+        return;
+    }
+    case GossipKind::PingRequest:
+        this->relayPing(message, from, actions, now);
+        return;
+    case GossipKind::Ack:
+        if ((message.sequence & relaySequenceBit) != 0)
+            this->relayAck(message, actions, now);
+        else
+            this->failureDetector.acknowledged(message.sequence);
+        return;
+    case GossipKind::Digest: {
+        if (message.digest.size() != digestBuckets || !this->mayExchange(now))
+            return;
+        GossipMessage summary = this->makeMessage(GossipKind::Summary);
+        summarize({this->memberTable, this->endpointRecords}, message.digest, this->room(summary),
+                  this->random, now, summary);
+        this->sendBare(actions, from, std::move(summary));
+        return;
+    }
+    case GossipKind::Summary:
+        this->followSummary(message, from, actions, now);
+        return;
+    case GossipKind::Pull:
+        this->sendRecords(actions, from, message.keys, recordMessagesPerPull, now);
+        return;
+    case GossipKind::News:
+    case GossipKind::Records:
+        return;
+    }
+}
+
+void Membership::relayPing(const GossipMessage &message, const state::Address &from,
+                           GossipActions &actions, state::Instant now)
+{
+    const MemberEntry *target = this->memberTable.find(message.target);
+    if (target == nullptr || !target->record.isLive())
+        return;
+    const std::uint32_t sequence = ++this->lastRelay | relaySequenceBit;
+    this->relays[sequence] = Relay{from, message.sequence, now + relayKept};
+    GossipMessage ping = this->makeMessage(GossipKind::Ping, sequence);
+    ping.target = message.target;
+    this->sendBare(actions, target->record.description->gossip, std::move(ping));
+}
+
+void Membership::relayAck(const GossipMessage &message, GossipActions &actions, state::Instant now)
+{
+    const auto relay = this->relays.find(message.sequence);
+    if (relay == this->relays.end() || now >= relay->second.until)
+        return;
+    this->sendBare(actions, relay->second.requester,
+                   this->makeMessage(GossipKind::Ack, relay->second.sequence));
+    this->relays.erase(relay);
+}
+
+void Membership::followSummary(const GossipMessage &summary, const state::Address &from,
+                               GossipActions &actions, state::Instant now)
+{
+    if (summary.differingBuckets == 0) {
+        this->synced = true;
+        return;
+    }
+    SummaryPlan plan = planFor({this->memberTable, this->endpointRecords}, summary, now);
+    GossipMessage pull = this->makeMessage(GossipKind::Pull);
+    plan.pull.resize(std::min(plan.pull.size(), this->room(pull) / sizeof(std::uint64_t)));
+    pull.keys = std::move(plan.pull);
+    if (!pull.keys.empty() && this->mayExchange(now))
+        this->sendBare(actions, from, std::move(pull));
+    this->sendRecords(actions, from, plan.push, recordMessagesPerPull, now);
+}
+
+} // namespace lavenderthread::coordination::membership
--- /dev/null
+++ b/src/coordination/membership/MembershipSettings.h
@@ -0,0 +1,41 @@
+// What one member is told at its start, and the pace of its gossip. The defaults are those that
+// docs/design/membership.md weighs.
+#pragma once
+
+#include "coordination/membership/FailureDetector.h"
+#include "coordination/membership/Member.h"
+
+#include <string>
+#include <vector>
+
+namespace lavenderthread::coordination::membership {
+
+struct MembershipSettings
+{
+    std::string cluster; // 1 to 32 characters; datagrams of another cluster are refused
+    state::VmId self;
+    std::uint64_t incarnation = 0; // start of the process, milliseconds of wall time
+    MemberDescription description;
+    std::vector<state::Address> seeds; // asked only while no other member is known
+    std::uint64_t randomSeed = 0;
+
+    FailureDetectorSettings failureDetector;
+    state::Duration gossipInterval = std::chrono::milliseconds(200); // while there is news
+    unsigned gossipFanout = 3;
+    // Every member sends a record at most this many times for each decimal digit of the number of
+    // members. Ordinary news are whole descriptions, which the exchange repairs if they are missed.
+    unsigned urgentNewsFactor = 4;
+    unsigned ordinaryNewsFactor = 2;
+    state::Duration syncInterval = std::chrono::seconds(10);
+    state::Duration joinSyncInterval = std::chrono::milliseconds(250);
+    state::Duration joinTimeout = std::chrono::seconds(30); // then it counts as synced as it is
+    state::Duration reconnectInterval = std::chrono::seconds(10); // to one dead member
+    state::Duration leftKept = std::chrono::hours(1);
+    state::Duration deadKept = std::chrono::hours(24); // outlasts a split between regions
+    std::size_t statusesPerDatagram = 12;
+    std::size_t datagramBytes = 1'200; // sealed; below every usual path's limit
+    double bytesPerSecond = 2'000;     // sent on average, with the headers of IP and UDP
+    double burstBytes = 20'000;
+};
+
+} // namespace lavenderthread::coordination::membership
--- /dev/null
+++ b/src/coordination/membership/NewsQueue.cpp
@@ -0,0 +1,89 @@
+// Bounded piggy-backing of news.
+#include "coordination/membership/NewsQueue.h"
+
+#include <algorithm>
+
+namespace lavenderthread::coordination::membership {
+
+namespace {
+
+template <typename Record>
+Record inForm(Record record, NewsForm form)
+{
+    if (form == NewsForm::Short)
+        record.description = nullptr;
+    return record;
+}
+
+// Adds the record if it fits; gives the bytes that it took, 0 if it did not fit.
+template <typename Record>
+std::size_t addIfFits(std::vector<Record> &list, Record record, std::size_t room)
+{
+    const std::size_t bytes = wireBytes(record);
+    if (bytes > room)
+        return 0;
+    list.push_back(std::move(record));
+    return bytes;
+}
+
+} // namespace
+
+void NewsQueue::add(const NewsKey &key, NewsForm form, NewsUrgency urgency)
+{
+    Item &item = this->items[key];
+    // A full record that is still spreading stays full, so that nobody is left without it.
+    if (form == NewsForm::Full)
+        item.form = NewsForm::Full;
+    item.urgency = urgency;
+    item.sends = 0;
+    item.serial = this->nextSerial++;
+}
+
+void NewsQueue::heardAgain(const NewsKey &key)
+{
+    const auto item = this->items.find(key);
+    if (item != this->items.end() && item->second.urgency == NewsUrgency::Ordinary)
+        ++item->second.sends;
+}
+
+void NewsQueue::fill(GossipMessage &message, std::size_t bytes, const NewsLimits &limits,
+                     const MemberTable &members, const endpoints::EndpointTable &endpointTable)
+{
+    using Position = std::map<NewsKey, Item>::iterator;
+    std::vector<Position> order;
+    order.reserve(this->items.size());
+    for (Position position = this->items.begin(); position != this->items.end(); ++position)
+        order.push_back(position);
+    std::sort(order.begin(), order.end(), [](Position a, Position b) {
+        return std::tuple(a->second.urgency, a->second.sends, a->second.serial)
+               < std::tuple(b->second.urgency, b->second.sends, b->second.serial);
+    });
+    constexpr std::size_t smallestRecordBytes = 20;
+    for (const Position position : order) {
+        if (bytes < smallestRecordBytes)
+            return;
+        const NewsKey &key = position->first;
+        Item &item = position->second;
+        const MemberEntry *member = nullptr;
+        const endpoints::EndpointEntry *endpoint = nullptr;
+        if (key.subject == NewsSubject::Member)
+            member = members.find(state::VmId(key.id));
+        else
+            endpoint = endpointTable.find(state::EndpointId(key.id));
+        std::size_t taken = 0;
+        if (member != nullptr)
+            taken = addIfFits(message.members, inForm(member->record, item.form), bytes);
+        else if (endpoint != nullptr)
+            taken = addIfFits(message.endpointRecords, inForm(endpoint->record, item.form), bytes);
+        bytes -= taken;
+        const unsigned limit =
+                item.urgency == NewsUrgency::Urgent ? limits.urgent : limits.ordinary;
+        const bool forgotten = member == nullptr && endpoint == nullptr;
+        if (taken > 0)
+            ++item.sends;
+        if (forgotten || item.sends >= limit)
+            this->items.erase(position);
+    }
+}
+
+} // namespace lavenderthread::coordination::membership
--- /dev/null
+++ b/tests/coordination/membership/MembershipSpreadTest.cpp
@@ -0,0 +1,157 @@
+// How news travels: within bounded time and bytes, under loss, to today's size and the planned one.
+#include "coordination/membership/GossipFleet.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace lavenderthread::coordination::membership {
+
+namespace {
+
+using std::chrono::seconds;
+
+endpoints::EndpointRecord drainMark(std::uint64_t index, bool draining)
+{
+    endpoints::EndpointRecord record{state::EndpointId("engine-1")};
+    record.drain = {{1, index}, draining};
+    return record;
+}
+
+bool isDraining(const Membership &machine)
+{
+    const auto *entry = machine.endpointTable().find(state::EndpointId("engine-1"));
+    return entry != nullptr && entry->record.drain.draining;
+}
+
+} // namespace
+
+class MembershipSpreadTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(MembershipSpreadTest);
+    CPPUNIT_TEST(drainReachesEveryEntryInTime);
+    CPPUNIT_TEST(newcomerLearnsAllWithinBounds);
+    CPPUNIT_TEST(lateAndDoubledMarksNeverRevert);
+    CPPUNIT_TEST(steadyBytesStayInBudget);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void drainReachesEveryEntryInTime()
+    {
+        // An operator drains an endpoint at one entry while the network loses datagrams. Callers of
+        // the others must stop reaching that endpoint: news repeats on several paths, so loss only
+        // costs rounds.
+        struct Case
+        {
+            std::size_t nodes;
+            double loss;
+            seconds within;
+        };
+        for (const Case &fault : {Case{18, 0, seconds(3)}, Case{18, 0.05, seconds(3)},
+                                  Case{18, 0.20, seconds(3)}, Case{370, 0, seconds(12)},
+                                  Case{370, 0.05, seconds(12)}, Case{370, 0.20, seconds(12)}}) {
+            for (std::uint64_t seed = 1; seed <= (fault.nodes < 100 ? 20U : 1U); ++seed) {
+                GossipFleet fleet({.nodes = fault.nodes, .loss = fault.loss, .seed = seed});
+                fleet.run(seconds(1));
+                fleet.perform(3, fleet.at(3).publish(drainMark(7, true), fleet.now()));
+                const auto all = [&] {
+                    for (std::size_t node = 0; node < fleet.size(); ++node) {
+                        if (!isDraining(fleet.at(node)))
+                            return false;
+                    }
+                    return true;
+                };
+                const state::Duration took = fleet.runUntil(all, fault.within);
+                CPPUNIT_ASSERT_MESSAGE("nodes " + std::to_string(fault.nodes) + " loss "
+                                               + std::to_string(fault.loss) + " seed "
+                                               + std::to_string(seed),
+                                       took >= state::Duration::zero());
+            }
+        }
+    }
+
+    void newcomerLearnsAllWithinBounds()
+    {
+        // A VM is replaced. The newcomer knows one seed and must not answer callers before it knows
+        // the fleet; the members that teach it must stay within their datagram size.
+        FleetSettings settings{.nodes = 54, .loss = 0.05, .preload = true};
+        GossipFleet fleet(settings);
+        fleet.run(seconds(2));
+        for (int index = 0; index < 270; ++index) {
+            state::EndpointDescription description{
+                    state::EndpointId("engine-" + std::to_string(index)), {"10.9.9.9", 99}};
+            description.incarnation = 1;
+            endpoints::EndpointRecord record{
+                    description.id, 1, 1, 1, endpoints::EndpointPhase::Live, GossipFleet::idOf(4)};
+            record.description = std::make_shared<const state::EndpointDescription>(description);
+            const std::size_t home = static_cast<std::size_t>(index) % fleet.size();
+            fleet.perform(home, fleet.at(home).publish(record, fleet.now()));
+        }
+        fleet.run(seconds(60));
+        std::size_t largest = 0;
+        fleet.observer = [&](const GossipFleet::Delivery &delivery) {
+            largest = std::max(largest, wireBytes(delivery.message));
+        };
+        fleet.restart(9, 5'000);
+        const auto knowsAll = [&] {
+            return fleet.at(9).isSynced() && fleet.at(9).members().liveCount() == 54
+                   && fleet.at(9).endpointTable().entries().size() == 270;
+        };
+        CPPUNIT_ASSERT(fleet.runUntil(knowsAll, seconds(20)) >= state::Duration::zero());
+        CPPUNIT_ASSERT(largest + 16 <= 1'200);
+        const auto known = [&] {
+            for (std::size_t node = 0; node < fleet.size(); ++node) {
+                if (fleet.at(node).members().find(GossipFleet::idOf(9))->record.incarnation
+                    != 5'000)
+                    return false;
+            }
+            return true;
+        };
+        CPPUNIT_ASSERT(fleet.runUntil(known, seconds(12)) >= state::Duration::zero());
+    }
+
+    void lateAndDoubledMarksNeverRevert()
+    {
+        // Drain, undrain and drain again while datagrams arrive doubled and in any order. An entry
+        // that applied an older mark last would send work to an endpoint that is leaving.
+        GossipFleet fleet({.nodes = 18,
+                           .loss = 0.1,
+                           .duplication = 0.3,
+                           .longestDelay = std::chrono::milliseconds(1'500),
+                           .seed = 5});
+        std::vector<std::uint64_t> highest(18, 0);
+        bool reverted = false;
+        fleet.observer = [&](const GossipFleet::Delivery &delivery) {
+            const auto *entry =
+                    fleet.at(delivery.to).endpointTable().find(state::EndpointId("engine-1"));
+            const std::uint64_t index = entry ? entry->record.drain.position.index : 0;
+            reverted |= index < highest[delivery.to];
+            highest[delivery.to] = std::max(highest[delivery.to], index);
+        };
+        for (std::uint64_t index = 1; index <= 9; ++index) {
+            const std::size_t node = index % 18;
+            fleet.perform(node,
+                          fleet.at(node).publish(drainMark(index, index % 2 == 1), fleet.now()));
+            fleet.run(std::chrono::milliseconds(400));
+        }
+        fleet.run(seconds(30));
+        CPPUNIT_ASSERT(!reverted);
+        for (std::size_t node = 0; node < fleet.size(); ++node)
+            CPPUNIT_ASSERT(isDraining(fleet.at(node)));
+    }
+
+    void steadyBytesStayInBudget()
+    {
+        // Control traffic competes with the tokens of callers on small VMs.
+        GossipFleet fleet({.nodes = 100, .seed = 3});
+        fleet.run(seconds(30));
+        for (std::size_t node = 0; node < fleet.size(); ++node) {
+            const double bytesPerSecond =
+                    static_cast<double>(fleet.at(node).counters().sentBytes) / 30;
+            CPPUNIT_ASSERT(bytesPerSecond < 2'500);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MembershipSpreadTest);
+
+} // namespace lavenderthread::coordination::membership
