Protocol: lengths checked before anything is allocated for them

Cause: cereal's own input archive resizes a string or vector to the length it reads; four flipped bytes make the receiver allocate and fill gigabytes. Change: BoundedInputArchive reads the same format from memory and refuses a length beyond the bytes left; decode() also refuses bytes after the message.

--- /dev/null
+++ b/src/protocol/BoundedInputArchive.h
@@ -0,0 +1,90 @@
+// cereal input archive over bytes in memory, for the format of cereal's portable binary output on
+// little-endian machines. A container's length is checked against the bytes that are left before
+// anything is allocated for it: with cereal's own archive four flipped bytes of a length make the
+// receiver allocate and fill gigabytes.
+#pragma once
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/common.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <cstring>
+#include <string_view>
+#include <type_traits>
+
+namespace lavenderthread::protocol {
+
+class BoundedInputArchive
+    : public cereal::InputArchive<BoundedInputArchive, cereal::AllowEmptyClassElision>
+{
+public:
+    // `bytes` has to outlive the archive. Throws cereal::Exception, as all loading does.
+    explicit BoundedInputArchive(std::string_view bytes)
+        : cereal::InputArchive<BoundedInputArchive, cereal::AllowEmptyClassElision>(this)
+        , left(bytes)
+    {
+        std::uint8_t littleEndian = 0;
+        this->loadBytes(&littleEndian, sizeof littleEndian);
+        if (littleEndian != 1)
+            throw cereal::Exception("written by a big-endian machine");
+    }
+
+    void loadBytes(void *target, std::size_t size)
+    {
+        this->checkLength(size);
+        std::memcpy(target, this->left.data(), size);
+        this->left.remove_prefix(size);
+    }
+
+    // Every element of a container takes at least one byte.
+    void checkLength(std::uint64_t elements) const
+    {
+        if (elements > this->left.size())
+            throw cereal::Exception("length beyond the end of the message");
+    }
+
+    std::size_t bytesLeft() const { return this->left.size(); }
+
+private:
+    std::string_view left; // not yet read
+};
+
+// cereal finds these by their names.
+// NOLINTBEGIN(readability-identifier-naming)
+template <typename Number, std::enable_if_t<std::is_arithmetic_v<Number>, int> = 0>
+void CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive &archive, Number &number)
+{
+    archive.loadBytes(&number, sizeof number);
+}
+
+template <typename Size>
+void CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive &archive, cereal::SizeTag<Size> &tag)
+{
+    archive(tag.size);
+    archive.checkLength(tag.size);
+}
+
+template <typename Element>
+void CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive &archive, cereal::BinaryData<Element> &data)
+{
+    archive.loadBytes(data.data, static_cast<std::size_t>(data.size));
+}
+
+template <typename Value>
+void CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive &archive, cereal::NameValuePair<Value> &pair)
+{
+    archive(pair.value);
+}
+// NOLINTEND(readability-identifier-naming)
+
+} // namespace lavenderthread::protocol
+
+// The output archive whose format it reads; cereal looks there for enums and other plain types.
+template <>
+struct cereal::traits::detail::get_output_from_input<lavenderthread::protocol::BoundedInputArchive>
+{
+    using type = cereal::PortableBinaryOutputArchive;
+};
+
+CEREAL_REGISTER_ARCHIVE(lavenderthread::protocol::BoundedInputArchive)
--- a/src/protocol/Envelope.h
+++ b/src/protocol/Envelope.h
@@ -3,6 +3,7 @@
 // throws out of here.
 #pragma once
 
+#include "protocol/BoundedInputArchive.h"
 #include "state/Error.h"
 
 #include <cereal/archives/portable_binary.hpp>
@@ -15,7 +16,6 @@
 
 #include <cstdint>
 #include <exception>
-#include <istream>
 #include <sstream>
 #include <string>
 #include <string_view>
@@ -40,9 +40,7 @@
 }
 
 // Errors: Unsupported for another version, Corrupt for anything that does not decode whole.
-// A hostile length can't allocate much: cereal reads sized strings into memory first, so the
-// caller must have bounded `bytes`, and lengths above it are refused by std::bad_alloc/length_error
-// or by the stream running dry.
+// A hostile length can't allocate much: BoundedInputArchive refuses lengths beyond the bytes given.
 template <typename Message>
 state::Result<Message> decode(std::string_view bytes)
 {
@@ -52,10 +50,12 @@
         return state::makeError(state::ErrorCode::Unsupported, "message.decode",
                                 "unknown protocol version");
     try {
-        std::istringstream stream{std::string(bytes.substr(1))};
-        cereal::PortableBinaryInputArchive archive(stream);
+        BoundedInputArchive archive(bytes.substr(1));
         Message message{};
         archive(message);
+        if (archive.bytesLeft() > 0)
+            return state::makeError(state::ErrorCode::Corrupt, "message.decode",
+                                    "bytes after the message");
         return message;
     } catch (const std::exception &problem) {
         return state::makeError(state::ErrorCode::Corrupt, "message.decode", problem.what());
