State: table, catalog, claims and orders as one replicated control state

Claims age by control time, the bounded sum of the leaders' steps, so that no wall clock can forget a live claim.

--- /dev/null
+++ b/src/protocol/ControlCommands.h
@@ -0,0 +1,34 @@
+// Codec of the control commands (payload of log entries), of their answers, of feed pages and of
+// the snapshot's bytes.
+#pragma once
+
+#include "state/Error.h"
+#include "state/control/ControlState.h"
+
+#include <string>
+#include <string_view>
+
+namespace lavenderthread::protocol {
+
+// A snapshot at the largest sizes that ControlLimits allows stays below.
+constexpr std::size_t maximumSnapshotBytes = 512U << 20U;
+
+std::string encodeCommand(const state::control::Command &command);
+state::Result<state::control::Command> decodeCommand(std::string_view bytes);
+
+std::string encodeAnswer(const state::control::Answer &answer);
+state::Result<state::control::Answer> decodeAnswer(std::string_view bytes);
+
+std::string encodeFeedPage(const state::control::FeedPage &page);
+state::Result<state::control::FeedPage> decodeFeedPage(std::string_view bytes);
+
+std::string encodeControlState(const state::control::ControlState &state);
+state::Result<state::control::ControlState>
+decodeControlState(std::string_view bytes, const state::control::ControlLimits &limits = {});
+
+// The operator's identity of an action, with the digest that a resend has to match.
+state::control::OperatorCommand makeOperatorCommand(state::OperatorId operatorId,
+                                                    std::string requestId, state::WallTime at,
+                                                    state::control::OperatorAction action);
+
+} // namespace lavenderthread::protocol
--- /dev/null
+++ b/src/state/control/ClaimLedger.cpp
@@ -0,0 +1,308 @@
+// Transitions of a claim: Held -> Dispatched -> Finished or Unknown, Held -> Released -> Held by
+// another attempt. Nothing leads from Dispatched back to Held or Released.
+#include "state/control/ClaimLedger.h"
+
+#include <openssl/sha.h>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+
+namespace lavenderthread::state::control {
+
+namespace {
+
+// The Claim itself, its node and bucket in the map, its place in the set or queue of expiry.
+constexpr std::size_t fixedClaimBytes = sizeof(Claim) + 160;
+
+bool isOpen(ClaimState state)
+{
+    return state == ClaimState::Held || state == ClaimState::Dispatched;
+}
+
+ClaimAnswer answer(ClaimVerdict verdict, const Claim &claim)
+{
+    return {verdict, claim.holder, claim.result};
+}
+
+ClaimVerdict verdictForOther(ClaimState state)
+{
+    switch (state) {
+    case ClaimState::Held:
+    case ClaimState::Dispatched:
+        return ClaimVerdict::InProgress;
+    case ClaimState::Finished:
+        return ClaimVerdict::AlreadyRan;
+    case ClaimState::Unknown:
+    case ClaimState::Released:
+        break;
+    }
+    return ClaimVerdict::OutcomeUnknown;
+}
+
+// The oldest gives way: a copy that is late by so many attempts can only hold the key for a while,
+// since its sender has long ended and sends nothing.
+std::vector<ClaimHolder> formerHoldersAfter(const Claim &released)
+{
+    constexpr std::size_t attemptsRemembered = 8;
+    std::vector<ClaimHolder> former = released.formerHolders;
+    former.push_back(released.holder);
+    if (former.size() > attemptsRemembered)
+        former.erase(former.begin());
+    return former;
+}
+
+// Of the holder's own resent Take, whose first answer was lost.
+ClaimVerdict verdictForHolder(ClaimState state)
+{
+    switch (state) {
+    case ClaimState::Held:
+        return ClaimVerdict::Granted;
+    case ClaimState::Dispatched:
+    case ClaimState::Released:
+        return ClaimVerdict::TooLate;
+    case ClaimState::Finished:
+        return ClaimVerdict::AlreadyRan;
+    case ClaimState::Unknown:
+        break;
+    }
+    return ClaimVerdict::OutcomeUnknown;
+}
+
+} // namespace
+
+Digest Digest::of(std::string_view bytes)
+{
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> whole{};
+    SHA256(reinterpret_cast<const unsigned char *>(bytes.data()), bytes.size(), whole.data());
+    Digest digest;
+    std::memcpy(&digest.high, whole.data(), sizeof digest.high);
+    std::memcpy(&digest.low, whole.data() + sizeof digest.high, sizeof digest.low);
+    return digest;
+}
+
+ClaimId ClaimId::of(const ClientAccountId &account, std::string_view idempotencyKey)
+{
+    // The account's length goes first, so that account and key can't be shifted into each other.
+    std::string text = std::to_string(account.value().size()) + ":" + account.value();
+    text.append(idempotencyKey);
+    return {Digest::of(text)};
+}
+
+std::size_t claimBytes(const Claim &claim)
+{
+    std::size_t bytes = fixedClaimBytes + claim.account.value().size()
+                        + claim.holder.entry.value().size() + claim.holder.attempt.value().size();
+    for (const ClaimHolder &former : claim.formerHolders)
+        bytes += sizeof former + former.entry.value().size() + former.attempt.value().size();
+    if (claim.result)
+        bytes += claim.result->contentType.size() + claim.result->body.size();
+    return bytes;
+}
+
+ClaimLedger::ClaimLedger(ClaimLimits limits, ControlTime now, std::vector<Claim> claims)
+    : limits(limits)
+    , clock(now)
+{
+    this->claims.reserve(claims.size());
+    for (Claim &claim : claims)
+        this->insert(std::move(claim));
+}
+
+ClaimAnswer ClaimLedger::take(const TakeClaim &command)
+{
+    const auto found = this->claims.find(command.id);
+    std::vector<ClaimHolder> former;
+    if (found != this->claims.end()) {
+        const Claim &claim = found->second;
+        // A released claim binds nobody to its body: that request never ran.
+        if (claim.state != ClaimState::Released && claim.body != command.body)
+            return {ClaimVerdict::OtherBody, claim.holder, std::nullopt};
+        if (claim.holder == command.holder)
+            return answer(verdictForHolder(claim.state), claim);
+        if (claim.state != ClaimState::Released)
+            return answer(verdictForOther(claim.state), claim);
+        former = formerHoldersAfter(claim);
+        if (std::find(former.begin(), former.end(), command.holder) != former.end())
+            return answer(ClaimVerdict::TooLate, claim);
+        this->erase(command.id);
+    } else if (!this->hasRoomFor(command.account)) {
+        // Refusing a new claim tells its caller "not run", which is true; forgetting a live one
+        // could let a request run twice.
+        return {ClaimVerdict::Full, {}, std::nullopt};
+    }
+    const Duration timeLeft =
+            std::clamp(command.timeLeft, Duration(0), this->limits.longestDeadline);
+    Claim claim{.id = command.id,
+                .account = command.account,
+                .body = command.body,
+                .holder = command.holder,
+                .state = ClaimState::Held,
+                .openUntil = this->clock + timeLeft + this->limits.longestStep,
+                .formerHolders = std::move(former)};
+    ClaimAnswer granted = answer(ClaimVerdict::Granted, claim);
+    this->insert(std::move(claim));
+    return granted;
+}
+
+ClaimAnswer ClaimLedger::dispatch(const DispatchClaim &command)
+{
+    const auto found = this->claims.find(command.id);
+    if (found == this->claims.end())
+        return {ClaimVerdict::NotHolder, {}, std::nullopt};
+    Claim &claim = found->second;
+    if (claim.holder != command.holder)
+        return {ClaimVerdict::NotHolder, claim.holder, std::nullopt};
+    // A resent mark whose first answer was lost is granted again: the holder sends only once, after
+    // the first answer that it gets.
+    if (!isOpen(claim.state))
+        return answer(ClaimVerdict::TooLate, claim);
+    claim.state = ClaimState::Dispatched;
+    return answer(ClaimVerdict::Granted, claim);
+}
+
+ClaimAnswer ClaimLedger::release(const ReleaseClaim &command)
+{
+    const auto found = this->claims.find(command.id);
+    if (found == this->claims.end())
+        return {ClaimVerdict::NotHolder, {}, std::nullopt};
+    Claim &claim = found->second;
+    if (claim.holder != command.holder)
+        return {ClaimVerdict::NotHolder, claim.holder, std::nullopt};
+    if (claim.state == ClaimState::Held)
+        this->decide(claim, ClaimState::Released);
+    const bool released = claim.state == ClaimState::Released;
+    return answer(released ? ClaimVerdict::Granted : ClaimVerdict::TooLate, claim);
+}
+
+ClaimAnswer ClaimLedger::finish(const FinishClaim &command)
+{
+    const auto found = this->claims.find(command.id);
+    if (found == this->claims.end())
+        return {ClaimVerdict::NotHolder, {}, std::nullopt};
+    Claim &claim = found->second;
+    if (claim.holder != command.holder)
+        return {ClaimVerdict::NotHolder, claim.holder, std::nullopt};
+    if (claim.state == ClaimState::Held || claim.state == ClaimState::Released)
+        return answer(ClaimVerdict::TooLate, claim);
+    if (claim.state == ClaimState::Finished)
+        return answer(ClaimVerdict::Granted, claim);
+    // An entry given up too early may still bring its answer: from Unknown to Finished only adds
+    // knowledge.
+    if (command.result) {
+        this->keepResult(claim, *command.result);
+        this->decide(claim, ClaimState::Finished);
+    } else if (claim.state == ClaimState::Dispatched) {
+        this->decide(claim, ClaimState::Unknown);
+    }
+    return answer(ClaimVerdict::Granted, claim);
+}
+
+void ClaimLedger::entryLost(const EntryLost &command)
+{
+    std::vector<ClaimId> lost;
+    for (const auto &[until, id] : this->open) {
+        const ClaimHolder &holder = this->claims.at(id).holder;
+        if (holder.entry == command.entry && holder.entryIncarnation <= command.incarnation)
+            lost.push_back(id);
+    }
+    for (const ClaimId &id : lost)
+        this->settle(this->claims.at(id));
+}
+
+void ClaimLedger::advance(const AdvanceTime &command)
+{
+    this->clock += std::clamp(command.elapsed, Duration(0), this->limits.longestStep);
+    while (!this->open.empty() && this->open.begin()->first <= this->clock)
+        this->settle(this->claims.at(this->open.begin()->second));
+    while (!this->decided.empty() && this->decided.begin()->first <= this->clock)
+        this->erase(this->decided.begin()->second);
+}
+
+const Claim *ClaimLedger::find(const ClaimId &id) const
+{
+    const auto found = this->claims.find(id);
+    return found == this->claims.end() ? nullptr : &found->second;
+}
+
+std::vector<Claim> ClaimLedger::sortedClaims() const
+{
+    std::vector<Claim> all;
+    all.reserve(this->claims.size());
+    for (const auto &[id, claim] : this->claims)
+        all.push_back(claim);
+    std::sort(all.begin(), all.end(),
+              [](const Claim &left, const Claim &right) { return left.id < right.id; });
+    return all;
+}
+
+bool ClaimLedger::hasRoomFor(const ClientAccountId &account) const
+{
+    const auto ofAccount = this->claimsByAccount.find(account);
+    const bool accountFull = ofAccount != this->claimsByAccount.end()
+                             && ofAccount->second >= this->limits.claimsOfOneAccount;
+    return !accountFull && this->claims.size() < this->limits.claims
+           && this->usedBytes < this->limits.bytes;
+}
+
+void ClaimLedger::insert(Claim claim)
+{
+    this->usedBytes += claimBytes(claim);
+    ++this->claimsByAccount[claim.account];
+    if (isOpen(claim.state))
+        this->open.emplace(claim.openUntil, claim.id);
+    else
+        this->decided.emplace(claim.keepUntil, claim.id);
+    this->claims.insert_or_assign(claim.id, std::move(claim));
+}
+
+void ClaimLedger::erase(const ClaimId &wanted)
+{
+    const ClaimId id = wanted; // `wanted` may live in what is erased here
+    const Claim &claim = this->claims.at(id);
+    this->usedBytes -= claimBytes(claim);
+    this->unlist(claim);
+    const auto ofAccount = this->claimsByAccount.find(claim.account);
+    if (--ofAccount->second == 0)
+        this->claimsByAccount.erase(ofAccount);
+    this->claims.erase(id);
+}
+
+void ClaimLedger::decide(Claim &claim, ClaimState state)
+{
+    this->unlist(claim);
+    claim.state = state;
+    claim.keepUntil = this->clock + this->limits.resendWindow;
+    this->decided.emplace(claim.keepUntil, claim.id);
+}
+
+void ClaimLedger::unlist(const Claim &claim)
+{
+    if (isOpen(claim.state))
+        this->open.erase({claim.openUntil, claim.id});
+    else
+        this->decided.erase({claim.keepUntil, claim.id});
+}
+
+void ClaimLedger::settle(Claim &claim)
+{
+    // Held is certain not to run: its holder sends nothing before Dispatched is committed, and
+    // that is refused from here on.
+    this->decide(claim,
+                 claim.state == ClaimState::Held ? ClaimState::Released : ClaimState::Unknown);
+}
+
+void ClaimLedger::keepResult(Claim &claim, ClaimResult result)
+{
+    this->usedBytes -= claimBytes(claim);
+    const bool fits = result.body.size() <= this->limits.resultBytes
+                      && this->usedBytes + result.body.size() < this->limits.bytes;
+    if (!fits) {
+        result.body.clear();
+        result.bodyKept = false;
+    }
+    claim.result = std::move(result);
+    this->usedBytes += claimBytes(claim);
+}
+
+} // namespace lavenderthread::state::control
--- /dev/null
+++ b/src/state/control/ControlState.cpp
@@ -0,0 +1,404 @@
+// Checks a command whole before it changes anything: a refused command leaves no trace but the
+// remembered answer.
+#include "state/control/ControlState.h"
+
+#include "state/table/Columns.h"
+
+#include <array>
+#include <set>
+
+namespace lavenderthread::state::control {
+
+namespace {
+
+using table::StoredRow;
+
+std::string describeAt(const RaceWinner &winner)
+{
+    return winner.operatorId.value() + " at " + std::to_string(winner.at.time_since_epoch().count())
+           + " ms";
+}
+
+std::string changedCells(const TableRow &before, const TableRow &after)
+{
+    std::string text;
+    for (const table::Column &column : table::columns()) {
+        if (column.get(before) == column.get(after))
+            continue;
+        text += (text.empty() ? "" : ", ") + std::string(column.name) + " "
+                + std::to_string(column.get(before)) + " -> " + std::to_string(column.get(after));
+    }
+    return text.empty() ? "unchanged" : text;
+}
+
+std::string rowSubject(const TableKey &key)
+{
+    return "row " + table::describeKey(key);
+}
+
+Error invalid(const std::string &cause)
+{
+    return makeError(ErrorCode::InvalidArgument, "control.apply", cause);
+}
+
+std::uint64_t versionOf(const auto *record)
+{
+    return record == nullptr ? 0 : record->version;
+}
+
+template <typename Record>
+Record withVersion(Record record, std::uint64_t version)
+{
+    record.version = version;
+    return record;
+}
+
+Answer asResend(Answer answer)
+{
+    if (auto *accepted = std::get_if<Accepted>(&answer))
+        accepted->resend = true;
+    if (auto *refused = std::get_if<Refused>(&answer))
+        refused->resend = true;
+    return answer;
+}
+
+std::string describeOrder(const OrderSpec &spec)
+{
+    constexpr std::array names = {"drain", "undrain", "load", "unload", "stop", "role"};
+    std::string text = names.at(static_cast<std::size_t>(spec.kind));
+    for (const std::string &part : {spec.model.value(), spec.role})
+        text += part.empty() ? "" : " " + part;
+    if (spec.endpointCount > 0)
+        text += " on " + std::to_string(spec.endpointCount) + " endpoints";
+    for (const EndpointId &endpoint : spec.endpoints)
+        text += " " + endpoint.value();
+    return text;
+}
+
+} // namespace
+
+ControlState::ControlState(ControlLimits limits)
+    : limits(limits)
+    , claimLedger(limits.claims)
+{}
+
+ControlState::ControlState(ControlLimits limits, ControlImage image)
+    : limits(limits)
+    , lastIndex(image.appliedIndex)
+    , current(ControlView::fromChanges(image.view, image.viewVersion))
+    , orderBook(std::move(image.orders))
+    , claimLedger(limits.claims, image.now, std::move(image.claims))
+    , changes(image.history.begin(), image.history.end())
+{
+    for (const RememberedRequest &request : image.requests)
+        this->remember(request.stamp, request.answer);
+}
+
+Answer ControlState::apply(const log::LogPosition &position, const Command &command)
+{
+    this->lastIndex = position.index;
+    if (const auto *operatorCommand = std::get_if<OperatorCommand>(&command))
+        return this->applyOperator(*operatorCommand);
+    if (const auto *progress = std::get_if<RecordOrderProgress>(&command))
+        this->orderBook.record(*progress);
+    else if (const auto *take = std::get_if<TakeClaim>(&command))
+        return this->claimLedger.take(*take);
+    else if (const auto *dispatch = std::get_if<DispatchClaim>(&command))
+        return this->claimLedger.dispatch(*dispatch);
+    else if (const auto *release = std::get_if<ReleaseClaim>(&command))
+        return this->claimLedger.release(*release);
+    else if (const auto *finish = std::get_if<FinishClaim>(&command))
+        return this->claimLedger.finish(*finish);
+    else if (const auto *lost = std::get_if<EntryLost>(&command))
+        this->claimLedger.entryLost(*lost);
+    else if (const auto *time = std::get_if<AdvanceTime>(&command))
+        this->claimLedger.advance(*time);
+    return Accepted{position.index};
+}
+
+Answer ControlState::applyOperator(const OperatorCommand &command)
+{
+    const OperatorStamp &stamp = command.stamp;
+    const auto known = this->requests.find({stamp.operatorId, stamp.requestId});
+    if (known != this->requests.end()) {
+        const OperatorStamp &first = known->second.stamp;
+        if (first.digest == stamp.digest)
+            return asResend(known->second.answer);
+        return Refused{makeError(ErrorCode::Conflict, "control.apply",
+                                 "request id \"" + stamp.requestId
+                                         + "\" was used before with other content"),
+                       RaceWinner{first.operatorId, first.at, 0}};
+    }
+    Draft draft{stamp, this->lastIndex, {}, {}};
+    std::optional<RaceWinner> winner;
+    const Result<void> checked = std::visit(
+            [&](const auto &action) { return this->draft(action, draft, winner); }, command.action);
+    Answer answer = Accepted{this->lastIndex};
+    if (checked)
+        this->commit(std::move(draft));
+    else
+        answer = Refused{checked.error(), winner};
+    this->remember(stamp, answer);
+    return answer;
+}
+
+Result<void> ControlState::draft(const EditRows &action, Draft &draft,
+                                 std::optional<RaceWinner> &winner)
+{
+    if (action.edits.empty())
+        return invalid("no edits");
+    std::set<TableKey> seen;
+    std::size_t rows = this->current.table.size();
+    for (const table::RowEdit &edit : action.edits) {
+        if (!seen.insert(edit.row.key).second)
+            return invalid(rowSubject(edit.row.key) + " is edited twice in one command");
+        BOOST_OUTCOME_TRYV(this->draftRow(edit, draft, winner));
+        if (this->current.table.find(edit.row.key) == nullptr)
+            ++rows;
+    }
+    if (rows > this->limits.tableRows)
+        return makeError(ErrorCode::Overloaded, "control.apply",
+                         "the table may have " + std::to_string(this->limits.tableRows) + " rows");
+    return outcome::success();
+}
+
+Result<void> ControlState::draftRow(const table::RowEdit &edit, Draft &draft,
+                                    std::optional<RaceWinner> &winner)
+{
+    const TableKey &key = edit.row.key;
+    const StoredRow *known = this->current.table.find(key);
+    BOOST_OUTCOME_TRYV(this->checkVersion(rowSubject(key), known ? known->row.version : 0,
+                                          edit.expectedVersion, winner));
+    if (edit.remove) {
+        if (known == nullptr)
+            return makeError(ErrorCode::NotFound, "control.apply", rowSubject(key) + " is absent");
+        draft.add(key, rowSubject(key), "removed");
+        return outcome::success();
+    }
+    const std::vector<table::CellProblem> problems = table::checkRow(edit.row);
+    if (!problems.empty())
+        return table::problemsAsError(problems);
+    if (this->current.catalog.accounts().find(key.account) == nullptr) {
+        const table::CellProblem unknown{table::describeKey(key), std::string(table::accountColumn),
+                                         key.account.value(), "an account of the catalog"};
+        return table::problemsAsError({unknown});
+    }
+    const TableRow before = known ? known->row : TableRow{};
+    const std::string prefix = known ? "" : "added, ";
+    draft.add(
+            StoredRow{withVersion(edit.row, draft.version), draft.stamp.operatorId, draft.stamp.at},
+            rowSubject(key), prefix + changedCells(before, edit.row));
+    return outcome::success();
+}
+
+Result<void> ControlState::draft(const PutAccount &action, Draft &draft,
+                                 std::optional<RaceWinner> &winner)
+{
+    const table::ClientAccount &account = action.record;
+    const std::string subject = "account " + account.id.value();
+    if (!table::isPlainId(account.id.value()))
+        return invalid(subject + ": the id must be " + std::string(table::allowedId));
+    const table::Catalog &catalog = this->current.catalog;
+    const table::ClientAccount *known = catalog.accounts().find(account.id);
+    BOOST_OUTCOME_TRYV(
+            this->checkVersion(subject, versionOf(known), action.expectedVersion, winner));
+    const table::ClientAccount *sameKey =
+            account.bearerKeyHash.empty() ? nullptr
+                                          : catalog.accountOfBearerKeyHash(account.bearerKeyHash);
+    if (sameKey != nullptr && sameKey->id != account.id)
+        return makeError(ErrorCode::Conflict, "control.apply",
+                         subject + ": its key belongs to another account");
+    if (known == nullptr && catalog.accounts().size() >= this->limits.accounts)
+        return makeError(ErrorCode::Overloaded, "control.apply", "too many accounts");
+    draft.add(withVersion(account, draft.version), subject, known ? "changed" : "added");
+    return outcome::success();
+}
+
+Result<void> ControlState::draft(const RemoveAccount &action, Draft &draft,
+                                 std::optional<RaceWinner> &winner)
+{
+    const std::string subject = "account " + action.key.value();
+    const table::ClientAccount *known = this->current.catalog.accounts().find(action.key);
+    BOOST_OUTCOME_TRYV(
+            this->checkVersion(subject, versionOf(known), action.expectedVersion, winner));
+    if (known == nullptr)
+        return makeError(ErrorCode::NotFound, "control.apply", subject + " is absent");
+    std::size_t rows = 0;
+    this->current.table.forEach(
+            [&](const StoredRow &row) { rows += row.row.key.account == action.key ? 1 : 0; });
+    if (rows > 0)
+        return makeError(ErrorCode::Conflict, "control.apply",
+                         subject + " still has " + std::to_string(rows)
+                                 + " rows in the table; remove them first");
+    draft.add(action.key, subject, "removed");
+    return outcome::success();
+}
+
+Result<void> ControlState::draft(const PutService &action, Draft &draft,
+                                 std::optional<RaceWinner> &winner)
+{
+    const table::Service &service = action.record;
+    const std::string subject = "service " + service.name.value();
+    if (!table::isPlainId(service.name.value()))
+        return invalid(subject + ": the name must be " + std::string(table::allowedId));
+    const table::Service *known = this->current.catalog.services().find(service.name);
+    BOOST_OUTCOME_TRYV(
+            this->checkVersion(subject, versionOf(known), action.expectedVersion, winner));
+    draft.add(withVersion(service, draft.version), subject, known ? "changed" : "added");
+    return outcome::success();
+}
+
+Result<void> ControlState::draft(const RemoveService &action, Draft &draft,
+                                 std::optional<RaceWinner> &winner)
+{
+    const std::string subject = "service " + action.key.value();
+    const table::Service *known = this->current.catalog.services().find(action.key);
+    BOOST_OUTCOME_TRYV(
+            this->checkVersion(subject, versionOf(known), action.expectedVersion, winner));
+    if (known == nullptr)
+        return makeError(ErrorCode::NotFound, "control.apply", subject + " is absent");
+    draft.add(action.key, subject, "removed");
+    return outcome::success();
+}
+
+Result<void> ControlState::draft(const PutModel &action, Draft &draft,
+                                 std::optional<RaceWinner> &winner)
+{
+    const table::ModelVersion &model = action.record;
+    const std::string subject = "model " + model.name.value();
+    if (!table::isPlainId(model.name.value()))
+        return invalid(subject + ": the name must be " + std::string(table::allowedId));
+    const table::ModelVersion *known = this->current.catalog.models().find(model.name);
+    BOOST_OUTCOME_TRYV(
+            this->checkVersion(subject, versionOf(known), action.expectedVersion, winner));
+    draft.add(withVersion(model, draft.version), subject, known ? "changed" : "added");
+    return outcome::success();
+}
+
+Result<void> ControlState::draft(const RemoveModel &action, Draft &draft,
+                                 std::optional<RaceWinner> &winner)
+{
+    const std::string subject = "model " + action.key.value();
+    const table::ModelVersion *known = this->current.catalog.models().find(action.key);
+    BOOST_OUTCOME_TRYV(
+            this->checkVersion(subject, versionOf(known), action.expectedVersion, winner));
+    if (known == nullptr)
+        return makeError(ErrorCode::NotFound, "control.apply", subject + " is absent");
+    draft.add(action.key, subject, "removed");
+    return outcome::success();
+}
+
+Result<void> ControlState::draft(const SubmitOrder &action, Draft &draft,
+                                 std::optional<RaceWinner> &)
+{
+    BOOST_OUTCOME_TRYV(OrderBook::check(action.spec, this->current.catalog));
+    const OrderKind kind = action.spec.kind;
+    const bool draining = kind == OrderKind::Drain || kind == OrderKind::Undrain;
+    if (draining) {
+        for (const EndpointId &endpoint : action.spec.endpoints)
+            draft.changes.emplace_back(
+                    DrainMark{endpoint, kind == OrderKind::Drain, draft.version});
+    }
+    draft.records.push_back({draft.version, draft.stamp.operatorId, draft.stamp.at,
+                             "order " + std::to_string(draft.version), describeOrder(action.spec)});
+    this->orderBook.submit(Order{.id = draft.version,
+                                 .operatorId = draft.stamp.operatorId,
+                                 .submittedAt = draft.stamp.at,
+                                 .spec = action.spec});
+    return outcome::success();
+}
+
+Result<void> ControlState::checkVersion(const std::string &subject, std::uint64_t currentVersion,
+                                        std::uint64_t expected,
+                                        std::optional<RaceWinner> &winner) const
+{
+    if (currentVersion == expected)
+        return outcome::success();
+    winner = this->lastEditor(subject);
+    if (winner)
+        winner->version = currentVersion;
+    const std::string by = winner ? ", changed by " + describeAt(*winner) : "";
+    return makeError(ErrorCode::Conflict, "control.apply",
+                     subject + " has version " + std::to_string(currentVersion) + ", expected "
+                             + std::to_string(expected) + by);
+}
+
+std::optional<RaceWinner> ControlState::lastEditor(const std::string &subject) const
+{
+    for (auto record = this->changes.rbegin(); record != this->changes.rend(); ++record) {
+        if (record->subject == subject)
+            return RaceWinner{record->operatorId, record->at, record->version};
+    }
+    return std::nullopt;
+}
+
+void ControlState::Draft::add(FeedChange change, std::string subject, std::string summary)
+{
+    this->changes.push_back(std::move(change));
+    this->records.push_back({this->version, this->stamp.operatorId, this->stamp.at,
+                             std::move(subject), std::move(summary)});
+}
+
+void ControlState::commit(Draft draft)
+{
+    for (ChangeRecord &record : draft.records)
+        this->changes.push_back(std::move(record));
+    while (this->changes.size() > this->limits.changesRemembered)
+        this->changes.pop_front();
+    if (draft.changes.empty())
+        return;
+    const std::uint64_t from = this->current.version;
+    this->current = this->current.with(draft.changes, draft.version);
+    this->feedSize += draft.changes.size();
+    this->feed.push_back({from, draft.version, std::move(draft.changes)});
+    while (this->feedSize > this->limits.feedChanges) {
+        this->feedSize -= this->feed.front().changes.size();
+        this->feed.pop_front();
+    }
+}
+
+// Bounded: a resend that comes after its request was forgotten fails the compare-and-set, since the
+// row's version has moved on; a repeated order asks for what already is.
+void ControlState::remember(const OperatorStamp &stamp, const Answer &answer)
+{
+    const RequestKey key{stamp.operatorId, stamp.requestId};
+    this->requests.emplace(key, RememberedRequest{stamp, answer});
+    this->requestOrder.push_back(key);
+    while (this->requestOrder.size() > this->limits.requestsRemembered) {
+        this->requests.erase(this->requestOrder.front());
+        this->requestOrder.pop_front();
+    }
+}
+
+std::vector<FeedPage> ControlState::changesSince(std::uint64_t version) const
+{
+    if (version == this->current.version)
+        return {};
+    std::vector<FeedChange> missing;
+    bool found = false;
+    for (const FeedDelta &delta : this->feed) {
+        found = found || delta.from == version;
+        if (found)
+            missing.insert(missing.end(), delta.changes.begin(), delta.changes.end());
+    }
+    if (found)
+        return makePages(version, this->current.version, std::move(missing));
+    return makePages(0, this->current.version, this->current.asChanges());
+}
+
+ControlImage ControlState::image() const
+{
+    ControlImage image;
+    image.appliedIndex = this->lastIndex;
+    image.viewVersion = this->current.version;
+    image.view = this->current.asChanges();
+    image.orders = this->orderBook.all();
+    for (const RequestKey &key : this->requestOrder)
+        image.requests.push_back(this->requests.at(key));
+    image.history.assign(this->changes.begin(), this->changes.end());
+    image.now = this->claimLedger.now();
+    image.claims = this->claimLedger.sortedClaims();
+    return image;
+}
+
+} // namespace lavenderthread::state::control
--- /dev/null
+++ b/src/state/control/ControlState.h
@@ -0,0 +1,161 @@
+// The replicated control state: applies committed commands in the order of the log. Deterministic,
+// and the only writer of table, catalog, orders and claims.
+#pragma once
+
+#include "state/control/ClaimLedger.h"
+#include "state/control/Commands.h"
+#include "state/control/ControlView.h"
+#include "state/control/OrderBook.h"
+#include "state/log/LogEntry.h"
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lavenderthread::state::control {
+
+// Who changed what, when.
+struct ChangeRecord
+{
+    std::uint64_t version = 0;
+    OperatorId operatorId;
+    WallTime at;
+    std::string subject; // "row acme/review", "account acme", "order 17"
+    std::string summary; // "weight 1 -> 5", "removed"
+
+    auto operator<=>(const ChangeRecord &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->version, this->operatorId, this->at, this->subject, this->summary);
+    }
+};
+
+// First answer to an operator's request, for its resends.
+struct RememberedRequest
+{
+    OperatorStamp stamp;
+    Answer answer;
+
+    auto operator<=>(const RememberedRequest &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->stamp, this->answer);
+    }
+};
+
+// The state as plain data, for snapshots. Equal states give equal images.
+struct ControlImage
+{
+    std::uint64_t appliedIndex = 0;
+    std::uint64_t viewVersion = 0;
+    std::vector<FeedChange> view;
+    std::vector<Order> orders;
+    std::vector<RememberedRequest> requests;
+    std::vector<ChangeRecord> history;
+    ControlTime now{};
+    std::vector<Claim> claims;
+
+    auto operator<=>(const ControlImage &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->appliedIndex, this->viewVersion, this->view, this->orders, this->requests,
+                this->history, this->now, this->claims);
+    }
+};
+
+// Rules of the replicated state: the same on every member, hence constants and not settings.
+struct ControlLimits
+{
+    ClaimLimits claims;
+    std::size_t tableRows = 100'000;
+    std::size_t accounts = 50'000;
+    std::size_t requestsRemembered = 10'000; // five days of changes at the planned size
+    std::size_t changesRemembered = 10'000;
+    std::size_t feedChanges =
+            50'000; // kept for entries that are behind; older ones get a whole view
+};
+
+class ControlState
+{
+public:
+    explicit ControlState(ControlLimits limits = {});
+    ControlState(ControlLimits limits, ControlImage image);
+
+    // Once for each committed command, in the order of the log.
+    Answer apply(const log::LogPosition &position, const Command &command);
+
+    const ControlView &view() const { return this->current; }
+    const OrderBook &orders() const { return this->orderBook; }
+    const ClaimLedger &claims() const { return this->claimLedger; }
+    const std::deque<ChangeRecord> &history() const { return this->changes; }
+    std::uint64_t appliedIndex() const { return this->lastIndex; }
+
+    // What an entry at `version` lacks; empty if it is up to date. A whole view (from = 0) if the
+    // changes are no longer kept, or if `version` is none that this state ever had.
+    std::vector<FeedPage> changesSince(std::uint64_t version) const;
+
+    ControlImage image() const;
+
+private:
+    struct FeedDelta
+    {
+        std::uint64_t from = 0;
+        std::uint64_t to = 0;
+        std::vector<FeedChange> changes;
+    };
+    // Changes that a command makes, gathered before the first of them is carried out.
+    struct Draft
+    {
+        OperatorStamp stamp;
+        std::uint64_t version = 0;
+        std::vector<FeedChange> changes;
+        std::vector<ChangeRecord> records;
+
+        void add(FeedChange change, std::string subject, std::string summary);
+    };
+    using RequestKey = std::pair<OperatorId, std::string>;
+
+    Answer applyOperator(const OperatorCommand &command);
+    Result<void> draft(const EditRows &action, Draft &draft, std::optional<RaceWinner> &winner);
+    Result<void> draft(const PutAccount &action, Draft &draft, std::optional<RaceWinner> &winner);
+    Result<void> draft(const RemoveAccount &action, Draft &draft,
+                       std::optional<RaceWinner> &winner);
+    Result<void> draft(const PutService &action, Draft &draft, std::optional<RaceWinner> &winner);
+    Result<void> draft(const RemoveService &action, Draft &draft,
+                       std::optional<RaceWinner> &winner);
+    Result<void> draft(const PutModel &action, Draft &draft, std::optional<RaceWinner> &winner);
+    Result<void> draft(const RemoveModel &action, Draft &draft, std::optional<RaceWinner> &winner);
+    Result<void> draft(const SubmitOrder &action, Draft &draft, std::optional<RaceWinner> &winner);
+    Result<void> draftRow(const table::RowEdit &edit, Draft &draft,
+                          std::optional<RaceWinner> &winner);
+    Result<void> checkVersion(const std::string &subject, std::uint64_t current,
+                              std::uint64_t expected, std::optional<RaceWinner> &winner) const;
+    std::optional<RaceWinner> lastEditor(const std::string &subject) const;
+    void commit(Draft draft);
+    void remember(const OperatorStamp &stamp, const Answer &answer);
+
+    ControlLimits limits;
+    std::uint64_t lastIndex = 0;
+    ControlView current;
+    OrderBook orderBook;
+    ClaimLedger claimLedger;
+    std::map<RequestKey, RememberedRequest> requests;
+    std::deque<RequestKey> requestOrder; // exactly the keys of requests, oldest first
+    std::deque<ChangeRecord> changes;
+    // Not part of the image: a member that restarts serves whole views until changes come.
+    std::deque<FeedDelta> feed; // each one's from is the to of the one before
+    std::size_t feedSize = 0;   // changes over all of feed
+};
+
+} // namespace lavenderthread::state::control
--- /dev/null
+++ b/src/state/control/ControlView.cpp
@@ -0,0 +1,111 @@
+// Applies changes to a view, and cuts them into pages.
+#include "state/control/ControlView.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace lavenderthread::state::control {
+
+namespace {
+
+// One overload a kind of change.
+struct ChangeApplier
+{
+    ControlView &view;
+
+    void operator()(const table::StoredRow &row) const
+    {
+        this->view.table = this->view.table.with(row);
+    }
+    void operator()(const TableKey &key) const { this->view.table = this->view.table.without(key); }
+    void operator()(const table::ClientAccount &account) const
+    {
+        this->view.catalog = this->view.catalog.withAccount(account);
+    }
+    void operator()(const ClientAccountId &id) const
+    {
+        this->view.catalog = this->view.catalog.withoutAccount(id);
+    }
+    void operator()(const table::Service &service) const
+    {
+        this->view.catalog = this->view.catalog.withService(service);
+    }
+    void operator()(const ServiceName &name) const
+    {
+        this->view.catalog = this->view.catalog.withoutService(name);
+    }
+    void operator()(const table::ModelVersion &model) const
+    {
+        this->view.catalog = this->view.catalog.withModel(model);
+    }
+    void operator()(const ModelName &name) const
+    {
+        this->view.catalog = this->view.catalog.withoutModel(name);
+    }
+    void operator()(const DrainMark &mark) const
+    {
+        this->view.drained = mark.drained ? this->view.drained.with(mark)
+                                          : this->view.drained.without(mark.endpoint);
+    }
+};
+
+} // namespace
+
+ControlView ControlView::with(const std::vector<FeedChange> &changes,
+                              std::uint64_t newVersion) const
+{
+    ControlView next(*this);
+    for (const FeedChange &change : changes)
+        std::visit(ChangeApplier{next}, change);
+    next.version = std::max(this->version, newVersion);
+    return next;
+}
+
+std::vector<FeedChange> ControlView::asChanges() const
+{
+    std::vector<FeedChange> changes;
+    const auto add = [&](const auto &record) { changes.emplace_back(record); };
+    this->catalog.accounts().forEach(add);
+    this->catalog.services().forEach(add);
+    this->catalog.models().forEach(add);
+    this->table.forEach(add);
+    this->drained.forEach(add);
+    return changes;
+}
+
+ControlView ControlView::fromChanges(const std::vector<FeedChange> &changes, std::uint64_t version)
+{
+    // Rows are by far the most, and all at once they need no copy of a chunk each.
+    std::vector<table::StoredRow> rows;
+    std::vector<FeedChange> others;
+    for (const FeedChange &change : changes) {
+        if (const auto *row = std::get_if<table::StoredRow>(&change))
+            rows.push_back(*row);
+        else
+            others.push_back(change);
+    }
+    ControlView view;
+    view.table = table::Table::fromValues(std::move(rows));
+    return view.with(others, version);
+}
+
+std::vector<FeedPage> makePages(std::uint64_t from, std::uint64_t to,
+                                std::vector<FeedChange> changes)
+{
+    const std::size_t count =
+            std::max<std::size_t>(1, (changes.size() + changesOfOnePage - 1) / changesOfOnePage);
+    std::vector<FeedPage> pages;
+    for (std::size_t number = 0; number < count; ++number) {
+        const auto first = changes.begin() + static_cast<std::ptrdiff_t>(number * changesOfOnePage);
+        const auto left = static_cast<std::size_t>(changes.end() - first);
+        const auto last = first + static_cast<std::ptrdiff_t>(std::min(left, changesOfOnePage));
+        pages.push_back({from,
+                         to,
+                         static_cast<std::uint32_t>(number),
+                         static_cast<std::uint32_t>(count),
+                         {std::make_move_iterator(first), std::make_move_iterator(last)}});
+    }
+    return pages;
+}
+
+} // namespace lavenderthread::state::control
--- /dev/null
+++ b/src/state/table/RowEdit.h
@@ -0,0 +1,26 @@
+// One edit of one row, guarded by the version that its author saw.
+#pragma once
+
+#include "state/TableRow.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace lavenderthread::state::table {
+
+struct RowEdit
+{
+    TableRow row;                      // its own version member is ignored
+    std::uint64_t expectedVersion = 0; // 0: the row must not exist yet
+    bool remove = false;               // only row.key counts
+
+    auto operator<=>(const RowEdit &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->row, this->expectedVersion, this->remove);
+    }
+};
+
+} // namespace lavenderthread::state::table
