--- /dev/null
+++ b/src/coordination/admission/FairQueue.cpp
@@ -0,0 +1,215 @@
+#include "coordination/admission/FairQueue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lavenderthread::coordination::admission {
+
+namespace {
+
+constexpr double fairMemorySeconds = 10;
+constexpr double rebaseAfterSeconds = 2'000; // growth stays far below the largest double
+
+double secondsBetween(state::Instant from, state::Instant to)
+{
+    return std::chrono::duration<double>(to - from).count();
+}
+
+} // namespace
+
+std::size_t FairQueue::KeyHash::operator()(const state::TableKey &key) const noexcept
+{
+    constexpr std::size_t oddMultiplier = 0x9E3779B97F4A7C15ULL;
+    return std::hash<state::ClientAccountId>{}(key.account) * oddMultiplier
+           + std::hash<state::WorkClass>{}(key.workClass);
+}
+
+void FairQueue::setRow(const state::TableRow &row)
+{
+    const std::uint32_t at = this->flowOf(row.key);
+    Flow &flow = this->flows[at];
+    if (row.version < flow.row.version)
+        return;
+    const double service = flow.inflated * flow.row.weight;
+    for (std::size_t each = 0; each < lengthClasses; ++each)
+        this->band(flow, each).erase({flow.inflated, at});
+    if (flow.waiting > 0)
+        this->waitingWeight += row.weight - std::uint64_t(flow.row.weight);
+    flow.row = row;
+    flow.inflated = service / std::max(row.weight, 1U);
+    for (std::size_t each = 0; each < lengthClasses; ++each) {
+        if (!flow.queues[each].empty())
+            this->band(flow, each).emplace(flow.inflated, at);
+    }
+}
+
+const state::TableRow &FairQueue::row(const state::TableKey &key) const
+{
+    static const state::TableRow defaults;
+    const auto found = this->index.find(key);
+    return found == this->index.end() ? defaults : this->flows[found->second].row;
+}
+
+void FairQueue::push(const QueuedRequest &request, bool front, state::Instant now)
+{
+    const std::uint32_t at = this->flowOf(request.key);
+    Flow &flow = this->flows[at];
+    if (flow.waiting == 0) {
+        if (const std::optional<double> least = this->leastAnywhere(now))
+            this->setInflated(at, std::max(flow.inflated, *least * this->growth(now)));
+        this->waitingWeight += flow.row.weight;
+    }
+    auto &queue = flow.queues[std::size_t(request.lengthClass)];
+    if (queue.empty())
+        this->band(flow, std::size_t(request.lengthClass)).emplace(flow.inflated, at);
+    if (front)
+        queue.push_front(request);
+    else
+        queue.push_back(request);
+    ++flow.waiting;
+    ++this->waiting;
+    flow.tokens += request.tokens;
+    this->waitingTokens[std::size_t(request.lengthClass)] += request.tokens;
+}
+
+bool FairQueue::remove(const QueuedRequest &request)
+{
+    const std::uint32_t at = this->flowOf(request.key);
+    Flow &flow = this->flows[at];
+    auto &queue = flow.queues[std::size_t(request.lengthClass)];
+    const auto found = std::ranges::find(queue, request.id, &QueuedRequest::id);
+    if (found == queue.end())
+        return false;
+    queue.erase(found);
+    if (queue.empty())
+        this->band(flow, std::size_t(request.lengthClass)).erase({flow.inflated, at});
+    --flow.waiting;
+    --this->waiting;
+    flow.tokens -= request.tokens;
+    this->waitingTokens[std::size_t(request.lengthClass)] -= request.tokens;
+    if (flow.waiting == 0)
+        this->waitingWeight -= flow.row.weight;
+    return true;
+}
+
+void FairQueue::charge(const state::TableKey &key, double tokens, state::Instant now)
+{
+    if (secondsBetween(this->epoch, now) > rebaseAfterSeconds)
+        this->rebase(now);
+    const std::uint32_t at = this->flowOf(key);
+    const Flow &flow = this->flows[at];
+    const double weight = std::max(flow.row.weight, 1U);
+    this->setInflated(at, flow.inflated + tokens / weight * this->growth(now));
+}
+
+std::vector<QueueHead> FairQueue::heads(std::size_t limit, double burstTokens,
+                                        state::Instant now) const
+{
+    std::vector<QueueHead> within;
+    std::vector<QueueHead> leading;
+    const double scale = this->growth(now);
+    const double least = this->leastAnywhere(now).value_or(0);
+    for (std::size_t each = 0; each < this->bands.size(); ++each) {
+        std::size_t taken = 0;
+        for (const auto &[inflated, at] : this->bands[each]) {
+            if (taken++ == limit)
+                break;
+            const Flow &flow = this->flows[at];
+            const QueueHead head{flow.queues[each % lengthClasses].front(), inflated / scale,
+                                 flow.row.priority};
+            const double lead = (head.service - least) * flow.row.weight;
+            (lead > burstTokens ? leading : within).push_back(head);
+        }
+    }
+    std::ranges::sort(leading, {}, &QueueHead::service);
+    within.insert(within.end(), leading.begin(), leading.end());
+    return within;
+}
+
+double FairQueue::service(const state::TableKey &key, state::Instant now) const
+{
+    const auto found = this->index.find(key);
+    return found == this->index.end() ? 0 : this->flows[found->second].inflated / this->growth(now);
+}
+
+double FairQueue::tokensPerSecond(const state::TableKey &key, state::Instant now) const
+{
+    return this->service(key, now) * this->row(key).weight / fairMemorySeconds;
+}
+
+std::optional<double> FairQueue::leastService(state::Instant now) const
+{
+    std::optional<double> least;
+    for (const Band &each : this->bands) {
+        if (!each.empty() && (!least || each.begin()->first < *least))
+            least = each.begin()->first;
+    }
+    if (least)
+        *least /= this->growth(now);
+    return least;
+}
+
+std::optional<double> FairQueue::leastAnywhere(state::Instant now) const
+{
+    const std::optional<double> own = this->leastService(now);
+    if (!own || !this->peersLeast)
+        return own ? own : this->peersLeast;
+    return std::min(*own, *this->peersLeast);
+}
+
+std::uint64_t FairQueue::tokensOf(const state::TableKey &key) const
+{
+    const auto found = this->index.find(key);
+    return found == this->index.end() ? 0 : this->flows[found->second].tokens;
+}
+
+std::uint64_t FairQueue::tokensUpTo(LengthClass last) const
+{
+    std::uint64_t sum = 0;
+    for (std::size_t each = 0; each <= std::size_t(last); ++each)
+        sum += this->waitingTokens[each];
+    return sum;
+}
+
+std::uint32_t FairQueue::flowOf(const state::TableKey &key)
+{
+    const auto [place, added] = this->index.try_emplace(key, std::uint32_t(this->flows.size()));
+    if (added) {
+        this->flows.emplace_back();
+        this->flows.back().row.key = key;
+    }
+    return place->second;
+}
+
+FairQueue::Band &FairQueue::band(const Flow &flow, std::size_t lengthClass)
+{
+    const std::size_t priority = std::min<std::size_t>(flow.row.priority, priorities - 1);
+    return this->bands[priority * lengthClasses + lengthClass];
+}
+
+void FairQueue::setInflated(std::uint32_t at, double inflated)
+{
+    Flow &flow = this->flows[at];
+    for (std::size_t each = 0; each < lengthClasses; ++each) {
+        if (flow.queues[each].empty())
+            continue;
+        this->band(flow, each).erase({flow.inflated, at});
+        this->band(flow, each).emplace(inflated, at);
+    }
+    flow.inflated = inflated;
+}
+
+double FairQueue::growth(state::Instant now) const
+{
+    return std::exp(secondsBetween(this->epoch, now) / fairMemorySeconds);
+}
+
+void FairQueue::rebase(state::Instant now)
+{
+    const double scale = this->growth(now);
+    for (std::uint32_t at = 0; at < this->flows.size(); ++at)
+        this->setInflated(at, this->flows[at].inflated / scale);
+    this->epoch = now;
+}
+
+} // namespace lavenderthread::coordination::admission
--- /dev/null
+++ b/src/coordination/routing/EngineView.h
@@ -0,0 +1,74 @@
+// One engine as an entry sees it: its description, its last report, the work that this entry and
+// its peers sent there, and its prefix cache.
+#pragma once
+
+#include "coordination/routing/PolicySettings.h"
+#include "coordination/routing/PrefixIndex.h"
+#include "coordination/routing/WorkNote.h"
+#include "state/Endpoint.h"
+#include "state/Time.h"
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace lavenderthread::coordination::routing {
+
+// Work believed to be on an engine.
+struct Resident
+{
+    std::uint64_t work = 0;
+    std::uint8_t priority = 0;
+    double prefillLeft = 0; // tokens, by estimate
+    double outputLeft = 0;  // tokens, by estimate
+    std::uint32_t promptTokens = 0;
+    std::uint32_t outputTokens = 0;
+    std::uint32_t memoryTokens = 0;
+    bool decoding = false;
+    state::Instant expires;
+};
+
+class EngineView
+{
+public:
+    EngineView(state::EndpointDescription announced, const PolicySettings &policy);
+
+    const state::EndpointDescription &description() const { return this->endpoint; }
+    const PrefixIndex &prefixes() const { return this->prefixIndex; }
+    PrefixIndex &prefixes() { return this->prefixIndex; }
+    std::span<const Resident> residents() const { return this->work; }
+
+    void announce(state::EndpointDescription announced);
+    void apply(const WorkNote &note, state::Instant now);
+    void apply(const state::LoadReport &report, state::Instant now);
+    void advance(state::Instant now); // lets the estimated work proceed up to now
+
+    double prefillSeconds(double tokens) const;
+    // Prefill that goes before a newcomer of that priority, in seconds. Needs advance(now).
+    double secondsAhead(std::uint8_t priority) const;
+    double prefillSecondsLeft() const; // of all residents
+    double decodeStepSeconds() const;
+    std::uint64_t freeTokens() const;  // memory neither known nor reported as claimed
+    std::uint32_t outstanding() const; // requests, own and reported
+
+    bool draining = false;
+
+private:
+    void dropExpired(state::Instant now);
+
+    state::EndpointDescription endpoint;
+    PrefixIndex prefixIndex;
+    double reportSlackTokens; // known work older than a report may be this much
+    bool peersShareWork;
+    double slowdownBesidePrefill;
+
+    std::vector<Resident> work; // ordered by priority, then by arrival
+    double unknownPrefill = 0;  // tokens reported beyond the known work; drains with time
+    std::uint64_t reportedMemory = 0;
+    std::uint32_t reportedRequests = 0;
+    std::uint32_t dispatchedSinceReport = 0;
+    std::uint64_t reportSequence = 0;
+    state::Instant advancedTo{};
+};
+
+} // namespace lavenderthread::coordination::routing
--- /dev/null
+++ b/src/coordination/routing/Fleet.cpp
@@ -0,0 +1,273 @@
+#include "coordination/routing/Fleet.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace lavenderthread::coordination::routing {
+
+namespace {
+
+constexpr double ownPartFullSeconds = 0.15; // ahead of a short prompt; then it looks elsewhere too
+constexpr std::size_t sampleTries = 4;      // draws per wanted sample before the whole set is taken
+
+std::uint64_t scoreOf(const std::string &entry, const state::EndpointId &engine)
+{
+    const std::uint64_t seed = XXH3_64bits(entry.data(), entry.size());
+    return XXH3_64bits_withSeed(engine.value().data(), engine.value().size(), seed);
+}
+
+double toSeconds(state::Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+Fleet::Fleet(std::string entryName, const PolicySettings &settings, FleetHooks fleetHooks,
+             std::uint64_t seed)
+    : entry(std::move(entryName))
+    , policy(settings)
+    , hooks(std::move(fleetHooks))
+    , random(seed)
+    , nextRoundRobin(seed)
+    , split(settings)
+{}
+
+void Fleet::announce(const state::EndpointDescription &description)
+{
+    const auto found = this->engines.find(description.id);
+    if (found == this->engines.end()) {
+        this->engines.emplace(description.id, EngineView(description, this->policy));
+    } else {
+        const bool sameModels = found->second.description().models == description.models;
+        found->second.announce(description);
+        if (sameModels)
+            return;
+    }
+    this->rebuild();
+}
+
+void Fleet::remove(const state::EndpointId &engine)
+{
+    if (this->engines.erase(engine) > 0)
+        this->rebuild();
+}
+
+void Fleet::rebuild()
+{
+    this->byModel.clear();
+    for (const auto &[id, view] : this->engines) {
+        for (const state::ModelName &model : view.description().models)
+            this->byModel[model].ids.push_back(id);
+    }
+    for (auto &[model, set] : this->byModel) {
+        std::vector<std::pair<std::uint64_t, state::EndpointId>> scored;
+        scored.reserve(set.ids.size());
+        for (const state::EndpointId &id : set.ids)
+            scored.emplace_back(scoreOf(this->entry, id), id);
+        std::ranges::sort(scored, std::greater<>());
+        if (scored.size() > this->policy.watchedEngines)
+            scored.resize(this->policy.watchedEngines);
+        set.ids.clear();
+        // All entries rank engines alike, so that their long work meets on the same engines.
+        std::vector<std::uint64_t> order;
+        for (const auto &[score, id] : scored) {
+            set.ids.push_back(id);
+            set.views.push_back(&this->engines.at(id));
+            order.push_back(scoreOf(model.value(), id));
+        }
+        for (const std::uint64_t mine : order) {
+            set.rank.push_back(std::uint32_t(
+                    std::ranges::count_if(order, [mine](auto other) { return other < mine; })));
+        }
+    }
+}
+
+EngineView *Fleet::find(const state::EndpointId &engine)
+{
+    const auto found = this->engines.find(engine);
+    return found == this->engines.end() ? nullptr : &found->second;
+}
+
+const EngineView *Fleet::find(const state::EndpointId &engine) const
+{
+    const auto found = this->engines.find(engine);
+    return found == this->engines.end() ? nullptr : &found->second;
+}
+
+const std::vector<state::EndpointId> &Fleet::watched(const state::ModelName &model) const
+{
+    static const std::vector<state::EndpointId> none;
+    const auto found = this->byModel.find(model);
+    return found == this->byModel.end() ? none : found->second.ids;
+}
+
+std::optional<Choice> Fleet::choose(const ChoiceQuery &query, state::Instant now)
+{
+    const auto found = this->byModel.find(query.model);
+    if (found == this->byModel.end())
+        return std::nullopt;
+    const Watched &set = found->second;
+    std::vector<std::size_t> able = this->candidates(set, query);
+    if (able.empty())
+        return std::nullopt;
+    if (const auto index = this->baselineChoice(set, query, able))
+        return this->best(set, query, {*index}, now);
+    if (!this->policy.splitEngines || query.only)
+        return this->best(set, query, able, now);
+
+    const auto elsewhere = std::ranges::stable_partition(
+            able, [&](std::size_t index) { return this->inOwnPart(index, set, query); });
+    const std::vector<std::size_t> own(able.begin(), elsewhere.begin());
+    std::optional<Choice> choice = this->best(set, query, own, now);
+    const bool isShort = query.prompt.promptTokens < this->policy.shortPromptTokens;
+    if (isShort && (!choice || choice->prediction.aheadSeconds > ownPartFullSeconds))
+        return this->best(set, query, able, now);
+    // Longer prompts keep out of the short ones' part unless their own has lost all its engines.
+    if (!choice && own.empty() && query.ignoreQueueLimit)
+        return this->best(set, query, able, now);
+    return choice;
+}
+
+std::optional<Choice> Fleet::best(const Watched &set, const ChoiceQuery &query,
+                                  const std::vector<std::size_t> &able, state::Instant now)
+{
+    const double limit = toSeconds(this->policy.engineQueueLimit);
+    const bool limited = this->policy.holdInEntry && !query.ignoreQueueLimit;
+    std::optional<Choice> best;
+    bool bestAvoided = true;
+    for (const std::size_t index : able) {
+        EngineView &view = *set.views[index];
+        view.advance(now);
+        const state::FailureDomain &domain = view.description().failureDomain;
+        const double transfer = toSeconds(this->hooks.transferTime(domain));
+        const Prediction prediction = predict(view, query.prompt, this->policy, transfer);
+        if (limited && prediction.aheadSeconds > limit)
+            continue;
+        const bool avoided = !query.avoid.empty() && domain == query.avoid;
+        const bool better = !best || (bestAvoided && !avoided)
+                            || (bestAvoided == avoided && prediction.cost < best->prediction.cost);
+        if (!better)
+            continue;
+        best = Choice{set.ids[index], prediction};
+        bestAvoided = avoided;
+    }
+    return best;
+}
+
+bool Fleet::inOwnPart(std::size_t index, const Watched &set, const ChoiceQuery &query) const
+{
+    const bool isShort = query.prompt.promptTokens < this->policy.shortPromptTokens;
+    return isShort != (set.rank[index] < this->split.longEngines(set.views.size()));
+}
+
+bool Fleet::mayTake(const EngineView &view, std::size_t index, const Watched &set,
+                    const ChoiceQuery &query) const
+{
+    if (query.only && *query.only != set.ids[index])
+        return false;
+    if (view.draining && !query.only)
+        return false;
+    if (this->policy.placement != Placement::Predicted || query.ignoreQueueLimit || query.only)
+        return true;
+    return view.freeTokens() >= query.memoryTokens;
+}
+
+std::vector<std::size_t> Fleet::candidates(const Watched &set, const ChoiceQuery &query)
+{
+    std::vector<std::size_t> able;
+    const std::size_t wanted = this->policy.sampledEngines;
+    if (wanted > 0 && wanted < set.ids.size() && !query.only) {
+        for (std::size_t tries = wanted * sampleTries; tries > 0 && able.size() < wanted; --tries) {
+            const std::size_t index = this->random() % set.ids.size();
+            const bool repeated = std::ranges::find(able, index) != able.end();
+            if (!repeated && this->mayTake(*set.views[index], index, set, query))
+                able.push_back(index);
+        }
+        if (!able.empty())
+            return able;
+    }
+    for (std::size_t index = 0; index < set.ids.size(); ++index) {
+        if (this->mayTake(*set.views[index], index, set, query))
+            able.push_back(index);
+    }
+    return able;
+}
+
+std::optional<std::size_t> Fleet::baselineChoice(const Watched &set, const ChoiceQuery &query,
+                                                 const std::vector<std::size_t> &able)
+{
+    switch (this->policy.placement) {
+    case Placement::Predicted:
+        return std::nullopt;
+    case Placement::RoundRobin:
+        return able[this->nextRoundRobin++ % able.size()];
+    case Placement::LeastOutstanding:
+        return *std::ranges::min_element(
+                able, {}, [&set](std::size_t index) { return set.views[index]->outstanding(); });
+    case Placement::PrefixAffinity:
+        break;
+    }
+    std::size_t best = able.front();
+    double bestMatch = 0;
+    std::uint64_t bestScore = 0;
+    const std::uint64_t seed =
+            query.prompt.prefixBlocks.empty() ? this->random() : query.prompt.prefixBlocks.front();
+    for (const std::size_t index : able) {
+        const double match = set.views[index]->prefixes().match(query.prompt.prefixBlocks, 1);
+        const std::string &id = set.ids[index].value();
+        const std::uint64_t score = XXH3_64bits_withSeed(id.data(), id.size(), seed);
+        if (match > bestMatch || (match == bestMatch && score > bestScore)) {
+            best = index;
+            bestMatch = match;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+void Fleet::noteDemand(const state::EndpointId &engine, std::uint32_t promptTokens,
+                       double prefillTokens, state::Instant now)
+{
+    const EngineView *view = this->find(engine);
+    if (view == nullptr)
+        return;
+    this->split.note(promptTokens < this->policy.shortPromptTokens,
+                     view->prefillSeconds(prefillTokens), now);
+}
+
+std::size_t Fleet::longEngines(const state::ModelName &model) const
+{
+    return this->split.longEngines(this->watched(model).size());
+}
+
+std::vector<state::EndpointId> Fleet::longPart(const state::ModelName &model) const
+{
+    const auto found = this->byModel.find(model);
+    if (found == this->byModel.end())
+        return {};
+    const Watched &set = found->second;
+    if (!this->policy.splitEngines)
+        return set.ids;
+    const std::size_t bound = this->split.longEngines(set.views.size());
+    std::vector<state::EndpointId> part;
+    for (std::size_t index = 0; index < set.ids.size(); ++index) {
+        if (set.rank[index] < bound)
+            part.push_back(set.ids[index]);
+    }
+    return part;
+}
+
+bool Fleet::anyEngineHolds(const state::ModelName &model, std::uint64_t tokens) const
+{
+    const auto found = this->byModel.find(model);
+    if (found == this->byModel.end())
+        return false;
+    return std::ranges::any_of(found->second.views, [tokens](const EngineView *view) {
+        return !view->draining && view->description().kvCapacityTokens >= tokens;
+    });
+}
+
+} // namespace lavenderthread::coordination::routing
--- /dev/null
+++ b/src/coordination/routing/Prediction.cpp
@@ -0,0 +1,89 @@
+#include "coordination/routing/Prediction.h"
+
+#include <algorithm>
+
+namespace lavenderthread::coordination::routing {
+
+namespace {
+
+// Half an engine step: a newcomer arrives in the middle of the running one.
+double runningStepSeconds(const EngineView &engine, const PolicySettings &policy)
+{
+    bool decodes = false;
+    for (const Resident &resident : engine.residents()) {
+        if (resident.prefillLeft > 0)
+            return engine.prefillSeconds(policy.engineStepTokens) / 2;
+        decodes = decodes || resident.decoding;
+    }
+    return decodes ? engine.decodeStepSeconds() / 2 : 0;
+}
+
+// Time that decoding of outputLeft tokens loses beside prefillSeconds of prefill.
+double decodeDelay(const EngineView &engine, double outputLeft, double prefillSeconds,
+                   const PolicySettings &policy)
+{
+    const double decodeSeconds = outputLeft * engine.decodeStepSeconds();
+    const double lostShare = 1 - 1 / policy.prefillSlowsDecode;
+    return std::min(prefillSeconds * lostShare, decodeSeconds * (policy.prefillSlowsDecode - 1));
+}
+
+double aloneSeconds(const EngineView &engine, double promptTokens, double outputTokens)
+{
+    return idealFirstTokenSeconds(engine, promptTokens) + outputTokens * engine.decodeStepSeconds();
+}
+
+double inflictedCost(const EngineView &engine, const Prompt &prompt, double ownPrefillSeconds,
+                     const PolicySettings &policy)
+{
+    double cost = 0;
+    for (const Resident &resident : engine.residents()) {
+        if (resident.promptTokens < policy.shortPromptTokens && resident.outputLeft > 0) {
+            const double delay =
+                    decodeDelay(engine, resident.outputLeft, ownPrefillSeconds, policy);
+            cost += policy.shortSlowdownWeight * delay
+                    / aloneSeconds(engine, resident.promptTokens, resident.outputTokens);
+        }
+        if (!resident.decoding && resident.prefillLeft > 0 && resident.priority > prompt.priority) {
+            cost += policy.firstTokenWeight * ownPrefillSeconds
+                    / idealFirstTokenSeconds(engine, resident.promptTokens);
+        }
+    }
+    return cost;
+}
+
+} // namespace
+
+double idealFirstTokenSeconds(const EngineView &engine, double promptTokens)
+{
+    return engine.prefillSeconds(std::max(promptTokens, 1.0));
+}
+
+Prediction predict(const EngineView &engine, const Prompt &prompt, const PolicySettings &policy,
+                   double transferSeconds)
+{
+    Prediction result;
+    result.cachedTokens =
+            std::min(engine.prefixes().match(prompt.prefixBlocks, policy.doubtfulTrust)
+                             * policy.prefixBlockTokens,
+                     std::max(0.0, prompt.prefillTokens - 1.0));
+    const double ownPrefill = engine.prefillSeconds(prompt.prefillTokens - result.cachedTokens);
+    result.aheadSeconds = engine.secondsAhead(prompt.priority);
+    result.firstTokenSeconds = 2 * transferSeconds + runningStepSeconds(engine, policy)
+                               + result.aheadSeconds + ownPrefill;
+
+    const double laterPrefill = engine.prefillSecondsLeft() - result.aheadSeconds;
+    const double ownDecodeDelay = decodeDelay(engine, prompt.outputTokens, laterPrefill, policy);
+    result.completionSeconds = result.firstTokenSeconds
+                               + prompt.outputTokens * engine.decodeStepSeconds() + ownDecodeDelay;
+
+    result.cost = policy.firstTokenWeight * result.firstTokenSeconds
+                          / idealFirstTokenSeconds(engine, prompt.promptTokens)
+                  + inflictedCost(engine, prompt, ownPrefill, policy);
+    if (prompt.promptTokens < policy.shortPromptTokens) {
+        const double alone = aloneSeconds(engine, prompt.promptTokens, prompt.outputTokens);
+        result.cost += policy.shortSlowdownWeight * (result.completionSeconds - alone) / alone;
+    }
+    return result;
+}
+
+} // namespace lavenderthread::coordination::routing
--- /dev/null
+++ b/src/coordination/routing/PrefixIndex.cpp
@@ -0,0 +1,109 @@
+#include "coordination/routing/PrefixIndex.h"
+
+#include <xxhash.h>
+
+namespace lavenderthread::coordination::routing {
+
+namespace {
+
+constexpr std::size_t bytesPerToken = 4;
+
+} // namespace
+
+std::vector<std::uint64_t> chainPrefixBlocks(std::string_view prompt, std::uint32_t blockTokens)
+{
+    const std::size_t blockBytes = blockTokens * bytesPerToken;
+    std::vector<std::uint64_t> hashes;
+    hashes.reserve(prompt.size() / blockBytes);
+    std::uint64_t previous = 0;
+    for (std::size_t at = 0; at + blockBytes <= prompt.size(); at += blockBytes) {
+        previous = XXH3_64bits_withSeed(prompt.data() + at, blockBytes, previous);
+        hashes.push_back(previous);
+    }
+    return hashes;
+}
+
+void PrefixIndex::apply(std::uint64_t eventIncarnation, std::uint64_t firstSequence,
+                        std::span<const CacheEvent> events)
+{
+    if (eventIncarnation < this->incarnation)
+        return;
+    if (eventIncarnation > this->incarnation) {
+        this->clear();
+        this->incarnation = eventIncarnation;
+        this->nextSequence = firstSequence;
+    }
+    // Lost events may have been evictions: routing by them would send prompts to an engine that has
+    // to prefill all of it. Doubtful blocks count less until the engine shows them again.
+    if (firstSequence > this->nextSequence)
+        ++this->generation;
+    std::uint64_t sequence = firstSequence;
+    for (const CacheEvent &event : events) {
+        if (sequence++ < this->nextSequence)
+            continue;
+        switch (event.operation) {
+        case CacheOperation::Stored:
+            this->store(event.block);
+            break;
+        case CacheOperation::Evicted:
+            this->evict(event.block);
+            break;
+        case CacheOperation::Cleared:
+            this->blocks.clear();
+            this->order.clear();
+            break;
+        }
+    }
+    this->nextSequence = std::max(this->nextSequence, sequence);
+}
+
+void PrefixIndex::expect(std::span<const std::uint64_t> expected)
+{
+    for (const std::uint64_t block : expected)
+        this->store(block);
+}
+
+double PrefixIndex::match(std::span<const std::uint64_t> wanted, double doubtfulTrust) const
+{
+    double matched = 0;
+    for (const std::uint64_t block : wanted) {
+        const auto found = this->blocks.find(block);
+        if (found == this->blocks.end())
+            break;
+        matched += found->second.generation == this->generation ? 1 : doubtfulTrust;
+    }
+    return matched;
+}
+
+void PrefixIndex::clear()
+{
+    this->blocks.clear();
+    this->order.clear();
+    this->nextSequence = 0;
+    this->generation = 0;
+}
+
+void PrefixIndex::store(std::uint64_t block)
+{
+    const auto found = this->blocks.find(block);
+    if (found != this->blocks.end()) {
+        found->second.generation = this->generation;
+        this->order.splice(this->order.end(), this->order, found->second.place);
+        return;
+    }
+    if (this->blocks.size() >= this->capacity)
+        this->evict(this->order.front());
+    this->order.push_back(block);
+    this->blocks.emplace(block, Entry{this->generation, std::prev(this->order.end())});
+}
+
+void PrefixIndex::evict(std::uint64_t block)
+{
+    const auto found = this->blocks.find(block);
+    if (found == this->blocks.end())
+        return;
+    this->order.erase(found->second.place);
+    this->blocks.erase(found);
+}
+
+} // namespace lavenderthread::coordination::routing
--- /dev/null
+++ b/src/coordination/routing/WorkNote.h
@@ -0,0 +1,48 @@
+// What an entry tells the peers that route to the same engine, so that all of them count the same
+// work there. Losing a note costs speed only: reports and expiry correct the view.
+#pragma once
+
+#include "state/Ids.h"
+#include "state/TableRow.h"
+#include "state/Time.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace lavenderthread::coordination::routing {
+
+enum class WorkStage : std::uint8_t {
+    Dispatched, // handed to the engine, or the next slice of it
+    Decoding,   // the first token came
+    Ended,      // finished, cancelled or lost
+};
+
+// Immutable. Sent when the stage begins; a later stage of the same work replaces the earlier one.
+struct WorkNote
+{
+    WorkStage stage = WorkStage::Dispatched;
+    std::uint64_t work = 0; // hash of the request's id; unique in practice
+    state::EndpointId engine;
+    state::TableKey key;             // whom the tokens are charged to
+    std::uint32_t promptTokens = 0;  // whole prompt; tells the length class
+    std::uint32_t prefillTokens = 0; // left to prefill on this engine, after its cached prefix
+    std::uint32_t outputTokens = 0;  // expected
+    std::uint32_t memoryTokens = 0;  // claimed on this engine
+    std::uint32_t chargedTokens = 0; // service charged to the key by this note
+    std::uint8_t priority = 0;       // as sent to the engine, 0 goes first
+    state::Duration lifetime{0};     // until its deadline, after which receivers forget it
+
+    auto operator<=>(const WorkNote &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        std::int64_t microseconds = this->lifetime.count();
+        archive(this->stage, this->work, this->engine, this->key, this->promptTokens,
+                this->prefillTokens, this->outputTokens, this->memoryTokens, this->chargedTokens,
+                this->priority, microseconds);
+        this->lifetime = state::Duration(microseconds);
+    }
+};
+
+} // namespace lavenderthread::coordination::routing
