Program: admission and routing drive the entry

Cause: the entry placed requests by least outstanding; the policy was landed but not wired. Conclusion: the decision path is whole; slices must not carry the body again.

--- a/src/program/CompletionRelay.cpp
+++ b/src/program/CompletionRelay.cpp
@@ -45,30 +45,36 @@
         }
         PlacementResult placement = co_await this->hooks.scheduler.place(this->request);
         if (!placement) {
-            // A resumed stream ran elsewhere before: "no" would be a lie.
-            Problem problem = placement.error();
-            problem.ran = this->resume ? Ran::Unknown : problem.ran;
-            co_await this->fail(std::move(problem));
+            co_await this->giveUp(placement.error());
             co_return this->outcome();
         }
-        while (true) {
-            const bool ended = co_await this->attempt(placement.value());
-            if (ended)
-                break;
-            placement = co_await this->hooks.scheduler.placeAgain(
-                    this->request.id, placement.value(), this->writer.nextOffset());
-            if (!placement) {
-                Problem problem = placement.error();
-                problem.ran = this->ran;
-                co_await this->fail(std::move(problem));
+        std::uint32_t lastAttempt = placement.value().attempt;
+        while (placement) {
+            const Placement current = placement.value();
+            lastAttempt = current.attempt;
+            const AttemptEnd end = co_await this->attempt(current);
+            if (end == AttemptEnd::Ended)
                 break;
-            }
+            if (end == AttemptEnd::SliceDone)
+                placement = co_await this->hooks.scheduler.sliceDone(this->request.id, current);
+            else
+                placement = co_await this->hooks.scheduler.placeAgain(this->request.id, current,
+                                                                      end == AttemptEnd::NotRun);
         }
-        this->hooks.scheduler.finished(this->request.id);
+        if (!placement)
+            co_await this->giveUp(placement.error());
+        this->hooks.scheduler.finished(this->request.id, lastAttempt, this->whole);
         co_return this->outcome();
     }
 
 private:
+    enum class AttemptEnd {
+        Ended, // the request is over, well or not
+        SliceDone,
+        NotRun, // the engine certainly did not start it
+        Lost,
+    };
+
     // Reads on in the stream that the caller's former entry started. False if the engine has lost
     // it.
     asio::awaitable<bool> joinRunningStream()
@@ -85,7 +91,8 @@
         const auto opened = co_await engine.open();
         if (!opened)
             co_return false;
-        co_return co_await this->relay(engine, placement, this->resume->stream);
+        const AttemptEnd end = co_await this->relay(engine, placement, this->resume->stream);
+        co_return end == AttemptEnd::Ended;
     }
 
     AttemptRequest attemptRequest(const Placement &placement)
@@ -93,7 +100,9 @@
         ++this->attempts;
         AttemptRequest attempt;
         attempt.endpoint = placement.endpoint;
-        attempt.stream = this->request.id.value() + "." + std::to_string(this->attempts);
+        attempt.stream = streamIdOf(this->request.id, placement);
+        attempt.spanFrom = placement.from;
+        attempt.spanTo = placement.to;
         attempt.priority = placement.priority;
         attempt.resumeFrom = this->writer.nextOffset();
         attempt.body = this->body;
@@ -101,8 +110,7 @@
         return attempt;
     }
 
-    // True if the request has ended, well or not; false if another engine should be tried.
-    asio::awaitable<bool> attempt(const Placement &placement)
+    asio::awaitable<AttemptEnd> attempt(const Placement &placement)
     {
         AttemptRequest attempt = this->attemptRequest(placement);
         const std::string stream = attempt.stream;
@@ -110,25 +118,30 @@
                              this->hooks.scheduler.isAlive);
         const auto opened = co_await engine.open();
         if (!opened) {
-            this->noteFailure(opened.error());
-            co_return co_await this->endIfLate();
+            const bool unseen = this->noteFailure(opened.error());
+            const bool late = co_await this->endIfLate();
+            if (late)
+                co_return AttemptEnd::Ended;
+            co_return unseen ? AttemptEnd::NotRun : AttemptEnd::Lost;
         }
         this->ran = Ran::Yes;
         co_return co_await this->relay(engine, placement, stream);
     }
 
     // "No" stays true only while no byte of the request has gone to an engine.
-    void noteFailure(const state::Error &error)
+    // Gives whether this failure left the engine untouched.
+    bool noteFailure(const state::Error &error)
     {
         const bool unseen =
                 error.step == transport::connectStep || error.code == state::ErrorCode::Overloaded;
         if (!unseen && this->ran == Ran::No)
             this->ran = Ran::Unknown;
         this->lastError = error;
+        return unseen;
     }
 
-    asio::awaitable<bool> relay(EngineAttempt &engine, const Placement &placement,
-                                const std::string &stream)
+    asio::awaitable<AttemptEnd> relay(EngineAttempt &engine, const Placement &placement,
+                                      const std::string &stream)
     {
         protocol::EventId position{this->request.account, placement.endpoint.id,
                                    placement.endpoint.address, stream, 0};
@@ -136,30 +149,28 @@
             const auto lines = co_await engine.readLines();
             if (!lines) {
                 this->noteFailure(lines.error());
-                const bool ended = co_await this->endIfLate();
+                const bool late = co_await this->endIfLate();
                 engine.cancel();
-                co_return ended;
+                co_return late ? AttemptEnd::Ended : AttemptEnd::Lost;
             }
             for (const protocol::EngineLine &line : lines.value()) {
+                if (line.done && !placement.final)
+                    co_return AttemptEnd::SliceDone;
                 position.offset = line.offset;
                 if (line.done && line.total == this->writer.nextOffset()) {
                     this->whole = co_await this->writer.finish(line.finishReason);
-                    co_return true;
+                    co_return AttemptEnd::Ended;
                 }
                 if (line.done || this->takeToken(line, position) == AnswerWriter::Verdict::Gap) {
                     engine.cancel();
-                    co_return false;
+                    co_return AttemptEnd::Lost;
                 }
             }
-            if (!co_await this->writer.flush()) {
-                // The caller may go on at another entry with its last event id; an answer that
-                // can't be resumed is of no use to anybody, so the engine's memory is freed at
-                // once.
-                if (!this->request.body.stream)
-                    engine.cancel();
-                co_return true;
-            }
-            this->hooks.scheduler.progressed(this->request.id, this->writer.nextOffset());
+            const bool callerThere = co_await this->writer.flush();
+            if (!callerThere)
+                co_return AttemptEnd::Ended;
+            this->hooks.scheduler.progressed(this->request.id, placement.attempt,
+                                             this->writer.nextOffset());
         }
     }
 
@@ -181,6 +192,16 @@
         co_return true;
     }
 
+    // The scheduler's refusal, with what is known here of whether the request ran.
+    asio::awaitable<void> giveUp(Problem problem)
+    {
+        if (this->ran != Ran::No)
+            problem.ran = this->ran;
+        else if (this->resume)
+            problem.ran = Ran::Unknown; // it ran elsewhere before: "no" would be a lie
+        co_await this->fail(std::move(problem));
+    }
+
     asio::awaitable<void> fail(Problem problem)
     {
         this->status = problem.status;
--- /dev/null
+++ b/src/program/DispatcherScheduler.cpp
@@ -0,0 +1,375 @@
+// Events go in on one strand, actions are carried out there; waiting relays get theirs by callback.
+#include "program/DispatcherScheduler.h"
+
+#include "program/Clock.h"
+#include "program/Log.h"
+#include "transport/Await.h"
+#include "transport/HttpClient.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+namespace lavenderthread::program {
+
+namespace asio = boost::asio;
+namespace admission = coordination::admission;
+using protocol::Problem;
+using protocol::Ran;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds engineCallTimeout{2'000};
+
+Problem problemOf(const admission::Refuse &refusal)
+{
+    const milliseconds retryAfter = std::chrono::ceil<milliseconds>(refusal.retryAfter);
+    const Ran ran = refusal.ran == admission::Ran::No ? Ran::No : Ran::Unknown;
+    switch (refusal.reason) {
+    case admission::RefusalReason::UnknownModel:
+        return {503, "no-engine", "no engine with this model is ready", ran, retryAfter};
+    case admission::RefusalReason::TooLong:
+        return {413, "prompt-too-long", "the engines can't hold this prompt", ran, std::nullopt};
+    case admission::RefusalReason::Deadline:
+        return {503, "deadline-out-of-reach", "the request can't be done in its time", ran,
+                retryAfter};
+    case admission::RefusalReason::Overload:
+        return {503, "overloaded", "too much work is waiting", ran, retryAfter};
+    case admission::RefusalReason::Limit:
+        return {429, "limit", "the account's limit is used up", ran, retryAfter};
+    case admission::RefusalReason::AttemptsExhausted:
+        return {503, "engines-lost", "the engines that worked on it were lost", ran, retryAfter};
+    }
+    return {500, "internal", "unknown refusal", Ran::Unknown, std::nullopt};
+}
+
+admission::CompletionRequest toAdmission(const ScheduledRequest &request)
+{
+    admission::CompletionRequest admitted;
+    admitted.id = request.id;
+    admitted.account = request.account;
+    admitted.workClass = request.workClass;
+    admitted.model = request.body.model;
+    admitted.promptTokens = request.body.promptTokens;
+    admitted.maximumOutputTokens = request.body.outputTokens;
+    admitted.prefixBlocks = request.body.prefixBlocks;
+    admitted.arrival = request.arrival;
+    admitted.deadline = request.deadline;
+    return admitted;
+}
+
+} // namespace
+
+std::string streamIdOf(const state::RequestId &id, const Placement &placement)
+{
+    return id.value() + "." + std::to_string(placement.attempt) + "."
+           + std::to_string(placement.from);
+}
+
+struct DispatcherScheduler::State
+{
+    using Answer = std::function<void(PlacementResult)>;
+
+    // One request between place and finished.
+    struct Pending
+    {
+        Answer waiter;                        // of the relay, while it waits
+        std::optional<PlacementResult> ready; // came while it did not wait
+        std::optional<Placement> last;        // what was handed out last
+    };
+
+    State(asio::io_context &context, const Settings &settings,
+          const coordination::routing::PolicySettings &policy,
+          std::shared_ptr<EndpointRegistry> registry, Hooks hooks)
+        : strand(asio::make_strand(context))
+        , timer(this->strand)
+        , registry(std::move(registry))
+        , hooks(std::move(hooks))
+        , dispatcher(settings.vm, policy, dispatcherHooks(),
+                     std::hash<std::string>{}(settings.vm.value()))
+    {}
+
+    static admission::DispatcherHooks dispatcherHooks()
+    {
+        admission::DispatcherHooks hooks;
+        hooks.fleet.transferTime = [](const state::FailureDomain &) { return state::Duration(0); };
+        return hooks;
+    }
+
+    void handle(const admission::Event &event)
+    {
+        const auto actions = this->dispatcher.handle(event, monotonicNow());
+        for (const admission::Action &action : actions)
+            std::visit([this](const auto &each) { this->carryOut(each); }, action);
+        this->armTimer();
+    }
+
+    void armTimer()
+    {
+        const auto wake = this->dispatcher.nextWake();
+        if (!wake)
+            return;
+        this->timer.expires_after(std::max(*wake - monotonicNow(), state::Duration(0)));
+        this->timer.async_wait([this](const boost::system::error_code &problem) {
+            if (!problem)
+                this->handle(admission::Tick{});
+        });
+    }
+
+    void answer(const state::RequestId &id, PlacementResult result)
+    {
+        const auto found = this->pending.find(id);
+        if (found == this->pending.end())
+            return;
+        Pending &request = found->second;
+        if (result)
+            request.last = result.value();
+        if (!request.waiter) {
+            request.ready = std::move(result);
+            return;
+        }
+        const Answer waiter = std::exchange(request.waiter, {});
+        const bool over = !result && !request.last;
+        if (over) // refused before any placement: the relay does not call finished
+            this->pending.erase(found);
+        waiter(std::move(result));
+    }
+
+    // Gives the relay what has come for it meanwhile, or keeps it waiting.
+    void await(const state::RequestId &id, Answer waiter)
+    {
+        Pending &request = this->pending[id];
+        if (request.ready) {
+            const PlacementResult result = *std::exchange(request.ready, std::nullopt);
+            waiter(result);
+            return;
+        }
+        request.waiter = std::move(waiter);
+    }
+
+    void carryOut(const admission::Dispatch &action)
+    {
+        const auto table = this->registry->table();
+        const auto known = table->endpoints.find(action.engine);
+        if (known == table->endpoints.end()) {
+            // The registry lost it a moment before the policy heard of it.
+            asio::post(this->strand, [this, action] {
+                this->handle(admission::AttemptFailed{action.id, action.attempt, true});
+            });
+            return;
+        }
+        Placement placement;
+        placement.endpoint = known->second.description;
+        placement.priority = action.priority;
+        placement.attempt = action.attempt;
+        placement.from = action.from;
+        placement.to = action.to;
+        placement.final = action.final;
+        this->answer(action.id, placement);
+    }
+
+    void carryOut(const admission::Refuse &action) { this->answer(action.id, problemOf(action)); }
+
+    void carryOut(const admission::Expire &action)
+    {
+        const Ran ran = action.ran == admission::Ran::No ? Ran::No : Ran::Unknown;
+        this->answer(action.id,
+                     Problem{504, "deadline", "the deadline has passed", ran, std::nullopt});
+    }
+
+    void carryOut(const admission::CancelOnEngine &action)
+    {
+        const auto found = this->pending.find(action.id);
+        if (found != this->pending.end() && found->second.last)
+            this->callEngine("DELETE",
+                             "/engine/streams/" + streamIdOf(action.id, *found->second.last),
+                             found->second.last->endpoint.address, {});
+    }
+
+    void carryOut(const admission::Reserve &action)
+    {
+        const auto table = this->registry->table();
+        const auto known = table->endpoints.find(action.engine);
+        const auto answered = [this, action](unsigned status) {
+            constexpr unsigned created = 201;
+            this->handle(admission::ReservationAnswered{action.id, action.engine, action.lease,
+                                                        status == created});
+        };
+        if (known == table->endpoints.end()) {
+            asio::post(this->strand, [answered] { answered(0); });
+            return;
+        }
+        const auto ttl = std::chrono::ceil<milliseconds>(action.ttl);
+        this->callEngine("POST", "/engine/reservations", known->second.description.address,
+                         boost::json::serialize(boost::json::object{{"lease", action.lease},
+                                                                    {"tokens", action.tokens},
+                                                                    {"ttl_ms", ttl.count()}}),
+                         answered);
+    }
+
+    void carryOut(const admission::Release &action)
+    {
+        const auto table = this->registry->table();
+        const auto known = table->endpoints.find(action.engine);
+        if (known != table->endpoints.end())
+            this->callEngine("DELETE", "/engine/reservations/" + action.lease,
+                             known->second.description.address, {});
+    }
+
+    void carryOut(const admission::ShareWork &action)
+    {
+        if (this->hooks.shareWork)
+            this->hooks.shareWork(action.note);
+    }
+
+    void carryOut(const admission::ShareBacklog &action)
+    {
+        if (this->hooks.shareBacklog)
+            this->hooks.shareBacklog(action.note);
+    }
+
+    // `answered` gets the status, 0 if there was none, on the strand.
+    void callEngine(const std::string &method, const std::string &target, state::Address engine,
+                    std::string body, std::function<void(unsigned)> answered = {})
+    {
+        protocol::HttpRequest request;
+        request.method = method;
+        request.target = target;
+        request.headers.add("Content-Type", "application/json");
+        request.body = std::move(body);
+        transport::HttpCallLimits limits;
+        limits.timeout = engineCallTimeout;
+        asio::co_spawn(
+                this->strand,
+                [](asio::any_io_executor executor, state::Address peer, protocol::HttpRequest call,
+                   transport::HttpCallLimits bounds,
+                   std::function<void(unsigned)> tell) -> asio::awaitable<void> {
+                    const auto response =
+                            co_await transport::httpCall(executor, peer, std::move(call), bounds);
+                    if (tell)
+                        tell(response ? response.value().status : 0);
+                }(this->strand, std::move(engine), std::move(request), limits, std::move(answered)),
+                asio::detached);
+    }
+
+    void refreshEndpoints()
+    {
+        const auto table = this->registry->table();
+        for (const auto &[id, known] : this->announced) {
+            if (!table->endpoints.contains(id))
+                this->handle(admission::EngineGone{id});
+        }
+        std::erase_if(this->announced,
+                      [&](const auto &known) { return !table->endpoints.contains(known.first); });
+        for (const auto &[id, endpoint] : table->endpoints) {
+            if (endpoint.description.kind != state::EndpointKind::Engine)
+                continue;
+            const auto known = this->announced.find(id);
+            const bool same = known != this->announced.end();
+            if (same && known->second == endpoint)
+                continue;
+            const bool drainChanged = endpoint.draining != (same && known->second.draining);
+            if (!same || known->second.description != endpoint.description)
+                this->handle(admission::EngineAnnounced{endpoint.description});
+            if (drainChanged)
+                this->handle(admission::EngineDraining{id, endpoint.draining});
+            this->announced[id] = endpoint;
+        }
+    }
+
+    asio::strand<asio::io_context::executor_type> strand;
+    asio::steady_timer timer;
+    std::shared_ptr<EndpointRegistry> registry;
+    Hooks hooks;
+    admission::Dispatcher dispatcher;
+    std::unordered_map<state::RequestId, Pending> pending;
+    std::map<state::EndpointId, RegisteredEndpoint> announced; // as the dispatcher knows them
+};
+
+std::shared_ptr<DispatcherScheduler>
+DispatcherScheduler::create(asio::io_context &context, const Settings &settings,
+                            const coordination::routing::PolicySettings &policy,
+                            std::shared_ptr<EndpointRegistry> registry, Hooks hooks)
+{
+    return std::make_shared<DispatcherScheduler>(std::make_unique<State>(
+            context, settings, policy, std::move(registry), std::move(hooks)));
+}
+
+DispatcherScheduler::DispatcherScheduler(std::unique_ptr<State> state)
+    : state(std::move(state))
+{}
+
+DispatcherScheduler::~DispatcherScheduler() = default;
+
+void DispatcherScheduler::post(admission::Event event)
+{
+    asio::post(this->state->strand, [self = this->shared_from_this(), event = std::move(event)] {
+        self->state->handle(event);
+    });
+}
+
+void DispatcherScheduler::refreshEndpoints()
+{
+    asio::post(this->state->strand,
+               [self = this->shared_from_this()] { self->state->refreshEndpoints(); });
+}
+
+Scheduler DispatcherScheduler::scheduler()
+{
+    const auto self = this->shared_from_this();
+    // Posts to the strand; `begin` runs there right before the relay is made to wait.
+    const auto waitFor = [self](const state::RequestId &id, std::function<void(State &)> begin) {
+        return transport::awaitCallback<PlacementResult>(
+                [self, id, begin = std::move(begin)](State::Answer waiter) {
+                    asio::post(self->state->strand, [self, id, begin, waiter] {
+                        self->state->await(id, waiter);
+                        begin(*self->state);
+                    });
+                });
+    };
+    Scheduler scheduler;
+    scheduler.place = [waitFor](ScheduledRequest request) {
+        return waitFor(request.id, [request](State &state) {
+            state.handle(admission::RequestArrived{toAdmission(request)});
+        });
+    };
+    scheduler.placeAgain = [waitFor](state::RequestId id, Placement failed, bool didNotRun) {
+        return waitFor(id, [id, attempt = failed.attempt, didNotRun](State &state) {
+            state.handle(admission::AttemptFailed{id, attempt, didNotRun});
+        });
+    };
+    scheduler.sliceDone = [waitFor](state::RequestId id, Placement done) {
+        return waitFor(id, [id, done](State &state) {
+            state.handle(admission::SlicePrefilled{id, done.attempt, done.to});
+        });
+    };
+    scheduler.progressed = [self](const state::RequestId &id, std::uint32_t attempt,
+                                  std::uint64_t nextOffset) {
+        self->post(admission::TokensReceived{id, attempt, static_cast<std::uint32_t>(nextOffset)});
+    };
+    scheduler.finished = [self](const state::RequestId &id, std::uint32_t attempt, bool whole) {
+        asio::post(self->state->strand, [self, id, attempt, whole] {
+            if (whole)
+                self->state->handle(admission::RequestFinished{id, attempt});
+            else
+                self->state->handle(admission::CallerCancelled{id});
+            self->state->pending.erase(id);
+        });
+    };
+    scheduler.isAlive =
+            [registry = this->state->registry](const state::EndpointDescription &endpoint) {
+                return registry->table()->find(endpoint.id, endpoint.incarnation) != nullptr;
+            };
+    return scheduler;
+}
+
+} // namespace lavenderthread::program
--- /dev/null
+++ b/src/program/DispatcherScheduler.h
@@ -0,0 +1,48 @@
+// Drives the admission and routing state machine of this entry: one strand, its timer, and the
+// relays' coroutines that wait for their placement.
+#pragma once
+
+#include "coordination/admission/Dispatcher.h"
+#include "program/EndpointRegistry.h"
+#include "program/Scheduler.h"
+#include "program/Settings.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace lavenderthread::program {
+
+class DispatcherScheduler : public std::enable_shared_from_this<DispatcherScheduler>
+{
+public:
+    struct Hooks
+    {
+        // To the entries that route to the same engines; may be empty for a node alone.
+        std::function<void(const coordination::routing::WorkNote &)> shareWork;
+        std::function<void(const coordination::admission::BacklogNote &)> shareBacklog;
+    };
+
+    static std::shared_ptr<DispatcherScheduler>
+    create(boost::asio::io_context &context, const Settings &settings,
+           const coordination::routing::PolicySettings &policy,
+           std::shared_ptr<EndpointRegistry> registry, Hooks hooks);
+    ~DispatcherScheduler();
+
+    // What the relays use. The functions keep this object alive.
+    Scheduler scheduler();
+
+    // News of engines, table and peers, from any thread.
+    void post(coordination::admission::Event event);
+    // Brings the policy's engines in line with the registry's table.
+    void refreshEndpoints();
+
+    struct State; // only touched on the strand
+    explicit DispatcherScheduler(std::unique_ptr<State> state);
+
+private:
+    std::unique_ptr<State> state;
+};
+
+} // namespace lavenderthread::program
--- a/src/program/EngineAttempt.cpp
+++ b/src/program/EngineAttempt.cpp
@@ -74,6 +74,9 @@
                         {"Priority", std::to_string(this->request.priority)},
                         {"Resume-From", std::to_string(this->request.resumeFrom)},
                         {"Deadline-Ms", std::to_string(remaining(this->request.deadline).count())}};
+        if (this->request.spanTo > 0)
+            call.headers.add("Span", std::to_string(this->request.spanFrom) + "-"
+                                             + std::to_string(this->request.spanTo));
         call.body = *this->request.body;
     }
     transport::HttpCallLimits limits;
--- a/src/program/EngineAttempt.h
+++ b/src/program/EngineAttempt.h
@@ -24,8 +24,9 @@
     std::string stream; // the engine's stream id, unique for each attempt
     unsigned priority = 5;
     std::uint64_t resumeFrom = 0;
+    std::uint32_t spanFrom = 0; // part of the prompt to prefill; spanTo = 0 means all of it
+    std::uint32_t spanTo = 0;
     bool joinExisting = false;               // read a stream that another entry started
-    std::string path;                        // the engine's call: text or chat body
     std::shared_ptr<const std::string> body; // the caller's, unchanged
     state::Instant deadline;
 };
--- a/src/program/LeastOutstanding.cpp
+++ b/src/program/LeastOutstanding.cpp
@@ -102,11 +102,17 @@
         co_return policy->place(request);
     };
     scheduler.placeAgain = [policy](state::RequestId id, Placement failed,
-                                    std::uint64_t) -> boost::asio::awaitable<PlacementResult> {
+                                    bool) -> boost::asio::awaitable<PlacementResult> {
         co_return policy->placeAgain(id, failed);
     };
-    scheduler.progressed = [](const state::RequestId &, std::uint64_t) {};
-    scheduler.finished = [policy](const state::RequestId &id) { policy->finished(id); };
+    scheduler.sliceDone = [](state::RequestId,
+                             Placement done) -> boost::asio::awaitable<PlacementResult> {
+        co_return done; // never asked: every placement is final
+    };
+    scheduler.progressed = [](const state::RequestId &, std::uint32_t, std::uint64_t) {};
+    scheduler.finished = [policy](const state::RequestId &id, std::uint32_t, bool) {
+        policy->finished(id);
+    };
     scheduler.isAlive = [policy](const state::EndpointDescription &endpoint) {
         return policy->isAlive(endpoint);
     };
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -2,8 +2,8 @@
 #include "program/Node.h"
 
 #include "program/Clock.h"
+#include "program/DispatcherScheduler.h"
 #include "program/Entry.h"
-#include "program/LeastOutstanding.h"
 #include "program/Log.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -60,6 +60,21 @@
               {"total_us", std::int64_t(outcome.total.count())}});
 }
 
+coordination::admission::CacheReported toCacheReported(const state::EndpointId &id,
+                                                       const protocol::CacheEventBatch &batch)
+{
+    using coordination::routing::CacheOperation;
+    coordination::admission::CacheReported reported{id, batch.incarnation, batch.firstSequence, {}};
+    for (const protocol::CacheEvent &event : batch.events) {
+        const CacheOperation operation =
+                event.kind == protocol::CacheEvent::Kind::Stored    ? CacheOperation::Stored
+                : event.kind == protocol::CacheEvent::Kind::Evicted ? CacheOperation::Evicted
+                                                                    : CacheOperation::Cleared;
+        reported.events.push_back({operation, event.block});
+    }
+    return reported;
+}
+
 class Node
 {
 public:
@@ -72,16 +87,29 @@
     state::Result<void> start()
     {
         Entry::Hooks hooks;
-        hooks.scheduler = makeLeastOutstanding(this->registry);
+        coordination::routing::PolicySettings policy;
+        policy.prefixBlockTokens = protocol::prefixBlockTokens;
+        this->policy = DispatcherScheduler::create(this->context, this->settings, policy,
+                                                   this->registry, {});
+        hooks.scheduler = this->policy->scheduler();
         hooks.claims = makeLocalClaims();
         hooks.directory = [this](const state::ClientAccountId &) {
             return DirectoryAnswer{{this->settings.entry.listen},
                                    this->settings.entry.directoryTtl};
         };
-        hooks.announced = [](const state::EndpointDescription &) {};
-        hooks.left = [](const state::EndpointId &, std::uint64_t) {};
-        hooks.loadReported = [](const state::LoadReport &) {};
-        hooks.cacheChanged = [](const state::EndpointId &, const protocol::CacheEventBatch &) {};
+        hooks.announced = [this](const state::EndpointDescription &) {
+            this->policy->refreshEndpoints();
+        };
+        hooks.left = [this](const state::EndpointId &, std::uint64_t) {
+            this->policy->refreshEndpoints();
+        };
+        hooks.loadReported = [this](const state::LoadReport &report) {
+            this->policy->post(coordination::admission::LoadReported{report});
+        };
+        hooks.cacheChanged = [this](const state::EndpointId &id,
+                                    const protocol::CacheEventBatch &batch) {
+            this->policy->post(toCacheReported(id, batch));
+        };
         hooks.completionFinished = logCompletion;
         hooks.serviceFinished = logService;
         BOOST_OUTCOME_TRY(this->entry, Entry::create(this->settings, this->context, this->registry,
@@ -107,8 +135,11 @@
     {
         while (true) {
             co_await pause(expiryCheckInterval);
-            for (const state::EndpointId &id : this->registry->expire(monotonicNow()))
+            const auto dropped = this->registry->expire(monotonicNow());
+            for (const state::EndpointId &id : dropped)
                 logEvent(LogLevel::Warning, "endpoint.expired", {{"endpoint", id.value()}});
+            if (!dropped.empty())
+                this->policy->refreshEndpoints();
         }
     }
 
@@ -135,6 +166,7 @@
     const Settings &settings;
     asio::io_context context;
     std::shared_ptr<EndpointRegistry> registry;
+    std::shared_ptr<DispatcherScheduler> policy;
     std::shared_ptr<Entry> entry;
 };
 
--- a/src/program/Scheduler.h
+++ b/src/program/Scheduler.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <string>
 
 namespace lavenderthread::program {
 
@@ -25,30 +26,45 @@
     state::Instant deadline;
 };
 
+// One piece of work for one engine: the whole request, or a slice of its prefill.
 struct Placement
 {
     state::EndpointDescription endpoint;
-    unsigned priority = 5; // towards the engine, 0 first
+    unsigned priority = 5;     // towards the engine, 0 first
+    std::uint32_t attempt = 1; // of the policy; grows when an endpoint was lost to the request
+    // The part of the prompt to prefill, in tokens; to = 0 means all of it.
+    std::uint32_t from = 0;
+    std::uint32_t to = 0;
+    bool final = true; // the answer is generated behind it; else it is a slice
 
     auto operator<=>(const Placement &) const = default;
 };
 
+// The engine's id of the stream that carries a placement; the same for everybody who knows both.
+std::string streamIdOf(const state::RequestId &id, const Placement &placement);
+
 // A placement, or the answer to the caller.
 using PlacementResult = state::outcome::basic_result<Placement, protocol::Problem,
                                                      state::outcome::policy::all_narrow>;
 
 // All functions may be called from any thread. After place has succeeded, finished is called
-// exactly once, whatever happens.
+// exactly once, whatever happens; after place has refused, not at all.
 struct Scheduler
 {
     // Waits in the queue for its turn; refuses at once what can't make its deadline.
     std::function<boost::asio::awaitable<PlacementResult>(ScheduledRequest)> place;
-    // The endpoint of `failed` is lost to this request; tokens up to `offset` are with the caller.
+    // The endpoint of `failed` is lost to this request. `didNotRun` only if that is certain.
     std::function<boost::asio::awaitable<PlacementResult>(state::RequestId, Placement failed,
-                                                          std::uint64_t offset)>
+                                                          bool didNotRun)>
             placeAgain;
-    std::function<void(const state::RequestId &, std::uint64_t tokens)> progressed;
-    std::function<void(const state::RequestId &)> finished;
+    // A slice is prefilled; gives the next one, or the final piece.
+    std::function<boost::asio::awaitable<PlacementResult>(state::RequestId, Placement done)>
+            sliceDone;
+    // The caller has the tokens before `nextOffset`.
+    std::function<void(const state::RequestId &, std::uint32_t attempt, std::uint64_t nextOffset)>
+            progressed;
+    // `whole`: the engine has ended the stream itself; else whatever still runs is cancelled.
+    std::function<void(const state::RequestId &, std::uint32_t attempt, bool whole)> finished;
     // Whether the endpoint is still known alive under that incarnation.
     std::function<bool(const state::EndpointDescription &)> isAlive;
 };
