Consensus: randomized schedules over whole clusters

Checked at every event: committed entries never change, apply in order, no key decided twice, reads miss no acknowledged change, one lease holder at a time; at the end: progress, repair finished, all members equal. Ruled out: counting a standstill as catching a mutation.

--- /dev/null
+++ b/tests/coordination/consensus/ClusterRigFaults.cpp
@@ -0,0 +1,267 @@
+// The rig's callers, operators and faults, and what it checks.
+#include "ClusterRig.h"
+
+#include <algorithm>
+
+namespace lavenderthread::coordination::consensus {
+
+namespace {
+
+constexpr std::int64_t millisecond = 1000;
+constexpr std::uint64_t keys = 30;
+constexpr std::size_t maximumLostDisks = 3;
+
+} // namespace
+
+void ClusterRig::propose()
+{
+    if (this->calm || this->now < this->quietUntil)
+        return;
+    const std::size_t first = this->number(0, this->nodes.size() - 1);
+    for (std::size_t index = 0; index < this->nodes.size(); ++index) {
+        const Node &node = this->nodes[index];
+        const bool leads = node.machine && node.machine->currentRole() == Role::Leader;
+        if (leads || index == first)
+            this->proposeTo(index);
+    }
+}
+
+// Callers resend: several proposals claim the same key under other names, at any member.
+void ClusterRig::proposeTo(std::size_t index)
+{
+    Propose propose;
+    for (std::uint64_t left = this->number(1, 3); left > 0; --left) {
+        const ProposalId id = this->nextId++;
+        const std::string payload =
+                "key" + std::to_string(this->number(1, keys)) + " c" + std::to_string(id);
+        this->proposed[id] = payload;
+        propose.proposals.push_back({id, payload});
+    }
+    this->give(index, propose);
+}
+
+void ClusterRig::ask()
+{
+    for (std::size_t index = 0; index < this->nodes.size(); ++index) {
+        const ReadId id = this->nextId++;
+        this->readFloor[id] = this->acknowledgedIndex;
+        this->give(index, Read{id, this->chance(500) ? ReadKind::Lease : ReadKind::Round});
+    }
+}
+
+// The operators' loop: whichever member leads takes the next single step towards the wanted set.
+void ClusterRig::operate()
+{
+    for (std::size_t index = 0; index < this->nodes.size(); ++index) {
+        Node &node = this->nodes[index];
+        if (!node.machine || node.machine->currentRole() != Role::Leader)
+            continue;
+        const std::optional<MemberChange> change =
+                nextMemberChange(node.machine->members(), this->target,
+                                 node.machine->caughtUpLearners(this->localTime(node, this->now)));
+        if (change)
+            this->give(index, ProposeChange{this->nextId++, *change});
+    }
+}
+
+bool ClusterRig::repaired() const
+{
+    return this->committedMembers == this->target;
+}
+
+void ClusterRig::fault()
+{
+    if (this->calm)
+        return;
+    const std::size_t index = this->number(0, this->nodes.size() - 1);
+    Node &node = this->nodes[index];
+    const std::uint64_t kind = this->number(0, 99);
+    if (this->secondLossDue && this->repaired()) {
+        this->secondLossDue = false;
+        this->loseDisk(index);
+    } else if (kind < 12) {
+        this->crash(index);
+        this->at(this->now + static_cast<GlobalTime>(this->number(5, 300)) * millisecond,
+                 [this, index] { this->start(index); });
+    } else if (kind < 18) {
+        for (std::size_t each = 0; each < this->nodes.size(); ++each) {
+            this->crash(each);
+            this->start(each);
+        }
+    } else if (kind < 30) {
+        this->isolate(index, this->number(50, 900) * millisecond);
+    } else if (kind < 36) {
+        node.pausedUntil = this->now + static_cast<GlobalTime>(this->number(10, 500)) * millisecond;
+    } else if (kind < 50) {
+        this->loseDisk(index);
+    } else if (kind < 62) {
+        this->cutLink(index, this->number(0, this->nodes.size() - 1));
+    } else if (kind < 80 && node.machine && node.machine->currentRole() == Role::Leader) {
+        // A leader that goes step by step: one member misses it first and campaigns while the rest
+        // have heard it a moment ago. Callers are quiet, so that no log is ahead of another.
+        this->quietUntil = this->now + 400 * millisecond;
+        this->cutLink(index, this->number(0, this->nodes.size() - 1));
+        this->at(this->now + static_cast<GlobalTime>(this->number(60, 220)) * millisecond,
+                 [this, index] { this->isolate(index, this->number(50, 400) * millisecond); });
+    }
+}
+
+// Both ways, or only one.
+void ClusterRig::isolate(std::size_t index, std::uint64_t duration)
+{
+    if (this->calm)
+        return;
+    const bool both = this->chance(600);
+    this->nodes[index].hearsNobody = both || this->chance(500);
+    this->nodes[index].reachesNobody = both || !this->nodes[index].hearsNobody;
+    this->at(this->now + static_cast<GlobalTime>(duration), [this, index] {
+        this->nodes[index].hearsNobody = false;
+        this->nodes[index].reachesNobody = false;
+    });
+}
+
+void ClusterRig::cutLink(std::size_t index, std::size_t other)
+{
+    const std::pair<state::VmId, state::VmId> link{this->nodes[index].id, this->nodes[other].id};
+    this->cutLinks.insert(link);
+    this->at(this->now + static_cast<GlobalTime>(this->number(50, 600)) * millisecond,
+             [this, link] { this->cutLinks.erase(link); });
+}
+
+// Only when every wanted member votes and none is missing: one lost disk is then always survivable,
+// and the next one may be lost as soon as the repair is committed.
+void ClusterRig::loseDisk(std::size_t index)
+{
+    Node &node = this->nodes[index];
+    if (!this->repaired() || node.diskLost || this->target.find(node.id) == nullptr
+        || this->count.lostDisks >= maximumLostDisks)
+        return;
+    ++this->count.lostDisks;
+    this->secondLossDue = this->chance(700);
+    this->crash(index);
+    if (this->mutation == Mutation::SameIdAfterLoss) {
+        node.disk = Stored{};
+        node.disk.snapshot.configuration = this->target.encode();
+        this->start(index);
+        return;
+    }
+    node.diskLost = true;
+    const std::size_t fresh = this->addNode("vm" + std::to_string(this->nodes.size()) + ".2");
+    std::vector<Member> wanted;
+    for (const Member &member : this->target.all()) {
+        const bool lost = member.id == this->nodes[index].id;
+        wanted.push_back(lost ? Member{this->nodes[fresh].id, member.address, member.role}
+                              : member);
+    }
+    this->target = MemberSet::create(wanted).value();
+    this->start(fresh);
+}
+
+void ClusterRig::heal()
+{
+    this->calm = true;
+    this->cutLinks.clear();
+    for (std::size_t index = 0; index < this->nodes.size(); ++index) {
+        Node &node = this->nodes[index];
+        node.hearsNobody = node.reachesNobody = false;
+        node.pausedUntil = 0;
+        this->start(index);
+    }
+}
+
+void ClusterRig::apply(Node &node, const Actions &actions)
+{
+    if (actions.restore) {
+        ++this->count.snapshotsReceived;
+        if (actions.restore->last.index <= node.applied)
+            this->fail(node.id.value() + " went back by a snapshot");
+        node.applied = actions.restore->last.index;
+        node.claims.clear();
+        std::istringstream lines(actions.restore->bytes);
+        for (std::string key, winner; lines >> key >> winner;)
+            node.claims[key] = winner;
+    }
+    for (const state::log::LogEntry &entry : actions.committed) {
+        if (entry.position.index != ++node.applied)
+            this->fail(node.id.value() + " applied out of order");
+        const auto [known, first] = this->history.emplace(entry.position.index, entry);
+        if (known->second != entry)
+            this->fail("committed entry " + std::to_string(entry.position.index) + " changed");
+        if (entry.kind == state::log::LogEntryKind::Configuration && first) {
+            ++this->count.memberChanges;
+            this->committedMembers = MemberSet::decode(entry.payload).value();
+        }
+        if (entry.kind != state::log::LogEntryKind::Command)
+            continue;
+        const std::size_t blank = entry.payload.find(' ');
+        node.claims.emplace(entry.payload.substr(0, blank), entry.payload.substr(blank + 1));
+    }
+}
+
+void ClusterRig::checkAnswers(const Node &node, const Actions &actions)
+{
+    for (const ProposalAnswer &answer : actions.answers) {
+        if (answer.outcome != ProposalOutcome::Committed)
+            continue;
+        ++this->count.acknowledged;
+        this->acknowledgedIndex = std::max(this->acknowledgedIndex, answer.position.index);
+        const auto payload = this->proposed.find(answer.id);
+        if (payload == this->proposed.end())
+            continue; // a change of members
+        const auto known = this->history.find(answer.position.index);
+        if (known == this->history.end() || known->second.payload != payload->second)
+            this->fail("acknowledged entry is not the committed one");
+        const std::string key = payload->second.substr(0, payload->second.find(' '));
+        const auto [told, first] = this->granted.emplace(key, node.claims.at(key));
+        if (told->second != node.claims.at(key))
+            this->fail(key + " decided twice: " + told->second + ", " + node.claims.at(key));
+        if (this->lastProbe && this->calm)
+            ++this->probesCommitted;
+    }
+    for (const ReadAnswer &answer : actions.reads) {
+        this->count.reads += answer.confirmed ? 1 : 0;
+        if (answer.confirmed && node.applied < this->readFloor[answer.id])
+            this->fail("read at " + node.id.value() + " misses an acknowledged change");
+    }
+}
+
+void ClusterRig::checkLeases()
+{
+    std::string holders;
+    unsigned holding = 0;
+    for (const Node &node : this->nodes) {
+        if (node.machine && node.machine->holdsLease(this->localTime(node, this->now))) {
+            ++holding;
+            holders += ' ' + node.id.value();
+        }
+    }
+    if (holding > 1)
+        this->fail("two leaders may acknowledge at once:" + holders);
+}
+
+void ClusterRig::checkEnd()
+{
+    if (this->probesCommitted == 0)
+        this->fail("no progress in calm");
+    if (!this->repaired())
+        this->fail("repair not finished in calm: " + this->committedMembers.encode());
+    for (const Node &node : this->nodes) {
+        if (node.diskLost || this->target.find(node.id) == nullptr)
+            continue;
+        if (node.applied < this->acknowledgedIndex)
+            this->fail(node.id.value() + " misses acknowledged changes in calm");
+        for (const auto &[key, winner] : this->granted) {
+            const auto found = node.claims.find(key);
+            if (found == node.claims.end() || found->second != winner)
+                this->fail(key + " differs at " + node.id.value());
+        }
+    }
+}
+
+void ClusterRig::fail(const std::string &what)
+{
+    if (!this->violation)
+        this->violation = "t=" + std::to_string(this->now / millisecond) + "ms " + what;
+}
+
+} // namespace lavenderthread::coordination::consensus
