--- a/tests/coordination/consensus/ClusterRig.cpp
+++ b/tests/coordination/consensus/ClusterRig.cpp
@@ -302,7 +302,7 @@
     Node &node = this->nodes[index];
     state::log::LogSnapshot snapshot{wanted.last, wanted.configuration, {}};
     for (const auto &[key, winner] : node.claims)
-        snapshot.bytes += key + ' ' + winner + '\n';
+        snapshot.bytes.append(key).append(" ").append(winner).append("\n");
     node.unsynced.push_back(
             {0, std::nullopt, std::make_shared<const state::log::LogSnapshot>(snapshot), {}});
     this->startSync(index);
