--- /dev/null
+++ b/src/protocol/ConsensusMessages.cpp
@@ -0,0 +1,68 @@
+// Consensus messages: cereal for the shape, checks of what the shape can't say.
+#include "protocol/ConsensusMessages.h"
+
+#include "protocol/Envelope.h"
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+namespace lavenderthread::protocol {
+
+using coordination::consensus::AppendRequest;
+using coordination::consensus::Message;
+using coordination::consensus::SnapshotPiece;
+
+namespace {
+
+constexpr std::size_t maximumIdBytes = 128;
+
+bool isId(const state::VmId &id)
+{
+    return !id.empty() && id.value().size() <= maximumIdBytes;
+}
+
+template <typename Body>
+bool isSound(const Body & /*body*/)
+{
+    return true;
+}
+
+bool isSound(const AppendRequest &request)
+{
+    std::uint64_t index = request.previous.index;
+    for (const state::log::LogEntry &entry : request.entries) {
+        const bool known = entry.kind <= state::log::LogEntryKind::Configuration;
+        if (entry.position.index != ++index || entry.position.term > request.term || !known)
+            return false;
+    }
+    return true;
+}
+
+bool isSound(const SnapshotPiece &piece)
+{
+    return piece.offset <= piece.totalBytes
+           && piece.bytes.size() <= piece.totalBytes - piece.offset;
+}
+
+} // namespace
+
+std::string encodeConsensusMessage(const Message &message)
+{
+    return encode(message);
+}
+
+state::Result<Message> decodeConsensusMessage(std::string_view bytes)
+{
+    state::Result<Message> message = decode<Message>(bytes);
+    if (message.has_error())
+        return message.error().withStep("consensus.decode");
+    const Message &found = message.value();
+    const bool sound = std::visit([](const auto &body) { return isSound(body); }, found.body);
+    if (!isId(found.from) || !isId(found.to) || !sound)
+        return state::makeError(state::ErrorCode::Corrupt, "consensus.decode", "breaks a bound",
+                                found.from.value().substr(0, maximumIdBytes));
+    return message;
+}
+
+} // namespace lavenderthread::protocol
