Quota: global limits by lending between fixed parts

Cause: a limit over all entries must hold whatever dies, and a broker picked by the live view stands on both sides of a partition and gives the limit twice. Change: each limit is split into parts over the account's home entries, fixed by the roster; a home is the broker of its own part and lends slices of it to entries with more demand. Units are moved, never made, so the sum cannot pass the limit. Slots are lent up to the deadline of the requests that use them, token rate for 5 s. A restarted home spends only what it never lends until everyone told what it holds. Busy homes leave a quarter to entries that are none. On the way the random schedules found that a home lent slots in use when it left some to others; they are kept back as they fall free instead. Ruled out: one broker an account with takeover after the lease ends, because two sides of a partition both take over.

--- /dev/null
+++ b/src/coordination/quota/QuotaNode.cpp
@@ -0,0 +1,354 @@
+// Accounts, parts and messages of one entry; how much to ask of whom is in QuotaAsking.cpp.
+#include "coordination/quota/QuotaNode.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavenderthread::coordination::quota {
+
+using state::Duration;
+using state::Instant;
+using state::VmId;
+
+namespace {
+constexpr std::uint64_t nonHomeDivisor = 4;
+}
+
+QuotaNode::QuotaNode(VmId self, std::uint64_t incarnation, QuotaSettings settings, Instant start)
+    : self(std::move(self))
+    , incarnation(incarnation)
+    , settings(settings)
+    , recoveredAt(start + lengthenedByDrift(settings.maximumHold))
+{}
+
+void QuotaNode::configure(const Roster &next, Duration age, Instant now)
+{
+    const bool first = this->roster.entries.empty();
+    if (!first && next.version <= this->roster.version)
+        return;
+    const Duration riseDelay = std::max(this->settleTime() - age, Duration(0));
+    this->roster = next;
+    for (const VmId &entry : next.entries) {
+        if (first && entry != this->self)
+            this->unheard.insert(entry);
+    }
+    std::erase_if(this->unheard, [&](const VmId &entry) {
+        return !std::binary_search(next.entries.begin(), next.entries.end(), entry);
+    });
+    for (const auto &[key, limits] : this->rows) {
+        if (this->isHome(key, limits))
+            this->accountOf(key, riseDelay, now);
+    }
+    for (auto &[key, account] : this->accounts)
+        this->updateParts(key, account, riseDelay, now);
+    this->endRecoveryIfKnown(now);
+}
+
+void QuotaNode::setRow(const state::TableRow &row, Instant now)
+{
+    const QuotaKey key = quotaKeyOf(row.key);
+    const QuotaLimits limits{row.inFlightLimit, row.tokensPerSecondLimit};
+    const auto before = this->rows.find(key);
+    const bool alike = before == this->rows.end() || this->splitsAlike(before->second, limits);
+    const Duration riseDelay = alike ? Duration(0) : this->settleTime();
+    this->rows[key] = limits;
+    const auto known = this->accounts.find(key);
+    if (known != this->accounts.end())
+        this->updateParts(key, known->second, riseDelay, now);
+    else if (this->isHome(key, limits))
+        this->accountOf(key, riseDelay, now);
+}
+
+// The entry that had the part before may not know yet, and what it lent of it is still out. Both
+// are over after this time, so the part is never used twice.
+Duration QuotaNode::settleTime() const
+{
+    return lengthenedByDrift(this->settings.rosterFreshness + this->settings.maximumHold);
+}
+
+// With as many homes as before every part rises or every part falls, and nothing changes hands.
+bool QuotaNode::splitsAlike(const QuotaLimits &left, const QuotaLimits &right) const
+{
+    const auto before = this->homeCountOf(left);
+    return before == 0 || before == this->homeCountOf(right);
+}
+
+std::uint32_t QuotaNode::homeCountOf(const QuotaLimits &limits) const
+{
+    return homeCount(limits, this->roster.entries.size(), this->settings.maximumHomes);
+}
+
+QuotaNode::Account &QuotaNode::accountOf(QuotaKey key, Duration riseDelay, Instant now)
+{
+    const auto known = this->accounts.find(key);
+    if (known != this->accounts.end())
+        return known->second;
+    Account &account = this->accounts.try_emplace(key, this->settings.burst).first->second;
+    account.slots.ledger.setRecovering(this->recovering);
+    account.rate.ledger.setRecovering(this->recovering);
+    this->updateParts(key, account, riseDelay, now);
+    return account;
+}
+
+void QuotaNode::updateParts(QuotaKey key, Account &account, Duration riseDelay, Instant now)
+{
+    const QuotaLimits limits = this->limitsOf(key);
+    const std::vector<VmId> homes = homesOf(key, this->roster, this->homeCountOf(limits));
+    account.homes.clear();
+    for (const VmId &home : homes)
+        account.homes.push_back(this->positionOf(home));
+    const auto rank = std::find(homes.begin(), homes.end(), this->self) - homes.begin();
+    const auto partOfLimit = [&](std::uint64_t limit) {
+        const auto count = static_cast<std::uint32_t>(homes.size());
+        const auto place = static_cast<std::uint32_t>(rank);
+        return place < count ? partOf(limit, count, place) : 0;
+    };
+    account.slots.limit = limits.inFlight;
+    account.slots.ledger.setOwnPart(partOfLimit(limits.inFlight), riseDelay, now);
+    account.bucket.settle(account.rate.ledger, now);
+    account.rate.limit = limits.tokensPerSecond;
+    account.rate.ledger.setOwnPart(partOfLimit(limits.tokensPerSecond), riseDelay, now);
+    account.bucket.settle(account.rate.ledger, now);
+}
+
+QuotaLimits QuotaNode::limitsOf(QuotaKey key) const
+{
+    const auto row = this->rows.find(key);
+    return row == this->rows.end() ? QuotaLimits{} : row->second;
+}
+
+std::uint16_t QuotaNode::positionOf(const VmId &entry) const
+{
+    const auto &entries = this->roster.entries;
+    const auto place = std::lower_bound(entries.begin(), entries.end(), entry);
+    return static_cast<std::uint16_t>(place - entries.begin());
+}
+
+bool QuotaNode::isHome(QuotaKey key, const QuotaLimits &limits) const
+{
+    const auto all = homesOf(key, this->roster, this->homeCountOf(limits));
+    return std::find(all.begin(), all.end(), this->self) != all.end();
+}
+
+std::vector<VmId> QuotaNode::homes(QuotaKey key) const
+{
+    return homesOf(key, this->roster, this->homeCountOf(this->limitsOf(key)));
+}
+
+QuotaVerdict QuotaNode::tryStart(QuotaKey key, std::uint64_t tokens, Instant deadline, Instant now)
+{
+    Account &account = this->accountOf(key, Duration(0), now);
+    this->active.insert(key);
+    if (account.slots.limit == 0)
+        account.pool.startUnlimited(deadline);
+    else if (!account.pool.start(deadline, account.slots.ledger, now))
+        return QuotaVerdict::NoSlot;
+    if (account.rate.limit != 0 && !account.bucket.trySpend(tokens, account.rate.ledger, now)) {
+        account.pool.finish(deadline);
+        return QuotaVerdict::NoTokens;
+    }
+    return QuotaVerdict::Started;
+}
+
+void QuotaNode::charge(QuotaKey key, std::uint64_t tokens, Instant now)
+{
+    Account &account = this->accountOf(key, Duration(0), now);
+    if (account.rate.limit == 0)
+        return;
+    account.bucket.settle(account.rate.ledger, now);
+    account.bucket.spend(tokens);
+}
+
+void QuotaNode::finish(QuotaKey key, Instant deadline)
+{
+    const auto known = this->accounts.find(key);
+    if (known != this->accounts.end())
+        known->second.pool.finish(deadline);
+}
+
+void QuotaNode::setDemand(QuotaKey key, const QuotaDemand &demand)
+{
+    const auto known = this->accounts.find(key);
+    if (known == this->accounts.end())
+        return;
+    known->second.demand = demand;
+    this->active.insert(key);
+}
+
+QuotaView QuotaNode::view(QuotaKey key, Instant now)
+{
+    Account &account = this->accountOf(key, Duration(0), now);
+    account.bucket.settle(account.rate.ledger, now);
+    return QuotaView{account.slots.ledger.usableOwn(now),
+                     account.slots.ledger.borrowed(now),
+                     account.pool.running(),
+                     account.rate.ledger.usableOwn(now),
+                     account.rate.ledger.borrowed(now),
+                     account.bucket.level()};
+}
+
+std::vector<OutgoingQuotaMessage> QuotaNode::receive(const QuotaMessage &message, Instant now)
+{
+    Outbox outbox;
+    if (message.from == this->self || !this->greet(message, now))
+        return {};
+    if (message.hello)
+        this->writeStatement(message, outbox, now);
+    for (const QuotaAsk &ask : message.asks)
+        this->answerAsk(message.from, ask, outbox, now);
+    if (message.forIncarnation != this->incarnation)
+        return collect(std::move(outbox));
+    if (message.statement)
+        this->adoptStatement(message, now);
+    for (const QuotaGrant &grant : message.grants)
+        this->acceptGrant(message.from, grant, now);
+    return collect(std::move(outbox));
+}
+
+// False for a message that an earlier process of the peer sent. Its grants are not known to the
+// later one, which would lend the same units again.
+bool QuotaNode::greet(const QuotaMessage &message, Instant now)
+{
+    std::uint64_t &known = this->peerIncarnations[message.from];
+    if (message.incarnation < known)
+        return false;
+    if (message.incarnation == known)
+        return true;
+    known = message.incarnation;
+    for (auto &[key, account] : this->accounts) {
+        account.bucket.settle(account.rate.ledger, now);
+        account.slots.ledger.voidLoanTo(message.from);
+        account.rate.ledger.voidLoanTo(message.from);
+    }
+    return true;
+}
+
+void QuotaNode::answerAsk(const VmId &borrower, const QuotaAsk &ask, Outbox &outbox, Instant now)
+{
+    const auto known = this->accounts.find(ask.key);
+    if (known == this->accounts.end())
+        return;
+    Account &account = known->second;
+    account.bucket.settle(account.rate.ledger, now);
+    const auto grant = ask.dimension == Dimension::InFlight
+                               ? this->lendSlots(borrower, ask, account, now)
+                               : this->lendRate(borrower, ask, account, now);
+    account.bucket.settle(account.rate.ledger, now);
+    if (grant)
+        this->messageTo(borrower, outbox).grants.push_back(*grant);
+}
+
+std::optional<QuotaGrant> QuotaNode::lendSlots(const VmId &borrower, const QuotaAsk &ask,
+                                               Account &account, Instant now)
+{
+    PartLedger &ledger = account.slots.ledger;
+    const std::uint64_t running = account.pool.running();
+    const std::uint64_t wanted = this->keptFrom(borrower, account, ledger.ownPart(now),
+                                                running + account.demand.waitingRequests);
+    const auto grant = ledger.answer(borrower, ask, std::max(running, wanted),
+                                     this->settings.maximumHold, now);
+    const std::uint64_t usable = ledger.usableOwn(now);
+    if (grant && grant->units < ask.units && wanted < usable)
+        ledger.keepBack(std::min(ask.units - grant->units, usable - wanted),
+                        now + 2 * this->settings.renewInterval);
+    return grant;
+}
+
+std::optional<QuotaGrant> QuotaNode::lendRate(const VmId &borrower, const QuotaAsk &ask,
+                                              Account &account, Instant now)
+{
+    PartLedger &ledger = account.rate.ledger;
+    const std::uint64_t wanted =
+            this->keptFrom(borrower, account, ledger.ownPart(now), account.demand.tokensPerSecond);
+    return ledger.answer(borrower, ask, wanted, this->settings.minimumHold, now);
+}
+
+// What a home keeps for its own callers. Homes have parts of their own; an entry that is none would
+// starve while all homes are busy, so it may get at a quarter of each part.
+std::uint64_t QuotaNode::keptFrom(const VmId &borrower, const Account &account, std::uint64_t part,
+                                  std::uint64_t ownDemand) const
+{
+    const auto place =
+            std::find(account.homes.begin(), account.homes.end(), this->positionOf(borrower));
+    const bool isHome = place != account.homes.end();
+    return isHome ? ownDemand : std::min(ownDemand, part - part / nonHomeDivisor);
+}
+
+void QuotaNode::acceptGrant(const VmId &lender, const QuotaGrant &grant, Instant now)
+{
+    const auto known = this->accounts.find(grant.key);
+    if (known == this->accounts.end())
+        return;
+    Account &account = known->second;
+    account.bucket.settle(account.rate.ledger, now);
+    Share &share = grant.dimension == Dimension::InFlight ? account.slots : account.rate;
+    share.ledger.accept(lender, grant, now);
+}
+
+void QuotaNode::writeStatement(const QuotaMessage &hello, Outbox &outbox, Instant now)
+{
+    QuotaMessage &answer = this->messageTo(hello.from, outbox);
+    answer.statement = true;
+    for (const auto &[key, account] : this->accounts) {
+        for (const Share *share : {&account.slots, &account.rate}) {
+            if (const auto holding = share->ledger.holdingOf(key, hello.from, now))
+                answer.holdings.push_back(*holding);
+        }
+    }
+}
+
+void QuotaNode::adoptStatement(const QuotaMessage &message, Instant now)
+{
+    if (!this->recovering || this->unheard.erase(message.from) == 0)
+        return;
+    for (const QuotaHolding &holding : message.holdings) {
+        Account &account = this->accountOf(holding.key, Duration(0), now);
+        Share &share = holding.dimension == Dimension::InFlight ? account.slots : account.rate;
+        share.ledger.adopt(message.from, holding, now);
+    }
+    this->endRecoveryIfKnown(now);
+}
+
+void QuotaNode::sayHello(Outbox &outbox, Instant now)
+{
+    if (now < this->nextHello)
+        return;
+    this->nextHello = now + this->settings.renewInterval;
+    for (const VmId &peer : this->unheard)
+        this->messageTo(peer, outbox).hello = true;
+}
+
+void QuotaNode::endRecoveryIfKnown(Instant now)
+{
+    const bool known = !this->roster.entries.empty() && this->unheard.empty();
+    if (!this->recovering || (!known && now < this->recoveredAt))
+        return;
+    this->recovering = false;
+    this->unheard.clear();
+    for (auto &[key, account] : this->accounts) {
+        account.bucket.settle(account.rate.ledger, now);
+        account.slots.ledger.setRecovering(false);
+        account.rate.ledger.setRecovering(false);
+    }
+}
+
+QuotaMessage &QuotaNode::messageTo(const VmId &peer, Outbox &outbox) const
+{
+    QuotaMessage &message = outbox[peer];
+    message.from = this->self;
+    message.incarnation = this->incarnation;
+    const auto known = this->peerIncarnations.find(peer);
+    message.forIncarnation = known == this->peerIncarnations.end() ? 0 : known->second;
+    return message;
+}
+
+std::vector<OutgoingQuotaMessage> QuotaNode::collect(Outbox outbox)
+{
+    std::vector<OutgoingQuotaMessage> all;
+    all.reserve(outbox.size());
+    for (auto &[peer, message] : outbox)
+        all.push_back({peer, std::move(message)});
+    return all;
+}
+
+} // namespace lavenderthread::coordination::quota
--- /dev/null
+++ b/src/coordination/quota/TokenBucket.cpp
@@ -0,0 +1,84 @@
+// Filling and spending, in whole millionths of a token so that nothing is lost by rounding.
+#include "coordination/quota/TokenBucket.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace lavenderthread::coordination::quota {
+
+using state::Duration;
+using state::Instant;
+
+namespace {
+
+constexpr std::int64_t microTokensPerToken = 1'000'000;
+
+std::int64_t rateOf(const PartLedger &ledger, Instant now)
+{
+    return static_cast<std::int64_t>(ledger.usableOwn(now) + ledger.borrowed(now));
+}
+
+} // namespace
+
+void TokenBucket::settle(const PartLedger &ledger, Instant now)
+{
+    if (!this->started) {
+        this->started = true;
+        this->filledTo = now;
+    }
+    // A loan that ended since the last call filled the bucket only until then.
+    std::vector<Instant> ends;
+    const auto note = [&](Instant end) {
+        if (end > this->filledTo && end < now)
+            ends.push_back(end);
+    };
+    for (const auto &[lender, loan] : ledger.loansHeld())
+        note(loan.until);
+    for (const auto &[borrower, loan] : ledger.loansGiven())
+        note(loan.until);
+    std::sort(ends.begin(), ends.end());
+    for (const Instant end : ends)
+        this->fillTo(ledger, end);
+    this->fillTo(ledger, now);
+    this->microTokens = std::min(this->microTokens, this->size(ledger, now));
+}
+
+void TokenBucket::fillTo(const PartLedger &ledger, Instant now)
+{
+    const Duration elapsed = std::max(now - this->filledTo, Duration(0));
+    const std::int64_t rate = rateOf(ledger, this->filledTo);
+    const std::int64_t missing =
+            std::max<std::int64_t>(this->size(ledger, this->filledTo) - this->microTokens, 0);
+    // Compared by time first: rate times a long idle time would not fit the integer.
+    const bool fills = rate > 0 && elapsed.count() > missing / rate;
+    this->microTokens += fills ? missing : rate * elapsed.count();
+    this->filledTo = std::max(this->filledTo, now);
+}
+
+bool TokenBucket::trySpend(std::uint64_t tokens, const PartLedger &ledger, Instant now)
+{
+    this->settle(ledger, now);
+    const std::int64_t full = this->size(ledger, now);
+    const std::int64_t cost = static_cast<std::int64_t>(tokens) * microTokensPerToken;
+    if (full == 0 || this->microTokens < std::min(cost, full))
+        return false;
+    this->microTokens -= cost;
+    return true;
+}
+
+void TokenBucket::spend(std::uint64_t tokens)
+{
+    this->microTokens -= static_cast<std::int64_t>(tokens) * microTokensPerToken;
+}
+
+double TokenBucket::level() const
+{
+    return static_cast<double>(this->microTokens) / static_cast<double>(microTokensPerToken);
+}
+
+std::int64_t TokenBucket::size(const PartLedger &ledger, Instant now) const
+{
+    return rateOf(ledger, now) * this->burst.count();
+}
+
+} // namespace lavenderthread::coordination::quota
--- /dev/null
+++ b/tests/coordination/quota/QuotaNodeTest.cpp
@@ -0,0 +1,291 @@
+// Global limits over many entries: they hold whatever fails, and what is idle in one place is used
+// in another. Every table row runs in made-up time with a fixed seed.
+#include "coordination/quota/QuotaFleet.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace lavenderthread::coordination::quota {
+
+using namespace std::chrono_literals; // NOLINT(google-build-using-namespace): literals only
+using state::TableKey;
+
+namespace {
+
+constexpr std::size_t fleetSize = 18;
+
+TableKey accountKey(const std::string &name)
+{
+    return {state::ClientAccountId(name), state::WorkClass("any")};
+}
+
+state::TableRow rowOf(const std::string &name, std::uint32_t inFlight,
+                      std::uint64_t tokensPerSecond = 0)
+{
+    state::TableRow row;
+    row.key = accountKey(name);
+    row.inFlightLimit = inFlight;
+    row.tokensPerSecondLimit = tokensPerSecond;
+    return row;
+}
+
+void assertWithin(const QuotaFleet &fleet, const std::string &name)
+{
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::uint64_t{0}, fleet.worstExcessSlots());
+    CPPUNIT_ASSERT_MESSAGE(name + " tokens over " + std::to_string(fleet.worstExcessTokens()),
+                           fleet.worstExcessTokens() < 1);
+}
+
+} // namespace
+
+class QuotaNodeTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(QuotaNodeTest);
+    CPPUNIT_TEST(lendsToEntryWithDemand);
+    CPPUNIT_TEST(giveBackServesHomeAgain);
+    CPPUNIT_TEST(holdsLimitUnderEveryFault);
+    CPPUNIT_TEST(holdsLimitOverRandomSchedules);
+    CPPUNIT_TEST(partitionNeverSplitsLimitTwice);
+    CPPUNIT_TEST(lostHomeCostsOnlyItsPart);
+    CPPUNIT_TEST(busyHomesLeaveSomeToOthers);
+    CPPUNIT_TEST(deadBorrowerGivesBackInTheEnd);
+    CPPUNIT_TEST(gainedPartWaitsForItsFormerHome);
+    CPPUNIT_TEST(raisedAndLoweredLimitsTakeEffect);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void lendsToEntryWithDemand()
+    {
+        // One hot entry, be it a home or not, gets all but the floors and that within 2 s.
+        for (std::size_t hot = 0; hot < fleetSize; hot += 5) {
+            QuotaFleet fleet(fleetSize, {}, {}, hot);
+            fleet.setRow(rowOf("a", 200, 40'000));
+            fleet.add({hot, accountKey("a"), 1'000, 10s, 60s, 10});
+            fleet.run(2s);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(fleet.running(accountKey("a"))),
+                                   fleet.running(accountKey("a")) >= 175);
+            assertWithin(fleet, "hot " + std::to_string(hot));
+        }
+    }
+
+    // Callers of entry 1 fill the whole limit, then callers of all the others come. These wait at
+    // their homes until borrowed slots come back; the homes ask for them, and within seconds each
+    // has its own part again.
+    void giveBackServesHomeAgain()
+    {
+        QuotaFleet fleet(fleetSize, {}, {}, 3);
+        fleet.setRow(rowOf("a", 180));
+        fleet.add({1, accountKey("a"), 400, 2s, 10s, 0});
+        fleet.run(5s);
+        for (std::size_t node = 2; node < fleetSize; ++node)
+            fleet.add({node, accountKey("a"), 100, 2s, 10s, 0});
+        fleet.run(8s);
+        const auto key = quotaKeyOf(accountKey("a"));
+        for (std::size_t node = 2; node < fleetSize; ++node) {
+            const QuotaView view = fleet.quota(node).view(key, fleet.localNow(node));
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(view.running), view.running >= 9);
+        }
+        assertWithin(fleet, "given back");
+    }
+
+    // The caller sees requests start and finish, never more of them at once than the limit, and
+    // never more tokens. Messages are lost, late, doubled and out of order, clocks differ, and
+    // entries crash with slices out and in; no unit may be used in two places, since a unit is
+    // only lent by who has it and comes back by word of the borrower or after its time.
+    void holdsLimitUnderEveryFault()
+    {
+        struct Row
+        {
+            const char *name;
+            FleetFaults faults;
+            bool crashes;
+        };
+        const Row rows[] = {
+                {"none", {}, false},
+                {"lost", {0.3, 0, 1ms, 2ms, 0}, false},
+                {"late", {0, 0, 1ms, 3s, 0}, false},
+                {"doubled", {0, 0.5, 1ms, 800ms, 0}, false},
+                {"clocks differ", {0, 0, 1ms, 5ms, 0.007}, false},
+                {"crashes", {0, 0, 1ms, 5ms, 0}, true},
+                {"everything", {0.2, 0.2, 1ms, 2s, 0.007}, true},
+        };
+        for (const Row &row : rows) {
+            QuotaFleet fleet(6, {}, row.faults, 11);
+            fleet.setRow(rowOf("a", 31, 3'000));
+            fleet.setRow(rowOf("b", 5));
+            for (std::size_t node = 0; node < 6; ++node) {
+                fleet.add({node, accountKey("a"), node < 2 ? 30.0 : 2.0, 700ms, 8s, 20});
+                fleet.add({node, accountKey("b"), node == 3 ? 20.0 : 1.0, 300ms, 8s, 20});
+            }
+            for (int round = 0; row.crashes && round < 20; ++round) {
+                const auto victim = static_cast<std::size_t>(round * 7 % 6);
+                fleet.at(round * 3s + 2s, [&fleet, victim] { fleet.crash(victim); });
+                fleet.at(round * 3s + 3s, [&fleet, victim] { fleet.restart(victim); });
+            }
+            fleet.run(70s);
+            assertWithin(fleet, row.name);
+            CPPUNIT_ASSERT_MESSAGE(row.name, fleet.started(accountKey("a")) > 300);
+            CPPUNIT_ASSERT_MESSAGE(row.name, fleet.started(accountKey("b")) > 100);
+        }
+    }
+
+    void holdsLimitOverRandomSchedules()
+    {
+        for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+            std::mt19937_64 random(seed);
+            const std::size_t size = 2 + random() % 8;
+            FleetFaults faults{0.01 * static_cast<double>(random() % 40),
+                               0.01 * static_cast<double>(random() % 40), 1ms,
+                               std::chrono::milliseconds(1 + random() % 2'500), 0.007};
+            QuotaSettings settings;
+            settings.maximumHold = std::chrono::seconds(6 + random() % 20);
+            QuotaFleet fleet(size, settings, faults, seed);
+            fleet.setRow(rowOf("a", static_cast<std::uint32_t>(1 + random() % 60), 2'000));
+            for (std::size_t node = 0; node < size; ++node)
+                fleet.add({node, accountKey("a"), 1.0 + static_cast<double>(random() % 30),
+                           std::chrono::milliseconds(100 + random() % 4'000),
+                           std::chrono::seconds(1 + random() % 20), 1 + random() % 30});
+            for (int event = 0; event < 25; ++event) {
+                const std::size_t node = random() % size;
+                const auto when = std::chrono::milliseconds(random() % 40'000);
+                const int kind = static_cast<int>(random() % 4);
+                fleet.at(when, [&fleet, node, kind] {
+                    if (kind == 0)
+                        fleet.crash(node);
+                    else if (kind == 1)
+                        fleet.partition([&](std::size_t other) { return other < node ? 1 : 0; });
+                    else if (kind == 2)
+                        fleet.heal();
+                    fleet.at(1s, [&fleet, node] { fleet.restart(node); });
+                });
+            }
+            fleet.run(45s);
+            assertWithin(fleet, "seed " + std::to_string(seed));
+        }
+    }
+
+    // Callers on both sides of a split press as hard as they can for a minute. A broker chosen by
+    // the live view would stand on both sides and give the whole limit twice; parts only add up to
+    // it once, and each side goes on with its own.
+    void partitionNeverSplitsLimitTwice()
+    {
+        QuotaFleet fleet(fleetSize, {}, {}, 5);
+        fleet.setRow(rowOf("a", 180, 18'000));
+        for (std::size_t node = 0; node < fleetSize; ++node)
+            fleet.add({node, accountKey("a"), 40, 1s, 10s, 8});
+        fleet.run(5s);
+        fleet.partition([](std::size_t node) { return node % 3 == 0 ? 1 : 0; });
+        fleet.run(20s);
+        CPPUNIT_ASSERT(fleet.running(accountKey("a")) >= 170);
+        fleet.heal();
+        fleet.run(10s);
+        assertWithin(fleet, "partition");
+    }
+
+    // All homes are busy beyond their parts, and callers come to an entry that is none. They wait
+    // for the first slot that falls free; were it taken again at once, they would wait for ever.
+    void busyHomesLeaveSomeToOthers()
+    {
+        QuotaFleet fleet(fleetSize, {}, {}, 10);
+        fleet.setRow(rowOf("a", 32));
+        const auto homes = fleet.quota(0).homes(quotaKeyOf(accountKey("a")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, homes.size());
+        std::size_t outsider = 0;
+        for (std::size_t node = 0; node < fleetSize; ++node) {
+            const bool isHome = std::find(homes.begin(), homes.end(), fleetVm(node)) != homes.end();
+            outsider = isHome ? outsider : node;
+            if (isHome)
+                fleet.add({node, accountKey("a"), 20, 1s, 10s, 0});
+        }
+        fleet.run(5s);
+        fleet.add({outsider, accountKey("a"), 40, 1s, 10s, 0});
+        fleet.run(10s);
+        const auto key = quotaKeyOf(accountKey("a"));
+        const QuotaView view = fleet.quota(outsider).view(key, fleet.localNow(outsider));
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(view.running), view.running >= 4);
+        assertWithin(fleet, "busy homes");
+    }
+
+    // A home dies for good. Its part is out of use until the roster changes, and no more than that:
+    // the callers of the others see the limit shrink by one part of eighteen.
+    void lostHomeCostsOnlyItsPart()
+    {
+        QuotaFleet fleet(fleetSize, {}, {}, 6);
+        fleet.setRow(rowOf("a", 180));
+        for (std::size_t node = 1; node < fleetSize; ++node)
+            fleet.add({node, accountKey("a"), 40, 1s, 10s, 0});
+        fleet.run(5s);
+        fleet.crash(0);
+        fleet.run(15s);
+        CPPUNIT_ASSERT(fleet.running(accountKey("a")) >= 165);
+        assertWithin(fleet, "lost home");
+    }
+
+    // An entry dies with slots on loan. Its callers are gone with it; the homes can't know and keep
+    // the slots until the deadlines that it asked for have passed, then they use them again.
+    void deadBorrowerGivesBackInTheEnd()
+    {
+        QuotaFleet fleet(3, {}, {}, 7);
+        fleet.setRow(rowOf("a", 30));
+        fleet.add({0, accountKey("a"), 100, 5s, 20s, 0});
+        fleet.run(4s);
+        CPPUNIT_ASSERT(fleet.running(accountKey("a")) >= 27);
+        fleet.clearWorkloads();
+        fleet.crash(0);
+        fleet.add({1, accountKey("a"), 100, 1s, 20s, 0});
+        fleet.run(5s);
+        CPPUNIT_ASSERT(fleet.running(accountKey("a")) <= 10);
+        fleet.run(25s);
+        CPPUNIT_ASSERT(fleet.running(accountKey("a")) >= 18);
+        assertWithin(fleet, "dead borrower");
+    }
+
+    // The operators take a VM out of the roster and the news reaches the entries at different
+    // times. Entry 3 still spends its part when the others have heard; they take it over only when
+    // it must have heard too, and what it lent has come back.
+    void gainedPartWaitsForItsFormerHome()
+    {
+        QuotaSettings settings;
+        settings.maximumHold = 6s;
+        QuotaFleet fleet(4, settings, {}, 8);
+        fleet.setRow(rowOf("a", 40));
+        for (std::size_t node = 0; node < 4; ++node)
+            fleet.add({node, accountKey("a"), 60, 1s, 5s, 0});
+        fleet.run(3s);
+        for (const std::size_t node : {0U, 1U, 2U})
+            fleet.configure({0, 1, 2}, 2, node);
+        fleet.at(11s, [&fleet] { fleet.configure({0, 1, 2}, 2, 3); });
+        fleet.run(16s);
+        assertWithin(fleet, "before the rise");
+        fleet.run(10s);
+        CPPUNIT_ASSERT(fleet.running(accountKey("a")) >= 38);
+        assertWithin(fleet, "after the rise");
+    }
+
+    void raisedAndLoweredLimitsTakeEffect()
+    {
+        QuotaFleet fleet(fleetSize, {}, {}, 9);
+        fleet.setRow(rowOf("a", 180));
+        for (std::size_t node = 0; node < fleetSize; ++node)
+            fleet.add({node, accountKey("a"), 60, 500ms, 5s, 0});
+        fleet.run(3s);
+        fleet.setRow(rowOf("a", 360));
+        fleet.run(3s);
+        CPPUNIT_ASSERT(fleet.running(accountKey("a")) >= 350);
+        assertWithin(fleet, "raised");
+        fleet.setRow(rowOf("a", 90));
+        fleet.run(3s);
+        CPPUNIT_ASSERT(fleet.running(accountKey("a")) <= 90);
+        fleet.setRow(rowOf("a", 0));
+        fleet.run(1s);
+        CPPUNIT_ASSERT(fleet.running(accountKey("a")) > 400);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QuotaNodeTest);
+
+} // namespace lavenderthread::coordination::quota
