--- a/src/state/Ids.h
+++ b/src/state/Ids.h
@@ -21,7 +21,6 @@
 
     const std::string &value() const { return this->text; }
     bool empty() const { return this->text.empty(); }
-    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 errs on a defaulted <=>
     auto operator<=>(const StrongId &) const = default;
 
     template <typename Archive>
--- a/src/state/log/LogEntry.h
+++ b/src/state/log/LogEntry.h
@@ -15,7 +15,6 @@
     std::uint64_t term = 0;
     std::uint64_t index = 0; // 1 is the first entry; 0 stands before it
 
-    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 errs on a defaulted <=>
     auto operator<=>(const LogPosition &) const = default;
 
     template <typename Archive>
