Program: slices after the first do not carry the body again

Cause: a prompt of a million tokens went out 62 times at 4 MB each. Change: Body-Of names the stream of an earlier slice; the engine that has forgotten it answers 404 and gets the body again.

--- a/src/program/CompletionRelay.cpp
+++ b/src/program/CompletionRelay.cpp
@@ -103,6 +103,8 @@
         attempt.stream = streamIdOf(this->request.id, placement);
         attempt.spanFrom = placement.from;
         attempt.spanTo = placement.to;
+        if (this->sliceEndpoint == placement.endpoint.id)
+            attempt.bodyOf = this->sliceStream;
         attempt.priority = placement.priority;
         attempt.resumeFrom = this->writer.nextOffset();
         attempt.body = this->body;
@@ -154,8 +156,11 @@
                 co_return late ? AttemptEnd::Ended : AttemptEnd::Lost;
             }
             for (const protocol::EngineLine &line : lines.value()) {
-                if (line.done && !placement.final)
+                if (line.done && !placement.final) {
+                    this->sliceEndpoint = placement.endpoint.id;
+                    this->sliceStream = stream;
                     co_return AttemptEnd::SliceDone;
+                }
                 position.offset = line.offset;
                 if (line.done && line.total == this->writer.nextOffset()) {
                     this->whole = co_await this->writer.finish(line.finishReason);
@@ -238,6 +243,9 @@
     AnswerWriter writer;
     std::uint64_t firstOffset;
     Ran ran = Ran::No; // only ever goes No -> Unknown -> Yes
+    // Where the last slice went: the next one to the same engine need not carry the body again.
+    state::EndpointId sliceEndpoint;
+    std::string sliceStream;
     unsigned attempts = 0;
     unsigned status = 0;
     bool whole = false;
--- a/src/program/EngineAttempt.cpp
+++ b/src/program/EngineAttempt.cpp
@@ -59,6 +59,37 @@
     this->watch->stream.close();
 }
 
+protocol::HttpRequest EngineAttempt::startCall(bool withBody) const
+{
+    protocol::HttpRequest call;
+    call.method = "POST";
+    call.target = "/engine/streams";
+    call.headers = {{"Content-Type", "application/json"},
+                    {"Stream-Id", this->request.stream},
+                    {"Priority", std::to_string(this->request.priority)},
+                    {"Resume-From", std::to_string(this->request.resumeFrom)},
+                    {"Deadline-Ms", std::to_string(remaining(this->request.deadline).count())}};
+    if (this->request.spanTo > 0)
+        call.headers.add("Span", std::to_string(this->request.spanFrom) + "-"
+                                         + std::to_string(this->request.spanTo));
+    if (withBody)
+        call.body = *this->request.body;
+    else
+        call.headers.add("Body-Of", this->request.bodyOf);
+    return call;
+}
+
+asio::awaitable<state::Result<transport::HttpAnswerStream>>
+EngineAttempt::send(protocol::HttpRequest call) const
+{
+    const milliseconds left = remaining(this->request.deadline);
+    transport::HttpCallLimits limits;
+    limits.connectTimeout = std::min(this->settings.connectTimeout, left);
+    limits.timeout = std::min(this->settings.silence, left);
+    return transport::openHttpStream(this->executor, this->request.endpoint.address,
+                                     std::move(call), limits);
+}
+
 asio::awaitable<state::Result<void>> EngineAttempt::open()
 {
     protocol::HttpRequest call;
@@ -67,24 +98,15 @@
         call.target = "/engine/streams/" + this->request.stream
                       + "?from=" + std::to_string(this->request.resumeFrom);
     } else {
-        call.method = "POST";
-        call.target = "/engine/streams";
-        call.headers = {{"Content-Type", "application/json"},
-                        {"Stream-Id", this->request.stream},
-                        {"Priority", std::to_string(this->request.priority)},
-                        {"Resume-From", std::to_string(this->request.resumeFrom)},
-                        {"Deadline-Ms", std::to_string(remaining(this->request.deadline).count())}};
-        if (this->request.spanTo > 0)
-            call.headers.add("Span", std::to_string(this->request.spanFrom) + "-"
-                                             + std::to_string(this->request.spanTo));
-        call.body = *this->request.body;
+        call = this->startCall(this->request.bodyOf.empty());
+    }
+    auto opened = co_await this->send(std::move(call));
+    const bool forgotten =
+            opened && opened.value().status() == statusNotFound && !this->request.bodyOf.empty();
+    if (forgotten) { // the engine no longer has the body of the slice before
+        call = this->startCall(true);
+        opened = co_await this->send(std::move(call));
     }
-    transport::HttpCallLimits limits;
-    const milliseconds left = remaining(this->request.deadline);
-    limits.connectTimeout = std::min(this->settings.connectTimeout, left);
-    limits.timeout = std::min(this->settings.silence, left);
-    auto opened = co_await transport::openHttpStream(this->executor, this->request.endpoint.address,
-                                                     std::move(call), limits);
     if (!opened)
         co_return opened.error();
     const unsigned status = opened.value().status();
--- a/src/program/EngineAttempt.h
+++ b/src/program/EngineAttempt.h
@@ -26,7 +26,8 @@
     std::uint64_t resumeFrom = 0;
     std::uint32_t spanFrom = 0; // part of the prompt to prefill; spanTo = 0 means all of it
     std::uint32_t spanTo = 0;
-    bool joinExisting = false;               // read a stream that another entry started
+    std::string bodyOf;        // stream to this engine that carried the same body; empty if none
+    bool joinExisting = false; // read a stream that another entry started
     std::shared_ptr<const std::string> body; // the caller's, unchanged
     state::Instant deadline;
 };
@@ -55,6 +56,10 @@
     void cancel();
 
 private:
+    protocol::HttpRequest startCall(bool withBody) const;
+    boost::asio::awaitable<state::Result<transport::HttpAnswerStream>>
+    send(protocol::HttpRequest call) const;
+
     struct Watch; // closes the stream when the endpoint is lost
 
     boost::asio::any_io_executor executor;
--- a/tests/fakes/EngineRoutes.cpp
+++ b/tests/fakes/EngineRoutes.cpp
@@ -73,9 +73,9 @@
     return span;
 }
 
-StreamRequest readStreamRequest(const Request &request)
+StreamRequest readStreamRequest(const Request &request, const std::string &bodyText)
 {
-    const json::value body = json::parse(request.body());
+    const json::value body = json::parse(bodyText);
     StreamRequest stream;
     stream.id = request["Stream-Id"];
     if (stream.id.empty())
@@ -213,7 +213,18 @@
 
 Reply EngineRoutes::startStream(const Request &request)
 {
-    const StreamRequest stream = readStreamRequest(request);
+    const auto bodyOf = request.find("Body-Of");
+    const std::string *body = &request.body();
+    if (bodyOf != request.end()) {
+        const auto kept = this->sliceBodies.find(std::string(bodyOf->value()));
+        if (kept == this->sliceBodies.end())
+            return makeProblem(http::status::not_found, "the body of that stream is not kept");
+        body = kept->second.get();
+    }
+    const StreamRequest stream = readStreamRequest(request, *body);
+    if (stream.span)
+        this->keepBody(stream.id, bodyOf != request.end() ? std::string(bodyOf->value()) : "",
+                       request.body());
     ++this->startCalls;
     const bool refuse =
             this->settings.refuseEvery != 0 && this->startCalls % this->settings.refuseEvery == 0;
@@ -230,6 +241,19 @@
     return this->readStream(stream.id, stream.resumeFrom);
 }
 
+void EngineRoutes::keepBody(const std::string &id, const std::string &sameAs,
+                            const std::string &text)
+{
+    constexpr std::size_t mostBodies = 64;
+    this->sliceBodies[id] = sameAs.empty() ? std::make_shared<const std::string>(text)
+                                           : this->sliceBodies.at(sameAs);
+    this->sliceOrder.push_back(id);
+    if (this->sliceOrder.size() <= mostBodies)
+        return;
+    this->sliceBodies.erase(this->sliceOrder.front());
+    this->sliceOrder.pop_front();
+}
+
 Reply EngineRoutes::readStream(const std::string &id, std::uint64_t from)
 {
     if (!this->engine.knows(id))
--- a/tests/fakes/EngineRoutes.h
+++ b/tests/fakes/EngineRoutes.h
@@ -10,6 +10,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -48,6 +51,7 @@
     Reply held();
     Reply state();
     Chunk nextLines(const std::string &id, std::uint64_t &offset);
+    void keepBody(const std::string &id, const std::string &sameAs, const std::string &text);
     static state::Instant now();
 
     const EngineRouteSettings settings;
@@ -55,6 +59,9 @@
     Engine engine;
     Orders orders;
     std::uint64_t startCalls = 0;
+    // Bodies of the last streams that had a Span, for the next slices of the same prompts.
+    std::map<std::string, std::shared_ptr<const std::string>> sliceBodies;
+    std::deque<std::string> sliceOrder; // the same ids, oldest first
 };
 
 } // namespace lavenderthread::fakes
