Quota: weights as shares of the whole fleet

Cause: a fair queue in each entry gives an account with callers at many entries several times its share. Change: each entry reports where it has a backlog; the sums are kept by live entries found by rendezvous hash, and tell each entry which part of an account's weight counts here and which part of the fleet's work is its own. A new broker's sum is not taken while it has not heard all. Ruled out: everyone tells everyone; 370 entries would each hear some 100 KB/s.

--- /dev/null
+++ b/src/coordination/quota/ShareNode.cpp
@@ -0,0 +1,162 @@
+// Reports, sums, and what follows from them.
+#include "coordination/quota/ShareNode.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace lavenderthread::coordination::quota {
+
+using state::Duration;
+using state::Instant;
+using state::VmId;
+
+namespace {
+
+constexpr Duration leastInterval = std::chrono::milliseconds(500);
+// A broker hears at most some forty reports a second of one key, however many entries report.
+constexpr Duration intervalPerReporter = std::chrono::milliseconds(25);
+constexpr int intervalsToExpiry = 3;
+// A new backlog is reported with every tick at first: what is wrong then weighs on the next 30 s.
+constexpr Duration fastStart = std::chrono::milliseconds(1'500);
+constexpr Duration sumKeptWithoutNews = std::chrono::seconds(30);
+constexpr double weightUnit = 1'000; // thousandths in a report of the fleet's weight
+
+Duration intervalFor(std::size_t reporters)
+{
+    return std::max<Duration>(leastInterval, reporters * intervalPerReporter);
+}
+
+} // namespace
+
+void ShareNode::setBacklog(QuotaKey key, std::uint32_t weight, Instant now)
+{
+    if (weight == 0) {
+        this->reported.erase(key);
+        return;
+    }
+    Reported fresh;
+    fresh.since = now;
+    this->reported.try_emplace(fleetKey, fresh);
+    this->reported.try_emplace(key, fresh).first->second.weight = weight;
+}
+
+std::vector<OutgoingShareMessage> ShareNode::tick(Instant now)
+{
+    std::map<VmId, ShareMessage> outbox;
+    if (this->live.empty())
+        return {};
+    for (auto &[key, entry] : this->reported) {
+        if (now < entry.nextReport)
+            continue;
+        const bool starts = now < entry.since + fastStart;
+        entry.nextReport = now + (starts ? Duration(0) : entry.interval);
+        const ShareReport report{key, this->valueOf(key, entry)};
+        const VmId &broker = this->brokerOf(key);
+        if (broker == this->self)
+            this->hear(this->contribute(this->self, report, now), now);
+        else
+            outbox[broker].reports.push_back(report);
+    }
+    std::vector<OutgoingShareMessage> all;
+    for (auto &[peer, message] : outbox) {
+        message.from = this->self;
+        all.push_back({peer, std::move(message)});
+    }
+    return all;
+}
+
+std::vector<OutgoingShareMessage> ShareNode::receive(const ShareMessage &message, Instant now)
+{
+    for (const ShareSum &sum : message.sums)
+        this->hear(sum, now);
+    if (message.reports.empty())
+        return {};
+    ShareMessage answer;
+    answer.from = this->self;
+    for (const ShareReport &report : message.reports)
+        answer.sums.push_back(this->contribute(message.from, report, now));
+    return {{message.from, std::move(answer)}};
+}
+
+double ShareNode::weightHere(QuotaKey key) const
+{
+    const auto found = this->reported.find(key);
+    if (found == this->reported.end())
+        return 0;
+    const auto others = std::max<std::uint64_t>(found->second.sum, 1);
+    return static_cast<double>(found->second.weight) / static_cast<double>(others);
+}
+
+double ShareNode::fleetShare() const
+{
+    const auto found = this->reported.find(fleetKey);
+    if (found == this->reported.end() || found->second.sum == 0)
+        return this->live.empty() ? 1 : 1 / static_cast<double>(this->live.size());
+    const double all = static_cast<double>(found->second.sum) / weightUnit;
+    return std::min(1.0, this->waitingWeight() / all);
+}
+
+const VmId &ShareNode::brokerOf(QuotaKey key) const
+{
+    const auto score = [&](const VmId &entry) {
+        return XXH64(entry.value().data(), entry.value().size(), ~key);
+    };
+    return *std::max_element(
+            this->live.begin(), this->live.end(),
+            [&](const VmId &left, const VmId &right) { return score(left) < score(right); });
+}
+
+std::uint32_t ShareNode::valueOf(QuotaKey key, const Reported &entry) const
+{
+    if (key == fleetKey)
+        return static_cast<std::uint32_t>(this->waitingWeight() * weightUnit);
+    return entry.weight > 0 ? 1 : 0;
+}
+
+double ShareNode::waitingWeight() const
+{
+    double sum = 0;
+    for (const auto &[key, entry] : this->reported)
+        sum += key == fleetKey ? 0 : this->weightHere(key);
+    return sum;
+}
+
+ShareSum ShareNode::contribute(const VmId &from, const ShareReport &report, Instant now)
+{
+    Brokered &entry = this->brokered[report.key];
+    std::erase_if(entry.contributions, [&](const auto &known) { return known.second.until < now; });
+    if (entry.contributions.empty())
+        entry.since = now;
+    const Duration interval = intervalFor(entry.contributions.size() + 1);
+    entry.contributions[from] = {report.value, now + intervalsToExpiry * interval};
+    ShareSum sum;
+    sum.key = report.key;
+    for (const auto &[reporter, contribution] : entry.contributions)
+        sum.sum += contribution.value;
+    sum.reporters = static_cast<std::uint16_t>(entry.contributions.size());
+    // Everyone reports once an interval, so a new broker has heard all after two at most.
+    sum.settled = now >= entry.since + 2 * interval;
+    return sum;
+}
+
+void ShareNode::hear(const ShareSum &sum, Instant now)
+{
+    const auto found = this->reported.find(sum.key);
+    if (found == this->reported.end())
+        return;
+    Reported &entry = found->second;
+    entry.interval = intervalFor(sum.reporters);
+    // A broker that just took over knows of few reporters. Its sum would make each of them claim
+    // nearly the whole share; the last settled one is closer.
+    const bool known = entry.settled && now < entry.heardAt + sumKeptWithoutNews;
+    if (!sum.settled && known && sum.sum < entry.sum)
+        return;
+    entry.settled = sum.settled;
+    entry.sum = sum.sum;
+    entry.heardAt = now;
+}
+
+} // namespace lavenderthread::coordination::quota
