Program: ControlMember drives consensus on one strand

Timer, messages, writes and applied state in the order that Actions asks for; proposals of any thread gather into one batch; reads are confirmed by lease or by a round; mayOrder() tells any thread whether orders may go out. Storage, state and network are hooks. Messages carry their sender's address, as a newcomer knows no member's before the first entries reach it.

--- a/src/coordination/consensus/Consensus.h
+++ b/src/coordination/consensus/Consensus.h
@@ -56,6 +56,8 @@
     std::optional<Member> knownLeader() const;
     // True while this leader may acknowledge, answer reads and give orders.
     bool holdsLease(state::Instant now) const;
+    // Where that ends as far as is known now; nothing without a lease.
+    std::optional<state::Instant> leaseUntil() const;
     // Learners that may be promoted now; empty if not leader.
     std::set<state::VmId> caughtUpLearners(state::Instant now) const;
 
--- a/src/coordination/consensus/Replication.cpp
+++ b/src/coordination/consensus/Replication.cpp
@@ -164,12 +164,20 @@
     return state::Instant(state::Duration(acked));
 }
 
-bool Consensus::holdsLease(state::Instant at) const
+std::optional<state::Instant> Consensus::leaseUntil() const
 {
     if (this->role != Role::Leader || !this->established)
-        return false;
+        return std::nullopt;
     const std::optional<state::Instant> acked = this->quorumAcked();
-    return acked && at < *acked + this->settings.lease();
+    if (!acked)
+        return std::nullopt;
+    return *acked + this->settings.lease();
+}
+
+bool Consensus::holdsLease(state::Instant at) const
+{
+    const std::optional<state::Instant> until = this->leaseUntil();
+    return until && at < *until;
 }
 
 bool Consensus::quorumAnswersSince(state::Instant since, const MemberSet &set) const
--- /dev/null
+++ b/src/program/ControlMember.h
@@ -0,0 +1,164 @@
+// Drives the consensus machine of one control member: its timer, its messages, its writes and the
+// state that it applies to. All steps run on one strand; storage, state and network are hooks.
+#pragma once
+
+#include "coordination/consensus/Consensus.h"
+#include "protocol/ConsensusMessages.h"
+#include "state/Snapshot.h"
+#include "state/control/Commands.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lavenderthread::program {
+
+// Written in this order: installed, hardState, entries; then synced.
+struct PersistBatch
+{
+    std::uint64_t sequence = 0;
+    std::optional<state::log::HardState> hardState;
+    coordination::consensus::SnapshotPointer installed; // replaces the whole stored log
+    std::vector<state::log::LogEntry> entries;          // replace all from the first one's index
+};
+
+// Called on the member's strand, in the order of the log. None may wait.
+struct ControlMemberHooks
+{
+    // Answered by persisted() or persistFailed().
+    std::function<void(PersistBatch)> persist;
+    // An own snapshot; answered by snapshotSaved() once it is durable.
+    std::function<void(coordination::consensus::SnapshotPointer)> saveSnapshot;
+
+    std::function<state::control::Answer(const state::log::LogEntry &)> apply; // a Command
+    std::function<void(const state::log::LogSnapshot &)> restore;
+    // Takes the state as it is now and calls `done`, from any thread, with its encoding.
+    std::function<void(std::function<void(std::string bytes)> done)> captureState;
+
+    std::function<void(const state::Address &peer, std::string bytes)> send;
+    std::function<void(const coordination::consensus::RoleChange &)> roleChanged;
+    std::function<void(const coordination::consensus::MemberSet &)> membersChanged; // committed
+    std::function<void(const state::Error &)> badMessage;
+};
+
+struct ControlMemberSettings
+{
+    state::VmId id;         // the identity that the data folder holds
+    state::Address address; // where other members reach this one
+    coordination::consensus::Settings consensus;
+    std::uint64_t seed = 0; // of the election timeouts; another one in every process
+};
+
+struct ProposalResult
+{
+    coordination::consensus::ProposalOutcome outcome{};
+    state::log::LogPosition position; // of Committed; the fencing number of an order
+    state::control::Answer answer;    // of Committed
+    std::optional<coordination::consensus::Member> leader; // where to go instead, if known
+    std::optional<state::Error> error;                     // of Refused
+};
+
+// What any thread may see of the member.
+struct ControlMemberStatus
+{
+    coordination::consensus::Role role = coordination::consensus::Role::Follower;
+    std::uint64_t term = 0;
+    std::uint64_t committed = 0;
+    std::uint64_t applied = 0;
+    std::optional<coordination::consensus::Member> leader;
+    coordination::consensus::MemberSet members;
+
+    auto operator<=>(const ControlMemberStatus &) const = default;
+};
+
+class ControlMember : public std::enable_shared_from_this<ControlMember>
+{
+public:
+    using ProposalDone = std::function<void(ProposalResult)>;
+    using ReadDone = std::function<void(const coordination::consensus::ReadAnswer &)>;
+
+    // `stored` is what the data folder held; the state was restored from its snapshot already.
+    static state::Result<std::shared_ptr<ControlMember>>
+    create(boost::asio::io_context &io, const ControlMemberSettings &settings,
+           const coordination::consensus::Stored &stored, ControlMemberHooks hooks);
+
+    void start();
+    // Waiting callers are answered LeadershipLost; no hook is called once this has run.
+    void stop();
+
+    // From any thread; the callbacks run on the strand, where the applied state stands still.
+    void propose(std::string payload, ProposalDone done);
+    void proposeChange(const coordination::consensus::MemberChange &change, ProposalDone done);
+    void read(coordination::consensus::ReadKind kind, ReadDone done);
+
+    // From any thread: what network and storage report.
+    void receive(const std::string &bytes);
+    void persisted(std::uint64_t sequence);
+    void persistFailed(const state::Error &error);
+    void snapshotSaved(const coordination::consensus::SnapshotPointer &snapshot);
+
+    // From any thread. True while this member may send orders to endpoints; asked before each one.
+    bool mayOrder() const;
+    state::SnapshotView<ControlMemberStatus> status() const { return this->published.read(); }
+
+private:
+    using Machine = coordination::consensus::Consensus;
+    struct WaitingProposal
+    {
+        std::string payload;
+        ProposalDone done;
+    };
+
+    ControlMember(boost::asio::io_context &io, const ControlMemberSettings &chosen, Machine built,
+                  ControlMemberHooks memberHooks);
+
+    void post(coordination::consensus::Event event);
+    void step(const coordination::consensus::Event &event);
+    void proposeGathered();
+    void perform(coordination::consensus::Actions actions);
+    void sendAll(const std::vector<coordination::consensus::Message> &messages);
+    void applyAll(const coordination::consensus::Actions &actions);
+    void answerAll(const coordination::consensus::Actions &actions);
+    void changeRole(const coordination::consensus::RoleChange &change);
+    void takeSnapshot(const coordination::consensus::SnapshotWanted &wanted);
+    void publish();
+    void armTimer();
+    std::optional<state::Address> addressOf(const state::VmId &id) const;
+
+    boost::asio::strand<boost::asio::any_io_executor> strand;
+    ControlMemberSettings settings;
+    ControlMemberHooks hooks;
+
+    std::mutex gatheredMutex;
+    std::vector<WaitingProposal> gathered; // become one batch, written and sent at once
+
+    // Read by any thread.
+    state::Snapshot<ControlMemberStatus> published;
+    std::atomic<std::int64_t> orderFrom = 0;  // microseconds of the monotonic clock
+    std::atomic<std::int64_t> orderUntil = 0; // end of the lease; 0 without
+
+    // The rest is used on the strand only.
+    Machine machine;
+    boost::asio::steady_timer timer;
+    state::Instant armedFor;
+    bool stopped = false;
+    std::uint64_t nextId = 1;
+    std::map<std::uint64_t, ProposalDone> proposals;
+    std::map<std::uint64_t, ReadDone> reads;
+    // Answers of commands applied while leading and not yet handed out, by log index.
+    std::map<std::uint64_t, state::control::Answer> applied;
+    std::map<state::VmId, state::Address> learned; // of senders that are in no member set yet
+};
+
+} // namespace lavenderthread::program
--- a/src/protocol/ConsensusMessages.cpp
+++ b/src/protocol/ConsensusMessages.cpp
@@ -47,22 +47,22 @@
 
 } // namespace
 
-std::string encodeConsensusMessage(const Message &message)
+std::string encodeConsensusFrame(const ConsensusFrame &frame)
 {
-    return encode(message);
+    return encode(frame);
 }
 
-state::Result<Message> decodeConsensusMessage(std::string_view bytes)
+state::Result<ConsensusFrame> decodeConsensusFrame(std::string_view bytes)
 {
-    state::Result<Message> message = decode<Message>(bytes);
-    if (message.has_error())
-        return message.error().withStep("consensus.decode");
-    const Message &found = message.value();
+    state::Result<ConsensusFrame> frame = decode<ConsensusFrame>(bytes);
+    if (frame.has_error())
+        return frame.error().withStep("consensus.decode");
+    const Message &found = frame.value().message;
     const bool sound = std::visit([](const auto &body) { return isSound(body); }, found.body);
     if (!isId(found.from) || !isId(found.to) || !sound)
         return state::makeError(state::ErrorCode::Corrupt, "consensus.decode", "breaks a bound",
                                 found.from.value().substr(0, maximumIdBytes));
-    return message;
+    return frame;
 }
 
 } // namespace lavenderthread::protocol
--- a/tests/protocol/ConsensusMessagesTest.cpp
+++ b/tests/protocol/ConsensusMessagesTest.cpp
@@ -50,8 +50,9 @@
     void roundTrip()
     {
         for (const Message &message : samples()) {
-            const auto back = decodeConsensusMessage(encodeConsensusMessage(message));
-            CPPUNIT_ASSERT(back.has_value() && back.value() == message);
+            const ConsensusFrame frame{{"10.0.0.1", 80}, message};
+            const auto back = decodeConsensusFrame(encodeConsensusFrame(frame));
+            CPPUNIT_ASSERT(back.has_value() && back.value() == frame);
         }
     }
 
@@ -71,14 +72,13 @@
         Message beyond = samples()[4];
         std::get<SnapshotPiece>(beyond.body).offset = 8;
         for (const Message &bad : {gap, newer, kind, nameless, longName, beyond}) {
-            const auto refused = decodeConsensusMessage(encode(bad));
+            const auto refused = decodeConsensusFrame(encode(ConsensusFrame{{}, bad}));
             CPPUNIT_ASSERT(refused.has_error());
             CPPUNIT_ASSERT(refused.error().code == state::ErrorCode::Corrupt);
         }
-        std::string version = encodeConsensusMessage(good);
+        std::string version = encodeConsensusFrame({{}, good});
         version[0] = static_cast<char>(peerProtocolVersion + 1);
-        CPPUNIT_ASSERT(decodeConsensusMessage(version).error().code
-                       == state::ErrorCode::Unsupported);
+        CPPUNIT_ASSERT(decodeConsensusFrame(version).error().code == state::ErrorCode::Unsupported);
     }
 
     // Cut anywhere it is refused; with bytes changed it is refused or is some other sound message.
@@ -86,14 +86,14 @@
     {
         std::mt19937_64 random(4);
         for (const Message &message : samples()) {
-            const std::string whole = encodeConsensusMessage(message);
+            const std::string whole = encodeConsensusFrame({{}, message});
             for (std::size_t size = 0; size < whole.size(); ++size)
-                CPPUNIT_ASSERT(decodeConsensusMessage(whole.substr(0, size)).has_error());
+                CPPUNIT_ASSERT(decodeConsensusFrame(whole.substr(0, size)).has_error());
             for (int round = 0; round < 2000; ++round) {
                 std::string damaged = whole;
                 for (int change = 0; change < 3; ++change)
                     damaged[random() % damaged.size()] = static_cast<char>(random());
-                static_cast<void>(decodeConsensusMessage(damaged).has_error());
+                static_cast<void>(decodeConsensusFrame(damaged).has_error());
             }
         }
     }
