--- /dev/null
+++ b/src/transport/storage/LogRecovery.cpp
@@ -0,0 +1,211 @@
+// Every record but those of the last write was followed by a sync, and later records say so. So a
+// bad record that a later one calls synced is damage; any other is what a crash leaves of a write.
+#include "transport/storage/LogRecovery.h"
+
+#include "transport/storage/File.h"
+#include "transport/storage/FolderNames.h"
+#include "transport/storage/SnapshotFile.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavenderthread::transport::storage {
+
+namespace {
+
+using state::log::HardState;
+using state::log::LogEntry;
+
+state::Error damaged(const std::string &path, const std::string &what)
+{
+    return state::makeError(
+            state::ErrorCode::Corrupt, "log.recover",
+            what
+                    + ". Acknowledged changes may be lost here, so this member does not start. "
+                      "Remove it from the cluster, empty its data folder, and add it again under "
+                      "a new identity: it then copies the state from the others",
+            path);
+}
+
+// Applies records in order to what the folder held before them.
+class Replay
+{
+public:
+    explicit Replay(Recovered &target)
+        : target(target)
+    {}
+
+    // False if the record can't follow the ones before it.
+    bool operator()(const SegmentStart &start)
+    {
+        const bool sameMember =
+                this->target.identity.empty() || this->target.identity == start.identity;
+        this->target.identity = start.identity;
+        this->target.hardState = start.hardState;
+        return sameMember && start.formatVersion == logFormatVersion;
+    }
+    bool operator()(const LogEntry &entry)
+    {
+        this->dropFrom(entry.position.index);
+        std::vector<LogEntry> &entries = this->target.entries;
+        const bool follows =
+                entries.empty() || entries.back().position.index + 1 == entry.position.index;
+        entries.push_back(entry);
+        return follows;
+    }
+    bool operator()(const HardState &hardState)
+    {
+        this->target.hardState = hardState;
+        return true;
+    }
+    bool operator()(const Truncation &truncation)
+    {
+        this->dropFrom(truncation.fromIndex);
+        return true;
+    }
+    bool operator()(const SyncMark &) { return true; }
+
+private:
+    void dropFrom(std::uint64_t index)
+    {
+        std::vector<LogEntry> &entries = this->target.entries;
+        while (!entries.empty() && entries.back().position.index >= index)
+            entries.pop_back();
+    }
+
+    Recovered &target;
+};
+
+std::uint64_t highestIndexOf(const std::vector<LogRecord> &records)
+{
+    std::uint64_t highest = 0;
+    for (const LogRecord &record : records) {
+        if (const auto *entry = std::get_if<LogEntry>(&record.body))
+            highest = std::max(highest, entry->position.index);
+    }
+    return highest;
+}
+
+class FolderReader
+{
+public:
+    explicit FolderReader(std::string folder)
+        : folder(std::move(folder))
+        , replay(this->result.recovered)
+    {}
+
+    state::Result<RecoveredFolder> read()
+    {
+        BOOST_OUTCOME_TRY(this->result.recovered.snapshot, readNewestSnapshot(this->folder));
+        const std::vector<std::uint64_t> numbers =
+                listNumbers(this->folder, segmentPrefix, segmentSuffix);
+        for (std::size_t place = 0; place < numbers.size(); ++place) {
+            BOOST_OUTCOME_TRYV(this->readSegment(numbers[place], place + 1 == numbers.size()));
+        }
+        if (!numbers.empty())
+            this->result.nextSegment = numbers.back() + 1;
+        if (this->result.segments.empty() && this->result.recovered.snapshot)
+            return damaged(this->folder,
+                           "there is a snapshot but no log; the member's vote is lost");
+        BOOST_OUTCOME_TRYV(this->dropCoveredEntries());
+        return std::move(this->result);
+    }
+
+private:
+    state::Result<void> readSegment(std::uint64_t number, bool last)
+    {
+        const std::string path = segmentPath(this->folder, number);
+        BOOST_OUTCOME_TRY(const std::string bytes, readWholeFile(path));
+        SegmentScan scan = scanSegment(bytes);
+        const std::uint64_t badRecord =
+                scan.records.empty() ? this->result.nextRecord : scan.records.back().number + 1;
+        if (!scan.whole && (!last || scan.syncedThrough > badRecord))
+            return damaged(path, "record " + std::to_string(badRecord) + " at byte "
+                                         + std::to_string(scan.goodBytes) + " is damaged");
+        if (scan.records.empty()) {
+            // A new segment is used only after its start is synced: a crash came before that.
+            if (!last)
+                return damaged(path, "the segment is empty");
+            this->result.unusable.push_back(number);
+            return state::outcome::success();
+        }
+        BOOST_OUTCOME_TRYV(this->checkStart(path, number, scan.records.front()));
+        for (const LogRecord &record : scan.records) {
+            if (!std::visit(this->replay, record.body))
+                return damaged(path, "record " + std::to_string(record.number)
+                                             + " does not follow the ones before it");
+        }
+        this->result.segments.push_back({number, highestIndexOf(scan.records)});
+        this->result.nextRecord = badRecord;
+        if (last)
+            this->noteTail(std::move(scan));
+        return state::outcome::success();
+    }
+
+    state::Result<void> checkStart(const std::string &path, std::uint64_t number,
+                                   const LogRecord &first)
+    {
+        const auto *start = std::get_if<SegmentStart>(&first.body);
+        if (start == nullptr || start->segment != number)
+            return damaged(path, "the segment's start is missing");
+        const bool follows =
+                this->result.segments.empty() || first.number == this->result.nextRecord;
+        if (!follows)
+            return damaged(path, "the segment before this one is missing");
+        return state::outcome::success();
+    }
+
+    void noteTail(SegmentScan scan)
+    {
+        if (!scan.whole)
+            this->result.tornAt = scan.goodBytes;
+        for (LogRecord &record : scan.records) {
+            const bool settled = record.number < scan.syncedThrough
+                                 || std::holds_alternative<SyncMark>(record.body)
+                                 || std::holds_alternative<SegmentStart>(record.body);
+            if (!settled)
+                this->result.unsettled.push_back(std::move(record));
+        }
+    }
+
+    // Entries up to the snapshot are in it. If the log does not reach it, or has another entry at
+    // its place, the snapshot came from a leader and replaces the whole log.
+    state::Result<void> dropCoveredEntries()
+    {
+        std::vector<LogEntry> &entries = this->result.recovered.entries;
+        const auto &snapshot = this->result.recovered.snapshot;
+        const state::log::LogPosition last = snapshot ? snapshot->last : state::log::LogPosition{};
+        if (entries.empty())
+            return state::outcome::success();
+        if (entries.front().position.index > last.index + 1)
+            return damaged(this->folder, "entries are missing before index "
+                                                 + std::to_string(entries.front().position.index));
+        const std::uint64_t covered = last.index + 1 - entries.front().position.index;
+        const bool reaches = covered <= entries.size();
+        const bool agrees = reaches && (covered == 0 || entries[covered - 1].position == last);
+        this->result.entriesDiscarded = !agrees;
+        const auto end =
+                agrees ? entries.begin() + static_cast<std::ptrdiff_t>(covered) : entries.end();
+        entries.erase(entries.begin(), end);
+        return state::outcome::success();
+    }
+
+    std::string folder;
+    RecoveredFolder result;
+    Replay replay; // into result.recovered
+};
+
+} // namespace
+
+std::string segmentPath(const std::string &folder, std::uint64_t segment)
+{
+    return folder + "/" + numberedName(segmentPrefix, segment, segmentSuffix);
+}
+
+state::Result<RecoveredFolder> recoverFolder(const std::string &folder)
+{
+    FolderReader reader(folder);
+    return reader.read();
+}
+
+} // namespace lavenderthread::transport::storage
