--- a/src/program/Entry.cpp
+++ b/src/program/Entry.cpp
@@ -146,8 +146,11 @@
         co_return;
     }
     const AccountSetting *account = this->authenticate(request);
-    if (this->hooks.extraRoutes && co_await this->hooks.extraRoutes(exchange, account))
-        co_return;
+    if (this->hooks.extraRoutes) {
+        const bool handled = co_await this->hooks.extraRoutes(exchange, account);
+        if (handled)
+            co_return;
+    }
     if (account == nullptr) {
         co_await exchange.respond(
                 simpleProblem(401, "unauthorized", "the bearer key is missing or not known"));
@@ -219,7 +222,7 @@
 protocol::HttpResponse Entry::endpointNews(const protocol::HttpRequest &request,
                                            const state::EndpointId &id, std::string_view call)
 {
-    const protocol::HttpResponse noContent{204, {}, {}};
+    protocol::HttpResponse noContent{204, {}, {}};
     const auto unknown = [] {
         return simpleProblem(404, "not-announced", "announce the endpoint again");
     };
