Claims: one attempt at a non-idempotent request, from claim to answer

Change: ClaimedRequest takes the claim, connects, has its dispatch marked by the log, sends once and records the result; 'not run' is said only after a committed release or a claim never given. Found on the way: a second answer to a repeated take would have counted as the dispatch's grant; answers now carry the command's id.

--- /dev/null
+++ b/src/coordination/claims/ClaimedRequest.cpp
@@ -0,0 +1,235 @@
+// "Not run" is said only when this attempt sent nothing, will send nothing, and the log has either
+// released its claim or never gave it one.
+#include "coordination/claims/ClaimedRequest.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavenderthread::coordination::claims {
+
+namespace {
+
+using state::ErrorCode;
+using state::Instant;
+using state::makeError;
+using state::control::ClaimAnswer;
+using state::control::ClaimVerdict;
+
+// Finishing goes on for a while after the caller's deadline: the result is worth keeping for
+// resends.
+constexpr state::Duration finishWindow = std::chrono::seconds(30);
+
+ReplyToCaller notRun(ErrorCode code, const char *cause)
+{
+    return {Ran::No, std::nullopt, makeError(code, "claim.take", cause)};
+}
+
+ReplyToCaller unknown(ErrorCode code, const char *cause)
+{
+    return {Ran::Unknown, std::nullopt, makeError(code, "claim.run", cause)};
+}
+
+} // namespace
+
+ClaimActions ClaimedRequest::begin(Instant now)
+{
+    if (now >= this->giveUpAt())
+        return this->end(notRun(ErrorCode::Timeout, "no time left to claim the request"));
+    const state::Duration left = this->start.deadline - now;
+    return this->propose(state::control::TakeClaim{this->start.id, this->start.account,
+                                                   this->start.body, this->start.holder, left},
+                         now);
+}
+
+ClaimActions ClaimedRequest::onClaimAnswer(std::uint64_t id, const ClaimAnswer &answer, Instant now)
+{
+    // A repeated command is answered twice. Taken for the answer to the dispatch mark, the second
+    // grant of the claim would send the request before the mark is committed.
+    if (!this->waiting || id != this->proposal)
+        return {};
+    this->waiting.reset();
+    switch (this->step) {
+    case Step::Taking:
+        return this->onTaken(answer, now);
+    case Step::Marking:
+        return this->onMarked(answer, now);
+    case Step::Releasing:
+        return this->onReleased(answer);
+    case Step::Finishing:
+        this->step = Step::Done;
+        return {};
+    case Step::Connecting:
+    case Step::Running:
+    case Step::Done:
+        break;
+    }
+    return {};
+}
+
+ClaimActions ClaimedRequest::onTaken(const ClaimAnswer &answer, Instant)
+{
+    switch (answer.verdict) {
+    case ClaimVerdict::Granted:
+        this->step = Step::Connecting;
+        return {ConnectEndpoint{}};
+    case ClaimVerdict::AlreadyRan:
+        return this->end({Ran::Yes, answer.result, std::nullopt});
+    case ClaimVerdict::InProgress:
+        return this->end(unknown(ErrorCode::Conflict, "another attempt of this key is under way"));
+    case ClaimVerdict::OutcomeUnknown:
+        return this->end(
+                unknown(ErrorCode::Unavailable,
+                        "an earlier attempt of this key may have run; its entry was lost"));
+    case ClaimVerdict::OtherBody:
+        return this->end(notRun(ErrorCode::Conflict, "the key was used with another request"));
+    case ClaimVerdict::Full:
+        return this->end(notRun(ErrorCode::Overloaded, "no room for more claims"));
+    case ClaimVerdict::NotHolder:
+    case ClaimVerdict::TooLate:
+        break;
+    }
+    // The log has released this attempt's claim: its entry was given up, or time ran out.
+    return this->end(notRun(ErrorCode::Unavailable, "the claim was released before dispatch"));
+}
+
+ClaimActions ClaimedRequest::onConnected(Instant now)
+{
+    if (this->step != Step::Connecting)
+        return {};
+    if (now >= this->giveUpAt())
+        return this->release(now, makeError(ErrorCode::Timeout, "claim.connect", "deadline"));
+    this->step = Step::Marking;
+    return this->propose(state::control::DispatchClaim{this->start.id, this->start.holder}, now);
+}
+
+ClaimActions ClaimedRequest::onConnectFailed(Instant now)
+{
+    if (this->step != Step::Connecting)
+        return {};
+    return this->release(now, makeError(ErrorCode::Unavailable, "claim.connect",
+                                        "the endpoint can't be reached"));
+}
+
+ClaimActions ClaimedRequest::onMarked(const ClaimAnswer &answer, Instant now)
+{
+    if (answer.verdict != ClaimVerdict::Granted)
+        return this->end(notRun(ErrorCode::Unavailable, "the claim was released before dispatch"));
+    // A process that was stopped for a while wakes up here with a right that the log may have given
+    // up since; past the deadline it must not use it.
+    if (now >= this->start.deadline)
+        return this->finish(std::nullopt, now);
+    this->step = Step::Running;
+    this->sent = true;
+    return {SendRequest{}};
+}
+
+ClaimActions ClaimedRequest::onResult(state::control::ClaimResult result, Instant now)
+{
+    if (!this->sent || std::exchange(this->hasResult, true))
+        return {};
+    return this->finish(std::move(result), now);
+}
+
+ClaimActions ClaimedRequest::onEndpointLost(Instant now)
+{
+    if (this->step != Step::Running)
+        return {};
+    return this->finish(std::nullopt, now);
+}
+
+ClaimActions ClaimedRequest::onProposalLost(std::uint64_t id, Instant now)
+{
+    // Every command may be repeated: the log answers a copy as it answered the first.
+    if (id == this->proposal)
+        this->repeatAt = std::min(this->repeatAt, now);
+    return {};
+}
+
+ClaimActions ClaimedRequest::onTimer(Instant now)
+{
+    const bool sentNothing = this->step == Step::Taking || this->step == Step::Connecting
+                             || this->step == Step::Marking;
+    if (sentNothing && now >= this->giveUpAt())
+        return this->release(now, makeError(ErrorCode::Timeout, "claim.run", "deadline"));
+    if (this->step == Step::Releasing && now >= this->start.deadline)
+        return this->end(unknown(ErrorCode::Timeout, "the claim's release was not confirmed"));
+    if (this->step == Step::Running && now >= this->start.deadline)
+        return this->finish(std::nullopt, now);
+    if (this->step == Step::Finishing && now >= this->start.deadline + finishWindow) {
+        this->step = Step::Done;
+        return {};
+    }
+    if (this->waiting && now >= this->repeatAt)
+        return this->repeat(now);
+    return {};
+}
+
+Instant ClaimedRequest::nextTimer() const
+{
+    Instant next = this->start.deadline;
+    if (this->step == Step::Done)
+        return Instant::max();
+    if (this->step == Step::Finishing)
+        next = this->start.deadline + finishWindow;
+    if (this->step < Step::Running)
+        next = this->giveUpAt();
+    return this->waiting ? std::min(next, this->repeatAt) : next;
+}
+
+ClaimActions ClaimedRequest::propose(state::control::Command command, Instant now)
+{
+    this->waiting = std::move(command);
+    ++this->proposal;
+    return this->repeat(now);
+}
+
+ClaimActions ClaimedRequest::repeat(Instant now)
+{
+    this->repeatAt = now + this->settings.repeatAfter;
+    return {ProposeCommand{this->proposal, *this->waiting}};
+}
+
+ClaimActions ClaimedRequest::release(Instant now, state::Error why)
+{
+    this->step = Step::Releasing;
+    this->reason = std::move(why);
+    return this->propose(state::control::ReleaseClaim{this->start.id, this->start.holder}, now);
+}
+
+ClaimActions ClaimedRequest::onReleased(const ClaimAnswer &answer)
+{
+    // NotHolder: the log never gave this attempt the claim, or has given it to another since.
+    const bool settled =
+            answer.verdict == ClaimVerdict::Granted || answer.verdict == ClaimVerdict::NotHolder;
+    if (settled)
+        return this->end({Ran::No, std::nullopt, this->reason});
+    // The dispatch mark was committed first. Nothing was sent, but the log can't know that, and a
+    // resend will be told "unknown"; so is this caller.
+    return this->end(unknown(ErrorCode::Timeout, "the request was marked as dispatched"));
+}
+
+ClaimActions ClaimedRequest::finish(std::optional<state::control::ClaimResult> result, Instant now)
+{
+    ReplyToCaller reply =
+            unknown(ErrorCode::Unavailable, "the endpoint gave no whole answer; it may have run");
+    if (result)
+        reply = {Ran::Yes, result, std::nullopt};
+    this->step = Step::Finishing;
+    ClaimActions actions = this->propose(
+            state::control::FinishClaim{this->start.id, this->start.holder, std::move(result)},
+            now);
+    if (!std::exchange(this->replied, true))
+        actions.emplace_back(std::move(reply));
+    return actions;
+}
+
+ClaimActions ClaimedRequest::end(ReplyToCaller reply)
+{
+    this->step = Step::Done;
+    this->waiting.reset();
+    if (std::exchange(this->replied, true))
+        return {};
+    return {std::move(reply)};
+}
+
+} // namespace lavenderthread::coordination::claims
