--- /dev/null
+++ b/src/coordination/orders/FeedReceiver.cpp
@@ -0,0 +1,92 @@
+// Requests, answers and the lease they give.
+#include "coordination/orders/FeedReceiver.h"
+
+#include <algorithm>
+
+namespace lavenderthread::coordination::orders {
+
+using state::Instant;
+using state::control::ControlView;
+using state::control::FeedChange;
+using state::control::FeedPage;
+
+std::optional<FeedRequest> FeedReceiver::poll(Instant now)
+{
+    if (this->members == 0 || now < this->pollAt)
+        return std::nullopt;
+    if (now >= this->newsAt + this->settings.switchAfter) {
+        this->switchMember();
+        this->newsAt = now;
+    }
+    constexpr std::size_t outstandingKept = 16;
+    if (this->outstanding.size() >= outstandingKept)
+        this->outstanding.erase(this->outstanding.begin());
+    this->pollAt = now + this->settings.refreshEvery;
+    this->outstanding.emplace(++this->lastRequest, now);
+    return FeedRequest{this->lastRequest, this->member, this->current.version};
+}
+
+bool FeedReceiver::onAnswer(const FeedAnswer &answer, Instant now)
+{
+    const auto sent = this->outstanding.find(answer.id);
+    if (sent == this->outstanding.end())
+        return false;
+    const Instant sentAt = sent->second;
+    this->outstanding.erase(sent);
+    const bool changed = this->applyPages(answer.pages);
+    // The lease counts from the request's sending: an answer that lingered on its way confirms what
+    // was newest then, not what is newest now. A member that calls an older version the newest than
+    // this entry already has is mistaken, and confirms nothing.
+    const bool fresh = answer.confirmed && answer.version == this->current.version;
+    if (fresh) {
+        this->freshUntil = std::max(this->freshUntil, sentAt + this->settings.lease);
+        this->everFresh = true;
+        this->newsAt = now;
+    }
+    return changed;
+}
+
+void FeedReceiver::onRequestFailed(std::uint64_t id)
+{
+    if (this->outstanding.erase(id) > 0)
+        this->switchMember();
+}
+
+void FeedReceiver::setMembers(std::size_t memberCount)
+{
+    this->members = memberCount;
+    this->member = memberCount == 0 ? 0 : this->member % memberCount;
+}
+
+bool FeedReceiver::admits(Instant now) const
+{
+    return this->isFresh(now) || (this->everFresh && this->settings.admitWhenStale);
+}
+
+// All pages of one answer or none: half a view would refuse accounts whose page is missing.
+bool FeedReceiver::applyPages(const std::vector<FeedPage> &pages)
+{
+    if (pages.empty() || pages.front().to <= this->current.version)
+        return false;
+    const FeedPage &first = pages.front();
+    const bool fits = first.from == 0 || first.from == this->current.version;
+    if (!fits || pages.size() != first.pages)
+        return false;
+    std::vector<FeedChange> changes;
+    for (std::uint32_t number = 0; number < pages.size(); ++number) {
+        const FeedPage &page = pages[number];
+        if (page.from != first.from || page.to != first.to || page.page != number)
+            return false;
+        changes.insert(changes.end(), page.changes.begin(), page.changes.end());
+    }
+    this->current = first.from == 0 ? ControlView::fromChanges(changes, first.to)
+                                    : this->current.with(changes, first.to);
+    return true;
+}
+
+void FeedReceiver::switchMember()
+{
+    this->member = this->members == 0 ? 0 : (this->member + 1) % this->members;
+}
+
+} // namespace lavenderthread::coordination::orders
--- /dev/null
+++ b/src/coordination/orders/FeedReceiver.h
@@ -0,0 +1,86 @@
+// The entry's side of the distribution: keeps the newest view, applies only upward, and knows
+// whether the view is confirmed fresh. An entry whose view is not fresh admits nothing new under
+// it.
+#pragma once
+
+#include "state/Time.h"
+#include "state/control/ControlView.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace lavenderthread::coordination::orders {
+
+struct FeedSettings
+{
+    // From the sending of a request that a control member answered as confirmed. With the time of
+    // one commit it stays under the 12 s in which a change has to be in force.
+    state::Duration lease = std::chrono::seconds(8);
+    state::Duration refreshEvery = std::chrono::seconds(1);
+    // Without confirmed news for this long the entry asks another control member.
+    state::Duration switchAfter = std::chrono::seconds(3);
+    // Admit under a stale view: for regions that would rather serve under an old table through a
+    // long split than stop. Then "in force everywhere" does not hold for them.
+    bool admitWhenStale = false;
+};
+
+struct FeedRequest
+{
+    std::uint64_t id = 0;
+    std::size_t member = 0;    // which of the known control members to ask
+    std::uint64_t version = 0; // the control side counts this entry as having it in force
+};
+
+struct FeedAnswer
+{
+    std::uint64_t id = 0;
+    // The member knew, by its leader's lease or a round to a quorum after the request came, that
+    // `version` is the newest. An isolated member can't know and says false.
+    bool confirmed = false;
+    std::uint64_t version = 0;
+    std::vector<state::control::FeedPage> pages; // all that the entry lacks
+};
+
+class FeedReceiver
+{
+public:
+    // `firstMember` spreads the entries over the members.
+    FeedReceiver(FeedSettings feedSettings, std::size_t memberCount, std::size_t firstMember)
+        : settings(feedSettings)
+        , members(memberCount)
+        , member(memberCount == 0 ? 0 : firstMember % memberCount)
+    {}
+
+    // A request to send now, if one is due.
+    std::optional<FeedRequest> poll(state::Instant now);
+    // True if the view changed and has to be published.
+    bool onAnswer(const FeedAnswer &answer, state::Instant now);
+    void onRequestFailed(std::uint64_t id);
+    void setMembers(std::size_t memberCount);
+
+    const state::control::ControlView &view() const { return this->current; }
+    bool isFresh(state::Instant now) const { return this->everFresh && now < this->freshUntil; }
+    // Also false until the first whole view has come, whatever the settings say.
+    bool admits(state::Instant now) const;
+    state::Instant nextPoll() const { return this->pollAt; }
+
+private:
+    bool applyPages(const std::vector<state::control::FeedPage> &pages);
+    void switchMember();
+
+    FeedSettings settings;
+    std::size_t members;
+    std::size_t member;
+    state::control::ControlView current; // version never goes down
+    state::Instant freshUntil;           // never goes down
+    bool everFresh = false;
+    std::uint64_t lastRequest = 0;
+    std::map<std::uint64_t, state::Instant> outstanding; // when each request was sent
+    state::Instant pollAt;
+    state::Instant newsAt; // last confirmed answer, or last switch
+};
+
+} // namespace lavenderthread::coordination::orders
--- /dev/null
+++ b/src/coordination/orders/LoadPacer.h
@@ -0,0 +1,51 @@
+// Paces loads for the rate-limited weight store: so many at once, and so many bytes a second.
+#pragma once
+
+#include "state/Time.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace lavenderthread::coordination::orders {
+
+struct LoadPacerSettings
+{
+    std::uint64_t bytesPerSecond = 2'000'000'000;
+    std::uint32_t concurrentLoads = 4;
+};
+
+class LoadPacer
+{
+public:
+    explicit LoadPacer(LoadPacerSettings pacerSettings)
+        : settings(pacerSettings)
+    {}
+
+    // A new leader does not know what its predecessor started; it assumes one load of `bytes`.
+    void reset(std::uint64_t bytes, state::Instant now)
+    {
+        this->nextStart = now + this->cost(bytes);
+    }
+    bool mayStart(std::uint32_t running, state::Instant now) const
+    {
+        return running < this->settings.concurrentLoads && now >= this->nextStart;
+    }
+    void started(std::uint64_t bytes, state::Instant now)
+    {
+        this->nextStart = std::max(this->nextStart, now) + this->cost(bytes);
+    }
+
+private:
+    state::Duration cost(std::uint64_t bytes) const
+    {
+        constexpr double microseconds = 1e6;
+        const double seconds =
+                static_cast<double>(bytes) / static_cast<double>(this->settings.bytesPerSecond);
+        return state::Duration(static_cast<std::int64_t>(seconds * microseconds));
+    }
+
+    LoadPacerSettings settings;
+    state::Instant nextStart; // no load starts before
+};
+
+} // namespace lavenderthread::coordination::orders
--- /dev/null
+++ b/tests/coordination/orders/FeedTest.cpp
@@ -0,0 +1,161 @@
+// The entry's view of the table and the leader's account of who has it: only upward, fresh or
+// silent.
+#include "coordination/orders/EnforcementTracker.h"
+#include "coordination/orders/FeedReceiver.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace lavenderthread::coordination::orders {
+
+namespace {
+
+using state::Instant;
+using state::control::DrainMark;
+using state::control::FeedPage;
+
+Instant at(int milliseconds)
+{
+    return Instant(std::chrono::milliseconds(milliseconds));
+}
+
+FeedPage page(std::uint64_t from, std::uint64_t to, const char *endpoint = "e")
+{
+    return {from, to, 0, 1, {DrainMark{state::EndpointId(endpoint), true, to}}};
+}
+
+FeedAnswer answer(const FeedRequest &request, std::uint64_t version, std::vector<FeedPage> pages,
+                  bool confirmed = true)
+{
+    return {request.id, confirmed, version, std::move(pages)};
+}
+
+} // namespace
+
+class FeedTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FeedTest);
+    CPPUNIT_TEST(admitsOnlyWhileFresh);
+    CPPUNIT_TEST(leaseCountsFromTheRequest);
+    CPPUNIT_TEST(versionsNeverGoBack);
+    CPPUNIT_TEST(pagesComeWholeOrNotAtAll);
+    CPPUNIT_TEST(isolatedMemberIsLeft);
+    CPPUNIT_TEST(staleAdmissionIsASetting);
+    CPPUNIT_TEST(trackerNamesWhoIsMissing);
+    CPPUNIT_TEST(silentEntryIsNoLongerCounted);
+    CPPUNIT_TEST(restartedEntryIsMissingAgain);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void admitsOnlyWhileFresh()
+    {
+        FeedReceiver feed({}, 3, 0);
+        CPPUNIT_ASSERT(!feed.admits(at(0)));
+        const FeedRequest request = *feed.poll(at(0));
+        CPPUNIT_ASSERT(feed.onAnswer(answer(request, 5, {page(0, 5)}), at(10)));
+        CPPUNIT_ASSERT(feed.admits(at(7'999)));
+        CPPUNIT_ASSERT(!feed.admits(at(8'000)));
+        CPPUNIT_ASSERT(!feed.poll(at(500)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), feed.poll(at(1'000))->version);
+    }
+
+    void leaseCountsFromTheRequest()
+    {
+        // An answer lingers for seven seconds in a full buffer. It tells what was newest when the
+        // request came; counted from its arrival it would let the entry admit under a table that
+        // was replaced fifteen seconds ago.
+        FeedReceiver feed({}, 3, 0);
+        const FeedRequest request = *feed.poll(at(0));
+        feed.onAnswer(answer(request, 5, {page(0, 5)}), at(7'000));
+        CPPUNIT_ASSERT(feed.admits(at(7'999)));
+        CPPUNIT_ASSERT(!feed.admits(at(8'000)));
+    }
+
+    void versionsNeverGoBack()
+    {
+        // A member that was cut off answers late with an older table, confirmed by mistake.
+        FeedReceiver feed({}, 3, 0);
+        const FeedRequest first = *feed.poll(at(0));
+        const FeedRequest second = *feed.poll(at(1'000));
+        feed.onAnswer(answer(second, 9, {page(0, 9, "new")}), at(1'010));
+        CPPUNIT_ASSERT(!feed.onAnswer(answer(first, 5, {page(0, 5, "old")}), at(1'020)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), feed.view().version);
+        CPPUNIT_ASSERT(feed.view().isDrained(state::EndpointId("new")));
+        CPPUNIT_ASSERT(!feed.admits(at(9'000))); // the stale one did not lengthen the lease
+        // Nor does a change that starts from another version than the entry has.
+        const FeedRequest third = *feed.poll(at(2'000));
+        CPPUNIT_ASSERT(!feed.onAnswer(answer(third, 12, {page(10, 12)}), at(2'010)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), feed.view().version);
+        CPPUNIT_ASSERT(!feed.admits(at(9'000)));
+    }
+
+    void pagesComeWholeOrNotAtAll()
+    {
+        FeedReceiver feed({}, 1, 0);
+        std::vector<FeedPage> pages(2, page(0, 5));
+        pages[0].pages = pages[1].pages = 2;
+        CPPUNIT_ASSERT(!feed.onAnswer(answer(*feed.poll(at(0)), 5, {pages[0]}), at(1)));
+        CPPUNIT_ASSERT(!feed.onAnswer(answer(*feed.poll(at(1'000)), 5, pages), at(1'001)));
+        pages[1].page = 1;
+        CPPUNIT_ASSERT(feed.onAnswer(answer(*feed.poll(at(2'000)), 5, pages), at(2'001)));
+    }
+
+    void isolatedMemberIsLeft()
+    {
+        // The entry's control member is cut off from the quorum but still answers. It can't
+        // confirm, so the entry asks the next one after three seconds, well within its lease.
+        FeedReceiver feed({}, 3, 1);
+        for (int now = 0; now < 3'000; now += 1'000) {
+            const FeedRequest request = *feed.poll(at(now));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), request.member);
+            feed.onAnswer(answer(request, 0, {}, false), at(now + 10));
+        }
+        const FeedRequest next = *feed.poll(at(3'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), next.member);
+        feed.onRequestFailed(next.id);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), feed.poll(at(4'000))->member);
+    }
+
+    void staleAdmissionIsASetting()
+    {
+        FeedSettings settings;
+        settings.admitWhenStale = true;
+        FeedReceiver feed(settings, 1, 0);
+        CPPUNIT_ASSERT(!feed.admits(at(0))); // never had a table at all
+        feed.onAnswer(answer(*feed.poll(at(0)), 5, {page(0, 5)}), at(1));
+        CPPUNIT_ASSERT(feed.admits(at(60'000)) && !feed.isFresh(at(60'000)));
+    }
+
+    void trackerNamesWhoIsMissing()
+    {
+        EnforcementTracker tracker(std::chrono::seconds(8));
+        tracker.leaderStarted({state::VmId("vm-3")}, at(0));
+        tracker.onFeedRequest(state::VmId("vm-1"), 7, at(100));
+        tracker.onFeedRequest(state::VmId("vm-2"), 6, at(100));
+        const Enforcement result = tracker.enforcementOf(7, at(200));
+        const std::vector<state::VmId> missing{state::VmId("vm-2"), state::VmId("vm-3")};
+        CPPUNIT_ASSERT(result == (Enforcement{7, 1, 3, missing}));
+    }
+
+    void silentEntryIsNoLongerCounted()
+    {
+        // An entry dies with the old table. Until its lease has run out it might still admit, so
+        // the change is not in force everywhere before that, and is after.
+        EnforcementTracker tracker(std::chrono::seconds(8));
+        tracker.onFeedRequest(state::VmId("vm-1"), 6, at(0));
+        CPPUNIT_ASSERT(!tracker.enforcementOf(7, at(7'999)).everywhere());
+        CPPUNIT_ASSERT(tracker.enforcementOf(7, at(8'000)).everywhere());
+    }
+
+    void restartedEntryIsMissingAgain()
+    {
+        EnforcementTracker tracker(std::chrono::seconds(8));
+        tracker.onFeedRequest(state::VmId("vm-1"), 7, at(0));
+        tracker.onFeedRequest(state::VmId("vm-1"), 0, at(1'000));
+        CPPUNIT_ASSERT(!tracker.enforcementOf(7, at(1'001)).everywhere());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FeedTest);
+
+} // namespace lavenderthread::coordination::orders
