Policy: spread spans, split engines by demand, fair bound on engine queues

Cause: a span's ranges filled whole engines, so that shorter prompts found no memory beside them; the bound on engine queues was taken at each prompt's own priority and starved rows with longer prompts; backlog notes did not tell the length class, so that short requests were refused.

--- a/bench/policy-bench.cpp
+++ b/bench/policy-bench.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <cstdlib>
 #include <future>
 #include <iostream>
 #include <numeric>
@@ -28,6 +29,7 @@
     std::string scenario = "mix";
     std::vector<std::string> policies;
     std::vector<double> loads = {0.7};
+    std::vector<std::string> changes; // member=value
     std::uint64_t seed = 1;
     std::uint64_t seeds = 1;
     std::uint32_t seconds = 240;
@@ -160,11 +162,24 @@
             std::cerr << policy.error().describe() << "\n";
             return 2;
         }
+        coordination::routing::PolicySettings settings = policy.value();
+        for (const std::string &change : options.changes) {
+            const std::size_t equals = change.find('=');
+            const double value = equals == std::string::npos
+                                         ? 0
+                                         : std::strtod(change.c_str() + equals + 1, nullptr);
+            const auto changed = settings.with(change.substr(0, equals), value);
+            if (!changed) {
+                std::cerr << changed.error().describe() << "\n";
+                return 2;
+            }
+            settings = changed.value();
+        }
         for (const double load : options.loads) {
             RunPlan plan;
             plan.profile = profile.value();
             plan.scenario = scenario.value();
-            plan.policy = policy.value();
+            plan.policy = settings;
             plan.load = load;
             plan.length = std::chrono::seconds(options.seconds);
             print(options, name, load, runSeeds(plan, options));
@@ -186,6 +201,7 @@
                    "mix, backlog, engine-lost, third-lost, poor-reports, messages-lost");
     app.add_option("--policy", options.policies, "one or more names; 'all' for every one");
     app.add_option("--load", options.loads, "offered work over the fleet's capacity");
+    app.add_option("--set", options.changes, "member=value of the policy, for trials");
     app.add_option("--seed", options.seed, "first seed");
     app.add_option("--seeds", options.seeds, "number of seeds, merged");
     app.add_option("--seconds", options.seconds, "of arrivals");
--- a/src/coordination/admission/Dispatcher.cpp
+++ b/src/coordination/admission/Dispatcher.cpp
@@ -195,7 +195,8 @@
     BacklogNote note;
     note.entry = this->self;
     note.leastService = this->queue.leastService(this->now).value_or(0);
-    note.waitingTokens = this->queue.tokensUpTo(LengthClass::Huge);
+    for (std::size_t each = 0; each < lengthClasses; ++each)
+        note.waitingTokens[each] = this->queue.tokensUpTo(LengthClass(each));
     note.waitingWeight = this->queue.weightWaiting();
     this->actions.emplace_back(ShareBacklog{note});
 }
--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -78,7 +78,7 @@
     std::erase_if(this->peers,
                   [this](const auto &each) { return each.second.second <= this->now; });
     for (const auto &[peer, noted] : this->peers) {
-        if (noted.first.waitingTokens > 0 && (!least || noted.first.leastService < *least))
+        if (noted.first.waitingWeight > 0 && (!least || noted.first.leastService < *least))
             least = noted.first.leastService;
     }
     this->queue.setPeersLeast(least);
--- a/src/coordination/admission/DispatcherPlacing.cpp
+++ b/src/coordination/admission/DispatcherPlacing.cpp
@@ -83,7 +83,7 @@
     for (const auto &[peer, noted] : this->peers) {
         if (noted.second <= this->now)
             continue;
-        peerTokens += double(noted.first.waitingTokens);
+        peerTokens += double(noted.first.waitingTokens[std::size_t(lengthClass)]);
         weights += double(noted.first.waitingWeight);
     }
     const auto &watched = this->engines.watched(request.model);
@@ -144,12 +144,17 @@
     routing::ChoiceQuery query = this->queryOf(request, this->priorityOf(flight));
     query.avoid = flight.avoid;
     const std::optional<routing::Choice> choice = this->engines.choose(query, this->now);
+    if (!choice && request.promptTokens >= this->policy.spanFromTokens) {
+        // No engine has room for all of it, several together may.
+        flight.span = this->placeSpan(flight);
+        return flight.span;
+    }
     if (!choice)
         return false;
     // Room above this share of the queue is kept for rows that are behind, at this entry or at
     // another one. Without it a flow with many short requests takes each place that opens.
     const double limit = toSeconds(this->policy.engineQueueLimit) * leadingQueueShare;
-    if (leads && this->policy.holdInEntry && choice->prediction.aheadSeconds > limit)
+    if (leads && this->policy.holdInEntry && choice->prediction.queueSeconds > limit)
         return false;
     this->queue.remove(this->queuedOf(flight));
     const auto cached = std::uint32_t(choice->prediction.cachedTokens);
@@ -213,6 +218,8 @@
     if (request.promptTokens < firstPriorityTokens)
         return std::uint8_t(std::clamp(rowShift, 0, lastPriority));
     int priority = std::bit_width(request.promptTokens / firstPriorityTokens);
+    if (flight.span)
+        priority = std::min(priority, int(this->policy.spanPriority));
     const double ideal = std::max(this->idealSeconds(request), 0.001);
     const double waited = toSeconds(this->now - request.arrival);
     const double left = toSeconds(request.deadline - this->now);
--- a/src/coordination/admission/DispatcherSpans.cpp
+++ b/src/coordination/admission/DispatcherSpans.cpp
@@ -80,6 +80,7 @@
     // All or nothing: holding a part while waiting for the rest would starve other plans.
     this->giveBack(*flight);
     flight->plan = {};
+    flight->span = this->needsSpan(flight->request);
     flight->notBefore = this->now + this->policy.reservationRetry;
     this->enqueue(*flight, true);
     this->pump();
--- a/src/coordination/admission/Events.h
+++ b/src/coordination/admission/Events.h
@@ -2,11 +2,13 @@
 // translates its connections, timers and peers into events and carries the actions out in order.
 #pragma once
 
+#include "coordination/admission/FairQueue.h"
 #include "coordination/admission/Request.h"
 #include "coordination/routing/PrefixIndex.h"
 #include "coordination/routing/WorkNote.h"
 #include "state/Endpoint.h"
 
+#include <array>
 #include <string>
 #include <variant>
 #include <vector>
@@ -107,8 +109,8 @@
 struct BacklogNote
 {
     state::VmId entry;
-    double leastService = 0; // of its waiting rows, per weight
-    std::uint64_t waitingTokens = 0;
+    double leastService = 0;                                  // of its waiting rows, per weight
+    std::array<std::uint64_t, lengthClasses> waitingTokens{}; // in that class and shorter ones
     std::uint64_t waitingWeight = 0;
 
     auto operator<=>(const BacklogNote &) const = default;
@@ -116,7 +118,10 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->entry, this->leastService, this->waitingTokens, this->waitingWeight);
+        archive(this->entry, this->leastService);
+        for (std::uint64_t &tokens : this->waitingTokens)
+            archive(tokens);
+        archive(this->waitingWeight);
     }
 };
 
--- a/src/coordination/routing/Fleet.cpp
+++ b/src/coordination/routing/Fleet.cpp
@@ -144,7 +144,7 @@
         const state::FailureDomain &domain = view.description().failureDomain;
         const double transfer = toSeconds(this->hooks.transferTime(domain));
         const Prediction prediction = predict(view, query.prompt, this->policy, transfer);
-        if (limited && prediction.aheadSeconds > limit)
+        if (limited && prediction.queueSeconds > limit)
             continue;
         const bool avoided = !query.avoid.empty() && domain == query.avoid;
         const bool better = !best || (bestAvoided && !avoided)
@@ -243,7 +243,7 @@
     return this->split.longEngines(this->watched(model).size());
 }
 
-std::vector<state::EndpointId> Fleet::longPart(const state::ModelName &model) const
+std::vector<state::EndpointId> Fleet::spanEngines(const state::ModelName &model) const
 {
     const auto found = this->byModel.find(model);
     if (found == this->byModel.end())
--- a/src/coordination/routing/Fleet.h
+++ b/src/coordination/routing/Fleet.h
@@ -65,8 +65,8 @@
     // Engines of the model, first in the fleet-wide order, that take longer prompts; the rest is
     // for short ones.
     std::size_t longEngines(const state::ModelName &model) const;
-    // The watched engines that take longer prompts, all of them if engines aren't split.
-    std::vector<state::EndpointId> longPart(const state::ModelName &model) const;
+    // The watched engines that ranges of spans may use.
+    std::vector<state::EndpointId> spanEngines(const state::ModelName &model) const;
 
     bool anyEngineHolds(const state::ModelName &model, std::uint64_t tokens) const;
 
--- a/src/coordination/routing/PolicySettings.cpp
+++ b/src/coordination/routing/PolicySettings.cpp
@@ -67,10 +67,91 @@
             changed("no-split", [](PolicySettings &s) { s.splitEngines = false; }),
             changed("no-priorities", [](PolicySettings &s) { s.priorities = false; }),
             changed("no-hold", [](PolicySettings &s) { s.holdInEntry = false; }),
+            changed("late-spans", [](PolicySettings &s) { s.spanPriority = 9; }),
+            changed("early-spans", [](PolicySettings &s) { s.spanPriority = 1; }),
+            changed("no-wide-spans", [](PolicySettings &s) { s.spanFromTokens = 4'000'000; }),
+            changed("loose-fit", [](PolicySettings &s) { s.tightFitWeight = 0; }),
             changed("no-cache-events", [](PolicySettings &s) { s.useCacheEvents = false; }),
     };
 }
 
+state::Duration milliseconds(double value)
+{
+    return std::chrono::duration_cast<state::Duration>(
+            std::chrono::duration<double, std::milli>(value));
+}
+
+struct MemberSetter
+{
+    std::string_view name;
+    void (*set)(PolicySettings &, double);
+};
+
+const std::vector<MemberSetter> &memberSetters()
+{
+    static const std::vector<MemberSetter> setters = {
+            {"short_slowdown_weight",
+             [](PolicySettings &s, double v) { s.shortSlowdownWeight = v; }},
+            {"first_token_weight", [](PolicySettings &s, double v) { s.firstTokenWeight = v; }},
+            {"short_prompt_tokens",
+             [](PolicySettings &s, double v) { s.shortPromptTokens = std::uint32_t(v); }},
+            {"medium_prompt_tokens",
+             [](PolicySettings &s, double v) { s.mediumPromptTokens = std::uint32_t(v); }},
+            {"long_prompt_tokens",
+             [](PolicySettings &s, double v) { s.longPromptTokens = std::uint32_t(v); }},
+            {"watched_engines",
+             [](PolicySettings &s, double v) { s.watchedEngines = std::uint32_t(v); }},
+            {"sampled_engines",
+             [](PolicySettings &s, double v) { s.sampledEngines = std::uint32_t(v); }},
+            {"share_work", [](PolicySettings &s, double v) { s.shareWork = v != 0; }},
+            {"use_cache_events", [](PolicySettings &s, double v) { s.useCacheEvents = v != 0; }},
+            {"doubtful_trust", [](PolicySettings &s, double v) { s.doubtfulTrust = v; }},
+            {"prefix_block_tokens",
+             [](PolicySettings &s, double v) { s.prefixBlockTokens = std::uint32_t(v); }},
+            {"prefix_index_blocks",
+             [](PolicySettings &s, double v) { s.prefixIndexBlocks = std::uint32_t(v); }},
+            {"prefill_slows_decode", [](PolicySettings &s, double v) { s.prefillSlowsDecode = v; }},
+            {"engine_step_tokens",
+             [](PolicySettings &s, double v) { s.engineStepTokens = std::uint32_t(v); }},
+            {"report_slack_ms",
+             [](PolicySettings &s, double v) { s.reportSlack = milliseconds(v); }},
+            {"priorities", [](PolicySettings &s, double v) { s.priorities = v != 0; }},
+            {"slice_tokens", [](PolicySettings &s, double v) { s.sliceTokens = std::uint32_t(v); }},
+            {"split_engines", [](PolicySettings &s, double v) { s.splitEngines = v != 0; }},
+            {"hold_in_entry", [](PolicySettings &s, double v) { s.holdInEntry = v != 0; }},
+            {"engine_queue_limit_ms",
+             [](PolicySettings &s, double v) { s.engineQueueLimit = milliseconds(v); }},
+            {"fair_burst_tokens", [](PolicySettings &s, double v) { s.fairBurstTokens = v; }},
+            {"admit_by_deadline", [](PolicySettings &s, double v) { s.admitByDeadline = v != 0; }},
+            {"admission_margin", [](PolicySettings &s, double v) { s.admissionMargin = v; }},
+            {"expected_output_share",
+             [](PolicySettings &s, double v) { s.expectedOutputShare = v; }},
+            {"queued_requests_limit",
+             [](PolicySettings &s, double v) { s.queuedRequestsLimit = std::uint32_t(v); }},
+            {"retry_share", [](PolicySettings &s, double v) { s.retryShare = v; }},
+            {"retry_burst", [](PolicySettings &s, double v) { s.retryBurst = v; }},
+            {"attempts_limit",
+             [](PolicySettings &s, double v) { s.attemptsLimit = std::uint32_t(v); }},
+            {"span_memory_share", [](PolicySettings &s, double v) { s.spanMemoryShare = v; }},
+            {"span_part_share", [](PolicySettings &s, double v) { s.spanPartShare = v; }},
+            {"span_spare_share", [](PolicySettings &s, double v) { s.spanSpareShare = v; }},
+            {"span_part_tokens",
+             [](PolicySettings &s, double v) { s.spanPartTokens = std::uint32_t(v); }},
+            {"span_from_tokens",
+             [](PolicySettings &s, double v) { s.spanFromTokens = std::uint32_t(v); }},
+            {"tight_fit_weight", [](PolicySettings &s, double v) { s.tightFitWeight = v; }},
+            {"span_priority",
+             [](PolicySettings &s, double v) { s.spanPriority = std::uint32_t(v); }},
+            {"reservation_ttl_ms",
+             [](PolicySettings &s, double v) { s.reservationTtl = milliseconds(v); }},
+            {"reservation_retry_ms",
+             [](PolicySettings &s, double v) { s.reservationRetry = milliseconds(v); }},
+            {"backlog_share_life_ms",
+             [](PolicySettings &s, double v) { s.backlogShareLife = milliseconds(v); }},
+    };
+    return setters;
+}
+
 state::Error outOfRange(const char *member)
 {
     return state::makeError(state::ErrorCode::InvalidArgument, "policy.settings",
@@ -100,6 +181,19 @@
     return draft;
 }
 
+state::Result<PolicySettings> PolicySettings::with(std::string_view member, double value) const
+{
+    for (const MemberSetter &setter : memberSetters()) {
+        if (setter.name != member)
+            continue;
+        PolicySettings changed = *this;
+        setter.set(changed, value);
+        return changed;
+    }
+    return state::makeError(state::ErrorCode::NotFound, "policy.settings",
+                            "no such member: " + std::string(member));
+}
+
 state::Result<PolicySettings> PolicySettings::named(std::string_view name)
 {
     for (PolicySettings &settings : all()) {
--- a/src/coordination/routing/PolicySettings.h
+++ b/src/coordination/routing/PolicySettings.h
@@ -52,7 +52,8 @@
     bool splitEngines = true; // short and longer prompts on engines of their own, by demand
     bool holdInEntry = true;  // keep engine queues short, so that the order is decided here
     state::Duration engineQueueLimit = std::chrono::milliseconds(400); // work ahead of a new one
-    double fairBurstTokens = 400'000; // lead over its share that a flow of short work may take
+    std::uint8_t queuePriority = 3; // least priority at which longer prompts count that work
+    double fairBurstTokens = 5'000; // lead over its share that a flow of short work may take
 
     // Admission.
     bool admitByDeadline = true;
@@ -66,7 +67,13 @@
     std::uint32_t attemptsLimit = 4;
 
     // Prompts over one engine's memory.
-    double spanMemoryShare = 0.85; // of an engine's memory that one prompt may claim
+    double spanMemoryShare = 0.98;          // of an engine's memory that one prompt may claim
+    double spanPartShare = 0.4;             // of an engine's memory that one range takes at most
+    double spanSpareShare = 0.3;            // of an engine's memory that ranges leave free
+    std::uint32_t spanPartTokens = 50'000;  // least range; each range imports what precedes it
+    std::uint32_t spanFromTokens = 100'000; // such prompts may span when no engine has the room
+    double tightFitWeight = 0.2;    // cost of the memory that would stay free, as a share of all
+    std::uint32_t spanPriority = 4; // at most, once it holds the memory of several engines
     state::Duration reservationTtl = std::chrono::seconds(10);
     state::Duration reservationRetry = std::chrono::milliseconds(200);
 
@@ -77,6 +84,10 @@
     // Error: InvalidArgument, step "policy.settings", if a member is out of its range.
     static state::Result<PolicySettings> create(PolicySettings draft);
 
+    // A copy with one member changed, by its name in JSON (snake_case); durations are milliseconds
+    // with the suffix _ms, switches are 0 or 1. NotFound for a name that is none; no range check.
+    state::Result<PolicySettings> with(std::string_view member, double value) const;
+
     // A setting of the bench by its name; NotFound names the known ones.
     static state::Result<PolicySettings> named(std::string_view name);
     static std::vector<std::string> names();
--- a/src/coordination/routing/Prediction.cpp
+++ b/src/coordination/routing/Prediction.cpp
@@ -68,6 +68,12 @@
                      std::max(0.0, prompt.prefillTokens - 1.0));
     const double ownPrefill = engine.prefillSeconds(prompt.prefillTokens - result.cachedTokens);
     result.aheadSeconds = engine.secondsAhead(prompt.priority);
+    // Were the bound on engine queues taken at each prompt's own priority, the longer ones of the
+    // medium prompts would find every queue full, and rows that send them would lose their share.
+    const bool isShort = prompt.promptTokens < policy.shortPromptTokens;
+    result.queueSeconds =
+            isShort ? result.aheadSeconds
+                    : engine.secondsAhead(std::max(prompt.priority, policy.queuePriority));
     result.firstTokenSeconds = 2 * transferSeconds + runningStepSeconds(engine, policy)
                                + result.aheadSeconds + ownPrefill;
 
@@ -79,10 +85,14 @@
     result.cost = policy.firstTokenWeight * result.firstTokenSeconds
                           / idealFirstTokenSeconds(engine, prompt.promptTokens)
                   + inflictedCost(engine, prompt, ownPrefill, policy);
-    if (prompt.promptTokens < policy.shortPromptTokens) {
+    if (isShort) {
         const double alone = aloneSeconds(engine, prompt.promptTokens, prompt.outputTokens);
         result.cost += policy.shortSlowdownWeight * (result.completionSeconds - alone) / alone;
     }
+    // Large holes are kept for large prompts: memory runs out before time does.
+    const double spare = double(engine.freeTokens()) - prompt.promptTokens;
+    const double capacity = std::max(1.0, double(engine.description().kvCapacityTokens));
+    result.cost += policy.tightFitWeight * std::max(0.0, spare) / capacity;
     return result;
 }
 
--- a/src/coordination/routing/Prediction.h
+++ b/src/coordination/routing/Prediction.h
@@ -24,6 +24,7 @@
 {
     double cachedTokens = 0;
     double aheadSeconds = 0;      // prefill that goes before it
+    double queueSeconds = 0;      // the same, but alike for all medium prompts
     double firstTokenSeconds = 0; // from now
     double completionSeconds = 0; // from now
     double cost = 0;              // weighted sum of normalised delays, own and inflicted
--- a/src/coordination/routing/SpanPlan.cpp
+++ b/src/coordination/routing/SpanPlan.cpp
@@ -1,7 +1,7 @@
 #include "coordination/routing/SpanPlan.h"
 
 #include <algorithm>
-#include <cmath>
+#include <functional>
 #include <utility>
 
 namespace lavenderthread::coordination::routing {
@@ -22,14 +22,19 @@
                                const PolicySettings &policy, state::Instant now)
 {
     std::vector<Room> rooms;
-    for (const state::EndpointId &id : fleet.longPart(model)) {
+    for (const state::EndpointId &id : fleet.spanEngines(model)) {
         EngineView *view = fleet.find(id);
         if (view->draining || plan.uses(id))
             continue;
         view->advance(now);
-        const auto share = std::uint64_t(double(view->description().kvCapacityTokens)
-                                         * policy.spanMemoryShare);
-        rooms.push_back({view->prefillSecondsLeft(), std::min(share, view->freeTokens()), id});
+        // Ranges wait for their turn, and their engines work for others meanwhile: what they need
+        // stays free.
+        const auto capacity = double(view->description().kvCapacityTokens);
+        const auto most = std::uint64_t(capacity * policy.spanPartShare);
+        const auto spare = std::uint64_t(capacity * policy.spanSpareShare);
+        const std::uint64_t free = view->freeTokens();
+        rooms.push_back(
+                {view->prefillSecondsLeft(), std::min(most, free > spare ? free - spare : 0), id});
     }
     std::ranges::sort(rooms);
     return rooms;
@@ -67,27 +72,21 @@
                                  std::uint32_t promptTokens, std::uint32_t outputTokens,
                                  const PolicySettings &policy, state::Instant now)
 {
-    const std::vector<Room> rooms = roomyEngines(fleet, model, {}, policy, now);
-    std::uint64_t largest = 0;
-    for (const Room &room : rooms)
-        largest = std::max(largest, room.tokens);
-    if (largest == 0)
-        return std::nullopt;
-    const std::uint64_t total = std::uint64_t(promptTokens) + outputTokens;
-    // Equal ranges on as few engines as hold them; a range more for each round that fails.
-    for (std::uint64_t count = (total + largest - 1) / largest; count <= rooms.size(); ++count) {
-        const std::uint64_t each = (total + count - 1) / count;
-        SpanPlan plan;
-        std::uint64_t from = 0;
-        for (const Room &room : rooms) {
-            if (from >= promptTokens || room.tokens < each)
-                continue;
-            const std::uint64_t to = std::min<std::uint64_t>(from + each, promptTokens);
-            plan.parts.push_back({room.engine, std::uint32_t(from), std::uint32_t(to),
-                                  std::uint32_t(from), false});
-            from = to;
-        }
-        if (from >= promptTokens)
+    std::vector<Room> rooms = roomyEngines(fleet, model, {}, policy, now);
+    std::erase_if(rooms, [&](const Room &room) { return room.tokens < policy.spanPartTokens; });
+    // Few and large ranges: each range imports all that stands before it.
+    std::ranges::stable_sort(rooms, std::greater<>(), &Room::tokens);
+    SpanPlan plan;
+    std::uint64_t from = 0;
+    for (const Room &room : rooms) {
+        const std::uint64_t left = promptTokens - from;
+        const bool last = room.tokens >= left + outputTokens;
+        // The last range keeps room for the output; a range of nothing but output is no range.
+        const std::uint64_t taken = last ? left : std::min<std::uint64_t>(room.tokens, left - 1);
+        plan.parts.push_back({room.engine, std::uint32_t(from), std::uint32_t(from + taken),
+                              std::uint32_t(from), false});
+        from += taken;
+        if (last)
             return plan;
     }
     return std::nullopt;
--- a/src/coordination/routing/SpanPlan.h
+++ b/src/coordination/routing/SpanPlan.h
@@ -39,7 +39,7 @@
     bool uses(const state::EndpointId &engine) const;
 };
 
-// Splits the prompt over as few engines as hold it, the emptiest first. The last part's engine also
+// Splits the prompt over as few engines as hold it, the roomiest first. The last part's engine also
 // decodes and has room for the output. Nothing if the watched engines can't hold it now.
 std::optional<SpanPlan> planSpan(Fleet &fleet, const state::ModelName &model,
                                  std::uint32_t promptTokens, std::uint32_t outputTokens,
