--- a/src/coordination/endpoints/EndpointRecord.h
+++ b/src/coordination/endpoints/EndpointRecord.h
@@ -25,7 +25,6 @@
     state::log::LogPosition position; // the order's; a higher one wins
     bool draining = false;
 
-    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 errs on a defaulted <=>
     auto operator<=>(const DrainMark &) const = default;
 };
 
--- a/src/coordination/membership/NewsQueue.h
+++ b/src/coordination/membership/NewsQueue.h
@@ -19,7 +19,6 @@
     NewsSubject subject = NewsSubject::Member;
     std::string id;
 
-    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 errs on a defaulted <=>
     auto operator<=>(const NewsKey &) const = default;
 };
 
