--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -91,12 +91,13 @@
 
 # Waits until entry N knows COUNT endpoints; gives up after ten seconds.
 await_endpoints() { # await_endpoints N COUNT
-    local tries
+    local tries seen
     for tries in $(seq 1 100); do
-        "$node" status --entry "$(entry_address "$1")" 2>/dev/null | grep -q "endpoints=$2\$" && return 0
+        seen=$("$node" status --entry "$(entry_address "$1")" 2>/dev/null)
+        [[ "$seen" == *" endpoints=$2" ]] && return 0
         sleep 0.1
     done
-    echo "entry $1 did not come to know $2 endpoints" >&2
+    echo "entry $1 did not come to know $2 endpoints after $tries tries: $seen" >&2
     return 1
 }
 
@@ -107,3 +108,10 @@
     rm -rf "$work"
 }
 trap end_fleet EXIT
+
+# The entries' addresses, beginning with another one for each FIRST, so that endpoints spread.
+rotated_entries() { # rotated_entries TOTAL FIRST
+    local i list=""
+    for i in $(seq 0 $(($1 - 1))); do list+="${list:+,}$(entry_address $((($2 + i - 1) % $1 + 1)))"; done
+    echo "$list"
+}
--- /dev/null
+++ b/src/program/Cluster.cpp
@@ -0,0 +1,240 @@
+// Wiring of membership, directory and the news between entries.
+#include "program/Cluster.h"
+
+#include "program/Clock.h"
+#include "program/Log.h"
+#include "transport/Await.h"
+
+#include <xxhash.h>
+
+namespace lavenderthread::program {
+
+namespace asio = boost::asio;
+namespace membership_ = coordination::membership;
+
+namespace {
+
+// News wait this long so that several share a datagram; well under the lag of load reports.
+constexpr std::chrono::milliseconds newsBatchTime{5};
+constexpr std::size_t longestNewsQueue = 4'096;
+
+MembershipServiceSettings membershipSettings(const Settings &settings)
+{
+    MembershipServiceSettings chosen;
+    chosen.gossip.cluster = settings.clusterName;
+    chosen.gossip.self = settings.vm;
+    chosen.gossip.incarnation = static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
+    chosen.gossip.description.caller = settings.entry.listen;
+    chosen.gossip.description.control = settings.controlListen.value_or(state::Address{});
+    chosen.gossip.description.gossip = *settings.gossipListen;
+    chosen.gossip.description.failureDomain = settings.failureDomain;
+    chosen.gossip.description.region = settings.region;
+    chosen.gossip.seeds = settings.seeds;
+    chosen.gossip.randomSeed = XXH3_64bits(settings.vm.value().data(), settings.vm.value().size())
+                               ^ chosen.gossip.incarnation;
+    chosen.keys = settings.keys;
+    chosen.listen = *settings.gossipListen;
+    chosen.endpointLife.renewAfter = settings.endpoint.renew;
+    chosen.endpointLife.expiresAfter = settings.endpoint.expire;
+    return chosen;
+}
+
+} // namespace
+
+Cluster::Cluster(const Settings &settings, asio::io_context &context,
+                 std::shared_ptr<EndpointRegistry> registry, Hooks hooks,
+                 coordination::directory::Directory directory)
+    : settings(settings)
+    , registry(std::move(registry))
+    , hooks(std::move(hooks))
+    , chooser(std::move(directory))
+    , strand(asio::make_strand(context))
+    , flushTimer(this->strand)
+{}
+
+state::Result<std::shared_ptr<Cluster>> Cluster::create(const Settings &settings,
+                                                        asio::io_context &context,
+                                                        std::shared_ptr<EndpointRegistry> registry,
+                                                        Hooks hooks)
+{
+    coordination::directory::DirectorySettings directorySettings;
+    directorySettings.timeToLive = settings.entry.directoryTtl;
+    BOOST_OUTCOME_TRY(coordination::directory::Directory directory,
+                      coordination::directory::Directory::create(directorySettings));
+    std::shared_ptr<Cluster> cluster(new Cluster(settings, context, std::move(registry),
+                                                 std::move(hooks), std::move(directory)));
+    if (settings.gossipListen) {
+        BOOST_OUTCOME_TRY(cluster->join(context));
+    }
+    return cluster;
+}
+
+state::Result<void> Cluster::join(asio::io_context &context)
+{
+    // The service's hooks run for as long as it does; Node keeps both until the threads have ended.
+    MembershipService::Hooks serviceHooks;
+    serviceHooks.changed = [this](const MembershipView &view) { this->viewChanged(view); };
+    serviceHooks.loadArrived = this->hooks.loadArrived;
+    serviceHooks.superseded = this->hooks.superseded;
+    serviceHooks.refused = [](const state::Error &error) { logError("gossip.refused", error); };
+    BOOST_OUTCOME_TRY(this->membership,
+                      MembershipService::create(membershipSettings(this->settings), context,
+                                                std::move(serviceHooks)));
+    // The same port as the entry's, over UDP: peers know it without another setting.
+    BOOST_OUTCOME_TRY(this->newsSocket,
+                      transport::GossipSocket::create(
+                              this->strand, this->settings.entry.listen,
+                              [this](std::string_view datagram, const state::Address &) {
+                                  this->newsDatagram(datagram);
+                              }));
+    return state::outcome::success();
+}
+
+void Cluster::start()
+{
+    if (!this->membership)
+        return;
+    this->membership->start();
+    asio::post(this->strand, [self = this->shared_from_this()] { self->newsSocket->start(); });
+}
+
+void Cluster::stop()
+{
+    if (!this->membership)
+        return;
+    this->membership->stop();
+    asio::post(this->strand, [self = this->shared_from_this()] { self->newsSocket->close(); });
+}
+
+void Cluster::setPhase(membership_::MemberPhase phase, bool ready, std::uint64_t tableVersion)
+{
+    if (!this->membership)
+        return;
+    membership_::SelfState self;
+    self.phase = phase;
+    self.ready = ready;
+    self.tableVersion = tableVersion;
+    this->membership->setSelf(self);
+}
+
+DirectoryAnswer Cluster::directory(const state::ClientAccountId &account) const
+{
+    if (!this->membership)
+        return {{this->settings.entry.listen}, this->settings.entry.directoryTtl};
+    const auto view = this->membership->view();
+    coordination::directory::DirectoryRequest request;
+    request.account = account;
+    request.callerFailureDomain = this->settings.failureDomain;
+    request.requiredTableVersion = view->requiredTableVersion;
+    const auto answer = this->chooser.answer(request, *view->members);
+    return {answer.addresses, std::chrono::ceil<std::chrono::milliseconds>(answer.timeToLive)};
+}
+
+asio::awaitable<state::Result<AnnounceAnswer>>
+Cluster::announce(state::EndpointDescription endpoint)
+{
+    if (!this->membership) {
+        const auto accepted = this->registry->announce(endpoint, monotonicNow());
+        if (!accepted)
+            co_return accepted.error();
+        this->hooks.endpointsChanged();
+        AnnounceAnswer alone{this->settings.endpoint.renew, this->settings.endpoint.expire,
+                             this->settings.entry.listen};
+        co_return alone;
+    }
+    std::function<void(MembershipService::AnnounceHandler)> start =
+            [service = this->membership, endpoint](MembershipService::AnnounceHandler done) {
+                service->announce(endpoint, std::move(done));
+            };
+    co_return co_await transport::awaitCallback<state::Result<AnnounceAnswer>>(std::move(start));
+}
+
+void Cluster::leave(const state::EndpointId &endpoint, std::uint64_t incarnation)
+{
+    if (this->membership)
+        this->membership->leave(endpoint, incarnation);
+    else if (this->registry->leave(endpoint, incarnation))
+        this->hooks.endpointsChanged();
+}
+
+void Cluster::reportLoad(const state::LoadReport &report)
+{
+    if (this->membership)
+        this->membership->reportLoad(report);
+}
+
+void Cluster::markDrain(const state::EndpointId &endpoint, state::log::LogPosition position,
+                        bool draining)
+{
+    if (this->membership)
+        this->membership->markDrain(endpoint, {position, draining});
+    else if (this->registry->setDraining(endpoint, draining))
+        this->hooks.endpointsChanged();
+}
+
+void Cluster::viewChanged(const MembershipView &view)
+{
+    EndpointTable table;
+    for (const EndpointState &endpoint : view.endpoints->endpoints) {
+        using coordination::endpoints::EndpointPhase;
+        const auto &record = endpoint.record;
+        if (record.description == nullptr || record.phase == EndpointPhase::Expired
+            || record.phase == EndpointPhase::Left)
+            continue;
+        table.endpoints[record.id] = RegisteredEndpoint{*record.description, !record.isUsable()};
+    }
+    if (this->registry->assign(std::move(table)))
+        this->hooks.endpointsChanged();
+}
+
+void Cluster::share(protocol::PeerNews news)
+{
+    if (!this->membership)
+        return;
+    asio::post(this->strand, [self = this->shared_from_this(), news = std::move(news)]() mutable {
+        // A burst above this is dropped: the news are late by then, and reports correct the view.
+        if (self->pendingNews.size() < longestNewsQueue)
+            self->pendingNews.push_back(std::move(news));
+        self->armFlush();
+    });
+}
+
+void Cluster::armFlush()
+{
+    if (this->flushArmed)
+        return;
+    this->flushArmed = true;
+    this->flushTimer.expires_after(newsBatchTime);
+    this->flushTimer.async_wait([self = this->shared_from_this()](const auto &problem) {
+        self->flushArmed = false;
+        if (!problem)
+            self->flush();
+    });
+}
+
+void Cluster::flush()
+{
+    const auto datagrams =
+            protocol::sealPeerNews(this->settings.keys, std::exchange(this->pendingNews, {}));
+    const auto view = this->membership->view();
+    for (const auto &[id, member] : view->members->entries()) {
+        if (id == this->settings.vm || !member.record.isLive()
+            || member.record.description == nullptr)
+            continue;
+        for (const std::string &datagram : datagrams)
+            this->newsSocket->send(member.record.description->caller, datagram);
+    }
+}
+
+void Cluster::newsDatagram(std::string_view datagram)
+{
+    const auto news = protocol::unsealPeerNews(this->settings.keys, datagram);
+    if (!news) {
+        logError("news.refused", news.error());
+        return;
+    }
+    for (const protocol::PeerNews &each : news.value())
+        this->hooks.newsArrived(each);
+}
+
+} // namespace lavenderthread::program
--- /dev/null
+++ b/src/program/Cluster.h
@@ -0,0 +1,82 @@
+// This entry among the others: membership, the directory answer, endpoint announcements and the
+// news of work between entries. Without a gossip address the node stands alone.
+#pragma once
+
+#include "coordination/directory/Directory.h"
+#include "program/EndpointRegistry.h"
+#include "program/Entry.h"
+#include "program/MembershipService.h"
+#include "program/Settings.h"
+#include "protocol/PeerNews.h"
+#include "transport/GossipSocket.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace lavenderthread::program {
+
+class Cluster : public std::enable_shared_from_this<Cluster>
+{
+public:
+    struct Hooks
+    {
+        std::function<void()> endpointsChanged; // the registry has a new table
+        std::function<void(const state::LoadReport &)> loadArrived;
+        std::function<void(const protocol::PeerNews &)> newsArrived;
+        std::function<void()> superseded; // another process runs under this id
+    };
+
+    // Errors: Unavailable, steps "gossip.bind".
+    static state::Result<std::shared_ptr<Cluster>>
+    create(const Settings &settings, boost::asio::io_context &context,
+           std::shared_ptr<EndpointRegistry> registry, Hooks hooks);
+
+    void start();
+    void stop();
+    // What the others are told of this entry. Any thread.
+    void setPhase(coordination::membership::MemberPhase phase, bool ready,
+                  std::uint64_t tableVersion);
+
+    DirectoryAnswer directory(const state::ClientAccountId &account) const;
+    boost::asio::awaitable<state::Result<AnnounceAnswer>>
+    announce(state::EndpointDescription endpoint);
+    void leave(const state::EndpointId &endpoint, std::uint64_t incarnation);
+    void reportLoad(const state::LoadReport &report);
+    void markDrain(const state::EndpointId &endpoint, state::log::LogPosition position,
+                   bool draining);
+    void share(protocol::PeerNews news);
+
+    std::shared_ptr<MembershipService> service() const { return this->membership; }
+
+private:
+    using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
+
+    Cluster(const Settings &settings, boost::asio::io_context &context,
+            std::shared_ptr<EndpointRegistry> registry, Hooks hooks,
+            coordination::directory::Directory directory);
+
+    state::Result<void> join(boost::asio::io_context &context);
+    void viewChanged(const MembershipView &view);
+    void newsDatagram(std::string_view datagram);
+    void armFlush();
+    void flush();
+
+    const Settings &settings;
+    std::shared_ptr<EndpointRegistry> registry;
+    Hooks hooks;
+    coordination::directory::Directory chooser;
+    std::shared_ptr<MembershipService> membership; // null if the node stands alone
+    Strand strand;
+    boost::asio::steady_timer flushTimer;
+    std::shared_ptr<transport::GossipSocket> newsSocket;
+    std::vector<protocol::PeerNews> pendingNews; // on the strand
+    bool flushArmed = false;
+};
+
+} // namespace lavenderthread::program
--- a/src/program/EndpointRegistry.cpp
+++ b/src/program/EndpointRegistry.cpp
@@ -63,6 +63,16 @@
     return true;
 }
 
+bool EndpointRegistry::assign(EndpointTable table)
+{
+    const std::lock_guard lock(this->writers);
+    if (this->current == table)
+        return false;
+    this->current = std::move(table);
+    this->publish();
+    return true;
+}
+
 std::vector<state::EndpointId> EndpointRegistry::expire(state::Instant now)
 {
     const std::lock_guard lock(this->writers);
--- a/src/program/EndpointRegistry.h
+++ b/src/program/EndpointRegistry.h
@@ -24,6 +24,8 @@
 {
     std::map<state::EndpointId, RegisteredEndpoint> endpoints;
 
+    bool operator==(const EndpointTable &) const = default;
+
     // The endpoint if it is alive under that incarnation.
     const RegisteredEndpoint *find(const state::EndpointId &id, std::uint64_t incarnation) const;
 };
@@ -40,6 +42,8 @@
     // False if the endpoint is not known under that incarnation.
     bool leave(const state::EndpointId &id, std::uint64_t incarnation);
     bool setDraining(const state::EndpointId &id, bool draining);
+    // Takes over the whole table as membership knows it; true if it differs from the one before.
+    bool assign(EndpointTable table);
     // Drops endpoints that have not renewed in time; gives those dropped.
     std::vector<state::EndpointId> expire(state::Instant now);
 
--- a/src/program/Entry.cpp
+++ b/src/program/Entry.cpp
@@ -196,7 +196,7 @@
     if (request.method != "POST")
         answer = simpleProblem(405, "method-not-allowed", "use POST");
     else if (path == "announce")
-        answer = this->announce(request);
+        answer = co_await this->announce(request);
     else if (slash == std::string_view::npos)
         answer = simpleProblem(404, "not-found", "no such path");
     else
@@ -205,18 +205,23 @@
     co_await exchange.respond(std::move(answer));
 }
 
-protocol::HttpResponse Entry::announce(const protocol::HttpRequest &request)
+asio::awaitable<protocol::HttpResponse> Entry::announce(const protocol::HttpRequest &request)
 {
     const auto endpoint = protocol::parseAnnouncement(request.body);
     if (!endpoint)
-        return toResponse(invalidRequest(endpoint.error()));
-    const auto accepted = this->registry->announce(endpoint.value(), monotonicNow());
+        co_return toResponse(invalidRequest(endpoint.error()));
+    const auto accepted = co_await this->hooks.announce(endpoint.value());
+    if (!accepted && accepted.error().code == state::ErrorCode::Conflict)
+        co_return simpleProblem(409, "old-incarnation", accepted.error().cause);
     if (!accepted)
-        return simpleProblem(409, "old-incarnation", accepted.error().cause);
-    this->hooks.announced(endpoint.value());
-    return jsonAnswer(200, {{"renew_after_ms", this->settings.endpoint.renew.count()},
-                            {"expires_after_ms", this->settings.endpoint.expire.count()},
-                            {"owner", this->address().toString()}});
+        co_return toResponse(invalidRequest(accepted.error()));
+    const AnnounceAnswer &answer = accepted.value();
+    const auto toMilliseconds = [](state::Duration time) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    };
+    co_return jsonAnswer(200, {{"renew_after_ms", toMilliseconds(answer.renewAfter)},
+                               {"expires_after_ms", toMilliseconds(answer.expiresAfter)},
+                               {"owner", answer.owner.toString()}});
 }
 
 protocol::HttpResponse Entry::endpointNews(const protocol::HttpRequest &request,
@@ -246,7 +251,7 @@
         if (this->registry->table()->find(id, batch.value().incarnation) == nullptr)
             return unknown();
         this->hooks.cacheChanged(id, batch.value());
-    } else if (this->registry->leave(id, batch.value().incarnation)) {
+    } else {
         this->hooks.left(id, batch.value().incarnation);
     }
     return noContent;
--- a/src/program/Entry.h
+++ b/src/program/Entry.h
@@ -4,6 +4,7 @@
 
 #include "program/CompletionRelay.h"
 #include "program/EndpointRegistry.h"
+#include "program/MembershipService.h"
 #include "program/ServiceRelay.h"
 #include "program/Settings.h"
 #include "protocol/EndpointJson.h"
@@ -45,7 +46,9 @@
         ClaimGate claims;
         std::function<DirectoryAnswer(const state::ClientAccountId &)> directory;
         // An endpoint's news came in here; it is to be passed on to the other entries.
-        std::function<void(const state::EndpointDescription &)> announced;
+        std::function<boost::asio::awaitable<state::Result<AnnounceAnswer>>(
+                state::EndpointDescription)>
+                announce;
         std::function<void(const state::EndpointId &, std::uint64_t incarnation)> left;
         std::function<void(const state::LoadReport &)> loadReported;
         std::function<void(const state::EndpointId &, const protocol::CacheEventBatch &)>
@@ -79,7 +82,7 @@
                                             const AccountSetting &account);
     boost::asio::awaitable<void> handleEndpointCall(transport::HttpExchange &exchange,
                                                     std::string_view path);
-    protocol::HttpResponse announce(const protocol::HttpRequest &request);
+    boost::asio::awaitable<protocol::HttpResponse> announce(const protocol::HttpRequest &request);
     protocol::HttpResponse endpointNews(const protocol::HttpRequest &request,
                                         const state::EndpointId &id, std::string_view call);
     protocol::HttpResponse directoryAnswer(const protocol::HttpRequest &request) const;
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -2,6 +2,7 @@
 #include "program/Node.h"
 
 #include "program/Clock.h"
+#include "program/Cluster.h"
 #include "program/DispatcherScheduler.h"
 #include "program/Entry.h"
 #include "program/Log.h"
@@ -20,12 +21,15 @@
 namespace lavenderthread::program {
 
 namespace asio = boost::asio;
+using coordination::membership::MemberPhase;
 using std::chrono::milliseconds;
 
 namespace {
 
 constexpr milliseconds expiryCheckInterval{200};
 constexpr milliseconds drainCheckInterval{20};
+// The farewell goes out and answers just written leave the sockets before the process does.
+constexpr milliseconds farewellTime{300};
 
 asio::awaitable<void> pause(milliseconds time)
 {
@@ -60,16 +64,27 @@
               {"total_us", std::int64_t(outcome.total.count())}});
 }
 
-coordination::admission::CacheReported toCacheReported(const state::EndpointId &id,
-                                                       const protocol::CacheEventBatch &batch)
+coordination::admission::Event toEvent(const coordination::routing::WorkNote &note)
+{
+    return coordination::admission::PeerWorkNoted{note};
+}
+
+coordination::admission::Event toEvent(const coordination::admission::BacklogNote &note)
+{
+    return coordination::admission::PeerBacklogNoted{note};
+}
+
+coordination::admission::Event toEvent(const protocol::CacheNews &news)
 {
     using coordination::routing::CacheOperation;
-    coordination::admission::CacheReported reported{id, batch.incarnation, batch.firstSequence, {}};
-    for (const protocol::CacheEvent &event : batch.events) {
-        const CacheOperation operation =
-                event.kind == protocol::CacheEvent::Kind::Stored    ? CacheOperation::Stored
-                : event.kind == protocol::CacheEvent::Kind::Evicted ? CacheOperation::Evicted
-                                                                    : CacheOperation::Cleared;
+    using Kind = protocol::CacheEvent::Kind;
+    coordination::admission::CacheReported reported{
+            news.endpoint, news.batch.incarnation, news.batch.firstSequence, {}};
+    for (const protocol::CacheEvent &event : news.batch.events) {
+        CacheOperation operation = CacheOperation::Cleared;
+        if (event.kind != Kind::Cleared)
+            operation =
+                    event.kind == Kind::Stored ? CacheOperation::Stored : CacheOperation::Evicted;
         reported.events.push_back({operation, event.block});
     }
     return reported;
@@ -86,36 +101,17 @@
 
     state::Result<void> start()
     {
-        Entry::Hooks hooks;
-        coordination::routing::PolicySettings policy;
-        policy.prefixBlockTokens = protocol::prefixBlockTokens;
-        this->policy = DispatcherScheduler::create(this->context, this->settings, policy,
-                                                   this->registry, {});
-        hooks.scheduler = this->policy->scheduler();
-        hooks.claims = makeLocalClaims();
-        hooks.directory = [this](const state::ClientAccountId &) {
-            return DirectoryAnswer{{this->settings.entry.listen},
-                                   this->settings.entry.directoryTtl};
-        };
-        hooks.announced = [this](const state::EndpointDescription &) {
-            this->policy->refreshEndpoints();
-        };
-        hooks.left = [this](const state::EndpointId &, std::uint64_t) {
-            this->policy->refreshEndpoints();
-        };
-        hooks.loadReported = [this](const state::LoadReport &report) {
-            this->policy->post(coordination::admission::LoadReported{report});
-        };
-        hooks.cacheChanged = [this](const state::EndpointId &id,
-                                    const protocol::CacheEventBatch &batch) {
-            this->policy->post(toCacheReported(id, batch));
-        };
-        hooks.completionFinished = logCompletion;
-        hooks.serviceFinished = logService;
+        BOOST_OUTCOME_TRY(this->cluster, Cluster::create(this->settings, this->context,
+                                                         this->registry, this->clusterHooks()));
+        this->policy = DispatcherScheduler::create(this->context, this->settings, policySettings(),
+                                                   this->registry, this->policyHooks());
         BOOST_OUTCOME_TRY(this->entry, Entry::create(this->settings, this->context, this->registry,
-                                                     std::move(hooks)));
+                                                     this->entryHooks()));
         this->entry->start();
-        asio::co_spawn(this->context, this->expireLoop(), asio::detached);
+        this->cluster->start();
+        this->cluster->setPhase(MemberPhase::Serving, true, 0);
+        if (!this->settings.gossipListen)
+            asio::co_spawn(this->context, this->expireLoop(), asio::detached);
         asio::co_spawn(this->context, this->leaveOnSignal(), asio::detached);
         return state::outcome::success();
     }
@@ -131,6 +127,70 @@
     }
 
 private:
+    static coordination::routing::PolicySettings policySettings()
+    {
+        coordination::routing::PolicySettings policy;
+        policy.prefixBlockTokens = protocol::prefixBlockTokens;
+        return policy;
+    }
+
+    Cluster::Hooks clusterHooks()
+    {
+        Cluster::Hooks hooks;
+        hooks.endpointsChanged = [this] { this->policy->refreshEndpoints(); };
+        hooks.loadArrived = [this](const state::LoadReport &report) {
+            this->policy->post(coordination::admission::LoadReported{report});
+        };
+        hooks.newsArrived = [this](const protocol::PeerNews &news) {
+            this->policy->post(std::visit([](const auto &each) { return toEvent(each); }, news));
+        };
+        hooks.superseded = [this] {
+            logEvent(LogLevel::Error, "node.superseded", {{"vm", this->settings.vm.value()}});
+            this->context.stop();
+        };
+        return hooks;
+    }
+
+    DispatcherScheduler::Hooks policyHooks()
+    {
+        DispatcherScheduler::Hooks hooks;
+        hooks.shareWork = [this](const coordination::routing::WorkNote &note) {
+            this->cluster->share(note);
+        };
+        hooks.shareBacklog = [this](const coordination::admission::BacklogNote &note) {
+            this->cluster->share(note);
+        };
+        return hooks;
+    }
+
+    Entry::Hooks entryHooks()
+    {
+        Entry::Hooks hooks;
+        hooks.scheduler = this->policy->scheduler();
+        hooks.claims = makeLocalClaims();
+        hooks.directory = [this](const state::ClientAccountId &account) {
+            return this->cluster->directory(account);
+        };
+        hooks.announce = [this](state::EndpointDescription endpoint) {
+            return this->cluster->announce(std::move(endpoint));
+        };
+        hooks.left = [this](const state::EndpointId &id, std::uint64_t incarnation) {
+            this->cluster->leave(id, incarnation);
+        };
+        hooks.loadReported = [this](const state::LoadReport &report) {
+            this->policy->post(coordination::admission::LoadReported{report});
+            this->cluster->reportLoad(report);
+        };
+        hooks.cacheChanged = [this](const state::EndpointId &id,
+                                    const protocol::CacheEventBatch &batch) {
+            this->policy->post(toEvent(protocol::CacheNews{id, batch}));
+            this->cluster->share(protocol::CacheNews{id, batch});
+        };
+        hooks.completionFinished = logCompletion;
+        hooks.serviceFinished = logService;
+        return hooks;
+    }
+
     asio::awaitable<void> expireLoop()
     {
         while (true) {
@@ -150,22 +210,25 @@
         // An operator who signals twice does not want to wait.
         signals.async_wait([this](auto, auto) { this->context.stop(); });
         this->entry->enter(EntryPhase::Leaving);
+        this->cluster->setPhase(MemberPhase::Leaving, false, 0);
         co_await pause(this->settings.entry.shutdownGrace);
         this->entry->enter(EntryPhase::Refusing);
         const state::Instant limit = monotonicNow() + this->settings.entry.shutdownLimit;
         while (this->entry->inFlight() > 0 && monotonicNow() < limit)
             co_await pause(drainCheckInterval);
         this->entry->stopAccepting();
-        // Answers that were just written leave the sockets before the process does.
-        co_await pause(drainCheckInterval);
+        this->cluster->setPhase(MemberPhase::Left, false, 0);
+        co_await pause(farewellTime);
         logEvent(LogLevel::Info, "node.stopped",
                  {{"in_flight", std::uint64_t(this->entry->inFlight())}});
+        this->cluster->stop();
         this->context.stop();
     }
 
     const Settings &settings;
     asio::io_context context;
     std::shared_ptr<EndpointRegistry> registry;
+    std::shared_ptr<Cluster> cluster;
     std::shared_ptr<DispatcherScheduler> policy;
     std::shared_ptr<Entry> entry;
 };
--- a/src/protocol/EndpointJson.h
+++ b/src/protocol/EndpointJson.h
@@ -17,6 +17,12 @@
     std::uint64_t block = 0;
 
     auto operator<=>(const CacheEvent &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->kind, this->block);
+    }
 };
 
 // Events number firstSequence, firstSequence + 1, … of one incarnation; gaps happen.
@@ -27,6 +33,12 @@
     std::vector<CacheEvent> events;
 
     auto operator<=>(const CacheEventBatch &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->incarnation, this->firstSequence, this->events);
+    }
 };
 
 // All fail with InvalidArgument; the step names the call, the cause the member.
