--- a/src/coordination/orders/OrderPlanner.cpp
+++ b/src/coordination/orders/OrderPlanner.cpp
@@ -157,15 +157,15 @@
 
 void OrderPlanner::noteRunning(Round &round) const
 {
+    // Also of orders that gave way since: two sends to one endpoint could land in either order.
+    for (const auto &[key, task] : this->tasks) {
+        if (task.sending)
+            round.busy.insert(key.second);
+    }
     for (const Order &order : round.input.open) {
         const auto first = this->tasks.lower_bound({order.id, EndpointId()});
-        for (auto task = first; task != this->tasks.end() && task->first.first == order.id;
-             ++task) {
-            if (task->second.sending)
-                round.busy.insert(task->first.second);
-            if (this->isLoading(task->first, order, round.now))
-                ++round.loads;
-        }
+        for (auto task = first; task != this->tasks.end() && task->first.first == order.id; ++task)
+            round.loads += this->isLoading(task->first, order, round.now) ? 1 : 0;
     }
 }
 
--- a/src/protocol/ControlCommands.cpp
+++ b/src/protocol/ControlCommands.cpp
@@ -56,9 +56,15 @@
     return decodeWhole<control::FeedPage>(bytes, "feed.decode");
 }
 
+std::string encodeControlImage(control::ControlImage image)
+{
+    control::sortClaims(image.claims);
+    return encode(image);
+}
+
 std::string encodeControlState(const control::ControlState &state)
 {
-    return encode(state.image());
+    return encodeControlImage(state.copyImage());
 }
 
 state::Result<control::ControlState> decodeControlState(std::string_view bytes,
--- a/src/protocol/ControlCommands.h
+++ b/src/protocol/ControlCommands.h
@@ -22,6 +22,8 @@
 std::string encodeFeedPage(const state::control::FeedPage &page);
 state::Result<state::control::FeedPage> decodeFeedPage(std::string_view bytes);
 
+// Equal bytes for equal states, whatever the order of the image's claims.
+std::string encodeControlImage(state::control::ControlImage image);
 std::string encodeControlState(const state::control::ControlState &state);
 state::Result<state::control::ControlState>
 decodeControlState(std::string_view bytes, const state::control::ControlLimits &limits = {});
--- a/src/state/control/ClaimLedger.cpp
+++ b/src/state/control/ClaimLedger.cpp
@@ -225,17 +225,28 @@
     return found == this->claims.end() ? nullptr : &found->second;
 }
 
-std::vector<Claim> ClaimLedger::sortedClaims() const
+std::vector<Claim> ClaimLedger::copyClaims() const
 {
     std::vector<Claim> all;
     all.reserve(this->claims.size());
     for (const auto &[id, claim] : this->claims)
         all.push_back(claim);
-    std::sort(all.begin(), all.end(),
-              [](const Claim &left, const Claim &right) { return left.id < right.id; });
     return all;
 }
 
+std::vector<Claim> ClaimLedger::sortedClaims() const
+{
+    std::vector<Claim> all = this->copyClaims();
+    sortClaims(all);
+    return all;
+}
+
+void sortClaims(std::vector<Claim> &claims)
+{
+    std::sort(claims.begin(), claims.end(),
+              [](const Claim &left, const Claim &right) { return left.id < right.id; });
+}
+
 bool ClaimLedger::hasRoomFor(const ClientAccountId &account) const
 {
     const auto ofAccount = this->claimsByAccount.find(account);
--- a/src/state/control/ClaimLedger.h
+++ b/src/state/control/ClaimLedger.h
@@ -49,6 +49,7 @@
     std::size_t size() const { return this->claims.size(); }
     std::size_t openSize() const { return this->open.size(); }
     std::size_t bytes() const { return this->usedBytes; }
+    std::vector<Claim> copyClaims() const;   // in no order, which members need not share
     std::vector<Claim> sortedClaims() const; // by id
 
 private:
@@ -72,6 +73,8 @@
     std::size_t usedBytes = 0; // sum of claimBytes over claims
 };
 
+void sortClaims(std::vector<Claim> &claims); // by id
+
 // Memory that a claim takes, near enough: its own strings and the containers' shares.
 std::size_t claimBytes(const Claim &claim);
 
--- a/src/state/control/ControlState.cpp
+++ b/src/state/control/ControlState.cpp
@@ -387,6 +387,13 @@
 }
 
 ControlImage ControlState::image() const
+{
+    ControlImage image = this->copyImage();
+    sortClaims(image.claims);
+    return image;
+}
+
+ControlImage ControlState::copyImage() const
 {
     ControlImage image;
     image.appliedIndex = this->lastIndex;
@@ -397,7 +404,7 @@
         image.requests.push_back(this->requests.at(key));
     image.history.assign(this->changes.begin(), this->changes.end());
     image.now = this->claimLedger.now();
-    image.claims = this->claimLedger.sortedClaims();
+    image.claims = this->claimLedger.copyClaims();
     return image;
 }
 
--- a/src/state/control/ControlState.h
+++ b/src/state/control/ControlState.h
@@ -105,7 +105,11 @@
     // changes are no longer kept, or if `version` is none that this state ever had.
     std::vector<FeedPage> changesSince(std::uint64_t version) const;
 
+    // Equal for equal states.
     ControlImage image() const;
+    // The same with the claims in any order: the quick copy under which commands wait. Sorting and
+    // encoding it (protocol::encodeControlImage) is for another thread.
+    ControlImage copyImage() const;
 
 private:
     struct FeedDelta
--- a/src/state/control/ControlView.cpp
+++ b/src/state/control/ControlView.cpp
@@ -75,17 +75,21 @@
 
 ControlView ControlView::fromChanges(const std::vector<FeedChange> &changes, std::uint64_t version)
 {
-    // Rows are by far the most, and all at once they need no copy of a chunk each.
+    // Rows and accounts are by far the most, and all at once they need no copy of a chunk each.
     std::vector<table::StoredRow> rows;
+    std::vector<table::ClientAccount> accounts;
     std::vector<FeedChange> others;
     for (const FeedChange &change : changes) {
         if (const auto *row = std::get_if<table::StoredRow>(&change))
             rows.push_back(*row);
+        else if (const auto *account = std::get_if<table::ClientAccount>(&change))
+            accounts.push_back(*account);
         else
             others.push_back(change);
     }
     ControlView view;
     view.table = table::Table::fromValues(std::move(rows));
+    view.catalog = table::Catalog::ofAccounts(accounts);
     return view.with(others, version);
 }
 
--- a/src/state/table/Catalog.cpp
+++ b/src/state/table/Catalog.cpp
@@ -36,6 +36,19 @@
     return this->accountsByHash.find(hash);
 }
 
+Catalog Catalog::ofAccounts(const std::vector<ClientAccount> &accounts)
+{
+    std::vector<ClientAccount> withKeys;
+    for (const ClientAccount &account : accounts) {
+        if (!account.bearerKeyHash.empty())
+            withKeys.push_back(account);
+    }
+    Catalog catalog;
+    catalog.accountsById = Accounts::fromValues(accounts);
+    catalog.accountsByHash = AccountsByHash::fromValues(std::move(withKeys));
+    return catalog;
+}
+
 Catalog Catalog::withAccount(const ClientAccount &account) const
 {
     Catalog next = this->withoutAccount(account.id);
--- a/src/state/table/Catalog.h
+++ b/src/state/table/Catalog.h
@@ -113,6 +113,8 @@
     const ClientAccount *accountOfBearerKey(std::string_view bearerKey) const;
     const ClientAccount *accountOfBearerKeyHash(const std::string &hash) const;
 
+    // A catalog of just these accounts; much quicker for many than one copy for each.
+    static Catalog ofAccounts(const std::vector<ClientAccount> &accounts);
     Catalog withAccount(const ClientAccount &account) const;
     Catalog withoutAccount(const ClientAccountId &id) const;
     Catalog withService(const Service &service) const;
