Program: control members in the process, claims held by a quorum

Cause: claims lived in one entry's memory, and the table had no home. Change: ControlService (consensus, disk, links, state), ControlClient (proposals, feed with freshness lease, claims), operators' HTTP; a posting connects, then marks its claim dispatched, then sends.

--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -37,7 +37,7 @@
   "vm": {"id": "vm$n", "failure_domain": "$(domain_of "$n")"},
   "entry": {"listen": "$ip:$entry_port", "directory_ttl_ms": 1000, "shutdown_grace_ms": 1500},
   "gossip": {"listen": "$ip:$gossip_port"},
-  "control": {$control"members": [$members]},
+  "control": {$control"bootstrap": true, "members": [$members]},
   "accounts": [{"id": "firm", "key": "$fleet_key"}, {"id": "operations", "key": "$operator_key", "operator": true}],
   "services": [{"name": "ledger", "non_idempotent": ["POST /time-entries"]}]
 }
--- a/src/program/Claims.h
+++ b/src/program/Claims.h
@@ -5,6 +5,7 @@
 #include "protocol/HttpMessage.h"
 #include "state/Error.h"
 #include "state/Ids.h"
+#include "state/Time.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -39,14 +40,16 @@
 
 struct ClaimGate
 {
-    // Errors (Unavailable, Overloaded, Timeout): the claim was not granted to this attempt and
-    // nothing may be dispatched.
-    std::function<boost::asio::awaitable<state::Result<ClaimAnswer>>(ClaimKey, std::uint64_t digest,
-                                                                     std::string attempt)>
+    // `body` is what the key stands for: method, target and body of the call. Errors (Unavailable,
+    // Overloaded, Timeout): the claim was not granted to this attempt; nothing may be dispatched.
+    std::function<boost::asio::awaitable<state::Result<ClaimAnswer>>(
+            ClaimKey, std::string body, std::string attempt, state::Instant deadline)>
             take;
     // Asked right before the first byte goes out. False: the claim is no longer this attempt's, for
     // example because this process stood still for long.
-    std::function<boost::asio::awaitable<bool>(ClaimKey, std::string attempt)> beginDispatch;
+    std::function<boost::asio::awaitable<bool>(ClaimKey, std::string attempt,
+                                               state::Instant deadline)>
+            beginDispatch;
     // Nothing was sent: the key is free again. True once that is recorded; only then was it "no".
     std::function<boost::asio::awaitable<bool>(ClaimKey, std::string attempt)> release;
     std::function<boost::asio::awaitable<void>(ClaimKey, std::string attempt,
--- a/src/program/Entry.cpp
+++ b/src/program/Entry.cpp
@@ -25,6 +25,7 @@
 constexpr std::string_view servicesPrefix = "/services/";
 constexpr std::string_view bearerPrefix = "Bearer ";
 constexpr std::chrono::milliseconds retryElsewhereAfter{100};
+constexpr std::chrono::milliseconds retryStaleAfter{500};
 
 protocol::HttpResponse jsonAnswer(unsigned status, const json::value &value)
 {
@@ -169,6 +170,14 @@
         co_await exchange.respond(this->refuseElsewhere(account.id));
         co_return;
     }
+    // Under a table that may be outdated nothing new is admitted: an entry cut off from the control
+    // members would go on giving what the operators have taken back.
+    if (this->hooks.admits && !this->hooks.admits()) {
+        Problem problem{503, "table-not-fresh", "this entry has no confirmed table; use another",
+                        Ran::No, retryStaleAfter};
+        co_await exchange.respond(toResponse(problem));
+        co_return;
+    }
     if (path.starts_with(servicesPrefix)) {
         co_await this->services.run(exchange, account);
         co_return;
--- a/src/program/Entry.h
+++ b/src/program/Entry.h
@@ -53,6 +53,8 @@
         std::function<void(const state::LoadReport &)> loadReported;
         std::function<void(const state::EndpointId &, const protocol::CacheEventBatch &)>
                 cacheChanged;
+        // False while the view of the table is not confirmed fresh.
+        std::function<bool()> admits;
         // More routes, for example the operators'; false if the request is none of them.
         std::function<boost::asio::awaitable<bool>(transport::HttpExchange &,
                                                    const AccountSetting *)>
--- a/src/program/LocalClaims.cpp
+++ b/src/program/LocalClaims.cpp
@@ -16,7 +16,7 @@
 class LocalClaims
 {
 public:
-    state::Result<ClaimAnswer> take(const ClaimKey &key, std::uint64_t digest,
+    state::Result<ClaimAnswer> take(const ClaimKey &key, const std::string &body,
                                     const std::string &attempt)
     {
         const std::lock_guard lock(this->mutex);
@@ -26,11 +26,11 @@
             if (this->claims.size() >= mostClaims)
                 return state::makeError(state::ErrorCode::Overloaded, "claim.take",
                                         "too many claims are held");
-            this->claims[key] = Claim{digest, attempt, Phase::Taken, {}};
+            this->claims[key] = Claim{body, attempt, Phase::Taken, {}};
             return ClaimAnswer{ClaimVerdict::Granted, {}};
         }
         const Claim &claim = known->second;
-        if (claim.digest != digest)
+        if (claim.body != body)
             return ClaimAnswer{ClaimVerdict::Conflict, {}};
         if (claim.phase == Phase::Finished)
             return ClaimAnswer{ClaimVerdict::Finished, claim.result};
@@ -73,7 +73,7 @@
     enum class Phase { Taken, Dispatched, Finished };
     struct Claim
     {
-        std::uint64_t digest = 0;
+        std::string body;
         std::string attempt;
         Phase phase = Phase::Taken;
         protocol::HttpResponse result;
@@ -89,11 +89,12 @@
 {
     auto claims = std::make_shared<LocalClaims>();
     ClaimGate gate;
-    gate.take = [claims](ClaimKey key, std::uint64_t digest,
-                         std::string attempt) -> asio::awaitable<state::Result<ClaimAnswer>> {
-        co_return claims->take(key, digest, attempt);
+    gate.take = [claims](ClaimKey key, std::string body, std::string attempt,
+                         state::Instant) -> asio::awaitable<state::Result<ClaimAnswer>> {
+        co_return claims->take(key, body, attempt);
     };
-    gate.beginDispatch = [claims](ClaimKey key, std::string attempt) -> asio::awaitable<bool> {
+    gate.beginDispatch = [claims](ClaimKey key, std::string attempt,
+                                  state::Instant) -> asio::awaitable<bool> {
         co_return claims->beginDispatch(key, attempt);
     };
     gate.release = [claims](ClaimKey key, std::string attempt) -> asio::awaitable<bool> {
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -3,6 +3,9 @@
 
 #include "program/Clock.h"
 #include "program/Cluster.h"
+#include "program/ControlClient.h"
+#include "program/ControlRoutes.h"
+#include "program/ControlService.h"
 #include "program/DispatcherScheduler.h"
 #include "program/Entry.h"
 #include "program/Log.h"
@@ -14,7 +17,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <atomic>
 #include <csignal>
+#include <map>
 #include <thread>
 #include <vector>
 
@@ -103,13 +108,22 @@
     {
         BOOST_OUTCOME_TRY(this->cluster, Cluster::create(this->settings, this->context,
                                                          this->registry, this->clusterHooks()));
+        if (!this->settings.controlMembers.empty())
+            this->client =
+                    ControlClient::create(this->settings, this->context, this->clientHooks());
         this->policy = DispatcherScheduler::create(this->context, this->settings, policySettings(),
                                                    this->registry, this->policyHooks());
         BOOST_OUTCOME_TRY(this->entry, Entry::create(this->settings, this->context, this->registry,
                                                      this->entryHooks()));
+        if (this->settings.controlListen) {
+            BOOST_OUTCOME_TRY(this->control, ControlService::create(this->settings, this->context));
+            this->control->start();
+        }
         this->entry->start();
         this->cluster->start();
-        this->cluster->setPhase(MemberPhase::Serving, true, 0);
+        if (this->client)
+            this->client->start();
+        this->tellPhase();
         if (!this->settings.gossipListen)
             asio::co_spawn(this->context, this->expireLoop(), asio::detached);
         asio::co_spawn(this->context, this->leaveOnSignal(), asio::detached);
@@ -167,7 +181,13 @@
     {
         Entry::Hooks hooks;
         hooks.scheduler = this->policy->scheduler();
-        hooks.claims = makeLocalClaims();
+        hooks.claims =
+                this->client ? this->client->claimGate(this->incarnation) : makeLocalClaims();
+        hooks.admits = [this] { return !this->client || this->client->admits(); };
+        hooks.extraRoutes = [this](transport::HttpExchange &exchange,
+                                   const AccountSetting *account) {
+            return this->controlRoutes(exchange, account);
+        };
         hooks.directory = [this](const state::ClientAccountId &account) {
             return this->cluster->directory(account);
         };
@@ -191,6 +211,61 @@
         return hooks;
     }
 
+    ControlClient::Hooks clientHooks()
+    {
+        ControlClient::Hooks hooks;
+        hooks.changed = [this](const state::control::ControlView &view, bool) {
+            this->applyView(view);
+            this->tellPhase();
+        };
+        return hooks;
+    }
+
+    // On the client's strand.
+    void applyView(const state::control::ControlView &view)
+    {
+        coordination::admission::TableChanged changed;
+        view.table.forEach(
+                [&](const state::table::StoredRow &stored) { changed.rows.push_back(stored.row); });
+        this->policy->post(std::move(changed));
+        std::map<state::EndpointId, std::uint64_t> drained;
+        view.drained.forEach([&](const state::control::DrainMark &mark) {
+            drained[mark.endpoint] = mark.orderId;
+        });
+        for (const auto &[endpoint, order] : drained)
+            this->cluster->markDrain(endpoint, {0, order}, true);
+        for (const auto &[endpoint, order] : this->drainedBefore) {
+            if (!drained.contains(endpoint))
+                this->cluster->markDrain(endpoint, {0, view.version}, false);
+        }
+        this->drainedBefore = std::move(drained);
+    }
+
+    // Tells the others whether callers may be sent here.
+    void tellPhase()
+    {
+        MemberPhase phase = MemberPhase::Serving;
+        if (this->entry->phase() != EntryPhase::Serving)
+            phase = this->left ? MemberPhase::Left : MemberPhase::Leaving;
+        const bool ready =
+                phase == MemberPhase::Serving && (!this->client || this->client->admits());
+        this->cluster->setPhase(phase, ready, this->client ? this->client->view()->version : 0);
+    }
+
+    asio::awaitable<bool> controlRoutes(transport::HttpExchange &exchange,
+                                        const AccountSetting *account)
+    {
+        const std::string path(exchange.request().path());
+        if (path == "/v1/peer/control" && this->control) {
+            co_await answerControlCall(*this->control, this->settings.keys, exchange);
+            co_return true;
+        }
+        if (!path.starts_with("/v1/operator/"))
+            co_return false;
+        co_await answerOperator(this->client, account, exchange);
+        co_return true;
+    }
+
     asio::awaitable<void> expireLoop()
     {
         while (true) {
@@ -210,17 +285,22 @@
         // An operator who signals twice does not want to wait.
         signals.async_wait([this](auto, auto) { this->context.stop(); });
         this->entry->enter(EntryPhase::Leaving);
-        this->cluster->setPhase(MemberPhase::Leaving, false, 0);
+        this->tellPhase();
         co_await pause(this->settings.entry.shutdownGrace);
         this->entry->enter(EntryPhase::Refusing);
         const state::Instant limit = monotonicNow() + this->settings.entry.shutdownLimit;
         while (this->entry->inFlight() > 0 && monotonicNow() < limit)
             co_await pause(drainCheckInterval);
         this->entry->stopAccepting();
-        this->cluster->setPhase(MemberPhase::Left, false, 0);
+        this->left = true;
+        this->tellPhase();
         co_await pause(farewellTime);
         logEvent(LogLevel::Info, "node.stopped",
                  {{"in_flight", std::uint64_t(this->entry->inFlight())}});
+        if (this->client)
+            this->client->stop();
+        if (this->control)
+            this->control->stop();
         this->cluster->stop();
         this->context.stop();
     }
@@ -228,7 +308,13 @@
     const Settings &settings;
     asio::io_context context;
     std::shared_ptr<EndpointRegistry> registry;
+    const std::uint64_t incarnation =
+            static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
+    std::atomic<bool> left = false;
+    std::map<state::EndpointId, std::uint64_t> drainedBefore; // by order; on the client's strand
     std::shared_ptr<Cluster> cluster;
+    std::shared_ptr<ControlService> control; // null unless this is a control member
+    std::shared_ptr<ControlClient> client;   // null without control members
     std::shared_ptr<DispatcherScheduler> policy;
     std::shared_ptr<Entry> entry;
 };
--- a/src/program/ServiceRelay.cpp
+++ b/src/program/ServiceRelay.cpp
@@ -44,12 +44,10 @@
     return ServiceTarget{state::ServiceName(std::string(name)), std::move(rest)};
 }
 
-std::uint64_t digestOf(const protocol::HttpRequest &request)
+// What an Idempotency-Key stands for.
+std::string claimedBody(const protocol::HttpRequest &request)
 {
-    const std::uint64_t head = XXH3_64bits(request.target.data(), request.target.size());
-    const std::uint64_t method =
-            XXH3_64bits_withSeed(request.method.data(), request.method.size(), head);
-    return XXH3_64bits_withSeed(request.body.data(), request.body.size(), method);
+    return request.method + ' ' + request.target + '\n' + request.body;
 }
 
 // One call while it is relayed.
@@ -129,8 +127,8 @@
                                      "this call needs an Idempotency-Key of 1 to 255 characters",
                                      Ran::No, std::nullopt});
         const ClaimKey key{this->account, std::string(*header)};
-        const auto claim = co_await this->hooks.claims.take(key, digestOf(this->exchange.request()),
-                                                            this->id.value());
+        const auto claim = co_await this->hooks.claims.take(
+                key, claimedBody(this->exchange.request()), this->id.value(), this->deadline);
         if (!claim)
             co_return this->problem(
                     {503, "claim-unavailable", claim.error().cause, Ran::No, retryAfterRefusal});
@@ -168,17 +166,18 @@
     asio::awaitable<protocol::HttpResponse> dispatchOnce(const ClaimKey &key)
     {
         const std::string attempt = this->id.value();
-        if (!co_await this->hooks.claims.beginDispatch(key, attempt))
-            co_return this->problem({503, "claim-lost",
-                                     "the claim was lost before the call was sent", Ran::No,
-                                     retryAfterRefusal});
-        const auto answer = co_await this->callReplicas(false);
+        // Connected first, then marked as dispatched, then sent: a replica that is down costs the
+        // caller nothing, and no byte goes out before the mark is committed.
+        const auto mark = [this, key, attempt] {
+            return this->hooks.claims.beginDispatch(key, attempt, this->deadline);
+        };
+        const auto answer = co_await this->callReplicas(false, mark);
         if (answer) {
             co_await this->hooks.claims.finish(key, attempt, answer.value());
             co_return answer.value();
         }
-        // "No" is said only after the claim's release is recorded: else a resend could find the key
-        // taken and be told "unknown" about a call that never ran, or worse, the reverse.
+        // "No" is said only after the claim's release is committed. The mark may be committed with
+        // its answer lost: the key then counts as dispatched, and the release is refused.
         if (this->ran == Ran::No) {
             const bool released = co_await this->hooks.claims.release(key, attempt);
             this->ran = released ? Ran::No : Ran::Unknown;
@@ -192,7 +191,8 @@
         co_return answer ? answer.value() : this->failure(answer.error());
     }
 
-    asio::awaitable<state::Result<protocol::HttpResponse>> callReplicas(bool repeatable)
+    asio::awaitable<state::Result<protocol::HttpResponse>>
+    callReplicas(bool repeatable, transport::BeforeSend beforeSend = {})
     {
         state::Error last = state::makeError(state::ErrorCode::Unavailable, "service.choose",
                                              "no replica of the service is ready");
@@ -204,8 +204,9 @@
             transport::HttpCallLimits limits;
             limits.connectTimeout = std::min(this->settings.endpoint.connectTimeout, left);
             limits.timeout = left;
-            const auto answer = co_await transport::httpCall(
-                    this->exchange.executor(), replica.address, this->forwarded(attempts), limits);
+            const auto answer =
+                    co_await transport::httpCall(this->exchange.executor(), replica.address,
+                                                 this->forwarded(attempts), limits, beforeSend);
             if (answer) {
                 this->ran = Ran::Yes;
                 co_return answer.value();
@@ -213,6 +214,8 @@
             last = answer.error();
             if (last.step == transport::connectStep)
                 continue;
+            if (last.step == transport::beforeSendStep)
+                break;
             this->ran = Ran::Unknown;
             if (!repeatable)
                 break;
--- a/src/program/Settings.cpp
+++ b/src/program/Settings.cpp
@@ -126,6 +126,7 @@
     settings.gossipListen = optionalAddress(document.text("gossip.listen"));
     settings.controlListen = optionalAddress(document.text("control.listen"));
     settings.dataFolder = document.text("control.data_folder");
+    settings.controlBootstrap = document.flag("control.bootstrap");
     settings.logLevel = document.text("log.level");
     readLists(document, settings);
     BOOST_OUTCOME_TRY(checkTogether(settings, file));
--- a/src/program/Settings.h
+++ b/src/program/Settings.h
@@ -69,6 +69,7 @@
     std::optional<state::Address> gossipListen;
     std::optional<state::Address> controlListen;
     std::string dataFolder;
+    bool controlBootstrap = false;
     std::vector<ControlMemberSetting> controlMembers;
     std::vector<AccountSetting> accounts;
     std::vector<ServiceSetting> services;
--- a/src/program/SettingsRules.cpp
+++ b/src/program/SettingsRules.cpp
@@ -55,6 +55,9 @@
              "TCP address of consensus; absent: this node is no control member"},
             {"control.data_folder", Text, "", "", false, 0, 4'096,
              "folder of the replicated log, on a disk; needed by control members"},
+            {"control.bootstrap", Flag, "", false, false, 0, 0,
+             "true only at the first start of a new cluster: an empty data folder then belongs to "
+             "a first member; else to a newcomer that must be added"},
             {"control.members[].id", Text, "", nullptr, true, 1, 128, "vm.id of a control member"},
             {"control.members[].address", IpAddress, "", nullptr, true, 0, 0,
              "its control.listen address"},
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -111,10 +111,9 @@
     this->state->stream.close();
 }
 
-asio::awaitable<state::Result<HttpAnswerStream>> openHttpStream(asio::any_io_executor executor,
-                                                                state::Address peer,
-                                                                protocol::HttpRequest request,
-                                                                HttpCallLimits limits)
+asio::awaitable<state::Result<HttpAnswerStream>>
+openHttpStream(asio::any_io_executor executor, state::Address peer, protocol::HttpRequest request,
+               HttpCallLimits limits, BeforeSend beforeSend)
 {
     auto call = std::make_unique<HttpAnswerStream::State>(std::move(executor), peer);
     beast::error_code addressProblem;
@@ -130,6 +129,13 @@
     beast::error_code ignored;
     call->stream.socket().set_option(tcp::no_delay(true), ignored);
 
+    if (beforeSend) {
+        call->stream.expires_never();
+        const bool go = co_await beforeSend();
+        if (!go)
+            co_return state::makeError(state::ErrorCode::Cancelled, std::string(beforeSendStep),
+                                       "the call was withdrawn", peer.toString());
+    }
     const http::request<http::string_body> message = toBeastRequest(std::move(request), peer);
     call->stream.expires_after(limits.timeout);
     auto [sendProblem, sentBytes] =
@@ -143,13 +149,12 @@
     co_return HttpAnswerStream(std::move(call));
 }
 
-asio::awaitable<state::Result<protocol::HttpResponse>> httpCall(asio::any_io_executor executor,
-                                                                state::Address peer,
-                                                                protocol::HttpRequest request,
-                                                                HttpCallLimits limits)
+asio::awaitable<state::Result<protocol::HttpResponse>>
+httpCall(asio::any_io_executor executor, state::Address peer, protocol::HttpRequest request,
+         HttpCallLimits limits, BeforeSend beforeSend)
 {
-    state::Result<HttpAnswerStream> opened =
-            co_await openHttpStream(std::move(executor), peer, std::move(request), limits);
+    state::Result<HttpAnswerStream> opened = co_await openHttpStream(
+            std::move(executor), peer, std::move(request), limits, std::move(beforeSend));
     if (!opened)
         co_return opened.error();
     HttpAnswerStream &stream = opened.value();
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,9 +22,14 @@
 // Steps of a call, as errors name them. Only after connectStep alone is it certain that the peer
 // has not seen the request.
 constexpr std::string_view connectStep = "peer.connect";
+constexpr std::string_view beforeSendStep = "peer.before-send"; // the peer has not seen it either
 constexpr std::string_view sendStep = "peer.send";
 constexpr std::string_view receiveStep = "peer.receive";
 
+// Asked once connected, before the first byte goes out; false ends the call with Cancelled, step
+// beforeSendStep.
+using BeforeSend = std::function<boost::asio::awaitable<bool>()>;
+
 struct HttpCallLimits
 {
     std::chrono::milliseconds connectTimeout{1'000};
@@ -62,11 +68,11 @@
 // Sends the request and reads the answer's head. Errors: step tells how far it got.
 boost::asio::awaitable<state::Result<HttpAnswerStream>>
 openHttpStream(boost::asio::any_io_executor executor, state::Address peer,
-               protocol::HttpRequest request, HttpCallLimits limits);
+               protocol::HttpRequest request, HttpCallLimits limits, BeforeSend beforeSend = {});
 
 // The whole answer. Errors as above, and Corrupt if the body is over the limit.
 boost::asio::awaitable<state::Result<protocol::HttpResponse>>
 httpCall(boost::asio::any_io_executor executor, state::Address peer, protocol::HttpRequest request,
-         HttpCallLimits limits);
+         HttpCallLimits limits, BeforeSend beforeSend = {});
 
 } // namespace lavenderthread::transport
