--- a/src/coordination/membership/Membership.cpp
+++ b/src/coordination/membership/Membership.cpp
@@ -13,9 +13,14 @@
 
 constexpr std::size_t sealAndHeaderBytes = 16 + 28; // seal, IPv4 and UDP headers
 constexpr std::size_t sealBytes = 16;
-// The exchange may go this far below an empty budget. Else a flood of news would leave no room to
-// teach a newcomer, who would stay out for as long as the flood lasts.
-constexpr double exchangeReserveBytes = 4'000;
+// The exchange and critical news may go this far below an empty budget. Else a flood of other news
+// would keep newcomers out and drains waiting for as long as it lasts.
+constexpr double reserveBytes = 4'000;
+// Loads are sent all the time and age by themselves; they leave this part of a full budget to news.
+constexpr double shareKeptFromLoads = 0.5;
+constexpr double leastDigits = 2; // in a small fleet, too, loss must not end the spread of news
+constexpr std::size_t floodRecords = 100;
+constexpr unsigned floodSends = 2;
 constexpr state::Duration forgetInterval = std::chrono::seconds(10);
 
 } // namespace
@@ -47,7 +52,7 @@
     : settings(std::move(chosen))
     , random(this->settings.randomSeed)
     , failureDetector(this->settings.failureDetector, this->settings.self, now)
-    , budget(this->settings.bytesPerSecond, this->settings.burstBytes, now)
+    , budget(this->settings.bytesPerSecond, this->settings.burstBytes, -reserveBytes, now)
     , startedAt(now)
     , nextGossip(now)
     , nextExchange(now)
@@ -93,10 +98,16 @@
         this->send(actions, target.description->gossip, std::move(message), now);
     }
     for (const state::VmId &id : wanted.check)
-        this->pingAccused(this->memberTable.find(id)->record, actions);
+        this->pingAccused(this->memberTable.find(id)->record, MemberRecord{}, actions);
     if (!wanted.pingThroughOthers)
         return;
-    constexpr std::size_t indirectProbes = 3; // enough that one lossy path decides nothing
+    // At a loss of one datagram in five, a live member stays silent through all of these in one
+    // probe of sixty.
+    constexpr std::size_t indirectProbes = 4;
+    const MemberEntry *target = this->memberTable.find(*wanted.pingThroughOthers);
+    GossipMessage again = this->makeMessage(GossipKind::Ping, wanted.sequence);
+    again.target = target->record.id;
+    this->sendBare(actions, target->record.description->gossip, std::move(again));
     for (const MemberEntry *helper : this->memberTable.randomLive(
                  indirectProbes, this->settings.self, *wanted.pingThroughOthers, this->random)) {
         GossipMessage message = this->makeMessage(GossipKind::PingRequest, wanted.sequence);
@@ -113,7 +124,8 @@
     for (const MemberEntry *peer :
          this->memberTable.randomLive(this->settings.gossipFanout, this->settings.self,
                                       this->settings.self, this->random)) {
-        if (this->news.empty() || this->budget.left(now) <= 0)
+        const double least = this->news.hasCritical() ? -reserveBytes : 0;
+        if (this->news.empty() || this->budget.left(now) <= least)
             return;
         this->send(actions, peer->record.description->gossip, this->makeMessage(GossipKind::News),
                    now);
@@ -167,15 +179,18 @@
     }
     if (dead.empty())
         return;
-    this->pingAccused(dead[this->random() % dead.size()]->record, actions);
+    this->pingAccused(dead[this->random() % dead.size()]->record, this->selfRecord(), actions);
 }
 
-void Membership::pingAccused(const MemberRecord &target, GossipActions &actions)
+void Membership::pingAccused(const MemberRecord &target, const MemberRecord &introduction,
+                             GossipActions &actions)
 {
     GossipMessage message = this->makeMessage(GossipKind::Ping);
     message.target = target.id;
     message.members.push_back(target);
-    this->addSelf(message);
+    message.members.back().description = nullptr;
+    if (!introduction.id.empty())
+        message.members.push_back(introduction);
     this->sendBare(actions, target.description->gossip, std::move(message));
 }
 
@@ -218,7 +233,7 @@
     const bool full = merged.descriptionChanged;
     this->news.add({NewsSubject::Endpoint, record.id.value()},
                    full ? NewsForm::Full : NewsForm::Short,
-                   full ? NewsUrgency::Ordinary : NewsUrgency::Urgent);
+                   full ? NewsUrgency::Ordinary : NewsUrgency::Critical);
     return actions;
 }
 
@@ -233,7 +248,8 @@
     }
     for (const state::VmId &id : watchers) {
         const MemberEntry *watcher = this->memberTable.find(id);
-        if (this->superseded || message.loads.empty() || this->budget.left(now) <= 0)
+        if (this->superseded || message.loads.empty()
+            || this->budget.left(now) <= this->settings.burstBytes * shareKeptFromLoads)
             break;
         if (watcher != nullptr && watcher->record.isLive() && id != this->settings.self)
             this->sendBare(actions, watcher->record.description->gossip, message);
@@ -295,15 +311,15 @@
 void Membership::send(GossipActions &actions, const state::Address &to, GossipMessage message,
                       state::Instant now)
 {
-    if (this->budget.left(now) > 0) {
+    const bool isNews = message.kind == GossipKind::News;
+    if (isNews || this->budget.left(now) > 0) {
         this->news.fill(message, this->room(message), this->newsLimits(), this->memberTable,
                         this->endpointRecords);
         // Statuses go with probes only, whose number is fixed; with every datagram of news they
         // would use up the budget when news are many and must go out.
-        const bool isProbe = message.kind != GossipKind::News;
         const std::size_t statuses =
                 std::min(this->settings.statusesPerDatagram, this->room(message) / statusWireBytes);
-        if (isProbe)
+        if (!isNews)
             message.statuses = this->memberTable.takeStatuses(statuses, this->settings.self);
     }
     this->sendBare(actions, to, std::move(message));
@@ -336,7 +352,8 @@
 
 bool Membership::mayExchange(state::Instant now)
 {
-    return this->budget.left(now) > -exchangeReserveBytes;
+    // A newcomer's pace is bounded by joinSyncInterval; its requests are small.
+    return !this->synced || this->budget.left(now) > -reserveBytes;
 }
 
 std::size_t Membership::room(const GossipMessage &message) const
@@ -348,8 +365,13 @@
 NewsLimits Membership::newsLimits() const
 {
     const double members = static_cast<double>(this->memberTable.entries().size());
-    const auto digits = static_cast<unsigned>(std::max(1.0, std::ceil(std::log10(members + 1))));
-    return {this->settings.urgentNewsFactor * digits, this->settings.ordinaryNewsFactor * digits};
+    const auto digits =
+            static_cast<unsigned>(std::max(leastDigits, std::ceil(std::log10(members + 1))));
+    // In a flood, sending each description to a few and leaving the rest to the exchange is faster
+    // than repeating all of them.
+    const bool flood = this->news.size() > floodRecords;
+    return {this->settings.criticalNewsFactor * digits, this->settings.urgentNewsFactor * digits,
+            flood ? floodSends : this->settings.ordinaryNewsFactor * digits};
 }
 
 } // namespace lavenderthread::coordination::membership
--- a/src/coordination/membership/Membership.h
+++ b/src/coordination/membership/Membership.h
@@ -97,8 +97,10 @@
     void gossip(GossipActions &actions, state::Instant now);
     void exchange(GossipActions &actions, state::Instant now);
     void reconnect(GossipActions &actions, state::Instant now);
-    // A direct ping that carries what is said of the target, whose ack then refutes it.
-    void pingAccused(const MemberRecord &target, GossipActions &actions);
+    // A direct ping that carries what is said of the target, whose ack then refutes it. A target
+    // that may not know this member is given an introduction.
+    void pingAccused(const MemberRecord &target, const MemberRecord &introduction,
+                     GossipActions &actions);
     void forget(GossipActions &actions, state::Instant now);
     std::optional<state::Address> exchangePeer();
 
@@ -148,6 +150,7 @@
     state::Instant nextReconnect;
     state::Instant nextForget;
     bool synced = false;
+    bool differs = false; // from another member, by the last Summary
     bool superseded = false;
 };
 
--- a/src/coordination/membership/MembershipReceive.cpp
+++ b/src/coordination/membership/MembershipReceive.cpp
@@ -94,7 +94,7 @@
         if (spread)
             this->news.add({NewsSubject::Endpoint, record.id.value()},
                            record.description ? NewsForm::Full : NewsForm::Short,
-                           record.description ? NewsUrgency::Ordinary : NewsUrgency::Urgent);
+                           record.description ? NewsUrgency::Ordinary : NewsUrgency::Critical);
     }
     for (const MemberStatus &status : message.statuses) {
         if (status.member != this->ownStatus.member)
@@ -208,6 +208,7 @@
 void Membership::followSummary(const GossipMessage &summary, const state::Address &from,
                                GossipActions &actions, state::Instant now)
 {
+    this->differs = summary.differingBuckets > 0;
     if (summary.differingBuckets == 0) {
         this->synced = true;
         return;
--- a/src/coordination/membership/MembershipSettings.h
+++ b/src/coordination/membership/MembershipSettings.h
@@ -24,18 +24,21 @@
     unsigned gossipFanout = 3;
     // Every member sends a record at most this many times for each decimal digit of the number of
     // members. Ordinary news are whole descriptions, which the exchange repairs if they are missed.
+    // Critical ones are rare, and one member that misses them sends work to a leaving endpoint.
+    unsigned criticalNewsFactor = 8;
     unsigned urgentNewsFactor = 4;
     unsigned ordinaryNewsFactor = 2;
-    state::Duration syncInterval = std::chrono::seconds(10);
+    state::Duration syncInterval = std::chrono::seconds(5);
+    state::Duration catchUpInterval = std::chrono::seconds(2); // while something differs
     state::Duration joinSyncInterval = std::chrono::milliseconds(250);
     state::Duration joinTimeout = std::chrono::seconds(30); // then it counts as synced as it is
     state::Duration reconnectInterval = std::chrono::seconds(10); // to one dead member
     state::Duration leftKept = std::chrono::hours(1);
     state::Duration deadKept = std::chrono::hours(24); // outlasts a split between regions
-    std::size_t statusesPerDatagram = 12;
+    std::size_t statusesPerDatagram = 8;
     std::size_t datagramBytes = 1'200; // sealed; below every usual path's limit
     double bytesPerSecond = 2'000;     // sent on average, with the headers of IP and UDP
-    double burstBytes = 20'000;
+    double burstBytes = 12'000;
 };
 
 } // namespace lavenderthread::coordination::membership
--- a/src/coordination/membership/NewsQueue.cpp
+++ b/src/coordination/membership/NewsQueue.cpp
@@ -15,6 +15,13 @@
     return record;
 }
 
+unsigned limitOf(NewsUrgency urgency, const NewsLimits &limits)
+{
+    if (urgency == NewsUrgency::Critical)
+        return limits.critical;
+    return urgency == NewsUrgency::Urgent ? limits.urgent : limits.ordinary;
+}
+
 // Adds the record if it fits; gives the bytes that it took, 0 if it did not fit.
 template <typename Record>
 std::size_t addIfFits(std::vector<Record> &list, Record record, std::size_t room)
@@ -39,6 +46,13 @@
     item.serial = this->nextSerial++;
 }
 
+bool NewsQueue::hasCritical() const
+{
+    return std::any_of(this->items.begin(), this->items.end(), [](const auto &item) {
+        return item.second.urgency == NewsUrgency::Critical;
+    });
+}
+
 void NewsQueue::heardAgain(const NewsKey &key)
 {
     const auto item = this->items.find(key);
@@ -54,10 +68,14 @@
     order.reserve(this->items.size());
     for (Position position = this->items.begin(); position != this->items.end(); ++position)
         order.push_back(position);
-    std::sort(order.begin(), order.end(), [](Position a, Position b) {
-        return std::tuple(a->second.urgency, a->second.sends, a->second.serial)
-               < std::tuple(b->second.urgency, b->second.sends, b->second.serial);
-    });
+    constexpr std::size_t mostPerDatagram = 64; // more short records than fit
+    const std::size_t considered = std::min(mostPerDatagram, order.size());
+    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(considered),
+                      order.end(), [](Position a, Position b) {
+                          return std::tuple(a->second.urgency, a->second.sends, a->second.serial)
+                                 < std::tuple(b->second.urgency, b->second.sends, b->second.serial);
+                      });
+    order.resize(considered);
     constexpr std::size_t smallestRecordBytes = 20;
     for (const Position position : order) {
         if (bytes < smallestRecordBytes)
@@ -76,8 +94,7 @@
         else if (endpoint != nullptr)
             taken = addIfFits(message.endpointRecords, inForm(endpoint->record, item.form), bytes);
         bytes -= taken;
-        const unsigned limit =
-                item.urgency == NewsUrgency::Urgent ? limits.urgent : limits.ordinary;
+        const unsigned limit = limitOf(item.urgency, limits);
         const bool forgotten = member == nullptr && endpoint == nullptr;
         if (taken > 0)
             ++item.sends;
--- a/src/coordination/membership/NewsQueue.h
+++ b/src/coordination/membership/NewsQueue.h
@@ -23,11 +23,17 @@
 };
 
 enum class NewsForm : std::uint8_t { Short, Full };
-enum class NewsUrgency : std::uint8_t { Urgent, Ordinary }; // urgent goes first into a datagram
+// The more urgent goes first into a datagram.
+enum class NewsUrgency : std::uint8_t {
+    Critical, // an endpoint must get no more work, or may again; rare and short
+    Urgent,   // what is said of members; many when the network is bad
+    Ordinary, // whole descriptions of endpoints
+};
 
 // Sends of one record by one member, at most.
 struct NewsLimits
 {
+    unsigned critical = 0;
     unsigned urgent = 0;
     unsigned ordinary = 0;
 };
@@ -43,6 +49,7 @@
     void fill(GossipMessage &message, std::size_t bytes, const NewsLimits &limits,
               const MemberTable &members, const endpoints::EndpointTable &endpointTable);
     bool empty() const { return this->items.empty(); }
+    bool hasCritical() const;
     std::size_t size() const { return this->items.size(); }
 
 private:
--- a/src/program/MembershipService.h
+++ b/src/program/MembershipService.h
@@ -25,7 +25,7 @@
     protocol::SealKeys keys;
     state::Address listen; // the gossip address that others are told has its port, if that is 0
     coordination::endpoints::EndpointLifeSettings endpointLife;
-    state::Duration loadInterval = std::chrono::seconds(2);
+    state::Duration loadInterval = std::chrono::seconds(3);
     // How long every member has at most to confirm a table, and its status to arrive.
     state::Duration tableSpreadTime = std::chrono::seconds(30);
 };
