Membership: groups of joiners that met apart find each other

Cause: seeds were asked only while no other member was known; six processes started at once formed two groups in one of three starts (entries 1,3,5,6 and 2,4), and half the endpoints were unknown to each. Ruled out: loss of datagrams (none refused, none dropped on loopback), endpoint damping. Change: a member asks, every 2 s, one seed that no live member known to it occupies.

--- a/src/coordination/membership/Membership.cpp
+++ b/src/coordination/membership/Membership.cpp
@@ -75,6 +75,7 @@
     this->probe(actions, now);
     this->gossip(actions, now);
     this->exchange(actions, now);
+    this->seekSeeds(actions, now);
     this->reconnect(actions, now);
     this->forget(actions, now);
     std::erase_if(this->relays, [&](const auto &item) { return now >= item.second.until; });
@@ -160,13 +161,40 @@
             this->memberTable.randomLive(1, this->settings.self, this->settings.self, this->random);
     if (!peers.empty())
         return peers.front()->record.description->gossip;
-    std::vector<state::Address> seeds = this->settings.seeds;
-    std::erase(seeds, this->settings.description.gossip);
+    const std::vector<state::Address> seeds = this->unmetSeeds();
     if (seeds.empty())
         return std::nullopt;
     return seeds[this->random() % seeds.size()];
 }
 
+std::vector<state::Address> Membership::unmetSeeds() const
+{
+    std::vector<state::Address> seeds = this->settings.seeds;
+    std::erase(seeds, this->settings.description.gossip);
+    for (const auto &[id, entry] : this->memberTable.entries()) {
+        if (entry.record.isLive() && entry.record.description != nullptr)
+            std::erase(seeds, entry.record.description->gossip);
+    }
+    return seeds;
+}
+
+// Members that start together may meet in two groups that know nothing of each other: half the
+// entries then never hear of the other half's endpoints. Each group lacks some seed, or neither
+// does and they have met; so asking the seeds that are not met joins them.
+void Membership::seekSeeds(GossipActions &actions, state::Instant now)
+{
+    if (now < this->nextSeek)
+        return;
+    this->nextSeek = now + this->settings.seekInterval;
+    const std::vector<state::Address> seeds = this->unmetSeeds();
+    if (seeds.empty() || this->memberTable.liveCount() < 2)
+        return; // alone, the exchange asks them
+    GossipMessage message = this->makeMessage(GossipKind::Digest);
+    message.digest = makeDigest({this->memberTable, this->endpointRecords}, now);
+    this->addSelf(message);
+    this->sendBare(actions, seeds[this->random() % seeds.size()], std::move(message));
+}
+
 void Membership::reconnect(GossipActions &actions, state::Instant now)
 {
     if (now < this->nextReconnect)
--- a/src/coordination/membership/Membership.h
+++ b/src/coordination/membership/Membership.h
@@ -103,6 +103,8 @@
                      GossipActions &actions);
     void forget(GossipActions &actions, state::Instant now);
     std::optional<state::Address> exchangePeer();
+    std::vector<state::Address> unmetSeeds() const; // that no live member known here has
+    void seekSeeds(GossipActions &actions, state::Instant now);
 
     bool isRefused(const GossipMessage &message, const state::Address &from, GossipActions &actions,
                    state::Instant now);
@@ -148,6 +150,7 @@
     state::Instant nextGossip;
     state::Instant nextExchange;
     state::Instant nextReconnect;
+    state::Instant nextSeek;
     state::Instant nextForget;
     bool synced = false;
     bool differs = false; // from another member, by the last Summary
--- a/src/coordination/membership/MembershipSettings.h
+++ b/src/coordination/membership/MembershipSettings.h
@@ -16,7 +16,7 @@
     state::VmId self;
     std::uint64_t incarnation = 0; // start of the process, milliseconds of wall time
     MemberDescription description;
-    std::vector<state::Address> seeds; // asked only while no other member is known
+    std::vector<state::Address> seeds; // asked until a live member is known at each
     std::uint64_t randomSeed = 0;
 
     FailureDetectorSettings failureDetector;
@@ -32,6 +32,7 @@
     state::Duration catchUpInterval = std::chrono::seconds(2); // while something differs
     state::Duration joinSyncInterval = std::chrono::milliseconds(250);
     state::Duration joinTimeout = std::chrono::seconds(30); // then it counts as synced as it is
+    state::Duration seekInterval = std::chrono::seconds(2); // to one seed that is not met
     state::Duration reconnectInterval = std::chrono::seconds(10); // to one dead member
     state::Duration leftKept = std::chrono::hours(1);
     state::Duration deadKept = std::chrono::hours(24); // outlasts a split between regions
--- a/tests/coordination/membership/MembershipFaultTest.cpp
+++ b/tests/coordination/membership/MembershipFaultTest.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(healedMembersComeBackEverywhere);
     CPPUNIT_TEST(isolatedMemberAccusesNobody);
     CPPUNIT_TEST(splitHalvesJoinAgain);
+    CPPUNIT_TEST(islandsOfJoinersFindEachOther);
     CPPUNIT_TEST(flappingMemberSettlesAlive);
     CPPUNIT_TEST(oldIncarnationIsRefusedAndStops);
     CPPUNIT_TEST(joinerWithClockBehindTakesHigherIncarnation);
@@ -91,6 +92,29 @@
             }
     }
 
+    void islandsOfJoinersFindEachOther()
+    {
+        // An operator starts a whole fleet at once and sees two half fleets that stay apart: each
+        // member asks seeds until it has met one other, and two pairs that meet at the same moment
+        // have no reason to ask again. Seen with six processes; here the pairs are made by a cut
+        // that ends once both have formed.
+        for (std::uint64_t seed = 31; seed < 41; ++seed) {
+            GossipFleet fleet({.nodes = 6, .seed = seed, .preload = false});
+            fleet.passes = [](std::size_t from, std::size_t to) { return from % 2 == to % 2; };
+            fleet.run(seconds(4));
+            for (std::size_t node = 0; node < fleet.size(); ++node)
+                CPPUNIT_ASSERT_EQUAL(std::size_t(3), fleet.at(node).members().liveCount());
+            fleet.passes = {};
+            const auto whole = [&] {
+                for (std::size_t node = 0; node < fleet.size(); ++node)
+                    if (fleet.at(node).members().liveCount() != fleet.size())
+                        return false;
+                return true;
+            };
+            CPPUNIT_ASSERT(fleet.runUntil(whole, seconds(10)) >= state::Duration::zero());
+        }
+    }
+
     void healedMembersComeBackEverywhere()
     {
         // An isolated VM was declared dead while its process ran on. After the network heals, it
