Program: a caller waits for a fleet that is starting

Cause: two of three demo runs failed their first calls: no entry had a confirmed table in the first second, the directory was empty, and the caller used up its eight tries in 400 ms. Change: an empty directory is 503 with when to come back, and no failed try; tries pause longer each time.

--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -89,6 +89,18 @@
     return "$code"
 }
 
+# Waits until the directory names COUNT entries; gives up after ten seconds.
+await_directory() { # await_directory N COUNT
+    local tries seen
+    for tries in $(seq 1 100); do
+        seen=$(curl -s "http://$(entry_address "$1")/v1/entries" | grep -o '"address"' | grep -c .)
+        [ "$seen" -ge "$2" ] && return 0
+        sleep 0.1
+    done
+    echo "entry $1 names $seen entries, not $2" >&2
+    return 1
+}
+
 # Waits until entry N knows COUNT endpoints; gives up after ten seconds.
 await_endpoints() { # await_endpoints N COUNT
     local tries seen
--- a/src/program/Caller.cpp
+++ b/src/program/Caller.cpp
@@ -24,6 +24,20 @@
 namespace {
 
 constexpr milliseconds directoryTimeout{2'000};
+constexpr milliseconds directoryRetry{100};
+constexpr milliseconds longestPause{1'000};
+
+asio::awaitable<void> pause(milliseconds time)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+// Doubles with each try.
+milliseconds pauseAfter(const CallerSettings &settings, int attempt)
+{
+    return std::min(settings.pauseBetweenTries * (1 << std::min(attempt, 8)), longestPause);
+}
 
 std::string textMember(const json::value &value, std::string_view name)
 {
@@ -91,6 +105,8 @@
         co_return co_await this->readEvents(opened.value());
     }
 
+    state::Instant end() const { return this->deadline; }
+
     CallResult finish()
     {
         this->result.total = monotonicNow() - this->started;
@@ -197,21 +213,30 @@
     co_return this->entries; // an old answer is better than none
 }
 
+asio::awaitable<std::vector<state::Address>> Caller::awaitDirectory(state::Instant deadline)
+{
+    // A fleet that is starting names nobody for a moment; that is no failed try.
+    while (true) {
+        std::vector<state::Address> order = co_await this->directory();
+        if (!order.empty() || remaining(deadline) == milliseconds(0))
+            co_return order;
+        co_await pause(directoryRetry);
+    }
+}
+
 asio::awaitable<CallResult> Caller::complete(protocol::HttpRequest request)
 {
     request.headers.add("Authorization", "Bearer " + this->settings.key);
     StreamedCall call(std::move(request), this->settings);
     for (int attempt = 0; attempt < this->settings.tries; ++attempt) {
-        const std::vector<state::Address> order = co_await this->directory();
+        const std::vector<state::Address> order = co_await this->awaitDirectory(call.end());
         if (!order.empty()) {
             const state::Address entry = order[static_cast<std::size_t>(attempt) % order.size()];
             const bool ended = co_await call.tryAt(entry);
             if (ended)
                 break;
         }
-        asio::steady_timer timer(co_await asio::this_coro::executor,
-                                 this->settings.pauseBetweenTries);
-        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_await pause(pauseAfter(this->settings, attempt));
     }
     co_return call.finish();
 }
@@ -224,7 +249,7 @@
     CallResult result;
     result.ran = "no";
     for (int attempt = 0; attempt < this->settings.tries; ++attempt) {
-        const std::vector<state::Address> order = co_await this->directory();
+        const std::vector<state::Address> order = co_await this->awaitDirectory(deadline);
         if (!order.empty()) {
             protocol::HttpRequest copy = request;
             copy.headers.add("Deadline-Ms", std::to_string(remaining(deadline).count()));
@@ -255,9 +280,7 @@
             if (ended || remaining(deadline) == milliseconds(0))
                 break;
         }
-        asio::steady_timer timer(co_await asio::this_coro::executor,
-                                 this->settings.pauseBetweenTries);
-        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_await pause(pauseAfter(this->settings, attempt));
     }
     result.total = monotonicNow() - started;
     co_return result;
--- a/src/program/Caller.h
+++ b/src/program/Caller.h
@@ -21,9 +21,9 @@
     std::vector<state::Address> knownEntries; // any of them is asked for the directory
     std::string account;
     std::string key;
-    std::chrono::milliseconds deadline{60'000}; // of each call, all tries together
-    int tries = 8;                              // over all entries
-    std::chrono::milliseconds pauseBetweenTries{50};
+    std::chrono::milliseconds deadline{60'000};      // of each call, all tries together
+    int tries = 8;                                   // over all entries
+    std::chrono::milliseconds pauseBetweenTries{50}; // doubled with each try, up to a second
 };
 
 // How one call ended for the caller.
@@ -55,6 +55,8 @@
 
 private:
     boost::asio::awaitable<std::vector<state::Address>> directory();
+    // Empty only if the deadline has passed.
+    boost::asio::awaitable<std::vector<state::Address>> awaitDirectory(state::Instant deadline);
 
     CallerSettings settings;
     std::vector<state::Address> entries; // the last answer
--- a/src/program/Entry.cpp
+++ b/src/program/Entry.cpp
@@ -270,6 +270,10 @@
 {
     const DirectoryAnswer answer =
             this->hooks.directory(state::ClientAccountId(request.query("account").value_or("")));
+    if (answer.entries.empty()) {
+        Problem problem{503, "no-entry-ready", "no entry is ready yet", Ran::No, retryStaleAfter};
+        return toResponse(problem);
+    }
     json::array entries;
     for (const state::Address &address : answer.entries)
         entries.emplace_back(json::object{{"address", address.toString()}});
