Program: crashed engines are suspected at once; operators' routes mended; system tests

(1) engine_killed: requests placed on a crashed engine before its expiry used up their attempts on closed ports, and were told ran: unknown though no byte had gone out. (2) drain, table race: the operators' route crashed the entry: braced temporaries in an awaited call (g++ 12).

--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -127,3 +127,14 @@
     for i in $(seq 0 $(($1 - 1))); do list+="${list:+,}$(entry_address $((($2 + i - 1) % $1 + 1)))"; done
     echo "$list"
 }
+
+# Waits until entry N answers.
+await_up() { # await_up N
+    local tries
+    for tries in $(seq 1 100); do
+        "$node" status --entry "$(entry_address "$1")" >/dev/null 2>&1 && return 0
+        sleep 0.05
+    done
+    echo "entry $1 does not answer after $tries tries" >&2
+    return 1
+}
--- a/src/program/CompletionRelay.cpp
+++ b/src/program/CompletionRelay.cpp
@@ -59,7 +59,7 @@
                 placement = co_await this->hooks.scheduler.sliceDone(this->request.id, current);
             else
                 placement = co_await this->hooks.scheduler.placeAgain(this->request.id, current,
-                                                                      end == AttemptEnd::NotRun);
+                                                                      failureOf(end));
         }
         if (!placement)
             co_await this->giveUp(placement.error());
@@ -71,10 +71,18 @@
     enum class AttemptEnd {
         Ended, // the request is over, well or not
         SliceDone,
-        NotRun, // the engine certainly did not start it
+        Unreachable, // no connection to the engine
+        NotRun,      // the engine refused it
         Lost,
     };
 
+    static AttemptFailure failureOf(AttemptEnd end)
+    {
+        if (end == AttemptEnd::Unreachable)
+            return AttemptFailure::Unreachable;
+        return end == AttemptEnd::NotRun ? AttemptFailure::NotRun : AttemptFailure::Lost;
+    }
+
     // Reads on in the stream that the caller's former entry started. False if the engine has lost
     // it.
     asio::awaitable<bool> joinRunningStream()
@@ -120,26 +128,27 @@
                              this->hooks.scheduler.isAlive);
         const auto opened = co_await engine.open();
         if (!opened) {
-            const bool unseen = this->noteFailure(opened.error());
+            this->noteFailure(opened.error());
             const bool late = co_await this->endIfLate();
             if (late)
                 co_return AttemptEnd::Ended;
-            co_return unseen ? AttemptEnd::NotRun : AttemptEnd::Lost;
+            if (opened.error().step == transport::connectStep)
+                co_return AttemptEnd::Unreachable;
+            co_return opened.error().code == state::ErrorCode::Overloaded ? AttemptEnd::NotRun
+                                                                          : AttemptEnd::Lost;
         }
         this->ran = Ran::Yes;
         co_return co_await this->relay(engine, placement, stream);
     }
 
     // "No" stays true only while no byte of the request has gone to an engine.
-    // Gives whether this failure left the engine untouched.
-    bool noteFailure(const state::Error &error)
+    void noteFailure(const state::Error &error)
     {
         const bool unseen =
                 error.step == transport::connectStep || error.code == state::ErrorCode::Overloaded;
         if (!unseen && this->ran == Ran::No)
             this->ran = Ran::Unknown;
         this->lastError = error;
-        return unseen;
     }
 
     asio::awaitable<AttemptEnd> relay(EngineAttempt &engine, const Placement &placement,
@@ -200,9 +209,8 @@
     // The scheduler's refusal, with what is known here of whether the request ran.
     asio::awaitable<void> giveUp(Problem problem)
     {
-        if (this->ran != Ran::No)
-            problem.ran = this->ran;
-        else if (this->resume)
+        problem.ran = this->ran;
+        if (this->resume && this->ran == Ran::No)
             problem.ran = Ran::Unknown; // it ran elsewhere before: "no" would be a lie
         co_await this->fail(std::move(problem));
     }
--- a/src/program/ControlClient.cpp
+++ b/src/program/ControlClient.cpp
@@ -249,7 +249,8 @@
         const control::TakeClaim command{control::ClaimId::of(key.account, key.key), key.account,
                                          control::Digest::of(body), holderOf(attempt),
                                          deadline - monotonicNow()};
-        const auto committed = co_await self->propose(command, deadline);
+        control::Command proposal = command;
+        const auto committed = co_await self->propose(std::move(proposal), deadline);
         if (!committed)
             co_return committed.error();
         const auto *answer = std::get_if<control::ClaimAnswer>(&committed.value().answer);
@@ -264,20 +265,24 @@
                                           state::Instant deadline) -> asio::awaitable<bool> {
         const control::DispatchClaim command{control::ClaimId::of(key.account, key.key),
                                              holderOf(attempt)};
-        const auto committed = co_await self->propose(command, deadline);
+        control::Command proposal = command;
+        const auto committed = co_await self->propose(std::move(proposal), deadline);
         co_return granted(committed);
     };
     gate.release = [self, holderOf](ClaimKey key, std::string attempt) -> asio::awaitable<bool> {
         const control::ReleaseClaim command{control::ClaimId::of(key.account, key.key),
                                             holderOf(attempt)};
-        const auto committed = co_await self->propose(command, monotonicNow() + releaseTime);
+        control::Command proposal = command;
+        const auto committed =
+                co_await self->propose(std::move(proposal), monotonicNow() + releaseTime);
         co_return granted(committed);
     };
     gate.finish = [self, holderOf](ClaimKey key, std::string attempt,
                                    protocol::HttpResponse result) -> asio::awaitable<void> {
         const control::FinishClaim command{control::ClaimId::of(key.account, key.key),
                                            holderOf(attempt), toClaimResult(result)};
-        co_await self->propose(command, monotonicNow() + releaseTime);
+        control::Command proposal = command;
+        co_await self->propose(std::move(proposal), monotonicNow() + releaseTime);
     };
     return gate;
 }
--- a/src/program/ControlRoutes.cpp
+++ b/src/program/ControlRoutes.cpp
@@ -71,8 +71,9 @@
 asio::awaitable<HttpResponse> commit(std::shared_ptr<ControlClient> client,
                                      control::OperatorCommand command)
 {
-    const auto committed = co_await client->propose(control::Command(std::move(command)),
-                                                    monotonicNow() + operatorDeadline);
+    control::Command proposal = std::move(command);
+    const state::Instant deadline = monotonicNow() + operatorDeadline;
+    const auto committed = co_await client->propose(std::move(proposal), deadline);
     if (!committed)
         co_return toResponse(Problem{504, "not-answered",
                                      "not known whether it was accepted; send it again with the "
@@ -156,7 +157,9 @@
         if (change.edits.empty())
             co_return jsonAnswer(
                     200, {{"accepted", true}, {"version", view->version}, {"unchanged", true}});
-        co_return co_await commit(this->client, this->commandOf(control::EditRows{change.edits}));
+        control::OperatorAction action = control::EditRows{change.edits};
+        control::OperatorCommand command = this->commandOf(std::move(action));
+        co_return co_await commit(this->client, std::move(command));
     }
 
     asio::awaitable<HttpResponse> submitOrder()
@@ -164,8 +167,9 @@
         const auto spec = orderOf(this->request.body);
         if (!spec)
             co_return badRequest(spec.error());
-        co_return co_await commit(this->client,
-                                  this->commandOf(control::SubmitOrder{spec.value()}));
+        control::OperatorAction action = control::SubmitOrder{spec.value()};
+        control::OperatorCommand command = this->commandOf(std::move(action));
+        co_return co_await commit(this->client, std::move(command));
     }
 
     static state::Result<control::OrderSpec> orderOf(const std::string &body)
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -29,6 +29,7 @@
 namespace {
 
 constexpr milliseconds engineCallTimeout{2'000};
+constexpr std::chrono::seconds suspicionTime{2}; // then it is tried again
 
 Problem problemOf(const admission::Refuse &refusal)
 {
@@ -261,17 +262,43 @@
                 asio::detached);
     }
 
+    // A crashed engine stays in the table until its renewals are missed. Without this every request
+    // that is placed meanwhile finds its port closed, and some run out of attempts there. It is
+    // taken up again after a while, or at once when it announces a new incarnation.
+    void suspect(const state::EndpointDescription &endpoint)
+    {
+        const auto known = this->announced.find(endpoint.id);
+        if (known == this->announced.end()
+            || known->second.description.incarnation != endpoint.incarnation)
+            return;
+        this->suspects[endpoint.id] = {endpoint.incarnation, monotonicNow() + suspicionTime};
+        logEvent(LogLevel::Warning, "engine.unreachable", {{"endpoint", endpoint.id.value()}});
+        this->refreshEndpoints();
+    }
+
+    bool isSuspected(const state::EndpointDescription &endpoint) const
+    {
+        const auto found = this->suspects.find(endpoint.id);
+        return found != this->suspects.end() && found->second.incarnation == endpoint.incarnation
+               && monotonicNow() < found->second.until;
+    }
+
     void refreshEndpoints()
     {
         const auto table = this->registry->table();
-        for (const auto &[id, known] : this->announced) {
-            if (!table->endpoints.contains(id))
-                this->handle(admission::EngineGone{id});
+        const auto isGone = [&](const auto &known) {
+            const auto listed = table->endpoints.find(known.first);
+            return listed == table->endpoints.end()
+                   || this->isSuspected(listed->second.description);
+        };
+        for (const auto &known : this->announced) {
+            if (isGone(known))
+                this->handle(admission::EngineGone{known.first});
         }
-        std::erase_if(this->announced,
-                      [&](const auto &known) { return !table->endpoints.contains(known.first); });
+        std::erase_if(this->announced, isGone);
         for (const auto &[id, endpoint] : table->endpoints) {
-            if (endpoint.description.kind != state::EndpointKind::Engine)
+            if (endpoint.description.kind != state::EndpointKind::Engine
+                || this->isSuspected(endpoint.description))
                 continue;
             const auto known = this->announced.find(id);
             const bool same = known != this->announced.end();
@@ -291,7 +318,14 @@
     std::shared_ptr<EndpointRegistry> registry;
     Hooks hooks;
     admission::Dispatcher dispatcher;
+    struct Suspect
+    {
+        std::uint64_t incarnation = 0;
+        state::Instant until;
+    };
+
     std::unordered_map<state::RequestId, Pending> pending;
+    std::map<state::EndpointId, Suspect> suspects;             // connections to them were refused
     std::map<state::EndpointId, RegisteredEndpoint> announced; // as the dispatcher knows them
 };
 
@@ -342,9 +376,13 @@
             state.handle(admission::RequestArrived{toAdmission(request)});
         });
     };
-    scheduler.placeAgain = [waitFor](state::RequestId id, Placement failed, bool didNotRun) {
-        return waitFor(id, [id, attempt = failed.attempt, didNotRun](State &state) {
-            state.handle(admission::AttemptFailed{id, attempt, didNotRun});
+    scheduler.placeAgain = [waitFor](state::RequestId id, Placement failed,
+                                     AttemptFailure failure) {
+        return waitFor(id, [id, failed, failure](State &state) {
+            if (failure == AttemptFailure::Unreachable)
+                state.suspect(failed.endpoint);
+            state.handle(
+                    admission::AttemptFailed{id, failed.attempt, failure != AttemptFailure::Lost});
         });
     };
     scheduler.sliceDone = [waitFor](state::RequestId id, Placement done) {
--- a/src/program/LeastOutstanding.cpp
+++ b/src/program/LeastOutstanding.cpp
@@ -102,7 +102,7 @@
         co_return policy->place(request);
     };
     scheduler.placeAgain = [policy](state::RequestId id, Placement failed,
-                                    bool) -> boost::asio::awaitable<PlacementResult> {
+                                    AttemptFailure) -> boost::asio::awaitable<PlacementResult> {
         co_return policy->placeAgain(id, failed);
     };
     scheduler.sliceDone = [](state::RequestId,
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -124,8 +124,7 @@
         if (this->client)
             this->client->start();
         this->tellPhase();
-        if (!this->settings.gossipListen)
-            asio::co_spawn(this->context, this->expireLoop(), asio::detached);
+        asio::co_spawn(this->context, this->expireLoop(), asio::detached);
         asio::co_spawn(this->context, this->leaveOnSignal(), asio::detached);
         return state::outcome::success();
     }
@@ -270,11 +269,11 @@
     {
         while (true) {
             co_await pause(expiryCheckInterval);
-            const auto dropped = this->registry->expire(monotonicNow());
-            for (const state::EndpointId &id : dropped)
-                logEvent(LogLevel::Warning, "endpoint.expired", {{"endpoint", id.value()}});
-            if (!dropped.empty())
-                this->policy->refreshEndpoints();
+            if (!this->settings.gossipListen) {
+                for (const state::EndpointId &id : this->registry->expire(monotonicNow()))
+                    logEvent(LogLevel::Warning, "endpoint.expired", {{"endpoint", id.value()}});
+            }
+            this->policy->refreshEndpoints(); // takes up again what was suspected for a while
         }
     }
 
--- a/src/program/Scheduler.h
+++ b/src/program/Scheduler.h
@@ -26,6 +26,12 @@
     state::Instant deadline;
 };
 
+enum class AttemptFailure {
+    Unreachable, // no connection: the engine has not seen it, nor can it see others
+    NotRun,      // the engine refused it
+    Lost,        // it may have run
+};
+
 // One piece of work for one engine: the whole request, or a slice of its prefill.
 struct Placement
 {
@@ -53,9 +59,9 @@
 {
     // Waits in the queue for its turn; refuses at once what can't make its deadline.
     std::function<boost::asio::awaitable<PlacementResult>(ScheduledRequest)> place;
-    // The endpoint of `failed` is lost to this request. `didNotRun` only if that is certain.
+    // The endpoint of `failed` is lost to this request.
     std::function<boost::asio::awaitable<PlacementResult>(state::RequestId, Placement failed,
-                                                          bool didNotRun)>
+                                                          AttemptFailure failure)>
             placeAgain;
     // A slice is prefilled; gives the next one, or the final piece.
     std::function<boost::asio::awaitable<PlacementResult>(state::RequestId, Placement done)>
