Storage: bounds of the claims from the measured peak, bench in rounds

Change: 64 MB, 150 000 claims; the bench pairs three rounds of every batched run with the plain loop, since this disk's sync takes 0.2 ms at times and 4 ms at others. The planner's test is blinder after a lost answer: a mutation that decided by an older look had survived.

--- a/bench/storage/Commits.cpp
+++ b/bench/storage/Commits.cpp
@@ -148,23 +148,31 @@
 
 void measureCommits(const std::string &folder, Figures &figures)
 {
-    constexpr std::size_t unbatchedClaims = 400;
+    constexpr std::size_t unbatchedClaims = 300;
+    constexpr std::size_t mostClaims = 40'000;
+    constexpr std::size_t rounds = 3;
     figures.add("durable log, one sync a claim", unbatchedLog(folder, unbatchedClaims), "claims/s");
     for (const std::size_t callers : {1U, 16U, 64U, 256U, 1024U}) {
-        const std::size_t claims = std::min<std::size_t>(400 * callers, 60'000);
-        // Other work on the disk moves all figures: the loop runs before and after each batched
-        // run.
-        const double loopBefore = plainLoop(folder, unbatchedClaims);
-        const Batched batched = BatchedRun(folder, claims, callers).run();
-        const double plain = (loopBefore + plainLoop(folder, unbatchedClaims)) / 2;
         const std::string name = "batched, " + std::to_string(callers) + " callers: ";
-        figures.add(name + "plain append-and-sync loop beside it", plain, "claims/s");
-        figures.add(name + "rate", batched.claimsPerSecond, "claims/s");
-        figures.add(name + "times the plain loop", batched.claimsPerSecond / plain, "x");
-        figures.add(name + "latency, median", batched.medianMilliseconds, "ms");
-        figures.add(name + "latency, 99 in 100", batched.p99Milliseconds, "ms");
-        figures.add(name + "claims a sync", batched.claimsPerSync, "claims");
-        figures.add(name + "bytes a claim taken", batched.bytesPerClaim, "B");
+        std::vector<double> times;
+        for (std::size_t round = 0; round < rounds; ++round) {
+            // Other work on the disk moves all figures: the loop runs right before each batched
+            // run.
+            const double plain = plainLoop(folder, unbatchedClaims);
+            const std::string data = folder + "/" + std::to_string(round);
+            const Batched batched =
+                    BatchedRun(data, std::min(200 * callers, mostClaims), callers).run();
+            times.push_back(batched.claimsPerSecond / plain);
+            const std::string one = name + "round " + std::to_string(round + 1) + ": ";
+            figures.add(one + "plain append-and-sync loop", plain, "claims/s");
+            figures.add(one + "rate", batched.claimsPerSecond, "claims/s");
+            figures.add(one + "latency, median", batched.medianMilliseconds, "ms");
+            figures.add(one + "latency, 99 in 100", batched.p99Milliseconds, "ms");
+            figures.add(one + "claims a sync", batched.claimsPerSync, "claims");
+            figures.add(one + "bytes a claim taken", batched.bytesPerClaim, "B");
+        }
+        std::sort(times.begin(), times.end());
+        figures.add(name + "times the plain loop, median", times[rounds / 2], "x");
     }
 }
 
--- a/bench/storage/State.cpp
+++ b/bench/storage/State.cpp
@@ -4,6 +4,7 @@
 #include "storage/Workload.h"
 
 #include <malloc.h>
+#include <sys/resource.h>
 
 #include <vector>
 
@@ -19,6 +20,14 @@
     return static_cast<double>(info.uordblks + info.hblkhd);
 }
 
+// The greatest so far.
+double residentMegabytes()
+{
+    struct rusage usage = {};
+    ::getrusage(RUSAGE_SELF, &usage);
+    return static_cast<double>(usage.ru_maxrss) / 1e3;
+}
+
 void measureSnapshot(const std::string &name, const ControlState &state, double records,
                      Figures &figures)
 {
@@ -91,7 +100,8 @@
     const std::string name = std::to_string(claims) + " claims: ";
     const double before = allocatedBytes();
     state::control::ControlLimits limits;
-    limits.claims.bytes = 1U << 30U; // the slope is wanted also beyond the bound
+    limits.claims.bytes = 1U << 30U; // the slope is wanted also beyond the bounds
+    limits.claims.claims = claims;
     ControlState state(limits);
     std::uint64_t index = 0;
     const auto start = std::chrono::steady_clock::now();
@@ -120,6 +130,10 @@
     }
     figures.add("claims that the bounds let in", static_cast<double>(state.claims().size()),
                 "claims");
+    figures.add("with these: memory of the process before a snapshot", residentMegabytes(), "MB");
+    const std::string bytes = protocol::encodeControlImage(state.copyImage());
+    figures.add("with these: greatest memory, through a snapshot", residentMegabytes(), "MB");
+    figures.add("with these: snapshot", static_cast<double>(bytes.size()) / 1e6, "MB");
 }
 
 void measureFixedParts(Figures &figures)
@@ -134,6 +148,16 @@
         state.apply({1, ++index}, editor.edit(1, "review"));
     figures.add("history, requests and feed of 10000 changes", (allocatedBytes() - before) / 1e6,
                 "MB");
+    constexpr std::size_t importedRows = 1'000;
+    state::control::EditRows import;
+    for (std::size_t row = 0; row < importedRows; ++row)
+        import.edits.push_back({{.key = { accountOf(row), state::WorkClass("review") }}, 0, false});
+    figures.add("one row in an import's command",
+                static_cast<double>(protocol::encodeCommand(
+                                            state::control::OperatorCommand{{}, std::move(import)})
+                                            .size())
+                        / static_cast<double>(importedRows),
+                "B");
     const auto pages = state.changesSince(index - 1);
     figures.add("one row's change to an entry",
                 static_cast<double>(protocol::encodeFeedPage(pages.at(0)).size()), "B");
@@ -143,11 +167,11 @@
 
 void measureState(Figures &figures)
 {
+    measureBound(figures); // first: the process has held nothing greater yet
     for (const std::size_t rows : {1'000U, 11'000U, 33'000U})
         measureRows(rows, figures);
     for (const std::size_t claims : {10'000U, 100'000U, 300'000U})
         measureClaims(claims, figures);
-    measureBound(figures);
     measureFixedParts(figures);
 }
 
--- a/src/state/control/ClaimLedger.h
+++ b/src/state/control/ClaimLedger.h
@@ -17,10 +17,12 @@
 // of the program (tests pass smaller ones), not settings.
 struct ClaimLimits
 {
-    std::size_t claims = 300'000;
-    std::size_t claimsOfOneAccount = 100'000; // one account can't shut the others out
-    std::size_t bytes = 96U << 20U;           // over all claims, by claimBytes()
-    std::size_t resultBytes = 16U << 10U;     // of one result's body
+    std::size_t claims = 150'000;
+    std::size_t claimsOfOneAccount = 75'000; // one account can't shut the others out
+    // Over all claims, by claimBytes(). While a snapshot is taken they are held twice and encoded
+    // once, and the whole process has to stay under 256 MB.
+    std::size_t bytes = 64U << 20U;
+    std::size_t resultBytes = 16U << 10U; // of one result's body
     Duration longestDeadline = std::chrono::hours(24);
     Duration resendWindow =
             std::chrono::hours(1); // callers may resend this long after the decision
--- a/tests/coordination/orders/OrderPlannerTest.cpp
+++ b/tests/coordination/orders/OrderPlannerTest.cpp
@@ -40,6 +40,7 @@
     std::map<EndpointId, FakeEndpoint> endpoints;
     std::vector<SendOrder> sent;
     bool answersLost = false;
+    bool silent = false; // endpoints do not tell their state
     Instant leaseUntil = Instant::max();
     std::map<state::ModelName, double> demand;
 
@@ -82,8 +83,10 @@
                     this->answersLost ? SendOutcome::Unknown : SendOutcome::Answered;
             this->planner.sendDone(order.orderId, order.endpoint, outcome, now);
         }
-        for (const EndpointId &id : actions.observe)
-            this->planner.observed(this->endpoints.at(id).state, now);
+        for (const EndpointId &id : actions.observe) {
+            if (!this->silent)
+                this->planner.observed(this->endpoints.at(id).state, now);
+        }
     }
 
     void run(int from, int to)
@@ -149,14 +152,22 @@
 public:
     void lostAnswerIsNotRepeatedUnseen()
     {
-        // The order lands and its answer is lost. The planner looks and finds it done; sent again
-        // blindly, a stop or a load would happen twice.
+        // The order lands, its answer is lost, and for a minute the endpoint does not tell its
+        // state either. The planner waits, looks, and finds it done; sent again blindly, a stop or
+        // a load would happen twice.
         Fleet fleet;
         fleet.add("e1", "a");
         fleet.answersLost = true;
         fleet.planner.leaderStarted(1, at(0), 0, at(0));
         fleet.submit(7, specOf(OrderKind::Drain, {EndpointId("e1")}));
-        fleet.run(0, 60);
+        int second = 0;
+        while (fleet.sent.empty())
+            fleet.round(at(second++));
+        fleet.silent = true; // what was seen before the send must not decide
+        fleet.run(second, second + 60);
+        CPPUNIT_ASSERT(fleet.book.find(7)->state == OrderState::Open);
+        fleet.silent = false;
+        fleet.run(second + 60, second + 70);
         CPPUNIT_ASSERT_EQUAL(1, fleet.endpoints.at(EndpointId("e1")).orders);
         CPPUNIT_ASSERT(fleet.book.find(7)->state == OrderState::Done);
         CPPUNIT_ASSERT(fleet.sent[0].fencing == (state::log::LogPosition{1, 100}));
