Protocol: a byte that is no bool is refused

Cause: the sanitizer run of damagedCommandsDoNoHarm loaded 2 into a bool, undefined behaviour in every message with an optional or a bool. Change: BoundedInputArchive refuses any byte but 0 and 1 there.

--- a/src/protocol/BoundedInputArchive.h
+++ b/src/protocol/BoundedInputArchive.h
@@ -52,12 +52,23 @@
 
 // cereal finds these by their names.
 // NOLINTBEGIN(readability-identifier-naming)
-template <typename Number, std::enable_if_t<std::is_arithmetic_v<Number>, int> = 0>
+template <typename Number,
+          std::enable_if_t<std::is_arithmetic_v<Number> && !std::is_same_v<Number, bool>, int> = 0>
 void CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive &archive, Number &number)
 {
     archive.loadBytes(&number, sizeof number);
 }
 
+// A bool that holds another byte than 0 or 1 is undefined behaviour wherever it is read.
+inline void CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive &archive, bool &flag)
+{
+    std::uint8_t byte = 0;
+    archive.loadBytes(&byte, sizeof byte);
+    if (byte > 1)
+        throw cereal::Exception("not a bool");
+    flag = byte == 1;
+}
+
 template <typename Size>
 void CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive &archive, cereal::SizeTag<Size> &tag)
 {
