Program: table, account, order and in-force at the command line; accounts from the catalog

Cause: operators had HTTP only, and an account of the settings could not have table rows. Change: four subcommands over the entry's operator calls, accounts put into the catalog and accepted as callers; the control member writes through the store's LogWriter, and the double of it is gone. Measured: tests/system table_race_and_restart fails before (account not in the catalog), passes after, with all three control members killed at once and restarted.

--- a/src/program/CallCommand.cpp
+++ b/src/program/CallCommand.cpp
@@ -1,10 +1,9 @@
 // call and status: a caller and an operator at the command line.
 #include "program/Caller.h"
 #include "program/Commands.h"
+#include "program/RunToEnd.h"
 #include "transport/HttpClient.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/io_context.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -23,21 +22,6 @@
 constexpr double microsecondsPerMillisecond = 1'000;
 constexpr std::size_t bytesPerToken = 4;
 
-// Runs one coroutine to its end on this thread.
-template <typename Value>
-Value runToEnd(asio::awaitable<Value> work)
-{
-    asio::io_context context;
-    Value value{};
-    asio::co_spawn(context, std::move(work), [&](std::exception_ptr failure, Value result) {
-        if (failure)
-            std::rethrow_exception(failure);
-        value = std::move(result);
-    });
-    context.run();
-    return value;
-}
-
 state::Result<std::vector<state::Address>> parseEntries(const std::vector<std::string> &texts)
 {
     std::vector<state::Address> entries;
--- a/src/program/Commands.h
+++ b/src/program/Commands.h
@@ -36,6 +36,30 @@
     bool json = false;
 };
 
+// Options that all operators' commands share.
+struct OperatorOptions
+{
+    std::vector<std::string> entries;
+    std::string key;
+    std::string request; // the same for a resend; made up if empty
+};
+
+struct OrderOptions
+{
+    std::string kind;
+    std::vector<std::string> endpoints;
+    std::string model;
+    std::string role;
+    std::uint32_t count = 0;
+};
+
+int runTableGet(const OperatorOptions &options, const std::string &format);
+int runTableApply(const OperatorOptions &options, const std::string &file, bool dryRun);
+int runAccountPut(const OperatorOptions &options, const std::string &id, const std::string &name,
+                  const std::string &accountKey);
+int runOrder(const OperatorOptions &options, const OrderOptions &order);
+int runEnforcement(const OperatorOptions &options, std::uint64_t version);
+
 int runServe(const std::string &settingsFile);
 int runCheckSettings(const std::string &settingsFile, bool reference, bool json);
 int runCall(const CallOptions &options);
--- a/src/program/ControlRoutes.cpp
+++ b/src/program/ControlRoutes.cpp
@@ -111,6 +111,8 @@
             co_return co_await this->applyTable();
         if (path == "/v1/operator/orders" && post)
             co_return co_await this->submitOrder();
+        if (path == "/v1/operator/accounts" && post)
+            co_return co_await this->putAccount();
         if (path == "/v1/operator/enforcement" && !post)
             co_return co_await this->enforcement();
         co_return problemAnswer(404, "not-found", "no such path");
@@ -172,6 +174,32 @@
         co_return co_await commit(this->client, std::move(command));
     }
 
+    // {"id","name","key","expected_version"}; only the key's hash is kept.
+    asio::awaitable<HttpResponse> putAccount()
+    {
+        boost::system::error_code problem;
+        const json::value root = json::parse(this->request.body, problem);
+        const auto textOf = [&](const char *name) {
+            const json::value *value =
+                    root.is_object() ? root.get_object().if_contains(name) : nullptr;
+            return value != nullptr && value->is_string() ? std::string(value->get_string()) : "";
+        };
+        constexpr std::size_t shortestKey = 8;
+        if (problem || textOf("id").empty() || textOf("key").size() < shortestKey)
+            co_return problemAnswer(400, "invalid-request",
+                                    "expected a JSON object with id and a key of 8 characters");
+        state::table::ClientAccount account;
+        account.id = state::ClientAccountId(textOf("id"));
+        account.name = textOf("name");
+        account.bearerKeyHash = state::table::bearerKeyHash(textOf("key"));
+        const auto view = this->client->view();
+        const state::table::ClientAccount *known = view->catalog.accounts().find(account.id);
+        control::PutAccount put{account, known != nullptr ? known->version : 0};
+        control::OperatorAction action = std::move(put);
+        control::OperatorCommand command = this->commandOf(std::move(action));
+        co_return co_await commit(this->client, std::move(command));
+    }
+
     static state::Result<control::OrderSpec> orderOf(const std::string &body)
     {
         static const std::map<std::string, control::OrderKind, std::less<>> kinds = {
--- a/src/program/ControlRoutes.h
+++ b/src/program/ControlRoutes.h
@@ -19,8 +19,9 @@
 
 // `account` is null if the bearer key is not known; `client` if there are no control members.
 //   GET  /v1/operator/table?format=csv|json
-//   POST /v1/operator/rows   {"request","edits":[{"account","work_class","expected_version",…}]}
-//   POST /v1/operator/orders {"request","kind","endpoints":[…],"model","role","count"}
+//   POST /v1/operator/table?format=…&request=ID[&dry_run=1], body as exported
+//   POST /v1/operator/accounts?request=ID {"id","name","key"}
+//   POST /v1/operator/orders?request=ID {"kind","endpoints":[…],"model","role","count"}
 //   GET  /v1/operator/enforcement?version=N
 boost::asio::awaitable<void> answerOperator(std::shared_ptr<ControlClient> client,
                                             const AccountSetting *account,
--- a/src/program/ControlService.cpp
+++ b/src/program/ControlService.cpp
@@ -21,6 +21,7 @@
 namespace {
 
 constexpr seconds advanceInterval{1};
+constexpr std::uint64_t trailingEntries = 4'096; // kept on disk behind a snapshot
 
 // The first member set of a new cluster. Only a folder that was made with control.bootstrap starts
 // from it: a member whose disk was lost would otherwise vote again in terms in which its former
@@ -75,7 +76,7 @@
         BOOST_OUTCOME_TRY(stored.snapshot, firstSnapshot(settings));
     }
 
-    LogWriter::Hooks writerHooks;
+    transport::storage::LogWriterHooks writerHooks;
     writerHooks.persisted = [this](std::uint64_t sequence) { this->member->persisted(sequence); };
     writerHooks.failed = [this](const state::Error &error) {
         logError("control.storage-failed", error);
@@ -84,7 +85,8 @@
     writerHooks.snapshotSaved = [this](consensus::SnapshotPointer snapshot) {
         this->member->snapshotSaved(snapshot);
     };
-    this->writer = std::make_unique<LogWriter>(std::move(opened.log), std::move(writerHooks));
+    this->writer = std::make_unique<transport::storage::LogWriter>(std::move(opened.log),
+                                                                   std::move(writerHooks));
 
     transport::PeerLinkSettings linkSettings;
     linkSettings.listen = *settings.controlListen;
@@ -113,9 +115,13 @@
 ControlMemberHooks ControlService::memberHooks()
 {
     ControlMemberHooks hooks;
-    hooks.persist = [this](PersistBatch batch) { this->writer->persist(std::move(batch)); };
+    hooks.persist = [this](PersistBatch batch) {
+        this->writer->submit({batch.sequence, std::move(batch.hardState),
+                              std::move(batch.installed), std::move(batch.entries)});
+    };
     hooks.saveSnapshot = [this](consensus::SnapshotPointer snapshot) {
-        this->writer->saveSnapshot(std::move(snapshot));
+        const std::uint64_t last = snapshot->last.index;
+        this->writer->saveSnapshot(std::move(snapshot), last - std::min(last, trailingEntries));
     };
     hooks.apply = [this](const state::log::LogEntry &entry) { return this->apply(entry); };
     hooks.restore = [this](const state::log::LogSnapshot &snapshot) { this->restore(snapshot); };
--- a/src/program/ControlService.h
+++ b/src/program/ControlService.h
@@ -5,11 +5,11 @@
 #include "coordination/orders/EnforcementTracker.h"
 #include "coordination/orders/FeedReceiver.h"
 #include "program/ControlMember.h"
-#include "program/LogWriter.h"
 #include "program/Settings.h"
 #include "protocol/ControlCalls.h"
 #include "state/control/ControlState.h"
 #include "transport/PeerLink.h"
+#include "transport/storage/LogWriter.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -50,7 +50,7 @@
 
     boost::asio::steady_timer timer;
     std::shared_ptr<transport::PeerLink> link;
-    std::unique_ptr<LogWriter> writer;
+    std::unique_ptr<transport::storage::LogWriter> writer;
     std::shared_ptr<ControlMember> member;
     // On the member's strand only; reads get there through ControlMember::read.
     state::control::ControlState state;
--- a/src/program/Entry.cpp
+++ b/src/program/Entry.cpp
@@ -146,13 +146,14 @@
         co_await this->handleEndpointCall(exchange, path.substr(endpointsPrefix.size()));
         co_return;
     }
-    const AccountSetting *account = this->authenticate(request);
+    const std::optional<AccountSetting> account = this->authenticate(request);
     if (this->hooks.extraRoutes) {
-        const bool handled = co_await this->hooks.extraRoutes(exchange, account);
+        const bool handled =
+                co_await this->hooks.extraRoutes(exchange, account ? &*account : nullptr);
         if (handled)
             co_return;
     }
-    if (account == nullptr) {
+    if (!account) {
         co_await exchange.respond(
                 simpleProblem(401, "unauthorized", "the bearer key is missing or not known"));
         co_return;
@@ -319,13 +320,16 @@
     return answer;
 }
 
-const AccountSetting *Entry::authenticate(const protocol::HttpRequest &request) const
+std::optional<AccountSetting> Entry::authenticate(const protocol::HttpRequest &request) const
 {
     const auto header = request.headers.find("Authorization");
     if (!header || !header->starts_with(bearerPrefix))
-        return nullptr;
-    const auto found = this->accountsByKey.find(std::string(header->substr(bearerPrefix.size())));
-    return found == this->accountsByKey.end() ? nullptr : &found->second;
+        return std::nullopt;
+    const std::string key(header->substr(bearerPrefix.size()));
+    const auto found = this->accountsByKey.find(key);
+    if (found != this->accountsByKey.end())
+        return found->second;
+    return this->hooks.accountOfKey ? this->hooks.accountOfKey(key) : std::nullopt;
 }
 
 state::RequestId Entry::nextRequestId()
--- a/src/program/Entry.h
+++ b/src/program/Entry.h
@@ -15,6 +15,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -53,6 +54,8 @@
         std::function<void(const state::LoadReport &)> loadReported;
         std::function<void(const state::EndpointId &, const protocol::CacheEventBatch &)>
                 cacheChanged;
+        // Accounts that operators have put in the catalog; beside those of the settings.
+        std::function<std::optional<AccountSetting>(std::string_view key)> accountOfKey;
         // False while the view of the table is not confirmed fresh.
         std::function<bool()> admits;
         // More routes, for example the operators'; false if the request is none of them.
@@ -90,7 +93,7 @@
     protocol::HttpResponse directoryAnswer(const protocol::HttpRequest &request) const;
     protocol::HttpResponse statusAnswer() const;
     protocol::HttpResponse refuseElsewhere(const state::ClientAccountId &account) const;
-    const AccountSetting *authenticate(const protocol::HttpRequest &request) const;
+    std::optional<AccountSetting> authenticate(const protocol::HttpRequest &request) const;
     state::RequestId nextRequestId();
 
     const Settings &settings;
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -20,6 +20,7 @@
 #include <atomic>
 #include <csignal>
 #include <map>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -182,6 +183,15 @@
         hooks.scheduler = this->policy->scheduler();
         hooks.claims =
                 this->client ? this->client->claimGate(this->incarnation) : makeLocalClaims();
+        hooks.accountOfKey = [this](std::string_view key) -> std::optional<AccountSetting> {
+            if (!this->client)
+                return std::nullopt;
+            const auto view = this->client->view();
+            const auto *account = view->catalog.accountOfBearerKey(key);
+            if (account == nullptr)
+                return std::nullopt;
+            return AccountSetting{account->id, {}, false};
+        };
         hooks.admits = [this] { return !this->client || this->client->admits(); };
         hooks.extraRoutes = [this](transport::HttpExchange &exchange,
                                    const AccountSetting *account) {
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -95,6 +95,95 @@
     command->callback([options, &code] { code = runStatus(options->entries, options->json); });
 }
 
+void addOperatorOptions(CLI::App *command, const std::shared_ptr<OperatorOptions> &options)
+{
+    command->add_option("--entry", options->entries, "IP:PORT of any entry; may be repeated")
+            ->required();
+    command->add_option("--key", options->key, "An operator's bearer key")->required();
+    command->add_option("--request", options->request,
+                        "Id of this request; give the same one when sending it again");
+}
+
+void addTable(CLI::App &app, int &code)
+{
+    CLI::App *table = app.add_subcommand("table", "Show or edit the operators' table");
+    table->require_subcommand(1);
+    auto options = std::make_shared<OperatorOptions>();
+    auto format = std::make_shared<std::string>("csv");
+    CLI::App *get = table->add_subcommand("get", "Print the table");
+    addOperatorOptions(get, options);
+    get->add_option("--format", *format, "csv or json")->check(CLI::IsMember({"csv", "json"}));
+    get->footer(
+            "Example:\n  lavenderthread table get --entry 127.0.0.1:8080 --key KEY > table.csv");
+    get->callback([options, format, &code] { code = runTableGet(*options, *format); });
+
+    auto file = std::make_shared<std::string>();
+    auto dryRun = std::make_shared<bool>(false);
+    CLI::App *apply = table->add_subcommand("apply", "Apply the rows of a CSV or JSON file");
+    addOperatorOptions(apply, options);
+    apply->add_option("file", *file, "As printed by table get, ending in .csv or .json")
+            ->required();
+    apply->add_flag("--dry-run", *dryRun, "Only show what would change");
+    apply->footer("Example:\n  lavenderthread table apply table.csv --dry-run "
+                  "--entry 127.0.0.1:8080 --key KEY");
+    apply->callback(
+            [options, file, dryRun, &code] { code = runTableApply(*options, *file, *dryRun); });
+}
+
+void addAccount(CLI::App &app, int &code)
+{
+    struct Names
+    {
+        std::string id;
+        std::string name;
+        std::string key;
+    };
+    CLI::App *account = app.add_subcommand("account", "Create or change a client account");
+    account->require_subcommand(1);
+    auto options = std::make_shared<OperatorOptions>();
+    auto names = std::make_shared<Names>();
+    CLI::App *put = account->add_subcommand("put", "Create the account, or give it another key");
+    addOperatorOptions(put, options);
+    put->add_option("--id", names->id, "Client account")->required();
+    put->add_option("--name", names->name, "Name for people");
+    put->add_option("--account-key", names->key, "Bearer key of its callers")->required();
+    put->footer("Example:\n  lavenderthread account put --id acme --account-key SECRET123 "
+                "--entry 127.0.0.1:8080 --key KEY");
+    put->callback([options, names, &code] {
+        code = runAccountPut(*options, names->id, names->name, names->key);
+    });
+}
+
+void addOrder(CLI::App &app, int &code)
+{
+    auto options = std::make_shared<OperatorOptions>();
+    auto order = std::make_shared<OrderOptions>();
+    CLI::App *command = app.add_subcommand("order", "Give an order to endpoints");
+    addOperatorOptions(command, options);
+    command->add_option("kind", order->kind, "drain, undrain, load, unload, stop or role")
+            ->required();
+    command->add_option("--endpoint", order->endpoints, "Endpoint; may be repeated");
+    command->add_option("--model", order->model, "Model of load and unload");
+    command->add_option("--role", order->role, "Role of role");
+    command->add_option("--count", order->count, "Keep the model loaded on that many engines");
+    command->footer("Example:\n  lavenderthread order drain --endpoint engine7 "
+                    "--entry 127.0.0.1:8080 --key KEY");
+    command->callback([options, order, &code] { code = runOrder(*options, *order); });
+}
+
+void addEnforcement(CLI::App &app, int &code)
+{
+    auto options = std::make_shared<OperatorOptions>();
+    auto version = std::make_shared<std::uint64_t>(0);
+    CLI::App *command =
+            app.add_subcommand("in-force", "Tell on how many entries a version is in force");
+    addOperatorOptions(command, options);
+    command->add_option("version", *version, "As answered when the change was accepted")
+            ->required();
+    command->footer("Example:\n  lavenderthread in-force 42 --entry 127.0.0.1:8080 --key KEY");
+    command->callback([options, version, &code] { code = runEnforcement(*options, *version); });
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -108,6 +197,10 @@
     addCheckSettings(app, code);
     addCall(app, code);
     addStatus(app, code);
+    addTable(app, code);
+    addAccount(app, code);
+    addOrder(app, code);
+    addEnforcement(app, code);
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError &problem) {
--- a/tests/system/fleet-tests.sh
+++ b/tests/system/fleet-tests.sh
@@ -36,6 +36,21 @@
     curl -s -X "$1" -H "Authorization: Bearer $operator_key" ${3:+-d "$3"} "http://$(entry_address 1)$2"
 }
 
+# Waits until every entry has the newest version that entry N reports.
+await_in_force() { # await_in_force N
+    local tries version
+    sleep 1.2 # longer than an entry takes to ask for news
+    version=$(curl -si -H "Authorization: Bearer $operator_key" "http://$(entry_address "$1")/v1/operator/table" \
+        | grep -i '^Table-Version' | grep -o '[0-9]*')
+    for tries in $(seq 1 50); do
+        "$node" in-force "$version" --entry "$(entry_address "$1")" --key "$operator_key" \
+            | grep -q '"missing":\[\]' && return 0
+        sleep 0.1
+    done
+    echo "version $version is not in force everywhere after $tries tries"
+    return 1
+}
+
 posting_runs() { # how often postings ran, one count a key and replica
     local n
     for n in 1 2; do curl -s "http://$(endpoint_address "1$n")/fake/counts"; done | grep -o '"runs":[0-9]*'
@@ -150,6 +165,9 @@
 test_table_race_and_restart() {
     local ok=0 row first second n
     start_fleet 1 || return 1
+    contains "account" "$("$node" account put --id firm --account-key firms-own-key --entry "$(entry_address 1)" --key "$operator_key")" \
+        '"accepted":true' || ok=1
+    await_in_force 1 || ok=1
     row='{"rows":[{"account":"firm","work_class":"narrative","weight":7,"version":0}]}'
     first=$(operator POST "/v1/operator/table?request=edit-1" "$row")
     contains "first edit" "$first" '"accepted":true' || ok=1
@@ -157,6 +175,8 @@
     contains "second edit" "$second" '"conflict"' || ok=1
     contains "by whom" "$second" '"operator":"operations"' || ok=1
     contains "bad cell" "$(operator POST "/v1/operator/table?request=edit-3" "${row/7/99999}")" 'weight' || ok=1
+    contains "the new key works" \
+        "$(status_of -H 'Authorization: Bearer firms-own-key' -d '{}' "http://$(entry_address 5)/v1/completions")" 400 || ok=1
     for n in 1 2 3; do crash "vm$n"; done
     for n in 1 2 3; do start_entry "$n"; done
     for n in 1 2 3; do await_up "$n" || ok=1; done
