Docs, Bench: design of membership with the ways weighed

Cause: the choices of pace and of what travels how have to be checkable.

Change: design note; gossip-bench takes the weighed ways as options.

--- a/bench/gossip-bench.cpp
+++ b/bench/gossip-bench.cpp
@@ -35,6 +35,26 @@
     std::size_t replicas = 0;
 };
 
+// Ways that the design note weighs; the defaults are those of MembershipSettings.
+struct Pace
+{
+    std::int64_t gossipMilliseconds = 200;
+    unsigned fanout = 3;
+    std::int64_t probeMilliseconds = 1'000;
+    std::size_t statuses = 8;
+    bool quick = false; // without the floods
+};
+
+Pace pace; // set once, by main
+
+void adjust(membership::MembershipSettings &settings)
+{
+    settings.gossipInterval = milliseconds(pace.gossipMilliseconds);
+    settings.gossipFanout = pace.fanout;
+    settings.failureDetector.probeInterval = milliseconds(pace.probeMilliseconds);
+    settings.statusesPerDatagram = pace.statuses;
+}
+
 struct Traffic
 {
     double sentMean = 0; // bytes a second of one node
@@ -71,7 +91,7 @@
 public:
     LoadedFleet(Size chosen, double loss, std::uint64_t seed, bool knowEndpoints = true)
         : size(chosen)
-        , fleet({.nodes = chosen.nodes, .loss = loss, .seed = seed})
+        , fleet({.nodes = chosen.nodes, .loss = loss, .seed = seed, .adjust = adjust})
     {
         for (std::size_t node = 0; node < this->size.nodes && knowEndpoints; ++node) {
             membership::GossipMessage all;
@@ -277,7 +297,7 @@
         highest = took < 0 ? 60 : std::max(highest, took);
         sum += took < 0 ? 60 : took;
     }
-    constexpr double gossipSeconds = 0.2;
+    const double gossipSeconds = static_cast<double>(pace.gossipMilliseconds) / 1'000;
     return {{"loss", loss},
             {"mean_s", sum / seeds},
             {"highest_s", highest},
@@ -375,7 +395,8 @@
     boost::json::array drains;
     for (const double loss : {0.0, 0.05, 0.2})
         drains.push_back(drainFigures(size, loss));
-    return {{"nodes", size.nodes},
+    boost::json::object row{
+            {"nodes", size.nodes},
             {"replicas", size.replicas},
             {"sent_mean", traffic.sentMean},
             {"sent_highest", traffic.sentHighest},
@@ -386,9 +407,12 @@
             {"watchers", steady.ring.watchersOf(GossipFleet::idOf(0), size.replicas).size()},
             {"drain_known", drains},
             {"death_known_s", secondsUntilDeathKnown(size)},
-            {"joined_s", secondsUntilJoined(size)},
-            {"domain_loss", domainLoss(size)},
-            {"cold_start", coldStart(size)}};
+            {"joined_s", secondsUntilJoined(size)}};
+    if (!pace.quick) {
+        row["domain_loss"] = domainLoss(size);
+        row["cold_start"] = coldStart(size);
+    }
+    return row;
 }
 
 void print(const boost::json::object &row)
@@ -413,6 +437,12 @@
     app.add_flag("--json", json, "one JSON document");
     app.add_option("--nodes", only.nodes, "only this many nodes");
     app.add_option("--replicas", only.replicas, "with --nodes; 5 a node if not given");
+    auto &pace = lavenderthread::bench::pace;
+    app.add_flag("--quick", pace.quick, "leave out the floods");
+    app.add_option("--gossip-ms", pace.gossipMilliseconds, "between datagrams of news");
+    app.add_option("--fanout", pace.fanout, "datagrams of news at once");
+    app.add_option("--probe-ms", pace.probeMilliseconds, "between probes");
+    app.add_option("--statuses", pace.statuses, "in a probe or its answer");
     CLI11_PARSE(app, argc, argv);
     std::vector<Size> sizes{{6, 30}, {18, 90}, {54, 270}, {370, 1'800}};
     if (only.nodes > 0)
