--- a/src/program/Entry.cpp
+++ b/src/program/Entry.cpp
@@ -25,6 +25,7 @@
 constexpr std::string_view servicesPrefix = "/services/";
 constexpr std::string_view bearerPrefix = "Bearer ";
 constexpr std::chrono::milliseconds retryElsewhereAfter{100};
+constexpr std::chrono::milliseconds retryStaleAfter{500};
 
 protocol::HttpResponse jsonAnswer(unsigned status, const json::value &value)
 {
@@ -169,6 +170,14 @@
         co_await exchange.respond(this->refuseElsewhere(account.id));
         co_return;
     }
+    // Under a table that may be outdated nothing new is admitted: an entry cut off from the control
+    // members would go on giving what the operators have taken back.
+    if (this->hooks.admits && !this->hooks.admits()) {
+        Problem problem{503, "table-not-fresh", "this entry has no confirmed table; use another",
+                        Ran::No, retryStaleAfter};
+        co_await exchange.respond(toResponse(problem));
+        co_return;
+    }
     if (path.starts_with(servicesPrefix)) {
         co_await this->services.run(exchange, account);
         co_return;
@@ -196,7 +205,7 @@
     if (request.method != "POST")
         answer = simpleProblem(405, "method-not-allowed", "use POST");
     else if (path == "announce")
-        answer = this->announce(request);
+        answer = co_await this->announce(request);
     else if (slash == std::string_view::npos)
         answer = simpleProblem(404, "not-found", "no such path");
     else
@@ -205,18 +214,23 @@
     co_await exchange.respond(std::move(answer));
 }
 
-protocol::HttpResponse Entry::announce(const protocol::HttpRequest &request)
+asio::awaitable<protocol::HttpResponse> Entry::announce(const protocol::HttpRequest &request)
 {
     const auto endpoint = protocol::parseAnnouncement(request.body);
     if (!endpoint)
-        return toResponse(invalidRequest(endpoint.error()));
-    const auto accepted = this->registry->announce(endpoint.value(), monotonicNow());
+        co_return toResponse(invalidRequest(endpoint.error()));
+    const auto accepted = co_await this->hooks.announce(endpoint.value());
+    if (!accepted && accepted.error().code == state::ErrorCode::Conflict)
+        co_return simpleProblem(409, "old-incarnation", accepted.error().cause);
     if (!accepted)
-        return simpleProblem(409, "old-incarnation", accepted.error().cause);
-    this->hooks.announced(endpoint.value());
-    return jsonAnswer(200, {{"renew_after_ms", this->settings.endpoint.renew.count()},
-                            {"expires_after_ms", this->settings.endpoint.expire.count()},
-                            {"owner", this->address().toString()}});
+        co_return toResponse(invalidRequest(accepted.error()));
+    const AnnounceAnswer &answer = accepted.value();
+    const auto toMilliseconds = [](state::Duration time) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    };
+    co_return jsonAnswer(200, {{"renew_after_ms", toMilliseconds(answer.renewAfter)},
+                               {"expires_after_ms", toMilliseconds(answer.expiresAfter)},
+                               {"owner", answer.owner.toString()}});
 }
 
 protocol::HttpResponse Entry::endpointNews(const protocol::HttpRequest &request,
@@ -246,7 +260,7 @@
         if (this->registry->table()->find(id, batch.value().incarnation) == nullptr)
             return unknown();
         this->hooks.cacheChanged(id, batch.value());
-    } else if (this->registry->leave(id, batch.value().incarnation)) {
+    } else {
         this->hooks.left(id, batch.value().incarnation);
     }
     return noContent;
