--- a/src/coordination/routing/DemandSplit.cpp
+++ b/src/coordination/routing/DemandSplit.cpp
@@ -10,6 +10,7 @@
 
 constexpr double memorySeconds = 60; // of the average; a huge prompt alone is tens of seconds
 constexpr double mostUsed = 0.98;    // beyond it a part counts as overloaded
+constexpr double leastDemand = 0.05; // busy engines; a kind that was not seen yet may come
 constexpr double overloadPenalty = 1'000;
 
 double crowding(double demand, double engines)
@@ -52,8 +53,8 @@
     // The average starts at nothing: what is missing of it after a start is made up for.
     const double age = std::chrono::duration<double>(this->updated - this->started).count();
     const double grown = std::max(1 - std::exp(-age / memorySeconds), 1 / memorySeconds);
-    const double shorts = this->shortDemand / grown;
-    const double longs = this->longDemand / grown;
+    const double shorts = std::max(this->shortDemand / grown, leastDemand);
+    const double longs = std::max(this->longDemand / grown, leastDemand);
     std::size_t best = count / 2;
     double bestLoss = std::numeric_limits<double>::max();
     for (std::size_t engines = 1; engines < count; ++engines) {
--- a/src/coordination/routing/Fleet.cpp
+++ b/src/coordination/routing/Fleet.cpp
@@ -118,9 +118,10 @@
     if (!this->policy.splitEngines || query.only)
         return this->best(set, query, able, now);
 
-    const auto elsewhere = std::ranges::stable_partition(
-            able, [&](std::size_t index) { return this->inOwnPart(index, set, query); });
-    const std::vector<std::size_t> own(able.begin(), elsewhere.begin());
+    const auto elsewhere = std::stable_partition(able.begin(), able.end(), [&](std::size_t index) {
+        return this->inOwnPart(index, set, query);
+    });
+    const std::vector<std::size_t> own(able.begin(), elsewhere);
     std::optional<Choice> choice = this->best(set, query, own, now);
     const bool isShort = query.prompt.promptTokens < this->policy.shortPromptTokens;
     if (isShort && (!choice || choice->prediction.aheadSeconds > ownPartFullSeconds))
--- a/src/coordination/routing/SpanPlan.cpp
+++ b/src/coordination/routing/SpanPlan.cpp
@@ -14,27 +14,48 @@
     std::uint64_t tokens;
     state::EndpointId engine;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy misreads the defaulted comparison
     auto operator<=>(const Room &) const = default;
 };
 
+// What a range may take of an engine. Ranges wait for their turn, and their engines work for others
+// meanwhile: what those need stays free.
+std::uint64_t rangeTokens(const EngineView &view, std::uint64_t freeTokens,
+                          const PolicySettings &policy)
+{
+    const auto capacity = double(view.description().kvCapacityTokens);
+    const auto most = std::uint64_t(capacity * policy.spanPartShare);
+    const auto spare = std::uint64_t(capacity * policy.spanSpareShare);
+    return std::min(most, freeTokens > spare ? freeTokens - spare : 0);
+}
+
+// The engines for longer prompts, or all where those could not hold the prompt even if empty.
+std::vector<state::EndpointId> eligibleEngines(const Fleet &fleet, const state::ModelName &model,
+                                               std::uint64_t tokens, const PolicySettings &policy)
+{
+    std::vector<state::EndpointId> part = fleet.spanEngines(model);
+    std::uint64_t most = 0;
+    for (const state::EndpointId &id : part) {
+        const EngineView &view = *fleet.find(id);
+        if (!view.draining)
+            most += rangeTokens(view, view.description().kvCapacityTokens, policy);
+    }
+    return most >= tokens ? part : fleet.watched(model);
+}
+
 // Engines outside the plan, the least busy first.
-std::vector<Room> roomyEngines(Fleet &fleet, const state::ModelName &model, const SpanPlan &plan,
-                               const PolicySettings &policy, state::Instant now)
+std::vector<Room> roomyEngines(Fleet &fleet, const std::vector<state::EndpointId> &eligible,
+                               const SpanPlan &plan, const PolicySettings &policy,
+                               state::Instant now)
 {
     std::vector<Room> rooms;
-    for (const state::EndpointId &id : fleet.spanEngines(model)) {
+    for (const state::EndpointId &id : eligible) {
         EngineView *view = fleet.find(id);
         if (view->draining || plan.uses(id))
             continue;
         view->advance(now);
-        // Ranges wait for their turn, and their engines work for others meanwhile: what they need
-        // stays free.
-        const auto capacity = double(view->description().kvCapacityTokens);
-        const auto most = std::uint64_t(capacity * policy.spanPartShare);
-        const auto spare = std::uint64_t(capacity * policy.spanSpareShare);
-        const std::uint64_t free = view->freeTokens();
         rooms.push_back(
-                {view->prefillSecondsLeft(), std::min(most, free > spare ? free - spare : 0), id});
+                {view->prefillSecondsLeft(), rangeTokens(*view, view->freeTokens(), policy), id});
     }
     std::ranges::sort(rooms);
     return rooms;
@@ -72,7 +93,9 @@
                                  std::uint32_t promptTokens, std::uint32_t outputTokens,
                                  const PolicySettings &policy, state::Instant now)
 {
-    std::vector<Room> rooms = roomyEngines(fleet, model, {}, policy, now);
+    const std::uint64_t total = std::uint64_t(promptTokens) + outputTokens;
+    std::vector<Room> rooms =
+            roomyEngines(fleet, eligibleEngines(fleet, model, total, policy), {}, policy, now);
     std::erase_if(rooms, [&](const Room &room) { return room.tokens < policy.spanPartTokens; });
     // Few and large ranges: each range imports all that stands before it.
     std::ranges::stable_sort(rooms, std::greater<>(), &Room::tokens);
@@ -99,7 +122,8 @@
         if (part.engine != lost)
             continue;
         const std::uint64_t needed = part.to - part.from;
-        const std::vector<Room> rooms = roomyEngines(fleet, model, plan, policy, now);
+        const std::vector<Room> rooms =
+                roomyEngines(fleet, fleet.watched(model), plan, policy, now);
         const auto room = std::ranges::find_if(
                 rooms, [needed](const Room &each) { return each.tokens >= needed; });
         if (room == rooms.end())
--- a/src/coordination/routing/SpanPlan.h
+++ b/src/coordination/routing/SpanPlan.h
@@ -20,6 +20,7 @@
     std::uint32_t done = 0; // prefilled up to here
     bool reserved = false;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy misreads the defaulted comparison
     auto operator<=>(const SpanPart &) const = default;
 
     bool complete() const { return this->done >= this->to; }
--- /dev/null
+++ b/tests/coordination/routing/FleetTest.cpp
@@ -0,0 +1,148 @@
+// Choice of engines: work sent since the last report, failure domains, draining, split by length.
+#include "coordination/routing/Fleet.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+namespace lavenderthread::coordination::routing {
+
+class FleetTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FleetTest);
+    CPPUNIT_TEST(ownWorkCountsBeforeAnyReport);
+    CPPUNIT_TEST(workOfADeadPeerIsForgotten);
+    CPPUNIT_TEST(lostDomainComesLast);
+    CPPUNIT_TEST(drainingEngineGetsNothing);
+    CPPUNIT_TEST(shortAndLongPromptsKeepApart);
+    CPPUNIT_TEST(watchesABoundedSubset);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr state::Duration lifetime = std::chrono::seconds(20);
+    static constexpr const char *model = "model";
+    const state::Instant start{std::chrono::seconds(100)};
+
+    static Fleet fleetOf(std::size_t engines, const PolicySettings &policy = {})
+    {
+        FleetHooks hooks;
+        hooks.transferTime = [](const state::FailureDomain &) { return state::Duration(500); };
+        Fleet fleet("entry", policy, hooks, 1);
+        for (std::size_t index = 0; index < engines; ++index) {
+            state::EndpointDescription engine;
+            engine.id = state::EndpointId("engine-" + std::to_string(index));
+            engine.failureDomain = state::FailureDomain(index % 2 == 0 ? "even" : "odd");
+            engine.models = {state::ModelName(model)};
+            engine.incarnation = 1;
+            engine.kvCapacityTokens = 400'000;
+            engine.prefillTokensPerSecond = 20'000;
+            engine.decodeTokensPerSecond = 60;
+            fleet.announce(engine);
+        }
+        return fleet;
+    }
+
+    static ChoiceQuery queryOf(std::uint32_t tokens)
+    {
+        ChoiceQuery query;
+        query.model = state::ModelName(model);
+        query.prompt.promptTokens = tokens;
+        query.prompt.prefillTokens = tokens;
+        query.prompt.outputTokens = 100;
+        query.memoryTokens = tokens + 100;
+        return query;
+    }
+
+    static WorkNote noteOf(const state::EndpointId &engine, std::uint32_t tokens)
+    {
+        WorkNote note;
+        note.work = tokens;
+        note.engine = engine;
+        note.promptTokens = note.prefillTokens = note.memoryTokens = tokens;
+        note.outputTokens = 100;
+        note.lifetime = lifetime;
+        return note;
+    }
+
+public:
+    void ownWorkCountsBeforeAnyReport()
+    {
+        // Two callers' prompts arrive between two load reports.
+        // Both see the same idle engine in the last report; sent there both, the second one waits
+        // for the first. What this entry sent since the report counts, so they part.
+        Fleet fleet = fleetOf(6);
+        const auto first = fleet.choose(queryOf(3'000), this->start);
+        fleet.find(first->engine)->apply(noteOf(first->engine, 3'000), this->start);
+        const auto second = fleet.choose(queryOf(3'000), this->start);
+        CPPUNIT_ASSERT(first->engine != second->engine);
+    }
+
+    void workOfADeadPeerIsForgotten()
+    {
+        // A peer entry sends work to an engine and dies; nobody tells the end of that work.
+        // Past its deadline nobody waits for it, and the engine is offered to callers again.
+        Fleet fleet = fleetOf(1);
+        const state::EndpointId engine("engine-0");
+        fleet.find(engine)->apply(noteOf(engine, 390'000), this->start);
+        CPPUNIT_ASSERT(!fleet.choose(queryOf(20'000), this->start));
+        fleet.find(engine)->advance(this->start + lifetime);
+        CPPUNIT_ASSERT(fleet.choose(queryOf(20'000), this->start + lifetime));
+    }
+
+    void lostDomainComesLast()
+    {
+        Fleet fleet = fleetOf(8);
+        ChoiceQuery query = queryOf(3'000);
+        for (const char *domain : {"even", "odd"}) {
+            query.avoid = state::FailureDomain(domain);
+            const auto choice = fleet.choose(query, this->start);
+            CPPUNIT_ASSERT(fleet.find(choice->engine)->description().failureDomain != query.avoid);
+        }
+        Fleet alone = fleetOf(1);
+        query.avoid = state::FailureDomain("even");
+        CPPUNIT_ASSERT(alone.choose(query, this->start).has_value());
+    }
+
+    void drainingEngineGetsNothing()
+    {
+        Fleet fleet = fleetOf(1);
+        fleet.find(state::EndpointId("engine-0"))->draining = true;
+        CPPUNIT_ASSERT(!fleet.choose(queryOf(3'000), this->start));
+    }
+
+    void shortAndLongPromptsKeepApart()
+    {
+        Fleet fleet = fleetOf(10);
+        std::set<state::EndpointId> shorts;
+        std::set<state::EndpointId> longs;
+        for (std::uint32_t round = 0; round < 40; ++round) {
+            const state::Instant now = this->start + std::chrono::seconds(round);
+            for (const std::uint32_t tokens : {2'000U + round, 60'000U + round}) {
+                const auto choice = fleet.choose(queryOf(tokens), now);
+                CPPUNIT_ASSERT(choice.has_value());
+                fleet.find(choice->engine)->apply(noteOf(choice->engine, tokens), now);
+                fleet.noteDemand(choice->engine, tokens, tokens, now);
+                (tokens < 4'096 ? shorts : longs).insert(choice->engine);
+            }
+        }
+        for (const state::EndpointId &engine : shorts)
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), longs.count(engine));
+        CPPUNIT_ASSERT(longs.size() > shorts.size());
+    }
+
+    void watchesABoundedSubset()
+    {
+        PolicySettings policy;
+        policy.watchedEngines = 8;
+        Fleet fleet = fleetOf(100, policy);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), fleet.watched(state::ModelName(model)).size());
+        const state::EndpointId best = fleet.watched(state::ModelName(model)).front();
+        fleet.remove(best);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), fleet.watched(state::ModelName(model)).size());
+        CPPUNIT_ASSERT(best != fleet.watched(state::ModelName(model)).front());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetTest);
+
+} // namespace lavenderthread::coordination::routing
--- /dev/null
+++ b/tests/coordination/routing/PrefixIndexTest.cpp
@@ -0,0 +1,96 @@
+// Contract of PrefixIndex under late, repeated and missing cache events.
+#include "coordination/routing/PrefixIndex.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace lavenderthread::coordination::routing {
+
+class PrefixIndexTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PrefixIndexTest);
+    CPPUNIT_TEST(equalPrefixesGiveEqualHashes);
+    CPPUNIT_TEST(gapMakesEntriesDoubtful);
+    CPPUNIT_TEST(repeatedEventsAreSkipped);
+    CPPUNIT_TEST(restartForgetsAll);
+    CPPUNIT_TEST(sizeIsBounded);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr double trust = 0.5;
+
+    static std::vector<CacheEvent> stored(std::initializer_list<std::uint64_t> blocks)
+    {
+        std::vector<CacheEvent> events;
+        for (const std::uint64_t block : blocks)
+            events.push_back({CacheOperation::Stored, block});
+        return events;
+    }
+
+    static double match(const PrefixIndex &index, std::vector<std::uint64_t> blocks)
+    {
+        return index.match(blocks, trust);
+    }
+
+public:
+    void equalPrefixesGiveEqualHashes()
+    {
+        const std::string common(4 * 8, 'a');
+        const auto first = chainPrefixBlocks(common + std::string(4 * 8, 'b') + "x", 8);
+        const auto second = chainPrefixBlocks(common + std::string(4 * 8, 'c'), 8);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), first.size());
+        CPPUNIT_ASSERT_EQUAL(first[0], second[0]);
+        CPPUNIT_ASSERT(first[1] != second[1]);
+        // The same block behind another one is another prefix.
+        CPPUNIT_ASSERT(chainPrefixBlocks(std::string(8 * 8, 'a'), 8)[1] != first[0]);
+    }
+
+    void gapMakesEntriesDoubtful()
+    {
+        // The caller's prompt goes to an engine for its cached prefix and waits for a full prefill.
+        // Events 3 to 9 are lost, among them evictions; event 10 arrives.
+        // What was known before may be gone: it counts half until the engine shows it again.
+        PrefixIndex index(100);
+        index.apply(1, 1, stored({11, 12}));
+        CPPUNIT_ASSERT_EQUAL(2.0, match(index, {11, 12, 13}));
+        index.apply(1, 10, stored({13}));
+        CPPUNIT_ASSERT_EQUAL(2.0, match(index, {11, 12, 13}));
+        index.apply(1, 11, stored({11}));
+        CPPUNIT_ASSERT_EQUAL(2.5, match(index, {11, 12, 13}));
+    }
+
+    void repeatedEventsAreSkipped()
+    {
+        PrefixIndex index(100);
+        index.apply(1, 1, stored({11}));
+        const std::vector<CacheEvent> evicted = {{CacheOperation::Evicted, 11}};
+        index.apply(1, 2, evicted);
+        index.apply(1, 1, stored({11}));
+        CPPUNIT_ASSERT_EQUAL(0.0, match(index, {11}));
+    }
+
+    void restartForgetsAll()
+    {
+        PrefixIndex index(100);
+        index.apply(1, 1, stored({11, 12}));
+        index.apply(2, 1, stored({12}));
+        CPPUNIT_ASSERT_EQUAL(0.0, match(index, {11}));
+        CPPUNIT_ASSERT_EQUAL(1.0, match(index, {12}));
+        index.apply(1, 3, stored({11})); // late news of the engine's former life
+        CPPUNIT_ASSERT_EQUAL(0.0, match(index, {11}));
+    }
+
+    void sizeIsBounded()
+    {
+        PrefixIndex index(3);
+        index.apply(1, 1, stored({1, 2, 3, 1, 4}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), index.size());
+        CPPUNIT_ASSERT_EQUAL(0.0, match(index, {2}));
+        CPPUNIT_ASSERT_EQUAL(1.0, match(index, {1}));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PrefixIndexTest);
+
+} // namespace lavenderthread::coordination::routing
