Policy: late spans leave less to others; one split a choice; a cheap first bound

Cause: the largest prompts waited longest for memory of several engines at the same moment; each choice worked the split out once an engine; work of a dead peer was dropped only from engines that were asked, and a full engine was never asked.

--- a/src/coordination/admission/DispatcherPlacing.cpp
+++ b/src/coordination/admission/DispatcherPlacing.cpp
@@ -49,9 +49,9 @@
         const double left = toSeconds(request.deadline - this->now);
         const double waits = this->waitSeconds(request, lengthClass);
         // The cheap bound first: under overload most refusals end here.
-        if (left <= 0 || waits > left)
-            return refusal(RefusalReason::Deadline, retryAfter(waits - left));
         double needed = this->idealSeconds(request);
+        if (waits + needed > left)
+            return refusal(RefusalReason::Deadline, retryAfter(waits + needed - left));
         if (!this->needsSpan(request)) {
             routing::ChoiceQuery query = this->queryOf(request, 0);
             query.ignoreQueueLimit = true;
@@ -86,10 +86,7 @@
         peerTokens += double(noted.first.waitingTokens[std::size_t(lengthClass)]);
         weights += double(noted.first.waitingWeight);
     }
-    const auto &watched = this->engines.watched(request.model);
-    double rate = 0;
-    for (const state::EndpointId &id : watched)
-        rate += 1 / this->engines.find(id)->prefillSeconds(1);
+    const double rate = this->engines.prefillRate(request.model);
     const state::TableKey key = request.tableKey();
     const double weight = this->queue.row(key).weight;
     const double total = double(this->queue.tokensUpTo(lengthClass)) + peerTokens;
@@ -133,9 +130,7 @@
         return true;
     }
     if (row.fleetShareMilli < milli) {
-        double rate = 0;
-        for (const state::EndpointId &id : this->engines.watched(request.model))
-            rate += 1 / this->engines.find(id)->prefillSeconds(1);
+        const double rate = this->engines.prefillRate(request.model);
         if (this->queue.tokensPerSecond(row.key, this->now) > rate * row.fleetShareMilli / milli)
             return false;
     }
--- a/src/coordination/admission/DispatcherSpans.cpp
+++ b/src/coordination/admission/DispatcherSpans.cpp
@@ -20,8 +20,19 @@
 bool Dispatcher::placeSpan(Flight &flight)
 {
     const CompletionRequest &request = flight.request;
+    // The largest prompts find the least often what they need. One that has waited for long may
+    // take the memory that is otherwise left to shorter prompts, and engines that are theirs.
+    routing::PolicySettings terms = this->policy;
+    const double waited = std::chrono::duration<double>(this->now - request.arrival).count();
+    if (waited > this->policy.spanPatience * this->idealSeconds(request)) {
+        terms.spanSpareShare = this->policy.spanLateSpareShare;
+        terms.spanPartShare = 1 - this->policy.spanLateSpareShare;
+        // Only where first tokens weigh more: short requests beside a range decode at a third.
+        const bool shortsFirst = terms.shortSlowdownWeight >= terms.firstTokenWeight;
+        terms.splitEngines = terms.splitEngines && shortsFirst;
+    }
     auto plan = routing::planSpan(this->engines, request.model, request.promptTokens,
-                                  request.maximumOutputTokens, this->policy, this->now);
+                                  request.maximumOutputTokens, terms, this->now);
     if (!plan)
         return false;
     this->queue.remove(this->queuedOf(flight));
--- a/src/coordination/routing/Fleet.cpp
+++ b/src/coordination/routing/Fleet.cpp
@@ -76,6 +76,7 @@
         for (const auto &[score, id] : scored) {
             set.ids.push_back(id);
             set.views.push_back(&this->engines.at(id));
+            set.prefillRate += 1 / set.views.back()->prefillSeconds(1);
             order.push_back(scoreOf(model.value(), id));
         }
         for (const std::uint64_t mine : order) {
@@ -110,38 +111,41 @@
     if (found == this->byModel.end())
         return std::nullopt;
     const Watched &set = found->second;
+    // Before anything is asked of them: work whose end was never told leaves them only so.
+    for (EngineView *view : set.views)
+        view->advance(now);
     std::vector<std::size_t> able = this->candidates(set, query);
     if (able.empty())
         return std::nullopt;
     if (const auto index = this->baselineChoice(set, query, able))
-        return this->best(set, query, {*index}, now);
+        return this->best(set, query, {*index});
     if (!this->policy.splitEngines || query.only)
-        return this->best(set, query, able, now);
+        return this->best(set, query, able);
 
+    const bool isShort = query.prompt.promptTokens < this->policy.shortPromptTokens;
+    const std::size_t bound = this->split.longEngines(set.views.size());
     const auto elsewhere = std::stable_partition(able.begin(), able.end(), [&](std::size_t index) {
-        return this->inOwnPart(index, set, query);
+        return isShort != (set.rank[index] < bound);
     });
     const std::vector<std::size_t> own(able.begin(), elsewhere);
-    std::optional<Choice> choice = this->best(set, query, own, now);
-    const bool isShort = query.prompt.promptTokens < this->policy.shortPromptTokens;
+    std::optional<Choice> choice = this->best(set, query, own);
     if (isShort && (!choice || choice->prediction.aheadSeconds > ownPartFullSeconds))
-        return this->best(set, query, able, now);
+        return this->best(set, query, able);
     // Longer prompts keep out of the short ones' part unless their own has lost all its engines.
     if (!choice && own.empty() && query.ignoreQueueLimit)
-        return this->best(set, query, able, now);
+        return this->best(set, query, able);
     return choice;
 }
 
 std::optional<Choice> Fleet::best(const Watched &set, const ChoiceQuery &query,
-                                  const std::vector<std::size_t> &able, state::Instant now)
+                                  const std::vector<std::size_t> &able)
 {
     const double limit = toSeconds(this->policy.engineQueueLimit);
     const bool limited = this->policy.holdInEntry && !query.ignoreQueueLimit;
     std::optional<Choice> best;
     bool bestAvoided = true;
     for (const std::size_t index : able) {
-        EngineView &view = *set.views[index];
-        view.advance(now);
+        const EngineView &view = *set.views[index];
         const state::FailureDomain &domain = view.description().failureDomain;
         const double transfer = toSeconds(this->hooks.transferTime(domain));
         const Prediction prediction = predict(view, query.prompt, this->policy, transfer);
@@ -158,12 +162,6 @@
     return best;
 }
 
-bool Fleet::inOwnPart(std::size_t index, const Watched &set, const ChoiceQuery &query) const
-{
-    const bool isShort = query.prompt.promptTokens < this->policy.shortPromptTokens;
-    return isShort != (set.rank[index] < this->split.longEngines(set.views.size()));
-}
-
 bool Fleet::mayTake(const EngineView &view, std::size_t index, const Watched &set,
                     const ChoiceQuery &query) const
 {
@@ -261,6 +259,12 @@
     return part;
 }
 
+double Fleet::prefillRate(const state::ModelName &model) const
+{
+    const auto found = this->byModel.find(model);
+    return found == this->byModel.end() ? 0 : found->second.prefillRate;
+}
+
 bool Fleet::anyEngineHolds(const state::ModelName &model, std::uint64_t tokens) const
 {
     const auto found = this->byModel.find(model);
--- a/src/coordination/routing/Fleet.h
+++ b/src/coordination/routing/Fleet.h
@@ -68,6 +68,7 @@
     // The watched engines that ranges of spans may use.
     std::vector<state::EndpointId> spanEngines(const state::ModelName &model) const;
 
+    double prefillRate(const state::ModelName &model) const; // of the watched engines
     bool anyEngineHolds(const state::ModelName &model, std::uint64_t tokens) const;
 
 private:
@@ -75,15 +76,15 @@
     {
         std::vector<state::EndpointId> ids; // by falling score, at most policy.watchedEngines
         std::vector<EngineView *> views;    // the same engines; unordered_map keeps them in place
+        double prefillRate = 0;             // tokens per second of all of them
         std::vector<std::uint32_t> rank;    // the same engines: place in the fleet-wide order
     };
 
     void rebuild();
-    bool inOwnPart(std::size_t index, const Watched &set, const ChoiceQuery &query) const;
     bool mayTake(const EngineView &view, std::size_t index, const Watched &set,
                  const ChoiceQuery &query) const;
     std::optional<Choice> best(const Watched &set, const ChoiceQuery &query,
-                               const std::vector<std::size_t> &able, state::Instant now);
+                               const std::vector<std::size_t> &able);
     std::vector<std::size_t> candidates(const Watched &set, const ChoiceQuery &query);
     std::optional<std::size_t> baselineChoice(const Watched &set, const ChoiceQuery &query,
                                               const std::vector<std::size_t> &able);
--- a/src/coordination/routing/PolicySettings.cpp
+++ b/src/coordination/routing/PolicySettings.cpp
@@ -70,6 +70,7 @@
             changed("late-spans", [](PolicySettings &s) { s.spanPriority = 9; }),
             changed("early-spans", [](PolicySettings &s) { s.spanPriority = 1; }),
             changed("no-wide-spans", [](PolicySettings &s) { s.spanFromTokens = 4'000'000; }),
+            changed("patient-spans", [](PolicySettings &s) { s.spanPatience = 1e9; }),
             changed("loose-fit", [](PolicySettings &s) { s.tightFitWeight = 0; }),
             changed("no-cache-events", [](PolicySettings &s) { s.useCacheEvents = false; }),
     };
@@ -135,6 +136,9 @@
             {"span_memory_share", [](PolicySettings &s, double v) { s.spanMemoryShare = v; }},
             {"span_part_share", [](PolicySettings &s, double v) { s.spanPartShare = v; }},
             {"span_spare_share", [](PolicySettings &s, double v) { s.spanSpareShare = v; }},
+            {"span_patience", [](PolicySettings &s, double v) { s.spanPatience = v; }},
+            {"span_late_spare_share",
+             [](PolicySettings &s, double v) { s.spanLateSpareShare = v; }},
             {"span_part_tokens",
              [](PolicySettings &s, double v) { s.spanPartTokens = std::uint32_t(v); }},
             {"span_from_tokens",
--- a/src/coordination/routing/PolicySettings.h
+++ b/src/coordination/routing/PolicySettings.h
@@ -67,9 +67,11 @@
     std::uint32_t attemptsLimit = 4;
 
     // Prompts over one engine's memory.
-    double spanMemoryShare = 0.98;          // of an engine's memory that one prompt may claim
-    double spanPartShare = 0.4;             // of an engine's memory that one range takes at most
-    double spanSpareShare = 0.3;            // of an engine's memory that ranges leave free
+    double spanMemoryShare = 0.98; // of an engine's memory that one prompt may claim
+    double spanPartShare = 0.4;    // of an engine's memory that one range takes at most
+    double spanSpareShare = 0.3;   // of an engine's memory that ranges leave free
+    double spanPatience = 0.8;     // wait / time alone, after which a span leaves less to others:
+    double spanLateSpareShare = 0.2;
     std::uint32_t spanPartTokens = 50'000;  // least range; each range imports what precedes it
     std::uint32_t spanFromTokens = 100'000; // such prompts may span when no engine has the room
     double tightFitWeight = 0.2;    // cost of the memory that would stay free, as a share of all
--- a/tests/coordination/routing/FleetTest.cpp
+++ b/tests/coordination/routing/FleetTest.cpp
@@ -112,6 +112,7 @@
 
     void shortAndLongPromptsKeepApart()
     {
+        constexpr std::uint32_t settled = 10; // rounds after which the split knows the demand
         Fleet fleet = fleetOf(10);
         std::set<state::EndpointId> shorts;
         std::set<state::EndpointId> longs;
@@ -122,7 +123,8 @@
                 CPPUNIT_ASSERT(choice.has_value());
                 fleet.find(choice->engine)->apply(noteOf(choice->engine, tokens), now);
                 fleet.noteDemand(choice->engine, tokens, tokens, now);
-                (tokens < 4'096 ? shorts : longs).insert(choice->engine);
+                if (round >= settled)
+                    (tokens < 4'096 ? shorts : longs).insert(choice->engine);
             }
         }
         for (const state::EndpointId &engine : shorts)
