--- a/bench/FleetRun.h
+++ b/bench/FleetRun.h
@@ -118,6 +118,7 @@
     void sampleService();
     void lose(std::size_t engine);
     void planLosses();
+    void settle(const state::RequestId &id, Ending ending);
     bool lost(double share); // draws whether a message is lost
     state::Duration transfer(const std::string &a, const std::string &b) const;
     RunResult collect();
@@ -135,6 +136,8 @@
     std::vector<std::vector<double>> serviceSamples; // each second, by account
     std::uint64_t workNotes = 0;
     std::uint64_t dispatches = 0;
+    std::size_t unsettled = 0; // requests without a final answer
+    state::Instant lastSettled{};
 };
 
 } // namespace lavenderthread::bench
--- a/src/coordination/admission/DispatcherSpans.cpp
+++ b/src/coordination/admission/DispatcherSpans.cpp
@@ -27,9 +27,6 @@
     if (waited > this->policy.spanPatience * this->idealSeconds(request)) {
         terms.spanSpareShare = this->policy.spanLateSpareShare;
         terms.spanPartShare = 1 - this->policy.spanLateSpareShare;
-        // Only where first tokens weigh more: short requests beside a range decode at a third.
-        const bool shortsFirst = terms.shortSlowdownWeight >= terms.firstTokenWeight;
-        terms.splitEngines = terms.splitEngines && shortsFirst;
     }
     auto plan = routing::planSpan(this->engines, request.model, request.promptTokens,
                                   request.maximumOutputTokens, terms, this->now);
--- a/src/coordination/routing/Fleet.h
+++ b/src/coordination/routing/Fleet.h
@@ -65,7 +65,7 @@
     // Engines of the model, first in the fleet-wide order, that take longer prompts; the rest is
     // for short ones.
     std::size_t longEngines(const state::ModelName &model) const;
-    // The watched engines that ranges of spans may use.
+    // The watched engines that ranges of spans may use: those for longer prompts.
     std::vector<state::EndpointId> spanEngines(const state::ModelName &model) const;
 
     double prefillRate(const state::ModelName &model) const; // of the watched engines
--- a/src/coordination/routing/SpanPlan.cpp
+++ b/src/coordination/routing/SpanPlan.cpp
@@ -33,8 +33,6 @@
 std::vector<state::EndpointId> eligibleEngines(const Fleet &fleet, const state::ModelName &model,
                                                std::uint64_t tokens, const PolicySettings &policy)
 {
-    if (!policy.splitEngines)
-        return fleet.watched(model);
     std::vector<state::EndpointId> part = fleet.spanEngines(model);
     std::uint64_t most = 0;
     for (const state::EndpointId &id : part) {
