--- a/src/coordination/quota/Homes.cpp
+++ b/src/coordination/quota/Homes.cpp
@@ -13,6 +13,7 @@
 namespace {
 // Every account keeps a home in each of three failure domains, as far as its limit goes round.
 constexpr std::uint64_t leastHomes = 3;
+constexpr std::uint64_t smallFleetEntries = 18;
 constexpr std::uint64_t slotsWorthAHome = 4;
 constexpr std::uint64_t tokenRateWorthAHome = 500;
 
@@ -34,8 +35,11 @@
 std::uint32_t homeCount(const QuotaLimits &limits, std::size_t rosterSize,
                         std::uint32_t maximumHomes)
 {
-    const auto slots = wantedHomes(limits.inFlight, slotsWorthAHome);
-    const auto rate = wantedHomes(limits.tokensPerSecond, tokenRateWorthAHome);
+    // In a large fleet the directory steers an account to few entries, and each part that is out
+    // of balance costs messages: parts grow with the fleet.
+    const std::uint64_t scale = std::max<std::uint64_t>(rosterSize / smallFleetEntries, 1);
+    const auto slots = wantedHomes(limits.inFlight, slotsWorthAHome * scale);
+    const auto rate = wantedHomes(limits.tokensPerSecond, tokenRateWorthAHome * scale);
     const auto wanted = slots == 0 || rate == 0 ? std::max(slots, rate) : std::min(slots, rate);
     return static_cast<std::uint32_t>(
             std::min({wanted, std::uint64_t{rosterSize}, std::uint64_t{maximumHomes}}));
--- a/src/coordination/quota/QuotaAsking.cpp
+++ b/src/coordination/quota/QuotaAsking.cpp
@@ -15,6 +15,9 @@
 // Requests that come until the next renewal have later deadlines than those that wait now.
 constexpr Duration holdMargin = std::chrono::seconds(3);
 
+// Borrowed beyond the demand for tokens, and kept, so that not every change of it costs a message.
+constexpr std::uint64_t rateSlackDivisor = 4;
+
 std::uint64_t minusToZero(std::uint64_t from, std::uint64_t taken)
 {
     return from > taken ? from - taken : 0;
@@ -54,11 +57,12 @@
     const std::uint64_t own = account.slots.ledger.usableOwn(now);
     const std::uint64_t running = account.pool.running();
     need.units = minusToZero(running + account.demand.waitingRequests, own);
+    need.keep = need.units;
     need.inUse = minusToZero(running, own);
     need.lastsUntil = account.pool.latestOnBorrowed(own, now);
     const Instant latest = std::max(need.lastsUntil, account.demand.latestDeadline);
     const Duration left = lengthenedByDrift(lengthenedByDrift(latest - now)) + holdMargin;
-    need.hold = std::clamp(left, this->settings.minimumHold, this->settings.maximumHold);
+    need.hold = std::min(std::max(left, this->settings.minimumHold), this->settings.maximumHold);
     return need;
 }
 
@@ -67,9 +71,12 @@
     Need need;
     if (account.rate.limit == 0)
         return need;
-    need.units = minusToZero(account.demand.tokensPerSecond, account.rate.ledger.usableOwn(now));
+    const std::uint64_t demand = account.demand.tokensPerSecond;
+    const std::uint64_t own = account.rate.ledger.usableOwn(now);
+    need.units = minusToZero(demand, own);
+    need.keep = minusToZero(demand + demand / rateSlackDivisor, own);
     need.lastsUntil = now;
-    need.hold = this->settings.minimumHold;
+    need.hold = std::min(this->settings.minimumHold, this->settings.maximumHold);
     return need;
 }
 
@@ -77,7 +84,9 @@
                          const Need &need, Outbox &outbox, Instant now)
 {
     if (now >= share.nextRenewal) {
-        share.nextRenewal = now + this->settings.renewInterval;
+        // On common beats, so that all accounts share their messages to a peer.
+        const auto beats = now.time_since_epoch() / this->settings.renewInterval + 1;
+        share.nextRenewal = Instant(beats * this->settings.renewInterval);
         this->renew(key, share, need, outbox, now);
     }
     this->askMore(key, homes, share, need, outbox, now);
@@ -110,26 +119,31 @@
         return std::pair(!left.recalled, left.until) < std::pair(!right.recalled, right.until);
     });
     for (Held &loan : held) {
+        const std::uint64_t before = loan.units;
         const bool lasts = loan.until >= need.lastsUntil;
         const std::uint64_t removable =
                 lasts ? std::min(loan.units, minusToZero(lasting, need.inUse)) : loan.units;
-        const std::uint64_t surplus = loan.recalled ? loan.units : minusToZero(total, need.units);
+        const std::uint64_t surplus = loan.recalled ? loan.units : minusToZero(total, need.keep);
         const std::uint64_t returned = std::min(removable, surplus);
         loan.units -= returned;
         total -= returned;
         lasting -= lasts ? returned : 0;
-        this->sendAsk(key, share, loan.lender, loan.units, need, outbox, now);
+        const LoanIn &known = share.ledger.loansHeld().at(loan.lender);
+        const bool steady = loan.units == before && !known.waiting && lasts
+                            && now < known.askedAt + this->settings.steadyRenewInterval;
+        if (!steady)
+            this->sendAsk(key, share, loan.lender, loan.units, need, outbox, now);
     }
 }
 
-// Asks homes that said that they have more first, then the others in even pieces; one that had
-// nothing to lend is asked again after renewInterval.
+// Asks homes that said that they have more first, then the others in even pieces.
 void QuotaNode::askMore(QuotaKey key, const std::vector<std::uint16_t> &homes, Share &share,
                         const Need &need, Outbox &outbox, Instant now)
 {
-    std::uint64_t missing = minusToZero(need.units, share.ledger.borrowed(now));
-    if (missing == 0)
+    const std::uint64_t held = share.ledger.borrowed(now);
+    if (held >= need.units)
         return;
+    std::uint64_t missing = need.keep - held;
     struct Candidate
     {
         VmId lender;
@@ -137,7 +151,6 @@
         std::uint64_t spare;
     };
     std::vector<Candidate> candidates;
-    std::uint64_t knownSpare = 0;
     for (const std::uint16_t home : homes) {
         const VmId &lender = this->roster.entries[home];
         if (lender == this->self)
@@ -149,11 +162,19 @@
         }
         const LoanIn &loan = known->second;
         const bool answered = !loan.waiting && loan.spareAtLender > 0;
-        if (answered || now >= loan.askedAt + this->settings.renewInterval) {
+        const Duration pause =
+                loan.waiting ? this->settings.answerTimeout : this->settings.retryInterval;
+        if (answered || now >= loan.askedAt + pause)
             candidates.push_back({lender, loan.units, answered ? loan.spareAtLender : 0});
-            knownSpare += candidates.back().spare;
-        }
     }
+    std::sort(
+            candidates.begin(), candidates.end(),
+            [](const Candidate &left, const Candidate &right) { return left.spare > right.spare; });
+    if (candidates.size() > this->settings.homesAskedAtOnce)
+        candidates.resize(this->settings.homesAskedAtOnce);
+    std::uint64_t knownSpare = 0;
+    for (const Candidate &candidate : candidates)
+        knownSpare += candidate.spare;
     const std::uint64_t open = minusToZero(missing, knownSpare);
     const std::uint64_t piece =
             candidates.empty() ? 0 : (open + candidates.size() - 1) / candidates.size();
--- a/src/coordination/quota/QuotaNode.cpp
+++ b/src/coordination/quota/QuotaNode.cpp
@@ -245,12 +245,15 @@
     const std::uint64_t running = account.pool.running();
     const std::uint64_t wanted = this->keptFrom(borrower, account, ledger.ownPart(now),
                                                 running + account.demand.waitingRequests);
-    const auto grant = ledger.answer(borrower, ask, std::max(running, wanted),
-                                     this->settings.maximumHold, now);
+    auto grant = ledger.answer(borrower, ask, std::max(running, wanted), this->settings.maximumHold,
+                               now);
     const std::uint64_t usable = ledger.usableOwn(now);
-    if (grant && grant->units < ask.units && wanted < usable)
-        ledger.keepBack(std::min(ask.units - grant->units, usable - wanted),
-                        now + 2 * this->settings.renewInterval);
+    const std::uint64_t kept = std::max(wanted, ledger.floor(now));
+    if (!grant || grant->units >= ask.units || kept >= usable)
+        return grant;
+    // Told as spare, so that the borrower asks again soon and the slots do not stay idle for long.
+    grant->spare = std::min(ask.units - grant->units, usable - kept);
+    ledger.keepBack(grant->spare, now + this->settings.renewInterval);
     return grant;
 }
 
@@ -260,7 +263,8 @@
     PartLedger &ledger = account.rate.ledger;
     const std::uint64_t wanted =
             this->keptFrom(borrower, account, ledger.ownPart(now), account.demand.tokensPerSecond);
-    return ledger.answer(borrower, ask, wanted, this->settings.minimumHold, now);
+    return ledger.answer(borrower, ask, wanted,
+                         std::min(this->settings.minimumHold, this->settings.maximumHold), now);
 }
 
 // What a home keeps for its own callers. Homes have parts of their own; an entry that is none would
--- a/src/coordination/quota/QuotaNode.h
+++ b/src/coordination/quota/QuotaNode.h
@@ -109,6 +109,7 @@
     struct Need
     {
         std::uint64_t units = 0;   // wanted on loan
+        std::uint64_t keep = 0;    // not given back up to that; at least `units`
         std::uint64_t inUse = 0;   // running on loan
         state::Instant lastsUntil; // for those in use
         state::Duration hold{0};   // to ask for
--- a/src/coordination/quota/QuotaTypes.h
+++ b/src/coordination/quota/QuotaTypes.h
@@ -40,8 +40,17 @@
     // after this time at the latest.
     state::Duration maximumHold = std::chrono::seconds(120);
     // Loans of token rate, and the least hold of slots.
-    state::Duration minimumHold = std::chrono::seconds(5);
-    state::Duration renewInterval = std::chrono::seconds(1);
+    state::Duration minimumHold = std::chrono::seconds(10);
+    // How often loans are looked at to give something back, and how often they are renewed if
+    // nothing changes. The latter is how long it takes a borrower to hear that a home is short.
+    state::Duration renewInterval = std::chrono::seconds(2);
+    state::Duration steadyRenewInterval = std::chrono::seconds(4);
+    // An ask without an answer is repeated after this time.
+    state::Duration answerTimeout = std::chrono::seconds(1);
+    // A home that had nothing to lend is asked again after this time.
+    state::Duration retryInterval = std::chrono::seconds(4);
+    // Homes asked at once on the chance that they have something.
+    std::uint32_t homesAskedAtOnce = 6;
     // An entry that lost its part by a change of the roster knows of it within this time, or
     // admits nothing (the table is not confirmed fresh).
     state::Duration rosterFreshness = std::chrono::seconds(12);
