--- a/src/coordination/quota/PartLedger.cpp
+++ b/src/coordination/quota/PartLedger.cpp
@@ -144,6 +144,7 @@
     if (units > loan.units)
         loan.openUntil = std::max(loan.openUntil, now + hold);
     loan.askedSequence = sequence;
+    loan.askedUnits = units;
     loan.askedAt = now;
     loan.waiting = true;
     return QuotaAsk{key, this->dimension, sequence, units, inMilliseconds(hold)};
@@ -161,7 +162,7 @@
     const Duration hold = std::chrono::milliseconds(grant.holdMilliseconds);
     loan.waiting = false;
     loan.until = std::max(loan.until, loan.askedAt + shortenedByDrift(hold));
-    loan.units = loan.until > now ? grant.units : 0;
+    loan.units = loan.until > now ? std::min(grant.units, loan.askedUnits) : 0;
     loan.spareAtLender = grant.spare;
     loan.recalled = grant.recalled;
 }
--- a/src/coordination/quota/PartLedger.h
+++ b/src/coordination/quota/PartLedger.h
@@ -29,6 +29,7 @@
     // The one ask whose answer still counts. An answer to an earlier ask may offer units that a
     // later one gave back, so it is not taken.
     std::uint64_t askedSequence = 0;
+    std::uint64_t askedUnits = 0; // no more is taken, whatever a broken home offers
     state::Instant askedAt;
     bool waiting = false;
     // While an ask for more is not answered, the home may have lent that much until then. It is
