Quota: a bound on asks for more, shared by all accounts in turn

Change: eight asks for more a second and 64 at once, in turn over the accounts; renewals and returns are not bounded. Ruled out: four a second, which leaves too much unmet at sizes near today's.

--- a/src/coordination/quota/QuotaAsking.cpp
+++ b/src/coordination/quota/QuotaAsking.cpp
@@ -31,24 +31,42 @@
     this->endRecoveryIfKnown(now);
     if (this->recovering)
         this->sayHello(outbox, now);
-    for (auto key = this->active.begin(); key != this->active.end();) {
-        Account &account = this->accounts.at(*key);
-        account.bucket.settle(account.rate.ledger, now);
-        account.slots.ledger.dropExpired(now);
-        account.rate.ledger.dropExpired(now);
-        const Need slotNeed = this->slotNeed(account, now);
-        const Need rateNeed = this->rateNeed(account, now);
-        this->planAsks(*key, account.homes, account.slots, slotNeed, outbox, now);
-        this->planAsks(*key, account.homes, account.rate, rateNeed, outbox, now);
-        account.bucket.settle(account.rate.ledger, now);
-        const bool quiet = slotNeed.units == 0 && rateNeed.units == 0
-                           && !account.slots.ledger.hasOpenLoans(now)
-                           && !account.rate.ledger.hasOpenLoans(now);
-        key = quiet ? this->active.erase(key) : std::next(key);
-    }
+    this->refillAsks(now);
+    // In turn, from the account after the last that had one: with few asks left the same accounts
+    // would be served always.
+    std::vector<QuotaKey> keys(this->active.upper_bound(this->askedLast), this->active.end());
+    keys.insert(keys.end(), this->active.begin(), this->active.upper_bound(this->askedLast));
+    for (const QuotaKey key : keys)
+        this->tickAccount(key, outbox, now);
     return collect(std::move(outbox));
 }
 
+void QuotaNode::refillAsks(Instant now)
+{
+    const double elapsed = std::chrono::duration<double>(now - this->asksFilledTo).count();
+    this->asksFilledTo = now;
+    this->asksLeft = std::min(this->asksLeft + elapsed * this->settings.asksPerSecond,
+                              static_cast<double>(this->settings.asksAtOnce));
+}
+
+void QuotaNode::tickAccount(QuotaKey key, Outbox &outbox, Instant now)
+{
+    Account &account = this->accounts.at(key);
+    account.bucket.settle(account.rate.ledger, now);
+    account.slots.ledger.dropExpired(now);
+    account.rate.ledger.dropExpired(now);
+    const Need slotNeed = this->slotNeed(account, now);
+    const Need rateNeed = this->rateNeed(account, now);
+    this->planAsks(key, account.homes, account.slots, slotNeed, outbox, now);
+    this->planAsks(key, account.homes, account.rate, rateNeed, outbox, now);
+    account.bucket.settle(account.rate.ledger, now);
+    const bool quiet = slotNeed.units == 0 && rateNeed.units == 0
+                       && !account.slots.ledger.hasOpenLoans(now)
+                       && !account.rate.ledger.hasOpenLoans(now);
+    if (quiet)
+        this->active.erase(key);
+}
+
 QuotaNode::Need QuotaNode::slotNeed(const Account &account, Instant now) const
 {
     Need need;
@@ -188,6 +206,10 @@
         const std::uint64_t more = std::min(missing, candidate.spare + piece);
         if (more == 0)
             continue;
+        if (this->asksLeft < 1)
+            return;
+        this->asksLeft -= 1;
+        this->askedLast = key;
         missing -= more;
         this->sendAsk(key, share, candidate.lender, candidate.held + more, need, outbox, now);
     }
--- a/src/coordination/quota/QuotaNode.cpp
+++ b/src/coordination/quota/QuotaNode.cpp
@@ -18,6 +18,7 @@
     : self(std::move(self))
     , incarnation(incarnation)
     , settings(settings)
+    , asksLeft(settings.asksAtOnce)
     , recoveredAt(start + lengthenedByDrift(settings.maximumHold))
 {}
 
--- a/src/coordination/quota/QuotaNode.h
+++ b/src/coordination/quota/QuotaNode.h
@@ -128,6 +128,8 @@
                            std::uint64_t ownDemand) const;
     bool isHome(QuotaKey key, const QuotaLimits &limits) const;
 
+    void tickAccount(QuotaKey key, Outbox &outbox, state::Instant now);
+    void refillAsks(state::Instant now);
     Need slotNeed(const Account &account, state::Instant now) const;
     Need rateNeed(const Account &account, state::Instant now) const;
     void planAsks(QuotaKey key, const std::vector<std::uint16_t> &homes, Share &share,
@@ -161,6 +163,9 @@
     // Only accounts of which this entry is a home, or that want something here.
     std::unordered_map<QuotaKey, Account> accounts;
     std::set<QuotaKey> active; // accounts that tick looks at
+    QuotaKey askedLast = 0;    // where the turn of the accounts stands
+    double asksLeft;
+    state::Instant asksFilledTo{};
     std::uint64_t nextSequence = 1;
     std::map<state::VmId, std::uint64_t> peerIncarnations; // highest seen
 
--- a/src/coordination/quota/QuotaTypes.h
+++ b/src/coordination/quota/QuotaTypes.h
@@ -50,6 +50,10 @@
     state::Duration answerTimeout = std::chrono::seconds(1);
     // A home that had nothing to lend is asked again after this time.
     state::Duration retryInterval = std::chrono::seconds(4);
+    // Asks for more that an entry sends, for all its accounts. In a large fleet thousands of small
+    // accounts peak for a moment; this bounds what that costs, and who waits for it waits in turn.
+    std::uint32_t asksPerSecond = 8;
+    std::uint32_t asksAtOnce = 64;
     // Homes asked at once on the chance that they have something.
     std::uint32_t homesAskedAtOnce = 6;
     // An entry that lost its part by a change of the roster knows of it within this time, or
