--- a/src/coordination/membership/Membership.h
+++ b/src/coordination/membership/Membership.h
@@ -97,10 +97,14 @@
     void gossip(GossipActions &actions, state::Instant now);
     void exchange(GossipActions &actions, state::Instant now);
     void reconnect(GossipActions &actions, state::Instant now);
-    // A direct ping that carries what is said of the target, whose ack then refutes it.
-    void pingAccused(const MemberRecord &target, GossipActions &actions);
+    // A direct ping that carries what is said of the target, whose ack then refutes it. A target
+    // that may not know this member is given an introduction.
+    void pingAccused(const MemberRecord &target, const MemberRecord &introduction,
+                     GossipActions &actions);
     void forget(GossipActions &actions, state::Instant now);
     std::optional<state::Address> exchangePeer();
+    std::vector<state::Address> unmetSeeds() const; // that no live member known here has
+    void seekSeeds(GossipActions &actions, state::Instant now);
 
     bool isRefused(const GossipMessage &message, const state::Address &from, GossipActions &actions,
                    state::Instant now);
@@ -146,8 +150,10 @@
     state::Instant nextGossip;
     state::Instant nextExchange;
     state::Instant nextReconnect;
+    state::Instant nextSeek;
     state::Instant nextForget;
     bool synced = false;
+    bool differs = false; // from another member, by the last Summary
     bool superseded = false;
 };
 
