Protocol: a byte that is neither 0 nor 1 is no bool

Cause: the damaged quota messages, run with the address and undefined behaviour sanitizers, read byte 152 into a bool, which is undefined behaviour wherever it is used. Every message with a bool has that fault. Change: the bounded archive refuses such a byte as corrupt. Measured: with the sanitizers the test failed before (load of value 152) and passes after, 4 passed, 0 failed; the quota tests before it in the same run passed. Before this change all 160 unit tests passed in Release; they were not run again after it.

--- a/src/protocol/BoundedInputArchive.h
+++ b/src/protocol/BoundedInputArchive.h
@@ -55,7 +55,16 @@
 template <typename Number, std::enable_if_t<std::is_arithmetic_v<Number>, int> = 0>
 void CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive &archive, Number &number)
 {
-    archive.loadBytes(&number, sizeof number);
+    if constexpr (std::is_same_v<Number, bool>) {
+        // A bool that is neither 0 nor 1 is undefined behaviour wherever it is read.
+        std::uint8_t byte = 0;
+        archive.loadBytes(&byte, sizeof byte);
+        if (byte > 1)
+            throw cereal::Exception("neither true nor false");
+        number = byte == 1;
+    } else {
+        archive.loadBytes(&number, sizeof number);
+    }
 }
 
 template <typename Size>
