--- a/src/coordination/quota/QuotaTypes.h
+++ b/src/coordination/quota/QuotaTypes.h
@@ -6,6 +6,7 @@
 #include "state/TableRow.h"
 #include "state/Time.h"
 
+#include <algorithm>
 #include <chrono>
 #include <compare>
 #include <cstdint>
@@ -40,8 +41,21 @@
     // after this time at the latest.
     state::Duration maximumHold = std::chrono::seconds(120);
     // Loans of token rate, and the least hold of slots.
-    state::Duration minimumHold = std::chrono::seconds(5);
-    state::Duration renewInterval = std::chrono::seconds(1);
+    state::Duration minimumHold = std::chrono::seconds(10);
+    // How often loans are looked at to give something back, and how often they are renewed if
+    // nothing changes. The latter is how long it takes a borrower to hear that a home is short.
+    state::Duration renewInterval = std::chrono::seconds(2);
+    state::Duration steadyRenewInterval = std::chrono::seconds(4);
+    // An ask without an answer is repeated after this time.
+    state::Duration answerTimeout = std::chrono::seconds(1);
+    // A home that had nothing to lend is asked again after this time.
+    state::Duration retryInterval = std::chrono::seconds(4);
+    // Asks for more that an entry sends, for all its accounts. In a large fleet thousands of small
+    // accounts peak for a moment; this bounds what that costs, and who waits for it waits in turn.
+    std::uint32_t asksPerSecond = 8;
+    std::uint32_t asksAtOnce = 64;
+    // Homes asked at once on the chance that they have something.
+    std::uint32_t homesAskedAtOnce = 6;
     // An entry that lost its part by a change of the roster knows of it within this time, or
     // admits nothing (the table is not confirmed fresh).
     state::Duration rosterFreshness = std::chrono::seconds(12);
@@ -64,6 +78,18 @@
     return length + length / clockDriftParts + state::Duration(1);
 }
 
+// A list with a length of two bytes. Most messages carry one or two entries, and the eight bytes of
+// cereal's own lengths were a sixth of them; a hostile length can't ask for much memory either.
+template <typename Archive, typename Value>
+void serializeShort(Archive &archive, std::vector<Value> &values)
+{
+    auto count = static_cast<std::uint16_t>(std::min<std::size_t>(values.size(), 0xffff));
+    archive(count);
+    values.resize(count);
+    for (Value &value : values)
+        archive(value);
+}
+
 // Borrower to home: how much it wants to hold of that home's part, all told. Less than it holds
 // gives the rest back: it stopped using the rest before it sent this.
 struct QuotaAsk
@@ -140,8 +166,10 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->from, this->incarnation, this->forIncarnation, this->hello, this->statement,
-                this->holdings, this->asks, this->grants);
+        archive(this->from, this->incarnation, this->forIncarnation, this->hello, this->statement);
+        serializeShort(archive, this->holdings);
+        serializeShort(archive, this->asks);
+        serializeShort(archive, this->grants);
     }
 };
 
