Consensus: schedules with planned replacements and fading leaders

Change: a quarter of the replacements are planned, the old member runs on; a fault that cuts the present leader off step by step while callers are quiet. Conclusion: no change to the machine was needed.

--- a/tests/coordination/consensus/ClusterRig.h
+++ b/tests/coordination/consensus/ClusterRig.h
@@ -44,6 +44,7 @@
         std::uint64_t leaders = 0;
         std::uint64_t crashes = 0;
         std::uint64_t lostDisks = 0;
+        std::uint64_t plannedReplacements = 0;
         std::uint64_t snapshotsReceived = 0;
         std::uint64_t memberChanges = 0;
         std::uint64_t reads = 0;
@@ -113,6 +114,7 @@
     std::size_t addNode(const std::string &name);
     void fault();
     void isolate(std::size_t index, std::uint64_t duration);
+    void fadeLeader();
     void cutLink(std::size_t index, std::size_t other);
     void heal();
     void propose();
--- a/tests/coordination/consensus/ClusterRigFaults.cpp
+++ b/tests/coordination/consensus/ClusterRigFaults.cpp
@@ -92,13 +92,23 @@
         this->isolate(index, this->number(50, 900) * millisecond);
     } else if (kind < 36) {
         node.pausedUntil = this->now + static_cast<GlobalTime>(this->number(10, 500)) * millisecond;
-    } else if (kind < 50) {
+    } else if (kind < 53) {
         this->loseDisk(index);
-    } else if (kind < 62) {
+    } else if (kind < 64) {
         this->cutLink(index, this->number(0, this->nodes.size() - 1));
-    } else if (kind < 80 && node.machine && node.machine->currentRole() == Role::Leader) {
-        // A leader that goes step by step: one member misses it first and campaigns while the rest
-        // have heard it a moment ago. Callers are quiet, so that no log is ahead of another.
+    } else if (kind < 80) {
+        this->fadeLeader();
+    }
+}
+
+// A leader that goes step by step: one member misses it first and campaigns while the rest have
+// heard it a moment ago. Callers are quiet, so that no log is ahead of another.
+void ClusterRig::fadeLeader()
+{
+    for (std::size_t index = 0; index < this->nodes.size(); ++index) {
+        const Node &node = this->nodes[index];
+        if (!node.machine || !node.machine->holdsLease(this->localTime(node, this->now)))
+            continue;
         this->quietUntil = this->now + 400 * millisecond;
         this->cutLink(index, this->number(0, this->nodes.size() - 1));
         this->at(this->now + static_cast<GlobalTime>(this->number(60, 220)) * millisecond,
@@ -136,16 +146,22 @@
     if (!this->repaired() || node.diskLost || this->target.find(node.id) == nullptr
         || this->count.lostDisks >= maximumLostDisks)
         return;
-    ++this->count.lostDisks;
+    // Some are replaced as planned: the old member runs on, may lead, and learns late that it left.
+    const bool planned = this->mutation == Mutation::None && this->chance(250);
     this->secondLossDue = this->chance(700);
-    this->crash(index);
+    if (planned) {
+        ++this->count.plannedReplacements;
+    } else {
+        ++this->count.lostDisks;
+        this->crash(index);
+    }
     if (this->mutation == Mutation::SameIdAfterLoss) {
         node.disk = Stored{};
         node.disk.snapshot.configuration = this->target.encode();
         this->start(index);
         return;
     }
-    node.diskLost = true;
+    node.diskLost = !planned;
     const std::size_t fresh = this->addNode("vm" + std::to_string(this->nodes.size()) + ".2");
     std::vector<Member> wanted;
     for (const Member &member : this->target.all()) {
--- a/tests/coordination/consensus/ScheduleTest.cpp
+++ b/tests/coordination/consensus/ScheduleTest.cpp
@@ -35,6 +35,7 @@
             total.leaders += rig.counts().leaders;
             total.crashes += rig.counts().crashes;
             total.lostDisks += rig.counts().lostDisks;
+            total.plannedReplacements += rig.counts().plannedReplacements;
             total.snapshotsReceived += rig.counts().snapshotsReceived;
             total.memberChanges += rig.counts().memberChanges;
             total.reads += rig.counts().reads;
@@ -42,6 +43,7 @@
         std::cout << " seeds=" << seeds << " events=" << total.events
                   << " acknowledged=" << total.acknowledged << " leaders=" << total.leaders
                   << " crashes=" << total.crashes << " lost_disks=" << total.lostDisks
+                  << " planned_replacements=" << total.plannedReplacements
                   << " snapshots_received=" << total.snapshotsReceived
                   << " member_changes=" << total.memberChanges << " reads=" << total.reads;
         // The schedules must reach what they are meant to test, not pass by doing little.
@@ -49,6 +51,7 @@
         CPPUNIT_ASSERT(total.leaders > 2 * seeds && total.crashes > 3 * seeds);
         CPPUNIT_ASSERT(total.lostDisks > seeds && total.memberChanges > 2 * seeds);
         CPPUNIT_ASSERT(total.snapshotsReceived > seeds / 2);
+        CPPUNIT_ASSERT(total.plannedReplacements > seeds / 4);
     }
 
     // With one safeguard taken away, the same schedules must find the harm.
