--- a/src/program/ControlMember.cpp
+++ b/src/program/ControlMember.cpp
@@ -304,9 +304,14 @@
 {
     const std::optional<state::Instant> until = this->machine.leaseUntil();
     this->orderUntil = until ? microsecondsOf(*until) : 0;
-    ControlMemberStatus next{this->machine.currentRole(),    this->machine.currentTerm(),
-                             this->machine.committedIndex(), this->machine.appliedIndex(),
-                             this->machine.knownLeader(),    this->machine.members()};
+    ControlMemberStatus next;
+    next.role = this->machine.currentRole();
+    next.term = this->machine.currentTerm();
+    next.committed = this->machine.committedIndex();
+    next.applied = this->machine.appliedIndex();
+    next.leader = this->machine.knownLeader();
+    next.members = this->machine.members();
+    next.caughtUp = this->machine.caughtUpLearners(monotonicNow());
     if (next != *this->published.read())
         this->published.publish(std::move(next));
 }
--- a/src/program/ControlMember.h
+++ b/src/program/ControlMember.h
@@ -19,6 +19,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -78,6 +79,7 @@
     std::uint64_t applied = 0;
     std::optional<coordination::consensus::Member> leader;
     coordination::consensus::MemberSet members;
+    std::set<state::VmId> caughtUp; // of a leader: learners that may be promoted now
 
     auto operator<=>(const ControlMemberStatus &) const = default;
 };
--- a/tests/program/ControlMemberTest.cpp
+++ b/tests/program/ControlMemberTest.cpp
@@ -1,20 +1,25 @@
-// Three control members on loopback, each with its own threads, link and disk: the leader dies
+// Three control members on loopback, each with its own threads, link and folder: the leader dies
 // under load, and comes back.
-#include "program/ControlMember.h"
+#include "program/ControlMemberHost.h"
 
-#include "transport/PeerLink.h"
+#include "protocol/ControlCommands.h"
 
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <filesystem>
 #include <future>
 #include <iostream>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -27,131 +32,101 @@
 using coordination::consensus::ReadAnswer;
 using coordination::consensus::ReadKind;
 using coordination::consensus::Role;
-using coordination::consensus::Stored;
 
 namespace {
 
 constexpr std::chrono::seconds brokenRun{30}; // only ends a run that hangs; decides nothing
 
-// One member; what it writes outlives its process.
+// One member as a process would run it: threads of its own and a folder that outlives them.
 class Node
 {
 public:
-    explicit Node(std::uint16_t port = 0)
+    Node(const std::string &identity, const std::filesystem::path &folder, std::uint16_t port,
+         const std::optional<MemberSet> &founders)
     {
-        transport::PeerLinkSettings settings;
+        ControlMemberHostSettings settings;
+        settings.folder = folder.string();
+        settings.newIdentity = identity;
+        settings.founders = founders;
         settings.listen = {"127.0.0.1", port};
-        this->link = transport::PeerLink::listen(this->io, settings, {{"key"}},
-                                                 {[this](const std::string &bytes) {
-                                                      if (const auto to = this->current())
-                                                          to->receive(bytes);
-                                                  },
-                                                  nullptr})
-                             .value();
-    }
-    ~Node() { this->kill(); }
-    Node(const Node &) = delete;
-    Node &operator=(const Node &) = delete;
-
-    void start(const std::string &id, const Stored &stored)
-    {
-        this->disk = stored;
-        ControlMemberSettings settings;
-        settings.id = state::VmId(id);
-        settings.address = this->link->address();
-        settings.seed = std::hash<std::string>{}(id);
-        ControlMemberHooks hooks;
-        hooks.persist = [this](const PersistBatch &batch) { this->write(batch); };
-        hooks.apply = [this](const state::log::LogEntry &entry) {
+        settings.keys = {{"key"}};
+        settings.seed = std::hash<std::string>{}(identity);
+        ControlMemberHostHooks hooks;
+        hooks.applied = [this](const auto & /*position*/, const state::control::Command &command,
+                               const state::control::Answer &answer) {
             const std::lock_guard lock(this->mutex);
-            this->commands.push_back(entry.payload);
-            return state::control::Answer{};
+            if (std::holds_alternative<state::control::Accepted>(answer))
+                this->requests.insert(
+                        std::get<state::control::OperatorCommand>(command).stamp.requestId);
         };
-        hooks.send = [this](const state::Address &peer, std::string bytes) {
-            this->link->send(peer, std::move(bytes));
-        };
-        hooks.restore = [](const state::log::LogSnapshot &) {};
-        hooks.saveSnapshot = [](const auto &) {};
-        hooks.captureState = [](const auto &) {};
-        hooks.roleChanged = [](const auto &) {};
-        hooks.membersChanged = [](const auto &) {};
-        hooks.badMessage = [](const auto &) {};
-        const auto built = ControlMember::create(this->io, settings, stored, hooks).value();
-        {
-            const std::lock_guard lock(this->mutex);
-            this->member = built;
-        }
-        built->start();
+        this->host = ControlMemberHost::open(this->io, settings, hooks).value();
+        this->host->start();
         for (int count = 0; count < 2; ++count)
             this->threads.emplace_back([this] { this->io.run(); });
     }
-
-    void kill()
+    ~Node()
     {
-        if (const auto running = this->current())
-            running->stop();
-        this->link->stop();
-        this->guard.reset();
+        this->host->stop();
         this->io.stop();
         for (std::thread &thread : this->threads)
             thread.join();
-        this->threads.clear();
     }
+    Node(const Node &) = delete;
+    Node &operator=(const Node &) = delete;
 
-    std::shared_ptr<ControlMember> current()
-    {
-        const std::lock_guard lock(this->mutex);
-        return this->member;
-    }
-    std::vector<std::string> appliedCommands()
-    {
-        const std::lock_guard lock(this->mutex);
-        return this->commands;
-    }
-    Stored stored()
+    ControlMember &member() { return this->host->member(); }
+    std::multiset<std::string> appliedRequests()
     {
         const std::lock_guard lock(this->mutex);
-        return this->disk;
+        return this->requests;
     }
-    state::Address address() const { return this->link->address(); }
 
 private:
-    void write(const PersistBatch &batch)
-    {
-        {
-            const std::lock_guard lock(this->mutex);
-            if (batch.hardState)
-                this->disk.hardState = *batch.hardState;
-            for (const state::log::LogEntry &entry : batch.entries) {
-                std::erase_if(this->disk.entries, [&entry](const auto &old) {
-                    return old.position.index >= entry.position.index;
-                });
-                this->disk.entries.push_back(entry);
-            }
-        }
-        this->current()->persisted(batch.sequence);
-    }
-
     asio::io_context io;
     asio::executor_work_guard<asio::io_context::executor_type> guard =
             asio::make_work_guard(this->io);
     std::mutex mutex;
-    Stored disk;
-    std::vector<std::string> commands;
-    std::shared_ptr<ControlMember> member;
-    std::shared_ptr<transport::PeerLink> link;
+    std::multiset<std::string> requests; // accepted, by id
+    std::unique_ptr<ControlMemberHost> host;
     std::vector<std::thread> threads;
 };
 
+// A port that is free now. Another process may take it before the member does, which fails the test
+// loudly.
+std::uint16_t freePort()
+{
+    asio::io_context io;
+    const asio::ip::tcp::acceptor probe(io,
+                                        {asio::ip::make_address("127.0.0.1"), std::uint16_t(0)});
+    return probe.local_endpoint().port();
+}
+
+std::string commandFor(const std::string &request)
+{
+    return protocol::encodeCommand(protocol::makeOperatorCommand(
+            state::OperatorId("ana"), request, {},
+            state::control::PutAccount{{state::ClientAccountId(request), "Acme", {}, 0}, 0}));
+}
+
 } // namespace
 
 class ControlMemberTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(ControlMemberTest);
     CPPUNIT_TEST(leaderDiesUnderLoad);
+    CPPUNIT_TEST(lostDiskIsReplaced);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void setUp() override
+    {
+        this->folder = std::filesystem::temp_directory_path()
+                       / ("lavenderthread-control-" + std::to_string(::getpid()));
+        std::filesystem::remove_all(this->folder);
+        std::filesystem::create_directories(this->folder);
+    }
+    void tearDown() override { std::filesystem::remove_all(this->folder); }
+
     using Cluster = std::array<std::unique_ptr<Node>, 3>;
 
     // One round of callers at every member that runs; gives how many changes were accepted.
@@ -160,20 +135,20 @@
         std::vector<std::pair<std::string, std::future<ProposalResult>>> waiting;
         for (const std::unique_ptr<Node> &node : cluster) {
             for (int call = 0; node && call < 20; ++call) {
-                const std::string payload = "change " + std::to_string(this->nextChange++);
+                const std::string request = "change-" + std::to_string(this->nextChange++);
                 auto promise = std::make_shared<std::promise<ProposalResult>>();
-                waiting.emplace_back(payload, promise->get_future());
-                node->current()->propose(payload, [promise](ProposalResult result) {
+                waiting.emplace_back(request, promise->get_future());
+                node->member().propose(commandFor(request), [promise](ProposalResult result) {
                     promise->set_value(std::move(result));
                 });
             }
         }
         std::size_t count = 0;
-        for (auto &[payload, future] : waiting) {
+        for (auto &[request, future] : waiting) {
             CPPUNIT_ASSERT(future.wait_for(brokenRun) == std::future_status::ready);
             if (future.get().outcome != ProposalOutcome::Committed)
                 continue;
-            this->accepted.push_back(payload);
+            this->accepted.push_back(request);
             ++count;
         }
         return count;
@@ -193,7 +168,7 @@
     static std::size_t leaderOf(const Cluster &cluster)
     {
         for (std::size_t index = 0; index < cluster.size(); ++index) {
-            if (cluster[index]->current()->status()->role == Role::Leader)
+            if (cluster[index]->member().status()->role == Role::Leader)
                 return index;
         }
         return 0;
@@ -203,10 +178,9 @@
     {
         const auto begin = std::chrono::steady_clock::now();
         const auto holdsAll = [&] {
-            const std::vector<std::string> commands = node.appliedCommands();
-            return std::all_of(this->accepted.begin(), this->accepted.end(), [&](const auto &each) {
-                return std::count(commands.begin(), commands.end(), each) == 1;
-            });
+            const std::multiset<std::string> applied = node.appliedRequests();
+            return std::all_of(this->accepted.begin(), this->accepted.end(),
+                               [&](const auto &each) { return applied.count(each) == 1; });
         };
         while (!holdsAll()) {
             CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < brokenRun);
@@ -219,31 +193,17 @@
     // is missing anywhere, and the old leader catches up from its disk when it is started again.
     void leaderDiesUnderLoad()
     {
-        Cluster cluster;
-        std::vector<coordination::consensus::Member> members;
-        for (std::size_t index = 0; index < cluster.size(); ++index) {
-            cluster.at(index) = std::make_unique<Node>();
-            members.push_back({state::VmId("vm" + std::to_string(index)),
-                               cluster.at(index)->address(), MemberRole::Voter});
-        }
-        Stored first;
-        first.snapshot.configuration = MemberSet::create(members).value().encode();
-        for (std::size_t index = 0; index < cluster.size(); ++index)
-            cluster.at(index)->start(members[index].id.value(), first);
+        Cluster cluster = this->startThree();
         this->untilAccepted(cluster);
         for (int round = 0; round < 20; ++round)
             this->proposeOnce(cluster);
 
         const std::size_t old = leaderOf(cluster);
-        const std::uint16_t port = cluster.at(old)->address().port;
-        cluster.at(old)->kill();
-        const Stored kept = cluster.at(old)->stored();
         cluster.at(old) = nullptr;
         const std::chrono::milliseconds took = this->untilAccepted(cluster);
         std::cout << " accepted again after " << took.count() << " ms";
 
-        cluster.at(old) = std::make_unique<Node>(port);
-        cluster.at(old)->start(members[old].id.value(), kept);
+        cluster.at(old) = this->startNode(this->members[old], std::nullopt);
         for (int round = 0; round < 5; ++round)
             this->proposeOnce(cluster);
         for (const std::unique_ptr<Node> &node : cluster)
@@ -251,6 +211,74 @@
         this->readSeesAll(cluster);
     }
 
+    // A member is gone with its disk. A new one at the same address, under a new identity and with
+    // an empty folder, learns the log, votes, and the lost one leaves last. Then all processes end
+    // at once and start again: every accepted change is still there.
+    void lostDiskIsReplaced()
+    {
+        Cluster cluster = this->startThree();
+        this->untilAccepted(cluster);
+        cluster.at(2) = nullptr;
+        std::filesystem::remove_all(this->folder / "vm2.1");
+        coordination::consensus::Member fresh = this->members[2];
+        fresh.id = state::VmId("vm2.2");
+        cluster.at(2) = this->startNode(fresh, std::nullopt);
+        this->members[2] = fresh;
+        this->changeMembers(cluster, MemberSet::create(this->members).value());
+        this->untilAccepted(cluster);
+        this->waitUntilApplied(*cluster.at(2));
+
+        for (std::unique_ptr<Node> &node : cluster)
+            node = nullptr;
+        for (std::size_t index = 0; index < cluster.size(); ++index)
+            cluster.at(index) = this->startNode(this->members[index], std::nullopt);
+        this->untilAccepted(cluster);
+        for (const std::unique_ptr<Node> &node : cluster)
+            this->waitUntilApplied(*node);
+    }
+
+    static void changeMembers(const Cluster &cluster, const MemberSet &target)
+    {
+        const auto begin = std::chrono::steady_clock::now();
+        while (true) {
+            CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < brokenRun);
+            ControlMember &leader = cluster.at(leaderOf(cluster))->member();
+            const auto status = leader.status();
+            if (status->role == Role::Leader && status->members == target)
+                return;
+            const auto change = nextMemberChange(status->members, target, status->caughtUp);
+            if (change) {
+                auto promise = std::make_shared<std::promise<ProposalResult>>();
+                leader.proposeChange(*change, [promise](ProposalResult result) {
+                    promise->set_value(std::move(result));
+                });
+                CPPUNIT_ASSERT(promise->get_future().wait_for(brokenRun)
+                               == std::future_status::ready);
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+    }
+
+    std::unique_ptr<Node> startNode(const coordination::consensus::Member &member,
+                                    const std::optional<MemberSet> &founders) const
+    {
+        return std::make_unique<Node>(member.id.value(), this->folder / member.id.value(),
+                                      member.address.port, founders);
+    }
+
+    Cluster startThree()
+    {
+        Cluster cluster;
+        for (std::size_t index = 0; index < cluster.size(); ++index)
+            this->members.push_back({state::VmId("vm" + std::to_string(index) + ".1"),
+                                     {"127.0.0.1", freePort()},
+                                     MemberRole::Voter});
+        const MemberSet founders = MemberSet::create(this->members).value();
+        for (std::size_t index = 0; index < cluster.size(); ++index)
+            cluster.at(index) = this->startNode(this->members[index], founders);
+        return cluster;
+    }
+
     // Whoever leads answers; while nobody does, the answer is "not confirmed" and never an old one.
     void readSeesAll(const Cluster &cluster) const
     {
@@ -259,9 +287,9 @@
             for (int attempt = 0; !confirmed && attempt < 1000; ++attempt) {
                 auto promise = std::make_shared<std::promise<ReadAnswer>>();
                 cluster.at(leaderOf(cluster))
-                        ->current()
-                        ->read(kind,
-                               [promise](const ReadAnswer &answer) { promise->set_value(answer); });
+                        ->member()
+                        .read(kind,
+                              [promise](const ReadAnswer &answer) { promise->set_value(answer); });
                 std::future<ReadAnswer> future = promise->get_future();
                 CPPUNIT_ASSERT(future.wait_for(brokenRun) == std::future_status::ready);
                 const ReadAnswer answer = future.get();
@@ -275,6 +303,8 @@
     }
 
 private:
+    std::filesystem::path folder;
+    std::vector<coordination::consensus::Member> members;
     std::vector<std::string> accepted;
     int nextChange = 0;
 };
