--- a/tests/program/ControlMemberTest.cpp
+++ b/tests/program/ControlMemberTest.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <filesystem>
 #include <future>
@@ -50,6 +51,8 @@
         settings.founders = founders;
         settings.listen = {"127.0.0.1", port};
         settings.keys = {{"key"}};
+        settings.consensus.compactionEntries = 200; // so that snapshots are taken and sent
+        settings.consensus.trailingEntries = 20;
         settings.seed = std::hash<std::string>{}(identity);
         ControlMemberHostHooks hooks;
         hooks.applied = [this](const auto & /*position*/, const state::control::Command &command,
@@ -59,7 +62,12 @@
                 this->requests.insert(
                         std::get<state::control::OperatorCommand>(command).stamp.requestId);
         };
+        hooks.restored = [this] {
+            this->noteState();
+            ++this->restores;
+        };
         this->host = ControlMemberHost::open(this->io, settings, hooks).value();
+        this->noteState();
         this->host->start();
         for (int count = 0; count < 2; ++count)
             this->threads.emplace_back([this] { this->io.run(); });
@@ -81,7 +89,20 @@
         return this->requests;
     }
 
+    std::atomic<int> restores = 0; // snapshots received from a leader
+
 private:
+    // What a snapshot held, in place of the commands behind it.
+    void noteState()
+    {
+        const std::lock_guard lock(this->mutex);
+        this->requests.clear();
+        this->host->state().view().catalog.accounts().forEach(
+                [this](const state::table::ClientAccount &account) {
+                    this->requests.insert(account.id.value());
+                });
+    }
+
     asio::io_context io;
     asio::executor_work_guard<asio::io_context::executor_type> guard =
             asio::make_work_guard(this->io);
@@ -212,14 +233,16 @@
     }
 
     // A member is gone with its disk. A new one at the same address, under a new identity and with
-    // an empty folder, learns the log, votes, and the lost one leaves last. Then all processes end
-    // at once and start again: every accepted change is still there.
+    // an empty folder, receives a snapshot and the log, votes, and the lost one leaves last. Then
+    // all processes end at once and start again: every accepted change is still there.
     void lostDiskIsReplaced()
     {
         Cluster cluster = this->startThree();
         this->untilAccepted(cluster);
         cluster.at(2) = nullptr;
         std::filesystem::remove_all(this->folder / "vm2.1");
+        while (this->accepted.size() < 500)
+            this->untilAccepted(cluster);
         coordination::consensus::Member fresh = this->members[2];
         fresh.id = state::VmId("vm2.2");
         cluster.at(2) = this->startNode(fresh, std::nullopt);
@@ -227,6 +250,7 @@
         this->changeMembers(cluster, MemberSet::create(this->members).value());
         this->untilAccepted(cluster);
         this->waitUntilApplied(*cluster.at(2));
+        CPPUNIT_ASSERT(cluster.at(2)->restores > 0);
 
         for (std::unique_ptr<Node> &node : cluster)
             node = nullptr;
