--- a/src/program/ControlService.cpp
+++ b/src/program/ControlService.cpp
@@ -1,4 +1,4 @@
-// Wiring of consensus, disk, links and replicated state.
+// Calls of the entries, answered on the member's strand.
 #include "program/ControlService.h"
 
 #include "program/Clock.h"
@@ -10,6 +10,7 @@
 
 #include <xxhash.h>
 
+#include <optional>
 #include <utility>
 
 namespace lavenderthread::program {
@@ -21,19 +22,19 @@
 namespace {
 
 constexpr seconds advanceInterval{1};
-constexpr std::uint64_t trailingEntries = 4'096; // kept on disk behind a snapshot
 
-// The first member set of a new cluster. Only a folder that was made with control.bootstrap starts
-// from it: a member whose disk was lost would otherwise vote again in terms in which its former
-// self has voted, and two leaders could be elected in one term.
-state::Result<state::log::LogSnapshot> firstSnapshot(const Settings &settings)
+// The founders are read only where control.bootstrap is set and the folder is new: a member whose
+// disk was lost would otherwise vote again in terms in which its former self has voted, and two
+// leaders could be elected in one term. It comes back under another identity instead.
+state::Result<std::optional<consensus::MemberSet>> foundersOf(const Settings &settings)
 {
+    if (!settings.controlBootstrap)
+        return std::optional<consensus::MemberSet>();
     std::vector<consensus::Member> members;
     for (const ControlMemberSetting &member : settings.controlMembers)
         members.push_back({member.id, member.address, consensus::MemberRole::Voter});
-    BOOST_OUTCOME_TRY(const consensus::MemberSet set,
-                      consensus::MemberSet::create(std::move(members)));
-    return state::log::LogSnapshot{{}, set.encode(), {}};
+    BOOST_OUTCOME_TRY(consensus::MemberSet set, consensus::MemberSet::create(std::move(members)));
+    return std::optional<consensus::MemberSet>(std::move(set));
 }
 
 std::string newIdentity(const Settings &settings)
@@ -54,97 +55,29 @@
                                                                       asio::io_context &context)
 {
     std::shared_ptr<ControlService> service(new ControlService(context));
-    BOOST_OUTCOME_TRY(service->open(settings, context));
-    return service;
-}
-
-state::Result<void> ControlService::open(const Settings &settings, asio::io_context &context)
-{
-    transport::storage::DurableLogSettings logSettings;
-    logSettings.folder = settings.dataFolder;
-    logSettings.newIdentity = newIdentity(settings);
-    BOOST_OUTCOME_TRY(auto opened, transport::storage::DurableLog::open(std::move(logSettings)));
-    const auto &recovered = opened.recovered;
-
-    consensus::Stored stored;
-    stored.hardState = recovered.hardState;
-    stored.entries = recovered.entries;
-    if (recovered.snapshot) {
-        stored.snapshot = *recovered.snapshot;
-        this->restore(stored.snapshot);
-    } else if (recovered.identity == settings.vm.value()) {
-        BOOST_OUTCOME_TRY(stored.snapshot, firstSnapshot(settings));
-    }
-
-    transport::storage::LogWriterHooks writerHooks;
-    writerHooks.persisted = [this](std::uint64_t sequence) { this->member->persisted(sequence); };
-    writerHooks.failed = [this](const state::Error &error) {
-        logError("control.storage-failed", error);
-        this->member->persistFailed(error);
+    ControlMemberHostSettings hostSettings;
+    hostSettings.folder = settings.dataFolder;
+    hostSettings.newIdentity = newIdentity(settings);
+    BOOST_OUTCOME_TRY(hostSettings.founders, foundersOf(settings));
+    hostSettings.listen = *settings.controlListen;
+    hostSettings.keys = settings.keys;
+    hostSettings.seed = XXH3_64bits(settings.vm.value().data(), settings.vm.value().size())
+                        ^ static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
+    ControlMemberHostHooks hooks;
+    hooks.roleChanged = [self = service.get()](const consensus::RoleChange &change) {
+        self->roleChanged(change);
     };
-    writerHooks.snapshotSaved = [this](consensus::SnapshotPointer snapshot) {
-        this->member->snapshotSaved(snapshot);
-    };
-    this->writer = std::make_unique<transport::storage::LogWriter>(std::move(opened.log),
-                                                                   std::move(writerHooks));
-
-    transport::PeerLinkSettings linkSettings;
-    linkSettings.listen = *settings.controlListen;
-    transport::PeerLinkHooks linkHooks;
-    linkHooks.received = [this](const std::string &bytes) {
-        if (!this->stopped)
-            this->member->receive(bytes);
-    };
-    linkHooks.problem = [](const state::Error &error) {
-        logEvent(LogLevel::Debug, "control.link",
+    hooks.problem = [](const state::Error &error) {
+        logEvent(LogLevel::Debug, "control.problem",
                  {{"step", error.step}, {"peer", error.peer}, {"cause", error.cause}});
     };
-    BOOST_OUTCOME_TRY(this->link,
-                      transport::PeerLink::listen(context, linkSettings, settings.keys, linkHooks));
-
-    ControlMemberSettings memberSettings;
-    memberSettings.id = state::VmId(recovered.identity);
-    memberSettings.address = *settings.controlListen;
-    memberSettings.seed = XXH3_64bits(recovered.identity.data(), recovered.identity.size())
-                          ^ static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
-    BOOST_OUTCOME_TRY(this->member,
-                      ControlMember::create(context, memberSettings, stored, this->memberHooks()));
-    return state::outcome::success();
-}
-
-ControlMemberHooks ControlService::memberHooks()
-{
-    ControlMemberHooks hooks;
-    hooks.persist = [this](PersistBatch batch) {
-        this->writer->submit({batch.sequence, std::move(batch.hardState),
-                              std::move(batch.installed), std::move(batch.entries)});
-    };
-    hooks.saveSnapshot = [this](consensus::SnapshotPointer snapshot) {
-        const std::uint64_t last = snapshot->last.index;
-        this->writer->saveSnapshot(std::move(snapshot), last - std::min(last, trailingEntries));
-    };
-    hooks.apply = [this](const state::log::LogEntry &entry) { return this->apply(entry); };
-    hooks.restore = [this](const state::log::LogSnapshot &snapshot) { this->restore(snapshot); };
-    hooks.captureState = [this](const std::function<void(std::string)> &done) {
-        done(protocol::encodeControlState(this->state));
-    };
-    hooks.send = [this](const state::Address &peer, std::string bytes) {
-        this->link->send(peer, std::move(bytes));
-    };
-    hooks.roleChanged = [this](const consensus::RoleChange &change) { this->roleChanged(change); };
-    hooks.membersChanged = [this](const consensus::MemberSet &members) {
-        std::set<state::Address> peers;
-        for (const consensus::Member &each : members.all())
-            peers.insert(each.address);
-        this->link->keepOnly(peers);
-    };
-    hooks.badMessage = [](const state::Error &error) { logError("control.bad-message", error); };
-    return hooks;
+    BOOST_OUTCOME_TRY(service->host, ControlMemberHost::open(context, hostSettings, hooks));
+    return service;
 }
 
 void ControlService::start()
 {
-    this->member->start();
+    this->host->start();
     this->advanceTime();
 }
 
@@ -152,27 +85,7 @@
 {
     this->stopped = true;
     this->timer.cancel();
-    this->member->stop();
-    this->link->stop();
-}
-
-state::control::Answer ControlService::apply(const state::log::LogEntry &entry)
-{
-    const auto command = protocol::decodeCommand(entry.payload);
-    if (!command)
-        return state::control::Refused{command.error(), std::nullopt, false};
-    return this->state.apply(entry.position, command.value());
-}
-
-void ControlService::restore(const state::log::LogSnapshot &snapshot)
-{
-    if (snapshot.bytes.empty()) // the first member set, with nothing applied
-        return;
-    auto decoded = protocol::decodeControlState(snapshot.bytes);
-    if (decoded)
-        this->state = std::move(decoded.value());
-    else
-        logError("control.restore-failed", decoded.error());
+    this->host->stop();
 }
 
 void ControlService::roleChanged(const consensus::RoleChange &change)
@@ -190,7 +103,7 @@
     const state::Instant now = monotonicNow();
     if (this->leads && this->lastAdvance != state::Instant{}) {
         const state::control::AdvanceTime step{now - this->lastAdvance};
-        this->member->propose(protocol::encodeCommand(step), [](const ProposalResult &) {});
+        this->host->member().propose(protocol::encodeCommand(step), [](const ProposalResult &) {});
     }
     this->lastAdvance = now;
     this->timer.expires_after(advanceInterval);
@@ -202,7 +115,7 @@
 
 state::Address ControlService::leaderAddress() const
 {
-    const auto status = this->member->status();
+    const auto status = this->status();
     return status->leader ? status->leader->address : state::Address{};
 }
 
@@ -222,8 +135,8 @@
 asio::awaitable<protocol::ProposeReply> ControlService::propose(std::string command)
 {
     std::function<void(ControlMember::ProposalDone)> start =
-            [member = this->member, command](ControlMember::ProposalDone done) {
-                member->propose(command, std::move(done));
+            [self = this->shared_from_this(), command](ControlMember::ProposalDone done) {
+                self->host->member().propose(command, std::move(done));
             };
     const ProposalResult result =
             co_await transport::awaitCallback<ProposalResult>(std::move(start));
@@ -241,14 +154,14 @@
             [self = this->shared_from_this(),
              call](const std::function<void(protocol::FeedReply)> &done) {
                 // The callback runs where the applied state stands still.
-                self->member->read(consensus::ReadKind::Lease, [self, call,
-                                                                done](const auto &read) {
+                self->host->member().read(consensus::ReadKind::Lease, [self, call,
+                                                                       done](const auto &read) {
                     protocol::FeedReply reply;
                     reply.confirmed = read.confirmed;
                     if (read.confirmed) {
                         self->tracker.onFeedRequest(call.entry, call.version, monotonicNow());
-                        reply.version = self->state.view().version;
-                        for (const auto &page : self->state.changesSince(call.version))
+                        reply.version = self->host->state().view().version;
+                        for (const auto &page : self->host->state().changesSince(call.version))
                             reply.pages.push_back(protocol::encodeFeedPage(page));
                     }
                     done(std::move(reply));
@@ -262,8 +175,8 @@
     std::function<void(std::function<void(protocol::EnforcementReply)>)> start =
             [self = this->shared_from_this(),
              version](const std::function<void(protocol::EnforcementReply)> &done) {
-                self->member->read(consensus::ReadKind::Lease, [self, version,
-                                                                done](const auto &read) {
+                self->host->member().read(consensus::ReadKind::Lease, [self, version,
+                                                                       done](const auto &read) {
                     protocol::EnforcementReply reply;
                     reply.confirmed = read.confirmed;
                     if (read.confirmed) {
--- a/src/program/ControlService.h
+++ b/src/program/ControlService.h
@@ -1,15 +1,12 @@
-// A control member as a whole: the consensus driver with its disk, its links and the state that it
-// replicates, and the answers to the entries' calls.
+// The control member of this process towards the entries: answers their calls and counts the time
+// of the replicated state.
 #pragma once
 
 #include "coordination/orders/EnforcementTracker.h"
 #include "coordination/orders/FeedReceiver.h"
-#include "program/ControlMember.h"
+#include "program/ControlMemberHost.h"
 #include "program/Settings.h"
 #include "protocol/ControlCalls.h"
-#include "state/control/ControlState.h"
-#include "transport/PeerLink.h"
-#include "transport/storage/LogWriter.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -23,7 +20,7 @@
 class ControlService : public std::enable_shared_from_this<ControlService>
 {
 public:
-    // Errors: those of DurableLog::open; Unavailable, step "…bind"; InvalidArgument.
+    // Errors: those of ControlMemberHost::open.
     static state::Result<std::shared_ptr<ControlService>> create(const Settings &settings,
                                                                  boost::asio::io_context &context);
 
@@ -31,15 +28,14 @@
     void stop(); // call before the threads end
 
     boost::asio::awaitable<protocol::ControlReply> answer(protocol::ControlCall call);
-    state::SnapshotView<ControlMemberStatus> status() const { return this->member->status(); }
+    state::SnapshotView<ControlMemberStatus> status() const
+    {
+        return this->host->member().status();
+    }
 
 private:
     explicit ControlService(boost::asio::io_context &context);
 
-    state::Result<void> open(const Settings &settings, boost::asio::io_context &context);
-    ControlMemberHooks memberHooks();
-    state::control::Answer apply(const state::log::LogEntry &entry);
-    void restore(const state::log::LogSnapshot &snapshot);
     void roleChanged(const coordination::consensus::RoleChange &change);
     void advanceTime();
     state::Address leaderAddress() const;
@@ -49,11 +45,8 @@
     boost::asio::awaitable<protocol::EnforcementReply> enforcement(std::uint64_t version);
 
     boost::asio::steady_timer timer;
-    std::shared_ptr<transport::PeerLink> link;
-    std::unique_ptr<transport::storage::LogWriter> writer;
-    std::shared_ptr<ControlMember> member;
-    // On the member's strand only; reads get there through ControlMember::read.
-    state::control::ControlState state;
+    std::unique_ptr<ControlMemberHost> host;
+    // On the member's strand only.
     coordination::orders::EnforcementTracker tracker;
     std::atomic<bool> leads = false;
     std::atomic<bool> stopped = false;
