--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -60,7 +60,8 @@
     shift 3
     "$fake" --kind engine --id "$name" --listen "$(endpoint_address "$index")" --entries "$entries" \
         --failure-domain "$(domain_of "$index")" --service billing --models m1 \
-        --kv-capacity-tokens 1500000 --prefill-rate 2000000 --decode-rate 500 "$@" \
+        --kv-capacity-tokens 1500000 --prefill-rate "${prefill_rate:-2000000}" \
+        --decode-rate "${decode_rate:-500}" "$@" \
         2>>"$work/$name.log" &
     pid_of[$name]=$!
 }
