Protocol: one way to hash prefix blocks; Transport: one pause

Cause: the policy hashed blocks with XXH3, the entry and the contract with XXH64, in two functions of the same shape; three files had the same pause. Change: chainPrefixBlocks follows the contract and serves both; transport::pause.

--- a/src/coordination/routing/PrefixIndex.cpp
+++ b/src/coordination/routing/PrefixIndex.cpp
@@ -17,7 +17,7 @@
     hashes.reserve(prompt.size() / blockBytes);
     std::uint64_t previous = 0;
     for (std::size_t at = 0; at + blockBytes <= prompt.size(); at += blockBytes) {
-        previous = XXH3_64bits_withSeed(prompt.data() + at, blockBytes, previous);
+        previous = XXH64(prompt.data() + at, blockBytes, previous);
         hashes.push_back(previous);
     }
     return hashes;
--- a/src/coordination/routing/PrefixIndex.h
+++ b/src/coordination/routing/PrefixIndex.h
@@ -12,7 +12,8 @@
 namespace lavenderthread::coordination::routing {
 
 // Hashes of the prompt's full blocks; each covers all that stands before it, so that equal hashes
-// mean equal prefixes. Four bytes count as one token, as in the endpoint contract.
+// mean equal prefixes. Four bytes count as one token, as in the endpoint contract;
+// XXH64, as it asks for.
 std::vector<std::uint64_t> chainPrefixBlocks(std::string_view prompt, std::uint32_t blockTokens);
 
 enum class CacheOperation : std::uint8_t { Stored, Evicted, Cleared };
--- a/src/program/Caller.cpp
+++ b/src/program/Caller.cpp
@@ -3,6 +3,7 @@
 
 #include "program/Clock.h"
 #include "program/ServerSentEvents.h"
+#include "transport/Await.h"
 #include "transport/HttpClient.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -27,12 +28,6 @@
 constexpr milliseconds directoryRetry{100};
 constexpr milliseconds longestPause{1'000};
 
-asio::awaitable<void> pause(milliseconds time)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, time);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 // Doubles with each try.
 milliseconds pauseAfter(const CallerSettings &settings, int attempt)
 {
@@ -220,7 +215,7 @@
         std::vector<state::Address> order = co_await this->directory();
         if (!order.empty() || remaining(deadline) == milliseconds(0))
             co_return order;
-        co_await pause(directoryRetry);
+        co_await transport::pause(directoryRetry);
     }
 }
 
@@ -236,7 +231,7 @@
             if (ended)
                 break;
         }
-        co_await pause(pauseAfter(this->settings, attempt));
+        co_await transport::pause(pauseAfter(this->settings, attempt));
     }
     co_return call.finish();
 }
@@ -280,7 +275,7 @@
             if (ended || remaining(deadline) == milliseconds(0))
                 break;
         }
-        co_await pause(pauseAfter(this->settings, attempt));
+        co_await transport::pause(pauseAfter(this->settings, attempt));
     }
     result.total = monotonicNow() - started;
     co_return result;
--- a/src/program/ControlClient.cpp
+++ b/src/program/ControlClient.cpp
@@ -4,6 +4,7 @@
 #include "program/Clock.h"
 #include "program/Log.h"
 #include "protocol/ControlCommands.h"
+#include "transport/Await.h"
 #include "transport/HttpClient.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -29,12 +30,6 @@
 constexpr milliseconds releaseTime{5'000};
 constexpr unsigned statusOk = 200;
 
-asio::awaitable<void> pause(milliseconds time)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, time);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 ClaimAnswer toClaimAnswer(const control::ClaimAnswer &answer)
 {
     using Verdict = control::ClaimVerdict;
@@ -163,7 +158,7 @@
         // The hint if it is a new one, else the next member in turn.
         const std::size_t hint = this->leader;
         member = hint != member ? hint : (member + 1) % this->settings.controlMembers.size();
-        co_await pause(pauseBetweenTries);
+        co_await transport::pause(pauseBetweenTries);
     }
     co_return state::makeError(state::ErrorCode::Timeout, "control.propose",
                                "no control member has committed it in time");
@@ -183,7 +178,7 @@
             co_return *found;
         const std::size_t hint = this->leader;
         member = hint != member ? hint : (member + 1) % this->settings.controlMembers.size();
-        co_await pause(pauseBetweenTries);
+        co_await transport::pause(pauseBetweenTries);
     }
     co_return state::makeError(state::ErrorCode::Unavailable, "control.enforcement",
                                "no leader answers");
@@ -219,7 +214,7 @@
         } else {
             this->afterAnswer(false);
         }
-        co_await pause(pollInterval);
+        co_await transport::pause(pollInterval);
     }
 }
 
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -9,6 +9,7 @@
 #include "program/DispatcherScheduler.h"
 #include "program/Entry.h"
 #include "program/Log.h"
+#include "transport/Await.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -37,12 +38,6 @@
 // The farewell goes out and answers just written leave the sockets before the process does.
 constexpr milliseconds farewellTime{300};
 
-asio::awaitable<void> pause(milliseconds time)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, time);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 void logCompletion(const CompletionOutcome &outcome)
 {
     logEvent(LogLevel::Info, "completion.finished",
@@ -278,7 +273,7 @@
     asio::awaitable<void> expireLoop()
     {
         while (true) {
-            co_await pause(expiryCheckInterval);
+            co_await transport::pause(expiryCheckInterval);
             if (!this->settings.gossipListen) {
                 for (const state::EndpointId &id : this->registry->expire(monotonicNow()))
                     logEvent(LogLevel::Warning, "endpoint.expired", {{"endpoint", id.value()}});
@@ -295,15 +290,15 @@
         signals.async_wait([this](auto, auto) { this->context.stop(); });
         this->entry->enter(EntryPhase::Leaving);
         this->tellPhase();
-        co_await pause(this->settings.entry.shutdownGrace);
+        co_await transport::pause(this->settings.entry.shutdownGrace);
         this->entry->enter(EntryPhase::Refusing);
         const state::Instant limit = monotonicNow() + this->settings.entry.shutdownLimit;
         while (this->entry->inFlight() > 0 && monotonicNow() < limit)
-            co_await pause(drainCheckInterval);
+            co_await transport::pause(drainCheckInterval);
         this->entry->stopAccepting();
         this->left = true;
         this->tellPhase();
-        co_await pause(farewellTime);
+        co_await transport::pause(farewellTime);
         logEvent(LogLevel::Info, "node.stopped",
                  {{"in_flight", std::uint64_t(this->entry->inFlight())}});
         if (this->client)
--- a/src/protocol/Completion.cpp
+++ b/src/protocol/Completion.cpp
@@ -1,13 +1,13 @@
 // Reads completion bodies and engine lines, writes the callers' chunks.
 #include "protocol/Completion.h"
 
+#include "coordination/routing/PrefixIndex.h"
+
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
-#include <xxhash.h>
-
 namespace lavenderthread::protocol {
 
 namespace json = boost::json;
@@ -73,19 +73,6 @@
 
 } // namespace
 
-std::vector<std::uint64_t> prefixBlockHashes(std::string_view prompt)
-{
-    constexpr std::size_t blockBytes = prefixBlockTokens * bytesPerToken;
-    std::vector<std::uint64_t> hashes;
-    hashes.reserve(prompt.size() / blockBytes);
-    std::uint64_t previous = 0;
-    for (std::size_t at = 0; at + blockBytes <= prompt.size(); at += blockBytes) {
-        previous = XXH64(prompt.data() + at, blockBytes, previous);
-        hashes.push_back(previous);
-    }
-    return hashes;
-}
-
 state::Result<CompletionBody> parseCompletion(CompletionKind kind, std::string_view text)
 {
     boost::system::error_code problem;
@@ -112,7 +99,7 @@
             return bodyError("stream: expected true or false");
         body.stream = stream->get_bool();
     }
-    body.prefixBlocks = prefixBlockHashes(prompt);
+    body.prefixBlocks = coordination::routing::chainPrefixBlocks(prompt, prefixBlockTokens);
     return body;
 }
 
--- a/src/protocol/Completion.h
+++ b/src/protocol/Completion.h
@@ -18,7 +18,7 @@
 // (docs/contracts/endpoint.md).
 constexpr std::size_t bytesPerToken = 4;
 // Prefixes are compared by blocks of this many tokens.
-constexpr std::size_t prefixBlockTokens = 256;
+constexpr std::uint32_t prefixBlockTokens = 256;
 constexpr std::uint32_t defaultOutputTokens = 16;
 constexpr std::uint32_t maximumPromptTokens = 4'000'000;
 constexpr std::uint32_t maximumOutputTokens = 1'000'000;
@@ -30,7 +30,7 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = defaultOutputTokens;
     bool stream = false;
-    // Chained hash of each whole block: XXH64(block bytes, seed = hash of the block before).
+    // Chained hash of each whole block, as the endpoint contract defines it.
     std::vector<std::uint64_t> prefixBlocks;
 
     bool operator==(const CompletionBody &) const = default;
@@ -39,9 +39,6 @@
 // Error: InvalidArgument, step "completion.parse", cause names the member.
 state::Result<CompletionBody> parseCompletion(CompletionKind kind, std::string_view json);
 
-// Chained hashes of the whole blocks of a prompt.
-std::vector<std::uint64_t> prefixBlockHashes(std::string_view prompt);
-
 // The data of one server-sent event: token `offset` of the answer.
 std::string completionChunk(CompletionKind kind, const std::string &id, const std::string &model,
                             std::uint64_t offset, std::string_view text);
--- a/src/transport/Await.h
+++ b/src/transport/Await.h
@@ -1,4 +1,4 @@
-// Lets a coroutine wait for a callback that may come from any thread.
+// Lets a coroutine wait: for a time, or for a callback that may come from any thread.
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
@@ -9,6 +9,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -16,6 +17,13 @@
 
 namespace lavenderthread::transport {
 
+// Waits for that time on the coroutine's executor.
+inline boost::asio::awaitable<void> pause(std::chrono::milliseconds time)
+{
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, time);
+    co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+}
+
 // `start` is given a function to call exactly once with the value; the coroutine goes on with that
 // value on its own executor, which must be a strand. A timer that never expires serves as the
 // event: an initiation of our own would be a temporary inside co_await, which g++ 12 destroys
