--- a/src/program/Caller.cpp
+++ b/src/program/Caller.cpp
@@ -226,7 +226,7 @@
     for (int attempt = 0; attempt < this->settings.tries; ++attempt) {
         const std::vector<state::Address> order = co_await this->awaitDirectory(call.end());
         if (!order.empty()) {
-            const state::Address entry = order[static_cast<std::size_t>(attempt) % order.size()];
+            const state::Address &entry = order[static_cast<std::size_t>(attempt) % order.size()];
             const bool ended = co_await call.tryAt(entry);
             if (ended)
                 break;
--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -47,7 +47,7 @@
     : settings(settings)
     , registry(std::move(registry))
     , hooks(std::move(hooks))
-    , chooser(std::move(directory))
+    , chooser(directory)
     , strand(asio::make_strand(context))
     , flushTimer(this->strand)
 {}
@@ -61,8 +61,8 @@
     directorySettings.timeToLive = settings.entry.directoryTtl;
     BOOST_OUTCOME_TRY(coordination::directory::Directory directory,
                       coordination::directory::Directory::create(directorySettings));
-    std::shared_ptr<Cluster> cluster(new Cluster(settings, context, std::move(registry),
-                                                 std::move(hooks), std::move(directory)));
+    std::shared_ptr<Cluster> cluster(
+            new Cluster(settings, context, std::move(registry), std::move(hooks), directory));
     if (settings.gossipListen) {
         BOOST_OUTCOME_TRY(cluster->join(context));
     }
