--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -2,7 +2,7 @@
 # Everything started here is ended by its own process id when the script ends.
 # Sourced with $build set to the build folder.
 
-node=$build/src/program/lavenderthread
+node=$build/lavenderthread
 fake=$build/tests/fakes/fake-endpoint
 load=$build/tests/system/load-caller
 work=$(mktemp -d)
--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -75,6 +75,13 @@
         state::Instant notBefore{}; // of the next try to place it
         state::Instant renewAt{};   // of its reservations
         state::FailureDomain avoid;
+        // Of a request on engines that work in passes.
+        std::vector<state::EndpointId> helpers;
+        double partSeconds = 0; // prefill at the engine and at each helper
+        std::vector<state::EndpointId> failed; // engines that have failed this request
+        std::uint32_t runs = 0;                // of them, those that may have run it
+
+        bool needs(const state::EndpointId &engine) const;
     };
     using Flights = std::unordered_map<state::RequestId, Flight>;
 
@@ -95,11 +102,13 @@
     void on(const EngineAnnounced &event);
     void on(const EngineGone &event);
     void on(const EngineDraining &event);
+    void on(const EngineSuspected &event);
     void on(const LoadReported &event);
     void on(const CacheReported &event);
     void on(const PeerWorkNoted &event);
     void on(const PeerBacklogNoted &event);
     void on(const AttemptFailed &event);
+    bool isExhausted(const Flight &flight) const;
     void attemptLost(Flight &flight, const state::EndpointId &engine, bool didNotRun,
                      bool engineLost);
     // Applies a work note to the own view and sends it to the peers.
@@ -121,6 +130,15 @@
     void enqueue(Flight &flight, bool front);
     double idealSeconds(const CompletionRequest &request) const;
 
+    // DispatcherPasses.cpp: engines that work in declared passes
+    std::optional<Refuse> refusalByPasses(const CompletionRequest &request);
+    bool placeByPasses(Flight &flight);
+    std::optional<Refuse> lateRefusal(const CompletionRequest &request,
+                                      const routing::PassChoice &choice) const;
+    routing::PassRequest passRequestOf(const CompletionRequest &request) const;
+    std::uint32_t partTokens(const Flight &flight) const;
+    void applyNote(const routing::WorkNote &note);
+
     // DispatcherSpans.cpp: reservations
     void on(const ReservationAnswered &event);
     bool placeSpan(Flight &flight);
--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -13,7 +13,7 @@
     // A restarted engine has lost its streams and its memory, like one that is gone.
     if (restarted)
         this->on(EngineGone{event.description.id});
-    this->engines.announce(event.description);
+    this->engines.announce(event.description, event.profile);
     this->pump();
 }
 
@@ -23,7 +23,7 @@
         return;
     std::vector<state::RequestId> lost;
     for (const auto &[id, flight] : this->flights) {
-        if (flight.phase != Phase::Queued && flight.plan.uses(event.engine))
+        if (flight.phase != Phase::Queued && flight.needs(event.engine))
             lost.push_back(id);
     }
     // The oldest deadline first, and the same order in every run.
@@ -43,6 +43,12 @@
     this->pump();
 }
 
+void Dispatcher::on(const EngineSuspected &event)
+{
+    if (routing::EngineView *view = this->engines.find(event.engine))
+        view->suspected = event.suspected;
+}
+
 void Dispatcher::on(const LoadReported &event)
 {
     if (routing::EngineView *view = this->engines.find(event.report.endpoint))
@@ -61,8 +67,7 @@
 void Dispatcher::on(const PeerWorkNoted &event)
 {
     const routing::WorkNote &note = event.note;
-    if (routing::EngineView *view = this->engines.find(note.engine))
-        view->apply(note, this->now);
+    this->applyNote(note);
     if (note.chargedTokens > 0)
         this->queue.charge(note.key, note.chargedTokens, this->now);
     if (note.stage == routing::WorkStage::Dispatched) {
@@ -94,6 +99,17 @@
     this->pump();
 }
 
+// A request that names its own bound may run on that many engines; engines that refuse it are not
+// counted, but they can't be tried for ever either.
+bool Dispatcher::isExhausted(const Flight &flight) const
+{
+    constexpr std::uint32_t refusalsBeside = 2;
+    const std::uint32_t attempts = flight.request.attempts;
+    if (attempts == 0)
+        return flight.attempt >= this->policy.attemptsLimit;
+    return flight.runs >= attempts || flight.failed.size() >= attempts + refusalsBeside;
+}
+
 void Dispatcher::attemptLost(Flight &flight, const state::EndpointId &engine, bool didNotRun,
                              bool engineLost)
 {
@@ -114,10 +130,12 @@
             flight.handedOver = false;
     }
     const bool ran = flight.handedOver && !didNotRun;
-    const bool allowed =
-            wasReserving || didNotRun || (flight.request.idempotent && this->retries.take());
-    if ((ran && !flight.request.idempotent) || !allowed
-        || flight.attempt >= this->policy.attemptsLimit) {
+    flight.failed.push_back(engine);
+    flight.runs += didNotRun || wasReserving ? 0 : 1;
+    const bool free = wasReserving || (didNotRun && !this->policy.budgetRefused);
+    const bool repeatable = didNotRun || flight.request.idempotent;
+    const bool allowed = free || (repeatable && this->retries.take());
+    if ((ran && !flight.request.idempotent) || !allowed || this->isExhausted(flight)) {
         // Given up: the caller hears it now and not at the deadline, and when to come back.
         flight.phase = Phase::Reserving; // nothing of it is on an engine any more
         this->refuse(flight.request.id, RefusalReason::AttemptsExhausted,
@@ -167,6 +185,8 @@
     note.memoryTokens = this->partMemory(flight, part);
     note.chargedTokens = chargedTokens;
     note.priority = priority;
+    note.pause = request.pause;
+    note.helpers = flight.helpers;
     note.lifetime = std::max(request.deadline - this->now, state::Duration(1));
     this->on(PeerWorkNoted{note});
     if (this->policy.shareWork)
--- a/src/coordination/admission/DispatcherPlacing.cpp
+++ b/src/coordination/admission/DispatcherPlacing.cpp
@@ -45,6 +45,8 @@
         return refusal(RefusalReason::UnknownModel, mostRetryAfter);
     if (this->queue.size() >= this->policy.queuedRequestsLimit)
         return refusal(RefusalReason::Overload, leastRetryAfter);
+    if (this->engines.worksInPasses(request.model))
+        return this->refusalByPasses(request);
     if (this->policy.admitByDeadline) {
         const double left = toSeconds(request.deadline - this->now);
         const double waits = this->waitSeconds(request, lengthClass);
@@ -121,6 +123,8 @@
 bool Dispatcher::place(Flight &flight, bool leads)
 {
     const CompletionRequest &request = flight.request;
+    if (this->engines.worksInPasses(request.model))
+        return this->placeByPasses(flight);
     const state::TableRow &row = this->queue.row(request.tableKey());
     // What can't end in time any more is told so now; holding it until its deadline would keep its
     // caller from trying elsewhere.
@@ -169,7 +173,8 @@
     flight.running = next;
     routing::SpanPart &part = flight.plan.parts[flight.running];
     const std::uint32_t left = part.to - part.done;
-    const bool sliced = this->policy.sliceTokens > 0 && left > this->policy.sliceTokens;
+    const bool whole = flight.partSeconds > 0;
+    const bool sliced = !whole && this->policy.sliceTokens > 0 && left > this->policy.sliceTokens;
     const std::uint32_t to = sliced ? part.done + this->policy.sliceTokens : part.to;
     const std::uint8_t priority = this->priorityOf(flight);
     Dispatch dispatch;
@@ -181,6 +186,7 @@
     dispatch.to = to;
     dispatch.final = flight.running == last && to == part.to;
     dispatch.resumeOffset = flight.received;
+    dispatch.helpers = flight.helpers;
     if (flight.span) {
         dispatch.lease = this->leaseOf(flight, flight.running);
         for (std::size_t each = 0; each < flight.running; ++each) {
@@ -195,7 +201,8 @@
     flight.phase = Phase::Prefilling;
     flight.handedOver = true;
     this->actions.emplace_back(dispatch);
-    this->tell(flight, flight.running, routing::WorkStage::Dispatched, left, charged, priority);
+    this->tell(flight, flight.running, routing::WorkStage::Dispatched,
+               whole ? this->partTokens(flight) : left, charged, priority);
     if (routing::EngineView *view = this->engines.find(part.engine);
         view != nullptr && this->policy.useCacheEvents && part.from == 0 && dispatch.final)
         view->prefixes().expect(flight.request.prefixBlocks);
--- a/src/coordination/admission/Events.h
+++ b/src/coordination/admission/Events.h
@@ -7,8 +7,10 @@
 #include "coordination/routing/PrefixIndex.h"
 #include "coordination/routing/WorkNote.h"
 #include "state/Endpoint.h"
+#include "state/routes/EngineProfile.h"
 
 #include <array>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -28,6 +30,14 @@
 struct EngineAnnounced
 {
     state::EndpointDescription description;
+    std::optional<state::routes::EngineProfile> profile; // if it works in declared passes
+};
+
+// Its attempts fail, or no longer do. New work avoids it; what it runs goes on.
+struct EngineSuspected
+{
+    state::EndpointId engine;
+    bool suspected = true;
 };
 
 // The engine is lost: announcements ended, it restarted, or its connections fail.
@@ -134,7 +144,7 @@
 {};
 
 using Event = std::variant<RequestArrived, CallerCancelled, EngineAnnounced, EngineGone,
-                           EngineDraining, LoadReported, CacheReported, SlicePrefilled,
+                           EngineDraining, EngineSuspected, LoadReported, CacheReported, SlicePrefilled,
                            TokensReceived, RequestFinished, AttemptFailed, ReservationAnswered,
                            TableChanged, PeerWorkNoted, PeerBacklogNoted, Tick>;
 
@@ -174,6 +184,7 @@
     std::uint32_t resumeOffset = 0; // output tokens that the caller has already
     std::string lease;              // the reservation that the range fills; empty if none
     std::vector<KvSource> imports;
+    std::vector<state::EndpointId> helpers; // prefill as much of the prompt as the engine, each
 };
 
 // The final answer to a request that was not finished. Nothing more comes for it.
--- a/src/coordination/admission/Request.h
+++ b/src/coordination/admission/Request.h
@@ -24,6 +24,9 @@
     state::Instant arrival;
     state::Instant deadline;
     bool idempotent = true;
+    state::Duration firstTarget{0}; // from arrival to the first event, as asked; 0: none is set
+    state::Duration pause{0};       // between events that the caller bears; 0: not known
+    std::uint32_t attempts = 0;     // engines that it may run on; 0: as the policy has it
 
     auto operator<=>(const CompletionRequest &) const = default;
 
--- a/src/coordination/membership/Member.cpp
+++ b/src/coordination/membership/Member.cpp
@@ -25,13 +25,14 @@
 std::size_t wireBytes(const MemberRecord &record)
 {
     constexpr std::size_t fixedRecordBytes = 18;
-    constexpr std::size_t fixedDescriptionBytes = 11;
+    constexpr std::size_t fixedDescriptionBytes = 15;
     const std::size_t bytes = fixedRecordBytes + record.id.value().size();
     if (!record.description)
         return bytes;
     const MemberDescription &description = *record.description;
     return bytes + fixedDescriptionBytes + description.caller.ip.size()
            + description.control.ip.size() + description.gossip.ip.size()
+           + description.relay.ip.size() + description.controlIdentity.value().size()
            + description.failureDomain.value().size() + description.region.value().size();
 }
 
--- a/src/coordination/routing/EngineView.cpp
+++ b/src/coordination/routing/EngineView.cpp
@@ -59,20 +59,43 @@
     }
     if (found != this->work.end())
         this->work.erase(found);
-    const Resident resident{note.work,
-                            note.priority,
-                            double(note.prefillTokens),
-                            double(note.outputTokens),
-                            note.promptTokens,
-                            note.outputTokens,
-                            note.memoryTokens,
-                            false,
-                            now + note.lifetime};
-    const auto place = std::ranges::upper_bound(this->work, note.priority, {}, &Resident::priority);
-    this->work.insert(place, resident);
+    this->insert(Resident{note.work,
+                          note.priority,
+                          double(note.prefillTokens),
+                          double(note.outputTokens),
+                          note.promptTokens,
+                          note.outputTokens,
+                          note.memoryTokens,
+                          false,
+                          now + note.lifetime,
+                          std::chrono::duration<double>(note.pause).count(),
+                          false});
     ++this->dispatchedSinceReport;
 }
 
+void EngineView::insert(Resident resident)
+{
+    const auto place =
+            std::ranges::upper_bound(this->work, resident.priority, {}, &Resident::priority);
+    this->work.insert(place, resident);
+}
+
+// Helpers keep nothing of the prompt: their part is over with the first token. They prefill it
+// ahead of what waits there, whatever its priority.
+void EngineView::applyHelp(const WorkNote &note, state::Instant now)
+{
+    this->advance(now);
+    std::erase_if(this->work, [&](const Resident &each) { return each.work == note.work; });
+    if (note.stage != WorkStage::Dispatched)
+        return;
+    Resident part;
+    part.work = note.work;
+    part.prefillLeft = double(note.prefillTokens);
+    part.expires = now + note.lifetime;
+    part.helping = true;
+    this->insert(part);
+}
+
 void EngineView::apply(const state::LoadReport &report, state::Instant now)
 {
     if (report.incarnation != this->endpoint.incarnation || report.sequence <= this->reportSequence)
--- a/src/coordination/routing/EngineView.h
+++ b/src/coordination/routing/EngineView.h
@@ -7,8 +7,10 @@
 #include "coordination/routing/WorkNote.h"
 #include "state/Endpoint.h"
 #include "state/Time.h"
+#include "state/routes/EngineProfile.h"
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -26,6 +28,8 @@
     std::uint32_t memoryTokens = 0;
     bool decoding = false;
     state::Instant expires;
+    double pauseSeconds = 0; // that its caller bears between two events; 0: not known
+    bool helping = false;    // only a part of its prompt is prefilled here, for another engine
 };
 
 class EngineView
@@ -39,6 +43,14 @@
     std::span<const Resident> residents() const { return this->work; }
 
     void announce(state::EndpointDescription announced);
+    // How this engine works, where operators have declared it.
+    const std::optional<state::routes::EngineProfile> &profile() const { return this->declared; }
+    void setProfile(std::optional<state::routes::EngineProfile> profile)
+    {
+        this->declared = std::move(profile);
+    }
+    // The part of that work that this engine, as one of its helpers, prefills.
+    void applyHelp(const WorkNote &note, state::Instant now);
     void apply(const WorkNote &note, state::Instant now);
     void apply(const state::LoadReport &report, state::Instant now);
     void advance(state::Instant now); // lets the estimated work proceed up to now
@@ -52,11 +64,14 @@
     std::uint32_t outstanding() const; // requests, own and reported
 
     bool draining = false;
+    bool suspected = false; // its attempts fail; it gets no new work for a while
 
 private:
+    void insert(Resident resident);
     void dropExpired(state::Instant now);
 
     state::EndpointDescription endpoint;
+    std::optional<state::routes::EngineProfile> declared;
     PrefixIndex prefixIndex;
     double reportSlackTokens; // known work older than a report may be this much
     bool peersShareWork;
--- a/src/coordination/routing/Fleet.cpp
+++ b/src/coordination/routing/Fleet.cpp
@@ -35,14 +35,19 @@
     , split(settings)
 {}
 
-void Fleet::announce(const state::EndpointDescription &description)
+void Fleet::announce(const state::EndpointDescription &description,
+                     const std::optional<state::routes::EngineProfile> &profile)
 {
     const auto found = this->engines.find(description.id);
     if (found == this->engines.end()) {
-        this->engines.emplace(description.id, EngineView(description, this->policy));
+        EngineView &view =
+                this->engines.emplace(description.id, EngineView(description, this->policy))
+                        .first->second;
+        view.setProfile(profile);
     } else {
         const bool sameModels = found->second.description().models == description.models;
         found->second.announce(description);
+        found->second.setProfile(profile);
         if (sameModels)
             return;
     }
@@ -83,6 +88,9 @@
             set.rank.push_back(std::uint32_t(
                     std::ranges::count_if(order, [mine](auto other) { return other < mine; })));
         }
+        set.ranked.resize(set.views.size());
+        for (std::size_t index = 0; index < set.views.size(); ++index)
+            set.ranked[set.rank[index]] = set.views[index];
     }
 }
 
@@ -227,6 +235,27 @@
     return best;
 }
 
+bool Fleet::worksInPasses(const state::ModelName &model) const
+{
+    const auto found = this->byModel.find(model);
+    return found != this->byModel.end()
+           && std::ranges::any_of(found->second.views,
+                                  [](const EngineView *view) { return view->profile().has_value(); });
+}
+
+std::optional<PassChoice> Fleet::chooseByPasses(const state::ModelName &model,
+                                                const PassRequest &request, state::Instant now)
+{
+    const auto found = this->byModel.find(model);
+    if (found == this->byModel.end())
+        return std::nullopt;
+    for (EngineView *view : found->second.ranked)
+        view->advance(now);
+    const std::vector<const EngineView *> ranked(found->second.ranked.begin(),
+                                                 found->second.ranked.end());
+    return placeByPasses(ranked, request, this->policy.passes);
+}
+
 void Fleet::noteDemand(const state::EndpointId &engine, std::uint32_t promptTokens,
                        double prefillTokens, state::Instant now)
 {
--- a/src/coordination/routing/Fleet.h
+++ b/src/coordination/routing/Fleet.h
@@ -3,6 +3,7 @@
 
 #include "coordination/routing/DemandSplit.h"
 #include "coordination/routing/EngineView.h"
+#include "coordination/routing/PassPlacement.h"
 #include "coordination/routing/Prediction.h"
 #include "state/Endpoint.h"
 
@@ -46,7 +47,8 @@
     Fleet(std::string entryName, const PolicySettings &policy, FleetHooks hooks,
           std::uint64_t seed);
 
-    void announce(const state::EndpointDescription &description);
+    void announce(const state::EndpointDescription &description,
+                  const std::optional<state::routes::EngineProfile> &profile = {});
     void remove(const state::EndpointId &engine);
 
     EngineView *find(const state::EndpointId &engine);
@@ -59,6 +61,11 @@
     // The engine for the prompt; nothing if none may take it now.
     std::optional<Choice> choose(const ChoiceQuery &query, state::Instant now);
 
+    // Whether the model's engines work in declared passes; placeByPasses() places on them.
+    bool worksInPasses(const state::ModelName &model) const;
+    std::optional<PassChoice> chooseByPasses(const state::ModelName &model,
+                                             const PassRequest &request, state::Instant now);
+
     // Prefill that some entry has sent to a watched engine; the split follows it.
     void noteDemand(const state::EndpointId &engine, std::uint32_t promptTokens,
                     double prefillTokens, state::Instant now);
@@ -78,6 +85,7 @@
         std::vector<EngineView *> views;    // the same engines; unordered_map keeps them in place
         double prefillRate = 0;             // tokens per second of all of them
         std::vector<std::uint32_t> rank;    // the same engines: place in the fleet-wide order
+        std::vector<EngineView *> ranked;   // the same engines in the fleet-wide order
     };
 
     void rebuild();
--- /dev/null
+++ b/src/coordination/routing/PassPlacement.cpp
@@ -0,0 +1,253 @@
+#include "coordination/routing/PassPlacement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace lavenderthread::coordination::routing {
+
+namespace {
+
+using state::routes::EngineProfile;
+
+// One engine as placing sees it, summed up once for a request.
+struct Candidate
+{
+    const EngineView *view = nullptr;
+    double waiting = 0;  // seconds of prefill that is there already
+    double context = 0;  // tokens of the requests that it answers
+    std::size_t answers = 0;     // requests that it answers
+    std::size_t briefs = 0;      // of them with a tight pause
+    std::size_t longs = 0;       // the others
+    std::size_t helped = 0;      // parts that it prefills for others
+    bool usable = false;
+};
+
+Candidate summarise(const EngineView &view, const PassPlacementSettings &settings)
+{
+    Candidate sum;
+    sum.view = &view;
+    sum.waiting = view.prefillSecondsLeft();
+    for (const Resident &resident : view.residents()) {
+        if (resident.helping) {
+            sum.helped += resident.prefillLeft > 0 ? 1 : 0;
+            continue;
+        }
+        ++sum.answers;
+        sum.context += resident.promptTokens;
+        const bool tight = resident.pauseSeconds > 0
+                           && resident.pauseSeconds < settings.tightPauseSeconds;
+        ++(tight ? sum.briefs : sum.longs);
+    }
+    sum.usable = !view.suspected;
+    return sum;
+}
+
+const EngineProfile &profileOf(const Candidate &candidate)
+{
+    return *candidate.view->profile();
+}
+
+bool hasRoom(const Candidate &candidate, const PassRequest &request)
+{
+    return candidate.usable && candidate.answers < profileOf(candidate).slots
+           && candidate.view->freeTokens() >= request.memoryTokens;
+}
+
+// From the start of the pass that ends the prefill to the first event: the pass in progress ends,
+// on average half over, and the first event's own tokens take a whole one.
+double passSeconds(const Candidate &candidate, const PassRequest &request)
+{
+    constexpr double passes = 1.5;
+    return passes
+           * state::routes::decodePassSeconds(profileOf(candidate), double(candidate.answers + 1),
+                                              candidate.context + request.promptTokens);
+}
+
+PassChoice complete(PassChoice choice, const Candidate &answering, double waiting,
+                    const PassRequest &request)
+{
+    const EngineProfile &profile = profileOf(answering);
+    choice.engine = answering.view->description().id;
+    choice.firstEventSeconds =
+            waiting + choice.partSeconds + passSeconds(answering, request);
+    const double events = std::ceil(request.outputTokens / profile.stridePerPass);
+    choice.completionSeconds =
+            choice.firstEventSeconds
+            + events
+                      * state::routes::decodePassSeconds(
+                              profile, double(answering.answers + 1),
+                              answering.context + request.promptTokens);
+    return choice;
+}
+
+// Prefill that is there delays a newcomer as it is; each request that decodes there makes the pass
+// longer and may be joined by more prefill.
+double briefCost(const Candidate &candidate)
+{
+    constexpr double secondsPerAnswer = 0.02;
+    return candidate.waiting + secondsPerAnswer * double(candidate.answers);
+}
+
+const Candidate *leastCost(const std::vector<Candidate> &candidates, const PassRequest &request)
+{
+    const Candidate *best = nullptr;
+    for (const Candidate &candidate : candidates) {
+        if (hasRoom(candidate, request)
+            && (best == nullptr || briefCost(candidate) < briefCost(*best)))
+            best = &candidate;
+    }
+    return best;
+}
+
+// Among the first engines in the shared order, as many as the brief requests of now need, the one
+// with the least to do. What a long prefill keeps busy is passed over and its place taken by the
+// next one.
+std::optional<PassChoice> placeBrief(const std::vector<Candidate> &candidates, double seconds,
+                                     const PassRequest &request,
+                                     const PassPlacementSettings &settings)
+{
+    std::size_t briefs = 1;
+    for (const Candidate &candidate : candidates)
+        briefs += candidate.usable ? candidate.briefs : 0;
+    auto open = std::size_t(std::ceil(double(briefs) / settings.briefPerEngine));
+    const Candidate *best = nullptr;
+    double bestCost = 0;
+    for (const Candidate &candidate : candidates) {
+        if (open == 0)
+            break;
+        if (!hasRoom(candidate, request) || candidate.waiting > settings.briefWaitSeconds)
+            continue;
+        --open;
+        if (best == nullptr || briefCost(candidate) < bestCost) {
+            best = &candidate;
+            bestCost = briefCost(candidate);
+        }
+    }
+    // All are busy with long prefill: wherever it can start first.
+    if (best == nullptr)
+        best = leastCost(candidates, request);
+    if (best == nullptr)
+        return std::nullopt;
+    PassChoice choice;
+    choice.partSeconds = seconds;
+    return complete(std::move(choice), *best, best->waiting, request);
+}
+
+// What it costs to prefill long at this engine, beside the time it takes.
+double besideCost(const Candidate &candidate, const PassPlacementSettings &settings)
+{
+    double cost = 0;
+    if (candidate.briefs > 0)
+        cost += settings.besideTightSeconds;
+    if (candidate.longs > 0)
+        cost += settings.besideDecodingSeconds;
+    return cost;
+}
+
+// Answers of long work gather on few engines too, so that the others prefill without pauses that
+// anybody would notice.
+const Candidate *answeringEngine(const std::vector<Candidate> &candidates,
+                                 const PassRequest &request, const PassPlacementSettings &settings)
+{
+    const Candidate *best = nullptr;
+    double bestCost = std::numeric_limits<double>::max();
+    for (const Candidate &candidate : candidates) {
+        if (!hasRoom(candidate, request))
+            continue;
+        double cost = candidate.waiting;
+        cost += candidate.briefs > 0 ? settings.besideTightSeconds : 0;
+        const double crowd = double(candidate.longs) / settings.longPerEngine;
+        // An engine that answers some long work already is better than a new one, until it is full.
+        cost += candidate.longs > 0 && crowd < 1 ? 0 : settings.besideDecodingSeconds;
+        cost += crowd >= 1 ? settings.besideDecodingSeconds * crowd : 0;
+        if (cost < bestCost) {
+            best = &candidate;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+struct Helper
+{
+    const Candidate *candidate = nullptr;
+    double cost = 0; // its waiting prefill, and what long prefill costs there
+};
+
+std::vector<Helper> helpersByCost(const std::vector<Candidate> &candidates,
+                                  const Candidate &answering,
+                                  const PassPlacementSettings &settings)
+{
+    std::vector<Helper> helpers;
+    for (const Candidate &candidate : candidates) {
+        const bool helpsMore = candidate.helped < profileOf(candidate).slots;
+        if (&candidate != &answering && candidate.usable && helpsMore)
+            helpers.push_back({&candidate, candidate.waiting + besideCost(candidate, settings)});
+    }
+    std::ranges::stable_sort(helpers, {}, &Helper::cost);
+    if (helpers.size() > settings.mostHelpers)
+        helpers.resize(settings.mostHelpers);
+    return helpers;
+}
+
+// As many helpers as bring the end of the prefill forward by more than each one costs.
+std::optional<PassChoice> placeLong(const std::vector<Candidate> &candidates, double seconds,
+                                    const PassRequest &request,
+                                    const PassPlacementSettings &settings)
+{
+    const Candidate *answering = answeringEngine(candidates, request, settings);
+    if (answering == nullptr)
+        return std::nullopt;
+    const std::vector<Helper> helpers = helpersByCost(candidates, *answering, settings);
+    const double ownCost = answering->waiting + besideCost(*answering, settings);
+    std::size_t bestCount = 0;
+    double bestCost = ownCost + seconds;
+    for (std::size_t count = 1; count <= helpers.size(); ++count) {
+        const double last = std::max(ownCost, helpers[count - 1].cost);
+        const double cost = last + seconds / double(count + 1)
+                            + settings.helperSeconds * double(count);
+        if (cost < bestCost) {
+            bestCost = cost;
+            bestCount = count;
+        }
+    }
+    PassChoice choice;
+    choice.partSeconds = seconds / double(bestCount + 1);
+    double waiting = answering->waiting;
+    for (std::size_t index = 0; index < bestCount; ++index) {
+        choice.helpers.push_back(helpers[index].candidate->view->description().id);
+        waiting = std::max(waiting, helpers[index].candidate->waiting);
+    }
+    return complete(std::move(choice), *answering, waiting, request);
+}
+
+} // namespace
+
+std::optional<PassChoice> placeByPasses(const std::vector<const EngineView *> &engines,
+                                        const PassRequest &request,
+                                        const PassPlacementSettings &settings)
+{
+    std::vector<Candidate> candidates;
+    for (const EngineView *view : engines) {
+        const bool failed = std::ranges::find(request.avoid, view->description().id)
+                            != request.avoid.end();
+        if (view->profile() && !failed && !view->draining)
+            candidates.push_back(summarise(*view, settings));
+    }
+    if (candidates.empty())
+        return std::nullopt;
+    // A suspicion that covers most engines says more of this entry than of them.
+    const auto usable = std::size_t(std::ranges::count_if(candidates, &Candidate::usable));
+    if (usable * 2 < candidates.size()) {
+        for (Candidate &candidate : candidates)
+            candidate.usable = true;
+    }
+    const double seconds =
+            state::routes::prefillSeconds(profileOf(candidates.front()), request.promptTokens);
+    if (seconds <= settings.briefSeconds)
+        return placeBrief(candidates, seconds, request, settings);
+    return placeLong(candidates, seconds, request, settings);
+}
+
+} // namespace lavenderthread::coordination::routing
--- a/src/coordination/routing/PolicySettings.h
+++ b/src/coordination/routing/PolicySettings.h
@@ -1,6 +1,7 @@
 // Every knob of admission and routing in one value, and the named settings that benches compare.
 #pragma once
 
+#include "coordination/routing/PassPlacementSettings.h"
 #include "state/Error.h"
 #include "state/Time.h"
 
@@ -81,6 +82,13 @@
 
     state::Duration backlogShareLife = std::chrono::milliseconds(300);
 
+    // Engines with a declared profile.
+    PassPlacementSettings passes;
+    // A request whose first answer is predicted later than this many times its target is refused:
+    // behind it, those who come next would be late too, and none would be served as asked.
+    double lateTolerance = 1.5;
+    bool budgetRefused = false; // tries after an engine's refusal take from the retry budget too
+
     auto operator<=>(const PolicySettings &) const = default;
 
     // Error: InvalidArgument, step "policy.settings", if a member is out of its range.
--- a/src/coordination/routing/WorkNote.h
+++ b/src/coordination/routing/WorkNote.h
@@ -8,6 +8,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <vector>
 
 namespace lavenderthread::coordination::routing {
 
@@ -31,17 +32,21 @@
     std::uint32_t chargedTokens = 0; // service charged to the key by this note
     std::uint8_t priority = 0;       // as sent to the engine, 0 goes first
     state::Duration lifetime{0};     // until its deadline, after which receivers forget it
+    state::Duration pause{0};        // that its caller bears between two events; 0: not known
+    std::vector<state::EndpointId> helpers; // engines that prefill as much of the prompt, each
 
     auto operator<=>(const WorkNote &) const = default;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        std::int64_t microseconds = this->lifetime.count();
+        std::int64_t lifetimeUs = this->lifetime.count();
+        std::int64_t pauseUs = this->pause.count();
         archive(this->stage, this->work, this->engine, this->key, this->promptTokens,
                 this->prefillTokens, this->outputTokens, this->memoryTokens, this->chargedTokens,
-                this->priority, microseconds);
-        this->lifetime = state::Duration(microseconds);
+                this->priority, lifetimeUs, pauseUs, this->helpers);
+        this->lifetime = state::Duration(lifetimeUs);
+        this->pause = state::Duration(pauseUs);
     }
 };
 
--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -1,6 +1,7 @@
 // Wiring of membership, directory and the news between entries.
 #include "program/Cluster.h"
 
+#include "coordination/directory/RelayDirectory.h"
 #include "program/Clock.h"
 #include "program/Log.h"
 #include "transport/Await.h"
@@ -17,8 +18,12 @@
 // News wait this long so that several share a datagram; well under the lag of load reports.
 constexpr std::chrono::milliseconds newsBatchTime{5};
 constexpr std::size_t longestNewsQueue = 4'096;
+// Heartbeats that an endpoint may miss: one is lost with its connection, and the next goes to
+// another node after a second without an answer.
+constexpr int heartbeatsMissed = 4;
 
-MembershipServiceSettings membershipSettings(const Settings &settings)
+MembershipServiceSettings membershipSettings(const Settings &settings,
+                                             const state::VmId &controlIdentity)
 {
     MembershipServiceSettings chosen;
     chosen.gossip.cluster = settings.clusterName;
@@ -27,18 +32,42 @@
     chosen.gossip.description.caller = settings.entry.listen;
     chosen.gossip.description.control = settings.controlListen.value_or(state::Address{});
     chosen.gossip.description.gossip = *settings.gossipListen;
+    chosen.gossip.description.relay = settings.relay.listen.value_or(state::Address{});
+    chosen.gossip.description.controlIdentity = controlIdentity;
     chosen.gossip.description.failureDomain = settings.failureDomain;
     chosen.gossip.description.region = settings.region;
     chosen.gossip.seeds = settings.seeds;
+    chosen.gossip.failureDetector.probeInterval = settings.gossip.probe;
+    chosen.gossip.failureDetector.suspicionFactor = settings.gossip.suspicionProbes;
+    chosen.gossip.bytesPerSecond = settings.gossip.bytesPerSecond;
     chosen.gossip.randomSeed = XXH3_64bits(settings.vm.value().data(), settings.vm.value().size())
                                ^ chosen.gossip.incarnation;
     chosen.keys = settings.keys;
     chosen.listen = *settings.gossipListen;
     chosen.endpointLife.renewAfter = settings.endpoint.renew;
     chosen.endpointLife.expiresAfter = settings.endpoint.expire;
+    if (settings.relay.listen || settings.relay.operatorListen) {
+        chosen.endpointLife.renewAfter = settings.relay.heartbeat;
+        chosen.endpointLife.expiresAfter = settings.relay.heartbeat * heartbeatsMissed;
+    }
     return chosen;
 }
 
+// An address is used again by another endpoint once the former one is gone. Only the one that
+// started last can be there; news of the former one may still arrive.
+void dropFormerHolders(EndpointTable &table)
+{
+    std::map<state::Address, std::uint64_t> newest;
+    for (const auto &[id, endpoint] : table.endpoints) {
+        std::uint64_t &incarnation = newest[endpoint.description.address];
+        incarnation = std::max(incarnation, endpoint.description.incarnation);
+    }
+    std::erase_if(table.endpoints, [&](const auto &each) {
+        const state::EndpointDescription &description = each.second.description;
+        return description.incarnation < newest[description.address];
+    });
+}
+
 } // namespace
 
 Cluster::Cluster(const Settings &settings, asio::io_context &context,
@@ -55,6 +84,7 @@
 state::Result<std::shared_ptr<Cluster>> Cluster::create(const Settings &settings,
                                                         asio::io_context &context,
                                                         std::shared_ptr<EndpointRegistry> registry,
+                                                        const state::VmId &controlIdentity,
                                                         Hooks hooks)
 {
     coordination::directory::DirectorySettings directorySettings;
@@ -64,12 +94,12 @@
     std::shared_ptr<Cluster> cluster(
             new Cluster(settings, context, std::move(registry), std::move(hooks), directory));
     if (settings.gossipListen) {
-        BOOST_OUTCOME_TRY(cluster->join(context));
+        BOOST_OUTCOME_TRY(cluster->join(context, controlIdentity));
     }
     return cluster;
 }
 
-state::Result<void> Cluster::join(asio::io_context &context)
+state::Result<void> Cluster::join(asio::io_context &context, const state::VmId &controlIdentity)
 {
     // The service's hooks run for as long as it does; Node keeps both until the threads have ended.
     MembershipService::Hooks serviceHooks;
@@ -78,7 +108,7 @@
     serviceHooks.superseded = this->hooks.superseded;
     serviceHooks.refused = [](const state::Error &error) { logError("gossip.refused", error); };
     BOOST_OUTCOME_TRY(this->membership,
-                      MembershipService::create(membershipSettings(this->settings), context,
+                      MembershipService::create(membershipSettings(this->settings, controlIdentity), context,
                                                 std::move(serviceHooks)));
     // The same port as the entry's, over UDP: peers know it without another setting.
     BOOST_OUTCOME_TRY(this->newsSocket,
@@ -157,6 +187,71 @@
         this->hooks.endpointsChanged();
 }
 
+asio::awaitable<state::Result<void>> Cluster::drain(state::EndpointDescription endpoint)
+{
+    using Done = MembershipService::LeaveHandler;
+    if (!this->membership)
+        co_return state::makeError(state::ErrorCode::Unavailable, "endpoint.drain",
+                                   "this node stands alone");
+    std::function<void(Done)> start = [service = this->membership, endpoint](Done done) {
+        service->drain(endpoint, std::move(done));
+    };
+    co_return co_await transport::awaitCallback<state::Result<void>>(std::move(start));
+}
+
+asio::awaitable<state::Result<void>> Cluster::withdraw(state::EndpointId endpoint,
+                                                       std::optional<std::uint64_t> incarnation)
+{
+    using Done = MembershipService::LeaveHandler;
+    if (!this->membership)
+        co_return state::makeError(state::ErrorCode::Unavailable, "endpoint.withdraw",
+                                   "this node stands alone");
+    std::function<void(Done)> start = [service = this->membership, endpoint,
+                                       incarnation](Done done) {
+        service->leave(endpoint, incarnation, std::move(done));
+    };
+    co_return co_await transport::awaitCallback<state::Result<void>>(std::move(start));
+}
+
+std::vector<state::Address> Cluster::relays(const state::FailureDomain &callers) const
+{
+    if (!this->membership)
+        return {*this->settings.relay.listen};
+    return coordination::directory::relayAddresses(*this->membership->view()->members, callers);
+}
+
+std::vector<ControlMemberAddress> Cluster::controlMembers() const
+{
+    std::vector<ControlMemberAddress> found;
+    if (this->membership) {
+        for (const auto &[id, member] : this->membership->view()->members->entries()) {
+            const auto &description = member.record.description;
+            if (description != nullptr && description->control.port != 0 && member.record.isLive())
+                found.push_back({description->control, description->caller});
+        }
+    }
+    // Before any is known, and when all count as dead: those that the settings lead to.
+    if (found.empty()) {
+        for (const ControlMemberSetting &member : this->settings.controlMembers)
+            found.push_back({member.address, member.entry});
+    }
+    return found;
+}
+
+std::vector<coordination::consensus::Candidate> Cluster::controlCandidates() const
+{
+    std::vector<coordination::consensus::Candidate> found;
+    if (!this->membership)
+        return found;
+    for (const auto &[id, member] : this->membership->view()->members->entries()) {
+        const auto &description = member.record.description;
+        if (description != nullptr && !description->controlIdentity.empty()
+            && member.record.isLive())
+            found.push_back({description->controlIdentity, description->control});
+    }
+    return found;
+}
+
 void Cluster::reportLoad(const state::LoadReport &report)
 {
     if (this->membership)
@@ -178,11 +273,17 @@
     for (const EndpointState &endpoint : view.endpoints->endpoints) {
         using coordination::endpoints::EndpointPhase;
         const auto &record = endpoint.record;
-        if (record.description == nullptr || record.phase == EndpointPhase::Expired
-            || record.phase == EndpointPhase::Left)
+        const bool left = record.phase == EndpointPhase::Left;
+        const bool expired = record.phase == EndpointPhase::Expired;
+        // The relay watches its endpoints itself: one that leaves ends what it runs, and one whose
+        // announcements stopped may only have lost the way to those who take them.
+        if (record.description == nullptr
+            || ((left || expired) && !this->settings.relay.listen))
             continue;
-        table.endpoints[record.id] = RegisteredEndpoint{*record.description, !record.isUsable()};
+        const bool draining = left || (!expired && !record.isUsable());
+        table.endpoints[record.id] = RegisteredEndpoint{*record.description, draining, expired};
     }
+    dropFormerHolders(table);
     if (this->registry->assign(std::move(table)))
         this->hooks.endpointsChanged();
 }
--- a/src/program/Cluster.h
+++ b/src/program/Cluster.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "coordination/directory/Directory.h"
+#include "coordination/consensus/MemberPlan.h"
+#include "program/ControlClient.h"
 #include "program/EndpointRegistry.h"
 #include "program/Entry.h"
 #include "program/MembershipService.h"
@@ -17,6 +19,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace lavenderthread::program {
@@ -35,7 +38,8 @@
     // Errors: Unavailable, steps "gossip.bind".
     static state::Result<std::shared_ptr<Cluster>>
     create(const Settings &settings, boost::asio::io_context &context,
-           std::shared_ptr<EndpointRegistry> registry, Hooks hooks);
+           std::shared_ptr<EndpointRegistry> registry, const state::VmId &controlIdentity,
+           Hooks hooks);
 
     void start();
     void stop();
@@ -47,6 +51,15 @@
     boost::asio::awaitable<state::Result<AnnounceAnswer>>
     announce(state::EndpointDescription endpoint);
     void leave(const state::EndpointId &endpoint, std::uint64_t incarnation);
+    // Answered when the news is on its way to the others. Errors as EndpointLife::leave.
+    boost::asio::awaitable<state::Result<void>> drain(state::EndpointDescription endpoint);
+    boost::asio::awaitable<state::Result<void>>
+    withdraw(state::EndpointId endpoint, std::optional<std::uint64_t> incarnation);
+    // Where callers of that failure domain find a node that relays.
+    std::vector<state::Address> relays(const state::FailureDomain &callers) const;
+    // The control members that live, as far as known.
+    std::vector<ControlMemberAddress> controlMembers() const;
+    std::vector<coordination::consensus::Candidate> controlCandidates() const;
     void reportLoad(const state::LoadReport &report);
     void markDrain(const state::EndpointId &endpoint, state::log::LogPosition position,
                    bool draining);
@@ -61,7 +74,8 @@
             std::shared_ptr<EndpointRegistry> registry, Hooks hooks,
             coordination::directory::Directory directory);
 
-    state::Result<void> join(boost::asio::io_context &context);
+    state::Result<void> join(boost::asio::io_context &context,
+                             const state::VmId &controlIdentity);
     void viewChanged(const MembershipView &view);
     void newsDatagram(std::string_view datagram);
     void armFlush();
--- a/src/program/main.cpp
+++ b/src/program/CommandLine.cpp
@@ -1,4 +1,6 @@
 // Command line of the one binary.
+#include "program/CommandLine.h"
+
 #include "program/Commands.h"
 #include "program/Version.h"
 
@@ -7,9 +9,9 @@
 #include <functional>
 #include <string>
 
-namespace {
+namespace lavenderthread::program {
 
-using namespace lavenderthread::program; // NOLINT(google-build-using-namespace): main only
+namespace {
 
 constexpr const char *exitCodes =
         "Exit codes: 0 ok, 1 failed, 2 wrong command line, 3 wrong settings, 4 address not to be "
@@ -17,13 +19,13 @@
 
 // Each adds one subcommand; `code` is set when it has run.
 
-void addServe(CLI::App &app, int &code)
+void addServe(CLI::App &app, const Deployment &deployment, int &code)
 {
     auto file = std::make_shared<std::string>();
     CLI::App *command = app.add_subcommand("serve", "Run one node of the system");
     command->add_option("--settings", *file, "Settings file (JSON)")->required();
     command->footer("Example:\n  lavenderthread serve --settings /etc/lavenderthread/vm1.json");
-    command->callback([file, &code] { code = runServe(*file); });
+    command->callback([file, &deployment, &code] { code = runServe(*file, deployment); });
 }
 
 void addCheckSettings(CLI::App &app, int &code)
@@ -186,14 +188,14 @@
 
 } // namespace
 
-int main(int argc, char **argv)
+int runCommandLine(int argc, char **argv, const Deployment &deployment)
 {
     CLI::App app("lavenderthread: a serving layer between callers and fleets of model engines");
     app.set_version_flag("--version", std::string(version()));
     app.require_subcommand(1);
     app.footer(exitCodes);
     int code = exitOk;
-    addServe(app, code);
+    addServe(app, deployment, code);
     addCheckSettings(app, code);
     addCall(app, code);
     addStatus(app, code);
@@ -211,3 +213,5 @@
     }
     return code;
 }
+
+} // namespace lavenderthread::program
--- a/src/program/Commands.cpp
+++ b/src/program/Commands.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-int runServe(const std::string &settingsFile)
+int runServe(const std::string &settingsFile, const Deployment &deployment)
 {
     const auto settings = Settings::load(settingsFile);
     if (!settings) {
@@ -33,7 +33,7 @@
         return exitSettings;
     }
     configureLog(levelOf(settings.value().logLevel));
-    const auto ran = runNode(settings.value());
+    const auto ran = runNode(settings.value(), settingsFile, deployment);
     if (ran)
         return exitOk;
     logError("node.failed", ran.error());
--- a/src/program/Commands.h
+++ b/src/program/Commands.h
@@ -1,6 +1,8 @@
 // The subcommands behind main: each takes its parsed options and gives the process's exit code.
 #pragma once
 
+#include "program/RelayCodec.h"
+
 #include <string>
 #include <vector>
 
@@ -60,7 +62,7 @@
 int runOrder(const OperatorOptions &options, const OrderOptions &order);
 int runEnforcement(const OperatorOptions &options, std::uint64_t version);
 
-int runServe(const std::string &settingsFile);
+int runServe(const std::string &settingsFile, const Deployment &deployment);
 int runCheckSettings(const std::string &settingsFile, bool reference, bool json);
 int runCall(const CallOptions &options);
 int runStatus(const std::vector<std::string> &entries, bool json);
--- a/src/program/ControlClient.cpp
+++ b/src/program/ControlClient.cpp
@@ -15,6 +15,8 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace lavenderthread::program {
 
 namespace asio = boost::asio;
@@ -26,7 +28,10 @@
 constexpr milliseconds callTimeout{1'500};
 constexpr milliseconds connectTimeout{300};
 constexpr milliseconds pauseBetweenTries{50};
-constexpr milliseconds pollInterval{100};
+// An answer that is held back this long confirms freshness about once a second at one call a second.
+constexpr milliseconds feedWait{1'000};
+constexpr state::Duration feedInterval = milliseconds(250); // least time between two polls
+constexpr milliseconds longestFeedPause{100};
 constexpr milliseconds releaseTime{5'000};
 constexpr unsigned statusOk = 200;
 
@@ -69,6 +74,14 @@
     return result;
 }
 
+coordination::orders::FeedSettings feedSettings(const Settings &settings)
+{
+    coordination::orders::FeedSettings feed;
+    feed.refreshEvery = feedInterval;
+    feed.admitWhenStale = settings.admitWhenStale;
+    return feed;
+}
+
 // Whether a claim command took effect for its holder.
 bool granted(const state::Result<ControlClient::Committed> &committed)
 {
@@ -84,8 +97,8 @@
     : settings(settings)
     , strand(asio::make_strand(context))
     , hooks(std::move(hooks))
-    , feed({}, settings.controlMembers.size(),
-           XXH3_64bits(settings.vm.value().data(), settings.vm.value().size()))
+    , feed(feedSettings(settings), 1, 0)
+    , rotation(XXH3_64bits(settings.vm.value().data(), settings.vm.value().size()))
 {}
 
 std::shared_ptr<ControlClient> ControlClient::create(const Settings &settings,
@@ -105,8 +118,12 @@
 }
 
 asio::awaitable<state::Result<protocol::ControlReply>>
-ControlClient::call(std::size_t member, const protocol::ControlCall &request)
+ControlClient::call(ControlMemberAddress member, protocol::ControlCall request)
 {
+    if (this->hooks.ownMember && member.consensus == this->hooks.ownAddress) {
+        protocol::ControlReply own = co_await this->hooks.ownMember(std::move(request));
+        co_return own;
+    }
     protocol::HttpRequest http;
     http.method = "POST";
     http.target = "/v1/peer/control";
@@ -114,108 +131,165 @@
     transport::HttpCallLimits limits;
     limits.connectTimeout = connectTimeout;
     limits.timeout = callTimeout;
-    const state::Address peer = this->settings.controlMembers[member].entry;
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
-    const auto answer = co_await transport::httpCall(executor, peer, std::move(http), limits);
+    const auto answer =
+            co_await transport::httpCall(executor, member.entry, std::move(http), limits);
     if (!answer)
         co_return answer.error();
     if (answer.value().status != statusOk)
         co_return state::makeError(state::ErrorCode::Unavailable, "control.call",
                                    "answered " + std::to_string(answer.value().status),
-                                   peer.toString());
-    auto reply = protocol::unsealControlReply(this->settings.keys, answer.value().body);
-    if (reply)
-        this->noteLeader(reply.value().leader);
-    co_return reply;
+                                   member.entry.toString());
+    co_return protocol::unsealControlReply(this->settings.keys, answer.value().body);
 }
 
-void ControlClient::noteLeader(const state::Address &address)
+// The leader as last heard of, unless it is the one that has just failed; else all in turn.
+std::optional<ControlMemberAddress>
+ControlClient::nextMember(const std::optional<state::Address> &failed)
 {
-    for (std::size_t index = 0; index < this->settings.controlMembers.size(); ++index) {
-        if (this->settings.controlMembers[index].address == address)
-            this->leader = index;
+    const std::vector<ControlMemberAddress> members = this->hooks.members();
+    if (members.empty())
+        return std::nullopt;
+    const std::optional<state::Address> hint = *this->leader.read();
+    if (hint && hint != failed) {
+        const auto found = std::ranges::find(members, *hint, &ControlMemberAddress::consensus);
+        if (found != members.end())
+            return *found;
     }
+    return members[this->rotation++ % members.size()];
 }
 
-asio::awaitable<state::Result<ControlClient::Committed>>
-ControlClient::propose(control::Command command, state::Instant deadline)
+asio::awaitable<state::Result<protocol::ControlReply>>
+ControlClient::askLeader(protocol::ControlCall request, Accepts accepts, const char *step,
+                         state::Instant deadline)
 {
-    const protocol::ControlCall request = protocol::ProposeCall{protocol::encodeCommand(command)};
-    std::size_t member = this->leader;
+    std::optional<state::Address> failed;
     while (remaining(deadline) > milliseconds(0)) {
-        const auto reply = co_await this->call(member, request);
-        const auto *proposed =
-                reply ? std::get_if<protocol::ProposeReply>(&reply.value().body) : nullptr;
-        if (proposed != nullptr && proposed->committed) {
-            auto answer = protocol::decodeAnswer(proposed->answer);
-            if (!answer)
-                co_return answer.error();
-            Committed committed;
-            committed.answer = std::move(answer.value());
-            committed.position = proposed->position;
-            co_return committed;
+        const std::optional<ControlMemberAddress> member = this->nextMember(failed);
+        if (member) {
+            auto reply = co_await this->call(*member, request);
+            const bool leaderKnown = reply && reply.value().leader.port != 0;
+            this->leader.publish(leaderKnown ? std::optional(reply.value().leader) : std::nullopt);
+            if (reply && accepts(reply.value()))
+                co_return reply;
+            failed = member->consensus;
         }
-        // The hint if it is a new one, else the next member in turn.
-        const std::size_t hint = this->leader;
-        member = hint != member ? hint : (member + 1) % this->settings.controlMembers.size();
         co_await transport::pause(pauseBetweenTries);
     }
-    co_return state::makeError(state::ErrorCode::Timeout, "control.propose",
-                               "no control member has committed it in time");
+    co_return state::makeError(state::ErrorCode::Timeout, step,
+                               "no control member has answered for a quorum in time");
+}
+
+asio::awaitable<state::Result<ControlClient::Committed>>
+ControlClient::propose(control::Command command, state::Instant deadline)
+{
+    protocol::ControlCall request = protocol::ProposeCall{protocol::encodeCommand(command)};
+    Accepts accepts = [](const protocol::ControlReply &reply) {
+        const auto *proposed = std::get_if<protocol::ProposeReply>(&reply.body);
+        return proposed != nullptr && proposed->committed;
+    };
+    const auto reply = co_await this->askLeader(std::move(request), std::move(accepts),
+                                                "control.propose", deadline);
+    if (!reply)
+        co_return reply.error();
+    const auto &proposed = std::get<protocol::ProposeReply>(reply.value().body);
+    auto answer = protocol::decodeAnswer(proposed.answer);
+    if (!answer)
+        co_return answer.error();
+    Committed committed;
+    committed.answer = std::move(answer.value());
+    committed.position = proposed.position;
+    co_return committed;
 }
 
 asio::awaitable<state::Result<protocol::EnforcementReply>>
-ControlClient::enforcement(std::uint64_t version)
+ControlClient::enforcement(std::uint64_t version, state::Instant deadline)
 {
-    const protocol::ControlCall request = protocol::EnforcementCall{version};
-    const std::size_t tries = this->settings.controlMembers.size() * 2;
-    std::size_t member = this->leader;
-    for (std::size_t attempt = 0; attempt < tries; ++attempt) {
-        const auto reply = co_await this->call(member, request);
-        const auto *found =
-                reply ? std::get_if<protocol::EnforcementReply>(&reply.value().body) : nullptr;
-        if (found != nullptr && found->confirmed)
-            co_return *found;
-        const std::size_t hint = this->leader;
-        member = hint != member ? hint : (member + 1) % this->settings.controlMembers.size();
-        co_await transport::pause(pauseBetweenTries);
-    }
-    co_return state::makeError(state::ErrorCode::Unavailable, "control.enforcement",
-                               "no leader answers");
+    protocol::ControlCall request = protocol::EnforcementCall{version};
+    Accepts accepts = [](const protocol::ControlReply &reply) {
+        const auto *found = std::get_if<protocol::EnforcementReply>(&reply.body);
+        return found != nullptr && found->confirmed;
+    };
+    const auto reply = co_await this->askLeader(std::move(request), std::move(accepts),
+                                                "control.enforcement", deadline);
+    if (!reply)
+        co_return reply.error();
+    co_return std::get<protocol::EnforcementReply>(reply.value().body);
+}
+
+asio::awaitable<state::Result<control::ConfigurationDocument>>
+ControlClient::configuration(state::Instant deadline)
+{
+    protocol::ControlCall request = protocol::ConfigurationCall{};
+    Accepts accepts = [](const protocol::ControlReply &reply) {
+        const auto *found = std::get_if<protocol::ConfigurationReply>(&reply.body);
+        return found != nullptr && found->confirmed;
+    };
+    const auto reply = co_await this->askLeader(std::move(request), std::move(accepts),
+                                                "control.configuration", deadline);
+    if (!reply)
+        co_return reply.error();
+    co_return std::get<protocol::ConfigurationReply>(reply.value().body).document;
 }
 
 asio::awaitable<void> ControlClient::feedLoop()
 {
     while (!this->stopped) {
-        const auto due = this->feed.poll(monotonicNow());
-        if (due) {
-            const protocol::ControlCall request =
-                    protocol::FeedCall{this->settings.vm, due->version};
-            // The leader alone can confirm; every reply names it.
-            const std::size_t asked = this->leader;
-            const auto reply = co_await this->call(asked, request);
-            const auto *feedReply =
-                    reply ? std::get_if<protocol::FeedReply>(&reply.value().body) : nullptr;
-            bool viewChanged = false;
-            if (feedReply == nullptr) {
-                this->feed.onRequestFailed(due->id);
-                this->leader = (this->leader + 1) % this->settings.controlMembers.size();
-            } else {
-                coordination::orders::FeedAnswer answer{
-                        due->id, feedReply->confirmed, feedReply->version, {}};
-                for (const std::string &bytes : feedReply->pages) {
-                    auto page = protocol::decodeFeedPage(bytes);
-                    if (page)
-                        answer.pages.push_back(std::move(page.value()));
-                }
-                viewChanged = this->feed.onAnswer(answer, monotonicNow());
-            }
-            this->afterAnswer(viewChanged);
-        } else {
-            this->afterAnswer(false);
-        }
-        co_await transport::pause(pollInterval);
+        bool viewChanged = false;
+        if (const auto due = this->feed.poll(monotonicNow()))
+            viewChanged = co_await this->pollFeed(*due);
+        this->afterAnswer(viewChanged);
+        const auto untilNext = std::chrono::ceil<milliseconds>(this->feed.nextPoll()
+                                                               - monotonicNow());
+        co_await transport::pause(std::clamp(untilNext, milliseconds(1), longestFeedPause));
+    }
+}
+
+// The leader alone can confirm; every reply names it. True if the view has changed.
+asio::awaitable<bool> ControlClient::pollFeed(coordination::orders::FeedRequest due)
+{
+    const std::optional<ControlMemberAddress> member = this->nextMember(this->feedFailed);
+    if (!member) {
+        this->feed.onRequestFailed(due.id);
+        co_return false;
+    }
+    protocol::FeedCall asking;
+    asking.entry = this->settings.vm;
+    asking.version = due.version;
+    asking.waitMs = static_cast<std::uint32_t>(feedWait.count());
+    const protocol::ControlCall request = asking;
+    const auto reply = co_await this->call(*member, request);
+    const auto *feedReply = reply ? std::get_if<protocol::FeedReply>(&reply.value().body) : nullptr;
+    const bool leaderKnown = reply && reply.value().leader.port != 0;
+    this->leader.publish(leaderKnown ? std::optional(reply.value().leader) : std::nullopt);
+    const bool confirmed = feedReply != nullptr && feedReply->confirmed;
+    this->noteFeed(member->entry, confirmed);
+    this->feedFailed = confirmed ? std::nullopt : std::optional(member->consensus);
+    if (feedReply == nullptr) {
+        this->feed.onRequestFailed(due.id);
+        co_return false;
     }
+    coordination::orders::FeedAnswer answer{
+            due.id, feedReply->confirmed, feedReply->version, {}};
+    for (const std::string &bytes : feedReply->pages) {
+        auto page = protocol::decodeFeedPage(bytes);
+        if (page)
+            answer.pages.push_back(std::move(page.value()));
+        else
+            logError("control.page-refused", page.error().withPeer(member->entry.toString()));
+    }
+    co_return this->feed.onAnswer(answer, monotonicNow());
+}
+
+// One line when the control side is lost or regained, not one a try.
+void ControlClient::noteFeed(const state::Address &member, bool confirmed)
+{
+    if (confirmed == this->feedConfirmed)
+        return;
+    this->feedConfirmed = confirmed;
+    logEvent(confirmed ? LogLevel::Info : LogLevel::Warning,
+             confirmed ? "control.regained" : "control.lost",
+             {{"peer", member.toString()}, {"version", this->feed.view().version}});
 }
 
 void ControlClient::afterAnswer(bool viewChanged)
--- a/src/program/ControlClient.h
+++ b/src/program/ControlClient.h
@@ -1,5 +1,5 @@
-// The entry's access to the control members: proposes commands, keeps the newest view of table and
-// catalog, and knows whether that view is fresh.
+// The entry's access to the control members: proposes commands, keeps the newest view of table,
+// catalog and configuration, and knows whether that view is fresh.
 #pragma once
 
 #include "coordination/orders/FeedReceiver.h"
@@ -17,9 +17,19 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace lavenderthread::program {
 
+// Where one control member is reached.
+struct ControlMemberAddress
+{
+    state::Address consensus; // by which members name their leader
+    state::Address entry;     // where its process takes control calls
+
+    auto operator<=>(const ControlMemberAddress &) const = default;
+};
+
 class ControlClient : public std::enable_shared_from_this<ControlClient>
 {
 public:
@@ -27,6 +37,12 @@
     {
         // A newer view is in force here, or freshness came or went. On the client's strand.
         std::function<void(const state::control::ControlView &view, bool fresh)> changed;
+        // The control members as far as known now; asked before each call.
+        std::function<std::vector<ControlMemberAddress>()> members;
+        // Answers calls to the member of this very process without the network. May be empty.
+        std::function<boost::asio::awaitable<protocol::ControlReply>(protocol::ControlCall)>
+                ownMember;
+        state::Address ownAddress; // consensus address of that member
     };
 
     struct Committed
@@ -45,9 +61,13 @@
     // Timeout: not known whether it was committed.
     boost::asio::awaitable<state::Result<Committed>> propose(state::control::Command command,
                                                              state::Instant deadline);
-    // Error: Unavailable if no leader answers.
+    // Error: Timeout if no leader answers.
     boost::asio::awaitable<state::Result<protocol::EnforcementReply>>
-    enforcement(std::uint64_t version);
+    enforcement(std::uint64_t version, state::Instant deadline);
+    // The newest configuration that anybody was told is accepted, as a quorum confirms. Error:
+    // Timeout if nobody can be sure.
+    boost::asio::awaitable<state::Result<state::control::ConfigurationDocument>>
+    configuration(state::Instant deadline);
 
     // False: the view is not confirmed fresh; nothing new may be admitted under it.
     bool admits() const { return this->fresh; }
@@ -57,20 +77,31 @@
     ClaimGate claimGate(std::uint64_t entryIncarnation);
 
 private:
+    using Accepts = std::function<bool(const protocol::ControlReply &)>;
+
     ControlClient(const Settings &settings, boost::asio::io_context &context, Hooks hooks);
 
     boost::asio::awaitable<void> feedLoop();
-    // `member` is a position in settings.controlMembers.
+    boost::asio::awaitable<bool> pollFeed(coordination::orders::FeedRequest due);
+    // Asks the leader, or whoever may know it, until `accepts` is content. Error: Timeout.
+    boost::asio::awaitable<state::Result<protocol::ControlReply>>
+    askLeader(protocol::ControlCall request, Accepts accepts, const char *step,
+              state::Instant deadline);
     boost::asio::awaitable<state::Result<protocol::ControlReply>>
-    call(std::size_t member, const protocol::ControlCall &request);
-    void noteLeader(const state::Address &leader);
+    call(ControlMemberAddress member, protocol::ControlCall request);
+    std::optional<ControlMemberAddress> nextMember(const std::optional<state::Address> &failed);
+    void noteFeed(const state::Address &member, bool confirmed);
     void afterAnswer(bool viewChanged);
 
     const Settings &settings;
     boost::asio::strand<boost::asio::io_context::executor_type> strand;
     Hooks hooks;
-    coordination::orders::FeedReceiver feed; // on the strand
-    std::atomic<std::size_t> leader = 0;     // position in settings.controlMembers; a guess
+    // On the strand.
+    coordination::orders::FeedReceiver feed;
+    std::optional<state::Address> feedFailed; // member whose last answer confirmed nothing
+    bool feedConfirmed = false;
+    state::Snapshot<std::optional<state::Address>> leader; // consensus address; a guess
+    std::atomic<std::size_t> rotation = 0;
     std::atomic<bool> fresh = false;
     std::atomic<bool> stopped = false;
     state::Snapshot<state::control::ControlView> published;
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -22,6 +22,8 @@
 
 namespace asio = boost::asio;
 namespace admission = coordination::admission;
+using coordination::routing::AttemptHealth;
+using coordination::routing::EndpointHealth;
 using protocol::Problem;
 using protocol::Ran;
 using std::chrono::milliseconds;
@@ -29,7 +31,6 @@
 namespace {
 
 constexpr milliseconds engineCallTimeout{2'000};
-constexpr std::chrono::seconds suspicionTime{2}; // then it is tried again
 
 Problem problemOf(const admission::Refuse &refusal)
 {
@@ -65,6 +66,10 @@
     admitted.prefixBlocks = request.body.prefixBlocks;
     admitted.arrival = request.arrival;
     admitted.deadline = request.deadline;
+    admitted.idempotent = request.idempotent;
+    admitted.firstTarget = request.firstTarget;
+    admitted.pause = request.pause;
+    admitted.attempts = request.attempts;
     return admitted;
 }
 
@@ -86,6 +91,7 @@
         Answer waiter;                        // of the relay, while it waits
         std::optional<PlacementResult> ready; // came while it did not wait
         std::optional<Placement> last;        // what was handed out last
+        std::function<void()> interrupt;      // of the relay; see ScheduledRequest
     };
 
     State(asio::io_context &context, const Settings &settings,
@@ -175,6 +181,11 @@
         placement.from = action.from;
         placement.to = action.to;
         placement.final = action.final;
+        for (const state::EndpointId &helper : action.helpers) {
+            const auto helping = table->endpoints.find(helper);
+            if (helping != table->endpoints.end())
+                placement.helpers.push_back(helping->second.description.address);
+        }
         this->answer(action.id, placement);
     }
 
@@ -190,7 +201,11 @@
     void carryOut(const admission::CancelOnEngine &action)
     {
         const auto found = this->pending.find(action.id);
-        if (found != this->pending.end() && found->second.last)
+        if (found == this->pending.end())
+            return;
+        if (found->second.interrupt)
+            found->second.interrupt();
+        else if (found->second.last)
             this->callEngine("DELETE",
                              "/engine/streams/" + streamIdOf(action.id, *found->second.last),
                              found->second.last->endpoint.address, {});
@@ -265,31 +280,89 @@
     // A crashed engine stays in the table until its renewals are missed. Without this every request
     // that is placed meanwhile finds its port closed, and some run out of attempts there. It is
     // taken up again after a while, or at once when it announces a new incarnation.
-    void suspect(const state::EndpointDescription &endpoint)
+    void noteHealth(const state::EndpointDescription &endpoint, AttemptHealth outcome)
     {
-        const auto known = this->announced.find(endpoint.id);
-        if (known == this->announced.end()
-            || known->second.description.incarnation != endpoint.incarnation)
+        const bool suspect = this->health.note(endpoint.id, endpoint.incarnation, outcome,
+                                               monotonicNow());
+        if (!suspect)
             return;
-        this->suspects[endpoint.id] = {endpoint.incarnation, monotonicNow() + suspicionTime};
-        logEvent(LogLevel::Warning, "engine.unreachable", {{"endpoint", endpoint.id.value()}});
+        logEvent(LogLevel::Warning, "engine.suspected",
+                 {{"endpoint", endpoint.id.value()},
+                  {"address", endpoint.address.toString()},
+                  {"incarnation", endpoint.incarnation},
+                  {"cause", outcome == AttemptHealth::Unreachable ? "unreachable" : "failures"}});
         this->refreshEndpoints();
     }
 
+    void blame(const state::Address &address)
+    {
+        for (const auto &[id, endpoint] : this->announced) {
+            if (endpoint.description.address == address) {
+                this->noteHealth(state::EndpointDescription(endpoint.description),
+                                 AttemptHealth::Unreachable);
+                return;
+            }
+        }
+    }
+
+    // The caller is gone: the flight ends, and a relay that waits is woken without an answer to
+    // give.
+    void cancel(const state::RequestId &id)
+    {
+        this->handle(admission::CallerCancelled{id});
+        this->answer(id, Problem{499, "caller-gone", "the caller has closed its connection",
+                                 Ran::Unknown, std::nullopt});
+    }
+
     bool isSuspected(const state::EndpointDescription &endpoint) const
     {
-        const auto found = this->suspects.find(endpoint.id);
-        return found != this->suspects.end() && found->second.incarnation == endpoint.incarnation
-               && monotonicNow() < found->second.until;
+        return this->health.isSuspect(endpoint.id, endpoint.incarnation, monotonicNow());
+    }
+
+    std::optional<state::routes::EngineProfile>
+    profileOf(const state::EndpointDescription &endpoint) const
+    {
+        const auto found = this->profiles.find(endpoint.service);
+        if (found == this->profiles.end())
+            return std::nullopt;
+        return found->second;
+    }
+
+    // What the engine has not said of itself, from its service's profile.
+    static state::EndpointDescription
+    described(state::EndpointDescription endpoint,
+              const std::optional<state::routes::EngineProfile> &profile)
+    {
+        constexpr double msPerSecond = 1'000;
+        if (!profile)
+            return endpoint;
+        endpoint.kvCapacityTokens = profile->kvCapacityTokens;
+        endpoint.prefillTokensPerSecond = profile->prefillTokensPerSecond;
+        endpoint.decodeTokensPerSecond = profile->stepMs > 0 ? msPerSecond / profile->stepMs : 0;
+        return endpoint;
+    }
+
+    void setProfiles(const std::map<state::ServiceName, state::routes::EngineProfile> &next)
+    {
+        if (next == this->profiles)
+            return;
+        this->profiles = next;
+        for (const auto &[id, endpoint] : this->announced) {
+            const auto profile = this->profileOf(endpoint.description);
+            this->handle(admission::EngineAnnounced{described(endpoint.description, profile),
+                                                    profile});
+        }
     }
 
     void refreshEndpoints()
     {
         const auto table = this->registry->table();
+        // Work in declared passes is watched by its relay; a suspicion only keeps new work away.
         const auto isGone = [&](const auto &known) {
             const auto listed = table->endpoints.find(known.first);
             return listed == table->endpoints.end()
-                   || this->isSuspected(listed->second.description);
+                   || (!this->profileOf(listed->second.description)
+                       && this->isSuspected(listed->second.description));
         };
         for (const auto &known : this->announced) {
             if (isGone(known))
@@ -297,36 +370,45 @@
         }
         std::erase_if(this->announced, isGone);
         for (const auto &[id, endpoint] : table->endpoints) {
+            const auto profile = this->profileOf(endpoint.description);
+            const bool suspected = this->isSuspected(endpoint.description);
             if (endpoint.description.kind != state::EndpointKind::Engine
-                || this->isSuspected(endpoint.description))
+                || (!profile && suspected))
                 continue;
+            if (profile)
+                this->markSuspected(id, suspected || endpoint.stale);
             const auto known = this->announced.find(id);
             const bool same = known != this->announced.end();
             if (same && known->second == endpoint)
                 continue;
             const bool drainChanged = endpoint.draining != (same && known->second.draining);
             if (!same || known->second.description != endpoint.description)
-                this->handle(admission::EngineAnnounced{endpoint.description});
+                this->handle(admission::EngineAnnounced{described(endpoint.description, profile),
+                                                        profile});
             if (drainChanged)
                 this->handle(admission::EngineDraining{id, endpoint.draining});
             this->announced[id] = endpoint;
+            if (profile)
+                this->markSuspected(id, suspected || endpoint.stale);
         }
     }
 
+    void markSuspected(const state::EndpointId &id, bool suspected)
+    {
+        const auto known = this->dispatcher.fleet().find(id);
+        if (known != nullptr && known->suspected != suspected)
+            this->handle(admission::EngineSuspected{id, suspected});
+    }
+
     asio::strand<asio::io_context::executor_type> strand;
     asio::steady_timer timer;
     std::shared_ptr<EndpointRegistry> registry;
     Hooks hooks;
     admission::Dispatcher dispatcher;
-    struct Suspect
-    {
-        std::uint64_t incarnation = 0;
-        state::Instant until;
-    };
-
     std::unordered_map<state::RequestId, Pending> pending;
-    std::map<state::EndpointId, Suspect> suspects;             // connections to them were refused
+    EndpointHealth health; // a crashed engine stays announced until its renewals are missed
     std::map<state::EndpointId, RegisteredEndpoint> announced; // as the dispatcher knows them
+    std::map<state::ServiceName, state::routes::EngineProfile> profiles;
 };
 
 std::shared_ptr<DispatcherScheduler>
@@ -344,6 +426,15 @@
 
 DispatcherScheduler::~DispatcherScheduler() = default;
 
+void DispatcherScheduler::setProfiles(
+        std::map<state::ServiceName, state::routes::EngineProfile> profiles)
+{
+    asio::post(this->state->strand,
+               [self = this->shared_from_this(), profiles = std::move(profiles)] {
+                   self->state->setProfiles(profiles);
+               });
+}
+
 void DispatcherScheduler::post(admission::Event event)
 {
     asio::post(this->state->strand, [self = this->shared_from_this(), event = std::move(event)] {
@@ -373,14 +464,19 @@
     Scheduler scheduler;
     scheduler.place = [waitFor](ScheduledRequest request) {
         return waitFor(request.id, [request](State &state) {
+            const auto waiting = state.pending.find(request.id);
+            if (waiting != state.pending.end())
+                waiting->second.interrupt = request.interrupt;
             state.handle(admission::RequestArrived{toAdmission(request)});
         });
     };
     scheduler.placeAgain = [waitFor](state::RequestId id, Placement failed,
                                      AttemptFailure failure) {
         return waitFor(id, [id, failed, failure](State &state) {
-            if (failure == AttemptFailure::Unreachable)
-                state.suspect(failed.endpoint);
+            if (failure != AttemptFailure::PeerLost)
+                state.noteHealth(failed.endpoint, failure == AttemptFailure::Unreachable
+                                                          ? AttemptHealth::Unreachable
+                                                          : AttemptHealth::Failed);
             state.handle(
                     admission::AttemptFailed{id, failed.attempt, failure != AttemptFailure::Lost});
         });
@@ -403,6 +499,18 @@
             self->state->pending.erase(id);
         });
     };
+    scheduler.cancel = [self](const state::RequestId &id) {
+        asio::post(self->state->strand, [self, id] { self->state->cancel(id); });
+    };
+    scheduler.noteHealth = [self](const state::EndpointDescription &endpoint,
+                                  AttemptHealth outcome) {
+        asio::post(self->state->strand, [self, endpoint, outcome] {
+            self->state->noteHealth(endpoint, outcome);
+        });
+    };
+    scheduler.blame = [self](const state::Address &address) {
+        asio::post(self->state->strand, [self, address] { self->state->blame(address); });
+    };
     scheduler.isAlive =
             [registry = this->state->registry](const state::EndpointDescription &endpoint) {
                 return registry->table()->find(endpoint.id, endpoint.incarnation) != nullptr;
--- a/src/program/DispatcherScheduler.h
+++ b/src/program/DispatcherScheduler.h
@@ -6,10 +6,12 @@
 #include "program/EndpointRegistry.h"
 #include "program/Scheduler.h"
 #include "program/Settings.h"
+#include "state/routes/EngineProfile.h"
 
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 
 namespace lavenderthread::program {
@@ -37,6 +39,8 @@
     void post(coordination::admission::Event event);
     // Brings the policy's engines in line with the registry's table.
     void refreshEndpoints();
+    // How the engines of these services work, as operators declare it.
+    void setProfiles(std::map<state::ServiceName, state::routes::EngineProfile> profiles);
 
     struct State; // only touched on the strand
     explicit DispatcherScheduler(std::unique_ptr<State> state);
--- a/src/program/EndpointRegistry.h
+++ b/src/program/EndpointRegistry.h
@@ -16,6 +16,7 @@
 {
     state::EndpointDescription description;
     bool draining = false; // gets no new work; what it runs goes on
+    bool stale = false;    // its announcements have stopped; the last resort for new work
 
     auto operator<=>(const RegisteredEndpoint &) const = default;
 };
--- a/src/program/MembershipService.cpp
+++ b/src/program/MembershipService.cpp
@@ -104,18 +104,50 @@
     });
 }
 
-void MembershipService::leave(const state::EndpointId &endpoint, std::uint64_t incarnation)
+void MembershipService::leave(const state::EndpointId &endpoint,
+                              std::optional<std::uint64_t> incarnation, LeaveHandler done)
 {
-    asio::post(this->strand, [self = this->shared_from_this(), endpoint, incarnation] {
+    asio::post(this->strand, [self = this->shared_from_this(), endpoint, incarnation,
+                              done = std::move(done)] {
+        const state::Result<void> left = self->leaveNow(endpoint, incarnation, monotonicNow());
+        if (done)
+            done(left);
+    });
+}
+
+void MembershipService::drain(const state::EndpointDescription &endpoint, LeaveHandler done)
+{
+    asio::post(this->strand, [self = this->shared_from_this(), endpoint, done = std::move(done)] {
         const state::Instant now = monotonicNow();
-        const auto record = self->endpointLife.leave(endpoint, incarnation, self->world());
-        if (!record || !record.value())
-            return;
-        self->publishRecord(*record.value(), now);
-        self->publishView(now);
+        // Announced first, so that the others learn of this incarnation that it leaves, and not of
+        // one before. If it has left already, announcing it changes nothing.
+        const auto record = self->endpointLife.announce(endpoint, self->world(), now);
+        if (record && record.value())
+            self->publishRecord(*record.value(), now);
+        const state::Result<void> left = self->leaveNow(endpoint.id, endpoint.incarnation, now);
+        if (done)
+            done(left);
     });
 }
 
+state::Result<void> MembershipService::leaveNow(const state::EndpointId &endpoint,
+                                                std::optional<std::uint64_t> incarnation,
+                                                state::Instant now)
+{
+    const auto *known = this->membership.endpointTable().find(endpoint);
+    if (!incarnation && known != nullptr)
+        incarnation = known->record.incarnation;
+    const auto record =
+            this->endpointLife.leave(endpoint, incarnation.value_or(0), this->world());
+    if (!record)
+        return record.error();
+    if (record.value()) {
+        this->publishRecord(*record.value(), now);
+        this->publishView(now);
+    }
+    return state::outcome::success();
+}
+
 void MembershipService::reportLoad(const state::LoadReport &report)
 {
     asio::post(this->strand, [self = this->shared_from_this(), report] {
--- a/src/program/MembershipService.h
+++ b/src/program/MembershipService.h
@@ -16,6 +16,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace lavenderthread::program {
 
@@ -64,7 +65,13 @@
     void setSelf(const coordination::membership::SelfState &self);
     // `done` is called on the strand. Errors as EndpointLife::announce.
     void announce(const state::EndpointDescription &endpoint, AnnounceHandler done = {});
-    void leave(const state::EndpointId &endpoint, std::uint64_t incarnation);
+    using LeaveHandler = std::function<void(state::Result<void>)>;
+    // Without an incarnation the one that is known leaves. `done` is called on the strand once the
+    // news is on its way. Errors as EndpointLife::leave.
+    void leave(const state::EndpointId &endpoint, std::optional<std::uint64_t> incarnation,
+               LeaveHandler done = {});
+    // An endpoint that says it is leaving, also one that was not heard of here before.
+    void drain(const state::EndpointDescription &endpoint, LeaveHandler done = {});
     // Load of an endpoint announced here; goes on to the entries that watch it.
     void reportLoad(const state::LoadReport &report);
     // A committed drain or undrain, at its position in the replicated log. May come again.
@@ -84,6 +91,8 @@
     void received(std::string_view datagram, const state::Address &from);
     void scheduleTick();
     void tick();
+    state::Result<void> leaveNow(const state::EndpointId &endpoint,
+                                 std::optional<std::uint64_t> incarnation, state::Instant now);
     void tickEndpoints(state::Instant now);
     void sendLoads(state::Instant now);
     void perform(const coordination::membership::GossipActions &actions);
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -9,6 +9,7 @@
 #include "program/DispatcherScheduler.h"
 #include "program/Entry.h"
 #include "program/Log.h"
+#include "program/RelayFront.h"
 #include "transport/Await.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -37,6 +38,8 @@
 constexpr milliseconds drainCheckInterval{20};
 // The farewell goes out and answers just written leave the sockets before the process does.
 constexpr milliseconds farewellTime{300};
+// Of the time until the process must be gone: the farewell, and a slow VM.
+constexpr milliseconds terminationMargin{700};
 
 void logCompletion(const CompletionOutcome &outcome)
 {
@@ -65,6 +68,26 @@
               {"total_us", std::int64_t(outcome.total.count())}});
 }
 
+void logRelay(const RelayOutcome &outcome)
+{
+    logEvent(LogLevel::Info, "relay.finished",
+             {{"request", outcome.id.value()},
+              {"route", outcome.route},
+              {"account", outcome.account.value()},
+              {"service", outcome.service.value()},
+              {"endpoint", outcome.endpoint.value()},
+              {"configuration", outcome.configuration},
+              {"prompt_tokens", outcome.promptTokens},
+              {"status", outcome.status},
+              {"whole", outcome.whole ? "yes" : "no"},
+              {"attempts", outcome.attempts},
+              {"helpers", std::uint64_t(outcome.helpers)},
+              {"resumed", outcome.resumed ? "yes" : "no"},
+              {"first_us", std::int64_t(outcome.firstAnswer.count())},
+              {"total_us", std::int64_t(outcome.total.count())},
+              {"reason", outcome.reason}});
+}
+
 coordination::admission::Event toEvent(const coordination::routing::WorkNote &note)
 {
     return coordination::admission::PeerWorkNoted{note};
@@ -94,27 +117,39 @@
 class Node
 {
 public:
-    explicit Node(const Settings &settings)
+    Node(const Settings &settings, std::string settingsFile, const Deployment &deployment)
         : settings(settings)
+        , settingsFile(std::move(settingsFile))
+        , deployment(deployment)
         , context(static_cast<int>(settings.entry.workers))
         , registry(std::make_shared<EndpointRegistry>(settings.endpoint.expire))
     {}
 
     state::Result<void> start()
     {
-        BOOST_OUTCOME_TRY(this->cluster, Cluster::create(this->settings, this->context,
-                                                         this->registry, this->clusterHooks()));
-        if (!this->settings.controlMembers.empty())
+        if (this->settings.controlListen) {
+            BOOST_OUTCOME_TRY(this->control, ControlService::create(this->settings, this->context,
+                                                                    this->controlHooks()));
+        }
+        BOOST_OUTCOME_TRY(this->cluster,
+                          Cluster::create(this->settings, this->context, this->registry,
+                                          this->control ? this->control->identity() : state::VmId(),
+                                          this->clusterHooks()));
+        if (this->settings.hasControlMembers())
             this->client =
                     ControlClient::create(this->settings, this->context, this->clientHooks());
-        this->policy = DispatcherScheduler::create(this->context, this->settings, policySettings(),
+        this->policy = DispatcherScheduler::create(this->context, this->settings,
+                                                   policySettings(this->settings),
                                                    this->registry, this->policyHooks());
         BOOST_OUTCOME_TRY(this->entry, Entry::create(this->settings, this->context, this->registry,
                                                      this->entryHooks()));
-        if (this->settings.controlListen) {
-            BOOST_OUTCOME_TRY(this->control, ControlService::create(this->settings, this->context));
-            this->control->start();
+        if (this->servesRelay()) {
+            BOOST_OUTCOME_TRY(this->front, RelayFront::create(this->settings, this->context,
+                                                              this->frontHooks()));
+            this->front->start();
         }
+        if (this->control)
+            this->control->start();
         this->entry->start();
         this->cluster->start();
         if (this->client)
@@ -122,6 +157,7 @@
         this->tellPhase();
         asio::co_spawn(this->context, this->expireLoop(), asio::detached);
         asio::co_spawn(this->context, this->leaveOnSignal(), asio::detached);
+        asio::co_spawn(this->context, this->reloadOnSignal(), asio::detached);
         return state::outcome::success();
     }
 
@@ -136,13 +172,55 @@
     }
 
 private:
-    static coordination::routing::PolicySettings policySettings()
+    static coordination::routing::PolicySettings policySettings(const Settings &settings)
     {
         coordination::routing::PolicySettings policy;
         policy.prefixBlockTokens = protocol::prefixBlockTokens;
+        if (!settings.relay.listen)
+            return policy;
+        // Long prompts are split over all engines at once, so every entry watches all of them.
+        constexpr std::uint32_t allEngines = 10'000;
+        policy.watchedEngines = allEngines;
+        // This entry's part of what all entries together may send again; see RouteRelay.cpp.
+        policy.retryShare = 0.12;
+        policy.retryBurst = 4;
+        policy.budgetRefused = true;
         return policy;
     }
 
+    bool servesRelay() const
+    {
+        const RelaySettings &relay = this->settings.relay;
+        return this->client
+               && (relay.listen || relay.readyListen || relay.directoryListen
+                   || relay.operatorListen);
+    }
+
+    ControlService::Hooks controlHooks()
+    {
+        ControlService::Hooks hooks;
+        // With members named in the settings, operators decide who they are.
+        if (this->settings.controlMembers.empty())
+            hooks.candidates = [this] { return this->cluster->controlCandidates(); };
+        return hooks;
+    }
+
+    RelayFront::Hooks frontHooks()
+    {
+        RelayFront::Hooks hooks;
+        hooks.deployment = this->deployment;
+        hooks.scheduler = this->policy->scheduler();
+        hooks.endpoints = [this] { return this->registry->table(); };
+        hooks.cluster = this->cluster;
+        hooks.client = this->client;
+        hooks.ready = [this] { return this->entry->phase() == EntryPhase::Serving; };
+        hooks.profilesChanged = [this](auto profiles) {
+            this->policy->setProfiles(std::move(profiles));
+        };
+        hooks.finished = logRelay;
+        return hooks;
+    }
+
     Cluster::Hooks clusterHooks()
     {
         Cluster::Hooks hooks;
@@ -222,12 +300,21 @@
             this->applyView(view);
             this->tellPhase();
         };
+        hooks.members = [this] { return this->cluster->controlMembers(); };
+        if (this->control) {
+            hooks.ownMember = [this](protocol::ControlCall call) {
+                return this->control->answer(std::move(call));
+            };
+            hooks.ownAddress = *this->settings.controlListen;
+        }
         return hooks;
     }
 
     // On the client's strand.
     void applyView(const state::control::ControlView &view)
     {
+        if (this->front)
+            this->front->viewChanged(view);
         coordination::admission::TableChanged changed;
         view.table.forEach(
                 [&](const state::table::StoredRow &stored) { changed.rows.push_back(stored.row); });
@@ -251,8 +338,9 @@
         MemberPhase phase = MemberPhase::Serving;
         if (this->entry->phase() != EntryPhase::Serving)
             phase = this->left ? MemberPhase::Left : MemberPhase::Leaving;
-        const bool ready =
-                phase == MemberPhase::Serving && (!this->client || this->client->admits());
+        const bool configured = !this->front || this->front->hasConfiguration();
+        const bool ready = phase == MemberPhase::Serving && configured
+                           && (!this->client || this->client->admits());
         this->cluster->setPhase(phase, ready, this->client ? this->client->view()->version : 0);
     }
 
@@ -288,19 +376,25 @@
         co_await signals.async_wait(asio::as_tuple(asio::use_awaitable));
         // An operator who signals twice does not want to wait.
         signals.async_wait([this](auto, auto) { this->context.stop(); });
+        const state::Instant limit = monotonicNow() + this->leavingTime();
         this->entry->enter(EntryPhase::Leaving);
+        if (this->front)
+            this->front->beginLeaving();
         this->tellPhase();
-        co_await transport::pause(this->settings.entry.shutdownGrace);
+        co_await transport::pause(this->leavingGrace());
         this->entry->enter(EntryPhase::Refusing);
-        const state::Instant limit = monotonicNow() + this->settings.entry.shutdownLimit;
-        while (this->entry->inFlight() > 0 && monotonicNow() < limit)
+        if (this->front)
+            this->front->refuseNew();
+        while (this->inFlight() > 0 && monotonicNow() < limit)
             co_await transport::pause(drainCheckInterval);
         this->entry->stopAccepting();
+        if (this->front)
+            this->front->stopAccepting();
         this->left = true;
         this->tellPhase();
         co_await transport::pause(farewellTime);
         logEvent(LogLevel::Info, "node.stopped",
-                 {{"in_flight", std::uint64_t(this->entry->inFlight())}});
+                 {{"in_flight", std::uint64_t(this->inFlight())}});
         if (this->client)
             this->client->stop();
         if (this->control)
@@ -309,7 +403,42 @@
         this->context.stop();
     }
 
+    std::size_t inFlight() const
+    {
+        return this->entry->inFlight() + (this->front ? this->front->inFlight() : 0);
+    }
+
+    // Callers keep a directory answer for some seconds and go on coming here for as long.
+    milliseconds leavingGrace() const
+    {
+        return this->settings.relay.listen ? this->settings.relay.termination / 2
+                                           : this->settings.entry.shutdownGrace;
+    }
+
+    milliseconds leavingTime() const
+    {
+        return this->settings.relay.listen ? this->settings.relay.termination - terminationMargin
+                                           : this->leavingGrace() + this->settings.entry.shutdownLimit;
+    }
+
+    // What may change while running is what a restart would read: the rest is only checked.
+    asio::awaitable<void> reloadOnSignal()
+    {
+        asio::signal_set signals(this->context, SIGHUP);
+        while (true) {
+            co_await signals.async_wait(asio::as_tuple(asio::use_awaitable));
+            const auto read = Settings::load(this->settingsFile);
+            if (read)
+                logEvent(LogLevel::Info, "node.reloaded",
+                         {{"seeds", std::uint64_t(read.value().seeds.size())}});
+            else
+                logError("node.reload-refused", read.error());
+        }
+    }
+
     const Settings &settings;
+    const std::string settingsFile;
+    const Deployment &deployment;
     asio::io_context context;
     std::shared_ptr<EndpointRegistry> registry;
     const std::uint64_t incarnation =
@@ -321,13 +450,15 @@
     std::shared_ptr<ControlClient> client;   // null without control members
     std::shared_ptr<DispatcherScheduler> policy;
     std::shared_ptr<Entry> entry;
+    std::shared_ptr<RelayFront> front; // null where the settings name no such listener
 };
 
 } // namespace
 
-state::Result<void> runNode(const Settings &settings)
+state::Result<void> runNode(const Settings &settings, const std::string &settingsFile,
+                            const Deployment &deployment)
 {
-    Node node(settings);
+    Node node(settings, settingsFile, deployment);
     BOOST_OUTCOME_TRY(node.start());
     logEvent(LogLevel::Info, "node.started",
              {{"vm", settings.vm.value()}, {"listen", settings.entry.listen.toString()}});
--- /dev/null
+++ b/src/program/RelayFront.cpp
@@ -0,0 +1,236 @@
+#include "program/RelayFront.h"
+
+#include "program/Clock.h"
+#include "program/Log.h"
+
+#include <xxhash.h>
+
+#include <utility>
+
+namespace lavenderthread::program {
+
+namespace asio = boost::asio;
+using state::control::ConfigurationDocument;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Operators wait about a second for an answer before they send the same again elsewhere, or longer
+// for a large document; nobody reads what comes later.
+constexpr milliseconds commitTime{2'500};
+constexpr milliseconds newestTime{900};
+// A descriptor more for each request at an endpoint, and some kept for the peers.
+constexpr std::uint32_t callerConnections = 1'200;
+constexpr std::uint32_t sideDoorConnections = 400;
+constexpr std::uint64_t operatorBodyBytes = 4U << 20U;
+// Callers may use a connection up to the idle time that operators set; closing it in the same
+// moment would cost a request.
+constexpr milliseconds idleMargin{3'000};
+constexpr milliseconds requestMargin{2'000};
+
+transport::HttpLimits limitsOf(const state::routes::CallerLimits &wanted)
+{
+    transport::HttpLimits limits;
+    limits.headerBytes = wanted.headerBytes;
+    limits.bodyBytes = wanted.bodyBytes;
+    limits.requestTimeout = wanted.requestTimeout + requestMargin;
+    limits.idleTimeout = wanted.idleTimeout + idleMargin;
+    limits.connections = callerConnections;
+    return limits;
+}
+
+transport::HttpLimits sideDoorLimits()
+{
+    transport::HttpLimits limits;
+    limits.bodyBytes = operatorBodyBytes;
+    limits.connections = sideDoorConnections;
+    return limits;
+}
+
+std::map<state::ServiceName, state::routes::EngineProfile>
+profilesOf(const state::routes::RouteTable &table)
+{
+    std::map<state::ServiceName, state::routes::EngineProfile> profiles;
+    for (const state::routes::ServiceProfile &service : table.services()) {
+        if (service.engine)
+            profiles.emplace(service.name, *service.engine);
+    }
+    return profiles;
+}
+
+} // namespace
+
+RelayFront::RelayFront(const Settings &settings, Hooks chosenHooks)
+    : settings(settings)
+    , hooks(std::move(chosenHooks))
+    , relay(settings,
+            {this->hooks.deployment.relay, this->hooks.scheduler, this->hooks.endpoints,
+             [this] { return this->routes.read(); }, [this] { return this->refusing.load(); },
+             this->hooks.finished},
+            XXH3_64bits(settings.vm.value().data(), settings.vm.value().size())
+                    ^ static_cast<std::uint64_t>(wallNow().time_since_epoch().count()))
+    , operatorFace(this->makeOperatorFace())
+{}
+
+state::Result<std::shared_ptr<RelayFront>> RelayFront::create(const Settings &settings,
+                                                              asio::io_context &context,
+                                                              Hooks hooks)
+{
+    std::shared_ptr<RelayFront> front(new RelayFront(settings, std::move(hooks)));
+    BOOST_OUTCOME_TRYV(front->listen(context));
+    return front;
+}
+
+state::Result<void> RelayFront::listen(asio::io_context &context)
+{
+    const auto open = [&](const std::optional<state::Address> &address,
+                          const transport::HttpLimits &limits, transport::HttpHandler handler,
+                          std::shared_ptr<transport::HttpServer> &server) -> state::Result<void> {
+        if (!address)
+            return state::outcome::success();
+        transport::HttpServer::Hooks serverHooks;
+        serverHooks.handle = std::move(handler);
+        serverHooks.reject = [this](unsigned status, std::string_view cause) {
+            return this->hooks.deployment.relay.refuse({status, std::string(cause), std::nullopt});
+        };
+        BOOST_OUTCOME_TRY(server, transport::HttpServer::create(context, *address, limits,
+                                                                std::move(serverHooks)));
+        return state::outcome::success();
+    };
+    const RelaySettings &where = this->settings.relay;
+    BOOST_OUTCOME_TRYV(open(
+            where.listen, limitsOf({}),
+            [this](transport::HttpExchange &exchange) { return this->relay.run(exchange); },
+            this->relayServer));
+    BOOST_OUTCOME_TRYV(open(
+            where.readyListen, sideDoorLimits(),
+            [this](transport::HttpExchange &exchange) {
+                const bool ready = !this->leaving && this->hasConfiguration() && this->hooks.ready();
+                return this->hooks.deployment.answerReadiness(exchange, ready);
+            },
+            this->readyServer));
+    const DirectoryFace directory{
+            [this](const state::FailureDomain &callers) {
+                return this->hooks.cluster->relays(callers);
+            },
+            where.directoryTtl};
+    BOOST_OUTCOME_TRYV(open(
+            where.directoryListen, sideDoorLimits(),
+            [this, directory](transport::HttpExchange &exchange) {
+                return this->hooks.deployment.answerDirectory(exchange, directory);
+            },
+            this->directoryServer));
+    return open(
+            where.operatorListen, sideDoorLimits(),
+            [this](transport::HttpExchange &exchange) {
+                return this->hooks.deployment.answerOperator(exchange, this->operatorFace);
+            },
+            this->operatorServer);
+}
+
+OperatorFace RelayFront::makeOperatorFace()
+{
+    OperatorFace face;
+    face.replaceConfiguration = [this](ConfigurationDocument document) {
+        return this->replaceConfiguration(std::move(document));
+    };
+    face.newestConfiguration = [this]() -> asio::awaitable<state::Result<ConfigurationDocument>> {
+        return this->hooks.client->configuration(monotonicNow() + newestTime);
+    };
+    face.announce = [this](state::EndpointDescription endpoint)
+            -> asio::awaitable<state::Result<void>> {
+        const auto answer = co_await this->hooks.cluster->announce(std::move(endpoint));
+        if (!answer)
+            co_return answer.error();
+        co_return state::outcome::success();
+    };
+    face.drain = [this](state::EndpointDescription endpoint) {
+        logEvent(LogLevel::Info, "endpoint.leaves",
+                 {{"endpoint", endpoint.id.value()},
+                  {"address", endpoint.address.toString()},
+                  {"incarnation", endpoint.incarnation}});
+        return this->hooks.cluster->drain(std::move(endpoint));
+    };
+    face.leave = [this](state::EndpointId endpoint, std::optional<std::uint64_t> incarnation) {
+        logEvent(LogLevel::Info, "endpoint.left",
+                 {{"endpoint", endpoint.value()}, {"incarnation", incarnation.value_or(0)}});
+        return this->hooks.cluster->withdraw(std::move(endpoint), incarnation);
+    };
+    return face;
+}
+
+asio::awaitable<state::Result<std::uint64_t>>
+RelayFront::replaceConfiguration(ConfigurationDocument document)
+{
+    const state::Instant began = monotonicNow();
+    const std::uint64_t version = document.version;
+    const std::uint64_t bytes = document.text.size();
+    state::control::ReplaceConfiguration replace{std::move(document)};
+    state::control::Command command = std::move(replace);
+    const auto committed =
+            co_await this->hooks.client->propose(std::move(command), began + commitTime);
+    const auto *accepted =
+            committed ? std::get_if<state::control::Accepted>(&committed.value().answer) : nullptr;
+    const std::int64_t took = (monotonicNow() - began).count();
+    logEvent(accepted != nullptr ? LogLevel::Info : LogLevel::Warning, "configuration.proposed",
+             {{"version", version},
+              {"bytes", bytes},
+              {"outcome", accepted == nullptr            ? "unknown"
+                          : accepted->version == version ? "in-force"
+                                                         : "overtaken"},
+              {"in_force", accepted != nullptr ? accepted->version : 0},
+              {"took_us", took}});
+    if (!committed)
+        co_return committed.error();
+    if (accepted == nullptr)
+        co_return state::makeError(state::ErrorCode::Internal, "configuration.replace",
+                                   "the command was answered by something else");
+    co_return accepted->version;
+}
+
+void RelayFront::start()
+{
+    for (const auto &server :
+         {this->relayServer, this->readyServer, this->directoryServer, this->operatorServer}) {
+        if (server)
+            server->start();
+    }
+}
+
+void RelayFront::viewChanged(const state::control::ControlView &view)
+{
+    if (view.configuration.version <= this->routes.read()->version())
+        return;
+    const auto table = this->hooks.deployment.decodeConfiguration(view.configuration.text);
+    if (!table) {
+        // It was checked before it was accepted, by another node of the same program.
+        logError("configuration.unreadable", table.error());
+        return;
+    }
+    this->routes.publish(table.value());
+    if (this->relayServer)
+        this->relayServer->setLimits(limitsOf(table.value().limits()));
+    this->hooks.profilesChanged(profilesOf(table.value()));
+    logEvent(LogLevel::Info, "configuration.in-force",
+             {{"version", view.configuration.version},
+              {"view", view.version},
+              {"routes", std::uint64_t(table.value().routes().size())}});
+}
+
+void RelayFront::beginLeaving()
+{
+    this->leaving = true;
+    if (this->relayServer)
+        this->relayServer->closeAfterAnswers();
+}
+
+void RelayFront::stopAccepting()
+{
+    for (const auto &server :
+         {this->relayServer, this->readyServer, this->directoryServer, this->operatorServer}) {
+        if (server)
+            server->stopAccepting();
+    }
+}
+
+} // namespace lavenderthread::program
--- /dev/null
+++ b/src/program/RelayFront.h
@@ -0,0 +1,76 @@
+// The listeners of a deployment's wire on this node: callers' relayed requests, readiness, the
+// directory, and the door for operators and endpoints. Each is served only where the settings name
+// an address.
+#pragma once
+
+#include "program/Cluster.h"
+#include "program/ControlClient.h"
+#include "program/RelayCodec.h"
+#include "program/RouteRelay.h"
+#include "program/Settings.h"
+#include "state/Snapshot.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace lavenderthread::program {
+
+class RelayFront
+{
+public:
+    struct Hooks
+    {
+        Deployment deployment;
+        Scheduler scheduler;
+        std::function<state::SnapshotView<EndpointTable>()> endpoints;
+        std::shared_ptr<Cluster> cluster;
+        std::shared_ptr<ControlClient> client;
+        std::function<bool()> ready; // the rest of the process can serve
+        // The services' engine profiles, whenever a configuration comes into force.
+        std::function<void(std::map<state::ServiceName, state::routes::EngineProfile>)>
+                profilesChanged;
+        std::function<void(const RelayOutcome &)> finished;
+    };
+
+    // Error: Unavailable, step "listener.bind".
+    static state::Result<std::shared_ptr<RelayFront>>
+    create(const Settings &settings, boost::asio::io_context &context, Hooks hooks);
+
+    void start();
+    // A newer view of the control state is in force here.
+    void viewChanged(const state::control::ControlView &view);
+    bool hasConfiguration() const { return this->routes.read()->version() > 0; }
+
+    // Leaving in three steps: callers are sent elsewhere as they come; what is new is refused;
+    // nothing is accepted any more.
+    void beginLeaving();
+    void refuseNew() { this->refusing = true; }
+    void stopAccepting();
+    std::size_t inFlight() const { return this->relay.inFlight(); }
+
+private:
+    RelayFront(const Settings &settings, Hooks hooks);
+
+    state::Result<void> listen(boost::asio::io_context &context);
+    OperatorFace makeOperatorFace();
+    boost::asio::awaitable<state::Result<std::uint64_t>>
+    replaceConfiguration(state::control::ConfigurationDocument document);
+
+    const Settings &settings;
+    Hooks hooks;
+    state::Snapshot<state::routes::RouteTable> routes; // versions only go up
+    std::atomic<bool> leaving = false;
+    std::atomic<bool> refusing = false;
+    RouteRelay relay;
+    OperatorFace operatorFace;
+    std::shared_ptr<transport::HttpServer> relayServer;
+    std::shared_ptr<transport::HttpServer> readyServer;
+    std::shared_ptr<transport::HttpServer> directoryServer;
+    std::shared_ptr<transport::HttpServer> operatorServer;
+};
+
+} // namespace lavenderthread::program
--- a/src/program/Scheduler.h
+++ b/src/program/Scheduler.h
@@ -2,6 +2,7 @@
 // policy; they wait for a placement, report what happened, and ask again when an endpoint fails.
 #pragma once
 
+#include "coordination/routing/EndpointHealth.h"
 #include "protocol/Completion.h"
 #include "protocol/Problem.h"
 #include "state/Endpoint.h"
@@ -13,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace lavenderthread::program {
 
@@ -24,11 +26,19 @@
     protocol::CompletionBody body;
     state::Instant arrival;
     state::Instant deadline;
+    bool idempotent = true;
+    state::Duration firstTarget{0}; // see CompletionRequest
+    state::Duration pause{0};
+    std::uint32_t attempts = 0;
+    // Ends the attempt that runs now, on the scheduler's strand: it was given up, or its caller or
+    // an engine that it needs is gone. Empty: the engine is told to end the stream.
+    std::function<void()> interrupt;
 };
 
 enum class AttemptFailure {
     Unreachable, // no connection: the engine has not seen it, nor can it see others
     NotRun,      // the engine refused it
+    PeerLost,    // the same, because another engine that it needed has failed
     Lost,        // it may have run
 };
 
@@ -42,6 +52,7 @@
     std::uint32_t from = 0;
     std::uint32_t to = 0;
     bool final = true; // the answer is generated behind it; else it is a slice
+    std::vector<state::Address> helpers; // engines that prefill as much of the prompt, each
 
     auto operator<=>(const Placement &) const = default;
 };
@@ -71,6 +82,13 @@
             progressed;
     // `whole`: the engine has ended the stream itself; else whatever still runs is cancelled.
     std::function<void(const state::RequestId &, std::uint32_t attempt, bool whole)> finished;
+    // The relay has nobody to answer any more; a place() or placeAgain() that waits ends at once.
+    std::function<void(const state::RequestId &)> cancel;
+    // How an attempt ended, as far as it tells of the endpoint's health.
+    std::function<void(const state::EndpointDescription &, coordination::routing::AttemptHealth)>
+            noteHealth;
+    // An engine said that this peer of it failed, which it needed for the prompt.
+    std::function<void(const state::Address &)> blame;
     // Whether the endpoint is still known alive under that incarnation.
     std::function<bool(const state::EndpointDescription &)> isAlive;
 };
--- a/src/program/Settings.cpp
+++ b/src/program/Settings.cpp
@@ -56,10 +56,41 @@
     return endpoint;
 }
 
-void readLists(const SettingsDocument &document, Settings &settings)
+RelaySettings relaySettings(const SettingsDocument &document)
+{
+    RelaySettings relay;
+    relay.listen = optionalAddress(document.text("relay.listen"));
+    relay.readyListen = optionalAddress(document.text("relay.ready_listen"));
+    relay.directoryListen = optionalAddress(document.text("relay.directory_listen"));
+    relay.operatorListen = optionalAddress(document.text("relay.operator_listen"));
+    relay.directoryTtl = milliseconds(document, "relay.directory_ttl_ms");
+    relay.heartbeat = milliseconds(document, "relay.heartbeat_ms");
+    relay.termination = milliseconds(document, "relay.termination_ms");
+    return relay;
+}
+
+GossipSettings gossipSettings(const SettingsDocument &document)
+{
+    GossipSettings gossip;
+    gossip.probe = milliseconds(document, "gossip.probe_ms");
+    gossip.suspicionProbes = static_cast<unsigned>(document.integer("gossip.suspicion_probes"));
+    gossip.bytesPerSecond = static_cast<unsigned>(document.integer("gossip.bytes_per_second"));
+    return gossip;
+}
+
+void readSeeds(const SettingsDocument &document, Settings &settings)
 {
     for (const std::string &seed : document.list("cluster.seeds"))
         settings.seeds.push_back(addressOf(seed));
+    for (const std::string &host : document.list("cluster.seed_hosts")) {
+        settings.seedHosts.push_back(addressOf(host));
+        if (settings.gossipListen)
+            settings.seeds.push_back({settings.seedHosts.back().ip, settings.gossipListen->port});
+    }
+}
+
+void readLists(const SettingsDocument &document, Settings &settings)
+{
     for (std::size_t index = 0; index < document.objects("accounts"); ++index) {
         const std::string path = "accounts[" + std::to_string(index) + "].";
         settings.accounts.push_back({state::ClientAccountId(document.text(path + "id")),
@@ -127,7 +158,14 @@
     settings.controlListen = optionalAddress(document.text("control.listen"));
     settings.dataFolder = document.text("control.data_folder");
     settings.controlBootstrap = document.flag("control.bootstrap");
+    settings.controlVoters =
+            2 * static_cast<std::size_t>(document.integer("control.losses_borne")) + 1;
+    settings.admitWhenStale = document.flag("control.admit_when_stale");
+    settings.relay = relaySettings(document);
+    settings.gossip = gossipSettings(document);
+    settings.metricsListen = optionalAddress(document.text("metrics.listen"));
     settings.logLevel = document.text("log.level");
+    readSeeds(document, settings);
     readLists(document, settings);
     BOOST_OUTCOME_TRY(checkTogether(settings, file));
     return settings;
--- a/src/program/Settings.h
+++ b/src/program/Settings.h
@@ -56,25 +56,56 @@
     std::chrono::milliseconds silence{};
 };
 
+// The transparent relay and its side doors; absent addresses are not served.
+struct RelaySettings
+{
+    std::optional<state::Address> listen;
+    std::optional<state::Address> readyListen;
+    std::optional<state::Address> directoryListen;
+    std::optional<state::Address> operatorListen;
+    std::chrono::milliseconds directoryTtl{};
+    std::chrono::milliseconds heartbeat{};
+    std::chrono::milliseconds termination{};
+};
+
+struct GossipSettings
+{
+    std::chrono::milliseconds probe{};
+    unsigned suspicionProbes = 0;
+    unsigned bytesPerSecond = 0;
+};
+
 struct Settings
 {
     std::string clusterName;
     protocol::SealKeys keys;
     std::vector<state::Address> seeds;
+    std::vector<state::Address> seedHosts; // with the gossip port filled in, they are among seeds
     state::VmId vm;
     state::FailureDomain failureDomain;
     state::Region region;
     EntrySettings entry;
     EndpointSettings endpoint;
+    RelaySettings relay;
     std::optional<state::Address> gossipListen;
+    GossipSettings gossip;
     std::optional<state::Address> controlListen;
     std::string dataFolder;
     bool controlBootstrap = false;
+    bool admitWhenStale = false;
+    std::size_t controlVoters = 3;
     std::vector<ControlMemberSetting> controlMembers;
     std::vector<AccountSetting> accounts;
     std::vector<ServiceSetting> services;
+    std::optional<state::Address> metricsListen;
     std::string logLevel;
 
+    // Control members are named in the settings or found among the seed hosts.
+    bool hasControlMembers() const
+    {
+        return !this->controlMembers.empty() || !this->seedHosts.empty();
+    }
+
     // Reads and checks the file. Errors: NotFound (step "settings.read"), InvalidArgument.
     static state::Result<Settings> load(const std::string &file);
     static state::Result<Settings> parse(std::string_view json, const std::string &file);
--- a/src/protocol/ControlCalls.h
+++ b/src/protocol/ControlCalls.h
@@ -6,6 +6,7 @@
 #include "state/Address.h"
 #include "state/Error.h"
 #include "state/Ids.h"
+#include "state/control/ControlView.h"
 #include "state/log/LogEntry.h"
 
 #include <cstdint>
@@ -33,11 +34,14 @@
 {
     state::VmId entry;
     std::uint64_t version = 0;
+    // If the entry lacks nothing, the answer is held back until it does, for this long at most. A
+    // change then reaches all entries within a round trip, without a poll for each.
+    std::uint32_t waitMs = 0;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->entry, this->version);
+        archive(this->entry, this->version, this->waitMs);
     }
 };
 
@@ -53,7 +57,15 @@
     }
 };
 
-using ControlCall = std::variant<ProposeCall, FeedCall, EnforcementCall>;
+// Which configuration is the newest, as a quorum confirms after the call has come?
+struct ConfigurationCall
+{
+    template <typename Archive>
+    void serialize(Archive & /*archive*/)
+    {}
+};
+
+using ControlCall = std::variant<ProposeCall, FeedCall, EnforcementCall, ConfigurationCall>;
 
 struct ProposeReply
 {
@@ -95,9 +107,21 @@
     }
 };
 
+struct ConfigurationReply
+{
+    bool confirmed = false;
+    state::control::ConfigurationDocument document;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->confirmed, this->document);
+    }
+};
+
 struct ControlReply
 {
-    std::variant<ProposeReply, FeedReply, EnforcementReply> body;
+    std::variant<ProposeReply, FeedReply, EnforcementReply, ConfigurationReply> body;
     state::Address leader; // consensus address of the leader as far as known; port 0 if not
 
     template <typename Archive>
--- a/src/protocol/GossipMessages.cpp
+++ b/src/protocol/GossipMessages.cpp
@@ -99,6 +99,8 @@
     fields(f, description.caller);
     fields(f, description.control);
     fields(f, description.gossip);
+    fields(f, description.relay);
+    f.id(description.controlIdentity);
     f.id(description.failureDomain);
     f.id(description.region);
 }
--- a/src/state/control/Commands.h
+++ b/src/state/control/Commands.h
@@ -3,6 +3,7 @@
 
 #include "state/Error.h"
 #include "state/control/Claim.h"
+#include "state/control/ControlView.h"
 #include "state/control/Order.h"
 #include "state/table/Catalog.h"
 #include "state/table/RowEdit.h"
@@ -198,8 +199,22 @@
     }
 };
 
+// Puts the configuration in force if its version is higher than the one held; else it changes
+// nothing and is accepted all the same, so that operators may send it again after a lost answer.
+struct ReplaceConfiguration
+{
+    ConfigurationDocument document;
+    auto operator<=>(const ReplaceConfiguration &) const = default;
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->document);
+    }
+};
+
 using Command = std::variant<OperatorCommand, RecordOrderProgress, TakeClaim, DispatchClaim,
-                             ReleaseClaim, FinishClaim, EntryLost, AdvanceTime>;
+                             ReleaseClaim, FinishClaim, EntryLost, AdvanceTime,
+                             ReplaceConfiguration>;
 
 // The command changed the state (or, as a resend, had done so before).
 struct Accepted
--- a/src/state/control/ControlState.cpp
+++ b/src/state/control/ControlState.cpp
@@ -4,6 +4,7 @@
 
 #include "state/table/Columns.h"
 
+#include <algorithm>
 #include <array>
 #include <set>
 
@@ -62,6 +63,11 @@
     return answer;
 }
 
+bool isConfiguration(const FeedChange &change)
+{
+    return std::holds_alternative<ConfigurationDocument>(change);
+}
+
 std::string describeOrder(const OrderSpec &spec)
 {
     constexpr std::array names = {"drain", "undrain", "load", "unload", "stop", "role"};
@@ -113,9 +119,25 @@
         this->claimLedger.entryLost(*lost);
     else if (const auto *time = std::get_if<AdvanceTime>(&command))
         this->claimLedger.advance(*time);
+    else if (const auto *replace = std::get_if<ReplaceConfiguration>(&command))
+        return this->replaceConfiguration(replace->document);
     return Accepted{position.index};
 }
 
+// Two operators may send one version with different content: the first one committed stays, and
+// the other is told the version that is in force, which is the same number.
+Answer ControlState::replaceConfiguration(const ConfigurationDocument &document)
+{
+    if (document.version > this->current.configuration.version) {
+        Draft draft{{}, this->lastIndex, {}, {}};
+        draft.add(document, "configuration",
+                  "version " + std::to_string(this->current.configuration.version) + " -> "
+                          + std::to_string(document.version));
+        this->commit(std::move(draft));
+    }
+    return Accepted{this->current.configuration.version};
+}
+
 Answer ControlState::applyOperator(const OperatorCommand &command)
 {
     const OperatorStamp &stamp = command.stamp;
@@ -349,6 +371,8 @@
         return;
     const std::uint64_t from = this->current.version;
     this->current = this->current.with(draft.changes, draft.version);
+    if (std::ranges::any_of(draft.changes, isConfiguration))
+        this->forgetOlderConfigurations();
     this->feedSize += draft.changes.size();
     this->feed.push_back({from, draft.version, std::move(draft.changes)});
     while (this->feedSize > this->limits.feedChanges) {
@@ -357,6 +381,14 @@
     }
 }
 
+// Each configuration replaces the one before as a whole. Kept, a hundred of 100 KB each would fill
+// the memory of a member, and an entry that is behind would be sent all of them.
+void ControlState::forgetOlderConfigurations()
+{
+    for (FeedDelta &delta : this->feed)
+        this->feedSize -= std::erase_if(delta.changes, isConfiguration);
+}
+
 // Bounded: a resend that comes after its request was forgotten fails the compare-and-set, since the
 // row's version has moved on; a repeated order asks for what already is.
 void ControlState::remember(const OperatorStamp &stamp, const Answer &answer)
--- a/src/state/control/ControlState.h
+++ b/src/state/control/ControlState.h
@@ -130,6 +130,7 @@
     };
     using RequestKey = std::pair<OperatorId, std::string>;
 
+    Answer replaceConfiguration(const ConfigurationDocument &document);
     Answer applyOperator(const OperatorCommand &command);
     Result<void> draft(const EditRows &action, Draft &draft, std::optional<RaceWinner> &winner);
     Result<void> draft(const PutAccount &action, Draft &draft, std::optional<RaceWinner> &winner);
@@ -147,6 +148,7 @@
                               std::uint64_t expected, std::optional<RaceWinner> &winner) const;
     std::optional<RaceWinner> lastEditor(const std::string &subject) const;
     void commit(Draft draft);
+    void forgetOlderConfigurations();
     void remember(const OperatorStamp &stamp, const Answer &answer);
 
     ControlLimits limits;
--- a/src/state/control/ControlView.cpp
+++ b/src/state/control/ControlView.cpp
@@ -47,6 +47,11 @@
         this->view.drained = mark.drained ? this->view.drained.with(mark)
                                           : this->view.drained.without(mark.endpoint);
     }
+    void operator()(const ConfigurationDocument &document) const
+    {
+        if (document.version > this->view.configuration.version)
+            this->view.configuration = document;
+    }
 };
 
 } // namespace
@@ -70,6 +75,8 @@
     this->catalog.models().forEach(add);
     this->table.forEach(add);
     this->drained.forEach(add);
+    if (this->configuration.version > 0)
+        changes.emplace_back(this->configuration);
     return changes;
 }
 
--- a/src/state/control/ControlView.h
+++ b/src/state/control/ControlView.h
@@ -9,6 +9,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -35,10 +36,26 @@
     const EndpointId &operator()(const DrainMark &mark) const { return mark.endpoint; }
 };
 
+// The relay configuration as operators sent it, whole. The replicated state keeps the text and
+// compares versions; what the text means is decoded where it is used.
+struct ConfigurationDocument
+{
+    std::uint64_t version = 0; // the operators' own; 0: none was accepted yet
+    std::string text;
+
+    auto operator<=>(const ConfigurationDocument &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->version, this->text);
+    }
+};
+
 // A record put, or a key whose record is removed.
-using FeedChange =
-        std::variant<table::StoredRow, TableKey, table::ClientAccount, ClientAccountId,
-                     table::Service, ServiceName, table::ModelVersion, ModelName, DrainMark>;
+using FeedChange = std::variant<table::StoredRow, TableKey, table::ClientAccount, ClientAccountId,
+                                table::Service, ServiceName, table::ModelVersion, ModelName,
+                                DrainMark, ConfigurationDocument>;
 
 struct ControlView
 {
@@ -46,6 +63,7 @@
     table::Table table;
     table::Catalog catalog;
     table::PersistentMap<EndpointId, DrainMark, DrainMarkKey> drained; // drained ones only
+    ConfigurationDocument configuration; // its version never goes down
 
     bool isDrained(const EndpointId &endpoint) const
     {
--- /dev/null
+++ b/src/state/routes/EngineProfile.cpp
@@ -0,0 +1,29 @@
+// The batch model's two sums.
+#include "state/routes/EngineProfile.h"
+
+namespace lavenderthread::state::routes {
+
+namespace {
+
+constexpr double msPerSecond = 1'000;
+constexpr double million = 1'000'000;
+constexpr double thousand = 1'000;
+
+} // namespace
+
+double prefillSeconds(const EngineProfile &profile, double promptTokens)
+{
+    const double reading =
+            profile.prefillTokensPerSecond > 0 ? promptTokens / profile.prefillTokensPerSecond : 0;
+    const double millionPairs = promptTokens * promptTokens / 2 / million;
+    return reading + millionPairs * profile.pairsMs / msPerSecond;
+}
+
+double decodePassSeconds(const EngineProfile &profile, double sequences, double contextTokens)
+{
+    const double step = profile.stepMs + sequences * profile.sequenceStepMs
+                        + contextTokens / thousand * profile.contextStepMs;
+    return step * profile.stridePerPass / msPerSecond;
+}
+
+} // namespace lavenderthread::state::routes
--- /dev/null
+++ b/src/state/routes/RouteTable.h
@@ -0,0 +1,62 @@
+// One checked version of the relay configuration, read by every request through a snapshot.
+#pragma once
+
+#include "state/Error.h"
+#include "state/routes/Route.h"
+
+#include <map>
+#include <string_view>
+#include <unordered_map>
+
+namespace lavenderthread::state::routes {
+
+// As decoded, before it is checked.
+struct RouteTableDraft
+{
+    std::uint64_t version = 0;
+    std::vector<Route> routes;
+    std::vector<ServiceProfile> services;
+    std::optional<std::vector<RouteAccount>> accounts; // absent: no call needs a key
+    CallerLimits limits;
+};
+
+// Immutable.
+class RouteTable
+{
+public:
+    // Version 0, no routes: what an entry has before it knows any configuration.
+    RouteTable() = default;
+
+    // Error: InvalidArgument, step "routes.check", for a route to an unknown service, two routes
+    // of one host and prefix, weights that add up to nothing, a timeout of nothing, two accounts
+    // with one key, or two services of one name.
+    static Result<RouteTable> create(RouteTableDraft draft);
+
+    std::uint64_t version() const { return this->draft.version; }
+    const std::vector<Route> &routes() const { return this->draft.routes; }
+    const std::vector<ServiceProfile> &services() const { return this->draft.services; }
+    const CallerLimits &limits() const { return this->draft.limits; }
+    bool needsKeys() const { return this->draft.accounts.has_value(); }
+
+    // The route of that host whose prefix is the longest that the path begins with; null if none.
+    const Route *match(std::string_view host, std::string_view path) const;
+    // Null if no account holds the key.
+    const RouteAccount *accountOfKey(std::string_view key) const;
+    const ServiceProfile *service(const ServiceName &name) const;
+
+private:
+    Result<void> checkRoutes();
+    Result<void> checkServices();
+    Result<void> checkAccounts();
+
+    RouteTableDraft draft;
+    // Positions in draft.routes by host, longest prefix first.
+    std::map<std::string, std::vector<std::size_t>, std::less<>> routesOfHost;
+    std::map<ServiceName, std::size_t> serviceIndex; // positions in draft.services
+    std::unordered_map<std::string, std::size_t> accountOfKeyIndex;
+};
+
+// The share that `draw`, evenly spread over [0, 1), falls into. `shares` have a positive sum.
+const ServiceName &pickService(const std::vector<ServiceShare> &shares, double draw);
+
+} // namespace lavenderthread::state::routes
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <netinet/tcp.h>
+
 #include <limits>
 #include <utility>
 
@@ -33,6 +35,15 @@
     return state::makeError(code, std::string(step), problem.message(), peer.toString());
 }
 
+state::Error cancelledBefore(std::string_view step, const state::Address &peer)
+{
+    return state::makeError(state::ErrorCode::Cancelled, std::string(step),
+                            "the call was withdrawn", peer.toString());
+}
+
+using UnacknowledgedTimeout =
+        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
 http::request<http::string_body> toBeastRequest(protocol::HttpRequest request,
                                                 const state::Address &peer)
 {
@@ -41,7 +52,8 @@
     message.target(request.target);
     message.version(httpVersion);
     addHeaders(message, request.headers);
-    message.set(http::field::host, peer.toString());
+    if (message.find(http::field::host) == message.end())
+        message.set(http::field::host, peer.toString());
     message.keep_alive(false);
     message.body() = std::move(request.body);
     message.prepare_payload();
@@ -50,6 +62,22 @@
 
 } // namespace
 
+// Lets the call, and nobody else, set what cancel() closes.
+struct HttpCallAccess
+{
+    static void attach(HttpCallHandle &handle, std::function<void()> close)
+    {
+        handle.close = std::move(close);
+    }
+};
+
+void HttpCallHandle::cancel()
+{
+    this->cancelled = true;
+    if (const auto closing = std::exchange(this->close, {}))
+        closing();
+}
+
 struct HttpAnswerStream::State
 {
     State(asio::any_io_executor executor, state::Address peer)
@@ -66,15 +94,26 @@
     beast::flat_buffer buffer;
     http::response_parser<http::buffer_body> parser;
     std::string piece = std::string(readPieceBytes, '\0');
+    http::request<http::string_body> message;
+    std::shared_ptr<HttpCallHandle> handle;
+    bool sent = false; // the whole request
+    beast::error_code sendProblem;
 };
 
-HttpAnswerStream::HttpAnswerStream(std::unique_ptr<State> state)
+HttpAnswerStream::HttpAnswerStream(std::shared_ptr<State> state)
     : state(std::move(state))
 {}
 
 HttpAnswerStream::HttpAnswerStream(HttpAnswerStream &&) noexcept = default;
 HttpAnswerStream &HttpAnswerStream::operator=(HttpAnswerStream &&) noexcept = default;
-HttpAnswerStream::~HttpAnswerStream() = default;
+HttpAnswerStream::~HttpAnswerStream()
+{
+    if (!this->state)
+        return;
+    if (this->state->handle)
+        HttpCallAccess::attach(*this->state->handle, {});
+    this->state->stream.close(); // ends a write that the peer has not read
+}
 
 unsigned HttpAnswerStream::status() const
 {
@@ -113,9 +152,20 @@
 
 asio::awaitable<state::Result<HttpAnswerStream>>
 openHttpStream(asio::any_io_executor executor, state::Address peer, protocol::HttpRequest request,
-               HttpCallLimits limits, BeforeSend beforeSend)
+               HttpCallLimits limits, BeforeSend beforeSend,
+               std::shared_ptr<HttpCallHandle> handle)
 {
-    auto call = std::make_unique<HttpAnswerStream::State>(std::move(executor), peer);
+    auto call = std::make_shared<HttpAnswerStream::State>(std::move(executor), peer);
+    HttpAnswerStream answer(call); // closes the connection on every way out
+    if (handle && handle->isCancelled())
+        co_return cancelledBefore(connectStep, peer);
+    if (handle) {
+        call->handle = handle;
+        HttpCallAccess::attach(*handle, [weak = std::weak_ptr(call)] {
+            if (const auto open = weak.lock())
+                open->stream.close();
+        });
+    }
     beast::error_code addressProblem;
     const auto ip = asio::ip::make_address(peer.ip, addressProblem);
     if (addressProblem)
@@ -128,25 +178,36 @@
         co_return callError(connectProblem, connectStep, peer);
     beast::error_code ignored;
     call->stream.socket().set_option(tcp::no_delay(true), ignored);
+    if (limits.unacknowledgedTimeout.count() > 0) {
+        const int ms = static_cast<int>(limits.unacknowledgedTimeout.count());
+        call->stream.socket().set_option(UnacknowledgedTimeout(ms), ignored);
+    }
+    if (handle && handle->isCancelled())
+        co_return cancelledBefore(connectStep, peer);
 
     if (beforeSend) {
         call->stream.expires_never();
         const bool go = co_await beforeSend();
         if (!go)
-            co_return state::makeError(state::ErrorCode::Cancelled, std::string(beforeSendStep),
-                                       "the call was withdrawn", peer.toString());
+            co_return cancelledBefore(beforeSendStep, peer);
     }
-    const http::request<http::string_body> message = toBeastRequest(std::move(request), peer);
+    call->message = toBeastRequest(std::move(request), peer);
     call->stream.expires_after(limits.timeout);
-    auto [sendProblem, sentBytes] =
-            co_await http::async_write(call->stream, message, asio::as_tuple(asio::use_awaitable));
-    // A peer may refuse a large request before it has read it all; its answer is still there.
+    // Reading begins at once: a peer may answer a large request before it has read it all, and
+    // would otherwise wait for this side to read while this side waits for it to read.
+    http::async_write(call->stream, call->message,
+                      [call](const beast::error_code &problem, std::size_t) {
+                          call->sent = !problem;
+                          call->sendProblem = problem;
+                      });
     auto [headProblem, headBytes] = co_await http::async_read_header(
             call->stream, call->buffer, call->parser, asio::as_tuple(asio::use_awaitable));
-    if (headProblem)
-        co_return callError(sendProblem ? sendProblem : headProblem,
-                            sendProblem ? sendStep : receiveStep, peer);
-    co_return HttpAnswerStream(std::move(call));
+    if (headProblem) {
+        const bool sending = call->sendProblem && call->sendProblem != asio::error::operation_aborted;
+        co_return callError(sending ? call->sendProblem : headProblem,
+                            sending ? sendStep : receiveStep, peer);
+    }
+    co_return std::move(answer);
 }
 
 asio::awaitable<state::Result<protocol::HttpResponse>>
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -30,9 +30,28 @@
 // beforeSendStep.
 using BeforeSend = std::function<boost::asio::awaitable<bool>()>;
 
+// Ends a call from outside, at whatever step it is. Shared by the call and whoever may cancel it;
+// both on the call's executor.
+class HttpCallHandle
+{
+public:
+    // The call ends with Cancelled; one that has not begun yet ends before it connects.
+    void cancel();
+    bool isCancelled() const { return this->cancelled; }
+
+private:
+    friend struct HttpCallAccess;
+
+    std::function<void()> close; // of the connection; empty while there is none
+    bool cancelled = false;
+};
+
 struct HttpCallLimits
 {
     std::chrono::milliseconds connectTimeout{1'000};
+    // Bytes that the peer's machine does not acknowledge for so long end the connection; 0 leaves
+    // it to the system. Without it a call to a machine behind a partition hangs until `timeout`.
+    std::chrono::milliseconds unacknowledgedTimeout{0};
     std::chrono::milliseconds timeout{
             10'000};                      // from connected to the answer's head, then each read
     std::uint64_t bodyBytes = 16U << 20U; // of a whole answer; streams are not limited
@@ -45,7 +64,7 @@
 public:
     struct State; // connection and parser
 
-    explicit HttpAnswerStream(std::unique_ptr<State> state);
+    explicit HttpAnswerStream(std::shared_ptr<State> state);
     HttpAnswerStream(HttpAnswerStream &&) noexcept;
     HttpAnswerStream &operator=(HttpAnswerStream &&) noexcept;
     ~HttpAnswerStream();
@@ -62,13 +81,15 @@
     void close();
 
 private:
-    std::unique_ptr<State> state;
+    std::shared_ptr<State> state; // also held by a write that is still under way
 };
 
-// Sends the request and reads the answer's head. Errors: step tells how far it got.
+// Sends the request and reads the answer's head, which may come before the request is all sent.
+// The Host header is the request's own, else the peer's address. Errors: step tells how far it got.
 boost::asio::awaitable<state::Result<HttpAnswerStream>>
 openHttpStream(boost::asio::any_io_executor executor, state::Address peer,
-               protocol::HttpRequest request, HttpCallLimits limits, BeforeSend beforeSend = {});
+               protocol::HttpRequest request, HttpCallLimits limits, BeforeSend beforeSend = {},
+               std::shared_ptr<HttpCallHandle> handle = {});
 
 // The whole answer. Errors as above, and Corrupt if the body is over the limit.
 boost::asio::awaitable<state::Result<protocol::HttpResponse>>
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -1,6 +1,7 @@
 // One coroutine accepts; one coroutine a connection reads requests in turn and runs the handler.
 #include "transport/HttpServer.h"
 
+#include "state/Snapshot.h"
 #include "transport/BeastConversion.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -12,6 +13,10 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <sys/socket.h>
+
+#include <cerrno>
+
 #include <atomic>
 #include <optional>
 #include <utility>
@@ -47,10 +52,13 @@
 
     asio::io_context &context;
     tcp::acceptor acceptor;
-    HttpLimits limits;
+    bool keepsConnections() const { return this->accepting && !this->closing; }
+
+    state::Snapshot<HttpLimits> limits;
     HttpServer::Hooks hooks;
     std::atomic<std::size_t> connections = 0;
     std::atomic<bool> accepting = true;
+    std::atomic<bool> closing = false; // answers close their connections
 };
 
 namespace {
@@ -75,10 +83,13 @@
             if (!request)
                 break;
             first = false;
+            this->streamOpen = false;
             HttpExchange exchange(std::move(*request), this->peer, this->stream.get_executor(),
                                   this->exchangeHooks());
             co_await this->server->hooks.handle(exchange);
-            if (!this->keepAlive || !exchange.answered() || this->broken)
+            this->stopWatching();
+            // A stream that was not finished is cut: closing without the last chunk shows it.
+            if (!this->keepAlive || !exchange.answered() || this->broken || this->streamOpen)
                 break;
         }
         beast::error_code ignored;
@@ -93,25 +104,53 @@
                 [this](protocol::HttpResponse head) { return this->beginStream(head); },
                 [this](std::string_view piece) { return this->writeChunk(piece); },
                 [this] { return this->finishStream(); },
+                [this](std::function<void()> gone) { this->watchCaller(std::move(gone)); },
         };
     }
 
+    // A peek tells a close from the next request, and leaves both where they are.
+    void watchCaller(std::function<void()> gone)
+    {
+        const auto watch = std::make_shared<bool>(true);
+        this->watching = watch;
+        tcp::socket &socket = this->stream.socket();
+        socket.async_wait(tcp::socket::wait_read, [&socket, watch, gone = std::move(gone)](
+                                                          const beast::error_code &problem) {
+            if (problem || !*watch)
+                return;
+            char next = 0;
+            const auto got = ::recv(socket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+            if (got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
+                gone();
+        });
+    }
+
+    void stopWatching()
+    {
+        if (!this->watching)
+            return;
+        *this->watching = false;
+        this->watching.reset();
+        beast::error_code ignored;
+        this->stream.socket().cancel(ignored);
+    }
+
     // Nothing when the connection is to be closed; rejections have been answered by then.
     asio::awaitable<std::optional<protocol::HttpRequest>> readRequest(bool first)
     {
         http::request_parser<http::string_body> parser;
-        parser.header_limit(this->server->limits.headerBytes);
-        parser.body_limit(this->server->limits.bodyBytes);
+        const HttpLimits limits = *this->server->limits.read();
+        parser.header_limit(limits.headerBytes);
+        parser.body_limit(limits.bodyBytes);
         // The first request must arrive at once; later ones may follow after an idle time.
-        this->stream.expires_after(first ? this->server->limits.requestTimeout
-                                         : this->server->limits.idleTimeout);
+        this->stream.expires_after(first ? limits.requestTimeout : limits.idleTimeout);
         auto [headProblem, headBytes] = co_await http::async_read_header(
                 this->stream, this->buffer, parser, asio::as_tuple(asio::use_awaitable));
         if (headProblem) {
             co_await this->reject(headProblem, headBytes);
             co_return std::nullopt;
         }
-        this->stream.expires_after(this->server->limits.requestTimeout);
+        this->stream.expires_after(limits.requestTimeout);
         if (parser.get()[http::field::expect] == "100-continue")
             co_await this->sendContinue();
         auto [bodyProblem, bodyBytes] = co_await http::async_read(
@@ -169,10 +208,10 @@
     asio::awaitable<state::Result<void>> respond(protocol::HttpResponse response)
     {
         http::response<http::string_body> message = toBeast(std::move(response));
-        message.keep_alive(this->keepAlive && this->server->accepting);
+        message.keep_alive(this->keepAlive && this->server->keepsConnections());
         message.prepare_payload();
         this->keepAlive = message.keep_alive();
-        this->stream.expires_after(this->server->limits.writeTimeout);
+        this->stream.expires_after(this->server->limits.read()->writeTimeout);
         auto [problem, bytes] = co_await http::async_write(this->stream, message,
                                                            asio::as_tuple(asio::use_awaitable));
         co_return this->outcomeOf(problem);
@@ -182,9 +221,11 @@
     {
         http::response<http::empty_body> message(toBeast(std::move(head)).base());
         message.chunked(true);
+        this->streamOpen = true;
+        this->keepAlive = this->keepAlive && this->server->keepsConnections();
         message.keep_alive(this->keepAlive);
         http::response_serializer<http::empty_body> serializer(message);
-        this->stream.expires_after(this->server->limits.writeTimeout);
+        this->stream.expires_after(this->server->limits.read()->writeTimeout);
         auto [problem, bytes] = co_await http::async_write_header(
                 this->stream, serializer, asio::as_tuple(asio::use_awaitable));
         co_return this->outcomeOf(problem);
@@ -192,7 +233,7 @@
 
     asio::awaitable<state::Result<void>> writeChunk(std::string_view piece)
     {
-        this->stream.expires_after(this->server->limits.writeTimeout);
+        this->stream.expires_after(this->server->limits.read()->writeTimeout);
         auto [problem, bytes] = co_await asio::async_write(
                 this->stream, http::make_chunk(asio::buffer(piece.data(), piece.size())),
                 asio::as_tuple(asio::use_awaitable));
@@ -201,9 +242,10 @@
 
     asio::awaitable<state::Result<void>> finishStream()
     {
-        this->stream.expires_after(this->server->limits.writeTimeout);
+        this->stream.expires_after(this->server->limits.read()->writeTimeout);
         auto [problem, bytes] = co_await asio::async_write(this->stream, http::make_chunk_last(),
                                                            asio::as_tuple(asio::use_awaitable));
+        this->streamOpen = false;
         co_return this->outcomeOf(problem);
     }
 
@@ -220,7 +262,9 @@
     std::string peer;
     beast::flat_buffer buffer;
     bool keepAlive = false;
-    bool broken = false; // a write failed; nothing more can be sent
+    bool broken = false;     // a write failed; nothing more can be sent
+    bool streamOpen = false; // begun and not finished
+    std::shared_ptr<bool> watching; // set while the caller is watched; false inside: no longer
 };
 
 asio::awaitable<void> serveConnection(std::shared_ptr<Shared> server, tcp::socket socket,
@@ -258,7 +302,7 @@
             co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
             continue;
         }
-        if (server->connections >= server->limits.connections)
+        if (server->connections >= server->limits.read()->connections)
             continue; // closes the socket
         beast::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
@@ -279,6 +323,11 @@
     , hooks(std::move(hooks))
 {}
 
+void HttpExchange::onCallerGone(std::function<void()> gone)
+{
+    this->hooks.watchCaller(std::move(gone));
+}
+
 asio::awaitable<state::Result<void>> HttpExchange::respond(protocol::HttpResponse response)
 {
     this->answerBegun = true;
@@ -337,6 +386,16 @@
     asio::co_spawn(this->shared->acceptor.get_executor(), acceptLoop(this->shared), asio::detached);
 }
 
+void HttpServer::setLimits(const HttpLimits &limits)
+{
+    this->shared->limits.publish(limits);
+}
+
+void HttpServer::closeAfterAnswers()
+{
+    this->shared->closing = true;
+}
+
 void HttpServer::stopAccepting()
 {
     this->shared->accepting = false;
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -44,6 +44,7 @@
                 beginStream;
         std::function<boost::asio::awaitable<state::Result<void>>(std::string_view)> write;
         std::function<boost::asio::awaitable<state::Result<void>>()> finishStream;
+        std::function<void(std::function<void()>)> watchCaller;
     };
 
     HttpExchange(protocol::HttpRequest request, std::string peer,
@@ -54,6 +55,11 @@
     boost::asio::any_io_executor executor() const { return this->strand; }
     bool answered() const { return this->answerBegun; } // the status line may have been sent
 
+    // `gone` is called once, on the strand, if the caller closes while its request is worked on;
+    // not after the handler has returned. A caller that sends its next request early is not watched
+    // from then on.
+    void onCallerGone(std::function<void()> gone);
+
     // The errors have step "caller.write": the caller is gone or does not read.
     boost::asio::awaitable<state::Result<void>> respond(protocol::HttpResponse response);
     boost::asio::awaitable<state::Result<void>> beginStream(protocol::HttpResponse head);
@@ -87,6 +93,10 @@
                                                              HttpLimits limits, Hooks hooks);
 
     void start();
+    // From the next request on; connections keep the limits of the one they are reading.
+    void setLimits(const HttpLimits &limits);
+    // Every answer from now on closes its connection, so that callers move elsewhere.
+    void closeAfterAnswers();
     // No new connections; open ones finish their request in flight and are then closed.
     void stopAccepting();
     std::size_t openConnections() const;
