--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -105,8 +105,14 @@
 
 void Dispatcher::applyNote(const routing::WorkNote &note)
 {
-    if (routing::EngineView *view = this->engines.find(note.engine))
+    if (routing::EngineView *view = this->engines.find(note.engine)) {
         view->apply(note, this->now);
+        if (view->profile() && note.stage == routing::WorkStage::Dispatched) {
+            const double part = view->prefillSeconds(note.prefillTokens);
+            this->engines.noteLongPrefill(note.engine, part * double(note.helpers.size() + 1),
+                                          this->now);
+        }
+    }
     for (const state::EndpointId &helper : note.helpers) {
         if (routing::EngineView *view = this->engines.find(helper))
             view->applyHelp(note, this->now);
--- a/src/coordination/routing/Fleet.cpp
+++ b/src/coordination/routing/Fleet.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace lavenderthread::coordination::routing {
@@ -243,14 +244,36 @@
                                   [](const EngineView *view) { return view->profile().has_value(); });
 }
 
-std::optional<PassChoice> Fleet::chooseByPasses(const state::ModelName &model,
-                                                const PassRequest &request, state::Instant now)
+double Fleet::decayed(const LongDemand &demand, state::Instant now) const
+{
+    return demand.rate
+           * std::exp(-toSeconds(now - demand.at) / this->policy.passes.demandMemorySeconds);
+}
+
+void Fleet::noteLongPrefill(const state::EndpointId &engine, double seconds, state::Instant now)
+{
+    const EngineView *view = this->find(engine);
+    if (view == nullptr || seconds <= this->policy.passes.briefSeconds)
+        return;
+    for (const state::ModelName &model : view->description().models) {
+        LongDemand &demand = this->longDemand[model];
+        demand.rate = this->decayed(demand, now)
+                      + seconds / this->policy.passes.demandMemorySeconds;
+        demand.at = now;
+    }
+}
+
+std::optional<PassChoice> Fleet::chooseByPasses(const state::ModelName &model, PassRequest request,
+                                                state::Instant now)
 {
     const auto found = this->byModel.find(model);
     if (found == this->byModel.end())
         return std::nullopt;
     for (EngineView *view : found->second.ranked)
         view->advance(now);
+    const auto demand = this->longDemand.find(model);
+    if (demand != this->longDemand.end())
+        request.longDemand = this->decayed(demand->second, now);
     const std::vector<const EngineView *> ranked(found->second.ranked.begin(),
                                                  found->second.ranked.end());
     return placeByPasses(ranked, request, this->policy.passes);
--- a/src/coordination/routing/Fleet.h
+++ b/src/coordination/routing/Fleet.h
@@ -63,8 +63,10 @@
 
     // Whether the model's engines work in declared passes; placeByPasses() places on them.
     bool worksInPasses(const state::ModelName &model) const;
-    std::optional<PassChoice> chooseByPasses(const state::ModelName &model,
-                                             const PassRequest &request, state::Instant now);
+    std::optional<PassChoice> chooseByPasses(const state::ModelName &model, PassRequest request,
+                                             state::Instant now);
+    // Long prefill that some entry has sent to engines that work in passes.
+    void noteLongPrefill(const state::EndpointId &engine, double seconds, state::Instant now);
 
     // Prefill that some entry has sent to a watched engine; the split follows it.
     void noteDemand(const state::EndpointId &engine, std::uint32_t promptTokens,
@@ -87,7 +89,14 @@
         std::vector<std::uint32_t> rank;    // the same engines: place in the fleet-wide order
         std::vector<EngineView *> ranked;   // the same engines in the fleet-wide order
     };
+    // Seconds of long prefill a second, exponentially averaged.
+    struct LongDemand
+    {
+        double rate = 0; // at `at`
+        state::Instant at;
+    };
 
+    double decayed(const LongDemand &demand, state::Instant now) const;
     void rebuild();
     bool mayTake(const EngineView &view, std::size_t index, const Watched &set,
                  const ChoiceQuery &query) const;
@@ -103,6 +112,7 @@
     std::mt19937_64 random;
     std::unordered_map<state::EndpointId, EngineView> engines;
     std::map<state::ModelName, Watched> byModel;
+    std::map<state::ModelName, LongDemand> longDemand;
     std::uint64_t nextRoundRobin;
     DemandSplit split;
 };
--- a/src/coordination/routing/PassPlacement.cpp
+++ b/src/coordination/routing/PassPlacement.cpp
@@ -50,7 +50,7 @@
 
 bool hasRoom(const Candidate &candidate, const PassRequest &request)
 {
-    return candidate.usable && candidate.answers < profileOf(candidate).slots
+    return candidate.answers < profileOf(candidate).slots
            && candidate.view->freeTokens() >= request.memoryTokens;
 }
 
@@ -100,31 +100,13 @@
     return best;
 }
 
-// Among the first engines in the shared order, as many as the brief requests of now need, the one
-// with the least to do. What a long prefill keeps busy is passed over and its place taken by the
-// next one.
-std::optional<PassChoice> placeBrief(const std::vector<Candidate> &candidates, double seconds,
-                                     const PassRequest &request,
-                                     const PassPlacementSettings &settings)
+// In their part the one with the least to do; outside it only if their part has no place left.
+std::optional<PassChoice> placeBrief(const std::vector<Candidate> &candidates, std::size_t border,
+                                     double seconds, const PassRequest &request)
 {
-    std::size_t briefs = 1;
-    for (const Candidate &candidate : candidates)
-        briefs += candidate.usable ? candidate.briefs : 0;
-    auto open = std::size_t(std::ceil(double(briefs) / settings.briefPerEngine));
-    const Candidate *best = nullptr;
-    double bestCost = 0;
-    for (const Candidate &candidate : candidates) {
-        if (open == 0)
-            break;
-        if (!hasRoom(candidate, request) || candidate.waiting > settings.briefWaitSeconds)
-            continue;
-        --open;
-        if (best == nullptr || briefCost(candidate) < bestCost) {
-            best = &candidate;
-            bestCost = briefCost(candidate);
-        }
-    }
-    // All are busy with long prefill: wherever it can start first.
+    const std::vector<Candidate> part(candidates.begin(),
+                                      candidates.begin() + std::ptrdiff_t(border));
+    const Candidate *best = leastCost(part, request);
     if (best == nullptr)
         best = leastCost(candidates, request);
     if (best == nullptr)
@@ -182,7 +164,7 @@
     std::vector<Helper> helpers;
     for (const Candidate &candidate : candidates) {
         const bool helpsMore = candidate.helped < profileOf(candidate).slots;
-        if (&candidate != &answering && candidate.usable && helpsMore)
+        if (&candidate != &answering && helpsMore)
             helpers.push_back({&candidate, candidate.waiting + besideCost(candidate, settings)});
     }
     std::ranges::stable_sort(helpers, {}, &Helper::cost);
@@ -224,6 +206,20 @@
 
 } // namespace
 
+std::size_t briefEngines(std::size_t count, std::size_t briefs, double longDemand,
+                         const PassPlacementSettings &settings)
+{
+    if (count < 2)
+        return count;
+    const auto roomy = std::size_t(std::ceil(double(briefs + 1) / settings.briefPerEngine));
+    const auto crowded = std::size_t(std::ceil(double(briefs + 1) / settings.briefPerEngineCrowded));
+    const auto wanted = std::size_t(std::ceil(longDemand / settings.longSecondsPerEngine
+                                              + settings.longEnginesBeside));
+    const std::size_t left = count > wanted ? count - wanted : 0;
+    const std::size_t chosen = roomy <= left ? roomy : std::max(crowded, left);
+    return std::clamp(chosen, std::size_t(1), count - 1);
+}
+
 std::optional<PassChoice> placeByPasses(const std::vector<const EngineView *> &engines,
                                         const PassRequest &request,
                                         const PassPlacementSettings &settings)
@@ -245,8 +241,15 @@
     }
     const double seconds =
             state::routes::prefillSeconds(profileOf(candidates.front()), request.promptTokens);
+    std::erase_if(candidates, [](const Candidate &each) { return !each.usable; });
+    std::size_t briefs = 0;
+    for (const Candidate &candidate : candidates)
+        briefs += candidate.briefs;
+    const std::size_t border =
+            briefEngines(candidates.size(), briefs, request.longDemand, settings);
     if (seconds <= settings.briefSeconds)
-        return placeBrief(candidates, seconds, request, settings);
+        return placeBrief(candidates, border, seconds, request);
+    candidates.erase(candidates.begin(), candidates.begin() + std::ptrdiff_t(border));
     return placeLong(candidates, seconds, request, settings);
 }
 
--- a/src/coordination/routing/PassPlacement.h
+++ b/src/coordination/routing/PassPlacement.h
@@ -2,10 +2,10 @@
 // to prefill it.
 //
 // An engine that decodes for someone holds each token back until the pass with all its prefill is
-// done. So prefill that is short beside the pauses callers bear is packed onto few engines, in an
-// order that all entries share, and long prefill goes to the engines where nobody waits for a next
-// token, split over as many of them as pay. The border between the two follows the work that is
-// there now: it is recomputed for each request and needs no memory of past demand.
+// done. So prefill that is short beside the pauses callers bear is packed onto the first engines of
+// an order that all entries share, and long prefill goes to the others, split over as many of them
+// as pay. Where the border lies follows from the brief requests that are being answered and from
+// the long work of the last second or two; nobody decides it, since all entries see the same notes.
 #pragma once
 
 #include "coordination/routing/EngineView.h"
@@ -24,6 +24,7 @@
     double outputTokens = 0; // expected
     std::uint32_t memoryTokens = 0;
     std::vector<state::EndpointId> avoid; // engines that have failed it before
+    double longDemand = 0; // seconds of long prefill that all entries send in a second
 };
 
 struct PassChoice
@@ -35,6 +36,10 @@
     double completionSeconds = 0; // from now, as predicted
 };
 
+// Engines, of `count` usable ones, that are for brief requests while `briefs` of them are answered.
+std::size_t briefEngines(std::size_t count, std::size_t briefs, double longDemand,
+                         const PassPlacementSettings &settings);
+
 // `engines`: those of the request's model in the order that all entries share, advanced to now, each
 // with a profile. Nothing if none has a place and the memory now.
 std::optional<PassChoice> placeByPasses(const std::vector<const EngineView *> &engines,
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -470,6 +470,7 @@
         const bool begun = co_await this->beginAnswer(headers);
         if (!begun)
             co_return false;
+        this->notePause();
         const auto sent = co_await this->exchange.write(events);
         if (sent)
             co_return true;
@@ -478,6 +479,15 @@
         co_return false;
     }
 
+    void notePause()
+    {
+        const state::Instant now = monotonicNow();
+        if (this->lastEventAt != state::Instant{})
+            this->outcome.longestPause =
+                    std::max(this->outcome.longestPause, now - this->lastEventAt);
+        this->lastEventAt = now;
+    }
+
     asio::awaitable<bool> beginAnswer(const protocol::HttpHeaders &headers)
     {
         if (this->facts.answerBegun)
@@ -558,6 +568,7 @@
     RelayRequest request;
     const Route *route = nullptr; // of `routes`
     state::Instant deadline;
+    state::Instant lastEventAt;
     CallFacts facts;
     RelayOutcome outcome;
     coordination::relay::EventSplitter events;
