Routing: engines with own prefill waiting do not help others

Cause: engines prefill parts for others ahead of their own requests, so a request on an engine that is also asked to help starves (predicted 0.8 s, seen 8.3 s).

--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -88,6 +88,7 @@
     flight.plan.parts = {{choice->engine, 0, request.promptTokens, 0, false}};
     flight.helpers = choice->helpers;
     flight.partSeconds = choice->partSeconds;
+    flight.predictedFirst = toDuration(choice->firstEventSeconds);
     ++flight.attempt;
     this->dispatchNext(flight);
     return true;
--- a/src/coordination/admission/DispatcherPlacing.cpp
+++ b/src/coordination/admission/DispatcherPlacing.cpp
@@ -187,6 +187,7 @@
     dispatch.final = flight.running == last && to == part.to;
     dispatch.resumeOffset = flight.received;
     dispatch.helpers = flight.helpers;
+    dispatch.predictedFirst = flight.predictedFirst;
     if (flight.span) {
         dispatch.lease = this->leaseOf(flight, flight.running);
         for (std::size_t each = 0; each < flight.running; ++each) {
--- a/src/coordination/routing/PassPlacement.cpp
+++ b/src/coordination/routing/PassPlacement.cpp
@@ -20,6 +20,7 @@
     std::size_t briefs = 0;      // of them with a tight pause
     std::size_t longs = 0;       // the others
     std::size_t helped = 0;      // parts that it prefills for others
+    double ownWaiting = 0;       // seconds of prefill for requests that it answers itself
     bool usable = false;
 };
 
@@ -34,6 +35,7 @@
             continue;
         }
         ++sum.answers;
+        sum.ownWaiting += view.prefillSeconds(resident.prefillLeft);
         sum.context += resident.promptTokens;
         const bool tight = resident.pauseSeconds > 0
                            && resident.pauseSeconds < settings.tightPauseSeconds;
@@ -157,14 +159,21 @@
     double cost = 0; // its waiting prefill, and what long prefill costs there
 };
 
+// An engine prefills parts for others ahead of its own requests. Were it given more of them while
+// one of its own waits, that one would starve: it was seen to wait ten times as long as predicted.
+bool mayHelp(const Candidate &candidate, const PassPlacementSettings &settings)
+{
+    return candidate.helped < profileOf(candidate).slots
+           && candidate.ownWaiting <= settings.ownWaitingOfHelper;
+}
+
 std::vector<Helper> helpersByCost(const std::vector<Candidate> &candidates,
                                   const Candidate &answering,
                                   const PassPlacementSettings &settings)
 {
     std::vector<Helper> helpers;
     for (const Candidate &candidate : candidates) {
-        const bool helpsMore = candidate.helped < profileOf(candidate).slots;
-        if (&candidate != &answering && helpsMore)
+        if (&candidate != &answering && mayHelp(candidate, settings))
             helpers.push_back({&candidate, candidate.waiting + besideCost(candidate, settings)});
     }
     std::ranges::stable_sort(helpers, {}, &Helper::cost);
--- a/src/coordination/routing/PassPlacementSettings.h
+++ b/src/coordination/routing/PassPlacementSettings.h
@@ -24,6 +24,7 @@
     // Cost of one more helper, as time to the first token: each one stalls whoever decodes there,
     // and one more engine must stay alive.
     double helperSeconds = 0.015;
+    double ownWaitingOfHelper = 0.02; // seconds of prefill for its own requests that a helper may have
     std::size_t mostHelpers = 16; // bound of the engines' interface
     // Costs of prefilling long where others decode, as time to the first token: whose pauses are
     // tight (brief requests from before the border moved), and who decodes long work itself.
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -181,6 +181,7 @@
         placement.from = action.from;
         placement.to = action.to;
         placement.final = action.final;
+        placement.predictedFirst = action.predictedFirst;
         for (const state::EndpointId &helper : action.helpers) {
             const auto helping = table->endpoints.find(helper);
             if (helping != table->endpoints.end())
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -84,6 +84,7 @@
               {"helpers", std::uint64_t(outcome.helpers)},
               {"resumed", outcome.resumed ? "yes" : "no"},
               {"first_us", std::int64_t(outcome.firstAnswer.count())},
+              {"predicted_first_us", std::int64_t(outcome.predictedFirst.count())},
               {"longest_pause_us", std::int64_t(outcome.longestPause.count())},
               {"total_us", std::int64_t(outcome.total.count())},
               {"reason", outcome.reason}});
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -235,6 +235,7 @@
         target.priority = placement.priority;
         target.helpers = placement.helpers;
         this->attemptNumber = placement.attempt;
+        this->outcome.predictedFirst = placement.predictedFirst;
         co_return co_await this->attempt(std::move(target));
     }
 
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -40,6 +40,7 @@
     bool resumed = false;
     std::string reason; // of a failure or refusal
     state::Duration firstAnswer{};
+    state::Duration predictedFirst{}; // as the last placement expected it
     state::Duration longestPause{}; // between two writes to the caller, of a stream
     state::Duration total{};
 };
--- a/src/program/Scheduler.h
+++ b/src/program/Scheduler.h
@@ -53,6 +53,7 @@
     std::uint32_t to = 0;
     bool final = true; // the answer is generated behind it; else it is a slice
     std::vector<state::Address> helpers; // engines that prefill as much of the prompt, each
+    state::Duration predictedFirst{0};   // from placing to the first event; 0: not predicted
 
     auto operator<=>(const Placement &) const = default;
 };
