--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -82,6 +82,15 @@
         std::vector<state::EndpointId> failed; // engines that have failed this request
         std::uint32_t runs = 0;                // of them, those that may have run it
 
+        // Memory at the first helpers, for a prompt that its engine can't hold.
+        struct Ticket
+        {
+            routing::MemoryShare share;
+            std::string lease;
+            bool granted = false;
+        };
+        std::vector<Ticket> tickets;
+
         bool needs(const state::EndpointId &engine) const;
     };
     using Flights = std::unordered_map<state::RequestId, Flight>;
@@ -136,7 +145,12 @@
     bool placeByPasses(Flight &flight);
     std::optional<Refuse> lateRefusal(const CompletionRequest &request,
                                       const routing::PassChoice &choice) const;
+    state::Duration patienceOf(const CompletionRequest &request,
+                               const routing::PassChoice &choice) const;
     routing::PassRequest passRequestOf(const CompletionRequest &request) const;
+    void reserveTickets(Flight &flight, const std::vector<routing::MemoryShare> &memory);
+    void ticketAnswered(Flight &flight, const ReservationAnswered &event);
+    void releaseTickets(Flight &flight);
     std::uint32_t partTokens(const Flight &flight) const;
     void applyNote(const routing::WorkNote &note);
 
--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -147,6 +147,7 @@
         ++this->tally.retried;
     ++flight.attempt;
     if (!flight.span) {
+        this->releaseTickets(flight);
         flight.plan = {};
         this->enqueue(flight, true);
         return;
@@ -183,10 +184,14 @@
     note.outputTokens =
             std::uint32_t(request.maximumOutputTokens * this->policy.expectedOutputShare);
     note.memoryTokens = this->partMemory(flight, part);
+    for (const Flight::Ticket &ticket : flight.tickets)
+        note.memoryTokens -= std::min(note.memoryTokens, ticket.share.tokens);
     note.chargedTokens = chargedTokens;
     note.priority = priority;
     note.pause = request.pause;
     note.helpers = flight.helpers;
+    for (const Flight::Ticket &ticket : flight.tickets)
+        note.helperMemory.push_back(ticket.share.tokens);
     note.lifetime = std::max(request.deadline - this->now, state::Duration(1));
     this->on(PeerWorkNoted{note});
     if (this->policy.shareWork)
--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -3,6 +3,7 @@
 #include "coordination/admission/Dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lavenderthread::coordination::admission {
 
@@ -59,7 +60,8 @@
     if (request.firstTarget > state::Duration(0)) {
         const state::Duration bound = std::chrono::duration_cast<state::Duration>(
                 request.firstTarget * this->policy.lateTolerance);
-        over = std::max(over, waited + first - bound);
+        over = std::max({over, waited + first - bound,
+                         toDuration(choice.waitingSeconds) - this->patienceOf(request, choice)});
     }
     if (over <= state::Duration(0))
         return std::nullopt;
@@ -67,6 +69,15 @@
                   std::clamp(over, shortestRetryAfter, longestRetryAfter), Ran::No};
 }
 
+state::Duration Dispatcher::patienceOf(const CompletionRequest &request,
+                                       const routing::PassChoice &choice) const
+{
+    const routing::PassPlacementSettings &terms = this->policy.passes;
+    const double ratio = std::max(1.0, choice.secondsPerToken / terms.usualSecondsPerToken);
+    const double share = terms.waitingShare / std::pow(ratio, terms.costPower);
+    return std::chrono::duration_cast<state::Duration>(request.firstTarget * share);
+}
+
 bool Dispatcher::placeByPasses(Flight &flight)
 {
     const CompletionRequest &request = flight.request;
@@ -90,7 +101,10 @@
     flight.partSeconds = choice->partSeconds;
     flight.predictedFirst = toDuration(choice->firstEventSeconds);
     ++flight.attempt;
-    this->dispatchNext(flight);
+    if (choice->memory.empty())
+        this->dispatchNext(flight);
+    else
+        this->reserveTickets(flight, choice->memory);
     return true;
 }
 
@@ -114,9 +128,11 @@
                                           this->now);
         }
     }
-    for (const state::EndpointId &helper : note.helpers) {
-        if (routing::EngineView *view = this->engines.find(helper))
-            view->applyHelp(note, this->now);
+    for (std::size_t index = 0; index < note.helpers.size(); ++index) {
+        const std::uint32_t memory =
+                index < note.helperMemory.size() ? note.helperMemory[index] : 0;
+        if (routing::EngineView *view = this->engines.find(note.helpers[index]))
+            view->applyHelp(note, memory, this->now);
     }
 }
 
--- a/src/coordination/admission/DispatcherPlacing.cpp
+++ b/src/coordination/admission/DispatcherPlacing.cpp
@@ -187,6 +187,8 @@
     dispatch.final = flight.running == last && to == part.to;
     dispatch.resumeOffset = flight.received;
     dispatch.helpers = flight.helpers;
+    for (const Flight::Ticket &ticket : flight.tickets)
+        dispatch.helperLeases.push_back(ticket.lease);
     dispatch.predictedFirst = flight.predictedFirst;
     if (flight.span) {
         dispatch.lease = this->leaseOf(flight, flight.running);
--- a/src/coordination/admission/DispatcherSpans.cpp
+++ b/src/coordination/admission/DispatcherSpans.cpp
@@ -58,6 +58,10 @@
 {
     const auto found = this->flights.find(event.id);
     Flight *flight = found == this->flights.end() ? nullptr : &found->second;
+    if (flight != nullptr && !flight->tickets.empty()) {
+        this->ticketAnswered(*flight, event);
+        return;
+    }
     std::optional<std::size_t> part;
     for (std::size_t each = 0; flight != nullptr && each < flight->plan.parts.size(); ++each) {
         if (this->leaseOf(*flight, each) == event.lease)
@@ -96,6 +100,7 @@
 
 void Dispatcher::giveBack(Flight &flight)
 {
+    this->releaseTickets(flight);
     if (this->spans.erase(flight.request.id) == 0)
         return;
     // Also what was asked for and not answered yet: its grant may be under way.
@@ -110,6 +115,10 @@
 void Dispatcher::renew(Flight &flight)
 {
     flight.renewAt = this->now + this->policy.reservationTtl / renewalsPerTtl;
+    for (const Flight::Ticket &ticket : flight.tickets) {
+        this->actions.emplace_back(Reserve{flight.request.id, ticket.share.engine, ticket.lease,
+                                           ticket.share.tokens, this->policy.reservationTtl});
+    }
     for (std::size_t each = 0; each < flight.plan.parts.size(); ++each) {
         if (!flight.plan.parts[each].reserved)
             continue;
--- a/src/coordination/admission/Events.h
+++ b/src/coordination/admission/Events.h
@@ -185,6 +185,7 @@
     std::string lease;              // the reservation that the range fills; empty if none
     std::vector<KvSource> imports;
     std::vector<state::EndpointId> helpers; // prefill as much of the prompt as the engine, each
+    std::vector<std::string> helperLeases;  // memory reserved at the first of them, in their order
     state::Duration predictedFirst{0};      // from now to the first event; 0: not predicted
 };
 
--- a/src/coordination/routing/EngineView.cpp
+++ b/src/coordination/routing/EngineView.cpp
@@ -80,17 +80,19 @@
     this->work.insert(place, resident);
 }
 
-// Helpers keep nothing of the prompt: their part is over with the first token. They prefill it
-// ahead of what waits there, whatever its priority.
-void EngineView::applyHelp(const WorkNote &note, state::Instant now)
+// A helper without reserved memory keeps nothing of the prompt: its part is over with the first
+// token. It prefills it ahead of what waits there, whatever its priority.
+void EngineView::applyHelp(const WorkNote &note, std::uint32_t memoryTokens, state::Instant now)
 {
     this->advance(now);
     std::erase_if(this->work, [&](const Resident &each) { return each.work == note.work; });
-    if (note.stage != WorkStage::Dispatched)
+    const bool prefills = note.stage == WorkStage::Dispatched;
+    if (note.stage == WorkStage::Ended || (!prefills && memoryTokens == 0))
         return;
     Resident part;
     part.work = note.work;
-    part.prefillLeft = double(note.prefillTokens);
+    part.prefillLeft = prefills ? double(note.prefillTokens) : 0;
+    part.memoryTokens = memoryTokens;
     part.expires = now + note.lifetime;
     part.helping = true;
     this->insert(part);
@@ -120,7 +122,7 @@
         return;
     const double elapsed = toSeconds(now - this->advancedTo);
     this->advancedTo = now;
-    double budget = elapsed / this->prefillSeconds(1);
+    double budget = elapsed * this->prefillSpeed() / this->prefillSeconds(1);
     const double offered = budget;
     for (Resident &resident : this->work) {
         const double done = std::min(budget, resident.prefillLeft);
@@ -142,6 +144,29 @@
     this->dropExpired(now);
 }
 
+// The share of its time that an engine prefills while it also decodes: each pass has both, and
+// takes in what waits when it begins, up to so much prefill.
+double EngineView::prefillSpeed() const
+{
+    if (!this->declared)
+        return 1;
+    double decoding = 0;
+    double context = 0;
+    for (const Resident &resident : this->work) {
+        if (!resident.decoding)
+            continue;
+        decoding += 1;
+        context += resident.promptTokens;
+    }
+    if (decoding == 0)
+        return 1;
+    constexpr double leastPrefill = 0.1; // seconds of a pass, so that a trickle does not stand still
+    constexpr double mostPrefill = 0.8;  // what fits one pass, with the pairs of a long prompt
+    const double prefill = std::clamp(this->prefillSecondsLeft(), leastPrefill, mostPrefill);
+    const double decode = state::routes::decodePassSeconds(*this->declared, decoding, context);
+    return prefill / (prefill + decode);
+}
+
 void EngineView::dropExpired(state::Instant now)
 {
     // A peer that died sends no end of its work; past the deadline nobody waits for it any more.
--- a/src/coordination/routing/EngineView.h
+++ b/src/coordination/routing/EngineView.h
@@ -50,7 +50,7 @@
         this->declared = std::move(profile);
     }
     // The part of that work that this engine, as one of its helpers, prefills.
-    void applyHelp(const WorkNote &note, state::Instant now);
+    void applyHelp(const WorkNote &note, std::uint32_t memoryTokens, state::Instant now);
     void apply(const WorkNote &note, state::Instant now);
     void apply(const state::LoadReport &report, state::Instant now);
     void advance(state::Instant now); // lets the estimated work proceed up to now
@@ -58,7 +58,8 @@
     double prefillSeconds(double tokens) const;
     // Prefill that goes before a newcomer of that priority, in seconds. Needs advance(now).
     double secondsAhead(std::uint8_t priority) const;
-    double prefillSecondsLeft() const; // of all residents
+    double prefillSecondsLeft() const; // of all residents, as engine time
+    double prefillSpeed() const;       // engine time for prefill in a second, beside decoding
     double decodeStepSeconds() const;
     std::uint64_t freeTokens() const;  // memory neither known nor reported as claimed
     std::uint32_t outstanding() const; // requests, own and reported
--- a/src/coordination/routing/PassPlacement.cpp
+++ b/src/coordination/routing/PassPlacement.cpp
@@ -14,7 +14,8 @@
 struct Candidate
 {
     const EngineView *view = nullptr;
-    double waiting = 0;  // seconds of prefill that is there already
+    double speed = 1;    // of prefill, beside what it decodes
+    double waiting = 0;  // seconds until the prefill that is there is done
     double context = 0;  // tokens of the requests that it answers
     std::size_t answers = 0;     // requests that it answers
     std::size_t briefs = 0;      // of them with a tight pause
@@ -28,7 +29,8 @@
 {
     Candidate sum;
     sum.view = &view;
-    sum.waiting = view.prefillSecondsLeft();
+    sum.speed = view.prefillSpeed();
+    sum.waiting = view.prefillSecondsLeft() / sum.speed;
     for (const Resident &resident : view.residents()) {
         if (resident.helping) {
             sum.helped += resident.prefillLeft > 0 ? 1 : 0;
@@ -70,9 +72,12 @@
                     const PassRequest &request)
 {
     const EngineProfile &profile = profileOf(answering);
+    choice.waitingSeconds = waiting;
+    choice.secondsPerToken = state::routes::prefillSeconds(profile, request.promptTokens)
+                             / std::max(1.0, double(request.promptTokens));
     choice.engine = answering.view->description().id;
-    choice.firstEventSeconds =
-            waiting + choice.partSeconds + passSeconds(answering, request);
+    choice.firstEventSeconds = waiting + choice.partSeconds / answering.speed
+                               + passSeconds(answering, request);
     const double events = std::ceil(request.outputTokens / profile.stridePerPass);
     choice.completionSeconds =
             choice.firstEventSeconds
@@ -129,22 +134,46 @@
     return cost;
 }
 
-// Answers of long work gather on few engines too, so that the others prefill without pauses that
-// anybody would notice.
-const Candidate *answeringEngine(const std::vector<Candidate> &candidates,
-                                 const PassRequest &request, const PassPlacementSettings &settings)
+// Engines at the end of the order, of `candidates`, that answer long requests: as many as have the
+// places and the memory for those that are there and one more.
+std::size_t answeringEngines(const std::vector<Candidate> &candidates, const PassRequest &request,
+                             const PassPlacementSettings &settings)
+{
+    if (candidates.size() < 2)
+        return candidates.size();
+    std::size_t answers = 1;
+    double memory = request.memoryTokens;
+    double capacity = 0;
+    for (const Candidate &candidate : candidates) {
+        const double all = double(profileOf(candidate).kvCapacityTokens);
+        answers += candidate.longs;
+        memory += all - std::min(all, double(candidate.view->freeTokens()));
+        capacity += all;
+    }
+    const double engineMemory = capacity / double(candidates.size()) * settings.answeringMemoryShare;
+    const double byPlaces = double(answers) / settings.longPerEngine;
+    const double byMemory = engineMemory > 0 ? memory / engineMemory : 0;
+    const auto wanted = std::size_t(std::ceil(std::max(byPlaces, byMemory)));
+    return std::clamp(wanted, std::size_t(1), candidates.size() - 1);
+}
+
+// The one with the least to do among those with a place and, unless the memory is shared, room. In
+// the answering part first: an engine that decodes takes in what it prefills only at the start of a
+// pass, so those that only help are kept free of answers.
+const Candidate *answeringEngine(const std::vector<Candidate> &candidates, std::size_t part,
+                                 bool shared, const PassRequest &request,
+                                 const PassPlacementSettings &settings)
 {
     const Candidate *best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
-    for (const Candidate &candidate : candidates) {
-        if (!hasRoom(candidate, request))
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const Candidate &candidate = candidates[index];
+        const bool slot = candidate.answers < profileOf(candidate).slots;
+        if (shared ? !slot : !hasRoom(candidate, request))
             continue;
-        double cost = candidate.waiting;
+        double cost = briefCost(candidate);
         cost += candidate.briefs > 0 ? settings.besideTightSeconds : 0;
-        const double crowd = double(candidate.longs) / settings.longPerEngine;
-        // An engine that answers some long work already is better than a new one, until it is full.
-        cost += candidate.longs > 0 && crowd < 1 ? 0 : settings.besideDecodingSeconds;
-        cost += crowd >= 1 ? settings.besideDecodingSeconds * crowd : 0;
+        cost += index + part < candidates.size() ? settings.outsideAnsweringSeconds : 0;
         if (cost < bestCost) {
             best = &candidate;
             bestCost = cost;
@@ -167,18 +196,68 @@
            && candidate.ownWaiting <= settings.ownWaitingOfHelper;
 }
 
+// Where what the answering engine can't hold is kept: at the engines with the most free memory.
+// Empty if they can't hold it together either.
+std::vector<MemoryShare> shareMemory(const std::vector<Candidate> &candidates,
+                                     const Candidate &answering, const PassRequest &request,
+                                     const PassPlacementSettings &settings)
+{
+    std::vector<const Candidate *> roomy;
+    for (const Candidate &candidate : candidates) {
+        if (&candidate != &answering && mayHelp(candidate, settings))
+            roomy.push_back(&candidate);
+    }
+    std::ranges::stable_sort(roomy, std::greater<>(), [](const Candidate *candidate) {
+        return candidate->view->freeTokens();
+    });
+    const double own = double(answering.view->freeTokens()) * settings.memoryShare;
+    double left = double(request.memoryTokens) - own;
+    std::vector<MemoryShare> shares;
+    for (const Candidate *candidate : roomy) {
+        if (left <= 0 || shares.size() == settings.mostMemoryHelpers)
+            break;
+        const double room = double(candidate->view->freeTokens()) * settings.memoryShare;
+        const double taken = std::min(left, room);
+        if (taken < 1)
+            break;
+        shares.push_back({candidate->view->description().id, std::uint32_t(taken) + 1});
+        left -= taken;
+    }
+    return left <= 0 ? shares : std::vector<MemoryShare>();
+}
+
+// The helpers that hold memory come first, in the order in which it is filled.
+void putFirst(std::vector<Helper> &helpers, const std::vector<MemoryShare> &memory)
+{
+    const auto holds = [&](const Helper &helper) {
+        return std::ranges::find(memory, helper.candidate->view->description().id,
+                                 &MemoryShare::engine)
+               != memory.end();
+    };
+    std::ranges::stable_partition(helpers, holds);
+    const auto place = [&](const Helper &helper) {
+        return std::ranges::find(memory, helper.candidate->view->description().id,
+                                 &MemoryShare::engine)
+               - memory.begin();
+    };
+    std::ranges::stable_sort(helpers.begin(),
+                             helpers.begin() + std::ptrdiff_t(memory.size()), {}, place);
+}
+
 std::vector<Helper> helpersByCost(const std::vector<Candidate> &candidates,
-                                  const Candidate &answering,
+                                  std::size_t answeringPart, const Candidate &answering,
                                   const PassPlacementSettings &settings)
 {
     std::vector<Helper> helpers;
-    for (const Candidate &candidate : candidates) {
-        if (&candidate != &answering && mayHelp(candidate, settings))
-            helpers.push_back({&candidate, candidate.waiting + besideCost(candidate, settings)});
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const Candidate &candidate = candidates[index];
+        if (&candidate == &answering || !mayHelp(candidate, settings))
+            continue;
+        double cost = candidate.waiting + besideCost(candidate, settings);
+        cost += index + answeringPart >= candidates.size() ? settings.helpingAnswersSeconds : 0;
+        helpers.push_back({&candidate, cost});
     }
     std::ranges::stable_sort(helpers, {}, &Helper::cost);
-    if (helpers.size() > settings.mostHelpers)
-        helpers.resize(settings.mostHelpers);
     return helpers;
 }
 
@@ -187,15 +266,29 @@
                                     const PassRequest &request,
                                     const PassPlacementSettings &settings)
 {
-    const Candidate *answering = answeringEngine(candidates, request, settings);
-    if (answering == nullptr)
-        return std::nullopt;
-    const std::vector<Helper> helpers = helpersByCost(candidates, *answering, settings);
+    PassChoice choice;
+    const std::size_t part = answeringEngines(candidates, request, settings);
+    const Candidate *answering = answeringEngine(candidates, part, false, request, settings);
+    if (answering == nullptr) {
+        answering = answeringEngine(candidates, part, true, request, settings);
+        if (answering == nullptr)
+            return std::nullopt;
+        choice.memory = shareMemory(candidates, *answering, request, settings);
+        if (choice.memory.empty())
+            return std::nullopt;
+    }
+    std::vector<Helper> helpers = helpersByCost(candidates, part, *answering, settings);
+    putFirst(helpers, choice.memory);
+    helpers.resize(std::min(helpers.size(), settings.mostHelpers));
     const double ownCost = answering->waiting + besideCost(*answering, settings);
-    std::size_t bestCount = 0;
-    double bestCost = ownCost + seconds;
+    const std::size_t least = choice.memory.size(); // the holders of memory all help
+    std::size_t bestCount = least;
+    double bestCost = least == 0 ? ownCost + seconds : std::numeric_limits<double>::max();
+    double last = ownCost;
     for (std::size_t count = 1; count <= helpers.size(); ++count) {
-        const double last = std::max(ownCost, helpers[count - 1].cost);
+        last = std::max(last, helpers[count - 1].cost);
+        if (count < least)
+            continue;
         const double cost = last + seconds / double(count + 1)
                             + settings.helperSeconds * double(count);
         if (cost < bestCost) {
@@ -203,7 +296,6 @@
             bestCount = count;
         }
     }
-    PassChoice choice;
     choice.partSeconds = seconds / double(bestCount + 1);
     double waiting = answering->waiting;
     for (std::size_t index = 0; index < bestCount; ++index) {
--- a/src/coordination/routing/PassPlacement.h
+++ b/src/coordination/routing/PassPlacement.h
@@ -27,11 +27,23 @@
     double longDemand = 0; // seconds of long prefill that all entries send in a second
 };
 
+// Memory that is to be reserved at a helper, for a prompt that the answering engine can't hold.
+struct MemoryShare
+{
+    state::EndpointId engine;
+    std::uint32_t tokens = 0;
+
+    auto operator<=>(const MemoryShare &) const = default;
+};
+
 struct PassChoice
 {
     state::EndpointId engine; // answers, and prefills the first part
     std::vector<state::EndpointId> helpers;
+    std::vector<MemoryShare> memory; // at the first of the helpers, in their order
     double partSeconds = 0;       // prefill at each of them
+    double waitingSeconds = 0;    // of the first event's time, before the prefill begins
+    double secondsPerToken = 0;   // engine time for the prompt's prefill, over its tokens
     double firstEventSeconds = 0; // from now, as predicted
     double completionSeconds = 0; // from now, as predicted
 };
--- a/src/coordination/routing/PassPlacementSettings.h
+++ b/src/coordination/routing/PassPlacementSettings.h
@@ -27,12 +27,29 @@
     double ownWaitingOfHelper = 0.02; // seconds of prefill for its own requests that a helper may have
     std::size_t mostHelpers = 16; // bound of the engines' interface
     // Costs of prefilling long where others decode, as time to the first token: whose pauses are
-    // tight (brief requests from before the border moved), and who decodes long work itself.
+    // tight (brief requests from before the border moved), and who decodes long work itself. Such
+    // an engine takes a part in only when its pass is over, and gives it back when the next one is.
     double besideTightSeconds = 0.5;
-    double besideDecodingSeconds = 0.12;
+    double besideDecodingSeconds = 0.25;
+    // Of helping where long answers gather, and of answering elsewhere.
+    double helpingAnswersSeconds = 0.4;
+    double outsideAnsweringSeconds = 0.4;
+    double answeringMemoryShare = 0.8; // of an answering engine's memory that is meant to be used
+    // Under load the longest prompts are turned away first: they cost the most engine time for each
+    // of their tokens, since that grows with their length. Waiting for a part may take this share of
+    // the time to the first token as asked, for a prompt that costs `usualSecondsPerToken`, and less
+    // by the ratio of the costs to this power for a longer one.
+    double waitingShare = 0.5;
+    double usualSecondsPerToken = 13e-6;
+    double costPower = 2;
     double tightPauseSeconds = 0.3; // pauses below it are tight
-    // Long requests that one engine answers at most before others are preferred for it.
-    double longPerEngine = 6;
+    // Prompts larger than an engine's memory keep the rest at helpers: the share of an engine's free
+    // memory that one prompt may take there, and how many helpers hold some.
+    double memoryShare = 0.8;
+    std::size_t mostMemoryHelpers = 6;
+    // Long requests that one engine is meant to answer at once: each makes the passes of the others
+    // longer by its context.
+    double longPerEngine = 4;
 
     auto operator<=>(const PassPlacementSettings &) const = default;
 };
--- a/src/coordination/routing/WorkNote.h
+++ b/src/coordination/routing/WorkNote.h
@@ -34,6 +34,7 @@
     state::Duration lifetime{0};     // until its deadline, after which receivers forget it
     state::Duration pause{0};        // that its caller bears between two events; 0: not known
     std::vector<state::EndpointId> helpers; // engines that prefill as much of the prompt, each
+    std::vector<std::uint32_t> helperMemory; // tokens reserved at the first helpers, in their order
 
     auto operator<=>(const WorkNote &) const = default;
 
@@ -44,7 +45,7 @@
         std::int64_t pauseUs = this->pause.count();
         archive(this->stage, this->work, this->engine, this->key, this->promptTokens,
                 this->prefillTokens, this->outputTokens, this->memoryTokens, this->chargedTokens,
-                this->priority, lifetimeUs, pauseUs, this->helpers);
+                this->priority, lifetimeUs, pauseUs, this->helpers, this->helperMemory);
         this->lifetime = state::Duration(lifetimeUs);
         this->pause = state::Duration(pauseUs);
     }
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -31,6 +31,10 @@
 namespace {
 
 constexpr milliseconds engineCallTimeout{2'000};
+// An engine answers a reservation within a few milliseconds or not at all.
+constexpr milliseconds reserveAnswerTime{400};
+constexpr milliseconds releaseAnswerTime{500};
+constexpr milliseconds releaseTime{3'500}; // the lease has ended by itself then
 
 Problem problemOf(const admission::Refuse &refusal)
 {
@@ -182,10 +186,12 @@
         placement.to = action.to;
         placement.final = action.final;
         placement.predictedFirst = action.predictedFirst;
-        for (const state::EndpointId &helper : action.helpers) {
-            const auto helping = table->endpoints.find(helper);
+        for (std::size_t index = 0; index < action.helpers.size(); ++index) {
+            const auto helping = table->endpoints.find(action.helpers[index]);
+            const std::string lease =
+                    index < action.helperLeases.size() ? action.helperLeases[index] : "";
             if (helping != table->endpoints.end())
-                placement.helpers.push_back(helping->second.description.address);
+                placement.helpers.push_back({helping->second.description.address, lease});
         }
         this->answer(action.id, placement);
     }
@@ -226,6 +232,16 @@
             return;
         }
         const auto ttl = std::chrono::ceil<milliseconds>(action.ttl);
+        const state::EndpointDescription &engine = known->second.description;
+        if (this->profileOf(engine) && this->hooks.memory.reserve) {
+            this->send(this->hooks.memory.reserve(action.lease, action.tokens, ttl), engine.address,
+                       reserveAnswerTime, [this, action](unsigned status) {
+                           this->handle(admission::ReservationAnswered{
+                                   action.id, action.engine, action.lease,
+                                   this->hooks.memory.granted(status)});
+                       });
+            return;
+        }
         this->callEngine("POST", "/engine/reservations", known->second.description.address,
                          boost::json::serialize(boost::json::object{{"lease", action.lease},
                                                                     {"tokens", action.tokens},
@@ -237,7 +253,13 @@
     {
         const auto table = this->registry->table();
         const auto known = table->endpoints.find(action.engine);
-        if (known != table->endpoints.end())
+        if (known == table->endpoints.end())
+            return;
+        if (this->profileOf(known->second.description) && this->hooks.memory.release)
+            this->releaseUntilAnswered(this->hooks.memory.release(action.lease),
+                                       known->second.description.address,
+                                       monotonicNow() + releaseTime);
+        else
             this->callEngine("DELETE", "/engine/reservations/" + action.lease,
                              known->second.description.address, {});
     }
@@ -263,8 +285,30 @@
         request.target = target;
         request.headers.add("Content-Type", "application/json");
         request.body = std::move(body);
+        this->send(std::move(request), std::move(engine), engineCallTimeout, std::move(answered));
+    }
+
+    // A release that is lost would keep the memory until the lease ends, and the next long prompt
+    // out of it. Repeating it harms nothing: lease names are never used twice.
+    void releaseUntilAnswered(protocol::HttpRequest request, state::Address engine,
+                              state::Instant until)
+    {
+        constexpr unsigned answeredFrom = 200;
+        constexpr unsigned serverErrors = 500;
+        this->send(request, engine, releaseAnswerTime,
+                   [this, request, engine, until](unsigned status) {
+                       const bool settled = status >= answeredFrom && status < serverErrors;
+                       if (!settled && monotonicNow() < until)
+                           this->releaseUntilAnswered(request, engine, until);
+                   });
+    }
+
+    void send(protocol::HttpRequest request, state::Address engine, milliseconds timeout,
+              std::function<void(unsigned)> answered)
+    {
         transport::HttpCallLimits limits;
-        limits.timeout = engineCallTimeout;
+        limits.connectTimeout = std::min(limits.connectTimeout, timeout);
+        limits.timeout = timeout;
         asio::co_spawn(
                 this->strand,
                 [](asio::any_io_executor executor, state::Address peer, protocol::HttpRequest call,
--- a/src/program/DispatcherScheduler.h
+++ b/src/program/DispatcherScheduler.h
@@ -4,6 +4,7 @@
 
 #include "coordination/admission/Dispatcher.h"
 #include "program/EndpointRegistry.h"
+#include "program/RelayCodec.h"
 #include "program/Scheduler.h"
 #include "program/Settings.h"
 #include "state/routes/EngineProfile.h"
@@ -24,6 +25,7 @@
         // To the entries that route to the same engines; may be empty for a node alone.
         std::function<void(const coordination::routing::WorkNote &)> shareWork;
         std::function<void(const coordination::admission::BacklogNote &)> shareBacklog;
+        MemoryOrders memory; // for engines that work in declared passes
     };
 
     static std::shared_ptr<DispatcherScheduler>
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -187,6 +187,8 @@
         policy.retryShare = 0.12;
         policy.retryBurst = 4;
         policy.budgetRefused = true;
+        // Memory that a crashed entry leaves behind has to be free within four seconds.
+        policy.reservationTtl = std::chrono::milliseconds(3'500);
         return policy;
     }
 
@@ -249,6 +251,7 @@
         hooks.shareBacklog = [this](const coordination::admission::BacklogNote &note) {
             this->cluster->share(note);
         };
+        hooks.memory = this->deployment.relay.memory;
         return hooks;
     }
 
--- a/src/program/RelayCodec.h
+++ b/src/program/RelayCodec.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "coordination/routing/ReplicaChooser.h"
+#include "program/Scheduler.h"
 #include "protocol/HttpMessage.h"
 #include "state/Endpoint.h"
 #include "state/control/ControlView.h"
@@ -40,7 +41,7 @@
     state::EndpointId endpoint; // any other one refuses it
     state::ClientAccountId account;          // empty: none
     std::optional<unsigned> priority;        // 0 first, 9 last
-    std::vector<state::Address> helpers;     // engines that prefill a part each
+    std::vector<HelperTarget> helpers;       // engines that prefill a part each
     std::optional<std::uint64_t> resumeBehind;
 };
 
@@ -60,6 +61,16 @@
     std::optional<std::chrono::milliseconds> retryAfter; // when to come back
 };
 
+// Reservations of engine memory on this wire.
+struct MemoryOrders
+{
+    std::function<protocol::HttpRequest(const std::string &lease, std::uint32_t tokens,
+                                        std::chrono::milliseconds ttl)>
+            reserve; // also renews
+    std::function<protocol::HttpRequest(const std::string &lease)> release;
+    std::function<bool(unsigned status)> granted;
+};
+
 struct RelayCodec
 {
     // Error: InvalidArgument, for what can't be told from the request.
@@ -70,6 +81,7 @@
                                const state::RequestId &)>
             readHead;
     std::function<protocol::HttpResponse(const RelayRefusal &)> refuse;
+    MemoryOrders memory;
 };
 
 // What the operators' and endpoints' door asks of the product.
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -68,7 +68,7 @@
 {
     state::EndpointDescription endpoint;
     std::optional<unsigned> priority;
-    std::vector<state::Address> helpers;
+    std::vector<HelperTarget> helpers;
 };
 
 // The attempt that runs now, which others may end: the caller's close, or the scheduler.
--- a/src/program/Scheduler.h
+++ b/src/program/Scheduler.h
@@ -42,6 +42,15 @@
     Lost,        // it may have run
 };
 
+// An engine that prefills a part of the prompt for the one that answers.
+struct HelperTarget
+{
+    state::Address address;
+    std::string lease; // of memory reserved there for the prompt; empty if none
+
+    auto operator<=>(const HelperTarget &) const = default;
+};
+
 // One piece of work for one engine: the whole request, or a slice of its prefill.
 struct Placement
 {
@@ -52,7 +61,7 @@
     std::uint32_t from = 0;
     std::uint32_t to = 0;
     bool final = true; // the answer is generated behind it; else it is a slice
-    std::vector<state::Address> helpers; // engines that prefill as much of the prompt, each
+    std::vector<HelperTarget> helpers; // each prefills as much of the prompt as the endpoint
     state::Duration predictedFirst{0};   // from placing to the first event; 0: not predicted
 
     auto operator<=>(const Placement &) const = default;
