Routing: long prompts wait in one order and start one after the other

Cause: engines prefill the newest part first and share the rest, so parts that overlap starve the older prompts (seen: first token after 9 s at a predicted 0.5 s).

--- a/src/coordination/admission/Dispatcher.cpp
+++ b/src/coordination/admission/Dispatcher.cpp
@@ -39,7 +39,7 @@
     const auto consider = [&wake](state::Instant at) { wake = wake ? std::min(*wake, at) : at; };
     if (!this->deadlines.empty())
         consider(this->deadlines.begin()->first);
-    if (this->queue.size() > 0)
+    if (this->queue.size() > 0 || this->longQueue.hasOwn())
         consider(this->now + queueTick);
     if (this->backlogShared)
         consider(this->backlogSharedAt + backlogSharePeriod);
@@ -137,7 +137,9 @@
         if (flight.renewAt <= this->now)
             this->renew(flight);
     }
+    this->refuseHopeless();
     this->pump();
+    this->shareWaiting();
     this->shareBacklog();
 }
 
@@ -158,8 +160,11 @@
     if (found == this->flights.end())
         return;
     Flight &flight = found->second;
-    if (flight.phase == Phase::Queued)
+    if (flight.phase == Phase::Queued && this->isLong(flight.request))
+        this->tellWaiting(flight, routing::WorkStage::Ended);
+    else if (flight.phase == Phase::Queued)
         this->queue.remove(this->queuedOf(flight));
+    this->longQueue.remove(flight.work);
     const bool onEngine = flight.phase == Phase::Prefilling || flight.phase == Phase::Decoding;
     if (onEngine) {
         if (flight.handedOver) {
--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -7,6 +7,7 @@
 
 #include "coordination/admission/Events.h"
 #include "coordination/admission/FairQueue.h"
+#include "coordination/admission/LongQueue.h"
 #include "coordination/admission/RetryBudget.h"
 #include "coordination/routing/Fleet.h"
 #include "coordination/routing/PolicySettings.h"
@@ -143,10 +144,17 @@
     // DispatcherPasses.cpp: engines that work in declared passes
     std::optional<Refuse> refusalByPasses(const CompletionRequest &request);
     bool placeByPasses(Flight &flight);
-    std::optional<Refuse> lateRefusal(const CompletionRequest &request,
-                                      const routing::PassChoice &choice) const;
-    state::Duration patienceOf(const CompletionRequest &request,
-                               const routing::PassChoice &choice) const;
+    std::optional<Refuse> briefRefusal(const CompletionRequest &request);
+    std::optional<Refuse> longRefusal(const CompletionRequest &request, double secondsBefore);
+    std::optional<Refuse> refusalWhenOver(const CompletionRequest &request,
+                                          state::Duration over) const;
+    state::Duration patienceOf(const CompletionRequest &request, double engineSeconds) const;
+    bool isLong(const CompletionRequest &request) const;
+    WaitingPrompt waitingOf(const Flight &flight) const;
+    void pumpLong();
+    void refuseHopeless();
+    void shareWaiting();
+    void tellWaiting(const Flight &flight, routing::WorkStage stage);
     routing::PassRequest passRequestOf(const CompletionRequest &request) const;
     void reserveTickets(Flight &flight, const std::vector<routing::MemoryShare> &memory);
     void ticketAnswered(Flight &flight, const ReservationAnswered &event);
@@ -168,6 +176,8 @@
     DispatcherHooks hooks;
     routing::Fleet engines;
     FairQueue queue;
+    LongQueue longQueue; // own and peers' long prompts for engines that work in passes
+    state::Instant longSharedAt{};
     RetryBudget retries;
     Flights flights;
     std::set<std::pair<state::Instant, state::RequestId>> deadlines; // one for each flight
--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -67,6 +67,12 @@
 void Dispatcher::on(const PeerWorkNoted &event)
 {
     const routing::WorkNote &note = event.note;
+    if (note.stage == routing::WorkStage::Waiting) {
+        const double seconds = std::chrono::duration<double>(note.engineTime).count();
+        this->longQueue.notePeer({note.work, seconds, this->now - note.age}, this->now);
+        return;
+    }
+    this->longQueue.remove(note.work);
     this->applyNote(note);
     if (note.chargedTokens > 0)
         this->queue.charge(note.key, note.chargedTokens, this->now);
--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -2,6 +2,8 @@
 // once, since the engines' own queues cost nothing that waiting here would save.
 #include "coordination/admission/Dispatcher.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -13,6 +15,8 @@
 constexpr state::Duration longestRetryAfter = std::chrono::seconds(5);
 // A place at an engine frees up as the answers there end, a second or two each.
 constexpr state::Duration retryWhenFull = std::chrono::milliseconds(700);
+// Below the life of what peers have told, so that one datagram may be lost.
+constexpr state::Duration waitingSharePeriod = std::chrono::milliseconds(100);
 constexpr state::Duration retryWithoutEngines = std::chrono::seconds(1);
 
 state::Duration toDuration(double seconds)
@@ -42,27 +46,56 @@
 }
 
 std::optional<Refuse> Dispatcher::refusalByPasses(const CompletionRequest &request)
+{
+    if (!this->isLong(request))
+        return this->briefRefusal(request);
+    const std::uint64_t work = XXH3_64bits(request.id.value().data(), request.id.value().size());
+    const routing::LongOutlook outlook =
+            this->engines.longOutlook(request.model, this->passRequestOf(request), this->now);
+    const WaitingPrompt prompt{work, outlook.engineSeconds, request.arrival};
+    return this->longRefusal(request, this->longQueue.secondsBefore(prompt, this->now));
+}
+
+std::optional<Refuse> Dispatcher::briefRefusal(const CompletionRequest &request)
 {
     const auto choice = this->engines.chooseByPasses(request.model, this->passRequestOf(request),
                                                      this->now);
     if (!choice)
         return std::nullopt; // waits for a place; placing it refuses it when it gets too late
-    return this->lateRefusal(request, *choice);
+    const state::Duration waited = this->now - request.arrival;
+    state::Duration over =
+            toDuration(choice->completionSeconds) - (request.deadline - this->now);
+    if (request.firstTarget > state::Duration(0)) {
+        const state::Duration bound = std::chrono::duration_cast<state::Duration>(
+                request.firstTarget * this->policy.lateTolerance);
+        over = std::max(over, waited + toDuration(choice->firstEventSeconds) - bound);
+    }
+    return this->refusalWhenOver(request, over);
 }
 
-std::optional<Refuse> Dispatcher::lateRefusal(const CompletionRequest &request,
-                                              const routing::PassChoice &choice) const
+// `secondsBefore`: engine time of the prompts that wait and go first.
+std::optional<Refuse> Dispatcher::longRefusal(const CompletionRequest &request,
+                                              double secondsBefore)
 {
-    const state::Duration first = toDuration(choice.firstEventSeconds);
-    const state::Duration whole = toDuration(choice.completionSeconds);
-    const state::Duration waited = this->now - request.arrival;
+    const routing::LongOutlook outlook =
+            this->engines.longOutlook(request.model, this->passRequestOf(request), this->now);
+    if (outlook.engines == 0)
+        return std::nullopt; // waits for an engine to come up
+    const state::Duration start =
+            toDuration(outlook.backlogSeconds + secondsBefore / double(outlook.engines));
+    const state::Duration first = start + toDuration(outlook.prefillSeconds);
+    const state::Duration whole = first + toDuration(outlook.completionSeconds);
     state::Duration over = whole - (request.deadline - this->now);
     if (request.firstTarget > state::Duration(0)) {
-        const state::Duration bound = std::chrono::duration_cast<state::Duration>(
-                request.firstTarget * this->policy.lateTolerance);
-        over = std::max({over, waited + first - bound,
-                         toDuration(choice.waitingSeconds) - this->patienceOf(request, choice)});
+        const state::Duration waited = this->now - request.arrival;
+        over = std::max(over, waited + start - this->patienceOf(request, outlook.engineSeconds));
     }
+    return this->refusalWhenOver(request, over);
+}
+
+std::optional<Refuse> Dispatcher::refusalWhenOver(const CompletionRequest &request,
+                                                  state::Duration over) const
+{
     if (over <= state::Duration(0))
         return std::nullopt;
     return Refuse{request.id, RefusalReason::Deadline,
@@ -70,20 +103,91 @@
 }
 
 state::Duration Dispatcher::patienceOf(const CompletionRequest &request,
-                                       const routing::PassChoice &choice) const
+                                       double engineSeconds) const
 {
     const routing::PassPlacementSettings &terms = this->policy.passes;
-    const double ratio = std::max(1.0, choice.secondsPerToken / terms.usualSecondsPerToken);
+    const double perToken = engineSeconds / std::max(1.0, double(request.promptTokens));
+    const double ratio = std::max(1.0, perToken / terms.usualSecondsPerToken);
     const double share = terms.waitingShare / std::pow(ratio, terms.costPower);
     return std::chrono::duration_cast<state::Duration>(request.firstTarget * share);
 }
 
+bool Dispatcher::isLong(const CompletionRequest &request) const
+{
+    return this->engines.isLong(request.model, request.promptTokens);
+}
+
+WaitingPrompt Dispatcher::waitingOf(const Flight &flight) const
+{
+    const routing::EngineView *view = nullptr;
+    for (const state::EndpointId &id : this->engines.watched(flight.request.model)) {
+        view = this->engines.find(id);
+        if (view->profile())
+            break;
+    }
+    const double seconds =
+            state::routes::prefillSeconds(*view->profile(), flight.request.promptTokens);
+    return {flight.work, seconds, flight.request.arrival};
+}
+
+// The first of all that wait starts as soon as engines are free for it; nobody overtakes it, or the
+// longest ones would never find enough of them free.
+void Dispatcher::pumpLong()
+{
+    while (const auto id = this->longQueue.head(this->now)) {
+        Flight &flight = this->flights.at(*id);
+        if (flight.notBefore > this->now || !this->placeByPasses(flight))
+            return;
+    }
+}
+
+// A prompt that others have pushed back too far, or whose engines were lost, is told so now.
+void Dispatcher::refuseHopeless()
+{
+    for (const auto &[id, prompt] : this->longQueue.own()) {
+        const CompletionRequest &request = this->flights.at(id).request;
+        const state::Duration waited = this->now - request.arrival;
+        const bool hasTarget = request.firstTarget > state::Duration(0);
+        const state::Duration patience = hasTarget ? request.firstTarget : longestRetryAfter;
+        if (waited <= patience)
+            continue;
+        this->refuse(id, RefusalReason::Overload, retryWhenFull);
+    }
+}
+
+// The others order their own prompts by what they know of these; what is not said again they
+// forget.
+void Dispatcher::shareWaiting()
+{
+    if (!this->longQueue.hasOwn() || this->now < this->longSharedAt + waitingSharePeriod)
+        return;
+    this->longSharedAt = this->now;
+    for (const auto &[id, prompt] : this->longQueue.own())
+        this->tellWaiting(this->flights.at(id), routing::WorkStage::Waiting);
+}
+
+void Dispatcher::tellWaiting(const Flight &flight, routing::WorkStage stage)
+{
+    const WaitingPrompt prompt = this->waitingOf(flight);
+    routing::WorkNote note;
+    note.stage = stage;
+    note.work = flight.work;
+    note.key = flight.request.tableKey();
+    note.promptTokens = flight.request.promptTokens;
+    note.age = this->now - flight.request.arrival;
+    note.engineTime = toDuration(prompt.engineSeconds);
+    if (this->policy.shareWork)
+        this->actions.emplace_back(ShareWork{note});
+}
+
 bool Dispatcher::placeByPasses(Flight &flight)
 {
     const CompletionRequest &request = flight.request;
     routing::PassRequest wanted = this->passRequestOf(request);
     wanted.avoid = flight.failed;
     const auto choice = this->engines.chooseByPasses(request.model, wanted, this->now);
+    if (!choice && this->isLong(request))
+        return false; // refuseHopeless() ends it when it has waited too long
     if (!choice) {
         // No engine has room. It may wait for as long as it could still be in time then.
         const state::Duration patience =
@@ -95,7 +199,10 @@
                      none ? retryWithoutEngines : retryWhenFull);
         return true;
     }
-    this->queue.remove(this->queuedOf(flight));
+    if (this->isLong(request))
+        this->longQueue.remove(flight.work);
+    else
+        this->queue.remove(this->queuedOf(flight));
     flight.plan.parts = {{choice->engine, 0, request.promptTokens, 0, false}};
     flight.helpers = choice->helpers;
     flight.partSeconds = choice->partSeconds;
--- a/src/coordination/admission/DispatcherPlacing.cpp
+++ b/src/coordination/admission/DispatcherPlacing.cpp
@@ -118,6 +118,7 @@
             ++failed;
         }
     }
+    this->pumpLong();
 }
 
 bool Dispatcher::place(Flight &flight, bool leads)
@@ -219,6 +220,10 @@
     const CompletionRequest &request = flight.request;
     if (!this->policy.priorities)
         return ordinaryRowPriority;
+    // What waits is ordered here; among what was sent, brief requests go first.
+    constexpr std::uint8_t briefPriority = 2;
+    if (this->engines.worksInPasses(request.model))
+        return this->isLong(request) ? ordinaryRowPriority : briefPriority;
     const int rowShift = int(this->queue.row(request.tableKey()).priority) - ordinaryRowPriority;
     if (request.promptTokens < firstPriorityTokens)
         return std::uint8_t(std::clamp(rowShift, 0, lastPriority));
@@ -273,6 +278,11 @@
 void Dispatcher::enqueue(Flight &flight, bool front)
 {
     flight.phase = Phase::Queued;
+    if (this->isLong(flight.request)) {
+        this->longQueue.add(flight.request.id, this->waitingOf(flight));
+        this->tellWaiting(flight, routing::WorkStage::Waiting);
+        return;
+    }
     this->queue.push(this->queuedOf(flight), front, this->now);
 }
 
--- a/src/coordination/routing/EngineView.cpp
+++ b/src/coordination/routing/EngineView.cpp
@@ -93,6 +93,7 @@
     part.work = note.work;
     part.prefillLeft = prefills ? double(note.prefillTokens) : 0;
     part.memoryTokens = memoryTokens;
+    part.decoding = !prefills;
     part.expires = now + note.lifetime;
     part.helping = true;
     this->insert(part);
--- a/src/coordination/routing/Fleet.cpp
+++ b/src/coordination/routing/Fleet.cpp
@@ -263,20 +263,44 @@
     }
 }
 
-std::optional<PassChoice> Fleet::chooseByPasses(const state::ModelName &model, PassRequest request,
-                                                state::Instant now)
+// The model's engines in the shared order, advanced to now; fills in the demand of long work.
+std::vector<const EngineView *> Fleet::rankedViews(const state::ModelName &model,
+                                                   PassRequest &request, state::Instant now)
 {
     const auto found = this->byModel.find(model);
     if (found == this->byModel.end())
-        return std::nullopt;
+        return {};
     for (EngineView *view : found->second.ranked)
         view->advance(now);
     const auto demand = this->longDemand.find(model);
     if (demand != this->longDemand.end())
         request.longDemand = this->decayed(demand->second, now);
-    const std::vector<const EngineView *> ranked(found->second.ranked.begin(),
-                                                 found->second.ranked.end());
-    return placeByPasses(ranked, request, this->policy.passes);
+    return {found->second.ranked.begin(), found->second.ranked.end()};
+}
+
+std::optional<PassChoice> Fleet::chooseByPasses(const state::ModelName &model, PassRequest request,
+                                                state::Instant now)
+{
+    const std::vector<const EngineView *> views = this->rankedViews(model, request, now);
+    return placeByPasses(views, request, this->policy.passes);
+}
+
+LongOutlook Fleet::longOutlook(const state::ModelName &model, PassRequest request,
+                               state::Instant now)
+{
+    const std::vector<const EngineView *> views = this->rankedViews(model, request, now);
+    return routing::longOutlook(views, request, this->policy.passes);
+}
+
+bool Fleet::isLong(const state::ModelName &model, std::uint32_t promptTokens) const
+{
+    const auto found = this->byModel.find(model);
+    if (found == this->byModel.end())
+        return false;
+    const auto profiled = std::ranges::find_if(
+            found->second.views, [](const EngineView *view) { return view->profile().has_value(); });
+    return profiled != found->second.views.end()
+           && !isBrief(*(*profiled)->profile(), promptTokens, this->policy.passes);
 }
 
 void Fleet::noteDemand(const state::EndpointId &engine, std::uint32_t promptTokens,
--- a/src/coordination/routing/Fleet.h
+++ b/src/coordination/routing/Fleet.h
@@ -65,6 +65,9 @@
     bool worksInPasses(const state::ModelName &model) const;
     std::optional<PassChoice> chooseByPasses(const state::ModelName &model, PassRequest request,
                                              state::Instant now);
+    LongOutlook longOutlook(const state::ModelName &model, PassRequest request, state::Instant now);
+    // Whether the prompt is long for the model's engines, which work in passes.
+    bool isLong(const state::ModelName &model, std::uint32_t promptTokens) const;
     // Long prefill that some entry has sent to engines that work in passes.
     void noteLongPrefill(const state::EndpointId &engine, double seconds, state::Instant now);
 
@@ -97,6 +100,8 @@
     };
 
     double decayed(const LongDemand &demand, state::Instant now) const;
+    std::vector<const EngineView *> rankedViews(const state::ModelName &model, PassRequest &request,
+                                                state::Instant now);
     void rebuild();
     bool mayTake(const EngineView &view, std::size_t index, const Watched &set,
                  const ChoiceQuery &query) const;
--- /dev/null
+++ b/src/coordination/routing/LongPlacement.cpp
@@ -0,0 +1,209 @@
+#include "coordination/routing/LongPlacement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace lavenderthread::coordination::routing {
+
+namespace {
+
+// Engines at the end of the order that answer long requests: as many as have the places and the
+// memory for those that are there and one more.
+std::size_t answeringEngines(std::span<const PassCandidate> candidates, const PassRequest &request,
+                             const PassPlacementSettings &settings)
+{
+    if (candidates.size() < 2)
+        return candidates.size();
+    std::size_t answers = 1;
+    double memory = request.memoryTokens;
+    double capacity = 0;
+    for (const PassCandidate &candidate : candidates) {
+        const double all = double(candidate.profile().kvCapacityTokens);
+        answers += candidate.longs;
+        memory += all - std::min(all, double(candidate.view->freeTokens()));
+        capacity += all;
+    }
+    const double engineMemory = capacity / double(candidates.size()) * settings.answeringMemoryShare;
+    const double byPlaces = double(answers) / settings.longPerEngine;
+    const double byMemory = engineMemory > 0 ? memory / engineMemory : 0;
+    const auto wanted = std::size_t(std::ceil(std::max(byPlaces, byMemory)));
+    return std::clamp(wanted, std::size_t(1), candidates.size() - 1);
+}
+
+// The least crowded with a place and, unless the memory is shared, room; in the answering part if
+// it has one.
+const PassCandidate *answeringEngine(std::span<const PassCandidate> candidates, std::size_t part,
+                                     bool shared, const PassRequest &request,
+                                     const PassPlacementSettings &settings)
+{
+    const PassCandidate *best = nullptr;
+    double bestCost = std::numeric_limits<double>::max();
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const PassCandidate &candidate = candidates[index];
+        if (shared ? !candidate.hasSlot() : !candidate.hasRoom(request))
+            continue;
+        double cost = candidate.crowding();
+        cost += candidate.briefs > 0 ? settings.besideTightSeconds : 0;
+        cost += index + part < candidates.size() ? settings.outsideAnsweringSeconds : 0;
+        if (cost < bestCost) {
+            best = &candidate;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+struct Helper
+{
+    const PassCandidate *candidate = nullptr;
+    double cost = 0; // its waiting prefill, and what long prefill costs there
+
+    const state::EndpointId &id() const { return this->candidate->view->description().id; }
+};
+
+// An engine prefills parts for others ahead of its own requests. Were it given more of them while
+// one of its own waits, that one would starve: it was seen to wait ten times as long as predicted.
+// The first token alone tells that it waits no longer; the time that it should have taken does not.
+//
+// The newest part goes ahead of older ones too. So a helper is given a second part only when the
+// first should be done, and a third only when one of them is known to be.
+bool mayHelp(const PassCandidate &candidate, const PassPlacementSettings &settings)
+{
+    return candidate.helped < settings.partsPerHelper && candidate.pending == 0
+           && candidate.waiting <= settings.startWaitingSeconds;
+}
+
+// What it costs to prefill long at this engine, beside the time it takes.
+double besideCost(const PassCandidate &candidate, const PassPlacementSettings &settings)
+{
+    double cost = 0;
+    if (candidate.briefs > 0)
+        cost += settings.besideTightSeconds;
+    if (candidate.longs > 0)
+        cost += settings.besideDecodingSeconds;
+    return cost;
+}
+
+std::vector<Helper> freeHelpers(std::span<const PassCandidate> candidates,
+                                std::size_t answeringPart, const PassCandidate &answering,
+                                const PassPlacementSettings &settings)
+{
+    std::vector<Helper> helpers;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const PassCandidate &candidate = candidates[index];
+        if (&candidate == &answering || !mayHelp(candidate, settings))
+            continue;
+        double cost = candidate.waiting + besideCost(candidate, settings);
+        cost += index + answeringPart >= candidates.size() ? settings.helpingAnswersSeconds : 0;
+        helpers.push_back({&candidate, cost});
+    }
+    std::ranges::stable_sort(helpers, {}, &Helper::cost);
+    return helpers;
+}
+
+// Where what the answering engine can't hold is kept: at the helpers with the most free memory.
+// Empty if they can't hold it together either.
+std::vector<MemoryShare> shareMemory(std::vector<Helper> helpers, const PassCandidate &answering,
+                                     const PassRequest &request,
+                                     const PassPlacementSettings &settings)
+{
+    std::ranges::stable_sort(helpers, std::greater<>(), [](const Helper &helper) {
+        return helper.candidate->view->freeTokens();
+    });
+    const double own = double(answering.view->freeTokens()) * settings.memoryShare;
+    double left = double(request.memoryTokens) - own;
+    std::vector<MemoryShare> shares;
+    for (const Helper &helper : helpers) {
+        if (left <= 0 || shares.size() == settings.mostMemoryHelpers)
+            break;
+        const double room = double(helper.candidate->view->freeTokens()) * settings.memoryShare;
+        const double taken = std::min(left, room);
+        if (taken < 1)
+            break;
+        shares.push_back({helper.id(), std::uint32_t(taken) + 1});
+        left -= taken;
+    }
+    return left <= 0 ? shares : std::vector<MemoryShare>();
+}
+
+// The helpers that hold memory come first, in the order in which it is filled.
+void putFirst(std::vector<Helper> &helpers, const std::vector<MemoryShare> &memory)
+{
+    const auto place = [&](const Helper &helper) {
+        return std::ranges::find(memory, helper.id(), &MemoryShare::engine) - memory.begin();
+    };
+    std::ranges::stable_sort(helpers, {}, place); // all others share the place behind the last
+}
+
+// As many helpers as bring the end of the prefill forward by more than each one costs; `least` of
+// them are needed in any case.
+std::size_t helperCount(const std::vector<Helper> &helpers, std::size_t least, double ownCost,
+                        double seconds, const PassPlacementSettings &settings)
+{
+    std::size_t best = least;
+    double bestCost = least == 0 ? ownCost + seconds : std::numeric_limits<double>::max();
+    double last = ownCost;
+    for (std::size_t count = 1; count <= helpers.size(); ++count) {
+        last = std::max(last, helpers[count - 1].cost);
+        const double cost =
+                last + seconds / double(count + 1) + settings.helperSeconds * double(count);
+        if (count < least || cost >= bestCost)
+            continue;
+        bestCost = cost;
+        best = count;
+    }
+    return best;
+}
+
+// Whether enough engines are free for the prompt to start: with a few it would hold them for long,
+// while it waits a moment for the others.
+bool enoughFree(std::size_t free, std::size_t engines, double seconds,
+                const PassPlacementSettings &settings)
+{
+    const double worth = std::sqrt(seconds / settings.helperSeconds) - 1; // where one more pays not
+    const double part = settings.startShare * double(engines);
+    return double(free) >= std::min(std::max(worth, 0.0), part) - 1;
+}
+
+} // namespace
+
+std::optional<PassChoice> placeLong(std::span<const PassCandidate> candidates,
+                                    const PassRequest &request,
+                                    const PassPlacementSettings &settings)
+{
+    if (candidates.empty())
+        return std::nullopt;
+    const double seconds = state::routes::prefillSeconds(candidates.front().profile(),
+                                                         request.promptTokens);
+    const std::size_t part = answeringEngines(candidates, request, settings);
+    const PassCandidate *answering = answeringEngine(candidates, part, false, request, settings);
+    const bool shared = answering == nullptr;
+    if (shared)
+        answering = answeringEngine(candidates, part, true, request, settings);
+    if (answering == nullptr || answering->ownWaiting > settings.startOwnWaitingSeconds)
+        return std::nullopt;
+    std::vector<Helper> helpers = freeHelpers(candidates, part, *answering, settings);
+    if (!enoughFree(helpers.size(), candidates.size(), seconds, settings))
+        return std::nullopt;
+    PassChoice choice;
+    if (shared) {
+        choice.memory = shareMemory(helpers, *answering, request, settings);
+        if (choice.memory.empty())
+            return std::nullopt;
+        putFirst(helpers, choice.memory);
+    }
+    helpers.resize(std::min(helpers.size(), settings.mostHelpers));
+    const double ownCost = answering->waiting + besideCost(*answering, settings);
+    const std::size_t count =
+            helperCount(helpers, choice.memory.size(), ownCost, seconds, settings);
+    choice.partSeconds = seconds / double(count + 1);
+    double waiting = answering->waiting;
+    for (std::size_t index = 0; index < count; ++index) {
+        choice.helpers.push_back(helpers[index].id());
+        waiting = std::max(waiting, helpers[index].candidate->waiting);
+    }
+    return completeChoice(std::move(choice), *answering, waiting, request);
+}
+
+} // namespace lavenderthread::coordination::routing
--- a/src/coordination/routing/PassPlacement.h
+++ b/src/coordination/routing/PassPlacement.h
@@ -2,9 +2,11 @@
 // to prefill it.
 //
 // An engine that decodes for someone holds each token back until the pass with all its prefill is
-// done. So prefill that is short beside the pauses callers bear is packed onto the first engines of
-// an order that all entries share, and long prefill goes to the others, split over as many of them
-// as pay. Where the border lies follows from the brief requests that are being answered and from
+// done, and takes new prefill in only when the next pass begins. So the engines of a model are kept
+// in an order that all entries share and used in three parts. The first ones answer brief requests,
+// whose prefill is short beside the pauses that callers bear. The last ones answer long requests.
+// Those between decode for nobody and prefill parts of long prompts, as one machine, one prompt
+// after the other. Where the borders lie follows from the requests that are being answered and from
 // the long work of the last second or two; nobody decides it, since all entries see the same notes.
 #pragma once
 
@@ -41,21 +43,37 @@
     state::EndpointId engine; // answers, and prefills the first part
     std::vector<state::EndpointId> helpers;
     std::vector<MemoryShare> memory; // at the first of the helpers, in their order
-    double partSeconds = 0;       // prefill at each of them
-    double waitingSeconds = 0;    // of the first event's time, before the prefill begins
-    double secondsPerToken = 0;   // engine time for the prompt's prefill, over its tokens
-    double firstEventSeconds = 0; // from now, as predicted
-    double completionSeconds = 0; // from now, as predicted
+    double partSeconds = 0;          // prefill at each of them
+    double firstEventSeconds = 0;    // from now, as predicted
+    double completionSeconds = 0;    // from now, as predicted
+};
+
+// What a long prompt that arrives now has to expect, before any that waits at the entries.
+struct LongOutlook
+{
+    std::size_t engines = 0;      // for long requests; 0: none is usable
+    double backlogSeconds = 0;    // of each of them, on average
+    double prefillSeconds = 0;    // of the prompt, alone on all of them that may take part
+    double completionSeconds = 0; // from the first event to the last
+    double engineSeconds = 0;     // for the whole prefill, on one engine
 };
 
 // Engines, of `count` usable ones, that are for brief requests while `briefs` of them are answered.
 std::size_t briefEngines(std::size_t count, std::size_t briefs, double longDemand,
                          const PassPlacementSettings &settings);
 
+// Whether the prompt goes whole to one engine, beside others that decode there.
+bool isBrief(const state::routes::EngineProfile &profile, std::uint32_t promptTokens,
+             const PassPlacementSettings &settings);
+
 // `engines`: those of the request's model in the order that all entries share, advanced to now, each
-// with a profile. Nothing if none has a place and the memory now.
+// with a profile. Nothing if it has to wait: no engine has a place and the memory, or, for a long
+// prompt, too few are free for it to start.
 std::optional<PassChoice> placeByPasses(const std::vector<const EngineView *> &engines,
                                         const PassRequest &request,
                                         const PassPlacementSettings &settings);
 
+LongOutlook longOutlook(const std::vector<const EngineView *> &engines, const PassRequest &request,
+                        const PassPlacementSettings &settings);
+
 } // namespace lavenderthread::coordination::routing
--- a/src/coordination/routing/PassPlacementSettings.h
+++ b/src/coordination/routing/PassPlacementSettings.h
@@ -24,7 +24,6 @@
     // Cost of one more helper, as time to the first token: each one stalls whoever decodes there,
     // and one more engine must stay alive.
     double helperSeconds = 0.015;
-    double ownWaitingOfHelper = 0.02; // seconds of prefill for its own requests that a helper may have
     std::size_t mostHelpers = 16; // bound of the engines' interface
     // Costs of prefilling long where others decode, as time to the first token: whose pauses are
     // tight (brief requests from before the border moved), and who decodes long work itself. Such
@@ -35,11 +34,18 @@
     double helpingAnswersSeconds = 0.4;
     double outsideAnsweringSeconds = 0.4;
     double answeringMemoryShare = 0.8; // of an answering engine's memory that is meant to be used
+    // A long prompt starts when this share of the engines for long work, or as many as pay, have
+    // less than so much prefill waiting: they are kept busy by one prompt after the other, and not
+    // by several at once.
+    double startShare = 0.6;
+    double startWaitingSeconds = 0.03;
+    std::size_t partsPerHelper = 2; // not known to be done
+    double startOwnWaitingSeconds = 0.25; // the same, of the engine that answers
     // Under load the longest prompts are turned away first: they cost the most engine time for each
-    // of their tokens, since that grows with their length. Waiting for a part may take this share of
-    // the time to the first token as asked, for a prompt that costs `usualSecondsPerToken`, and less
-    // by the ratio of the costs to this power for a longer one.
-    double waitingShare = 0.5;
+    // of their tokens, since that grows with their length. The wait for the start may take this
+    // share of the time to the first token as asked, for a prompt that costs `usualSecondsPerToken`,
+    // and less by the ratio of the costs to this power for a longer one.
+    double waitingShare = 0.6;
     double usualSecondsPerToken = 13e-6;
     double costPower = 2;
     double tightPauseSeconds = 0.3; // pauses below it are tight
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -68,6 +68,14 @@
               {"total_us", std::int64_t(outcome.total.count())}});
 }
 
+std::string joined(const std::vector<state::Address> &addresses)
+{
+    std::string text;
+    for (const state::Address &address : addresses)
+        text += (text.empty() ? "" : ",") + address.toString();
+    return text;
+}
+
 void logRelay(const RelayOutcome &outcome)
 {
     logEvent(LogLevel::Info, "relay.finished",
@@ -81,7 +89,8 @@
               {"status", outcome.status},
               {"whole", outcome.whole ? "yes" : "no"},
               {"attempts", outcome.attempts},
-              {"helpers", std::uint64_t(outcome.helpers)},
+              {"address", outcome.address.toString()},
+              {"helpers", joined(outcome.helpers)},
               {"resumed", outcome.resumed ? "yes" : "no"},
               {"first_us", std::int64_t(outcome.firstAnswer.count())},
               {"predicted_first_us", std::int64_t(outcome.predictedFirst.count())},
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -305,7 +305,10 @@
     {
         ++this->outcome.attempts;
         this->outcome.endpoint = target.endpoint.id;
-        this->outcome.helpers = target.helpers.size();
+        this->outcome.address = target.endpoint.address;
+        this->outcome.helpers.clear();
+        for (const HelperTarget &helper : target.helpers)
+            this->outcome.helpers.push_back(helper.address);
         this->outcome.resumed = this->events.passed() > 0;
         const AttemptEnd end = co_await this->exchangeWith(std::move(target));
         switch (end) {
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -35,7 +35,8 @@
     std::uint32_t promptTokens = 0;
     unsigned status = 0; // 0: the caller was gone
     unsigned attempts = 0;
-    std::size_t helpers = 0; // of the last attempt
+    state::Address address;  // its address
+    std::vector<state::Address> helpers; // of the last attempt
     bool whole = false;
     bool resumed = false;
     std::string reason; // of a failure or refusal
