--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -13,6 +13,7 @@
 
 constexpr state::Duration shortestRetryAfter = std::chrono::milliseconds(200);
 constexpr state::Duration longestRetryAfter = std::chrono::seconds(5);
+constexpr state::Duration longRetryAfter = std::chrono::seconds(2);
 // A place at an engine frees up as the answers there end, a second or two each.
 constexpr state::Duration retryWhenFull = std::chrono::milliseconds(700);
 // Below the life of what peers have told, so that one datagram may be lost.
@@ -90,7 +91,9 @@
         const state::Duration waited = this->now - request.arrival;
         over = std::max(over, waited + start - this->patienceOf(request, outlook.engineSeconds));
     }
-    return this->refusalWhenOver(request, over);
+    // Load that is too much for a long prompt now is rarely gone when the backlog of now is.
+    const std::optional<Refuse> refusal = this->refusalWhenOver(request, over);
+    return refusal ? this->refusalWhenOver(request, over * 2 + longRetryAfter) : refusal;
 }
 
 std::optional<Refuse> Dispatcher::refusalWhenOver(const CompletionRequest &request,
--- a/src/program/Commands.cpp
+++ b/src/program/Commands.cpp
@@ -33,6 +33,7 @@
         return exitSettings;
     }
     configureLog(levelOf(settings.value().logLevel));
+    logEvent(LogLevel::Info, "node.starting", {{"settings", settingsFile}});
     const auto ran = runNode(settings.value(), settingsFile, deployment);
     if (ran)
         return exitOk;
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -4,6 +4,7 @@
 #include "coordination/relay/EventSplitter.h"
 #include "coordination/relay/FinalAnswer.h"
 #include "program/Clock.h"
+#include "transport/Await.h"
 #include "transport/HttpClient.h"
 
 #include <algorithm>
@@ -30,10 +31,17 @@
 constexpr double retriesPerRequest = 0.12;
 constexpr double retriesAtOnce = 4;
 
-constexpr milliseconds retryWithoutConfiguration{300};
+// A node that has just started learns its configuration within a second, if a majority of the
+// control members runs. Callers come back only once or twice, so they wait for it here.
+constexpr milliseconds configurationWait{900};
+constexpr milliseconds retryWithoutConfiguration{1'200};
+// After a start, or when all replicas of a service were replaced, the first of them is heard of
+// within one heartbeat.
+constexpr milliseconds endpointWait{600};
+constexpr milliseconds waitingStep{20};
 constexpr milliseconds retryElsewhere{50}; // this node is leaving; another one takes it at once
 constexpr milliseconds retryWithoutEndpoint{300};
-constexpr milliseconds longestRetryAfter{2'000};
+constexpr milliseconds longestRetryAfter{5'000};
 // An endpoint in the same region accepts within a few milliseconds; a lost packet costs a second.
 constexpr milliseconds connectTimeout{700};
 // Bytes that an endpoint's machine does not acknowledge for so long are taken for lost with it.
@@ -95,9 +103,9 @@
 
     asio::awaitable<RelayOutcome> run()
     {
+        this->exchange.onCallerGone([this] { this->callerLeft(); });
         const bool accepted = co_await this->accept();
         if (accepted) {
-            this->exchange.onCallerGone([this] { this->callerLeft(); });
             if (this->routes->service(this->outcome.service)->engine)
                 co_await this->runOnEngines();
             else
@@ -111,6 +119,7 @@
     // Route, account and time of the request; false once it was answered instead.
     asio::awaitable<bool> accept()
     {
+        co_await this->waitForConfiguration();
         this->outcome.configuration = this->routes->version();
         std::optional<RelayRefusal> refusal = this->refusalAtArrival();
         if (!refusal)
@@ -119,6 +128,16 @@
         co_return false;
     }
 
+    asio::awaitable<void> waitForConfiguration()
+    {
+        const state::Instant limit = this->arrival + configurationWait;
+        while (this->routes->version() == 0 && !this->facts.callerGone
+               && monotonicNow() < limit && !this->hooks.refuses()) {
+            co_await transport::pause(waitingStep);
+            this->routes = this->hooks.routes();
+        }
+    }
+
     std::optional<RelayRefusal> refusalAtArrival()
     {
         auto decoded = this->hooks.codec.decode(this->exchange.request());
@@ -244,6 +263,11 @@
         std::vector<state::EndpointId> tried;
         while (true) {
             std::optional<state::EndpointDescription> replica = this->chooseReplica(tried);
+            while (!replica && !this->facts.callerGone
+                   && monotonicNow() < this->arrival + endpointWait) {
+                co_await transport::pause(waitingStep);
+                replica = this->chooseReplica(tried);
+            }
             if (!replica) {
                 this->outcome.reason = "no endpoint of the service is known; "
                                        + this->outcome.reason;
@@ -567,7 +591,7 @@
     RouteRelay &relay;
     const RouteRelay::Hooks &hooks;
     transport::HttpExchange &exchange;
-    const state::SnapshotView<RouteTable> routes; // one version decides over the whole request
+    state::SnapshotView<RouteTable> routes; // one version decides over the whole request
     const state::Instant arrival;
     RelayRequest request;
     const Route *route = nullptr; // of `routes`
