--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -45,7 +45,7 @@
 }
 
 start_entry() { # start_entry N
-    "$node" serve --settings "$work/vm$1.json" 2>>"$work/vm$1.log" &
+    "$node" serve --settings "$work/vm$1.json" >>"$work/vm$1.log" 2>&1 &
     pid_of[vm$1]=$!
 }
 
--- a/src/program/Log.cpp
+++ b/src/program/Log.cpp
@@ -1,7 +1,8 @@
-// Log lines through spdlog, to standard error.
+// Log lines through spdlog, to standard output.
 #include "program/Log.h"
 
-#include <spdlog/sinks/stdout_sinks.h>
+#include "program/LogSink.h"
+
 #include <spdlog/spdlog.h>
 
 namespace lavenderthread::program {
@@ -23,14 +24,19 @@
     return spdlog::level::info;
 }
 
+const std::shared_ptr<LogSink> &sink()
+{
+    static const std::shared_ptr<LogSink> instance = std::make_shared<LogSink>();
+    return instance;
+}
+
 spdlog::logger &logger()
 {
     static const std::shared_ptr<spdlog::logger> instance = [] {
-        auto created = std::make_shared<spdlog::logger>(
-                "lavenderthread", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+        auto created = std::make_shared<spdlog::logger>("lavenderthread", sink());
         created->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v",
                              spdlog::pattern_time_type::utc);
-        created->flush_on(spdlog::level::info);
+        created->flush_on(spdlog::level::warn);
         return created;
     }();
     return *instance;
@@ -98,6 +104,14 @@
     logger().set_level(toSpdlog(least));
 }
 
+void flushLog()
+{
+    logger().flush();
+    const std::uint64_t dropped = sink()->takeDropped();
+    if (dropped > 0)
+        logEvent(LogLevel::Error, "log.dropped", {{"lines", dropped}});
+}
+
 std::string formatEvent(std::string_view event, std::initializer_list<LogField> fields)
 {
     std::string line = "event=" + std::string(event);
--- a/src/program/Log.h
+++ b/src/program/Log.h
@@ -28,9 +28,14 @@
     std::string value;
 };
 
-// Chooses level and sink (standard error) for the whole process. Before the first call, Info.
+// Chooses the level for the whole process; lines go to standard output. Before the first call,
+// Info.
 void configureLog(LogLevel least);
 
+// Writes out what waits, without waiting for a reader; call it a few times a second. Warnings and
+// errors are written at once.
+void flushLog();
+
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
 // The error's code, step, peer and cause as pairs.
 void logError(std::string_view event, const state::Error &error);
--- /dev/null
+++ b/src/program/LogSink.cpp
@@ -0,0 +1,84 @@
+#include "program/LogSink.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <climits>
+
+namespace lavenderthread::program {
+
+namespace {
+
+constexpr std::size_t flushBytes = 4'096; // below it lines wait for the next flush
+constexpr int lastWaitMs = 500;           // at the end of the process
+
+} // namespace
+
+LogSink::~LogSink()
+{
+    while (!this->buffer.empty()) {
+        const std::size_t before = this->buffer.size();
+        this->writeSome(lastWaitMs);
+        if (this->buffer.size() == before)
+            return; // nobody reads any more
+    }
+}
+
+std::uint64_t LogSink::takeDropped()
+{
+    const std::lock_guard lock(this->mutex_);
+    return std::exchange(this->dropped, 0);
+}
+
+void LogSink::sink_it_(const spdlog::details::log_msg &message) // NOLINT
+{
+    spdlog::memory_buf_t line;
+    this->formatter_->format(message, line);
+    const bool fits = this->buffer.size() + line.size() <= this->settings.bufferBytes;
+    if (!fits || !this->admits(message.level)) {
+        ++this->dropped;
+        return;
+    }
+    this->buffer.append(line.data(), line.size());
+    if (this->buffer.size() >= flushBytes)
+        this->writeSome(0);
+}
+
+void LogSink::flush_() // NOLINT
+{
+    this->writeSome(0);
+}
+
+bool LogSink::admits(spdlog::level::level_enum level)
+{
+    if (level >= spdlog::level::err)
+        return true;
+    const auto now = std::chrono::steady_clock::now();
+    const double elapsed = std::chrono::duration<double>(now - this->filledAt).count();
+    this->filledAt = now;
+    this->tokens = std::min(this->settings.burstLines,
+                            this->tokens + elapsed * this->settings.linesPerSecond);
+    if (this->tokens < 1)
+        return false;
+    this->tokens -= 1;
+    return true;
+}
+
+// A pipe that is ready takes PIPE_BUF bytes without blocking; asking first for each piece keeps the
+// process from waiting for a reader that stands still.
+void LogSink::writeSome(int waitMs)
+{
+    while (!this->buffer.empty()) {
+        pollfd ready{this->settings.descriptor, POLLOUT, 0};
+        if (::poll(&ready, 1, waitMs) <= 0)
+            return;
+        const std::size_t piece = std::min<std::size_t>(this->buffer.size(), PIPE_BUF);
+        const ssize_t written = ::write(this->settings.descriptor, this->buffer.data(), piece);
+        if (written <= 0)
+            return;
+        this->buffer.erase(0, std::size_t(written));
+    }
+}
+
+} // namespace lavenderthread::program
--- /dev/null
+++ b/src/program/LogSink.h
@@ -0,0 +1,52 @@
+// Where log lines go: standard output, through a buffer that never makes the process wait for
+// whoever reads it, and that lets only so many lines a second through.
+#pragma once
+
+#include <spdlog/sinks/base_sink.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <mutex>
+#include <string>
+
+namespace lavenderthread::program {
+
+struct LogSinkSettings
+{
+    int descriptor = 1;
+    std::size_t bufferBytes = 256U << 10U; // lines beyond it are dropped and counted
+    // A relayed request writes one line. This many a second is three times what one entry of the
+    // planned size relays; debugging and floods of one fault stay under it.
+    double linesPerSecond = 500;
+    double burstLines = 1'000;
+};
+
+class LogSink final : public spdlog::sinks::base_sink<std::mutex>
+{
+public:
+    explicit LogSink(LogSinkSettings chosen = {})
+        : settings(chosen)
+        , tokens(chosen.burstLines)
+    {}
+    ~LogSink() override;
+
+    // Lines that were dropped since the last call.
+    std::uint64_t takeDropped();
+
+protected:
+    void sink_it_(const spdlog::details::log_msg &message) override; // NOLINT: spdlog's names
+    void flush_() override;                                          // NOLINT
+
+private:
+    bool admits(spdlog::level::level_enum level);
+    void writeSome(int waitMs);
+
+    LogSinkSettings settings;
+    std::string buffer; // whole lines, but for the first one, which may be written in part
+    double tokens;
+    std::chrono::steady_clock::time_point filledAt{};
+    std::uint64_t dropped = 0;
+};
+
+} // namespace lavenderthread::program
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -9,6 +9,7 @@
 #include "program/DispatcherScheduler.h"
 #include "program/Entry.h"
 #include "program/Log.h"
+#include "program/Metrics.h"
 #include "program/RelayFront.h"
 #include "transport/Await.h"
 
@@ -76,6 +77,23 @@
     return text;
 }
 
+void countRelay(Metrics &metrics, const RelayOutcome &outcome)
+{
+    constexpr double microseconds = 1e6;
+    const std::string route = "{route=\"" + outcome.route + "\"}";
+    metrics.count("relay_requests_total{route=\"" + outcome.route + "\",status=\""
+                  + std::to_string(outcome.status) + "\"}");
+    if (outcome.attempts > 1)
+        metrics.count("relay_retried_total" + route, outcome.attempts - 1);
+    if (outcome.firstAnswer.count() > 0)
+        metrics.observe("relay_first_answer_seconds" + route,
+                        double(outcome.firstAnswer.count()) / microseconds);
+    if (outcome.longestPause.count() > 0)
+        metrics.observe("relay_longest_pause_seconds" + route,
+                        double(outcome.longestPause.count()) / microseconds);
+    metrics.observe("relay_total_seconds" + route, double(outcome.total.count()) / microseconds);
+}
+
 void logRelay(const RelayOutcome &outcome)
 {
     logEvent(LogLevel::Info, "relay.finished",
@@ -159,6 +177,9 @@
                                                               this->frontHooks()));
             this->front->start();
         }
+        if (this->settings.metricsListen) {
+            BOOST_OUTCOME_TRYV(this->serveMetrics());
+        }
         if (this->control)
             this->control->start();
         this->entry->start();
@@ -230,7 +251,10 @@
         hooks.profilesChanged = [this](auto profiles) {
             this->policy->setProfiles(std::move(profiles));
         };
-        hooks.finished = logRelay;
+        hooks.finished = [this](const RelayOutcome &outcome) {
+            countRelay(this->metrics, outcome);
+            logRelay(outcome);
+        };
         return hooks;
     }
 
@@ -376,6 +400,7 @@
     {
         while (true) {
             co_await transport::pause(expiryCheckInterval);
+            flushLog();
             if (!this->settings.gossipListen) {
                 for (const state::EndpointId &id : this->registry->expire(monotonicNow()))
                     logEvent(LogLevel::Warning, "endpoint.expired", {{"endpoint", id.value()}});
@@ -417,6 +442,42 @@
         this->context.stop();
     }
 
+    state::Result<void> serveMetrics()
+    {
+        this->metrics.gauge("requests_in_flight", [this] { return double(this->inFlight()); });
+        this->metrics.gauge("table_version", [this] {
+            return this->client ? double(this->client->view()->version) : 0.0;
+        });
+        this->metrics.gauge("configuration_version", [this] {
+            return this->client ? double(this->client->view()->configuration.version) : 0.0;
+        });
+        this->metrics.gauge("view_fresh", [this] {
+            return this->client && this->client->admits() ? 1.0 : 0.0;
+        });
+        this->metrics.gauge("endpoints_known", [this] {
+            return double(this->registry->table()->endpoints.size());
+        });
+        transport::HttpServer::Hooks hooks;
+        hooks.handle = [this](transport::HttpExchange &exchange) -> asio::awaitable<void> {
+            protocol::HttpResponse answer;
+            answer.headers.add("Content-Type", "text/plain; version=0.0.4");
+            answer.body = this->metrics.text();
+            co_await exchange.respond(std::move(answer));
+        };
+        hooks.reject = [](unsigned status, std::string_view cause) {
+            protocol::HttpResponse answer;
+            answer.status = status;
+            answer.body = std::string(cause);
+            return answer;
+        };
+        BOOST_OUTCOME_TRY(this->metricsServer,
+                          transport::HttpServer::create(this->context,
+                                                        *this->settings.metricsListen, {},
+                                                        std::move(hooks)));
+        this->metricsServer->start();
+        return state::outcome::success();
+    }
+
     std::size_t inFlight() const
     {
         return this->entry->inFlight() + (this->front ? this->front->inFlight() : 0);
@@ -454,6 +515,7 @@
     const std::string settingsFile;
     const Deployment &deployment;
     asio::io_context context;
+    Metrics metrics;
     std::shared_ptr<EndpointRegistry> registry;
     const std::uint64_t incarnation =
             static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
@@ -465,6 +527,7 @@
     std::shared_ptr<DispatcherScheduler> policy;
     std::shared_ptr<Entry> entry;
     std::shared_ptr<RelayFront> front; // null where the settings name no such listener
+    std::shared_ptr<transport::HttpServer> metricsServer; // the same
 };
 
 } // namespace
--- /dev/null
+++ b/tests/coordination/relay/EventSplitterTest.cpp
@@ -0,0 +1,95 @@
+// Contract of the event splitter: whole events only, each once, however the bytes arrive.
+#include "coordination/relay/EventSplitter.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+namespace lavenderthread::coordination::relay {
+
+namespace {
+
+std::string event(std::uint64_t id)
+{
+    return "id: " + std::to_string(id) + "\ndata: token-" + std::to_string(id) + "\n\n";
+}
+
+std::string events(std::uint64_t from, std::uint64_t to)
+{
+    std::string text;
+    for (std::uint64_t id = from; id <= to; ++id)
+        text += event(id);
+    return text;
+}
+
+} // namespace
+
+class EventSplitterTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(EventSplitterTest);
+    CPPUNIT_TEST(anyCutGivesTheSameStream);
+    CPPUNIT_TEST(anotherEndpointGoesOnBehindATornEvent);
+    CPPUNIT_TEST(repeatedEventsAreLeftOut);
+    CPPUNIT_TEST(eventsWithoutIdsPass);
+    CPPUNIT_TEST(carriageReturnsEndEventsToo);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void anyCutGivesTheSameStream()
+    {
+        const std::string whole = events(1, 40);
+        std::mt19937 random(7);
+        for (int round = 0; round < 200; ++round) {
+            EventSplitter splitter;
+            std::string passed;
+            for (std::size_t at = 0; at < whole.size();) {
+                const std::size_t piece = 1 + random() % 60;
+                passed += splitter.take(std::string_view(whole).substr(at, piece));
+                at += piece;
+            }
+            CPPUNIT_ASSERT_EQUAL(whole, passed);
+            CPPUNIT_ASSERT(!splitter.hasRest());
+        }
+    }
+
+    // An engine dies inside event 3. The caller has events 1 and 2 whole and nothing of event 3;
+    // the next engine is asked for what comes after 2.
+    void anotherEndpointGoesOnBehindATornEvent()
+    {
+        EventSplitter splitter;
+        std::string passed = splitter.take(events(1, 2) + "id: 3\ndata: tok");
+        CPPUNIT_ASSERT(splitter.hasRest());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), *splitter.lastId());
+        splitter.dropRest();
+        passed += splitter.take(events(3, 5));
+        CPPUNIT_ASSERT_EQUAL(events(1, 5), passed);
+    }
+
+    void repeatedEventsAreLeftOut()
+    {
+        EventSplitter splitter;
+        splitter.resumeBehind(4);
+        CPPUNIT_ASSERT_EQUAL(events(5, 6), splitter.take(events(3, 6)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), splitter.passed());
+    }
+
+    void eventsWithoutIdsPass()
+    {
+        EventSplitter splitter;
+        CPPUNIT_ASSERT_EQUAL(std::string("data: x\n\n"), splitter.take("data: x\n\n"));
+        CPPUNIT_ASSERT(!splitter.lastId());
+        CPPUNIT_ASSERT_EQUAL(std::string("id: none\n\n"), splitter.take("id: none\n\n"));
+    }
+
+    void carriageReturnsEndEventsToo()
+    {
+        EventSplitter splitter;
+        CPPUNIT_ASSERT_EQUAL(std::string("id: 1\r\n\r\n"), splitter.take("id: 1\r\n\r\nid: 2"));
+        CPPUNIT_ASSERT(splitter.hasRest());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EventSplitterTest);
+
+} // namespace lavenderthread::coordination::relay
--- /dev/null
+++ b/tests/platform/RelayTest.cpp
@@ -0,0 +1,376 @@
+// The relay on loopback, through the provider's wire, with a stand-in of an endpoint that fails at
+// each step at which one may fail.
+#include "platform/RelayWire.h"
+
+#include "program/Clock.h"
+#include "program/RouteRelay.h"
+#include "program/RunToEnd.h"
+#include "transport/Await.h"
+#include "transport/HttpClient.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <thread>
+
+namespace lavenderthread::platform {
+
+namespace asio = boost::asio;
+using program::EndpointTable;
+using program::RouteRelay;
+
+namespace {
+
+// What the endpoint does with a request.
+enum class Behaviour {
+    Answers,
+    Fails,         // its own 500
+    Refuses,       // 503, not run
+    IsAnother,     // 421
+    Closes,        // without an answer
+    CutsBody,      // in the middle
+    CrossedAnswer, // of another request
+    Unsealed,
+    CutsInsideAnEvent,
+    Streams,
+    NeverAnswers,
+};
+
+const state::ServiceName service("app");
+
+protocol::HttpResponse sealedAnswer(const protocol::HttpRequest &request, unsigned status)
+{
+    protocol::HttpResponse answer;
+    answer.status = status;
+    answer.headers = {{"Request-Id", std::string(request.headers.find("Request-Id").value_or(""))},
+                      {"Response-Seal", "seal"}};
+    answer.body = "the endpoint's bytes";
+    return answer;
+}
+
+// Endpoints, a relay and one caller, each a listener or a connection of one thread.
+class Rig
+{
+public:
+    Rig(state::routes::CallKind kind, std::vector<Behaviour> behaviours)
+        : behaviours(std::move(behaviours))
+    {
+        this->publishRoutes(kind);
+        EndpointTable endpoints;
+        for (std::size_t index = 0; index < this->behaviours.size(); ++index) {
+            this->servers.push_back(this->listen([this](transport::HttpExchange &exchange) {
+                return this->serveEndpoint(exchange);
+            }));
+            state::EndpointDescription endpoint;
+            endpoint.id = state::EndpointId("i-" + std::to_string(index));
+            endpoint.service = service;
+            endpoint.incarnation = 1;
+            endpoint.address = this->servers.back()->address();
+            endpoints.endpoints[endpoint.id] = {endpoint, false, false};
+        }
+        this->table.publish(std::move(endpoints));
+        this->relay = std::make_unique<RouteRelay>(this->settings, this->hooks(), 1);
+        this->front = this->listen(
+                [this](transport::HttpExchange &exchange) { return this->relay->run(exchange); });
+        this->thread = std::thread([this] { this->context.run(); });
+    }
+
+    ~Rig()
+    {
+        this->context.stop();
+        this->thread.join();
+    }
+    Rig(const Rig &) = delete;
+    Rig &operator=(const Rig &) = delete;
+
+    state::Result<protocol::HttpResponse> call()
+    {
+        auto run = [](state::Address peer,
+                      protocol::HttpRequest request) -> asio::awaitable<
+                                                             state::Result<protocol::HttpResponse>> {
+            const asio::any_io_executor executor = co_await asio::this_coro::executor;
+            co_return co_await transport::httpCall(executor, peer, std::move(request), {});
+        };
+        return program::runToEnd(run(this->front->address(), request()));
+    }
+
+    // Sends the request and closes after a while without reading.
+    void callAndLeave(std::chrono::milliseconds after)
+    {
+        asio::io_context io;
+        asio::ip::tcp::socket socket(io);
+        const state::Address to = this->front->address();
+        socket.connect({asio::ip::make_address(to.ip), to.port});
+        const std::string text = "POST /p/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                                 "Request-Deadline: 5000\r\nContent-Length: 0\r\n\r\n";
+        asio::write(socket, asio::buffer(text));
+        std::this_thread::sleep_for(after);
+    }
+
+    static protocol::HttpRequest request()
+    {
+        protocol::HttpRequest made;
+        made.method = "POST";
+        made.target = "/p/x";
+        made.headers = {{"Host", "h"}, {"Request-Id", "r1"}, {"Request-Deadline", "3000"}};
+        made.body = "{}";
+        return made;
+    }
+
+    std::atomic<int> arrivals = 0;
+    std::atomic<std::int64_t> leftAtUs = 0; // when an endpoint saw its caller close
+    std::string resumedBehind;              // as the last endpoint was told
+
+private:
+    std::shared_ptr<transport::HttpServer> listen(transport::HttpHandler handler)
+    {
+        transport::HttpServer::Hooks serverHooks;
+        serverHooks.handle = std::move(handler);
+        serverHooks.reject = [](unsigned status, std::string_view) {
+            return protocol::HttpResponse{status, {}, {}};
+        };
+        auto server = transport::HttpServer::create(this->context, {"127.0.0.1", 0}, {},
+                                                    std::move(serverHooks))
+                              .value();
+        server->start();
+        return server;
+    }
+
+    void publishRoutes(state::routes::CallKind kind)
+    {
+        state::routes::RouteTableDraft draft;
+        draft.version = 1;
+        draft.services = {{service, "/health", 10, {}}};
+        state::routes::Route route;
+        route.name = "route";
+        route.host = "h";
+        route.pathPrefix = "/p/";
+        route.kind = kind;
+        route.resumable = true;
+        route.timeout = std::chrono::milliseconds(2'000);
+        route.firstAnswerTarget = std::chrono::milliseconds(300);
+        route.pauseTarget = std::chrono::milliseconds(200);
+        route.attempts = 2;
+        route.services = {{service, 1}};
+        draft.routes = {route};
+        this->routes.publish(state::routes::RouteTable::create(std::move(draft)).value());
+    }
+
+    RouteRelay::Hooks hooks()
+    {
+        RouteRelay::Hooks hooks;
+        hooks.codec = makeRelayCodec();
+        hooks.scheduler.blame = [](const state::Address &) {};
+        hooks.endpoints = [this] { return this->table.read(); };
+        hooks.routes = [this] { return this->routes.read(); };
+        hooks.refuses = [] { return false; };
+        hooks.finished = [](const program::RelayOutcome &) {};
+        return hooks;
+    }
+
+    asio::awaitable<void> serveEndpoint(transport::HttpExchange &exchange)
+    {
+        const auto arrival = std::size_t(this->arrivals++);
+        const Behaviour behaviour = this->behaviours.at(std::min(arrival,
+                                                                 this->behaviours.size() - 1));
+        protocol::HttpResponse answer = sealedAnswer(exchange.request(), 200);
+        switch (behaviour) {
+        case Behaviour::Answers:
+            break;
+        case Behaviour::Fails:
+            answer.status = 500;
+            break;
+        case Behaviour::Refuses:
+            answer.status = 503;
+            answer.headers.add("Not-Executed", "1");
+            break;
+        case Behaviour::IsAnother:
+            answer.status = 421;
+            break;
+        case Behaviour::CrossedAnswer:
+            answer.headers = {{"Request-Id", "r0"}, {"Response-Seal", "seal"}};
+            break;
+        case Behaviour::Unsealed:
+            answer.headers = {{"Request-Id", "r1"}};
+            break;
+        case Behaviour::NeverAnswers:
+            co_await this->waitForClose(exchange);
+            co_return;
+        case Behaviour::Closes:
+            co_return;
+        default:
+            co_await this->stream(exchange, behaviour, std::move(answer));
+            co_return;
+        }
+        co_await exchange.respond(std::move(answer));
+    }
+
+    asio::awaitable<void> waitForClose(transport::HttpExchange &exchange)
+    {
+        exchange.onCallerGone(
+                [this] { this->leftAtUs = program::monotonicNow().time_since_epoch().count(); });
+        for (int waits = 0; waits < 200 && this->leftAtUs == 0; ++waits)
+            co_await transport::pause(std::chrono::milliseconds(10));
+    }
+
+    asio::awaitable<void> stream(transport::HttpExchange &exchange, Behaviour behaviour,
+                                 protocol::HttpResponse head)
+    {
+        this->resumedBehind =
+                std::string(exchange.request().headers.find("Last-Event-Id").value_or(""));
+        const int first = this->resumedBehind.empty() ? 1 : std::stoi(this->resumedBehind) + 1;
+        head.body.clear();
+        co_await exchange.beginStream(std::move(head));
+        for (int id = first; id <= 6; ++id) {
+            if (behaviour != Behaviour::Streams && id == 3) {
+                const std::string torn = "id: 3\nda";
+                co_await exchange.write(torn);
+                co_return; // left unfinished: the connection is cut
+            }
+            const std::string event = "id: " + std::to_string(id) + "\ndata: x\n\n";
+            co_await exchange.write(event);
+        }
+        co_await exchange.finishStream();
+    }
+
+    std::vector<Behaviour> behaviours;
+    program::Settings settings;
+    asio::io_context context{1};
+    state::Snapshot<state::routes::RouteTable> routes;
+    state::Snapshot<EndpointTable> table;
+    std::unique_ptr<RouteRelay> relay;
+    std::vector<std::shared_ptr<transport::HttpServer>> servers;
+    std::shared_ptr<transport::HttpServer> front;
+    std::thread thread;
+};
+
+struct Case
+{
+    const char *name;
+    std::vector<Behaviour> behaviours; // of the first arrival, the second, …
+    unsigned status;
+    int arrivals;
+};
+
+std::string eventsUpTo(int last)
+{
+    std::string text;
+    for (int id = 1; id <= last; ++id)
+        text += "id: " + std::to_string(id) + "\ndata: x\n\n";
+    return text;
+}
+
+} // namespace
+
+class RelayTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RelayTest);
+    CPPUNIT_TEST(unrepeatableCalls);
+    CPPUNIT_TEST(idempotentCalls);
+    CPPUNIT_TEST(resumedStreamEqualsTheUndisturbedOne);
+    CPPUNIT_TEST(streamThatCantGoOnIsCut);
+    CPPUNIT_TEST(callersCloseReachesTheEndpoint);
+    CPPUNIT_TEST(timeLimitIsKept);
+    CPPUNIT_TEST_SUITE_END();
+
+    using Kind = state::routes::CallKind;
+
+    static void check(Kind kind, const std::vector<Case> &cases)
+    {
+        for (const Case &each : cases) {
+            Rig rig(kind, each.behaviours);
+            const auto answer = rig.call();
+            CPPUNIT_ASSERT_MESSAGE(each.name, answer.has_value());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.name, each.status, answer.value().status);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.name, each.arrivals, rig.arrivals.load());
+            const bool own = answer.value().headers.find("Response-Seal").has_value();
+            const bool endpoints = each.status == 200 || each.status == 500;
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.name, endpoints, own);
+        }
+    }
+
+public:
+    // A posting: one that may have run goes to no other replica and is never answered "not run".
+    void unrepeatableCalls()
+    {
+        using enum Behaviour;
+        check(Kind::NonIdempotent, {
+                                           {"answers", {Answers, Answers}, 200, 1},
+                                           {"fails", {Fails, Answers}, 500, 1},
+                                           {"closes", {Closes, Answers}, 502, 1},
+                                           {"crossed", {CrossedAnswer, Answers}, 502, 1},
+                                           {"unsealed", {Unsealed, Answers}, 502, 1},
+                                           {"refuses", {Refuses, Answers}, 200, 2},
+                                           {"another", {IsAnother, Answers}, 200, 2},
+                                           {"refuses, closes", {Refuses, Closes}, 502, 2},
+                                           {"all refuse", {Refuses, Refuses, Refuses}, 503, 3},
+                                   });
+    }
+
+    // A lookup: it may run twice, as often as its route allows, and a failure comes back only when
+    // no endpoint is left to ask.
+    void idempotentCalls()
+    {
+        using enum Behaviour;
+        check(Kind::Idempotent, {
+                                        {"fails once", {Fails, Answers}, 200, 2},
+                                        {"closes once", {Closes, Answers}, 200, 2},
+                                        {"crossed once", {CrossedAnswer, Answers}, 200, 2},
+                                        {"fails twice", {Fails, Fails, Answers}, 500, 2},
+                                        {"closes twice", {Closes, Closes, Answers}, 502, 2},
+                                });
+    }
+
+    // The first engine dies inside event 3. The caller sees one stream, as if nothing had happened.
+    void resumedStreamEqualsTheUndisturbedOne()
+    {
+        Rig undisturbed(Kind::Stream, {Behaviour::Streams});
+        const auto expected = undisturbed.call();
+        Rig rig(Kind::Stream, {Behaviour::CutsInsideAnEvent, Behaviour::Streams});
+        const auto answer = rig.call();
+        CPPUNIT_ASSERT_EQUAL(eventsUpTo(6), expected.value().body);
+        CPPUNIT_ASSERT_EQUAL(expected.value().body, answer.value().body);
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), rig.resumedBehind);
+    }
+
+    // Every engine dies inside an event: the answer must not look complete.
+    void streamThatCantGoOnIsCut()
+    {
+        Rig rig(Kind::Stream, {Behaviour::CutsInsideAnEvent, Behaviour::Closes});
+        const auto answer = rig.call();
+        CPPUNIT_ASSERT(!answer);
+        CPPUNIT_ASSERT_EQUAL(std::string(transport::receiveStep), answer.error().step);
+    }
+
+    // A caller closes while its request is worked on: the endpoint stops within 100 ms.
+    void callersCloseReachesTheEndpoint()
+    {
+        Rig rig(Kind::Idempotent, {Behaviour::NeverAnswers});
+        rig.callAndLeave(std::chrono::milliseconds(150));
+        const std::int64_t closed = program::monotonicNow().time_since_epoch().count();
+        for (int waits = 0; waits < 100 && rig.leftAtUs == 0; ++waits)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        CPPUNIT_ASSERT(rig.leftAtUs > 0);
+        CPPUNIT_ASSERT(rig.leftAtUs - closed < 100'000);
+    }
+
+    // An endpoint that never answers a call: the caller is answered at the route's timeout of 2 s.
+    void timeLimitIsKept()
+    {
+        Rig rig(Kind::NonIdempotent, {Behaviour::NeverAnswers, Behaviour::Answers});
+        const state::Instant begin = program::monotonicNow();
+        const auto answer = rig.call();
+        const state::Duration took = program::monotonicNow() - begin;
+        CPPUNIT_ASSERT_EQUAL(504U, answer.value().status);
+        CPPUNIT_ASSERT_EQUAL(1, rig.arrivals.load());
+        CPPUNIT_ASSERT(took >= std::chrono::milliseconds(1'900));
+        CPPUNIT_ASSERT(took < std::chrono::milliseconds(2'500));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
+
+} // namespace lavenderthread::platform
