--- /dev/null
+++ b/bench/pass-bench.cpp
@@ -0,0 +1,208 @@
+// The load tool on the stand-in of engines that work in passes: one table a policy, by class, as
+// text or CSV; or, with --score, one number for the settings given as NAME=VALUE: the value that came
+// in time, a quarter of what came late, over all, classes weighted as --weights says.
+// usage: pass-bench [--seeds N] [--csv] [--score] [--weights A,B,C] [NAME=VALUE…]
+#include "PassFleetRun.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstring>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace {
+
+using namespace lavenderthread; // NOLINT(google-build-using-namespace): main only
+using bench::PassPlan;
+using bench::PassResult;
+using coordination::routing::Placement;
+
+double quantile(std::vector<double> values, double share)
+{
+    if (values.empty())
+        return 0;
+    std::ranges::sort(values);
+    return values[std::size_t(double(values.size() - 1) * share)];
+}
+
+void print(const std::string &policy, const PassPlan &plan, const PassResult &result, bool csv)
+{
+    for (std::size_t kind = 0; kind < plan.classes.size(); ++kind) {
+        const auto &tally = result.classes[kind];
+        const char *format = csv ? "%s,%s,%zu,%zu,%zu,%zu,%.3f,%.3f,%.3f,%.3f\n"
+                                 : "%-18s %-10s asked %5zu in time %5zu refused %4zu unfinished "
+                                   "%3zu share %.3f largest tenth %.3f first p95 %.3f pause p95 "
+                                   "%.3f\n";
+        std::printf(format, policy.c_str(), plan.classes[kind].name.c_str(), tally.asked,
+                    tally.inTime, tally.refused, tally.unfinished, tally.share(),
+                    result.largestTenth[kind].share(), quantile(tally.firstSeconds, 0.95),
+                    quantile(tally.longestPauses, 0.95));
+    }
+}
+
+using Member = double coordination::routing::PassPlacementSettings::*;
+
+const std::map<std::string, Member> &members()
+{
+    using Settings = coordination::routing::PassPlacementSettings;
+    static const std::map<std::string, Member> all = {
+            {"briefSeconds", &Settings::briefSeconds},
+            {"briefPerEngine", &Settings::briefPerEngine},
+            {"briefPerEngineCrowded", &Settings::briefPerEngineCrowded},
+            {"longSecondsPerEngine", &Settings::longSecondsPerEngine},
+            {"longEnginesBeside", &Settings::longEnginesBeside},
+            {"demandMemorySeconds", &Settings::demandMemorySeconds},
+            {"helperSeconds", &Settings::helperSeconds},
+            {"besideTightSeconds", &Settings::besideTightSeconds},
+            {"besideDecodingSeconds", &Settings::besideDecodingSeconds},
+            {"helpingAnswersSeconds", &Settings::helpingAnswersSeconds},
+            {"outsideAnsweringSeconds", &Settings::outsideAnsweringSeconds},
+            {"answeringMemoryShare", &Settings::answeringMemoryShare},
+            {"startShare", &Settings::startShare},
+            {"startWaitingSeconds", &Settings::startWaitingSeconds},
+            {"startOwnWaitingSeconds", &Settings::startOwnWaitingSeconds},
+            {"waitingShare", &Settings::waitingShare},
+            {"costPower", &Settings::costPower},
+            {"longPerEngine", &Settings::longPerEngine},
+    };
+    return all;
+}
+
+// False if there is no such member.
+bool change(PassPlan &plan, const std::string &assignment)
+{
+    const std::size_t equals = assignment.find('=');
+    const auto member = members().find(assignment.substr(0, equals));
+    if (equals == std::string::npos || member == members().end())
+        return false;
+    plan.policy.passes.*(member->second) = std::stod(assignment.substr(equals + 1));
+    return true;
+}
+
+double score(const PassResult &result, const std::vector<double> &weights)
+{
+    constexpr double lateShare = 0.25;
+    double earned = 0;
+    double all = 0;
+    for (std::size_t kind = 0; kind < result.classes.size(); ++kind) {
+        const auto &tally = result.classes[kind];
+        earned += weights.at(kind) * (tally.valueInTime + lateShare * tally.valueLate);
+        all += weights.at(kind) * tally.value;
+    }
+    return all > 0 ? earned / all : 0;
+}
+
+void add(PassResult &sum, const PassResult &one)
+{
+    if (sum.classes.empty()) {
+        sum = one;
+        return;
+    }
+    const auto merge = [](bench::PassTally &into, const bench::PassTally &from) {
+        into.asked += from.asked;
+        into.inTime += from.inTime;
+        into.late += from.late;
+        into.refused += from.refused;
+        into.unfinished += from.unfinished;
+        into.value += from.value;
+        into.valueInTime += from.valueInTime;
+        into.valueLate += from.valueLate;
+        into.firstSeconds.insert(into.firstSeconds.end(), from.firstSeconds.begin(),
+                                 from.firstSeconds.end());
+        into.longestPauses.insert(into.longestPauses.end(), from.longestPauses.begin(),
+                                  from.longestPauses.end());
+    };
+    for (std::size_t kind = 0; kind < sum.classes.size(); ++kind) {
+        merge(sum.classes[kind], one.classes[kind]);
+        merge(sum.largestTenth[kind], one.largestTenth[kind]);
+    }
+}
+
+const std::map<std::string, std::function<void(PassPlan &)>> &policies()
+{
+    static const std::map<std::string, std::function<void(PassPlan &)>> all = {
+            {"passes", [](PassPlan &) {}},
+            {"no-helpers", [](PassPlan &plan) { plan.policy.passes.mostHelpers = 0; }},
+            {"at-once",
+             [](PassPlan &plan) {
+                 plan.policy.passes.startShare = 0;
+                 plan.policy.passes.startWaitingSeconds = 10;
+                 plan.policy.passes.partsPerHelper = 100;
+             }},
+            {"alone", [](PassPlan &plan) { plan.policy.shareWork = false; }},
+            {"predicted", [](PassPlan &plan) { plan.declareProfile = false; }},
+            {"least-outstanding",
+             [](PassPlan &plan) {
+                 plan.declareProfile = false;
+                 plan.policy.placement = Placement::LeastOutstanding;
+                 plan.policy.sliceTokens = 0;
+             }},
+            {"round-robin",
+             [](PassPlan &plan) {
+                 plan.declareProfile = false;
+                 plan.policy.placement = Placement::RoundRobin;
+                 plan.policy.sliceTokens = 0;
+             }},
+    };
+    return all;
+}
+
+struct Options
+{
+    std::uint64_t seeds = 3;
+    bool csv = false;
+    bool onlyScore = false;
+    std::vector<double> weights{1.3, 3.1, 22};
+    std::vector<std::string> changes;
+};
+
+Options read(int argc, char **argv)
+{
+    Options options;
+    for (int index = 1; index < argc; ++index) {
+        const std::string word = argv[index];
+        if (word == "--csv") {
+            options.csv = true;
+        } else if (word == "--score") {
+            options.onlyScore = true;
+        } else if (word == "--seeds" && index + 1 < argc) {
+            options.seeds = std::stoull(argv[++index]);
+        } else if (word == "--weights" && index + 1 < argc) {
+            std::sscanf(argv[++index], "%lf,%lf,%lf", &options.weights[0], &options.weights[1],
+                        &options.weights[2]);
+        } else {
+            options.changes.push_back(word);
+        }
+    }
+    return options;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const Options options = read(argc, argv);
+    for (const auto &[name, adjust] : policies()) {
+        if (options.onlyScore && name != "passes")
+            continue;
+        PassResult sum;
+        PassPlan plan;
+        for (std::uint64_t seed = 1; seed <= options.seeds; ++seed) {
+            plan = bench::heavyDay(seed);
+            adjust(plan);
+            for (const std::string &assignment : options.changes) {
+                if (!change(plan, assignment)) {
+                    std::fprintf(stderr, "unknown setting: %s\n", assignment.c_str());
+                    return 2;
+                }
+            }
+            add(sum, bench::PassFleetRun(plan).run());
+        }
+        if (options.onlyScore)
+            std::printf("%.4f\n", score(sum, options.weights));
+        else
+            print(name, plan, sum, options.csv);
+    }
+    return 0;
+}
--- /dev/null
+++ b/tests/bench/PassBoundsTest.cpp
@@ -0,0 +1,105 @@
+// The load of the worst days, replayed on the stand-in of engines that work in passes: what each
+// mechanism of placing brings, as shares of fixed seeds. docs/measurements/policy.md has the figures.
+#include "PassFleetRun.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace lavenderthread::bench {
+
+class PassBoundsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PassBoundsTest);
+    CPPUNIT_TEST(briefRequestsStayInTimeBesideLongOnes);
+    CPPUNIT_TEST(longPromptsStartOneAfterTheOther);
+    CPPUNIT_TEST(helpersBringTheFirstTokenForward);
+    CPPUNIT_TEST(notesBetweenEntriesPay);
+    CPPUNIT_TEST(nobodyIsStarved);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::size_t narrative = 0;
+    static constexpr std::size_t summary = 1;
+    static constexpr std::size_t review = 2;
+
+    static PassResult play(void (*change)(PassPlan &), std::uint64_t seed = 11)
+    {
+        PassPlan plan = heavyDay(seed);
+        change(plan);
+        return PassFleetRun(plan).run();
+    }
+
+    static void assertAbove(const char *what, double bound, double value)
+    {
+        CPPUNIT_ASSERT_MESSAGE(std::string(what) + " is " + std::to_string(value) + ", bound "
+                                       + std::to_string(bound),
+                               value >= bound);
+    }
+
+public:
+    // Ten seconds of reviews at 2.7 times their usual rate, then ten of narratives at 2.4 times.
+    // Callers of narratives bear pauses of 200 ms, which one review's prefill beside them takes.
+    void briefRequestsStayInTimeBesideLongOnes()
+    {
+        const PassResult ours = play([](PassPlan &) {});
+        const PassResult plain = play([](PassPlan &plan) {
+            plan.declareProfile = false;
+            plan.policy.placement = coordination::routing::Placement::LeastOutstanding;
+            plan.policy.splitEngines = false;
+            plan.policy.sliceTokens = 0;
+        });
+        assertAbove("narratives in time", 0.9, ours.classes[narrative].share());
+        assertAbove("narratives in time, over least outstanding", 1.5,
+                    ours.classes[narrative].share() / plain.classes[narrative].share());
+    }
+
+    // Sent as they come, all parts share the engines and the newest goes first: the oldest starve.
+    void longPromptsStartOneAfterTheOther()
+    {
+        const PassResult ours = play([](PassPlan &) {});
+        const PassResult atOnce = play([](PassPlan &plan) {
+            plan.policy.passes.startShare = 0;
+            plan.policy.passes.startWaitingSeconds = 10;
+            plan.policy.passes.partsPerHelper = 100;
+        });
+        assertAbove("summaries in time", 0.8, ours.classes[summary].share());
+        assertAbove("reviews in time", 0.5, ours.classes[review].share());
+        assertAbove("reviews in time, over sending at once", 1.2,
+                    ours.classes[review].share() / atOnce.classes[review].share());
+    }
+
+    void helpersBringTheFirstTokenForward()
+    {
+        const PassResult ours = play([](PassPlan &) {});
+        const PassResult without =
+                play([](PassPlan &plan) { plan.policy.passes.mostHelpers = 0; });
+        assertAbove("reviews in time, over engines alone", 1.5,
+                    ours.classes[review].share() / std::max(without.classes[review].share(), 0.01));
+    }
+
+    // Entries that don't tell each other place by their own work alone and meet on the same engines.
+    void notesBetweenEntriesPay()
+    {
+        const PassResult ours = play([](PassPlan &) {});
+        const PassResult alone = play([](PassPlan &plan) { plan.policy.shareWork = false; });
+        assertAbove("narratives in time, over entries alone", 1.1,
+                    ours.classes[narrative].share() / alone.classes[narrative].share());
+    }
+
+    // The longest tenth of each kind is turned away first, and still served half as often as all.
+    void nobodyIsStarved()
+    {
+        const PassResult ours = play([](PassPlan &) {});
+        for (const std::size_t kind : {narrative, summary, review}) {
+            const PassTally &all = ours.classes[kind];
+            const PassTally &largest = ours.largestTenth[kind];
+            const double served = double(all.inTime + all.late) / double(all.asked);
+            const double servedLargest =
+                    double(largest.inTime + largest.late) / double(std::max<std::size_t>(largest.asked, 1));
+            assertAbove("largest tenth served, over all", 0.5, servedLargest / served);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PassBoundsTest);
+
+} // namespace lavenderthread::bench
