--- a/src/coordination/routing/PassPlacementSettings.h
+++ b/src/coordination/routing/PassPlacementSettings.h
@@ -10,11 +10,11 @@
 {
     // Prefill up to this long counts as brief and is packed; it is the time that 20,000 tokens
     // take, and lets a pass with two such prompts stay under a pause of 200 ms.
-    double briefSeconds = 0.13;
+    double briefSeconds = 0.1;
     // Brief requests that one engine is meant to answer at once: at that many the prefill of
     // newcomers takes a tenth of each pass. Where long work needs the engines, up to the second
     // number, at which passes grow by a fifth.
-    double briefPerEngine = 8;
+    double briefPerEngine = 11;
     double briefPerEngineCrowded = 13;
     // Long work that one engine of its part is meant to do in a second, and engines beside.
     double longSecondsPerEngine = 0.6;
@@ -23,7 +23,7 @@
     double demandMemorySeconds = 1.5;
     // Cost of one more helper, as time to the first token: each one stalls whoever decodes there,
     // and one more engine must stay alive.
-    double helperSeconds = 0.015;
+    double helperSeconds = 0.008;
     std::size_t mostHelpers = 16; // bound of the engines' interface
     // Costs of prefilling long where others decode, as time to the first token: whose pauses are
     // tight (brief requests from before the border moved), and who decodes long work itself. Such
@@ -37,10 +37,10 @@
     // A long prompt starts when this share of the engines for long work, or as many as pay, have
     // less than so much prefill waiting: they are kept busy by one prompt after the other, and not
     // by several at once.
-    double startShare = 0.6;
-    double startWaitingSeconds = 0.03;
+    double startShare = 0.8;
+    double startWaitingSeconds = 0.06;
     std::size_t partsPerHelper = 2; // not known to be done
-    double startOwnWaitingSeconds = 0.25; // the same, of the engine that answers
+    double startOwnWaitingSeconds = 0.1; // the same, of the engine that answers
     // Under load the longest prompts are turned away first: they cost the most engine time for each
     // of their tokens, since that grows with their length. The wait for the start may take this
     // share of the time to the first token as asked, for a prompt that costs `usualSecondsPerToken`,
