--- /dev/null
+++ b/soak/Fleet.h
@@ -0,0 +1,65 @@
+// The processes of the system under test: settings, start, signals, restart. Ends only what it has
+// started, by its process ids.
+#pragma once
+
+#include "state/Address.h"
+
+#include <sys/types.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace lavenderthread::soak {
+
+struct FleetSettings
+{
+    std::string binary;
+    std::string folder; // for settings, logs and data; made anew
+    std::size_t controls = 3;
+    std::size_t entries = 4;
+    std::uint16_t port = 0; // first of five that every process uses, each at its own loopback IP
+};
+
+class Fleet
+{
+public:
+    explicit Fleet(FleetSettings chosen);
+    ~Fleet(); // kills what still runs
+    Fleet(const Fleet &) = delete;
+    Fleet &operator=(const Fleet &) = delete;
+
+    // Processes are numbered: the controls first, then the entries.
+    std::size_t size() const { return this->processes.size(); }
+    bool isControl(std::size_t index) const { return index < this->settings.controls; }
+    void start(std::size_t index);
+    void signal(std::size_t index, int number);
+    bool isRunning(std::size_t index); // reaps one that has ended
+    void kill(std::size_t index);
+    void wipe(std::size_t index);     // its data folder; it must not run
+    void tearLog(std::size_t index);  // leaves a torn write behind; it must not run
+    std::uint64_t exitsOfItsOwn() const { return this->ownExits; }
+
+    state::Address callers(std::size_t index) const;   // of an entry
+    state::Address directory(std::size_t index) const; // of an entry
+    state::Address operators(std::size_t index) const; // of a control member
+    std::vector<state::Address> allOperators() const;
+
+private:
+    struct Process
+    {
+        pid_t pid = 0; // 0: does not run
+        bool asked = false; // told to end
+        bool founded = false; // has run before
+    };
+
+    std::string ip(std::size_t index) const;
+    std::string dataFolder(std::size_t index) const;
+    void writeSettings(std::size_t index) const;
+
+    FleetSettings settings;
+    std::vector<Process> processes;
+    std::uint64_t ownExits = 0;
+};
+
+} // namespace lavenderthread::soak
--- /dev/null
+++ b/soak/Operator.cpp
@@ -0,0 +1,118 @@
+#include "Operator.h"
+
+#include "program/Clock.h"
+#include "transport/Await.h"
+#include "transport/HttpClient.h"
+
+namespace lavenderthread::soak {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds answerTime{1'500};
+constexpr milliseconds betweenTries{100};
+constexpr unsigned statusOk = 200;
+
+} // namespace
+
+Operator::Operator(asio::io_context &context, std::vector<state::Address> controls, Ledger &ledger,
+                   std::uint64_t seed)
+    : context(context)
+    , controls(std::move(controls))
+    , ledger(ledger)
+    , random(seed)
+{}
+
+std::string Operator::document() const
+{
+    const std::string route = R"("Host":"soak","TimeoutMs":3000,"Anonymous":false,"Attempts":2,)";
+    return R"({"Version":)" + std::to_string(this->version) + R"(,"Routes":[)"
+           + R"({"Name":"stream","PathPrefix":"/stream/","Kind":"streaming","Resumable":true,)"
+           + route + R"("TargetLatencyMs":3000,"TargetGapMs":800,"Service":"llm"},)"
+           + R"({"Name":"post","PathPrefix":"/post/","Kind":"non_idempotent",)" + route
+           + R"("TargetLatencyMs":100,"Service":"app"},)"
+           + R"({"Name":"read","PathPrefix":"/read/","Kind":"idempotent",)" + route
+           + R"("TargetLatencyMs":100,"Service":"app"},)"
+           + R"({"Name":"v)" + std::to_string(this->version) + R"(","PathPrefix":"/v)"
+           + std::to_string(this->version) + R"(/","Kind":"idempotent",)" + route
+           + R"("TargetLatencyMs":100,"Service":"app"}],"Services":[)"
+           + R"({"Name":"llm","HealthPath":"/health","MaxConns":100,"Engine":{"Slots":16,)"
+           + R"("KvCapacity":450000,"Stride":46,"step_ms":0.925,"per_seq_ms":0.00483,)"
+           + R"("context_per_k":0.00254,"read_per_s":2560000.0,"pairs_per_m":0.00917,"chunk":2048}},)"
+           + R"({"Name":"app","HealthPath":"/health","MaxConns":100}],)"
+           + R"("Tenants":[{"Name":"acme","ApiKeys":["key-one"]}]})";
+}
+
+asio::awaitable<state::Result<protocol::HttpResponse>>
+Operator::call(const char *method, const char *path, std::string body)
+{
+    protocol::HttpRequest request;
+    request.method = method;
+    request.target = path;
+    request.body = std::move(body);
+    transport::HttpCallLimits limits;
+    limits.connectTimeout = milliseconds(300);
+    limits.timeout = answerTime;
+    const state::Address to = this->controls[this->random() % this->controls.size()];
+    const asio::any_io_executor executor = this->context.get_executor();
+    co_return co_await transport::httpCall(executor, to, std::move(request), limits);
+}
+
+asio::awaitable<bool> Operator::send(milliseconds patience)
+{
+    ++this->version;
+    const std::string text = this->document();
+    const std::uint64_t sent = this->version;
+    const state::Instant limit = program::monotonicNow() + patience;
+    while (program::monotonicNow() < limit && !this->stopped) {
+        std::string body = text;
+        const auto answer = co_await this->call("POST", "/config/replace", std::move(body));
+        if (answer && answer.value().status == statusOk) {
+            this->ledger.acknowledged(sent);
+            co_return true;
+        }
+        if (answer && answer.value().status < 500)
+            this->ledger.broken("a valid configuration was refused with "
+                                + std::to_string(answer.value().status));
+        co_await transport::pause(betweenTries);
+    }
+    co_return false;
+}
+
+asio::awaitable<void> Operator::sendForEver(milliseconds pause)
+{
+    while (!this->stopped) {
+        co_await this->send(milliseconds(6'000));
+        co_await transport::pause(pause);
+    }
+}
+
+asio::awaitable<std::optional<std::uint64_t>> Operator::read(milliseconds patience)
+{
+    const state::Instant limit = program::monotonicNow() + patience;
+    while (program::monotonicNow() < limit) {
+        const std::uint64_t before = this->ledger.newestAcknowledged();
+        const auto answer = co_await this->call("GET", "/config/get", "");
+        if (answer && answer.value().status == statusOk) {
+            const std::string &body = answer.value().body;
+            const std::size_t colon = body.find(':');
+            const std::uint64_t found = std::stoull(body.substr(colon + 1));
+            this->ledger.readBack(found, before);
+            co_return found;
+        }
+        co_await transport::pause(betweenTries);
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<void> Operator::readForEver(milliseconds pause)
+{
+    while (!this->stopped) {
+        co_await this->read(milliseconds(300));
+        co_await transport::pause(pause);
+    }
+}
+
+} // namespace lavenderthread::soak
--- /dev/null
+++ b/soak/Operator.h
@@ -0,0 +1,51 @@
+// The operator: sends configurations with rising versions, again after lost answers, and reads back
+// what is in force.
+#pragma once
+
+#include "Ledger.h"
+
+#include "protocol/HttpMessage.h"
+#include "state/Address.h"
+#include "state/Error.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace lavenderthread::soak {
+
+class Operator
+{
+public:
+    Operator(boost::asio::io_context &context, std::vector<state::Address> controls,
+             Ledger &ledger, std::uint64_t seed);
+
+    // True once a configuration is acknowledged.
+    boost::asio::awaitable<bool> send(std::chrono::milliseconds patience);
+    boost::asio::awaitable<void> sendForEver(std::chrono::milliseconds pause);
+    boost::asio::awaitable<void> readForEver(std::chrono::milliseconds pause);
+    // The newest version, or nothing if no node is sure within the time.
+    boost::asio::awaitable<std::optional<std::uint64_t>> read(std::chrono::milliseconds patience);
+    void stop() { this->stopped = true; }
+    std::uint64_t lastSent() const { return this->version; }
+
+private:
+    boost::asio::awaitable<state::Result<protocol::HttpResponse>> call(const char *method,
+                                                                       const char *path,
+                                                                       std::string body);
+    std::string document() const;
+
+    boost::asio::io_context &context;
+    std::vector<state::Address> controls;
+    Ledger &ledger;
+    std::mt19937_64 random;
+    std::uint64_t version = 0;
+    bool stopped = false;
+};
+
+} // namespace lavenderthread::soak
--- /dev/null
+++ b/soak/Proxy.cpp
@@ -0,0 +1,118 @@
+#include "Proxy.h"
+
+#include "transport/Await.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+
+namespace lavenderthread::soak {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::chrono::milliseconds delay{40};
+constexpr std::chrono::milliseconds silenceStep{20};
+constexpr std::size_t pieceBytes = 16U << 10U;
+
+tcp::endpoint endpointOf(const state::Address &address)
+{
+    return {asio::ip::make_address(address.ip), address.port};
+}
+
+} // namespace
+
+struct Proxy::Pair
+{
+    Pair(tcp::socket caller, asio::io_context &context)
+        : caller(std::move(caller))
+        , endpoint(context)
+    {}
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        this->caller.close(ignored);
+        this->endpoint.close(ignored);
+    }
+
+    tcp::socket caller;
+    tcp::socket endpoint;
+    int directions = 2;
+};
+
+Proxy::Proxy(asio::io_context &context, const state::Address &listen, state::Address target)
+    : context(context)
+    , acceptor(context, endpointOf(listen))
+    , target(std::move(target))
+{}
+
+void Proxy::start()
+{
+    asio::co_spawn(this->context, this->acceptAll(), asio::detached);
+}
+
+void Proxy::resetAll()
+{
+    for (const auto &pair : this->pairs) {
+        boost::system::error_code ignored;
+        pair->caller.set_option(asio::socket_base::linger(true, 0), ignored);
+        pair->endpoint.set_option(asio::socket_base::linger(true, 0), ignored);
+        pair->close();
+    }
+}
+
+asio::awaitable<void> Proxy::acceptAll()
+{
+    while (true) {
+        auto [problem, socket] =
+                co_await this->acceptor.async_accept(asio::as_tuple(asio::use_awaitable));
+        if (problem)
+            co_return;
+        if (this->fault == LinkFault::Refused)
+            continue;
+        const auto pair = std::make_shared<Pair>(std::move(socket), this->context);
+        const tcp::endpoint to = endpointOf(this->target);
+        auto [unreachable] =
+                co_await pair->endpoint.async_connect(to, asio::as_tuple(asio::use_awaitable));
+        if (unreachable)
+            continue;
+        this->pairs.insert(pair);
+        asio::co_spawn(this->context, this->carry(pair, false), asio::detached);
+        asio::co_spawn(this->context, this->carry(pair, true), asio::detached);
+    }
+}
+
+asio::awaitable<void> Proxy::carry(std::shared_ptr<Pair> pair, bool fromTarget)
+{
+    tcp::socket &from = fromTarget ? pair->endpoint : pair->caller;
+    tcp::socket &to = fromTarget ? pair->caller : pair->endpoint;
+    std::array<char, pieceBytes> piece{};
+    while (true) {
+        auto [problem, size] = co_await from.async_read_some(asio::buffer(piece),
+                                                             asio::as_tuple(asio::use_awaitable));
+        if (problem)
+            break;
+        if (this->fault == LinkFault::Delayed)
+            co_await transport::pause(delay);
+        while (this->fault == LinkFault::Silent
+               || (this->fault == LinkFault::SilentAnswers && fromTarget))
+            co_await transport::pause(silenceStep);
+        auto [lost, written] = co_await asio::async_write(to, asio::buffer(piece.data(), size),
+                                                          asio::as_tuple(asio::use_awaitable));
+        if (lost)
+            break;
+    }
+    boost::system::error_code ignored;
+    to.shutdown(tcp::socket::shutdown_send, ignored);
+    if (--pair->directions == 0 || !fromTarget) {
+        pair->close();
+        this->pairs.erase(pair);
+    }
+}
+
+} // namespace lavenderthread::soak
--- /dev/null
+++ b/soak/StandIn.h
@@ -0,0 +1,70 @@
+// Stand-in of the provider's endpoints: announces itself, runs what it is sent, writes down each
+// run, and fails in the ways that endpoints fail in.
+#pragma once
+
+#include "Ledger.h"
+
+#include "state/Address.h"
+#include "transport/HttpServer.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace lavenderthread::soak {
+
+enum class EndpointFault {
+    None,
+    Fails,   // some answers are failures of its own
+    Refuses, // some are refused, not run
+    Breaks,  // some break off
+    Hangs,   // some are never answered
+    Crossed, // some answers carry another request's id
+};
+
+struct StandInSettings
+{
+    std::string service;
+    bool engine = false; // announces a model and streams
+    state::Address listen;
+    state::Address announced; // a proxy before it
+    std::vector<state::Address> controls;
+    std::string failureDomain;
+    std::uint64_t seed = 0;
+};
+
+class StandIn : public std::enable_shared_from_this<StandIn>
+{
+public:
+    StandIn(boost::asio::io_context &context, StandInSettings chosen, Ledger &ledger);
+
+    void start();
+    void setFault(EndpointFault next) { this->fault = next; }
+    void restart(); // under a new id and incarnation, at the same address
+
+private:
+    boost::asio::awaitable<void> beat();
+    boost::asio::awaitable<void> serve(transport::HttpExchange &exchange);
+    boost::asio::awaitable<void> serveOrder(transport::HttpExchange &exchange);
+    boost::asio::awaitable<void> stream(transport::HttpExchange &exchange,
+                                        protocol::HttpResponse head, const std::string &id);
+    std::string heartbeat();
+    bool strikes(EndpointFault which);
+
+    boost::asio::io_context &context;
+    StandInSettings settings;
+    Ledger &ledger;
+    std::mt19937_64 random;
+    std::shared_ptr<transport::HttpServer> server;
+    EndpointFault fault = EndpointFault::None;
+    std::string id;
+    std::uint64_t born = 0;
+    std::uint64_t sequence = 0;
+    std::size_t control = 0;
+};
+
+} // namespace lavenderthread::soak
--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,234 @@
+// Runs one seed: a small fleet of real processes, endpoints, callers and an operator, faults for so
+// many seconds, then a calm end in which everything has to work again.
+// usage: fault-soak --binary PATH --folder PATH [--seed N] [--seconds N]
+#include "Callers.h"
+#include "Faults.h"
+#include "Operator.h"
+
+#include "program/Clock.h"
+#include "transport/Await.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <CLI/CLI.hpp>
+
+#include <iostream>
+#include <map>
+
+#include <unistd.h>
+
+namespace lavenderthread::soak {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+struct Options
+{
+    std::string binary;
+    std::string folder;
+    std::uint64_t seed = 1;
+    unsigned seconds = 15;
+};
+
+constexpr std::size_t callers = 6;
+constexpr std::size_t engines = 4;
+constexpr std::size_t replicas = 3;
+constexpr milliseconds callPause{40};
+constexpr milliseconds changePause{400};
+constexpr milliseconds readPause{150};
+constexpr milliseconds faultPause{700};
+// After the last fault: discovery, elections, and what was suspected is taken up again.
+constexpr milliseconds recoveryTime{9'000};
+constexpr milliseconds calmTime{2'000};
+constexpr double calmShare = 0.95; // of the calls of the calm end that have to succeed
+
+class Soak
+{
+public:
+    explicit Soak(const Options &options)
+        : fleet({options.binary, options.folder, 3, 4, portOf(options.seed)})
+        , operators(this->context, this->fleet.allOperators(), this->ledger, options.seed)
+        , seconds(options.seconds)
+        , port(portOf(options.seed))
+    {
+        this->makeEndpoints(options.seed);
+        this->makeCallers(options.seed);
+        this->faults = std::make_unique<Faults>(this->fleet, this->proxies, this->endpoints,
+                                                options.seed);
+    }
+
+    int run()
+    {
+        asio::co_spawn(this->context, this->play(), [this](const std::exception_ptr &failure) {
+            if (failure)
+                std::rethrow_exception(failure);
+            this->context.stop();
+        });
+        this->context.run();
+        this->ledger.close();
+        std::cout << this->ledger.summary() << '\n';
+        for (const std::string &problem : this->ledger.violations())
+            std::cout << "BROKEN: " << problem << '\n';
+        return this->ledger.violations().empty() ? 0 : 1;
+    }
+
+private:
+    // Several soaks may run beside each other.
+    static std::uint16_t portOf(std::uint64_t seed)
+    {
+        constexpr std::uint64_t slots = 1'500;
+        return std::uint16_t(21'000 + (seed * 7 + std::uint64_t(::getpid())) % slots * 20);
+    }
+
+    state::Address at(int network, std::size_t index) const
+    {
+        return {"127.78." + std::to_string(network) + "." + std::to_string(index + 1), this->port};
+    }
+
+    void addProxy(const state::Address &listen, const state::Address &target)
+    {
+        this->proxies.push_back(std::make_unique<Proxy>(this->context, listen, target));
+        this->proxies.back()->start();
+    }
+
+    void makeEndpoints(std::uint64_t seed)
+    {
+        for (std::size_t index = 0; index < engines + replicas; ++index) {
+            StandInSettings settings;
+            settings.engine = index < engines;
+            settings.service = settings.engine ? "llm" : "app";
+            settings.listen = this->at(2, index);
+            settings.announced = this->at(3, index);
+            settings.controls = this->fleet.allOperators();
+            settings.failureDomain = "domain-" + std::to_string(index % 3);
+            settings.seed = seed * 100 + index;
+            this->addProxy(settings.announced, settings.listen);
+            this->endpoints.push_back(
+                    std::make_shared<StandIn>(this->context, settings, this->ledger));
+            this->endpoints.back()->start();
+        }
+    }
+
+    void makeCallers(std::uint64_t seed)
+    {
+        std::vector<state::Address> directories;
+        for (std::size_t index = 0; index < this->fleet.size(); ++index) {
+            if (this->fleet.isControl(index))
+                continue;
+            directories.push_back(this->fleet.directory(index));
+            const state::Address listen = this->at(4, index);
+            this->proxyOf[this->fleet.callers(index)] = listen;
+            this->addProxy(listen, this->fleet.callers(index));
+        }
+        for (std::size_t index = 0; index < callers; ++index) {
+            CallerSettings settings;
+            settings.directories = directories;
+            settings.seed = seed * 1'000 + index;
+            settings.name = "c" + std::to_string(index);
+            settings.viaProxy = [this](const state::Address &entry) {
+                const auto found = this->proxyOf.find(entry);
+                return found == this->proxyOf.end() ? entry : found->second;
+            };
+            this->people.push_back(
+                    std::make_unique<Caller>(this->context, settings, this->ledger));
+        }
+    }
+
+    asio::awaitable<void> play()
+    {
+        for (std::size_t index = 0; index < this->fleet.size(); ++index)
+            this->fleet.start(index);
+        const bool configured = co_await this->operators.send(milliseconds(15'000));
+        if (!configured) {
+            this->ledger.broken("the first configuration was not accepted in 15 s");
+            co_return;
+        }
+        for (const auto &person : this->people)
+            asio::co_spawn(this->context, person->callForEver(callPause), asio::detached);
+        asio::co_spawn(this->context, this->operators.sendForEver(changePause), asio::detached);
+        asio::co_spawn(this->context, this->operators.readForEver(readPause), asio::detached);
+        co_await transport::pause(milliseconds(1'500));
+        asio::co_spawn(this->context, this->faults->strikeForEver(faultPause), asio::detached);
+        co_await transport::pause(std::chrono::seconds(this->seconds));
+        co_await this->faults->heal();
+        co_await transport::pause(recoveryTime);
+        co_await this->checkCalmEnd();
+    }
+
+    asio::awaitable<void> checkCalmEnd()
+    {
+        const std::uint64_t succeeded = this->ledger.successCount();
+        const std::uint64_t answered = this->ledger.answerCount();
+        co_await transport::pause(calmTime);
+        const double all = double(this->ledger.answerCount() - answered);
+        const double good = double(this->ledger.successCount() - succeeded);
+        if (all == 0 || good / all < calmShare)
+            this->ledger.broken("after the faults " + std::to_string(std::uint64_t(good)) + " of "
+                                + std::to_string(std::uint64_t(all)) + " calls succeed");
+        this->operators.stop();
+        for (const auto &person : this->people)
+            person->stop();
+        co_await this->checkNewestInForce();
+        if (this->fleet.exitsOfItsOwn() > 0)
+            this->ledger.broken("processes ended by themselves");
+    }
+
+    // The newest acknowledged configuration is read back, and every entry serves its newest route.
+    asio::awaitable<void> checkNewestInForce()
+    {
+        co_await transport::pause(milliseconds(2'500));
+        const auto newest = co_await this->operators.read(milliseconds(5'000));
+        if (!newest) {
+            this->ledger.broken("no node is sure of the newest configuration");
+            co_return;
+        }
+        for (std::size_t index = 0; index < this->fleet.size(); ++index) {
+            if (this->fleet.isControl(index))
+                continue;
+            const std::string path = "/v" + std::to_string(*newest) + "/x";
+            const state::Address entry = this->fleet.callers(index);
+            const unsigned status = co_await this->people.front()->probe(entry, path);
+            if (status != 200)
+                this->ledger.broken("entry " + std::to_string(index) + " answers the route of version "
+                                    + std::to_string(*newest) + " with " + std::to_string(status));
+        }
+    }
+
+    asio::io_context context{1};
+    Ledger ledger;
+    Fleet fleet;
+    std::vector<std::unique_ptr<Proxy>> proxies;
+    std::vector<std::shared_ptr<StandIn>> endpoints;
+    std::vector<std::unique_ptr<Caller>> people;
+    std::map<state::Address, state::Address> proxyOf; // of an entry's callers
+    std::unique_ptr<Faults> faults;
+    Operator operators;
+    unsigned seconds;
+    std::uint16_t port;
+};
+
+} // namespace
+
+int run(int argc, char **argv)
+{
+    CLI::App app("fault-soak: faults on real processes, and the promises that must hold");
+    Options options;
+    app.add_option("--binary", options.binary, "The program under test")->required();
+    app.add_option("--folder", options.folder, "For settings, logs and data; made anew")->required();
+    app.add_option("--seed", options.seed, "Of the faults and the load");
+    app.add_option("--seconds", options.seconds, "How long faults strike");
+    CLI11_PARSE(app, argc, argv);
+    std::cout << "seed " << options.seed << '\n';
+    Soak soak(options);
+    return soak.run();
+}
+
+} // namespace lavenderthread::soak
+
+int main(int argc, char **argv)
+{
+    return lavenderthread::soak::run(argc, argv);
+}
