--- a/bench/PassEngine.cpp
+++ b/bench/PassEngine.cpp
@@ -55,9 +55,9 @@
         context += writer.context;
     // Without decoding requests a pass is one step.
     const double steps = this->writing.empty() ? 1 : double(this->profile.stridePerPass);
-    const double decode = state::routes::decodePassSeconds(
-                                  this->profile, double(this->writing.size()), context)
-                          * steps / double(this->profile.stridePerPass);
+    const double decode =
+            state::routes::decodePassSeconds(this->profile, double(this->writing.size()), context)
+            * steps / double(this->profile.stridePerPass);
     const double reading = this->readSome(steps * double(this->profile.stepTokens));
     const auto length = std::chrono::duration_cast<state::Duration>(
             std::chrono::duration<double>(decode + reading));
--- a/bench/PassEngine.h
+++ b/bench/PassEngine.h
@@ -18,7 +18,8 @@
     struct Hooks
     {
         std::function<void(std::uint64_t work)> partDone; // a part of that prompt is prefilled
-        std::function<void(std::uint64_t work, bool last)> event; // so many tokens as a pass has steps
+        std::function<void(std::uint64_t work, bool last)>
+                event; // so many tokens as a pass has steps
     };
 
     PassEngine(state::routes::EngineProfile chosen, Hooks engineHooks)
@@ -59,7 +60,7 @@
     Hooks hooks;
     std::vector<Part> parts; // helping ones first, the newest ahead; then own ones in their order
     std::vector<Writer> writers;
-    std::vector<Writer> writing; // in the pass that runs
+    std::vector<Writer> writing;     // in the pass that runs
     std::vector<std::uint64_t> done; // parts that the pass that runs ends
     bool running = false;
 };
--- a/bench/PassFleetRun.cpp
+++ b/bench/PassFleetRun.cpp
@@ -122,8 +122,8 @@
                 request.entry = this->random() % this->plan.entries;
                 request.tokens = std::uint32_t(std::min(size(this->random), asked.mostTokens)) + 1;
                 std::exponential_distribution<double> events(1 / asked.meanEvents);
-                request.events = 1 + std::uint32_t(std::min(events(this->random),
-                                                            asked.meanEvents * 2.5));
+                request.events =
+                        1 + std::uint32_t(std::min(events(this->random), asked.meanEvents * 2.5));
                 request.arrival = time;
                 request.deadline = time + asked.timeLimit;
                 this->requests[++work] = request;
@@ -211,8 +211,8 @@
             engine->cancel(workOf(cancel->id));
     } else if (const auto *reserve = std::get_if<admission::Reserve>(&action)) {
         this->at(this->now + hop * 2, [this, entry, asked = *reserve] {
-            this->handle(entry, admission::ReservationAnswered{asked.id, asked.engine, asked.lease,
-                                                               true});
+            this->handle(entry,
+                         admission::ReservationAnswered{asked.id, asked.engine, asked.lease, true});
         });
     } else if (const auto *share = std::get_if<admission::ShareWork>(&action)) {
         this->at(this->now + noteDelay, [this, entry, note = share->note] {
@@ -315,8 +315,7 @@
         return;
     tally.firstSeconds.push_back(
             std::chrono::duration<double>(*request.first - request.arrival).count());
-    tally.longestPauses.push_back(
-            std::chrono::duration<double>(request.longestPause).count());
+    tally.longestPauses.push_back(std::chrono::duration<double>(request.longestPause).count());
 }
 
 } // namespace lavenderthread::bench
--- a/bench/PassFleetRun.h
+++ b/bench/PassFleetRun.h
@@ -1,5 +1,5 @@
-// A fleet of engines that work in passes, entries with the real admission and routing objects, and a
-// load that swings between many brief and many long prompts. Virtual time, fixed seeds.
+// A fleet of engines that work in passes, entries with the real admission and routing objects, and
+// a load that swings between many brief and many long prompts. Virtual time, fixed seeds.
 #pragma once
 
 #include "PassEngine.h"
@@ -66,7 +66,10 @@
     std::vector<double> firstSeconds;
     std::vector<double> longestPauses;
 
-    double share() const { return this->asked == 0 ? 1 : double(this->inTime) / double(this->asked); }
+    double share() const
+    {
+        return this->asked == 0 ? 1 : double(this->inTime) / double(this->asked);
+    }
 };
 
 struct PassResult
--- a/bench/pass-bench.cpp
+++ b/bench/pass-bench.cpp
@@ -1,7 +1,7 @@
 // The load tool on the stand-in of engines that work in passes: one table a policy, by class, as
-// text or CSV; or, with --score, one number for the settings given as NAME=VALUE: the value that came
-// in time, a quarter of what came late, over all, classes weighted as --weights says.
-// usage: pass-bench [--seeds N] [--csv] [--score] [--weights A,B,C] [NAME=VALUE…]
+// text or CSV; or, with --score, one number for the settings given as NAME=VALUE: the value that
+// came in time, a quarter of what came late, over all, classes weighted as --weights says. usage:
+// pass-bench [--seeds N] [--csv] [--score] [--weights A,B,C] [NAME=VALUE…]
 #include "PassFleetRun.h"
 
 #include <algorithm>
--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -46,9 +46,9 @@
 asio::awaitable<void> Faults::strikeForEver(milliseconds pause)
 {
     static constexpr std::array<Strike, 11> strikes = {
-            &Faults::killOne,     &Faults::freezeOne,   &Faults::terminateOne,
-            &Faults::reloadOne,   &Faults::wipeControl, &Faults::tearControl,
-            &Faults::faultLink,   &Faults::resetLinks,  &Faults::faultEndpoint,
+            &Faults::killOne,         &Faults::freezeOne,      &Faults::terminateOne,
+            &Faults::reloadOne,       &Faults::wipeControl,    &Faults::tearControl,
+            &Faults::faultLink,       &Faults::resetLinks,     &Faults::faultEndpoint,
             &Faults::restartEndpoint, &Faults::killAllControls};
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
     while (!this->stopped) {
--- a/soak/Faults.h
+++ b/soak/Faults.h
@@ -48,7 +48,7 @@
     std::vector<std::unique_ptr<Proxy>> &proxies;
     std::vector<std::shared_ptr<StandIn>> &endpoints;
     std::mt19937_64 random;
-    std::size_t open = 0; // strikes under way
+    std::size_t open = 0;  // strikes under way
     bool diskLost = false; // one disk at a time: the fleet is made to bear the loss of one
     bool stopped = false;
 };
--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -80,8 +80,9 @@
     std::ofstream file(this->settings.folder + "/" + std::to_string(index) + ".json");
     file << R"({"cluster": {"name": "soak", "keys": ["soak-cluster-key"], "seed_hosts": [)" << seeds
          << R"(]}, "vm": {"id": "vm)" << index << R"(", "failure_domain": "domain-)" << index % 3
-         << R"("}, "entry": {"listen": )" << at(peerPort) << R"(, "workers": 1}, "gossip": {"listen": )"
-         << at(gossipPort) << R"(, "probe_ms": 300, "suspicion_probes": 2, "bytes_per_second": 8000},)";
+         << R"("}, "entry": {"listen": )" << at(peerPort)
+         << R"(, "workers": 1}, "gossip": {"listen": )" << at(gossipPort)
+         << R"(, "probe_ms": 300, "suspicion_probes": 2, "bytes_per_second": 8000},)";
     if (this->isControl(index))
         file << R"("control": {"listen": )" << at(gossipPort) << R"(, "data_folder": ")"
              << this->dataFolder(index) << R"(", "admit_when_stale": true, "bootstrap": )"
--- a/soak/Fleet.h
+++ b/soak/Fleet.h
@@ -36,8 +36,8 @@
     void signal(std::size_t index, int number);
     bool isRunning(std::size_t index); // reaps one that has ended
     void kill(std::size_t index);
-    void wipe(std::size_t index);     // its data folder; it must not run
-    void tearLog(std::size_t index);  // leaves a torn write behind; it must not run
+    void wipe(std::size_t index);    // its data folder; it must not run
+    void tearLog(std::size_t index); // leaves a torn write behind; it must not run
     std::uint64_t exitsOfItsOwn() const { return this->ownExits; }
 
     state::Address callers(std::size_t index) const;   // of an entry
@@ -48,8 +48,8 @@
 private:
     struct Process
     {
-        pid_t pid = 0; // 0: does not run
-        bool asked = false; // told to end
+        pid_t pid = 0;        // 0: does not run
+        bool asked = false;   // told to end
         bool founded = false; // has run before
     };
 
--- a/soak/Ledger.h
+++ b/soak/Ledger.h
@@ -1,4 +1,5 @@
-// What callers, endpoints and operators have seen, and the promises that it has to keep. One thread.
+// What callers, endpoints and operators have seen, and the promises that it has to keep. One
+// thread.
 #pragma once
 
 #include <cstdint>
@@ -22,7 +23,7 @@
     // By callers: the final answer to one request id.
     void succeeded() { ++this->successes; }
     void toldNotRun(const std::string &requestId, bool repeatable);
-    void ended(const std::string &kind); // any other end, by its kind
+    void ended(const std::string &kind);  // any other end, by its kind
     void broken(const std::string &what); // a promise, as seen
 
     // By operators.
--- a/soak/Operator.cpp
+++ b/soak/Operator.cpp
@@ -34,9 +34,9 @@
            + R"({"Name":"post","PathPrefix":"/post/","Kind":"non_idempotent",)" + route
            + R"("TargetLatencyMs":100,"Service":"app"},)"
            + R"({"Name":"read","PathPrefix":"/read/","Kind":"idempotent",)" + route
-           + R"("TargetLatencyMs":100,"Service":"app"},)"
-           + R"({"Name":"v)" + std::to_string(this->version) + R"(","PathPrefix":"/v)"
-           + std::to_string(this->version) + R"(/","Kind":"idempotent",)" + route
+           + R"("TargetLatencyMs":100,"Service":"app"},)" + R"({"Name":"v)"
+           + std::to_string(this->version) + R"(","PathPrefix":"/v)" + std::to_string(this->version)
+           + R"(/","Kind":"idempotent",)" + route
            + R"("TargetLatencyMs":100,"Service":"app"}],"Services":[)"
            + R"({"Name":"llm","HealthPath":"/health","MaxConns":100,"Engine":{"Slots":16,)"
            + R"("KvCapacity":450000,"Stride":46,"step_ms":0.925,"per_seq_ms":0.00483,)"
--- a/soak/Operator.h
+++ b/soak/Operator.h
@@ -22,8 +22,8 @@
 class Operator
 {
 public:
-    Operator(boost::asio::io_context &context, std::vector<state::Address> controls,
-             Ledger &ledger, std::uint64_t seed);
+    Operator(boost::asio::io_context &context, std::vector<state::Address> controls, Ledger &ledger,
+             std::uint64_t seed);
 
     // True once a configuration is acknowledged.
     boost::asio::awaitable<bool> send(std::chrono::milliseconds patience);
@@ -35,9 +35,8 @@
     std::uint64_t lastSent() const { return this->version; }
 
 private:
-    boost::asio::awaitable<state::Result<protocol::HttpResponse>> call(const char *method,
-                                                                       const char *path,
-                                                                       std::string body);
+    boost::asio::awaitable<state::Result<protocol::HttpResponse>>
+    call(const char *method, const char *path, std::string body);
     std::string document() const;
 
     boost::asio::io_context &context;
--- a/soak/Proxy.h
+++ b/soak/Proxy.h
@@ -15,10 +15,10 @@
 
 enum class LinkFault {
     None,
-    Delayed,      // every piece comes later
-    Silent,       // nothing passes either way, connections stay open
+    Delayed,       // every piece comes later
+    Silent,        // nothing passes either way, connections stay open
     SilentAnswers, // only what the target sends is held
-    Refused,      // new connections are closed at once
+    Refused,       // new connections are closed at once
 };
 
 class Proxy
--- a/soak/StandIn.cpp
+++ b/soak/StandIn.cpp
@@ -51,8 +51,8 @@
     hooks.reject = [](unsigned status, std::string_view) {
         return protocol::HttpResponse{status, {}, {}};
     };
-    this->server = transport::HttpServer::create(this->context, this->settings.listen, {}, hooks)
-                           .value();
+    this->server =
+            transport::HttpServer::create(this->context, this->settings.listen, {}, hooks).value();
     this->server->start();
     asio::co_spawn(this->context, this->beat(), asio::detached);
 }
@@ -71,9 +71,8 @@
         models = R"("Stage":"both","Models":[{"Name":"m","Version":1,"Adapters":[]}],)";
     return R"({"Service":")" + this->settings.service + R"(","Address":")"
            + this->settings.announced.toString() + R"(","Zone":")" + this->settings.failureDomain
-           + R"(","Version":"v1","Slots":16,"State":"ready","ColdLeftMs":0,)" + models
-           + R"("Seq":)" + std::to_string(++this->sequence) + R"(,"born":)"
-           + std::to_string(this->born) + "}";
+           + R"(","Version":"v1","Slots":16,"State":"ready","ColdLeftMs":0,)" + models + R"("Seq":)"
+           + std::to_string(++this->sequence) + R"(,"born":)" + std::to_string(this->born) + "}";
 }
 
 asio::awaitable<void> StandIn::beat()
@@ -87,11 +86,10 @@
         transport::HttpCallLimits limits;
         limits.connectTimeout = milliseconds(300);
         limits.timeout = milliseconds(700);
-        const state::Address to = this->settings.controls[this->control
-                                                          % this->settings.controls.size()];
+        const state::Address to =
+                this->settings.controls[this->control % this->settings.controls.size()];
         const asio::any_io_executor executor = this->context.get_executor();
-        const auto answer =
-                co_await transport::httpCall(executor, to, std::move(request), limits);
+        const auto answer = co_await transport::httpCall(executor, to, std::move(request), limits);
         if (!answer || answer.value().status != 200)
             ++this->control; // the next node
         co_await transport::pause(heartbeatInterval);
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -56,8 +56,8 @@
     {
         this->makeEndpoints(options.seed);
         this->makeCallers(options.seed);
-        this->faults = std::make_unique<Faults>(this->fleet, this->proxies, this->endpoints,
-                                                options.seed);
+        this->faults =
+                std::make_unique<Faults>(this->fleet, this->proxies, this->endpoints, options.seed);
     }
 
     int run()
@@ -132,8 +132,7 @@
                 const auto found = this->proxyOf.find(entry);
                 return found == this->proxyOf.end() ? entry : found->second;
             };
-            this->people.push_back(
-                    std::make_unique<Caller>(this->context, settings, this->ledger));
+            this->people.push_back(std::make_unique<Caller>(this->context, settings, this->ledger));
         }
     }
 
@@ -192,8 +191,9 @@
             const state::Address entry = this->fleet.callers(index);
             const unsigned status = co_await this->people.front()->probe(entry, path);
             if (status != 200)
-                this->ledger.broken("entry " + std::to_string(index) + " answers the route of version "
-                                    + std::to_string(*newest) + " with " + std::to_string(status));
+                this->ledger.broken("entry " + std::to_string(index)
+                                    + " answers the route of version " + std::to_string(*newest)
+                                    + " with " + std::to_string(status));
         }
     }
 
@@ -217,7 +217,8 @@
     CLI::App app("fault-soak: faults on real processes, and the promises that must hold");
     Options options;
     app.add_option("--binary", options.binary, "The program under test")->required();
-    app.add_option("--folder", options.folder, "For settings, logs and data; made anew")->required();
+    app.add_option("--folder", options.folder, "For settings, logs and data; made anew")
+            ->required();
     app.add_option("--seed", options.seed, "Of the faults and the load");
     app.add_option("--seconds", options.seconds, "How long faults strike");
     CLI11_PARSE(app, argc, argv);
--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -59,13 +59,12 @@
 
 std::optional<Refuse> Dispatcher::briefRefusal(const CompletionRequest &request)
 {
-    const auto choice = this->engines.chooseByPasses(request.model, this->passRequestOf(request),
-                                                     this->now);
+    const auto choice =
+            this->engines.chooseByPasses(request.model, this->passRequestOf(request), this->now);
     if (!choice)
         return std::nullopt; // waits for a place; placing it refuses it when it gets too late
     const state::Duration waited = this->now - request.arrival;
-    state::Duration over =
-            toDuration(choice->completionSeconds) - (request.deadline - this->now);
+    state::Duration over = toDuration(choice->completionSeconds) - (request.deadline - this->now);
     if (request.firstTarget > state::Duration(0)) {
         const state::Duration bound = std::chrono::duration_cast<state::Duration>(
                 request.firstTarget * this->policy.lateTolerance);
@@ -105,8 +104,7 @@
                   std::clamp(over, shortestRetryAfter, longestRetryAfter), Ran::No};
 }
 
-state::Duration Dispatcher::patienceOf(const CompletionRequest &request,
-                                       double engineSeconds) const
+state::Duration Dispatcher::patienceOf(const CompletionRequest &request, double engineSeconds) const
 {
     const routing::PassPlacementSettings &terms = this->policy.passes;
     const double perToken = engineSeconds / std::max(1.0, double(request.promptTokens));
--- a/src/coordination/admission/DispatcherTickets.cpp
+++ b/src/coordination/admission/DispatcherTickets.cpp
@@ -1,6 +1,6 @@
-// Memory at helpers for a prompt that its engine can't hold: all of it is reserved before the prompt
-// goes out, renewed while it is used, and given back on every way out. Leases are short, so that
-// what a crashed entry leaves behind is free again within seconds.
+// Memory at helpers for a prompt that its engine can't hold: all of it is reserved before the
+// prompt goes out, renewed while it is used, and given back on every way out. Leases are short, so
+// that what a crashed entry leaves behind is free again within seconds.
 #include "coordination/admission/Dispatcher.h"
 
 #include <algorithm>
@@ -30,8 +30,7 @@
     flight.phase = Phase::Reserving;
     flight.renewAt = this->now + this->policy.reservationTtl / renewalsPerTtl;
     for (const routing::MemoryShare &share : memory) {
-        const std::string lease =
-                leaseName(flight.work, flight.attempt, flight.tickets.size());
+        const std::string lease = leaseName(flight.work, flight.attempt, flight.tickets.size());
         flight.tickets.push_back({share, lease, false});
         this->actions.emplace_back(Reserve{flight.request.id, share.engine, lease, share.tokens,
                                            this->policy.reservationTtl});
--- a/src/coordination/admission/Events.h
+++ b/src/coordination/admission/Events.h
@@ -143,10 +143,11 @@
 struct Tick
 {};
 
-using Event = std::variant<RequestArrived, CallerCancelled, EngineAnnounced, EngineGone,
-                           EngineDraining, EngineSuspected, LoadReported, CacheReported, SlicePrefilled,
-                           TokensReceived, RequestFinished, AttemptFailed, ReservationAnswered,
-                           TableChanged, PeerWorkNoted, PeerBacklogNoted, Tick>;
+using Event =
+        std::variant<RequestArrived, CallerCancelled, EngineAnnounced, EngineGone, EngineDraining,
+                     EngineSuspected, LoadReported, CacheReported, SlicePrefilled, TokensReceived,
+                     RequestFinished, AttemptFailed, ReservationAnswered, TableChanged,
+                     PeerWorkNoted, PeerBacklogNoted, Tick>;
 
 // Whether the request ran; No only when it is certain.
 enum class Ran : std::uint8_t { No, Unknown };
--- a/src/coordination/admission/LongQueue.h
+++ b/src/coordination/admission/LongQueue.h
@@ -69,8 +69,8 @@
     void dropExpired(state::Instant now);
 
     LongQueueSettings settings;
-    std::map<Rank, Entry> order; // own ones and peers'
-    std::map<std::uint64_t, Rank> ranks; // exactly those of `order`
+    std::map<Rank, Entry> order;                   // own ones and peers'
+    std::map<std::uint64_t, Rank> ranks;           // exactly those of `order`
     std::map<std::uint64_t, state::RequestId> ids; // of the own ones
 };
 
--- a/src/coordination/consensus/MemberPlan.cpp
+++ b/src/coordination/consensus/MemberPlan.cpp
@@ -23,9 +23,8 @@
         return false;
     }
     const state::Instant since = this->awaySince.emplace(member.id, now).first->second;
-    const bool succeeded = std::ranges::any_of(live, [&](const Candidate &candidate) {
-        return candidate.address == member.address;
-    });
+    const bool succeeded = std::ranges::any_of(
+            live, [&](const Candidate &candidate) { return candidate.address == member.address; });
     return succeeded || now - since >= this->settings.replaceAfter;
 }
 
--- a/src/coordination/membership/Member.h
+++ b/src/coordination/membership/Member.h
@@ -27,7 +27,7 @@
     state::Address caller;
     state::Address control;
     state::Address gossip;
-    state::Address relay; // where callers' relayed requests arrive; port 0 if it relays none
+    state::Address relay;        // where callers' relayed requests arrive; port 0 if it relays none
     state::VmId controlIdentity; // of its data folder; empty unless it is a control member
     state::FailureDomain failureDomain;
     state::Region region;
--- a/src/coordination/relay/EventSplitter.h
+++ b/src/coordination/relay/EventSplitter.h
@@ -1,5 +1,5 @@
-// Cuts a stream of server-sent events into whole events, so that none is passed on torn and a second
-// endpoint can go on behind the last one.
+// Cuts a stream of server-sent events into whole events, so that none is passed on torn and a
+// second endpoint can go on behind the last one.
 #pragma once
 
 #include <cstdint>
--- a/src/coordination/routing/EndpointHealth.h
+++ b/src/coordination/routing/EndpointHealth.h
@@ -1,5 +1,5 @@
-// Which endpoints fail what is sent to them, from the ends of attempts: an endpoint may fail half of
-// its requests while it says of itself that it is well.
+// Which endpoints fail what is sent to them, from the ends of attempts: an endpoint may fail half
+// of its requests while it says of itself that it is well.
 #pragma once
 
 #include "state/Ids.h"
@@ -19,7 +19,7 @@
 struct EndpointHealthSettings
 {
     state::Duration memory = std::chrono::seconds(4); // half-life of what was seen
-    double failures = 2.5;     // seen lately, that make an endpoint suspect,
+    double failures = 2.5;                            // seen lately, that make an endpoint suspect,
     double failureShare = 0.4; // if they are this share of what was sent to it
     state::Duration firstSuspicion = std::chrono::seconds(1); // doubles each time
     state::Duration longestSuspicion = std::chrono::seconds(8);
--- a/src/coordination/routing/EngineView.cpp
+++ b/src/coordination/routing/EngineView.cpp
@@ -59,17 +59,10 @@
     }
     if (found != this->work.end())
         this->work.erase(found);
-    this->insert(Resident{note.work,
-                          note.priority,
-                          double(note.prefillTokens),
-                          double(note.outputTokens),
-                          note.promptTokens,
-                          note.outputTokens,
-                          note.memoryTokens,
-                          false,
-                          now + note.lifetime,
-                          std::chrono::duration<double>(note.pause).count(),
-                          false});
+    this->insert(Resident{note.work, note.priority, double(note.prefillTokens),
+                          double(note.outputTokens), note.promptTokens, note.outputTokens,
+                          note.memoryTokens, false, now + note.lifetime,
+                          std::chrono::duration<double>(note.pause).count(), false});
     ++this->dispatchedSinceReport;
 }
 
@@ -161,8 +154,9 @@
     }
     if (decoding == 0)
         return 1;
-    constexpr double leastPrefill = 0.1; // seconds of a pass, so that a trickle does not stand still
-    constexpr double mostPrefill = 0.8;  // what fits one pass, with the pairs of a long prompt
+    constexpr double leastPrefill =
+            0.1;                        // seconds of a pass, so that a trickle does not stand still
+    constexpr double mostPrefill = 0.8; // what fits one pass, with the pairs of a long prompt
     const double prefill = std::clamp(this->prefillSecondsLeft(), leastPrefill, mostPrefill);
     const double decode = state::routes::decodePassSeconds(*this->declared, decoding, context);
     return prefill / (prefill + decode);
--- a/src/coordination/routing/Fleet.cpp
+++ b/src/coordination/routing/Fleet.cpp
@@ -240,8 +240,9 @@
 {
     const auto found = this->byModel.find(model);
     return found != this->byModel.end()
-           && std::ranges::any_of(found->second.views,
-                                  [](const EngineView *view) { return view->profile().has_value(); });
+           && std::ranges::any_of(found->second.views, [](const EngineView *view) {
+                  return view->profile().has_value();
+              });
 }
 
 double Fleet::decayed(const LongDemand &demand, state::Instant now) const
@@ -257,8 +258,8 @@
         return;
     for (const state::ModelName &model : view->description().models) {
         LongDemand &demand = this->longDemand[model];
-        demand.rate = this->decayed(demand, now)
-                      + seconds / this->policy.passes.demandMemorySeconds;
+        demand.rate =
+                this->decayed(demand, now) + seconds / this->policy.passes.demandMemorySeconds;
         demand.at = now;
     }
 }
@@ -297,8 +298,9 @@
     const auto found = this->byModel.find(model);
     if (found == this->byModel.end())
         return false;
-    const auto profiled = std::ranges::find_if(
-            found->second.views, [](const EngineView *view) { return view->profile().has_value(); });
+    const auto profiled = std::ranges::find_if(found->second.views, [](const EngineView *view) {
+        return view->profile().has_value();
+    });
     return profiled != found->second.views.end()
            && !isBrief(*(*profiled)->profile(), promptTokens, this->policy.passes);
 }
--- a/src/coordination/routing/LongPlacement.cpp
+++ b/src/coordination/routing/LongPlacement.cpp
@@ -24,7 +24,8 @@
         memory += all - std::min(all, double(candidate.view->freeTokens()));
         capacity += all;
     }
-    const double engineMemory = capacity / double(candidates.size()) * settings.answeringMemoryShare;
+    const double engineMemory =
+            capacity / double(candidates.size()) * settings.answeringMemoryShare;
     const double byPlaces = double(answers) / settings.longPerEngine;
     const double byMemory = engineMemory > 0 ? memory / engineMemory : 0;
     const auto wanted = std::size_t(std::ceil(std::max(byPlaces, byMemory)));
@@ -174,8 +175,8 @@
 {
     if (candidates.empty())
         return std::nullopt;
-    const double seconds = state::routes::prefillSeconds(candidates.front().profile(),
-                                                         request.promptTokens);
+    const double seconds =
+            state::routes::prefillSeconds(candidates.front().profile(), request.promptTokens);
     const std::size_t part = answeringEngines(candidates, request, settings);
     const PassCandidate *answering = answeringEngine(candidates, part, false, request, settings);
     const bool shared = answering == nullptr;
--- a/src/coordination/routing/PassCandidate.cpp
+++ b/src/coordination/routing/PassCandidate.cpp
@@ -23,8 +23,8 @@
         sum.pending += resident.decoding ? 0 : 1;
         sum.ownWaiting += view.prefillSeconds(resident.prefillLeft);
         sum.context += resident.promptTokens;
-        const bool tight = resident.pauseSeconds > 0
-                           && resident.pauseSeconds < settings.tightPauseSeconds;
+        const bool tight =
+                resident.pauseSeconds > 0 && resident.pauseSeconds < settings.tightPauseSeconds;
         ++(tight ? sum.briefs : sum.longs);
     }
     return sum;
@@ -62,7 +62,8 @@
 
 double firstEventPassSeconds(const PassCandidate &answering, const PassRequest &request)
 {
-    // The pass in progress ends, on average half over; the first event's own tokens take a whole one.
+    // The pass in progress ends, on average half over; the first event's own tokens take a whole
+    // one.
     constexpr double passes = 1.5;
     return passes * passSeconds(answering, request);
 }
--- a/src/coordination/routing/PassPlacement.cpp
+++ b/src/coordination/routing/PassPlacement.cpp
@@ -56,8 +56,8 @@
     const auto enginesFor = [&](double perEngine) {
         return std::size_t(std::ceil(double(briefs + 1) / perEngine));
     };
-    const auto longEngines = std::size_t(std::ceil(longDemand / settings.longSecondsPerEngine
-                                                   + settings.longEnginesBeside));
+    const auto longEngines = std::size_t(
+            std::ceil(longDemand / settings.longSecondsPerEngine + settings.longEnginesBeside));
     const std::size_t left = count > longEngines ? count - longEngines : 0;
     const std::size_t roomy = enginesFor(settings.briefPerEngine);
     const std::size_t crowded = enginesFor(settings.briefPerEngineCrowded);
--- a/src/coordination/routing/PassPlacement.h
+++ b/src/coordination/routing/PassPlacement.h
@@ -66,9 +66,9 @@
 bool isBrief(const state::routes::EngineProfile &profile, std::uint32_t promptTokens,
              const PassPlacementSettings &settings);
 
-// `engines`: those of the request's model in the order that all entries share, advanced to now, each
-// with a profile. Nothing if it has to wait: no engine has a place and the memory, or, for a long
-// prompt, too few are free for it to start.
+// `engines`: those of the request's model in the order that all entries share, advanced to now,
+// each with a profile. Nothing if it has to wait: no engine has a place and the memory, or, for a
+// long prompt, too few are free for it to start.
 std::optional<PassChoice> placeByPasses(const std::vector<const EngineView *> &engines,
                                         const PassRequest &request,
                                         const PassPlacementSettings &settings);
--- a/src/coordination/routing/PassPlacementSettings.h
+++ b/src/coordination/routing/PassPlacementSettings.h
@@ -39,18 +39,18 @@
     // by several at once.
     double startShare = 0.8;
     double startWaitingSeconds = 0.06;
-    std::size_t partsPerHelper = 2; // not known to be done
+    std::size_t partsPerHelper = 2;      // not known to be done
     double startOwnWaitingSeconds = 0.1; // the same, of the engine that answers
     // Under load the longest prompts are turned away first: they cost the most engine time for each
     // of their tokens, since that grows with their length. The wait for the start may take this
-    // share of the time to the first token as asked, for a prompt that costs `usualSecondsPerToken`,
-    // and less by the ratio of the costs to this power for a longer one.
+    // share of the time to the first token as asked, for a prompt that costs
+    // `usualSecondsPerToken`, and less by the ratio of the costs to this power for a longer one.
     double waitingShare = 0.6;
     double usualSecondsPerToken = 13e-6;
     double costPower = 2;
     double tightPauseSeconds = 0.3; // pauses below it are tight
-    // Prompts larger than an engine's memory keep the rest at helpers: the share of an engine's free
-    // memory that one prompt may take there, and how many helpers hold some.
+    // Prompts larger than an engine's memory keep the rest at helpers: the share of an engine's
+    // free memory that one prompt may take there, and how many helpers hold some.
     double memoryShare = 0.8;
     std::size_t mostMemoryHelpers = 6;
     // Long requests that one engine is meant to answer at once: each makes the passes of the others
--- a/src/coordination/routing/ReplicaChooser.cpp
+++ b/src/coordination/routing/ReplicaChooser.cpp
@@ -29,8 +29,7 @@
     std::tuple<bool, bool, double, std::uint64_t> bestRank;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const ReplicaCandidate &candidate = candidates[index];
-        const bool again =
-                std::ranges::find(tried, candidate.description.id) != tried.end();
+        const bool again = std::ranges::find(tried, candidate.description.id) != tried.end();
         const std::tuple rank(again, trustHealth && isPoor(candidate),
                               this->loadOf(candidate.description.id, now),
                               std::uint64_t(this->random()));
--- a/src/coordination/routing/WorkNote.h
+++ b/src/coordination/routing/WorkNote.h
@@ -36,7 +36,7 @@
     state::Duration pause{0};        // that its caller bears between two events; 0: not known
     state::Duration age{0};          // since its arrival, of one that waits
     state::Duration engineTime{0};   // to prefill it, of one that waits
-    std::vector<state::EndpointId> helpers; // engines that prefill as much of the prompt, each
+    std::vector<state::EndpointId> helpers;  // engines that prefill as much of the prompt, each
     std::vector<std::uint32_t> helperMemory; // tokens reserved at the first helpers, in their order
 
     auto operator<=>(const WorkNote &) const = default;
--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -108,8 +108,8 @@
     serviceHooks.superseded = this->hooks.superseded;
     serviceHooks.refused = [](const state::Error &error) { logError("gossip.refused", error); };
     BOOST_OUTCOME_TRY(this->membership,
-                      MembershipService::create(membershipSettings(this->settings, controlIdentity), context,
-                                                std::move(serviceHooks)));
+                      MembershipService::create(membershipSettings(this->settings, controlIdentity),
+                                                context, std::move(serviceHooks)));
     // The same port as the entry's, over UDP: peers know it without another setting.
     BOOST_OUTCOME_TRY(this->newsSocket,
                       transport::GossipSocket::create(
@@ -277,8 +277,7 @@
         const bool expired = record.phase == EndpointPhase::Expired;
         // The relay watches its endpoints itself: one that leaves ends what it runs, and one whose
         // announcements stopped may only have lost the way to those who take them.
-        if (record.description == nullptr
-            || ((left || expired) && !this->settings.relay.listen))
+        if (record.description == nullptr || ((left || expired) && !this->settings.relay.listen))
             continue;
         const bool draining = left || (!expired && !record.isUsable());
         table.endpoints[record.id] = RegisteredEndpoint{*record.description, draining, expired};
--- a/src/program/Cluster.h
+++ b/src/program/Cluster.h
@@ -2,8 +2,8 @@
 // news of work between entries. Without a gossip address the node stands alone.
 #pragma once
 
-#include "coordination/directory/Directory.h"
 #include "coordination/consensus/MemberPlan.h"
+#include "coordination/directory/Directory.h"
 #include "program/ControlClient.h"
 #include "program/EndpointRegistry.h"
 #include "program/Entry.h"
@@ -53,8 +53,8 @@
     void leave(const state::EndpointId &endpoint, std::uint64_t incarnation);
     // Answered when the news is on its way to the others. Errors as EndpointLife::leave.
     boost::asio::awaitable<state::Result<void>> drain(state::EndpointDescription endpoint);
-    boost::asio::awaitable<state::Result<void>>
-    withdraw(state::EndpointId endpoint, std::optional<std::uint64_t> incarnation);
+    boost::asio::awaitable<state::Result<void>> withdraw(state::EndpointId endpoint,
+                                                         std::optional<std::uint64_t> incarnation);
     // Where callers of that failure domain find a node that relays.
     std::vector<state::Address> relays(const state::FailureDomain &callers) const;
     // The control members that live, as far as known.
@@ -74,8 +74,7 @@
             std::shared_ptr<EndpointRegistry> registry, Hooks hooks,
             coordination::directory::Directory directory);
 
-    state::Result<void> join(boost::asio::io_context &context,
-                             const state::VmId &controlIdentity);
+    state::Result<void> join(boost::asio::io_context &context, const state::VmId &controlIdentity);
     void viewChanged(const MembershipView &view);
     void newsDatagram(std::string_view datagram);
     void armFlush();
--- a/src/program/ControlClient.cpp
+++ b/src/program/ControlClient.cpp
@@ -28,7 +28,8 @@
 constexpr milliseconds callTimeout{1'500};
 constexpr milliseconds connectTimeout{300};
 constexpr milliseconds pauseBetweenTries{50};
-// An answer that is held back this long confirms freshness about once a second at one call a second.
+// An answer that is held back this long confirms freshness about once a second at one call a
+// second.
 constexpr milliseconds feedWait{1'000};
 constexpr state::Duration feedInterval = milliseconds(250); // least time between two polls
 constexpr milliseconds longestFeedPause{100};
@@ -240,8 +241,8 @@
         if (const auto due = this->feed.poll(monotonicNow()))
             viewChanged = co_await this->pollFeed(*due);
         this->afterAnswer(viewChanged);
-        const auto untilNext = std::chrono::ceil<milliseconds>(this->feed.nextPoll()
-                                                               - monotonicNow());
+        const auto untilNext =
+                std::chrono::ceil<milliseconds>(this->feed.nextPoll() - monotonicNow());
         co_await transport::pause(std::clamp(untilNext, milliseconds(1), longestFeedPause));
     }
 }
@@ -273,8 +274,7 @@
         this->feed.onRequestFailed(due.id);
         co_return false;
     }
-    coordination::orders::FeedAnswer answer{
-            due.id, feedReply->confirmed, feedReply->version, {}};
+    coordination::orders::FeedAnswer answer{due.id, feedReply->confirmed, feedReply->version, {}};
     for (const std::string &bytes : feedReply->pages) {
         auto page = protocol::decodeFeedPage(bytes);
         if (page)
--- a/src/program/ControlMemberHost.cpp
+++ b/src/program/ControlMemberHost.cpp
@@ -62,11 +62,10 @@
 
 state::Result<void> ControlMemberHost::openFolder(const ControlMemberHostSettings &settings)
 {
-    BOOST_OUTCOME_TRY(
-            DurableLog::Opened opened,
-            DurableLog::open({.folder = settings.folder,
-                              .newIdentity = settings.newIdentity,
-                              .segmentBytes = settings.segmentBytes}));
+    BOOST_OUTCOME_TRY(DurableLog::Opened opened,
+                      DurableLog::open({.folder = settings.folder,
+                                        .newIdentity = settings.newIdentity,
+                                        .segmentBytes = settings.segmentBytes}));
     this->log = std::move(opened.log);
     this->identity = state::VmId(opened.recovered.identity);
     this->stored.hardState = opened.recovered.hardState;
--- a/src/program/ControlRoutes.cpp
+++ b/src/program/ControlRoutes.cpp
@@ -250,8 +250,8 @@
         const auto [end, wrong] = std::from_chars(text.data(), text.data() + text.size(), version);
         if (wrong != std::errc() || end != text.data() + text.size())
             co_return problemAnswer(400, "invalid-request", "version: expected an integer");
-        const auto found = co_await this->client->enforcement(
-                version, monotonicNow() + operatorDeadline);
+        const auto found =
+                co_await this->client->enforcement(version, monotonicNow() + operatorDeadline);
         if (!found)
             co_return toResponse(
                     Problem{503, "no-leader", found.error().cause, Ran::No, retryLater});
--- a/src/program/ControlService.cpp
+++ b/src/program/ControlService.cpp
@@ -124,8 +124,9 @@
     hostSettings.segmentBytes = logSegmentBytes;
     hostSettings.consensus.compactionEntries = logEntriesInMemory;
     hostSettings.consensus.trailingEntries = entriesKeptBehindSnapshot;
-    hostSettings.seed = XXH3_64bits(hostSettings.newIdentity.data(), hostSettings.newIdentity.size())
-                        ^ static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
+    hostSettings.seed =
+            XXH3_64bits(hostSettings.newIdentity.data(), hostSettings.newIdentity.size())
+            ^ static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
     ControlMemberHostHooks memberHooks;
     memberHooks.roleChanged = [this](const consensus::RoleChange &change) {
         this->roleChanged(change);
@@ -205,8 +206,8 @@
 {
     const state::Instant now = monotonicNow();
     const HostPointer member = this->host();
-    const bool hadLeader = std::exchange(this->knewLeader,
-                                         member && this->leaderAddress(member).port != 0);
+    const bool hadLeader =
+            std::exchange(this->knewLeader, member && this->leaderAddress(member).port != 0);
     this->wakeFeeds(this->knewLeader && !hadLeader ? std::nullopt : std::optional(now));
     if (member) {
         this->advanceTime(member, now);
@@ -281,7 +282,8 @@
         const auto kept = std::partition(
                 this->waitingFeeds.begin(), this->waitingFeeds.end(),
                 [&](const WaitingFeed &each) { return dueBefore && each.until > *dueBefore; });
-        due.assign(std::make_move_iterator(kept), std::make_move_iterator(this->waitingFeeds.end()));
+        due.assign(std::make_move_iterator(kept),
+                   std::make_move_iterator(this->waitingFeeds.end()));
         this->waitingFeeds.erase(kept, this->waitingFeeds.end());
     }
     for (const WaitingFeed &each : due)
@@ -338,8 +340,7 @@
         co_return reply;
     if (!reply.confirmed && this->leaderAddress(member).port != 0)
         co_return reply; // the caller goes on to the leader
-    co_await this->waitForChange(seen, reply.confirmed ? milliseconds(call.waitMs)
-                                                       : waitForLeader);
+    co_await this->waitForChange(seen, reply.confirmed ? milliseconds(call.waitMs) : waitForLeader);
     co_return co_await this->readFeed(member, call);
 }
 
@@ -365,19 +366,19 @@
     std::function<void(Done)> start = [self = this->shared_from_this(), member,
                                        call](const Done &done) {
         // The callback runs where the applied state stands still.
-        member->member().read(consensus::ReadKind::Lease, [self, member, call,
-                                                           done](const auto &read) {
-            protocol::FeedReply reply;
-            reply.confirmed = read.confirmed;
-            if (read.confirmed) {
-                self->tracker.onFeedRequest(call.entry, call.version, monotonicNow());
-                self->hasClaims = member->state().claims().size() > 0;
-                reply.version = member->state().view().version;
-                for (const auto &page : member->state().changesSince(call.version))
-                    reply.pages.push_back(protocol::encodeFeedPage(page));
-            }
-            done(std::move(reply));
-        });
+        member->member().read(
+                consensus::ReadKind::Lease, [self, member, call, done](const auto &read) {
+                    protocol::FeedReply reply;
+                    reply.confirmed = read.confirmed;
+                    if (read.confirmed) {
+                        self->tracker.onFeedRequest(call.entry, call.version, monotonicNow());
+                        self->hasClaims = member->state().claims().size() > 0;
+                        reply.version = member->state().view().version;
+                        for (const auto &page : member->state().changesSince(call.version))
+                            reply.pages.push_back(protocol::encodeFeedPage(page));
+                    }
+                    done(std::move(reply));
+                });
     };
     co_return co_await transport::awaitCallback<protocol::FeedReply>(std::move(start));
 }
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -327,8 +327,8 @@
     // taken up again after a while, or at once when it announces a new incarnation.
     void noteHealth(const state::EndpointDescription &endpoint, AttemptHealth outcome)
     {
-        const bool suspect = this->health.note(endpoint.id, endpoint.incarnation, outcome,
-                                               monotonicNow());
+        const bool suspect =
+                this->health.note(endpoint.id, endpoint.incarnation, outcome, monotonicNow());
         if (!suspect)
             return;
         logEvent(LogLevel::Warning, "engine.suspected",
@@ -394,8 +394,8 @@
         this->profiles = next;
         for (const auto &[id, endpoint] : this->announced) {
             const auto profile = this->profileOf(endpoint.description);
-            this->handle(admission::EngineAnnounced{described(endpoint.description, profile),
-                                                    profile});
+            this->handle(
+                    admission::EngineAnnounced{described(endpoint.description, profile), profile});
         }
     }
 
@@ -417,8 +417,7 @@
         for (const auto &[id, endpoint] : table->endpoints) {
             const auto profile = this->profileOf(endpoint.description);
             const bool suspected = this->isSuspected(endpoint.description);
-            if (endpoint.description.kind != state::EndpointKind::Engine
-                || (!profile && suspected))
+            if (endpoint.description.kind != state::EndpointKind::Engine || (!profile && suspected))
                 continue;
             if (profile)
                 this->markSuspected(id, suspected || endpoint.stale);
@@ -549,9 +548,8 @@
     };
     scheduler.noteHealth = [self](const state::EndpointDescription &endpoint,
                                   AttemptHealth outcome) {
-        asio::post(self->state->strand, [self, endpoint, outcome] {
-            self->state->noteHealth(endpoint, outcome);
-        });
+        asio::post(self->state->strand,
+                   [self, endpoint, outcome] { self->state->noteHealth(endpoint, outcome); });
     };
     scheduler.blame = [self](const state::Address &address) {
         asio::post(self->state->strand, [self, address] { self->state->blame(address); });
--- a/src/program/MembershipService.cpp
+++ b/src/program/MembershipService.cpp
@@ -137,8 +137,7 @@
     const auto *known = this->membership.endpointTable().find(endpoint);
     if (!incarnation && known != nullptr)
         incarnation = known->record.incarnation;
-    const auto record =
-            this->endpointLife.leave(endpoint, incarnation.value_or(0), this->world());
+    const auto record = this->endpointLife.leave(endpoint, incarnation.value_or(0), this->world());
     if (!record)
         return record.error();
     if (record.value()) {
--- a/src/program/Metrics.h
+++ b/src/program/Metrics.h
@@ -32,9 +32,8 @@
 
 private:
     // Upper bounds in seconds, each about twice the one before; the last bucket has none.
-    static constexpr std::array<double, 15> bounds{0.001, 0.0025, 0.005, 0.01, 0.025,
-                                                   0.05,  0.1,    0.2,   0.3,  0.6,
-                                                   1.0,   2.0,    4.0,   8.0,  16.0};
+    static constexpr std::array<double, 15> bounds{
+            0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 1.0, 2.0, 4.0, 8.0, 16.0};
     // Labels come from configurations and callers; beyond this many series the rest is one.
     static constexpr std::size_t mostSeries = 500;
 
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -168,8 +168,8 @@
             this->client =
                     ControlClient::create(this->settings, this->context, this->clientHooks());
         this->policy = DispatcherScheduler::create(this->context, this->settings,
-                                                   policySettings(this->settings),
-                                                   this->registry, this->policyHooks());
+                                                   policySettings(this->settings), this->registry,
+                                                   this->policyHooks());
         BOOST_OUTCOME_TRY(this->entry, Entry::create(this->settings, this->context, this->registry,
                                                      this->entryHooks()));
         if (this->servesRelay()) {
@@ -432,8 +432,7 @@
         this->left = true;
         this->tellPhase();
         co_await transport::pause(farewellTime);
-        logEvent(LogLevel::Info, "node.stopped",
-                 {{"in_flight", std::uint64_t(this->inFlight())}});
+        logEvent(LogLevel::Info, "node.stopped", {{"in_flight", std::uint64_t(this->inFlight())}});
         if (this->client)
             this->client->stop();
         if (this->control)
@@ -451,12 +450,10 @@
         this->metrics.gauge("configuration_version", [this] {
             return this->client ? double(this->client->view()->configuration.version) : 0.0;
         });
-        this->metrics.gauge("view_fresh", [this] {
-            return this->client && this->client->admits() ? 1.0 : 0.0;
-        });
-        this->metrics.gauge("endpoints_known", [this] {
-            return double(this->registry->table()->endpoints.size());
-        });
+        this->metrics.gauge("view_fresh",
+                            [this] { return this->client && this->client->admits() ? 1.0 : 0.0; });
+        this->metrics.gauge("endpoints_known",
+                            [this] { return double(this->registry->table()->endpoints.size()); });
         transport::HttpServer::Hooks hooks;
         hooks.handle = [this](transport::HttpExchange &exchange) -> asio::awaitable<void> {
             protocol::HttpResponse answer;
@@ -470,10 +467,9 @@
             answer.body = std::string(cause);
             return answer;
         };
-        BOOST_OUTCOME_TRY(this->metricsServer,
-                          transport::HttpServer::create(this->context,
-                                                        *this->settings.metricsListen, {},
-                                                        std::move(hooks)));
+        BOOST_OUTCOME_TRY(this->metricsServer, transport::HttpServer::create(
+                                                       this->context, *this->settings.metricsListen,
+                                                       {}, std::move(hooks)));
         this->metricsServer->start();
         return state::outcome::success();
     }
@@ -492,8 +488,9 @@
 
     milliseconds leavingTime() const
     {
-        return this->settings.relay.listen ? this->settings.relay.termination - terminationMargin
-                                           : this->leavingGrace() + this->settings.entry.shutdownLimit;
+        return this->settings.relay.listen
+                       ? this->settings.relay.termination - terminationMargin
+                       : this->leavingGrace() + this->settings.entry.shutdownLimit;
     }
 
     // What may change while running is what a restart would read: the rest is only checked.
--- a/src/program/RelayCodec.h
+++ b/src/program/RelayCodec.h
@@ -24,8 +24,8 @@
 // What a caller's request says of itself.
 struct RelayRequest
 {
-    state::RequestId id; // of one attempt of the caller
-    std::string host;    // without a port
+    state::RequestId id;                                // of one attempt of the caller
+    std::string host;                                   // without a port
     std::string accountKey;                             // empty: none was sent
     std::optional<std::chrono::milliseconds> timeLimit; // that the caller waits
     std::optional<std::uint64_t> resumeBehind;          // id of the last event that it has
@@ -38,10 +38,10 @@
 struct ForwardTerms
 {
     std::chrono::milliseconds timeLeft{};
-    state::EndpointId endpoint; // any other one refuses it
-    state::ClientAccountId account;          // empty: none
-    std::optional<unsigned> priority;        // 0 first, 9 last
-    std::vector<HelperTarget> helpers;       // engines that prefill a part each
+    state::EndpointId endpoint;        // any other one refuses it
+    state::ClientAccountId account;    // empty: none
+    std::optional<unsigned> priority;  // 0 first, 9 last
+    std::vector<HelperTarget> helpers; // engines that prefill a part each
     std::optional<std::uint64_t> resumeBehind;
 };
 
--- a/src/program/RelayFront.cpp
+++ b/src/program/RelayFront.cpp
@@ -72,9 +72,8 @@
     , operatorFace(this->makeOperatorFace())
 {}
 
-state::Result<std::shared_ptr<RelayFront>> RelayFront::create(const Settings &settings,
-                                                              asio::io_context &context,
-                                                              Hooks hooks)
+state::Result<std::shared_ptr<RelayFront>>
+RelayFront::create(const Settings &settings, asio::io_context &context, Hooks hooks)
 {
     std::shared_ptr<RelayFront> front(new RelayFront(settings, std::move(hooks)));
     BOOST_OUTCOME_TRYV(front->listen(context));
@@ -105,15 +104,15 @@
     BOOST_OUTCOME_TRYV(open(
             where.readyListen, sideDoorLimits(),
             [this](transport::HttpExchange &exchange) {
-                const bool ready = !this->leaving && this->hasConfiguration() && this->hooks.ready();
+                const bool ready =
+                        !this->leaving && this->hasConfiguration() && this->hooks.ready();
                 return this->hooks.deployment.answerReadiness(exchange, ready);
             },
             this->readyServer));
-    const DirectoryFace directory{
-            [this](const state::FailureDomain &callers) {
-                return this->hooks.cluster->relays(callers);
-            },
-            where.directoryTtl};
+    const DirectoryFace directory{[this](const state::FailureDomain &callers) {
+                                      return this->hooks.cluster->relays(callers);
+                                  },
+                                  where.directoryTtl};
     BOOST_OUTCOME_TRYV(open(
             where.directoryListen, sideDoorLimits(),
             [this, directory](transport::HttpExchange &exchange) {
@@ -137,8 +136,8 @@
     face.newestConfiguration = [this]() -> asio::awaitable<state::Result<ConfigurationDocument>> {
         return this->hooks.client->configuration(monotonicNow() + newestTime);
     };
-    face.announce = [this](state::EndpointDescription endpoint)
-            -> asio::awaitable<state::Result<void>> {
+    face.announce =
+            [this](state::EndpointDescription endpoint) -> asio::awaitable<state::Result<void>> {
         const auto answer = co_await this->hooks.cluster->announce(std::move(endpoint));
         if (!answer)
             co_return answer.error();
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -82,7 +82,8 @@
 // The attempt that runs now, which others may end: the caller's close, or the scheduler.
 struct RunningAttempt
 {
-    std::shared_ptr<transport::HttpCallHandle> handle = std::make_shared<transport::HttpCallHandle>();
+    std::shared_ptr<transport::HttpCallHandle> handle =
+            std::make_shared<transport::HttpCallHandle>();
 
     void interrupt() const { this->handle->cancel(); }
     void renew() { this->handle = std::make_shared<transport::HttpCallHandle>(); }
@@ -131,8 +132,8 @@
     asio::awaitable<void> waitForConfiguration()
     {
         const state::Instant limit = this->arrival + configurationWait;
-        while (this->routes->version() == 0 && !this->facts.callerGone
-               && monotonicNow() < limit && !this->hooks.refuses()) {
+        while (this->routes->version() == 0 && !this->facts.callerGone && monotonicNow() < limit
+               && !this->hooks.refuses()) {
             co_await transport::pause(waitingStep);
             this->routes = this->hooks.routes();
         }
@@ -159,12 +160,11 @@
             return RelayRefusal{401, "the account key is missing or not known", std::nullopt};
         if (account != nullptr)
             this->outcome.account = account->id;
-        const milliseconds time =
-                std::min(this->request.timeLimit.value_or(this->route->timeout),
-                         this->route->timeout);
+        const milliseconds time = std::min(this->request.timeLimit.value_or(this->route->timeout),
+                                           this->route->timeout);
         this->deadline = this->arrival + time;
-        this->outcome.service = state::routes::pickService(this->route->services,
-                                                           this->relay.draw());
+        this->outcome.service =
+                state::routes::pickService(this->route->services, this->relay.draw());
         this->facts.repeatable = this->route->isRepeatable();
         this->facts.allowedRuns = std::max(this->route->attempts, 1U);
         if (this->request.resumeBehind)
@@ -232,8 +232,8 @@
         wanted.id = this->request.id;
         wanted.account = this->outcome.account;
         wanted.workClass = state::WorkClass(this->route->name);
-        wanted.body.model = state::ModelName(this->outcome.service.value() + "/"
-                                             + this->request.model.value());
+        wanted.body.model =
+                state::ModelName(this->outcome.service.value() + "/" + this->request.model.value());
         wanted.body.promptTokens = this->request.promptTokens;
         wanted.body.outputTokens = this->request.outputTokens;
         wanted.body.stream = true;
@@ -269,8 +269,8 @@
                 replica = this->chooseReplica(tried);
             }
             if (!replica) {
-                this->outcome.reason = "no endpoint of the service is known; "
-                                       + this->outcome.reason;
+                this->outcome.reason =
+                        "no endpoint of the service is known; " + this->outcome.reason;
                 break;
             }
             tried.push_back(replica->id);
@@ -308,8 +308,7 @@
     void endOnReplica(const state::EndpointDescription &replica, AttemptEnd end)
     {
         // An answer of its own is what a sound endpoint gives to a request that it can't do.
-        const AttemptHealth health =
-                this->facts.callerGone ? AttemptHealth::Served : healthOf(end);
+        const AttemptHealth health = this->facts.callerGone ? AttemptHealth::Served : healthOf(end);
         const std::lock_guard lock(this->relay.choosing);
         this->relay.chooser.ended(replica, health, monotonicNow());
         if (end == AttemptEnd::Whole)
@@ -384,7 +383,8 @@
             co_return AttemptEnd::Lost;
         }
         if (head.notRun) {
-            this->outcome.reason = "refused by the endpoint with " + std::to_string(stream.status());
+            this->outcome.reason =
+                    "refused by the endpoint with " + std::to_string(stream.status());
             co_return AttemptEnd::NotRun;
         }
         if (isSuccess(stream.status()) && this->route->kind == CallKind::Stream)
@@ -470,8 +470,7 @@
         this->events.dropRest();
         milliseconds patience = this->firstPatience();
         while (true) {
-            const auto piece =
-                    co_await stream.read(std::min(patience, remaining(this->deadline)));
+            const auto piece = co_await stream.read(std::min(patience, remaining(this->deadline)));
             if (!piece) {
                 this->outcome.reason = piece.error().step + ": " + piece.error().cause;
                 co_return AttemptEnd::Lost;
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -30,19 +30,19 @@
     std::string route;
     state::ClientAccountId account;
     state::ServiceName service;
-    state::EndpointId endpoint; // of the last attempt
+    state::EndpointId endpoint;      // of the last attempt
     std::uint64_t configuration = 0; // version that decided
     std::uint32_t promptTokens = 0;
     unsigned status = 0; // 0: the caller was gone
     unsigned attempts = 0;
-    state::Address address;  // its address
+    state::Address address;              // its address
     std::vector<state::Address> helpers; // of the last attempt
     bool whole = false;
     bool resumed = false;
     std::string reason; // of a failure or refusal
     state::Duration firstAnswer{};
     state::Duration predictedFirst{}; // as the last placement expected it
-    state::Duration longestPause{}; // between two writes to the caller, of a stream
+    state::Duration longestPause{};   // between two writes to the caller, of a stream
     state::Duration total{};
 };
 
@@ -61,7 +61,8 @@
 
     RouteRelay(const Settings &settings, Hooks hooks, std::uint64_t seed);
 
-    // Answers the exchange, or leaves it to be closed where the caller is gone or the answer is cut.
+    // Answers the exchange, or leaves it to be closed where the caller is gone or the answer is
+    // cut.
     boost::asio::awaitable<void> run(transport::HttpExchange &exchange);
 
     std::size_t inFlight() const { return this->requestsInFlight; }
--- a/src/program/Scheduler.h
+++ b/src/program/Scheduler.h
@@ -60,9 +60,9 @@
     // The part of the prompt to prefill, in tokens; to = 0 means all of it.
     std::uint32_t from = 0;
     std::uint32_t to = 0;
-    bool final = true; // the answer is generated behind it; else it is a slice
+    bool final = true;                 // the answer is generated behind it; else it is a slice
     std::vector<HelperTarget> helpers; // each prefills as much of the prompt as the endpoint
-    state::Duration predictedFirst{0};   // from placing to the first event; 0: not predicted
+    state::Duration predictedFirst{0}; // from placing to the first event; 0: not predicted
 
     auto operator<=>(const Placement &) const = default;
 };
--- a/src/state/control/Commands.h
+++ b/src/state/control/Commands.h
@@ -212,9 +212,9 @@
     }
 };
 
-using Command = std::variant<OperatorCommand, RecordOrderProgress, TakeClaim, DispatchClaim,
-                             ReleaseClaim, FinishClaim, EntryLost, AdvanceTime,
-                             ReplaceConfiguration>;
+using Command =
+        std::variant<OperatorCommand, RecordOrderProgress, TakeClaim, DispatchClaim, ReleaseClaim,
+                     FinishClaim, EntryLost, AdvanceTime, ReplaceConfiguration>;
 
 // The command changed the state (or, as a resend, had done so before).
 struct Accepted
--- a/src/state/routes/EngineProfile.h
+++ b/src/state/routes/EngineProfile.h
@@ -16,11 +16,11 @@
     std::uint32_t stridePerPass = 1;    // steps of a pass with decoding requests; tokens an event
     double stepMs = 0;                  // of one step, before what follows
     double sequenceStepMs = 0;          // more for each decoding request
-    double contextStepMs = 0;           // more for each 1,000 tokens of a decoding request's context
+    double contextStepMs = 0; // more for each 1,000 tokens of a decoding request's context
     double prefillTokensPerSecond = 0;
-    double pairsMs = 0;              // more for a million pairs of a token and one before it
-    std::uint32_t stepTokens = 0;    // prefilled in one step at most
-    double reportLagMs = 0;          // age of what the engine reports of itself
+    double pairsMs = 0;           // more for a million pairs of a token and one before it
+    std::uint32_t stepTokens = 0; // prefilled in one step at most
+    double reportLagMs = 0;       // age of what the engine reports of itself
 
     auto operator<=>(const EngineProfile &) const = default;
 };
--- a/src/state/routes/Route.h
+++ b/src/state/routes/Route.h
@@ -56,7 +56,7 @@
 {
     ServiceName name;
     std::string healthPath;
-    std::uint32_t connections = 0; // that one endpoint accepts from all callers together
+    std::uint32_t connections = 0;       // that one endpoint accepts from all callers together
     std::optional<EngineProfile> engine; // absent: a plain service
 
     auto operator<=>(const ServiceProfile &) const = default;
--- a/src/state/routes/RouteTable.cpp
+++ b/src/state/routes/RouteTable.cpp
@@ -118,8 +118,9 @@
             return share.service;
     }
     // Rounding may leave a rest: the last share that may be drawn at all takes it.
-    const auto last = std::ranges::find_if(shares.rbegin(), shares.rend(),
-                                           [](const ServiceShare &each) { return each.weight > 0; });
+    const auto last =
+            std::ranges::find_if(shares.rbegin(), shares.rend(),
+                                 [](const ServiceShare &each) { return each.weight > 0; });
     return last->service;
 }
 
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -41,8 +41,7 @@
                             "the call was withdrawn", peer.toString());
 }
 
-using UnacknowledgedTimeout =
-        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+using UnacknowledgedTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 http::request<http::string_body> toBeastRequest(protocol::HttpRequest request,
                                                 const state::Address &peer)
@@ -152,8 +151,7 @@
 
 asio::awaitable<state::Result<HttpAnswerStream>>
 openHttpStream(asio::any_io_executor executor, state::Address peer, protocol::HttpRequest request,
-               HttpCallLimits limits, BeforeSend beforeSend,
-               std::shared_ptr<HttpCallHandle> handle)
+               HttpCallLimits limits, BeforeSend beforeSend, std::shared_ptr<HttpCallHandle> handle)
 {
     auto call = std::make_shared<HttpAnswerStream::State>(std::move(executor), peer);
     HttpAnswerStream answer(call); // closes the connection on every way out
@@ -203,7 +201,8 @@
     auto [headProblem, headBytes] = co_await http::async_read_header(
             call->stream, call->buffer, call->parser, asio::as_tuple(asio::use_awaitable));
     if (headProblem) {
-        const bool sending = call->sendProblem && call->sendProblem != asio::error::operation_aborted;
+        const bool sending =
+                call->sendProblem && call->sendProblem != asio::error::operation_aborted;
         co_return callError(sending ? call->sendProblem : headProblem,
                             sending ? sendStep : receiveStep, peer);
     }
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -262,8 +262,8 @@
     std::string peer;
     beast::flat_buffer buffer;
     bool keepAlive = false;
-    bool broken = false;     // a write failed; nothing more can be sent
-    bool streamOpen = false; // begun and not finished
+    bool broken = false;            // a write failed; nothing more can be sent
+    bool streamOpen = false;        // begun and not finished
     std::shared_ptr<bool> watching; // set while the caller is watched; false inside: no longer
 };
 
--- a/tests/bench/PassBoundsTest.cpp
+++ b/tests/bench/PassBoundsTest.cpp
@@ -1,5 +1,6 @@
 // The load of the worst days, replayed on the stand-in of engines that work in passes: what each
-// mechanism of placing brings, as shares of fixed seeds. docs/measurements/policy.md has the figures.
+// mechanism of placing brings, as shares of fixed seeds. docs/measurements/policy.md has the
+// figures.
 #include "PassFleetRun.h"
 
 #include <cppunit/TestFixture.h>
@@ -70,13 +71,13 @@
     void helpersBringTheFirstTokenForward()
     {
         const PassResult ours = play([](PassPlan &) {});
-        const PassResult without =
-                play([](PassPlan &plan) { plan.policy.passes.mostHelpers = 0; });
+        const PassResult without = play([](PassPlan &plan) { plan.policy.passes.mostHelpers = 0; });
         assertAbove("reviews in time, over engines alone", 1.5,
                     ours.classes[review].share() / std::max(without.classes[review].share(), 0.01));
     }
 
-    // Entries that don't tell each other place by their own work alone and meet on the same engines.
+    // Entries that don't tell each other place by their own work alone and meet on the same
+    // engines.
     void notesBetweenEntriesPay()
     {
         const PassResult ours = play([](PassPlan &) {});
@@ -93,8 +94,8 @@
             const PassTally &all = ours.classes[kind];
             const PassTally &largest = ours.largestTenth[kind];
             const double served = double(all.inTime + all.late) / double(all.asked);
-            const double servedLargest =
-                    double(largest.inTime + largest.late) / double(std::max<std::size_t>(largest.asked, 1));
+            const double servedLargest = double(largest.inTime + largest.late)
+                                         / double(std::max<std::size_t>(largest.asked, 1));
             assertAbove("largest tenth served, over all", 0.5, servedLargest / served);
         }
     }
--- a/tests/coordination/admission/LongQueueTest.cpp
+++ b/tests/coordination/admission/LongQueueTest.cpp
@@ -45,8 +45,7 @@
     {
         LongQueue queue;
         queue.add(state::RequestId("huge"), prompt(1, 8, this->start));
-        queue.add(state::RequestId("small"),
-                  prompt(2, 0.3, this->start + std::chrono::seconds(1)));
+        queue.add(state::RequestId("small"), prompt(2, 0.3, this->start + std::chrono::seconds(1)));
         CPPUNIT_ASSERT_EQUAL(std::string("small"), queue.head(this->start)->value());
         queue.remove(2);
         queue.add(state::RequestId("later"), prompt(3, 0.3, this->start + std::chrono::seconds(6)));
--- a/tests/coordination/consensus/MemberPlanTest.cpp
+++ b/tests/coordination/consensus/MemberPlanTest.cpp
@@ -104,8 +104,7 @@
         const std::vector<Candidate> live = {this->a, this->b, this->c, this->d};
         CPPUNIT_ASSERT(set == plan.target(set, live, this->start));
         MemberPlan five({.wantedVoters = 5});
-        CPPUNIT_ASSERT_EQUAL(std::size_t(4),
-                             five.target(set, live, this->start).voterCount());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), five.target(set, live, this->start).voterCount());
     }
 };
 
--- a/tests/coordination/relay/FinalAnswerTest.cpp
+++ b/tests/coordination/relay/FinalAnswerTest.cpp
@@ -1,5 +1,5 @@
-// The table in which "not run" stays true: what may be tried again, and what a caller is told at the
-// end, for every way in which attempts can end.
+// The table in which "not run" stays true: what may be tried again, and what a caller is told at
+// the end, for every way in which attempts can end.
 #include "coordination/relay/FinalAnswer.h"
 
 #include <cppunit/TestFixture.h>
@@ -127,7 +127,9 @@
                 {"lost", {.runs = 1}, false, FinalAnswer::Unknown},
                 {"lost and late", {.runs = 1, .timeIsOver = true}, false, FinalAnswer::Timeout},
                 {"refused", {.refusals = 2}, false, FinalAnswer::NotRun},
-                {"refused and late", {.refusals = 1, .timeIsOver = true}, false,
+                {"refused and late",
+                 {.refusals = 1, .timeIsOver = true},
+                 false,
                  FinalAnswer::NotRun},
                 {"nobody asked", {}, false, FinalAnswer::NotRun},
         };
--- a/tests/platform/CodecFuzzTest.cpp
+++ b/tests/platform/CodecFuzzTest.cpp
@@ -76,7 +76,7 @@
     void headers()
     {
         const program::RelayCodec codec = makeRelayCodec();
-        const char *names[] = {"Request-Id", "Request-Deadline", "Token-Count",  "Last-Event-Id",
+        const char *names[] = {"Request-Id", "Request-Deadline", "Token-Count",   "Last-Event-Id",
                                "Host",       "Replica-Load",     "Response-Seal", "At-Server"};
         for (int round = 0; round < rounds; ++round) {
             protocol::HttpRequest request;
--- a/tests/platform/ConfigurationCodecTest.cpp
+++ b/tests/platform/ConfigurationCodecTest.cpp
@@ -92,8 +92,7 @@
                 {"no service", [](auto &document) { routeOf(document, 1).erase("Service"); }},
                 {"unknown service",
                  [](auto &document) { routeOf(document, 1)["Service"] = "nobody"; }},
-                {"same place",
-                 [](auto &document) { routeOf(document, 1)["PathPrefix"] = "/n/"; }},
+                {"same place", [](auto &document) { routeOf(document, 1)["PathPrefix"] = "/n/"; }},
                 {"no weight",
                  [](auto &document) {
                      for (auto &share : routeOf(document, 0)["Split"].as_array())
--- a/tests/platform/EndpointNewsCodecTest.cpp
+++ b/tests/platform/EndpointNewsCodecTest.cpp
@@ -1,4 +1,5 @@
-// Contract of the endpoints' news: what names an endpoint to use, and what other writers leave there.
+// Contract of the endpoints' news: what names an endpoint to use, and what other writers leave
+// there.
 #include "platform/EndpointNewsCodec.h"
 
 #include "platform/Samples.h"
@@ -60,10 +61,10 @@
             json::value value; // null: the field is missing
         };
         const std::vector<Case> cases = {
-                {"Service", nullptr}, {"Service", 7},      {"Address", nullptr}, {"Address", "no"},
-                {"Zone", nullptr},    {"Slots", "many"},   {"State", nullptr},   {"State", "odd"},
-                {"Seq", nullptr},     {"Seq", 1.5},        {"born", nullptr},    {"born", 0},
-                {"born", 12.5},       {"born", "always"},  {"Models", "m"},      {"Models", {1}},
+                {"Service", nullptr}, {"Service", 7},     {"Address", nullptr}, {"Address", "no"},
+                {"Zone", nullptr},    {"Slots", "many"},  {"State", nullptr},   {"State", "odd"},
+                {"Seq", nullptr},     {"Seq", 1.5},       {"born", nullptr},    {"born", 0},
+                {"born", 12.5},       {"born", "always"}, {"Models", "m"},      {"Models", {1}},
         };
         for (const Case &each : cases) {
             json::object spoiled = sample();
--- a/tests/platform/RelayTest.cpp
+++ b/tests/platform/RelayTest.cpp
@@ -88,9 +88,8 @@
 
     state::Result<protocol::HttpResponse> call()
     {
-        auto run = [](state::Address peer,
-                      protocol::HttpRequest request) -> asio::awaitable<
-                                                             state::Result<protocol::HttpResponse>> {
+        auto run = [](state::Address peer, protocol::HttpRequest request)
+                -> asio::awaitable<state::Result<protocol::HttpResponse>> {
             const asio::any_io_executor executor = co_await asio::this_coro::executor;
             co_return co_await transport::httpCall(executor, peer, std::move(request), {});
         };
@@ -174,8 +173,8 @@
     asio::awaitable<void> serveEndpoint(transport::HttpExchange &exchange)
     {
         const auto arrival = std::size_t(this->arrivals++);
-        const Behaviour behaviour = this->behaviours.at(std::min(arrival,
-                                                                 this->behaviours.size() - 1));
+        const Behaviour behaviour =
+                this->behaviours.at(std::min(arrival, this->behaviours.size() - 1));
         protocol::HttpResponse answer = sealedAnswer(exchange.request(), 200);
         switch (behaviour) {
         case Behaviour::Answers:
--- a/tests/platform/RelayWireTest.cpp
+++ b/tests/platform/RelayWireTest.cpp
@@ -22,12 +22,18 @@
     request.method = "POST";
     request.target = "/n/2f?x=1";
     request.body = "body";
-    request.headers = {{"Host", "h.example:8227"},     {"Request-Id", id.value()},
-                       {"Last-Event-Id", "12"},        {"Model", "m"},
-                       {"Token-Count", "1460,80"},     {"Prompt-Prefix", "5c1e07a2:800"},
-                       {"Request-Deadline", "10000"},  {"Credential", "secret-key"},
-                       {"Connection", "keep-alive, X-Hop"}, {"X-Hop", "1"},
-                       {"Tenant", "forged"},           {"Helpers", "10.0.0.1:1"},
+    request.headers = {{"Host", "h.example:8227"},
+                       {"Request-Id", id.value()},
+                       {"Last-Event-Id", "12"},
+                       {"Model", "m"},
+                       {"Token-Count", "1460,80"},
+                       {"Prompt-Prefix", "5c1e07a2:800"},
+                       {"Request-Deadline", "10000"},
+                       {"Credential", "secret-key"},
+                       {"Connection", "keep-alive, X-Hop"},
+                       {"X-Hop", "1"},
+                       {"Tenant", "forged"},
+                       {"Helpers", "10.0.0.1:1"},
                        {"X-Other", "stays"}};
     return request;
 }
@@ -116,11 +122,16 @@
                 {"success", 200, {{"Request-Id", id.value()}, {"Response-Seal", "s"}}, true, false},
                 {"success without seal", 200, {{"Request-Id", id.value()}}, false, false},
                 {"success without id", 200, {{"Response-Seal", "s"}}, false, false},
-                {"of another request", 200, {{"Request-Id", other}, {"Response-Seal", "s"}}, false,
+                {"of another request",
+                 200,
+                 {{"Request-Id", other}, {"Response-Seal", "s"}},
+                 false,
                  false},
-                {"encoded", 200,
+                {"encoded",
+                 200,
                  {{"Request-Id", id.value()}, {"Response-Seal", "s"}, {"Content-Encoding", "gzip"}},
-                 false, false},
+                 false,
+                 false},
                 {"own failure", 500, {{"Request-Id", id.value()}}, true, false},
                 {"failure of another", 500, {{"Request-Id", other}}, false, false},
                 {"full", 503, {{"Request-Id", id.value()}, {"Not-Executed", "1"}}, true, true},
@@ -140,12 +151,12 @@
 
     void refusalsTellWhenToComeBack()
     {
-        const auto answer =
-                this->codec.refuse({503, "busy", std::chrono::milliseconds(1'250)});
+        const auto answer = this->codec.refuse({503, "busy", std::chrono::milliseconds(1'250)});
         CPPUNIT_ASSERT_EQUAL(503U, answer.status);
         CPPUNIT_ASSERT_EQUAL(std::string("1.250"),
                              std::string(*answer.headers.find("Retry-After")));
-        CPPUNIT_ASSERT(!this->codec.refuse({502, "lost", std::nullopt}).headers.find("Retry-After"));
+        CPPUNIT_ASSERT(
+                !this->codec.refuse({502, "lost", std::nullopt}).headers.find("Retry-After"));
     }
 
     void memoryOrders()
--- a/tests/protocol/GossipMessagesTest.cpp
+++ b/tests/protocol/GossipMessagesTest.cpp
@@ -37,9 +37,9 @@
     if (full)
         record.description =
                 std::make_shared<const membership::MemberDescription>(membership::MemberDescription{
-                        address(random), address(random), address(random),
-                        address(random), state::VmId(name(random)),
-                        state::FailureDomain(name(random)), state::Region(name(random))});
+                        address(random), address(random), address(random), address(random),
+                        state::VmId(name(random)), state::FailureDomain(name(random)),
+                        state::Region(name(random))});
     return record;
 }
 
--- a/tests/state/control/ConfigurationTest.cpp
+++ b/tests/state/control/ConfigurationTest.cpp
@@ -1,5 +1,5 @@
-// Contract of the replicated configuration: versions only rise, resends are accepted, races have one
-// winner, and the feed carries the newest document alone.
+// Contract of the replicated configuration: versions only rise, resends are accepted, races have
+// one winner, and the feed carries the newest document alone.
 #include "state/control/ControlState.h"
 
 #include <cppunit/TestFixture.h>
--- a/tests/state/routes/RouteTableTest.cpp
+++ b/tests/state/routes/RouteTableTest.cpp
@@ -27,7 +27,8 @@
     draft.version = 7;
     draft.services = {{ServiceName("llm"), "/health", 10, {}}, {ServiceName("app"), "", 10, {}}};
     draft.routes = {route("short", "/a/"), route("long", "/a/b/", "app")};
-    draft.accounts = {{ClientAccountId("acme"), {"k1", "k2"}, 1}, {ClientAccountId("bell"), {"k3"}, {}}};
+    draft.accounts = {{ClientAccountId("acme"), {"k1", "k2"}, 1},
+                      {ClientAccountId("bell"), {"k3"}, {}}};
     return draft;
 }
 
@@ -71,7 +72,8 @@
             std::function<void(RouteTableDraft &)> spoil;
         };
         const std::vector<Case> cases = {
-                {"unknown service", [](auto &draft) { draft.routes[0] = route("r", "/x/", "none"); }},
+                {"unknown service",
+                 [](auto &draft) { draft.routes[0] = route("r", "/x/", "none"); }},
                 {"same place", [](auto &draft) { draft.routes[1].pathPrefix = "/a/"; }},
                 {"no weight", [](auto &draft) { draft.routes[0].services[0].weight = 0; }},
                 {"no service", [](auto &draft) { draft.routes[0].services.clear(); }},
@@ -91,9 +93,8 @@
 
     void weightsShareTheDraws()
     {
-        const std::vector<ServiceShare> shares = {{ServiceName("a"), 90},
-                                                  {ServiceName("b"), 10},
-                                                  {ServiceName("c"), 0}};
+        const std::vector<ServiceShare> shares = {
+                {ServiceName("a"), 90}, {ServiceName("b"), 10}, {ServiceName("c"), 0}};
         std::size_t second = 0;
         constexpr std::size_t draws = 1'000;
         for (std::size_t each = 0; each < draws; ++each)
