Control's followers send the feed's pages; the leader confirms

Cause: at 126 VMs the leader sent each document of 52 KB to 125 nodes and lost its term while changes came fast; after the loss of two disks nothing came back.

--- a/src/coordination/orders/FeedReceiver.h
+++ b/src/coordination/orders/FeedReceiver.h
@@ -59,6 +59,12 @@
     std::optional<FeedRequest> poll(state::Instant now);
     // True if the view changed and has to be published.
     bool onAnswer(const FeedAnswer &answer, state::Instant now);
+    // What a member has applied, without a word on whether it is the newest: true if the view
+    // changed. Followers give it, since one leader can't send every change to every entry.
+    bool onPages(const std::vector<state::control::FeedPage> &pages)
+    {
+        return this->applyPages(pages);
+    }
     void onRequestFailed(std::uint64_t id);
     // The next request is due then, if that is sooner: the last one brought nothing.
     void retryAt(state::Instant at) { this->pollAt = std::min(this->pollAt, at); }
--- a/src/coordination/routing/EngineView.h
+++ b/src/coordination/routing/EngineView.h
@@ -47,7 +47,7 @@
     const std::optional<state::routes::EngineProfile> &profile() const { return this->declared; }
     void setProfile(std::optional<state::routes::EngineProfile> profile)
     {
-        this->declared = std::move(profile);
+        this->declared = profile;
     }
     // The part of that work that this engine, as one of its helpers, prefills.
     void applyHelp(const WorkNote &note, std::uint32_t memoryTokens, state::Instant now);
--- a/src/program/ControlClient.cpp
+++ b/src/program/ControlClient.cpp
@@ -28,10 +28,11 @@
 constexpr milliseconds callTimeout{1'500};
 constexpr milliseconds connectTimeout{300};
 constexpr milliseconds pauseBetweenTries{50};
-// An answer that is held back this long confirms freshness about once a second at one call a
-// second.
-constexpr milliseconds feedWait{1'000};
-constexpr state::Duration feedInterval = milliseconds(250); // least time between two polls
+constexpr milliseconds feedWait{1'000}; // a poll for pages is held this long at most
+constexpr state::Duration feedInterval = milliseconds(1'000); // between two confirmations
+// Pages from the member asked for them come within a heartbeat of the leader's word; after this the
+// leader is asked for them itself.
+constexpr state::Duration pagesGrace = milliseconds(250);
 constexpr milliseconds longestFeedPause{100};
 constexpr milliseconds feedRetry{60}; // while nobody confirms anything
 constexpr milliseconds releaseTime{5'000};
@@ -84,6 +85,20 @@
     return feed;
 }
 
+std::vector<state::control::FeedPage> decodePages(const protocol::FeedReply &reply,
+                                                  const state::Address &member)
+{
+    std::vector<state::control::FeedPage> pages;
+    for (const std::string &bytes : reply.pages) {
+        auto page = protocol::decodeFeedPage(bytes);
+        if (page)
+            pages.push_back(std::move(page.value()));
+        else
+            logError("control.page-refused", page.error().withPeer(member.toString()));
+    }
+    return pages;
+}
+
 // Whether a claim command took effect for its holder.
 bool granted(const state::Result<ControlClient::Committed> &committed)
 {
@@ -117,6 +132,12 @@
                 co_await self->feedLoop();
             }(this->shared_from_this()),
             asio::detached);
+    asio::co_spawn(
+            this->strand,
+            [](std::shared_ptr<ControlClient> self) -> asio::awaitable<void> {
+                co_await self->pagesLoop();
+            }(this->shared_from_this()),
+            asio::detached);
 }
 
 asio::awaitable<state::Result<protocol::ControlReply>>
@@ -260,6 +281,9 @@
     asking.entry = this->settings.vm;
     asking.version = due.version;
     asking.waitMs = static_cast<std::uint32_t>(feedWait.count());
+    asking.pages = std::exchange(this->behind, false);
+    if (asking.pages)
+        ++this->pagesRotation; // that member lags
     const protocol::ControlCall request = asking;
     const auto reply = co_await this->call(*member, request);
     const auto *feedReply = reply ? std::get_if<protocol::FeedReply>(&reply.value().body) : nullptr;
@@ -274,15 +298,62 @@
         this->feed.onRequestFailed(due.id);
         co_return false;
     }
-    coordination::orders::FeedAnswer answer{due.id, feedReply->confirmed, feedReply->version, {}};
-    for (const std::string &bytes : feedReply->pages) {
-        auto page = protocol::decodeFeedPage(bytes);
-        if (page)
-            answer.pages.push_back(std::move(page.value()));
-        else
-            logError("control.page-refused", page.error().withPeer(member->entry.toString()));
+    const coordination::orders::FeedAnswer answer{due.id, feedReply->confirmed, feedReply->version,
+                                                  decodePages(*feedReply, member->entry)};
+    const bool changed = this->feed.onAnswer(answer, monotonicNow());
+    this->behind = confirmed && feedReply->version > this->feed.view().version;
+    if (this->behind)
+        this->feed.retryAt(monotonicNow() + pagesGrace);
+    co_return changed;
+}
+
+// A leader that sent each change to every entry itself would spend its share of a core on that and
+// lose its term while changes come fast; so each entry takes them from one member of its own
+// choice.
+asio::awaitable<void> ControlClient::pagesLoop()
+{
+    while (!this->stopped) {
+        const bool changed = co_await this->fetchPages();
+        if (changed && !this->fresh)
+            this->feed.retryAt(monotonicNow()); // waits for nothing but the leader's word
+        this->afterAnswer(changed);
+        co_await transport::pause(changed ? milliseconds(1) : feedRetry);
     }
-    co_return this->feed.onAnswer(answer, monotonicNow());
+}
+
+// True if the view has changed.
+asio::awaitable<bool> ControlClient::fetchPages()
+{
+    const std::optional<ControlMemberAddress> member = this->pagesMember();
+    if (!member)
+        co_return false;
+    protocol::FeedCall asking;
+    asking.entry = this->settings.vm;
+    asking.version = this->feed.view().version;
+    asking.waitMs = static_cast<std::uint32_t>(feedWait.count());
+    const protocol::ControlCall request = asking;
+    const auto reply = co_await this->call(*member, request);
+    const auto *feedReply = reply ? std::get_if<protocol::FeedReply>(&reply.value().body) : nullptr;
+    if (feedReply == nullptr) {
+        ++this->pagesRotation; // pollFeed() tells of a control side that is lost
+        co_return false;
+    }
+    co_return this->feed.onPages(decodePages(*feedReply, member->entry));
+}
+
+// Its own member, else one that other entries choose no more often than any other.
+std::optional<ControlMemberAddress> ControlClient::pagesMember() const
+{
+    const std::vector<ControlMemberAddress> members = this->hooks.members();
+    if (members.empty())
+        return std::nullopt;
+    const auto own =
+            std::ranges::find(members, this->hooks.ownAddress, &ControlMemberAddress::consensus);
+    if (this->hooks.ownMember && own != members.end() && this->pagesRotation % 2 == 0)
+        return *own;
+    const std::string &vm = this->settings.vm.value();
+    const std::size_t first = XXH3_64bits(vm.data(), vm.size());
+    return members[(first + this->pagesRotation) % members.size()];
 }
 
 // One line when the control side is lost or regained, not one a try.
--- a/src/program/ControlClient.h
+++ b/src/program/ControlClient.h
@@ -83,6 +83,9 @@
 
     boost::asio::awaitable<void> feedLoop();
     boost::asio::awaitable<bool> pollFeed(coordination::orders::FeedRequest due);
+    boost::asio::awaitable<void> pagesLoop();
+    boost::asio::awaitable<bool> fetchPages();
+    std::optional<ControlMemberAddress> pagesMember() const;
     // Asks the leader, or whoever may know it, until `accepts` is content. Error: Timeout.
     boost::asio::awaitable<state::Result<protocol::ControlReply>>
     askLeader(protocol::ControlCall request, Accepts accepts, const char *step,
@@ -100,6 +103,8 @@
     coordination::orders::FeedReceiver feed;
     std::optional<state::Address> feedFailed; // member whose last answer confirmed nothing
     bool feedConfirmed = false;
+    bool behind = false; // the leader told of a version that the pages have not brought yet
+    std::size_t pagesRotation = 0; // moves on from a member that does not answer or lags
     state::Snapshot<std::optional<state::Address>> leader; // consensus address; a guess
     std::atomic<std::size_t> rotation = 0;
     std::atomic<bool> fresh = false;
--- a/src/program/ControlService.cpp
+++ b/src/program/ControlService.cpp
@@ -338,9 +338,10 @@
     protocol::FeedReply reply = co_await this->readFeed(member, call);
     if (!reply.pages.empty() || call.waitMs == 0)
         co_return reply;
-    if (!reply.confirmed && this->leaderAddress(member).port != 0)
-        co_return reply; // the caller goes on to the leader
-    co_await this->waitForChange(seen, reply.confirmed ? milliseconds(call.waitMs) : waitForLeader);
+    // Without pages it is held only while nobody leads; else the caller goes on to the leader.
+    if (!call.pages && (reply.confirmed || this->leaderAddress(member).port != 0))
+        co_return reply;
+    co_await this->waitForChange(seen, call.pages ? milliseconds(call.waitMs) : waitForLeader);
     co_return co_await this->readFeed(member, call);
 }
 
@@ -370,10 +371,12 @@
                 consensus::ReadKind::Lease, [self, member, call, done](const auto &read) {
                     protocol::FeedReply reply;
                     reply.confirmed = read.confirmed;
+                    reply.version = member->state().view().version;
                     if (read.confirmed) {
                         self->tracker.onFeedRequest(call.entry, call.version, monotonicNow());
                         self->hasClaims = member->state().claims().size() > 0;
-                        reply.version = member->state().view().version;
+                    }
+                    if (call.pages && reply.version > call.version) {
                         for (const auto &page : member->state().changesSince(call.version))
                             reply.pages.push_back(protocol::encodeFeedPage(page));
                     }
--- a/src/protocol/ControlCalls.h
+++ b/src/protocol/ControlCalls.h
@@ -34,14 +34,16 @@
 {
     state::VmId entry;
     std::uint64_t version = 0;
-    // If the entry lacks nothing, the answer is held back until it does, for this long at most. A
-    // change then reaches all entries within a round trip, without a poll for each.
+    // With `pages`: if the entry lacks nothing, the answer is held back until it does, for this
+    // long at most. A change then reaches all entries within a round trip, without a poll for each.
     std::uint32_t waitMs = 0;
+    // Wants what it lacks, from any member that has it; else only to hear which version is newest.
+    bool pages = true;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->entry, this->version, this->waitMs);
+        archive(this->entry, this->version, this->waitMs, this->pages);
     }
 };
 
--- a/tests/coordination/orders/FeedTest.cpp
+++ b/tests/coordination/orders/FeedTest.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(leaseCountsFromTheRequest);
     CPPUNIT_TEST(versionsNeverGoBack);
     CPPUNIT_TEST(pagesComeWholeOrNotAtAll);
+    CPPUNIT_TEST(pagesOfAFollowerChangeTheViewAndConfirmNothing);
     CPPUNIT_TEST(isolatedMemberIsLeft);
     CPPUNIT_TEST(staleAdmissionIsASetting);
     CPPUNIT_TEST(trackerNamesWhoIsMissing);
@@ -71,6 +72,25 @@
         CPPUNIT_ASSERT(!feed.admits(at(8'000)));
     }
 
+    void pagesOfAFollowerChangeTheViewAndConfirmNothing()
+    {
+        // A follower that was cut off hands on what it had applied. Callers may be served under it
+        // only once the leader has said that it is the newest; what is older must not come back.
+        FeedReceiver feed({}, 3, 0);
+        CPPUNIT_ASSERT(feed.onPages({page(0, 5)}));
+        CPPUNIT_ASSERT(!feed.admits(at(0)));
+        const FeedRequest request = *feed.poll(at(10));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), request.version);
+        CPPUNIT_ASSERT(!feed.onAnswer(answer(request, 6, {}), at(20)));
+        CPPUNIT_ASSERT(!feed.admits(at(20)));
+        CPPUNIT_ASSERT(feed.onPages({page(5, 6)}));
+        CPPUNIT_ASSERT(!feed.onPages({page(0, 4)}));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(6), feed.view().version);
+        const FeedRequest again = *feed.poll(at(2'000));
+        CPPUNIT_ASSERT(!feed.onAnswer(answer(again, 6, {}), at(2'010)));
+        CPPUNIT_ASSERT(feed.admits(at(2'010)));
+    }
+
     void versionsNeverGoBack()
     {
         // A member that was cut off answers late with an older table, confirmed by mistake.
