Cleanup: one JSON response, one lookup of a claim's holder, one opening of answers to the leader

Six places built the same JSON response, three commands of the claim ledger checked the holder alike, and two handlers of consensus opened alike.

--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -145,7 +145,8 @@
     std::optional<Refuse> refusalByPasses(const CompletionRequest &request);
     bool placeByPasses(Flight &flight);
     std::optional<Refuse> briefRefusal(const CompletionRequest &request);
-    std::optional<Refuse> longRefusal(const CompletionRequest &request, double secondsBefore);
+    std::optional<Refuse> longRefusal(const CompletionRequest &request,
+                                      const routing::LongOutlook &outlook, double secondsBefore);
     std::optional<Refuse> refusalWhenOver(const CompletionRequest &request,
                                           state::Duration over) const;
     state::Duration patienceOf(const CompletionRequest &request, double engineSeconds) const;
--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -54,7 +54,7 @@
     const routing::LongOutlook outlook =
             this->engines.longOutlook(request.model, this->passRequestOf(request), this->now);
     const WaitingPrompt prompt{work, outlook.engineSeconds, request.arrival};
-    return this->longRefusal(request, this->longQueue.secondsBefore(prompt, this->now));
+    return this->longRefusal(request, outlook, this->longQueue.secondsBefore(prompt, this->now));
 }
 
 std::optional<Refuse> Dispatcher::briefRefusal(const CompletionRequest &request)
@@ -75,10 +75,9 @@
 
 // `secondsBefore`: engine time of the prompts that wait and go first.
 std::optional<Refuse> Dispatcher::longRefusal(const CompletionRequest &request,
+                                              const routing::LongOutlook &outlook,
                                               double secondsBefore)
 {
-    const routing::LongOutlook outlook =
-            this->engines.longOutlook(request.model, this->passRequestOf(request), this->now);
     if (outlook.engines == 0)
         return std::nullopt; // waits for an engine to come up
     const state::Duration start =
--- a/src/coordination/consensus/Consensus.h
+++ b/src/coordination/consensus/Consensus.h
@@ -134,6 +134,8 @@
     void sendAppend(const state::VmId &peer, Progress &progress, bool evenIfEmpty);
     void sendNewEntries();
     void handle(const state::VmId &from, const AppendResponse &response);
+    // Where the peer stands, if this leads in the term of its answer; steps down for a higher one.
+    Progress *answering(const state::VmId &from, std::uint64_t term, SendStamp stamp);
     void noteAnswer(Progress &progress, SendStamp stamp);
     void onRefused(const state::VmId &from, Progress &progress, const AppendResponse &response);
     void advanceCommit();
--- a/src/coordination/consensus/Replication.cpp
+++ b/src/coordination/consensus/Replication.cpp
@@ -67,18 +67,26 @@
         known.acked = sent;
 }
 
-void Consensus::handle(const state::VmId &from, const AppendResponse &response)
+Progress *Consensus::answering(const state::VmId &from, std::uint64_t term, SendStamp stamp)
 {
-    if (response.term > this->hardState.currentTerm) {
-        this->becomeFollower(response.term, {});
-        return;
+    if (term > this->hardState.currentTerm) {
+        this->becomeFollower(term, {});
+        return nullptr;
     }
     const auto found = this->progress.find(from);
-    if (this->role != Role::Leader || response.term < this->hardState.currentTerm
+    if (this->role != Role::Leader || term < this->hardState.currentTerm
         || found == this->progress.end())
+        return nullptr;
+    this->noteAnswer(found->second, stamp);
+    return &found->second;
+}
+
+void Consensus::handle(const state::VmId &from, const AppendResponse &response)
+{
+    Progress *answering = this->answering(from, response.term, response.stamp);
+    if (answering == nullptr)
         return;
-    Progress &known = found->second;
-    this->noteAnswer(known, response.stamp);
+    Progress &known = *answering;
     if (!response.accepted) {
         this->onRefused(from, known, response);
         return;
--- a/src/coordination/consensus/SnapshotTransfer.cpp
+++ b/src/coordination/consensus/SnapshotTransfer.cpp
@@ -86,16 +86,10 @@
 
 void Consensus::handle(const state::VmId &from, const SnapshotResponse &response)
 {
-    if (response.term > this->hardState.currentTerm) {
-        this->becomeFollower(response.term, {});
+    Progress *answering = this->answering(from, response.term, response.stamp);
+    if (answering == nullptr)
         return;
-    }
-    const auto found = this->progress.find(from);
-    if (this->role != Role::Leader || response.term < this->hardState.currentTerm
-        || found == this->progress.end())
-        return;
-    Progress &known = found->second;
-    this->noteAnswer(known, response.stamp);
+    Progress &known = *answering;
     if (known.mode != ProgressMode::Snapshot || known.snapshot->last != response.last)
         return;
     if (response.installed) {
--- a/src/program/ControlClient.cpp
+++ b/src/program/ControlClient.cpp
@@ -277,15 +277,10 @@
         this->feed.retryAt(monotonicNow() + feedRetry);
         co_return false;
     }
-    protocol::FeedCall asking;
-    asking.entry = this->settings.vm;
-    asking.version = due.version;
-    asking.waitMs = static_cast<std::uint32_t>(feedWait.count());
-    asking.pages = std::exchange(this->behind, false);
-    if (asking.pages)
+    const bool pages = std::exchange(this->behind, false);
+    if (pages)
         ++this->pagesRotation; // that member lags
-    const protocol::ControlCall request = asking;
-    const auto reply = co_await this->call(*member, request);
+    const auto reply = co_await this->askFeed(*member, pages);
     const auto *feedReply = reply ? std::get_if<protocol::FeedReply>(&reply.value().body) : nullptr;
     const bool leaderKnown = reply && reply.value().leader.port != 0;
     this->leader.publish(leaderKnown ? std::optional(reply.value().leader) : std::nullopt);
@@ -327,12 +322,7 @@
     const std::optional<ControlMemberAddress> member = this->pagesMember();
     if (!member)
         co_return false;
-    protocol::FeedCall asking;
-    asking.entry = this->settings.vm;
-    asking.version = this->feed.view().version;
-    asking.waitMs = static_cast<std::uint32_t>(feedWait.count());
-    const protocol::ControlCall request = asking;
-    const auto reply = co_await this->call(*member, request);
+    const auto reply = co_await this->askFeed(*member, true);
     const auto *feedReply = reply ? std::get_if<protocol::FeedReply>(&reply.value().body) : nullptr;
     if (feedReply == nullptr) {
         ++this->pagesRotation; // pollFeed() tells of a control side that is lost
@@ -341,6 +331,18 @@
     co_return this->feed.onPages(decodePages(*feedReply, member->entry));
 }
 
+asio::awaitable<state::Result<protocol::ControlReply>>
+ControlClient::askFeed(ControlMemberAddress member, bool pages)
+{
+    protocol::FeedCall asking;
+    asking.entry = this->settings.vm;
+    asking.version = this->feed.view().version;
+    asking.waitMs = static_cast<std::uint32_t>(feedWait.count());
+    asking.pages = pages;
+    protocol::ControlCall request = asking;
+    co_return co_await this->call(std::move(member), std::move(request));
+}
+
 // Its own member, else one that other entries choose no more often than any other.
 std::optional<ControlMemberAddress> ControlClient::pagesMember() const
 {
--- a/src/program/ControlClient.h
+++ b/src/program/ControlClient.h
@@ -86,6 +86,8 @@
     boost::asio::awaitable<void> pagesLoop();
     boost::asio::awaitable<bool> fetchPages();
     std::optional<ControlMemberAddress> pagesMember() const;
+    boost::asio::awaitable<state::Result<protocol::ControlReply>>
+    askFeed(ControlMemberAddress member, bool pages);
     // Asks the leader, or whoever may know it, until `accepts` is content. Error: Timeout.
     boost::asio::awaitable<state::Result<protocol::ControlReply>>
     askLeader(protocol::ControlCall request, Accepts accepts, const char *step,
--- a/src/program/ControlRoutes.cpp
+++ b/src/program/ControlRoutes.cpp
@@ -4,6 +4,7 @@
 #include "program/Clock.h"
 #include "program/Log.h"
 #include "protocol/ControlCommands.h"
+#include "protocol/JsonResponse.h"
 #include "protocol/Problem.h"
 #include "state/table/TableDifference.h"
 #include "state/table/TableText.h"
@@ -22,6 +23,7 @@
 namespace json = boost::json;
 namespace control = state::control;
 using protocol::HttpResponse;
+using protocol::jsonResponse;
 using protocol::Problem;
 using protocol::Ran;
 
@@ -30,15 +32,6 @@
 constexpr std::chrono::seconds operatorDeadline{10};
 constexpr std::chrono::milliseconds retryLater{1'000};
 
-HttpResponse jsonAnswer(unsigned status, const json::value &value)
-{
-    HttpResponse answer;
-    answer.status = status;
-    answer.headers.add("Content-Type", "application/json");
-    answer.body = json::serialize(value);
-    return answer;
-}
-
 HttpResponse problemAnswer(unsigned status, std::string title, std::string detail,
                            Ran ran = Ran::No)
 {
@@ -63,7 +56,7 @@
                                       {"at_ms", refused.winner->at.time_since_epoch().count()},
                                       {"version", refused.winner->version}};
     }
-    HttpResponse answer = jsonAnswer(conflict ? 409 : 400, body);
+    HttpResponse answer = jsonResponse(conflict ? 409 : 400, body);
     answer.headers = {{"Content-Type", "application/problem+json"}};
     return answer;
 }
@@ -85,7 +78,7 @@
     const auto *accepted = std::get_if<control::Accepted>(&answer);
     if (accepted == nullptr)
         co_return problemAnswer(500, "internal", "unexpected answer", Ran::Unknown);
-    co_return jsonAnswer(
+    co_return jsonResponse(
             200,
             {{"accepted", true}, {"version", accepted->version}, {"resend", accepted->resend}});
 }
@@ -157,7 +150,7 @@
             co_return answer;
         }
         if (change.edits.empty())
-            co_return jsonAnswer(
+            co_return jsonResponse(
                     200, {{"accepted", true}, {"version", view->version}, {"unchanged", true}});
         control::OperatorAction action = control::EditRows{change.edits};
         control::OperatorCommand command = this->commandOf(std::move(action));
@@ -258,10 +251,10 @@
         json::array missing;
         for (const state::VmId &vm : found.value().missing)
             missing.emplace_back(vm.value());
-        co_return jsonAnswer(200, {{"version", version},
-                                   {"in_force", found.value().inForce},
-                                   {"entries", found.value().entries},
-                                   {"missing", std::move(missing)}});
+        co_return jsonResponse(200, {{"version", version},
+                                     {"in_force", found.value().inForce},
+                                     {"entries", found.value().entries},
+                                     {"missing", std::move(missing)}});
     }
 
     std::shared_ptr<ControlClient> client;
--- a/src/program/ControlService.cpp
+++ b/src/program/ControlService.cpp
@@ -264,11 +264,19 @@
     });
 }
 
+// Most commands are claims and change no view; waking every held feed for each would make every
+// entry ask again for nothing.
 void ControlService::stateChanged()
 {
+    const HostPointer member = this->host();
+    if (!member)
+        return; // still opening: nobody waits yet
+    const std::uint64_t version = member->state().view().version;
+    if (this->announcedView == version)
+        return;
     {
         const std::lock_guard lock(this->feedMutex);
-        ++this->appliedCount;
+        this->announcedView = version;
     }
     this->wakeFeeds(std::nullopt);
 }
@@ -334,7 +342,7 @@
 asio::awaitable<protocol::FeedReply> ControlService::feed(HostPointer member,
                                                           protocol::FeedCall call)
 {
-    const std::uint64_t seen = this->appliedCount;
+    const std::uint64_t seen = this->announcedView;
     protocol::FeedReply reply = co_await this->readFeed(member, call);
     if (!reply.pages.empty() || call.waitMs == 0)
         co_return reply;
@@ -345,12 +353,12 @@
     co_return co_await this->readFeed(member, call);
 }
 
-// `seen`: appliedCount before the view was read, so that no change in between is missed.
+// `seen`: announcedView before the view was read, so that no change in between is missed.
 asio::awaitable<void> ControlService::waitForChange(std::uint64_t seen, state::Duration time)
 {
     std::function<void(FeedWaiter)> start = [this, seen, time](FeedWaiter wake) {
         std::unique_lock lock(this->feedMutex);
-        if (this->appliedCount == seen) {
+        if (this->announcedView == seen) {
             this->waitingFeeds.push_back({monotonicNow() + time, std::move(wake)});
             return;
         }
--- a/src/program/ControlService.h
+++ b/src/program/ControlService.h
@@ -84,8 +84,8 @@
         FeedWaiter wake;
     };
     std::mutex feedMutex;
-    std::vector<WaitingFeed> waitingFeeds;       // answered when the state changes, or in time
-    std::atomic<std::uint64_t> appliedCount = 0; // commands and snapshots; grows under feedMutex
+    std::vector<WaitingFeed> waitingFeeds;        // answered when the state changes, or in time
+    std::atomic<std::uint64_t> announcedView = 0; // version; changes under feedMutex
 
     // On the member's strand only.
     coordination::orders::EnforcementTracker tracker;
--- a/src/program/Entry.cpp
+++ b/src/program/Entry.cpp
@@ -4,10 +4,10 @@
 #include "program/Clock.h"
 #include "program/HeaderValues.h"
 #include "program/Log.h"
+#include "protocol/JsonResponse.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
 
 #include <algorithm>
 #include <cstdio>
@@ -16,6 +16,7 @@
 
 namespace asio = boost::asio;
 namespace json = boost::json;
+using protocol::jsonResponse;
 using protocol::Problem;
 using protocol::Ran;
 
@@ -27,15 +28,6 @@
 constexpr std::chrono::milliseconds retryElsewhereAfter{100};
 constexpr std::chrono::milliseconds retryStaleAfter{500};
 
-protocol::HttpResponse jsonAnswer(unsigned status, const json::value &value)
-{
-    protocol::HttpResponse answer;
-    answer.status = status;
-    answer.headers.add("Content-Type", "application/json");
-    answer.body = json::serialize(value);
-    return answer;
-}
-
 protocol::HttpResponse simpleProblem(unsigned status, std::string title, std::string detail)
 {
     return toResponse(Problem{status, std::move(title), std::move(detail), Ran::No, std::nullopt});
@@ -229,9 +221,9 @@
     const auto toMilliseconds = [](state::Duration time) {
         return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
     };
-    co_return jsonAnswer(200, {{"renew_after_ms", toMilliseconds(answer.renewAfter)},
-                               {"expires_after_ms", toMilliseconds(answer.expiresAfter)},
-                               {"owner", answer.owner.toString()}});
+    co_return jsonResponse(200, {{"renew_after_ms", toMilliseconds(answer.renewAfter)},
+                                 {"expires_after_ms", toMilliseconds(answer.expiresAfter)},
+                                 {"owner", answer.owner.toString()}});
 }
 
 protocol::HttpResponse Entry::endpointNews(const protocol::HttpRequest &request,
@@ -278,7 +270,7 @@
     json::array entries;
     for (const state::Address &address : answer.entries)
         entries.emplace_back(json::object{{"address", address.toString()}});
-    return jsonAnswer(200, {{"entries", std::move(entries)}, {"ttl_ms", answer.ttl.count()}});
+    return jsonResponse(200, {{"entries", std::move(entries)}, {"ttl_ms", answer.ttl.count()}});
 }
 
 protocol::HttpResponse Entry::statusAnswer() const
@@ -295,11 +287,11 @@
                              {"incarnation", endpoint.description.incarnation},
                              {"draining", endpoint.draining}});
     }
-    return jsonAnswer(200, {{"vm", this->settings.vm.value()},
-                            {"failure_domain", this->settings.failureDomain.value()},
-                            {"phase", std::string(toString(this->currentPhase.load()))},
-                            {"in_flight", this->inFlight()},
-                            {"endpoints", std::move(endpoints)}});
+    return jsonResponse(200, {{"vm", this->settings.vm.value()},
+                              {"failure_domain", this->settings.failureDomain.value()},
+                              {"phase", std::string(toString(this->currentPhase.load()))},
+                              {"in_flight", this->inFlight()},
+                              {"endpoints", std::move(endpoints)}});
 }
 
 protocol::HttpResponse Entry::refuseElsewhere(const state::ClientAccountId &account) const
@@ -315,7 +307,7 @@
                       {"ran", std::string(protocol::toString(Ran::No))},
                       {"retry_after_ms", retryElsewhereAfter.count()},
                       {"entries", std::move(others)}};
-    protocol::HttpResponse answer = jsonAnswer(503, body);
+    protocol::HttpResponse answer = jsonResponse(503, body);
     answer.headers = {{"Content-Type", "application/problem+json"}, {"Retry-After", "1"}};
     return answer;
 }
--- a/src/state/control/ClaimLedger.cpp
+++ b/src/state/control/ClaimLedger.cpp
@@ -145,14 +145,25 @@
     return granted;
 }
 
+Claim *ClaimLedger::heldBy(const ClaimHolder &holder, const ClaimId &id)
+{
+    const auto found = this->claims.find(id);
+    return found == this->claims.end() || found->second.holder != holder ? nullptr : &found->second;
+}
+
+ClaimAnswer ClaimLedger::notHolder(const ClaimId &id) const
+{
+    const Claim *claim = this->find(id);
+    return {ClaimVerdict::NotHolder, claim != nullptr ? claim->holder : ClaimHolder{},
+            std::nullopt};
+}
+
 ClaimAnswer ClaimLedger::dispatch(const DispatchClaim &command)
 {
-    const auto found = this->claims.find(command.id);
-    if (found == this->claims.end())
-        return {ClaimVerdict::NotHolder, {}, std::nullopt};
-    Claim &claim = found->second;
-    if (claim.holder != command.holder)
-        return {ClaimVerdict::NotHolder, claim.holder, std::nullopt};
+    Claim *held = this->heldBy(command.holder, command.id);
+    if (held == nullptr)
+        return this->notHolder(command.id);
+    Claim &claim = *held;
     // A resent mark whose first answer was lost is granted again: the holder sends only once, after
     // the first answer that it gets.
     if (!isOpen(claim.state))
@@ -163,12 +174,10 @@
 
 ClaimAnswer ClaimLedger::release(const ReleaseClaim &command)
 {
-    const auto found = this->claims.find(command.id);
-    if (found == this->claims.end())
-        return {ClaimVerdict::NotHolder, {}, std::nullopt};
-    Claim &claim = found->second;
-    if (claim.holder != command.holder)
-        return {ClaimVerdict::NotHolder, claim.holder, std::nullopt};
+    Claim *held = this->heldBy(command.holder, command.id);
+    if (held == nullptr)
+        return this->notHolder(command.id);
+    Claim &claim = *held;
     if (claim.state == ClaimState::Held)
         this->decide(claim, ClaimState::Released);
     const bool released = claim.state == ClaimState::Released;
@@ -177,12 +186,10 @@
 
 ClaimAnswer ClaimLedger::finish(const FinishClaim &command)
 {
-    const auto found = this->claims.find(command.id);
-    if (found == this->claims.end())
-        return {ClaimVerdict::NotHolder, {}, std::nullopt};
-    Claim &claim = found->second;
-    if (claim.holder != command.holder)
-        return {ClaimVerdict::NotHolder, claim.holder, std::nullopt};
+    Claim *held = this->heldBy(command.holder, command.id);
+    if (held == nullptr)
+        return this->notHolder(command.id);
+    Claim &claim = *held;
     if (claim.state == ClaimState::Held || claim.state == ClaimState::Released)
         return answer(ClaimVerdict::TooLate, claim);
     if (claim.state == ClaimState::Finished)
--- a/src/state/control/ClaimLedger.h
+++ b/src/state/control/ClaimLedger.h
@@ -58,6 +58,8 @@
     using ExpiryKey = std::pair<ControlTime, ClaimId>;
 
     bool hasRoomFor(const ClientAccountId &account) const;
+    Claim *heldBy(const ClaimHolder &holder, const ClaimId &id); // null if it is not
+    ClaimAnswer notHolder(const ClaimId &id) const;              // names the holder, if any
     void insert(Claim claim);
     void erase(const ClaimId &wanted);
     void unlist(const Claim &claim); // from the set of its state
--- a/src/state/control/ControlState.cpp
+++ b/src/state/control/ControlState.cpp
@@ -213,6 +213,32 @@
     return outcome::success();
 }
 
+template <typename Record>
+Result<void> ControlState::draftNamed(const PutRecord<Record> &action, const char *kind,
+                                      const Record *known, Draft &draft,
+                                      std::optional<RaceWinner> &winner)
+{
+    const Record &record = action.record;
+    const std::string subject = kind + record.name.value();
+    if (!table::isPlainId(record.name.value()))
+        return invalid(subject + ": the name must be " + std::string(table::allowedId));
+    BOOST_OUTCOME_TRYV(
+            this->checkVersion(subject, versionOf(known), action.expectedVersion, winner));
+    draft.add(withVersion(record, draft.version), subject, known ? "changed" : "added");
+    return outcome::success();
+}
+
+template <typename Key, typename Record>
+Result<void> ControlState::checkRemoval(const RemoveRecord<Key> &action, const std::string &subject,
+                                        const Record *known, std::optional<RaceWinner> &winner)
+{
+    BOOST_OUTCOME_TRYV(
+            this->checkVersion(subject, versionOf(known), action.expectedVersion, winner));
+    if (known == nullptr)
+        return makeError(ErrorCode::NotFound, "control.apply", subject + " is absent");
+    return outcome::success();
+}
+
 Result<void> ControlState::draft(const PutAccount &action, Draft &draft,
                                  std::optional<RaceWinner> &winner)
 {
@@ -241,10 +267,7 @@
 {
     const std::string subject = "account " + action.key.value();
     const table::ClientAccount *known = this->current.catalog.accounts().find(action.key);
-    BOOST_OUTCOME_TRYV(
-            this->checkVersion(subject, versionOf(known), action.expectedVersion, winner));
-    if (known == nullptr)
-        return makeError(ErrorCode::NotFound, "control.apply", subject + " is absent");
+    BOOST_OUTCOME_TRYV(this->checkRemoval(action, subject, known, winner));
     std::size_t rows = 0;
     this->current.table.forEach(
             [&](const StoredRow &row) { rows += row.row.key.account == action.key ? 1 : 0; });
@@ -259,26 +282,16 @@
 Result<void> ControlState::draft(const PutService &action, Draft &draft,
                                  std::optional<RaceWinner> &winner)
 {
-    const table::Service &service = action.record;
-    const std::string subject = "service " + service.name.value();
-    if (!table::isPlainId(service.name.value()))
-        return invalid(subject + ": the name must be " + std::string(table::allowedId));
-    const table::Service *known = this->current.catalog.services().find(service.name);
-    BOOST_OUTCOME_TRYV(
-            this->checkVersion(subject, versionOf(known), action.expectedVersion, winner));
-    draft.add(withVersion(service, draft.version), subject, known ? "changed" : "added");
-    return outcome::success();
+    const auto *known = this->current.catalog.services().find(action.record.name);
+    return this->draftNamed(action, "service ", known, draft, winner);
 }
 
 Result<void> ControlState::draft(const RemoveService &action, Draft &draft,
                                  std::optional<RaceWinner> &winner)
 {
     const std::string subject = "service " + action.key.value();
-    const table::Service *known = this->current.catalog.services().find(action.key);
-    BOOST_OUTCOME_TRYV(
-            this->checkVersion(subject, versionOf(known), action.expectedVersion, winner));
-    if (known == nullptr)
-        return makeError(ErrorCode::NotFound, "control.apply", subject + " is absent");
+    const auto *known = this->current.catalog.services().find(action.key);
+    BOOST_OUTCOME_TRYV(this->checkRemoval(action, subject, known, winner));
     draft.add(action.key, subject, "removed");
     return outcome::success();
 }
@@ -286,26 +299,16 @@
 Result<void> ControlState::draft(const PutModel &action, Draft &draft,
                                  std::optional<RaceWinner> &winner)
 {
-    const table::ModelVersion &model = action.record;
-    const std::string subject = "model " + model.name.value();
-    if (!table::isPlainId(model.name.value()))
-        return invalid(subject + ": the name must be " + std::string(table::allowedId));
-    const table::ModelVersion *known = this->current.catalog.models().find(model.name);
-    BOOST_OUTCOME_TRYV(
-            this->checkVersion(subject, versionOf(known), action.expectedVersion, winner));
-    draft.add(withVersion(model, draft.version), subject, known ? "changed" : "added");
-    return outcome::success();
+    const auto *known = this->current.catalog.models().find(action.record.name);
+    return this->draftNamed(action, "model ", known, draft, winner);
 }
 
 Result<void> ControlState::draft(const RemoveModel &action, Draft &draft,
                                  std::optional<RaceWinner> &winner)
 {
     const std::string subject = "model " + action.key.value();
-    const table::ModelVersion *known = this->current.catalog.models().find(action.key);
-    BOOST_OUTCOME_TRYV(
-            this->checkVersion(subject, versionOf(known), action.expectedVersion, winner));
-    if (known == nullptr)
-        return makeError(ErrorCode::NotFound, "control.apply", subject + " is absent");
+    const auto *known = this->current.catalog.models().find(action.key);
+    BOOST_OUTCOME_TRYV(this->checkRemoval(action, subject, known, winner));
     draft.add(action.key, subject, "removed");
     return outcome::success();
 }
--- a/src/state/control/ControlState.h
+++ b/src/state/control/ControlState.h
@@ -133,6 +133,13 @@
     Answer replaceConfiguration(const ConfigurationDocument &document);
     Answer applyOperator(const OperatorCommand &command);
     Result<void> draft(const EditRows &action, Draft &draft, std::optional<RaceWinner> &winner);
+    // `kind` begins the subject of errors and of the history: "service ".
+    template <typename Record>
+    Result<void> draftNamed(const PutRecord<Record> &action, const char *kind, const Record *known,
+                            Draft &draft, std::optional<RaceWinner> &winner);
+    template <typename Key, typename Record>
+    Result<void> checkRemoval(const RemoveRecord<Key> &action, const std::string &subject,
+                              const Record *known, std::optional<RaceWinner> &winner);
     Result<void> draft(const PutAccount &action, Draft &draft, std::optional<RaceWinner> &winner);
     Result<void> draft(const RemoveAccount &action, Draft &draft,
                        std::optional<RaceWinner> &winner);
--- a/tests/platform/RelayTest.cpp
+++ b/tests/platform/RelayTest.cpp
@@ -2,6 +2,7 @@
 // each step at which one may fail.
 #include "platform/RelayWire.h"
 
+#include "fakes/LoopbackServer.h"
 #include "program/Clock.h"
 #include "program/RouteRelay.h"
 #include "program/RunToEnd.h"
@@ -61,9 +62,10 @@
         this->publishRoutes(kind);
         EndpointTable endpoints;
         for (std::size_t index = 0; index < this->behaviours.size(); ++index) {
-            this->servers.push_back(this->listen([this](transport::HttpExchange &exchange) {
-                return this->serveEndpoint(exchange);
-            }));
+            this->servers.push_back(fakes::serveOnLoopback(
+                    this->context, [this](transport::HttpExchange &exchange) {
+                        return this->serveEndpoint(exchange);
+                    }));
             state::EndpointDescription endpoint;
             endpoint.id = state::EndpointId("i-" + std::to_string(index));
             endpoint.service = service;
@@ -73,8 +75,10 @@
         }
         this->table.publish(std::move(endpoints));
         this->relay = std::make_unique<RouteRelay>(this->settings, this->hooks(), 1);
-        this->front = this->listen(
-                [this](transport::HttpExchange &exchange) { return this->relay->run(exchange); });
+        this->front =
+                fakes::serveOnLoopback(this->context, [this](transport::HttpExchange &exchange) {
+                    return this->relay->run(exchange);
+                });
         this->thread = std::thread([this] { this->context.run(); });
     }
 
@@ -124,20 +128,6 @@
     std::string resumedBehind;              // as the last endpoint was told
 
 private:
-    std::shared_ptr<transport::HttpServer> listen(transport::HttpHandler handler)
-    {
-        transport::HttpServer::Hooks serverHooks;
-        serverHooks.handle = std::move(handler);
-        serverHooks.reject = [](unsigned status, std::string_view) {
-            return protocol::HttpResponse{status, {}, {}};
-        };
-        auto server = transport::HttpServer::create(this->context, {"127.0.0.1", 0}, {},
-                                                    std::move(serverHooks))
-                              .value();
-        server->start();
-        return server;
-    }
-
     void publishRoutes(state::routes::CallKind kind)
     {
         state::routes::RouteTableDraft draft;
--- a/tests/program/ServiceRelayTest.cpp
+++ b/tests/program/ServiceRelayTest.cpp
@@ -2,6 +2,7 @@
 // writes down what it is asked.
 #include "program/ServiceRelay.h"
 
+#include "fakes/LoopbackServer.h"
 #include "program/Clock.h"
 #include "program/RunToEnd.h"
 #include "transport/HttpClient.h"
@@ -46,9 +47,10 @@
     explicit Rig(const Case &fault)
         : settings(settingsWithLedger())
     {
-        this->replica = this->listen([this, fault](transport::HttpExchange &exchange) {
-            return this->serveReplica(exchange, fault.replica);
-        });
+        this->replica = fakes::serveOnLoopback(
+                this->context, [this, fault](transport::HttpExchange &exchange) {
+                    return this->serveReplica(exchange, fault.replica);
+                });
         this->endpoint.id = state::EndpointId("ledger1");
         this->endpoint.kind = state::EndpointKind::PlainService;
         this->endpoint.service = state::ServiceName("ledger");
@@ -56,9 +58,10 @@
         if (fault.replica == Replica::IsDown)
             this->endpoint.address.port = 1; // nobody listens there
         this->relay = std::make_unique<ServiceRelay>(this->settings, this->hooks(fault));
-        this->entry = this->listen([this](transport::HttpExchange &exchange) {
-            return this->relay->run(exchange, this->account);
-        });
+        this->entry =
+                fakes::serveOnLoopback(this->context, [this](transport::HttpExchange &exchange) {
+                    return this->relay->run(exchange, this->account);
+                });
         this->thread = std::thread([this] { this->context.run(); });
     }
 
@@ -93,20 +96,6 @@
     }
 
 private:
-    std::shared_ptr<transport::HttpServer> listen(transport::HttpHandler handler)
-    {
-        transport::HttpServer::Hooks serverHooks;
-        serverHooks.handle = std::move(handler);
-        serverHooks.reject = [](unsigned status, std::string_view) {
-            return protocol::HttpResponse{status, {}, {}};
-        };
-        auto server = transport::HttpServer::create(this->context, {"127.0.0.1", 0}, {},
-                                                    std::move(serverHooks))
-                              .value();
-        server->start();
-        return server;
-    }
-
     void note(const std::string &step)
     {
         const std::lock_guard lock(this->mutex);
