Control: claims of a killed entry are settled once membership has given it up

EntryLost existed and nobody proposed it. The leader now asks membership once a second about the processes with open claims, and the caller asks again while its key is in progress.

--- a/src/program/Caller.cpp
+++ b/src/program/Caller.cpp
@@ -27,6 +27,7 @@
 constexpr milliseconds directoryTimeout{2'000};
 constexpr milliseconds directoryRetry{100};
 constexpr milliseconds longestPause{1'000};
+constexpr milliseconds inProgressPause{500}; // an entry that was killed is given up in seconds
 
 // Doubles with each try.
 milliseconds pauseAfter(const CallerSettings &settings, int attempt)
@@ -55,6 +56,37 @@
     result.problem = textMember(problem, "title") + ": " + textMember(problem, "detail");
 }
 
+void takeAnswer(CallResult &result, const protocol::HttpResponse &answer)
+{
+    ++result.connections;
+    result.status = answer.status;
+    result.text = answer.body;
+    result.ran = "yes";
+    result.problem.clear();
+    result.whole = result.status < 400;
+    const auto type = answer.headers.find("Content-Type");
+    if (type && *type == "application/problem+json")
+        takeProblem(result, result.text);
+}
+
+enum class NextStep {
+    End,
+    TryElsewhere,
+    AskAgain, // for the outcome of an earlier copy; no further try
+};
+
+NextStep nextStepAfter(const protocol::HttpResponse &answer, const CallResult &result,
+                       bool repeatable)
+{
+    if (answer.status == 503 && result.ran == "no")
+        return NextStep::TryElsewhere;
+    // An earlier copy is running, or was lost with its entry. Either way its key gets an outcome:
+    // the answer of the one run, or leave to run.
+    const bool inProgress =
+            answer.status == 409 && textMember(parseOrNull(answer.body), "title") == "in-progress";
+    return inProgress && repeatable ? NextStep::AskAgain : NextStep::End;
+}
+
 std::string textOfChunk(const json::value &chunk)
 {
     const json::value *choices =
@@ -243,8 +275,10 @@
     request.headers.add("Authorization", "Bearer " + this->settings.key);
     CallResult result;
     result.ran = "no";
-    for (int attempt = 0; attempt < this->settings.tries; ++attempt) {
+    int attempt = 0;
+    while (attempt < this->settings.tries) {
         const std::vector<state::Address> order = co_await this->awaitDirectory(deadline);
+        NextStep next = NextStep::TryElsewhere;
         if (!order.empty()) {
             protocol::HttpRequest copy = request;
             copy.headers.add("Deadline-Ms", std::to_string(remaining(deadline).count()));
@@ -254,28 +288,22 @@
                     co_await asio::this_coro::executor,
                     order[static_cast<std::size_t>(attempt) % order.size()], std::move(copy),
                     limits);
-            bool ended = true;
             if (answer) {
-                ++result.connections;
-                result.status = answer.value().status;
-                result.text = answer.value().body;
-                result.ran = "yes";
-                result.problem.clear();
-                result.whole = result.status < 400;
-                const auto type = answer.value().headers.find("Content-Type");
-                if (type && *type == "application/problem+json")
-                    takeProblem(result, result.text);
-                ended = !(result.status == 503 && result.ran == "no");
+                takeAnswer(result, answer.value());
+                next = nextStepAfter(answer.value(), result, repeatable);
             } else {
                 result.problem = answer.error().describe();
                 const bool unseen = answer.error().step == transport::connectStep;
                 result.ran = unseen ? result.ran : "unknown";
-                ended = !unseen && !repeatable;
+                next = unseen || repeatable ? NextStep::TryElsewhere : NextStep::End;
             }
-            if (ended || remaining(deadline) == milliseconds(0))
+            if (next == NextStep::End || remaining(deadline) == milliseconds(0))
                 break;
         }
-        co_await transport::pause(pauseAfter(this->settings, attempt));
+        const bool asksAgain = next == NextStep::AskAgain;
+        co_await transport::pause(asksAgain ? inProgressPause
+                                            : pauseAfter(this->settings, attempt));
+        attempt += asksAgain ? 0 : 1;
     }
     result.total = monotonicNow() - started;
     co_return result;
--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -22,18 +22,17 @@
 // another node after a second without an answer.
 constexpr int heartbeatsMissed = 4;
 
-MembershipServiceSettings membershipSettings(const Settings &settings,
-                                             const state::VmId &controlIdentity)
+MembershipServiceSettings membershipSettings(const Settings &settings, const Cluster::Self &self)
 {
     MembershipServiceSettings chosen;
     chosen.gossip.cluster = settings.clusterName;
     chosen.gossip.self = settings.vm;
-    chosen.gossip.incarnation = static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
+    chosen.gossip.incarnation = self.incarnation;
     chosen.gossip.description.caller = settings.entry.listen;
     chosen.gossip.description.control = settings.controlListen.value_or(state::Address{});
     chosen.gossip.description.gossip = *settings.gossipListen;
     chosen.gossip.description.relay = settings.relay.listen.value_or(state::Address{});
-    chosen.gossip.description.controlIdentity = controlIdentity;
+    chosen.gossip.description.controlIdentity = self.controlIdentity;
     chosen.gossip.description.failureDomain = settings.failureDomain;
     chosen.gossip.description.region = settings.region;
     chosen.gossip.seeds = settings.seeds;
@@ -84,8 +83,7 @@
 state::Result<std::shared_ptr<Cluster>> Cluster::create(const Settings &settings,
                                                         asio::io_context &context,
                                                         std::shared_ptr<EndpointRegistry> registry,
-                                                        const state::VmId &controlIdentity,
-                                                        Hooks hooks)
+                                                        const Self &self, Hooks hooks)
 {
     coordination::directory::DirectorySettings directorySettings;
     directorySettings.timeToLive = settings.entry.directoryTtl;
@@ -94,12 +92,12 @@
     std::shared_ptr<Cluster> cluster(
             new Cluster(settings, context, std::move(registry), std::move(hooks), directory));
     if (settings.gossipListen) {
-        BOOST_OUTCOME_TRY(cluster->join(context, controlIdentity));
+        BOOST_OUTCOME_TRY(cluster->join(context, self));
     }
     return cluster;
 }
 
-state::Result<void> Cluster::join(asio::io_context &context, const state::VmId &controlIdentity)
+state::Result<void> Cluster::join(asio::io_context &context, const Self &self)
 {
     // The service's hooks run for as long as it does; Node keeps both until the threads have ended.
     MembershipService::Hooks serviceHooks;
@@ -108,8 +106,8 @@
     serviceHooks.superseded = this->hooks.superseded;
     serviceHooks.refused = [](const state::Error &error) { logError("gossip.refused", error); };
     BOOST_OUTCOME_TRY(this->membership,
-                      MembershipService::create(membershipSettings(this->settings, controlIdentity),
-                                                context, std::move(serviceHooks)));
+                      MembershipService::create(membershipSettings(this->settings, self), context,
+                                                std::move(serviceHooks)));
     // The same port as the entry's, over UDP: peers know it without another setting.
     BOOST_OUTCOME_TRY(this->newsSocket,
                       transport::GossipSocket::create(
@@ -252,6 +250,17 @@
     return found;
 }
 
+bool Cluster::hasEnded(const state::VmId &entry, std::uint64_t incarnation) const
+{
+    if (!this->membership)
+        return false;
+    const auto *member = this->membership->view()->members->find(entry);
+    if (member == nullptr)
+        return false;
+    const std::uint64_t running = member->record.incarnation;
+    return running > incarnation || (running == incarnation && !member->record.isLive());
+}
+
 void Cluster::reportLoad(const state::LoadReport &report)
 {
     if (this->membership)
--- a/src/program/Cluster.h
+++ b/src/program/Cluster.h
@@ -35,11 +35,17 @@
         std::function<void()> superseded; // another process runs under this id
     };
 
+    // This process, as the others are to know it.
+    struct Self
+    {
+        std::uint64_t incarnation = 0; // grows with each start; claims name it too
+        state::VmId controlIdentity;   // of its data folder; empty unless it is a control member
+    };
+
     // Errors: Unavailable, steps "gossip.bind".
     static state::Result<std::shared_ptr<Cluster>>
     create(const Settings &settings, boost::asio::io_context &context,
-           std::shared_ptr<EndpointRegistry> registry, const state::VmId &controlIdentity,
-           Hooks hooks);
+           std::shared_ptr<EndpointRegistry> registry, const Self &self, Hooks hooks);
 
     void start();
     void stop();
@@ -60,6 +66,9 @@
     // The control members that live, as far as known.
     std::vector<ControlMemberAddress> controlMembers() const;
     std::vector<coordination::consensus::Candidate> controlCandidates() const;
+    // Whether that process of an entry is known to have ended: it was given up, or a later one runs
+    // there. Of an entry that was forgotten nothing is known.
+    bool hasEnded(const state::VmId &entry, std::uint64_t incarnation) const;
     void reportLoad(const state::LoadReport &report);
     void markDrain(const state::EndpointId &endpoint, state::log::LogPosition position,
                    bool draining);
@@ -74,7 +83,7 @@
             std::shared_ptr<EndpointRegistry> registry, Hooks hooks,
             coordination::directory::Directory directory);
 
-    state::Result<void> join(boost::asio::io_context &context, const state::VmId &controlIdentity);
+    state::Result<void> join(boost::asio::io_context &context, const Self &self);
     void viewChanged(const MembershipView &view);
     void newsDatagram(std::string_view datagram);
     void armFlush();
--- a/src/program/ControlService.cpp
+++ b/src/program/ControlService.cpp
@@ -236,10 +236,34 @@
     if (this->leads && this->hasClaims && this->lastAdvance != state::Instant{}) {
         const state::control::AdvanceTime step{now - this->lastAdvance};
         member->member().propose(protocol::encodeCommand(step), [](const ProposalResult &) {});
+        this->settleLostClaims(member);
     }
     this->lastAdvance = now;
 }
 
+// A claim that a killed entry held would stay open until its caller's deadline: a caller that comes
+// back with the same key is told "in progress" all that time, and a call that never went out is
+// never made. Once its entry is known to be gone, the claim is free again or its outcome unknown.
+// An entry that was given up wrongly finds its dispatch mark refused, so nothing runs twice.
+void ControlService::settleLostClaims(const HostPointer &member)
+{
+    if (!this->hooks.hasEnded)
+        return;
+    member->member().read(consensus::ReadKind::Lease, [self = this->shared_from_this(),
+                                                       member](const auto &read) {
+        if (!read.confirmed)
+            return;
+        for (const state::control::ClaimOwner &owner : member->state().claims().openOwners()) {
+            if (!self->hooks.hasEnded(owner.entry, owner.incarnation))
+                continue;
+            logEvent(LogLevel::Warning, "control.claims-settled",
+                     {{"entry", owner.entry.value()}, {"incarnation", owner.incarnation}});
+            const state::control::EntryLost lost{owner.entry, owner.incarnation};
+            member->member().propose(protocol::encodeCommand(lost), [](const ProposalResult &) {});
+        }
+    });
+}
+
 // One change at a time; the next tick sees what came of it.
 void ControlService::repairMembers(const HostPointer &member, state::Instant now)
 {
--- a/src/program/ControlService.h
+++ b/src/program/ControlService.h
@@ -31,6 +31,8 @@
         // Processes with a data folder that live, as membership knows; empty hook: the member set
         // is left alone.
         std::function<std::vector<coordination::consensus::Candidate>()> candidates;
+        // Whether that process is known to have ended; empty hook: none is.
+        std::function<bool(const state::VmId &entry, std::uint64_t incarnation)> hasEnded;
     };
 
     // Errors: those of ControlMemberHost::open.
@@ -55,6 +57,7 @@
     void reopen();
     void tick();
     void advanceTime(const HostPointer &member, state::Instant now);
+    void settleLostClaims(const HostPointer &member);
     void repairMembers(const HostPointer &member, state::Instant now);
     void stateChanged();
     void wakeFeeds(std::optional<state::Instant> dueBefore);
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -160,10 +160,12 @@
             BOOST_OUTCOME_TRY(this->control, ControlService::create(this->settings, this->context,
                                                                     this->controlHooks()));
         }
-        BOOST_OUTCOME_TRY(this->cluster,
-                          Cluster::create(this->settings, this->context, this->registry,
-                                          this->control ? this->control->identity() : state::VmId(),
-                                          this->clusterHooks()));
+        BOOST_OUTCOME_TRY(
+                this->cluster,
+                Cluster::create(this->settings, this->context, this->registry,
+                                {this->incarnation,
+                                 this->control ? this->control->identity() : state::VmId()},
+                                this->clusterHooks()));
         if (this->settings.hasControlMembers())
             this->client =
                     ControlClient::create(this->settings, this->context, this->clientHooks());
@@ -236,6 +238,9 @@
         // With members named in the settings, operators decide who they are.
         if (this->settings.controlMembers.empty())
             hooks.candidates = [this] { return this->cluster->controlCandidates(); };
+        hooks.hasEnded = [this](const state::VmId &entry, std::uint64_t incarnationThere) {
+            return this->cluster->hasEnded(entry, incarnationThere);
+        };
         return hooks;
     }
 
--- a/src/state/control/ClaimLedger.cpp
+++ b/src/state/control/ClaimLedger.cpp
@@ -232,6 +232,16 @@
     return found == this->claims.end() ? nullptr : &found->second;
 }
 
+std::vector<ClaimOwner> ClaimLedger::openOwners() const
+{
+    std::set<ClaimOwner> owners;
+    for (const auto &[until, id] : this->open) {
+        const ClaimHolder &holder = this->claims.at(id).holder;
+        owners.insert({holder.entry, holder.entryIncarnation});
+    }
+    return {owners.begin(), owners.end()};
+}
+
 std::vector<Claim> ClaimLedger::copyClaims() const
 {
     std::vector<Claim> all;
--- a/src/state/control/ClaimLedger.h
+++ b/src/state/control/ClaimLedger.h
@@ -29,6 +29,15 @@
     Duration longestStep = std::chrono::seconds(10); // of control time at once
 };
 
+// One process of an entry.
+struct ClaimOwner
+{
+    VmId entry;
+    std::uint64_t incarnation = 0;
+
+    auto operator<=>(const ClaimOwner &) const = default;
+};
+
 class ClaimLedger
 {
 public:
@@ -49,7 +58,8 @@
     const Claim *find(const ClaimId &id) const;
     ControlTime now() const { return this->clock; }
     std::size_t size() const { return this->claims.size(); }
-    std::size_t openSize() const { return this->open.size(); }
+    // The processes that hold claims whose outcome is not decided, each once.
+    std::vector<ClaimOwner> openOwners() const;
     std::size_t bytes() const { return this->usedBytes; }
     std::vector<Claim> copyClaims() const;   // in no order, which members need not share
     std::vector<Claim> sortedClaims() const; // by id
--- a/tests/state/control/ClaimLedgerTest.cpp
+++ b/tests/state/control/ClaimLedgerTest.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(entryLostBeforeDispatch);
     CPPUNIT_TEST(entryLostAfterDispatch);
     CPPUNIT_TEST(restartedEntryKeepsItsNewClaims);
+    CPPUNIT_TEST(namesTheProcessesWithOpenClaims);
     CPPUNIT_TEST(stalledHolderWakesAfterItsTime);
     CPPUNIT_TEST(clockLeapForgetsNothing);
     CPPUNIT_TEST(fullLedgerRefusesAndForgetsNoLiveClaim);
@@ -135,6 +136,21 @@
         CPPUNIT_ASSERT(ledger.find(second)->state == ClaimState::Held);
     }
 
+    // A caller's entry is killed with its claim open. The leader asks who holds open claims, and
+    // settles those of the processes that are gone; then the caller's copy gets the claim.
+    void namesTheProcessesWithOpenClaims()
+    {
+        ClaimLedger ledger;
+        ledger.take(takeOf(holder(1, "vm-1", 5)));
+        ledger.take(takeOf(holder(2, "vm-1", 5), ClaimId::of(acme, "k-2")));
+        ledger.take(takeOf(holder(3, "vm-2", 7), ClaimId::of(acme, "k-3")));
+        ledger.release({ClaimId::of(acme, "k-3"), holder(3, "vm-2", 7)});
+        CPPUNIT_ASSERT(ledger.openOwners() == (std::vector<ClaimOwner>{{VmId("vm-1"), 5}}));
+        ledger.entryLost({VmId("vm-1"), 5});
+        CPPUNIT_ASSERT(ledger.openOwners().empty());
+        CPPUNIT_ASSERT(ledger.take(takeOf(holder(4, "vm-2", 7))).verdict == ClaimVerdict::Granted);
+    }
+
     void stalledHolderWakesAfterItsTime()
     {
         // An entry stalls for longer than its request's deadline, wakes and wants to dispatch. Its
