--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -80,6 +80,7 @@
         std::vector<state::EndpointId> helpers;
         double partSeconds = 0; // prefill at the engine and at each helper
         state::Duration predictedFirst{0};
+        routing::PassLook look;
         std::vector<state::EndpointId> failed; // engines that have failed this request
         std::uint32_t runs = 0;                // of them, those that may have run it
 
--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -70,7 +70,12 @@
                 request.firstTarget * this->policy.lateTolerance);
         over = std::max(over, waited + toDuration(choice->firstEventSeconds) - bound);
     }
-    return this->refusalWhenOver(request, over);
+    std::optional<Refuse> refusal = this->refusalWhenOver(request, over);
+    if (refusal) {
+        refusal->predictedFirst = toDuration(choice->firstEventSeconds);
+        refusal->look = choice->look;
+    }
+    return refusal;
 }
 
 // `secondsBefore`: engine time of the prompts that wait and go first.
@@ -90,8 +95,13 @@
         over = std::max(over, waited + start - this->patienceOf(request, outlook.engineSeconds));
     }
     // Load that is too much for a long prompt now is rarely gone when the backlog of now is.
-    const std::optional<Refuse> refusal = this->refusalWhenOver(request, over);
-    return refusal ? this->refusalWhenOver(request, over * 2 + longRetryAfter) : refusal;
+    if (over <= state::Duration(0))
+        return std::nullopt;
+    std::optional<Refuse> refusal = this->refusalWhenOver(request, over * 2 + longRetryAfter);
+    refusal->predictedFirst = first;
+    refusal->queuedSeconds = secondsBefore;
+    refusal->look = outlook.look;
+    return refusal;
 }
 
 std::optional<Refuse> Dispatcher::refusalWhenOver(const CompletionRequest &request,
@@ -207,6 +217,7 @@
     flight.helpers = choice->helpers;
     flight.partSeconds = choice->partSeconds;
     flight.predictedFirst = toDuration(choice->firstEventSeconds);
+    flight.look = choice->look;
     ++flight.attempt;
     if (choice->memory.empty())
         this->dispatchNext(flight);
--- a/src/coordination/admission/DispatcherPlacing.cpp
+++ b/src/coordination/admission/DispatcherPlacing.cpp
@@ -191,6 +191,7 @@
     for (const Flight::Ticket &ticket : flight.tickets)
         dispatch.helperLeases.push_back(ticket.lease);
     dispatch.predictedFirst = flight.predictedFirst;
+    dispatch.look = flight.look;
     if (flight.span) {
         dispatch.lease = this->leaseOf(flight, flight.running);
         for (std::size_t each = 0; each < flight.running; ++each) {
--- a/src/coordination/admission/Events.h
+++ b/src/coordination/admission/Events.h
@@ -4,6 +4,7 @@
 
 #include "coordination/admission/FairQueue.h"
 #include "coordination/admission/Request.h"
+#include "coordination/routing/PassPlacement.h"
 #include "coordination/routing/PrefixIndex.h"
 #include "coordination/routing/WorkNote.h"
 #include "state/Endpoint.h"
@@ -188,6 +189,7 @@
     std::vector<state::EndpointId> helpers; // prefill as much of the prompt as the engine, each
     std::vector<std::string> helperLeases;  // memory reserved at the first of them, in their order
     state::Duration predictedFirst{0};      // from now to the first event; 0: not predicted
+    routing::PassLook look;                 // on engines that work in passes
 };
 
 // The final answer to a request that was not finished. Nothing more comes for it.
@@ -197,6 +199,9 @@
     RefusalReason reason = RefusalReason::Overload;
     state::Duration retryAfter{0};
     Ran ran = Ran::No;
+    state::Duration predictedFirst{0}; // from now to the first event; 0: not predicted
+    double queuedSeconds = 0;          // engine time of the prompts that wait at entries and go first
+    routing::PassLook look;            // on engines that work in passes
 };
 
 struct Expire
--- a/src/coordination/routing/PassCandidate.cpp
+++ b/src/coordination/routing/PassCandidate.cpp
@@ -73,6 +73,7 @@
 {
     const state::routes::EngineProfile &profile = answering.profile();
     choice.engine = answering.view->description().id;
+    choice.waitingSeconds = waiting;
     choice.firstEventSeconds = waiting + choice.partSeconds / answering.speed
                                + firstEventPassSeconds(answering, request);
     const double events = std::ceil(request.outputTokens / profile.stridePerPass);
--- a/src/coordination/routing/PassPlacement.cpp
+++ b/src/coordination/routing/PassPlacement.cpp
@@ -37,13 +37,17 @@
     return completeChoice(std::move(choice), *best, best->waiting, request);
 }
 
-std::size_t borderOf(const std::vector<PassCandidate> &candidates, const PassRequest &request,
-                     const PassPlacementSettings &settings)
+// Everything but the prefill ahead.
+PassLook lookAt(const std::vector<PassCandidate> &candidates, const PassRequest &request,
+                const PassPlacementSettings &settings)
 {
-    std::size_t briefs = 0;
+    PassLook look;
+    look.engines = candidates.size();
+    look.longDemand = request.longDemand;
     for (const PassCandidate &candidate : candidates)
-        briefs += candidate.briefs;
-    return briefEngines(candidates.size(), briefs, request.longDemand, settings);
+        look.briefs += candidate.briefs;
+    look.briefEngines = briefEngines(look.engines, look.briefs, look.longDemand, settings);
+    return look;
 }
 
 } // namespace
@@ -78,10 +82,17 @@
     const std::vector<PassCandidate> candidates = passCandidates(engines, request.avoid, settings);
     if (candidates.empty())
         return std::nullopt;
-    const std::size_t border = borderOf(candidates, request, settings);
-    if (isBrief(candidates.front().profile(), request.promptTokens, settings))
-        return placeBrief(candidates, border, request);
-    return placeLong(std::span(candidates).subspan(border), request, settings);
+    PassLook look = lookAt(candidates, request, settings);
+    const std::size_t border = look.briefEngines;
+    const bool brief = isBrief(candidates.front().profile(), request.promptTokens, settings);
+    std::optional<PassChoice> choice =
+            brief ? placeBrief(candidates, border, request)
+                  : placeLong(std::span(candidates).subspan(border), request, settings);
+    if (choice) {
+        look.waitingSeconds = choice->waitingSeconds;
+        choice->look = look;
+    }
+    return choice;
 }
 
 LongOutlook longOutlook(const std::vector<const EngineView *> &engines, const PassRequest &request,
@@ -90,14 +101,15 @@
     const std::vector<PassCandidate> candidates = passCandidates(engines, request.avoid, settings);
     if (candidates.empty())
         return {};
-    const std::size_t border = borderOf(candidates, request, settings);
-    const std::span part = std::span(candidates).subspan(border);
     LongOutlook outlook;
+    outlook.look = lookAt(candidates, request, settings);
+    const std::span part = std::span(candidates).subspan(outlook.look.briefEngines);
     outlook.engines = part.size();
     if (part.empty())
         return outlook;
     for (const PassCandidate &candidate : part)
         outlook.backlogSeconds += candidate.waiting / double(part.size());
+    outlook.look.waitingSeconds = outlook.backlogSeconds;
     const PassCandidate &last = part.back(); // of those that answer
     const std::size_t parts = std::min(part.size(), settings.mostHelpers + 1);
     outlook.engineSeconds = state::routes::prefillSeconds(last.profile(), request.promptTokens);
--- a/src/coordination/routing/PassPlacement.h
+++ b/src/coordination/routing/PassPlacement.h
@@ -38,14 +38,26 @@
     auto operator<=>(const MemoryShare &) const = default;
 };
 
+// What a decision saw of the fleet, for the log: on its own believed state a wrong one can be traced.
+struct PassLook
+{
+    std::size_t engines = 0;      // usable ones
+    std::size_t briefEngines = 0; // the border between brief and long requests
+    std::size_t briefs = 0;       // brief requests that are being answered
+    double longDemand = 0;        // seconds of long prefill that are sent in a second
+    double waitingSeconds = 0;    // prefill ahead, at the engine chosen or on average
+};
+
 struct PassChoice
 {
     state::EndpointId engine; // answers, and prefills the first part
     std::vector<state::EndpointId> helpers;
     std::vector<MemoryShare> memory; // at the first of the helpers, in their order
     double partSeconds = 0;          // prefill at each of them
+    double waitingSeconds = 0;       // prefill that is there already, where it takes longest
     double firstEventSeconds = 0;    // from now, as predicted
     double completionSeconds = 0;    // from now, as predicted
+    PassLook look;
 };
 
 // What a long prompt that arrives now has to expect, before any that waits at the entries.
@@ -56,6 +68,7 @@
     double prefillSeconds = 0;    // of the prompt, alone on all of them that may take part
     double completionSeconds = 0; // from the first event to the last
     double engineSeconds = 0;     // for the whole prefill, on one engine
+    PassLook look;
 };
 
 // Engines, of `count` usable ones, that are for brief requests while `briefs` of them are answered.
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -58,6 +58,40 @@
     return {500, "internal", "unknown refusal", Ran::Unknown, std::nullopt};
 }
 
+void logPlacement(const admission::Dispatch &action)
+{
+    constexpr double usPerSecond = 1e6;
+    logEvent(LogLevel::Info, "request.placed",
+             {{"request", action.id.value()},
+              {"attempt", action.attempt},
+              {"endpoint", action.engine.value()},
+              {"helpers", std::uint64_t(action.helpers.size())},
+              {"reserved", std::uint64_t(action.helperLeases.size())},
+              {"predicted_first_us", std::int64_t(action.predictedFirst.count())},
+              {"waiting_us", std::int64_t(action.look.waitingSeconds * usPerSecond)},
+              {"engines", std::uint64_t(action.look.engines)},
+              {"brief_engines", std::uint64_t(action.look.briefEngines)},
+              {"briefs", std::uint64_t(action.look.briefs)},
+              {"long_demand_milli", std::int64_t(action.look.longDemand * 1e3)}});
+}
+
+void logRefusal(const admission::Refuse &action, const Problem &problem)
+{
+    constexpr double usPerSecond = 1e6;
+    logEvent(LogLevel::Info, "request.refused",
+             {{"request", action.id.value()},
+              {"cause", problem.title},
+              {"ran", protocol::toString(problem.ran)},
+              {"retry_after_us", std::int64_t(action.retryAfter.count())},
+              {"predicted_first_us", std::int64_t(action.predictedFirst.count())},
+              {"queued_us", std::int64_t(action.queuedSeconds * usPerSecond)},
+              {"waiting_us", std::int64_t(action.look.waitingSeconds * usPerSecond)},
+              {"engines", std::uint64_t(action.look.engines)},
+              {"brief_engines", std::uint64_t(action.look.briefEngines)},
+              {"briefs", std::uint64_t(action.look.briefs)},
+              {"long_demand_milli", std::int64_t(action.look.longDemand * 1e3)}});
+}
+
 admission::CompletionRequest toAdmission(const ScheduledRequest &request)
 {
     admission::CompletionRequest admitted;
@@ -193,10 +227,16 @@
             if (helping != table->endpoints.end())
                 placement.helpers.push_back({helping->second.description.address, lease});
         }
+        logPlacement(action);
         this->answer(action.id, placement);
     }
 
-    void carryOut(const admission::Refuse &action) { this->answer(action.id, problemOf(action)); }
+    void carryOut(const admission::Refuse &action)
+    {
+        const Problem problem = problemOf(action);
+        logRefusal(action, problem);
+        this->answer(action.id, problem);
+    }
 
     void carryOut(const admission::Expire &action)
     {
