Relay: a silent stream is left only for another engine; a moved prompt is not refused for its age

The caller's answer was cut. Now the dispatcher is asked first: only if another run is allowed and the budget pays for it is the attempt given up, and what has been on an engine waits until its deadline. An engine that cuts its own stalled answer does so first. Also: a farewell of an endpoint beats renewals made meanwhile elsewhere, and each change of belief about an endpoint is logged.

--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -83,6 +83,7 @@
         routing::PassLook look;
         std::vector<state::EndpointId> failed; // engines that have failed this request
         std::uint32_t runs = 0;                // of them, those that may have run it
+        bool moving = false;                   // its next try is paid for
 
         // Memory at the first helpers, for a prompt that its engine can't hold.
         struct Ticket
@@ -120,6 +121,7 @@
     void on(const PeerWorkNoted &event);
     void on(const PeerBacklogNoted &event);
     void on(const AttemptFailed &event);
+    void on(const MoveAsked &event);
     bool isExhausted(const Flight &flight) const;
     void attemptLost(Flight &flight, const state::EndpointId &engine, bool didNotRun,
                      bool engineLost);
@@ -155,6 +157,7 @@
     WaitingPrompt waitingOf(const Flight &flight) const;
     void pumpLong();
     void refuseHopeless();
+    state::Duration waitingPatience(const Flight &flight, state::Duration usual) const;
     void shareWaiting();
     void tellWaiting(const Flight &flight, routing::WorkStage stage);
     routing::PassRequest passRequestOf(const CompletionRequest &request) const;
--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -2,6 +2,7 @@
 #include "coordination/admission/Dispatcher.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lavenderthread::coordination::admission {
 
@@ -105,6 +106,23 @@
     this->pump();
 }
 
+// Silence alone is no reason to give an answer up: an engine that waits for a lost helper goes on
+// after a second or two, and a caller whose answer was cut in the middle has lost what would still
+// have come. So the request leaves its engine only if it has a try left and the budget pays for it.
+void Dispatcher::on(const MoveAsked &event)
+{
+    MoveAnswered answer{event.id, event.attempt, false};
+    Flight *flight = this->current(event.id, event.attempt);
+    if (flight != nullptr && flight->request.idempotent) {
+        const std::uint32_t attempts = flight->request.attempts;
+        const bool lastRun = attempts > 0 ? flight->runs + 1 >= attempts
+                                          : flight->attempt >= this->policy.attemptsLimit;
+        answer.allowed = !lastRun && (flight->moving || this->retries.take());
+        flight->moving = answer.allowed;
+    }
+    this->actions.emplace_back(answer);
+}
+
 // A request that names its own bound may run on that many engines; engines that refuse it are not
 // counted, but they can't be tried for ever either.
 bool Dispatcher::isExhausted(const Flight &flight) const
@@ -140,7 +158,8 @@
     flight.runs += didNotRun || wasReserving ? 0 : 1;
     const bool free = wasReserving || (didNotRun && !this->policy.budgetRefused);
     const bool repeatable = didNotRun || flight.request.idempotent;
-    const bool allowed = free || (repeatable && this->retries.take());
+    const bool paid = std::exchange(flight.moving, false);
+    const bool allowed = free || (repeatable && (paid || this->retries.take()));
     if ((ran && !flight.request.idempotent) || !allowed || this->isExhausted(flight)) {
         // Given up: the caller hears it now and not at the deadline, and when to come back.
         flight.phase = Phase::Reserving; // nothing of it is on an engine any more
--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -155,16 +155,24 @@
 void Dispatcher::refuseHopeless()
 {
     for (const auto &[id, prompt] : this->longQueue.own()) {
-        const CompletionRequest &request = this->flights.at(id).request;
-        const state::Duration waited = this->now - request.arrival;
+        const Flight &flight = this->flights.at(id);
+        const CompletionRequest &request = flight.request;
         const bool hasTarget = request.firstTarget > state::Duration(0);
-        const state::Duration patience = hasTarget ? request.firstTarget : longestRetryAfter;
-        if (waited <= patience)
-            continue;
-        this->refuse(id, RefusalReason::Overload, retryWhenFull);
+        const state::Duration usual = hasTarget ? request.firstTarget : longestRetryAfter;
+        if (this->now - request.arrival > this->waitingPatience(flight, usual))
+            this->refuse(id, RefusalReason::Overload, retryWhenFull);
     }
 }
 
+// From arrival. One that has been on an engine waits on: it has been late since that engine failed
+// it, and its caller, who may have a part of the answer, leaves by itself when it has waited
+// enough.
+state::Duration Dispatcher::waitingPatience(const Flight &flight, state::Duration usual) const
+{
+    const bool hasRun = flight.runs > 0;
+    return hasRun ? flight.request.deadline - flight.request.arrival : usual;
+}
+
 // The others order their own prompts by what they know of these; what is not said again they
 // forget.
 void Dispatcher::shareWaiting()
@@ -200,9 +208,9 @@
         return false; // refuseHopeless() ends it when it has waited too long
     if (!choice) {
         // No engine has room. It may wait for as long as it could still be in time then.
-        const state::Duration patience =
+        const state::Duration usual =
                 request.firstTarget > state::Duration(0) ? request.firstTarget / 2 : retryWhenFull;
-        if (this->now - request.arrival < patience)
+        if (this->now - request.arrival < this->waitingPatience(flight, usual))
             return false;
         const bool none = this->engines.watched(request.model).empty();
         this->refuse(request.id, none ? RefusalReason::UnknownModel : RefusalReason::Overload,
--- a/src/coordination/admission/DispatcherTickets.cpp
+++ b/src/coordination/admission/DispatcherTickets.cpp
@@ -60,7 +60,7 @@
     this->releaseTickets(flight);
     flight.plan = {};
     flight.helpers.clear();
-    const state::Duration patience = flight.request.firstTarget;
+    const state::Duration patience = this->waitingPatience(flight, flight.request.firstTarget);
     if (this->now - flight.request.arrival > patience) {
         this->refuse(flight.request.id, RefusalReason::Overload, retryWhenReserved);
     } else {
--- a/src/coordination/admission/Events.h
+++ b/src/coordination/admission/Events.h
@@ -98,6 +98,13 @@
     bool didNotRun = false;
 };
 
+// The engine has sent nothing for long, but its stream stands: may the request move to another?
+struct MoveAsked
+{
+    state::RequestId id;
+    std::uint32_t attempt = 0;
+};
+
 struct ReservationAnswered
 {
     state::RequestId id;
@@ -147,7 +154,7 @@
 using Event =
         std::variant<RequestArrived, CallerCancelled, EngineAnnounced, EngineGone, EngineDraining,
                      EngineSuspected, LoadReported, CacheReported, SlicePrefilled, TokensReceived,
-                     RequestFinished, AttemptFailed, ReservationAnswered, TableChanged,
+                     RequestFinished, AttemptFailed, MoveAsked, ReservationAnswered, TableChanged,
                      PeerWorkNoted, PeerBacklogNoted, Tick>;
 
 // Whether the request ran; No only when it is certain.
@@ -200,8 +207,8 @@
     state::Duration retryAfter{0};
     Ran ran = Ran::No;
     state::Duration predictedFirst{0}; // from now to the first event; 0: not predicted
-    double queuedSeconds = 0;          // engine time of the prompts that wait at entries and go first
-    routing::PassLook look;            // on engines that work in passes
+    double queuedSeconds = 0; // engine time of the prompts that wait at entries and go first
+    routing::PassLook look;   // on engines that work in passes
 };
 
 struct Expire
@@ -217,6 +224,15 @@
     state::EndpointId engine;
 };
 
+// To MoveAsked. If allowed, the retry is paid for: the relay gives the attempt up, and
+// AttemptFailed places the request again. If not, the relay goes on waiting for the engine.
+struct MoveAnswered
+{
+    state::RequestId id;
+    std::uint32_t attempt = 0;
+    bool allowed = false;
+};
+
 // Take or renew a lease on engine memory through the endpoint's owner.
 struct Reserve
 {
@@ -245,7 +261,7 @@
     BacklogNote note;
 };
 
-using Action = std::variant<Dispatch, Refuse, Expire, CancelOnEngine, Reserve, Release, ShareWork,
-                            ShareBacklog>;
+using Action = std::variant<Dispatch, Refuse, Expire, CancelOnEngine, MoveAnswered, Reserve,
+                            Release, ShareWork, ShareBacklog>;
 
 } // namespace lavenderthread::coordination::admission
--- a/src/coordination/endpoints/EndpointRecord.cpp
+++ b/src/coordination/endpoints/EndpointRecord.cpp
@@ -14,9 +14,13 @@
 constexpr std::size_t fixedRecordBytes = 44;
 constexpr std::size_t fixedDescriptionBytes = 32;
 
+// Left goes before the version. An endpoint whose acknowledgements are lost announces itself to
+// several entries; one that had not heard of the farewell could make a later version that says
+// Live, and callers were sent to the leaving endpoint until its next farewell.
 auto lifeOrder(const EndpointRecord &record)
 {
-    return std::tuple(record.incarnation, record.version, record.phase, record.home);
+    return std::tuple(record.incarnation, record.phase == EndpointPhase::Left, record.version,
+                      record.phase, record.home);
 }
 
 void copyLife(EndpointRecord &into, const EndpointRecord &from)
@@ -55,9 +59,10 @@
 MergeResult merge(const EndpointRecord &known, const EndpointRecord &news)
 {
     MergeResult result{known};
+    const bool sameDescription = news.descriptionVersion == known.descriptionVersion;
     const bool fits = news.description != nullptr
                       || (news.incarnation == known.incarnation
-                          && news.descriptionVersion == known.descriptionVersion);
+                          && (sameDescription || news.phase == EndpointPhase::Left));
     if (livesLater(news, known) && fits) {
         result.descriptionChanged =
                 news.description != nullptr
--- a/src/coordination/endpoints/EndpointRecord.h
+++ b/src/coordination/endpoints/EndpointRecord.h
@@ -7,17 +7,34 @@
 
 #include <cstdint>
 #include <memory>
+#include <string_view>
 
 namespace lavenderthread::coordination::endpoints {
 
-// Ordered: of two records with equal incarnation and version the later phase wins.
+// Ordered: of two records with equal incarnation and version the later phase wins; Left wins over
+// any version.
 enum class EndpointPhase : std::uint8_t {
     Live,
     Held,    // announced, but restarted so often that it gets no work for a while
     Expired, // its renewals stopped; a renewal of the same incarnation brings it back
-    Left,    // it said so; only a new incarnation brings it back
+    Left,    // it said so; only a new incarnation brings it back, whatever the versions
 };
 
+constexpr std::string_view toString(EndpointPhase phase)
+{
+    switch (phase) {
+    case EndpointPhase::Live:
+        return "live";
+    case EndpointPhase::Held:
+        return "held";
+    case EndpointPhase::Expired:
+        return "expired";
+    case EndpointPhase::Left:
+        return "left";
+    }
+    return "unknown";
+}
+
 // An operator's drain or undrain, as committed in the replicated log. Outlives the endpoint's
 // incarnation: a drained engine that is restarted stays drained until an undrain is committed.
 struct DrainMark
@@ -59,7 +76,8 @@
 };
 
 // `news` in its short form is applied only on top of the description that it was made from; else
-// an entry could keep the newest version with an outdated list of models for good.
+// an entry could keep the newest version with an outdated list of models for good. Left is applied
+// on any: nobody reads the description of what has left.
 MergeResult merge(const EndpointRecord &known, const EndpointRecord &news);
 
 // Covers everything but the description's text, which its version stands for.
--- a/src/coordination/routing/PassPlacement.h
+++ b/src/coordination/routing/PassPlacement.h
@@ -38,7 +38,8 @@
     auto operator<=>(const MemoryShare &) const = default;
 };
 
-// What a decision saw of the fleet, for the log: on its own believed state a wrong one can be traced.
+// What a decision saw of the fleet, for the log: on its own believed state a wrong one can be
+// traced.
 struct PassLook
 {
     std::size_t engines = 0;      // usable ones
--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -276,8 +276,31 @@
         this->hooks.endpointsChanged();
 }
 
+// One line for each endpoint that this process now believes something else of.
+void Cluster::logBeliefs(const EndpointsView &endpoints)
+{
+    for (const EndpointState &endpoint : endpoints.endpoints) {
+        const coordination::endpoints::EndpointRecord &record = endpoint.record;
+        const Belief belief{record.incarnation, record.phase, record.drain.draining};
+        Belief &logged = this->loggedBeliefs[record.id];
+        if (logged == belief)
+            continue;
+        logged = belief;
+        logEvent(LogLevel::Info, "endpoint.believed",
+                 {{"endpoint", record.id.value()},
+                  {"incarnation", record.incarnation},
+                  {"version", std::uint64_t(record.version)},
+                  {"phase", toString(record.phase)},
+                  {"drained", record.drain.draining ? "yes" : "no"},
+                  {"home", record.home.value()}});
+    }
+    const auto forgotten = [&](const auto &each) { return endpoints.find(each.first) == nullptr; };
+    std::erase_if(this->loggedBeliefs, forgotten);
+}
+
 void Cluster::viewChanged(const MembershipView &view)
 {
+    this->logBeliefs(*view.endpoints);
     EndpointTable table;
     for (const EndpointState &endpoint : view.endpoints->endpoints) {
         using coordination::endpoints::EndpointPhase;
--- a/src/program/Cluster.h
+++ b/src/program/Cluster.h
@@ -18,6 +18,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -85,11 +86,22 @@
 
     state::Result<void> join(boost::asio::io_context &context, const Self &self);
     void viewChanged(const MembershipView &view);
+    void logBeliefs(const EndpointsView &endpoints);
     void newsDatagram(std::string_view datagram);
     void armFlush();
     void flush();
 
+    struct Belief
+    {
+        std::uint64_t incarnation = 0;
+        coordination::endpoints::EndpointPhase phase{};
+        bool drained = false;
+
+        bool operator==(const Belief &) const = default;
+    };
+
     const Settings &settings;
+    std::map<state::EndpointId, Belief> loggedBeliefs; // on membership's strand
     std::shared_ptr<EndpointRegistry> registry;
     Hooks hooks;
     coordination::directory::Directory chooser;
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -130,6 +130,7 @@
         std::optional<PlacementResult> ready; // came while it did not wait
         std::optional<Placement> last;        // what was handed out last
         std::function<void()> interrupt;      // of the relay; see ScheduledRequest
+        std::function<void(bool)> move;       // of the relay, while it asks whether it may
     };
 
     State(asio::io_context &context, const Settings &settings,
@@ -258,6 +259,25 @@
                              found->second.last->endpoint.address, {});
     }
 
+    void carryOut(const admission::MoveAnswered &action)
+    {
+        const auto found = this->pending.find(action.id);
+        if (found != this->pending.end() && found->second.move)
+            std::exchange(found->second.move, {})(action.allowed);
+    }
+
+    void askToMove(const state::RequestId &id, std::uint32_t attempt,
+                   std::function<void(bool)> answer)
+    {
+        const auto found = this->pending.find(id);
+        if (found == this->pending.end()) {
+            answer(false); // it ended in the meantime
+            return;
+        }
+        found->second.move = std::move(answer);
+        this->handle(admission::MoveAsked{id, attempt});
+    }
+
     void carryOut(const admission::Reserve &action)
     {
         const auto table = this->registry->table();
@@ -565,6 +585,14 @@
                     admission::AttemptFailed{id, failed.attempt, failure != AttemptFailure::Lost});
         });
     };
+    scheduler.mayMove = [self](state::RequestId id, std::uint32_t attempt) {
+        return transport::awaitCallback<bool>(
+                [self, id, attempt](std::function<void(bool)> answer) {
+                    asio::post(self->state->strand, [self, id, attempt, answer] {
+                        self->state->askToMove(id, attempt, answer);
+                    });
+                });
+    };
     scheduler.sliceDone = [waitFor](state::RequestId id, Placement done) {
         return waitFor(id, [id, done](State &state) {
             state.handle(admission::SlicePrefilled{id, done.attempt, done.to});
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -4,6 +4,7 @@
 #include "coordination/relay/EventSplitter.h"
 #include "coordination/relay/FinalAnswer.h"
 #include "program/Clock.h"
+#include "program/SilenceWatch.h"
 #include "transport/Await.h"
 #include "transport/HttpClient.h"
 
@@ -47,11 +48,12 @@
 // Bytes that an endpoint's machine does not acknowledge for so long are taken for lost with it.
 constexpr milliseconds unacknowledgedTimeout{1'500};
 
-// A stream that may go on elsewhere is given up when it stays silent for that many times what its
-// caller asked for: callers leave at four times the target or eight times the pause.
+// A stream that may go on elsewhere does so when it stays silent for that many times what its
+// caller asked for: callers leave at four times the target or eight times the pause, and after two
+// seconds at the earliest. An engine that has lost a helper cuts the answer itself within 1.5 s.
 constexpr int patienceTargets = 3;
+constexpr int patiencePauses = 4;
 constexpr milliseconds leastPatience{900};
-constexpr milliseconds plainSilence{60'000}; // for what may not be sent again: the time limit rules
 
 constexpr std::uint64_t largestAnswer = 16U << 20U;
 
@@ -281,7 +283,8 @@
             if (end == AttemptEnd::Whole)
                 co_return;
             this->noteTime();
-            if (!coordination::relay::mayTryAgain(this->facts, end) || !this->takeRetry())
+            const bool paid = std::exchange(this->retryPaid, false);
+            if (!coordination::relay::mayTryAgain(this->facts, end) || !(paid || this->takeRetry()))
                 break;
             this->running->renew();
         }
@@ -333,7 +336,12 @@
         for (const HelperTarget &helper : target.helpers)
             this->outcome.helpers.push_back(helper.address);
         this->outcome.resumed = this->events.passed() > 0;
+        this->watchSilence();
         const AttemptEnd end = co_await this->exchangeWith(std::move(target));
+        if (this->silence)
+            this->silence->stop();
+        if (this->silence && this->silence->hasGivenUp())
+            this->outcome.reason = "the endpoint was silent for too long";
         switch (end) {
         case AttemptEnd::Whole:
             break;
@@ -366,7 +374,7 @@
         transport::HttpCallLimits limits;
         limits.connectTimeout = std::min(connectTimeout, left);
         limits.unacknowledgedTimeout = unacknowledgedTimeout;
-        limits.timeout = std::min(left, this->firstPatience());
+        limits.timeout = left;
         transport::BeforeSend noGate;
         auto opened = co_await transport::openHttpStream(
                 this->exchange.executor(), target.endpoint.address, std::move(forwarded), limits,
@@ -413,16 +421,41 @@
 
     milliseconds firstPatience() const
     {
-        if (!this->facts.repeatable || this->route->kind != CallKind::Stream)
-            return plainSilence;
         return std::max(leastPatience, this->route->firstAnswerTarget * patienceTargets);
     }
 
     milliseconds pausePatience() const
     {
-        if (!this->facts.repeatable)
-            return plainSilence;
-        return std::max(leastPatience, this->route->pauseTarget * patienceTargets);
+        return std::max(leastPatience, this->route->pauseTarget * patiencePauses);
+    }
+
+    void watchSilence()
+    {
+        this->silence.reset();
+        if (!this->facts.repeatable || this->route->kind != CallKind::Stream)
+            return;
+        SilenceWatch::Hooks watchHooks;
+        watchHooks.giveUp = [running = this->running] { running->interrupt(); };
+        if (this->scheduled) {
+            watchHooks.mayMove = [mayMove = this->hooks.scheduler.mayMove, id = this->request.id,
+                                  attempt = this->attemptNumber] { return mayMove(id, attempt); };
+        } else {
+            watchHooks.mayMove = [this]() -> asio::awaitable<bool> {
+                co_return this->mayMoveToReplica();
+            };
+        }
+        this->silence = SilenceWatch::start(this->exchange.executor(), this->firstPatience(),
+                                            std::move(watchHooks));
+    }
+
+    bool mayMoveToReplica()
+    {
+        CallFacts next = this->facts;
+        ++next.runs;
+        this->retryPaid =
+                this->retryPaid
+                || (coordination::relay::mayTryAgain(next, AttemptEnd::Lost) && this->takeRetry());
+        return this->retryPaid;
     }
 
     // The whole answer is read before any of it goes on: one that breaks off can then still be
@@ -468,9 +501,8 @@
                                             protocol::HttpHeaders headers)
     {
         this->events.dropRest();
-        milliseconds patience = this->firstPatience();
         while (true) {
-            const auto piece = co_await stream.read(std::min(patience, remaining(this->deadline)));
+            const auto piece = co_await stream.read(remaining(this->deadline));
             if (!piece) {
                 this->outcome.reason = piece.error().step + ": " + piece.error().cause;
                 co_return AttemptEnd::Lost;
@@ -480,7 +512,8 @@
             const std::string whole = this->events.take(*piece.value());
             if (whole.empty())
                 continue;
-            patience = this->pausePatience();
+            if (this->silence)
+                this->silence->heard(this->pausePatience());
             const bool passed = co_await this->passOn(whole, headers);
             if (!passed)
                 co_return AttemptEnd::Lost;
@@ -601,6 +634,8 @@
     coordination::relay::EventSplitter events;
     std::optional<protocol::HttpResponse> endpointAnswer; // the last failure an endpoint gave
     std::shared_ptr<RunningAttempt> running = std::make_shared<RunningAttempt>();
+    std::shared_ptr<SilenceWatch> silence; // of the attempt that runs, if it may be given up
+    bool retryPaid = false;                // for a move to another replica
     bool scheduled = false;
     bool peerFailed = false; // the last answer blames another endpoint than the one that gave it
     std::uint32_t attemptNumber = 0; // of the scheduler
--- a/src/program/Scheduler.h
+++ b/src/program/Scheduler.h
@@ -84,6 +84,9 @@
     std::function<boost::asio::awaitable<PlacementResult>(state::RequestId, Placement failed,
                                                           AttemptFailure failure)>
             placeAgain;
+    // The engine of that attempt has been silent for long. True: give the attempt up, and
+    // placeAgain() finds another engine. False: there is no other try; wait on.
+    std::function<boost::asio::awaitable<bool>(state::RequestId, std::uint32_t attempt)> mayMove;
     // A slice is prefilled; gives the next one, or the final piece.
     std::function<boost::asio::awaitable<PlacementResult>(state::RequestId, Placement done)>
             sliceDone;
--- /dev/null
+++ b/tests/coordination/admission/DispatcherPassesTest.cpp
@@ -0,0 +1,135 @@
+// Requests on engines that work in passes, when an engine falls silent or is lost under them.
+#include "coordination/admission/DispatcherFixture.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace lavenderthread::coordination::admission {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint32_t longPrompt = 45'000; // a quarter of a second of prefill
+
+state::routes::EngineProfile profile()
+{
+    return {.slots = 16,
+            .kvCapacityTokens = 450'000,
+            .stridePerPass = 46,
+            .stepMs = 0.925,
+            .sequenceStepMs = 0.00483,
+            .contextStepMs = 0.00254,
+            .prefillTokensPerSecond = 256'000,
+            .pairsMs = 0.0917,
+            .stepTokens = 2'048,
+            .reportLagMs = 200};
+}
+
+// Some engines, and one long prompt on one of them.
+struct Rig : DispatcherFixture
+{
+    explicit Rig(const routing::PolicySettings &policy = {})
+        : DispatcherFixture(0, policy)
+    {
+        for (std::size_t index = 0; index < engines; ++index) {
+            state::EndpointDescription description = engine(index);
+            description.kvCapacityTokens = profile().kvCapacityTokens;
+            description.prefillTokensPerSecond = profile().prefillTokensPerSecond;
+            this->handle(EngineAnnounced{description, profile()});
+        }
+        this->handle(RequestArrived{this->longRequest()});
+        this->sent = this->only<Dispatch>();
+    }
+
+    CompletionRequest longRequest() const
+    {
+        CompletionRequest wanted = this->request("long", longPrompt);
+        wanted.firstTarget = milliseconds(1'500);
+        wanted.pause = milliseconds(500);
+        wanted.deadline = this->now + seconds(10);
+        wanted.idempotent = true;
+        wanted.attempts = 2;
+        return wanted;
+    }
+
+    bool mayMove(std::uint32_t attempt)
+    {
+        this->handle(MoveAsked{this->sent.id, attempt});
+        return this->only<MoveAnswered>().allowed;
+    }
+
+    void setDraining(bool draining)
+    {
+        for (std::size_t index = 0; index < engines; ++index)
+            this->handle(EngineDraining{engine(index).id, draining});
+    }
+
+    static constexpr std::size_t engines = 4;
+    Dispatch sent; // the first one
+};
+
+} // namespace
+
+class DispatcherPassesTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DispatcherPassesTest);
+    CPPUNIT_TEST(silentEngineIsLeftOnlyForAnother);
+    CPPUNIT_TEST(movedPromptWaitsBeyondItsTarget);
+    CPPUNIT_TEST(moveIsPaidForOnce);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // A caller has a part of its answer when the engine falls silent. The request may run on two
+    // engines: it leaves the first for a second, and must stay with the second, whose silence is no
+    // reason to cut the answer.
+    void silentEngineIsLeftOnlyForAnother()
+    {
+        Rig rig;
+        CPPUNIT_ASSERT(rig.mayMove(rig.sent.attempt));
+        rig.handle(AttemptFailed{rig.sent.id, rig.sent.attempt, false});
+        const Dispatch second = rig.only<Dispatch>();
+        CPPUNIT_ASSERT(second.engine != rig.sent.engine);
+        CPPUNIT_ASSERT(!rig.mayMove(second.attempt));
+        CPPUNIT_ASSERT(!rig.mayMove(rig.sent.attempt)); // an attempt that is over
+    }
+
+    // The first engine fell silent after the caller had some events, two seconds after the request
+    // came. No engine is free for it just then. It used to be refused in the next moment, since it
+    // had waited longer than a new prompt may, and its caller's answer was cut in the middle.
+    void movedPromptWaitsBeyondItsTarget()
+    {
+        Rig rig;
+        rig.handle(TokensReceived{rig.sent.id, rig.sent.attempt, 1});
+        rig.now += seconds(2);
+        CPPUNIT_ASSERT(rig.mayMove(rig.sent.attempt));
+        rig.setDraining(true);
+        rig.handle(AttemptFailed{rig.sent.id, rig.sent.attempt, false});
+        rig.now += seconds(1);
+        rig.handle(Tick{});
+        CPPUNIT_ASSERT(rig.got<Refuse>().empty());
+        rig.setDraining(false);
+        rig.handle(Tick{});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), rig.dispatcher->waiting());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), rig.dispatcher->inFlight());
+    }
+
+    // The budget has one retry left. Asking takes it, and the failure that follows takes no other.
+    void moveIsPaidForOnce()
+    {
+        routing::PolicySettings policy;
+        policy.retryBurst = 1;
+        Rig rig(policy);
+        CPPUNIT_ASSERT(rig.mayMove(rig.sent.attempt));
+        CPPUNIT_ASSERT(rig.mayMove(rig.sent.attempt)); // the relay heard something and asks again
+        const auto retried = rig.dispatcher->counts().retried;
+        rig.handle(AttemptFailed{rig.sent.id, rig.sent.attempt, false});
+        CPPUNIT_ASSERT_EQUAL(retried + 1, rig.dispatcher->counts().retried);
+        CPPUNIT_ASSERT(rig.got<Refuse>().empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherPassesTest);
+
+} // namespace lavenderthread::coordination::admission
