--- a/bench/PassEngine.cpp
+++ b/bench/PassEngine.cpp
@@ -9,10 +9,24 @@
 void PassEngine::prefill(std::uint64_t work, double tokens, double seconds, bool helping)
 {
     const Part part{work, tokens, seconds / std::max(tokens, 1.0), helping};
-    if (helping)
+    if (helping) {
         this->parts.insert(this->parts.begin(), part);
-    else
+    } else if (this->placed.size() < this->profile.slots) {
+        this->placed.push_back(work);
         this->parts.push_back(part);
+    } else {
+        this->queue.push_back(part);
+    }
+}
+
+void PassEngine::release(std::uint64_t work)
+{
+    std::erase(this->placed, work);
+    if (this->queue.empty() || this->placed.size() >= this->profile.slots)
+        return;
+    this->placed.push_back(this->queue.front().work);
+    this->parts.push_back(this->queue.front());
+    this->queue.erase(this->queue.begin());
 }
 
 void PassEngine::decode(std::uint64_t work, double contextTokens, std::uint32_t events)
@@ -22,8 +36,10 @@
 
 void PassEngine::cancel(std::uint64_t work)
 {
+    std::erase_if(this->queue, [work](const Part &part) { return part.work == work; });
     std::erase_if(this->parts, [work](const Part &part) { return part.work == work; });
     std::erase_if(this->writers, [work](const Writer &writer) { return writer.work == work; });
+    this->release(work);
 }
 
 // Prefills up to so many tokens; gives the time that it takes.
@@ -74,8 +90,10 @@
         if (writer == this->writers.end())
             continue; // cancelled meanwhile
         const bool last = --writer->events == 0;
-        if (last)
+        if (last) {
             this->writers.erase(writer);
+            this->release(wrote.work);
+        }
         this->hooks.event(wrote.work, last);
     }
 }
--- a/bench/PassEngine.h
+++ b/bench/PassEngine.h
@@ -34,6 +34,8 @@
     void cancel(std::uint64_t work);
 
     bool isIdle() const { return this->parts.empty() && this->writers.empty(); }
+    // Requests that wait for a place; parts for other engines need none.
+    std::size_t queued() const { return this->queue.size(); }
     // Begins a pass if none runs and there is work; gives the time at which it ends.
     std::optional<state::Instant> begin(state::Instant now);
     // The pass that ends now.
@@ -55,10 +57,13 @@
     };
 
     double readSome(double tokens);
+    void release(std::uint64_t work); // its place goes to the first that waits
 
     state::routes::EngineProfile profile;
     Hooks hooks;
     std::vector<Part> parts; // helping ones first, the newest ahead; then own ones in their order
+    std::vector<Part> queue; // own requests without a place
+    std::vector<std::uint64_t> placed; // own requests with one, at most as many as there are slots
     std::vector<Writer> writers;
     std::vector<Writer> writing;     // in the pass that runs
     std::vector<std::uint64_t> done; // parts that the pass that runs ends
--- a/bench/PassFleetRun.cpp
+++ b/bench/PassFleetRun.cpp
@@ -86,6 +86,24 @@
     return plan;
 }
 
+PassPlan grownHeavyDay(std::uint64_t seed)
+{
+    PassPlan plan = heavyDay(seed);
+    plan.engines = 69;
+    plan.entries = 117;
+    plan.profile.slots = 12;
+    plan.profile.stridePerPass = 52;
+    plan.classes = {
+            {"narrative", 118, 4'960, 0.9, 23'800, 33, milliseconds(300), milliseconds(200),
+             milliseconds(10'000)},
+            {"summary", 10.8, 45'000, 0.5, 110'000, 19.8, milliseconds(1'500), milliseconds(500),
+             milliseconds(10'000)},
+            {"review", 2.45, 300'000, 0.55, 1'000'000, 16.5, milliseconds(4'000), milliseconds(800),
+             milliseconds(15'000)},
+    };
+    return plan;
+}
+
 PassFleetRun::PassFleetRun(PassPlan chosen)
     : plan(std::move(chosen))
     , random(this->plan.seed)
--- a/bench/PassFleetRun.h
+++ b/bench/PassFleetRun.h
@@ -52,6 +52,8 @@
 
 // The load of the users' heavy days: ten seconds of long prompts, ten of brief ones, and so on.
 PassPlan heavyDay(std::uint64_t seed);
+// The same on the fleet of the next size: more engines with fewer places each, many more entries.
+PassPlan grownHeavyDay(std::uint64_t seed);
 
 struct PassTally
 {
--- a/bench/pass-bench.cpp
+++ b/bench/pass-bench.cpp
@@ -1,7 +1,7 @@
 // The load tool on the stand-in of engines that work in passes: one table a policy, by class, as
 // text or CSV; or, with --score, one number for the settings given as NAME=VALUE: the value that
 // came in time, a quarter of what came late, over all, classes weighted as --weights says. usage:
-// pass-bench [--seeds N] [--csv] [--score] [--weights A,B,C] [NAME=VALUE…]
+// pass-bench [--seeds N] [--grown] [--csv] [--score] [--weights A,B,C] [NAME=VALUE…]
 #include "PassFleetRun.h"
 
 #include <algorithm>
@@ -127,6 +127,7 @@
     std::uint64_t seeds = 3;
     bool csv = false;
     bool onlyScore = false;
+    bool grown = false;
     std::vector<double> weights{1.3, 3.1, 22};
     std::vector<std::string> changes;
 };
@@ -140,6 +141,8 @@
             options.csv = true;
         } else if (word == "--score") {
             options.onlyScore = true;
+        } else if (word == "--grown") {
+            options.grown = true;
         } else if (word == "--seeds" && index + 1 < argc) {
             options.seeds = std::stoull(argv[++index]);
         } else if (word == "--weights" && index + 1 < argc) {
@@ -163,7 +166,7 @@
         PassResult sum;
         PassPlan plan;
         for (std::uint64_t seed = 1; seed <= options.seeds; ++seed) {
-            plan = bench::heavyDay(seed);
+            plan = options.grown ? bench::grownHeavyDay(seed) : bench::heavyDay(seed);
             adjust(plan);
             for (const std::string &assignment : options.changes) {
                 if (!change(plan, assignment)) {
