--- a/bench/pass-bench.cpp
+++ b/bench/pass-bench.cpp
@@ -65,8 +65,6 @@
             {"briefSeconds", &Settings::briefSeconds},
             {"briefPlaceShare", &Settings::briefPlaceShare},
             {"briefPlaceShareCrowded", &Settings::briefPlaceShareCrowded},
-            {"briefSpreadShare", &Settings::briefSpreadShare},
-            {"briefReserve", &Settings::briefReserve},
             {"fewBriefs", &Settings::fewBriefs},
             {"besideTightPart", &Settings::besideTightPart},
             {"evenSeconds", &Settings::evenSeconds},
--- a/src/coordination/routing/PassPlacement.cpp
+++ b/src/coordination/routing/PassPlacement.cpp
@@ -71,16 +71,14 @@
         return load.engines;
     const auto enginesFor = [&](double placeShare) {
         const double perEngine = std::max(1.0, placeShare * load.places);
-        return std::size_t(std::ceil(double(load.briefs + 1) / perEngine + settings.briefReserve));
+        return std::size_t(std::ceil(double(load.briefs + 1) / perEngine));
     };
     const auto longEngines = std::size_t(std::ceil(load.longDemand / settings.longSecondsPerEngine
                                                    + settings.longEnginesBeside));
     const std::size_t left = load.engines > longEngines ? load.engines - longEngines : 0;
     const std::size_t roomy = enginesFor(settings.briefPlaceShare);
     const std::size_t crowded = enginesFor(settings.briefPlaceShareCrowded);
-    std::size_t chosen = std::max(crowded, left);
-    if (roomy <= left)
-        chosen = roomy + std::size_t(double(left - roomy) * settings.briefSpreadShare);
+    const std::size_t chosen = roomy <= left ? roomy : std::max(crowded, left);
     return std::clamp(chosen, std::size_t(1), load.engines - 1);
 }
 
--- a/src/coordination/routing/PassPlacementSettings.h
+++ b/src/coordination/routing/PassPlacementSettings.h
@@ -16,12 +16,6 @@
     // second or more. Where long work needs the engines, up to the second share.
     double briefPlaceShare = 0.69;
     double briefPlaceShareCrowded = 0.81;
-    // Engines that brief requests have beyond what they need now, for a burst that begins while all
-    // others prefill.
-    double briefReserve = 0;
-    // Share of the engines that are neither needed for brief nor for long work that brief requests
-    // spread to.
-    double briefSpreadShare = 0;
     // Engines whose crowding differs by less are taken for equal, and one of them is drawn: else
     // all entries that place at the same moment choose the same one.
     double evenSeconds = 0.05;
