--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -3,6 +3,7 @@
 
 #include "program/Clock.h"
 #include "program/Log.h"
+#include "program/SchedulerTranslation.h"
 #include "transport/Await.h"
 #include "transport/HttpClient.h"
 
@@ -36,81 +37,6 @@
 constexpr milliseconds releaseAnswerTime{500};
 constexpr milliseconds releaseTime{3'500}; // the lease has ended by itself then
 
-Problem problemOf(const admission::Refuse &refusal)
-{
-    const milliseconds retryAfter = std::chrono::ceil<milliseconds>(refusal.retryAfter);
-    const Ran ran = refusal.ran == admission::Ran::No ? Ran::No : Ran::Unknown;
-    switch (refusal.reason) {
-    case admission::RefusalReason::UnknownModel:
-        return {503, "no-engine", "no engine with this model is ready", ran, retryAfter};
-    case admission::RefusalReason::TooLong:
-        return {413, "prompt-too-long", "the engines can't hold this prompt", ran, std::nullopt};
-    case admission::RefusalReason::Deadline:
-        return {503, "deadline-out-of-reach", "the request can't be done in its time", ran,
-                retryAfter};
-    case admission::RefusalReason::Overload:
-        return {503, "overloaded", "too much work is waiting", ran, retryAfter};
-    case admission::RefusalReason::Limit:
-        return {429, "limit", "the account's limit is used up", ran, retryAfter};
-    case admission::RefusalReason::AttemptsExhausted:
-        return {503, "engines-lost", "the engines that worked on it were lost", ran, retryAfter};
-    }
-    return {500, "internal", "unknown refusal", Ran::Unknown, std::nullopt};
-}
-
-void logPlacement(const admission::Dispatch &action)
-{
-    constexpr double usPerSecond = 1e6;
-    logEvent(LogLevel::Info, "request.placed",
-             {{"request", action.id.value()},
-              {"attempt", action.attempt},
-              {"endpoint", action.engine.value()},
-              {"helpers", std::uint64_t(action.helpers.size())},
-              {"reserved", std::uint64_t(action.helperLeases.size())},
-              {"predicted_first_us", std::int64_t(action.predictedFirst.count())},
-              {"waiting_us", std::int64_t(action.look.waitingSeconds * usPerSecond)},
-              {"engines", std::uint64_t(action.look.engines)},
-              {"brief_engines", std::uint64_t(action.look.briefEngines)},
-              {"briefs", std::uint64_t(action.look.briefs)},
-              {"long_demand_milli", std::int64_t(action.look.longDemand * 1e3)}});
-}
-
-void logRefusal(const admission::Refuse &action, const Problem &problem)
-{
-    constexpr double usPerSecond = 1e6;
-    logEvent(LogLevel::Info, "request.refused",
-             {{"request", action.id.value()},
-              {"cause", problem.title},
-              {"ran", protocol::toString(problem.ran)},
-              {"retry_after_us", std::int64_t(action.retryAfter.count())},
-              {"predicted_first_us", std::int64_t(action.predictedFirst.count())},
-              {"queued_us", std::int64_t(action.queuedSeconds * usPerSecond)},
-              {"waiting_us", std::int64_t(action.look.waitingSeconds * usPerSecond)},
-              {"engines", std::uint64_t(action.look.engines)},
-              {"brief_engines", std::uint64_t(action.look.briefEngines)},
-              {"briefs", std::uint64_t(action.look.briefs)},
-              {"long_demand_milli", std::int64_t(action.look.longDemand * 1e3)}});
-}
-
-admission::CompletionRequest toAdmission(const ScheduledRequest &request)
-{
-    admission::CompletionRequest admitted;
-    admitted.id = request.id;
-    admitted.account = request.account;
-    admitted.workClass = request.workClass;
-    admitted.model = request.body.model;
-    admitted.promptTokens = request.body.promptTokens;
-    admitted.maximumOutputTokens = request.body.outputTokens;
-    admitted.prefixBlocks = request.body.prefixBlocks;
-    admitted.arrival = request.arrival;
-    admitted.deadline = request.deadline;
-    admitted.idempotent = request.idempotent;
-    admitted.firstTarget = request.firstTarget;
-    admitted.pause = request.pause;
-    admitted.attempts = request.attempts;
-    return admitted;
-}
-
 } // namespace
 
 std::string streamIdOf(const state::RequestId &id, const Placement &placement)
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -420,6 +420,10 @@
         // An operator who signals twice does not want to wait.
         this->stopSignals.async_wait([this](auto, auto) { this->context.stop(); });
         const state::Instant limit = monotonicNow() + this->leavingTime();
+        logEvent(LogLevel::Info, "node.leaving",
+                 {{"in_flight", std::uint64_t(this->inFlight())},
+                  {"takes_calls_ms", std::int64_t(this->leavingGrace().count())},
+                  {"limit_ms", std::int64_t(this->leavingTime().count())}});
         this->entry->enter(EntryPhase::Leaving);
         if (this->front)
             this->front->beginLeaving();
