Membership: only farewells and drains are passed on at once

When the home of many endpoints is lost, all of them change at once; at the planned size that would be 9,000 datagrams a member in a moment.

--- a/src/coordination/endpoints/EndpointRecord.cpp
+++ b/src/coordination/endpoints/EndpointRecord.cpp
@@ -51,6 +51,11 @@
            && this->descriptionVersion == other.descriptionVersion && this->drain == other.drain;
 }
 
+bool endsWork(const EndpointRecord &record)
+{
+    return record.phase == EndpointPhase::Left || record.drain.draining;
+}
+
 bool livesLater(const EndpointRecord &next, const EndpointRecord &known)
 {
     return lifeOrder(next) > lifeOrder(known);
--- a/src/coordination/endpoints/EndpointRecord.h
+++ b/src/coordination/endpoints/EndpointRecord.h
@@ -64,6 +64,10 @@
     bool operator==(const EndpointRecord &) const; // descriptions by value
 };
 
+// Whether the record tells that the endpoint gets no more work from now on, as it or an operator
+// has said.
+bool endsWork(const EndpointRecord &record);
+
 // Whether the life part of `next` is newer than that of `known`.
 bool livesLater(const EndpointRecord &next, const EndpointRecord &known);
 
--- a/src/coordination/membership/Membership.cpp
+++ b/src/coordination/membership/Membership.cpp
@@ -142,7 +142,8 @@
 // An endpoint that leaves takes new work for two seconds more at most, and its farewell is
 // acknowledged on the strength of this. Rounds of gossip alone were too slow while a service is
 // released: its new endpoints' descriptions use up the byte budget, and the last entries heard of
-// farewells after 2 to 10 s. These datagrams are small and rare, so they go out over the budget.
+// farewells after 2 to 10 s. These datagrams are small and rare, so they go out over the budget;
+// what many endpoints do at once, as when their home is lost, waits for the rounds.
 void Membership::passOn(const std::vector<endpoints::EndpointRecord> &records,
                         GossipActions &actions)
 {
@@ -158,7 +159,7 @@
         message.endpointRecords.push_back(record);
     }
     for (const MemberEntry *peer :
-         this->memberTable.randomLive(this->settings.criticalFanout, this->settings.self,
+         this->memberTable.randomLive(this->settings.farewellFanout, this->settings.self,
                                       this->settings.self, this->random))
         this->sendBare(actions, peer->record.description->gossip, message);
 }
@@ -292,7 +293,7 @@
     this->news.add({NewsSubject::Endpoint, record.id.value()},
                    full ? NewsForm::Full : NewsForm::Short,
                    full ? NewsUrgency::Ordinary : NewsUrgency::Critical);
-    if (!full)
+    if (!full && endsWork(merged.record))
         this->passOn({shortForm(merged.record)}, actions);
     return actions;
 }
--- a/src/coordination/membership/Membership.h
+++ b/src/coordination/membership/Membership.h
@@ -95,7 +95,7 @@
 
     void probe(GossipActions &actions, state::Instant now);
     void gossip(GossipActions &actions, state::Instant now);
-    // Sends critical news that have just been heard to a few members, at once.
+    // Sends farewells and drains that have just been heard to a few members, at once.
     void passOn(const std::vector<endpoints::EndpointRecord> &records, GossipActions &actions);
     void exchange(GossipActions &actions, state::Instant now);
     void reconnect(GossipActions &actions, state::Instant now);
--- a/src/coordination/membership/MembershipSettings.h
+++ b/src/coordination/membership/MembershipSettings.h
@@ -26,10 +26,10 @@
     // members. Ordinary news are whole descriptions, which the exchange repairs if they are missed.
     // Critical ones are rare, and one member that misses them sends work to a leaving endpoint.
     unsigned criticalNewsFactor = 8;
-    // Members to which each one passes critical news on in the moment in which it hears them,
-    // beside the rounds of gossip. All but one in 150 hear of it so within four hops (1 - e^-5);
-    // the bytes are five small datagrams a member, whatever the number of members.
-    unsigned criticalFanout = 5;
+    // Members to which each one passes farewells and drains on in the moment in which it hears
+    // them, beside the rounds of gossip. All but one in 150 hear of it so within four hops (1 -
+    // e^-5); the bytes are five small datagrams a member, whatever the number of members.
+    unsigned farewellFanout = 5;
     unsigned urgentNewsFactor = 4;
     unsigned ordinaryNewsFactor = 2;
     state::Duration syncInterval = std::chrono::seconds(5);
