--- a/src/program/SilenceWatch.cpp
+++ b/src/program/SilenceWatch.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace lavenderthread::program {
