Admission: a waiting long prompt outlives its engines; one way out of the queues

Found in reading the change again: the entry reckoned a waiting prompt's engine time anew for each word to its peers, from the model's engines, though the queue keeps it. With all engines gone, or their profile taken away by a configuration, it crashed (waitingPromptOutlivesItsEngines ended with signal 11 before). The queue's prompt is used, a request leaves the queue that holds it and not the one that it would go to now, and three hashes of an id are one function.

--- a/src/coordination/admission/Dispatcher.cpp
+++ b/src/coordination/admission/Dispatcher.cpp
@@ -62,7 +62,7 @@
     ++this->tally.admitted;
     Flight flight;
     flight.request = request;
-    flight.work = XXH3_64bits(request.id.value().data(), request.id.value().size());
+    flight.work = workOf(request.id);
     flight.lengthClass = lengthClass;
     flight.span = this->needsSpan(request);
     this->deadlines.emplace(request.deadline, request.id);
@@ -160,11 +160,11 @@
     if (found == this->flights.end())
         return;
     Flight &flight = found->second;
-    if (flight.phase == Phase::Queued && this->isLong(flight.request))
-        this->tellWaiting(flight, routing::WorkStage::Ended);
-    else if (flight.phase == Phase::Queued)
-        this->queue.remove(this->queuedOf(flight));
-    this->longQueue.remove(flight.work);
+    if (flight.phase == Phase::Queued) {
+        if (const auto prompt = this->longQueue.findOwn(flight.work))
+            this->tellWaiting(flight, *prompt, routing::WorkStage::Ended);
+        this->dequeue(flight);
+    }
     const bool onEngine = flight.phase == Phase::Prefilling || flight.phase == Phase::Decoding;
     if (onEngine) {
         if (flight.handedOver) {
@@ -180,6 +180,21 @@
     this->flights.erase(found);
 }
 
+std::uint64_t Dispatcher::workOf(const state::RequestId &id)
+{
+    return XXH3_64bits(id.value().data(), id.value().size());
+}
+
+// Not by what the request is now: its model's engines may have ended, or work otherwise, since it
+// was queued.
+void Dispatcher::dequeue(const Flight &flight)
+{
+    if (this->longQueue.findOwn(flight.work))
+        this->longQueue.remove(flight.work);
+    else
+        this->queue.remove(this->queuedOf(flight));
+}
+
 void Dispatcher::refuse(const state::RequestId &id, RefusalReason reason,
                         state::Duration retryAfter)
 {
--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -159,7 +159,9 @@
     void refuseHopeless();
     state::Duration waitingPatience(const Flight &flight, state::Duration usual) const;
     void shareWaiting();
-    void tellWaiting(const Flight &flight, routing::WorkStage stage);
+    void tellWaiting(const Flight &flight, const WaitingPrompt &prompt, routing::WorkStage stage);
+    void dequeue(const Flight &flight);                      // from the queue that holds it
+    static std::uint64_t workOf(const state::RequestId &id); // what peers know the request by
     routing::PassRequest passRequestOf(const CompletionRequest &request) const;
     void reserveTickets(Flight &flight, const std::vector<routing::MemoryShare> &memory);
     void ticketAnswered(Flight &flight, const ReservationAnswered &event);
--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -2,8 +2,6 @@
 // once, since the engines' own queues cost nothing that waiting here would save.
 #include "coordination/admission/Dispatcher.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <cmath>
 
@@ -43,7 +41,7 @@
     wanted.promptTokens = request.promptTokens;
     wanted.outputTokens = request.maximumOutputTokens * this->policy.expectedOutputShare;
     wanted.memoryTokens = request.promptTokens + request.maximumOutputTokens;
-    wanted.draw = XXH3_64bits(request.id.value().data(), request.id.value().size());
+    wanted.draw = workOf(request.id);
     return wanted;
 }
 
@@ -51,10 +49,9 @@
 {
     if (!this->isLong(request))
         return this->briefRefusal(request);
-    const std::uint64_t work = XXH3_64bits(request.id.value().data(), request.id.value().size());
     const routing::LongOutlook outlook =
             this->engines.longOutlook(request.model, this->passRequestOf(request), this->now);
-    const WaitingPrompt prompt{work, outlook.engineSeconds, request.arrival};
+    const WaitingPrompt prompt{workOf(request.id), outlook.engineSeconds, request.arrival};
     return this->longRefusal(request, outlook, this->longQueue.secondsBefore(prompt, this->now));
 }
 
@@ -182,12 +179,12 @@
         return;
     this->longSharedAt = this->now;
     for (const auto &[id, prompt] : this->longQueue.own())
-        this->tellWaiting(this->flights.at(id), routing::WorkStage::Waiting);
+        this->tellWaiting(this->flights.at(id), prompt, routing::WorkStage::Waiting);
 }
 
-void Dispatcher::tellWaiting(const Flight &flight, routing::WorkStage stage)
+void Dispatcher::tellWaiting(const Flight &flight, const WaitingPrompt &prompt,
+                             routing::WorkStage stage)
 {
-    const WaitingPrompt prompt = this->waitingOf(flight);
     routing::WorkNote note;
     note.stage = stage;
     note.work = flight.work;
@@ -218,10 +215,7 @@
                      none ? retryWithoutEngines : retryWhenFull);
         return true;
     }
-    if (this->isLong(request))
-        this->longQueue.remove(flight.work);
-    else
-        this->queue.remove(this->queuedOf(flight));
+    this->dequeue(flight);
     flight.plan.parts = {{choice->engine, 0, request.promptTokens, 0, false}};
     flight.helpers = choice->helpers;
     flight.partSeconds = choice->partSeconds;
--- a/src/coordination/admission/DispatcherPlacing.cpp
+++ b/src/coordination/admission/DispatcherPlacing.cpp
@@ -280,8 +280,9 @@
 {
     flight.phase = Phase::Queued;
     if (this->isLong(flight.request)) {
-        this->longQueue.add(flight.request.id, this->waitingOf(flight));
-        this->tellWaiting(flight, routing::WorkStage::Waiting);
+        const WaitingPrompt prompt = this->waitingOf(flight);
+        this->longQueue.add(flight.request.id, prompt);
+        this->tellWaiting(flight, prompt, routing::WorkStage::Waiting);
         return;
     }
     this->queue.push(this->queuedOf(flight), front, this->now);
--- a/src/coordination/admission/LongQueue.cpp
+++ b/src/coordination/admission/LongQueue.cpp
@@ -74,6 +74,13 @@
     return seconds;
 }
 
+std::optional<WaitingPrompt> LongQueue::findOwn(std::uint64_t work) const
+{
+    if (!this->ids.contains(work))
+        return std::nullopt;
+    return this->order.at(this->ranks.at(work)).prompt;
+}
+
 std::vector<std::pair<state::RequestId, WaitingPrompt>> LongQueue::own() const
 {
     std::vector<std::pair<state::RequestId, WaitingPrompt>> found;
--- a/src/coordination/admission/LongQueue.h
+++ b/src/coordination/admission/LongQueue.h
@@ -49,6 +49,7 @@
     // Engine time of all that wait and go before this prompt.
     double secondsBefore(const WaitingPrompt &prompt, state::Instant now) const;
     std::vector<std::pair<state::RequestId, WaitingPrompt>> own() const;
+    std::optional<WaitingPrompt> findOwn(std::uint64_t work) const;
     bool hasOwn() const { return !this->ids.empty(); }
 
 private:
--- a/tests/coordination/admission/DispatcherPassesTest.cpp
+++ b/tests/coordination/admission/DispatcherPassesTest.cpp
@@ -71,6 +71,7 @@
     CPPUNIT_TEST(movedPromptWaitsBeyondItsTarget);
     CPPUNIT_TEST(moveIsPaidForOnce);
     CPPUNIT_TEST(lastEngineServesLongPromptsToo);
+    CPPUNIT_TEST(waitingPromptOutlivesItsEngines);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -122,6 +123,25 @@
         CPPUNIT_ASSERT(rig.got<Refuse>().empty());
     }
 
+    // A long prompt waits while its model's engines all end. The entry tells its peers again and
+    // again of what waits; it reckoned the prompt's engine time anew from the engines that it knew,
+    // and with none left it crashed.
+    void waitingPromptOutlivesItsEngines()
+    {
+        Rig rig;
+        rig.setDraining(true);
+        CompletionRequest next = rig.longRequest();
+        next.id = state::RequestId("next");
+        rig.handle(RequestArrived{next});
+        for (std::size_t index = 0; index < Rig::engines; ++index)
+            rig.handle(EngineGone{Rig::engine(index).id});
+        rig.now += milliseconds(200);
+        rig.handle(Tick{});
+        CPPUNIT_ASSERT(!rig.got<ShareWork>().empty());
+        rig.handle(CallerCancelled{next.id});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), rig.dispatcher->waiting());
+    }
+
     // All engines but one leave. A long prompt used to wait for an engine of the part for long
     // work, which was empty, and was refused at its target though the last engine was idle.
     void lastEngineServesLongPromptsToo()
