--- a/bench/PassEngine.cpp
+++ b/bench/PassEngine.cpp
@@ -6,27 +6,60 @@
 
 namespace lavenderthread::bench {
 
-void PassEngine::prefill(std::uint64_t work, double tokens, double seconds, bool helping)
+void PassEngine::ask(std::uint64_t work, double tokens, double seconds, double memory, int priority)
 {
-    const Part part{work, tokens, seconds / std::max(tokens, 1.0), helping};
-    if (helping) {
-        this->parts.insert(this->parts.begin(), part);
-    } else if (this->placed.size() < this->profile.slots) {
-        this->placed.push_back(work);
-        this->parts.push_back(part);
-    } else {
-        this->queue.push_back(part);
+    const Asked asked{{work, tokens, seconds / std::max(tokens, 1.0)}, memory, priority};
+    const auto place = std::ranges::upper_bound(this->queue, priority, {}, &Asked::priority);
+    this->queue.insert(place, asked);
+    this->admitWaiting();
+}
+
+void PassEngine::help(std::uint64_t work, double tokens, double seconds)
+{
+    this->parts.insert(this->parts.begin(), {work, tokens, seconds / std::max(tokens, 1.0)});
+}
+
+bool PassEngine::reserve(const std::string &lease, double tokens)
+{
+    if (this->usedMemory() + tokens > double(this->profile.kvCapacityTokens))
+        return false;
+    this->reserved[lease] = tokens;
+    return true;
+}
+
+void PassEngine::release(const std::string &lease)
+{
+    this->reserved.erase(lease);
+    this->admitWaiting();
+}
+
+double PassEngine::usedMemory() const
+{
+    double used = 0;
+    for (const auto &[work, memory] : this->placed)
+        used += memory;
+    for (const auto &[lease, memory] : this->reserved)
+        used += memory;
+    return used;
+}
+
+void PassEngine::admitWaiting()
+{
+    while (!this->queue.empty() && this->placed.size() < this->profile.slots) {
+        const Asked next = this->queue.front();
+        if (this->usedMemory() + next.memory > double(this->profile.kvCapacityTokens))
+            return;
+        this->queue.erase(this->queue.begin());
+        this->placed[next.part.work] = next.memory;
+        this->parts.push_back(next.part);
+        this->hooks.admitted(next.part.work);
     }
 }
 
-void PassEngine::release(std::uint64_t work)
+void PassEngine::leave(std::uint64_t work)
 {
-    std::erase(this->placed, work);
-    if (this->queue.empty() || this->placed.size() >= this->profile.slots)
-        return;
-    this->placed.push_back(this->queue.front().work);
-    this->parts.push_back(this->queue.front());
-    this->queue.erase(this->queue.begin());
+    this->placed.erase(work);
+    this->admitWaiting();
 }
 
 void PassEngine::decode(std::uint64_t work, double contextTokens, std::uint32_t events)
@@ -36,10 +69,10 @@
 
 void PassEngine::cancel(std::uint64_t work)
 {
-    std::erase_if(this->queue, [work](const Part &part) { return part.work == work; });
+    std::erase_if(this->queue, [work](const Asked &asked) { return asked.part.work == work; });
     std::erase_if(this->parts, [work](const Part &part) { return part.work == work; });
     std::erase_if(this->writers, [work](const Writer &writer) { return writer.work == work; });
-    this->release(work);
+    this->leave(work);
 }
 
 // Prefills up to so many tokens; gives the time that it takes.
@@ -92,7 +125,7 @@
         const bool last = --writer->events == 0;
         if (last) {
             this->writers.erase(writer);
-            this->release(wrote.work);
+            this->leave(wrote.work);
         }
         this->hooks.event(wrote.work, last);
     }
--- a/bench/PassEngine.h
+++ b/bench/PassEngine.h
@@ -1,5 +1,7 @@
 // Stand-in of an engine that works in passes, in virtual time: prefill in pieces between the tokens
 // of others, parts of prompts for other engines ahead of own ones and the newest of them first.
+// A request is admitted when it has a place and its prompt's memory; until then it waits, with all
+// behind it, and its helpers have nothing to do yet.
 #pragma once
 
 #include "state/Time.h"
@@ -7,7 +9,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace lavenderthread::bench {
@@ -17,6 +21,7 @@
 public:
     struct Hooks
     {
+        std::function<void(std::uint64_t work)> admitted; // its helpers may begin
         std::function<void(std::uint64_t work)> partDone; // a part of that prompt is prefilled
         std::function<void(std::uint64_t work, bool last)>
                 event; // so many tokens as a pass has steps
@@ -27,14 +32,20 @@
         , hooks(std::move(engineHooks))
     {}
 
-    // `seconds`: engine time of the part; `tokens` of it are prefilled.
-    void prefill(std::uint64_t work, double tokens, double seconds, bool helping);
+    // A request of its own. `seconds`: engine time of its part, in which `tokens` are prefilled;
+    // `memory`: tokens that it keeps here. Lower priorities are admitted first.
+    void ask(std::uint64_t work, double tokens, double seconds, double memory, int priority);
+    // A part of a prompt that another engine answers.
+    void help(std::uint64_t work, double tokens, double seconds);
+    // False if the memory isn't free.
+    bool reserve(const std::string &lease, double tokens);
+    void release(const std::string &lease);
     // All parts of the prompt are done; it decodes from the next pass on.
     void decode(std::uint64_t work, double contextTokens, std::uint32_t events);
     void cancel(std::uint64_t work);
 
     bool isIdle() const { return this->parts.empty() && this->writers.empty(); }
-    // Requests that wait for a place; parts for other engines need none.
+    // Requests that wait for a place or memory; parts for other engines need neither.
     std::size_t queued() const { return this->queue.size(); }
     // Begins a pass if none runs and there is work; gives the time at which it ends.
     std::optional<state::Instant> begin(state::Instant now);
@@ -47,7 +58,12 @@
         std::uint64_t work = 0;
         double tokens = 0; // left
         double secondsPerToken = 0;
-        bool helping = false;
+    };
+    struct Asked
+    {
+        Part part;
+        double memory = 0;
+        int priority = 0;
     };
     struct Writer
     {
@@ -57,13 +73,16 @@
     };
 
     double readSome(double tokens);
-    void release(std::uint64_t work); // its place goes to the first that waits
+    double usedMemory() const;
+    void admitWaiting();
+    void leave(std::uint64_t work); // its place and memory go to the first that waits
 
     state::routes::EngineProfile profile;
     Hooks hooks;
-    std::vector<Part> parts; // helping ones first, the newest ahead; then own ones in their order
-    std::vector<Part> queue; // own requests without a place
-    std::vector<std::uint64_t> placed; // own requests with one, at most as many as there are slots
+    std::vector<Part> parts;  // helping ones first, the newest ahead; then own ones in their order
+    std::vector<Asked> queue; // own requests that are not admitted, by priority, then as they came
+    std::map<std::uint64_t, double> placed; // memory of the admitted, at most as many as slots
+    std::map<std::string, double> reserved; // memory by lease
     std::vector<Writer> writers;
     std::vector<Writer> writing;     // in the pass that runs
     std::vector<std::uint64_t> done; // parts that the pass that runs ends
--- a/bench/PassFleetRun.cpp
+++ b/bench/PassFleetRun.cpp
@@ -117,6 +117,7 @@
     this->result.seconds.resize(this->plan.classes.size());
     for (std::size_t index = 0; index < this->plan.engines; ++index) {
         PassEngine::Hooks hooks;
+        hooks.admitted = [this](std::uint64_t work) { this->startHelpers(work); };
         hooks.partDone = [this](std::uint64_t work) { this->partDone(work); };
         hooks.event = [this](std::uint64_t work, bool last) { this->eventSent(work, last); };
         this->engines.push_back(std::make_unique<PassEngine>(this->plan.profile, hooks));
@@ -265,10 +266,13 @@
         for (const auto &engine : this->engines)
             engine->cancel(workOf(cancel->id));
     } else if (const auto *reserve = std::get_if<admission::Reserve>(&action)) {
-        this->at(this->now + hop * 2, [this, entry, asked = *reserve] {
-            this->handle(entry,
-                         admission::ReservationAnswered{asked.id, asked.engine, asked.lease, true});
-        });
+        this->at(this->now + hop, [this, entry, asked = *reserve] { this->reserve(entry, asked); });
+    } else if (const auto *release = std::get_if<admission::Release>(&action)) {
+        this->at(this->now + hop,
+                 [this, engine = this->engineOf(release->engine), lease = release->lease] {
+                     this->engines[engine]->release(lease);
+                     this->startPass(engine);
+                 });
     } else if (const auto *share = std::get_if<admission::ShareWork>(&action)) {
         this->at(this->now + noteDelay, [this, entry, note = share->note] {
             for (std::size_t peer = 0; peer < this->plan.entries; ++peer) {
@@ -292,16 +296,42 @@
         return;
     request.attempt = action.attempt;
     request.engine = this->engineOf(action.engine);
-    request.partsLeft = action.helpers.size() + 1;
-    const double parts = double(request.partsLeft);
-    const double seconds =
-            state::routes::prefillSeconds(this->plan.profile, request.tokens) / parts;
-    this->engines[request.engine]->prefill(work, request.tokens / parts, seconds, false);
+    request.helpers.clear();
     for (const state::EndpointId &helper : action.helpers)
-        this->engines[this->engineOf(helper)]->prefill(work, request.tokens / parts, seconds, true);
+        request.helpers.push_back(this->engineOf(helper));
+    request.partsLeft = request.helpers.size() + 1;
+    const double parts = double(request.partsLeft);
+    request.partTokens = request.tokens / parts;
+    request.partSeconds = state::routes::prefillSeconds(this->plan.profile, request.tokens) / parts;
+    const double memory = std::max(0.0, double(request.tokens) - request.reserved);
+    this->engines[request.engine]->ask(work, request.partTokens, request.partSeconds, memory,
+                                       action.priority);
     this->startPass(request.engine);
-    for (const state::EndpointId &helper : action.helpers)
-        this->startPass(this->engineOf(helper));
+}
+
+void PassFleetRun::startHelpers(std::uint64_t work)
+{
+    const Request &request = this->requests.at(work);
+    for (const std::size_t helper : request.helpers) {
+        this->engines[helper]->help(work, request.partTokens, request.partSeconds);
+        this->startPass(helper);
+    }
+}
+
+// Renewals of a lease that is held change nothing.
+void PassFleetRun::reserve(std::size_t entry, const admission::Reserve &action)
+{
+    Request &request = this->requests.at(workOf(action.id));
+    const bool renewed = request.leases.contains(action.lease);
+    const bool granted =
+            renewed
+            || this->engines[this->engineOf(action.engine)]->reserve(action.lease, action.tokens);
+    if (granted && request.leases.insert(action.lease).second)
+        request.reserved += action.tokens;
+    this->at(this->now + hop, [this, entry, asked = action, granted] {
+        this->handle(entry,
+                     admission::ReservationAnswered{asked.id, asked.engine, asked.lease, granted});
+    });
 }
 
 void PassFleetRun::startPass(std::size_t engine)
--- a/bench/PassFleetRun.h
+++ b/bench/PassFleetRun.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <queue>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -108,7 +109,12 @@
         state::Instant deadline;
         std::uint32_t attempt = 0;
         std::size_t engine = 0;
+        std::vector<std::size_t> helpers;
+        double partTokens = 0;
+        double partSeconds = 0;
         std::size_t partsLeft = 0;
+        double reserved = 0; // tokens held for it at helpers
+        std::set<std::string> leases;
         std::optional<state::Instant> first;
         state::Instant lastEvent;
         state::Duration longestPause{0};
@@ -123,6 +129,8 @@
     void handle(std::size_t entry, const coordination::admission::Event &event);
     void carryOut(std::size_t entry, const coordination::admission::Action &action);
     void dispatch(const coordination::admission::Dispatch &action);
+    void startHelpers(std::uint64_t work);
+    void reserve(std::size_t entry, const coordination::admission::Reserve &action);
     void wake(std::size_t entry);
     void startPass(std::size_t engine);
     void partDone(std::uint64_t work);
