Peers: news to many peers go out at the link's pace

Cause: a note about a long prompt names up to 17 engines; sent to 116 peers in one go it is more than a link of 14 Mbit/s holds, and what is beyond was dropped without a word. The peers at the end of the list (two zones of three) saw 0.33 to 0.8 of the long work that others had placed, filled the memory of engines that others had filled, and sent narratives to engines that prefilled long parts: pauses of 1.4 s. Found by comparing what each entry says it saw at a placement with what had been placed. Ruled out: the socket's buffer (nothing was refused there; a queue on it alone changed nothing). Change: DatagramQueue holds what can't go yet, GossipSocket spreads it by vm.link_mbps; losses are counted (news_datagrams_lost) and logged (news.lost). ByteBudget moves to state, for both users.

--- a/src/coordination/membership/Membership.h
+++ b/src/coordination/membership/Membership.h
@@ -3,12 +3,12 @@
 #pragma once
 
 #include "coordination/endpoints/EndpointTable.h"
-#include "coordination/membership/ByteBudget.h"
 #include "coordination/membership/FailureDetector.h"
 #include "coordination/membership/GossipMessage.h"
 #include "coordination/membership/MemberTable.h"
 #include "coordination/membership/MembershipSettings.h"
 #include "coordination/membership/NewsQueue.h"
+#include "state/ByteBudget.h"
 #include "state/Error.h"
 
 #include <random>
@@ -143,7 +143,7 @@
     endpoints::EndpointTable endpointRecords;
     NewsQueue news;
     FailureDetector failureDetector;
-    ByteBudget budget;
+    state::ByteBudget budget;
     GossipCounters gossipCounters;
     MemberStatus ownStatus;
     std::map<std::uint32_t, Relay> relays; // by the sequence of the ping sent for the requester
--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -18,6 +18,12 @@
 // News wait this long so that several share a datagram; well under the lag of load reports.
 constexpr std::chrono::milliseconds newsBatchTime{5};
 constexpr std::size_t longestNewsQueue = 4'096;
+// Of the link, for news to peers; the other half is for answers.
+constexpr double newsLinkShare = 0.5;
+// Sent at once: a link of 14 Mbit/s was seen to drop what is beyond 30,000 bytes.
+constexpr double newsBurstBytes = 16'000;
+constexpr double bytesPerMegabit = 125'000;
+constexpr std::chrono::seconds newsLossLogged{1}; // at most one line in that time
 // Heartbeats that an endpoint may miss: one is lost with its connection, and the next goes to
 // another node after a second without an answer.
 constexpr int heartbeatsMissed = 4;
@@ -114,7 +120,10 @@
                               this->strand, this->settings.entry.listen,
                               [this](std::string_view datagram, const state::Address &) {
                                   this->newsDatagram(datagram);
-                              }));
+                              },
+                              transport::DatagramPace{this->settings.linkMbps * bytesPerMegabit
+                                                              * newsLinkShare,
+                                                      newsBurstBytes}));
     return state::outcome::success();
 }
 
@@ -356,6 +365,27 @@
         for (const std::string &datagram : datagrams)
             this->newsSocket->send(member.record.description->caller, datagram);
     }
+    this->logLostNews();
+}
+
+void Cluster::logLostNews()
+{
+    const transport::DatagramQueue &outgoing = this->newsSocket->outgoing();
+    const std::uint64_t lost = outgoing.dropped() + outgoing.refused();
+    const state::Instant now = monotonicNow();
+    if (lost == this->lostNewsLogged || now < this->lostNewsLoggedAt + newsLossLogged)
+        return;
+    this->lostNewsLogged = lost;
+    this->lostNewsLoggedAt = now;
+    logEvent(LogLevel::Warning, "news.lost",
+             {{"dropped", outgoing.dropped()}, {"refused", outgoing.refused()}});
+}
+
+std::uint64_t Cluster::newsLost() const
+{
+    if (!this->newsSocket)
+        return 0;
+    return this->newsSocket->outgoing().dropped() + this->newsSocket->outgoing().refused();
 }
 
 void Cluster::newsDatagram(std::string_view datagram)
--- a/src/program/Cluster.h
+++ b/src/program/Cluster.h
@@ -74,6 +74,8 @@
     void markDrain(const state::EndpointId &endpoint, state::log::LogPosition position,
                    bool draining);
     void share(protocol::PeerNews news);
+    // Datagrams with news that were never sent, since the start. Any thread.
+    std::uint64_t newsLost() const;
 
     std::shared_ptr<MembershipService> service() const { return this->membership; }
 
@@ -90,6 +92,7 @@
     void newsDatagram(std::string_view datagram);
     void armFlush();
     void flush();
+    void logLostNews();
 
     struct Belief
     {
@@ -111,6 +114,8 @@
     std::shared_ptr<transport::GossipSocket> newsSocket;
     std::vector<protocol::PeerNews> pendingNews; // on the strand
     bool flushArmed = false;
+    std::uint64_t lostNewsLogged = 0; // what the last line told
+    state::Instant lostNewsLoggedAt{};
 };
 
 } // namespace lavenderthread::program
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -462,6 +462,8 @@
                             [this] { return this->client && this->client->admits() ? 1.0 : 0.0; });
         this->metrics.gauge("endpoints_known",
                             [this] { return double(this->registry->table()->endpoints.size()); });
+        this->metrics.gauge("news_datagrams_lost",
+                            [this] { return double(this->cluster->newsLost()); });
         transport::HttpServer::Hooks hooks;
         hooks.handle = [this](transport::HttpExchange &exchange) -> asio::awaitable<void> {
             protocol::HttpResponse answer;
--- a/src/program/Settings.cpp
+++ b/src/program/Settings.cpp
@@ -152,6 +152,7 @@
     settings.vm = state::VmId(document.text("vm.id"));
     settings.failureDomain = state::FailureDomain(document.text("vm.failure_domain"));
     settings.region = state::Region(document.text("vm.region"));
+    settings.linkMbps = document.number("vm.link_mbps");
     settings.entry = entrySettings(document);
     settings.endpoint = endpointSettings(document);
     settings.gossipListen = optionalAddress(document.text("gossip.listen"));
--- a/src/program/Settings.h
+++ b/src/program/Settings.h
@@ -84,6 +84,7 @@
     state::VmId vm;
     state::FailureDomain failureDomain;
     state::Region region;
+    double linkMbps = 0;
     EntrySettings entry;
     EndpointSettings endpoint;
     RelaySettings relay;
--- a/src/program/SettingsRules.cpp
+++ b/src/program/SettingsRules.cpp
@@ -23,6 +23,9 @@
              "control members"},
             {"vm.id", Text, "", nullptr, true, 1, 128, "name of this node, the same over restarts"},
             {"vm.failure_domain", Text, "", nullptr, true, 1, 64, "failure domain of this VM"},
+            {"vm.link_mbps", Number, "Mbit/s", 1'000, false, 0.1, 1'000'000,
+             "rate of this VM's link; news to many peers are spread over time so that they take "
+             "half of it"},
             {"vm.region", Text, "", "default", false, 1, 64, "region of this VM"},
             {"entry.listen", IpAddress, "", nullptr, true, 0, 0,
              "where callers, operators and endpoints connect; told to callers as it stands"},
--- a/src/state/ByteBudget.h
+++ b/src/state/ByteBudget.h
@@ -1,4 +1,4 @@
-// Token bucket over the bytes that one member sends for gossip.
+// Token bucket over the bytes that one process sends for a purpose.
 #pragma once
 
 #include "state/Time.h"
@@ -6,12 +6,12 @@
 #include <algorithm>
 #include <cstddef>
 
-namespace lavenderthread::coordination::membership {
+namespace lavenderthread::state {
 
 class ByteBudget
 {
 public:
-    ByteBudget(double bytesPerSecond, double burstBytes, double leastBytes, state::Instant start)
+    ByteBudget(double bytesPerSecond, double burstBytes, double leastBytes, Instant start)
         : rate(bytesPerSecond)
         , burst(burstBytes)
         , least(leastBytes)
@@ -19,8 +19,8 @@
         , refilledAt(start)
     {}
 
-    // Below zero once probes, which are sent in any case, have used more than there was.
-    double left(state::Instant now)
+    // Below zero once what is sent in any case has used more than there was.
+    double left(Instant now)
     {
         const std::chrono::duration<double> elapsed = now - this->refilledAt;
         this->refilledAt = now;
@@ -35,11 +35,11 @@
 private:
     double rate;  // bytes a second
     double burst; // bytes
-    // Debt stops here: on a network so bad that probes alone use up the rate, a debt without end
-    // would never again leave a byte for the exchange.
+    // Debt stops here: where what is sent in any case alone uses up the rate, as probes on a bad
+    // network, a debt without end would never again leave a byte for the rest.
     double least;
     double available;
-    state::Instant refilledAt;
+    Instant refilledAt;
 };
 
-} // namespace lavenderthread::coordination::membership
+} // namespace lavenderthread::state
--- a/src/transport/GossipSocket.cpp
+++ b/src/transport/GossipSocket.cpp
@@ -11,14 +11,36 @@
 namespace asio = boost::asio;
 using asio::ip::udp;
 
-GossipSocket::GossipSocket(const asio::any_io_executor &strand, Handler chosen)
+namespace {
+
+constexpr std::size_t headerBytes = 28;          // of IP and UDP
+constexpr std::chrono::milliseconds paceTick{1}; // a slow link sends one or two datagrams in it
+
+state::Instant monotonicNow()
+{
+    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
+    return state::Instant(std::chrono::duration_cast<state::Duration>(sinceStart));
+}
+
+} // namespace
+
+GossipSocket::GossipSocket(const asio::any_io_executor &strand, Handler chosen,
+                           const std::optional<DatagramPace> &pace)
     : socket(strand)
     , handler(std::move(chosen))
-{}
+    , queue([this](const state::Address &to, std::string_view datagram) {
+        return this->transmit(to, datagram);
+    })
+    , paceTimer(strand)
+{
+    if (pace)
+        this->budget.emplace(pace->bytesPerSecond, pace->burstBytes, -pace->burstBytes,
+                             monotonicNow());
+}
 
 state::Result<std::shared_ptr<GossipSocket>>
 GossipSocket::create(const asio::any_io_executor &strand, const state::Address &bind,
-                     Handler handler)
+                     Handler handler, const std::optional<DatagramPace> &pace)
 {
     const auto fail = [&](const boost::system::error_code &code) {
         return state::makeError(state::ErrorCode::Unavailable, "gossip.bind", code.message(),
@@ -28,7 +50,7 @@
     const asio::ip::address ip = asio::ip::make_address(bind.ip, code);
     if (code)
         return fail(code);
-    std::shared_ptr<GossipSocket> made(new GossipSocket(strand, std::move(handler)));
+    std::shared_ptr<GossipSocket> made(new GossipSocket(strand, std::move(handler), pace));
     const udp::endpoint local(ip, bind.port);
     made->socket.open(local.protocol(), code);
     if (!code)
@@ -47,18 +69,58 @@
 }
 
 void GossipSocket::send(const state::Address &to, std::string_view datagram)
+{
+    if (!this->socket.is_open())
+        return;
+    this->queue.send(to, datagram);
+    this->awaitRoom();
+}
+
+// Spends what it allows.
+bool GossipSocket::mayGo(std::size_t bytes)
+{
+    if (!this->budget)
+        return true;
+    if (this->budget->left(monotonicNow()) <= 0)
+        return false;
+    this->budget->spend(bytes + headerBytes);
+    return true;
+}
+
+Sent GossipSocket::transmit(const state::Address &to, std::string_view datagram)
 {
     boost::system::error_code code;
     const asio::ip::address ip = asio::ip::make_address(to.ip, code);
-    if (code || !this->socket.is_open())
-        return;
+    if (code)
+        return Sent::Refused;
+    if (!this->mayGo(datagram.size()))
+        return Sent::Blocked;
     this->socket.send_to(asio::buffer(datagram.data(), datagram.size()), {ip, to.port}, 0, code);
+    if (code == asio::error::would_block || code == asio::error::no_buffer_space)
+        return Sent::Blocked;
+    return code ? Sent::Refused : Sent::Taken;
+}
+
+// In the budget or in the system's buffer: either way a moment later.
+void GossipSocket::awaitRoom()
+{
+    if (this->queue.empty() || std::exchange(this->awaitsRoom, true))
+        return;
+    this->paceTimer.expires_after(paceTick);
+    this->paceTimer.async_wait([self = this->shared_from_this()](boost::system::error_code code) {
+        self->awaitsRoom = false;
+        if (code || !self->socket.is_open())
+            return;
+        self->queue.flush();
+        self->awaitRoom();
+    });
 }
 
 void GossipSocket::close()
 {
     boost::system::error_code code;
     this->socket.close(code);
+    this->paceTimer.cancel();
 }
 
 void GossipSocket::receive()
