Routing: a note of work says what its stage needs, and names engines by key

Cause: three notes a request go to every peer, 142 to 480 bytes each: nearly all bytes between zones of a fleet of 126 nodes. The later stages repeated what the first had told. The first try looked a part up before views expired what is past its deadline and crashed; the address sanitizer found it, FleetTest keeps it.

--- a/bench/FleetRun.cpp
+++ b/bench/FleetRun.cpp
@@ -57,6 +57,7 @@
         Engine engine;
         engine.model = std::make_unique<EngineModel>(profile.shape, description);
         this->engineIndex.emplace(description.id.value(), index);
+        this->indexByKey.emplace(routing::EngineKey::of(description.id), index);
         this->engines.push_back(std::move(engine));
     }
     for (std::size_t index = 0; index < profile.entries; ++index) {
@@ -265,7 +266,7 @@
 
 void FleetRun::share(std::size_t entry, const routing::WorkNote &note)
 {
-    const Engine &engine = this->engines[this->engineIndex.at(note.engine.value())];
+    const Engine &engine = this->engines[this->indexByKey.at(note.engine)];
     for (const std::size_t peer : engine.watchers) {
         if (peer == entry)
             continue;
--- a/bench/FleetRun.h
+++ b/bench/FleetRun.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <queue>
 #include <random>
@@ -131,6 +132,7 @@
     std::vector<Entry> entries;
     std::vector<Engine> engines;
     std::unordered_map<std::string, std::size_t> engineIndex;
+    std::map<coordination::routing::EngineKey, std::size_t> indexByKey;
     std::unordered_map<std::string, Outcome> requests;
     std::vector<Arrival> traffic;
     std::vector<std::vector<double>> serviceSamples; // each second, by account
--- a/bench/peer-news-bench.cpp
+++ b/bench/peer-news-bench.cpp
@@ -12,7 +12,7 @@
 {
     const protocol::SealKeys keys{{"bench-cluster-key"}};
     coordination::routing::WorkNote note;
-    note.engine = state::EndpointId("engine-0417");
+    note.engine = coordination::routing::EngineKey::of(state::EndpointId("engine-0417"));
     note.key = {state::ClientAccountId("account-10042"), state::WorkClass("narrative")};
     note.promptTokens = 4'000;
     note.prefillTokens = 3'000;
--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -126,6 +126,7 @@
     void attemptLost(Flight &flight, const state::EndpointId &engine, bool didNotRun,
                      bool engineLost);
     // Applies a work note to the own view and sends it to the peers.
+    void describe(const Flight &flight, std::size_t part, routing::WorkNote &note) const;
     void tell(const Flight &flight, std::size_t part, routing::WorkStage stage,
               std::uint32_t prefillTokens = 0, std::uint32_t chargedTokens = 0,
               std::uint8_t priority = 0);
--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -77,9 +77,10 @@
     this->applyNote(note);
     if (note.chargedTokens > 0)
         this->queue.charge(note.key, note.chargedTokens, this->now);
-    if (note.stage == routing::WorkStage::Dispatched) {
+    const routing::EngineView *view = this->engines.find(note.engine);
+    if (note.stage == routing::WorkStage::Dispatched && view != nullptr) {
         const double prefill = std::min(note.chargedTokens, note.prefillTokens);
-        this->engines.noteDemand(note.engine, note.promptTokens, prefill, this->now);
+        this->engines.noteDemand(*view, note.promptTokens, prefill, this->now);
     }
 }
 
@@ -194,30 +195,40 @@
     this->enqueue(flight, true);
 }
 
-void Dispatcher::tell(const Flight &flight, std::size_t part, routing::WorkStage stage,
-                      std::uint32_t prefillTokens, std::uint32_t chargedTokens,
-                      std::uint8_t priority)
+// What its peers need to know of dispatched work.
+void Dispatcher::describe(const Flight &flight, std::size_t part, routing::WorkNote &note) const
 {
     const CompletionRequest &request = flight.request;
-    routing::WorkNote note;
-    note.stage = stage;
-    note.work = flight.work + part;
-    note.engine = flight.plan.parts[part].engine;
     note.key = request.tableKey();
     note.promptTokens = request.promptTokens;
-    note.prefillTokens = prefillTokens;
     note.outputTokens =
             std::uint32_t(request.maximumOutputTokens * this->policy.expectedOutputShare);
     note.memoryTokens = this->partMemory(flight, part);
     for (const Flight::Ticket &ticket : flight.tickets)
         note.memoryTokens -= std::min(note.memoryTokens, ticket.share.tokens);
-    note.chargedTokens = chargedTokens;
-    note.priority = priority;
+    note.lifetime = std::max(request.deadline - this->now, state::Duration(1));
     note.pause = request.pause;
-    note.helpers = flight.helpers;
+    for (const state::EndpointId &helper : flight.helpers)
+        note.helpers.push_back(routing::EngineKey::of(helper));
     for (const Flight::Ticket &ticket : flight.tickets)
         note.helperMemory.push_back(ticket.share.tokens);
-    note.lifetime = std::max(request.deadline - this->now, state::Duration(1));
+}
+
+void Dispatcher::tell(const Flight &flight, std::size_t part, routing::WorkStage stage,
+                      std::uint32_t prefillTokens, std::uint32_t chargedTokens,
+                      std::uint8_t priority)
+{
+    routing::WorkNote note;
+    note.stage = stage;
+    note.work = flight.work + part;
+    note.engine = routing::EngineKey::of(flight.plan.parts[part].engine);
+    note.hasHelpers = !flight.helpers.empty();
+    if (stage == routing::WorkStage::Dispatched) {
+        this->describe(flight, part, note);
+        note.prefillTokens = prefillTokens;
+        note.chargedTokens = chargedTokens;
+        note.priority = priority;
+    }
     this->on(PeerWorkNoted{note});
     if (this->policy.shareWork)
         this->actions.emplace_back(ShareWork{note});
--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -188,8 +188,6 @@
     routing::WorkNote note;
     note.stage = stage;
     note.work = flight.work;
-    note.key = flight.request.tableKey();
-    note.promptTokens = flight.request.promptTokens;
     note.age = this->now - flight.request.arrival;
     note.engineTime = toDuration(prompt.engineSeconds);
     if (this->policy.shareWork)
@@ -241,19 +239,21 @@
 
 void Dispatcher::applyNote(const routing::WorkNote &note)
 {
+    const bool dispatched = note.stage == routing::WorkStage::Dispatched;
+    if (note.hasHelpers && !dispatched)
+        this->engines.helpOver(note.work, note.stage, this->now);
     if (routing::EngineView *view = this->engines.find(note.engine)) {
         view->apply(note, this->now);
-        if (view->profile() && note.stage == routing::WorkStage::Dispatched) {
+        if (view->profile() && dispatched) {
             const double part = view->prefillSeconds(note.prefillTokens);
-            this->engines.noteLongPrefill(note.engine, part * double(note.helpers.size() + 1),
-                                          this->now);
+            this->engines.noteLongPrefill(*view, part * double(note.helpers.size() + 1), this->now);
         }
     }
     for (std::size_t index = 0; index < note.helpers.size(); ++index) {
         const std::uint32_t memory =
                 index < note.helperMemory.size() ? note.helperMemory[index] : 0;
         if (routing::EngineView *view = this->engines.find(note.helpers[index]))
-            view->applyHelp(note, memory, this->now);
+            view->help(note, memory, this->now);
     }
 }
 
--- a/src/coordination/routing/EngineView.cpp
+++ b/src/coordination/routing/EngineView.cpp
@@ -73,25 +73,39 @@
     this->work.insert(place, resident);
 }
 
-// A helper without reserved memory keeps nothing of the prompt: its part is over with the first
-// token. It prefills it ahead of what waits there, whatever its priority.
-void EngineView::applyHelp(const WorkNote &note, std::uint32_t memoryTokens, state::Instant now)
+// Prefilled ahead of what waits there, whatever its priority.
+void EngineView::help(const WorkNote &note, std::uint32_t memoryTokens, state::Instant now)
 {
     this->advance(now);
     std::erase_if(this->work, [&](const Resident &each) { return each.work == note.work; });
-    const bool prefills = note.stage == WorkStage::Dispatched;
-    if (note.stage == WorkStage::Ended || (!prefills && memoryTokens == 0))
-        return;
     Resident part;
     part.work = note.work;
-    part.prefillLeft = prefills ? double(note.prefillTokens) : 0;
+    part.prefillLeft = double(note.prefillTokens);
     part.memoryTokens = memoryTokens;
-    part.decoding = !prefills;
     part.expires = now + note.lifetime;
     part.helping = true;
     this->insert(part);
 }
 
+// A helper without reserved memory keeps nothing of the prompt: its part is over with the first
+// token.
+void EngineView::helpOver(std::uint64_t over, WorkStage stage, state::Instant now)
+{
+    const auto isPart = [over](const Resident &each) { return each.work == over && each.helping; };
+    if (std::ranges::none_of(this->work, isPart))
+        return;
+    this->advance(now); // may drop it, when its request's deadline has come
+    const auto part = std::ranges::find_if(this->work, isPart);
+    if (part == this->work.end())
+        return;
+    if (stage == WorkStage::Ended || part->memoryTokens == 0) {
+        this->work.erase(part);
+        return;
+    }
+    part->prefillLeft = 0;
+    part->decoding = true;
+}
+
 void EngineView::apply(const state::LoadReport &report, state::Instant now)
 {
     if (report.incarnation != this->endpoint.incarnation || report.sequence <= this->reportSequence)
--- a/src/coordination/routing/EngineView.h
+++ b/src/coordination/routing/EngineView.h
@@ -49,8 +49,11 @@
     {
         this->declared = profile;
     }
-    // The part of that work that this engine, as one of its helpers, prefills.
-    void applyHelp(const WorkNote &note, std::uint32_t memoryTokens, state::Instant now);
+    // The part of dispatched work that this engine, as one of its helpers, prefills, and the memory
+    // that it holds for it.
+    void help(const WorkNote &note, std::uint32_t memoryTokens, state::Instant now);
+    // That work decodes, or has ended: what this engine prefilled for it, if it did, is over.
+    void helpOver(std::uint64_t work, WorkStage stage, state::Instant now);
     void apply(const WorkNote &note, state::Instant now);
     void apply(const state::LoadReport &report, state::Instant now);
     void advance(state::Instant now); // lets the estimated work proceed up to now
--- a/src/coordination/routing/Fleet.cpp
+++ b/src/coordination/routing/Fleet.cpp
@@ -64,7 +64,9 @@
 void Fleet::rebuild()
 {
     this->byModel.clear();
-    for (const auto &[id, view] : this->engines) {
+    this->byKey.clear();
+    for (auto &[id, view] : this->engines) {
+        this->byKey[EngineKey::of(id)] = &view;
         for (const state::ModelName &model : view.description().models)
             this->byModel[model].ids.push_back(id);
     }
@@ -107,6 +109,18 @@
     return found == this->engines.end() ? nullptr : &found->second;
 }
 
+EngineView *Fleet::find(EngineKey engine)
+{
+    const auto found = this->byKey.find(engine);
+    return found == this->byKey.end() ? nullptr : found->second;
+}
+
+void Fleet::helpOver(std::uint64_t work, WorkStage stage, state::Instant now)
+{
+    for (auto &[id, view] : this->engines)
+        view.helpOver(work, stage, now);
+}
+
 const std::vector<state::EndpointId> &Fleet::watched(const state::ModelName &model) const
 {
     static const std::vector<state::EndpointId> none;
@@ -251,12 +265,11 @@
            * std::exp(-toSeconds(now - demand.at) / this->policy.passes.demandMemorySeconds);
 }
 
-void Fleet::noteLongPrefill(const state::EndpointId &engine, double seconds, state::Instant now)
+void Fleet::noteLongPrefill(const EngineView &engine, double seconds, state::Instant now)
 {
-    const EngineView *view = this->find(engine);
-    if (view == nullptr || seconds <= this->policy.passes.briefSeconds)
+    if (seconds <= this->policy.passes.briefSeconds)
         return;
-    for (const state::ModelName &model : view->description().models) {
+    for (const state::ModelName &model : engine.description().models) {
         LongDemand &demand = this->longDemand[model];
         demand.rate =
                 this->decayed(demand, now) + seconds / this->policy.passes.demandMemorySeconds;
@@ -305,14 +318,11 @@
            && !isBrief(*(*profiled)->profile(), promptTokens, this->policy.passes);
 }
 
-void Fleet::noteDemand(const state::EndpointId &engine, std::uint32_t promptTokens,
-                       double prefillTokens, state::Instant now)
+void Fleet::noteDemand(const EngineView &engine, std::uint32_t promptTokens, double prefillTokens,
+                       state::Instant now)
 {
-    const EngineView *view = this->find(engine);
-    if (view == nullptr)
-        return;
     this->split.note(promptTokens < this->policy.shortPromptTokens,
-                     view->prefillSeconds(prefillTokens), now);
+                     engine.prefillSeconds(prefillTokens), now);
 }
 
 std::size_t Fleet::longEngines(const state::ModelName &model) const
--- a/src/coordination/routing/Fleet.h
+++ b/src/coordination/routing/Fleet.h
@@ -53,6 +53,9 @@
 
     EngineView *find(const state::EndpointId &engine);
     const EngineView *find(const state::EndpointId &engine) const;
+    EngineView *find(EngineKey engine);
+    // That work decodes, or has ended: its helpers are done with it.
+    void helpOver(std::uint64_t work, WorkStage stage, state::Instant now);
     std::size_t size() const { return this->engines.size(); }
 
     // Engines of the model that this entry watches, best rendezvous score first.
@@ -69,11 +72,11 @@
     // Whether the prompt is long for the model's engines, which work in passes.
     bool isLong(const state::ModelName &model, std::uint32_t promptTokens) const;
     // Long prefill that some entry has sent to engines that work in passes.
-    void noteLongPrefill(const state::EndpointId &engine, double seconds, state::Instant now);
+    void noteLongPrefill(const EngineView &engine, double seconds, state::Instant now);
 
     // Prefill that some entry has sent to a watched engine; the split follows it.
-    void noteDemand(const state::EndpointId &engine, std::uint32_t promptTokens,
-                    double prefillTokens, state::Instant now);
+    void noteDemand(const EngineView &engine, std::uint32_t promptTokens, double prefillTokens,
+                    state::Instant now);
     // Engines of the model, first in the fleet-wide order, that take longer prompts; the rest is
     // for short ones.
     std::size_t longEngines(const state::ModelName &model) const;
@@ -116,6 +119,7 @@
     FleetHooks hooks;
     std::mt19937_64 random;
     std::unordered_map<state::EndpointId, EngineView> engines;
+    std::map<EngineKey, EngineView *> byKey; // into `engines`
     std::map<state::ModelName, Watched> byModel;
     std::map<state::ModelName, LongDemand> longDemand;
     std::uint64_t nextRoundRobin;
--- a/src/coordination/routing/WorkNote.h
+++ b/src/coordination/routing/WorkNote.h
@@ -2,12 +2,17 @@
 // work there. Losing a note costs speed only: reports and expiry correct the view.
 #pragma once
 
-#include "state/Ids.h"
+#include "coordination/routing/EngineKey.h"
 #include "state/TableRow.h"
 #include "state/Time.h"
 
+#include <cereal/cereal.hpp>
+
+#include <algorithm>
 #include <compare>
 #include <cstdint>
+#include <limits>
+#include <string>
 #include <vector>
 
 namespace lavenderthread::coordination::routing {
@@ -24,7 +29,16 @@
 {
     WorkStage stage = WorkStage::Dispatched;
     std::uint64_t work = 0; // hash of the request's id; unique in practice
-    state::EndpointId engine;
+
+    // Of work that was dispatched, until it ends.
+    EngineKey engine;
+    bool hasHelpers = false; // other engines prefill a part of it, or hold memory for it
+
+    // Of work that waits.
+    state::Duration age{0};        // since its arrival
+    state::Duration engineTime{0}; // to prefill it
+
+    // When it is dispatched; the later stages leave these out, since receivers know them.
     state::TableKey key;             // whom the tokens are charged to
     std::uint32_t promptTokens = 0;  // whole prompt; tells the length class
     std::uint32_t prefillTokens = 0; // left to prefill on this engine, after its cached prefix
@@ -34,28 +48,71 @@
     std::uint8_t priority = 0;       // as sent to the engine, 0 goes first
     state::Duration lifetime{0};     // until its deadline, after which receivers forget it
     state::Duration pause{0};        // that its caller bears between two events; 0: not known
-    state::Duration age{0};          // since its arrival, of one that waits
-    state::Duration engineTime{0};   // to prefill it, of one that waits
-    std::vector<state::EndpointId> helpers;  // engines that prefill as much of the prompt, each
+    std::vector<EngineKey> helpers;  // engines that prefill as much of the prompt, each
     std::vector<std::uint32_t> helperMemory; // tokens reserved at the first helpers, in their order
 
     auto operator<=>(const WorkNote &) const = default;
 
+    // Each request takes three notes to every peer, so a stage is sent with what it needs only: of
+    // the bytes between failure domains of a fleet of 126 nodes nearly all were these.
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        std::int64_t lifetimeUs = this->lifetime.count();
-        std::int64_t pauseUs = this->pause.count();
-        std::int64_t ageUs = this->age.count();
-        std::int64_t engineTimeUs = this->engineTime.count();
-        archive(this->stage, this->work, this->engine, this->key, this->promptTokens,
-                this->prefillTokens, this->outputTokens, this->memoryTokens, this->chargedTokens,
-                this->priority, lifetimeUs, pauseUs, ageUs, engineTimeUs, this->helpers,
-                this->helperMemory);
-        this->lifetime = state::Duration(lifetimeUs);
-        this->pause = state::Duration(pauseUs);
-        this->age = state::Duration(ageUs);
-        this->engineTime = state::Duration(engineTimeUs);
+        archive(this->stage, this->work);
+        if (this->stage == WorkStage::Waiting) {
+            shortTime(archive, this->age);
+            shortTime(archive, this->engineTime);
+            return;
+        }
+        archive(this->engine.value, this->hasHelpers);
+        if (this->stage == WorkStage::Dispatched)
+            this->serializeDispatched(archive);
+    }
+
+private:
+    template <typename Archive>
+    void serializeDispatched(Archive &archive)
+    {
+        this->key.account = state::ClientAccountId(shortText(archive, this->key.account.value()));
+        this->key.workClass = state::WorkClass(shortText(archive, this->key.workClass.value()));
+        archive(this->promptTokens, this->prefillTokens, this->outputTokens, this->memoryTokens,
+                this->chargedTokens, this->priority);
+        shortTime(archive, this->lifetime);
+        shortTime(archive, this->pause);
+        shortList(archive, this->helpers, [&archive](EngineKey &each) { archive(each.value); });
+        shortList(archive, this->helperMemory, [&archive](std::uint32_t &each) { archive(each); });
+    }
+
+    // In microseconds, up to an hour.
+    template <typename Archive>
+    static void shortTime(Archive &archive, state::Duration &time)
+    {
+        constexpr std::int64_t most = std::numeric_limits<std::uint32_t>::max();
+        auto us = static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, most));
+        archive(us);
+        time = state::Duration(us);
+    }
+
+    // Of at most 65,535 bytes, more than any name may have.
+    template <typename Archive>
+    static std::string shortText(Archive &archive, std::string text)
+    {
+        auto size = static_cast<std::uint16_t>(text.size());
+        archive(size);
+        text.resize(size);
+        archive(cereal::binary_data(text.data(), text.size()));
+        return text;
+    }
+
+    // Of at most 255 elements; engines take up to 16 helpers.
+    template <typename Archive, typename Element, typename Each>
+    static void shortList(Archive &archive, std::vector<Element> &list, const Each &each)
+    {
+        auto count = static_cast<std::uint8_t>(list.size());
+        archive(count);
+        list.resize(count);
+        for (Element &element : list)
+            each(element);
     }
 };
 
--- a/src/protocol/PeerNews.cpp
+++ b/src/protocol/PeerNews.cpp
@@ -7,7 +7,9 @@
 
 namespace {
 
-constexpr std::string_view peerNewsContext = "peer-news";
+// Counts up with each change of the news, which are never stored: the version of the envelope is
+// that of stored data too, and nodes must read theirs after an upgrade.
+constexpr std::string_view peerNewsContext = "peer-news-2";
 // Of one cache event in the encoding, and of the rest of a datagram that carries some.
 constexpr std::size_t cacheEventBytes = 9;
 constexpr std::size_t cacheHeadBytes = 300;
--- a/tests/coordination/routing/FleetTest.cpp
+++ b/tests/coordination/routing/FleetTest.cpp
@@ -13,6 +13,8 @@
     CPPUNIT_TEST_SUITE(FleetTest);
     CPPUNIT_TEST(ownWorkCountsBeforeAnyReport);
     CPPUNIT_TEST(workOfADeadPeerIsForgotten);
+    CPPUNIT_TEST(aHelperKeepsWhatItHoldsUntilTheEnd);
+    CPPUNIT_TEST(aPartIsForgottenAsItsEndIsTold);
     CPPUNIT_TEST(lostDomainComesLast);
     CPPUNIT_TEST(drainingEngineGetsNothing);
     CPPUNIT_TEST(shortAndLongPromptsKeepApart);
@@ -57,7 +59,7 @@
     {
         WorkNote note;
         note.work = tokens;
-        note.engine = engine;
+        note.engine = EngineKey::of(engine);
         note.promptTokens = note.prefillTokens = note.memoryTokens = tokens;
         note.outputTokens = 100;
         note.lifetime = lifetime;
@@ -89,6 +91,36 @@
         CPPUNIT_ASSERT(fleet.choose(queryOf(20'000), this->start + lifetime));
     }
 
+    void aHelperKeepsWhatItHoldsUntilTheEnd()
+    {
+        // A prompt of 390,000 tokens is prefilled by two engines, and one of them holds memory for
+        // it. With the first token the other is free again; the holder is when the answer ends.
+        Fleet fleet = fleetOf(2);
+        EngineView &holder = *fleet.find(state::EndpointId("engine-0"));
+        EngineView &other = *fleet.find(state::EndpointId("engine-1"));
+        const WorkNote note = noteOf(state::EndpointId("engine-9"), 390'000);
+        holder.help(note, 200'000, this->start);
+        other.help(note, 0, this->start);
+        fleet.helpOver(note.work, WorkStage::Decoding, this->start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), holder.residents().size());
+        CPPUNIT_ASSERT_EQUAL(0.0, holder.prefillSecondsLeft());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), other.residents().size());
+        fleet.helpOver(note.work, WorkStage::Ended, this->start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), holder.residents().size());
+    }
+
+    void aPartIsForgottenAsItsEndIsTold()
+    {
+        // The end of a request is told in the moment of its deadline, in which its part expires
+        // too. The part was looked up before it expired; the entry crashed.
+        Fleet fleet = fleetOf(1);
+        EngineView &helper = *fleet.find(state::EndpointId("engine-0"));
+        const WorkNote note = noteOf(state::EndpointId("engine-9"), 390'000);
+        helper.help(note, 0, this->start);
+        fleet.helpOver(note.work, WorkStage::Ended, this->start + lifetime);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), helper.residents().size());
+    }
+
     void lostDomainComesLast()
     {
         Fleet fleet = fleetOf(8);
@@ -122,7 +154,7 @@
                 const auto choice = fleet.choose(queryOf(tokens), now);
                 CPPUNIT_ASSERT(choice.has_value());
                 fleet.find(choice->engine)->apply(noteOf(choice->engine, tokens), now);
-                fleet.noteDemand(choice->engine, tokens, tokens, now);
+                fleet.noteDemand(*fleet.find(choice->engine), tokens, tokens, now);
                 if (round >= settled)
                     (tokens < 4'096 ? shorts : longs).insert(choice->engine);
             }
