Routing: parts of long prompts fit the pauses of those who decode beside them

Cause: in a burst of brief requests few engines are left for long ones; a review of 639,000 tokens on eight of them made parts of 2.65 s, every answer there paused 2.7 s, callers left.

--- a/src/coordination/routing/LongPlacement.cpp
+++ b/src/coordination/routing/LongPlacement.cpp
@@ -138,22 +138,53 @@
     std::ranges::stable_sort(helpers, {}, place); // all others share the place behind the last
 }
 
+// One part is prefilled in one pass, with what waits there already. Longer than those who decode
+// there bear, it would make all their answers late for the sake of one.
+bool bears(const PassCandidate &candidate, double partSeconds)
+{
+    return candidate.waiting * candidate.speed + partSeconds <= candidate.bearable;
+}
+
+// The first `count` that bear a part of that length, `least` of which nobody can stand in for; fewer
+// if there are no more.
+std::vector<Helper> bearing(const std::vector<Helper> &helpers, std::size_t least,
+                            std::size_t count, double partSeconds)
+{
+    std::vector<Helper> chosen;
+    for (std::size_t index = 0; index < helpers.size() && chosen.size() < count; ++index) {
+        if (bears(*helpers[index].candidate, partSeconds))
+            chosen.push_back(helpers[index]);
+        else if (index < least)
+            return {};
+    }
+    return chosen;
+}
+
 // As many helpers as bring the end of the prefill forward by more than each one costs; `least` of
-// them are needed in any case.
-std::size_t helperCount(const std::vector<Helper> &helpers, std::size_t least, double ownCost,
-                        double seconds, const PassPlacementSettings &settings)
+// them, the first ones, are needed in any case. Nothing if no number of them makes parts that are
+// short enough for those who decode there.
+std::optional<std::vector<Helper>> chooseHelpers(const std::vector<Helper> &helpers,
+                                                 std::size_t least, const PassCandidate &answering,
+                                                 double seconds,
+                                                 const PassPlacementSettings &settings)
 {
-    std::size_t best = least;
-    double bestCost = least == 0 ? ownCost + seconds : std::numeric_limits<double>::max();
-    double last = ownCost;
-    for (std::size_t count = 1; count <= helpers.size(); ++count) {
-        last = std::max(last, helpers[count - 1].cost);
-        const double cost =
-                last + seconds / double(count + 1) + settings.helperSeconds * double(count);
-        if (count < least || cost >= bestCost)
+    const double ownCost = answering.waiting + besideCost(answering, settings);
+    std::optional<std::vector<Helper>> best;
+    double bestCost = std::numeric_limits<double>::max();
+    for (std::size_t count = least; count <= std::min(helpers.size(), settings.mostHelpers);
+         ++count) {
+        const double part = seconds / double(count + 1);
+        const std::vector<Helper> chosen = bearing(helpers, least, count, part);
+        if (chosen.size() < count || !bears(answering, part))
+            continue;
+        double last = ownCost;
+        for (const Helper &helper : chosen)
+            last = std::max(last, helper.cost);
+        const double cost = last + part + settings.helperSeconds * double(count);
+        if (cost >= bestCost)
             continue;
         bestCost = cost;
-        best = count;
+        best = chosen;
     }
     return best;
 }
@@ -191,15 +222,14 @@
             return std::nullopt;
         putFirst(helpers, choice.memory);
     }
-    helpers.resize(std::min(helpers.size(), settings.mostHelpers));
-    const double ownCost = answering->waiting + besideCost(*answering, settings);
-    const std::size_t count =
-            helperCount(helpers, choice.memory.size(), ownCost, seconds, settings);
-    choice.partSeconds = seconds / double(count + 1);
+    const auto chosen = chooseHelpers(helpers, choice.memory.size(), *answering, seconds, settings);
+    if (!chosen)
+        return std::nullopt;
+    choice.partSeconds = seconds / double(chosen->size() + 1);
     double waiting = answering->waiting;
-    for (std::size_t index = 0; index < count; ++index) {
-        choice.helpers.push_back(helpers[index].id());
-        waiting = std::max(waiting, helpers[index].candidate->waiting);
+    for (const Helper &helper : *chosen) {
+        choice.helpers.push_back(helper.id());
+        waiting = std::max(waiting, helper.candidate->waiting);
     }
     return completeChoice(std::move(choice), *answering, waiting, request);
 }
--- a/src/coordination/routing/PassCandidate.cpp
+++ b/src/coordination/routing/PassCandidate.cpp
@@ -26,7 +26,12 @@
         const bool tight =
                 resident.pauseSeconds > 0 && resident.pauseSeconds < settings.tightPauseSeconds;
         ++(tight ? sum.briefs : sum.longs);
+        if (!tight && resident.pauseSeconds > 0)
+            sum.bearable = std::min(sum.bearable, resident.pauseSeconds);
     }
+    if (sum.longs > 0)
+        sum.bearable -= state::routes::decodePassSeconds(sum.profile(), double(sum.answers),
+                                                         sum.context);
     return sum;
 }
 
--- a/src/coordination/routing/PassCandidate.h
+++ b/src/coordination/routing/PassCandidate.h
@@ -3,6 +3,8 @@
 
 #include "coordination/routing/PassPlacement.h"
 
+#include <limits>
+
 namespace lavenderthread::coordination::routing {
 
 struct PassCandidate
@@ -17,6 +19,9 @@
     std::size_t longs = 0;   // the others
     std::size_t helped = 0;  // parts for others whose prompt has no first token yet
     std::size_t pending = 0; // requests that it answers whose first token has not come
+    // Seconds of prefill that one pass may have before a caller whose answer is decoded here sees a
+    // pause longer than he bears; callers with tight pauses aside.
+    double bearable = std::numeric_limits<double>::max();
     bool usable = false;
 
     const state::routes::EngineProfile &profile() const { return *this->view->profile(); }
--- /dev/null
+++ b/tests/coordination/routing/PassPlacementTest.cpp
@@ -0,0 +1,103 @@
+// Placing on engines that work in passes, one decision at a time.
+#include "coordination/routing/PassPlacement.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+
+namespace lavenderthread::coordination::routing {
+
+class PassPlacementTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PassPlacementTest);
+    CPPUNIT_TEST(partsFitThePausesOfThoseWhoDecodeThere);
+    CPPUNIT_TEST(idleEnginesTakeLongParts);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::size_t engines = 8;
+    const state::Instant start{std::chrono::seconds(100)};
+    const PolicySettings policy;
+    std::vector<std::unique_ptr<EngineView>> views;
+
+    static state::routes::EngineProfile profile()
+    {
+        state::routes::EngineProfile made;
+        made.slots = 16;
+        made.kvCapacityTokens = 450'000;
+        made.stridePerPass = 46;
+        made.stepMs = 0.925;
+        made.sequenceStepMs = 0.00483;
+        made.contextStepMs = 0.00254;
+        made.prefillTokensPerSecond = 256'000;
+        made.pairsMs = 0.0917;
+        made.stepTokens = 2'048;
+        return made;
+    }
+
+    // The caller of one answer there bears pauses of half a second.
+    void decodeSummary(EngineView &view, std::uint64_t work) const
+    {
+        WorkNote note;
+        note.work = work;
+        note.promptTokens = note.memoryTokens = 45'000;
+        note.outputTokens = 900;
+        note.lifetime = std::chrono::seconds(10);
+        note.pause = std::chrono::milliseconds(500);
+        view.apply(note, this->start);
+        note.stage = WorkStage::Decoding;
+        view.apply(note, this->start);
+    }
+
+    std::optional<PassChoice> place(std::uint32_t tokens) const
+    {
+        PassRequest request;
+        request.promptTokens = tokens;
+        request.outputTokens = 500;
+        request.memoryTokens = tokens + 500;
+        std::vector<const EngineView *> all;
+        for (const auto &view : this->views)
+            all.push_back(view.get());
+        return placeByPasses(all, request, this->policy.passes);
+    }
+
+public:
+    void setUp() override
+    {
+        for (std::size_t index = 0; index < engines; ++index) {
+            state::EndpointDescription description;
+            description.id = state::EndpointId("engine-" + std::to_string(index));
+            description.kvCapacityTokens = profile().kvCapacityTokens;
+            description.prefillTokensPerSecond = profile().prefillTokensPerSecond;
+            this->views.push_back(std::make_unique<EngineView>(description, this->policy));
+            this->views.back()->setProfile(profile());
+            this->views.back()->advance(this->start);
+        }
+    }
+
+    void partsFitThePausesOfThoseWhoDecodeThere()
+    {
+        // A burst of brief requests has left eight engines for long ones, and each decodes a
+        // summary. A review of 400,000 tokens comes, 9 s of prefill. In parts of more than a second
+        // all summaries used to pause that long, some callers left, and their answers were lost.
+        for (std::size_t index = 0; index < engines; ++index)
+            decodeSummary(*this->views[index], index + 1);
+        CPPUNIT_ASSERT(!this->place(400'000));
+        const auto shorter = this->place(150'000);
+        CPPUNIT_ASSERT(shorter.has_value());
+        CPPUNIT_ASSERT(shorter->partSeconds <= 0.45);
+        CPPUNIT_ASSERT(shorter->helpers.size() >= 2);
+    }
+
+    void idleEnginesTakeLongParts()
+    {
+        // Nobody decodes there, so nobody sees a pause.
+        const auto choice = this->place(400'000);
+        CPPUNIT_ASSERT(choice.has_value());
+        CPPUNIT_ASSERT(choice->partSeconds > 1);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PassPlacementTest);
+
+} // namespace lavenderthread::coordination::routing
