--- a/tests/TestRunner.cpp
+++ b/tests/TestRunner.cpp
@@ -1,6 +1,7 @@
 // Runs the registered CppUnit suites and prints one closing line `N passed, N failed`. A failure
 // whose test stands in KNOWN-RED.txt of the current folder is printed as such and not counted.
-// usage: unit-tests [PART_OF_TEST_NAME]
+// usage: unit-tests [PART_OF_TEST_NAME | --shard I/N]   a shard: each Nth test, from the Ith (1 to
+// N)
 #include <cppunit/BriefTestProgressListener.h>
 #include <cppunit/CompilerOutputter.h>
 #include <cppunit/Test.h>
@@ -9,27 +10,60 @@
 #include <cppunit/TestResultCollector.h>
 #include <cppunit/extensions/TestFactoryRegistry.h>
 
+#include <cstdio>
 #include <fstream>
 #include <iostream>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
 namespace {
 
-// Runs the leaves whose name contains `part`; gives their number.
-int runMatching(CppUnit::Test *test, const std::string &part, CppUnit::TestResult &controller)
+// Which of the leaves are run.
+struct Selection
 {
-    if (test->getChildTestCount() == 0) {
-        if (test->getName().find(part) == std::string::npos)
-            return 0;
-        test->run(&controller);
-        return 1;
+    std::string part; // of their name
+    int shard = 0;    // those whose number, modulo `shards`, is this
+    int shards = 1;
+};
+
+// Nothing if the words are none that can be understood.
+std::optional<Selection> readSelection(int argc, char **argv)
+{
+    Selection selection;
+    if (argc < 2)
+        return selection;
+    if (std::string(argv[1]) != "--shard") {
+        selection.part = argv[1];
+        return selection;
     }
-    int count = 0;
+    const bool read =
+            argc == 3 && std::sscanf(argv[2], "%d/%d", &selection.shard, &selection.shards) == 2;
+    if (!read || selection.shard < 1 || selection.shard > selection.shards)
+        return std::nullopt;
+    --selection.shard;
+    return selection;
+}
+
+struct Counted
+{
+    int seen = 0; // leaves
+    int run = 0;
+};
+
+void runSelected(CppUnit::Test *test, const Selection &selection, Counted &counted,
+                 CppUnit::TestResult &controller)
+{
     for (int index = 0; index < test->getChildTestCount(); ++index)
-        count += runMatching(test->getChildTestAt(index), part, controller);
-    return count;
+        runSelected(test->getChildTestAt(index), selection, counted, controller);
+    if (test->getChildTestCount() > 0)
+        return;
+    const bool mine = counted.seen++ % selection.shards == selection.shard;
+    if (!mine || test->getName().find(selection.part) == std::string::npos)
+        return;
+    test->run(&controller);
+    ++counted.run;
 }
 
 // The first word of each line that is no comment: a test's full name or a command.
@@ -69,7 +103,11 @@
 
     const std::unique_ptr<CppUnit::Test> all(
             CppUnit::TestFactoryRegistry::getRegistry().makeTest());
-    if (runMatching(all.get(), argc > 1 ? argv[1] : "", controller) == 0) {
+    const std::optional<Selection> selection = readSelection(argc, argv);
+    Counted counted;
+    if (selection)
+        runSelected(all.get(), *selection, counted, controller);
+    if (counted.run == 0) {
         std::cerr << "no test matches\n";
         return 2;
     }
