--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -15,8 +15,10 @@
 
 namespace {
 
-// News wait this long so that several share a datagram; well under the lag of load reports.
-constexpr std::chrono::milliseconds newsBatchTime{5};
+// News of one moment share a datagram. An entry has less than one in this time, so waiting longer
+// saves no datagrams and lets others place by older news: 5 ms cost 0.2% of the worth in time of a
+// heavy day, in virtual time.
+constexpr std::chrono::milliseconds newsBatchTime{1};
 constexpr std::size_t longestNewsQueue = 4'096;
 // Of the link, for news to peers; the other half is for answers.
 constexpr double newsLinkShare = 0.5;
