Admission: who comes back after a refusal goes behind the others and waits longer

The stand-in now lets callers come back once, as they were told to. Long prompts are no longer turned away by the square of their cost.

--- a/bench/PassFleetRun.h
+++ b/bench/PassFleetRun.h
@@ -61,12 +61,14 @@
     std::size_t asked = 0;
     std::size_t inTime = 0; // first event and every pause as asked, and complete
     std::size_t late = 0;
-    std::size_t refused = 0;
-    std::size_t unfinished = 0; // past its time limit
-    std::size_t lateFirst = 0;  // of the late ones, those whose first event was
-    double value = 0;           // of all requests: a third each, the rest by prompt length
+    std::size_t refused = 0;      // for good
+    std::size_t refusedAgain = 0; // of them, those who had come back as they were told to
+    std::size_t unfinished = 0;   // past its time limit
+    std::size_t lateFirst = 0;    // of the late ones, those whose first event was
+    double value = 0;             // of all requests: a third each, the rest by prompt length
     double valueInTime = 0;
     double valueLate = 0;
+    double valueRefusedAgain = 0;
     std::vector<double> firstSeconds;
     std::vector<double> longestPauses;
 
@@ -105,7 +107,8 @@
         std::uint32_t tokens = 0;
         std::uint32_t events = 0;
         bool largest = false;
-        state::Instant arrival;
+        bool returned = false;  // after a refusal; callers come back once
+        state::Instant arrival; // for the first time
         state::Instant deadline;
         std::uint32_t attempt = 0;
         std::size_t engine = 0;
@@ -136,6 +139,7 @@
     void partDone(std::uint64_t work);
     void eventSent(std::uint64_t work, bool last);
     void end(std::uint64_t work, std::size_t PassTally::*outcome);
+    void refused(const coordination::admission::Refuse &action);
     double valueOf(const Request &request) const;
     PassTally &tallyOfSecond(const Request &request);
     static std::uint64_t workOf(const state::RequestId &id) { return std::stoull(id.value()); }
@@ -161,6 +165,7 @@
     std::vector<std::unique_ptr<coordination::admission::Dispatcher>> entries;
     std::vector<state::Instant> wakeAt;
     std::map<std::uint64_t, Request> requests;
+    std::uint64_t lastWork = 0;
     PassResult result;
 };
 
--- a/src/coordination/routing/PassPlacementSettings.h
+++ b/src/coordination/routing/PassPlacementSettings.h
@@ -55,7 +55,11 @@
     // `usualSecondsPerToken`, and less by the ratio of the costs to this power for a longer one.
     double waitingShare = 0.6;
     double usualSecondsPerToken = 13e-6;
-    double costPower = 1.75;
+    double costPower = 1;
+    // A long prompt whose caller has come back after a refusal ranks as if it had come this much
+    // later, and waits for up to this share of the time that it had left.
+    double returningBehindSeconds = 5;
+    double returningWaitingShare = 0.5;
     double tightPauseSeconds = 0.3; // pauses below it are tight
     // Prompts larger than an engine's memory keep the rest at helpers: the share of an engine's
     // free memory that one prompt may take there, and how many helpers hold some.
