--- a/tests/coordination/routing/PassPlacementTest.cpp
+++ b/tests/coordination/routing/PassPlacementTest.cpp
@@ -17,7 +17,7 @@
 
     static constexpr std::size_t engines = 8;
     const state::Instant start{std::chrono::seconds(100)};
-    const PolicySettings policy;
+    const PolicySettings policy{};
     std::vector<std::unique_ptr<EngineView>> views;
 
     static state::routes::EngineProfile profile()
