Clean-up: one clock, one look-up a note, one form of a record; the release tests share their set-up

From a re-read of the change; behaviour stays. GossipSocket used a copy of monotonicNow: it moves to transport, program/Clock.h uses it. A note looked its engine up twice. Brief placing summed each engine's memory twice. Long placing built lists for parts that the answering engine can't bear. Membership's shortForm was NewsQueue's inForm. Cluster summed lost news in two places. System and sanitizer tests not run on it.

--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -125,8 +125,9 @@
     bool isExhausted(const Flight &flight) const;
     void attemptLost(Flight &flight, const state::EndpointId &engine, bool didNotRun,
                      bool engineLost);
-    // Applies a work note to the own view and sends it to the peers.
+    // Fills in what peers need to know of dispatched work.
     void describe(const Flight &flight, std::size_t part, routing::WorkNote &note) const;
+    // Applies a work note to the own view and sends it to the peers.
     void tell(const Flight &flight, std::size_t part, routing::WorkStage stage,
               std::uint32_t prefillTokens = 0, std::uint32_t chargedTokens = 0,
               std::uint8_t priority = 0);
--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -77,11 +77,6 @@
     this->applyNote(note);
     if (note.chargedTokens > 0)
         this->queue.charge(note.key, note.chargedTokens, this->now);
-    const routing::EngineView *view = this->engines.find(note.engine);
-    if (note.stage == routing::WorkStage::Dispatched && view != nullptr) {
-        const double prefill = std::min(note.chargedTokens, note.prefillTokens);
-        this->engines.noteDemand(*view, note.promptTokens, prefill, this->now);
-    }
 }
 
 void Dispatcher::on(const PeerBacklogNoted &event)
@@ -195,7 +190,6 @@
     this->enqueue(flight, true);
 }
 
-// What its peers need to know of dispatched work.
 void Dispatcher::describe(const Flight &flight, std::size_t part, routing::WorkNote &note) const
 {
     const CompletionRequest &request = flight.request;
--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -244,6 +244,10 @@
         this->engines.helpOver(note.work, note.stage, this->now);
     if (routing::EngineView *view = this->engines.find(note.engine)) {
         view->apply(note, this->now);
+        if (dispatched) {
+            const double prefill = std::min(note.chargedTokens, note.prefillTokens);
+            this->engines.noteDemand(*view, note.promptTokens, prefill, this->now);
+        }
         if (view->profile() && dispatched) {
             const double part = view->prefillSeconds(note.prefillTokens);
             this->engines.noteLongPrefill(*view, part * double(note.helpers.size() + 1), this->now);
--- a/src/coordination/membership/Membership.cpp
+++ b/src/coordination/membership/Membership.cpp
@@ -25,12 +25,6 @@
 constexpr unsigned floodSends = 2;
 constexpr state::Duration forgetInterval = std::chrono::seconds(10);
 
-endpoints::EndpointRecord shortForm(endpoints::EndpointRecord record)
-{
-    record.description = nullptr;
-    return record;
-}
-
 } // namespace
 
 state::Result<Membership> Membership::create(MembershipSettings settings, state::Instant now)
@@ -301,11 +295,11 @@
         return actions;
     actions.endpointsChanged = true;
     const bool full = merged.descriptionChanged;
-    this->news.add({NewsSubject::Endpoint, record.id.value()},
-                   full ? NewsForm::Full : NewsForm::Short,
+    const NewsForm form = full ? NewsForm::Full : NewsForm::Short;
+    this->news.add({NewsSubject::Endpoint, record.id.value()}, form,
                    full ? NewsUrgency::Ordinary : NewsUrgency::Critical);
     if (full || endsWork(merged.record))
-        this->passOn({full ? merged.record : shortForm(merged.record)}, actions, now);
+        this->passOn({inForm(merged.record, form)}, actions, now);
     return actions;
 }
 
--- a/src/coordination/membership/NewsQueue.cpp
+++ b/src/coordination/membership/NewsQueue.cpp
@@ -7,14 +7,6 @@
 
 namespace {
 
-template <typename Record>
-Record inForm(Record record, NewsForm form)
-{
-    if (form == NewsForm::Short)
-        record.description = nullptr;
-    return record;
-}
-
 unsigned limitOf(NewsUrgency urgency, const NewsLimits &limits)
 {
     if (urgency == NewsUrgency::Critical)
--- a/src/coordination/membership/NewsQueue.h
+++ b/src/coordination/membership/NewsQueue.h
@@ -23,6 +23,15 @@
 };
 
 enum class NewsForm : std::uint8_t { Short, Full };
+// A member's or an endpoint's record as it is sent in that form.
+template <typename Record>
+Record inForm(Record record, NewsForm form)
+{
+    if (form == NewsForm::Short)
+        record.description = nullptr;
+    return record;
+}
+
 // The more urgent goes first into a datagram.
 enum class NewsUrgency : std::uint8_t {
     Critical, // an endpoint must get no more work, or may again; rare and short
--- a/src/coordination/routing/LongPlacement.cpp
+++ b/src/coordination/routing/LongPlacement.cpp
@@ -174,8 +174,10 @@
     for (std::size_t count = least; count <= std::min(helpers.size(), settings.mostHelpers);
          ++count) {
         const double part = seconds / double(count + 1);
+        if (!bears(answering, part))
+            continue;
         const std::vector<Helper> chosen = bearing(helpers, least, count, part);
-        if (chosen.size() < count || !bears(answering, part))
+        if (chosen.size() < count)
             continue;
         double last = ownCost;
         for (const Helper &helper : chosen)
--- a/src/coordination/routing/PassPlacement.cpp
+++ b/src/coordination/routing/PassPlacement.cpp
@@ -17,15 +17,16 @@
                                       const PassRequest &request, double evenSeconds)
 {
     double least = std::numeric_limits<double>::max();
-    for (const PassCandidate &candidate : candidates) {
-        if (candidate.hasRoom(request))
-            least = std::min(least, candidate.crowding());
-    }
     std::vector<const PassCandidate *> even;
     for (const PassCandidate &candidate : candidates) {
-        if (candidate.hasRoom(request) && candidate.crowding() <= least + evenSeconds)
-            even.push_back(&candidate);
+        if (!candidate.hasRoom(request))
+            continue;
+        least = std::min(least, candidate.crowding());
+        even.push_back(&candidate);
     }
+    std::erase_if(even, [&](const PassCandidate *each) {
+        return each->crowding() > least + evenSeconds;
+    });
     return even.empty() ? nullptr : even[request.draw % even.size()];
 }
 
--- a/src/program/Clock.h
+++ b/src/program/Clock.h
@@ -1,17 +1,14 @@
-// The one place where the process reads its monotonic clock.
+// The time of this process, monotonic and of day.
 #pragma once
 
 #include "state/Time.h"
+#include "transport/MonotonicClock.h"
 
 #include <chrono>
 
 namespace lavenderthread::program {
 
-inline state::Instant monotonicNow()
-{
-    return state::Instant(std::chrono::duration_cast<state::Duration>(
-            std::chrono::steady_clock::now().time_since_epoch()));
-}
+using transport::monotonicNow;
 
 inline state::WallTime wallNow()
 {
--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -372,13 +372,13 @@
 
 void Cluster::logLostNews()
 {
-    const transport::DatagramQueue &outgoing = this->newsSocket->outgoing();
-    const std::uint64_t lost = outgoing.dropped() + outgoing.refused();
+    const std::uint64_t lost = this->newsLost();
     const state::Instant now = monotonicNow();
     if (lost == this->lostNewsLogged || now < this->lostNewsLoggedAt + newsLossLogged)
         return;
     this->lostNewsLogged = lost;
     this->lostNewsLoggedAt = now;
+    const transport::DatagramQueue &outgoing = this->newsSocket->outgoing();
     logEvent(LogLevel::Warning, "news.lost",
              {{"dropped", outgoing.dropped()}, {"refused", outgoing.refused()}});
 }
--- a/src/transport/GossipSocket.cpp
+++ b/src/transport/GossipSocket.cpp
@@ -1,6 +1,8 @@
 // Receive loop and non-blocking sends.
 #include "transport/GossipSocket.h"
 
+#include "transport/MonotonicClock.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
 
@@ -16,12 +18,6 @@
 constexpr std::size_t headerBytes = 28;          // of IP and UDP
 constexpr std::chrono::milliseconds paceTick{1}; // a slow link sends one or two datagrams in it
 
-state::Instant monotonicNow()
-{
-    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
-    return state::Instant(std::chrono::duration_cast<state::Duration>(sinceStart));
-}
-
 } // namespace
 
 GossipSocket::GossipSocket(const asio::any_io_executor &strand, Handler chosen,
--- a/tests/coordination/membership/MembershipSpreadTest.cpp
+++ b/tests/coordination/membership/MembershipSpreadTest.cpp
@@ -28,6 +28,34 @@
     return record;
 }
 
+// 126 members, on a network that loses datagrams, of which all know a service's endpoints.
+GossipFleet serviceBeforeRelease(std::size_t endpointCount, std::uint64_t seed, seconds settling)
+{
+    FleetSettings settings{.nodes = 126, .loss = 0.05, .seed = seed};
+    settings.adjust = [](MembershipSettings &each) { each.bytesPerSecond = 5'000; };
+    GossipFleet fleet(settings);
+    for (std::size_t index = 0; index < endpointCount; ++index)
+        for (std::size_t node = 0; node < fleet.size(); ++node)
+            fleet.at(node).publish(announced(index, index % 3), fleet.now());
+    fleet.run(settling);
+    return fleet;
+}
+
+// One of the endpoints leaves and a new one takes its place; gives the farewell.
+endpoints::EndpointRecord replaceEndpoint(GossipFleet &fleet, std::size_t index,
+                                          std::size_t endpointCount)
+{
+    const std::size_t home = index % 3;
+    endpoints::EndpointRecord left = announced(index, home);
+    left.version = 2;
+    left.phase = endpoints::EndpointPhase::Left;
+    left.description = nullptr;
+    fleet.perform(home, fleet.at(home).publish(left, fleet.now()));
+    fleet.perform(home,
+                  fleet.at(home).publish(announced(endpointCount + index, home), fleet.now()));
+    return left;
+}
+
 bool isDraining(const Membership &machine)
 {
     const auto *entry = machine.endpointTable().find(state::EndpointId("engine-1"));
@@ -121,23 +149,10 @@
         // descriptions; farewells that waited for the next round of gossip reached the last entries
         // after 2.2 to 9.8 s, and callers were still sent to endpoints that had left.
         constexpr std::size_t endpointCount = 30;
-        FleetSettings settings{.nodes = 126, .loss = 0.05, .seed = 5};
-        settings.adjust = [](MembershipSettings &each) { each.bytesPerSecond = 5'000; };
-        GossipFleet fleet(settings);
-        for (std::size_t index = 0; index < endpointCount; ++index)
-            for (std::size_t node = 0; node < fleet.size(); ++node)
-                fleet.at(node).publish(announced(index, index % 3), fleet.now());
-        fleet.run(seconds(6));
+        GossipFleet fleet = serviceBeforeRelease(endpointCount, 5, seconds(6));
         std::vector<state::Duration> times;
         for (std::size_t index = 0; index < endpointCount; ++index) {
-            const std::size_t home = index % 3;
-            endpoints::EndpointRecord left = announced(index, home);
-            left.version = 2;
-            left.phase = endpoints::EndpointPhase::Left;
-            left.description = nullptr;
-            fleet.perform(home, fleet.at(home).publish(left, fleet.now()));
-            fleet.perform(home, fleet.at(home).publish(announced(endpointCount + index, home),
-                                                       fleet.now()));
+            const endpoints::EndpointRecord left = replaceEndpoint(fleet, index, endpointCount);
             const auto all = [&] {
                 for (std::size_t node = 0; node < fleet.size(); ++node) {
                     const auto *entry = fleet.at(node).endpointTable().find(left.id);
@@ -164,13 +179,7 @@
         // then half of the service was out of use for them, and callers were refused.
         constexpr std::size_t endpointCount = 36;
         constexpr std::chrono::milliseconds gap{330};
-        FleetSettings settings{.nodes = 126, .loss = 0.05, .seed = 6};
-        settings.adjust = [](MembershipSettings &each) { each.bytesPerSecond = 5'000; };
-        GossipFleet fleet(settings);
-        for (std::size_t index = 0; index < endpointCount; ++index)
-            for (std::size_t node = 0; node < fleet.size(); ++node)
-                fleet.at(node).publish(announced(index, index % 3), fleet.now());
-        fleet.run(seconds(30));
+        GossipFleet fleet = serviceBeforeRelease(endpointCount, 6, seconds(30));
         std::vector<state::Instant> publishedAt;
         std::vector<state::Duration> took(endpointCount, state::Duration(-1));
         const auto knownToAll = [&](std::size_t index) {
@@ -191,14 +200,7 @@
                     took, [](state::Duration each) { return each < state::Duration::zero(); });
         };
         for (std::size_t index = 0; index < endpointCount; ++index) {
-            const std::size_t home = index % 3;
-            endpoints::EndpointRecord left = announced(index, home);
-            left.version = 2;
-            left.phase = endpoints::EndpointPhase::Left;
-            left.description = nullptr;
-            fleet.perform(home, fleet.at(home).publish(left, fleet.now()));
-            fleet.perform(home, fleet.at(home).publish(announced(endpointCount + index, home),
-                                                       fleet.now()));
+            replaceEndpoint(fleet, index, endpointCount);
             publishedAt.push_back(fleet.now());
             fleet.runUntil([&] { return look() || fleet.now() >= publishedAt.back() + gap; }, gap);
         }
