Routing: long prompts start on the engines that are free, brief ones leave a busy part

Cause: in the seconds of long prompts they waited 1.0 s (p50) at the entries and were then served in 0.35 s, since one started only when four in five engines were free. Brief requests that came at one moment (a burst, a restart) all met on the few engines that the answers in progress had earned them: 40 on one engine, with 13 idle ones beside. Change: a prompt also starts when its parts take no more than a fifth of its target; what it costs to prefill where others decode follows from the engine's passes, no longer from two constants; a brief request whose first event would take over 0.8 of its target in its part looks at all engines.

--- a/bench/PassEngine.cpp
+++ b/bench/PassEngine.cpp
@@ -108,6 +108,8 @@
             state::routes::decodePassSeconds(this->profile, double(this->writing.size()), context)
             * steps / double(this->profile.stridePerPass);
     const double reading = this->readSome(steps * double(this->profile.stepTokens));
+    this->prefilled += reading;
+    this->decoded += this->writing.empty() ? 0 : decode;
     const auto length = std::chrono::duration_cast<state::Duration>(
             std::chrono::duration<double>(decode + reading));
     return now + std::max(length, state::Duration(1));
--- a/bench/PassEngine.h
+++ b/bench/PassEngine.h
@@ -47,6 +47,9 @@
     bool isIdle() const { return this->parts.empty() && this->writers.empty(); }
     // Requests that wait for a place or memory; parts for other engines need neither.
     std::size_t queued() const { return this->queue.size(); }
+    // Engine time so far, in seconds.
+    double prefillTime() const { return this->prefilled; }
+    double decodeTime() const { return this->decoded; }
     // Begins a pass if none runs and there is work; gives the time at which it ends.
     std::optional<state::Instant> begin(state::Instant now);
     // The pass that ends now.
@@ -87,6 +90,8 @@
     std::vector<Writer> writing;     // in the pass that runs
     std::vector<std::uint64_t> done; // parts that the pass that runs ends
     bool running = false;
+    double prefilled = 0;
+    double decoded = 0;
 };
 
 } // namespace lavenderthread::bench
--- a/bench/PassFleetRun.cpp
+++ b/bench/PassFleetRun.cpp
@@ -11,9 +11,9 @@
 
 namespace {
 
-constexpr state::Duration noteDelay = milliseconds(6); // batching and one way between entries
 constexpr state::Duration hop = std::chrono::microseconds(700);
 constexpr double largestShare = 0.1;
+constexpr double nextShare = 0.2;
 
 state::EndpointId engineId(std::size_t index)
 {
@@ -56,59 +56,60 @@
 {
     addAll(this->classes, other.classes);
     addAll(this->largestTenth, other.largestTenth);
+    addAll(this->nextFifth, other.nextFifth);
+    this->engineTime += other.engineTime;
+    this->prefillTime += other.prefillTime;
+    this->decodeTime += other.decodeTime;
     this->seconds.resize(std::max(this->seconds.size(), other.seconds.size()));
     for (std::size_t kind = 0; kind < other.seconds.size(); ++kind)
         addAll(this->seconds[kind], other.seconds[kind]);
 }
 
-PassPlan heavyDay(std::uint64_t seed)
+double scoreOf(const PassPlan &plan, const PassResult &result)
 {
-    PassPlan plan;
-    plan.seed = seed;
-    plan.policy.watchedEngines = 1'000;
-    plan.policy.budgetRefused = true;
-    plan.policy.reservationTtl = milliseconds(3'500);
-    plan.profile = {.slots = 16,
-                    .kvCapacityTokens = 450'000,
-                    .stridePerPass = 46,
-                    .stepMs = 0.925,
-                    .sequenceStepMs = 0.00483,
-                    .contextStepMs = 0.00254,
-                    .prefillTokensPerSecond = 256'000,
-                    .pairsMs = 0.0917,
-                    .stepTokens = 2'048,
-                    .reportLagMs = 200};
-    plan.classes = {
-            {"narrative", 46.1, 4'960, 0.9, 23'800, 34.9, milliseconds(300), milliseconds(200),
-             milliseconds(10'000)},
-            {"summary", 3.34, 45'000, 0.5, 110'000, 20.9, milliseconds(1'500), milliseconds(500),
-             milliseconds(10'000)},
-            {"review", 1.38, 210'000, 0.55, 440'000, 17.4, milliseconds(3'000), milliseconds(800),
-             milliseconds(15'000)},
+    constexpr double refusedAgainLoss = 0.3; // who came back as told and was turned away again
+    constexpr double wholeWeight = 0.7;
+    constexpr double worstClassWeight = 0.15;
+    constexpr double worstSecondsWeight = 0.15;
+    const auto earned = [](const PassClass &kind, const PassTally &tally) {
+        return kind.worth * tally.valueInTime + kind.lateWorth * tally.valueLate;
     };
-    plan.phases = {{milliseconds(2'000), {1, 1, 1}},
-                   {milliseconds(9'500), {0.32, 1.3, 2.7}},
-                   {milliseconds(9'500), {2.4, 0.5, 0.05}},
-                   {milliseconds(9'500), {0.33, 1.3, 2.7}}};
-    return plan;
-}
-
-PassPlan grownHeavyDay(std::uint64_t seed)
-{
-    PassPlan plan = heavyDay(seed);
-    plan.engines = 69;
-    plan.entries = 117;
-    plan.profile.slots = 12;
-    plan.profile.stridePerPass = 52;
-    plan.classes = {
-            {"narrative", 118, 4'960, 0.9, 23'800, 33, milliseconds(300), milliseconds(200),
-             milliseconds(10'000)},
-            {"summary", 10.8, 45'000, 0.5, 110'000, 19.8, milliseconds(1'500), milliseconds(500),
-             milliseconds(10'000)},
-            {"review", 2.45, 300'000, 0.55, 1'000'000, 16.5, milliseconds(4'000), milliseconds(800),
-             milliseconds(15'000)},
-    };
-    return plan;
+    double all = 0;
+    double sum = 0;
+    double losses = 0;
+    double worstClass = 1;
+    std::vector<std::pair<double, double>> windows; // earned and owed
+    for (std::size_t kind = 0; kind < plan.classes.size(); ++kind) {
+        const PassClass &asked = plan.classes[kind];
+        const PassTally &tally = result.classes[kind];
+        if (tally.value <= 0)
+            continue;
+        all += asked.worth * tally.value;
+        sum += earned(asked, tally);
+        losses += asked.worth * (refusedAgainLoss * tally.valueRefusedAgain + tally.valueHeld);
+        worstClass = std::min(worstClass, earned(asked, tally) / (asked.worth * tally.value));
+        windows.resize(std::max(windows.size(), result.seconds[kind].size() / 2 + 1));
+        for (std::size_t second = 0; second < result.seconds[kind].size(); ++second) {
+            const PassTally &part = result.seconds[kind][second];
+            windows[second / 2].first += earned(asked, part);
+            windows[second / 2].second += asked.worth * part.value;
+        }
+    }
+    std::vector<double> shares;
+    for (const auto &[got, owed] : windows) {
+        if (owed > 0)
+            shares.push_back(got / owed);
+    }
+    std::ranges::sort(shares);
+    const std::size_t worst = std::min<std::size_t>(shares.size(), 2);
+    const double worstShare =
+            worst == 0 ? 1
+                       : std::accumulate(shares.begin(), shares.begin() + long(worst), 0.0)
+                                 / double(worst);
+    if (all <= 0)
+        return 0;
+    return wholeWeight * sum / all + worstClassWeight * worstClass + worstSecondsWeight * worstShare
+           - losses / all;
 }
 
 PassFleetRun::PassFleetRun(PassPlan chosen)
@@ -117,6 +118,7 @@
 {
     this->result.classes.resize(this->plan.classes.size());
     this->result.largestTenth.resize(this->plan.classes.size());
+    this->result.nextFifth.resize(this->plan.classes.size());
     this->result.seconds.resize(this->plan.classes.size());
     for (std::size_t index = 0; index < this->plan.engines; ++index) {
         PassEngine::Hooks hooks;
@@ -125,6 +127,12 @@
         hooks.event = [this](std::uint64_t work, bool last) { this->eventSent(work, last); };
         this->engines.push_back(std::make_unique<PassEngine>(this->plan.profile, hooks));
     }
+    this->makeEntries();
+}
+
+void PassFleetRun::makeEntries()
+{
+    this->entries.clear();
     for (std::size_t index = 0; index < this->plan.entries; ++index) {
         admission::DispatcherHooks hooks;
         hooks.fleet.transferTime = [](const state::FailureDomain &) { return hop; };
@@ -134,6 +142,29 @@
     this->wakeAt.assign(this->plan.entries, state::Instant::max());
 }
 
+// All streams end; who may ask once more does so as soon as there is an entry.
+void PassFleetRun::restartEntries()
+{
+    ++this->generation;
+    this->readyAt = this->now + this->plan.outage;
+    this->makeEntries();
+    std::vector<std::uint64_t> cut;
+    for (const auto &[work, request] : this->requests) {
+        if (!request.over && request.asked != state::Instant{})
+            cut.push_back(work);
+    }
+    for (const std::uint64_t work : cut) {
+        for (const auto &engine : this->engines)
+            engine->cancel(work);
+        for (const std::string &lease : this->requests.at(work).leases)
+            for (const auto &engine : this->engines)
+                engine->release(lease);
+        if (!this->comesBack(work, this->plan.outage))
+            this->end(work, &PassTally::unfinished);
+    }
+    this->announceEngines();
+}
+
 void PassFleetRun::at(state::Instant time, Step step)
 {
     this->order.emplace(time, ++this->lastStep);
@@ -194,8 +225,11 @@
         std::ranges::sort(made, std::greater<>(),
                           [this](std::uint64_t each) { return this->requests[each].tokens; });
         const auto largest = std::size_t(double(made.size()) * largestShare);
-        for (std::size_t index = 0; index < largest; ++index)
-            this->requests[made[index]].largest = true;
+        const auto next = std::size_t(double(made.size()) * (largestShare + nextShare));
+        for (std::size_t index = 0; index < next; ++index) {
+            this->requests[made[index]].largest = index < largest;
+            this->requests[made[index]].nextLargest = index >= largest;
+        }
     }
 }
 
@@ -203,6 +237,8 @@
 {
     this->announceEngines();
     this->makeArrivals();
+    if (this->plan.restartAt)
+        this->at(this->now + *this->plan.restartAt, [this] { this->restartEntries(); });
     while (!this->order.empty()) {
         const auto [time, id] = this->order.top();
         this->order.pop();
@@ -210,18 +246,46 @@
         const auto step = this->steps.extract(id);
         step.mapped()();
     }
+    for (const auto &engine : this->engines) {
+        this->result.prefillTime += engine->prefillTime();
+        this->result.decodeTime += engine->decodeTime();
+    }
+    state::Duration length{0};
+    for (const PassPhase &phase : this->plan.phases)
+        length += phase.length;
+    this->result.engineTime =
+            std::chrono::duration<double>(length).count() * double(this->engines.size());
     return this->result;
 }
 
 void PassFleetRun::arrive(std::uint64_t work)
 {
     Request &request = this->requests.at(work);
+    if (request.over)
+        return;
+    if (this->now < this->readyAt) {
+        this->at(this->readyAt, [this, work] { this->arrive(work); });
+        return;
+    }
     request.asked = this->now;
+    const state::Instant arrival = this->now;
+    const state::Instant known = this->readyAt + this->plan.warmUp;
+    if (this->readyAt != state::Instant{} && this->now < known)
+        this->at(known, [this, work, arrival] { this->ask(work, arrival); });
+    else
+        this->ask(work, arrival);
+}
+
+void PassFleetRun::ask(std::uint64_t work, state::Instant arrival)
+{
+    Request &request = this->requests.at(work);
     const PassClass &asked = this->plan.classes[request.kind];
     if (!request.returned)
         ++this->result.classes[request.kind].asked;
     if (request.largest && !request.returned)
         ++this->result.largestTenth[request.kind].asked;
+    if (request.nextLargest && !request.returned)
+        ++this->result.nextFifth[request.kind].asked;
     admission::CompletionRequest wanted;
     wanted.id = state::RequestId(std::to_string(work));
     wanted.account = state::ClientAccountId("account");
@@ -229,7 +293,7 @@
     wanted.model = state::ModelName("model");
     wanted.promptTokens = request.tokens;
     wanted.maximumOutputTokens = request.events * this->plan.profile.stridePerPass;
-    wanted.arrival = this->now;
+    wanted.arrival = arrival;
     wanted.deadline = request.deadline;
     wanted.firstTarget = asked.firstTarget;
     wanted.pause = asked.pause;
@@ -279,12 +343,16 @@
                      this->startPass(engine);
                  });
     } else if (const auto *share = std::get_if<admission::ShareWork>(&action)) {
-        this->at(this->now + noteDelay, [this, entry, note = share->note] {
-            for (std::size_t peer = 0; peer < this->plan.entries; ++peer) {
-                if (peer != entry)
-                    this->handle(peer, admission::PeerWorkNoted{note});
-            }
-        });
+        this->at(this->now + this->plan.noteDelay,
+                 [this, entry, note = share->note, sender = this->generation] {
+                     if (sender != this->generation)
+                         return;
+                     std::bernoulli_distribution lost(this->plan.noteLoss);
+                     for (std::size_t peer = 0; peer < this->plan.entries; ++peer) {
+                         if (peer != entry && !lost(this->losses))
+                             this->handle(peer, admission::PeerWorkNoted{note});
+                     }
+                 });
     }
 }
 
@@ -333,7 +401,9 @@
             || this->engines[this->engineOf(action.engine)]->reserve(action.lease, action.tokens);
     if (granted && request.leases.insert(action.lease).second)
         request.reserved += action.tokens;
-    this->at(this->now + hop, [this, entry, asked = action, granted] {
+    this->at(this->now + hop, [this, entry, asked = action, granted, asker = this->generation] {
+        if (asker != this->generation)
+            return;
         this->handle(entry,
                      admission::ReservationAnswered{asked.id, asked.engine, asked.lease, granted});
     });
@@ -381,31 +451,41 @@
     this->handle(request.entry, admission::RequestFinished{id, request.attempt});
 }
 
-// Callers come back when they were told to, if that leaves them two thirds of their time.
 void PassFleetRun::refused(const admission::Refuse &action)
+{
+    const std::uint64_t work = workOf(action.id);
+    const Request &request = this->requests.at(work);
+    if (request.over || this->comesBack(work, action.retryAfter))
+        return;
+    PassTally &tally = this->result.classes[request.kind];
+    tally.refusedAgain += request.returned ? 1 : 0;
+    tally.valueRefusedAgain += request.returned ? this->valueOf(request) : 0;
+    this->end(work, &PassTally::refused);
+}
+
+// Callers come back once, when they were told to, if that leaves them two thirds of their time.
+bool PassFleetRun::comesBack(std::uint64_t work, state::Duration after)
 {
     constexpr int mostOfTimeLeft = 3;
     constexpr state::Duration callerHop = milliseconds(2);
-    const std::uint64_t work = workOf(action.id);
     Request &request = this->requests.at(work);
-    if (request.over)
-        return;
     const state::Duration left = request.deadline - this->now;
-    if (request.returned || action.retryAfter > left / mostOfTimeLeft) {
-        PassTally &tally = this->result.classes[request.kind];
-        tally.refusedAgain += request.returned ? 1 : 0;
-        tally.valueRefusedAgain += request.returned ? this->valueOf(request) : 0;
-        this->end(work, &PassTally::refused);
-        return;
-    }
+    if (request.returned || after > left / mostOfTimeLeft)
+        return false;
     request.over = true;
     const std::uint64_t again = ++this->lastWork;
     Request next = request;
     next.returned = true;
     next.over = false;
+    next.asked = {};
+    next.first.reset();
+    next.longestPause = {};
+    next.leases.clear();
+    next.reserved = 0;
     next.entry = this->random() % this->plan.entries;
     this->requests[again] = next;
-    this->at(this->now + action.retryAfter + callerHop, [this, again] { this->arrive(again); });
+    this->at(this->now + after + callerHop, [this, again] { this->arrive(again); });
+    return true;
 }
 
 PassTally &PassFleetRun::tallyOfSecond(const Request &request)
@@ -421,8 +501,9 @@
 double PassFleetRun::valueOf(const Request &request) const
 {
     constexpr double fixedPart = 0.3;
-    return fixedPart
-           + (1 - fixedPart) * request.tokens / this->plan.classes[request.kind].meanTokens;
+    constexpr double mostValue = 4;
+    const double size = request.tokens / this->plan.classes[request.kind].meanTokens;
+    return std::min(fixedPart + (1 - fixedPart) * size, mostValue);
 }
 
 // Of the time in which its caller would have tried elsewhere: from a moment to three quarters of
@@ -451,12 +532,17 @@
     ++(tally.*outcome);
     if (request.largest)
         ++(this->result.largestTenth[request.kind].*outcome);
+    if (request.nextLargest)
+        ++(this->result.nextFifth[request.kind].*outcome);
     const bool firstWasLate =
             request.first
             && *request.first - request.arrival > this->plan.classes[request.kind].firstTarget;
     PassTally &second = this->tallyOfSecond(request);
     ++second.asked;
     ++(second.*outcome);
+    second.value += value;
+    second.valueInTime += outcome == &PassTally::inTime ? value : 0;
+    second.valueLate += outcome == &PassTally::late ? value : 0;
     second.lateFirst += outcome == &PassTally::late && firstWasLate ? 1 : 0;
     if (!request.first)
         return;
--- a/bench/PassFleetRun.h
+++ b/bench/PassFleetRun.h
@@ -30,6 +30,8 @@
     state::Duration firstTarget{0};
     state::Duration pause{0};
     state::Duration timeLimit{0};
+    double worth = 1;     // of one of mean length that is in time
+    double lateWorth = 0; // the same, of one that is late
 };
 
 // Factors on the classes' rates for a while.
@@ -48,14 +50,16 @@
     std::size_t entries = 18;
     std::vector<PassClass> classes;
     std::vector<PassPhase> phases;
+    state::Duration noteDelay = std::chrono::milliseconds(6); // batching, one way between entries
+    double noteLoss = 0;                                      // share of them, to each entry
+    // All entries are killed at this time, if any, are back after the outage, and know the engines
+    // some time later; what they had in flight is asked again then.
+    std::optional<state::Duration> restartAt;
+    state::Duration outage = std::chrono::milliseconds(800);
+    state::Duration warmUp = std::chrono::milliseconds(250);
     std::uint64_t seed = 1;
 };
 
-// The load of the users' heavy days: ten seconds of long prompts, ten of brief ones, and so on.
-PassPlan heavyDay(std::uint64_t seed);
-// The same on the fleet of the next size: more engines with fewer places each, many more entries.
-PassPlan grownHeavyDay(std::uint64_t seed);
-
 struct PassTally
 {
     std::size_t asked = 0;
@@ -89,11 +93,20 @@
 {
     std::vector<PassTally> classes;
     std::vector<PassTally> largestTenth;         // of each class by prompt length
+    std::vector<PassTally> nextFifth;            // of each class, the fifth below those
     std::vector<std::vector<PassTally>> seconds; // of each class by the second of arrival
+    double engineTime = 0;                       // in seconds, of all engines together
+    double prefillTime = 0;                      // of it
+    double decodeTime = 0;
 
     void add(const PassResult &other);
 };
 
+// What callers got out of what they asked for, 0 to 1: the value of what came in time and, by the
+// classes' terms, late; less what was held for nothing and a part of what was turned away twice.
+// Seven tenths over all requests, the rest over the worst class and the two worst seconds.
+double scoreOf(const PassPlan &plan, const PassResult &result);
+
 class PassFleetRun
 {
 public:
@@ -108,6 +121,7 @@
         std::uint32_t tokens = 0;
         std::uint32_t events = 0;
         bool largest = false;
+        bool nextLargest = false;
         bool returned = false;  // after a refusal; callers come back once
         state::Instant arrival; // for the first time
         state::Instant asked;   // this time
@@ -128,9 +142,13 @@
     using Step = std::function<void()>;
 
     void at(state::Instant time, Step step);
+    void makeEntries();
     void announceEngines();
+    void restartEntries();
     void makeArrivals();
     void arrive(std::uint64_t work);
+    void ask(std::uint64_t work, state::Instant arrival);
+    bool comesBack(std::uint64_t work, state::Duration after);
     void handle(std::size_t entry, const coordination::admission::Event &event);
     void carryOut(std::size_t entry, const coordination::admission::Action &action);
     void dispatch(const coordination::admission::Dispatch &action);
@@ -167,8 +185,11 @@
     std::vector<std::unique_ptr<PassEngine>> engines;
     std::vector<std::unique_ptr<coordination::admission::Dispatcher>> entries;
     std::vector<state::Instant> wakeAt;
+    state::Instant readyAt;       // after the restart
+    std::uint64_t generation = 0; // of the entries; what an earlier one has sent is void
     std::map<std::uint64_t, Request> requests;
     std::uint64_t lastWork = 0;
+    std::mt19937_64 losses; // apart from the load, which stays the same for every policy
     PassResult result;
 };
 
--- a/bench/pass-bench.cpp
+++ b/bench/pass-bench.cpp
@@ -1,16 +1,17 @@
 // The load tool on the stand-in of engines that work in passes: one table a policy, by class, as
-// text or CSV; or, with --score, one number for the settings given as NAME=VALUE: the value that
-// came in time, a quarter of what came late, less 0.3 of what was refused again and what was held
-// for nothing, over all, classes weighted as --weights says. usage: pass-bench [--seeds N]
-// [--grown] [--seconds] [--csv] [--score]
-// [--weights A,B,C] [NAME=VALUE…]
-#include "PassFleetRun.h"
+// text or CSV; or, with --score, the score of each day (see scoreOf) for the settings given as
+// NAME=VALUE: its mean, its lowest tenth and the share of engine time that is spent on prefill and
+// on decoding; with --each the score of every seed. usage: pass-bench [--day NAME] [--seeds N]
+// [--odd | --even] [--seconds] [--csv] [--score] [--each] [NAME=VALUE…]
+#include "PassPlans.h"
 
 #include <algorithm>
 #include <cstdio>
 #include <cstring>
 #include <functional>
 #include <map>
+#include <numeric>
+#include <optional>
 #include <string>
 
 namespace {
@@ -32,15 +33,16 @@
 {
     for (std::size_t kind = 0; kind < plan.classes.size(); ++kind) {
         const auto &tally = result.classes[kind];
-        const char *format = csv ? "%s,%s,%zu,%zu,%zu,%zu,%zu,%zu,%.3f,%.3f,%.3f,%.3f\n"
+        const char *format = csv ? "%s,%s,%zu,%zu,%zu,%zu,%zu,%zu,%.3f,%.3f,%.3f,%.3f,%.3f,%.3f\n"
                                  : "%-18s %-10s asked %5zu in time %5zu late %4zu refused "
-                                   "%4zu again %4zu unfinished %3zu share %.3f largest tenth %.3f "
-                                   "first p95 %.3f pause p95 "
+                                   "%4zu again %4zu unfinished %3zu share %.3f served %.3f "
+                                   "largest tenth %.3f next fifth %.3f first p95 %.3f pause p95 "
                                    "%.3f\n";
         std::printf(format, policy.c_str(), plan.classes[kind].name.c_str(), tally.asked,
                     tally.inTime, tally.late, tally.refused, tally.refusedAgain, tally.unfinished,
-                    tally.share(), result.largestTenth[kind].share(),
-                    quantile(tally.firstSeconds, 0.95), quantile(tally.longestPauses, 0.95));
+                    tally.share(), tally.servedShare(), result.largestTenth[kind].servedShare(),
+                    result.nextFifth[kind].servedShare(), quantile(tally.firstSeconds, 0.95),
+                    quantile(tally.longestPauses, 0.95));
     }
 }
 
@@ -68,6 +70,9 @@
             {"briefSeconds", &Settings::briefSeconds},
             {"briefPlaceShare", &Settings::briefPlaceShare},
             {"briefPlaceShareCrowded", &Settings::briefPlaceShareCrowded},
+            {"briefBusyShare", &Settings::briefBusyShare},
+            {"startPartShare", &Settings::startPartShare},
+            {"besideDecodingPasses", &Settings::besideDecodingPasses},
             {"fewBriefs", &Settings::fewBriefs},
             {"besideTightPart", &Settings::besideTightPart},
             {"evenSeconds", &Settings::evenSeconds},
@@ -76,8 +81,6 @@
             {"demandMemorySeconds", &Settings::demandMemorySeconds},
             {"helperSeconds", &Settings::helperSeconds},
             {"besideTightSeconds", &Settings::besideTightSeconds},
-            {"besideDecodingSeconds", &Settings::besideDecodingSeconds},
-            {"helpingAnswersSeconds", &Settings::helpingAnswersSeconds},
             {"outsideAnsweringSeconds", &Settings::outsideAnsweringSeconds},
             {"answeringMemoryShare", &Settings::answeringMemoryShare},
             {"startShare", &Settings::startShare},
@@ -101,22 +104,6 @@
     return true;
 }
 
-double score(const PassResult &result, const std::vector<double> &weights)
-{
-    constexpr double lateShare = 0.25;
-    constexpr double refusedAgainLoss = 0.3; // who came back as told and was turned away again
-    double earned = 0;
-    double all = 0;
-    for (std::size_t kind = 0; kind < result.classes.size(); ++kind) {
-        const auto &tally = result.classes[kind];
-        earned += weights.at(kind)
-                  * (tally.valueInTime + lateShare * tally.valueLate
-                     - refusedAgainLoss * tally.valueRefusedAgain - tally.valueHeld);
-        all += weights.at(kind) * tally.value;
-    }
-    return all > 0 ? earned / all : 0;
-}
-
 const std::map<std::string, std::function<void(PassPlan &)>> &policies()
 {
     static const std::map<std::string, std::function<void(PassPlan &)>> all = {
@@ -146,14 +133,29 @@
     return all;
 }
 
+const std::map<std::string, PassPlan (*)(std::uint64_t)> &days()
+{
+    static const std::map<std::string, PassPlan (*)(std::uint64_t)> all = {
+            {"heavy", bench::heavyDay},
+            {"grown", bench::grownHeavyDay},
+            {"small-memory", bench::smallMemoryDay},
+            {"grown-small-memory", bench::grownSmallMemoryDay},
+            {"restart", bench::restartDay},
+            {"drawn", bench::drawnDay},
+    };
+    return all;
+}
+
 struct Options
 {
+    std::uint64_t firstSeed = 1;
+    std::uint64_t seedStep = 1;
     std::uint64_t seeds = 3;
     bool csv = false;
     bool onlyScore = false;
-    bool grown = false;
+    bool eachSeed = false;
     bool seconds = false; // by second of arrival, of our policy only
-    std::vector<double> weights{1.3, 3.1, 22};
+    std::string day = "heavy";
     std::vector<std::string> changes;
 };
 
@@ -166,15 +168,19 @@
             options.csv = true;
         } else if (word == "--score") {
             options.onlyScore = true;
+        } else if (word == "--each") {
+            options.eachSeed = true;
         } else if (word == "--seconds") {
             options.seconds = true;
-        } else if (word == "--grown") {
-            options.grown = true;
+        } else if (word == "--odd") {
+            options.seedStep = 2;
+        } else if (word == "--even") {
+            options.firstSeed = 2;
+            options.seedStep = 2;
+        } else if (word == "--day" && index + 1 < argc) {
+            options.day = argv[++index];
         } else if (word == "--seeds" && index + 1 < argc) {
             options.seeds = std::stoull(argv[++index]);
-        } else if (word == "--weights" && index + 1 < argc) {
-            std::sscanf(argv[++index], "%lf,%lf,%lf", &options.weights[0], &options.weights[1],
-                        &options.weights[2]);
         } else {
             options.changes.push_back(word);
         }
@@ -182,33 +188,68 @@
     return options;
 }
 
+struct Played
+{
+    PassPlan plan; // of the last seed
+    PassResult sum;
+    std::vector<double> scores; // of each seed
+};
+
+// Nothing if a change names no setting.
+std::optional<Played> play(const Options &options, const std::function<void(PassPlan &)> &adjust)
+{
+    Played played;
+    for (std::uint64_t index = 0; index < options.seeds; ++index) {
+        played.plan = days().at(options.day)(options.firstSeed + index * options.seedStep);
+        adjust(played.plan);
+        for (const std::string &assignment : options.changes) {
+            if (!change(played.plan, assignment)) {
+                std::fprintf(stderr, "unknown setting: %s\n", assignment.c_str());
+                return std::nullopt;
+            }
+        }
+        const PassResult result = bench::PassFleetRun(played.plan).run();
+        played.scores.push_back(bench::scoreOf(played.plan, result));
+        played.sum.add(result);
+    }
+    return played;
+}
+
+void printScore(const Options &options, Played played)
+{
+    const PassResult &sum = played.sum;
+    for (std::size_t index = 0; options.eachSeed && index < played.scores.size(); ++index)
+        std::printf("%llu %.4f\n",
+                    static_cast<unsigned long long>(options.firstSeed + index * options.seedStep),
+                    played.scores[index]);
+    const double mean = std::accumulate(played.scores.begin(), played.scores.end(), 0.0)
+                        / double(played.scores.size());
+    std::printf("%.4f lowest tenth %.4f prefill %.3f decode %.3f\n", mean,
+                quantile(played.scores, 0.1), sum.prefillTime / sum.engineTime,
+                sum.decodeTime / sum.engineTime);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     const Options options = read(argc, argv);
+    if (!days().contains(options.day)) {
+        std::fprintf(stderr, "unknown day: %s\n", options.day.c_str());
+        return 2;
+    }
     for (const auto &[name, adjust] : policies()) {
         if ((options.onlyScore || options.seconds) && name != "passes")
             continue;
-        PassResult sum;
-        PassPlan plan;
-        for (std::uint64_t seed = 1; seed <= options.seeds; ++seed) {
-            plan = options.grown ? bench::grownHeavyDay(seed) : bench::heavyDay(seed);
-            adjust(plan);
-            for (const std::string &assignment : options.changes) {
-                if (!change(plan, assignment)) {
-                    std::fprintf(stderr, "unknown setting: %s\n", assignment.c_str());
-                    return 2;
-                }
-            }
-            sum.add(bench::PassFleetRun(plan).run());
-        }
+        std::optional<Played> played = play(options, adjust);
+        if (!played)
+            return 2;
         if (options.onlyScore)
-            std::printf("%.4f\n", score(sum, options.weights));
+            printScore(options, std::move(*played));
         else if (options.seconds)
-            printSeconds(plan, sum);
+            printSeconds(played->plan, played->sum);
         else
-            print(name, plan, sum, options.csv);
+            print(name, played->plan, played->sum, options.csv);
     }
     return 0;
 }
--- a/bench/policy.cmake
+++ b/bench/policy.cmake
@@ -1,6 +1,6 @@
 # The policy bench, and its stand-ins as a library that tests/bench links too.
 add_library(policy-model STATIC EngineModel.cpp FleetRun.cpp PassEngine.cpp
-    PassFleetRun.cpp Workload.cpp)
+    PassFleetRun.cpp PassPlans.cpp Workload.cpp)
 target_link_libraries(policy-model PUBLIC lavenderthread-coordination)
 target_include_directories(policy-model PUBLIC ${CMAKE_CURRENT_SOURCE_DIR})
 add_executable(policy-bench policy-bench.cpp)
--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -41,6 +41,7 @@
     wanted.promptTokens = request.promptTokens;
     wanted.outputTokens = request.maximumOutputTokens * this->policy.expectedOutputShare;
     wanted.memoryTokens = request.promptTokens + request.maximumOutputTokens;
+    wanted.firstTargetSeconds = std::chrono::duration<double>(request.firstTarget).count();
     wanted.draw = workOf(request.id);
     return wanted;
 }
--- a/src/coordination/routing/LongPlacement.cpp
+++ b/src/coordination/routing/LongPlacement.cpp
@@ -82,23 +82,23 @@
     double cost = 0;
     if (candidate.briefs > 0)
         cost += settings.besideTightSeconds;
-    if (candidate.longs > 0)
-        cost += settings.besideDecodingSeconds;
+    if (candidate.answers > 0) {
+        cost += settings.besideDecodingPasses
+                * state::routes::decodePassSeconds(candidate.profile(), double(candidate.answers),
+                                                   candidate.context);
+    }
     return cost;
 }
 
 std::vector<Helper> freeHelpers(std::span<const PassCandidate> candidates,
-                                std::size_t answeringPart, const PassCandidate &answering,
+                                const PassCandidate &answering,
                                 const PassPlacementSettings &settings)
 {
     std::vector<Helper> helpers;
-    for (std::size_t index = 0; index < candidates.size(); ++index) {
-        const PassCandidate &candidate = candidates[index];
+    for (const PassCandidate &candidate : candidates) {
         if (&candidate == &answering || !mayHelp(candidate, settings))
             continue;
-        double cost = candidate.waiting + besideCost(candidate, settings);
-        cost += index + answeringPart >= candidates.size() ? settings.helpingAnswersSeconds : 0;
-        helpers.push_back({&candidate, cost});
+        helpers.push_back({&candidate, candidate.waiting + besideCost(candidate, settings)});
     }
     std::ranges::stable_sort(helpers, {}, &Helper::cost);
     return helpers;
@@ -191,11 +191,14 @@
     return best;
 }
 
-// Whether enough engines are free for the prompt to start: with a few it would hold them for long,
-// while it waits a moment for the others.
-bool enoughFree(std::size_t free, std::size_t engines, double seconds,
+// Whether enough engines are free for the prompt to start. With a few it would hold them for long
+// while it waits a moment for the others; but engines that idle until most of them are free are
+// lost to all who wait, so parts that are short beside its target are enough.
+bool enoughFree(std::size_t free, std::size_t engines, double seconds, const PassRequest &request,
                 const PassPlacementSettings &settings)
 {
+    if (seconds / double(free + 1) <= request.firstTargetSeconds * settings.startPartShare)
+        return true;
     const double worth = std::sqrt(seconds / settings.helperSeconds) - 1; // where one more pays not
     const double part = settings.startShare * double(engines);
     return double(free) >= std::min(std::max(worth, 0.0), part) - 1;
@@ -214,8 +217,8 @@
         answering = answeringEngine(candidates, part, true, request, settings);
     if (answering == nullptr || answering->ownWaiting > settings.startOwnWaitingSeconds)
         return std::nullopt;
-    std::vector<Helper> helpers = freeHelpers(candidates, part, *answering, settings);
-    if (!enoughFree(helpers.size(), candidates.size(), seconds, settings))
+    std::vector<Helper> helpers = freeHelpers(candidates, *answering, settings);
+    if (!enoughFree(helpers.size(), candidates.size(), seconds, request, settings))
         return std::nullopt;
     PassChoice choice;
     if (shared) {
--- a/src/coordination/routing/PassPlacement.cpp
+++ b/src/coordination/routing/PassPlacement.cpp
@@ -30,20 +30,32 @@
     return even.empty() ? nullptr : even[request.draw % even.size()];
 }
 
-// In their part the one with the least to do; outside it only if their part has no place left.
+PassChoice briefChoice(const PassCandidate &engine, const PassRequest &request)
+{
+    PassChoice choice;
+    choice.partSeconds = state::routes::prefillSeconds(engine.profile(), request.promptTokens);
+    return completeChoice(std::move(choice), engine, engine.waiting, request);
+}
+
+// In their part the one with the least to do. Outside it if their part has no place left, or if all
+// of it is so busy that the first event would be late: the border follows the answers in progress,
+// and many callers at one moment are ahead of it.
 std::optional<PassChoice> placeBrief(const std::vector<PassCandidate> &candidates,
                                      std::size_t border, const PassRequest &request,
                                      const PassPlacementSettings &settings)
 {
     const PassCandidate *best =
             drawLeastCrowded(std::span(candidates).first(border), request, settings.evenSeconds);
-    if (best == nullptr)
-        best = drawLeastCrowded(candidates, request, settings.evenSeconds);
+    if (best != nullptr) {
+        const PassChoice choice = briefChoice(*best, request);
+        const double bound = request.firstTargetSeconds * settings.briefBusyShare;
+        if (bound <= 0 || choice.firstEventSeconds <= bound)
+            return choice;
+    }
+    best = drawLeastCrowded(candidates, request, settings.evenSeconds);
     if (best == nullptr)
         return std::nullopt;
-    PassChoice choice;
-    choice.partSeconds = state::routes::prefillSeconds(best->profile(), request.promptTokens);
-    return completeChoice(std::move(choice), *best, best->waiting, request);
+    return briefChoice(*best, request);
 }
 
 // A single engine is left for both: without it long prompts would wait for an empty part and be
--- a/src/coordination/routing/PassPlacement.h
+++ b/src/coordination/routing/PassPlacement.h
@@ -26,6 +26,7 @@
     double outputTokens = 0; // expected
     std::uint32_t memoryTokens = 0;
     std::vector<state::EndpointId> avoid; // engines that have failed it before
+    double firstTargetSeconds = 0;        // from now to the first event, as asked; 0: not asked
     double longDemand = 0;  // seconds of long prefill that all entries send in a second
     std::uint64_t draw = 0; // chooses between engines that are as good
 };
--- a/src/coordination/routing/PassPlacementSettings.h
+++ b/src/coordination/routing/PassPlacementSettings.h
@@ -16,6 +16,9 @@
     // second or more. Where long work needs the engines, up to the second share.
     double briefPlaceShare = 0.69;
     double briefPlaceShareCrowded = 0.81;
+    // Share of the time to the first event that the engines for brief requests may need before
+    // other engines are considered too.
+    double briefBusyShare = 0.8;
     // Engines whose crowding differs by less are taken for equal, and one of them is drawn: else
     // all entries that place at the same moment choose the same one.
     double evenSeconds = 0.05;
@@ -28,24 +31,26 @@
     // and one more engine must stay alive.
     double helperSeconds = 0.008;
     std::size_t mostHelpers = 16; // bound of the engines' interface
-    // Costs of prefilling long where others decode, as time to the first token: whose pauses are
-    // tight (brief requests from before the border moved), and who decodes long work itself. Such
-    // an engine takes a part in only when its pass is over, and gives it back when the next one is.
+    // Cost of prefilling long where requests with tight pauses decode, as time to the first token.
     double besideTightSeconds = 0.5;
     // Engines whose requests have tight pauses take parts up to this long, which fit into a pass of
     // theirs; a longer one would make some ten callers' answers late for the sake of one.
     double besideTightPart = 0.1;
     // Up to so many such requests are too few to count.
     double fewBriefs = 2;
-    double besideDecodingSeconds = 0.25;
-    // Of helping where long answers gather, and of answering elsewhere.
-    double helpingAnswersSeconds = 0.4;
+    // An engine that decodes takes a part in only when its pass is over, and gives it back when the
+    // next one is.
+    double besideDecodingPasses = 1.5;
+    // Of answering where no long answers gather.
     double outsideAnsweringSeconds = 0.4;
     double answeringMemoryShare = 0.8; // of an answering engine's memory that is meant to be used
     // A long prompt starts when this share of the engines for long work, or as many as pay, have
     // less than so much prefill waiting: they are kept busy by one prompt after the other, and not
     // by several at once.
     double startShare = 0.8;
+    // It also starts as soon as its parts would take no more than this share of the time to its
+    // first event as asked.
+    double startPartShare = 0.2;
     double startWaitingSeconds = 0.06;
     std::size_t partsPerHelper = 2;      // not known to be done
     double startOwnWaitingSeconds = 0.1; // the same, of the engine that answers
--- a/tests/bench/PassBoundsTest.cpp
+++ b/tests/bench/PassBoundsTest.cpp
@@ -1,7 +1,7 @@
 // The load of the worst days, replayed on the stand-in of engines that work in passes: what each
 // mechanism of placing brings, as shares of fixed seeds. docs/measurements/policy.md has the
 // figures.
-#include "PassFleetRun.h"
+#include "PassPlans.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -18,6 +18,8 @@
     CPPUNIT_TEST(drawingAmongEvenEnginesPays);
     CPPUNIT_TEST(longPartsKeepOffBriefAnswers);
     CPPUNIT_TEST(nobodyIsStarved);
+    CPPUNIT_TEST(shortPartsStartAtOnce);
+    CPPUNIT_TEST(crowdsLeaveTheirPart);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t narrative = 0;
@@ -130,6 +132,28 @@
                     ours.classes[review].share() / anywhere.classes[review].share());
     }
 
+    // Long prompts at 2.7 times their rate on engines that hold one of them each: they used to wait
+    // for a second in front of engines that idled, until most of those were free.
+    void shortPartsStartAtOnce()
+    {
+        const PassResult ours = playDays(smallMemoryDay, 15, [](PassPlan &) {});
+        const PassResult mostFree = playDays(
+                smallMemoryDay, 15, [](PassPlan &plan) { plan.policy.passes.startPartShare = 0; });
+        assertAbove("long prompts in time, over waiting for most engines", 1.05,
+                    ours.classes[review].share() / mostFree.classes[review].share());
+    }
+
+    // The first moments of a burst of brief requests, and of the time after a restart of all
+    // entries: all of them met on the engines that the load of before had earned them.
+    void crowdsLeaveTheirPart()
+    {
+        const PassResult ours = playDays(restartDay, 20, [](PassPlan &) {});
+        const PassResult packed = playDays(
+                restartDay, 20, [](PassPlan &plan) { plan.policy.passes.briefBusyShare = 1'000; });
+        assertAbove("brief requests in time, over their part alone", 1,
+                    ours.classes[narrative].share() / packed.classes[narrative].share());
+    }
+
     // The longest tenth of each kind is turned away first, and still served half as often as all.
     void nobodyIsStarved()
     {
--- a/tests/coordination/admission/DispatcherPassesTest.cpp
+++ b/tests/coordination/admission/DispatcherPassesTest.cpp
@@ -1,5 +1,5 @@
 // Requests on engines that work in passes, when an engine falls silent or is lost under them.
-#include "PassFleetRun.h"
+#include "PassPlans.h"
 #include "coordination/admission/DispatcherFixture.h"
 
 #include <cppunit/TestFixture.h>
--- a/tests/coordination/routing/PassPlacementTest.cpp
+++ b/tests/coordination/routing/PassPlacementTest.cpp
@@ -13,6 +13,8 @@
     CPPUNIT_TEST_SUITE(PassPlacementTest);
     CPPUNIT_TEST(partsFitThePausesOfThoseWhoDecodeThere);
     CPPUNIT_TEST(idleEnginesTakeLongParts);
+    CPPUNIT_TEST(briefRequestsLeaveABusyPart);
+    CPPUNIT_TEST(longPromptStartsBesideBusyEngines);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t engines = 8;
@@ -49,9 +51,22 @@
         view.apply(note, this->start);
     }
 
-    std::optional<PassChoice> place(std::uint32_t tokens) const
+    // So much prefill of a brief request waits there.
+    void prefillBrief(EngineView &view, std::uint64_t work, std::uint32_t tokens) const
+    {
+        WorkNote note;
+        note.work = work;
+        note.promptTokens = note.memoryTokens = note.prefillTokens = tokens;
+        note.outputTokens = 900;
+        note.lifetime = std::chrono::seconds(10);
+        note.pause = std::chrono::milliseconds(200);
+        view.apply(note, this->start);
+    }
+
+    std::optional<PassChoice> place(std::uint32_t tokens, double firstTargetSeconds = 0) const
     {
         PassRequest request;
+        request.firstTargetSeconds = firstTargetSeconds;
         request.promptTokens = tokens;
         request.outputTokens = 500;
         request.memoryTokens = tokens + 500;
@@ -96,6 +111,29 @@
         CPPUNIT_ASSERT(choice.has_value());
         CPPUNIT_ASSERT(choice->partSeconds > 1);
     }
+
+    // Guards against a herd: callers who come at one moment all met on the one engine that the few
+    // answers in progress had earned brief requests, beside seven idle ones.
+    void briefRequestsLeaveABusyPart()
+    {
+        for (std::uint64_t work = 1; work <= 3; ++work)
+            prefillBrief(*this->views[0], work, 20'000);
+        const auto choice = this->place(5'000, 0.3);
+        CPPUNIT_ASSERT(choice.has_value());
+        CPPUNIT_ASSERT(choice->engine != this->views[0]->description().id);
+        CPPUNIT_ASSERT(choice->firstEventSeconds < 0.3);
+    }
+
+    // Guards against idle engines while prompts wait: one started only when four in five engines
+    // were free, however short its parts would have been on fewer.
+    void longPromptStartsBesideBusyEngines()
+    {
+        for (std::size_t index = 1; index < 5; ++index)
+            prefillBrief(*this->views[index], index, 40'000);
+        const auto choice = this->place(45'000, 1.5);
+        CPPUNIT_ASSERT(choice.has_value());
+        CPPUNIT_ASSERT(choice->firstEventSeconds < 0.5);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PassPlacementTest);
