Admission: what is late already is not refused by idle engines

Cause: after all entries restarted, requests that had waited 0.25 s for the configuration were refused though their first event was predicted in 0.1 s: their wait counted against the engines. Change: only what the engines' backlog adds decides.

--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -62,12 +62,13 @@
             this->engines.chooseByPasses(request.model, this->passRequestOf(request), this->now);
     if (!choice)
         return std::nullopt; // waits for a place; placing it refuses it when it gets too late
-    const state::Duration waited = this->now - request.arrival;
     state::Duration over = toDuration(choice->completionSeconds) - (request.deadline - this->now);
+    // Counted from now: a request that waited for the configuration or for engines is late already,
+    // and turning it away from idle engines would help nobody.
     if (request.firstTarget > state::Duration(0)) {
         const state::Duration bound = std::chrono::duration_cast<state::Duration>(
                 request.firstTarget * this->policy.lateTolerance);
-        over = std::max(over, waited + toDuration(choice->firstEventSeconds) - bound);
+        over = std::max(over, toDuration(choice->firstEventSeconds) - bound);
     }
     std::optional<Refuse> refusal = this->refusalWhenOver(request, over);
     if (refusal) {
@@ -89,10 +90,8 @@
     const state::Duration first = start + toDuration(outlook.prefillSeconds);
     const state::Duration whole = first + toDuration(outlook.completionSeconds);
     state::Duration over = whole - (request.deadline - this->now);
-    if (request.firstTarget > state::Duration(0)) {
-        const state::Duration waited = this->now - request.arrival;
-        over = std::max(over, waited + start - this->patienceOf(request, outlook.engineSeconds));
-    }
+    if (request.firstTarget > state::Duration(0))
+        over = std::max(over, start - this->patienceOf(request, outlook.engineSeconds));
     // Load that is too much for a long prompt now is rarely gone when the backlog of now is.
     if (over <= state::Duration(0))
         return std::nullopt;
--- a/tests/coordination/admission/DispatcherPassesTest.cpp
+++ b/tests/coordination/admission/DispatcherPassesTest.cpp
@@ -72,6 +72,7 @@
     CPPUNIT_TEST(moveIsPaidForOnce);
     CPPUNIT_TEST(lastEngineServesLongPromptsToo);
     CPPUNIT_TEST(waitingPromptOutlivesItsEngines);
+    CPPUNIT_TEST(idleEnginesServeWhatIsLateAlready);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -142,6 +143,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), rig.dispatcher->waiting());
     }
 
+    // Guards against refusals by idle engines after a restart of all entries: requests that had
+    // waited for the configuration past their targets were sent away, though they had no try left.
+    void idleEnginesServeWhatIsLateAlready()
+    {
+        Rig rig;
+        rig.handle(RequestFinished{rig.sent.id, rig.sent.attempt});
+        CompletionRequest brief = rig.request("brief", 5'000);
+        brief.firstTarget = milliseconds(300);
+        brief.arrival = rig.now - milliseconds(700);
+        brief.deadline = rig.now + seconds(9);
+        rig.handle(RequestArrived{brief});
+        CPPUNIT_ASSERT(rig.only<Dispatch>().id == brief.id);
+        CompletionRequest next = rig.longRequest();
+        next.id = state::RequestId("next");
+        next.arrival = rig.now - seconds(2);
+        rig.handle(RequestArrived{next});
+        CPPUNIT_ASSERT(rig.only<Dispatch>().id == next.id);
+    }
+
     // All engines but one leave. A long prompt used to wait for an engine of the part for long
     // work, which was empty, and was refused at its target though the last engine was idle.
     void lastEngineServesLongPromptsToo()
