Relay: requests wait for the first engine after a start

Replicas of plain services were waited for already. Change: the same wait, 0.6 s at most, before a request for engines is placed.

--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -184,6 +184,7 @@
 
     asio::awaitable<void> runOnEngines()
     {
+        co_await this->waitForEngines();
         ScheduledRequest scheduledRequest = this->toScheduled();
         this->scheduled = true;
         PlacementResult placement =
@@ -219,6 +220,23 @@
         this->hooks.scheduler.finished(this->request.id, lastAttempt, this->outcome.whole);
     }
 
+    // Right after a start the scheduler knows the configuration a moment before the first engine,
+    // and would turn away all who come then.
+    asio::awaitable<void> waitForEngines()
+    {
+        while (!this->knowsEndpoint() && !this->facts.callerGone
+               && monotonicNow() < this->arrival + endpointWait)
+            co_await transport::pause(waitingStep);
+    }
+
+    bool knowsEndpoint() const
+    {
+        const auto table = this->hooks.endpoints();
+        return std::ranges::any_of(table->endpoints, [this](const auto &known) {
+            return known.second.description.service == this->outcome.service;
+        });
+    }
+
     AttemptFailure failureOf(AttemptEnd end) const
     {
         if (end == AttemptEnd::NeverSent)
--- a/tests/platform/RelayTest.cpp
+++ b/tests/platform/RelayTest.cpp
@@ -59,11 +59,10 @@
 class Rig
 {
 public:
-    Rig(state::routes::CallKind kind, std::vector<Behaviour> behaviours)
+    Rig(state::routes::CallKind kind, std::vector<Behaviour> behaviours, bool engines = false)
         : behaviours(std::move(behaviours))
     {
-        this->publishRoutes(kind);
-        EndpointTable endpoints;
+        this->publishRoutes(kind, engines);
         for (std::size_t index = 0; index < this->behaviours.size(); ++index) {
             this->servers.push_back(fakes::serveOnLoopback(
                     this->context, [this](transport::HttpExchange &exchange) {
@@ -74,9 +73,9 @@
             endpoint.service = service;
             endpoint.incarnation = 1;
             endpoint.address = this->servers.back()->address();
-            endpoints.endpoints[endpoint.id] = {endpoint, false, false};
+            this->announced.endpoints[endpoint.id] = {endpoint, false, false};
         }
-        this->table.publish(std::move(endpoints));
+        this->showEndpoints();
         this->relay = std::make_unique<RouteRelay>(this->settings, this->hooks(), 1);
         this->front =
                 fakes::serveOnLoopback(this->context, [this](transport::HttpExchange &exchange) {
@@ -103,6 +102,9 @@
         return program::runToEnd(run(this->front->address(), request()));
     }
 
+    void showEndpoints() { this->table.publish(EndpointTable(this->announced)); }
+    void hideEndpoints() { this->table.publish(EndpointTable()); }
+
     // Sends the request and closes after a while without reading.
     void callAndLeave(std::chrono::milliseconds after)
     {
@@ -131,11 +133,13 @@
     std::string resumedBehind;              // as the last endpoint was told
 
 private:
-    void publishRoutes(state::routes::CallKind kind)
+    void publishRoutes(state::routes::CallKind kind, bool engines)
     {
         state::routes::RouteTableDraft draft;
         draft.version = 1;
         draft.services = {{service, "/health", 10, {}}};
+        if (engines)
+            draft.services.front().engine = state::routes::EngineProfile{.slots = 1};
         state::routes::Route route;
         route.name = "route";
         route.host = "h";
@@ -156,7 +160,7 @@
     {
         RouteRelay::Hooks hooks;
         hooks.codec = makeRelayCodec();
-        hooks.scheduler.blame = [](const state::Address &) {};
+        hooks.scheduler = this->firstEngine();
         hooks.endpoints = [this] { return this->table.read(); };
         hooks.routes = [this] { return this->routes.read(); };
         hooks.refuses = [] { return false; };
@@ -164,6 +168,29 @@
         return hooks;
     }
 
+    // Places on the first engine that is known.
+    program::Scheduler firstEngine()
+    {
+        program::Scheduler scheduler;
+        scheduler.place = [this](const program::ScheduledRequest &)
+                -> asio::awaitable<program::PlacementResult> {
+            const auto known = this->table.read();
+            if (known->endpoints.empty())
+                co_return protocol::Problem{503, "no-engine", "no engine is known",
+                                            protocol::Ran::No, std::nullopt};
+            program::Placement placement;
+            placement.endpoint = known->endpoints.begin()->second.description;
+            co_return placement;
+        };
+        scheduler.progressed = [](const state::RequestId &, std::uint32_t, std::uint64_t) {};
+        scheduler.finished = [](const state::RequestId &, std::uint32_t, bool) {};
+        scheduler.cancel = [](const state::RequestId &) {};
+        scheduler.noteHealth = [](const state::EndpointDescription &,
+                                  coordination::routing::AttemptHealth) {};
+        scheduler.blame = [](const state::Address &) {};
+        return scheduler;
+    }
+
     asio::awaitable<void> serveEndpoint(transport::HttpExchange &exchange)
     {
         const auto arrival = std::size_t(this->arrivals++);
@@ -235,6 +262,7 @@
     program::Settings settings;
     asio::io_context context{1};
     state::Snapshot<state::routes::RouteTable> routes;
+    EndpointTable announced;
     state::Snapshot<EndpointTable> table;
     std::unique_ptr<RouteRelay> relay;
     std::vector<std::shared_ptr<transport::HttpServer>> servers;
@@ -271,6 +299,7 @@
     CPPUNIT_TEST(silentStreamWithoutAnotherTryIsWaitedFor);
     CPPUNIT_TEST(callersCloseReachesTheEndpoint);
     CPPUNIT_TEST(timeLimitIsKept);
+    CPPUNIT_TEST(firstEngineIsWaitedFor);
     CPPUNIT_TEST_SUITE_END();
 
     using Kind = state::routes::CallKind;
@@ -377,6 +406,22 @@
         CPPUNIT_ASSERT(rig.leftAtUs - closed < 100'000);
     }
 
+    // Guards against refusals right after a start: the configuration is known a moment before the
+    // first engine is heard of, and all who came then were sent away.
+    void firstEngineIsWaitedFor()
+    {
+        Rig rig(Kind::Stream, {Behaviour::Streams}, true);
+        rig.hideEndpoints();
+        std::thread announce([&rig] {
+            std::this_thread::sleep_for(std::chrono::milliseconds(200));
+            rig.showEndpoints();
+        });
+        const auto answer = rig.call();
+        announce.join();
+        CPPUNIT_ASSERT_EQUAL(200U, answer.value().status);
+        CPPUNIT_ASSERT_EQUAL(eventsUpTo(6), answer.value().body);
+    }
+
     // An endpoint that never answers a call: the caller is answered at the route's timeout of 2 s.
     void timeLimitIsKept()
     {
