Routing: brief and tight follow the pauses that callers bear; long answers join brief ones; refusals are later

Refused and back, they are late as well. - A prompt might wait 0.4 of its target for its start, by a constant cost of 13 us a token of the first deployments. Changes: both bounds follow the tightest pause that callers of the model have asked for; an engine for brief requests answers one long prompt too, where its pass with part and context stays under 0.7 of that pause; refused at 4 times the target; a wait of 0.6, by the engine's own cost of pairs.

--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -91,7 +91,7 @@
     const state::Duration whole = first + toDuration(outlook.completionSeconds);
     state::Duration over = whole - (request.deadline - this->now);
     if (request.firstTarget > state::Duration(0))
-        over = std::max(over, start - this->patienceOf(request, outlook.engineSeconds));
+        over = std::max(over, start - this->patienceOf(request, outlook));
     // Load that is too much for a long prompt now is rarely gone when the backlog of now is.
     if (over <= state::Duration(0))
         return std::nullopt;
@@ -111,11 +111,11 @@
                   std::clamp(over, shortestRetryAfter, longestRetryAfter), Ran::No};
 }
 
-state::Duration Dispatcher::patienceOf(const CompletionRequest &request, double engineSeconds) const
+state::Duration Dispatcher::patienceOf(const CompletionRequest &request,
+                                       const routing::LongOutlook &outlook) const
 {
     const routing::PassPlacementSettings &terms = this->policy.passes;
-    const double perToken = engineSeconds / std::max(1.0, double(request.promptTokens));
-    const double ratio = std::max(1.0, perToken / terms.usualSecondsPerToken);
+    const double ratio = std::max(1.0, outlook.cost / terms.usualCost);
     const double share = terms.waitingShare / std::pow(ratio, terms.costPower);
     return std::chrono::duration_cast<state::Duration>(request.firstTarget * share);
 }
@@ -200,8 +200,14 @@
     routing::PassRequest wanted = this->passRequestOf(request);
     wanted.avoid = flight.failed;
     const auto choice = this->engines.chooseByPasses(request.model, wanted, this->now);
-    if (!choice && this->isLong(request))
-        return false; // refuseHopeless() ends it when it has waited too long
+    if (!choice && this->isLong(request)) {
+        if (this->longQueue.findOwn(flight.work))
+            return false; // refuseHopeless() ends it when it has waited too long
+        // It was brief when it was queued: callers have since come who bear shorter pauses.
+        this->dequeue(flight);
+        this->enqueue(flight, true);
+        return true;
+    }
     if (!choice) {
         // No engine has room. It may wait for as long as it could still be in time then.
         const state::Duration usual =
@@ -245,6 +251,8 @@
     if (routing::EngineView *view = this->engines.find(note.engine)) {
         view->apply(note, this->now);
         if (dispatched) {
+            for (const state::ModelName &model : view->description().models)
+                this->engines.notePause(model, note.pause);
             const double prefill = std::min(note.chargedTokens, note.prefillTokens);
             this->engines.noteDemand(*view, note.promptTokens, prefill, this->now);
         }
--- a/src/coordination/routing/Fleet.cpp
+++ b/src/coordination/routing/Fleet.cpp
@@ -265,11 +265,28 @@
            * std::exp(-toSeconds(now - demand.at) / this->policy.passes.demandMemorySeconds);
 }
 
-void Fleet::noteLongPrefill(const EngineView &engine, double seconds, state::Instant now)
+void Fleet::notePause(const state::ModelName &model, state::Duration pause)
 {
-    if (seconds <= this->policy.passes.briefSeconds)
+    if (pause <= state::Duration(0))
+        return;
+    const auto known = this->tightestPause.find(model);
+    if (known != this->tightestPause.end() && known->second <= pause)
         return;
+    this->tightestPause[model] = pause;
+    this->adapted[model] = this->policy.passes.withTightestPause(toSeconds(pause));
+}
+
+const PassPlacementSettings &Fleet::passTerms(const state::ModelName &model) const
+{
+    const auto found = this->adapted.find(model);
+    return found == this->adapted.end() ? this->policy.passes : found->second;
+}
+
+void Fleet::noteLongPrefill(const EngineView &engine, double seconds, state::Instant now)
+{
     for (const state::ModelName &model : engine.description().models) {
+        if (seconds <= this->passTerms(model).briefSeconds)
+            continue;
         LongDemand &demand = this->longDemand[model];
         demand.rate =
                 this->decayed(demand, now) + seconds / this->policy.passes.demandMemorySeconds;
@@ -296,14 +313,14 @@
                                                 state::Instant now)
 {
     const std::vector<const EngineView *> views = this->rankedViews(model, request, now);
-    return placeByPasses(views, request, this->policy.passes);
+    return placeByPasses(views, request, this->passTerms(model));
 }
 
 LongOutlook Fleet::longOutlook(const state::ModelName &model, PassRequest request,
                                state::Instant now)
 {
     const std::vector<const EngineView *> views = this->rankedViews(model, request, now);
-    return routing::longOutlook(views, request, this->policy.passes);
+    return routing::longOutlook(views, request, this->passTerms(model));
 }
 
 bool Fleet::isLong(const state::ModelName &model, std::uint32_t promptTokens) const
@@ -315,7 +332,7 @@
         return view->profile().has_value();
     });
     return profiled != found->second.views.end()
-           && !isBrief(*(*profiled)->profile(), promptTokens, this->policy.passes);
+           && !isBrief(*(*profiled)->profile(), promptTokens, this->passTerms(model));
 }
 
 void Fleet::noteDemand(const EngineView &engine, std::uint32_t promptTokens, double prefillTokens,
--- a/src/coordination/routing/Fleet.h
+++ b/src/coordination/routing/Fleet.h
@@ -71,6 +71,8 @@
     LongOutlook longOutlook(const state::ModelName &model, PassRequest request, state::Instant now);
     // Whether the prompt is long for the model's engines, which work in passes.
     bool isLong(const state::ModelName &model, std::uint32_t promptTokens) const;
+    // A pause between two events that a caller of the model bears.
+    void notePause(const state::ModelName &model, state::Duration pause);
     // Long prefill that some entry has sent to engines that work in passes.
     void noteLongPrefill(const EngineView &engine, double seconds, state::Instant now);
 
@@ -103,6 +105,7 @@
     };
 
     double decayed(const LongDemand &demand, state::Instant now) const;
+    const PassPlacementSettings &passTerms(const state::ModelName &model) const;
     std::vector<const EngineView *> rankedViews(const state::ModelName &model, PassRequest &request,
                                                 state::Instant now);
     void rebuild();
@@ -122,6 +125,8 @@
     std::map<EngineKey, EngineView *> byKey; // into `engines`
     std::map<state::ModelName, Watched> byModel;
     std::map<state::ModelName, LongDemand> longDemand;
+    std::map<state::ModelName, state::Duration> tightestPause;
+    std::map<state::ModelName, PassPlacementSettings> adapted; // exactly those of `tightestPause`
     std::uint64_t nextRoundRobin;
     DemandSplit split;
 };
--- a/src/coordination/routing/LongPlacement.cpp
+++ b/src/coordination/routing/LongPlacement.cpp
@@ -204,7 +204,31 @@
     return double(free) >= std::min(std::max(worth, 0.0), part) - 1;
 }
 
+// The least crowded engine for brief requests that may answer the prompt too; null if none may.
+const PassCandidate *answeringBesideBriefs(std::span<const PassCandidate> briefPart,
+                                           double partSeconds, const PassRequest &request,
+                                           const PassPlacementSettings &settings)
+{
+    const double bearable = settings.besideBriefPauseShare * settings.tightestPauseSeconds();
+    const PassCandidate *best = nullptr;
+    for (const PassCandidate &candidate : briefPart) {
+        const double places = settings.briefPlaceShareCrowded * candidate.profile().slots;
+        if (!candidate.hasRoom(request) || double(candidate.longs) >= settings.longsBesideBriefs
+            || double(candidate.answers) >= places)
+            continue;
+        const double pass =
+                state::routes::decodePassSeconds(candidate.profile(), double(candidate.answers + 1),
+                                                 candidate.context + request.promptTokens);
+        if (pass + candidate.waiting + partSeconds > bearable)
+            continue;
+        if (best == nullptr || candidate.crowding() < best->crowding())
+            best = &candidate;
+    }
+    return best;
+}
+
 std::optional<PassChoice> placeAmong(std::span<const PassCandidate> candidates,
+                                     std::span<const PassCandidate> briefPart,
                                      const PassRequest &request,
                                      const PassPlacementSettings &settings)
 {
@@ -231,6 +255,11 @@
     if (!chosen)
         return std::nullopt;
     choice.partSeconds = seconds / double(chosen->size() + 1);
+    const PassCandidate *beside =
+            shared ? nullptr
+                   : answeringBesideBriefs(briefPart, choice.partSeconds, request, settings);
+    if (beside != nullptr)
+        answering = beside;
     double waiting = answering->waiting;
     for (const Helper &helper : *chosen) {
         choice.helpers.push_back(helper.id());
@@ -245,6 +274,7 @@
 // used as well only for a prompt whose parts fit into their passes: one long part makes all of
 // their callers' answers late.
 std::optional<PassChoice> placeLong(std::span<const PassCandidate> candidates,
+                                    std::span<const PassCandidate> briefPart,
                                     const PassRequest &request,
                                     const PassPlacementSettings &settings)
 {
@@ -255,11 +285,11 @@
         return each.briefs <= settings.fewBriefs;
     });
     if (!calm.empty()) {
-        std::optional<PassChoice> choice = placeAmong(calm, request, settings);
+        std::optional<PassChoice> choice = placeAmong(calm, briefPart, request, settings);
         if (choice || calm.size() == candidates.size())
             return choice;
     }
-    std::optional<PassChoice> choice = placeAmong(candidates, request, settings);
+    std::optional<PassChoice> choice = placeAmong(candidates, briefPart, request, settings);
     const bool fits = choice && choice->partSeconds <= settings.besideTightPart;
     return fits || calm.empty() ? choice : std::nullopt;
 }
--- a/src/coordination/routing/PassPlacement.cpp
+++ b/src/coordination/routing/PassPlacement.cpp
@@ -122,7 +122,8 @@
     const bool brief = isBrief(candidates.front().profile(), request.promptTokens, settings);
     std::optional<PassChoice> choice =
             brief ? placeBrief(candidates, border, request, settings)
-                  : placeLong(longPart(candidates, border), request, settings);
+                  : placeLong(longPart(candidates, border), std::span(candidates).first(border),
+                              request, settings);
     if (choice) {
         look.waitingSeconds = choice->waitingSeconds;
         choice->look = look;
@@ -148,6 +149,8 @@
     const PassCandidate &last = part.back(); // of those that answer
     const std::size_t parts = std::min(part.size(), settings.mostHelpers + 1);
     outlook.engineSeconds = state::routes::prefillSeconds(last.profile(), request.promptTokens);
+    const double rate = last.profile().prefillTokensPerSecond;
+    outlook.cost = outlook.engineSeconds * rate / std::max(1.0, double(request.promptTokens));
     PassChoice alone;
     alone.partSeconds = outlook.engineSeconds / double(parts);
     alone = completeChoice(std::move(alone), last, 0, request);
--- a/src/coordination/routing/PassPlacementSettings.h
+++ b/src/coordination/routing/PassPlacementSettings.h
@@ -8,9 +8,11 @@
 
 struct PassPlacementSettings
 {
-    // Prefill up to this long counts as brief and is packed; it is the time that 20,000 tokens
-    // take, and lets a pass with two such prompts stay under a pause of 200 ms.
+    // Prefill up to this long counts as brief and is packed. Once callers have said which pauses
+    // they bear, it is this share of the tightest of them: what is longer would break the pauses of
+    // those who decode beside it.
     double briefSeconds = 0.1;
+    double briefPauseShare = 0.6;
     // Share of an engine's places that brief requests are meant to take: entries place at the same
     // moment by notes that are some milliseconds old, and who finds all places taken waits for a
     // second or more. Where long work needs the engines, up to the second share.
@@ -50,20 +52,22 @@
     double startShare = 0.8;
     // It also starts as soon as its parts would take no more than this share of the time to its
     // first event as asked.
-    double startPartShare = 0.2;
+    double startPartShare = 0.15;
     double startWaitingSeconds = 0.06;
     std::size_t partsPerHelper = 2;      // not known to be done
     double startOwnWaitingSeconds = 0.1; // the same, of the engine that answers
     // Under load the longest prompts are turned away first: they cost the most engine time for each
     // of their tokens, since that grows with their length. The wait for the start may take this
-    // share of the time to the first token as asked, for a prompt that costs
-    // `usualSecondsPerToken`, and less by the ratio of the costs to this power for a longer one.
-    // With the power 1.75 the largest tenth of the reviews was served 0.31 times as often as all,
-    // with 0.7 it is 0.47; a share of 0.6 in place of 0.4 held callers longer for the same.
-    double waitingShare = 0.4;
-    double usualSecondsPerToken = 13e-6;
+    // share of the time to the first token as asked, for a prompt whose pairs make it cost up to
+    // `usualCost` times its tokens alone, and less by the ratio of the costs to this power for a
+    // longer one.
+    double waitingShare = 0.6;
+    double usualCost = 3.3;
     double costPower = 0.7;
-    double tightPauseSeconds = 0.3; // pauses below it are tight
+    // Pauses below it are tight; once callers have said which they bear, those below so many times
+    // the tightest.
+    double tightPauseSeconds = 0.3;
+    double tightPauses = 1.5;
     // Prompts larger than an engine's memory keep the rest at helpers: the share of an engine's
     // free memory that one prompt may take there, and how many helpers hold some.
     double memoryShare = 0.8;
@@ -71,6 +75,21 @@
     // Long requests that one engine is meant to answer at once: each makes the passes of the others
     // longer by its context.
     double longPerEngine = 4;
+    // An engine for brief requests answers so many of them too, if its passes, with the prompt's
+    // part and its context, stay under this share of the tightest pause: they run for the brief
+    // answers anyway, and one engine less is kept from prefilling.
+    double longsBesideBriefs = 1;
+    double besideBriefPauseShare = 0.7;
+
+    double tightestPauseSeconds() const { return this->tightPauseSeconds / this->tightPauses; }
+    // What follows from the tightest pause that callers of the model bear.
+    PassPlacementSettings withTightestPause(double seconds) const
+    {
+        PassPlacementSettings adapted = *this;
+        adapted.briefSeconds = this->briefPauseShare * seconds;
+        adapted.tightPauseSeconds = this->tightPauses * seconds;
+        return adapted;
+    }
 
     auto operator<=>(const PassPlacementSettings &) const = default;
 };
--- a/src/coordination/routing/PolicySettings.h
+++ b/src/coordination/routing/PolicySettings.h
@@ -86,7 +86,7 @@
     PassPlacementSettings passes;
     // A request whose first answer is predicted later than this many times its target is refused:
     // behind it, those who come next would be late too, and none would be served as asked.
-    double lateTolerance = 1.5;
+    double lateTolerance = 4;
     bool budgetRefused = false; // tries after an engine's refusal take from the retry budget too
 
     auto operator<=>(const PolicySettings &) const = default;
