--- a/src/coordination/admission/Dispatcher.cpp
+++ b/src/coordination/admission/Dispatcher.cpp
@@ -54,7 +54,7 @@
     if (this->flights.contains(request.id))
         return;
     const LengthClass lengthClass = this->classOf(request.promptTokens);
-    this->engines.notePause(request.model, request.pause);
+    this->engines.notePause(request.model, request.pause, this->now);
     if (const std::optional<Refuse> refusal = this->refusalOf(request, lengthClass)) {
         ++this->tally.refused;
         this->actions.emplace_back(*refusal);
--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -154,8 +154,6 @@
                                       const routing::LongOutlook &outlook, double secondsBefore);
     std::optional<Refuse> refusalWhenOver(const CompletionRequest &request,
                                           state::Duration over) const;
-    state::Duration patienceOf(const CompletionRequest &request,
-                               const routing::LongOutlook &outlook) const;
     bool isLong(const CompletionRequest &request) const;
     WaitingPrompt waitingOf(const Flight &flight) const;
     void pumpLong();
--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -3,7 +3,6 @@
 #include "coordination/admission/Dispatcher.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace lavenderthread::coordination::admission {
 
@@ -90,8 +89,11 @@
     const state::Duration first = start + toDuration(outlook.prefillSeconds);
     const state::Duration whole = first + toDuration(outlook.completionSeconds);
     state::Duration over = whole - (request.deadline - this->now);
-    if (request.firstTarget > state::Duration(0))
-        over = std::max(over, start - this->patienceOf(request, outlook));
+    if (request.firstTarget > state::Duration(0)) {
+        const auto patience = std::chrono::duration_cast<state::Duration>(
+                request.firstTarget * this->policy.passes.waitingShare);
+        over = std::max(over, start - patience);
+    }
     // Load that is too much for a long prompt now is rarely gone when the backlog of now is.
     if (over <= state::Duration(0))
         return std::nullopt;
@@ -111,15 +113,6 @@
                   std::clamp(over, shortestRetryAfter, longestRetryAfter), Ran::No};
 }
 
-state::Duration Dispatcher::patienceOf(const CompletionRequest &request,
-                                       const routing::LongOutlook &outlook) const
-{
-    const routing::PassPlacementSettings &terms = this->policy.passes;
-    const double ratio = std::max(1.0, outlook.cost / terms.usualCost);
-    const double share = terms.waitingShare / std::pow(ratio, terms.costPower);
-    return std::chrono::duration_cast<state::Duration>(request.firstTarget * share);
-}
-
 bool Dispatcher::isLong(const CompletionRequest &request) const
 {
     return this->engines.isLong(request.model, request.promptTokens);
@@ -252,7 +245,7 @@
         view->apply(note, this->now);
         if (dispatched) {
             for (const state::ModelName &model : view->description().models)
-                this->engines.notePause(model, note.pause);
+                this->engines.notePause(model, note.pause, this->now);
             const double prefill = std::min(note.chargedTokens, note.prefillTokens);
             this->engines.noteDemand(*view, note.promptTokens, prefill, this->now);
         }
--- a/src/coordination/routing/Fleet.cpp
+++ b/src/coordination/routing/Fleet.cpp
@@ -11,7 +11,8 @@
 namespace {
 
 constexpr double ownPartFullSeconds = 0.15; // ahead of a short prompt; then it looks elsewhere too
-constexpr std::size_t sampleTries = 4;      // draws per wanted sample before the whole set is taken
+constexpr state::Duration pauseMemory = std::chrono::seconds(60);
+constexpr std::size_t sampleTries = 4; // draws per wanted sample before the whole set is taken
 
 std::uint64_t scoreOf(const std::string &entry, const state::EndpointId &engine)
 {
@@ -265,15 +266,17 @@
            * std::exp(-toSeconds(now - demand.at) / this->policy.passes.demandMemorySeconds);
 }
 
-void Fleet::notePause(const state::ModelName &model, state::Duration pause)
+void Fleet::notePause(const state::ModelName &model, state::Duration pause, state::Instant now)
 {
     if (pause <= state::Duration(0))
         return;
-    const auto known = this->tightestPause.find(model);
-    if (known != this->tightestPause.end() && known->second <= pause)
-        return;
-    this->tightestPause[model] = pause;
-    this->adapted[model] = this->policy.passes.withTightestPause(toSeconds(pause));
+    auto &seen = this->pauses[model];
+    const state::Duration before = seen.empty() ? state::Duration(0) : seen.begin()->first;
+    seen[pause] = now;
+    std::erase_if(seen, [now](const auto &each) { return each.second + pauseMemory < now; });
+    const state::Duration tightest = seen.begin()->first;
+    if (tightest != before)
+        this->adapted[model] = this->policy.passes.withTightestPause(toSeconds(tightest));
 }
 
 const PassPlacementSettings &Fleet::passTerms(const state::ModelName &model) const
--- a/src/coordination/routing/Fleet.h
+++ b/src/coordination/routing/Fleet.h
@@ -71,8 +71,9 @@
     LongOutlook longOutlook(const state::ModelName &model, PassRequest request, state::Instant now);
     // Whether the prompt is long for the model's engines, which work in passes.
     bool isLong(const state::ModelName &model, std::uint32_t promptTokens) const;
-    // A pause between two events that a caller of the model bears.
-    void notePause(const state::ModelName &model, state::Duration pause);
+    // A pause between two events that a caller of the model bears; forgotten when no caller has
+    // asked for it for a while, or one mistaken route would decide for ever.
+    void notePause(const state::ModelName &model, state::Duration pause, state::Instant now);
     // Long prefill that some entry has sent to engines that work in passes.
     void noteLongPrefill(const EngineView &engine, double seconds, state::Instant now);
 
@@ -125,8 +126,9 @@
     std::map<EngineKey, EngineView *> byKey; // into `engines`
     std::map<state::ModelName, Watched> byModel;
     std::map<state::ModelName, LongDemand> longDemand;
-    std::map<state::ModelName, state::Duration> tightestPause;
-    std::map<state::ModelName, PassPlacementSettings> adapted; // exactly those of `tightestPause`
+    // When each pause was last asked for; as many as there are routes with different ones.
+    std::map<state::ModelName, std::map<state::Duration, state::Instant>> pauses;
+    std::map<state::ModelName, PassPlacementSettings> adapted; // exactly those of `pauses`
     std::uint64_t nextRoundRobin;
     DemandSplit split;
 };
--- a/src/coordination/routing/PassPlacement.cpp
+++ b/src/coordination/routing/PassPlacement.cpp
@@ -149,8 +149,6 @@
     const PassCandidate &last = part.back(); // of those that answer
     const std::size_t parts = std::min(part.size(), settings.mostHelpers + 1);
     outlook.engineSeconds = state::routes::prefillSeconds(last.profile(), request.promptTokens);
-    const double rate = last.profile().prefillTokensPerSecond;
-    outlook.cost = outlook.engineSeconds * rate / std::max(1.0, double(request.promptTokens));
     PassChoice alone;
     alone.partSeconds = outlook.engineSeconds / double(parts);
     alone = completeChoice(std::move(alone), last, 0, request);
--- a/src/coordination/routing/PassPlacement.h
+++ b/src/coordination/routing/PassPlacement.h
@@ -71,7 +71,6 @@
     double prefillSeconds = 0;    // of the prompt, alone on all of them that may take part
     double completionSeconds = 0; // from the first event to the last
     double engineSeconds = 0;     // for the whole prefill, on one engine
-    double cost = 1;              // of it, over the same without pairs
     PassLook look;
 };
 
--- a/src/coordination/routing/PassPlacementSettings.h
+++ b/src/coordination/routing/PassPlacementSettings.h
@@ -56,14 +56,9 @@
     double startWaitingSeconds = 0.06;
     std::size_t partsPerHelper = 2;      // not known to be done
     double startOwnWaitingSeconds = 0.1; // the same, of the engine that answers
-    // Under load the longest prompts are turned away first: they cost the most engine time for each
-    // of their tokens, since that grows with their length. The wait for the start may take this
-    // share of the time to the first token as asked, for a prompt whose pairs make it cost up to
-    // `usualCost` times its tokens alone, and less by the ratio of the costs to this power for a
-    // longer one.
+    // A long prompt is turned away when it would wait longer for its start than this share of the
+    // time to the first token as asked.
     double waitingShare = 0.6;
-    double usualCost = 3.3;
-    double costPower = 0.7;
     // Pauses below it are tight; once callers have said which they bear, those below so many times
     // the tightest.
     double tightPauseSeconds = 0.3;
--- a/tests/coordination/admission/DispatcherPassesTest.cpp
+++ b/tests/coordination/admission/DispatcherPassesTest.cpp
@@ -201,6 +201,12 @@
         rig.handle(RequestArrived{brief});
         CPPUNIT_ASSERT(isLong(40'000));
         CPPUNIT_ASSERT(!isLong(23'000));
+        // Nobody has asked for it for long: the route may have been a mistake.
+        rig.now += seconds(90);
+        CompletionRequest next = rig.longRequest();
+        next.id = state::RequestId("next");
+        rig.handle(RequestArrived{next});
+        CPPUNIT_ASSERT(!isLong(40'000));
     }
 
     // All engines but one leave. A long prompt used to wait for an engine of the part for long
