Shutdown: calls are taken for three eighths of the time until the kill, no longer for half

Cause: calls were taken for 4.0 of 8 s; one taken then has 3.3 s left, less than a long answer takes. Change: 3.0 s, after which callers are told to go elsewhere at once. Ruled out: the predicted completion as a bound; it was 3 s here, and the answer took longer.

--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -1,6 +1,7 @@
 // Start, service and graceful end of one process.
 #include "program/Node.h"
 
+#include "coordination/directory/LeavingPlan.h"
 #include "program/Clock.h"
 #include "program/Cluster.h"
 #include "program/ControlClient.h"
@@ -30,6 +31,7 @@
 namespace lavenderthread::program {
 
 namespace asio = boost::asio;
+using coordination::directory::LeavingPlan;
 using coordination::membership::MemberPhase;
 using std::chrono::milliseconds;
 
@@ -39,8 +41,11 @@
 constexpr milliseconds drainCheckInterval{20};
 // The farewell goes out and answers just written leave the sockets before the process does.
 constexpr milliseconds farewellTime{300};
-// Of the time until the process must be gone: the farewell, and a slow VM.
-constexpr milliseconds terminationMargin{700};
+
+std::int64_t toMilliseconds(state::Duration time)
+{
+    return std::chrono::duration_cast<milliseconds>(time).count();
+}
 
 void logCompletion(const CompletionOutcome &outcome)
 {
@@ -419,16 +424,17 @@
         co_await this->stopSignals.async_wait(asio::as_tuple(asio::use_awaitable));
         // An operator who signals twice does not want to wait.
         this->stopSignals.async_wait([this](auto, auto) { this->context.stop(); });
-        const state::Instant limit = monotonicNow() + this->leavingTime();
+        const LeavingPlan plan = this->leavingPlan();
+        const state::Instant limit = monotonicNow() + plan.ends;
         logEvent(LogLevel::Info, "node.leaving",
                  {{"in_flight", std::uint64_t(this->inFlight())},
-                  {"takes_calls_ms", std::int64_t(this->leavingGrace().count())},
-                  {"limit_ms", std::int64_t(this->leavingTime().count())}});
+                  {"takes_calls_ms", toMilliseconds(plan.takesCalls)},
+                  {"limit_ms", toMilliseconds(plan.ends)}});
         this->entry->enter(EntryPhase::Leaving);
         if (this->front)
             this->front->beginLeaving();
         this->tellPhase();
-        co_await transport::pause(this->leavingGrace());
+        co_await transport::pause(milliseconds(toMilliseconds(plan.takesCalls)));
         this->entry->enter(EntryPhase::Refusing);
         if (this->front)
             this->front->refuseNew();
@@ -489,18 +495,12 @@
         return this->entry->inFlight() + (this->front ? this->front->inFlight() : 0);
     }
 
-    // Callers keep a directory answer for some seconds and go on coming here for as long.
-    milliseconds leavingGrace() const
-    {
-        return this->settings.relay.listen ? this->settings.relay.termination / 2
-                                           : this->settings.entry.shutdownGrace;
-    }
-
-    milliseconds leavingTime() const
+    LeavingPlan leavingPlan() const
     {
-        return this->settings.relay.listen
-                       ? this->settings.relay.termination - terminationMargin
-                       : this->leavingGrace() + this->settings.entry.shutdownLimit;
+        if (this->settings.relay.listen)
+            return LeavingPlan::within(this->settings.relay.termination);
+        const auto &entry = this->settings.entry;
+        return {entry.shutdownGrace, entry.shutdownGrace + entry.shutdownLimit};
     }
 
     // What may change while running is what a restart would read: the rest is only checked.
