--- a/bench/pass-bench.cpp
+++ b/bench/pass-bench.cpp
@@ -234,10 +234,10 @@
 void printScore(const Options &options, Played played)
 {
     const PassResult &sum = played.sum;
-    for (std::size_t index = 0; options.eachSeed && index < played.scores.size(); ++index)
-        std::printf("%llu %.4f\n",
-                    static_cast<unsigned long long>(options.firstSeed + index * options.seedStep),
-                    played.scores[index]);
+    for (std::size_t index = 0; options.eachSeed && index < played.scores.size(); ++index) {
+        const std::uint64_t seed = options.firstSeed + index * options.seedStep;
+        std::printf("%s %.4f\n", std::to_string(seed).c_str(), played.scores[index]);
+    }
     const double mean = std::accumulate(played.scores.begin(), played.scores.end(), 0.0)
                         / double(played.scores.size());
     std::printf("%.4f lowest tenth %.4f prefill %.3f decode %.3f\n", mean,
