--- a/bench/pass-bench.cpp
+++ b/bench/pass-bench.cpp
@@ -68,7 +68,6 @@
 {
     using Settings = coordination::routing::PassPlacementSettings;
     static const std::map<std::string, Member> all = {
-            {"briefSeconds", &Settings::briefSeconds},
             {"briefPlaceShare", &Settings::briefPlaceShare},
             {"briefPlaceShareCrowded", &Settings::briefPlaceShareCrowded},
             {"briefBusyShare", &Settings::briefBusyShare},
@@ -110,10 +109,6 @@
         plan.policy.passes.*(member->second) = value;
         return true;
     }
-    if (name == "lateTolerance") {
-        plan.policy.lateTolerance = value;
-        return true;
-    }
     state::Result<PolicySettings> changed = plan.policy.with(name, value);
     if (changed)
         plan.policy = changed.value();
--- a/src/coordination/routing/Fleet.cpp
+++ b/src/coordination/routing/Fleet.cpp
@@ -270,19 +270,20 @@
 {
     if (pause <= state::Duration(0))
         return;
-    auto &seen = this->pauses[model];
-    const state::Duration before = seen.empty() ? state::Duration(0) : seen.begin()->first;
-    seen[pause] = now;
-    std::erase_if(seen, [now](const auto &each) { return each.second + pauseMemory < now; });
-    const state::Duration tightest = seen.begin()->first;
+    AskedPauses &asked = this->askedPauses[model];
+    const state::Duration before =
+            asked.last.empty() ? state::Duration(0) : asked.last.begin()->first;
+    asked.last[pause] = now;
+    std::erase_if(asked.last, [now](const auto &each) { return each.second + pauseMemory < now; });
+    const state::Duration tightest = asked.last.begin()->first;
     if (tightest != before)
-        this->adapted[model] = this->policy.passes.withTightestPause(toSeconds(tightest));
+        asked.terms = this->policy.passes.withTightestPause(toSeconds(tightest));
 }
 
 const PassPlacementSettings &Fleet::passTerms(const state::ModelName &model) const
 {
-    const auto found = this->adapted.find(model);
-    return found == this->adapted.end() ? this->policy.passes : found->second;
+    const auto found = this->askedPauses.find(model);
+    return found == this->askedPauses.end() ? this->policy.passes : found->second.terms;
 }
 
 void Fleet::noteLongPrefill(const EngineView &engine, double seconds, state::Instant now)
--- a/src/coordination/routing/Fleet.h
+++ b/src/coordination/routing/Fleet.h
@@ -105,6 +105,12 @@
         state::Instant at;
     };
 
+    struct AskedPauses
+    {
+        std::map<state::Duration, state::Instant> last; // when each was; one a route at most
+        PassPlacementSettings terms;                    // that follow from the tightest
+    };
+
     double decayed(const LongDemand &demand, state::Instant now) const;
     const PassPlacementSettings &passTerms(const state::ModelName &model) const;
     std::vector<const EngineView *> rankedViews(const state::ModelName &model, PassRequest &request,
@@ -126,9 +132,7 @@
     std::map<EngineKey, EngineView *> byKey; // into `engines`
     std::map<state::ModelName, Watched> byModel;
     std::map<state::ModelName, LongDemand> longDemand;
-    // When each pause was last asked for; as many as there are routes with different ones.
-    std::map<state::ModelName, std::map<state::Duration, state::Instant>> pauses;
-    std::map<state::ModelName, PassPlacementSettings> adapted; // exactly those of `pauses`
+    std::map<state::ModelName, AskedPauses> askedPauses;
     std::uint64_t nextRoundRobin;
     DemandSplit split;
 };
--- a/src/coordination/routing/LongPlacement.cpp
+++ b/src/coordination/routing/LongPlacement.cpp
@@ -82,11 +82,8 @@
     double cost = 0;
     if (candidate.briefs > 0)
         cost += settings.besideTightSeconds;
-    if (candidate.answers > 0) {
-        cost += settings.besideDecodingPasses
-                * state::routes::decodePassSeconds(candidate.profile(), double(candidate.answers),
-                                                   candidate.context);
-    }
+    if (candidate.answers > 0)
+        cost += settings.besideDecodingPasses * candidate.passSeconds();
     return cost;
 }
 
@@ -209,16 +206,14 @@
                                            double partSeconds, const PassRequest &request,
                                            const PassPlacementSettings &settings)
 {
-    const double bearable = settings.besideBriefPauseShare * settings.tightestPauseSeconds();
+    const double bearable = settings.besideBriefPauseShare * settings.tightestPauseSeconds;
     const PassCandidate *best = nullptr;
     for (const PassCandidate &candidate : briefPart) {
         const double places = settings.briefPlaceShareCrowded * candidate.profile().slots;
         if (!candidate.hasRoom(request) || double(candidate.longs) >= settings.longsBesideBriefs
             || double(candidate.answers) >= places)
             continue;
-        const double pass =
-                state::routes::decodePassSeconds(candidate.profile(), double(candidate.answers + 1),
-                                                 candidate.context + request.promptTokens);
+        const double pass = candidate.passSecondsWith(request);
         if (pass + candidate.waiting + partSeconds > bearable)
             continue;
         if (best == nullptr || candidate.crowding() < best->crowding())
--- a/src/coordination/routing/PassCandidate.cpp
+++ b/src/coordination/routing/PassCandidate.cpp
@@ -23,25 +23,28 @@
         sum.pending += resident.decoding ? 0 : 1;
         sum.ownWaiting += view.prefillSeconds(resident.prefillLeft);
         sum.context += resident.promptTokens;
-        const bool tight =
-                resident.pauseSeconds > 0 && resident.pauseSeconds < settings.tightPauseSeconds;
+        const bool tight = resident.pauseSeconds > 0 && settings.isTight(resident.pauseSeconds);
         ++(tight ? sum.briefs : sum.longs);
         if (!tight && resident.pauseSeconds > 0)
             sum.bearable = std::min(sum.bearable, resident.pauseSeconds);
     }
     if (sum.longs > 0)
-        sum.bearable -=
-                state::routes::decodePassSeconds(sum.profile(), double(sum.answers), sum.context);
+        sum.bearable -= sum.passSeconds();
     return sum;
 }
 
-double passSeconds(const PassCandidate &answering, const PassRequest &request)
+} // namespace
+
+double PassCandidate::passSeconds() const
 {
-    return state::routes::decodePassSeconds(answering.profile(), double(answering.answers + 1),
-                                            answering.context + request.promptTokens);
+    return state::routes::decodePassSeconds(this->profile(), double(this->answers), this->context);
 }
 
-} // namespace
+double PassCandidate::passSecondsWith(const PassRequest &request) const
+{
+    return state::routes::decodePassSeconds(this->profile(), double(this->answers + 1),
+                                            this->context + request.promptTokens);
+}
 
 double PassCandidate::crowding() const
 {
@@ -70,7 +73,7 @@
     // The pass in progress ends, on average half over; the first event's own tokens take a whole
     // one.
     constexpr double passes = 1.5;
-    return passes * passSeconds(answering, request);
+    return passes * answering.passSecondsWith(request);
 }
 
 PassChoice completeChoice(PassChoice choice, const PassCandidate &answering, double waiting,
@@ -82,7 +85,8 @@
     choice.firstEventSeconds = waiting + choice.partSeconds / answering.speed
                                + firstEventPassSeconds(answering, request);
     const double events = std::ceil(request.outputTokens / profile.stridePerPass);
-    choice.completionSeconds = choice.firstEventSeconds + events * passSeconds(answering, request);
+    choice.completionSeconds =
+            choice.firstEventSeconds + events * answering.passSecondsWith(request);
     return choice;
 }
 
--- a/src/coordination/routing/PassCandidate.h
+++ b/src/coordination/routing/PassCandidate.h
@@ -30,6 +30,9 @@
     {
         return this->hasSlot() && this->view->freeTokens() >= request.memoryTokens;
     }
+    // One pass of those who are answered there, and with this request besides; without prefill.
+    double passSeconds() const;
+    double passSecondsWith(const PassRequest &request) const;
     // Prefill that is there delays a newcomer as it is; each request that decodes there makes the
     // passes longer and may be joined by more prefill.
     double crowding() const;
--- a/src/coordination/routing/PassPlacementSettings.h
+++ b/src/coordination/routing/PassPlacementSettings.h
@@ -59,9 +59,9 @@
     // A long prompt is turned away when it would wait longer for its start than this share of the
     // time to the first token as asked.
     double waitingShare = 0.6;
-    // Pauses below it are tight; once callers have said which they bear, those below so many times
-    // the tightest.
-    double tightPauseSeconds = 0.3;
+    // Of the pauses that callers of the model bear, until they have said which; pauses below so
+    // many times it are tight.
+    double tightestPauseSeconds = 0.2;
     double tightPauses = 1.5;
     // Prompts larger than an engine's memory keep the rest at helpers: the share of an engine's
     // free memory that one prompt may take there, and how many helpers hold some.
@@ -76,13 +76,16 @@
     double longsBesideBriefs = 1;
     double besideBriefPauseShare = 0.7;
 
-    double tightestPauseSeconds() const { return this->tightPauseSeconds / this->tightPauses; }
+    bool isTight(double pauseSeconds) const
+    {
+        return pauseSeconds < this->tightPauses * this->tightestPauseSeconds;
+    }
     // What follows from the tightest pause that callers of the model bear.
     PassPlacementSettings withTightestPause(double seconds) const
     {
         PassPlacementSettings adapted = *this;
         adapted.briefSeconds = this->briefPauseShare * seconds;
-        adapted.tightPauseSeconds = this->tightPauses * seconds;
+        adapted.tightestPauseSeconds = seconds;
         return adapted;
     }
 
--- a/src/coordination/routing/PolicySettings.cpp
+++ b/src/coordination/routing/PolicySettings.cpp
@@ -131,6 +131,7 @@
              [](PolicySettings &s, double v) { s.expectedOutputShare = v; }},
             {"queued_requests_limit",
              [](PolicySettings &s, double v) { s.queuedRequestsLimit = std::uint32_t(v); }},
+            {"late_tolerance", [](PolicySettings &s, double v) { s.lateTolerance = v; }},
             {"retry_share", [](PolicySettings &s, double v) { s.retryShare = v; }},
             {"retry_burst", [](PolicySettings &s, double v) { s.retryBurst = v; }},
             {"attempts_limit",
--- a/src/coordination/routing/WorkNote.h
+++ b/src/coordination/routing/WorkNote.h
@@ -53,8 +53,8 @@
 
     auto operator<=>(const WorkNote &) const = default;
 
-    // Each request takes three notes to every peer, so a stage is sent with what it needs only: of
-    // the bytes between failure domains of a fleet of 126 nodes nearly all were these.
+    // Each request takes three notes to every peer, which are nearly all bytes between the failure
+    // domains of a large fleet; so a stage is sent with what it needs only.
     template <typename Archive>
     void serialize(Archive &archive)
     {
--- a/src/program/Clock.h
+++ b/src/program/Clock.h
@@ -5,11 +5,17 @@
 #include "transport/MonotonicClock.h"
 
 #include <chrono>
+#include <cstdint>
 
 namespace lavenderthread::program {
 
 using transport::monotonicNow;
 
+inline std::int64_t toMilliseconds(state::Duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 inline state::WallTime wallNow()
 {
     return std::chrono::time_point_cast<std::chrono::milliseconds>(
--- a/src/program/Entry.cpp
+++ b/src/program/Entry.cpp
@@ -218,9 +218,6 @@
     if (!accepted)
         co_return toResponse(invalidRequest(accepted.error()));
     const AnnounceAnswer &answer = accepted.value();
-    const auto toMilliseconds = [](state::Duration time) {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-    };
     co_return jsonResponse(200, {{"renew_after_ms", toMilliseconds(answer.renewAfter)},
                                  {"expires_after_ms", toMilliseconds(answer.expiresAfter)},
                                  {"owner", answer.owner.toString()}});
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -42,11 +42,6 @@
 // The farewell goes out and answers just written leave the sockets before the process does.
 constexpr milliseconds farewellTime{300};
 
-std::int64_t toMilliseconds(state::Duration time)
-{
-    return std::chrono::duration_cast<milliseconds>(time).count();
-}
-
 void logCompletion(const CompletionOutcome &outcome)
 {
     logEvent(LogLevel::Info, "completion.finished",
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -131,14 +131,22 @@
         co_return false;
     }
 
-    asio::awaitable<void> waitForConfiguration()
+    // Until `ready`, the caller's close, or so long after the arrival.
+    asio::awaitable<void> waitFor(std::function<bool()> ready, milliseconds longest)
     {
-        const state::Instant limit = this->arrival + configurationWait;
-        while (this->routes->version() == 0 && !this->facts.callerGone && monotonicNow() < limit
-               && !this->hooks.refuses()) {
+        const state::Instant limit = this->arrival + longest;
+        while (!ready() && !this->facts.callerGone && monotonicNow() < limit)
             co_await transport::pause(waitingStep);
-            this->routes = this->hooks.routes();
-        }
+    }
+
+    asio::awaitable<void> waitForConfiguration()
+    {
+        const std::function<bool()> ready = [this] {
+            if (this->routes->version() == 0)
+                this->routes = this->hooks.routes();
+            return this->routes->version() != 0 || this->hooks.refuses();
+        };
+        co_await this->waitFor(ready, configurationWait);
     }
 
     std::optional<RelayRefusal> refusalAtArrival()
@@ -224,9 +232,8 @@
     // and would turn away all who come then.
     asio::awaitable<void> waitForEngines()
     {
-        while (!this->knowsEndpoint() && !this->facts.callerGone
-               && monotonicNow() < this->arrival + endpointWait)
-            co_await transport::pause(waitingStep);
+        const std::function<bool()> ready = [this] { return this->knowsEndpoint(); };
+        co_await this->waitFor(ready, endpointWait);
     }
 
     bool knowsEndpoint() const
@@ -282,12 +289,12 @@
     {
         std::vector<state::EndpointId> tried;
         while (true) {
-            std::optional<state::EndpointDescription> replica = this->chooseReplica(tried);
-            while (!replica && !this->facts.callerGone
-                   && monotonicNow() < this->arrival + endpointWait) {
-                co_await transport::pause(waitingStep);
+            std::optional<state::EndpointDescription> replica;
+            const std::function<bool()> chosen = [this, &replica, &tried] {
                 replica = this->chooseReplica(tried);
-            }
+                return replica.has_value();
+            };
+            co_await this->waitFor(chosen, endpointWait);
             if (!replica) {
                 this->outcome.reason =
                         "no endpoint of the service is known; " + this->outcome.reason;
