--- a/tests/coordination/membership/MembershipSpreadTest.cpp
+++ b/tests/coordination/membership/MembershipSpreadTest.cpp
@@ -71,6 +71,7 @@
     CPPUNIT_TEST(leavingOvertakesAFloodOfDescriptions);
     CPPUNIT_TEST(farewellsOfAReleaseReachAllAtOnce);
     CPPUNIT_TEST(newEndpointsOfAReleaseAreKnownAtOnce);
+    CPPUNIT_TEST(memberThatHeardNothingForAMomentLearnsOfADeregistration);
     CPPUNIT_TEST(newcomerLearnsAllWithinBounds);
     CPPUNIT_TEST(lateAndDoubledMarksNeverRevert);
     CPPUNIT_TEST(steadyBytesStayInBudget);
@@ -213,6 +214,36 @@
                                most <= std::chrono::milliseconds(1'500) && last <= seconds(6));
     }
 
+    // Guards against a member that goes on sending work to an endpoint 2 s after it deregistered,
+    // because every datagram that told of it was lost on a link that was full for a moment.
+    void memberThatHeardNothingForAMomentLearnsOfADeregistration()
+    {
+        constexpr std::size_t endpointCount = 12;
+        constexpr std::size_t deafNode = 77;
+        constexpr std::chrono::milliseconds deafFor{900};
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            GossipFleet fleet = serviceBeforeRelease(endpointCount, seed, seconds(6));
+            for (std::size_t index = 0; index < endpointCount; ++index) {
+                const state::Instant hearsFrom = fleet.now() + deafFor;
+                fleet.passes = [&fleet, hearsFrom](std::size_t, std::size_t to) {
+                    return to != deafNode || fleet.now() >= hearsFrom;
+                };
+                const endpoints::EndpointRecord left =
+                        replaceEndpoint(fleet, index, endpointCount);
+                const auto knows = [&] {
+                    const auto *entry = fleet.at(deafNode).endpointTable().find(left.id);
+                    return entry != nullptr
+                           && entry->record.phase == endpoints::EndpointPhase::Left;
+                };
+                const state::Duration took = fleet.runUntil(knows, seconds(2));
+                CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + ", endpoint "
+                                               + std::to_string(index),
+                                       took >= state::Duration::zero());
+                fleet.run(std::chrono::milliseconds(500));
+            }
+        }
+    }
+
     void newcomerLearnsAllWithinBounds()
     {
         // A VM is replaced. The newcomer knows one seed and must not answer callers before it knows
--- a/tests/coordination/orders/FeedTest.cpp
+++ b/tests/coordination/orders/FeedTest.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(pagesOfAFollowerChangeTheViewAndConfirmNothing);
     CPPUNIT_TEST(isolatedMemberIsLeft);
     CPPUNIT_TEST(staleAdmissionIsASetting);
+    CPPUNIT_TEST(viewKnownToBeOutdatedAdmitsNothing);
     CPPUNIT_TEST(trackerNamesWhoIsMissing);
     CPPUNIT_TEST(silentEntryIsNoLongerCounted);
     CPPUNIT_TEST(restartedEntryIsMissingAgain);
@@ -146,6 +147,21 @@
         CPPUNIT_ASSERT(feed.admits(at(60'000)) && !feed.isFresh(at(60'000)));
     }
 
+    // Guards against an entry that goes on under an older version although the leader has told it of
+    // a newer one, after the time in which a change has to be in force.
+    void viewKnownToBeOutdatedAdmitsNothing()
+    {
+        FeedSettings settings;
+        settings.admitWhenStale = true;
+        FeedReceiver feed(settings, 3, 0);
+        feed.onAnswer(answer(*feed.poll(at(0)), 5, {page(0, 5)}), at(10));
+        feed.onAnswer(answer(*feed.poll(at(1'000)), 6, {}), at(1'010));
+        CPPUNIT_ASSERT(feed.admits(at(1'020)));
+        CPPUNIT_ASSERT(!feed.admits(at(13'010)));
+        feed.onAnswer(answer(*feed.poll(at(13'020)), 6, {page(5, 6)}), at(13'030));
+        CPPUNIT_ASSERT(feed.admits(at(13'040)));
+    }
+
     void trackerNamesWhoIsMissing()
     {
         EnforcementTracker tracker(std::chrono::seconds(8));
