Logs: where a change and the end of an endpoint were heard from, and how late

control.fetched names the control member, the bytes, the time of the call and how long a newer version had been known of; endpoint.end-heard names the member and whether gossip or the exchange brought it.

--- a/src/coordination/membership/Membership.h
+++ b/src/coordination/membership/Membership.h
@@ -21,9 +21,19 @@
     GossipMessage message;
 };
 
+// An endpoint of which another member told that it gets no more work.
+struct HeardEnd
+{
+    state::EndpointId endpoint;
+    std::uint64_t incarnation = 0;
+    state::VmId sender;
+    GossipKind kind = GossipKind::News; // of the message
+};
+
 struct GossipActions
 {
     std::vector<GossipSend> sends;
+    std::vector<HeardEnd> ends;
     bool membersChanged = false; // some record, not only a status
     bool endpointsChanged = false;
     std::vector<state::LoadReport> loads; // that arrived
--- a/src/coordination/membership/MembershipReceive.cpp
+++ b/src/coordination/membership/MembershipReceive.cpp
@@ -92,6 +92,9 @@
             continue;
         }
         actions.endpointsChanged = true;
+        if (endsWork(merged.record))
+            actions.ends.push_back(
+                    {record.id, merged.record.incarnation, message.sender, message.kind});
         if (spread)
             this->news.add({NewsSubject::Endpoint, record.id.value()},
                            record.description ? NewsForm::Full : NewsForm::Short,
--- a/src/coordination/orders/FeedReceiver.cpp
+++ b/src/coordination/orders/FeedReceiver.cpp
@@ -33,6 +33,7 @@
         return false;
     const Instant sentAt = sent->second;
     this->outstanding.erase(sent);
+    this->heardOf(answer.version, now);
     const bool changed = this->applyPages(answer.pages);
     // The lease counts from the request's sending: an answer that lingered on its way confirms what
     // was newest then, not what is newest now. A member that calls an older version the newest than
@@ -46,6 +47,22 @@
     return changed;
 }
 
+void FeedReceiver::heardOf(std::uint64_t version, Instant now)
+{
+    constexpr std::size_t mostLacking = 64;
+    const std::uint64_t newest =
+            this->lacking.empty() ? this->current.version : this->lacking.back().version;
+    if (version > newest && this->lacking.size() < mostLacking)
+        this->lacking.push_back({version, now});
+}
+
+std::optional<Instant> FeedReceiver::behindSince() const
+{
+    if (this->lacking.empty())
+        return std::nullopt;
+    return this->lacking.front().at;
+}
+
 void FeedReceiver::onRequestFailed(std::uint64_t id)
 {
     if (this->outstanding.erase(id) > 0)
@@ -81,6 +98,8 @@
     }
     this->current = first.from == 0 ? ControlView::fromChanges(changes, first.to)
                                     : this->current.with(changes, first.to);
+    while (!this->lacking.empty() && this->lacking.front().version <= this->current.version)
+        this->lacking.pop_front();
     return true;
 }
 
--- a/src/coordination/orders/FeedReceiver.h
+++ b/src/coordination/orders/FeedReceiver.h
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -65,6 +66,10 @@
     {
         return this->applyPages(pages);
     }
+    // A control member has applied that version, whether or not it could confirm anything.
+    void heardOf(std::uint64_t version, state::Instant now);
+    // Since when a version is known of that the view lacks; nothing if it lacks none.
+    std::optional<state::Instant> behindSince() const;
     void onRequestFailed(std::uint64_t id);
     // The next request is due then, if that is sooner: the last one brought nothing.
     void retryAt(state::Instant at) { this->pollAt = std::min(this->pollAt, at); }
@@ -77,6 +82,12 @@
     state::Instant nextPoll() const { return this->pollAt; }
 
 private:
+    struct HeardVersion
+    {
+        std::uint64_t version = 0;
+        state::Instant at; // first heard of
+    };
+
     bool applyPages(const std::vector<state::control::FeedPage> &pages);
     void switchMember();
 
@@ -84,7 +95,9 @@
     std::size_t members;
     std::size_t member;
     state::control::ControlView current; // version never goes down
-    state::Instant freshUntil;           // never goes down
+    std::deque<HeardVersion>
+            lacking;           // rising, and all above the view's; the newest ones are dropped
+    state::Instant freshUntil; // never goes down
     bool everFresh = false;
     std::uint64_t lastRequest = 0;
     std::map<std::uint64_t, state::Instant> outstanding; // when each request was sent
--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -60,6 +60,15 @@
     return chosen;
 }
 
+void logHeardEnd(const membership_::HeardEnd &end)
+{
+    logEvent(LogLevel::Info, "endpoint.end-heard",
+             {{"endpoint", end.endpoint.value()},
+              {"incarnation", end.incarnation},
+              {"peer", end.sender.value()},
+              {"via", end.kind == membership_::GossipKind::Records ? "exchange" : "gossip"}});
+}
+
 // An address is used again by another endpoint once the former one is gone. Only the one that
 // started last can be there; news of the former one may still arrive.
 void dropFormerHolders(EndpointTable &table)
@@ -112,6 +121,7 @@
     serviceHooks.changed = [this](const MembershipView &view) { this->viewChanged(view); };
     serviceHooks.loadArrived = this->hooks.loadArrived;
     serviceHooks.superseded = this->hooks.superseded;
+    serviceHooks.endHeard = logHeardEnd;
     serviceHooks.refused = [](const state::Error &error) { logError("gossip.refused", error); };
     BOOST_OUTCOME_TRY(this->membership,
                       MembershipService::create(membershipSettings(this->settings, self), context,
--- a/src/program/ControlClient.cpp
+++ b/src/program/ControlClient.cpp
@@ -280,6 +280,7 @@
     const bool pages = std::exchange(this->behind, false);
     if (pages)
         ++this->pagesRotation; // that member lags
+    const state::Instant askedAt = monotonicNow();
     const auto reply = co_await this->askFeed(*member, pages);
     const auto *feedReply = reply ? std::get_if<protocol::FeedReply>(&reply.value().body) : nullptr;
     const bool leaderKnown = reply && reply.value().leader.port != 0;
@@ -295,7 +296,10 @@
     }
     const coordination::orders::FeedAnswer answer{due.id, feedReply->confirmed, feedReply->version,
                                                   decodePages(*feedReply, member->entry)};
+    const std::optional<state::Instant> behindSince = this->feed.behindSince();
     const bool changed = this->feed.onAnswer(answer, monotonicNow());
+    if (changed)
+        this->noteChange(*member, *feedReply, askedAt, behindSince);
     this->behind = confirmed && feedReply->version > this->feed.view().version;
     if (this->behind)
         this->feed.retryAt(monotonicNow() + pagesGrace);
@@ -322,13 +326,35 @@
     const std::optional<ControlMemberAddress> member = this->pagesMember();
     if (!member)
         co_return false;
+    const state::Instant askedAt = monotonicNow();
     const auto reply = co_await this->askFeed(*member, true);
     const auto *feedReply = reply ? std::get_if<protocol::FeedReply>(&reply.value().body) : nullptr;
     if (feedReply == nullptr) {
         ++this->pagesRotation; // pollFeed() tells of a control side that is lost
         co_return false;
     }
-    co_return this->feed.onPages(decodePages(*feedReply, member->entry));
+    const std::optional<state::Instant> behindSince = this->feed.behindSince();
+    this->feed.heardOf(feedReply->version, monotonicNow());
+    const bool changed = this->feed.onPages(decodePages(*feedReply, member->entry));
+    if (changed)
+        this->noteChange(*member, *feedReply, askedAt, behindSince);
+    co_return changed;
+}
+
+void ControlClient::noteChange(const ControlMemberAddress &member, const protocol::FeedReply &reply,
+                               state::Instant askedAt, std::optional<state::Instant> behindSince)
+{
+    const state::Instant now = monotonicNow();
+    std::uint64_t bytes = 0;
+    for (const std::string &page : reply.pages)
+        bytes += page.size();
+    logEvent(LogLevel::Info, "control.fetched",
+             {{"version", this->feed.view().version},
+              {"configuration", this->feed.view().configuration.version},
+              {"peer", member.entry.toString()},
+              {"bytes", bytes},
+              {"asked_us", std::int64_t((now - askedAt).count())},
+              {"behind_us", std::int64_t(behindSince ? (now - *behindSince).count() : 0)}});
 }
 
 asio::awaitable<state::Result<protocol::ControlReply>>
--- a/src/program/ControlClient.h
+++ b/src/program/ControlClient.h
@@ -96,6 +96,8 @@
     call(ControlMemberAddress member, protocol::ControlCall request);
     std::optional<ControlMemberAddress> nextMember(const std::optional<state::Address> &failed);
     void noteFeed(const state::Address &member, bool confirmed);
+    void noteChange(const ControlMemberAddress &member, const protocol::FeedReply &reply,
+                    state::Instant askedAt, std::optional<state::Instant> behindSince);
     void afterAnswer(bool viewChanged);
 
     const Settings &settings;
--- a/src/program/MembershipService.cpp
+++ b/src/program/MembershipService.cpp
@@ -178,6 +178,10 @@
     const state::Instant now = monotonicNow();
     const GossipActions actions = this->membership.receive(message.value(), from, now);
     this->perform(actions);
+    if (this->hooks.endHeard) {
+        for (const coordination::membership::HeardEnd &end : actions.ends)
+            this->hooks.endHeard(end);
+    }
     if (this->hooks.loadArrived) {
         for (const state::LoadReport &load : actions.loads)
             this->hooks.loadArrived(load);
--- a/src/program/MembershipService.h
+++ b/src/program/MembershipService.h
@@ -49,7 +49,8 @@
     {
         std::function<void(const MembershipView &)> changed; // after the view was published
         std::function<void(const state::LoadReport &)>
-                loadArrived;                               // of endpoints announced elsewhere
+                loadArrived; // of endpoints announced elsewhere
+        std::function<void(const coordination::membership::HeardEnd &)> endHeard; // may be empty
         std::function<void()> superseded;                  // stop this process; called once
         std::function<void(const state::Error &)> refused; // a datagram; peer is its sender
     };
--- a/tests/coordination/membership/MembershipSpreadTest.cpp
+++ b/tests/coordination/membership/MembershipSpreadTest.cpp
@@ -228,8 +228,7 @@
                 fleet.passes = [&fleet, hearsFrom](std::size_t, std::size_t to) {
                     return to != deafNode || fleet.now() >= hearsFrom;
                 };
-                const endpoints::EndpointRecord left =
-                        replaceEndpoint(fleet, index, endpointCount);
+                const endpoints::EndpointRecord left = replaceEndpoint(fleet, index, endpointCount);
                 const auto knows = [&] {
                     const auto *entry = fleet.at(deafNode).endpointTable().find(left.id);
                     return entry != nullptr
--- a/tests/coordination/orders/FeedTest.cpp
+++ b/tests/coordination/orders/FeedTest.cpp
@@ -147,8 +147,8 @@
         CPPUNIT_ASSERT(feed.admits(at(60'000)) && !feed.isFresh(at(60'000)));
     }
 
-    // Guards against an entry that goes on under an older version although the leader has told it of
-    // a newer one, after the time in which a change has to be in force.
+    // Guards against an entry that goes on under an older version although the leader has told it
+    // of a newer one, after the time in which a change has to be in force.
     void viewKnownToBeOutdatedAdmitsNothing()
     {
         FeedSettings settings;
