Control: configurations travel as patches, encoded once for all entries that lack the same

Callers were answered 404 on routes whose configuration had been confirmed more than 2.5 s before. One changed weight cost the control members the whole document for each entry: 117 x 238 KB = 28 MB from members with 0.075 of a core.

An entry names the configuration that it has; the member sends the difference as a Zstandard frame with that text as its prefix, or the compressed whole to one that is too far behind, and keeps both for the next entry that asks the same. 360 KB with one weight changed are 124 bytes (0.8 ms to make, 0.06 ms to apply), 14 KB whole. The frame's checksum refuses a patch for another text; the entry then asks for the whole.

FeedEncoderTest::changedWeightDoesNotCostTheWholeConfiguration holds the size; before, a page held the document.

--- a/src/program/ControlClient.cpp
+++ b/src/program/ControlClient.cpp
@@ -85,20 +85,6 @@
     return feed;
 }
 
-std::vector<state::control::FeedPage> decodePages(const protocol::FeedReply &reply,
-                                                  const state::Address &member)
-{
-    std::vector<state::control::FeedPage> pages;
-    for (const std::string &bytes : reply.pages) {
-        auto page = protocol::decodeFeedPage(bytes);
-        if (page)
-            pages.push_back(std::move(page.value()));
-        else
-            logError("control.page-refused", page.error().withPeer(member.toString()));
-    }
-    return pages;
-}
-
 // Whether a claim command took effect for its holder.
 bool granted(const state::Result<ControlClient::Committed> &committed)
 {
@@ -295,7 +281,7 @@
         co_return false;
     }
     const coordination::orders::FeedAnswer answer{due.id, feedReply->confirmed, feedReply->version,
-                                                  decodePages(*feedReply, member->entry)};
+                                                  this->decodePages(*feedReply, *member)};
     const std::optional<state::Instant> behindSince = this->feed.behindSince();
     const bool changed = this->feed.onAnswer(answer, monotonicNow());
     if (changed)
@@ -335,18 +321,36 @@
     }
     const std::optional<state::Instant> behindSince = this->feed.behindSince();
     this->feed.heardOf(feedReply->version, monotonicNow());
-    const bool changed = this->feed.onPages(decodePages(*feedReply, member->entry));
+    const bool changed = this->feed.onPages(this->decodePages(*feedReply, *member));
     if (changed)
         this->noteChange(*member, *feedReply, askedAt, behindSince);
     co_return changed;
 }
 
+// Pages of a reply that was overtaken need a configuration that is no longer held; nothing is lost.
+std::vector<control::FeedPage> ControlClient::decodePages(const protocol::FeedReply &reply,
+                                                          const ControlMemberAddress &member)
+{
+    const control::ConfigurationDocument &held = this->feed.view().configuration;
+    auto pages = protocol::decodeFeedContent(reply.content, held);
+    if (pages) {
+        this->wantsWholeConfiguration = false;
+        return std::move(pages.value());
+    }
+    if (pages.error().code != state::ErrorCode::Conflict) {
+        logError("control.page-refused", pages.error().withPeer(member.entry.toString()));
+        this->wantsWholeConfiguration = true;
+    }
+    return {};
+}
+
 void ControlClient::noteChange(const ControlMemberAddress &member, const protocol::FeedReply &reply,
                                state::Instant askedAt, std::optional<state::Instant> behindSince)
 {
     const state::Instant now = monotonicNow();
-    std::uint64_t bytes = 0;
-    for (const std::string &page : reply.pages)
+    std::uint64_t bytes =
+            reply.content.configuration ? reply.content.configuration->bytes.size() : 0;
+    for (const std::string &page : reply.content.pages)
         bytes += page.size();
     logEvent(LogLevel::Info, "control.fetched",
              {{"version", this->feed.view().version},
@@ -363,6 +367,8 @@
     protocol::FeedCall asking;
     asking.entry = this->settings.vm;
     asking.version = this->feed.view().version;
+    if (!this->wantsWholeConfiguration)
+        asking.configuration = this->feed.view().configuration.version;
     asking.waitMs = static_cast<std::uint32_t>(feedWait.count());
     asking.pages = pages;
     protocol::ControlCall request = asking;
--- a/src/program/ControlClient.h
+++ b/src/program/ControlClient.h
@@ -95,6 +95,8 @@
     boost::asio::awaitable<state::Result<protocol::ControlReply>>
     call(ControlMemberAddress member, protocol::ControlCall request);
     std::optional<ControlMemberAddress> nextMember(const std::optional<state::Address> &failed);
+    std::vector<state::control::FeedPage> decodePages(const protocol::FeedReply &reply,
+                                                      const ControlMemberAddress &member);
     void noteFeed(const state::Address &member, bool confirmed);
     void noteChange(const ControlMemberAddress &member, const protocol::FeedReply &reply,
                     state::Instant askedAt, std::optional<state::Instant> behindSince);
@@ -108,7 +110,8 @@
     std::optional<state::Address> feedFailed; // member whose last answer confirmed nothing
     bool feedConfirmed = false;
     bool behind = false; // the leader told of a version that the pages have not brought yet
-    std::size_t pagesRotation = 0; // moves on from a member that does not answer or lags
+    bool wantsWholeConfiguration = false; // the last patch could not be applied
+    std::size_t pagesRotation = 0;        // moves on from a member that does not answer or lags
     state::Snapshot<std::optional<state::Address>> leader; // consensus address; a guess
     std::atomic<std::size_t> rotation = 0;
     std::atomic<bool> fresh = false;
--- a/src/program/ControlService.cpp
+++ b/src/program/ControlService.cpp
@@ -298,6 +298,7 @@
     const std::uint64_t version = member->state().view().version;
     if (this->announcedView == version)
         return;
+    this->feedEncoder.note(member->state().view());
     {
         const std::lock_guard lock(this->feedMutex);
         this->announcedView = version;
@@ -368,7 +369,7 @@
 {
     const std::uint64_t seen = this->announcedView;
     protocol::FeedReply reply = co_await this->readFeed(member, call);
-    if (!reply.pages.empty() || call.waitMs == 0)
+    if (!reply.content.pages.empty() || call.waitMs == 0)
         co_return reply;
     // Without pages it is held only while nobody leads; else the caller goes on to the leader.
     if (!call.pages && (reply.confirmed || this->leaderAddress(member).port != 0))
@@ -399,21 +400,20 @@
     std::function<void(Done)> start = [self = this->shared_from_this(), member,
                                        call](const Done &done) {
         // The callback runs where the applied state stands still.
-        member->member().read(
-                consensus::ReadKind::Lease, [self, member, call, done](const auto &read) {
-                    protocol::FeedReply reply;
-                    reply.confirmed = read.confirmed;
-                    reply.version = member->state().view().version;
-                    if (read.confirmed) {
-                        self->tracker.onFeedRequest(call.entry, call.version, monotonicNow());
-                        self->hasClaims = member->state().claims().size() > 0;
-                    }
-                    if (call.pages && reply.version > call.version) {
-                        for (const auto &page : member->state().changesSince(call.version))
-                            reply.pages.push_back(protocol::encodeFeedPage(page));
-                    }
-                    done(std::move(reply));
-                });
+        member->member().read(consensus::ReadKind::Lease, [self, member, call,
+                                                           done](const auto &read) {
+            protocol::FeedReply reply;
+            reply.confirmed = read.confirmed;
+            reply.version = member->state().view().version;
+            if (read.confirmed) {
+                self->tracker.onFeedRequest(call.entry, call.version, monotonicNow());
+                self->hasClaims = member->state().claims().size() > 0;
+            }
+            if (call.pages && reply.version > call.version)
+                reply.content = self->feedEncoder.contentFor(member->state(),
+                                                             {call.version, call.configuration});
+            done(std::move(reply));
+        });
     };
     co_return co_await transport::awaitCallback<protocol::FeedReply>(std::move(start));
 }
--- a/src/program/ControlService.h
+++ b/src/program/ControlService.h
@@ -92,6 +92,7 @@
 
     // On the member's strand only.
     coordination::orders::EnforcementTracker tracker;
+    protocol::FeedEncoder feedEncoder;
     std::atomic<bool> leads = false;
     std::atomic<bool> stopped = false;
     std::atomic<bool> hasClaims = false; // or nothing counts control time
--- a/src/protocol/ControlCalls.h
+++ b/src/protocol/ControlCalls.h
@@ -2,6 +2,7 @@
 // the member's entry address.
 #pragma once
 
+#include "protocol/FeedEncoder.h"
 #include "protocol/Seal.h"
 #include "state/Address.h"
 #include "state/Error.h"
@@ -34,6 +35,7 @@
 {
     state::VmId entry;
     std::uint64_t version = 0;
+    std::uint64_t configuration = 0; // the one in force there that a patch may apply to; 0: none
     // With `pages`: if the entry lacks nothing, the answer is held back until it does, for this
     // long at most. A change then reaches all entries within a round trip, without a poll for each.
     std::uint32_t waitMs = 0;
@@ -43,7 +45,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->entry, this->version, this->waitMs, this->pages);
+        archive(this->entry, this->version, this->configuration, this->waitMs, this->pages);
     }
 };
 
@@ -86,12 +88,12 @@
 {
     bool confirmed = false; // this member leads and knows that nothing newer is committed
     std::uint64_t version = 0;
-    std::vector<std::string> pages; // protocol::encodeFeedPage
+    FeedContent content; // no pages if the entry lacks nothing, or wants none
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->confirmed, this->version, this->pages);
+        archive(this->confirmed, this->version, this->content);
     }
 };
 
--- a/src/protocol/Envelope.h
+++ b/src/protocol/Envelope.h
@@ -23,7 +23,7 @@
 namespace lavenderthread::protocol {
 
 // Raised with every change of a message between processes; nodes of another version are refused.
-constexpr std::uint8_t peerProtocolVersion = 3;
+constexpr std::uint8_t peerProtocolVersion = 4;
 // A message between processes is never larger; bigger transfers go in pieces.
 constexpr std::size_t maximumMessageBytes = 4U << 20U;
 
--- /dev/null
+++ b/src/protocol/FeedEncoder.cpp
@@ -0,0 +1,122 @@
+// Pages, patches and their way back.
+#include "protocol/FeedEncoder.h"
+
+#include "protocol/ControlCommands.h"
+#include "protocol/Envelope.h"
+#include "protocol/TextPatch.h"
+
+#include <algorithm>
+
+namespace lavenderthread::protocol {
+
+namespace control = state::control;
+
+namespace {
+
+// Entries are a few versions behind at most while changes follow each other; one that is further
+// behind is sent the whole text.
+constexpr std::size_t documentsKept = 16;
+constexpr std::size_t bytesKept = 8U << 20U;
+constexpr std::size_t contentsKept = 64;
+
+std::size_t bytesOf(const std::deque<control::ConfigurationDocument> &documents)
+{
+    std::size_t bytes = 0;
+    for (const control::ConfigurationDocument &document : documents)
+        bytes += document.text.size();
+    return bytes;
+}
+
+// Null if the pages tell of no configuration.
+control::ConfigurationDocument *configurationIn(std::vector<control::FeedPage> &pages)
+{
+    for (control::FeedPage &page : pages) {
+        for (control::FeedChange &change : page.changes) {
+            if (auto *document = std::get_if<control::ConfigurationDocument>(&change))
+                return document;
+        }
+    }
+    return nullptr;
+}
+
+state::Result<std::string> textAfter(const ConfigurationPatch &patch,
+                                     const control::ConfigurationDocument &held)
+{
+    if (patch.base != 0 && patch.base != held.version)
+        return state::makeError(state::ErrorCode::Conflict, "feed.decode",
+                                "the patch is for another configuration");
+    const std::string_view base = patch.base == 0 ? std::string_view() : held.text;
+    return applyTextPatch(base, patch.bytes, maximumMessageBytes);
+}
+
+} // namespace
+
+void FeedEncoder::note(const control::ControlView &view)
+{
+    if (view.version == this->noted)
+        return;
+    this->noted = view.version;
+    this->encoded.clear();
+    const control::ConfigurationDocument &newest = view.configuration;
+    if (newest.version == 0
+        || (!this->documents.empty() && this->documents.back().version == newest.version))
+        return;
+    this->documents.push_back(newest);
+    while (this->documents.size() > documentsKept
+           || (this->documents.size() > 1 && bytesOf(this->documents) > bytesKept))
+        this->documents.pop_front();
+}
+
+const FeedContent &FeedEncoder::contentFor(const control::ControlState &state, const HeldView &held)
+{
+    this->note(state.view());
+    const auto known = this->encoded.find(held);
+    if (known != this->encoded.end())
+        return known->second;
+    if (this->encoded.size() >= contentsKept)
+        this->encoded.clear();
+    return this->encoded.emplace(held, this->encode(state, held)).first->second;
+}
+
+FeedContent FeedEncoder::encode(const control::ControlState &state, const HeldView &held) const
+{
+    FeedContent content;
+    std::vector<control::FeedPage> pages = state.changesSince(held.version);
+    if (control::ConfigurationDocument *document = configurationIn(pages)) {
+        content.configuration = this->patchFrom(held.configuration);
+        document->text.clear();
+    }
+    for (const control::FeedPage &page : pages)
+        content.pages.push_back(encodeFeedPage(page));
+    return content;
+}
+
+ConfigurationPatch FeedEncoder::patchFrom(std::uint64_t base) const
+{
+    const control::ConfigurationDocument &newest = this->documents.back();
+    const auto found =
+            std::ranges::find(this->documents, base, &control::ConfigurationDocument::version);
+    if (base == 0 || found == this->documents.end())
+        return {0, newest.version, makeTextPatch({}, newest.text)};
+    return {base, newest.version, makeTextPatch(found->text, newest.text)};
+}
+
+state::Result<std::vector<control::FeedPage>>
+decodeFeedContent(const FeedContent &content, const control::ConfigurationDocument &held)
+{
+    std::vector<control::FeedPage> pages;
+    for (const std::string &bytes : content.pages) {
+        BOOST_OUTCOME_TRY(control::FeedPage page, decodeFeedPage(bytes));
+        pages.push_back(std::move(page));
+    }
+    control::ConfigurationDocument *document = configurationIn(pages);
+    if (document == nullptr)
+        return pages;
+    if (!content.configuration || content.configuration->version != document->version)
+        return state::makeError(state::ErrorCode::Corrupt, "feed.decode",
+                                "no patch for the configuration of the pages");
+    BOOST_OUTCOME_TRY(document->text, textAfter(*content.configuration, held));
+    return pages;
+}
+
+} // namespace lavenderthread::protocol
--- /dev/null
+++ b/tests/protocol/FeedEncoderTest.cpp
@@ -0,0 +1,147 @@
+// Changes of the control view between a control member and an entry.
+#include "protocol/FeedEncoder.h"
+
+#include "protocol/TextPatch.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace lavenderthread::protocol {
+
+namespace {
+
+namespace control = state::control;
+
+std::string documentOf(std::uint64_t version, std::size_t routes, std::uint32_t weight)
+{
+    std::string text = "{\"Version\":" + std::to_string(version) + ",\"Routes\":[";
+    for (std::size_t route = 0; route < routes; ++route)
+        text += "{\"Name\":\"route-" + std::to_string(route * 7'919)
+                + "\",\"Weight\":" + std::to_string(route == routes / 2 ? weight : 90) + "},";
+    return text + "]}";
+}
+
+void accept(control::ControlState &state, std::uint64_t index, std::uint64_t version,
+            std::string text)
+{
+    state.apply({1, index}, control::ReplaceConfiguration{{version, std::move(text)}});
+}
+
+std::size_t bytesOf(const FeedContent &content)
+{
+    std::size_t bytes = content.configuration ? content.configuration->bytes.size() : 0;
+    for (const std::string &page : content.pages)
+        bytes += page.size();
+    return bytes;
+}
+
+const control::ConfigurationDocument &onlyConfiguration(const std::vector<control::FeedPage> &pages)
+{
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), pages.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), pages.front().changes.size());
+    return std::get<control::ConfigurationDocument>(pages.front().changes.front());
+}
+
+} // namespace
+
+class FeedEncoderTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FeedEncoderTest);
+    CPPUNIT_TEST(changedWeightDoesNotCostTheWholeConfiguration);
+    CPPUNIT_TEST(entryWithoutAConfigurationIsSentAllOfIt);
+    CPPUNIT_TEST(entryFarBehindIsSentAllOfIt);
+    CPPUNIT_TEST(patchForAnotherConfigurationIsRefused);
+    CPPUNIT_TEST(spoiltPatchIsRefused);
+    CPPUNIT_TEST(changesOfOtherKindsCarryNoPatch);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against control members that can't keep up, and lose their term, while large
+    // configurations change one after the other.
+    void changedWeightDoesNotCostTheWholeConfiguration()
+    {
+        control::ControlState state;
+        FeedEncoder encoder;
+        const std::string before = documentOf(3, 5'000, 90);
+        const std::string after = documentOf(4, 5'000, 10);
+        accept(state, 10, 3, before);
+        encoder.note(state.view());
+        accept(state, 11, 4, after);
+        const FeedContent &content = encoder.contentFor(state, {10, 3});
+        CPPUNIT_ASSERT(bytesOf(content) < after.size() / 100);
+        const auto pages = decodeFeedContent(content, {3, before});
+        CPPUNIT_ASSERT(pages.has_value());
+        CPPUNIT_ASSERT(onlyConfiguration(pages.value())
+                       == (control::ConfigurationDocument{4, after}));
+    }
+
+    void entryWithoutAConfigurationIsSentAllOfIt()
+    {
+        control::ControlState state;
+        FeedEncoder encoder;
+        const std::string text = documentOf(3, 500, 90);
+        accept(state, 10, 3, text);
+        const auto pages = decodeFeedContent(encoder.contentFor(state, {0, 0}), {});
+        CPPUNIT_ASSERT_EQUAL(text, onlyConfiguration(pages.value()).text);
+    }
+
+    void entryFarBehindIsSentAllOfIt()
+    {
+        control::ControlState state;
+        FeedEncoder encoder;
+        for (std::uint64_t version = 1; version <= 40; ++version) {
+            accept(state, 10 + version, version, documentOf(version, 500, 90));
+            encoder.note(state.view());
+        }
+        const FeedContent &content = encoder.contentFor(state, {11, 1});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), content.configuration->base);
+        const auto pages = decodeFeedContent(content, {1, documentOf(1, 500, 90)});
+        CPPUNIT_ASSERT_EQUAL(documentOf(40, 500, 90), onlyConfiguration(pages.value()).text);
+    }
+
+    // Guards against an entry that puts a mixture of two configurations in force.
+    void patchForAnotherConfigurationIsRefused()
+    {
+        control::ControlState state;
+        FeedEncoder encoder;
+        accept(state, 10, 3, documentOf(3, 500, 90));
+        encoder.note(state.view());
+        accept(state, 11, 4, documentOf(4, 500, 10));
+        const FeedContent &content = encoder.contentFor(state, {10, 3});
+        const auto other = decodeFeedContent(content, {2, documentOf(2, 500, 90)});
+        CPPUNIT_ASSERT(other.error().code == state::ErrorCode::Conflict);
+        const auto sameVersion = decodeFeedContent(content, {3, documentOf(3, 499, 90)});
+        CPPUNIT_ASSERT(sameVersion.error().code == state::ErrorCode::Corrupt);
+    }
+
+    void spoiltPatchIsRefused()
+    {
+        const std::string base = documentOf(3, 500, 90);
+        const std::string patch = makeTextPatch(base, documentOf(4, 500, 10));
+        for (std::size_t at = 0; at < patch.size(); ++at) {
+            std::string spoilt = patch;
+            spoilt[at] = static_cast<char>(spoilt[at] ^ 0x20);
+            const auto text = applyTextPatch(base, spoilt, 1U << 20U);
+            CPPUNIT_ASSERT(!text || text.value() == documentOf(4, 500, 10));
+            CPPUNIT_ASSERT(!applyTextPatch(base, patch.substr(0, at), 1U << 20U));
+        }
+        CPPUNIT_ASSERT(!applyTextPatch(base, patch, 100));
+    }
+
+    void changesOfOtherKindsCarryNoPatch()
+    {
+        control::ControlState state;
+        FeedEncoder encoder;
+        accept(state, 10, 3, documentOf(3, 500, 90));
+        const control::PutAccount put{{state::ClientAccountId("acme"), "Acme", {}, 0}, 0};
+        state.apply({1, 11},
+                    control::OperatorCommand{{state::OperatorId("ana"), "r1", {}, {}}, put});
+        const FeedContent &content = encoder.contentFor(state, {10, 3});
+        CPPUNIT_ASSERT(!content.configuration);
+        CPPUNIT_ASSERT(!decodeFeedContent(content, {3, documentOf(3, 500, 90)}).value().empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FeedEncoderTest);
+
+} // namespace lavenderthread::protocol
