Relay: a configuration that is known to be outdated decides nothing, and an unconfirmed one refuses nothing for good

Callers got 404 and 401 from entries that had not heard of a route or key acknowledged more than 2.5 s before, or that had heard of the newer version from the leader and had not received it: nothing limited how long a view could be used with admit_when_stale, and nothing in the view told its age.

The view now has a standing: confirmed for control.change_in_force_ms (of the template's bound) from the sending of a request that the leader answered with this version; outdated once a newer version has been known of for that time less one refresh. While outdated the relay answers 503 with Retry-After and nothing has run; while unconfirmed, 404 and 401 become 503, and what the view allows is served on, as a split control side must not stop service.

--- a/src/coordination/orders/FeedReceiver.cpp
+++ b/src/coordination/orders/FeedReceiver.cpp
@@ -40,6 +40,8 @@
     // this entry already has is mistaken, and confirms nothing.
     const bool fresh = answer.confirmed && answer.version == this->current.version;
     if (fresh) {
+        this->confirmedUntil =
+                std::max(this->confirmedUntil, sentAt + this->settings.inForceWithin);
         this->freshUntil = std::max(this->freshUntil, sentAt + this->settings.lease);
         this->everFresh = true;
         this->newsAt = now;
@@ -75,8 +77,25 @@
     this->member = memberCount == 0 ? 0 : this->member % memberCount;
 }
 
+// An entry hears of a newer version one refresh after its commit at the latest, while a leader
+// answers; what is left of the bound is the time that the change has to arrive in.
+ViewLease FeedReceiver::lease() const
+{
+    constexpr state::Duration answerTime = std::chrono::milliseconds(250);
+    constexpr state::Duration leastPatience = std::chrono::milliseconds(250);
+    ViewLease lease{this->confirmedUntil, std::nullopt};
+    if (const auto since = this->behindSince())
+        lease.outdatedFrom =
+                *since
+                + std::max(leastPatience,
+                           this->settings.inForceWithin - this->settings.refreshEvery - answerTime);
+    return lease;
+}
+
 bool FeedReceiver::admits(Instant now) const
 {
+    if (this->lease().at(now) == ViewStanding::Outdated)
+        return false;
     return this->isFresh(now) || (this->everFresh && this->settings.admitWhenStale);
 }
 
--- a/src/coordination/orders/FeedReceiver.h
+++ b/src/coordination/orders/FeedReceiver.h
@@ -18,6 +18,8 @@
 
 struct FeedSettings
 {
+    // A change has to be in force this long after its acknowledgement.
+    state::Duration inForceWithin = std::chrono::seconds(12);
     // From the sending of a request that a control member answered as confirmed. With the time of
     // one commit it stays under the 12 s in which a change has to be in force.
     state::Duration lease = std::chrono::seconds(8);
@@ -29,6 +31,27 @@
     bool admitWhenStale = false;
 };
 
+// How far decisions under a view may be relied on.
+enum class ViewStanding : std::uint8_t {
+    Confirmed,   // it holds all that was acknowledged longer than `inForceWithin` ago
+    Unconfirmed, // nobody has said so lately: what it refuses may have been allowed since
+    Outdated,    // a newer version has been known of for too long: nothing may be decided under it
+};
+
+struct ViewLease
+{
+    state::Instant confirmedUntil;
+    std::optional<state::Instant> outdatedFrom;
+
+    ViewStanding at(state::Instant now) const
+    {
+        if (this->outdatedFrom && now >= *this->outdatedFrom)
+            return ViewStanding::Outdated;
+        return now < this->confirmedUntil ? ViewStanding::Confirmed : ViewStanding::Unconfirmed;
+    }
+    bool operator==(const ViewLease &) const = default;
+};
+
 struct FeedRequest
 {
     std::uint64_t id = 0;
@@ -77,7 +100,9 @@
 
     const state::control::ControlView &view() const { return this->current; }
     bool isFresh(state::Instant now) const { return this->everFresh && now < this->freshUntil; }
-    // Also false until the first whole view has come, whatever the settings say.
+    ViewLease lease() const;
+    // Also false until the first whole view has come, and while the view is outdated, whatever the
+    // settings say.
     bool admits(state::Instant now) const;
     state::Instant nextPoll() const { return this->pollAt; }
 
@@ -95,9 +120,10 @@
     std::size_t members;
     std::size_t member;
     state::control::ControlView current; // version never goes down
-    std::deque<HeardVersion>
-            lacking;           // rising, and all above the view's; the newest ones are dropped
-    state::Instant freshUntil; // never goes down
+    // Rising, and all above the view's; while it is full, newer ones are left out.
+    std::deque<HeardVersion> lacking;
+    state::Instant freshUntil;     // never goes down
+    state::Instant confirmedUntil; // never goes down
     bool everFresh = false;
     std::uint64_t lastRequest = 0;
     std::map<std::uint64_t, state::Instant> outstanding; // when each request was sent
--- a/src/program/ControlClient.cpp
+++ b/src/program/ControlClient.cpp
@@ -82,6 +82,8 @@
     coordination::orders::FeedSettings feed;
     feed.refreshEvery = feedInterval;
     feed.admitWhenStale = settings.admitWhenStale;
+    feed.inForceWithin = settings.changeInForce;
+    feed.lease = std::min(feed.lease, feed.inForceWithin * 2 / 3);
     return feed;
 }
 
@@ -407,6 +409,9 @@
     const bool before = this->fresh.exchange(now);
     if (viewChanged)
         this->published.publish(this->feed.view());
+    const coordination::orders::ViewLease held = this->feed.lease();
+    if (!(held == *this->lease.read()))
+        this->lease.publish(held);
     if (viewChanged || now != before) {
         logEvent(now ? LogLevel::Info : LogLevel::Warning, "control.view",
                  {{"version", this->feed.view().version}, {"fresh", now ? "yes" : "no"}});
@@ -414,6 +419,11 @@
     }
 }
 
+coordination::orders::ViewStanding ControlClient::standing() const
+{
+    return this->lease.read()->at(monotonicNow());
+}
+
 ClaimGate ControlClient::claimGate(std::uint64_t entryIncarnation)
 {
     const auto self = this->shared_from_this();
--- a/src/program/ControlClient.h
+++ b/src/program/ControlClient.h
@@ -72,6 +72,7 @@
     // False: the view is not confirmed fresh; nothing new may be admitted under it.
     bool admits() const { return this->fresh; }
     state::SnapshotView<state::control::ControlView> view() const { return this->published.read(); }
+    coordination::orders::ViewStanding standing() const;
 
     // Claims that a quorum holds.
     ClaimGate claimGate(std::uint64_t entryIncarnation);
@@ -117,6 +118,7 @@
     std::atomic<bool> fresh = false;
     std::atomic<bool> stopped = false;
     state::Snapshot<state::control::ControlView> published;
+    state::Snapshot<coordination::orders::ViewLease> lease; // of the published view
 };
 
 } // namespace lavenderthread::program
--- a/src/program/RelayFront.cpp
+++ b/src/program/RelayFront.cpp
@@ -65,8 +65,9 @@
     , hooks(std::move(chosenHooks))
     , relay(settings,
             {this->hooks.deployment.relay, this->hooks.scheduler, this->hooks.endpoints,
-             [this] { return this->routes.read(); }, [this] { return this->refusing.load(); },
-             this->hooks.finished},
+             [this] { return this->routes.read(); },
+             [this] { return this->hooks.client->standing(); },
+             [this] { return this->refusing.load(); }, this->hooks.finished},
             XXH3_64bits(settings.vm.value().data(), settings.vm.value().size())
                     ^ static_cast<std::uint64_t>(wallNow().time_since_epoch().count()))
     , operatorFace(this->makeOperatorFace())
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -15,6 +15,7 @@
 namespace lavenderthread::program {
 
 namespace asio = boost::asio;
+using coordination::orders::ViewStanding;
 using coordination::relay::AttemptEnd;
 using coordination::relay::CallFacts;
 using coordination::relay::FinalAnswer;
@@ -40,6 +41,8 @@
 // within one heartbeat.
 constexpr milliseconds endpointWait{600};
 constexpr milliseconds waitingStep{20};
+// Until then a control member has confirmed the configuration here, or another node answers.
+constexpr milliseconds retryUnconfirmed{300};
 constexpr milliseconds retryElsewhere{50}; // this node is leaving; another one takes it at once
 constexpr milliseconds retryWithoutEndpoint{300};
 constexpr milliseconds longestRetryAfter{5'000};
@@ -161,13 +164,17 @@
             return RelayRefusal{503, "this node is leaving", retryElsewhere};
         if (this->routes->version() == 0)
             return RelayRefusal{503, "no configuration is known yet", retryWithoutConfiguration};
+        const ViewStanding standing = this->hooks.standing();
+        if (standing == ViewStanding::Outdated)
+            return RelayRefusal{503, "a newer configuration has not come yet", retryElsewhere};
         this->route = this->routes->match(this->request.host, this->exchange.request().path());
         if (this->route == nullptr)
-            return RelayRefusal{404, "no route leads there", std::nullopt};
+            return refusalUnder(standing, {404, "no route leads there", std::nullopt});
         this->outcome.route = this->route->name;
         const auto *account = this->routes->accountOfKey(this->request.accountKey);
         if (account == nullptr && this->routes->needsKeys() && !this->route->anonymous)
-            return RelayRefusal{401, "the account key is missing or not known", std::nullopt};
+            return refusalUnder(standing,
+                                {401, "the account key is missing or not known", std::nullopt});
         if (account != nullptr)
             this->outcome.account = account->id;
         const milliseconds time = std::min(this->request.timeLimit.value_or(this->route->timeout),
@@ -182,6 +189,15 @@
         return std::nullopt;
     }
 
+    // A route or key that was added since must not be refused for good by a node that could not
+    // hear of it.
+    static RelayRefusal refusalUnder(ViewStanding standing, RelayRefusal refusal)
+    {
+        if (standing == ViewStanding::Confirmed)
+            return refusal;
+        return {503, refusal.detail + ", and the configuration is not confirmed", retryUnconfirmed};
+    }
+
     void callerLeft()
     {
         this->facts.callerGone = true;
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "coordination/admission/RetryBudget.h"
+#include "coordination/orders/FeedReceiver.h"
 #include "coordination/routing/ReplicaChooser.h"
 #include "program/EndpointRegistry.h"
 #include "program/RelayCodec.h"
@@ -55,6 +56,7 @@
         Scheduler scheduler; // for engines
         std::function<state::SnapshotView<EndpointTable>()> endpoints;
         std::function<state::SnapshotView<state::routes::RouteTable>()> routes;
+        std::function<coordination::orders::ViewStanding()> standing; // of `routes`
         std::function<bool()> refuses; // this node is leaving and takes nothing new
         std::function<void(const RelayOutcome &)> finished;
     };
--- a/src/program/Settings.cpp
+++ b/src/program/Settings.cpp
@@ -3,6 +3,7 @@
 
 #include "program/SettingsSchema.h"
 
+#include <cmath>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -162,6 +163,8 @@
     settings.controlVoters =
             2 * static_cast<std::size_t>(document.integer("control.losses_borne")) + 1;
     settings.admitWhenStale = document.flag("control.admit_when_stale");
+    settings.changeInForce =
+            std::chrono::milliseconds(std::llround(document.number("control.change_in_force_ms")));
     settings.relay = relaySettings(document);
     settings.gossip = gossipSettings(document);
     settings.metricsListen = optionalAddress(document.text("metrics.listen"));
--- a/src/program/Settings.h
+++ b/src/program/Settings.h
@@ -94,6 +94,7 @@
     std::string dataFolder;
     bool controlBootstrap = false;
     bool admitWhenStale = false;
+    std::chrono::milliseconds changeInForce{};
     std::size_t controlVoters = 3;
     std::vector<ControlMemberSetting> controlMembers;
     std::vector<AccountSetting> accounts;
--- a/src/program/SettingsRules.cpp
+++ b/src/program/SettingsRules.cpp
@@ -78,6 +78,10 @@
             {"control.admit_when_stale", Flag, "", false, false, 0, 0,
              "keep admitting under the last known table and configuration while no control member "
              "answers"},
+            {"control.change_in_force_ms", Number, "ms", 12'000, false, 1'500, 10 * minute,
+             "a change is in force everywhere this long after its acknowledgement; an entry that "
+             "knows of a change and can't get it in time serves nothing until it has it, and one "
+             "that nobody has confirmed for so long refuses no route and no key for good"},
             {"control.members[].id", Text, "", nullptr, true, 1, 128, "vm.id of a control member"},
             {"control.members[].address", IpAddress, "", nullptr, true, 0, 0,
              "its control.listen address"},
--- a/tests/coordination/orders/FeedTest.cpp
+++ b/tests/coordination/orders/FeedTest.cpp
@@ -43,6 +43,8 @@
     CPPUNIT_TEST(isolatedMemberIsLeft);
     CPPUNIT_TEST(staleAdmissionIsASetting);
     CPPUNIT_TEST(viewKnownToBeOutdatedAdmitsNothing);
+    CPPUNIT_TEST(viewIsConfirmedForAsLongAsAChangeMayTake);
+    CPPUNIT_TEST(changesInARowDoNotOutdateAViewThatFollows);
     CPPUNIT_TEST(trackerNamesWhoIsMissing);
     CPPUNIT_TEST(silentEntryIsNoLongerCounted);
     CPPUNIT_TEST(restartedEntryIsMissingAgain);
@@ -162,6 +164,36 @@
         CPPUNIT_ASSERT(feed.admits(at(13'040)));
     }
 
+    // Guards against a refusal for good by an entry that has heard nothing for longer than a change
+    // may take; the time counts from the request, as an answer may linger.
+    void viewIsConfirmedForAsLongAsAChangeMayTake()
+    {
+        FeedSettings settings;
+        settings.inForceWithin = std::chrono::milliseconds(2'500);
+        FeedReceiver feed(settings, 3, 0);
+        CPPUNIT_ASSERT(feed.lease().at(at(0)) == ViewStanding::Unconfirmed);
+        feed.onAnswer(answer(*feed.poll(at(0)), 5, {page(0, 5)}), at(900));
+        CPPUNIT_ASSERT(feed.lease().at(at(2'499)) == ViewStanding::Confirmed);
+        CPPUNIT_ASSERT(feed.lease().at(at(2'500)) == ViewStanding::Unconfirmed);
+    }
+
+    // Guards against refusals by an entry that takes in each change soon but, while they follow
+    // each other, is never at the newest.
+    void changesInARowDoNotOutdateAViewThatFollows()
+    {
+        FeedSettings settings;
+        settings.inForceWithin = std::chrono::milliseconds(2'500);
+        FeedReceiver feed(settings, 3, 0);
+        feed.onAnswer(answer(*feed.poll(at(0)), 5, {page(0, 5)}), at(10));
+        for (std::uint64_t version = 6; version < 60; ++version) {
+            const int heardAt = static_cast<int>(version) * 100;
+            feed.heardOf(version + 1, at(heardAt));
+            feed.onPages({page(version - 1, version)});
+            CPPUNIT_ASSERT(feed.lease().at(at(heardAt + 99)) != ViewStanding::Outdated);
+        }
+        CPPUNIT_ASSERT(feed.lease().at(at(59 * 100 + 1'250)) == ViewStanding::Outdated);
+    }
+
     void trackerNamesWhoIsMissing()
     {
         EnforcementTracker tracker(std::chrono::seconds(8));
--- a/tests/platform/RelayTest.cpp
+++ b/tests/platform/RelayTest.cpp
@@ -92,14 +92,14 @@
     Rig(const Rig &) = delete;
     Rig &operator=(const Rig &) = delete;
 
-    state::Result<protocol::HttpResponse> call()
+    state::Result<protocol::HttpResponse> call(protocol::HttpRequest wanted = request())
     {
         auto run = [](state::Address peer, protocol::HttpRequest request)
                 -> asio::awaitable<state::Result<protocol::HttpResponse>> {
             const asio::any_io_executor executor = co_await asio::this_coro::executor;
             co_return co_await transport::httpCall(executor, peer, std::move(request), {});
         };
-        return program::runToEnd(run(this->front->address(), request()));
+        return program::runToEnd(run(this->front->address(), std::move(wanted)));
     }
 
     void showEndpoints() { this->table.publish(EndpointTable(this->announced)); }
@@ -128,6 +128,8 @@
         return made;
     }
 
+    std::atomic<coordination::orders::ViewStanding> standing =
+            coordination::orders::ViewStanding::Confirmed;
     std::atomic<int> arrivals = 0;
     std::atomic<std::int64_t> leftAtUs = 0; // when an endpoint saw its caller close
     std::string resumedBehind;              // as the last endpoint was told
@@ -163,6 +165,7 @@
         hooks.scheduler = this->firstEngine();
         hooks.endpoints = [this] { return this->table.read(); };
         hooks.routes = [this] { return this->routes.read(); };
+        hooks.standing = [this] { return this->standing.load(); };
         hooks.refuses = [] { return false; };
         hooks.finished = [](const program::RelayOutcome &) {};
         return hooks;
@@ -300,6 +303,8 @@
     CPPUNIT_TEST(callersCloseReachesTheEndpoint);
     CPPUNIT_TEST(timeLimitIsKept);
     CPPUNIT_TEST(firstEngineIsWaitedFor);
+    CPPUNIT_TEST(outdatedConfigurationDecidesNothing);
+    CPPUNIT_TEST(unconfirmedConfigurationRefusesNoRouteForGood);
     CPPUNIT_TEST_SUITE_END();
 
     using Kind = state::routes::CallKind;
@@ -318,7 +323,36 @@
         }
     }
 
+    static protocol::HttpRequest requestWithoutRoute()
+    {
+        protocol::HttpRequest request = Rig::request();
+        request.target = "/added/x";
+        return request;
+    }
+
 public:
+    // Guards against a request that is run by the service of an older configuration after a newer
+    // one was acknowledged.
+    void outdatedConfigurationDecidesNothing()
+    {
+        Rig rig(Kind::Idempotent, {Behaviour::Answers});
+        rig.standing = coordination::orders::ViewStanding::Outdated;
+        const auto answer = rig.call();
+        CPPUNIT_ASSERT_EQUAL(503U, answer.value().status);
+        CPPUNIT_ASSERT(answer.value().headers.find("Retry-After").has_value());
+        CPPUNIT_ASSERT_EQUAL(0, rig.arrivals.load());
+    }
+
+    // Guards against 404 on a route that was acknowledged and has not come to this node.
+    void unconfirmedConfigurationRefusesNoRouteForGood()
+    {
+        Rig rig(Kind::Idempotent, {Behaviour::Answers});
+        CPPUNIT_ASSERT_EQUAL(404U, rig.call(requestWithoutRoute()).value().status);
+        rig.standing = coordination::orders::ViewStanding::Unconfirmed;
+        CPPUNIT_ASSERT_EQUAL(503U, rig.call(requestWithoutRoute()).value().status);
+        CPPUNIT_ASSERT_EQUAL(200U, rig.call().value().status);
+    }
+
     // A posting: one that may have run goes to no other replica and is never answered "not run".
     void unrepeatableCalls()
     {
