Membership: deregistrations are confirmed by every live member

Requests reached endpoints up to 4.6 s after they had deregistered (2.5 s allowed). A deregistration was acknowledged at once and spread by chance: five members at once, then rounds for 0.6 s. A member whose link was full or lossy in that time was left to the exchange, which comes every 5 s.

Each member now tells the one that took the deregistration that it knows; that one sends it again every 200 ms to those that have not said so, and answers the endpoint when all live members know, or after 0.5 s. If it dies, the member to which the endpoint turns next goes on. A member that can be reached at all therefore knows within two resends, and the acknowledgement means what it says. It costs one datagram of about 100 bytes a member and deregistration.

--- /dev/null
+++ b/src/coordination/membership/ConfirmedSpread.cpp
@@ -0,0 +1,87 @@
+// Who has confirmed what, and when the others are told again.
+#include "coordination/membership/ConfirmedSpread.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace lavenderthread::coordination::membership {
+
+namespace {
+
+bool isOwed(const MemberEntry &entry, const state::VmId &self)
+{
+    return entry.record.id != self && entry.record.isLive() && entry.record.description != nullptr;
+}
+
+} // namespace
+
+std::uint64_t deregistrationKey(const state::EndpointId &endpoint, std::uint64_t incarnation)
+{
+    return XXH64(endpoint.value().data(), endpoint.value().size(), incarnation);
+}
+
+void ConfirmedSpread::begin(const endpoints::EndpointRecord &left, state::Instant now)
+{
+    const std::uint64_t key = deregistrationKey(left.id, left.incarnation);
+    const auto known = this->deliveries.find(left.id);
+    if (known != this->deliveries.end() && known->second.deregistration == key)
+        return;
+    this->deliveries[left.id] = Delivery{key, now, now + this->settings.firstResend, {}};
+}
+
+void ConfirmedSpread::confirmed(std::uint64_t member, std::uint64_t deregistration)
+{
+    for (auto &[endpoint, delivery] : this->deliveries) {
+        if (delivery.deregistration == deregistration)
+            delivery.confirmedBy.insert(member);
+    }
+}
+
+void ConfirmedSpread::settle(const MemberTable &members, const state::VmId &self,
+                             state::Instant now)
+{
+    std::erase_if(this->deliveries, [&](const auto &item) {
+        const Delivery &delivery = item.second;
+        return now - delivery.begunAt >= this->settings.giveUpAfter
+               || std::ranges::none_of(members.entries(), [&](const auto &each) {
+                      return isOwed(each.second, self)
+                             && !delivery.confirmedBy.contains(each.second.key);
+                  });
+    });
+}
+
+std::vector<ConfirmedSpread::Missing>
+ConfirmedSpread::due(const MemberTable &members, const state::VmId &self, state::Instant now)
+{
+    std::vector<std::map<state::EndpointId, Delivery>::iterator> sending;
+    for (auto delivery = this->deliveries.begin(); delivery != this->deliveries.end(); ++delivery) {
+        if (now < delivery->second.nextSend)
+            continue;
+        delivery->second.nextSend = now + this->settings.resendInterval;
+        sending.push_back(delivery);
+    }
+    std::vector<Missing> due;
+    if (sending.empty())
+        return due;
+    for (const auto &[id, entry] : members.entries()) {
+        if (!isOwed(entry, self))
+            continue;
+        Missing missing{&entry, {}};
+        for (const auto &delivery : sending) {
+            if (!delivery->second.confirmedBy.contains(entry.key))
+                missing.endpoints.push_back(delivery->first);
+        }
+        if (!missing.endpoints.empty())
+            due.push_back(std::move(missing));
+    }
+    // Members that have died and are not known to have must not take the turns of all others.
+    if (due.size() > this->settings.membersPerResend) {
+        this->turn = (this->turn + this->settings.membersPerResend) % due.size();
+        std::ranges::rotate(due, due.begin() + static_cast<std::ptrdiff_t>(this->turn));
+        due.resize(this->settings.membersPerResend);
+    }
+    return due;
+}
+
+} // namespace lavenderthread::coordination::membership
--- /dev/null
+++ b/src/coordination/membership/Deregistrations.cpp
@@ -0,0 +1,92 @@
+// The part of a member that sees to it that the end of an endpoint is known to all.
+#include "coordination/membership/Membership.h"
+
+#include <algorithm>
+
+namespace lavenderthread::coordination::membership {
+
+namespace {
+
+// Several datagrams of a flood; the rest is asked for again.
+constexpr std::size_t mostOwed = 200;
+constexpr std::size_t keysPerConfirmation = 100;
+
+bool isKnownToHaveLeft(const endpoints::EndpointRecord &news,
+                       const endpoints::EndpointRecord &known)
+{
+    return known.incarnation > news.incarnation
+           || (known.incarnation == news.incarnation
+               && known.phase == endpoints::EndpointPhase::Left);
+}
+
+} // namespace
+
+void Membership::noteDeregistration(const GossipMessage &message,
+                                    const endpoints::EndpointRecord &news,
+                                    const endpoints::MergeResult &merged)
+{
+    if (news.phase != endpoints::EndpointPhase::Left || !isKnownToHaveLeft(news, merged.record))
+        return;
+    const bool asked = message.kind == GossipKind::Deregistrations;
+    const bool firstHeard = merged.changed && message.kind == GossipKind::News;
+    const state::VmId &waiting = asked ? message.sender : news.home;
+    if ((!asked && !firstHeard) || waiting == this->settings.self)
+        return;
+    std::vector<std::uint64_t> &owed = this->owedConfirmations[waiting];
+    const std::uint64_t key = deregistrationKey(news.id, news.incarnation);
+    if (owed.size() < mostOwed && std::ranges::find(owed, key) == owed.end())
+        owed.push_back(key);
+}
+
+void Membership::confirmDeregistrations(GossipActions &actions)
+{
+    for (auto &[waiting, keys] : std::exchange(this->owedConfirmations, {})) {
+        const MemberEntry *member = this->memberTable.find(waiting);
+        if (member == nullptr || member->record.description == nullptr)
+            continue;
+        GossipMessage message = this->makeMessage(GossipKind::Confirm);
+        for (auto next = keys.begin(); next != keys.end();) {
+            const auto left = static_cast<std::size_t>(keys.end() - next);
+            const auto end =
+                    next + static_cast<std::ptrdiff_t>(std::min(left, keysPerConfirmation));
+            message.keys.assign(next, end);
+            next = end;
+            this->sendBare(actions, member->record.description->gossip, message);
+        }
+    }
+}
+
+void Membership::resendDeregistrations(GossipActions &actions, state::Instant now)
+{
+    this->confirmedSpread.settle(this->memberTable, this->settings.self, now);
+    for (const ConfirmedSpread::Missing &missing :
+         this->confirmedSpread.due(this->memberTable, this->settings.self, now)) {
+        GossipMessage message = this->makeMessage(GossipKind::Deregistrations);
+        std::size_t room = this->room(message);
+        for (const state::EndpointId &id : missing.endpoints) {
+            const auto *entry = this->endpointRecords.find(id);
+            if (entry == nullptr)
+                continue;
+            const endpoints::EndpointRecord record = inForm(entry->record, NewsForm::Short);
+            const std::size_t bytes = endpoints::wireBytes(record);
+            if (bytes > room)
+                break; // goes with the next resend, when others have been confirmed
+            room -= bytes;
+            message.endpointRecords.push_back(record);
+        }
+        this->sendBare(actions, missing.member->record.description->gossip, std::move(message));
+    }
+}
+
+void Membership::deregisteredAgain(const state::EndpointId &endpoint, state::Instant now)
+{
+    const auto *known = this->endpointRecords.find(endpoint);
+    if (known == nullptr || known->record.phase != endpoints::EndpointPhase::Left
+        || known->record.home == this->settings.self)
+        return;
+    const MemberEntry *home = this->memberTable.find(known->record.home);
+    if (home == nullptr || !home->record.isLive())
+        this->confirmedSpread.begin(known->record, now);
+}
+
+} // namespace lavenderthread::coordination::membership
--- a/src/coordination/membership/GossipMessage.h
+++ b/src/coordination/membership/GossipMessage.h
@@ -14,12 +14,14 @@
     Ping,        // asks `target` for an Ack with the same sequence
     PingRequest, // asks the receiver to ping `target` for the sender
     Ack,
-    News,    // records that are news to most; the receiver spreads them on
-    Digest,  // opens a full-state exchange: one hash for each bucket of keys
-    Summary, // answers a Digest: what the sender holds in some buckets that differ
-    Pull,    // asks for the records of `keys`
-    Load,    // loads of endpoints announced at the sender, to the entries that watch it
-    Records, // records that most know already; the receiver doesn't spread them
+    News,            // records that are news to most; the receiver spreads them on
+    Digest,          // opens a full-state exchange: one hash for each bucket of keys
+    Summary,         // answers a Digest: what the sender holds in some buckets that differ
+    Pull,            // asks for the records of `keys`
+    Load,            // loads of endpoints announced at the sender, to the entries that watch it
+    Records,         // records that most know already; the receiver doesn't spread them
+    Deregistrations, // news that the receiver confirms to the sender, known or not
+    Confirm,         // tells which deregistrations (`keys`) the sender knows of
 };
 
 // One record that a Summary mentions.
@@ -49,7 +51,7 @@
     std::vector<std::uint8_t> buckets;    // Summary: those that `summary` covers whole
     std::uint8_t differingBuckets = 0;    // Summary: of how many; 0 when all agree
     std::vector<SummaryItem> summary;     // Summary
-    std::vector<std::uint64_t> keys;      // Pull
+    std::vector<std::uint64_t> keys;      // Pull: of records; Confirm: deregistrationKey()
     std::vector<state::LoadReport> loads; // Load
 };
 
--- a/src/coordination/membership/Membership.cpp
+++ b/src/coordination/membership/Membership.cpp
@@ -76,6 +76,8 @@
         return actions;
     this->probe(actions, now);
     this->gossip(actions, now);
+    this->confirmDeregistrations(actions);
+    this->resendDeregistrations(actions, now);
     this->exchange(actions, now);
     this->seekSeeds(actions, now);
     this->reconnect(actions, now);
@@ -294,6 +296,8 @@
     if (!merged.changed)
         return actions;
     actions.endpointsChanged = true;
+    if (merged.record.phase == endpoints::EndpointPhase::Left)
+        this->confirmedSpread.begin(merged.record, now);
     const bool full = merged.descriptionChanged;
     const NewsForm form = full ? NewsForm::Full : NewsForm::Short;
     this->news.add({NewsSubject::Endpoint, record.id.value()}, form,
--- a/src/coordination/membership/Membership.h
+++ b/src/coordination/membership/Membership.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "coordination/endpoints/EndpointTable.h"
+#include "coordination/membership/ConfirmedSpread.h"
 #include "coordination/membership/FailureDetector.h"
 #include "coordination/membership/GossipMessage.h"
 #include "coordination/membership/MemberTable.h"
@@ -81,6 +82,16 @@
     GossipActions sendLoads(const std::vector<state::LoadReport> &loads,
                             const std::vector<state::VmId> &watchers, state::Instant now);
 
+    // Whether every live member has confirmed that the endpoint has left, as far as this member
+    // sees to it.
+    bool isDeregisteredEverywhere(const state::EndpointId &endpoint) const
+    {
+        return !this->confirmedSpread.isOnItsWay(endpoint);
+    }
+    // An endpoint that has left says so again: this member sees to it that all know if the one that
+    // it told first is gone.
+    void deregisteredAgain(const state::EndpointId &endpoint, state::Instant now);
+
     const MemberTable &members() const { return this->memberTable; }
     const endpoints::EndpointTable &endpointTable() const { return this->endpointRecords; }
     const state::VmId &self() const { return this->settings.self; }
@@ -108,6 +119,10 @@
     // Sends what has just been heard to a few members, at once.
     void passOn(const std::vector<endpoints::EndpointRecord> &records, GossipActions &actions,
                 state::Instant now);
+    void resendDeregistrations(GossipActions &actions, state::Instant now);
+    void confirmDeregistrations(GossipActions &actions);
+    void noteDeregistration(const GossipMessage &message, const endpoints::EndpointRecord &news,
+                            const endpoints::MergeResult &merged);
     void exchange(GossipActions &actions, state::Instant now);
     void reconnect(GossipActions &actions, state::Instant now);
     // A direct ping that carries what is said of the target, whose ack then refutes it. A target
@@ -153,6 +168,9 @@
     MemberTable memberTable; // always holds this member itself
     endpoints::EndpointTable endpointRecords;
     NewsQueue news;
+    ConfirmedSpread confirmedSpread; // of endpoints that deregistered here
+    // Deregistrations that were heard of since the last tick, by the member that waits for a word.
+    std::map<state::VmId, std::vector<std::uint64_t>> owedConfirmations;
     FailureDetector failureDetector;
     state::ByteBudget budget;
     GossipCounters gossipCounters;
--- a/src/coordination/membership/MembershipReceive.cpp
+++ b/src/coordination/membership/MembershipReceive.cpp
@@ -84,6 +84,7 @@
     std::vector<endpoints::EndpointRecord> fresh;
     for (const endpoints::EndpointRecord &record : message.endpointRecords) {
         const endpoints::MergeResult merged = this->endpointRecords.apply(record, now);
+        this->noteDeregistration(message, record, merged);
         if (merged.newsIsOlder)
             outdatedAtSender.push_back(endpoints::endpointKey(record.id));
         if (!merged.changed) {
@@ -183,8 +184,14 @@
     case GossipKind::Load:
         actions.loads = message.loads;
         return;
+    case GossipKind::Confirm:
+        for (const std::uint64_t key : message.keys)
+            this->confirmedSpread.confirmed(memberKey(message.sender), key);
+        this->confirmedSpread.settle(this->memberTable, this->settings.self, now);
+        return;
     case GossipKind::News:
     case GossipKind::Records:
+    case GossipKind::Deregistrations:
         return;
     }
 }
--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -69,6 +69,14 @@
               {"via", end.kind == membership_::GossipKind::Records ? "exchange" : "gossip"}});
 }
 
+void logLeave(const LeaveOutcome &leave)
+{
+    logEvent(leave.knownToAll ? LogLevel::Info : LogLevel::Warning, "endpoint.leave-acknowledged",
+             {{"endpoint", leave.endpoint.value()},
+              {"known_to_all", leave.knownToAll ? "yes" : "no"},
+              {"took_us", std::int64_t(leave.took.count())}});
+}
+
 // An address is used again by another endpoint once the former one is gone. Only the one that
 // started last can be there; news of the former one may still arrive.
 void dropFormerHolders(EndpointTable &table)
@@ -122,6 +130,7 @@
     serviceHooks.loadArrived = this->hooks.loadArrived;
     serviceHooks.superseded = this->hooks.superseded;
     serviceHooks.endHeard = logHeardEnd;
+    serviceHooks.leaveAcknowledged = logLeave;
     serviceHooks.refused = [](const state::Error &error) { logError("gossip.refused", error); };
     BOOST_OUTCOME_TRY(this->membership,
                       MembershipService::create(membershipSettings(this->settings, self), context,
--- a/src/program/MembershipService.cpp
+++ b/src/program/MembershipService.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+
 namespace lavenderthread::program {
 
 namespace asio = boost::asio;
@@ -17,6 +19,13 @@
 using coordination::membership::MemberTable;
 using coordination::ownership::OwnerRing;
 
+namespace {
+
+// Endpoints wait about a second for an answer before they turn to another member.
+constexpr state::Duration longestAcknowledgement = std::chrono::milliseconds(500);
+
+} // namespace
+
 state::Result<std::shared_ptr<MembershipService>>
 MembershipService::create(MembershipServiceSettings settings, asio::io_context &context,
                           Hooks hooks)
@@ -107,12 +116,12 @@
 void MembershipService::leave(const state::EndpointId &endpoint,
                               std::optional<std::uint64_t> incarnation, LeaveHandler done)
 {
-    asio::post(this->strand, [self = this->shared_from_this(), endpoint, incarnation,
-                              done = std::move(done)] {
-        const state::Result<void> left = self->leaveNow(endpoint, incarnation, monotonicNow());
-        if (done)
-            done(left);
-    });
+    asio::post(this->strand,
+               [self = this->shared_from_this(), endpoint, incarnation, done = std::move(done)] {
+                   const state::Instant now = monotonicNow();
+                   const state::Result<void> left = self->leaveNow(endpoint, incarnation, now);
+                   self->acknowledge(endpoint, left, done, now);
+               });
 }
 
 void MembershipService::drain(const state::EndpointDescription &endpoint, LeaveHandler done)
@@ -125,11 +134,43 @@
         if (record && record.value())
             self->publishRecord(*record.value(), now);
         const state::Result<void> left = self->leaveNow(endpoint.id, endpoint.incarnation, now);
-        if (done)
-            done(left);
+        self->acknowledge(endpoint.id, left, done, now);
     });
 }
 
+// At once if nothing is on its way; else when all live members know, or after a time in which those
+// that can be reached do and the endpoint does not yet turn to another member.
+void MembershipService::acknowledge(const state::EndpointId &endpoint,
+                                    const state::Result<void> &left, const LeaveHandler &done,
+                                    state::Instant now)
+{
+    if (!done)
+        return;
+    if (!left || this->membership.isDeregisteredEverywhere(endpoint))
+        done(left);
+    else
+        this->waitingLeaves.push_back({endpoint, now, done});
+}
+
+void MembershipService::answerWaitingLeaves(state::Instant now)
+{
+    const auto waits = [&](const WaitingLeave &each) {
+        return now - each.since < longestAcknowledgement
+               && !this->membership.isDeregisteredEverywhere(each.endpoint);
+    };
+    const auto answered =
+            std::stable_partition(this->waitingLeaves.begin(), this->waitingLeaves.end(), waits);
+    const std::vector<WaitingLeave> due(answered, this->waitingLeaves.end());
+    this->waitingLeaves.erase(answered, this->waitingLeaves.end());
+    for (const WaitingLeave &each : due) {
+        if (this->hooks.leaveAcknowledged)
+            this->hooks.leaveAcknowledged(
+                    {each.endpoint, now - each.since,
+                     this->membership.isDeregisteredEverywhere(each.endpoint)});
+        each.done(state::outcome::success());
+    }
+}
+
 state::Result<void> MembershipService::leaveNow(const state::EndpointId &endpoint,
                                                 std::optional<std::uint64_t> incarnation,
                                                 state::Instant now)
@@ -143,6 +184,8 @@
     if (record.value()) {
         this->publishRecord(*record.value(), now);
         this->publishView(now);
+    } else {
+        this->membership.deregisteredAgain(endpoint, now);
     }
     return state::outcome::success();
 }
@@ -178,6 +221,7 @@
     const state::Instant now = monotonicNow();
     const GossipActions actions = this->membership.receive(message.value(), from, now);
     this->perform(actions);
+    this->answerWaitingLeaves(now);
     if (this->hooks.endHeard) {
         for (const coordination::membership::HeardEnd &end : actions.ends)
             this->hooks.endHeard(end);
@@ -202,6 +246,7 @@
     constexpr state::Duration second = std::chrono::seconds(1);
     const state::Instant now = monotonicNow();
     this->perform(this->membership.tick(now));
+    this->answerWaitingLeaves(now);
     if (now >= this->nextSecond) {
         this->nextSecond = now + second;
         this->tickEndpoints(now);
--- a/src/program/MembershipService.h
+++ b/src/program/MembershipService.h
@@ -41,6 +41,14 @@
     bool operator==(const AnnounceAnswer &) const = default;
 };
 
+// How the acknowledgement of a deregistration came about.
+struct LeaveOutcome
+{
+    state::EndpointId endpoint;
+    state::Duration took{};
+    bool knownToAll = false; // or it was given before all live members had confirmed
+};
+
 class MembershipService : public std::enable_shared_from_this<MembershipService>
 {
 public:
@@ -51,6 +59,7 @@
         std::function<void(const state::LoadReport &)>
                 loadArrived; // of endpoints announced elsewhere
         std::function<void(const coordination::membership::HeardEnd &)> endHeard; // may be empty
+        std::function<void(const LeaveOutcome &)> leaveAcknowledged;              // may be empty
         std::function<void()> superseded;                  // stop this process; called once
         std::function<void(const state::Error &)> refused; // a datagram; peer is its sender
     };
@@ -92,6 +101,9 @@
     void received(std::string_view datagram, const state::Address &from);
     void scheduleTick();
     void tick();
+    void acknowledge(const state::EndpointId &endpoint, const state::Result<void> &left,
+                     const LeaveHandler &done, state::Instant now);
+    void answerWaitingLeaves(state::Instant now);
     state::Result<void> leaveNow(const state::EndpointId &endpoint,
                                  std::optional<std::uint64_t> incarnation, state::Instant now);
     void tickEndpoints(state::Instant now);
@@ -119,6 +131,13 @@
         std::uint64_t version = 0;
         state::Instant since;
     };
+    struct WaitingLeave
+    {
+        state::EndpointId endpoint;
+        state::Instant since;
+        LeaveHandler done;
+    };
+    std::vector<WaitingLeave> waitingLeaves;  // until all live members know, or for a time
     std::deque<TableVersionAt> tableVersions; // rising; the first is old enough to be required
     bool membersDirty = true;
     bool endpointsDirty = true;
--- a/tests/coordination/membership/MembershipSpreadTest.cpp
+++ b/tests/coordination/membership/MembershipSpreadTest.cpp
@@ -72,6 +72,8 @@
     CPPUNIT_TEST(farewellsOfAReleaseReachAllAtOnce);
     CPPUNIT_TEST(newEndpointsOfAReleaseAreKnownAtOnce);
     CPPUNIT_TEST(memberThatHeardNothingForAMomentLearnsOfADeregistration);
+    CPPUNIT_TEST(deregistrationIsConfirmedByAllWithinTheTimeOfItsAnswer);
+    CPPUNIT_TEST(deregistrationOutlivesTheMemberThatTookIt);
     CPPUNIT_TEST(newcomerLearnsAllWithinBounds);
     CPPUNIT_TEST(lateAndDoubledMarksNeverRevert);
     CPPUNIT_TEST(steadyBytesStayInBudget);
@@ -243,6 +245,42 @@
         }
     }
 
+    // Guards against an answer to a leaving endpoint that is given, as a rule, before all know.
+    void deregistrationIsConfirmedByAllWithinTheTimeOfItsAnswer()
+    {
+        constexpr std::size_t endpointCount = 20;
+        GossipFleet fleet = serviceBeforeRelease(endpointCount, 3, seconds(6));
+        for (std::size_t index = 0; index < endpointCount; ++index) {
+            const endpoints::EndpointRecord left = replaceEndpoint(fleet, index, endpointCount);
+            const auto confirmed = [&] {
+                return fleet.at(index % 3).isDeregisteredEverywhere(left.id);
+            };
+            CPPUNIT_ASSERT(!confirmed());
+            const state::Duration took = fleet.runUntil(confirmed, seconds(2));
+            CPPUNIT_ASSERT(took >= state::Duration::zero());
+            for (std::size_t node = 0; node < fleet.size(); ++node)
+                CPPUNIT_ASSERT(fleet.at(node).endpointTable().find(left.id)->record.phase
+                               == endpoints::EndpointPhase::Left);
+            fleet.run(std::chrono::milliseconds(300));
+        }
+    }
+
+    // Guards against a deregistration that nobody repeats once its member is gone, while the
+    // endpoint, which had no answer, has told another one.
+    void deregistrationOutlivesTheMemberThatTookIt()
+    {
+        GossipFleet fleet = serviceBeforeRelease(3, 4, seconds(6));
+        constexpr std::size_t cutOff = 50;
+        fleet.passes = [](std::size_t, std::size_t to) { return to != cutOff; };
+        const endpoints::EndpointRecord left = replaceEndpoint(fleet, 1, 3);
+        fleet.run(std::chrono::milliseconds(50));
+        fleet.kill(1);
+        const auto homeIsGone = [&] { return fleet.seeing(1, MemberHealth::Dead) > 120; };
+        CPPUNIT_ASSERT(fleet.runUntil(homeIsGone, seconds(60)) >= state::Duration::zero());
+        fleet.at(0).deregisteredAgain(left.id, fleet.now());
+        CPPUNIT_ASSERT(!fleet.at(0).isDeregisteredEverywhere(left.id));
+    }
+
     void newcomerLearnsAllWithinBounds()
     {
         // A VM is replaced. The newcomer knows one seed and must not answer callers before it knows
