Endpoints: the end of a later life holds before its announcement

The short record of the end was refused where only the life before was known.

EndpointTableTest::deregistrationOfALaterStartHoldsBeforeItsAnnouncement failed before.

--- a/src/coordination/endpoints/EndpointRecord.cpp
+++ b/src/coordination/endpoints/EndpointRecord.cpp
@@ -65,9 +65,8 @@
 {
     MergeResult result{known};
     const bool sameDescription = news.descriptionVersion == known.descriptionVersion;
-    const bool fits = news.description != nullptr
-                      || (news.incarnation == known.incarnation
-                          && (sameDescription || news.phase == EndpointPhase::Left));
+    const bool fits = news.description != nullptr || news.phase == EndpointPhase::Left
+                      || (news.incarnation == known.incarnation && sameDescription);
     if (livesLater(news, known) && fits) {
         result.descriptionChanged =
                 news.description != nullptr
--- a/src/coordination/endpoints/EndpointRecord.h
+++ b/src/coordination/endpoints/EndpointRecord.h
@@ -81,7 +81,8 @@
 
 // `news` in its short form is applied only on top of the description that it was made from; else
 // an entry could keep the newest version with an outdated list of models for good. Left is applied
-// on any: nobody reads the description of what has left.
+// on any, also on that of an earlier life: nobody reads the description of what has left, and the
+// announcement of that life may still be on its way.
 MergeResult merge(const EndpointRecord &known, const EndpointRecord &news);
 
 // Covers everything but the description's text, which its version stands for.
--- a/src/coordination/membership/ConfirmedSpread.cpp
+++ b/src/coordination/membership/ConfirmedSpread.cpp
@@ -78,7 +78,7 @@
     // Members that have died and are not known to have must not take the turns of all others.
     if (due.size() > this->settings.membersPerResend) {
         this->turn = (this->turn + this->settings.membersPerResend) % due.size();
-        std::ranges::rotate(due, due.begin() + static_cast<std::ptrdiff_t>(this->turn));
+        std::rotate(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(this->turn), due.end());
         due.resize(this->settings.membersPerResend);
     }
     return due;
--- a/tests/coordination/endpoints/EndpointTableTest.cpp
+++ b/tests/coordination/endpoints/EndpointTableTest.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(EndpointTableTest);
     CPPUNIT_TEST(farewellBeforeTheAnnouncementHolds);
     CPPUNIT_TEST(laterStartOfAnEndpointThatLeftIsUsed);
+    CPPUNIT_TEST(deregistrationOfALaterStartHoldsBeforeItsAnnouncement);
     CPPUNIT_TEST_SUITE_END();
 
     const state::Instant now{std::chrono::seconds(100)};
@@ -55,6 +56,19 @@
         table.apply(announced(8), this->now);
         CPPUNIT_ASSERT(table.find(state::EndpointId("engine-1"))->record.isUsable());
     }
+
+    // Guards against work for an endpoint that restarted under its id and left again, where the
+    // second life's end came before its beginning.
+    void deregistrationOfALaterStartHoldsBeforeItsAnnouncement()
+    {
+        EndpointTable table;
+        table.apply(announced(7), this->now);
+        CPPUNIT_ASSERT(table.apply(left(8), this->now).changed);
+        table.apply(announced(8), this->now);
+        CPPUNIT_ASSERT(!table.find(state::EndpointId("engine-1"))->record.isUsable());
+        table.apply(announced(9), this->now);
+        CPPUNIT_ASSERT(table.find(state::EndpointId("engine-1"))->record.isUsable());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndpointTableTest);
