--- a/src/coordination/membership/Deregistrations.cpp
+++ b/src/coordination/membership/Deregistrations.cpp
@@ -2,6 +2,7 @@
 #include "coordination/membership/Membership.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lavenderthread::coordination::membership {
 
