--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -85,11 +85,13 @@
          << R"(, "probe_ms": 300, "suspicion_probes": 2, "bytes_per_second": 8000},)";
     if (this->isControl(index))
         file << R"("control": {"listen": )" << at(gossipPort) << R"(, "data_folder": ")"
-             << this->dataFolder(index) << R"(", "admit_when_stale": true, "bootstrap": )"
+             << this->dataFolder(index) << R"(", "admit_when_stale": true, "change_in_force_ms": )"
+             << this->settings.changeInForceMs << R"(, "bootstrap": )"
              << (this->processes[index].founded ? "false" : "true")
              << R"(}, "relay": {"operator_listen": )" << at(operatorPort);
     else
-        file << R"("control": {"admit_when_stale": true}, "relay": {"listen": )" << at(callerPort)
+        file << R"("control": {"admit_when_stale": true, "change_in_force_ms": )"
+             << this->settings.changeInForceMs << R"(}, "relay": {"listen": )" << at(callerPort)
              << R"(, "directory_listen": )" << at(directoryPort);
     file << R"(, "directory_ttl_ms": 500, "heartbeat_ms": 400, "termination_ms": 4000}})" << '\n';
 }
--- a/soak/Fleet.h
+++ b/soak/Fleet.h
@@ -18,6 +18,7 @@
     std::string folder; // for settings, logs and data; made anew
     std::size_t controls = 3;
     std::size_t entries = 4;
+    std::uint32_t changeInForceMs = 2'500;
     std::uint16_t port = 0; // first of five that every process uses, each at its own loopback IP
 };
 
--- a/soak/Operator.cpp
+++ b/soak/Operator.cpp
@@ -4,6 +4,8 @@
 #include "transport/Await.h"
 #include "transport/HttpClient.h"
 
+#include <array>
+
 namespace lavenderthread::soak {
 
 namespace asio = boost::asio;
@@ -14,6 +16,8 @@
 constexpr milliseconds answerTime{1'500};
 constexpr milliseconds betweenTries{100};
 constexpr unsigned statusOk = 200;
+constexpr std::uint64_t changesUntilHeld = 6;
+constexpr std::array<std::size_t, 3> fillerRouteCounts = {0, 200, 1'500};
 
 } // namespace
 
@@ -23,12 +27,20 @@
     , controls(std::move(controls))
     , ledger(ledger)
     , random(seed)
+    , fillerRoutes(fillerRouteCounts[seed % fillerRouteCounts.size()])
 {}
 
 std::string Operator::document() const
 {
     const std::string route = R"("Host":"soak","TimeoutMs":3000,"Anonymous":false,"Attempts":2,)";
-    return R"({"Version":)" + std::to_string(this->version) + R"(,"Routes":[)"
+    std::string filler;
+    for (std::size_t index = 0; index < this->fillerRoutes; ++index) {
+        const std::string name = "filler" + std::to_string(index);
+        filler += R"({"Name":")" + name + R"(","PathPrefix":"/)" + name
+                  + R"(/","Kind":"idempotent",)" + route
+                  + R"("TargetLatencyMs":100,"Service":"app"},)";
+    }
+    return R"({"Version":)" + std::to_string(this->version) + R"(,"Routes":[)" + filler
            + R"({"Name":"stream","PathPrefix":"/stream/","Kind":"streaming","Resumable":true,)"
            + route + R"("TargetLatencyMs":3000,"TargetGapMs":800,"Service":"llm"},)"
            + R"({"Name":"post","PathPrefix":"/post/","Kind":"non_idempotent",)" + route
@@ -81,10 +93,14 @@
     co_return false;
 }
 
-asio::awaitable<void> Operator::sendForEver(milliseconds pause)
+asio::awaitable<void>
+Operator::sendForEver(milliseconds pause,
+                      std::function<asio::awaitable<void>(std::uint64_t version)> whileHeld)
 {
     while (!this->stopped) {
-        co_await this->send(milliseconds(6'000));
+        const bool accepted = co_await this->send(milliseconds(6'000));
+        if (accepted && this->version % changesUntilHeld == 0)
+            co_await whileHeld(this->version);
         co_await transport::pause(pause);
     }
 }
--- a/soak/Operator.h
+++ b/soak/Operator.h
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
+#include <functional>
 #include <optional>
 #include <random>
 #include <string>
@@ -27,7 +28,10 @@
 
     // True once a configuration is acknowledged.
     boost::asio::awaitable<bool> send(std::chrono::milliseconds patience);
-    boost::asio::awaitable<void> sendForEver(std::chrono::milliseconds pause);
+    // Each so many changes are held: `whileHeld` ends before the next one is sent.
+    boost::asio::awaitable<void>
+    sendForEver(std::chrono::milliseconds pause,
+                std::function<boost::asio::awaitable<void>(std::uint64_t version)> whileHeld);
     boost::asio::awaitable<void> readForEver(std::chrono::milliseconds pause);
     // The newest version, or nothing if no node is sure within the time.
     boost::asio::awaitable<std::optional<std::uint64_t>> read(std::chrono::milliseconds patience);
@@ -44,6 +48,7 @@
     Ledger &ledger;
     std::mt19937_64 random;
     std::uint64_t version = 0;
+    std::size_t fillerRoutes; // of every configuration
     bool stopped = false;
 };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -43,13 +43,19 @@
 // After the last fault: discovery, elections, and what was suspected is taken up again.
 constexpr milliseconds recoveryTime{9'000};
 constexpr milliseconds calmTime{2'000};
+// After its acknowledgement no entry may refuse a route for good.
+constexpr milliseconds changeInForce{2'500};
+constexpr int probesOfAHeldChange = 5;
+constexpr milliseconds probePause{100};
+constexpr unsigned statusNotFound = 404;
 constexpr double calmShare = 0.95; // of the calls of the calm end that have to succeed
 
 class Soak
 {
 public:
     explicit Soak(const Options &options)
-        : fleet({options.binary, options.folder, 3, 4, portOf(options.seed)})
+        : fleet({options.binary, options.folder, 3, 4, std::uint32_t(changeInForce.count()),
+                 portOf(options.seed)})
         , operators(this->context, this->fleet.allOperators(), this->ledger, options.seed)
         , seconds(options.seconds)
         , port(portOf(options.seed))
@@ -147,7 +153,11 @@
         }
         for (const auto &person : this->people)
             asio::co_spawn(this->context, person->callForEver(callPause), asio::detached);
-        asio::co_spawn(this->context, this->operators.sendForEver(changePause), asio::detached);
+        const auto whileHeld = [this](std::uint64_t version) {
+            return this->checkAddedRoute(version);
+        };
+        asio::co_spawn(this->context, this->operators.sendForEver(changePause, whileHeld),
+                       asio::detached);
         asio::co_spawn(this->context, this->operators.readForEver(readPause), asio::detached);
         co_await transport::pause(milliseconds(1'500));
         asio::co_spawn(this->context, this->faults->strikeForEver(faultPause), asio::detached);
@@ -157,6 +167,27 @@
         co_await this->checkCalmEnd();
     }
 
+    // Whatever strikes an entry, it serves the route of a change that was acknowledged so long ago,
+    // or says that it can't now: its view is confirmed, or it refuses nothing for good.
+    asio::awaitable<void> checkAddedRoute(std::uint64_t version)
+    {
+        co_await transport::pause(changeInForce);
+        const std::string path = "/v" + std::to_string(version) + "/x";
+        for (int round = 0; round < probesOfAHeldChange; ++round) {
+            for (std::size_t index = 0; index < this->fleet.size(); ++index) {
+                if (this->fleet.isControl(index))
+                    continue;
+                const state::Address entry = this->fleet.callers(index);
+                const unsigned status = co_await this->people.front()->probe(entry, path);
+                if (status == statusNotFound)
+                    this->ledger.broken("entry " + std::to_string(index)
+                                        + " refuses the route of version " + std::to_string(version)
+                                        + " for good");
+            }
+            co_await transport::pause(probePause);
+        }
+    }
+
     asio::awaitable<void> checkCalmEnd()
     {
         const std::uint64_t succeeded = this->ledger.successCount();
