--- a/src/coordination/consensus/Consensus.cpp
+++ b/src/coordination/consensus/Consensus.cpp
@@ -261,8 +261,11 @@
 
 void Consensus::askForSnapshot()
 {
+    const std::size_t mostBytes =
+            std::clamp(this->latestSnapshot->bytes.size(), this->settings.compactionLeastBytes,
+                       this->settings.compactionBytes);
     const bool due = this->log.size() > this->settings.compactionEntries
-                     || this->log.payloadBytes() > this->settings.compactionBytes;
+                     || this->log.payloadBytes() > mostBytes;
     const std::uint64_t gain = this->applied - this->latestSnapshot->last.index;
     if (!due || this->snapshotAsked || gain == 0 || gain < this->settings.trailingEntries / 2)
         return;
--- a/src/coordination/consensus/Settings.cpp
+++ b/src/coordination/consensus/Settings.cpp
@@ -30,6 +30,8 @@
         return refuse("maximumPayloadBytes must be 1 to maximumBatchBytes");
     if (this->snapshotPieceBytes == 0 || this->compactionEntries <= this->trailingEntries)
         return refuse("snapshot pieces must not be empty, compaction must exceed the trail");
+    if (this->compactionLeastBytes > this->compactionBytes)
+        return refuse("compactionLeastBytes must be at most compactionBytes");
     return state::outcome::success();
 }
 
--- a/src/coordination/consensus/Settings.h
+++ b/src/coordination/consensus/Settings.h
@@ -27,9 +27,13 @@
     std::size_t maximumPayloadBytes = 1U << 20U; // of one proposal
     std::size_t snapshotPieceBytes = 256U << 10U;
     std::size_t maximumSnapshotBytes = 512U << 20U;
-    std::size_t compactionEntries = 16384;    // entries in memory that make a snapshot due
-    std::size_t compactionBytes = 32U << 20U; // payload bytes that do
-    std::size_t trailingEntries = 4096;       // kept behind a snapshot for members a little behind
+    std::size_t compactionEntries = 16384; // entries in memory that make a snapshot due
+    // Payload bytes that do: as many as the last snapshot has, within these two. Writing snapshots
+    // then costs no more than writing the log, and a member that starts again holds most of the
+    // state before a leader has told it what is committed.
+    std::size_t compactionLeastBytes = 32U << 20U;
+    std::size_t compactionBytes = 32U << 20U;
+    std::size_t trailingEntries = 4096; // kept behind a snapshot for members a little behind
 
     // Error: InvalidArgument, step "consensus.settings".
     state::Result<void> check() const;
--- a/src/program/ControlService.cpp
+++ b/src/program/ControlService.cpp
@@ -34,9 +34,9 @@
 constexpr milliseconds waitForLeader{300};
 constexpr milliseconds reopenPause{500}; // between tries to open a folder on a failing disk
 
-// Small enough for a control VM: configurations of 100 KB may come ten a second, the log keeps in
-// memory what is not in a snapshot, and a restart reads it all again. At a sixteenth of a core two
-// megabytes took half a second to read.
+// Small enough for a control VM: the log keeps in memory what is not in a snapshot, and a restart
+// reads it all again. At a sixteenth of a core two megabytes took half a second to read.
+constexpr std::size_t leastLogBytesInMemory = 32U << 10U;
 constexpr std::size_t logBytesInMemory = 512U << 10U;
 constexpr std::size_t logSegmentBytes = 512U << 10U;
 constexpr std::size_t logEntriesInMemory = 2'048;
@@ -120,6 +120,7 @@
     hostSettings.listen = *this->settings.controlListen;
     hostSettings.keys = this->settings.keys;
     hostSettings.consensus.electionTimeout = electionTimeout;
+    hostSettings.consensus.compactionLeastBytes = leastLogBytesInMemory;
     hostSettings.consensus.compactionBytes = logBytesInMemory;
     hostSettings.segmentBytes = logSegmentBytes;
     hostSettings.consensus.compactionEntries = logEntriesInMemory;
--- a/tests/coordination/consensus/ConsensusTest.cpp
+++ b/tests/coordination/consensus/ConsensusTest.cpp
@@ -35,7 +35,11 @@
 // Member "a" of three, alone with the test, which plays the other two and the disk.
 struct Solo
 {
-    Consensus machine = Consensus::create({}, state::VmId("a"), firstStart(), 1, {}).value();
+    explicit Solo(const Settings &settings = {}, const Stored &stored = firstStart())
+        : machine(Consensus::create(settings, state::VmId("a"), stored, 1, {}).value())
+    {}
+
+    Consensus machine;
     state::Instant now;
 
     Actions give(const Event &event) { return this->machine.step(event, this->now); }
@@ -75,9 +79,39 @@
     CPPUNIT_TEST(leaderWithHangingDiskResigns);
     CPPUNIT_TEST(membersChangeOneAtATime);
     CPPUNIT_TEST(refusesToStartOnDamage);
+    CPPUNIT_TEST(logThatOutgrowsItsSnapshotIsReplaced);
     CPPUNIT_TEST_SUITE_END();
 
+    // Entries of 50 bytes that are committed until a snapshot is wanted.
+    static int entriesUntilSnapshot(const Settings &settings, std::size_t snapshotBytes)
+    {
+        Stored stored = firstStart();
+        stored.snapshot.bytes.assign(snapshotBytes, 's');
+        Solo solo(settings, stored);
+        solo.lead();
+        for (int entries = 1; entries < 100; ++entries) {
+            const std::uint64_t id = static_cast<std::uint64_t>(entries);
+            const Actions synced = solo.synced(solo.give(Propose{{{id, std::string(50, 'c')}}}));
+            if (synced.snapshotWanted || solo.answerAppend(id + 1).snapshotWanted)
+                return entries;
+        }
+        return 100;
+    }
+
 public:
+    // Guards against a member that, when all have lost power, holds nothing that it could hand out
+    // before a leader is elected, since small commands had never filled the log.
+    void logThatOutgrowsItsSnapshotIsReplaced()
+    {
+        Settings settings;
+        settings.trailingEntries = 4;
+        settings.compactionLeastBytes = 400;
+        settings.compactionBytes = 2'000;
+        CPPUNIT_ASSERT_EQUAL(9, entriesUntilSnapshot(settings, 10));
+        CPPUNIT_ASSERT_EQUAL(21, entriesUntilSnapshot(settings, 1'000));
+        CPPUNIT_ASSERT_EQUAL(41, entriesUntilSnapshot(settings, 100'000));
+    }
+
     // A vote that left before its sync could be given again after a crash, and one term would have
     // two leaders. It stays here until the disk has it.
     void voteLeavesAfterItsSync()
