--- a/soak/Operator.cpp
+++ b/soak/Operator.cpp
@@ -36,9 +36,9 @@
     std::string filler;
     for (std::size_t index = 0; index < this->fillerRoutes; ++index) {
         const std::string name = "filler" + std::to_string(index);
-        filler += R"({"Name":")" + name + R"(","PathPrefix":"/)" + name
-                  + R"(/","Kind":"idempotent",)" + route
-                  + R"("TargetLatencyMs":100,"Service":"app"},)";
+        filler.append(R"({"Name":")").append(name).append(R"(","PathPrefix":"/)").append(name);
+        filler.append(R"(/","Kind":"idempotent",)").append(route);
+        filler.append(R"("TargetLatencyMs":100,"Service":"app"},)");
     }
     return R"({"Version":)" + std::to_string(this->version) + R"(,"Routes":[)" + filler
            + R"({"Name":"stream","PathPrefix":"/stream/","Kind":"streaming","Resumable":true,)"
