Relay: an endpoint whose address another one has is left alone, by all entries

Change: a 421 that names no other endpoint marks that incarnation as replaced for 30 s, and one note tells the peers. Tests (not run on the code before, which has no such outcome): HealthTest, RelayTest, RelayWireTest.

--- a/src/coordination/routing/EndpointHealth.cpp
+++ b/src/coordination/routing/EndpointHealth.cpp
@@ -33,6 +33,12 @@
             recent.nextSuspicion = this->settings.initialSuspicion;
         return false;
     }
+    if (outcome == AttemptOutcome::Replaced) {
+        const state::Instant until = now + this->settings.suspicionIfReplaced;
+        const bool known = recent.suspectUntil > now + this->settings.maximumSuspicion;
+        recent.suspectUntil = std::max(recent.suspectUntil, until);
+        return !known;
+    }
     recent.failed += 1;
     const bool wasSuspect = now < recent.suspectUntil;
     const double share = recent.failed / (recent.failed + recent.succeeded);
--- a/src/coordination/routing/EndpointHealth.h
+++ b/src/coordination/routing/EndpointHealth.h
@@ -14,6 +14,7 @@
     Succeeded,
     Failed,      // refused, cut off, timed out, or answered with a failure
     Unreachable, // no connection
+    Replaced,    // another endpoint answers at its address: this incarnation has ended
 };
 
 struct EndpointHealthSettings
@@ -23,6 +24,9 @@
     double minimumFailureShare = 0.4; // if at least this share of the attempts failed
     state::Duration initialSuspicion = std::chrono::seconds(1); // duration; doubles each time
     state::Duration maximumSuspicion = std::chrono::seconds(8);
+    // Longer than a fleet needs to expire an endpoint whose announcements have stopped. Such an
+    // endpoint refuses faster than others answer, so it looks idle and attracts the requests.
+    state::Duration suspicionIfReplaced = std::chrono::seconds(30);
 };
 
 // Counts the outcomes per endpoint with exponential decay. An endpoint becomes suspect for a
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -38,6 +38,29 @@
 constexpr milliseconds releaseAnswerTime{500};
 constexpr milliseconds releaseTime{3'500}; // the lease has expired by then
 
+std::string_view toString(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::Succeeded:
+        break;
+    case AttemptOutcome::Failed:
+        return "failures";
+    case AttemptOutcome::Unreachable:
+        return "unreachable";
+    case AttemptOutcome::Replaced:
+        return "replaced";
+    }
+    return "none";
+}
+
+// What a failed attempt says about its engine.
+AttemptOutcome outcomeOf(AttemptFailure failure)
+{
+    if (failure == AttemptFailure::Unreachable)
+        return AttemptOutcome::Unreachable;
+    return failure == AttemptFailure::Replaced ? AttemptOutcome::Replaced : AttemptOutcome::Failed;
+}
+
 } // namespace
 
 std::string streamIdOf(const state::RequestId &id, const Placement &placement)
@@ -322,14 +345,36 @@
                                                         monotonicNow());
         if (!suspect)
             return;
-        logEvent(LogLevel::Warning, "engine.suspected",
-                 {{"endpoint", endpoint.id.value()},
-                  {"address", endpoint.address.toString()},
-                  {"incarnation", endpoint.incarnation},
-                  {"cause", outcome == AttemptOutcome::Unreachable ? "unreachable" : "failures"}});
+        this->logSuspected(endpoint.id, endpoint.incarnation, toString(outcome), "attempt");
+        if (outcome == AttemptOutcome::Replaced && this->hooks.shareReplaced)
+            this->hooks.shareReplaced(endpoint.id, endpoint.incarnation);
         this->refreshEndpoints();
     }
 
+    // One entry's discovery is enough: each further one would cost a request its attempt.
+    void engineReplaced(const state::EndpointId &engine, std::uint64_t incarnation)
+    {
+        if (!this->health.recordAttempt(engine, incarnation, AttemptOutcome::Replaced,
+                                        monotonicNow()))
+            return;
+        this->logSuspected(engine, incarnation, toString(AttemptOutcome::Replaced), "peer");
+        this->refreshEndpoints();
+    }
+
+    void logSuspected(const state::EndpointId &engine, std::uint64_t incarnation,
+                      std::string_view cause, std::string_view source) const
+    {
+        const auto known = this->announced.find(engine);
+        logEvent(LogLevel::Warning, "engine.suspected",
+                 {{"endpoint", engine.value()},
+                  {"address", known == this->announced.end()
+                                      ? std::string()
+                                      : known->second.description.address.toString()},
+                  {"incarnation", incarnation},
+                  {"cause", cause},
+                  {"source", source}});
+    }
+
     void handlePeerFailure(const state::Address &address)
     {
         for (const auto &[id, endpoint] : this->announced) {
@@ -479,6 +524,13 @@
     });
 }
 
+void DispatcherScheduler::engineReplaced(const state::EndpointId &engine, std::uint64_t incarnation)
+{
+    asio::post(this->state->strand, [self = this->shared_from_this(), engine, incarnation] {
+        self->state->engineReplaced(engine, incarnation);
+    });
+}
+
 void DispatcherScheduler::refreshEndpoints()
 {
     asio::post(this->state->strand,
@@ -511,9 +563,7 @@
                                      AttemptFailure failure) {
         return waitFor(id, [id, failed, failure](State &state) {
             if (failure != AttemptFailure::PeerLost)
-                state.noteHealth(failed.endpoint, failure == AttemptFailure::Unreachable
-                                                          ? AttemptOutcome::Unreachable
-                                                          : AttemptOutcome::Failed);
+                state.noteHealth(failed.endpoint, outcomeOf(failure));
             state.handle(
                     admission::AttemptFailed{id, failed.attempt, failure != AttemptFailure::Lost});
         });
--- a/src/program/DispatcherScheduler.h
+++ b/src/program/DispatcherScheduler.h
@@ -26,6 +26,8 @@
         // Send to the entries that route to the same engines; may be empty for a single node.
         std::function<void(const coordination::routing::WorkNote &)> shareWork;
         std::function<void(const coordination::admission::BacklogNote &)> shareBacklog;
+        // Tells them that another endpoint has that engine's address.
+        std::function<void(const state::EndpointId &, std::uint64_t incarnation)> shareReplaced;
         // Requests that reserve memory on engines with a declared profile.
         MemoryReservationCodec memory;
     };
@@ -41,6 +43,8 @@
 
     // Passes an event from engines, the table or peers to the dispatcher. Any thread.
     void post(coordination::admission::Event event);
+    // A peer has found another endpoint at that engine's address. Any thread.
+    void engineReplaced(const state::EndpointId &engine, std::uint64_t incarnation);
     // Updates the dispatcher's engines from the registry's table. Any thread.
     void refreshEndpoints();
     // Sets the engine profiles that operators declare, by service. Any thread.
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -117,16 +117,6 @@
               {"reason", outcome.reason}});
 }
 
-coordination::admission::Event toEvent(const coordination::routing::WorkNote &note)
-{
-    return coordination::admission::PeerWorkReceived{note};
-}
-
-coordination::admission::Event toEvent(const coordination::admission::BacklogNote &note)
-{
-    return coordination::admission::PeerBacklogReceived{note};
-}
-
 coordination::admission::Event toEvent(const protocol::CacheUpdate &news)
 {
     using coordination::routing::CacheOperation;
@@ -271,7 +261,7 @@
             this->policy->post(coordination::admission::LoadReported{report});
         };
         hooks.newsArrived = [this](const protocol::PeerUpdate &news) {
-            this->policy->post(std::visit([](const auto &each) { return toEvent(each); }, news));
+            this->handlePeerUpdate(news);
         };
         hooks.superseded = [this] {
             logEvent(LogLevel::Error, "node.superseded", {{"vm", this->settings.vm.value()}});
@@ -280,6 +270,18 @@
         return hooks;
     }
 
+    void handlePeerUpdate(const protocol::PeerUpdate &update)
+    {
+        if (const auto *replaced = std::get_if<protocol::EndpointReplaced>(&update))
+            this->policy->engineReplaced(replaced->endpoint, replaced->incarnation);
+        else if (const auto *cache = std::get_if<protocol::CacheUpdate>(&update))
+            this->policy->post(toEvent(*cache));
+        else if (const auto *backlog = std::get_if<coordination::admission::BacklogNote>(&update))
+            this->policy->post(coordination::admission::PeerBacklogReceived{*backlog});
+        else if (const auto *work = std::get_if<coordination::routing::WorkNote>(&update))
+            this->policy->post(coordination::admission::PeerWorkReceived{*work});
+    }
+
     DispatcherScheduler::Hooks policyHooks()
     {
         DispatcherScheduler::Hooks hooks;
@@ -289,6 +291,9 @@
         hooks.shareBacklog = [this](const coordination::admission::BacklogNote &note) {
             this->cluster->share(note);
         };
+        hooks.shareReplaced = [this](const state::EndpointId &engine, std::uint64_t incarnation) {
+            this->cluster->share(protocol::EndpointReplaced{engine, incarnation});
+        };
         hooks.memory = this->deployment.relay.memory;
         return hooks;
     }
--- a/src/program/RelayCodec.h
+++ b/src/program/RelayCodec.h
@@ -48,8 +48,9 @@
 // The head of an endpoint's answer, decoded.
 struct EndpointAnswerHead
 {
-    bool genuine = true; // it answers this request; a success has a valid seal
-    bool notRun = false; // the endpoint guarantees that it has not run the request
+    bool genuine = true;        // it answers this request; a success has a valid seal
+    bool notRun = false;        // the endpoint guarantees that it has not run the request
+    bool otherEndpoint = false; // refused because another endpoint was meant
     std::optional<coordination::routing::ReplicaLoad> load;
     std::optional<state::Address> faulty; // another endpoint, whose failure caused the refusal
 };
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -69,10 +69,12 @@
     return status >= statusOk && status < statusMultipleChoices;
 }
 
-AttemptOutcome healthOf(AttemptResult end)
+AttemptOutcome healthOf(AttemptResult end, bool replaced)
 {
     if (end == AttemptResult::Complete)
         return AttemptOutcome::Succeeded;
+    if (end == AttemptResult::NotRun && replaced)
+        return AttemptOutcome::Replaced;
     return end == AttemptResult::NeverSent ? AttemptOutcome::Unreachable : AttemptOutcome::Failed;
 }
 
@@ -264,8 +266,10 @@
     {
         if (end == AttemptResult::NeverSent)
             return AttemptFailure::Unreachable;
+        if (end == AttemptResult::NotRun && this->peerFailed)
+            return AttemptFailure::PeerLost;
         if (end == AttemptResult::NotRun)
-            return this->peerFailed ? AttemptFailure::PeerLost : AttemptFailure::NotRun;
+            return this->endpointReplaced ? AttemptFailure::Replaced : AttemptFailure::NotRun;
         return AttemptFailure::Lost;
     }
 
@@ -353,8 +357,9 @@
     void recordReplicaResult(const state::EndpointDescription &replica, AttemptResult end)
     {
         // A healthy endpoint also answers a request that it can't carry out with its own error.
-        const AttemptOutcome health =
-                this->facts.callerGone ? AttemptOutcome::Succeeded : healthOf(end);
+        const AttemptOutcome health = this->facts.callerGone
+                                              ? AttemptOutcome::Succeeded
+                                              : healthOf(end, this->endpointReplaced);
         const std::lock_guard lock(this->relay.choiceMutex);
         this->relay.chooser.callEnded(replica, health, monotonicNow());
         if (end == AttemptResult::Complete)
@@ -457,6 +462,7 @@
     void recordAnswerHead(const Target &target, const EndpointAnswerHead &head)
     {
         this->peerFailed = head.faulty && *head.faulty != target.endpoint.address;
+        this->endpointReplaced = head.genuine && head.otherEndpoint && !this->peerFailed;
         if (this->peerFailed)
             this->hooks.scheduler.reportPeerFailure(*head.faulty);
         if (!head.load || !head.genuine)
@@ -691,6 +697,7 @@
     bool retryTokenTaken = false; // a retry token was taken for a move to another replica
     bool scheduled = false;
     bool peerFailed = false;         // the last answer reports the failure of another endpoint
+    bool endpointReplaced = false;   // another endpoint has answered at the address
     std::uint32_t attemptNumber = 0; // number that the scheduler gave the attempt
 };
 
--- a/src/program/Scheduler.h
+++ b/src/program/Scheduler.h
@@ -39,6 +39,7 @@
 enum class AttemptFailure {
     Unreachable, // no connection: this request did not reach the engine, and others can't either
     NotRun,      // the engine refused the request
+    Replaced,    // another endpoint has the engine's address
     PeerLost,    // refused, because another engine that this one needed has failed
     Lost,        // the request may have run
 };
--- a/src/protocol/PeerUpdate.h
+++ b/src/protocol/PeerUpdate.h
@@ -27,8 +27,24 @@
     }
 };
 
-using PeerUpdate = std::variant<coordination::routing::WorkNote,
-                                coordination::admission::BacklogNote, CacheUpdate>;
+// Another endpoint was found at the address of that incarnation, which has therefore ended.
+struct EndpointReplaced
+{
+    state::EndpointId endpoint;
+    std::uint64_t incarnation = 0;
+
+    auto operator<=>(const EndpointReplaced &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->endpoint, this->incarnation);
+    }
+};
+
+using PeerUpdate =
+        std::variant<coordination::routing::WorkNote, coordination::admission::BacklogNote,
+                     CacheUpdate, EndpointReplaced>;
 
 // Size limit of a sealed datagram; below the MTU of all common network paths.
 constexpr std::size_t maximumPeerUpdateBytes = 1'200;
--- a/tests/coordination/routing/HealthTest.cpp
+++ b/tests/coordination/routing/HealthTest.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(fewFailuresAmongManySuccessesAreTolerated);
     CPPUNIT_TEST(suspicionOfFailingEndpointGrowsEachTime);
     CPPUNIT_TEST(unreachableEndpointIsSuspectAtOnce);
+    CPPUNIT_TEST(replacedEndpointStaysSuspect);
     CPPUNIT_TEST(restartClearsSuspicion);
     CPPUNIT_TEST(leastLoadedReplicaIsChosen);
     CPPUNIT_TEST(suspectReplicasComeLastUnlessInMajority);
@@ -57,6 +58,19 @@
         }
     }
 
+    // An engine has crashed, and another endpoint got its address. Guards against trying it again
+    // every second: it refuses within milliseconds, so it looks idle and attracts requests.
+    void replacedEndpointStaysSuspect()
+    {
+        EndpointHealth health;
+        CPPUNIT_ASSERT(health.recordAttempt(this->id, 1, AttemptOutcome::Replaced, this->now));
+        CPPUNIT_ASSERT(!health.recordAttempt(this->id, 1, AttemptOutcome::Replaced, this->now));
+        this->now += std::chrono::seconds(20);
+        CPPUNIT_ASSERT(health.isSuspect(this->id, 1, this->now));
+        health.recordAttempt(this->id, 2, AttemptOutcome::Succeeded, this->now);
+        CPPUNIT_ASSERT(!health.isSuspect(this->id, 2, this->now));
+    }
+
     void unreachableEndpointIsSuspectAtOnce()
     {
         EndpointHealth health;
--- a/tests/platform/RelayTest.cpp
+++ b/tests/platform/RelayTest.cpp
@@ -133,7 +133,8 @@
             coordination::orders::ViewStatus::Confirmed;
     std::atomic<int> arrivals = 0;
     std::atomic<std::int64_t> closedAtUs = 0; // when an endpoint noticed that its caller had closed
-    std::string resumedBehind;                // as sent to the last endpoint
+    std::vector<program::AttemptFailure> failures; // as the scheduler was told
+    std::string resumedBehind;                     // as sent to the last endpoint
 
 private:
     void publishRoutes(state::routes::CallKind kind, bool engines)
@@ -186,6 +187,13 @@
             placement.endpoint = known->endpoints.begin()->second.description;
             co_return placement;
         };
+        scheduler.placeAgain = [this](const state::RequestId &, const program::Placement &,
+                                      program::AttemptFailure failure)
+                -> asio::awaitable<program::PlacementResult> {
+            this->failures.push_back(failure);
+            co_return protocol::Problem{503, "no-engine", "no other engine", protocol::Ran::No,
+                                        std::nullopt};
+        };
         scheduler.progressed = [](const state::RequestId &, std::uint32_t, std::uint64_t) {};
         scheduler.finished = [](const state::RequestId &, std::uint32_t, bool) {};
         scheduler.cancel = [](const state::RequestId &) {};
@@ -304,6 +312,7 @@
     CPPUNIT_TEST(callerCloseReachesEndpoint);
     CPPUNIT_TEST(timeoutIsEnforced);
     CPPUNIT_TEST(firstEngineIsAwaited);
+    CPPUNIT_TEST(replacedEngineIsReported);
     CPPUNIT_TEST(outdatedConfigurationIsNotUsed);
     CPPUNIT_TEST(unconfirmedConfigurationDoesNotAnswer404);
     CPPUNIT_TEST_SUITE_END();
@@ -459,6 +468,20 @@
         CPPUNIT_ASSERT_EQUAL(eventsUpTo(6), answer.value().body);
     }
 
+    // Another endpoint answers at the address of an engine that crashed. Guards against counting
+    // that as a failure of a live engine, which is tried again a second later.
+    void replacedEngineIsReported()
+    {
+        RelayFixture fixture(Kind::Stream, {Behaviour::IsOtherEndpoint}, true);
+        const auto answer = fixture.call();
+        CPPUNIT_ASSERT_EQUAL(503U, answer.value().status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.failures.size());
+        CPPUNIT_ASSERT(fixture.failures.front() == program::AttemptFailure::Replaced);
+        RelayFixture refused(Kind::Stream, {Behaviour::Refuses}, true);
+        refused.call();
+        CPPUNIT_ASSERT(refused.failures.front() == program::AttemptFailure::NotRun);
+    }
+
     // An endpoint never answers a request: the caller gets an answer at the route's timeout of 2 s.
     void timeoutIsEnforced()
     {
--- a/tests/platform/RelayWireTest.cpp
+++ b/tests/platform/RelayWireTest.cpp
@@ -142,6 +142,7 @@
             const auto head = this->codec.readHead(each.status, each.headers, id);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(each.name, each.genuine, head.genuine);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(each.name, each.notRun, head.notRun);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.name, each.status == 421, head.otherEndpoint);
         }
         const auto loaded = this->codec.readHead(
                 503, {{"Replica-Load", "3,1,8"}, {"At-Server", "10.0.0.9:8080"}}, id);
