--- a/bench/PassPlans.cpp
+++ b/bench/PassPlans.cpp
@@ -56,6 +56,24 @@
     return plan;
 }
 
+PassPlan largeHeavyDay(std::uint64_t seed)
+{
+    PassPlan plan = heavyDay(seed);
+    plan.engines = 172;
+    plan.entries = 91;
+    plan.profile.slots = 10;
+    plan.profile.stepsPerPass = 73;
+    plan.classes = {
+            {"narrative", 249, 4'960, 0.9, 23'800, 24, milliseconds(300), milliseconds(250),
+             milliseconds(10'000), 1.4, 0.34},
+            {"summary", 26.6, 45'000, 0.5, 110'000, 15, milliseconds(1'500), milliseconds(600),
+             milliseconds(10'000), 2.3, 0.58},
+            {"review", 6.1, 300'000, 0.55, 1'000'000, 12, milliseconds(4'000), milliseconds(1'000),
+             milliseconds(15'000), 26, 6.6},
+    };
+    return plan;
+}
+
 PassPlan smallMemoryDay(std::uint64_t seed)
 {
     PassPlan plan = heavyDay(seed);
--- a/bench/PassPlans.h
+++ b/bench/PassPlans.h
@@ -9,6 +9,8 @@
 PassPlan heavyDay(std::uint64_t seed);
 // The same on the fleet of the next size: more engines with fewer places each, many more entries.
 PassPlan grownHeavyDay(std::uint64_t seed);
+// Again larger: one long prompt uses a tenth of the engines, and dozens wait at the same time.
+PassPlan largeHeavyDay(std::uint64_t seed);
 // Engines with half of that memory, which one long prompt fills, and dearer pairs.
 PassPlan smallMemoryDay(std::uint64_t seed);
 PassPlan grownSmallMemoryDay(std::uint64_t seed);
--- a/bench/pass-bench.cpp
+++ b/bench/pass-bench.cpp
@@ -92,6 +92,7 @@
             {"startOwnWaitingSeconds", &Settings::startOwnWaitingSeconds},
             {"waitingShare", &Settings::maxWaitingShare},
             {"longPerEngine", &Settings::longRequestsPerEngine},
+            {"rankDelayFactor", &Settings::rankDelayFactor},
     };
     return all;
 }
@@ -149,6 +150,7 @@
     static const std::map<std::string, PassPlan (*)(std::uint64_t)> all = {
             {"heavy", bench::heavyDay},
             {"grown", bench::grownHeavyDay},
+            {"large", bench::largeHeavyDay},
             {"small-memory", bench::smallMemoryDay},
             {"grown-small-memory", bench::grownSmallMemoryDay},
             {"restart", bench::restartDay},
--- a/src/coordination/admission/Dispatcher.cpp
+++ b/src/coordination/admission/Dispatcher.cpp
@@ -39,8 +39,12 @@
     const auto consider = [&wake](state::Instant at) { wake = wake ? std::min(*wake, at) : at; };
     if (!this->deadlines.empty())
         consider(this->deadlines.begin()->first);
-    if (this->queue.size() > 0 || this->longPromptQueue.hasOwn())
-        consider(this->now + queuePollPeriod);
+    // Counted from the last try: notes of many peers arrive more often than the period, and would
+    // otherwise put the poll off for as long as they keep coming.
+    if (this->queue.size() > 0)
+        consider(this->placementTriedAt + queuePollPeriod);
+    if (this->longPromptQueue.hasOwn())
+        consider(this->longPlacementDueAt);
     if (this->backlogShared)
         consider(this->backlogSharedAt + backlogSharePeriod);
     for (const state::RequestId &id : this->reservationHolders)
--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -86,7 +86,10 @@
         state::Duration predictedFirstEvent{0};
         routing::PlacementSnapshot placementSnapshot;
         std::vector<state::EndpointId> failedEngines; // one for each failed attempt
-        std::uint32_t runs = 0;                       // failed attempts that may have executed it
+        // Set once a waiting long prompt has missed its target: it goes behind all others, and is
+        // refused if it has not started by then.
+        std::optional<state::Instant> latestStart;
+        std::uint32_t runs = 0; // failed attempts that may have executed it
         bool retryPaid = false; // the retry budget has paid for its next attempt
 
         // KV memory at one of the first helpers, for a prompt that its engine can't hold.
@@ -155,6 +158,10 @@
     // DispatcherPasses.cpp: engines that work in declared passes
     std::optional<Refuse> refusalByPasses(const CompletionRequest &request);
     bool placeByPasses(ActiveRequest &active);
+    void startByPasses(ActiveRequest &active, const routing::PassChoice &choice);
+    // Engine seconds per second that would start the prompt without waiting for more engines.
+    double waitingDemandOf(const WaitingPrompt &prompt) const;
+    double updateWaitingDemand(const state::ModelName &model); // returns the model's demand
     std::optional<Refuse> briefRefusal(const CompletionRequest &request);
     std::optional<Refuse> longRefusal(const CompletionRequest &request,
                                       const routing::LongPromptEstimate &outlook,
@@ -162,9 +169,11 @@
     std::optional<Refuse> refusalIfLate(const CompletionRequest &request,
                                         state::Duration overrun) const;
     bool isLong(const CompletionRequest &request) const;
-    WaitingPrompt waitingPromptOf(const ActiveRequest &active) const;
+    WaitingPrompt waitingPromptOf(const CompletionRequest &request, double engineSeconds) const;
+    double engineSecondsOf(const CompletionRequest &request) const; // of its whole prefill
     void placeLongPrompts();
     void refuseOverdue();
+    bool defer(ActiveRequest &active);
     state::Duration maximumWaitOf(const ActiveRequest &active, state::Duration defaultWait) const;
     void shareWaitingPrompts();
     void sendWaitingNote(const ActiveRequest &active, const WaitingPrompt &prompt,
@@ -173,6 +182,7 @@
     static std::uint64_t
     requestHashOf(const state::RequestId &id); // identifies the request in work notes
     routing::PassRequest passRequestOf(const CompletionRequest &request) const;
+    static routing::PassRequest passRequestOf(const WaitingPrompt &prompt);
     void reserveHelperMemory(ActiveRequest &active,
                              const std::vector<routing::MemoryShare> &memory);
     void handleHelperReservationAnswer(ActiveRequest &active, const ReservationAnswered &event);
@@ -196,6 +206,8 @@
     FairQueue queue;
     LongPromptQueue longPromptQueue; // own and peers' long prompts; for engines that work in passes
     state::Instant waitingPromptsSharedAt{};
+    state::Instant placementTriedAt{};   // last time when all waiting brief requests were tried
+    state::Instant longPlacementDueAt{}; // next time when long prompts are tried
     RetryBudget retryBudget;
     ActiveRequests activeRequests;
     std::set<std::pair<state::Instant, state::RequestId>> deadlines; // one for each request
--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -69,9 +69,15 @@
 {
     const routing::WorkNote &note = event.note;
     if (note.stage == routing::WorkStage::Waiting) {
-        const double seconds = std::chrono::duration<double>(note.prefillTime).count();
-        this->longPromptQueue.addPeerPrompt({note.requestHash, seconds, this->now - note.age},
-                                            this->now);
+        WaitingPrompt prompt;
+        prompt.requestHash = note.requestHash;
+        prompt.modelHash = note.modelHash;
+        prompt.promptTokens = note.promptTokens;
+        prompt.engineSeconds = std::chrono::duration<double>(note.prefillTime).count();
+        prompt.firstEventTarget = note.firstEventTarget;
+        prompt.arrival = this->now - note.age;
+        prompt.rankDelay = note.rankDelay;
+        this->longPromptQueue.addPeerPrompt(prompt, this->now);
         return;
     }
     this->longPromptQueue.remove(note.requestHash);
--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -15,6 +15,8 @@
 constexpr state::Duration retryWhenFull = std::chrono::milliseconds(700);
 // Below half of LongPromptQueueSettings::peerLifetime, so that one datagram may be lost.
 constexpr state::Duration waitingSharePeriod = std::chrono::milliseconds(100);
+// Short beside the targets of long prompts. A try goes through the waiting prompts of all entries.
+constexpr state::Duration longPollPeriod = std::chrono::milliseconds(20);
 constexpr state::Duration retryWithoutEngines = std::chrono::seconds(1);
 
 state::Duration toDuration(double seconds)
@@ -46,13 +48,49 @@
     return passRequest;
 }
 
+// A peer's prompt: the expected length of its answer is not known here.
+routing::PassRequest Dispatcher::passRequestOf(const WaitingPrompt &prompt)
+{
+    routing::PassRequest passRequest;
+    passRequest.promptTokens = prompt.promptTokens;
+    passRequest.memoryTokens = prompt.promptTokens;
+    passRequest.firstEventTargetSeconds =
+            std::chrono::duration<double>(prompt.firstEventTarget).count();
+    passRequest.tieBreaker = prompt.requestHash;
+    return passRequest;
+}
+
+double Dispatcher::waitingDemandOf(const WaitingPrompt &prompt) const
+{
+    const routing::PassPlacementSettings &passes = this->policy.passes;
+    const double target = std::chrono::duration<double>(prompt.firstEventTarget).count();
+    return routing::enginesToStartAtOnce(prompt.engineSeconds, target, passes)
+           * passes.longSecondsPerEngine;
+}
+
+// The group for long prompts follows what runs and, by this, also what waits: otherwise a large
+// prompt that comes among many brief requests would never find enough engines without them.
+double Dispatcher::updateWaitingDemand(const state::ModelName &model)
+{
+    const double demand = this->longPromptQueue.sumOf(
+            routing::Fleet::hashOf(model), this->now,
+            [this](const WaitingPrompt &prompt) { return this->waitingDemandOf(prompt); });
+    this->engines.setWaitingDemand(model, demand);
+    return demand;
+}
+
 std::optional<Refuse> Dispatcher::refusalByPasses(const CompletionRequest &request)
 {
+    const double waitingDemand = this->updateWaitingDemand(request.model);
     if (!this->isLong(request))
         return this->briefRefusal(request);
+    // With the engines that the group gets once the prompt waits. Judged by the present group, it
+    // would be refused for want of engines, and the group would never grow.
+    const WaitingPrompt prompt = this->waitingPromptOf(request, this->engineSecondsOf(request));
+    this->engines.setWaitingDemand(request.model, waitingDemand + this->waitingDemandOf(prompt));
     const routing::LongPromptEstimate outlook = this->engines.estimateLongPrompt(
             request.model, this->passRequestOf(request), this->now);
-    const WaitingPrompt prompt{requestHashOf(request.id), outlook.engineSeconds, request.arrival};
+    this->engines.setWaitingDemand(request.model, waitingDemand);
     return this->longRefusal(request, outlook,
                              this->longPromptQueue.secondsBefore(prompt, this->now));
 }
@@ -122,52 +160,113 @@
     return this->engines.isLong(request.model, request.promptTokens);
 }
 
-WaitingPrompt Dispatcher::waitingPromptOf(const ActiveRequest &active) const
+// The rank follows the time for which the prompt occupies its engines, whatever their number.
+WaitingPrompt Dispatcher::waitingPromptOf(const CompletionRequest &request,
+                                          double engineSeconds) const
+{
+    const routing::PassPlacementSettings &passes = this->policy.passes;
+    const std::size_t engineCount =
+            std::max<std::size_t>(this->engines.watched(request.model).size(), 1);
+    const std::size_t parts = std::min(engineCount, passes.maxHelpers + 1);
+    WaitingPrompt prompt;
+    prompt.requestHash = requestHashOf(request.id);
+    prompt.modelHash = routing::Fleet::hashOf(request.model);
+    prompt.promptTokens = request.promptTokens;
+    prompt.engineSeconds = engineSeconds;
+    prompt.firstEventTarget = request.firstEventTarget;
+    prompt.arrival = request.arrival;
+    prompt.rankDelay = toDuration(engineSeconds * passes.rankDelayFactor / double(parts));
+    return prompt;
+}
+
+double Dispatcher::engineSecondsOf(const CompletionRequest &request) const
 {
     const routing::EngineView *view = nullptr;
-    for (const state::EndpointId &id : this->engines.watched(active.request.model)) {
+    for (const state::EndpointId &id : this->engines.watched(request.model)) {
         view = this->engines.find(id);
         if (view->profile())
             break;
     }
-    const double seconds =
-            state::routes::prefillSeconds(*view->profile(), active.request.promptTokens);
-    return {active.requestHash, seconds, active.request.arrival};
+    return state::routes::prefillSeconds(*view->profile(), request.promptTokens);
 }
 
-// Starts the prompt at the head of the queue as soon as engines are free for it. No prompt
-// overtakes it, or the longest ones would never find enough free engines.
+// Starts own prompts in the common order of all entries, each on engines that the prompts before it
+// leave free. Peers' prompts are given engines too: their entries start them at the same time.
 void Dispatcher::placeLongPrompts()
 {
-    while (const auto id = this->longPromptQueue.head(this->now)) {
-        ActiveRequest &active = this->activeRequests.at(*id);
-        if (active.notBefore > this->now || !this->placeByPasses(active))
-            return;
+    this->longPlacementDueAt = this->now + longPollPeriod;
+    std::map<std::uint64_t, std::optional<routing::PassSchedule>> schedules; // by model
+    for (const QueuedPrompt &queued : this->longPromptQueue.inOrder(this->now)) {
+        const std::uint64_t model = queued.prompt.modelHash;
+        auto found = schedules.find(model);
+        if (found == schedules.end() && queued.ownId)
+            this->updateWaitingDemand(this->activeRequests.at(*queued.ownId).request.model);
+        if (found == schedules.end())
+            found = schedules.emplace(model, this->engines.scheduleByPasses(model, this->now))
+                            .first;
+        if (!found->second || found->second->isFull())
+            continue;
+        if (!queued.ownId) {
+            found->second->place(passRequestOf(queued.prompt));
+            continue;
+        }
+        ActiveRequest &active = this->activeRequests.at(*queued.ownId);
+        routing::PassRequest request = this->passRequestOf(active.request);
+        request.failedEngines = active.failedEngines;
+        if (active.latestStart)
+            request.firstEventTargetSeconds = 0; // missed
+        const auto choice = found->second->place(std::move(request));
+        if (choice && active.notBefore <= this->now)
+            this->startByPasses(active, *choice);
     }
 }
 
-// Refuses own prompts that have waited too long, behind others or because engines were lost.
+// Defers own prompts that have missed their target, and refuses those that can't be served any
+// more.
 void Dispatcher::refuseOverdue()
 {
     for (const auto &[id, prompt] : this->longPromptQueue.ownPrompts()) {
-        const ActiveRequest &active = this->activeRequests.at(id);
+        ActiveRequest &active = this->activeRequests.at(id);
         const CompletionRequest &request = active.request;
         const bool hasTarget = request.firstEventTarget > state::Duration(0);
         const state::Duration defaultWait =
                 hasTarget ? request.firstEventTarget : longestRetryAfter;
-        if (this->now - request.arrival > this->maximumWaitOf(active, defaultWait))
+        if (this->now - request.arrival > this->maximumWaitOf(active, defaultWait)
+            && !this->defer(active))
             this->refuse(id, RefusalReason::Overload, retryWhenFull);
     }
 }
 
+// Under overload, prompts that are late already would go before those that can still be in time,
+// and soon all would be late. Refused, they would come back as new ones. So they stay, behind all
+// others, for engines that nobody else wants. Returns false if the prompt can't be served before
+// its deadline.
+bool Dispatcher::defer(ActiveRequest &active)
+{
+    if (active.latestStart)
+        return false;
+    const CompletionRequest &request = active.request;
+    const routing::LongPromptEstimate outlook = this->engines.estimateLongPrompt(
+            request.model, this->passRequestOf(request), this->now);
+    const state::Instant latestStart =
+            request.deadline - toDuration(outlook.prefillSeconds + outlook.completionSeconds);
+    if (outlook.engines == 0 || latestStart <= this->now)
+        return false;
+    active.latestStart = latestStart;
+    this->dequeue(active);
+    this->enqueue(active, false);
+    return true;
+}
+
 // The longest wait, counted from arrival. A request that has run on an engine may wait until its
 // deadline: that engine's failure has made it late already, and its caller, who may have a part of
 // the response, disconnects when it no longer wants to wait.
 state::Duration Dispatcher::maximumWaitOf(const ActiveRequest &active,
                                           state::Duration defaultWait) const
 {
-    const bool hasRun = active.runs > 0;
-    return hasRun ? active.request.deadline - active.request.arrival : defaultWait;
+    if (active.runs > 0)
+        return active.request.deadline - active.request.arrival;
+    return active.latestStart ? *active.latestStart - active.request.arrival : defaultWait;
 }
 
 // Peers rank their own prompts against these, and forget those that are not announced again.
@@ -189,24 +288,28 @@
     note.requestHash = active.requestHash;
     note.age = this->now - active.request.arrival;
     note.prefillTime = toDuration(prompt.engineSeconds);
+    note.rankDelay = prompt.rankDelay;
+    note.firstEventTarget = prompt.firstEventTarget;
+    note.modelHash = prompt.modelHash;
+    note.promptTokens = prompt.promptTokens;
     if (this->policy.shareWork)
         this->actions.emplace_back(ShareWork{note});
 }
 
+// Places a brief request, or refuses it.
 bool Dispatcher::placeByPasses(ActiveRequest &active)
 {
     const CompletionRequest &request = active.request;
-    routing::PassRequest passRequest = this->passRequestOf(request);
-    passRequest.failedEngines = active.failedEngines;
-    const auto choice = this->engines.chooseByPasses(request.model, passRequest, this->now);
-    if (!choice && this->isLong(request)) {
-        if (this->longPromptQueue.findOwn(active.requestHash))
-            return false; // refuseOverdue() ends it when it has waited too long
+    if (this->isLong(request)) {
         // It was brief when it was queued; callers that tolerate only shorter pauses came since.
         this->dequeue(active);
         this->enqueue(active, true);
         return true;
     }
+    this->updateWaitingDemand(request.model);
+    routing::PassRequest passRequest = this->passRequestOf(request);
+    passRequest.failedEngines = active.failedEngines;
+    const auto choice = this->engines.chooseByPasses(request.model, passRequest, this->now);
     if (!choice) {
         // No engine has capacity. The request may wait as long as it can still be in time.
         const state::Duration defaultWait = request.firstEventTarget > state::Duration(0)
@@ -219,18 +322,23 @@
                      none ? retryWithoutEngines : retryWhenFull);
         return true;
     }
+    this->startByPasses(active, *choice);
+    return true;
+}
+
+void Dispatcher::startByPasses(ActiveRequest &active, const routing::PassChoice &choice)
+{
     this->dequeue(active);
-    active.plan.parts = {{choice->engine, 0, request.promptTokens, 0, false}};
-    active.helpers = choice->helpers;
-    active.partSeconds = choice->partSeconds;
-    active.predictedFirstEvent = toDuration(choice->firstEventSeconds);
-    active.placementSnapshot = choice->placementSnapshot;
+    active.plan.parts = {{choice.engine, 0, active.request.promptTokens, 0, false}};
+    active.helpers = choice.helpers;
+    active.partSeconds = choice.partSeconds;
+    active.predictedFirstEvent = toDuration(choice.firstEventSeconds);
+    active.placementSnapshot = choice.placementSnapshot;
     ++active.attempt;
-    if (choice->memory.empty())
+    if (choice.memory.empty())
         this->dispatchNext(active);
     else
-        this->reserveHelperMemory(active, choice->memory);
-    return true;
+        this->reserveHelperMemory(active, choice.memory);
 }
 
 // The prefill time of a part, as the number of tokens that the engine prefills in that time if
--- a/src/coordination/admission/DispatcherPlacing.cpp
+++ b/src/coordination/admission/DispatcherPlacing.cpp
@@ -102,6 +102,7 @@
 
 void Dispatcher::placeWaiting()
 {
+    this->placementTriedAt = this->now;
     std::array<std::size_t, lengthClassCount> failures{};
     bool placed = true;
     while (placed && this->queue.size() > 0) {
@@ -123,7 +124,8 @@
             ++failed;
         }
     }
-    this->placeLongPrompts();
+    if (this->longPromptQueue.hasOwn() && this->now >= this->longPlacementDueAt)
+        this->placeLongPrompts();
 }
 
 bool Dispatcher::place(ActiveRequest &active, bool aheadOfShare)
@@ -287,8 +289,14 @@
 {
     active.phase = Phase::Queued;
     if (this->isLong(active.request)) {
-        const WaitingPrompt prompt = this->waitingPromptOf(active);
+        WaitingPrompt prompt =
+                this->waitingPromptOf(active.request, this->engineSecondsOf(active.request));
+        if (active.latestStart) {
+            prompt.firstEventTarget = state::Duration(0); // missed
+            prompt.rankDelay = active.request.deadline - active.request.arrival;
+        }
         this->longPromptQueue.add(active.request.id, prompt);
+        this->longPlacementDueAt = this->now;
         this->sendWaitingNote(active, prompt, routing::WorkStage::Waiting);
         return;
     }
--- a/src/coordination/admission/LongPromptQueue.cpp
+++ b/src/coordination/admission/LongPromptQueue.cpp
@@ -2,17 +2,15 @@
 
 namespace lavenderthread::coordination::admission {
 
-LongPromptQueue::Rank LongPromptQueue::rankOf(const WaitingPrompt &prompt) const
+LongPromptQueue::Rank LongPromptQueue::rankOf(const WaitingPrompt &prompt)
 {
-    const auto penalty = std::chrono::duration_cast<state::Duration>(std::chrono::duration<double>(
-            prompt.engineSeconds * this->settings.rankDelayPerEngineSecond));
-    return {prompt.arrival + penalty, prompt.requestHash};
+    return {prompt.arrival + prompt.rankDelay, prompt.requestHash};
 }
 
 void LongPromptQueue::add(const state::RequestId &id, const WaitingPrompt &prompt)
 {
     this->remove(prompt.requestHash);
-    const Rank rank = this->rankOf(prompt);
+    const Rank rank = rankOf(prompt);
     this->byRank[rank] = {prompt, state::Instant::max()};
     this->rankByRequestHash[prompt.requestHash] = rank;
     this->ownRequestIds[prompt.requestHash] = id;
@@ -33,7 +31,7 @@
     if (this->ownRequestIds.contains(prompt.requestHash))
         return; // an own prompt, sent back by a peer
     this->remove(prompt.requestHash);
-    const Rank rank = this->rankOf(prompt);
+    const Rank rank = rankOf(prompt);
     this->byRank[rank] = {prompt, now + this->settings.peerLifetime};
     this->rankByRequestHash[prompt.requestHash] = rank;
 }
@@ -50,30 +48,47 @@
     }
 }
 
-std::optional<state::RequestId> LongPromptQueue::head(state::Instant now)
+std::vector<QueuedPrompt> LongPromptQueue::inOrder(state::Instant now)
 {
     this->dropExpired(now);
-    if (this->byRank.empty())
-        return std::nullopt;
-    const auto own = this->ownRequestIds.find(this->byRank.begin()->second.prompt.requestHash);
-    if (own == this->ownRequestIds.end())
-        return std::nullopt;
-    return own->second;
+    std::vector<QueuedPrompt> prompts;
+    std::size_t ownLeft = this->ownRequestIds.size();
+    for (auto entry = this->byRank.begin(); entry != this->byRank.end() && ownLeft > 0; ++entry) {
+        QueuedPrompt queued{entry->second.prompt, std::nullopt};
+        const auto own = this->ownRequestIds.find(queued.prompt.requestHash);
+        if (own != this->ownRequestIds.end()) {
+            queued.ownId = own->second;
+            --ownLeft;
+        }
+        prompts.push_back(std::move(queued));
+    }
+    return prompts;
 }
 
 double LongPromptQueue::secondsBefore(const WaitingPrompt &prompt, state::Instant now) const
 {
-    const Rank limit = this->rankOf(prompt);
+    const Rank limit = rankOf(prompt);
     double seconds = 0;
     for (const auto &[rank, entry] : this->byRank) {
         if (rank >= limit)
             break;
-        if (entry.expires > now)
+        if (entry.expires > now && entry.prompt.modelHash == prompt.modelHash)
             seconds += entry.prompt.engineSeconds;
     }
     return seconds;
 }
 
+double LongPromptQueue::sumOf(std::uint64_t modelHash, state::Instant now,
+                              const std::function<double(const WaitingPrompt &)> &property) const
+{
+    double sum = 0;
+    for (const auto &[rank, entry] : this->byRank) {
+        if (entry.expires > now && entry.prompt.modelHash == modelHash)
+            sum += property(entry.prompt);
+    }
+    return sum;
+}
+
 std::optional<WaitingPrompt> LongPromptQueue::findOwn(std::uint64_t work) const
 {
     if (!this->ownRequestIds.contains(work))
--- a/src/coordination/admission/LongPromptQueue.h
+++ b/src/coordination/admission/LongPromptQueue.h
@@ -1,15 +1,16 @@
 // A queue of long prompts whose order is the same at all entries.
 //
 // An engine divides its time among all prompts that it prefills concurrently, so prompts that start
-// together all complete late. Each entry therefore holds back its own long prompts and announces
-// them to its peers; a prompt starts when it ranks first among all and engines are free. Every
-// entry computes the same ranks from what it knows, so no coordination round is needed.
+// together on the same engines all complete late. Each entry therefore holds back its own long
+// prompts and announces them to its peers, with their ranks. Every entry knows the same order, so
+// that no coordination round is needed to divide the engines among the prompts.
 #pragma once
 
 #include "state/Ids.h"
 #include "state/Time.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -18,19 +19,29 @@
 
 struct LongPromptQueueSettings
 {
-    // A prompt's rank is its arrival plus this factor times its engine time: shorter prompts go
-    // first, and longer ones catch up as they wait.
-    double rankDelayPerEngineSecond = 0.5;
     // A peer's prompt is forgotten after this time unless it is announced again. Otherwise a
-    // crashed or partitioned entry would block all the others.
+    // crashed or partitioned entry would hold back all the others.
     state::Duration peerLifetime = std::chrono::milliseconds(250);
 };
 
 struct WaitingPrompt
 {
     std::uint64_t requestHash = 0; // hash of the request id
-    double engineSeconds = 0;      // to prefill it
+    std::uint64_t modelHash = 0;   // the order is kept for each model by itself
+    std::uint32_t promptTokens = 0;
+    double engineSeconds = 0; // to prefill it
+    state::Duration firstEventTarget{0};
     state::Instant arrival;
+    // Its rank is its arrival plus this delay: a prompt that occupies the engines for longer lets
+    // shorter ones pass that arrive within the delay, and no later ones.
+    state::Duration rankDelay{0};
+};
+
+// A waiting prompt and, if it waits at this entry, its request.
+struct QueuedPrompt
+{
+    WaitingPrompt prompt;
+    std::optional<state::RequestId> ownId;
 };
 
 // Holds the long prompts that wait at this entry and those that peers have announced.
@@ -45,10 +56,13 @@
     void remove(std::uint64_t work); // an own or a peer's prompt that has started or ended
     void addPeerPrompt(const WaitingPrompt &prompt, state::Instant now);
 
-    // The first prompt of the order if it is an own one, which may start now; nothing otherwise.
-    std::optional<state::RequestId> head(state::Instant now);
-    // Engine time, in seconds, of all waiting prompts that go before this one.
+    // All prompts in their order, up to the last own one.
+    std::vector<QueuedPrompt> inOrder(state::Instant now);
+    // Engine time, in seconds, of all waiting prompts of its model that go before this one.
     double secondsBefore(const WaitingPrompt &prompt, state::Instant now) const;
+    // The sum of a property over all waiting prompts of a model.
+    double sumOf(std::uint64_t modelHash, state::Instant now,
+                 const std::function<double(const WaitingPrompt &)> &property) const;
     std::vector<std::pair<state::RequestId, WaitingPrompt>> ownPrompts() const;
     std::optional<WaitingPrompt> findOwn(std::uint64_t work) const;
     bool hasOwn() const { return !this->ownRequestIds.empty(); }
@@ -67,7 +81,7 @@
         state::Instant expires; // Instant::max() for own prompts
     };
 
-    Rank rankOf(const WaitingPrompt &prompt) const;
+    static Rank rankOf(const WaitingPrompt &prompt);
     void dropExpired(state::Instant now);
 
     LongPromptQueueSettings settings;
--- a/src/coordination/routing/Fleet.cpp
+++ b/src/coordination/routing/Fleet.cpp
@@ -293,6 +293,11 @@
     return found == this->toleratedPauses.end() ? this->policy.passes : found->second.settings;
 }
 
+void Fleet::setWaitingDemand(const state::ModelName &model, double rate)
+{
+    this->longDemand[model].waiting = rate;
+}
+
 void Fleet::noteLongPrefill(const EngineView &engine, double seconds, state::Instant now)
 {
     for (const state::ModelName &model : engine.description().models) {
@@ -316,7 +321,8 @@
         view->advance(now);
     const auto demand = this->longDemand.find(model);
     if (demand != this->longDemand.end())
-        request.longDemand = this->decayedRate(demand->second, now);
+        request.longDemand =
+                std::max(this->decayedRate(demand->second, now), demand->second.waiting);
     return {found->second.ranked.begin(), found->second.ranked.end()};
 }
 
@@ -327,6 +333,23 @@
     return placeByPasses(views, request, this->passSettings(model));
 }
 
+std::optional<PassSchedule> Fleet::scheduleByPasses(std::uint64_t modelHash, state::Instant now)
+{
+    const auto found = std::ranges::find_if(this->byModel, [modelHash](const auto &each) {
+        return hashOf(each.first) == modelHash;
+    });
+    if (found == this->byModel.end())
+        return std::nullopt;
+    PassRequest request;
+    const std::vector<const EngineView *> views = this->rankedViews(found->first, request, now);
+    return PassSchedule(views, request.longDemand, this->passSettings(found->first));
+}
+
+std::uint64_t Fleet::hashOf(const state::ModelName &model)
+{
+    return XXH3_64bits(model.value().data(), model.value().size());
+}
+
 LongPromptEstimate Fleet::estimateLongPrompt(const state::ModelName &model, PassRequest request,
                                              state::Instant now)
 {
--- a/src/coordination/routing/Fleet.h
+++ b/src/coordination/routing/Fleet.h
@@ -3,7 +3,7 @@
 
 #include "coordination/routing/DemandSplit.h"
 #include "coordination/routing/EngineView.h"
-#include "coordination/routing/PassPlacement.h"
+#include "coordination/routing/PassSchedule.h"
 #include "coordination/routing/Prediction.h"
 #include "state/Endpoint.h"
 
@@ -72,6 +72,11 @@
     bool worksInPasses(const state::ModelName &model) const;
     std::optional<PassChoice> chooseByPasses(const state::ModelName &model, PassRequest request,
                                              state::Instant now);
+    // Places several prompts of one model in a row; nullopt if no engine of the model is known.
+    // Valid until the next change of the fleet.
+    std::optional<PassSchedule> scheduleByPasses(std::uint64_t modelHash, state::Instant now);
+    // Identifies a model in notes between entries.
+    static std::uint64_t hashOf(const state::ModelName &model);
     LongPromptEstimate estimateLongPrompt(const state::ModelName &model, PassRequest request,
                                           state::Instant now);
     // Returns whether the prompt is long for the model's engines; false if none declares a profile.
@@ -80,6 +85,8 @@
     // caller requests it for a while; otherwise one misconfigured route would set the limit for
     // ever.
     void notePause(const state::ModelName &model, state::Duration pause, state::Instant now);
+    // Sets the engine time per second that the waiting prompts of all entries ask for.
+    void setWaitingDemand(const state::ModelName &model, double rate);
     // Records prefill that any entry has sent to an engine that works in passes. Brief prefill is
     // ignored.
     void noteLongPrefill(const EngineView &engine, double seconds, state::Instant now);
@@ -112,6 +119,7 @@
     {
         double rate = 0; // at updatedAt
         state::Instant updatedAt;
+        double waiting = 0; // of prompts that wait at the entries
     };
 
     // The pauses that callers of one model tolerate.
--- a/src/coordination/routing/LongPlacement.cpp
+++ b/src/coordination/routing/LongPlacement.cpp
@@ -22,7 +22,7 @@
     for (const PassCandidate &candidate : candidates) {
         const double engineCapacity = double(candidate.profile().kvCapacityTokens);
         answers += candidate.longRequests;
-        memory += engineCapacity - std::min(engineCapacity, double(candidate.view->freeTokens()));
+        memory += engineCapacity - std::min(engineCapacity, double(candidate.freeTokens));
         capacity += engineCapacity;
     }
     const double engineMemory =
@@ -44,6 +44,8 @@
     double bestCost = std::numeric_limits<double>::max();
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const PassCandidate &candidate = candidates[index];
+        if (candidate.held)
+            continue;
         if (memoryShared ? !candidate.hasSlot() : !candidate.hasRoom(request))
             continue;
         double cost = candidate.loadSeconds();
@@ -76,7 +78,8 @@
 // the first should be done, and a third only when one of them is known to be done.
 bool mayHelp(const PassCandidate &candidate, const PassPlacementSettings &settings)
 {
-    return candidate.helperParts < settings.maxPartsPerHelper && candidate.pendingRequests == 0
+    return !candidate.held && candidate.helperParts < settings.maxPartsPerHelper
+           && candidate.pendingRequests == 0
            && candidate.waitingSeconds <= settings.startWaitingSeconds;
 }
 
@@ -113,16 +116,15 @@
                                      const PassRequest &request,
                                      const PassPlacementSettings &settings)
 {
-    std::ranges::stable_sort(helpers, std::greater<>(), [](const Helper &helper) {
-        return helper.candidate->view->freeTokens();
-    });
-    const double ownMemory = double(answering.view->freeTokens()) * settings.memoryShare;
+    std::ranges::stable_sort(helpers, std::greater<>(),
+                             [](const Helper &helper) { return helper.candidate->freeTokens; });
+    const double ownMemory = double(answering.freeTokens) * settings.memoryShare;
     double left = double(request.memoryTokens) - ownMemory;
     std::vector<MemoryShare> shares;
     for (const Helper &helper : helpers) {
         if (left <= 0 || shares.size() == settings.maxMemoryHelpers)
             break;
-        const double room = double(helper.candidate->view->freeTokens()) * settings.memoryShare;
+        const double room = double(helper.candidate->freeTokens) * settings.memoryShare;
         const double taken = std::min(left, room);
         if (taken < 1)
             break;
@@ -207,10 +209,8 @@
 {
     if (seconds / double(free + 1) <= request.firstEventTargetSeconds * settings.startPartShare)
         return true;
-    // From this number on, one more helper costs more than it saves.
-    const double worthwhileHelpers = std::sqrt(seconds / settings.helperCostSeconds) - 1;
     const double wanted = settings.startEngineShare * double(engines);
-    return double(free) >= std::min(std::max(worthwhileHelpers, 0.0), wanted) - 1;
+    return double(free) >= std::min(worthwhileHelpers(seconds, settings), wanted) - 1;
 }
 
 // Returns the least loaded engine of the brief group that may also answer the prompt; null if none
@@ -281,6 +281,21 @@
 
 } // namespace
 
+double worthwhileHelpers(double seconds, const PassPlacementSettings &settings)
+{
+    const double helpers = std::sqrt(seconds / settings.helperCostSeconds) - 1;
+    return std::clamp(helpers, 0.0, double(settings.maxHelpers));
+}
+
+double enginesToStartAtOnce(double seconds, double targetSeconds,
+                            const PassPlacementSettings &settings)
+{
+    if (targetSeconds <= 0)
+        return 0;
+    return std::min(seconds / (targetSeconds * settings.startPartShare),
+                    worthwhileHelpers(seconds, settings) + 1);
+}
+
 // After the border has moved, engines of the long group may still answer brief requests. They are
 // used only for a prompt whose parts fit into their passes: one long part would delay the answers
 // of all their callers.
@@ -306,4 +321,24 @@
     return fits || withFewBriefs.empty() ? choice : std::nullopt;
 }
 
+bool holdForLong(std::span<PassCandidate> candidates, const PassRequest &request,
+                 const PassPlacementSettings &settings)
+{
+    std::vector<std::pair<double, PassCandidate *>> free;
+    for (PassCandidate &candidate : candidates) {
+        if (!candidate.held)
+            free.emplace_back(candidate.waitingSeconds + longPrefillCost(candidate, settings),
+                              &candidate);
+    }
+    if (free.empty())
+        return false;
+    const double seconds =
+            state::routes::prefillSeconds(candidates.front().profile(), request.promptTokens);
+    const std::size_t wanted = std::size_t(worthwhileHelpers(seconds, settings)) + 1;
+    std::ranges::stable_sort(free, {}, &std::pair<double, PassCandidate *>::first);
+    for (std::size_t index = 0; index < std::min(wanted, free.size()); ++index)
+        free[index].second->held = true;
+    return free.size() > wanted;
+}
+
 } // namespace lavenderthread::coordination::routing
--- a/src/coordination/routing/LongPlacement.h
+++ b/src/coordination/routing/LongPlacement.h
@@ -16,4 +16,9 @@
                                     const PassRequest &request,
                                     const PassPlacementSettings &settings);
 
+// Keeps the engines that the waiting prompt is to use, those that are free first, from prompts that
+// rank behind it. Returns whether any engine is left for them.
+bool holdForLong(std::span<PassCandidate> candidates, const PassRequest &request,
+                 const PassPlacementSettings &settings);
+
 } // namespace lavenderthread::coordination::routing
--- a/src/coordination/routing/PassCandidate.cpp
+++ b/src/coordination/routing/PassCandidate.cpp
@@ -12,6 +12,7 @@
     PassCandidate candidate;
     candidate.view = &view;
     candidate.usable = !view.suspected;
+    candidate.freeTokens = view.freeTokens();
     candidate.prefillTimeShare = view.prefillTimeShare();
     candidate.waitingSeconds = view.prefillSecondsLeft() / candidate.prefillTimeShare;
     for (const ResidentWork &resident : view.residentWork()) {
@@ -49,6 +50,25 @@
                                             this->contextTokens + request.promptTokens);
 }
 
+void PassCandidate::addHelperPart(double partSeconds, std::uint64_t memoryTokens)
+{
+    ++this->helperParts;
+    this->waitingSeconds += partSeconds / this->prefillTimeShare;
+    this->freeTokens -= std::min(this->freeTokens, memoryTokens);
+}
+
+void PassCandidate::addAnswer(double partSeconds, std::uint64_t memoryTokens,
+                              const PassRequest &request)
+{
+    ++this->answeredRequests;
+    ++this->longRequests;
+    ++this->pendingRequests;
+    this->ownWaitingSeconds += partSeconds;
+    this->waitingSeconds += partSeconds / this->prefillTimeShare;
+    this->contextTokens += request.promptTokens;
+    this->freeTokens -= std::min(this->freeTokens, memoryTokens);
+}
+
 double PassCandidate::loadSeconds() const
 {
     constexpr double secondsPerAnswer = 0.02;
--- a/src/coordination/routing/PassCandidate.h
+++ b/src/coordination/routing/PassCandidate.h
@@ -22,17 +22,22 @@
     // Seconds of prefill that one pass may contain before a caller whose answer is decoded here
     // sees a longer pause than it tolerates. Callers with tight pauses are not counted.
     double prefillBudgetSeconds = std::numeric_limits<double>::max();
+    std::uint64_t freeTokens = 0; // memory that no request claims
     bool usable = false;
+    bool held = false; // kept free for a long prompt that waits for it
 
     const state::routes::EngineProfile &profile() const { return *this->view->profile(); }
     bool hasSlot() const { return this->answeredRequests < this->profile().slots; }
     bool hasRoom(const PassRequest &request) const
     {
-        return this->hasSlot() && this->view->freeTokens() >= request.memoryTokens;
+        return this->hasSlot() && this->freeTokens >= request.memoryTokens;
     }
     // Time of one decoding pass without prefill, for the present requests and with this one added.
     double passSeconds() const;
     double passSecondsWith(const PassRequest &request) const;
+    // Adds the work that a prompt placed here would bring, as summarised work from its note would.
+    void addHelperPart(double partSeconds, std::uint64_t memoryTokens);
+    void addAnswer(double partSeconds, std::uint64_t memoryTokens, const PassRequest &request);
     // Load in seconds: the waiting prefill, which delays a new request directly, plus a cost for
     // each request answered, which lengthens the passes and may be joined by more prefill.
     double loadSeconds() const;
--- a/src/coordination/routing/PassPlacement.cpp
+++ b/src/coordination/routing/PassPlacement.cpp
@@ -2,7 +2,7 @@
 #include "coordination/routing/PassPlacement.h"
 
 #include "coordination/routing/LongPlacement.h"
-#include "coordination/routing/PassCandidate.h"
+#include "coordination/routing/PassSchedule.h"
 
 #include <algorithm>
 #include <cmath>
@@ -110,12 +110,28 @@
     return state::routes::prefillSeconds(profile, promptTokens) <= settings.maxBriefPrefillSeconds;
 }
 
+bool holdByPasses(std::vector<PassCandidate> &candidates, const PassRequest &request,
+                  const PassPlacementSettings &settings)
+{
+    if (candidates.empty())
+        return false;
+    const std::size_t border = takeSnapshot(candidates, request, settings).briefEngines;
+    const std::span all(candidates);
+    return holdForLong(border < all.size() ? all.subspan(border) : all, request, settings);
+}
+
 std::optional<PassChoice> placeByPasses(const std::vector<const EngineView *> &engines,
                                         const PassRequest &request,
                                         const PassPlacementSettings &settings)
 {
-    const std::vector<PassCandidate> candidates =
-            passCandidates(engines, request.failedEngines, settings);
+    return placeByPasses(passCandidates(engines, request.failedEngines, settings), request,
+                         settings);
+}
+
+std::optional<PassChoice> placeByPasses(const std::vector<PassCandidate> &candidates,
+                                        const PassRequest &request,
+                                        const PassPlacementSettings &settings)
+{
     if (candidates.empty())
         return std::nullopt;
     PlacementSnapshot snapshot = takeSnapshot(candidates, request, settings);
--- a/src/coordination/routing/PassPlacement.h
+++ b/src/coordination/routing/PassPlacement.h
@@ -92,6 +92,15 @@
 bool isBrief(const state::routes::EngineProfile &profile, std::uint32_t promptTokens,
              const PassPlacementSettings &settings);
 
+// Returns the number of helpers from which on one more costs a prompt more than it saves.
+// `seconds`: engine time of its prefill.
+double worthwhileHelpers(double seconds, const PassPlacementSettings &settings);
+
+// Returns the number of engines on which the parts of a prompt are short beside its target, so that
+// it may start without waiting for more; 0 if it has no target.
+double enginesToStartAtOnce(double seconds, double targetSeconds,
+                            const PassPlacementSettings &settings);
+
 // Selects engines for the request. `engines` are those of its model in the order that all entries
 // share, advanced to now, each with a profile. Returns nullopt if the request has to wait: no
 // engine has a free slot and enough memory, or too few engines are free for a long prompt to start.
--- a/src/coordination/routing/PassPlacementSettings.h
+++ b/src/coordination/routing/PassPlacementSettings.h
@@ -61,6 +61,9 @@
     // A long prompt is refused when it would wait for its start longer than this share of the
     // requested time to the first token.
     double maxWaitingShare = 0.6;
+    // A waiting long prompt ranks behind shorter ones that arrive within this many times its
+    // prefill time on as many engines as may share it.
+    double rankDelayFactor = 8.5;
     // Tightest pause that callers of the model tolerate; a default until they state one. A pause is
     // tight if it is below tightPauseFactor times this value.
     double tightestPauseSeconds = 0.2;
--- a/src/coordination/routing/WorkNote.h
+++ b/src/coordination/routing/WorkNote.h
@@ -35,9 +35,12 @@
     EngineKey engine;
     bool hasHelpers = false; // other engines prefill a part of the prompt or hold memory for it
 
-    // For waiting work.
-    state::Duration age{0};         // since arrival
-    state::Duration prefillTime{0}; // needed for its prefill
+    // For waiting work; promptTokens as well.
+    std::uint64_t modelHash = 0;
+    state::Duration age{0};              // since arrival
+    state::Duration prefillTime{0};      // needed for its prefill
+    state::Duration rankDelay{0};        // how far it lets later prompts pass; see LongPromptQueue
+    state::Duration firstEventTarget{0}; // 0: none
 
     // For Dispatched only: in later stages the receivers know them already.
     state::TableKey key;             // account and work class that the tokens are charged to
@@ -64,6 +67,9 @@
         if (this->stage == WorkStage::Waiting) {
             shortTime(archive, this->age);
             shortTime(archive, this->prefillTime);
+            shortTime(archive, this->rankDelay);
+            shortTime(archive, this->firstEventTarget);
+            archive(this->modelHash, this->promptTokens);
             return;
         }
         archive(this->engine.value, this->hasHelpers);
--- a/tests/bench/PassBoundsTest.cpp
+++ b/tests/bench/PassBoundsTest.cpp
@@ -18,6 +18,8 @@
     CPPUNIT_TEST(drawingAmongEvenEnginesPays);
     CPPUNIT_TEST(longPartsKeepOffBriefAnswers);
     CPPUNIT_TEST(nobodyIsStarved);
+    CPPUNIT_TEST(nobodyIsStarvedOnLargeFleet);
+    CPPUNIT_TEST(eightfoldFleetPlacesAsWell);
     CPPUNIT_TEST(shortPartsStartAtOnce);
     CPPUNIT_TEST(crowdsLeaveTheirPart);
     CPPUNIT_TEST_SUITE_END();
@@ -155,10 +157,8 @@
                     ours.classes[narrative].share() / packed.classes[narrative].share());
     }
 
-    // The longest tenth of each kind is turned away first, and still served half as often as all.
-    void nobodyIsStarved()
+    static void assertNobodyIsStarved(const PassResult &ours)
     {
-        const PassResult ours = play([](PassPlan &) {});
         for (const std::size_t kind : {narrative, summary, review}) {
             const double served = ours.classes[kind].servedShare();
             const double servedLargest = ours.largestTenth[kind].servedShare();
@@ -171,6 +171,39 @@
             assertAbove(what.c_str(), 0.5, servedLargest / served);
         }
     }
+
+    // The longest tenth of each kind is turned away first, and still served half as often as all.
+    void nobodyIsStarved()
+    {
+        assertNobodyIsStarved(play([](PassPlan &) {}));
+    }
+
+    // Dozens of long prompts wait at 91 entries. Guards against ranks that follow the engine time
+    // alone, by which the largest prompts had no turn in time however many engines share them.
+    void nobodyIsStarvedOnLargeFleet()
+    {
+        assertNobodyIsStarved(playDays(largeHeavyDay, 11, [](PassPlan &) {}));
+    }
+
+    // Eight times the engines, entries and requests. Guards against an order of long prompts in
+    // which each start waits for the one before it: its rate doesn't grow with the fleet.
+    void eightfoldFleetPlacesAsWell()
+    {
+        const PassResult one = play([](PassPlan &) {});
+        const PassResult eightfold = playDays(heavyDay, 11, [](PassPlan &plan) {
+            constexpr std::size_t factor = 8;
+            plan.engines *= factor;
+            plan.entries *= factor;
+            for (PassClass &kind : plan.classes)
+                kind.perSecond *= factor;
+        });
+        for (const std::size_t kind : {narrative, summary, review}) {
+            const std::string what = "of kind " + std::to_string(kind)
+                                     + " in time on the large fleet, over the small one";
+            assertAbove(what.c_str(), 1,
+                        eightfold.classes[kind].share() / one.classes[kind].share());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PassBoundsTest);
--- a/tests/coordination/admission/DispatcherPassesTest.cpp
+++ b/tests/coordination/admission/DispatcherPassesTest.cpp
@@ -22,10 +22,11 @@
 // Several engines, and one long prompt dispatched to one of them.
 struct PassesFixture : DispatcherFixture
 {
-    explicit PassesFixture(const routing::PolicySettings &policy = {})
+    explicit PassesFixture(const routing::PolicySettings &policy = {},
+                           std::size_t engineCount = engines)
         : DispatcherFixture(0, policy)
     {
-        for (std::size_t index = 0; index < engines; ++index) {
+        for (std::size_t index = 0; index < engineCount; ++index) {
             state::EndpointDescription description = engine(index);
             description.kvCapacityTokens = profile().kvCapacityTokens;
             description.prefillTokensPerSecond = profile().prefillTokensPerSecond;
@@ -75,6 +76,13 @@
     CPPUNIT_TEST(idleEnginesServeLateRequests);
     CPPUNIT_TEST(briefRequestBehindLongPartIsServed);
     CPPUNIT_TEST(briefBoundFollowsShortestPause);
+    CPPUNIT_TEST(notesOfPeersDoNotPutOffPlacement);
+    CPPUNIT_TEST(promptsOfSeveralEntriesStartTogether);
+    CPPUNIT_TEST(promptsOfOneModelDoNotHoldUpAnother);
+    CPPUNIT_TEST(promptThatMissedItsTargetWaitsBehindOthers);
+    CPPUNIT_TEST(promptThatCannotBeServedAnyMoreIsRefused);
+    CPPUNIT_TEST(waitingLargePromptGetsEnginesFromBriefRequests);
+    CPPUNIT_TEST(largePromptIsNotRefusedForSmallGroup);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -216,6 +224,226 @@
         CPPUNIT_ASSERT(!isLong(40'000));
     }
 
+    // A prompt waits while peers send a note every millisecond, as 90 of them do. Guards against
+    // setting the time of the next try anew with each note: the prompt was tried only when the
+    // notes paused, in front of idle engines.
+    void notesOfPeersDoNotPutOffPlacement()
+    {
+        PassesFixture fixture;
+        fixture.setDraining(true);
+        CompletionRequest next = fixture.longRequest();
+        next.id = state::RequestId("next");
+        fixture.handle(RequestArrived{next});
+        const state::Instant latest = fixture.now + milliseconds(25);
+        for (std::uint64_t work = 1; work <= 60; ++work) {
+            fixture.now += milliseconds(1);
+            routing::WorkNote note;
+            note.stage = routing::WorkStage::Ended;
+            note.requestHash = work;
+            fixture.handle(PeerWorkReceived{note});
+            CPPUNIT_ASSERT(fixture.dispatcher->nextWake().has_value());
+            CPPUNIT_ASSERT(*fixture.dispatcher->nextWake() <= latest);
+        }
+    }
+
+    // A prompt of a peer, as it waits there.
+    static PeerWorkReceived waitingAtPeer(const CompletionRequest &like)
+    {
+        routing::WorkNote note;
+        note.stage = routing::WorkStage::Waiting;
+        note.requestHash = 77;
+        note.modelHash = routing::Fleet::hashOf(like.model);
+        note.promptTokens = like.promptTokens;
+        note.firstEventTarget = like.firstEventTarget;
+        note.age = milliseconds(500);
+        note.prefillTime =
+                std::chrono::duration_cast<state::Duration>(std::chrono::duration<double>(
+                        state::routes::prefillSeconds(profile(), like.promptTokens)));
+        return {note};
+    }
+
+    // Forty engines are idle, and a prompt that ranks first waits at a peer. Guards against waiting
+    // for that peer to start it: with dozens of entries, each start took tens of milliseconds, and
+    // the queue grew in front of idle engines.
+    void promptsOfSeveralEntriesStartTogether()
+    {
+        PassesFixture fixture({}, 40);
+        CompletionRequest next = fixture.longRequest();
+        next.id = state::RequestId("next");
+        fixture.handle(waitingAtPeer(next));
+        fixture.handle(RequestArrived{next});
+        CPPUNIT_ASSERT(fixture.onlyAction<Dispatch>().id == next.id);
+    }
+
+    // Four engines, of which the prompt of the peer needs all. It has to wait for them if the
+    // peer's prompt is for the same model, and not if it is for another one.
+    void promptsOfOneModelDoNotHoldUpAnother()
+    {
+        for (const char *model : {"model", "other-model"}) {
+            PassesFixture fixture;
+            fixture.handle(
+                    RequestFinished{fixture.firstDispatch.id, fixture.firstDispatch.attempt});
+            CompletionRequest next = fixture.longRequest();
+            next.id = state::RequestId("next");
+            next.promptTokens = 300'000;
+            next.firstEventTarget = seconds(8);
+            next.deadline = fixture.now + seconds(20);
+            CompletionRequest before = next;
+            before.model = state::ModelName(model);
+            before.promptTokens = 500'000;
+            fixture.handle(waitingAtPeer(before));
+            fixture.handle(RequestArrived{next});
+            const std::size_t started = before.model == next.model ? 0 : 1;
+            CPPUNIT_ASSERT_EQUAL(started, fixture.actionsOf<Dispatch>().size());
+            CPPUNIT_ASSERT(fixture.actionsOf<Refuse>().empty());
+        }
+    }
+
+    // All engines prefill prompts of peers, and one that arrives has to wait.
+    struct HeldUp : PassesFixture
+    {
+        HeldUp()
+        {
+            this->handle(RequestFinished{this->firstDispatch.id, this->firstDispatch.attempt});
+            this->next = this->longRequest();
+            this->next.id = state::RequestId("next");
+            this->keepEnginesBusy();
+            this->handle(RequestArrived{this->next});
+            CPPUNIT_ASSERT(this->actionsOf<Dispatch>().empty());
+            CPPUNIT_ASSERT(this->actionsOf<Refuse>().empty());
+        }
+
+        void keepEnginesBusy()
+        {
+            for (std::size_t index = 0; index < engines; ++index) {
+                routing::WorkNote note;
+                note.engine = routing::EngineKey::of(engine(index).id);
+                note.requestHash = 500 + index;
+                note.promptTokens = note.prefillTokens = 60'000;
+                note.lifetime = seconds(1);
+                note.toleratedPause = milliseconds(500);
+                this->handle(PeerWorkReceived{note});
+            }
+        }
+
+        // Returns the refusals.
+        std::vector<Refuse> waitFor(milliseconds time)
+        {
+            std::vector<Refuse> refusals;
+            for (milliseconds waited{0}; waited < time; waited += milliseconds(20)) {
+                this->now += milliseconds(20);
+                this->keepEnginesBusy();
+                this->handle(Tick{});
+                for (const Refuse &refusal : this->actionsOf<Refuse>())
+                    refusals.push_back(refusal);
+            }
+            return refusals;
+        }
+
+        CompletionRequest next;
+    };
+
+    // A prompt misses its target of 1.5 s while it waits. Guards against refusing it then: its
+    // caller would come back, be late all the same, and go before others that can be in time.
+    void promptThatMissedItsTargetWaitsBehindOthers()
+    {
+        HeldUp fixture;
+        CPPUNIT_ASSERT(fixture.waitFor(milliseconds(2'000)).empty());
+        // Another prompt that can still be in time goes first, however late it arrives.
+        CompletionRequest later = fixture.longRequest();
+        later.id = state::RequestId("later");
+        fixture.handle(RequestArrived{later});
+        CPPUNIT_ASSERT(fixture.actionsOf<Refuse>().empty());
+        std::vector<Dispatch> started;
+        for (int ticks = 0; ticks < 50 && started.empty(); ++ticks) {
+            fixture.now += milliseconds(20); // the engines become free
+            fixture.handle(Tick{});
+            started = fixture.actionsOf<Dispatch>();
+        }
+        CPPUNIT_ASSERT(!started.empty());
+        CPPUNIT_ASSERT(started.front().id == later.id);
+    }
+
+    // Guards against holding a prompt until its deadline passes, although it could not be read and
+    // answered in the time that is left.
+    void promptThatCannotBeServedAnyMoreIsRefused()
+    {
+        HeldUp fixture;
+        const auto refusals = fixture.waitFor(milliseconds(9'700));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), refusals.size());
+        CPPUNIT_ASSERT(refusals.front().id == fixture.next.id);
+        CPPUNIT_ASSERT(refusals.front().ran == Ran::No);
+    }
+
+    static routing::PolicySettings watchingAll()
+    {
+        routing::PolicySettings policy;
+        policy.watchedEngines = 1'000;
+        return policy;
+    }
+
+    // Forty engines that answer eleven brief requests each, as many as the brief group is sized
+    // for.
+    struct ManyBriefs : PassesFixture
+    {
+        ManyBriefs()
+            : PassesFixture(watchingAll(), 40)
+        {
+            for (std::uint64_t index = 0; index < 40 * 11; ++index) {
+                routing::WorkNote note;
+                note.engine = routing::EngineKey::of(engine(index % 40).id);
+                note.requestHash = 1'000 + index;
+                note.promptTokens = 5'000;
+                note.memoryTokens = 6'000;
+                note.lifetime = seconds(10);
+                note.toleratedPause = milliseconds(200);
+                this->handle(PeerWorkReceived{note});
+                note.stage = routing::WorkStage::Decoding;
+                this->handle(PeerWorkReceived{note});
+            }
+        }
+
+        std::size_t briefEngines(const std::string &id)
+        {
+            CompletionRequest brief = this->request(id, 5'000);
+            brief.firstEventTarget = milliseconds(300);
+            brief.toleratedPause = milliseconds(200);
+            brief.deadline = this->now + seconds(10);
+            this->handle(RequestArrived{brief});
+            return this->onlyAction<Dispatch>().placementSnapshot.briefEngines;
+        }
+
+        CompletionRequest largePrompt() const
+        {
+            CompletionRequest large = this->longRequest();
+            large.id = state::RequestId("large");
+            large.promptTokens = 900'000;
+            large.firstEventTarget = milliseconds(4'000);
+            large.deadline = this->now + seconds(15);
+            return large;
+        }
+    };
+
+    // Brief requests come at over twice their usual rate, and one large prompt. Guards against
+    // sizing the groups by the work in progress only: the large prompt never started, as no engine
+    // of the brief group was ever without brief requests.
+    void waitingLargePromptGetsEnginesFromBriefRequests()
+    {
+        ManyBriefs fixture;
+        const std::size_t before = fixture.briefEngines("one");
+        fixture.handle(waitingAtPeer(fixture.largePrompt()));
+        CPPUNIT_ASSERT(fixture.briefEngines("two") < before);
+    }
+
+    // Guards against refusing a large prompt at its arrival because the group for long ones, which
+    // grows with what waits, is small at that time.
+    void largePromptIsNotRefusedForSmallGroup()
+    {
+        ManyBriefs fixture;
+        fixture.handle(RequestArrived{fixture.largePrompt()});
+        CPPUNIT_ASSERT(fixture.actionsOf<Refuse>().empty());
+    }
+
     // All engines but one are draining. Guards against a long prompt waiting for an engine of the
     // group for long prompts, which is empty, and being refused at its target although the last
     // engine is idle.
--- a/tests/coordination/admission/LongPromptQueueTest.cpp
+++ b/tests/coordination/admission/LongPromptQueueTest.cpp
@@ -14,13 +14,27 @@
     CPPUNIT_TEST(shorterGoFirstAndLongerCatchUp);
     CPPUNIT_TEST(promptsOfSilentPeersExpire);
     CPPUNIT_TEST(engineTimeBeforePromptIsSummed);
+    CPPUNIT_TEST(engineTimeOfOtherModelsDoesNotCount);
     CPPUNIT_TEST_SUITE_END();
 
     const state::Instant start{std::chrono::seconds(100)};
 
     static WaitingPrompt prompt(std::uint64_t work, double seconds, state::Instant arrival)
     {
-        return {work, seconds, arrival};
+        WaitingPrompt result;
+        result.requestHash = work;
+        result.engineSeconds = seconds;
+        result.arrival = arrival;
+        result.rankDelay = std::chrono::duration_cast<state::Duration>(
+                std::chrono::duration<double>(seconds / 2));
+        return result;
+    }
+
+    // The first prompt of the order if it is an own one.
+    static std::optional<state::RequestId> head(LongPromptQueue &queue, state::Instant now)
+    {
+        const std::vector<QueuedPrompt> prompts = queue.inOrder(now);
+        return prompts.empty() ? std::nullopt : prompts.front().ownId;
     }
 
 public:
@@ -36,10 +50,10 @@
         LongPromptQueue second;
         second.add(state::RequestId("two"), two);
         second.addPeerPrompt(one, this->start);
-        CPPUNIT_ASSERT(!first.head(this->start));
-        CPPUNIT_ASSERT_EQUAL(std::string("two"), second.head(this->start)->value());
+        CPPUNIT_ASSERT(!head(first, this->start));
+        CPPUNIT_ASSERT_EQUAL(std::string("two"), head(second, this->start)->value());
         first.remove(two.requestHash); // its entry has announced its start
-        CPPUNIT_ASSERT_EQUAL(std::string("one"), first.head(this->start)->value());
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), head(first, this->start)->value());
     }
 
     void shorterGoFirstAndLongerCatchUp()
@@ -47,10 +61,10 @@
         LongPromptQueue queue;
         queue.add(state::RequestId("huge"), prompt(1, 8, this->start));
         queue.add(state::RequestId("small"), prompt(2, 0.3, this->start + std::chrono::seconds(1)));
-        CPPUNIT_ASSERT_EQUAL(std::string("small"), queue.head(this->start)->value());
+        CPPUNIT_ASSERT_EQUAL(std::string("small"), head(queue, this->start)->value());
         queue.remove(2);
         queue.add(state::RequestId("later"), prompt(3, 0.3, this->start + std::chrono::seconds(6)));
-        CPPUNIT_ASSERT_EQUAL(std::string("huge"), queue.head(this->start)->value());
+        CPPUNIT_ASSERT_EQUAL(std::string("huge"), head(queue, this->start)->value());
     }
 
     // An entry announces its prompt and crashes. The prompts of the others must not wait for it any
@@ -60,8 +74,8 @@
         LongPromptQueue queue;
         queue.add(state::RequestId("own"), prompt(1, 3, this->start));
         queue.addPeerPrompt(prompt(2, 1, this->start), this->start);
-        CPPUNIT_ASSERT(!queue.head(this->start + std::chrono::milliseconds(240)));
-        CPPUNIT_ASSERT(queue.head(this->start + std::chrono::milliseconds(251)).has_value());
+        CPPUNIT_ASSERT(!head(queue, this->start + std::chrono::milliseconds(240)));
+        CPPUNIT_ASSERT(head(queue, this->start + std::chrono::milliseconds(251)).has_value());
     }
 
     void engineTimeBeforePromptIsSummed()
@@ -75,6 +89,18 @@
         CPPUNIT_ASSERT(queue.hasOwn());
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), queue.ownPrompts().size());
     }
+
+    // Guards against prompts that are refused because those of another model, on other engines,
+    // have to wait.
+    void engineTimeOfOtherModelsDoesNotCount()
+    {
+        LongPromptQueue queue;
+        WaitingPrompt other = prompt(2, 2, this->start);
+        other.modelHash = 7;
+        queue.addPeerPrompt(other, this->start);
+        const WaitingPrompt next = prompt(4, 3, this->start);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, queue.secondsBefore(next, this->start), 1e-9);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LongPromptQueueTest);
--- a/tests/protocol/PeerUpdateTest.cpp
+++ b/tests/protocol/PeerUpdateTest.cpp
@@ -14,6 +14,7 @@
 {
     CPPUNIT_TEST_SUITE(PeerNewsTest);
     CPPUNIT_TEST(notesOfAllStagesRoundTrip);
+    CPPUNIT_TEST(replacedEndpointRoundTrips);
     CPPUNIT_TEST(noteForLongPromptFitsLinkQueue);
     CPPUNIT_TEST(updatesInAnotherFormatAreRejected);
     CPPUNIT_TEST_SUITE_END();
@@ -71,9 +72,21 @@
         waiting.requestHash = 8;
         waiting.age = std::chrono::milliseconds(1'250);
         waiting.prefillTime = std::chrono::seconds(22);
+        waiting.rankDelay = std::chrono::seconds(11);
+        waiting.firstEventTarget = std::chrono::seconds(4);
+        waiting.modelHash = 0x99AABBCCDDEEFF00;
+        waiting.promptTokens = 588'757;
         CPPUNIT_ASSERT(roundTrip(waiting) == waiting);
     }
 
+    void replacedEndpointRoundTrips()
+    {
+        const EndpointReplaced replaced{state::EndpointId("i-96890990b2"), 1'780'000'000'123};
+        const auto datagrams = sealPeerUpdates(this->keys, {replaced});
+        const auto updates = unsealPeerUpdates(this->keys, datagrams.front());
+        CPPUNIT_ASSERT(std::get<EndpointReplaced>(updates.value().front()) == replaced);
+    }
+
     void noteForLongPromptFitsLinkQueue()
     {
         // A note about a prompt that 17 engines prefill is sent to 116 peers, and the queue of a
