--- a/src/coordination/routing/PassCandidate.h
+++ b/src/coordination/routing/PassCandidate.h
@@ -35,7 +35,7 @@
     // Time of one decoding pass without prefill, for the present requests and with this one added.
     double passSeconds() const;
     double passSecondsWith(const PassRequest &request) const;
-    // Adds the work that a prompt placed here would bring, as summarised work from its note would.
+    // Adds the work of a prompt that is placed here, until its note arrives.
     void addHelperPart(double partSeconds, std::uint64_t memoryTokens);
     void addAnswer(double partSeconds, std::uint64_t memoryTokens, const PassRequest &request);
     // Load in seconds: the waiting prefill, which delays a new request directly, plus a cost for
--- a/src/program/RelayCodec.h
+++ b/src/program/RelayCodec.h
@@ -32,6 +32,8 @@
     state::ModelName model;
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0; // upper limit
+    // The caller excludes some endpoints, which refuse the request as if another one were meant.
+    bool restrictsEndpoints = false;
 };
 
 // Parameters for forwarding a request to one endpoint.
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -462,7 +462,8 @@
     void recordAnswerHead(const Target &target, const EndpointAnswerHead &head)
     {
         this->peerFailed = head.faulty && *head.faulty != target.endpoint.address;
-        this->endpointReplaced = head.genuine && head.otherEndpoint && !this->peerFailed;
+        this->endpointReplaced = head.genuine && head.otherEndpoint && !this->peerFailed
+                                 && !this->request.restrictsEndpoints;
         if (this->peerFailed)
             this->hooks.scheduler.reportPeerFailure(*head.faulty);
         if (!head.load || !head.genuine)
--- a/tests/platform/RelayTest.cpp
+++ b/tests/platform/RelayTest.cpp
@@ -480,6 +480,12 @@
         RelayFixture refused(Kind::Stream, {Behaviour::Refuses}, true);
         refused.call();
         CPPUNIT_ASSERT(refused.failures.front() == program::AttemptFailure::NotRun);
+        // Guards against callers who can take live engines out of use for everybody.
+        RelayFixture restricted(Kind::Stream, {Behaviour::IsOtherEndpoint}, true);
+        protocol::HttpRequest request = RelayFixture::request();
+        request.headers.add("Expect-Version", "7");
+        restricted.call(request);
+        CPPUNIT_ASSERT(restricted.failures.front() == program::AttemptFailure::NotRun);
     }
 
     // An endpoint never answers a request: the caller gets an answer at the route's timeout of 2 s.
