--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -169,7 +169,7 @@
     std::optional<Refuse> refusalIfLate(const CompletionRequest &request,
                                         state::Duration overrun) const;
     bool isLong(const CompletionRequest &request) const;
-    WaitingPrompt waitingPromptOf(const CompletionRequest &request, double engineSeconds) const;
+    WaitingPrompt waitingPromptOf(const CompletionRequest &request) const;
     double engineSecondsOf(const CompletionRequest &request) const; // of its whole prefill
     void placeLongPrompts();
     void refuseOverdue();
--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -86,7 +86,7 @@
         return this->briefRefusal(request);
     // With the engines that the group gets once the prompt waits. Judged by the present group, it
     // would be refused for want of engines, and the group would never grow.
-    const WaitingPrompt prompt = this->waitingPromptOf(request, this->engineSecondsOf(request));
+    const WaitingPrompt prompt = this->waitingPromptOf(request);
     this->engines.setWaitingDemand(request.model, waitingDemand + this->waitingDemandOf(prompt));
     const routing::LongPromptEstimate outlook = this->engines.estimateLongPrompt(
             request.model, this->passRequestOf(request), this->now);
@@ -161,9 +161,9 @@
 }
 
 // The rank follows the time for which the prompt occupies its engines, whatever their number.
-WaitingPrompt Dispatcher::waitingPromptOf(const CompletionRequest &request,
-                                          double engineSeconds) const
+WaitingPrompt Dispatcher::waitingPromptOf(const CompletionRequest &request) const
 {
+    const double engineSeconds = this->engineSecondsOf(request);
     const routing::PassPlacementSettings &passes = this->policy.passes;
     const std::size_t engineCount =
             std::max<std::size_t>(this->engines.watched(request.model).size(), 1);
--- a/src/coordination/admission/DispatcherPlacing.cpp
+++ b/src/coordination/admission/DispatcherPlacing.cpp
@@ -289,8 +289,7 @@
 {
     active.phase = Phase::Queued;
     if (this->isLong(active.request)) {
-        WaitingPrompt prompt =
-                this->waitingPromptOf(active.request, this->engineSecondsOf(active.request));
+        WaitingPrompt prompt = this->waitingPromptOf(active.request);
         if (active.latestStart) {
             prompt.firstEventTarget = state::Duration(0); // missed
             prompt.rankDelay = active.request.deadline - active.request.arrival;
--- a/src/coordination/routing/PassPlacement.cpp
+++ b/src/coordination/routing/PassPlacement.cpp
@@ -167,9 +167,9 @@
     estimate.placementSnapshot.waitingSeconds = estimate.backlogSeconds;
     const PassCandidate &last = group.back(); // long requests are answered at the group's end
     const std::size_t parts = std::min(group.size(), settings.maxHelpers + 1);
-    estimate.engineSeconds = state::routes::prefillSeconds(last.profile(), request.promptTokens);
     PassChoice alone;
-    alone.partSeconds = estimate.engineSeconds / double(parts);
+    alone.partSeconds =
+            state::routes::prefillSeconds(last.profile(), request.promptTokens) / double(parts);
     alone = completeChoice(std::move(alone), last, 0, request);
     estimate.prefillSeconds = alone.firstEventSeconds;
     estimate.completionSeconds = alone.completionSeconds - alone.firstEventSeconds;
--- a/src/coordination/routing/PassPlacement.h
+++ b/src/coordination/routing/PassPlacement.h
@@ -72,7 +72,6 @@
     double backlogSeconds = 0;    // waiting prefill per engine, on average
     double prefillSeconds = 0;    // until the first event, with all permitted helpers idle
     double completionSeconds = 0; // from the first event to the last
-    double engineSeconds = 0;     // of the whole prefill on one engine
     PlacementSnapshot placementSnapshot;
 };
 
