Membership, fleet: endpoints that change one by one no longer cost a pass over all of them each

Cause: callgrind of a control member under 180 endpoints' heartbeats: 94% of its instructions were MembershipService::announce -> publishView -> Cluster::viewChanged (33%), refreshEndpoints (30%) and Fleet::rebuild (17%), each over all endpoints for every single announcement, so the square of the fleet; the ranks in Fleet::rebuild compared all pairs, the cube. Owners were searched over all members for every endpoint of every view. Entries and control members did the same. Change: views are published at most every 20 ms, or 0.1 ms for each endpoint; owners are taken from the last view where they can't have changed; the registry is left alone while the endpoints are the same; engines are grouped by model when next asked for, ranked by sorting; engines are applied again each 200 ms only while one is suspected. Ruled out: endpoints that go from member to member (probe: each keeps its member, none expires). Tests were seen failing with the former behaviour put back (publication for each announcement, owners never searched again, ranks from pairs).

--- a/bench/gossip-bench.cpp
+++ b/bench/gossip-bench.cpp
@@ -226,7 +226,9 @@
                                           now));
         }
         // As if the endpoints had changed once in the time; at the planned size it is less often.
-        sink += program::EndpointsView::fromTable(machine.endpointTable(), ring).endpoints.size();
+        const auto shared = std::make_shared<const ownership::OwnerRing>(ring);
+        sink += program::EndpointsView::fromTable(machine.endpointTable(), shared, nullptr)
+                        .endpoints.size();
     }
     const double used = processorSeconds() - began;
     return sink == 0 ? -1 : used / (repeats * static_cast<double>(time.count()));
@@ -252,10 +254,12 @@
     for (std::size_t replica = 0; replica < own.replicas; ++replica)
         machine.publish(endpointRecord(replica, replica % own.nodes), fleet.now());
     auto life = endpoints::EndpointLifecycle::create({}, machine.self(), fleet.now()).value();
-    const auto ring = ownership::OwnerRing::fromMembers(machine.members());
-    life.tick({machine.endpointTable(), machine.members(), ring}, fleet.now());
-    const auto view = program::EndpointsView::fromTable(machine.endpointTable(), ring);
-    const auto olderView = program::EndpointsView::fromTable(machine.endpointTable(), ring);
+    const auto ring = std::make_shared<const ownership::OwnerRing>(
+            ownership::OwnerRing::fromMembers(machine.members()));
+    life.tick({machine.endpointTable(), machine.members(), *ring}, fleet.now());
+    const auto view = program::EndpointsView::fromTable(machine.endpointTable(), ring, nullptr);
+    const auto olderView =
+            program::EndpointsView::fromTable(machine.endpointTable(), ring, nullptr);
     const membership::MemberTable members = machine.members();
     const membership::MemberTable olderMembers = machine.members();
     const std::size_t after = mallinfo2().uordblks;
--- a/src/coordination/routing/Fleet.cpp
+++ b/src/coordination/routing/Fleet.cpp
@@ -42,36 +42,57 @@
 {
     const auto found = this->engines.find(description.id);
     if (found == this->engines.end()) {
-        EngineView &view =
-                this->engines.emplace(description.id, EngineView(description, this->policy))
-                        .first->second;
-        view.setProfile(profile);
+        auto view = std::make_unique<EngineView>(description, this->policy);
+        view->setProfile(profile);
+        this->byKey[EngineKey::of(description.id)] = view.get();
+        this->engines.emplace(description.id, std::move(view));
     } else {
-        const bool sameModels = found->second.description().models == description.models;
-        found->second.applyAnnouncement(description);
-        found->second.setProfile(profile);
+        EngineView &view = *found->second;
+        const bool sameModels = view.description().models == description.models;
+        view.applyAnnouncement(description);
+        view.setProfile(profile);
         if (sameModels)
             return;
     }
-    this->rebuild();
+    this->modelsChanged = true;
 }
 
 void Fleet::remove(const state::EndpointId &engine)
 {
-    if (this->engines.erase(engine) > 0)
-        this->rebuild();
+    const auto found = this->engines.find(engine);
+    if (found == this->engines.end())
+        return;
+    const auto key = this->byKey.find(EngineKey::of(engine));
+    if (key != this->byKey.end() && key->second == found->second.get())
+        this->byKey.erase(key);
+    this->engines.erase(found);
+    this->modelsChanged = true;
+}
+
+// Grouped when next needed and not with each change: after a start, thousands of engines are
+// announced one by one.
+const std::map<state::ModelName, Fleet::WatchedEngines> &Fleet::models() const
+{
+    if (std::exchange(this->modelsChanged, false))
+        this->byModel = this->groupByModel();
+    return this->byModel;
 }
 
-void Fleet::rebuild()
+const Fleet::WatchedEngines *Fleet::watchedEngines(const state::ModelName &model) const
 {
-    this->byModel.clear();
-    this->byKey.clear();
-    for (auto &[id, view] : this->engines) {
-        this->byKey[EngineKey::of(id)] = &view;
-        for (const state::ModelName &model : view.description().models)
-            this->byModel[model].ids.push_back(id);
+    const auto &groups = this->models();
+    const auto found = groups.find(model);
+    return found == groups.end() ? nullptr : &found->second;
+}
+
+std::map<state::ModelName, Fleet::WatchedEngines> Fleet::groupByModel() const
+{
+    std::map<state::ModelName, WatchedEngines> groups;
+    for (const auto &[id, view] : this->engines) {
+        for (const state::ModelName &model : view->description().models)
+            groups[model].ids.push_back(id);
     }
-    for (auto &[model, set] : this->byModel) {
+    for (auto &[model, set] : groups) {
         std::vector<std::pair<std::uint64_t, state::EndpointId>> scored;
         scored.reserve(set.ids.size());
         for (const state::EndpointId &id : set.ids)
@@ -80,34 +101,34 @@
         if (scored.size() > this->policy.watchedEngines)
             scored.resize(this->policy.watchedEngines);
         set.ids.clear();
-        // All entries rank engines alike, so that they send long prompts to the same engines.
-        std::vector<std::uint64_t> order;
+        std::vector<std::pair<std::uint64_t, std::size_t>> order; // score and index
         for (const auto &[score, id] : scored) {
+            order.emplace_back(scoreOf(model.value(), id), set.ids.size());
             set.ids.push_back(id);
-            set.views.push_back(&this->engines.at(id));
+            set.views.push_back(this->engines.at(id).get());
             set.prefillRate += 1 / set.views.back()->prefillSeconds(1);
-            order.push_back(scoreOf(model.value(), id));
         }
-        for (const std::uint64_t engineScore : order) {
-            set.rank.push_back(std::uint32_t(std::ranges::count_if(
-                    order, [engineScore](auto other) { return other < engineScore; })));
+        // All entries rank engines alike, so that they send long prompts to the same engines.
+        std::ranges::sort(order);
+        set.rank.resize(order.size());
+        for (const auto &[score, index] : order) {
+            set.rank[index] = std::uint32_t(set.ranked.size());
+            set.ranked.push_back(set.views[index]);
         }
-        set.ranked.resize(set.views.size());
-        for (std::size_t index = 0; index < set.views.size(); ++index)
-            set.ranked[set.rank[index]] = set.views[index];
     }
+    return groups;
 }
 
 EngineView *Fleet::find(const state::EndpointId &engine)
 {
     const auto found = this->engines.find(engine);
-    return found == this->engines.end() ? nullptr : &found->second;
+    return found == this->engines.end() ? nullptr : found->second.get();
 }
 
 const EngineView *Fleet::find(const state::EndpointId &engine) const
 {
     const auto found = this->engines.find(engine);
-    return found == this->engines.end() ? nullptr : &found->second;
+    return found == this->engines.end() ? nullptr : found->second.get();
 }
 
 EngineView *Fleet::find(EngineKey engine)
@@ -119,22 +140,22 @@
 void Fleet::completeHelperWork(std::uint64_t work, WorkStage stage, state::Instant now)
 {
     for (auto &[id, view] : this->engines)
-        view.completeHelperWork(work, stage, now);
+        view->completeHelperWork(work, stage, now);
 }
 
 const std::vector<state::EndpointId> &Fleet::watched(const state::ModelName &model) const
 {
     static const std::vector<state::EndpointId> none;
-    const auto found = this->byModel.find(model);
-    return found == this->byModel.end() ? none : found->second.ids;
+    const WatchedEngines *set = this->watchedEngines(model);
+    return set == nullptr ? none : set->ids;
 }
 
 std::optional<Choice> Fleet::choose(const ChoiceQuery &query, state::Instant now)
 {
-    const auto found = this->byModel.find(query.model);
-    if (found == this->byModel.end())
+    const WatchedEngines *known = this->watchedEngines(query.model);
+    if (known == nullptr)
         return std::nullopt;
-    const WatchedEngines &set = found->second;
+    const WatchedEngines &set = *known;
     // Must come before any query: it is what removes work whose end was never reported.
     for (EngineView *view : set.views)
         view->advance(now);
@@ -258,11 +279,10 @@
 
 bool Fleet::worksInPasses(const state::ModelName &model) const
 {
-    const auto found = this->byModel.find(model);
-    return found != this->byModel.end()
-           && std::ranges::any_of(found->second.views, [](const EngineView *view) {
-                  return view->profile().has_value();
-              });
+    const WatchedEngines *set = this->watchedEngines(model);
+    return set != nullptr && std::ranges::any_of(set->views, [](const EngineView *view) {
+               return view->profile().has_value();
+           });
 }
 
 double Fleet::decayedRate(const LongDemand &demand, state::Instant now) const
@@ -314,16 +334,16 @@
 std::vector<const EngineView *> Fleet::rankedViews(const state::ModelName &model,
                                                    PassRequest &request, state::Instant now)
 {
-    const auto found = this->byModel.find(model);
-    if (found == this->byModel.end())
+    const WatchedEngines *set = this->watchedEngines(model);
+    if (set == nullptr)
         return {};
-    for (EngineView *view : found->second.ranked)
+    for (EngineView *view : set->ranked)
         view->advance(now);
     const auto demand = this->longDemand.find(model);
     if (demand != this->longDemand.end())
         request.longDemand =
                 std::max(this->decayedRate(demand->second, now), demand->second.waiting);
-    return {found->second.ranked.begin(), found->second.ranked.end()};
+    return {set->ranked.begin(), set->ranked.end()};
 }
 
 std::optional<PassChoice> Fleet::chooseByPasses(const state::ModelName &model, PassRequest request,
@@ -335,10 +355,10 @@
 
 std::optional<PassSchedule> Fleet::scheduleByPasses(std::uint64_t modelHash, state::Instant now)
 {
-    const auto found = std::ranges::find_if(this->byModel, [modelHash](const auto &each) {
-        return hashOf(each.first) == modelHash;
-    });
-    if (found == this->byModel.end())
+    const auto &groups = this->models();
+    const auto found = std::ranges::find_if(
+            groups, [modelHash](const auto &each) { return hashOf(each.first) == modelHash; });
+    if (found == groups.end())
         return std::nullopt;
     PassRequest request;
     const std::vector<const EngineView *> views = this->rankedViews(found->first, request, now);
@@ -359,13 +379,12 @@
 
 bool Fleet::isLong(const state::ModelName &model, std::uint32_t promptTokens) const
 {
-    const auto found = this->byModel.find(model);
-    if (found == this->byModel.end())
+    const WatchedEngines *set = this->watchedEngines(model);
+    if (set == nullptr)
         return false;
-    const auto profiled = std::ranges::find_if(found->second.views, [](const EngineView *view) {
-        return view->profile().has_value();
-    });
-    return profiled != found->second.views.end()
+    const auto profiled = std::ranges::find_if(
+            set->views, [](const EngineView *view) { return view->profile().has_value(); });
+    return profiled != set->views.end()
            && !isBrief(*(*profiled)->profile(), promptTokens, this->passSettings(model));
 }
 
@@ -383,10 +402,10 @@
 
 std::vector<state::EndpointId> Fleet::spanEngines(const state::ModelName &model) const
 {
-    const auto found = this->byModel.find(model);
-    if (found == this->byModel.end())
+    const WatchedEngines *known = this->watchedEngines(model);
+    if (known == nullptr)
         return {};
-    const WatchedEngines &set = found->second;
+    const WatchedEngines &set = *known;
     if (!this->policy.splitEngines)
         return set.ids;
     const std::size_t longCount = this->demandSplit.longEngineCount(set.views.size());
@@ -400,16 +419,16 @@
 
 double Fleet::prefillRate(const state::ModelName &model) const
 {
-    const auto found = this->byModel.find(model);
-    return found == this->byModel.end() ? 0 : found->second.prefillRate;
+    const WatchedEngines *set = this->watchedEngines(model);
+    return set == nullptr ? 0 : set->prefillRate;
 }
 
 bool Fleet::anyEngineFits(const state::ModelName &model, std::uint64_t tokens) const
 {
-    const auto found = this->byModel.find(model);
-    if (found == this->byModel.end())
+    const WatchedEngines *set = this->watchedEngines(model);
+    if (set == nullptr)
         return false;
-    return std::ranges::any_of(found->second.views, [tokens](const EngineView *view) {
+    return std::ranges::any_of(set->views, [tokens](const EngineView *view) {
         return !view->draining && view->description().kvCapacityTokens >= tokens;
     });
 }
--- a/src/coordination/routing/Fleet.h
+++ b/src/coordination/routing/Fleet.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <random>
 #include <string>
@@ -109,7 +110,7 @@
     struct WatchedEngines
     {
         std::vector<state::EndpointId> ids; // by descending score, at most policy.watchedEngines
-        std::vector<EngineView *> views;    // the same engines; unordered_map keeps their addresses
+        std::vector<EngineView *> views;    // the same engines
         double prefillRate = 0;             // tokens per second of all of them
         std::vector<std::uint32_t> rank;    // the same engines: position in the fleet-wide order
         std::vector<EngineView *> ranked;   // the same engines in the fleet-wide order
@@ -134,7 +135,9 @@
     const PassPlacementSettings &passSettings(const state::ModelName &model) const;
     std::vector<const EngineView *> rankedViews(const state::ModelName &model, PassRequest &request,
                                                 state::Instant now);
-    void rebuild();
+    const std::map<state::ModelName, WatchedEngines> &models() const;
+    const WatchedEngines *watchedEngines(const state::ModelName &model) const; // null if unknown
+    std::map<state::ModelName, WatchedEngines> groupByModel() const;
     bool isEligible(const EngineView &view, std::size_t index, const WatchedEngines &set,
                     const ChoiceQuery &query) const;
     std::optional<Choice> cheapest(const WatchedEngines &set, const ChoiceQuery &query,
@@ -147,9 +150,11 @@
     PolicySettings policy;
     FleetHooks hooks;
     std::mt19937_64 random;
-    std::unordered_map<state::EndpointId, EngineView> engines;
+    std::unordered_map<state::EndpointId, std::unique_ptr<EngineView>> engines;
     std::map<EngineKey, EngineView *> byKey; // into `engines`
-    std::map<state::ModelName, WatchedEngines> byModel;
+    // Derived from `engines`; read through models(). Points to removed engines while modelsChanged.
+    mutable std::map<state::ModelName, WatchedEngines> byModel;
+    mutable bool modelsChanged = false;
     std::map<state::ModelName, LongDemand> longDemand;
     std::map<state::ModelName, ToleratedPauses> toleratedPauses;
     std::uint64_t nextRoundRobin;
--- a/src/program/Cluster.h
+++ b/src/program/Cluster.h
@@ -106,6 +106,7 @@
 
     const Settings &settings;
     std::map<state::EndpointId, LoggedState> loggedStates; // on membership's strand
+    std::shared_ptr<const EndpointsView> appliedEndpoints; // in the registry; on the same strand
     std::shared_ptr<EndpointRegistry> registry;
     Hooks hooks;
     coordination::directory::Directory entryDirectory;
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -348,6 +348,7 @@
         this->logSuspected(endpoint.id, endpoint.incarnation, toString(outcome), "attempt");
         if (outcome == AttemptOutcome::Replaced && this->hooks.shareReplaced)
             this->hooks.shareReplaced(endpoint.id, endpoint.incarnation);
+        this->hasSuspects = true;
         this->refreshEndpoints();
     }
 
@@ -358,6 +359,7 @@
                                         monotonicNow()))
             return;
         this->logSuspected(engine, incarnation, toString(AttemptOutcome::Replaced), "peer");
+        this->hasSuspects = true;
         this->refreshEndpoints();
     }
 
@@ -429,6 +431,7 @@
         if (next == this->profiles)
             return;
         this->profiles = next;
+        this->appliedTable.reset();
         for (const auto &[id, endpoint] : this->announced) {
             const auto profile = this->profileOf(endpoint.description);
             this->handle(admission::EngineAnnounced{withProfile(endpoint.description, profile),
@@ -439,6 +442,10 @@
     void refreshEndpoints()
     {
         const auto table = this->registry->table();
+        if (table == this->appliedTable && !this->hasSuspects)
+            return;
+        this->appliedTable = table;
+        this->hasSuspects = false;
         // The relay itself monitors attempts on engines with a declared profile; suspecting such an
         // engine only keeps new work away.
         const auto isGone = [&](const auto &known) {
@@ -455,6 +462,7 @@
         for (const auto &[id, endpoint] : table->endpoints) {
             const auto profile = this->profileOf(endpoint.description);
             const bool suspected = this->isSuspected(endpoint.description);
+            this->hasSuspects |= suspected;
             if (endpoint.description.kind != state::EndpointKind::Engine || (!profile && suspected))
                 continue;
             if (profile)
@@ -490,6 +498,8 @@
     std::unordered_map<state::RequestId, PendingRequest> pending;
     EndpointHealth health; // a crashed engine stays announced until its renewals are missed
     std::map<state::EndpointId, RegisteredEndpoint> announced; // as the dispatcher was told
+    state::SnapshotView<EndpointTable> appliedTable; // the last one that refreshEndpoints() applied
+    bool hasSuspects = false;                        // it must be applied again when they recover
     std::map<state::ServiceName, state::routes::EngineProfile> profiles;
 };
 
--- a/src/program/MembershipService.cpp
+++ b/src/program/MembershipService.cpp
@@ -24,6 +24,11 @@
 // Must stay below the second or so that an endpoint waits before it tries another member.
 constexpr state::Duration acknowledgementTimeout = std::chrono::milliseconds(500);
 
+// A publication copies all endpoints. While they change one by one, after a start or in a release,
+// these bounds keep it from using up a small VM's share of a core.
+constexpr state::Duration shortestViewInterval = std::chrono::milliseconds(20);
+constexpr state::Duration viewIntervalPerEndpoint = std::chrono::microseconds(100);
+
 } // namespace
 
 state::Result<std::shared_ptr<MembershipService>>
@@ -67,6 +72,7 @@
     , membership(std::move(initialMembership))
     , endpointLifecycle(std::move(initialLifecycle))
     , timer(this->strand)
+    , viewTimer(this->strand)
 {}
 
 void MembershipService::start()
@@ -83,6 +89,7 @@
     asio::post(this->strand, [self = this->shared_from_this()] {
         self->running = false;
         self->timer.cancel();
+        self->viewTimer.cancel();
         self->socket->close();
     });
 }
@@ -93,7 +100,7 @@
         const state::Instant now = monotonicNow();
         self->recordTableVersion(next.tableVersion, now);
         self->perform(self->membership.setSelf(next, now));
-        self->publishView(now);
+        self->publishSoon(now);
     });
 }
 
@@ -104,7 +111,7 @@
         auto record = self->endpointLifecycle.announce(endpoint, self->endpointContext(), now);
         if (record && record.value()) {
             self->publishRecord(*record.value(), now);
-            self->publishView(now);
+            self->publishSoon(now);
         }
         if (!done)
             return;
@@ -188,7 +195,7 @@
         return record.error();
     if (record.value()) {
         this->publishRecord(*record.value(), now);
-        this->publishView(now);
+        this->publishSoon(now);
     } else {
         this->membership.handleRepeatedDeregistration(endpoint, now);
     }
@@ -211,7 +218,7 @@
         EndpointRecord record{endpoint};
         record.drain = mark;
         self->publishRecord(record, now);
-        self->publishView(now);
+        self->publishSoon(now);
     });
 }
 
@@ -261,7 +268,7 @@
         this->nextLoadReports = now + this->settings.loadInterval;
         this->sendLoads(now);
     }
-    this->publishView(now);
+    this->publishSoon(now);
     if (this->membership.isSuperseded() && !this->supersededReported) {
         this->supersededReported = true;
         if (this->hooks.superseded)
@@ -303,6 +310,30 @@
     this->perform(this->membership.publish(record, now));
 }
 
+state::Duration MembershipService::viewInterval() const
+{
+    const auto endpoints = std::int64_t(this->membership.endpointTable().entries().size());
+    return std::max(shortestViewInterval, viewIntervalPerEndpoint * endpoints);
+}
+
+void MembershipService::publishSoon(state::Instant now)
+{
+    if (this->viewDue)
+        return;
+    const state::Instant due = this->viewPublishedAt + this->viewInterval();
+    if (now >= due) {
+        this->publishView(now);
+        return;
+    }
+    this->viewDue = true;
+    this->viewTimer.expires_after(due - now);
+    this->viewTimer.async_wait([self = this->shared_from_this()](boost::system::error_code code) {
+        self->viewDue = false;
+        if (!code)
+            self->publishView(monotonicNow());
+    });
+}
+
 void MembershipService::publishView(state::Instant now)
 {
     const bool isolated = this->membership.isIsolated(now);
@@ -318,8 +349,8 @@
         }
     }
     if (this->endpointsDirty)
-        this->endpointsView = std::make_shared<const EndpointsView>(
-                EndpointsView::fromTable(this->membership.endpointTable(), *this->ring));
+        this->endpointsView = std::make_shared<const EndpointsView>(EndpointsView::fromTable(
+                this->membership.endpointTable(), this->ring, this->endpointsView.get()));
     next.members = std::make_shared<const MemberTable>(this->membership.members());
     next.ring = this->ring;
     next.endpoints = this->endpointsView;
@@ -334,6 +365,7 @@
         next.requiredTableVersion = this->tableVersions.front().version;
     this->membersDirty = false;
     this->endpointsDirty = false;
+    this->viewPublishedAt = now;
     this->published.publish(next);
     if (this->hooks.changed)
         this->hooks.changed(next);
--- a/src/program/MembershipService.h
+++ b/src/program/MembershipService.h
@@ -112,7 +112,10 @@
     void sendLoads(state::Instant now);
     void perform(const coordination::membership::GossipActions &actions);
     void publishRecord(const coordination::endpoints::EndpointRecord &record, state::Instant now);
+    // Publishes now, or when the interval since the last publication has passed.
+    void publishSoon(state::Instant now);
     void publishView(state::Instant now);
+    state::Duration viewInterval() const;
     void recordTableVersion(std::uint64_t version, state::Instant now);
     AnnounceAnswer answerFor(const state::EndpointDescription &endpoint) const;
     coordination::endpoints::EndpointContext endpointContext() const;
@@ -125,6 +128,9 @@
     coordination::endpoints::EndpointLifecycle endpointLifecycle;
     std::shared_ptr<transport::GossipSocket> socket;
     boost::asio::steady_timer timer;
+    boost::asio::steady_timer viewTimer;
+    state::Instant viewPublishedAt{};
+    bool viewDue = false; // viewTimer is armed
     state::Instant nextEndpointTick;
     state::Instant nextLoadReports;
     // The newest per endpoint, not yet sent.
--- a/src/program/MembershipView.h
+++ b/src/program/MembershipView.h
@@ -28,8 +28,14 @@
     std::map<state::ModelName, std::vector<std::size_t>> enginesOfModel;
     std::map<state::ServiceName, std::vector<std::size_t>> replicasOfService;
 
-    static EndpointsView fromTable(const coordination::endpoints::EndpointTable &table,
-                                   const coordination::ownership::OwnerRing &ring);
+    // The ring that the owners were determined by.
+    std::shared_ptr<const coordination::ownership::OwnerRing> ring;
+
+    // `previous`: the last view, or null; owners that can't have changed are taken from it.
+    static EndpointsView
+    fromTable(const coordination::endpoints::EndpointTable &table,
+              const std::shared_ptr<const coordination::ownership::OwnerRing> &ring,
+              const EndpointsView *previous);
     const EndpointState *find(const state::EndpointId &id) const;
 };
 
--- a/tests/coordination/routing/FleetTest.cpp
+++ b/tests/coordination/routing/FleetTest.cpp
@@ -5,6 +5,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <ctime>
 #include <set>
 
 namespace lavenderthread::coordination::routing {
@@ -20,6 +21,8 @@
     CPPUNIT_TEST(drainingEngineGetsNoWork);
     CPPUNIT_TEST(shortAndLongPromptsUseSeparateEngines);
     CPPUNIT_TEST(watchesBoundedSubset);
+    CPPUNIT_TEST(announcementsOfLargeFleetStayCheap);
+    CPPUNIT_TEST(removedEngineIsNoLongerWatched);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr state::Duration lifetime = std::chrono::seconds(20);
@@ -179,6 +182,33 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(8), fleet.watched(state::ModelName(model)).size());
         CPPUNIT_ASSERT(best != fleet.watched(state::ModelName(model)).front());
     }
+
+    // After a start, every node learns the engines of the whole fleet one by one. Guards against
+    // ranking all of them again for each announcement, which takes a small VM many seconds.
+    void announcementsOfLargeFleetStayCheap()
+    {
+        constexpr std::size_t engines = 3'000;
+        constexpr double limitSeconds = 0.5;
+        PolicySettings policy;
+        policy.watchedEngines = engines;
+        const std::clock_t began = std::clock();
+        const Fleet fleet = fleetOf(engines, policy);
+        CPPUNIT_ASSERT_EQUAL(engines, fleet.watched(state::ModelName(model)).size());
+        CPPUNIT_ASSERT(double(std::clock() - began) / CLOCKS_PER_SEC < limitSeconds);
+    }
+
+    // Guards against a choice among engines that were removed since the last one.
+    void removedEngineIsNoLongerWatched()
+    {
+        Fleet fleet = fleetOf(3);
+        CPPUNIT_ASSERT(fleet.choose(queryOf(3'000), this->start));
+        fleet.remove(state::EndpointId("engine-0"));
+        fleet.remove(state::EndpointId("engine-2"));
+        const auto choice = fleet.choose(queryOf(3'000), this->start);
+        CPPUNIT_ASSERT(choice->engine == state::EndpointId("engine-1"));
+        CPPUNIT_ASSERT(fleet.find(EngineKey::of(state::EndpointId("engine-0"))) == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.watched(state::ModelName(model)).size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetTest);
--- a/tests/program/MembershipServiceTest.cpp
+++ b/tests/program/MembershipServiceTest.cpp
@@ -66,6 +66,7 @@
         MembershipService::Hooks hooks;
         hooks.refused = [this](const state::Error &) { ++this->refused; };
         hooks.loadArrived = [this](const state::LoadReport &) { ++this->loadsArrived; };
+        hooks.changed = [this](const MembershipView &) { ++this->publications; };
         const auto made = MembershipService::create(settings, this->context, hooks);
         CPPUNIT_ASSERT(made.has_value());
         this->services.push_back(made.value());
@@ -117,6 +118,7 @@
     std::atomic<bool> announced = false;
     std::atomic<int> refused = 0;
     std::atomic<int> loadsArrived = 0;
+    std::atomic<int> publications = 0;
 };
 
 // Sends a datagram to a service from a separate socket.
@@ -145,6 +147,7 @@
     CPPUNIT_TEST_SUITE(MembershipServiceTest);
     CPPUNIT_TEST(joinAnnounceDrainAndFail);
     CPPUNIT_TEST(badSettingsAreRefused);
+    CPPUNIT_TEST(manyAnnouncementsShareOnePublication);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -218,6 +221,27 @@
         CPPUNIT_ASSERT_EQUAL(std::string("gossip.bind"), refused.error().step);
         CPPUNIT_ASSERT_EQUAL(std::string("203.0.113.1:0"), refused.error().peer);
     }
+
+    // All endpoints of a fleet announce themselves at once. Guards against a new view for each of
+    // them: every view copies all endpoints, and a small VM would do nothing else.
+    void manyAnnouncementsShareOnePublication()
+    {
+        constexpr std::size_t endpoints = 500;
+        constexpr int mostPublications = 50;
+        TestCluster cluster;
+        cluster.add("a");
+        for (std::size_t index = 0; index < endpoints; ++index) {
+            state::EndpointDescription description;
+            description.id = state::EndpointId("engine-" + std::to_string(index));
+            description.address = {"127.0.0.1", static_cast<std::uint16_t>(1 + index)};
+            description.incarnation = 1;
+            cluster.services.front()->announce(description);
+        }
+        CPPUNIT_ASSERT(TestCluster::eventually([&] {
+            return cluster.services.front()->view()->endpoints->endpoints.size() == endpoints;
+        }));
+        CPPUNIT_ASSERT(cluster.publications < mostPublications);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MembershipServiceTest);
