Cluster: relays tell relays only about their work

Cause: every entry sent each note on its work to all live members, so control members, which place nothing, unsealed and decoded three notes for each request of the whole fleet. Change: a relay shares its work with relays; entries of the completions API with all, as before.

--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -2,6 +2,7 @@
 #include "program/Cluster.h"
 
 #include "coordination/directory/RelayDirectory.h"
+#include "coordination/directory/WorkPeers.h"
 #include "program/Clock.h"
 #include "program/Log.h"
 #include "transport/Await.h"
@@ -332,6 +333,9 @@
 
 void Cluster::viewChanged(const MembershipView &view)
 {
+    if (view.endpoints == this->appliedEndpoints)
+        return;
+    this->appliedEndpoints = view.endpoints;
     this->logEndpointChanges(*view.endpoints);
     EndpointTable table;
     for (const EndpointState &endpoint : view.endpoints->endpoints) {
@@ -383,12 +387,9 @@
     const auto datagrams =
             protocol::sealPeerUpdates(this->settings.keys, std::exchange(this->pendingNews, {}));
     const auto view = this->membership->view();
-    for (const auto &[id, member] : view->members->entries()) {
-        if (id == this->settings.vm || !member.record.isLive()
-            || member.record.description == nullptr)
-            continue;
+    for (const auto *peer : coordination::directory::workPeers(*view->members, this->settings.vm)) {
         for (const std::string &datagram : datagrams)
-            this->newsSocket->send(member.record.description->caller, datagram);
+            this->newsSocket->send(peer->description->caller, datagram);
     }
     this->logLostNews();
 }
