--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -10,6 +10,7 @@
 #include "coordination/admission/FairQueue.h"
 #include "coordination/admission/LongPromptQueue.h"
 #include "coordination/admission/RetryBudget.h"
+#include "coordination/routing/EarlyWork.h"
 #include "coordination/routing/Fleet.h"
 #include "coordination/routing/PolicySettings.h"
 #include "coordination/routing/SpanPlan.h"
@@ -85,7 +86,8 @@
         double partSeconds = 0; // prefill time at the engine and at each helper
         state::Duration predictedFirstEvent{0};
         routing::PlacementSnapshot placementSnapshot;
-        std::vector<state::EndpointId> failedEngines; // one for each failed attempt
+        std::optional<routing::WorkNote> dispatchNote; // the last one sent about a dispatch
+        std::vector<state::EndpointId> failedEngines;  // one for each failed attempt
         // Set once a waiting long prompt has missed its target: it goes behind all others, and is
         // refused if it has not started by then.
         std::optional<state::Instant> latestStart;
@@ -126,6 +128,7 @@
     void on(const LoadReported &event);
     void on(const CacheReported &event);
     void on(const PeerWorkReceived &event);
+    void on(const PeerJoined &event);
     void on(const PeerBacklogReceived &event);
     void on(const AttemptFailed &event);
     void on(const MoveRequested &event);
@@ -136,7 +139,7 @@
     void fillDispatchNote(const ActiveRequest &active, std::size_t part,
                           routing::WorkNote &note) const;
     // Applies a work note to this entry's own view and sends it to the peers.
-    void shareWorkNote(const ActiveRequest &active, std::size_t part, routing::WorkStage stage,
+    void shareWorkNote(ActiveRequest &active, std::size_t part, routing::WorkStage stage,
                        std::uint32_t prefillTokens = 0, std::uint32_t chargedTokens = 0,
                        std::uint8_t priority = 0);
 
@@ -203,6 +206,7 @@
     routing::PolicySettings policy;
     DispatcherHooks hooks;
     routing::Fleet engines;
+    routing::EarlyWork earlyWork;
     FairQueue queue;
     LongPromptQueue longPromptQueue; // own and peers' long prompts; for engines that work in passes
     state::Instant waitingPromptsSharedAt{};
--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -9,12 +9,15 @@
 void Dispatcher::on(const EngineAnnounced &event)
 {
     const routing::EngineView *known = this->engines.find(event.description.id);
+    const bool isNew = known == nullptr;
     const bool restarted =
-            known != nullptr && event.description.incarnation > known->description().incarnation;
+            !isNew && event.description.incarnation > known->description().incarnation;
     // A restarted engine has lost its streams and its KV memory, as if it were gone.
     if (restarted)
         this->on(EngineGone{event.description.id});
     this->engines.announce(event.description, event.profile);
+    if (isNew)
+        this->earlyWork.applyTo(*this->engines.find(event.description.id), this->now);
     this->placeWaiting();
 }
 
@@ -86,6 +89,27 @@
         this->queue.charge(note.key, note.chargedTokens, this->now);
 }
 
+// A peer that has just started believes all engines idle. Whoever knows it tells it about the work
+// of its own, so that nobody has to hold the work of the whole fleet for it.
+void Dispatcher::on(const PeerJoined &event)
+{
+    if (!this->policy.shareWork)
+        return;
+    for (const auto &[id, active] : this->activeRequests) {
+        const bool onEngine = active.phase == Phase::Prefilling || active.phase == Phase::Decoding;
+        if (!onEngine || !active.dispatchNote)
+            continue;
+        routing::WorkNote note = *active.dispatchNote;
+        note.chargedTokens = 0; // charged when it was dispatched
+        note.lifetime = std::max(active.request.deadline - this->now, state::Duration(1));
+        this->actions.emplace_back(ShareWorkWith{event.peer, note});
+        if (active.phase == Phase::Prefilling)
+            continue;
+        note.stage = routing::WorkStage::Decoding;
+        this->actions.emplace_back(ShareWorkWith{event.peer, std::move(note)});
+    }
+}
+
 void Dispatcher::on(const PeerBacklogReceived &event)
 {
     this->peerBacklogs[event.note.entry] = {event.note, this->now + this->policy.backlogShareLife};
@@ -219,9 +243,9 @@
         note.helperMemory.push_back(reservation.share.tokens);
 }
 
-void Dispatcher::shareWorkNote(const ActiveRequest &active, std::size_t part,
-                               routing::WorkStage stage, std::uint32_t prefillTokens,
-                               std::uint32_t chargedTokens, std::uint8_t priority)
+void Dispatcher::shareWorkNote(ActiveRequest &active, std::size_t part, routing::WorkStage stage,
+                               std::uint32_t prefillTokens, std::uint32_t chargedTokens,
+                               std::uint8_t priority)
 {
     routing::WorkNote note;
     note.stage = stage;
@@ -233,6 +257,7 @@
         note.prefillTokens = prefillTokens;
         note.chargedTokens = chargedTokens;
         note.priority = priority;
+        active.dispatchNote = note;
     }
     this->on(PeerWorkReceived{note});
     if (this->policy.shareWork)
--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -356,6 +356,9 @@
     const bool dispatched = note.stage == routing::WorkStage::Dispatched;
     if (note.hasHelpers && !dispatched)
         this->engines.completeHelperWork(note.requestHash, note.stage, this->now);
+    if (!dispatched)
+        this->earlyWork.advance(note.requestHash, note.stage, this->now);
+    bool allKnown = true;
     if (routing::EngineView *view = this->engines.find(note.engine)) {
         view->apply(note, this->now);
         if (dispatched) {
@@ -368,13 +371,17 @@
             const double part = view->prefillSeconds(note.prefillTokens);
             this->engines.noteLongPrefill(*view, part * double(note.helpers.size() + 1), this->now);
         }
+    } else {
+        allKnown = false;
     }
-    for (std::size_t index = 0; index < note.helpers.size(); ++index) {
-        const std::uint32_t memory =
-                index < note.helperMemory.size() ? note.helperMemory[index] : 0;
-        if (routing::EngineView *view = this->engines.find(note.helpers[index]))
-            view->addHelperWork(note, memory, this->now);
+    for (const routing::EngineKey helper : note.helpers) {
+        if (routing::EngineView *view = this->engines.find(helper))
+            view->addHelperWork(note, note.memoryOf(helper), this->now);
+        else
+            allKnown = false;
     }
+    if (dispatched && !allKnown)
+        this->earlyWork.add(note, this->now);
 }
 
 } // namespace lavenderthread::coordination::admission
--- a/src/coordination/admission/Events.h
+++ b/src/coordination/admission/Events.h
@@ -125,6 +125,12 @@
     routing::WorkNote note;
 };
 
+// An entry that places requests on the same engines has started, or is reachable again.
+struct PeerJoined
+{
+    state::VmId peer;
+};
+
 // Backlog of an entry. Sent periodically while requests wait, and once more when none does.
 struct BacklogNote
 {
@@ -157,7 +163,7 @@
         std::variant<RequestArrived, CallerCancelled, EngineAnnounced, EngineGone, EngineDraining,
                      EngineSuspected, LoadReported, CacheReported, SlicePrefilled, TokensReceived,
                      RequestFinished, AttemptFailed, MoveRequested, ReservationAnswered,
-                     TableChanged, PeerWorkReceived, PeerBacklogReceived, Tick>;
+                     TableChanged, PeerWorkReceived, PeerJoined, PeerBacklogReceived, Tick>;
 
 // Whether the request ran; No only if that is certain.
 enum class Ran : std::uint8_t { No, Unknown };
@@ -262,12 +268,19 @@
     routing::WorkNote note;
 };
 
+// Send to that peer only.
+struct ShareWorkWith
+{
+    state::VmId peer;
+    routing::WorkNote note;
+};
+
 struct ShareBacklog
 {
     BacklogNote note;
 };
 
 using Action = std::variant<Dispatch, Refuse, Expire, CancelOnEngine, MoveAnswered, Reserve,
-                            Release, ShareWork, ShareBacklog>;
+                            Release, ShareWork, ShareWorkWith, ShareBacklog>;
 
 } // namespace lavenderthread::coordination::admission
--- a/src/coordination/routing/WorkNote.h
+++ b/src/coordination/routing/WorkNote.h
@@ -58,6 +58,14 @@
 
     auto operator<=>(const WorkNote &) const = default;
 
+    // Tokens reserved at that helper.
+    std::uint32_t memoryOf(EngineKey helper) const
+    {
+        const auto found = std::ranges::find(this->helpers, helper);
+        const auto index = std::size_t(found - this->helpers.begin());
+        return index < this->helperMemory.size() ? this->helperMemory[index] : 0;
+    }
+
     // Writes only the fields that the stage needs: each request sends three notes to every peer,
     // and these are nearly all the traffic between the failure domains of a large fleet.
     template <typename Archive>
--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -331,8 +331,25 @@
     std::erase_if(this->loggedStates, removed);
 }
 
+// Reports each process of a peer once, and again if the peer was dead in between: it has missed
+// what was shared meanwhile.
+void Cluster::reportJoinedPeers(const membership_::MemberTable &members)
+{
+    std::map<state::VmId, std::uint64_t> present;
+    for (const auto *peer : coordination::directory::workPeers(members, this->settings.vm)) {
+        present.emplace(peer->id, peer->incarnation);
+        const auto known = this->reportedPeers.find(peer->id);
+        const bool joined =
+                known == this->reportedPeers.end() || known->second != peer->incarnation;
+        if (joined && this->hooks.peerJoined)
+            this->hooks.peerJoined(peer->id);
+    }
+    this->reportedPeers = std::move(present);
+}
+
 void Cluster::viewChanged(const MembershipView &view)
 {
+    this->reportJoinedPeers(*view.members);
     if (view.endpoints == this->appliedEndpoints)
         return;
     this->appliedEndpoints = view.endpoints;
@@ -369,6 +386,19 @@
     });
 }
 
+void Cluster::shareWith(const state::VmId &peer, protocol::PeerUpdate news)
+{
+    if (!this->membership)
+        return;
+    asio::post(this->strand,
+               [self = this->shared_from_this(), peer, news = std::move(news)]() mutable {
+                   auto &pending = self->pendingNewsOfPeer[peer];
+                   if (pending.size() < newsQueueLimit)
+                       pending.push_back(std::move(news));
+                   self->scheduleFlush();
+               });
+}
+
 void Cluster::scheduleFlush()
 {
     if (this->flushArmed)
@@ -386,14 +416,24 @@
 {
     const auto datagrams =
             protocol::sealPeerUpdates(this->settings.keys, std::exchange(this->pendingNews, {}));
+    const auto newsOfPeer = std::exchange(this->pendingNewsOfPeer, {});
     const auto view = this->membership->view();
     for (const auto *peer : coordination::directory::workPeers(*view->members, this->settings.vm)) {
-        for (const std::string &datagram : datagrams)
-            this->newsSocket->send(peer->description->caller, datagram);
+        const auto own = newsOfPeer.find(peer->id);
+        if (own != newsOfPeer.end())
+            this->sendNews(peer->description->caller,
+                           protocol::sealPeerUpdates(this->settings.keys, own->second));
+        this->sendNews(peer->description->caller, datagrams);
     }
     this->logLostNews();
 }
 
+void Cluster::sendNews(const state::Address &to, const std::vector<std::string> &datagrams)
+{
+    for (const std::string &datagram : datagrams)
+        this->newsSocket->send(to, datagram);
+}
+
 void Cluster::logLostNews()
 {
     const std::uint64_t lost = this->newsLost();
--- a/src/program/Cluster.h
+++ b/src/program/Cluster.h
@@ -33,6 +33,7 @@
         std::function<void()> endpointsChanged; // the registry has a new table
         std::function<void(const state::LoadReport &)> loadArrived;
         std::function<void(const protocol::PeerUpdate &)> newsArrived;
+        std::function<void(const state::VmId &)> peerJoined; // news are shared with it from now on
         std::function<void()> superseded; // another process with this VM id has replaced this one
     };
 
@@ -75,6 +76,8 @@
     void markDrain(const state::EndpointId &endpoint, state::log::LogPosition position,
                    bool draining);
     void share(protocol::PeerUpdate news);
+    // Sends the news to one peer only.
+    void shareWith(const state::VmId &peer, protocol::PeerUpdate news);
     // Peer news datagrams that were never sent, since the start. Any thread.
     std::uint64_t newsLost() const;
 
@@ -93,6 +96,8 @@
     void handlePeerUpdates(std::string_view datagram);
     void scheduleFlush();
     void flush();
+    void sendNews(const state::Address &to, const std::vector<std::string> &datagrams);
+    void reportJoinedPeers(const coordination::membership::MemberTable &members);
     void logLostNews();
 
     struct LoggedState
@@ -107,6 +112,8 @@
     const Settings &settings;
     std::map<state::EndpointId, LoggedState> loggedStates; // on membership's strand
     std::shared_ptr<const EndpointsView> appliedEndpoints; // in the registry; on the same strand
+    std::map<state::VmId, std::uint64_t>
+            reportedPeers; // with their incarnation; on the same strand
     std::shared_ptr<EndpointRegistry> registry;
     Hooks hooks;
     coordination::directory::Directory entryDirectory;
@@ -114,7 +121,8 @@
     Strand strand;
     boost::asio::steady_timer flushTimer;
     std::shared_ptr<transport::GossipSocket> newsSocket;
-    std::vector<protocol::PeerUpdate> pendingNews; // on the strand
+    std::vector<protocol::PeerUpdate> pendingNews;                              // on the strand
+    std::map<state::VmId, std::vector<protocol::PeerUpdate>> pendingNewsOfPeer; // on the strand
     bool flushArmed = false;
     std::uint64_t loggedLostUpdates = 0; // the count in the last log line
     state::Instant lostNewsLoggedAt{};
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -282,6 +282,12 @@
             this->hooks.shareWork(action.note);
     }
 
+    void execute(const admission::ShareWorkWith &action)
+    {
+        if (this->hooks.shareWorkWith)
+            this->hooks.shareWorkWith(action.peer, action.note);
+    }
+
     void execute(const admission::ShareBacklog &action)
     {
         if (this->hooks.shareBacklog)
--- a/src/program/DispatcherScheduler.h
+++ b/src/program/DispatcherScheduler.h
@@ -25,6 +25,8 @@
     {
         // Send to the entries that route to the same engines; may be empty for a single node.
         std::function<void(const coordination::routing::WorkNote &)> shareWork;
+        std::function<void(const state::VmId &peer, const coordination::routing::WorkNote &)>
+                shareWorkWith;
         std::function<void(const coordination::admission::BacklogNote &)> shareBacklog;
         // Tells them that another endpoint has that engine's address.
         std::function<void(const state::EndpointId &, std::uint64_t incarnation)> shareReplaced;
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -263,6 +263,9 @@
         hooks.newsArrived = [this](const protocol::PeerUpdate &news) {
             this->handlePeerUpdate(news);
         };
+        hooks.peerJoined = [this](const state::VmId &peer) {
+            this->policy->post(coordination::admission::PeerJoined{peer});
+        };
         hooks.superseded = [this] {
             logEvent(LogLevel::Error, "node.superseded", {{"vm", this->settings.vm.value()}});
             this->context.stop();
@@ -288,6 +291,10 @@
         hooks.shareWork = [this](const coordination::routing::WorkNote &note) {
             this->cluster->share(note);
         };
+        hooks.shareWorkWith = [this](const state::VmId &peer,
+                                     const coordination::routing::WorkNote &note) {
+            this->cluster->shareWith(peer, note);
+        };
         hooks.shareBacklog = [this](const coordination::admission::BacklogNote &note) {
             this->cluster->share(note);
         };
--- a/tests/coordination/admission/DispatcherPassesTest.cpp
+++ b/tests/coordination/admission/DispatcherPassesTest.cpp
@@ -83,6 +83,8 @@
     CPPUNIT_TEST(promptThatCannotBeServedAnyMoreIsRefused);
     CPPUNIT_TEST(waitingLargePromptGetsEnginesFromBriefRequests);
     CPPUNIT_TEST(largePromptIsNotRefusedForSmallGroup);
+    CPPUNIT_TEST(engineLearnedLateIsNotBelievedIdle);
+    CPPUNIT_TEST(entryThatStartsIsToldOfWorkInProgress);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -458,6 +460,80 @@
         fixture.handle(RequestArrived{next});
         CPPUNIT_ASSERT(fixture.onlyAction<Dispatch>().engine == PassesFixture::engine(0).id);
     }
+
+    // In a release, entries learn of a new engine at different times. Those that know it fill all
+    // its slots; then this entry learns of it. Guards against believing it idle: every entry that
+    // learned of it sent its next requests there, behind those that wait for a slot.
+    void engineLearnedLateIsNotBelievedIdle()
+    {
+        PassesFixture fixture;
+        fixture.handle(RequestFinished{fixture.firstDispatch.id, fixture.firstDispatch.attempt});
+        const state::EndpointDescription late = newEngine(PassesFixture::engines);
+        const std::size_t slots = profile().slots;
+        for (std::size_t each = 0; each < slots; ++each)
+            fixture.handle(briefWorkAtPeer(late.id, each));
+        fixture.handle(EngineAnnounced{late, profile()});
+        const routing::EngineView *view = fixture.dispatcher->fleet().find(late.id);
+        CPPUNIT_ASSERT_EQUAL(slots, view->residentWork().size());
+        for (std::size_t each = 0; each < slots; ++each) {
+            CompletionRequest brief =
+                    fixture.request("brief-" + std::to_string(each), briefPromptTokens);
+            brief.deadline = fixture.now + seconds(10);
+            fixture.handle(RequestArrived{brief});
+            CPPUNIT_ASSERT(fixture.onlyAction<Dispatch>().engine != late.id);
+        }
+    }
+
+    // All entries lose power, and start again one after the other. Guards against an entry that
+    // believes engines idle because the notes on their work were sent before it started.
+    void entryThatStartsIsToldOfWorkInProgress()
+    {
+        PassesFixture before;
+        const Dispatch &running = before.firstDispatch;
+        before.handle(PeerJoined{state::VmId("peer")});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), before.actionsOf<ShareWorkWith>().size());
+        before.handle(TokensReceived{running.id, running.attempt, 1});
+        before.handle(PeerJoined{state::VmId("peer")});
+        const auto told = before.actionsOf<ShareWorkWith>();
+
+        DispatcherFixture started(0);
+        for (const ShareWorkWith &each : told) {
+            CPPUNIT_ASSERT(each.peer == state::VmId("peer"));
+            CPPUNIT_ASSERT_EQUAL(std::uint32_t(0), each.note.chargedTokens);
+            started.handle(PeerWorkReceived{each.note});
+        }
+        for (std::size_t index = 0; index < PassesFixture::engines; ++index)
+            started.handle(EngineAnnounced{newEngine(index), profile()});
+        const auto work = started.dispatcher->fleet().find(running.engine)->residentWork();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), work.size());
+        CPPUNIT_ASSERT(work.front().decoding);
+
+        before.handle(RequestFinished{running.id, running.attempt});
+        before.handle(PeerJoined{state::VmId("peer")});
+        CPPUNIT_ASSERT(before.actionsOf<ShareWorkWith>().empty());
+    }
+
+private:
+    static constexpr std::uint32_t briefPromptTokens = 5'000;
+
+    static state::EndpointDescription newEngine(std::size_t index)
+    {
+        state::EndpointDescription description = PassesFixture::engine(index);
+        description.kvCapacityTokens = profile().kvCapacityTokens;
+        description.prefillTokensPerSecond = profile().prefillTokensPerSecond;
+        return description;
+    }
+
+    static PeerWorkReceived briefWorkAtPeer(const state::EndpointId &engine, std::size_t each)
+    {
+        routing::WorkNote note;
+        note.engine = routing::EngineKey::of(engine);
+        note.requestHash = 1'000 + each;
+        note.promptTokens = note.prefillTokens = briefPromptTokens;
+        note.lifetime = seconds(10);
+        note.toleratedPause = milliseconds(200);
+        return {note};
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherPassesTest);
