Control client: polls go over a kept connection

Change: HttpConnection keeps one connection for calls that may be repeated; one that has ended is replaced within the call, one that is silent ends by its unacknowledged bytes (300 ms) or the call's timeout.

--- a/src/program/ControlClient.cpp
+++ b/src/program/ControlClient.cpp
@@ -27,6 +27,9 @@
 
 constexpr milliseconds callTimeout{1'500};
 constexpr milliseconds connectTimeout{300};
+// A kept connection may go silent without a reset. The view expires soon after, so a member that
+// doesn't acknowledge a request for so long is connected to anew.
+constexpr milliseconds silentConnectionTimeout{300};
 constexpr milliseconds pauseBetweenTries{50};
 constexpr milliseconds feedWait{1'000}; // longest time a member holds a poll for pages
 constexpr state::Duration feedInterval = milliseconds(1'000); // between confirmations
@@ -129,7 +132,8 @@
 }
 
 asio::awaitable<state::Result<protocol::ControlReply>>
-ControlClient::call(ControlMemberAddress member, protocol::ControlCall request)
+ControlClient::call(ControlMemberAddress member, protocol::ControlCall request,
+                    transport::HttpConnection *kept)
 {
     if (this->hooks.ownMember && member.consensus == this->hooks.ownAddress) {
         protocol::ControlReply own = co_await this->hooks.ownMember(std::move(request));
@@ -143,8 +147,13 @@
     limits.connectTimeout = connectTimeout;
     limits.timeout = callTimeout;
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
-    const auto answer =
-            co_await transport::httpCall(executor, member.entry, std::move(http), limits);
+    state::Result<protocol::HttpResponse> answer = protocol::HttpResponse();
+    if (kept != nullptr) {
+        limits.unacknowledgedTimeout = silentConnectionTimeout;
+        answer = co_await kept->call(executor, member.entry, std::move(http), limits);
+    } else {
+        answer = co_await transport::httpCall(executor, member.entry, std::move(http), limits);
+    }
     if (!answer)
         co_return answer.error();
     if (answer.value().status != statusOk)
@@ -271,7 +280,7 @@
     if (pages)
         ++this->pageSourceRotation; // the current member lags
     const state::Instant askedAt = monotonicNow();
-    const auto reply = co_await this->callFeed(*member, pages);
+    const auto reply = co_await this->callFeed(this->feedConnection, *member, pages);
     const auto *feedReply = reply ? std::get_if<protocol::FeedReply>(&reply.value().body) : nullptr;
     const bool leaderKnown = reply && reply.value().leader.port != 0;
     this->leader.publish(leaderKnown ? std::optional(reply.value().leader) : std::nullopt);
@@ -316,7 +325,7 @@
     if (!member)
         co_return false;
     const state::Instant askedAt = monotonicNow();
-    const auto reply = co_await this->callFeed(*member, true);
+    const auto reply = co_await this->callFeed(this->pagesConnection, *member, true);
     const auto *feedReply = reply ? std::get_if<protocol::FeedReply>(&reply.value().body) : nullptr;
     if (feedReply == nullptr) {
         ++this->pageSourceRotation; // pollFeed() logs the loss of the control members
@@ -367,7 +376,8 @@
 }
 
 asio::awaitable<state::Result<protocol::ControlReply>>
-ControlClient::callFeed(ControlMemberAddress member, bool pages)
+ControlClient::callFeed(transport::HttpConnection &connection, ControlMemberAddress member,
+                        bool pages)
 {
     protocol::FeedCall feedCall;
     feedCall.entry = this->settings.vm;
@@ -377,7 +387,7 @@
     feedCall.waitMs = static_cast<std::uint32_t>(feedWait.count());
     feedCall.pages = pages;
     protocol::ControlCall request = feedCall;
-    co_return co_await this->call(std::move(member), std::move(request));
+    co_return co_await this->call(std::move(member), std::move(request), &connection);
 }
 
 // Returns the member in this process, or one chosen by a hash of the VM id, which spreads the
--- a/src/program/ControlClient.h
+++ b/src/program/ControlClient.h
@@ -9,6 +9,7 @@
 #include "state/Snapshot.h"
 #include "state/control/Commands.h"
 #include "state/control/ControlView.h"
+#include "transport/HttpConnection.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -88,13 +89,14 @@
     boost::asio::awaitable<bool> fetchPages();
     std::optional<ControlMemberAddress> pageSource() const;
     boost::asio::awaitable<state::Result<protocol::ControlReply>>
-    callFeed(ControlMemberAddress member, bool pages);
+    callFeed(transport::HttpConnection &connection, ControlMemberAddress member, bool pages);
     // Calls the leader, or members that may know it, until `accepts` is true. Error: Timeout.
     boost::asio::awaitable<state::Result<protocol::ControlReply>>
     callLeader(protocol::ControlCall request, ReplyPredicate accepts, const char *step,
                state::Instant deadline);
     boost::asio::awaitable<state::Result<protocol::ControlReply>>
-    call(ControlMemberAddress member, protocol::ControlCall request);
+    call(ControlMemberAddress member, protocol::ControlCall request,
+         transport::HttpConnection *kept = nullptr);
     std::optional<ControlMemberAddress> nextMember(const std::optional<state::Address> &failed);
     std::vector<state::control::FeedPage> decodePages(const protocol::FeedReply &reply,
                                                       const ControlMemberAddress &member);
@@ -109,6 +111,8 @@
     // Used on the strand only.
     coordination::orders::FeedReceiver feed;
     std::optional<state::Address> unconfirmedFeedMember; // member whose last reply was unconfirmed
+    transport::HttpConnection feedConnection;            // to the leader
+    transport::HttpConnection pagesConnection;           // to the member polled for pages
     bool feedConfirmed = false;
     bool awaitingPages = false; // the leader reported a version whose pages have not arrived yet
     bool needsFullConfiguration = false; // the last patch could not be applied
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -2,6 +2,7 @@
 #include "transport/HttpClient.h"
 
 #include "transport/BeastConversion.h"
+#include "transport/HttpCallParts.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -24,6 +25,16 @@
 
 constexpr std::size_t readPieceBytes = 64U << 10U;
 
+state::Error cancelledBefore(std::string_view step, const state::Address &peer)
+{
+    return state::makeError(state::ErrorCode::Cancelled, std::string(step),
+                            "the call was withdrawn", peer.toString());
+}
+
+using UnacknowledgedTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+} // namespace
+
 state::Error callError(const beast::error_code &problem, std::string_view step,
                        const state::Address &peer)
 {
@@ -35,14 +46,6 @@
     return state::makeError(code, std::string(step), problem.message(), peer.toString());
 }
 
-state::Error cancelledBefore(std::string_view step, const state::Address &peer)
-{
-    return state::makeError(state::ErrorCode::Cancelled, std::string(step),
-                            "the call was withdrawn", peer.toString());
-}
-
-using UnacknowledgedTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-
 http::request<http::string_body> toBeastRequest(protocol::HttpRequest request,
                                                 const state::Address &peer)
 {
@@ -59,7 +62,26 @@
     return message;
 }
 
-} // namespace
+asio::awaitable<state::Result<void>> connectStream(beast::tcp_stream &stream, state::Address peer,
+                                                   HttpCallLimits limits)
+{
+    beast::error_code addressProblem;
+    const auto ip = asio::ip::make_address(peer.ip, addressProblem);
+    if (addressProblem)
+        co_return callError(addressProblem, connectStep, peer);
+    stream.expires_after(limits.connectTimeout);
+    auto [connectProblem] = co_await stream.async_connect(tcp::endpoint(ip, peer.port),
+                                                          asio::as_tuple(asio::use_awaitable));
+    if (connectProblem)
+        co_return callError(connectProblem, connectStep, peer);
+    beast::error_code ignored;
+    stream.socket().set_option(tcp::no_delay(true), ignored);
+    if (limits.unacknowledgedTimeout.count() > 0) {
+        const int ms = static_cast<int>(limits.unacknowledgedTimeout.count());
+        stream.socket().set_option(UnacknowledgedTimeout(ms), ignored);
+    }
+    co_return state::outcome::success();
+}
 
 // Lets the call, and nobody else, set what cancel() closes.
 struct HttpCallAccess
@@ -164,22 +186,9 @@
                 open->stream.close();
         });
     }
-    beast::error_code addressProblem;
-    const auto ip = asio::ip::make_address(peer.ip, addressProblem);
-    if (addressProblem)
-        co_return callError(addressProblem, connectStep, peer);
-
-    call->stream.expires_after(limits.connectTimeout);
-    auto [connectProblem] = co_await call->stream.async_connect(
-            tcp::endpoint(ip, peer.port), asio::as_tuple(asio::use_awaitable));
-    if (connectProblem)
-        co_return callError(connectProblem, connectStep, peer);
-    beast::error_code ignored;
-    call->stream.socket().set_option(tcp::no_delay(true), ignored);
-    if (limits.unacknowledgedTimeout.count() > 0) {
-        const int ms = static_cast<int>(limits.unacknowledgedTimeout.count());
-        call->stream.socket().set_option(UnacknowledgedTimeout(ms), ignored);
-    }
+    const state::Result<void> connected = co_await connectStream(call->stream, peer, limits);
+    if (!connected)
+        co_return connected.error();
     if (handle && handle->isCancelled())
         co_return cancelledBefore(connectStep, peer);
 
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -1,5 +1,6 @@
 // HTTP/1.1 calls to endpoints and other entries, whole or as a stream. Each call has a connection
-// of its own: a pooled one may be half closed, and then nobody could tell whether the request ran.
+// of its own: a kept one may be half closed, and then nobody could tell whether the request ran.
+// HttpConnection keeps one, for requests that may be repeated.
 #pragma once
 
 #include "protocol/HttpMessage.h"
--- /dev/null
+++ b/src/transport/HttpConnection.cpp
@@ -0,0 +1,90 @@
+#include "transport/HttpConnection.h"
+
+#include "transport/BeastConversion.h"
+#include "transport/HttpCallParts.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <utility>
+
+namespace lavenderthread::transport {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+struct HttpConnection::Stream
+{
+    Stream(asio::any_io_executor executor, state::Address peer)
+        : stream(std::move(executor))
+        , peer(std::move(peer))
+    {}
+
+    beast::tcp_stream stream;
+    state::Address peer;
+    beast::flat_buffer buffer;
+};
+
+HttpConnection::HttpConnection() = default;
+HttpConnection::~HttpConnection() = default;
+
+asio::awaitable<state::Result<protocol::HttpResponse>>
+HttpConnection::call(asio::any_io_executor executor, state::Address peer,
+                     protocol::HttpRequest request, HttpCallLimits limits)
+{
+    if (this->stream && this->stream->peer == peer) {
+        state::Result<protocol::HttpResponse> answer = co_await this->exchange(request, limits);
+        // A peer that takes the request and is silent would be as silent on a new connection.
+        if (answer || answer.error().code == state::ErrorCode::Timeout)
+            co_return answer;
+    }
+    const state::Result<void> connected =
+            co_await this->connect(std::move(executor), std::move(peer), limits);
+    if (!connected)
+        co_return connected.error();
+    co_return co_await this->exchange(std::move(request), limits);
+}
+
+asio::awaitable<state::Result<void>>
+HttpConnection::connect(asio::any_io_executor executor, state::Address peer, HttpCallLimits limits)
+{
+    this->stream.reset();
+    auto opened = std::make_unique<Stream>(std::move(executor), peer);
+    const state::Result<void> connected = co_await connectStream(opened->stream, peer, limits);
+    if (connected)
+        this->stream = std::move(opened);
+    co_return connected;
+}
+
+asio::awaitable<state::Result<protocol::HttpResponse>>
+HttpConnection::exchange(protocol::HttpRequest request, HttpCallLimits limits)
+{
+    // Owned here until the exchange is over: it is kept only after a whole answer.
+    std::unique_ptr<Stream> used = std::move(this->stream);
+    http::request<http::string_body> message = toBeastRequest(std::move(request), used->peer);
+    message.keep_alive(true);
+    used->stream.expires_after(limits.timeout);
+    auto [sendProblem, sent] =
+            co_await http::async_write(used->stream, message, asio::as_tuple(asio::use_awaitable));
+    if (sendProblem)
+        co_return callError(sendProblem, sendStep, used->peer);
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(limits.bodyBytes);
+    auto [readProblem, received] = co_await http::async_read(used->stream, used->buffer, parser,
+                                                             asio::as_tuple(asio::use_awaitable));
+    if (readProblem)
+        co_return callError(readProblem, receiveStep, used->peer);
+    http::response<http::string_body> answer = parser.release();
+    const bool kept = answer.keep_alive();
+    protocol::HttpResponse response{answer.result_int(), toHeaders(answer),
+                                    std::move(answer.body())};
+    if (kept) {
+        used->stream.expires_never();
+        this->stream = std::move(used);
+    }
+    co_return response;
+}
+
+} // namespace lavenderthread::transport
--- /dev/null
+++ b/tests/transport/HttpConnectionTest.cpp
@@ -0,0 +1,157 @@
+// Tests calls over a kept connection: one that is reused, one that has ended, and one that is
+// silent.
+#include "transport/HttpConnection.h"
+
+#include "fakes/LoopbackServer.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <chrono>
+#include <exception>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lavenderthread::transport {
+
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+// Answers with the caller's address, which tells connections apart.
+struct Peer
+{
+    Peer()
+    {
+        this->server = fakes::serveOnLoopback(
+                this->context, [this](HttpExchange &exchange) { return this->answer(exchange); });
+    }
+
+    asio::awaitable<void> answer(HttpExchange &exchange)
+    {
+        ++this->requests;
+        if (this->requests == this->closesAt)
+            co_return; // ends the connection without an answer
+        if (this->requests == this->silentAt) {
+            asio::steady_timer pause(exchange.executor(), std::chrono::seconds(10));
+            co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+        protocol::HttpResponse response{200, {}, exchange.peer()};
+        co_await exchange.respond(std::move(response));
+    }
+
+    // Makes the calls one after the other and returns the bodies; "failed" for an error.
+    std::vector<std::string> call(std::size_t count)
+    {
+        std::vector<std::string> bodies;
+        asio::co_spawn(
+                this->context,
+                [](Peer &peer, std::size_t calls,
+                   std::vector<std::string> &answers) -> asio::awaitable<void> {
+                    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+                    HttpConnection connection;
+                    HttpCallLimits limits;
+                    limits.timeout = milliseconds(300);
+                    for (std::size_t each = 0; each < calls; ++each) {
+                        protocol::HttpRequest request;
+                        request.method = "POST";
+                        request.target = "/";
+                        request.body = "body";
+                        const auto answer = co_await connection.call(
+                                executor, peer.server->address(), std::move(request), limits);
+                        answers.push_back(answer ? answer.value().body : "failed");
+                    }
+                    peer.leftOpen = connection.isOpen();
+                }(*this, count, bodies),
+                [this](const std::exception_ptr &failure) {
+                    this->context.stop();
+                    if (failure)
+                        std::rethrow_exception(failure);
+                });
+        this->context.run();
+        return bodies;
+    }
+
+    asio::io_context context;
+    std::shared_ptr<HttpServer> server;
+    int requests = 0;
+    int closesAt = 0; // number of the request that ends its connection; 0: none
+    int silentAt = 0; // number of the request that is not answered; 0: none
+    bool leftOpen = false;
+};
+
+std::size_t distinct(const std::vector<std::string> &bodies)
+{
+    return std::set<std::string>(bodies.begin(), bodies.end()).size();
+}
+
+} // namespace
+
+class HttpConnectionTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HttpConnectionTest);
+    CPPUNIT_TEST(callsShareOneConnection);
+    CPPUNIT_TEST(callOnEndedConnectionIsSentAgain);
+    CPPUNIT_TEST(silentPeerCostsOneTimeout);
+    CPPUNIT_TEST(failureOnNewConnectionIsReported);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a new connection for each poll of a control member, whose cost grows with the
+    // number of entries.
+    void callsShareOneConnection()
+    {
+        Peer peer;
+        const std::vector<std::string> bodies = peer.call(5);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), bodies.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), distinct(bodies));
+        CPPUNIT_ASSERT(peer.leftOpen);
+    }
+
+    // A peer restarts between two calls. Guards against reporting it as unreachable.
+    void callOnEndedConnectionIsSentAgain()
+    {
+        Peer peer;
+        peer.closesAt = 2;
+        const std::vector<std::string> bodies = peer.call(3);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), distinct(bodies));
+        CPPUNIT_ASSERT(std::ranges::find(bodies, "failed") == bodies.end());
+        CPPUNIT_ASSERT_EQUAL(4, peer.requests);
+    }
+
+    // A peer freezes: its machine accepts what is sent, and nobody answers. Guards against a second
+    // timeout on a new connection, and against keeping the silent one for the next call.
+    void silentPeerCostsOneTimeout()
+    {
+        Peer peer;
+        peer.silentAt = 2;
+        const std::vector<std::string> bodies = peer.call(4);
+        CPPUNIT_ASSERT_EQUAL(4, peer.requests);
+        CPPUNIT_ASSERT(bodies[1] == "failed");
+        CPPUNIT_ASSERT(bodies[2] != "failed" && bodies[2] != bodies[0]);
+        CPPUNIT_ASSERT(bodies[3] == bodies[2]);
+    }
+
+    // Guards against repeating a call without end.
+    void failureOnNewConnectionIsReported()
+    {
+        Peer peer;
+        peer.closesAt = 1;
+        const std::vector<std::string> bodies = peer.call(1);
+        CPPUNIT_ASSERT(bodies.front() == "failed");
+        CPPUNIT_ASSERT_EQUAL(1, peer.requests);
+        CPPUNIT_ASSERT(!peer.leftOpen);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpConnectionTest);
+
+} // namespace lavenderthread::transport
