--- a/src/transport/HttpConnection.cpp
+++ b/src/transport/HttpConnection.cpp
@@ -13,7 +13,6 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
-using asio::ip::tcp;
 
 struct HttpConnection::Stream
 {
