--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -449,6 +449,12 @@
              {{"dropped", outgoing.dropped()}, {"refused", outgoing.refused()}});
 }
 
+std::size_t Cluster::endpointsKnown() const
+{
+    return this->membership ? this->membership->view()->endpoints->endpoints.size()
+                            : this->registry->table()->endpoints.size();
+}
+
 std::uint64_t Cluster::newsLost() const
 {
     if (!this->newsSocket)
--- a/src/program/Cluster.h
+++ b/src/program/Cluster.h
@@ -78,6 +78,8 @@
     void share(protocol::PeerUpdate news);
     // Sends the news to one peer only.
     void shareWith(const state::VmId &peer, protocol::PeerUpdate news);
+    // Endpoints that were described to this node, used by it or not. Any thread.
+    std::size_t endpointsKnown() const;
     // Peer news datagrams that were never sent, since the start. Any thread.
     std::uint64_t newsLost() const;
 
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -475,7 +475,7 @@
             return this->client && this->client->mayAdmit() ? 1.0 : 0.0;
         });
         this->metrics.gauge("endpoints_known",
-                            [this] { return double(this->registry->table()->endpoints.size()); });
+                            [this] { return double(this->cluster->endpointsKnown()); });
         this->metrics.gauge("news_datagrams_lost",
                             [this] { return double(this->cluster->newsLost()); });
         transport::HttpServer::Hooks hooks;
