Observability: why a failed attempt got no second one, and replicas that become suspect

No decision changes. request.refused now has failed_attempts and retry_budget; replica.suspected is new.

--- a/src/coordination/admission/Dispatcher.cpp
+++ b/src/coordination/admission/Dispatcher.cpp
@@ -211,6 +211,21 @@
     this->endRequest(id);
 }
 
+void Dispatcher::refuseAfterAttempts(const ActiveRequest &active, bool retryBudgetSpent)
+{
+    Refuse refusal;
+    refusal.id = active.request.id;
+    refusal.reason = RefusalReason::AttemptsExhausted;
+    refusal.retryAfter = std::chrono::duration_cast<state::Duration>(
+            std::chrono::duration<double>(this->idealSeconds(active.request)));
+    refusal.ran = active.dispatched ? Ran::Unknown : Ran::No;
+    refusal.failedAttempts = std::uint32_t(active.failedEngines.size());
+    refusal.retryBudgetSpent = retryBudgetSpent;
+    ++this->counters.refused;
+    this->actions.emplace_back(refusal);
+    this->endRequest(refusal.id);
+}
+
 void Dispatcher::shareBacklog()
 {
     const bool hasWaiting = this->queue.size() > 0;
--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -118,6 +118,7 @@
     ActiveRequest *findAttempt(const state::RequestId &id, std::uint32_t attempt);
     void endRequest(const state::RequestId &id);
     void refuse(const state::RequestId &id, RefusalReason reason, state::Duration retryAfter);
+    void refuseAfterAttempts(const ActiveRequest &active, bool retryBudgetSpent);
     void shareBacklog();
 
     // DispatcherEngines.cpp: engines and peers
--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -193,9 +193,7 @@
     if ((ran && !active.request.idempotent) || !allowed || this->isExhausted(active)) {
         // Refused now and not at the deadline, with the time after which to retry.
         active.phase = Phase::Reserving; // none of it is on an engine any more
-        this->refuse(active.request.id, RefusalReason::AttemptsExhausted,
-                     std::chrono::duration_cast<state::Duration>(
-                             std::chrono::duration<double>(this->idealSeconds(active.request))));
+        this->refuseAfterAttempts(active, repeatable && !allowed);
         return;
     }
     if (onEngine && !didNotRun)
--- a/src/coordination/admission/Events.h
+++ b/src/coordination/admission/Events.h
@@ -219,6 +219,8 @@
     double queuedSeconds = 0; // engine time of the prompts that wait at the entries and go first
     // Basis of the decision, on engines that work in passes.
     routing::PlacementSnapshot placementSnapshot;
+    std::uint32_t failedAttempts = 0;
+    bool retryBudgetSpent = false; // the budget did not pay for another attempt
 };
 
 // The final answer to a request whose deadline has passed.
--- a/src/coordination/routing/ReplicaChooser.cpp
+++ b/src/coordination/routing/ReplicaChooser.cpp
@@ -57,17 +57,19 @@
     ++this->replicas[replica].ownCalls;
 }
 
-void ReplicaChooser::callEnded(const state::EndpointDescription &replica, AttemptOutcome outcome,
+bool ReplicaChooser::callEnded(const state::EndpointDescription &replica, AttemptOutcome outcome,
                                state::Instant now)
 {
     ReplicaState &known = this->replicas[replica.id];
     if (known.ownCalls > 0)
         --known.ownCalls;
-    this->health.recordAttempt(replica.id, replica.incarnation, outcome, now);
+    const bool suspected =
+            this->health.recordAttempt(replica.id, replica.incarnation, outcome, now);
     this->health.removeInactive(now);
     std::erase_if(this->replicas, [&](const auto &each) {
         return each.second.ownCalls == 0 && each.second.reportedAt + reportLifetime < now;
     });
+    return suspected;
 }
 
 void ReplicaChooser::loadReported(const state::EndpointId &replica, const ReplicaLoad &load,
--- a/src/coordination/routing/ReplicaChooser.h
+++ b/src/coordination/routing/ReplicaChooser.h
@@ -45,7 +45,8 @@
                                       state::Instant now);
 
     void callStarted(const state::EndpointId &replica);
-    void callEnded(const state::EndpointDescription &replica, AttemptOutcome outcome,
+    // Returns true if the outcome made the replica suspect.
+    bool callEnded(const state::EndpointDescription &replica, AttemptOutcome outcome,
                    state::Instant now);
     void loadReported(const state::EndpointId &replica, const ReplicaLoad &load,
                       state::Instant now);
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -5,6 +5,7 @@
 #include "coordination/relay/FinalAnswer.h"
 #include "program/Clock.h"
 #include "program/InactivityTimeout.h"
+#include "program/Log.h"
 #include "transport/Await.h"
 #include "transport/HttpClient.h"
 
@@ -360,10 +361,19 @@
         const AttemptOutcome health = this->facts.callerGone
                                               ? AttemptOutcome::Succeeded
                                               : healthOf(end, this->endpointReplaced);
-        const std::lock_guard lock(this->relay.choiceMutex);
-        this->relay.chooser.callEnded(replica, health, monotonicNow());
-        if (end == AttemptResult::Complete)
-            this->relay.retryBudgetOf(this->outcome.service).addSuccess();
+        bool suspected = false;
+        {
+            const std::lock_guard lock(this->relay.choiceMutex);
+            suspected = this->relay.chooser.callEnded(replica, health, monotonicNow());
+            if (end == AttemptResult::Complete)
+                this->relay.retryBudgetOf(this->outcome.service).addSuccess();
+        }
+        if (suspected)
+            logEvent(LogLevel::Warning, "replica.suspected",
+                     {{"endpoint", replica.id.value()},
+                      {"address", replica.address.toString()},
+                      {"incarnation", replica.incarnation},
+                      {"cause", this->outcome.reason}});
     }
 
     bool takeRetryToken()
--- a/src/program/SchedulerTranslation.cpp
+++ b/src/program/SchedulerTranslation.cpp
@@ -64,6 +64,8 @@
               {"cause", problem.title},
               {"ran", protocol::toString(problem.ran)},
               {"retry_after_us", std::int64_t(action.retryAfter.count())},
+              {"failed_attempts", action.failedAttempts},
+              {"retry_budget", action.retryBudgetSpent ? "spent" : "left"},
               {"predicted_first_us", std::int64_t(action.predictedFirstEvent.count())},
               {"queued_us", std::int64_t(action.queuedSeconds * usPerSecond)},
               {"waiting_us", std::int64_t(action.placementSnapshot.waitingSeconds * usPerSecond)},
