--- a/soak/Callers.cpp
+++ b/soak/Callers.cpp
@@ -38,15 +38,13 @@
 
 protocol::HttpRequest Caller::makeRequest(const std::string &id, const std::string &path)
 {
+    const std::size_t prompt = this->settings.briefOnly ? 0 : this->random() % tokens.size();
     protocol::HttpRequest request;
     request.method = path == "/read/" ? "GET" : "POST";
     request.target = path + "x";
-    request.headers = {{"Host", "soak"},
-                       {"Request-Id", id},
-                       {"Request-Deadline", "3000"},
-                       {"Credential", "key-one"},
-                       {"Model", "m"},
-                       {"Token-Count", tokens[this->random() % tokens.size()]}};
+    request.headers = {
+            {"Host", "soak"},          {"Request-Id", id}, {"Request-Deadline", "3000"},
+            {"Credential", "key-one"}, {"Model", "m"},     {"Token-Count", tokens[prompt]}};
     return request;
 }
 
@@ -87,11 +85,15 @@
 
 asio::awaitable<void> Caller::callOnce()
 {
-    const std::string id = this->settings.name + "-" + std::to_string(++this->count);
     const std::string path = paths[this->random() % paths.size()];
-    protocol::HttpRequest request = this->makeRequest(id, path);
     const state::Address entry = this->known[this->random() % this->known.size()];
-    const state::Address to = this->settings.viaProxy(entry);
+    co_await this->callAt(this->settings.viaProxy(entry), path);
+}
+
+asio::awaitable<bool> Caller::callAt(state::Address to, std::string path)
+{
+    const std::string id = this->settings.name + "-" + std::to_string(++this->count);
+    protocol::HttpRequest request = this->makeRequest(id, path);
     transport::HttpCallLimits limits;
     limits.connectTimeout = milliseconds(500);
     limits.timeout = milliseconds(3'500);
@@ -100,24 +102,24 @@
     if (!opened) {
         this->ledger.ended(opened.error().step == transport::connectStep ? "no-connection"
                                                                          : "no-answer");
-        co_return;
+        co_return false;
     }
     std::string body;
     while (true) {
         const auto piece = co_await opened.value().read(milliseconds(3'500));
         if (!piece) {
             this->ledger.ended("cut"); // visibly unfinished, which is allowed
-            co_return;
+            co_return false;
         }
         if (!piece.value())
             break;
         body += *piece.value();
     }
     const bool sealed = opened.value().headers().find("Response-Seal").has_value();
-    this->judge(id, path, opened.value().status(), body, sealed);
+    co_return this->judge(id, path, opened.value().status(), body, sealed);
 }
 
-void Caller::judge(const std::string &id, const std::string &path, unsigned status,
+bool Caller::judge(const std::string &id, const std::string &path, unsigned status,
                    const std::string &body, bool sealed)
 {
     if (status == 200) {
@@ -128,7 +130,7 @@
             this->ledger.broken("request " + id + " got a success without a seal");
         else
             this->ledger.succeeded();
-        return;
+        return body == expected && sealed;
     }
     const bool promise = status == 503 || status == 429 || status == 421 || status == 408;
     if (promise && !sealed)
@@ -138,6 +140,7 @@
     if (status >= 400 && status < 500 && !promise)
         this->ledger.broken("request " + id + " on " + path + " is proper and was answered "
                             + std::to_string(status));
+    return false;
 }
 
 asio::awaitable<unsigned> Caller::probe(state::Address entry, std::string path)
--- a/soak/Callers.h
+++ b/soak/Callers.h
@@ -21,7 +21,8 @@
 {
     std::vector<state::Address> directories;
     std::uint64_t seed = 0;
-    std::string name; // begins its request ids
+    std::string name;       // begins its request ids
+    bool briefOnly = false; // sends no long prompts
     // Where to connect instead of an address of the directory: a proxy before it.
     std::function<state::Address(const state::Address &)> viaProxy;
 };
@@ -33,6 +34,8 @@
 
     boost::asio::awaitable<void> callForEver(std::chrono::milliseconds pause);
     void stop() { this->stopped = true; }
+    // One request at that entry, on "/stream/", "/post/" or "/read/". True: a whole success.
+    boost::asio::awaitable<bool> callAt(state::Address entry, std::string path);
     // One lookup on a route; the status, 0 if there was no answer.
     boost::asio::awaitable<unsigned> probe(state::Address entry, std::string path);
 
@@ -40,7 +43,7 @@
     boost::asio::awaitable<void> callOnce();
     boost::asio::awaitable<std::vector<state::Address>> resolve();
     protocol::HttpRequest makeRequest(const std::string &id, const std::string &path);
-    void judge(const std::string &id, const std::string &path, unsigned status,
+    bool judge(const std::string &id, const std::string &path, unsigned status,
                const std::string &body, bool sealed);
 
     boost::asio::io_context &context;
--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -1,14 +1,18 @@
 #include "Fleet.h"
 
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
 #include <csignal>
+#include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <sstream>
 
 namespace lavenderthread::soak {
 
@@ -20,6 +24,30 @@
 constexpr std::uint16_t directoryPort = 3;
 constexpr std::uint16_t operatorPort = 4;
 
+// The inode of the connected TCP socket at that local address; empty if there is none. The system
+// lists addresses as hexadecimal numbers in network byte order.
+std::string inodeOf(const state::Address &local)
+{
+    in_addr ip{};
+    ::inet_pton(AF_INET, local.ip.c_str(), &ip);
+    std::array<char, 32> wanted{};
+    std::snprintf(wanted.data(), wanted.size(), "%08X:%04X", ip.s_addr, local.port);
+    std::ifstream sockets("/proc/net/tcp");
+    std::string line;
+    while (std::getline(sockets, line)) {
+        std::istringstream words(line);
+        std::string number, address, skipped, inode;
+        words >> number >> address;
+        constexpr int wordsBetween = 7;
+        for (int word = 0; word < wordsBetween; ++word)
+            words >> skipped;
+        words >> inode;
+        if (address == wanted.data())
+            return inode;
+    }
+    return {};
+}
+
 } // namespace
 
 Fleet::Fleet(FleetSettings chosen)
@@ -161,6 +189,25 @@
     process.pid = 0;
 }
 
+std::optional<std::size_t> Fleet::ownerOfSocket(const state::Address &local,
+                                                const std::set<std::size_t> &among) const
+{
+    const std::string inode = inodeOf(local);
+    if (inode.empty())
+        return std::nullopt;
+    const std::string wanted = "socket:[" + inode + "]";
+    for (const std::size_t index : among) {
+        std::error_code problem;
+        const std::string folder = "/proc/" + std::to_string(this->processes[index].pid) + "/fd";
+        for (const auto &file : std::filesystem::directory_iterator(folder, problem)) {
+            std::error_code closed;
+            if (std::filesystem::read_symlink(file.path(), closed) == wanted)
+                return index;
+        }
+    }
+    return std::nullopt;
+}
+
 void Fleet::wipe(std::size_t index)
 {
     std::filesystem::remove_all(this->dataFolder(index));
--- a/soak/Fleet.h
+++ b/soak/Fleet.h
@@ -7,6 +7,8 @@
 #include <sys/types.h>
 
 #include <cstdint>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,6 +41,9 @@
     void kill(std::size_t index);
     void wipe(std::size_t index);    // its data folder; it must not run
     void tearLog(std::size_t index); // leaves a torn write behind; it must not run
+    // Which of these processes has the TCP socket bound to `local`.
+    std::optional<std::size_t> ownerOfSocket(const state::Address &local,
+                                             const std::set<std::size_t> &among) const;
     std::uint64_t exitsOfItsOwn() const { return this->ownExits; }
 
     state::Address callers(std::size_t index) const;   // of an entry
--- /dev/null
+++ b/soak/PathLoss.cpp
@@ -0,0 +1,137 @@
+#include "PathLoss.h"
+
+#include "transport/Await.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <array>
+#include <iostream>
+
+namespace lavenderthread::soak {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds callPause{120};
+constexpr milliseconds lastAnswer{3'500}; // every call of a counted stretch has ended by then
+constexpr milliseconds calmTime{3'000};
+constexpr milliseconds contactTime{3'000}; // an entry has this long to find other ways
+constexpr milliseconds countedTime{6'000};
+constexpr milliseconds recoveryTime{6'000};
+// The entries without paths serve at least so many of their first tries as the others of theirs, or
+// hardly any fail there.
+constexpr double leastShareOfOthers = 2.0 / 3;
+constexpr double toleratedFailures = 10;
+constexpr double toleratedFailureShare = 1.0 / 50; // of all first tries
+constexpr double leastShareAfterwards = 0.95;
+
+constexpr std::array paths = {"/stream/", "/post/", "/read/"};
+
+std::string describe(const std::string &who, std::uint64_t served, std::uint64_t sent)
+{
+    return who + " served " + std::to_string(served) + " of " + std::to_string(sent)
+           + " requests at the first attempt";
+}
+
+} // namespace
+
+PathLoss::PathLoss(asio::io_context &context, Settings chosen, Fleet &fleet,
+                   std::vector<Proxy *> endpointProxies, Ledger &ledger)
+    : context(context)
+    , settings(chosen)
+    , fleet(fleet)
+    , proxies(std::move(endpointProxies))
+    , ledger(ledger)
+{
+    for (std::size_t index = 0; index < this->fleet.size(); ++index) {
+        CallerSettings caller;
+        caller.seed = this->settings.seed * 1'000 + index;
+        caller.name = "p" + std::to_string(index);
+        caller.briefOnly = true;
+        this->people.push_back(std::make_unique<Caller>(this->context, caller, this->ledger));
+    }
+}
+
+// A connection is identified by its process, which is slow but works without privileges: all
+// processes have the same source address on loopback.
+LinkFault PathLoss::faultOf(const state::Address &caller) const
+{
+    const bool isCut = this->fleet.ownerOfSocket(caller, this->cut).has_value();
+    return isCut ? this->settings.fault : LinkFault::None;
+}
+
+asio::awaitable<void> PathLoss::callSteadily(std::size_t entry)
+{
+    std::size_t turn = entry;
+    while (!this->stopped) {
+        asio::co_spawn(this->context, this->callOnce(entry, paths[++turn % paths.size()]),
+                       asio::detached);
+        co_await transport::pause(callPause);
+    }
+}
+
+asio::awaitable<void> PathLoss::callOnce(std::size_t entry, std::string path)
+{
+    const bool counts = this->counting;
+    const bool served = co_await this->people[entry]->callAt(this->fleet.callers(entry), path);
+    if (!counts)
+        co_return;
+    Count &count = this->cut.contains(entry) ? this->countOfCut : this->countOfOthers;
+    ++count.sent;
+    count.served += served ? 1 : 0;
+}
+
+asio::awaitable<void> PathLoss::play()
+{
+    for (std::size_t entry = 0; entry < this->fleet.size(); ++entry) {
+        if (!this->fleet.isControl(entry))
+            asio::co_spawn(this->context, this->callSteadily(entry), asio::detached);
+    }
+    co_await transport::pause(calmTime);
+    for (std::size_t index = 0; index < this->fleet.size(); ++index) {
+        if (!this->fleet.isControl(index) && this->cut.size() < this->settings.cutOff)
+            this->cut.insert(index);
+    }
+    for (Proxy *proxy : this->proxies)
+        proxy->setFaultOf([this](const state::Address &caller) { return this->faultOf(caller); });
+    co_await transport::pause(contactTime);
+    this->counting = true;
+    co_await transport::pause(countedTime);
+    this->counting = false;
+    co_await transport::pause(lastAnswer);
+    this->judge();
+    for (Proxy *proxy : this->proxies) {
+        proxy->setFaultOf({});
+        proxy->resetAll();
+    }
+    co_await transport::pause(recoveryTime);
+    this->countOfCut = {};
+    this->countOfOthers = {};
+    this->counting = true;
+    co_await transport::pause(calmTime);
+    this->stopped = true;
+    co_await transport::pause(lastAnswer);
+    if (this->countOfCut.share() < leastShareAfterwards)
+        this->ledger.broken("with their paths back: "
+                            + describe("entries that had none", this->countOfCut.served,
+                                       this->countOfCut.sent));
+}
+
+void PathLoss::judge() const
+{
+    const Count &ours = this->countOfCut;
+    const Count &others = this->countOfOthers;
+    const std::string seen = describe("entries without paths", ours.served, ours.sent) + ", "
+                             + describe("the others", others.served, others.sent);
+    std::cout << "  " << seen << '\n';
+    const auto failed = double(ours.sent - ours.served);
+    const auto all = double(ours.sent + others.sent);
+    const bool few = failed <= toleratedFailures + all * toleratedFailureShare;
+    if (ours.share() < others.share() * leastShareOfOthers && !few)
+        this->ledger.broken(seen);
+}
+
+} // namespace lavenderthread::soak
--- a/soak/Proxy.cpp
+++ b/soak/Proxy.cpp
@@ -17,6 +17,8 @@
 
 constexpr std::chrono::milliseconds delay{40};
 constexpr std::chrono::milliseconds silenceStep{20};
+// A proxy acknowledges bytes that a lost link would not; by then the sender's TCP gives up.
+constexpr std::chrono::milliseconds unacknowledgedTime{1'500};
 constexpr std::size_t pieceBytes = 16U << 10U;
 
 tcp::endpoint endpointOf(const state::Address &address)
@@ -24,6 +26,13 @@
     return {asio::ip::make_address(address.ip), address.port};
 }
 
+state::Address peerOf(const tcp::socket &socket)
+{
+    boost::system::error_code ignored;
+    const tcp::endpoint peer = socket.remote_endpoint(ignored);
+    return {peer.address().to_string(), peer.port()};
+}
+
 } // namespace
 
 struct Proxy::Pair
@@ -42,6 +51,7 @@
 
     tcp::socket caller;
     tcp::socket endpoint;
+    LinkFault fault = LinkFault::None; // of this connection only
     int directions = 2;
 };
 
@@ -73,9 +83,11 @@
                 co_await this->acceptor.async_accept(asio::as_tuple(asio::use_awaitable));
         if (problem)
             co_return;
-        if (this->fault == LinkFault::Refused)
+        const LinkFault own = this->faultOf ? this->faultOf(peerOf(socket)) : LinkFault::None;
+        if (this->fault == LinkFault::Refused || own == LinkFault::Refused)
             continue;
         const auto pair = std::make_shared<Pair>(std::move(socket), this->context);
+        pair->fault = own;
         const tcp::endpoint to = endpointOf(this->target);
         auto [unreachable] =
                 co_await pair->endpoint.async_connect(to, asio::as_tuple(asio::use_awaitable));
@@ -97,6 +109,10 @@
                                                              asio::as_tuple(asio::use_awaitable));
         if (problem)
             break;
+        if (pair->fault == LinkFault::Unreachable) {
+            co_await transport::pause(unacknowledgedTime);
+            break;
+        }
         if (this->fault == LinkFault::Delayed)
             co_await transport::pause(delay);
         while (this->fault == LinkFault::Silent
--- a/soak/Proxy.h
+++ b/soak/Proxy.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <set>
 
@@ -17,6 +18,7 @@
     None,
     Delayed,       // every piece comes later
     Silent,        // nothing passes either way, connections stay open
+    Unreachable,   // nothing passes, and connections end once their bytes stay unacknowledged
     SilentAnswers, // only what the target sends is held
     Refused,       // new connections are closed at once
 };
@@ -28,6 +30,9 @@
 
     void start();
     void setFault(LinkFault next) { this->fault = next; }
+    // Faults of single connections, by the address that they come from; an empty function: none.
+    using FaultOf = std::function<LinkFault(const state::Address &)>;
+    void setFaultOf(FaultOf next) { this->faultOf = std::move(next); }
     void resetAll(); // open connections
 
 private:
@@ -40,6 +45,7 @@
     boost::asio::ip::tcp::acceptor acceptor;
     state::Address target;
     LinkFault fault = LinkFault::None;
+    FaultOf faultOf;
     std::set<std::shared_ptr<Pair>> pairs;
 };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,9 +1,11 @@
 // Runs one seed: a small fleet of real processes, endpoints, callers and an operator, faults for so
 // many seconds, then a calm end in which everything has to work again.
-// usage: fault-soak --binary PATH --folder PATH [--seed N] [--seconds N]
+// With --path-loss, plays that scenario in place of the faults.
+// usage: fault-soak --binary PATH --folder PATH [--seed N] [--seconds N] [--path-loss hang|reset]
 #include "Callers.h"
 #include "Faults.h"
 #include "Operator.h"
+#include "PathLoss.h"
 
 #include "program/Clock.h"
 #include "transport/Await.h"
@@ -31,9 +33,13 @@
     std::string folder;
     std::uint64_t seed = 1;
     unsigned seconds = 15;
+    std::string pathLoss; // how connections of cut-off entries fail; empty: not played
 };
 
 constexpr std::size_t callers = 6;
+constexpr std::size_t entries = 4;
+constexpr std::size_t entriesForPathLoss = 6;
+constexpr std::size_t entriesCutOff = 3;
 constexpr std::size_t engines = 4;
 constexpr std::size_t replicas = 3;
 constexpr milliseconds callPause{40};
@@ -54,10 +60,11 @@
 {
 public:
     explicit Soak(const Options &options)
-        : fleet({options.binary, options.folder, 3, 4, std::uint32_t(changeInForce.count()),
-                 portOf(options.seed)})
+        : options(options)
+        , fleet({options.binary, options.folder, 3,
+                 options.pathLoss.empty() ? entries : entriesForPathLoss,
+                 std::uint32_t(changeInForce.count()), portOf(options.seed)})
         , operators(this->context, this->fleet.allOperators(), this->ledger, options.seed)
-        , seconds(options.seconds)
         , port(portOf(options.seed))
     {
         this->makeEndpoints(options.seed);
@@ -143,14 +150,46 @@
     }
 
     asio::awaitable<void> play()
+    {
+        if (!this->options.pathLoss.empty())
+            co_await this->playPathLoss();
+        else
+            co_await this->playFaults();
+    }
+
+    asio::awaitable<void> playPathLoss()
+    {
+        const bool started = co_await this->startFleet();
+        if (!started)
+            co_return;
+        PathLoss::Settings settings;
+        settings.fault =
+                this->options.pathLoss == "reset" ? LinkFault::Refused : LinkFault::Unreachable;
+        settings.cutOff = entriesCutOff;
+        settings.seed = this->options.seed;
+        std::vector<Proxy *> links; // those before the endpoints come first
+        for (std::size_t index = 0; index < engines + replicas; ++index)
+            links.push_back(this->proxies[index].get());
+        PathLoss scenario(this->context, settings, this->fleet, std::move(links), this->ledger);
+        co_await scenario.play();
+    }
+
+    // Starts all processes and sends the first configuration.
+    asio::awaitable<bool> startFleet()
     {
         for (std::size_t index = 0; index < this->fleet.size(); ++index)
             this->fleet.start(index);
         const bool configured = co_await this->operators.send(milliseconds(15'000));
-        if (!configured) {
+        if (!configured)
             this->ledger.broken("the first configuration was not accepted in 15 s");
+        co_return configured;
+    }
+
+    asio::awaitable<void> playFaults()
+    {
+        const bool started = co_await this->startFleet();
+        if (!started)
             co_return;
-        }
         for (const auto &person : this->people)
             asio::co_spawn(this->context, person->callForEver(callPause), asio::detached);
         const auto whileHeld = [this](std::uint64_t version) {
@@ -161,7 +200,7 @@
         asio::co_spawn(this->context, this->operators.readForEver(readPause), asio::detached);
         co_await transport::pause(milliseconds(1'500));
         asio::co_spawn(this->context, this->faults->strikeForEver(faultPause), asio::detached);
-        co_await transport::pause(std::chrono::seconds(this->seconds));
+        co_await transport::pause(std::chrono::seconds(this->options.seconds));
         co_await this->faults->heal();
         co_await transport::pause(recoveryTime);
         co_await this->checkCalmEnd();
@@ -228,6 +267,7 @@
         }
     }
 
+    const Options options;
     asio::io_context context{1};
     Ledger ledger;
     Fleet fleet;
@@ -237,7 +277,6 @@
     std::map<state::Address, state::Address> proxyOf; // of an entry's callers
     std::unique_ptr<Faults> faults;
     Operator operators;
-    unsigned seconds;
     std::uint16_t port;
 };
 
@@ -252,6 +291,8 @@
             ->required();
     app.add_option("--seed", options.seed, "Of the faults and the load");
     app.add_option("--seconds", options.seconds, "How long faults strike");
+    app.add_option("--path-loss", options.pathLoss, "Cut entries off from endpoints: hang, reset")
+            ->check(CLI::IsMember({"hang", "reset"}));
     CLI11_PARSE(app, argc, argv);
     std::cout << "seed " << options.seed << '\n';
     Soak soak(options);
