--- a/src/coordination/directory/RelayDirectory.cpp
+++ b/src/coordination/directory/RelayDirectory.cpp
@@ -18,15 +18,37 @@
            && record.phase == membership::MemberPhase::Serving && record.ready;
 }
 
-std::vector<state::Address> addressesOf(const membership::MemberTable &members,
-                                        const std::function<bool(const MemberEntry &)> &accept)
+using Accept = std::function<bool(const MemberEntry &)>;
+using Members = std::vector<const MemberEntry *>;
+
+Members relaysOf(const membership::MemberTable &members, const Accept &accept)
 {
-    std::vector<state::Address> addresses;
+    Members found;
     for (const auto &[id, entry] : members.entries()) {
         if (isRelay(entry) && accept(entry))
-            addresses.push_back(entry.record.description->relay);
+            found.push_back(&entry);
     }
-    return addresses;
+    return found;
+}
+
+bool isAlive(const MemberEntry &entry)
+{
+    return entry.record.health == membership::MemberHealth::Alive;
+}
+
+bool hasPaths(const MemberEntry &entry)
+{
+    return isAlive(entry) && entry.record.reachesEndpoints;
+}
+
+// The accepted ones in that failure domain, or all accepted ones if these are too few.
+Members nearbyRelays(const membership::MemberTable &members, const state::FailureDomain &domain,
+                     const Accept &accept)
+{
+    const Members nearby = relaysOf(members, [&](const MemberEntry &entry) {
+        return accept(entry) && entry.record.description->failureDomain == domain;
+    });
+    return nearby.size() < minimumNearbyRelays ? relaysOf(members, accept) : nearby;
 }
 
 } // namespace
@@ -34,18 +56,31 @@
 std::vector<state::Address> relayAddresses(const membership::MemberTable &members,
                                            const state::FailureDomain &callers)
 {
-    const auto isAlive = [](const MemberEntry &entry) {
-        return entry.record.health == membership::MemberHealth::Alive;
-    };
-    const auto isInDomain = [&](const MemberEntry &entry) {
-        return isAlive(entry) && entry.record.description->failureDomain == callers;
-    };
-    std::vector<state::Address> found = addressesOf(members, isInDomain);
-    if (found.size() < minimumNearbyRelays)
-        found = addressesOf(members, isAlive);
+    Members found = nearbyRelays(members, callers, hasPaths);
     if (found.empty())
-        found = addressesOf(members, [](const MemberEntry &) { return true; });
-    return found;
+        found = nearbyRelays(members, callers, isAlive);
+    if (found.empty())
+        found = relaysOf(members, [](const MemberEntry &) { return true; });
+    std::vector<state::Address> addresses;
+    for (const MemberEntry *entry : found)
+        addresses.push_back(entry->record.description->relay);
+    return addresses;
+}
+
+std::vector<state::Address> relayPeers(const membership::MemberTable &members,
+                                       const state::VmId &self)
+{
+    const MemberEntry *own = members.find(self);
+    if (own == nullptr || own->record.description == nullptr)
+        return {};
+    const Accept isPeer = [&](const MemberEntry &entry) {
+        return hasPaths(entry) && entry.record.id != self;
+    };
+    std::vector<state::Address> addresses;
+    for (const MemberEntry *peer :
+         nearbyRelays(members, own->record.description->failureDomain, isPeer))
+        addresses.push_back(peer->record.description->caller);
+    return addresses;
 }
 
 } // namespace lavenderthread::coordination::directory
--- a/src/coordination/directory/RelayDirectory.h
+++ b/src/coordination/directory/RelayDirectory.h
@@ -8,9 +8,15 @@
 namespace lavenderthread::coordination::directory {
 
 // Returns the relay addresses of ready members: those in the callers' failure domain if there are
-// enough of them to tolerate the loss of one, otherwise all. Suspect members are returned only if
-// there are no others, because a caller that connects to a dead node loses a second.
+// enough of them to tolerate the loss of one, otherwise all. Members without paths to endpoints are
+// returned only if all are without, and suspect members only if there are no others, because a
+// caller that connects to a dead node loses a second.
 std::vector<state::Address> relayAddresses(const membership::MemberTable &members,
                                            const state::FailureDomain &callers);
 
+// Returns the entry addresses of the other ready relays that reach endpoints, for requests that
+// `self` can't send itself; those in its failure domain if there are enough of them, otherwise all.
+std::vector<state::Address> relayPeers(const membership::MemberTable &members,
+                                       const state::VmId &self);
+
 } // namespace lavenderthread::coordination::directory
--- a/src/coordination/membership/Member.cpp
+++ b/src/coordination/membership/Member.cpp
@@ -24,7 +24,7 @@
 
 std::size_t wireBytes(const MemberRecord &record)
 {
-    constexpr std::size_t fixedRecordBytes = 18;
+    constexpr std::size_t fixedRecordBytes = 19;
     constexpr std::size_t fixedDescriptionBytes = 15;
     const std::size_t bytes = fixedRecordBytes + record.id.value().size();
     if (!record.description)
--- a/src/coordination/membership/Member.h
+++ b/src/coordination/membership/Member.h
@@ -45,6 +45,8 @@
     MemberPhase phase = MemberPhase::Joining;
     MemberHealth health = MemberHealth::Alive;
     bool ready = false; // its table is fresh and it admits work, as the member reports
+    // It has paths to endpoints, as the member reports. One without still serves, through others.
+    bool reachesEndpoints = true;
     std::shared_ptr<const MemberDescription> description; // null in the short form
 
     bool isLive() const
--- a/src/coordination/membership/Membership.cpp
+++ b/src/coordination/membership/Membership.cpp
@@ -280,9 +280,11 @@
 {
     GossipActions actions;
     MemberRecord own = this->selfRecord();
-    if (next.phase != own.phase || next.ready != own.ready) {
+    if (next.phase != own.phase || next.ready != own.ready
+        || next.reachesEndpoints != own.reachesEndpoints) {
         own.phase = next.phase;
         own.ready = next.ready;
+        own.reachesEndpoints = next.reachesEndpoints;
         ++own.version;
         this->updateSelfRecord(own, actions, now);
     }
--- a/src/coordination/membership/Membership.h
+++ b/src/coordination/membership/Membership.h
@@ -49,6 +49,7 @@
     bool ready = false;
     std::uint64_t tableVersion = 0;
     std::uint8_t load = 0;
+    bool reachesEndpoints = true;
 
     bool operator==(const SelfState &) const = default;
 };
--- a/src/coordination/routing/EndpointHealth.cpp
+++ b/src/coordination/routing/EndpointHealth.cpp
@@ -23,8 +23,15 @@
     if (incarnation < recent.incarnation)
         return false; // the endpoint has restarted since
     if (incarnation > recent.incarnation)
-        recent = RecentOutcomes{incarnation, 0, 0, now, {}, this->settings.initialSuspicion};
+        recent = RecentOutcomes{incarnation, 0, 0, now, {}, this->settings.initialSuspicion, false};
     this->decay(recent, now);
+    if (outcome == AttemptOutcome::Reachable) {
+        if (recent.unreachable && now < recent.suspectUntil) {
+            recent.suspectUntil = now;
+            recent.nextSuspicion = this->settings.initialSuspicion;
+        }
+        return false;
+    }
     if (outcome == AttemptOutcome::Succeeded) {
         recent.succeeded += 1;
         // Only a success after the suspicion has ended resets its duration, since an attempt may
@@ -36,6 +43,7 @@
     if (outcome == AttemptOutcome::Replaced) {
         const state::Instant until = now + this->settings.suspicionIfReplaced;
         const bool known = recent.suspectUntil > now + this->settings.maximumSuspicion;
+        recent.unreachable = false;
         recent.suspectUntil = std::max(recent.suspectUntil, until);
         return !known;
     }
@@ -46,6 +54,7 @@
                                    && share >= this->settings.minimumFailureShare;
     if (wasSuspect || (outcome != AttemptOutcome::Unreachable && !exceedsThresholds))
         return false;
+    recent.unreachable = outcome == AttemptOutcome::Unreachable;
     this->markSuspect(recent, now);
     return true;
 }
--- a/src/coordination/routing/EndpointHealth.h
+++ b/src/coordination/routing/EndpointHealth.h
@@ -15,6 +15,7 @@
     Failed,      // refused, cut off, timed out, or answered with a failure
     Unreachable, // no connection
     Replaced,    // another endpoint answers at its address: this incarnation has ended
+    Reachable,   // takes connections again: ends a suspicion that failed connections began
 };
 
 struct EndpointHealthSettings
@@ -56,6 +57,7 @@
         state::Instant decayedAt;
         state::Instant suspectUntil;
         state::Duration nextSuspicion{0};
+        bool unreachable = false; // the suspicion began with a failed connection
     };
 
     void decay(RecentOutcomes &recent, state::Instant now) const;
--- a/src/coordination/routing/ReplicaChooser.cpp
+++ b/src/coordination/routing/ReplicaChooser.cpp
@@ -72,6 +72,11 @@
     return suspected;
 }
 
+void ReplicaChooser::reached(const state::EndpointDescription &replica, state::Instant now)
+{
+    this->health.recordAttempt(replica.id, replica.incarnation, AttemptOutcome::Reachable, now);
+}
+
 void ReplicaChooser::loadReported(const state::EndpointId &replica, const ReplicaLoad &load,
                                   state::Instant now)
 {
--- a/src/coordination/routing/ReplicaChooser.h
+++ b/src/coordination/routing/ReplicaChooser.h
@@ -48,6 +48,8 @@
     // Returns true if the outcome made the replica suspect.
     bool callEnded(const state::EndpointDescription &replica, AttemptOutcome outcome,
                    state::Instant now);
+    // A probe has reached the replica.
+    void reached(const state::EndpointDescription &replica, state::Instant now);
     void loadReported(const state::EndpointId &replica, const ReplicaLoad &load,
                       state::Instant now);
 
--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -167,15 +167,10 @@
     asio::post(this->strand, [self = this->shared_from_this()] { self->newsSocket->close(); });
 }
 
-void Cluster::setPhase(membership_::MemberPhase phase, bool ready, std::uint64_t tableVersion)
+void Cluster::setSelf(const membership_::SelfState &self)
 {
-    if (!this->membership)
-        return;
-    membership_::SelfState self;
-    self.phase = phase;
-    self.ready = ready;
-    self.tableVersion = tableVersion;
-    this->membership->setSelf(self);
+    if (this->membership)
+        this->membership->setSelf(self);
 }
 
 DirectoryAnswer Cluster::directory(const state::ClientAccountId &account) const
@@ -251,6 +246,14 @@
     return coordination::directory::relayAddresses(*this->membership->view()->members, callers);
 }
 
+std::vector<state::Address> Cluster::relayPeers() const
+{
+    if (!this->membership)
+        return {};
+    return coordination::directory::relayPeers(*this->membership->view()->members,
+                                               this->settings.vm);
+}
+
 std::vector<ControlMemberAddress> Cluster::controlMembers() const
 {
     std::vector<ControlMemberAddress> found;
--- a/src/program/Cluster.h
+++ b/src/program/Cluster.h
@@ -53,8 +53,7 @@
     void start();
     void stop();
     // Sets what this entry tells the others about itself. Any thread.
-    void setPhase(coordination::membership::MemberPhase phase, bool ready,
-                  std::uint64_t tableVersion);
+    void setSelf(const coordination::membership::SelfState &self);
 
     DirectoryAnswer directory(const state::ClientAccountId &account) const;
     boost::asio::awaitable<state::Result<AnnounceAnswer>>
@@ -67,6 +66,8 @@
                                                          std::optional<std::uint64_t> incarnation);
     // Addresses of relay nodes for callers in that failure domain.
     std::vector<state::Address> relays(const state::FailureDomain &callers) const;
+    // Entry addresses of relays that reach the endpoints; see directory::relayPeers.
+    std::vector<state::Address> relayPeers() const;
     // The control members that are believed to be alive; those of the settings if there are none.
     std::vector<ControlMemberAddress> controlMembers() const;
     std::vector<coordination::consensus::MemberCandidate> controlCandidates() const;
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -42,6 +42,7 @@
 {
     switch (outcome) {
     case AttemptOutcome::Succeeded:
+    case AttemptOutcome::Reachable:
         break;
     case AttemptOutcome::Failed:
         return "failures";
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -80,6 +80,12 @@
 void countRelay(Metrics &metrics, const RelayOutcome &outcome)
 {
     constexpr double microseconds = 1e6;
+    if (!outcome.forPeer.empty()) {
+        metrics.count("relay_for_peers_total{status=\"" + std::to_string(outcome.status) + "\"}");
+        return; // the peer that took the request counts it
+    }
+    if (outcome.via.port != 0)
+        metrics.count("relay_through_peers_total");
     const std::string route = "{route=\"" + outcome.route + "\"}";
     metrics.count("relay_requests_total{route=\"" + outcome.route + "\",status=\""
                   + std::to_string(outcome.status) + "\"}");
@@ -109,6 +115,8 @@
               {"attempts", outcome.attempts},
               {"address", outcome.address.toString()},
               {"helpers", joinAddresses(outcome.helpers)},
+              {"via", outcome.via.port == 0 ? std::string() : outcome.via.toString()},
+              {"for_peer", outcome.forPeer},
               {"resumed", outcome.resumed ? "yes" : "no"},
               {"first_us", std::int64_t(outcome.firstAnswer.count())},
               {"predicted_first_us", std::int64_t(outcome.predictedFirst.count())},
@@ -246,6 +254,7 @@
         hooks.profilesChanged = [this](auto profiles) {
             this->policy->setProfiles(std::move(profiles));
         };
+        hooks.pathsChanged = [this] { this->publishPhase(); };
         hooks.finished = [this](const RelayOutcome &outcome) {
             countRelay(this->metrics, outcome);
             logRelay(outcome);
@@ -396,13 +405,22 @@
         const bool configured = !this->front || this->front->hasConfiguration();
         const bool ready = phase == MemberPhase::Serving && configured
                            && (!this->client || this->client->mayAdmit());
-        this->cluster->setPhase(phase, ready, this->client ? this->client->view()->version : 0);
+        coordination::membership::SelfState self;
+        self.phase = phase;
+        self.ready = ready;
+        self.reachesEndpoints = !this->front || !this->front->isCutOff();
+        self.tableVersion = this->client ? this->client->view()->version : 0;
+        this->cluster->setSelf(self);
     }
 
     asio::awaitable<bool> controlRoutes(transport::HttpExchange &exchange,
                                         const AccountSetting *account)
     {
         const std::string path(exchange.request().path());
+        if (path == protocol::peerRelayPath && this->front) {
+            co_await this->front->runForPeer(exchange);
+            co_return true;
+        }
         if (path == "/v1/peer/control" && this->control) {
             co_await answerControlCall(*this->control, this->settings.keys, exchange);
             co_return true;
@@ -476,6 +494,8 @@
         });
         this->metrics.gauge("endpoints_known",
                             [this] { return double(this->cluster->endpointsKnown()); });
+        this->metrics.gauge("reaches_endpoints",
+                            [this] { return this->front && this->front->isCutOff() ? 0.0 : 1.0; });
         this->metrics.gauge("news_datagrams_lost",
                             [this] { return double(this->cluster->newsLost()); });
         transport::HttpServer::Hooks hooks;
--- a/src/program/RelayCodec.h
+++ b/src/program/RelayCodec.h
@@ -85,6 +85,8 @@
                                      const state::RequestId &)>
             readHead;
     std::function<protocol::HttpResponse(const RelayRefusal &)> refuse;
+    // A request that an endpoint of the service answers without delay and without running anything.
+    std::function<protocol::HttpRequest(const state::routes::ServiceProfile &)> probe;
     MemoryReservationCodec memory;
 };
 
--- a/src/program/RelayListeners.cpp
+++ b/src/program/RelayListeners.cpp
@@ -60,23 +60,63 @@
 
 } // namespace
 
-RelayListeners::RelayListeners(const Settings &settings, Hooks chosenHooks)
+RelayListeners::RelayListeners(const Settings &settings, asio::io_context &context,
+                               Hooks chosenHooks)
     : settings(settings)
     , hooks(std::move(chosenHooks))
-    , relay(settings,
-            {this->hooks.deployment.relay, this->hooks.scheduler, this->hooks.endpoints,
-             [this] { return this->routes.read(); },
-             [this] { return this->hooks.client->standing(); },
-             [this] { return this->refusing.load(); }, this->hooks.finished},
+    , paths(std::make_shared<PathMonitor>(context, this->pathHooks()))
+    , relay(settings, this->relayHooks(),
             XXH3_64bits(settings.vm.value().data(), settings.vm.value().size())
                     ^ static_cast<std::uint64_t>(wallNow().time_since_epoch().count()))
     , operatorApi(this->makeOperatorApi())
 {}
 
+RouteRelay::Hooks RelayListeners::relayHooks()
+{
+    RouteRelay::Hooks relayHooks;
+    relayHooks.codec = this->hooks.deployment.relay;
+    relayHooks.scheduler = this->hooks.scheduler;
+    relayHooks.endpoints = this->hooks.endpoints;
+    relayHooks.routes = [this] { return this->routes.read(); };
+    relayHooks.standing = [this] { return this->hooks.client->standing(); };
+    relayHooks.refuses = [this] { return this->refusing.load(); };
+    relayHooks.peers = [this] { return this->hooks.cluster->relayPeers(); };
+    relayHooks.isPathLost = [this](const state::ServiceName &service) {
+        return this->paths->isLost(service);
+    };
+    relayHooks.recordPath = [this](const state::EndpointDescription &endpoint,
+                                   coordination::routing::PathOutcome outcome) {
+        this->paths->record(endpoint, outcome);
+    };
+    relayHooks.finished = this->hooks.finished;
+    return relayHooks;
+}
+
+PathMonitor::Hooks RelayListeners::pathHooks()
+{
+    PathMonitor::Hooks pathHooks;
+    pathHooks.endpoints = this->hooks.endpoints;
+    pathHooks.probeRequest = [this](const state::EndpointDescription &endpoint)
+            -> std::optional<protocol::HttpRequest> {
+        const auto table = this->routes.read();
+        const state::routes::ServiceProfile *service = table->service(endpoint.service);
+        if (service == nullptr)
+            return std::nullopt;
+        return this->hooks.deployment.relay.probe(*service);
+    };
+    pathHooks.reached = [this](const state::EndpointDescription &endpoint) {
+        this->hooks.scheduler.noteHealth(endpoint,
+                                         coordination::routing::AttemptOutcome::Reachable);
+        this->relay.endpointReached(endpoint);
+    };
+    pathHooks.changed = this->hooks.pathsChanged;
+    return pathHooks;
+}
+
 state::Result<std::shared_ptr<RelayListeners>>
 RelayListeners::create(const Settings &settings, asio::io_context &context, Hooks hooks)
 {
-    std::shared_ptr<RelayListeners> front(new RelayListeners(settings, std::move(hooks)));
+    std::shared_ptr<RelayListeners> front(new RelayListeners(settings, context, std::move(hooks)));
     BOOST_OUTCOME_TRYV(front->listen(context));
     return front;
 }
--- a/src/program/RelayListeners.h
+++ b/src/program/RelayListeners.h
@@ -5,6 +5,7 @@
 
 #include "program/Cluster.h"
 #include "program/ControlClient.h"
+#include "program/PathMonitor.h"
 #include "program/RelayCodec.h"
 #include "program/RouteRelay.h"
 #include "program/Settings.h"
@@ -34,6 +35,7 @@
         // Called with the services' engine profiles whenever a configuration comes into force.
         std::function<void(std::map<state::ServiceName, state::routes::EngineProfile>)>
                 profilesChanged;
+        std::function<void()> pathsChanged; // isCutOff() has another result
         std::function<void(const RelayOutcome &)> finished;
     };
 
@@ -45,6 +47,13 @@
     // Applies a newer view of the control state.
     void viewChanged(const state::control::ControlView &view);
     bool hasConfiguration() const { return this->configured; }
+    // Whether this node reaches no endpoint. It then serves requests through its peers.
+    bool isCutOff() const { return this->paths->isCutOff(); }
+    // Answers a request that a peer without paths to the service has handed over.
+    boost::asio::awaitable<void> runForPeer(transport::HttpExchange &exchange)
+    {
+        return this->relay.runForPeer(exchange);
+    }
 
     // Shutdown in three steps: close each connection after its next answer and report not ready,
     // refuse new requests, and stop accepting connections.
@@ -54,8 +63,10 @@
     std::size_t inFlight() const { return this->relay.inFlight(); }
 
 private:
-    RelayListeners(const Settings &settings, Hooks hooks);
+    RelayListeners(const Settings &settings, boost::asio::io_context &context, Hooks hooks);
 
+    RouteRelay::Hooks relayHooks();
+    PathMonitor::Hooks pathHooks();
     state::Result<void> listen(boost::asio::io_context &context);
     OperatorApi makeOperatorApi();
     boost::asio::awaitable<state::Result<std::uint64_t>>
@@ -67,6 +78,7 @@
     std::atomic<bool> configured = false;
     std::atomic<bool> leaving = false;
     std::atomic<bool> refusing = false;
+    std::shared_ptr<PathMonitor> paths; // before `relay`, whose hooks use it
     RouteRelay relay;
     OperatorApi operatorApi;
     std::shared_ptr<transport::HttpServer> relayServer;
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -21,7 +21,9 @@
 using coordination::relay::CallState;
 using coordination::relay::FinalAnswer;
 using coordination::routing::AttemptOutcome;
+using coordination::routing::PathOutcome;
 using coordination::routing::ReplicaCandidate;
+using protocol::PeerResult;
 using state::routes::CallKind;
 using state::routes::Route;
 using state::routes::RouteTable;
@@ -49,6 +51,7 @@
 constexpr milliseconds longestRetryAfter{5'000};
 // An endpoint in the same region accepts within a few milliseconds; a lost packet adds a second.
 constexpr milliseconds connectTimeout{700};
+constexpr milliseconds peerConnectTimeout{300}; // entries are as near as endpoints
 // If sent bytes stay unacknowledged for this long, the endpoint's machine is considered lost.
 constexpr milliseconds unacknowledgedTimeout{1'500};
 
@@ -64,6 +67,7 @@
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusMultipleChoices = 300;
 constexpr unsigned statusServerError = 500;
+constexpr unsigned statusUnavailable = 503;
 
 bool isSuccess(unsigned status)
 {
@@ -102,35 +106,51 @@
 class RelayedCall
 {
 public:
-    RelayedCall(RouteRelay &relay, transport::HttpExchange &exchange)
+    // `handed`: the request that a peer has handed over in this exchange.
+    RelayedCall(RouteRelay &relay, transport::HttpExchange &exchange,
+                std::optional<protocol::RelayedRequest> handed = std::nullopt)
         : relay(relay)
         , hooks(relay.hooks)
         , exchange(exchange)
+        , handed(std::move(handed))
         , routes(relay.hooks.routes())
-        , arrival(monotonicNow())
+        , arrival(monotonicNow() - (this->handed ? this->handed->age : milliseconds(0)))
     {}
 
     asio::awaitable<RelayOutcome> run()
     {
         this->exchange.onCallerGone([this] { this->callerDisconnected(); });
         const bool accepted = co_await this->accept();
-        if (accepted) {
-            if (this->routes->service(this->outcome.service)->engine)
-                co_await this->runOnEngines();
-            else
-                co_await this->runOnReplicas();
-        }
+        if (accepted)
+            co_await this->runAccepted();
         this->outcome.total = monotonicNow() - this->arrival;
         co_return this->outcome;
     }
 
 private:
+    asio::awaitable<void> runAccepted()
+    {
+        const bool done = co_await this->runThroughPeersIfPathLost();
+        if (done)
+            co_return;
+        if (this->routes->service(this->outcome.service)->engine)
+            co_await this->runOnEngines();
+        else
+            co_await this->runOnReplicas();
+    }
+
+    const protocol::HttpRequest &callerRequest() const
+    {
+        return this->handed ? this->handed->request : this->exchange.request();
+    }
+
     // Determines route, account and deadline. False if the request was refused and answered.
     asio::awaitable<bool> accept()
     {
         co_await this->waitForConfiguration();
         this->outcome.configuration = this->routes->version();
-        std::optional<RelayRefusal> refusal = this->refusalAtArrival();
+        std::optional<RelayRefusal> refusal =
+                this->handed ? this->refusalForPeer() : this->refusalAtArrival();
         if (!refusal)
             co_return true;
         co_await this->refuse(std::move(*refusal));
@@ -155,6 +175,40 @@
         co_await this->waitFor(ready, configurationWait);
     }
 
+    // The peer has decided what the configuration allows. A refusal here sends it to another one.
+    std::optional<RelayRefusal> refusalForPeer()
+    {
+        this->refusalResult = PeerResult::Elsewhere;
+        auto decoded = this->hooks.codec.decode(this->handed->request);
+        if (!decoded)
+            return RelayRefusal{503, decoded.error().cause, std::nullopt};
+        this->request = std::move(decoded.value());
+        this->outcome.id = this->request.id;
+        this->outcome.promptTokens = this->request.promptTokens;
+        this->outcome.forPeer = this->exchange.peer();
+        this->outcome.route = this->handed->route;
+        this->outcome.account = this->handed->account;
+        this->outcome.service = this->handed->service;
+        if (this->hooks.refuses())
+            return RelayRefusal{503, "this node is leaving", retryElsewhere};
+        if (this->routes->service(this->outcome.service) == nullptr)
+            return RelayRefusal{503, "the service is not known here", retryWithoutEndpoint};
+        if (this->hooks.isPathLost(this->outcome.service))
+            return RelayRefusal{503, "no path to the service either", retryWithoutEndpoint};
+        this->refusalResult = PeerResult::NotRun;
+        this->handedRoute.name = this->handed->route;
+        this->handedRoute.kind = this->handed->kind;
+        this->handedRoute.resumable = this->handed->resumable;
+        this->handedRoute.firstAnswerTarget = this->handed->firstAnswerTarget;
+        this->handedRoute.pauseTarget = this->handed->pauseTarget;
+        this->route = &this->handedRoute;
+        this->deadline = monotonicNow() + this->handed->timeLeft;
+        this->facts.repeatable = this->route->isRepeatable();
+        if (this->handed->resumeAfter)
+            this->events.resumeAfter(*this->handed->resumeAfter);
+        return std::nullopt;
+    }
+
     std::optional<RelayRefusal> refusalAtArrival()
     {
         auto decoded = this->hooks.codec.decode(this->exchange.request());
@@ -217,7 +271,11 @@
         PlacementResult placement =
                 co_await this->hooks.scheduler.place(std::move(scheduledRequest));
         if (!placement) {
-            co_await this->sendFinalAnswer(placement.error().detail, placement.error().retryAfter);
+            this->scheduled = false;
+            const bool done = co_await this->runThroughPeersIfPathLost();
+            if (!done)
+                co_await this->sendFinalAnswer(placement.error().detail,
+                                               placement.error().retryAfter);
             co_return;
         }
         std::uint32_t lastAttempt = 0;
@@ -232,6 +290,10 @@
             this->updateTimeIsOver();
             if (!coordination::relay::mayRetry(this->facts, end))
                 break;
+            if (this->shouldUsePeers()) {
+                co_await this->moveFromEngine(current, end);
+                co_return;
+            }
             this->running->renew();
             placement = co_await this->hooks.scheduler.placeAgain(this->request.id, current,
                                                                   this->failureOf(end));
@@ -247,6 +309,18 @@
         this->hooks.scheduler.finished(this->request.id, lastAttempt, this->outcome.whole);
     }
 
+    // Ends the request at the scheduler and goes on through peers.
+    asio::awaitable<void> moveFromEngine(Placement failed, AttemptResult end)
+    {
+        this->hooks.scheduler.noteHealth(failed.endpoint, healthOf(end, this->endpointReplaced));
+        this->hooks.scheduler.finished(this->request.id, failed.attempt, false);
+        this->scheduled = false;
+        const bool paid = this->facts.runs == 0 || this->takeRetryToken();
+        const bool done = paid && co_await this->runThroughPeersIfPathLost();
+        if (!done)
+            co_await this->sendFinalAnswer(this->outcome.reason, retryWithoutEndpoint);
+    }
+
     // Right after a start, the scheduler knows the configuration shortly before it knows the first
     // engine, and would refuse every request that arrives in between.
     asio::awaitable<void> waitForEngines()
@@ -333,6 +407,9 @@
             if (!coordination::relay::mayRetry(this->facts, end)
                 || !(tokenTaken || this->takeRetryToken()))
                 break;
+            const bool done = co_await this->runThroughPeersIfPathLost();
+            if (done)
+                co_return;
             this->running->renew();
         }
         co_await this->sendFinalAnswer(this->outcome.reason, retryWithoutEndpoint);
@@ -387,18 +464,76 @@
         this->facts.deadlinePassed = remaining(this->deadline) == milliseconds(0);
     }
 
+    bool shouldUsePeers() const
+    {
+        return !this->handed && this->hooks.isPathLost(this->outcome.service)
+               && !this->hooks.peers().empty();
+    }
+
+    // Whether the caller has been answered.
+    asio::awaitable<bool> runThroughPeersIfPathLost()
+    {
+        if (!this->shouldUsePeers())
+            co_return false;
+        co_return co_await this->runThroughPeers();
+    }
+
+    // False if no peer has taken the request.
+    asio::awaitable<bool> runThroughPeers()
+    {
+        bool taken = false;
+        for (const state::Address &peer : this->relay.shuffledPeers()) {
+            // A new one: the scheduler may still interrupt the attempt that was its own.
+            this->running = std::make_shared<RunningAttempt>();
+            auto exchanging = this->exchangeWithPeer(peer);
+            const AttemptResult end = co_await this->supervise(std::move(exchanging));
+            if (end == AttemptResult::Complete) {
+                const std::lock_guard lock(this->relay.choiceMutex);
+                this->relay.retryBudgetOf(this->outcome.service).addSuccess();
+                co_return true;
+            }
+            this->updateTimeIsOver();
+            taken = taken || this->peerHasTaken(end);
+            const bool mayRun = this->facts.runs > 0;
+            const bool refused = taken && !mayRun; // as the others would
+            const bool tokenTaken = std::exchange(this->retryTokenTaken, false);
+            if (refused || !coordination::relay::mayRetry(this->facts, end)
+                || (mayRun && !tokenTaken && !this->takeRetryToken()))
+                break;
+        }
+        if (!taken && this->facts.runs == 0 && !this->facts.deadlinePassed
+            && !this->facts.callerGone)
+            co_return false;
+        co_await this->sendFinalAnswer(this->outcome.reason, this->peerRetryAfter);
+        co_return true;
+    }
+
+    bool peerHasTaken(AttemptResult end) const
+    {
+        return end == AttemptResult::Lost || end == AttemptResult::Failed
+               || (end == AttemptResult::NotRun && this->peerResult == PeerResult::NotRun);
+    }
+
     // Sends the request to one endpoint and counts in `facts` whether it may have run there.
     asio::awaitable<AttemptResult> attempt(Target target)
     {
-        ++this->outcome.attempts;
         this->outcome.endpoint = target.endpoint.id;
         this->outcome.address = target.endpoint.address;
+        this->outcome.via = {};
         this->outcome.helpers.clear();
         for (const HelperTarget &helper : target.helpers)
             this->outcome.helpers.push_back(helper.address);
+        auto exchanging = this->exchangeWith(std::move(target));
+        co_return co_await this->supervise(std::move(exchanging));
+    }
+
+    // Runs one attempt with an inactivity timeout, if it may be abandoned, and counts its result.
+    asio::awaitable<AttemptResult> supervise(asio::awaitable<AttemptResult> exchanging)
+    {
+        ++this->outcome.attempts;
         this->outcome.resumed = this->events.passedEvents() > 0;
         this->startInactivityTimeout();
-        const AttemptResult end = co_await this->exchangeWith(std::move(target));
+        const AttemptResult end = co_await std::move(exchanging);
         if (this->inactivityTimeout)
             this->inactivityTimeout->stop();
         if (this->inactivityTimeout && this->inactivityTimeout->hasTimedOut())
@@ -430,18 +565,15 @@
         terms.priority = target.priority;
         terms.helpers = target.helpers;
         terms.resumeAfter = this->events.lastId();
-        protocol::HttpRequest forwarded =
-                this->hooks.codec.forward(this->exchange.request(), terms);
-        transport::HttpCallLimits limits;
-        limits.connectTimeout = std::min(connectTimeout, left);
-        limits.unacknowledgedTimeout = unacknowledgedTimeout;
-        limits.timeout = left;
-        transport::BeforeSend noBeforeSend;
-        auto opened = co_await transport::openHttpStream(
-                this->exchange.executor(), target.endpoint.address, std::move(forwarded), limits,
-                noBeforeSend, this->running->handle);
-        if (!opened)
+        protocol::HttpRequest forwarded = this->hooks.codec.forward(this->callerRequest(), terms);
+        auto opened = co_await this->open(target.endpoint.address, std::move(forwarded),
+                                          std::min(connectTimeout, left));
+        if (!opened) {
+            if (isPathFailure(opened.error()))
+                this->hooks.recordPath(target.endpoint, PathOutcome::Unreachable);
             co_return this->openFailed(opened.error());
+        }
+        this->hooks.recordPath(target.endpoint, PathOutcome::Reached);
         transport::HttpAnswerStream &stream = opened.value();
         const protocol::HttpHeaders headers = stream.headers();
         const EndpointAnswerHead head =
@@ -456,9 +588,88 @@
                     "refused by the endpoint with " + std::to_string(stream.status());
             co_return AttemptResult::NotRun;
         }
+        co_return co_await this->relayAnswer(stream, headers);
+    }
+
+    asio::awaitable<AttemptResult> relayAnswer(transport::HttpAnswerStream &stream,
+                                               protocol::HttpHeaders headers)
+    {
         if (isSuccess(stream.status()) && this->route->kind == CallKind::Stream)
-            co_return co_await this->relayStream(stream, headers);
-        co_return co_await this->relayBuffered(stream, headers);
+            co_return co_await this->relayStream(stream, std::move(headers));
+        co_return co_await this->relayBuffered(stream, std::move(headers));
+    }
+
+    asio::awaitable<state::Result<transport::HttpAnswerStream>>
+    open(state::Address peer, protocol::HttpRequest request, milliseconds timeToConnect)
+    {
+        transport::HttpCallLimits limits;
+        limits.connectTimeout = timeToConnect;
+        limits.unacknowledgedTimeout = unacknowledgedTimeout;
+        limits.timeout = remaining(this->deadline);
+        transport::BeforeSend noBeforeSend;
+        co_return co_await transport::openHttpStream(this->exchange.executor(), std::move(peer),
+                                                     std::move(request), limits, noBeforeSend,
+                                                     this->running->handle);
+    }
+
+    asio::awaitable<AttemptResult> exchangeWithPeer(state::Address peer)
+    {
+        const milliseconds left = remaining(this->deadline);
+        if (left == milliseconds(0) || this->facts.callerGone)
+            co_return AttemptResult::NeverSent;
+        this->outcome.via = peer;
+        this->peerResult = PeerResult::Unknown;
+        auto opened = co_await this->open(peer, this->requestForPeer(left),
+                                          std::min(peerConnectTimeout, left));
+        if (!opened)
+            co_return this->openFailed(opened.error());
+        transport::HttpAnswerStream &stream = opened.value();
+        const protocol::PeerAnswerHead head =
+                protocol::readPeerAnswer(stream.status(), stream.headers());
+        this->peerResult = head.result;
+        this->peerRetryAfter = head.retryAfter;
+        switch (head.result) {
+        case PeerResult::Answer:
+            break;
+        case PeerResult::NotRun:
+        case PeerResult::Elsewhere:
+            this->outcome.reason = "refused by a peer: " + std::string(toString(head.result));
+            co_return AttemptResult::NotRun;
+        case PeerResult::Unknown:
+            this->outcome.reason = "lost at a peer";
+            co_return AttemptResult::Lost;
+        }
+        co_return co_await this->relayAnswer(stream, head.headers);
+    }
+
+    protocol::HttpRequest requestForPeer(milliseconds left) const
+    {
+        protocol::RelayedRequest handing;
+        handing.request = this->exchange.request();
+        handing.route = this->route->name;
+        handing.kind = this->route->kind;
+        handing.resumable = this->route->resumable;
+        handing.firstAnswerTarget = this->route->firstAnswerTarget;
+        handing.pauseTarget = this->route->pauseTarget;
+        handing.service = this->outcome.service;
+        handing.account = this->outcome.account;
+        handing.age = std::chrono::floor<milliseconds>(monotonicNow() - this->arrival);
+        handing.timeLeft = left;
+        handing.resumeAfter = this->events.lastId();
+        protocol::HttpRequest request;
+        request.method = "POST";
+        request.target = std::string(protocol::peerRelayPath);
+        request.headers.add("Content-Type", "application/octet-stream");
+        request.body = protocol::sealRelayedRequest(this->relay.settings.keys, handing);
+        return request;
+    }
+
+    // Silence and a withdrawal say nothing about the path: a healthy endpoint may be slow.
+    static bool isPathFailure(const state::Error &error)
+    {
+        if (error.code == state::ErrorCode::Cancelled)
+            return false;
+        return error.step == transport::connectStep || error.code != state::ErrorCode::Timeout;
     }
 
     AttemptResult openFailed(const state::Error &error)
@@ -557,6 +768,7 @@
     {
         this->outcome.status = answer.status;
         this->outcome.firstAnswer = monotonicNow() - this->arrival;
+        this->addPeerResult(answer, PeerResult::Answer);
         const auto sent = co_await this->exchange.respond(std::move(answer));
         this->outcome.whole = sent.has_value();
     }
@@ -625,6 +837,7 @@
         if (this->scheduled)
             this->hooks.scheduler.progressed(this->request.id, this->attemptNumber, 1);
         protocol::HttpResponse head{statusOk, headers, {}};
+        this->addPeerResult(head, PeerResult::Answer);
         const auto sent = co_await this->exchange.beginStream(std::move(head));
         if (!sent)
             this->facts.callerGone = true;
@@ -685,16 +898,30 @@
         if (this->outcome.reason.empty())
             this->outcome.reason = refusal.detail;
         protocol::HttpResponse answer = this->hooks.codec.refuse(refusal);
+        const bool notRun = refusal.status == statusUnavailable;
+        this->addPeerResult(answer, notRun ? this->refusalResult : PeerResult::Unknown);
+        if (this->handed && refusal.retryAfter)
+            protocol::addPeerRetry(answer, *refusal.retryAfter);
         co_await this->exchange.respond(std::move(answer));
     }
 
+    // Tells a peer that has handed the request over how it ended.
+    void addPeerResult(protocol::HttpResponse &answer, PeerResult result) const
+    {
+        if (this->handed)
+            answer.headers.add(std::string(protocol::peerResultHeader),
+                               std::string(toString(result)));
+    }
+
     RouteRelay &relay;
     const RouteRelay::Hooks &hooks;
     transport::HttpExchange &exchange;
+    const std::optional<protocol::RelayedRequest> handed; // by a peer, in this exchange
     state::SnapshotView<RouteTable> routes; // one version is used for the whole request
     const state::Instant arrival;
     RelayRequest request;
-    const Route *route = nullptr; // of `routes`
+    Route handedRoute;
+    const Route *route = nullptr; // of `routes`, or `handedRoute`
     state::Instant deadline;
     state::Instant lastEventAt;
     CallState facts;
@@ -707,6 +934,9 @@
             inactivityTimeout;    // of the running attempt, if it may be abandoned
     bool retryTokenTaken = false; // a retry token was taken for a move to another replica
     bool scheduled = false;
+    PeerResult refusalResult = PeerResult::NotRun; // of a 503, for the peer
+    PeerResult peerResult = PeerResult::Unknown;   // of the last attempt through a peer
+    std::optional<milliseconds> peerRetryAfter;    // with it
     bool peerFailed = false;         // the last answer reports the failure of another endpoint
     bool endpointReplaced = false;   // another endpoint has answered at the address
     std::uint32_t attemptNumber = 0; // number that the scheduler gave the attempt
@@ -728,6 +958,37 @@
     this->hooks.finished(outcome);
 }
 
+asio::awaitable<void> RouteRelay::runForPeer(transport::HttpExchange &exchange)
+{
+    auto handed = protocol::unsealRelayedRequest(this->settings.keys, exchange.request().body);
+    if (!handed) {
+        logError("relay.handover-refused", handed.error().withPeer(exchange.peer()));
+        protocol::HttpResponse refusal;
+        refusal.status = 401;
+        co_await exchange.respond(std::move(refusal));
+        co_return;
+    }
+    ++this->requestsInFlight;
+    RelayedCall call(*this, exchange, std::move(handed.value()));
+    const RelayOutcome outcome = co_await call.run();
+    --this->requestsInFlight;
+    this->hooks.finished(outcome);
+}
+
+void RouteRelay::endpointReached(const state::EndpointDescription &endpoint)
+{
+    const std::lock_guard lock(this->choiceMutex);
+    this->chooser.reached(endpoint, monotonicNow());
+}
+
+std::vector<state::Address> RouteRelay::shuffledPeers()
+{
+    std::vector<state::Address> peers = this->hooks.peers();
+    const std::lock_guard lock(this->choiceMutex);
+    std::ranges::shuffle(peers, this->random);
+    return peers;
+}
+
 double RouteRelay::drawUniform()
 {
     const std::lock_guard lock(this->choiceMutex);
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -4,11 +4,13 @@
 
 #include "coordination/admission/RetryBudget.h"
 #include "coordination/orders/FeedReceiver.h"
+#include "coordination/routing/PathHealth.h"
 #include "coordination/routing/ReplicaChooser.h"
 #include "program/EndpointRegistry.h"
 #include "program/RelayCodec.h"
 #include "program/Scheduler.h"
 #include "program/Settings.h"
+#include "protocol/RelayedRequest.h"
 #include "state/Snapshot.h"
 #include "transport/HttpServer.h"
 
@@ -38,6 +40,8 @@
     unsigned attempts = 0;
     state::Address address;              // of the last attempt's endpoint
     std::vector<state::Address> helpers; // of the last attempt
+    state::Address via;                  // peer that the last attempt went through; port 0: none
+    std::string forPeer;                 // peer that handed the request over; empty: none
     bool whole = false;
     bool resumed = false;
     std::string reason; // of a failure or refusal
@@ -60,6 +64,15 @@
         std::function<state::SnapshotView<state::routes::RouteTable>()> routes;
         std::function<coordination::orders::ViewStatus()> standing; // of `routes`
         std::function<bool()> refuses; // true: this node is shutting down, no new work
+        // Entry addresses of peers that have paths to the endpoints.
+        std::function<std::vector<state::Address>()> peers = [] {
+            return std::vector<state::Address>();
+        };
+        // Whether this node's own paths to the service are lost.
+        std::function<bool(const state::ServiceName &)> isPathLost =
+                [](const state::ServiceName &) { return false; };
+        std::function<void(const state::EndpointDescription &, coordination::routing::PathOutcome)>
+                recordPath = [](const auto &, auto) {};
         std::function<void(const RelayOutcome &)> finished;
     };
 
@@ -68,6 +81,11 @@
     // Answers the exchange. Leaves it unanswered, for the server to close, if the caller has
     // disconnected or the answer broke off.
     boost::asio::awaitable<void> run(transport::HttpExchange &exchange);
+    // The same for a request that a peer has handed over as a protocol::RelayedRequest. It makes
+    // one attempt that may run the request and is not handed on.
+    boost::asio::awaitable<void> runForPeer(transport::HttpExchange &exchange);
+    // A probe has reached an endpoint.
+    void endpointReached(const state::EndpointDescription &endpoint);
 
     std::size_t inFlight() const { return this->requestsInFlight; }
 
@@ -75,6 +93,7 @@
     friend class RelayedCall;
 
     double drawUniform();
+    std::vector<state::Address> shuffledPeers();
     coordination::admission::RetryBudget &retryBudgetOf(const state::ServiceName &service);
 
     const Settings &settings;
--- a/src/protocol/GossipMessages.cpp
+++ b/src/protocol/GossipMessages.cpp
@@ -128,6 +128,7 @@
     f.choice(record.phase, membership::MemberPhase::Left);
     f.choice(record.health, membership::MemberHealth::Dead);
     f.flag(record.ready);
+    f.flag(record.reachesEndpoints);
     optionalShared(f, record.description,
                    [&](membership::MemberDescription &description) { fields(f, description); });
 }
--- a/tests/coordination/routing/HealthTest.cpp
+++ b/tests/coordination/routing/HealthTest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(suspicionOfFailingEndpointGrowsEachTime);
     CPPUNIT_TEST(unreachableEndpointIsSuspectAtOnce);
     CPPUNIT_TEST(replacedEndpointStaysSuspect);
+    CPPUNIT_TEST(probeEndsSuspicionByFailedConnections);
     CPPUNIT_TEST(restartClearsSuspicion);
     CPPUNIT_TEST(leastLoadedReplicaIsChosen);
     CPPUNIT_TEST(suspectReplicasComeLastUnlessInMajority);
@@ -42,6 +43,19 @@
         }
     }
 
+    // Guards against engines that stay unused for seconds after an entry's links are back.
+    void probeEndsSuspicionByFailedConnections()
+    {
+        EndpointHealth health;
+        health.recordAttempt(this->id, 1, AttemptOutcome::Unreachable, this->now);
+        CPPUNIT_ASSERT(health.isSuspect(this->id, 1, this->now));
+        health.recordAttempt(this->id, 1, AttemptOutcome::Reachable, this->now);
+        CPPUNIT_ASSERT(!health.isSuspect(this->id, 1, this->now));
+        health.recordAttempt(this->id, 1, AttemptOutcome::Replaced, this->now);
+        health.recordAttempt(this->id, 1, AttemptOutcome::Reachable, this->now);
+        CPPUNIT_ASSERT(health.isSuspect(this->id, 1, this->now));
+    }
+
     void suspicionOfFailingEndpointGrowsEachTime()
     {
         EndpointHealth health;
--- /dev/null
+++ b/tests/platform/PeerRelayTest.cpp
@@ -0,0 +1,165 @@
+// Tests how a relay without paths to the endpoints serves its callers through peers, and what it
+// tells them when a peer fails with a request.
+#include "RelayFixture.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace lavenderthread::platform {
+
+class PeerRelayTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PeerRelayTest);
+    CPPUNIT_TEST(entryWithoutPathServesThroughPeer);
+    CPPUNIT_TEST(entryWithPathUsesNoPeer);
+    CPPUNIT_TEST(peerThatCannotServeIsPassedOver);
+    CPPUNIT_TEST(nonIdempotentRequestLostAtPeerIsNotSentAgain);
+    CPPUNIT_TEST(idempotentRequestLostAtPeerIsSentToAnother);
+    CPPUNIT_TEST(streamLostAtPeerIsResumedAtAnother);
+    CPPUNIT_TEST(failureOfEndpointPassesThroughUnchanged);
+    CPPUNIT_TEST(requestIsNotHandedOnTwice);
+    CPPUNIT_TEST(callerCloseReachesEndpointThroughPeer);
+    CPPUNIT_TEST(pathLostDuringRequestMovesItToPeer);
+    CPPUNIT_TEST(forgedHandoverIsRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+    using Kind = state::routes::CallKind;
+    using Peers = std::vector<PeerBehaviour>;
+
+    // Peers are asked in random order.
+    static constexpr int rounds = 8;
+
+    static void checkServed(Kind kind, Behaviour endpoint, const Peers &peers, bool engines)
+    {
+        for (int round = 0; round < rounds; ++round) {
+            RelayFixture fixture(kind, {endpoint}, engines, peers);
+            fixture.pathLost = true;
+            const auto answer = fixture.call();
+            CPPUNIT_ASSERT(answer.has_value());
+            CPPUNIT_ASSERT_EQUAL(200U, answer.value().status);
+            CPPUNIT_ASSERT_EQUAL(1, fixture.arrivals.load());
+            const auto &headers = answer.value().headers;
+            CPPUNIT_ASSERT(headers.find("Response-Seal").has_value());
+            CPPUNIT_ASSERT(!headers.find(protocol::peerResultHeader).has_value());
+            if (kind == Kind::Stream)
+                CPPUNIT_ASSERT_EQUAL(eventsUpTo(6), answer.value().body);
+        }
+    }
+
+public:
+    // Guards against incident 08: an entry whose own links are gone refuses everything.
+    void entryWithoutPathServesThroughPeer()
+    {
+        checkServed(Kind::NonIdempotent, Behaviour::Answers, {PeerBehaviour::Serves}, false);
+        checkServed(Kind::Idempotent, Behaviour::Answers, {PeerBehaviour::Serves}, false);
+        checkServed(Kind::Stream, Behaviour::Streams, {PeerBehaviour::Serves}, true);
+    }
+
+    void entryWithPathUsesNoPeer()
+    {
+        RelayFixture fixture(Kind::Idempotent, {Behaviour::Answers}, false,
+                             {PeerBehaviour::Serves});
+        CPPUNIT_ASSERT_EQUAL(200U, fixture.call().value().status);
+        CPPUNIT_ASSERT_EQUAL(0, fixture.handedOver.load());
+    }
+
+    // Guards against a refusal because the first peer is cut off too, stops, or is gone.
+    void peerThatCannotServeIsPassedOver()
+    {
+        using enum PeerBehaviour;
+        for (const PeerBehaviour first : {IsLeaving, HasNoPath, IsUnreachable})
+            checkServed(Kind::NonIdempotent, Behaviour::Answers, {first, Serves}, false);
+    }
+
+    // Guards against a second run, and against a false "not run", when a peer dies with a request
+    // that it may have sent.
+    void nonIdempotentRequestLostAtPeerIsNotSentAgain()
+    {
+        RelayFixture fixture(Kind::NonIdempotent, {Behaviour::Answers}, false,
+                             {PeerBehaviour::Dies, PeerBehaviour::Dies});
+        fixture.pathLost = true;
+        CPPUNIT_ASSERT_EQUAL(502U, fixture.call().value().status);
+        CPPUNIT_ASSERT_EQUAL(1, fixture.handedOver.load());
+        CPPUNIT_ASSERT_EQUAL(0, fixture.arrivals.load());
+    }
+
+    void idempotentRequestLostAtPeerIsSentToAnother()
+    {
+        checkServed(Kind::Idempotent, Behaviour::Answers,
+                    {PeerBehaviour::Dies, PeerBehaviour::Serves}, false);
+    }
+
+    void streamLostAtPeerIsResumedAtAnother()
+    {
+        checkServed(Kind::Stream, Behaviour::Streams,
+                    {PeerBehaviour::DiesInStream, PeerBehaviour::Serves}, true);
+    }
+
+    void failureOfEndpointPassesThroughUnchanged()
+    {
+        RelayFixture fixture(Kind::NonIdempotent, {Behaviour::Fails}, false,
+                             {PeerBehaviour::Serves});
+        fixture.pathLost = true;
+        const auto answer = fixture.call();
+        CPPUNIT_ASSERT_EQUAL(500U, answer.value().status);
+        CPPUNIT_ASSERT_EQUAL(std::string("the endpoint's bytes"), answer.value().body);
+        CPPUNIT_ASSERT(answer.value().headers.find("Response-Seal").has_value());
+    }
+
+    // Guards against requests that travel between entries which are all cut off: without a peer
+    // that has a path, the entry tries its own.
+    void requestIsNotHandedOnTwice()
+    {
+        RelayFixture fixture(Kind::Idempotent, {Behaviour::Answers}, false,
+                             {PeerBehaviour::HasNoPath, PeerBehaviour::HasNoPath});
+        fixture.pathLost = true;
+        CPPUNIT_ASSERT_EQUAL(200U, fixture.call().value().status);
+        CPPUNIT_ASSERT_EQUAL(2, fixture.handedOver.load());
+        CPPUNIT_ASSERT_EQUAL(1, fixture.arrivals.load());
+    }
+
+    // Guards against work that goes on at an endpoint after its caller has left another entry.
+    void callerCloseReachesEndpointThroughPeer()
+    {
+        RelayFixture fixture(Kind::Idempotent, {Behaviour::NeverAnswers}, false,
+                             {PeerBehaviour::Serves});
+        fixture.pathLost = true;
+        fixture.callAndClose(std::chrono::milliseconds(150));
+        const std::int64_t closed = program::monotonicNow().time_since_epoch().count();
+        for (int waits = 0; waits < 100 && fixture.closedAtUs == 0; ++waits)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        CPPUNIT_ASSERT(fixture.closedAtUs > 0);
+        CPPUNIT_ASSERT(fixture.closedAtUs - closed < 100'000);
+    }
+
+    // The links go while the request is at an engine, which cuts it off.
+    void pathLostDuringRequestMovesItToPeer()
+    {
+        RelayFixture fixture(Kind::Stream, {Behaviour::CutsInsideAnEvent, Behaviour::Streams}, true,
+                             {PeerBehaviour::Serves});
+        fixture.losePathAtArrival = true;
+        const auto answer = fixture.call();
+        CPPUNIT_ASSERT(answer.has_value());
+        CPPUNIT_ASSERT_EQUAL(eventsUpTo(6), answer.value().body);
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), fixture.resumedBehind);
+        CPPUNIT_ASSERT_EQUAL(1, fixture.handedOver.load());
+    }
+
+    // Guards against callers that reach the peers' listener and pass for another account.
+    void forgedHandoverIsRefused()
+    {
+        RelayFixture fixture(Kind::Idempotent, {Behaviour::Answers}, false,
+                             {PeerBehaviour::Serves});
+        protocol::RelayedRequest forged;
+        forged.request = RelayFixture::request();
+        forged.service = service;
+        const auto answer = fixture.callPeer(
+                protocol::sealRelayedRequest(protocol::SealKeys{{"another key"}}, forged));
+        CPPUNIT_ASSERT_EQUAL(401U, answer.value().status);
+        CPPUNIT_ASSERT_EQUAL(0, fixture.arrivals.load());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerRelayTest);
+
+} // namespace lavenderthread::platform
--- /dev/null
+++ b/tests/platform/RelayFixture.h
@@ -0,0 +1,379 @@
+// A relay over loopback with fake endpoints that fail at each step at which an endpoint may fail,
+// and with peers to which it may hand requests.
+#pragma once
+
+#include "platform/RelayWire.h"
+
+#include "fakes/LoopbackServer.h"
+#include "program/Clock.h"
+#include "program/RouteRelay.h"
+#include "program/RunToEnd.h"
+#include "transport/Await.h"
+#include "transport/HttpClient.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <atomic>
+#include <thread>
+
+namespace lavenderthread::platform {
+
+namespace asio = boost::asio;
+using program::EndpointTable;
+using program::RouteRelay;
+
+// How a fake endpoint handles a request.
+enum class Behaviour {
+    Answers,
+    Fails,               // with its own status 500
+    Refuses,             // 503, request not run
+    IsOtherEndpoint,     // 421: another endpoint has the address
+    Closes,              // the connection, without an answer
+    CutsBody,            // in the middle of the body
+    AnswersOtherRequest, // sends the answer of another request
+    Unsealed,
+    CutsInsideAnEvent,
+    PausesLong, // after the second event, then continues
+    Streams,
+    NeverAnswers,
+};
+
+inline const state::ServiceName service("app");
+// Exceeds the 0.9 s after which the relay prefers to resume at another endpoint.
+constexpr std::chrono::milliseconds longPause{1'400};
+
+inline protocol::HttpResponse sealedAnswer(const protocol::HttpRequest &request, unsigned status)
+{
+    protocol::HttpResponse answer;
+    answer.status = status;
+    answer.headers = {{"Request-Id", std::string(request.headers.find("Request-Id").value_or(""))},
+                      {"Response-Seal", "seal"}};
+    answer.body = "the endpoint's bytes";
+    return answer;
+}
+
+// How a peer handles a request that is handed to it.
+enum class PeerBehaviour {
+    Serves,
+    IsLeaving,     // refuses it
+    HasNoPath,     // refuses it
+    IsUnreachable, // takes no connection
+    Dies,          // with the request
+    DiesInStream,  // after it has passed on some events
+};
+
+// Runs endpoints, peers, a relay and one caller as listeners and connections of one thread.
+class RelayFixture
+{
+public:
+    RelayFixture(state::routes::CallKind kind, std::vector<Behaviour> behaviours,
+                 bool engines = false, std::vector<PeerBehaviour> peerBehaviours = {})
+        : behaviours(std::move(behaviours))
+    {
+        this->settings.keys.keys = {"key"};
+        this->publishRoutes(kind, engines);
+        for (std::size_t index = 0; index < this->behaviours.size(); ++index) {
+            this->servers.push_back(fakes::serveOnLoopback(
+                    this->context, [this](transport::HttpExchange &exchange) {
+                        return this->serveEndpoint(exchange);
+                    }));
+            state::EndpointDescription endpoint;
+            endpoint.id = state::EndpointId("i-" + std::to_string(index));
+            endpoint.service = service;
+            endpoint.incarnation = 1;
+            endpoint.address = this->servers.back()->address();
+            this->announced.endpoints[endpoint.id] = {endpoint, false, false};
+        }
+        this->publishEndpoints();
+        for (const PeerBehaviour behaviour : peerBehaviours)
+            this->addPeer(behaviour);
+        this->relay = std::make_unique<RouteRelay>(this->settings, this->hooksWithPeers(), 1);
+        this->front =
+                fakes::serveOnLoopback(this->context, [this](transport::HttpExchange &exchange) {
+                    return this->relay->run(exchange);
+                });
+        this->thread = std::thread([this] { this->context.run(); });
+    }
+
+    ~RelayFixture()
+    {
+        this->context.stop();
+        this->thread.join();
+    }
+    RelayFixture(const RelayFixture &) = delete;
+    RelayFixture &operator=(const RelayFixture &) = delete;
+
+    state::Result<protocol::HttpResponse> call(protocol::HttpRequest wanted = request())
+    {
+        return this->callAt(this->front->address(), std::move(wanted));
+    }
+
+    // Hands these bytes to the first peer.
+    state::Result<protocol::HttpResponse> callPeer(std::string body)
+    {
+        protocol::HttpRequest wanted;
+        wanted.method = "POST";
+        wanted.target = std::string(protocol::peerRelayPath);
+        wanted.body = std::move(body);
+        return this->callAt(this->peerAddresses.front(), std::move(wanted));
+    }
+
+    static state::Result<protocol::HttpResponse> callAt(const state::Address &address,
+                                                        protocol::HttpRequest wanted)
+    {
+        auto run = [](state::Address peer, protocol::HttpRequest request)
+                -> asio::awaitable<state::Result<protocol::HttpResponse>> {
+            const asio::any_io_executor executor = co_await asio::this_coro::executor;
+            co_return co_await transport::httpCall(executor, peer, std::move(request), {});
+        };
+        return program::runToEnd(run(address, std::move(wanted)));
+    }
+
+    void publishEndpoints() { this->table.publish(EndpointTable(this->announced)); }
+    void withdrawEndpoints() { this->table.publish(EndpointTable()); }
+
+    // Sends the request and closes the connection after `after` without reading the answer.
+    void callAndClose(std::chrono::milliseconds after)
+    {
+        asio::io_context io;
+        asio::ip::tcp::socket socket(io);
+        const state::Address to = this->front->address();
+        socket.connect({asio::ip::make_address(to.ip), to.port});
+        const std::string text = "POST /p/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                                 "Request-Deadline: 5000\r\nContent-Length: 0\r\n\r\n";
+        asio::write(socket, asio::buffer(text));
+        std::this_thread::sleep_for(after);
+    }
+
+    static protocol::HttpRequest request()
+    {
+        protocol::HttpRequest made;
+        made.method = "POST";
+        made.target = "/p/x";
+        made.headers = {{"Host", "h"}, {"Request-Id", "r1"}, {"Request-Deadline", "5000"}};
+        made.body = "{}";
+        return made;
+    }
+
+    std::atomic<coordination::orders::ViewStatus> standing =
+            coordination::orders::ViewStatus::Confirmed;
+    std::atomic<int> arrivals = 0;
+    std::atomic<std::int64_t> closedAtUs = 0; // when an endpoint noticed that its caller had closed
+    std::vector<program::AttemptFailure> failures; // as the scheduler was told
+    std::string resumedBehind;                     // as sent to the last endpoint
+    std::atomic<int> handedOver = 0;               // requests that reached a peer
+    std::atomic<bool> pathLost = false;            // of the relay, not of its peers
+    std::atomic<bool> losePathAtArrival = false;   // of a request at an endpoint
+
+private:
+    struct Peer
+    {
+        std::unique_ptr<RouteRelay> relay;
+        std::shared_ptr<transport::HttpServer> server;
+    };
+
+    void addPeer(PeerBehaviour behaviour)
+    {
+        RouteRelay::Hooks hooks = this->hooks();
+        hooks.refuses = [behaviour] { return behaviour == PeerBehaviour::IsLeaving; };
+        hooks.isPathLost = [behaviour](const state::ServiceName &) {
+            return behaviour == PeerBehaviour::HasNoPath;
+        };
+        Peer peer;
+        peer.relay = std::make_unique<RouteRelay>(this->settings, std::move(hooks), 2);
+        peer.server = fakes::serveOnLoopback(
+                this->context,
+                [this, behaviour, relay = peer.relay.get()](transport::HttpExchange &exchange) {
+                    return this->servePeer(exchange, behaviour, *relay);
+                });
+        this->peerAddresses.push_back(peer.server->address());
+        if (behaviour == PeerBehaviour::IsUnreachable)
+            peer.server->stopAccepting();
+        this->peers.push_back(std::move(peer));
+    }
+
+    asio::awaitable<void> servePeer(transport::HttpExchange &exchange, PeerBehaviour behaviour,
+                                    RouteRelay &peer)
+    {
+        ++this->handedOver;
+        if (behaviour == PeerBehaviour::Dies)
+            co_return; // the connection is closed
+        if (behaviour == PeerBehaviour::DiesInStream) {
+            protocol::HttpResponse head = sealedAnswer(request(), 200);
+            head.headers.add(std::string(protocol::peerResultHeader), "answer");
+            head.body.clear();
+            co_await exchange.beginStream(std::move(head));
+            const std::string events = "id: 1\ndata: x\n\nid: 2\nda";
+            co_await exchange.write(events);
+            co_return;
+        }
+        co_await peer.runForPeer(exchange);
+    }
+
+    RouteRelay::Hooks hooksWithPeers()
+    {
+        RouteRelay::Hooks hooks = this->hooks();
+        hooks.peers = [this] { return this->peerAddresses; };
+        hooks.isPathLost = [this](const state::ServiceName &) { return this->pathLost.load(); };
+        return hooks;
+    }
+
+    void publishRoutes(state::routes::CallKind kind, bool engines)
+    {
+        state::routes::RouteTableDraft draft;
+        draft.version = 1;
+        draft.services = {{service, "/health", 10, {}}};
+        if (engines)
+            draft.services.front().engine = state::routes::EngineProfile{.slots = 1};
+        state::routes::Route route;
+        route.name = "route";
+        route.host = "h";
+        route.pathPrefix = "/p/";
+        route.kind = kind;
+        route.resumable = true;
+        const bool streams = kind == state::routes::CallKind::Stream;
+        route.timeout = std::chrono::milliseconds(streams ? 5'000 : 2'000);
+        route.firstAnswerTarget = std::chrono::milliseconds(300);
+        route.pauseTarget = std::chrono::milliseconds(200);
+        route.attempts = 2;
+        route.services = {{service, 1}};
+        draft.routes = {route};
+        this->routes.publish(state::routes::RouteTable::create(std::move(draft)).value());
+    }
+
+    RouteRelay::Hooks hooks()
+    {
+        RouteRelay::Hooks hooks;
+        hooks.codec = makeRelayCodec();
+        hooks.scheduler = this->firstEngine();
+        hooks.endpoints = [this] { return this->table.read(); };
+        hooks.routes = [this] { return this->routes.read(); };
+        hooks.standing = [this] { return this->standing.load(); };
+        hooks.refuses = [] { return false; };
+        hooks.finished = [](const program::RelayOutcome &) {};
+        return hooks;
+    }
+
+    // Places every request on the first known engine.
+    program::Scheduler firstEngine()
+    {
+        program::Scheduler scheduler;
+        scheduler.place = [this](const program::ScheduledRequest &)
+                -> asio::awaitable<program::PlacementResult> {
+            const auto known = this->table.read();
+            if (known->endpoints.empty())
+                co_return protocol::Problem{503, "no-engine", "no engine is known",
+                                            protocol::Ran::No, std::nullopt};
+            program::Placement placement;
+            placement.endpoint = known->endpoints.begin()->second.description;
+            co_return placement;
+        };
+        scheduler.placeAgain = [this](const state::RequestId &, const program::Placement &,
+                                      program::AttemptFailure failure)
+                -> asio::awaitable<program::PlacementResult> {
+            this->failures.push_back(failure);
+            co_return protocol::Problem{503, "no-engine", "no other engine", protocol::Ran::No,
+                                        std::nullopt};
+        };
+        scheduler.progressed = [](const state::RequestId &, std::uint32_t, std::uint64_t) {};
+        scheduler.finished = [](const state::RequestId &, std::uint32_t, bool) {};
+        scheduler.cancel = [](const state::RequestId &) {};
+        scheduler.noteHealth = [](const state::EndpointDescription &,
+                                  coordination::routing::AttemptOutcome) {};
+        scheduler.reportPeerFailure = [](const state::Address &) {};
+        return scheduler;
+    }
+
+    asio::awaitable<void> serveEndpoint(transport::HttpExchange &exchange)
+    {
+        const auto arrival = std::size_t(this->arrivals++);
+        if (this->losePathAtArrival)
+            this->pathLost = true;
+        const Behaviour behaviour =
+                this->behaviours.at(std::min(arrival, this->behaviours.size() - 1));
+        protocol::HttpResponse answer = sealedAnswer(exchange.request(), 200);
+        switch (behaviour) {
+        case Behaviour::Answers:
+            break;
+        case Behaviour::Fails:
+            answer.status = 500;
+            break;
+        case Behaviour::Refuses:
+            answer.status = 503;
+            answer.headers.add("Not-Executed", "1");
+            break;
+        case Behaviour::IsOtherEndpoint:
+            answer.status = 421;
+            break;
+        case Behaviour::AnswersOtherRequest:
+            answer.headers = {{"Request-Id", "r0"}, {"Response-Seal", "seal"}};
+            break;
+        case Behaviour::Unsealed:
+            answer.headers = {{"Request-Id", "r1"}};
+            break;
+        case Behaviour::NeverAnswers:
+            co_await this->waitForClose(exchange);
+            co_return;
+        case Behaviour::Closes:
+            co_return;
+        default:
+            co_await this->stream(exchange, behaviour, std::move(answer));
+            co_return;
+        }
+        co_await exchange.respond(std::move(answer));
+    }
+
+    asio::awaitable<void> waitForClose(transport::HttpExchange &exchange)
+    {
+        exchange.onCallerGone(
+                [this] { this->closedAtUs = program::monotonicNow().time_since_epoch().count(); });
+        for (int waits = 0; waits < 200 && this->closedAtUs == 0; ++waits)
+            co_await transport::pause(std::chrono::milliseconds(10));
+    }
+
+    asio::awaitable<void> stream(transport::HttpExchange &exchange, Behaviour behaviour,
+                                 protocol::HttpResponse head)
+    {
+        this->resumedBehind =
+                std::string(exchange.request().headers.find("Last-Event-Id").value_or(""));
+        const int first = this->resumedBehind.empty() ? 1 : std::stoi(this->resumedBehind) + 1;
+        head.body.clear();
+        co_await exchange.beginStream(std::move(head));
+        for (int id = first; id <= 6; ++id) {
+            if (behaviour == Behaviour::PausesLong && id == 3)
+                co_await transport::pause(longPause);
+            if (behaviour == Behaviour::CutsInsideAnEvent && id == 3) {
+                const std::string partial = "id: 3\nda";
+                co_await exchange.write(partial);
+                co_return; // incomplete answer: the connection is closed
+            }
+            const std::string event = "id: " + std::to_string(id) + "\ndata: x\n\n";
+            co_await exchange.write(event);
+        }
+        co_await exchange.finishStream();
+    }
+
+    std::vector<Behaviour> behaviours;
+    program::Settings settings;
+    asio::io_context context{1};
+    state::Snapshot<state::routes::RouteTable> routes;
+    EndpointTable announced;
+    state::Snapshot<EndpointTable> table;
+    std::vector<Peer> peers;
+    std::vector<state::Address> peerAddresses;
+    std::unique_ptr<RouteRelay> relay;
+    std::vector<std::shared_ptr<transport::HttpServer>> servers;
+    std::shared_ptr<transport::HttpServer> front;
+    std::thread thread;
+};
+
+inline std::string eventsUpTo(int last)
+{
+    std::string text;
+    for (int id = 1; id <= last; ++id)
+        text += "id: " + std::to_string(id) + "\ndata: x\n\n";
+    return text;
+}
+
+} // namespace lavenderthread::platform
