Relay, admission: a connection that was never made costs no retry

Cause: the retry budget, which bounds work that is sent again, was also charged for attempts of which no byte was sent; the first four of an entry spent it. Now such attempts go on without a token, within the limit of three refusals; refusals by an endpoint still cost one. connectionThatFailedCostsNoRetry failed before (refused at once) and passes now.

--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -129,6 +129,8 @@
     if (active == nullptr || active->plan.parts.empty())
         return;
     const state::EndpointId engine = active->plan.parts[active->currentPart].engine;
+    // The budget bounds the load of repeated requests; one that was never sent adds none.
+    active->retryPaid = active->retryPaid || event.neverSent;
     this->handleAttemptLoss(*active, engine, event.didNotRun, false);
     this->placeWaiting();
 }
--- a/src/coordination/admission/Events.h
+++ b/src/coordination/admission/Events.h
@@ -97,6 +97,7 @@
     state::RequestId id;
     std::uint32_t attempt = 0;
     bool didNotRun = false;
+    bool neverSent = false; // no byte of the request has reached the engine
 };
 
 // The engine has sent nothing for long, but its stream is still open: may the request move to
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -581,8 +581,9 @@
         return waitFor(id, [id, failed, failure](State &state) {
             if (failure != AttemptFailure::PeerLost)
                 state.noteHealth(failed.endpoint, outcomeOf(failure));
-            state.handle(
-                    admission::AttemptFailed{id, failed.attempt, failure != AttemptFailure::Lost});
+            state.handle(admission::AttemptFailed{id, failed.attempt,
+                                                  failure != AttemptFailure::Lost,
+                                                  failure == AttemptFailure::Unreachable});
         });
     };
     scheduler.mayAbandon = [self](state::RequestId id, std::uint32_t attempt) {
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -404,8 +404,9 @@
                 co_return;
             this->updateTimeIsOver();
             const bool tokenTaken = std::exchange(this->retryTokenTaken, false);
+            const bool needsToken = end != AttemptResult::NeverSent && !tokenTaken;
             if (!coordination::relay::mayRetry(this->facts, end)
-                || !(tokenTaken || this->takeRetryToken()))
+                || (needsToken && !this->takeRetryToken()))
                 break;
             const bool done = co_await this->runThroughPeersIfPathLost();
             if (done)
--- a/tests/coordination/admission/DispatcherPassesTest.cpp
+++ b/tests/coordination/admission/DispatcherPassesTest.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(silentEngineIsLeftOnlyIfAttemptRemains);
     CPPUNIT_TEST(movedPromptMayWaitBeyondItsTarget);
     CPPUNIT_TEST(moveTakesOneRetryFromBudget);
+    CPPUNIT_TEST(connectionThatFailedCostsNoRetry);
     CPPUNIT_TEST(lastEngineServesLongPromptsToo);
     CPPUNIT_TEST(waitingPromptSurvivesLossOfAllEngines);
     CPPUNIT_TEST(idleEnginesServeLateRequests);
@@ -147,6 +148,23 @@
         CPPUNIT_ASSERT(fixture.actionsOf<Refuse>().empty());
     }
 
+    // Guards against requests that are refused after one failed connection, because earlier ones
+    // have spent the budget that bounds repeated work.
+    void connectionThatFailedCostsNoRetry()
+    {
+        routing::PolicySettings policy;
+        policy.retryBurst = 0;
+        policy.budgetRefused = true;
+        PassesFixture fixture(policy);
+        const Dispatch first = fixture.firstDispatch;
+        fixture.handle(AttemptFailed{first.id, first.attempt, true, true});
+        CPPUNIT_ASSERT(fixture.actionsOf<Refuse>().empty());
+        const Dispatch second = fixture.onlyAction<Dispatch>();
+        CPPUNIT_ASSERT(second.engine != first.engine);
+        fixture.handle(AttemptFailed{second.id, second.attempt, true, false}); // refused there
+        CPPUNIT_ASSERT(fixture.onlyAction<Refuse>().retryBudgetSpent);
+    }
+
     // A long prompt waits while all engines of its model leave. The entry announces waiting prompts
     // to its peers periodically. Guards against computing the prompt's engine time anew for that
     // from the known engines, which crashed when there was none.
