--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -52,6 +52,8 @@
 // An endpoint in the same region accepts within a few milliseconds; a lost packet adds a second.
 constexpr milliseconds connectTimeout{700};
 constexpr milliseconds peerConnectTimeout{300}; // entries are as near as endpoints
+// A connection that is not made in this time tells something about the path.
+constexpr milliseconds conclusiveConnectTime{300};
 // If sent bytes stay unacknowledged for this long, the endpoint's machine is considered lost.
 constexpr milliseconds unacknowledgedTimeout{1'500};
 
@@ -312,7 +314,9 @@
     // Ends the request at the scheduler and goes on through peers.
     asio::awaitable<void> moveFromEngine(Placement failed, AttemptResult end)
     {
-        this->hooks.scheduler.noteHealth(failed.endpoint, healthOf(end, this->endpointReplaced));
+        if (!this->peerFailed)
+            this->hooks.scheduler.noteHealth(failed.endpoint,
+                                             healthOf(end, this->endpointReplaced));
         this->hooks.scheduler.finished(this->request.id, failed.attempt, false);
         this->scheduled = false;
         const bool paid = this->facts.runs == 0 || this->takeRetryToken();
@@ -570,7 +574,7 @@
         auto opened = co_await this->open(target.endpoint.address, std::move(forwarded),
                                           std::min(connectTimeout, left));
         if (!opened) {
-            if (isPathFailure(opened.error()))
+            if (isPathFailure(opened.error(), left))
                 this->hooks.recordPath(target.endpoint, PathOutcome::Unreachable);
             co_return this->openFailed(opened.error());
         }
@@ -665,12 +669,13 @@
         return request;
     }
 
-    // Silence and a withdrawal say nothing about the path: a healthy endpoint may be slow.
-    static bool isPathFailure(const state::Error &error)
+    // Silence and a withdrawal say nothing about the path: a healthy endpoint may be slow, and the
+    // caller's deadline may end a connection early.
+    static bool isPathFailure(const state::Error &error, milliseconds timeLeft)
     {
-        if (error.code == state::ErrorCode::Cancelled)
-            return false;
-        return error.step == transport::connectStep || error.code != state::ErrorCode::Timeout;
+        if (error.code == state::ErrorCode::Timeout)
+            return error.step == transport::connectStep && timeLeft >= conclusiveConnectTime;
+        return error.code != state::ErrorCode::Cancelled;
     }
 
     AttemptResult openFailed(const state::Error &error)
@@ -769,7 +774,7 @@
     {
         this->outcome.status = answer.status;
         this->outcome.firstAnswer = monotonicNow() - this->arrival;
-        this->addPeerResult(answer, PeerResult::Answer);
+        this->addPeerResult(answer.headers, PeerResult::Answer);
         const auto sent = co_await this->exchange.respond(std::move(answer));
         this->outcome.whole = sent.has_value();
     }
@@ -838,7 +843,7 @@
         if (this->scheduled)
             this->hooks.scheduler.progressed(this->request.id, this->attemptNumber, 1);
         protocol::HttpResponse head{statusOk, headers, {}};
-        this->addPeerResult(head, PeerResult::Answer);
+        this->addPeerResult(head.headers, PeerResult::Answer);
         const auto sent = co_await this->exchange.beginStream(std::move(head));
         if (!sent)
             this->facts.callerGone = true;
@@ -900,18 +905,17 @@
             this->outcome.reason = refusal.detail;
         protocol::HttpResponse answer = this->hooks.codec.refuse(refusal);
         const bool notRun = refusal.status == statusUnavailable;
-        this->addPeerResult(answer, notRun ? this->refusalResult : PeerResult::Unknown);
-        if (this->handed && refusal.retryAfter)
-            protocol::addPeerRetry(answer, *refusal.retryAfter);
+        this->addPeerResult(answer.headers, notRun ? this->refusalResult : PeerResult::Unknown,
+                            refusal.retryAfter);
         co_await this->exchange.respond(std::move(answer));
     }
 
     // Tells a peer that has handed the request over how it ended.
-    void addPeerResult(protocol::HttpResponse &answer, PeerResult result) const
+    void addPeerResult(protocol::HttpHeaders &headers, PeerResult result,
+                       std::optional<milliseconds> retryAfter = std::nullopt) const
     {
         if (this->handed)
-            answer.headers.add(std::string(protocol::peerResultHeader),
-                               std::string(toString(result)));
+            headers = protocol::withPeerResult(headers, result, retryAfter);
     }
 
     RouteRelay &relay;
--- a/src/protocol/RelayedRequest.cpp
+++ b/src/protocol/RelayedRequest.cpp
@@ -105,9 +105,18 @@
     return head;
 }
 
-void addPeerRetry(HttpResponse &refusal, std::chrono::milliseconds retryAfter)
+HttpHeaders withPeerResult(const HttpHeaders &headers, PeerResult result,
+                           std::optional<std::chrono::milliseconds> retryAfter)
 {
-    refusal.headers.add(std::string(peerRetryHeader), std::to_string(retryAfter.count()));
+    HttpHeaders all;
+    all.add(std::string(peerResultHeader), std::string(toString(result)));
+    if (retryAfter)
+        all.add(std::string(peerRetryHeader), std::to_string(retryAfter->count()));
+    for (const auto &[name, value] : headers.fields()) {
+        if (name != peerResultHeader && name != peerRetryHeader)
+            all.add(name, value);
+    }
+    return all;
 }
 
 std::string sealRelayedRequest(const SealKeys &keys, const RelayedRequest &relayed)
--- a/src/protocol/RelayedRequest.h
+++ b/src/protocol/RelayedRequest.h
@@ -59,7 +59,9 @@
 };
 
 PeerAnswerHead readPeerAnswer(unsigned status, const HttpHeaders &headers);
-void addPeerRetry(HttpResponse &refusal, std::chrono::milliseconds retryAfter);
+// The headers of a peer's answer: those given, after its own, whatever an endpoint has sent.
+HttpHeaders withPeerResult(const HttpHeaders &headers, PeerResult result,
+                           std::optional<std::chrono::milliseconds> retryAfter);
 
 std::string sealRelayedRequest(const SealKeys &keys, const RelayedRequest &relayed);
 // Errors: Unauthorized, Unsupported, Corrupt.
--- a/tests/protocol/RelayedRequestTest.cpp
+++ b/tests/protocol/RelayedRequestTest.cpp
@@ -70,15 +70,19 @@
         CPPUNIT_ASSERT(!unsealRelayedRequest(keys, sealRelayedRequest(keys, relayed)));
     }
 
-    // Guards against "not run" for a request that a peer may have sent.
+    // Guards against "not run" for a request that a peer may have sent, also if an endpoint's own
+    // answer says so.
     void answerTellsHowTheAttemptEnded()
     {
         const std::string name(peerResultHeader);
         for (const PeerResult each :
              {PeerResult::Answer, PeerResult::NotRun, PeerResult::Elsewhere, PeerResult::Unknown}) {
-            const HttpHeaders headers{{name, std::string(toString(each))}, {"Request-Id", "r1"}};
-            const PeerAnswerHead head = readPeerAnswer(503, headers);
+            const HttpHeaders endpoints{{name, "not-run"}, {"Request-Id", "r1"}};
+            const auto retryAfter = std::chrono::milliseconds(250);
+            const PeerAnswerHead head =
+                    readPeerAnswer(503, withPeerResult(endpoints, each, retryAfter));
             CPPUNIT_ASSERT(head.result == each);
+            CPPUNIT_ASSERT(head.retryAfter == retryAfter);
             CPPUNIT_ASSERT(!head.headers.find(name) && head.headers.find("Request-Id"));
         }
         CPPUNIT_ASSERT(readPeerAnswer(200, {}).result == PeerResult::Unknown);
