Observability: where an entry takes changes from, how far its view may be relied on, and who votes

An entry logged that no control member confirms anything, but not which one it asked for changes, what that one held, nor that it went on deciding by a view that nobody had confirmed for the whole bound. A control member logged its role, but not whether it votes at all.

- control.source: the source of changes that an entry leaves, why, and the version that it had
- control.standing: confirmed, unconfirmed, outdated, once at each change
- control.members: members, voters and quorum as committed, and whether this one votes
- metrics: view_confirmed at all nodes; control_voters, control_leader_known, control_committed_index at control members

No decision changes.

--- a/src/program/ControlClient.cpp
+++ b/src/program/ControlClient.cpp
@@ -41,6 +41,10 @@
 constexpr milliseconds releaseTime{5'000};
 constexpr unsigned statusOk = 200;
 
+// Why an entry leaves a source of pages, in the log.
+constexpr std::string_view sourceIsBehind = "behind";
+constexpr std::string_view sourceIsAway = "no-answer";
+
 ClaimAnswer toClaimAnswer(const control::ClaimAnswer &answer)
 {
     using Verdict = control::ClaimVerdict;
@@ -278,7 +282,7 @@
     }
     const bool pages = std::exchange(this->awaitingPages, false);
     if (pages)
-        ++this->pageSourceRotation; // the current member lags
+        this->switchPageSource(sourceIsBehind);
     const state::Instant askedAt = monotonicNow();
     const auto reply = co_await this->callFeed(this->feedConnection, *member, pages);
     const auto *feedReply = reply ? std::get_if<protocol::FeedReply>(&reply.value().body) : nullptr;
@@ -328,10 +332,11 @@
     const auto reply = co_await this->callFeed(this->pagesConnection, *member, true);
     const auto *feedReply = reply ? std::get_if<protocol::FeedReply>(&reply.value().body) : nullptr;
     if (feedReply == nullptr) {
-        ++this->pageSourceRotation; // pollFeed() logs the loss of the control members
+        this->switchPageSource(sourceIsAway);
         co_return false;
     }
     const std::optional<state::Instant> behindSince = this->feed.behindSince();
+    this->pageSourceVersion = feedReply->version;
     this->feed.onVersionReported(feedReply->version, monotonicNow());
     const bool changed = this->feed.onPages(this->decodePages(*feedReply, *member));
     if (changed)
@@ -417,6 +422,42 @@
              {{"peer", member.toString()}, {"version", this->feed.view().version}});
 }
 
+// Logs once when decisions by this view become more or less reliable.
+void ControlClient::logStandingTransition(const coordination::orders::ViewLease &held)
+{
+    using coordination::orders::ViewStatus;
+    const state::Instant now = monotonicNow();
+    const ViewStatus status = held.statusAt(now);
+    if (std::exchange(this->loggedStanding, status) == status)
+        return;
+    const std::optional<state::Instant> behindSince = this->feed.behindSince();
+    logEvent(status == ViewStatus::Confirmed ? LogLevel::Info : LogLevel::Warning,
+             "control.standing",
+             {{"version", this->feed.view().version},
+              {"configuration", this->feed.view().configuration.version},
+              {"standing", status == ViewStatus::Confirmed     ? "confirmed"
+                           : status == ViewStatus::Unconfirmed ? "unconfirmed"
+                                                               : "outdated"},
+              {"behind_us", std::int64_t(behindSince ? (now - *behindSince).count() : 0)}});
+}
+
+// Logs only a source that had answered, not each of a series of members that are away.
+void ControlClient::switchPageSource(std::string_view cause)
+{
+    const std::optional<ControlMemberAddress> left = this->pageSource();
+    ++this->pageSourceRotation;
+    const std::optional<ControlMemberAddress> next = this->pageSource();
+    const std::uint64_t versionThere = std::exchange(this->pageSourceVersion, 0);
+    if (versionThere == 0 && cause != sourceIsBehind)
+        return;
+    logEvent(LogLevel::Info, "control.source",
+             {{"left", left ? left->entry.toString() : std::string()},
+              {"cause", cause},
+              {"version_there", versionThere},
+              {"version", this->feed.view().version},
+              {"next", next ? next->entry.toString() : std::string()}});
+}
+
 void ControlClient::publishView(bool viewChanged)
 {
     const bool now = this->feed.admits(monotonicNow());
@@ -424,6 +465,7 @@
     if (viewChanged)
         this->published.publish(this->feed.view());
     const coordination::orders::ViewLease held = this->feed.lease();
+    this->logStandingTransition(held);
     if (!(held == *this->lease.read()))
         this->lease.publish(held);
     if (viewChanged || now != before) {
--- a/src/program/ControlClient.h
+++ b/src/program/ControlClient.h
@@ -101,6 +101,9 @@
     std::vector<state::control::FeedPage> decodePages(const protocol::FeedReply &reply,
                                                       const ControlMemberAddress &member);
     void logFeedTransition(const state::Address &member, bool confirmed);
+    void logStandingTransition(const coordination::orders::ViewLease &held);
+    // Takes the next control member as the source of pages.
+    void switchPageSource(std::string_view cause);
     void logFetchedChange(const ControlMemberAddress &member, const protocol::FeedReply &reply,
                           state::Instant askedAt, std::optional<state::Instant> behindSince);
     void publishView(bool viewChanged);
@@ -114,9 +117,11 @@
     transport::HttpConnection feedConnection;            // to the leader
     transport::HttpConnection pagesConnection;           // to the member polled for pages
     bool feedConfirmed = false;
+    coordination::orders::ViewStatus loggedStanding = coordination::orders::ViewStatus::Unconfirmed;
     bool awaitingPages = false; // the leader reported a version whose pages have not arrived yet
     bool needsFullConfiguration = false; // the last patch could not be applied
     std::size_t pageSourceRotation = 0;  // incremented if a member does not answer or lags
+    std::uint64_t pageSourceVersion = 0; // as the source last reported; 0: it has not answered
     state::Snapshot<std::optional<state::Address>> leader; // consensus address; a hint
     std::atomic<std::size_t> rotation = 0;
     std::atomic<bool> fresh = false;
--- a/src/program/ControlMemberHost.cpp
+++ b/src/program/ControlMemberHost.cpp
@@ -148,7 +148,10 @@
         if (this->hooks.roleChanged)
             this->hooks.roleChanged(change);
     };
-    made.membersChanged = [](const MemberSet &) {};
+    made.membersChanged = [this](const MemberSet &members) {
+        if (this->hooks.membersChanged)
+            this->hooks.membersChanged(members);
+    };
     made.badMessage = [this](const state::Error &error) { this->reportProblem(error); };
     return made;
 }
--- a/src/program/ControlMemberHost.h
+++ b/src/program/ControlMemberHost.h
@@ -46,6 +46,7 @@
             applied;
     std::function<void()> restored; // state() was replaced by a newer one
     std::function<void(const coordination::consensus::RoleChange &)> roleChanged;
+    std::function<void(const coordination::consensus::MemberSet &)> membersChanged; // committed
     // An error to be logged; also called on the link's strand.
     std::function<void(const state::Error &)> problem;
 };
--- a/src/program/ControlService.cpp
+++ b/src/program/ControlService.cpp
@@ -133,6 +133,9 @@
     memberHooks.roleChanged = [this](const consensus::RoleChange &change) {
         this->onRoleChanged(change);
     };
+    memberHooks.membersChanged = [this](const consensus::MemberSet &members) {
+        this->onMembersChanged(members);
+    };
     memberHooks.applied = [this](const auto & /*position*/, const auto & /*command*/,
                                  const auto & /*answer*/) { this->onStateChanged(); };
     memberHooks.restored = [this] { this->onStateChanged(); };
@@ -152,6 +155,14 @@
     return state::outcome::success();
 }
 
+std::optional<ControlMemberStatus> ControlService::status() const
+{
+    const HostPointer member = this->host();
+    if (!member)
+        return std::nullopt;
+    return *member->member().status();
+}
+
 ControlService::HostPointer ControlService::host() const
 {
     const std::lock_guard lock(this->hostMutex);
@@ -190,6 +201,16 @@
     asio::post(this->timer.get_executor(), [self = this->shared_from_this()] { self->reopen(); });
 }
 
+void ControlService::onMembersChanged(const consensus::MemberSet &members) const
+{
+    logEvent(LogLevel::Info, "control.members",
+             {{"identity", this->id.value()},
+              {"votes", members.isVoter(this->id) ? "yes" : "no"},
+              {"members", std::uint64_t(members.all().size())},
+              {"voters", std::uint64_t(members.voterCount())},
+              {"quorum", std::uint64_t(members.quorum())}});
+}
+
 // After a failed write or sync the contents of the disk are unknown until the folder is opened
 // again. Without reopening, a full disk would disable this member until somebody restarts it.
 void ControlService::reopen()
--- a/src/program/ControlService.h
+++ b/src/program/ControlService.h
@@ -43,6 +43,8 @@
 
     boost::asio::awaitable<protocol::ControlReply> answer(protocol::ControlCall call);
     const state::VmId &identity() const { return this->id; } // of the data folder
+    // Nothing while the folder can't be opened. Any thread.
+    std::optional<ControlMemberStatus> status() const;
 
 private:
     using HostPointer = std::shared_ptr<ControlMemberHost>;
@@ -53,6 +55,7 @@
     state::Result<void> open();
     HostPointer host() const;
     void onRoleChanged(const coordination::consensus::RoleChange &change);
+    void onMembersChanged(const coordination::consensus::MemberSet &members) const;
     void reopen();
     void tick();
     void advanceTime(const HostPointer &member, state::Instant now);
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -33,6 +33,7 @@
 namespace asio = boost::asio;
 using coordination::directory::ShutdownSchedule;
 using coordination::membership::MemberPhase;
+using coordination::orders::ViewStatus;
 using std::chrono::milliseconds;
 
 namespace {
@@ -480,6 +481,23 @@
         this->context.stop();
     }
 
+    void serveControlMetrics()
+    {
+        using Status = ControlMemberStatus;
+        const auto gauge = [this](const char *name, double (*value)(const Status &)) {
+            this->metrics.gauge(name, [this, value] {
+                const auto status = this->control->status();
+                return status ? value(*status) : 0.0;
+            });
+        };
+        gauge("control_voters",
+              [](const Status &status) { return double(status.members.voterCount()); });
+        gauge("control_leader_known",
+              [](const Status &status) { return status.leader ? 1.0 : 0.0; });
+        gauge("control_committed_index",
+              [](const Status &status) { return double(status.committed); });
+    }
+
     state::Result<void> serveMetrics()
     {
         this->metrics.gauge("requests_in_flight", [this] { return double(this->inFlight()); });
@@ -492,6 +510,11 @@
         this->metrics.gauge("view_fresh", [this] {
             return this->client && this->client->mayAdmit() ? 1.0 : 0.0;
         });
+        this->metrics.gauge("view_confirmed", [this] {
+            return this->client && this->client->standing() == ViewStatus::Confirmed ? 1.0 : 0.0;
+        });
+        if (this->control)
+            this->serveControlMetrics();
         this->metrics.gauge("endpoints_known",
                             [this] { return double(this->cluster->endpointsKnown()); });
         this->metrics.gauge("reaches_endpoints",
