Soak: the leader and another voter stop right after an acknowledgement; fails

Five control members, of which the processes are told three as seeds, and six entries, as separate processes. As soon as a change is acknowledged, the leading control member and one of the founders are stopped (SIGSTOP: connections to them hang) or killed. Three of five go on. Asked: the change is in force on all entries within 2 s, and the next one is acknowledged in 4 s.

--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdio>
@@ -13,6 +14,7 @@
 #include <fstream>
 #include <iostream>
 #include <sstream>
+#include <string_view>
 
 namespace lavenderthread::soak {
 
@@ -103,7 +105,7 @@
         return "\"" + this->ip(index) + ":" + std::to_string(this->settings.port + offset) + "\"";
     };
     std::string seeds;
-    for (std::size_t seed = 0; seed < this->settings.controls; ++seed)
+    for (std::size_t seed = 0; seed < this->settings.founders; ++seed)
         seeds += (seed > 0 ? ", \"" : "\"") + this->operators(seed).toString() + "\"";
     std::ofstream file(this->settings.folder + "/" + std::to_string(index) + ".json");
     file << R"({"cluster": {"name": "soak", "keys": ["soak-cluster-key"], "seed_hosts": [)" << seeds
@@ -208,6 +210,27 @@
     return std::nullopt;
 }
 
+std::optional<std::size_t> Fleet::leader() const
+{
+    std::optional<std::size_t> found;
+    std::uint64_t newestTerm = 0;
+    for (std::size_t index = 0; index < this->settings.controls; ++index) {
+        std::ifstream log(this->settings.folder + "/" + std::to_string(index) + ".log");
+        std::string line;
+        while (std::getline(log, line)) {
+            constexpr std::string_view leads = " role=leader term=";
+            const std::size_t at = line.find(leads);
+            if (at == std::string::npos)
+                continue;
+            const std::uint64_t term = std::stoull(line.substr(at + leads.size()));
+            if (term >= newestTerm)
+                found = index;
+            newestTerm = std::max(newestTerm, term);
+        }
+    }
+    return found;
+}
+
 void Fleet::wipe(std::size_t index)
 {
     std::filesystem::remove_all(this->dataFolder(index));
--- a/soak/Fleet.h
+++ b/soak/Fleet.h
@@ -19,6 +19,7 @@
     std::string binary;
     std::string folder; // for settings, logs and data; made anew
     std::size_t controls = 3;
+    std::size_t founders = 3; // the first controls, which all processes are told as seeds
     std::size_t entries = 4;
     std::uint32_t changeInForceMs = 2'500;
     std::uint16_t port = 0; // first of five that every process uses, each at its own loopback IP
@@ -35,6 +36,9 @@
     // Processes are numbered: the controls first, then the entries.
     std::size_t size() const { return this->processes.size(); }
     bool isControl(std::size_t index) const { return index < this->settings.controls; }
+    std::size_t founderCount() const { return this->settings.founders; }
+    // The control that was the last one to become leader, from the logs; nothing if none leads.
+    std::optional<std::size_t> leader() const;
     void start(std::size_t index);
     void signal(std::size_t index, int number);
     bool isRunning(std::size_t index); // reaps one that has ended
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,8 +1,10 @@
 // Runs one seed: a small fleet of real processes, endpoints, callers and an operator, faults for so
 // many seconds, then a calm end in which everything has to work again.
-// With --path-loss, plays that scenario in place of the faults.
+// With --path-loss or --control-loss, plays that scenario in place of the faults.
 // usage: fault-soak --binary PATH --folder PATH [--seed N] [--seconds N] [--path-loss hang|reset]
+//                   [--control-loss freeze|kill]
 #include "Callers.h"
+#include "ControlLoss.h"
 #include "Faults.h"
 #include "Operator.h"
 #include "PathLoss.h"
@@ -33,12 +35,17 @@
     std::string folder;
     std::uint64_t seed = 1;
     unsigned seconds = 15;
-    std::string pathLoss; // how connections of cut-off entries fail; empty: not played
+    std::string pathLoss;    // how connections of cut-off entries fail; empty: not played
+    std::string controlLoss; // how control members stop running; empty: not played
+
+    bool playsScenario() const { return !this->pathLoss.empty() || !this->controlLoss.empty(); }
 };
 
 constexpr std::size_t callers = 6;
 constexpr std::size_t entries = 4;
-constexpr std::size_t entriesForPathLoss = 6;
+constexpr std::size_t entriesForScenarios = 6;
+constexpr std::size_t controls = 3;
+constexpr std::size_t controlsForControlLoss = 5;
 constexpr std::size_t entriesCutOff = 3;
 constexpr std::size_t engines = 4;
 constexpr std::size_t replicas = 3;
@@ -61,9 +68,12 @@
 public:
     explicit Soak(const Options &options)
         : options(options)
-        , fleet({options.binary, options.folder, 3,
-                 options.pathLoss.empty() ? entries : entriesForPathLoss,
-                 std::uint32_t(changeInForce.count()), portOf(options.seed)})
+        , fleet({.binary = options.binary,
+                 .folder = options.folder,
+                 .controls = options.controlLoss.empty() ? controls : controlsForControlLoss,
+                 .entries = options.playsScenario() ? entriesForScenarios : entries,
+                 .changeInForceMs = std::uint32_t(changeInForce.count()),
+                 .port = portOf(options.seed)})
         , operators(this->context, this->fleet.allOperators(), this->ledger, options.seed)
         , port(portOf(options.seed))
     {
@@ -153,6 +163,8 @@
     {
         if (!this->options.pathLoss.empty())
             co_await this->playPathLoss();
+        else if (!this->options.controlLoss.empty())
+            co_await this->playControlLoss();
         else
             co_await this->playFaults();
     }
@@ -174,6 +186,19 @@
         co_await scenario.play();
     }
 
+    asio::awaitable<void> playControlLoss()
+    {
+        const bool started = co_await this->startFleet();
+        if (!started)
+            co_return;
+        ControlLoss::Settings settings;
+        settings.fault =
+                this->options.controlLoss == "kill" ? ControlFault::Killed : ControlFault::Frozen;
+        settings.seed = this->options.seed;
+        ControlLoss scenario(this->context, settings, this->fleet, this->operators, this->ledger);
+        co_await scenario.play();
+    }
+
     // Starts all processes and sends the first configuration.
     asio::awaitable<bool> startFleet()
     {
@@ -293,6 +318,9 @@
     app.add_option("--seconds", options.seconds, "How long faults strike");
     app.add_option("--path-loss", options.pathLoss, "Cut entries off from endpoints: hang, reset")
             ->check(CLI::IsMember({"hang", "reset"}));
+    app.add_option("--control-loss", options.controlLoss,
+                   "Stop the leader and another voter after changes: freeze, kill")
+            ->check(CLI::IsMember({"freeze", "kill"}));
     CLI11_PARSE(app, argc, argv);
     std::cout << "seed " << options.seed << '\n';
     Soak soak(options);
