Consensus, entries: all control members vote; an entry leaves a silent or lagging source of changes soon

What callers saw: a change that had been acknowledged was not in force on some entries seconds later, and requests ran at the service that the route had left.

Cause: three of five control members voted (2 f + 1 for one loss), the others held no log at all. When the leader and another voter lost power right after an acknowledgement, nobody could lead although three of five ran and reached every entry. The change was then held by one control member and those entries that had fetched it; the others could not be told by anybody, nor that they were outdated. Class of fault: the quorum was taken from a part of the members that the promise is made of.

Second, an entry noticed a source or a leader that fell silent only after 1.5 s, one after the other: two silent members are 3 s.

Now: all live control members vote, nine at most, 2 f + 1 at least. One that is away for long is kept only where that raises no quorum. Confirmations are waited for as long as they have recently taken, four times, 0.3 s at least; while nobody confirms, every member that is asked hands over what it has applied; a source that has less than a known version is left.

MemberPlanTest::lossOfMostFoundersLeavesQuorum and allControlMembersVote fail on the code before.

Why it works: a majority of the control members that run elects a leader that holds every acknowledged change, and every member that an entry may ask holds the log.

--- a/src/coordination/consensus/MemberPlan.cpp
+++ b/src/coordination/consensus/MemberPlan.cpp
@@ -1,4 +1,4 @@
-// Keeps live members, adds new ones up to the wanted number and removes those that are gone.
+// Keeps live members, adds new ones up to the largest number and removes those that are gone.
 #include "coordination/consensus/MemberPlan.h"
 
 #include <algorithm>
@@ -15,6 +15,15 @@
 
 } // namespace
 
+// Another identity is alive at the member's address.
+bool MemberPlan::isReplaced(const Member &member, const std::vector<MemberCandidate> &live) const
+{
+    return findById(live, member.id) == nullptr
+           && std::ranges::any_of(live, [&](const MemberCandidate &candidate) {
+                  return candidate.address == member.address;
+              });
+}
+
 bool MemberPlan::isGone(const Member &member, const std::vector<MemberCandidate> &live,
                         state::Instant now)
 {
@@ -23,10 +32,7 @@
         return false;
     }
     const state::Instant since = this->awaySince.emplace(member.id, now).first->second;
-    const bool addressTaken = std::ranges::any_of(live, [&](const MemberCandidate &candidate) {
-        return candidate.address == member.address;
-    });
-    return addressTaken || now - since >= this->settings.replaceAfter;
+    return this->isReplaced(member, live) || now - since >= this->settings.replaceAfter;
 }
 
 MemberSet MemberPlan::target(const MemberSet &current, const std::vector<MemberCandidate> &live,
@@ -45,17 +51,21 @@
         wanted.push_back({member.id, member.address, MemberRole::Voter});
     }
     for (const MemberCandidate &candidate : live) {
-        if (wanted.size() >= this->settings.wantedVoters)
+        if (wanted.size() >= this->settings.mostVoters)
             break;
         if (current.find(candidate.id) == nullptr)
             wanted.push_back({candidate.id, candidate.address, MemberRole::Voter});
     }
-    // Without enough live members, a member that is away stays in the set: it holds a copy, and
-    // removing it would let a quorum of fewer disks decide.
     for (const Member &member : away) {
-        if (wanted.size() - temporarilyAway >= this->settings.wantedVoters)
-            break;
-        wanted.push_back({member.id, member.address, member.role});
+        // Without enough live members, a member that is away stays in the set: it holds a copy,
+        // and removing it would let a quorum of fewer disks decide.
+        const bool tooFewLive = wanted.size() - temporarilyAway < this->settings.leastVoters;
+        // One more than an even number of members needs no larger quorum, and one that returns
+        // needs no change of the set then.
+        const bool costsNothing = wanted.size() % 2 == 0 && !this->isReplaced(member, live)
+                                  && wanted.size() < this->settings.mostVoters;
+        if (tooFewLive || costsNothing)
+            wanted.push_back({member.id, member.address, member.role});
     }
     const state::Result<MemberSet> set = MemberSet::create(std::move(wanted));
     return set ? set.value() : current;
--- a/src/coordination/consensus/MemberPlan.h
+++ b/src/coordination/consensus/MemberPlan.h
@@ -21,7 +21,10 @@
 
 struct MemberPlanSettings
 {
-    std::size_t wantedVoters = 3; // 2 f + 1 to survive f simultaneous losses
+    // 2 f + 1 to survive f simultaneous losses of a disk; a repair never goes below it.
+    std::size_t leastVoters = 3;
+    // Each voter costs the leader a message each heartbeat and a copy of each entry.
+    std::size_t mostVoters = 9;
     // A member that is away for less than this is not replaced: restarts and short partitions end
     // earlier, and copying the state to a new member costs more than waiting.
     state::Duration replaceAfter = std::chrono::seconds(4);
@@ -35,14 +38,16 @@
         : settings(chosen)
     {}
 
-    // The member set to reach by single changes. Live members stay. A member that is away is
-    // removed only if enough others are alive: after replaceAfter, or at once if another identity
-    // is alive at its address. Its disk is then lost for good, and until its removal it counts
-    // against every quorum.
+    // The member set to reach by single changes. All live control members vote, up to mostVoters:
+    // if only some did, the loss of most of these would stop decisions although most control
+    // members run. A member that is away is removed only if enough others are alive: after
+    // replaceAfter, or at once if another identity is alive at its address. Its disk is then lost
+    // for good, and until its removal it counts against every quorum.
     MemberSet target(const MemberSet &current, const std::vector<MemberCandidate> &live,
                      state::Instant now);
 
 private:
+    bool isReplaced(const Member &member, const std::vector<MemberCandidate> &live) const;
     bool isGone(const Member &member, const std::vector<MemberCandidate> &live, state::Instant now);
 
     MemberPlanSettings settings;
--- a/src/coordination/orders/FeedReceiver.h
+++ b/src/coordination/orders/FeedReceiver.h
@@ -92,6 +92,13 @@
     }
     // A control member has applied this version, whether or not it could confirm it as the newest.
     void onVersionReported(std::uint64_t version, state::Instant now);
+    // Whether a member that holds this version can't bring the view up to date, since a newer one
+    // was reported.
+    bool isBehind(std::uint64_t versionThere) const
+    {
+        return !this->missingVersions.empty()
+               && versionThere < this->missingVersions.back().version;
+    }
     // When the oldest version that the view lacks was first reported; nothing if it lacks none.
     std::optional<state::Instant> behindSince() const;
     void onRequestFailed(std::uint64_t id);
--- a/src/program/ControlClient.cpp
+++ b/src/program/ControlClient.cpp
@@ -137,7 +137,7 @@
 
 asio::awaitable<state::Result<protocol::ControlReply>>
 ControlClient::call(ControlMemberAddress member, protocol::ControlCall request,
-                    transport::HttpConnection *kept)
+                    milliseconds timeout, transport::HttpConnection *kept)
 {
     if (this->hooks.ownMember && member.consensus == this->hooks.ownAddress) {
         protocol::ControlReply own = co_await this->hooks.ownMember(std::move(request));
@@ -149,7 +149,7 @@
     http.body = protocol::sealControlCall(this->settings.keys, request);
     transport::HttpCallLimits limits;
     limits.connectTimeout = connectTimeout;
-    limits.timeout = callTimeout;
+    limits.timeout = timeout;
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
     state::Result<protocol::HttpResponse> answer = protocol::HttpResponse();
     if (kept != nullptr) {
@@ -191,7 +191,7 @@
     while (remaining(deadline) > milliseconds(0)) {
         const std::optional<ControlMemberAddress> member = this->nextMember(failed);
         if (member) {
-            auto reply = co_await this->call(*member, request);
+            auto reply = co_await this->call(*member, request, callTimeout);
             const bool leaderKnown = reply && reply.value().leader.port != 0;
             this->leader.publish(leaderKnown ? std::optional(reply.value().leader) : std::nullopt);
             if (reply && accepts(reply.value()))
@@ -280,15 +280,21 @@
         this->feed.retryAt(monotonicNow() + feedRetry);
         co_return false;
     }
-    const bool pages = std::exchange(this->awaitingPages, false);
-    if (pages)
+    const bool sourceLags = std::exchange(this->awaitingPages, false);
+    if (sourceLags)
         this->switchPageSource(sourceIsBehind);
+    // Without a leader, any member that answers may hold a change that this entry lacks.
+    const bool pages = sourceLags || !this->feedConfirmed;
     const state::Instant askedAt = monotonicNow();
-    const auto reply = co_await this->callFeed(this->feedConnection, *member, pages);
+    const auto timeout = std::chrono::ceil<milliseconds>(this->feedPatience.timeout());
+    const auto reply =
+            co_await this->callFeed(this->feedConnection, *member, pages, milliseconds(0), timeout);
     const auto *feedReply = reply ? std::get_if<protocol::FeedReply>(&reply.value().body) : nullptr;
     const bool leaderKnown = reply && reply.value().leader.port != 0;
     this->leader.publish(leaderKnown ? std::optional(reply.value().leader) : std::nullopt);
     const bool confirmed = feedReply != nullptr && feedReply->confirmed;
+    if (confirmed)
+        this->feedPatience.onAnswer(monotonicNow() - askedAt);
     this->logFeedTransition(member->entry, confirmed);
     this->unconfirmedFeedMember = confirmed ? std::nullopt : std::optional(member->consensus);
     if (!confirmed)
@@ -329,7 +335,8 @@
     if (!member)
         co_return false;
     const state::Instant askedAt = monotonicNow();
-    const auto reply = co_await this->callFeed(this->pagesConnection, *member, true);
+    const auto reply =
+            co_await this->callFeed(this->pagesConnection, *member, true, feedWait, callTimeout);
     const auto *feedReply = reply ? std::get_if<protocol::FeedReply>(&reply.value().body) : nullptr;
     if (feedReply == nullptr) {
         this->switchPageSource(sourceIsAway);
@@ -341,6 +348,8 @@
     const bool changed = this->feed.onPages(this->decodePages(*feedReply, *member));
     if (changed)
         this->logFetchedChange(*member, *feedReply, askedAt, behindSince);
+    else if (this->feed.isBehind(feedReply->version))
+        this->switchPageSource(sourceIsBehind);
     co_return changed;
 }
 
@@ -382,17 +391,17 @@
 
 asio::awaitable<state::Result<protocol::ControlReply>>
 ControlClient::callFeed(transport::HttpConnection &connection, ControlMemberAddress member,
-                        bool pages)
+                        bool pages, milliseconds wait, milliseconds timeout)
 {
     protocol::FeedCall feedCall;
     feedCall.entry = this->settings.vm;
     feedCall.version = this->feed.view().version;
     if (!this->needsFullConfiguration)
         feedCall.configuration = this->feed.view().configuration.version;
-    feedCall.waitMs = static_cast<std::uint32_t>(feedWait.count());
+    feedCall.waitMs = static_cast<std::uint32_t>(wait.count());
     feedCall.pages = pages;
     protocol::ControlCall request = feedCall;
-    co_return co_await this->call(std::move(member), std::move(request), &connection);
+    co_return co_await this->call(std::move(member), std::move(request), timeout, &connection);
 }
 
 // Returns the member in this process, or one chosen by a hash of the VM id, which spreads the
--- a/src/program/ControlClient.h
+++ b/src/program/ControlClient.h
@@ -2,6 +2,7 @@
 // catalog and configuration, and knows whether that view is fresh.
 #pragma once
 
+#include "coordination/orders/AnswerPatience.h"
 #include "coordination/orders/FeedReceiver.h"
 #include "program/Claims.h"
 #include "program/Settings.h"
@@ -89,14 +90,15 @@
     boost::asio::awaitable<bool> fetchPages();
     std::optional<ControlMemberAddress> pageSource() const;
     boost::asio::awaitable<state::Result<protocol::ControlReply>>
-    callFeed(transport::HttpConnection &connection, ControlMemberAddress member, bool pages);
+    callFeed(transport::HttpConnection &connection, ControlMemberAddress member, bool pages,
+             std::chrono::milliseconds wait, std::chrono::milliseconds timeout);
     // Calls the leader, or members that may know it, until `accepts` is true. Error: Timeout.
     boost::asio::awaitable<state::Result<protocol::ControlReply>>
     callLeader(protocol::ControlCall request, ReplyPredicate accepts, const char *step,
                state::Instant deadline);
     boost::asio::awaitable<state::Result<protocol::ControlReply>>
     call(ControlMemberAddress member, protocol::ControlCall request,
-         transport::HttpConnection *kept = nullptr);
+         std::chrono::milliseconds timeout, transport::HttpConnection *kept = nullptr);
     std::optional<ControlMemberAddress> nextMember(const std::optional<state::Address> &failed);
     std::vector<state::control::FeedPage> decodePages(const protocol::FeedReply &reply,
                                                       const ControlMemberAddress &member);
@@ -117,6 +119,7 @@
     transport::HttpConnection feedConnection;            // to the leader
     transport::HttpConnection pagesConnection;           // to the member polled for pages
     bool feedConfirmed = false;
+    coordination::orders::AnswerPatience feedPatience; // with the leader's confirmations
     coordination::orders::ViewStatus loggedStanding = coordination::orders::ViewStatus::Unconfirmed;
     bool awaitingPages = false; // the leader reported a version whose pages have not arrived yet
     bool needsFullConfiguration = false; // the last patch could not be applied
--- a/src/program/ControlService.cpp
+++ b/src/program/ControlService.cpp
@@ -31,8 +31,9 @@
 // just started gets no configuration until a leader is elected.
 constexpr milliseconds electionTimeout{350};
 // While there is no leader, an entry's call is held until one is known, so that the entries do not
-// all retry again and again. The wait is short because this member may be the partitioned one.
-constexpr milliseconds waitForLeader{300};
+// all retry again and again. The wait is short because this member may be the partitioned one, and
+// below AnswerPatience::shortest.
+constexpr milliseconds waitForLeader{200};
 constexpr milliseconds reopenPause{500}; // between attempts to open a folder on a failing disk
 
 // Sized for a control VM: entries that are not in a snapshot stay in memory, and a restart reads
@@ -100,7 +101,7 @@
     , hooks(std::move(serviceHooks))
     , timer(asio::make_strand(io))
     , tracker(coordination::orders::FeedSettings().lease)
-    , plan({.wantedVoters = chosen.controlVoters})
+    , plan({.leastVoters = chosen.leastControlVoters})
 {}
 
 state::Result<std::shared_ptr<ControlService>>
@@ -393,13 +394,14 @@
 {
     const std::uint64_t seen = this->announcedVersion;
     protocol::FeedReply reply = co_await this->readFeed(member, call);
-    if (!reply.content.pages.empty() || call.waitMs == 0)
+    if (!reply.content.pages.empty())
         co_return reply;
-    // A call without pages is held only while no leader is known; otherwise the caller turns to the
+    const bool longPoll = call.pages && call.waitMs > 0;
+    // Any other call is held only while no leader is known; otherwise the caller turns to the
     // leader.
-    if (!call.pages && (reply.confirmed || this->leaderAddress(member).port != 0))
+    if (!longPoll && (reply.confirmed || this->leaderAddress(member).port != 0))
         co_return reply;
-    co_await this->waitForChange(seen, call.pages ? milliseconds(call.waitMs) : waitForLeader);
+    co_await this->waitForChange(seen, longPoll ? milliseconds(call.waitMs) : waitForLeader);
     co_return co_await this->readFeed(member, call);
 }
 
--- a/src/program/Settings.cpp
+++ b/src/program/Settings.cpp
@@ -161,7 +161,7 @@
     settings.controlListen = optionalAddress(document.text("control.listen"));
     settings.dataFolder = document.text("control.data_folder");
     settings.controlBootstrap = document.flag("control.bootstrap");
-    settings.controlVoters =
+    settings.leastControlVoters =
             2 * static_cast<std::size_t>(document.integer("control.losses_borne")) + 1;
     settings.admitWhenStale = document.flag("control.admit_when_stale");
     settings.changeInForce =
--- a/src/program/Settings.h
+++ b/src/program/Settings.h
@@ -98,7 +98,7 @@
     bool controlBootstrap = false;
     bool admitWhenStale = false;
     std::chrono::milliseconds changeInForce{};
-    std::size_t controlVoters = 3;
+    std::size_t leastControlVoters = 3;
     std::vector<ControlMemberSetting> controlMembers;
     std::vector<AccountSetting> accounts;
     std::vector<ServiceSetting> services;
--- a/src/program/SettingsRules.cpp
+++ b/src/program/SettingsRules.cpp
@@ -73,8 +73,9 @@
              "true only at the first start of a new cluster: an empty data folder then belongs to "
              "a first member; else to a newcomer that must be added"},
             {"control.losses_borne", Integer, "", 1, false, 0, 4,
-             "control members that may be lost at once; a cluster with cluster.seed_hosts keeps "
-             "twice as many voters, and one"},
+             "control members whose disks may be lost at once; all control members vote, nine at "
+             "most, and a cluster with cluster.seed_hosts keeps at least twice as many voters as "
+             "this, and one"},
             {"control.admit_when_stale", Flag, "", false, false, 0, 0,
              "keep admitting under the last known table and configuration while no control member "
              "answers"},
--- a/src/protocol/ControlCalls.h
+++ b/src/protocol/ControlCalls.h
@@ -40,7 +40,7 @@
     std::uint64_t configuration = 0;
     // Long poll, with `pages` only: while the entry lacks nothing, the reply is delayed by at most
     // this many milliseconds. A change then reaches all entries within one round trip without
-    // polling.
+    // polling. 0: the reply is delayed only while the member knows no leader, and briefly.
     std::uint32_t waitMs = 0;
     // True: request the missing changes from any member that has them. False: request the newest
     // version number only.
--- a/tests/coordination/consensus/MemberPlanTest.cpp
+++ b/tests/coordination/consensus/MemberPlanTest.cpp
@@ -5,6 +5,8 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 namespace lavenderthread::coordination::consensus {
 
 class MemberPlanTest : public CppUnit::TestFixture
@@ -14,7 +16,10 @@
     CPPUNIT_TEST(removedVmIsReplaced);
     CPPUNIT_TEST(emptyDiskReturnsAsNewMember);
     CPPUNIT_TEST(failedMemberStaysWithoutReplacement);
-    CPPUNIT_TEST(addsNoMoreThanWantedVoters);
+    CPPUNIT_TEST(addsNoMoreThanMostVoters);
+    CPPUNIT_TEST(allControlMembersVote);
+    CPPUNIT_TEST(lossOfMostFoundersLeavesQuorum);
+    CPPUNIT_TEST(membersAwayForLongRaiseNoQuorum);
     CPPUNIT_TEST_SUITE_END();
 
     const state::Instant start{std::chrono::seconds(100)};
@@ -49,11 +54,12 @@
     const MemberCandidate b = candidate("b", 2);
     const MemberCandidate c = candidate("c", 3);
     const MemberCandidate d = candidate("d", 4);
+    const MemberCandidate e = candidate("e", 5);
 
 public:
     void shortAbsenceIsTolerated()
     {
-        MemberPlan plan({});
+        MemberPlan plan({.mostVoters = 3});
         const MemberSet set = setOf({this->a, this->b, this->c});
         CPPUNIT_ASSERT(set == plan.target(set, {this->a, this->b, this->d}, this->start));
         const state::Instant soon = this->start + std::chrono::seconds(3);
@@ -97,15 +103,59 @@
         CPPUNIT_ASSERT(set == plan.target(set, {this->a, this->b}, late));
     }
 
-    void addsNoMoreThanWantedVoters()
+    void addsNoMoreThanMostVoters()
     {
-        MemberPlan plan({});
+        MemberPlan three({.mostVoters = 3});
         const MemberSet set = setOf({this->a, this->b, this->c});
         const std::vector<MemberCandidate> live = {this->a, this->b, this->c, this->d};
-        CPPUNIT_ASSERT(set == plan.target(set, live, this->start));
-        MemberPlan five({.wantedVoters = 5});
+        CPPUNIT_ASSERT(set == three.target(set, live, this->start));
+        MemberPlan five({.mostVoters = 5});
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), five.target(set, live, this->start).voterCount());
     }
+
+    void allControlMembersVote()
+    {
+        MemberPlan plan({});
+        MemberSet set = setOf({this->a, this->b, this->c});
+        const std::vector<MemberCandidate> live = {this->a, this->b, this->c, this->d, this->e};
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3),
+                             applyChanges(set, plan.target(set, live, this->start)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), set.voterCount());
+    }
+
+    // Two of the first three voters lose power; three of five control members run, and a change
+    // that was acknowledged stays unknown to most entries if these can't elect a leader.
+    void lossOfMostFoundersLeavesQuorum()
+    {
+        MemberPlan plan({});
+        MemberSet set = setOf({this->a, this->b, this->c});
+        const std::vector<MemberCandidate> live = {this->a, this->b, this->c, this->d, this->e};
+        applyChanges(set, plan.target(set, live, this->start));
+        const std::vector<MemberCandidate> left = {this->c, this->d, this->e};
+        const auto running = std::ranges::count_if(
+                left, [&](const MemberCandidate &each) { return set.isVoter(each.id); });
+        CPPUNIT_ASSERT(std::size_t(running) >= set.quorum());
+    }
+
+    // Members that stay away must not be counted for ever: with each replacement the quorum would
+    // grow until the live members no longer reach it.
+    void membersAwayForLongRaiseNoQuorum()
+    {
+        MemberPlan plan({});
+        MemberSet set = setOf({this->a, this->b, this->c, this->d, this->e});
+        const std::vector<MemberCandidate> fourLive = {this->a, this->b, this->c, this->d};
+        plan.target(set, fourLive, this->start);
+        const state::Instant late = this->start + std::chrono::seconds(5);
+        CPPUNIT_ASSERT(set == plan.target(set, fourLive, late)); // the quorum is 3 either way
+        const std::vector<MemberCandidate> replaced = {this->a, this->b, this->c, this->d,
+                                                       candidate("f", 6)};
+        applyChanges(set, plan.target(set, replaced, late));
+        CPPUNIT_ASSERT(set == setOf(replaced));
+        const std::vector<MemberCandidate> threeLive = {this->a, this->b, this->c};
+        plan.target(set, threeLive, late);
+        applyChanges(set, plan.target(set, threeLive, late + std::chrono::seconds(5)));
+        CPPUNIT_ASSERT(set == setOf(threeLive));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MemberPlanTest);
--- a/tests/coordination/orders/FeedTest.cpp
+++ b/tests/coordination/orders/FeedTest.cpp
@@ -45,12 +45,27 @@
     CPPUNIT_TEST(viewKnownToBeOutdatedAdmitsNothing);
     CPPUNIT_TEST(viewIsConfirmedForAsLongAsAChangeMayTake);
     CPPUNIT_TEST(frequentChangesDoNotOutdateAViewThatKeepsUp);
+    CPPUNIT_TEST(sourceWithoutKnownChangeIsBehind);
     CPPUNIT_TEST(trackerListsMissingEntries);
     CPPUNIT_TEST(silentEntryIsNoLongerCounted);
     CPPUNIT_TEST(restartedEntryIsMissingAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // A source that holds no log answers without pages, as one that has nothing new.
+    void sourceWithoutKnownChangeIsBehind()
+    {
+        FeedReceiver feed({}, 3, 0);
+        feed.onPages({page(0, 5)});
+        CPPUNIT_ASSERT(!feed.isBehind(0));
+        feed.onVersionReported(7, at(10));
+        CPPUNIT_ASSERT(feed.isBehind(0));
+        CPPUNIT_ASSERT(feed.isBehind(5));
+        CPPUNIT_ASSERT(!feed.isBehind(7));
+        feed.onPages({page(5, 7)});
+        CPPUNIT_ASSERT(!feed.isBehind(5));
+    }
+
     void admitsOnlyWhileFresh()
     {
         FeedReceiver feed({}, 3, 0);
