--- /dev/null
+++ b/soak/EndpointLimits.h
@@ -0,0 +1,60 @@
+// One scenario: endpoints name request limits far below what they get, raise and withdraw them,
+// while an entry freezes and another one is restarted. Checks what arrives there, and that the
+// other endpoints serve the rest.
+#pragma once
+
+#include "Callers.h"
+#include "Fleet.h"
+#include "StandIn.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace lavenderthread::soak {
+
+class EndpointLimits
+{
+public:
+    struct Settings
+    {
+        std::uint64_t seed = 0;
+        std::size_t engines = 0; // the first endpoints; the others are replicas of a plain service
+    };
+
+    EndpointLimits(boost::asio::io_context &context, Settings chosen, Fleet &fleet,
+                   std::vector<std::shared_ptr<StandIn>> &endpoints, Ledger &ledger);
+
+    // Ends after the limits are withdrawn. Tells the ledger what was broken.
+    boost::asio::awaitable<void> play();
+
+private:
+    struct Count
+    {
+        std::uint64_t sent = 0;
+        std::uint64_t served = 0;
+    };
+
+    boost::asio::awaitable<void> callSteadily(std::size_t entry);
+    boost::asio::awaitable<void> callOnce(std::size_t entry, std::string path);
+    // Lets that much time pass and returns what the calls that ended in it brought.
+    boost::asio::awaitable<Count> count(std::chrono::milliseconds time);
+    boost::asio::awaitable<void> disturbEntries();
+    StandIn &engine(std::size_t index) { return *this->endpoints[index]; }
+    StandIn &replica(std::size_t index) { return *this->endpoints[this->settings.engines + index]; }
+    void judgeLimits(const char *phase) const;
+    void judgeServed(const char *phase, const Count &seen, double leastShare);
+
+    boost::asio::io_context &context;
+    Settings settings;
+    Fleet &fleet;
+    std::vector<std::shared_ptr<StandIn>> &endpoints;
+    Ledger &ledger;
+    std::vector<std::unique_ptr<Caller>> people; // one for each process
+    Count counted;
+    bool stopped = false;
+};
+
+} // namespace lavenderthread::soak
--- a/soak/StandIn.cpp
+++ b/soak/StandIn.cpp
@@ -62,6 +62,12 @@
     this->born = std::uint64_t(program::wallNow().time_since_epoch().count());
     this->id = "i-" + std::to_string(this->random() % 100'000'000);
     this->sequence = 0;
+    this->limit = {};
+}
+
+void StandIn::nameLimit(std::optional<double> perSecond)
+{
+    this->limit.set(perSecond, program::monotonicNow());
 }
 
 std::string StandIn::heartbeat()
@@ -116,9 +122,13 @@
         co_await this->serveOrder(exchange);
         co_return;
     }
+    ++this->arrived;
+    this->limit.recordArrival(program::monotonicNow());
     const std::string requestId = valueOf(request, "Request-Id");
     protocol::HttpResponse answer;
     answer.headers = {{"Request-Id", requestId}, {"Response-Seal", "seal"}};
+    if (const auto perSecond = this->limit.current())
+        answer.headers.add("Server-Limit", std::to_string(*perSecond));
     if (valueOf(request, "Expect-Instance") != this->id) {
         answer.status = 421;
         co_await exchange.respond(std::move(answer));
--- a/soak/StandIn.h
+++ b/soak/StandIn.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "Ledger.h"
+#include "NamedLimit.h"
 
 #include "state/Address.h"
 #include "transport/HttpServer.h"
@@ -11,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -45,6 +47,11 @@
     void start();
     void setFault(EndpointFault next) { this->fault = next; }
     void restart(); // under a new id and incarnation, at the same address
+    // Names that many requests a second in its answers; nothing: names none.
+    void nameLimit(std::optional<double> perSecond);
+    const NamedLimit &namedLimit() const { return this->limit; }
+    const std::string &name() const { return this->id; }
+    std::uint64_t arrivals() const { return this->arrived; }
 
 private:
     boost::asio::awaitable<void> beat();
@@ -61,6 +68,8 @@
     std::mt19937_64 random;
     std::shared_ptr<transport::HttpServer> server;
     EndpointFault fault = EndpointFault::None;
+    NamedLimit limit;
+    std::uint64_t arrived = 0; // requests, orders left out
     std::string id;
     std::uint64_t born = 0;
     std::uint64_t sequence = 0;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,10 +1,12 @@
 // Runs one seed: a small fleet of real processes, endpoints, callers and an operator, faults for so
 // many seconds, then a calm end in which everything has to work again.
-// With --path-loss or --control-loss, plays that scenario in place of the faults.
-// usage: fault-soak --binary PATH --folder PATH [--seed N] [--seconds N] [--path-loss hang|reset]
-//                   [--control-loss freeze|kill]
+// With --path-loss, --control-loss or --endpoint-limits, plays that scenario in place of the
+// faults. usage: fault-soak --binary PATH --folder PATH [--seed N] [--seconds N] [--path-loss
+// hang|reset]
+//                   [--control-loss freeze|kill] [--endpoint-limits]
 #include "Callers.h"
 #include "ControlLoss.h"
+#include "EndpointLimits.h"
 #include "Faults.h"
 #include "Operator.h"
 #include "PathLoss.h"
@@ -38,7 +40,12 @@
     std::string pathLoss;    // how connections of cut-off entries fail; empty: not played
     std::string controlLoss; // how control members stop running; empty: not played
 
-    bool playsScenario() const { return !this->pathLoss.empty() || !this->controlLoss.empty(); }
+    bool endpointLimits = false;
+
+    bool playsScenario() const
+    {
+        return !this->pathLoss.empty() || !this->controlLoss.empty() || this->endpointLimits;
+    }
 };
 
 constexpr std::size_t callers = 6;
@@ -165,6 +172,8 @@
             co_await this->playPathLoss();
         else if (!this->options.controlLoss.empty())
             co_await this->playControlLoss();
+        else if (this->options.endpointLimits)
+            co_await this->playEndpointLimits();
         else
             co_await this->playFaults();
     }
@@ -199,6 +208,16 @@
         co_await scenario.play();
     }
 
+    asio::awaitable<void> playEndpointLimits()
+    {
+        const bool started = co_await this->startFleet();
+        if (!started)
+            co_return;
+        EndpointLimits scenario(this->context, {this->options.seed, engines}, this->fleet,
+                                this->endpoints, this->ledger);
+        co_await scenario.play();
+    }
+
     // Starts all processes and sends the first configuration.
     asio::awaitable<bool> startFleet()
     {
@@ -321,6 +340,7 @@
     app.add_option("--control-loss", options.controlLoss,
                    "Stop the leader and another voter after changes: freeze, kill")
             ->check(CLI::IsMember({"freeze", "kill"}));
+    app.add_flag("--endpoint-limits", options.endpointLimits, "Endpoints name request limits");
     CLI11_PARSE(app, argc, argv);
     std::cout << "seed " << options.seed << '\n';
     Soak soak(options);
