Routing: the request rate that an endpoint accepts is kept over all entries

What callers and operators saw: engines that named a limit of 2 requests a second went on getting 4.9; the limit had no effect at all.

Cause: nothing read the limit. Class of fault: an endpoint's word on itself that no decision takes as input.

Now: an answer's limit is decoded, shared with the peers, and kept for that start of the endpoint until an answer names none. Every entry holds a token bucket for each limited endpoint (routing/SendLimit) and takes from it its own sends and those of its peers, which work notes tell of engines already and a new update of limited replicas; there is no second count beside the notes. Requests wait at many entries for the same token, so each entry leaves a random reserve in the bucket, drawn anew after every send; sends that cross take the bucket below zero and are made up for. An endpoint without a token is no candidate; others take the request. If the limits of all are used up it is refused at once, with the time until the next token.

Why it works: all entries draw from what is one bucket but for the delay of a note, and the reserve spreads their next sends over half a second, which is long beside that delay.

--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -53,6 +53,13 @@
         view->suspected = event.suspected;
 }
 
+void Dispatcher::on(const EngineLimited &event)
+{
+    const routing::EngineView *view = this->engines.find(event.engine);
+    if (view != nullptr && view->description().incarnation == event.incarnation)
+        this->engines.limitSends(event.engine, event.perSecond, this->now);
+}
+
 void Dispatcher::on(const LoadReported &event)
 {
     if (routing::EngineView *view = this->engines.find(event.report.endpoint))
--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -311,6 +311,14 @@
     passRequest.failedEngines = active.failedEngines;
     const auto choice = this->engines.chooseByPasses(request.model, passRequest, this->now);
     if (!choice) {
+        // It would wait for one of few requests that the engines accept, among those of all
+        // entries.
+        if (const auto limitedUntil = this->engines.limitedUntil(request.model, this->now)) {
+            this->refuse(
+                    request.id, RefusalReason::EndpointLimits,
+                    std::clamp(*limitedUntil - this->now, shortestRetryAfter, longestRetryAfter));
+            return true;
+        }
         // No engine has capacity. The request may wait as long as it can still be in time.
         const state::Duration defaultWait = request.firstEventTarget > state::Duration(0)
                                                     ? request.firstEventTarget / 2
--- a/src/coordination/admission/Events.h
+++ b/src/coordination/admission/Events.h
@@ -42,6 +42,14 @@
     bool suspected = true;
 };
 
+// The engine accepts that many requests a second from all entries; nothing: any rate.
+struct EngineLimited
+{
+    state::EndpointId engine;
+    std::uint64_t incarnation = 0;
+    std::optional<double> perSecond;
+};
+
 // The engine is lost: its announcements ended, it restarted, or its connections fail.
 struct EngineGone
 {
@@ -160,11 +168,11 @@
 struct Tick
 {};
 
-using Event =
-        std::variant<RequestArrived, CallerCancelled, EngineAnnounced, EngineGone, EngineDraining,
-                     EngineSuspected, LoadReported, CacheReported, SlicePrefilled, TokensReceived,
-                     RequestFinished, AttemptFailed, MoveRequested, ReservationAnswered,
-                     TableChanged, PeerWorkReceived, PeerJoined, PeerBacklogReceived, Tick>;
+using Event = std::variant<RequestArrived, CallerCancelled, EngineAnnounced, EngineGone,
+                           EngineDraining, EngineSuspected, EngineLimited, LoadReported,
+                           CacheReported, SlicePrefilled, TokensReceived, RequestFinished,
+                           AttemptFailed, MoveRequested, ReservationAnswered, TableChanged,
+                           PeerWorkReceived, PeerJoined, PeerBacklogReceived, Tick>;
 
 // Whether the request ran; No only if that is certain.
 enum class Ran : std::uint8_t { No, Unknown };
@@ -175,6 +183,7 @@
     Deadline,         // it can't complete in time
     Overload,         // the queue is full, or it has waited too long for capacity
     Limit,            // a limit of its table row is exceeded
+    EndpointLimits,   // the engines accept no more requests from all entries now
     AttemptsExhausted // attempts failed and no retry is left or allowed
 };
 
--- a/src/coordination/routing/EngineView.cpp
+++ b/src/coordination/routing/EngineView.cpp
@@ -1,6 +1,7 @@
 #include "coordination/routing/EngineView.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace lavenderthread::coordination::routing {
@@ -37,13 +38,37 @@
         this->unattributedPrefillTokens = 0;
         this->reportedMemory = 0;
         this->reportedRequests = 0;
+        this->sendLimit.reset();
     }
     this->endpoint = std::move(announced);
 }
 
+void EngineView::limitSends(std::optional<double> perSecond, state::Instant now, std::uint64_t seed)
+{
+    if (!perSecond)
+        this->sendLimit.reset();
+    else if (this->sendLimit)
+        this->sendLimit->setRate(*perSecond, now);
+    else
+        this->sendLimit.emplace(*perSecond, now, seed);
+}
+
+std::size_t EngineView::sendsAvailable() const
+{
+    return this->sendLimit ? this->sendLimit->available(this->advancedTo)
+                           : std::numeric_limits<std::size_t>::max();
+}
+
+state::Instant EngineView::nextSend() const
+{
+    return this->sendLimit ? this->sendLimit->nextSend(this->advancedTo) : state::Instant{};
+}
+
 void EngineView::apply(const WorkNote &note, state::Instant now)
 {
     this->advance(now);
+    if (note.stage == WorkStage::Dispatched && this->sendLimit)
+        this->sendLimit->recordSend(now);
     const auto found = std::ranges::find(this->work, note.requestHash, &ResidentWork::requestHash);
     if (note.stage == WorkStage::Ended) {
         if (found != this->work.end())
--- a/src/coordination/routing/EngineView.h
+++ b/src/coordination/routing/EngineView.h
@@ -4,6 +4,7 @@
 
 #include "coordination/routing/PolicySettings.h"
 #include "coordination/routing/PrefixIndex.h"
+#include "coordination/routing/SendLimit.h"
 #include "coordination/routing/WorkNote.h"
 #include "state/Endpoint.h"
 #include "state/Time.h"
@@ -61,6 +62,12 @@
     void addHelperWork(const WorkNote &note, std::uint32_t memoryTokens, state::Instant now);
     // Completes the helper work for a request that decodes or has ended. No effect without any.
     void completeHelperWork(std::uint64_t requestHash, WorkStage stage, state::Instant now);
+    // Sets the rate of requests that the engine accepts from all entries; nothing: any rate.
+    void limitSends(std::optional<double> perSecond, state::Instant now, std::uint64_t seed);
+    // How many requests may be sent to it now. Call advance(now) first.
+    std::size_t sendsAvailable() const;
+    // When one may be sent; in the past if it accepts any rate.
+    state::Instant nextSend() const;
     void apply(const WorkNote &note, state::Instant now);
     void apply(const state::LoadReport &report, state::Instant now);
     void advance(state::Instant now); // estimates the progress of the work up to now
@@ -89,7 +96,8 @@
     bool peersShareWork;
     double decodeSlowdownDuringPrefill;
 
-    std::vector<ResidentWork> work; // ordered by priority, then by arrival
+    std::optional<SendLimit> sendLimit; // of this incarnation; none: it accepts any rate
+    std::vector<ResidentWork> work;     // ordered by priority, then by arrival
     // Tokens reported beyond the known work; decreases with time.
     double unattributedPrefillTokens = 0;
     std::uint64_t reportedMemory = 0;
--- a/src/coordination/routing/Fleet.cpp
+++ b/src/coordination/routing/Fleet.cpp
@@ -388,6 +388,30 @@
            && !isBrief(*(*profiled)->profile(), promptTokens, this->passSettings(model));
 }
 
+void Fleet::limitSends(const state::EndpointId &engine, std::optional<double> perSecond,
+                       state::Instant now)
+{
+    if (EngineView *view = this->find(engine))
+        view->limitSends(perSecond, now, this->random());
+}
+
+std::optional<state::Instant> Fleet::limitedUntil(const state::ModelName &model, state::Instant now)
+{
+    const WatchedEngines *set = this->watchedEngines(model);
+    std::optional<state::Instant> next;
+    if (set == nullptr)
+        return next;
+    for (EngineView *view : set->views) {
+        if (view->draining || view->suspected)
+            continue;
+        view->advance(now);
+        if (view->sendsAvailable() > 0)
+            return std::nullopt;
+        next = next ? std::min(*next, view->nextSend()) : view->nextSend();
+    }
+    return next;
+}
+
 void Fleet::noteDemand(const EngineView &engine, std::uint32_t promptTokens, double prefillTokens,
                        state::Instant now)
 {
--- a/src/coordination/routing/Fleet.h
+++ b/src/coordination/routing/Fleet.h
@@ -82,6 +82,12 @@
                                           state::Instant now);
     // Returns whether the prompt is long for the model's engines; false if none declares a profile.
     bool isLong(const state::ModelName &model, std::uint32_t promptTokens) const;
+    // Sets the rate of requests that the engine accepts from all entries; nothing: any rate.
+    void limitSends(const state::EndpointId &engine, std::optional<double> perSecond,
+                    state::Instant now);
+    // When an engine accepts a request again, if the rates that the engines accept keep the model's
+    // requests from all of them.
+    std::optional<state::Instant> limitedUntil(const state::ModelName &model, state::Instant now);
     // Records the pause between two events that a caller of the model tolerates. It expires if no
     // caller requests it for a while; otherwise one misconfigured route would set the limit for
     // ever.
--- a/src/coordination/routing/PassCandidate.cpp
+++ b/src/coordination/routing/PassCandidate.cpp
@@ -13,6 +13,7 @@
     candidate.view = &view;
     candidate.usable = !view.suspected;
     candidate.freeTokens = view.freeTokens();
+    candidate.sendsAvailable = view.sendsAvailable();
     candidate.prefillTimeShare = view.prefillTimeShare();
     candidate.waitingSeconds = view.prefillSecondsLeft() / candidate.prefillTimeShare;
     for (const ResidentWork &resident : view.residentWork()) {
@@ -61,6 +62,7 @@
                               const PassRequest &request)
 {
     ++this->answeredRequests;
+    this->sendsAvailable -= std::min<std::size_t>(this->sendsAvailable, 1);
     ++this->longRequests;
     ++this->pendingRequests;
     this->ownWaitingSeconds += partSeconds;
--- a/src/coordination/routing/PassCandidate.h
+++ b/src/coordination/routing/PassCandidate.h
@@ -23,11 +23,16 @@
     // sees a longer pause than it tolerates. Callers with tight pauses are not counted.
     double prefillBudgetSeconds = std::numeric_limits<double>::max();
     std::uint64_t freeTokens = 0; // memory that no request claims
+    // Requests that may be sent to it, by the rate that it accepts from all entries.
+    std::size_t sendsAvailable = std::numeric_limits<std::size_t>::max();
     bool usable = false;
     bool held = false; // kept free for a long prompt that waits for it
 
     const state::routes::EngineProfile &profile() const { return *this->view->profile(); }
-    bool hasSlot() const { return this->answeredRequests < this->profile().slots; }
+    bool hasSlot() const
+    {
+        return this->answeredRequests<this->profile().slots &&this->sendsAvailable> 0;
+    }
     bool hasRoom(const PassRequest &request) const
     {
         return this->hasSlot() && this->freeTokens >= request.memoryTokens;
--- a/src/coordination/routing/ReplicaChooser.cpp
+++ b/src/coordination/routing/ReplicaChooser.cpp
@@ -11,6 +11,8 @@
 // Weight of reported load. All entries see the same report; at full weight they would all avoid the
 // replica at the same time (herding).
 constexpr double reportWeight = 0.5;
+// A limit that nobody has named for so long belongs to an endpoint that is gone.
+constexpr state::Duration limitLifetime = std::chrono::minutes(2);
 
 } // namespace
 
@@ -29,6 +31,8 @@
     std::tuple<bool, bool, double, std::uint64_t> bestRank;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const ReplicaCandidate &candidate = candidates[index];
+        if (!this->acceptsCall(candidate.description, now))
+            continue;
         const bool alreadyTried = std::ranges::find(tried, candidate.description.id) != tried.end();
         const std::tuple rank(alreadyTried, trustHealth && isStaleOrSuspect(candidate),
                               this->estimatedLoad(candidate.description.id, now),
@@ -52,9 +56,81 @@
     return known.ownCalls + (fresh ? reportWeight * known.otherCalls : 0);
 }
 
-void ReplicaChooser::callStarted(const state::EndpointId &replica)
+std::optional<state::Instant>
+ReplicaChooser::limitedUntil(const std::vector<ReplicaCandidate> &candidates,
+                             state::Instant now) const
+{
+    std::optional<state::Instant> next;
+    for (const ReplicaCandidate &candidate : candidates) {
+        const state::EndpointDescription &replica = candidate.description;
+        if (this->acceptsCall(replica, now))
+            return std::nullopt;
+        const state::Instant at =
+                this->limitOf(replica.id, replica.incarnation)->sends.nextSend(now);
+        next = next ? std::min(*next, at) : at;
+    }
+    return next;
+}
+
+const ReplicaChooser::NamedLimit *ReplicaChooser::limitOf(const state::EndpointId &replica,
+                                                          std::uint64_t incarnation) const
+{
+    const auto found = this->limits.find(replica);
+    const bool known = found != this->limits.end() && found->second.incarnation == incarnation;
+    return known ? &found->second : nullptr;
+}
+
+bool ReplicaChooser::isLimited(const state::EndpointId &replica, std::uint64_t incarnation) const
+{
+    return this->limitOf(replica, incarnation) != nullptr;
+}
+
+bool ReplicaChooser::acceptsCall(const state::EndpointDescription &replica,
+                                 state::Instant now) const
+{
+    const NamedLimit *limit = this->limitOf(replica.id, replica.incarnation);
+    return limit == nullptr || limit->sends.available(now) > 0;
+}
+
+bool ReplicaChooser::limitNamed(const state::EndpointId &replica, std::uint64_t incarnation,
+                                std::optional<double> perSecond, state::Instant now)
+{
+    std::erase_if(this->limits,
+                  [&](const auto &each) { return each.second.namedAt + limitLifetime < now; });
+    const auto found = this->limits.find(replica);
+    const bool known = found != this->limits.end() && found->second.incarnation == incarnation;
+    if (found != this->limits.end() && found->second.incarnation > incarnation)
+        return false; // of an earlier start
+    if (!perSecond) {
+        if (known)
+            this->limits.erase(found);
+        return known;
+    }
+    if (!known) {
+        const SendLimit sends(*perSecond, now, this->random());
+        this->limits.insert_or_assign(replica, NamedLimit{incarnation, *perSecond, sends, now});
+        return true;
+    }
+    found->second.namedAt = now;
+    if (found->second.perSecond == *perSecond)
+        return false;
+    found->second.perSecond = *perSecond;
+    found->second.sends.setRate(*perSecond, now);
+    return true;
+}
+
+void ReplicaChooser::callStarted(const state::EndpointDescription &replica, state::Instant now)
+{
+    ++this->replicas[replica.id].ownCalls;
+    this->peerCallStarted(replica.id, replica.incarnation, now);
+}
+
+void ReplicaChooser::peerCallStarted(const state::EndpointId &replica, std::uint64_t incarnation,
+                                     state::Instant now)
 {
-    ++this->replicas[replica].ownCalls;
+    const auto found = this->limits.find(replica);
+    if (found != this->limits.end() && found->second.incarnation == incarnation)
+        found->second.sends.recordSend(now);
 }
 
 bool ReplicaChooser::callEnded(const state::EndpointDescription &replica, AttemptOutcome outcome,
--- a/src/coordination/routing/ReplicaChooser.h
+++ b/src/coordination/routing/ReplicaChooser.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "coordination/routing/EndpointHealth.h"
+#include "coordination/routing/SendLimit.h"
 #include "state/Endpoint.h"
 
 #include <map>
@@ -36,15 +37,27 @@
         : random(seed)
     {}
 
-    // Returns an index into `candidates`, or nothing if there are none. Replicas in `tried` are
-    // used only if no others remain. Healthy replicas are preferred to stale or suspect ones unless
-    // these are the majority: then the fault is more likely on the side of this entry or the
-    // callers, and avoiding most replicas would only overload the rest.
+    // Returns an index into `candidates`, or nothing if there are none or their limits are used up.
+    // Replicas in `tried` are used only if no others remain. Healthy replicas are preferred to
+    // stale or suspect ones unless these are the majority: then the fault is more likely on the
+    // side of this entry or the callers, and avoiding most replicas would only overload the rest.
     std::optional<std::size_t> choose(const std::vector<ReplicaCandidate> &candidates,
                                       const std::vector<state::EndpointId> &tried,
                                       state::Instant now);
 
-    void callStarted(const state::EndpointId &replica);
+    // When a replica accepts a call again, if the limits of all candidates are used up.
+    std::optional<state::Instant> limitedUntil(const std::vector<ReplicaCandidate> &candidates,
+                                               state::Instant now) const;
+
+    void callStarted(const state::EndpointDescription &replica, state::Instant now);
+    // Another entry has sent a call to the replica.
+    void peerCallStarted(const state::EndpointId &replica, std::uint64_t incarnation,
+                         state::Instant now);
+    // The replica accepts that many requests a second from all entries; nothing: any rate. Returns
+    // true if that is new.
+    bool limitNamed(const state::EndpointId &replica, std::uint64_t incarnation,
+                    std::optional<double> perSecond, state::Instant now);
+    bool isLimited(const state::EndpointId &replica, std::uint64_t incarnation) const;
     // Returns true if the outcome made the replica suspect.
     bool callEnded(const state::EndpointDescription &replica, AttemptOutcome outcome,
                    state::Instant now);
@@ -61,11 +74,23 @@
         state::Instant reportedAt;
     };
 
+    // The limit that this start of a replica has named.
+    struct NamedLimit
+    {
+        std::uint64_t incarnation = 0;
+        double perSecond = 0;
+        SendLimit sends;
+        state::Instant namedAt; // last
+    };
+
+    const NamedLimit *limitOf(const state::EndpointId &replica, std::uint64_t incarnation) const;
+    bool acceptsCall(const state::EndpointDescription &replica, state::Instant now) const;
     double estimatedLoad(const state::EndpointId &replica, state::Instant now) const;
 
     std::mt19937_64 random;
     EndpointHealth health;
     std::map<state::EndpointId, ReplicaState> replicas;
+    std::map<state::EndpointId, NamedLimit> limits;
 };
 
 } // namespace lavenderthread::coordination::routing
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -620,6 +620,10 @@
         asio::post(self->state->strand,
                    [self, endpoint, outcome] { self->state->noteHealth(endpoint, outcome); });
     };
+    scheduler.limitNamed = [self](const state::EndpointId &endpoint, std::uint64_t incarnation,
+                                  std::optional<double> perSecond) {
+        self->post(admission::EngineLimited{endpoint, incarnation, perSecond});
+    };
     scheduler.reportPeerFailure = [self](const state::Address &address) {
         asio::post(self->state->strand,
                    [self, address] { self->state->handlePeerFailure(address); });
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -287,6 +287,10 @@
     {
         if (const auto *replaced = std::get_if<protocol::EndpointReplaced>(&update))
             this->policy->engineReplaced(replaced->endpoint, replaced->incarnation);
+        else if (const auto *limit = std::get_if<protocol::EndpointLimited>(&update))
+            this->handlePeerLimit(*limit);
+        else if (const auto *call = std::get_if<protocol::LimitedCall>(&update))
+            this->handlePeerCall(*call);
         else if (const auto *cache = std::get_if<protocol::CacheUpdate>(&update))
             this->policy->post(toEvent(*cache));
         else if (const auto *backlog = std::get_if<coordination::admission::BacklogNote>(&update))
@@ -295,6 +299,18 @@
             this->policy->post(coordination::admission::PeerWorkReceived{*work});
     }
 
+    void handlePeerLimit(const protocol::EndpointLimited &limit)
+    {
+        if (this->front)
+            this->front->peerHeardLimit(limit);
+    }
+
+    void handlePeerCall(const protocol::LimitedCall &call)
+    {
+        if (this->front)
+            this->front->peerCalled(call);
+    }
+
     DispatcherScheduler::Hooks policyHooks()
     {
         DispatcherScheduler::Hooks hooks;
--- a/src/program/RelayCodec.h
+++ b/src/program/RelayCodec.h
@@ -54,6 +54,8 @@
     bool notRun = false;        // the endpoint guarantees that it has not run the request
     bool otherEndpoint = false; // refused because another endpoint was meant
     std::optional<coordination::routing::ReplicaLoad> load;
+    // Requests a second that the endpoint accepts from all entries; nothing: any rate.
+    std::optional<double> acceptedPerSecond;
     std::optional<state::Address> faulty; // another endpoint, whose failure caused the refusal
 };
 
--- a/src/program/RelayListeners.cpp
+++ b/src/program/RelayListeners.cpp
@@ -88,6 +88,9 @@
                                    coordination::routing::PathOutcome outcome) {
         this->paths->record(endpoint, outcome);
     };
+    relayHooks.share = [this](protocol::PeerUpdate update) {
+        this->hooks.cluster->share(std::move(update));
+    };
     relayHooks.finished = this->hooks.finished;
     return relayHooks;
 }
--- a/src/program/RelayListeners.h
+++ b/src/program/RelayListeners.h
@@ -55,6 +55,13 @@
         return this->relay.runForPeer(exchange);
     }
 
+    // What peers tell about endpoints that limit their requests.
+    void peerHeardLimit(const protocol::EndpointLimited &limit)
+    {
+        this->relay.peerHeardLimit(limit);
+    }
+    void peerCalled(const protocol::LimitedCall &call) { this->relay.peerCalled(call); }
+
     // Shutdown in three steps: close each connection after its next answer and report not ready,
     // refuse new requests, and stop accepting connections.
     void beginLeaving();
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -48,6 +48,7 @@
 constexpr milliseconds retryUnconfirmed{300};
 constexpr milliseconds retryElsewhere{50}; // this node is leaving; another accepts at once
 constexpr milliseconds retryWithoutEndpoint{300};
+constexpr milliseconds shortestRetryAfterLimits{200};
 constexpr milliseconds longestRetryAfter{5'000};
 // An endpoint in the same region accepts within a few milliseconds; a lost packet adds a second.
 constexpr milliseconds connectTimeout{700};
@@ -87,6 +88,17 @@
     return end == AttemptResult::NeverSent ? AttemptOutcome::Unreachable : AttemptOutcome::Failed;
 }
 
+void logLimit(const state::EndpointId &endpoint, std::uint64_t incarnation,
+              std::optional<double> perSecond, std::string_view source)
+{
+    constexpr double thousandths = 1'000;
+    logEvent(LogLevel::Info, perSecond ? "endpoint.limited" : "endpoint.unlimited",
+             {{"endpoint", endpoint.value()},
+              {"incarnation", incarnation},
+              {"per_second_milli", std::int64_t(perSecond.value_or(0) * thousandths)},
+              {"source", source}});
+}
+
 // The endpoint of an attempt, and how the scheduler wants it to run there.
 struct Target
 {
@@ -393,9 +405,13 @@
             std::optional<state::EndpointDescription> replica;
             const std::function<bool()> chosen = [this, &replica, &tried] {
                 replica = this->chooseReplica(tried);
-                return replica.has_value();
+                return replica.has_value() || this->limitedUntil.has_value();
             };
             co_await this->waitFor(chosen, endpointWait);
+            if (!replica && this->limitedUntil) {
+                co_await this->refuseForLimits(*this->limitedUntil);
+                co_return;
+            }
             if (!replica) {
                 this->outcome.reason =
                         "no endpoint of the service is known; " + this->outcome.reason;
@@ -431,12 +447,34 @@
             if (endpoint.description.service == this->outcome.service && !endpoint.draining)
                 candidates.push_back({endpoint.description, endpoint.stale});
         }
-        const std::lock_guard lock(this->relay.choiceMutex);
-        const auto chosen = this->relay.chooser.choose(candidates, tried, monotonicNow());
-        if (!chosen)
-            return std::nullopt;
-        this->relay.chooser.callStarted(candidates[*chosen].description.id);
-        return candidates[*chosen].description;
+        const state::Instant now = monotonicNow();
+        std::optional<std::size_t> chosen;
+        bool isLimited = false;
+        {
+            const std::lock_guard lock(this->relay.choiceMutex);
+            coordination::routing::ReplicaChooser &chooser = this->relay.chooser;
+            chosen = chooser.choose(candidates, tried, now);
+            this->limitedUntil = chooser.limitedUntil(candidates, now);
+            if (!chosen)
+                return std::nullopt;
+            const state::EndpointDescription &replica = candidates[*chosen].description;
+            chooser.callStarted(replica, now);
+            isLimited = chooser.isLimited(replica.id, replica.incarnation);
+        }
+        const state::EndpointDescription &replica = candidates[*chosen].description;
+        if (isLimited)
+            this->hooks.share(protocol::LimitedCall{replica.id, replica.incarnation});
+        return replica;
+    }
+
+    // Waiting for one of the few requests that the endpoints accept would only keep the caller from
+    // trying again later.
+    asio::awaitable<void> refuseForLimits(state::Instant until)
+    {
+        const auto left = std::chrono::ceil<milliseconds>(until - monotonicNow());
+        co_await this->sendFinalAnswer("the endpoints accept no more requests now; "
+                                               + this->outcome.reason,
+                                       std::max(left, shortestRetryAfterLimits));
     }
 
     void recordReplicaResult(const state::EndpointDescription &replica, AttemptResult end)
@@ -704,6 +742,8 @@
                                  && !this->request.restrictsEndpoints;
         if (this->peerFailed)
             this->hooks.scheduler.reportPeerFailure(*head.faulty);
+        if (head.genuine && !head.otherEndpoint)
+            this->relay.limitNamed(target.endpoint, head.acceptedPerSecond);
         if (!head.load || !head.genuine)
             return;
         const std::lock_guard lock(this->relay.choiceMutex);
@@ -956,6 +996,8 @@
     bool peerFailed = false;         // the last answer reports the failure of another endpoint
     bool endpointReplaced = false;   // another endpoint has answered at the address
     std::uint32_t attemptNumber = 0; // number that the scheduler gave the attempt
+    // When a replica accepts a call again, if the limits of all were used up at the last choice.
+    std::optional<state::Instant> limitedUntil;
 };
 
 RouteRelay::RouteRelay(const Settings &settings, Hooks hooks, std::uint64_t seed)
@@ -997,6 +1039,45 @@
     this->chooser.reached(endpoint, monotonicNow());
 }
 
+void RouteRelay::limitNamed(const state::EndpointDescription &endpoint,
+                            std::optional<double> perSecond)
+{
+    bool isNew = false;
+    {
+        const std::lock_guard lock(this->choiceMutex);
+        if (!perSecond && !this->chooser.isLimited(endpoint.id, endpoint.incarnation))
+            return;
+        isNew = this->chooser.limitNamed(endpoint.id, endpoint.incarnation, perSecond,
+                                         monotonicNow());
+    }
+    this->hooks.scheduler.limitNamed(endpoint.id, endpoint.incarnation, perSecond);
+    if (!isNew)
+        return;
+    logLimit(endpoint.id, endpoint.incarnation, perSecond, "answer");
+    this->hooks.share(protocol::EndpointLimited{endpoint.id, endpoint.incarnation,
+                                                perSecond.has_value(), perSecond.value_or(0)});
+}
+
+void RouteRelay::peerHeardLimit(const protocol::EndpointLimited &limit)
+{
+    const auto perSecond = limit.isLimited ? std::optional(limit.perSecond) : std::nullopt;
+    bool isNew = false;
+    {
+        const std::lock_guard lock(this->choiceMutex);
+        isNew = this->chooser.limitNamed(limit.endpoint, limit.incarnation, perSecond,
+                                         monotonicNow());
+    }
+    this->hooks.scheduler.limitNamed(limit.endpoint, limit.incarnation, perSecond);
+    if (isNew)
+        logLimit(limit.endpoint, limit.incarnation, perSecond, "peer");
+}
+
+void RouteRelay::peerCalled(const protocol::LimitedCall &call)
+{
+    const std::lock_guard lock(this->choiceMutex);
+    this->chooser.peerCallStarted(call.endpoint, call.incarnation, monotonicNow());
+}
+
 std::vector<state::Address> RouteRelay::shuffledPeers()
 {
     std::vector<state::Address> peers = this->hooks.peers();
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -10,6 +10,7 @@
 #include "program/RelayCodec.h"
 #include "program/Scheduler.h"
 #include "program/Settings.h"
+#include "protocol/PeerUpdate.h"
 #include "protocol/RelayedRequest.h"
 #include "state/Snapshot.h"
 #include "transport/HttpServer.h"
@@ -73,6 +74,8 @@
                 [](const state::ServiceName &) { return false; };
         std::function<void(const state::EndpointDescription &, coordination::routing::PathOutcome)>
                 recordPath = [](const auto &, auto) {};
+        // Sends an update to the peers.
+        std::function<void(protocol::PeerUpdate)> share = [](auto) {};
         std::function<void(const RelayOutcome &)> finished;
     };
 
@@ -86,6 +89,9 @@
     boost::asio::awaitable<void> runForPeer(transport::HttpExchange &exchange);
     // A probe has reached an endpoint.
     void endpointReached(const state::EndpointDescription &endpoint);
+    // What peers tell about endpoints that limit their requests.
+    void peerHeardLimit(const protocol::EndpointLimited &limit);
+    void peerCalled(const protocol::LimitedCall &call);
 
     std::size_t inFlight() const { return this->requestsInFlight; }
 
@@ -93,6 +99,8 @@
     friend class RelayedCall;
 
     double drawUniform();
+    // An answer of the endpoint names the rate that it accepts, or none.
+    void limitNamed(const state::EndpointDescription &endpoint, std::optional<double> perSecond);
     std::vector<state::Address> shuffledPeers();
     coordination::admission::RetryBudget &retryBudgetOf(const state::ServiceName &service);
 
--- a/src/program/Scheduler.h
+++ b/src/program/Scheduler.h
@@ -104,6 +104,10 @@
     // Reports what the end of an attempt says about the endpoint's health.
     std::function<void(const state::EndpointDescription &, coordination::routing::AttemptOutcome)>
             noteHealth;
+    // The endpoint accepts that many requests a second from all entries; nothing: any rate.
+    std::function<void(const state::EndpointId &, std::uint64_t incarnation,
+                       std::optional<double> perSecond)>
+            limitNamed;
     // Reports that an engine named this peer, which it needed for the prompt, as failed.
     std::function<void(const state::Address &)> reportPeerFailure;
     // Whether the endpoint is still known to be alive under that incarnation.
--- a/src/program/SchedulerTranslation.cpp
+++ b/src/program/SchedulerTranslation.cpp
@@ -34,6 +34,8 @@
         return {503, "overloaded", "too much work is waiting", ran, retryAfter};
     case admission::RefusalReason::Limit:
         return {429, "limit", "the account's limit is used up", ran, retryAfter};
+    case admission::RefusalReason::EndpointLimits:
+        return {503, "endpoint-limits", "the engines accept no more requests now", ran, retryAfter};
     case admission::RefusalReason::AttemptsExhausted:
         return {503, "engines-lost", "the engines that worked on it were lost", ran, retryAfter};
     }
--- a/src/protocol/PeerUpdate.h
+++ b/src/protocol/PeerUpdate.h
@@ -42,9 +42,42 @@
     }
 };
 
+// An endpoint has named the rate of requests that it accepts from all entries, or names none any
+// more.
+struct EndpointLimited
+{
+    state::EndpointId endpoint;
+    std::uint64_t incarnation = 0;
+    bool isLimited = false;
+    double perSecond = 0; // if isLimited
+
+    auto operator<=>(const EndpointLimited &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->endpoint, this->incarnation, this->isLimited, this->perSecond);
+    }
+};
+
+// The sender has sent a call to a replica that has named a limit. Work notes tell that of engines.
+struct LimitedCall
+{
+    state::EndpointId endpoint;
+    std::uint64_t incarnation = 0;
+
+    auto operator<=>(const LimitedCall &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->endpoint, this->incarnation);
+    }
+};
+
 using PeerUpdate =
         std::variant<coordination::routing::WorkNote, coordination::admission::BacklogNote,
-                     CacheUpdate, EndpointReplaced>;
+                     CacheUpdate, EndpointReplaced, EndpointLimited, LimitedCall>;
 
 // Size limit of a sealed datagram; below the MTU of all common network paths.
 constexpr std::size_t maximumPeerUpdateBytes = 1'200;
--- a/tests/coordination/admission/DispatcherPassesTest.cpp
+++ b/tests/coordination/admission/DispatcherPassesTest.cpp
@@ -91,6 +91,8 @@
     CPPUNIT_TEST(largePromptIsNotRefusedForSmallGroup);
     CPPUNIT_TEST(engineLearnedLateIsNotBelievedIdle);
     CPPUNIT_TEST(entryThatStartsIsToldOfWorkInProgress);
+    CPPUNIT_TEST(limitedEngineGetsItsRateFromAllEntries);
+    CPPUNIT_TEST(promptsThatNoEngineAcceptsAreRefusedAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -549,6 +551,53 @@
         note.toleratedPause = milliseconds(200);
         return {note};
     }
+
+    // Guards against one entry's count of a limit that holds for the sends of all.
+    void limitedEngineGetsItsRateFromAllEntries()
+    {
+        PassesFixture fixture;
+        const state::EndpointId limited = PassesFixture::engine(0).id;
+        fixture.handle(EngineLimited{limited, 1, 1.0});
+        std::size_t sent = 0;
+        for (int index = 0; index < 200; ++index) {
+            fixture.now += milliseconds(50);
+            fixture.handle(RequestArrived{fixture.request("b" + std::to_string(index), 3'000)});
+            for (const Dispatch &dispatch : fixture.actionsOf<Dispatch>()) {
+                sent += dispatch.engine == limited ? 1 : 0;
+                fixture.handle(RequestFinished{dispatch.id, dispatch.attempt});
+            }
+        }
+        constexpr std::size_t seconds = 10;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(sent), sent <= seconds + 2);
+        routing::WorkNote peerWork;
+        peerWork.requestHash = 77;
+        peerWork.engine = routing::EngineKey::of(limited);
+        peerWork.lifetime = std::chrono::seconds(1);
+        for (int peer = 0; peer < 3; ++peer) {
+            ++peerWork.requestHash;
+            fixture.handle(PeerWorkReceived{peerWork});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0),
+                             fixture.dispatcher->fleet().find(limited)->sendsAvailable());
+    }
+
+    // All engines are in need: a request that none accepts is told when to come back, and does not
+    // wait until its time is over.
+    void promptsThatNoEngineAcceptsAreRefusedAtOnce()
+    {
+        PassesFixture fixture;
+        for (std::size_t index = 0; index < PassesFixture::engines; ++index)
+            fixture.handle(EngineLimited{PassesFixture::engine(index).id, 1, 0.5});
+        fixture.handle(RequestArrived{fixture.request("brief", 3'000)});
+        const Refuse refusal = fixture.onlyAction<Refuse>();
+        CPPUNIT_ASSERT(refusal.reason == RefusalReason::EndpointLimits);
+        CPPUNIT_ASSERT(refusal.ran == Ran::No);
+        CPPUNIT_ASSERT(refusal.retryAfter > seconds(1));
+        for (std::size_t index = 0; index < PassesFixture::engines; ++index)
+            fixture.handle(EngineLimited{PassesFixture::engine(index).id, 1, std::nullopt});
+        fixture.handle(RequestArrived{fixture.request("later", 3'000)});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.actionsOf<Dispatch>().size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherPassesTest);
--- a/tests/coordination/routing/HealthTest.cpp
+++ b/tests/coordination/routing/HealthTest.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(restartClearsSuspicion);
     CPPUNIT_TEST(leastLoadedReplicaIsChosen);
     CPPUNIT_TEST(suspectReplicasComeLastUnlessInMajority);
+    CPPUNIT_TEST(limitedReplicaGetsItsRateFromAllEntries);
+    CPPUNIT_TEST(limitEndsWithItsNamingOrARestart);
     CPPUNIT_TEST(triedReplicasComeLast);
     CPPUNIT_TEST_SUITE_END();
 
@@ -107,8 +109,8 @@
     {
         ReplicaChooser chooser(1);
         const std::vector<ReplicaCandidate> replicas = {replica(0), replica(1), replica(2)};
-        chooser.callStarted(replicas[0].description.id);
-        chooser.callStarted(replicas[1].description.id);
+        chooser.callStarted(replicas[0].description, this->now);
+        chooser.callStarted(replicas[1].description, this->now);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), *chooser.choose(replicas, {}, this->now));
         chooser.loadReported(replicas[2].description.id, {6, 4, 6}, this->now);
         CPPUNIT_ASSERT(*chooser.choose(replicas, {}, this->now) != 2);
@@ -117,12 +119,46 @@
         CPPUNIT_ASSERT(!chooser.choose({}, {}, this->now));
     }
 
+    // Guards against one entry's count of a limit that holds for the sends of all.
+    void limitedReplicaGetsItsRateFromAllEntries()
+    {
+        ReplicaChooser chooser(1);
+        const std::vector<ReplicaCandidate> replicas = {replica(0), replica(1)};
+        const state::EndpointDescription &limited = replicas[0].description;
+        CPPUNIT_ASSERT(chooser.limitNamed(limited.id, limited.incarnation, 1.0, this->now));
+        CPPUNIT_ASSERT(!chooser.limitNamed(limited.id, limited.incarnation, 1.0, this->now));
+        for (int call = 0; call < 20; ++call)
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), *chooser.choose(replicas, {}, this->now));
+        CPPUNIT_ASSERT(!chooser.limitedUntil(replicas, this->now));
+        CPPUNIT_ASSERT(!chooser.choose({replicas[0]}, {}, this->now));
+        const auto next = chooser.limitedUntil({replicas[0]}, this->now);
+        CPPUNIT_ASSERT(next.has_value());
+        CPPUNIT_ASSERT(chooser.choose({replicas[0]}, {}, *next).has_value());
+        chooser.peerCallStarted(limited.id, limited.incarnation, *next);
+        CPPUNIT_ASSERT(!chooser.choose({replicas[0]}, {}, *next));
+    }
+
+    // Guards against a limit that outlives the need that it was named for.
+    void limitEndsWithItsNamingOrARestart()
+    {
+        ReplicaChooser chooser(1);
+        const state::EndpointDescription &limited = replica(0).description;
+        ReplicaCandidate restarted = replica(0);
+        restarted.description.incarnation = limited.incarnation + 1;
+        chooser.limitNamed(limited.id, limited.incarnation, 0.1, this->now);
+        CPPUNIT_ASSERT(!chooser.choose({replica(0)}, {}, this->now));
+        CPPUNIT_ASSERT(chooser.choose({restarted}, {}, this->now).has_value());
+        CPPUNIT_ASSERT(
+                chooser.limitNamed(limited.id, limited.incarnation, std::nullopt, this->now));
+        CPPUNIT_ASSERT(chooser.choose({replica(0)}, {}, this->now).has_value());
+    }
+
     void suspectReplicasComeLastUnlessInMajority()
     {
         ReplicaChooser chooser(1);
         const std::vector<ReplicaCandidate> replicas = {replica(0), replica(1), replica(2)};
         const auto fail = [&](std::size_t index) {
-            chooser.callStarted(replicas[index].description.id);
+            chooser.callStarted(replicas[index].description, this->now);
             chooser.callEnded(replicas[index].description, AttemptOutcome::Unreachable, this->now);
         };
         fail(0);
--- a/tests/platform/RelayFixture.h
+++ b/tests/platform/RelayFixture.h
@@ -34,6 +34,7 @@
     CutsBody,            // in the middle of the body
     AnswersOtherRequest, // sends the answer of another request
     Unsealed,
+    NamesLimit, // answers, and accepts one request in two seconds from now on
     CutsInsideAnEvent,
     PausesLong, // after the second event, then continues
     Streams,
@@ -309,6 +310,7 @@
         scheduler.noteHealth = [](const state::EndpointDescription &,
                                   coordination::routing::AttemptOutcome) {};
         scheduler.reportPeerFailure = [](const state::Address &) {};
+        scheduler.limitNamed = [](const auto &, auto, auto) {};
         return scheduler;
     }
 
@@ -339,6 +341,9 @@
         case Behaviour::Unsealed:
             answer.headers = {{"Request-Id", "r1"}};
             break;
+        case Behaviour::NamesLimit:
+            answer.headers.add("Server-Limit", "0.5");
+            break;
         case Behaviour::NeverAnswers:
             co_await this->waitForClose(exchange);
             co_return;
--- a/tests/platform/RelayTest.cpp
+++ b/tests/platform/RelayTest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(replacedEngineIsReported);
     CPPUNIT_TEST(outdatedConfigurationIsNotUsed);
     CPPUNIT_TEST(unconfirmedConfigurationDoesNotAnswer404);
+    CPPUNIT_TEST(callsThatNoReplicaAcceptsAreRefusedAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
     using Kind = state::routes::CallKind;
@@ -82,6 +83,28 @@
         CPPUNIT_ASSERT_EQUAL(200U, fixture.call().value().status);
     }
 
+    // Guards against requests beyond the limits that replicas name, and against holding a call that
+    // none of them accepts.
+    void callsThatNoReplicaAcceptsAreRefusedAtOnce()
+    {
+        RelayFixture fixture(Kind::NonIdempotent, {Behaviour::NamesLimit});
+        constexpr int calls = 8;
+        int served = 0;
+        for (int call = 0; call < calls; ++call) {
+            const auto before = std::chrono::steady_clock::now();
+            const auto answer = fixture.call();
+            served += answer.value().status == 200 ? 1 : 0;
+            if (answer.value().status == 200)
+                continue;
+            CPPUNIT_ASSERT_EQUAL(503U, answer.value().status);
+            CPPUNIT_ASSERT(answer.value().headers.find("Retry-After").has_value());
+            CPPUNIT_ASSERT(std::chrono::steady_clock::now() - before
+                           < std::chrono::milliseconds(300));
+        }
+        CPPUNIT_ASSERT_EQUAL(served, fixture.arrivals.load());
+        CPPUNIT_ASSERT(served > 0 && served < calls); // each replica has named its limit once
+    }
+
     // A non-idempotent request that may have run is not sent to another replica and is never
     // answered with "not run".
     void nonIdempotentCalls()
--- a/tests/platform/RelayWireTest.cpp
+++ b/tests/platform/RelayWireTest.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(malformedHeadersAreIgnored);
     CPPUNIT_TEST(forwardedHeadersOmitKeyAndSetTerms);
     CPPUNIT_TEST(decodesAnswerHeads);
+    CPPUNIT_TEST(decodesAcceptedRate);
     CPPUNIT_TEST(refusalsContainRetryAfter);
     CPPUNIT_TEST(encodesMemoryOrders);
     CPPUNIT_TEST_SUITE_END();
@@ -150,6 +151,19 @@
         CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.9:8080"), loaded.faulty->toString());
     }
 
+    void decodesAcceptedRate()
+    {
+        const auto rateOf = [this](const char *text) {
+            return this->codec.readHead(503, {{"Server-Limit", text}}, id).acceptedPerSecond;
+        };
+        CPPUNIT_ASSERT(rateOf("2.1") == std::optional(2.1));
+        CPPUNIT_ASSERT(rateOf(" 40 ") == std::optional(40.0));
+        CPPUNIT_ASSERT(rateOf("0") == std::optional(0.0));
+        for (const char *text : {"", "-1", "many", "1e400", "nan", "inf", "2,1", "2 a second"})
+            CPPUNIT_ASSERT_MESSAGE(text, !rateOf(text));
+        CPPUNIT_ASSERT(!this->codec.readHead(200, {}, id).acceptedPerSecond);
+    }
+
     void refusalsContainRetryAfter()
     {
         const auto answer = this->codec.refuse({503, "busy", std::chrono::milliseconds(1'250)});
--- a/tests/protocol/PeerUpdateTest.cpp
+++ b/tests/protocol/PeerUpdateTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST_SUITE(PeerNewsTest);
     CPPUNIT_TEST(notesOfAllStagesRoundTrip);
     CPPUNIT_TEST(replacedEndpointRoundTrips);
+    CPPUNIT_TEST(limitsOfEndpointsRoundTrip);
     CPPUNIT_TEST(noteForLongPromptFitsLinkQueue);
     CPPUNIT_TEST(updatesInAnotherFormatAreRejected);
     CPPUNIT_TEST_SUITE_END();
@@ -87,6 +88,16 @@
         CPPUNIT_ASSERT(std::get<EndpointReplaced>(updates.value().front()) == replaced);
     }
 
+    void limitsOfEndpointsRoundTrip()
+    {
+        const EndpointLimited limited{state::EndpointId("i-1"), 1'780'000'000'123, true, 2.1};
+        const LimitedCall call{state::EndpointId("i-1"), 1'780'000'000'123};
+        const auto datagrams = sealPeerUpdates(this->keys, {limited, call});
+        const auto updates = unsealPeerUpdates(this->keys, datagrams.front());
+        CPPUNIT_ASSERT(std::get<EndpointLimited>(updates.value().at(0)) == limited);
+        CPPUNIT_ASSERT(std::get<LimitedCall>(updates.value().at(1)) == call);
+    }
+
     void noteForLongPromptFitsLinkQueue()
     {
         // A note about a prompt that 17 engines prefill is sent to 116 peers, and the queue of a
