Entries: members that are all silent are asked less often

An entry that waits for a confirmation for a few times as long as usual leaves a member that is only busy, and adds a connection and a call at the next one, which is as busy.

A source is left as lagging only if a newer version has been known for 250 ms, as long as its pages may take.

--- a/src/program/ControlClient.cpp
+++ b/src/program/ControlClient.cpp
@@ -300,6 +300,7 @@
     if (!confirmed)
         this->feed.retryAt(monotonicNow() + feedRetry);
     if (feedReply == nullptr) {
+        this->feedPatience.onTimeout();
         this->feed.onRequestFailed(due.id);
         co_return false;
     }
@@ -348,7 +349,8 @@
     const bool changed = this->feed.onPages(this->decodePages(*feedReply, *member));
     if (changed)
         this->logFetchedChange(*member, *feedReply, askedAt, behindSince);
-    else if (this->feed.isBehind(feedReply->version))
+    else if (behindSince && monotonicNow() >= *behindSince + pagesGrace
+             && this->feed.isBehind(feedReply->version))
         this->switchPageSource(sourceIsBehind);
     co_return changed;
 }
