Soak: the operator goes on to another control member after a failure

Traced in its logs: no running control member proposed version 9. The operator drew a member at random for each try, a stopped one three times in a row, 1.5 s each.

--- a/soak/Operator.cpp
+++ b/soak/Operator.cpp
@@ -58,7 +58,7 @@
 }
 
 asio::awaitable<state::Result<protocol::HttpResponse>>
-Operator::call(const char *method, const char *path, std::string body)
+Operator::call(std::size_t control, const char *method, const char *path, std::string body)
 {
     protocol::HttpRequest request;
     request.method = method;
@@ -67,7 +67,7 @@
     transport::HttpCallLimits limits;
     limits.connectTimeout = milliseconds(300);
     limits.timeout = answerTime;
-    const state::Address to = this->controls[this->random() % this->controls.size()];
+    const state::Address to = this->controls[control % this->controls.size()];
     const asio::any_io_executor executor = this->context.get_executor();
     co_return co_await transport::httpCall(executor, to, std::move(request), limits);
 }
@@ -78,9 +78,11 @@
     const std::string text = this->document();
     const std::uint64_t sent = this->version;
     const state::Instant limit = program::monotonicNow() + patience;
+    std::size_t control = this->random(); // another one after each failure
     while (program::monotonicNow() < limit && !this->stopped) {
         std::string body = text;
-        const auto answer = co_await this->call("POST", "/config/replace", std::move(body));
+        const auto answer =
+                co_await this->call(control++, "POST", "/config/replace", std::move(body));
         if (answer && answer.value().status == statusOk) {
             this->ledger.acknowledged(sent);
             co_return true;
@@ -108,9 +110,10 @@
 asio::awaitable<std::optional<std::uint64_t>> Operator::read(milliseconds patience)
 {
     const state::Instant limit = program::monotonicNow() + patience;
+    std::size_t control = this->random();
     while (program::monotonicNow() < limit) {
         const std::uint64_t before = this->ledger.newestAcknowledged();
-        const auto answer = co_await this->call("GET", "/config/get", "");
+        const auto answer = co_await this->call(control++, "GET", "/config/get", "");
         if (answer && answer.value().status == statusOk) {
             const std::string &body = answer.value().body;
             const std::size_t colon = body.find(':');
--- a/soak/Operator.h
+++ b/soak/Operator.h
@@ -40,7 +40,7 @@
 
 private:
     boost::asio::awaitable<state::Result<protocol::HttpResponse>>
-    call(const char *method, const char *path, std::string body);
+    call(std::size_t control, const char *method, const char *path, std::string body);
     std::string document() const;
 
     boost::asio::io_context &context;
