Routing: an entry keeps an endpoint's limit until an answer names none

What operators would have seen: an engine that no longer names a limit goes on getting few requests from one entry.

Cause: an entry forgot a limit after two minutes without an own answer that named it, though the endpoint may name it still; the engine's view kept it. An answer without the header was then taken for one that ends nothing, since no limit was known, and the view kept its limit until the engine started anew. Found by reading. The special case by time is gone; the number of limits is bounded instead.

HealthTest::limitOutlastsAQuietTime failed before (18 passed, 1 failed) and passes now (19 passed).

--- a/src/coordination/routing/ReplicaChooser.cpp
+++ b/src/coordination/routing/ReplicaChooser.cpp
@@ -11,8 +11,8 @@
 // Weight of reported load. All entries see the same report; at full weight they would all avoid the
 // replica at the same time (herding).
 constexpr double reportWeight = 0.5;
-// A limit that nobody has named for so long belongs to an endpoint that is gone.
-constexpr state::Duration limitLifetime = std::chrono::minutes(2);
+// Bounds what endpoints that are gone leave behind; far more than name a limit at a time.
+constexpr std::size_t maxLimits = 1'000;
 
 } // namespace
 
@@ -95,8 +95,6 @@
 bool ReplicaChooser::limitNamed(const state::EndpointId &replica, std::uint64_t incarnation,
                                 std::optional<double> perSecond, state::Instant now)
 {
-    std::erase_if(this->limits,
-                  [&](const auto &each) { return each.second.namedAt + limitLifetime < now; });
     const auto found = this->limits.find(replica);
     const bool known = found != this->limits.end() && found->second.incarnation == incarnation;
     if (found != this->limits.end() && found->second.incarnation > incarnation)
@@ -107,6 +105,9 @@
         return known;
     }
     if (!known) {
+        if (this->limits.size() >= maxLimits)
+            this->limits.erase(std::ranges::min_element(
+                    this->limits, {}, [](const auto &each) { return each.second.namedAt; }));
         const SendLimit sends(*perSecond, now, this->random());
         this->limits.insert_or_assign(replica, NamedLimit{incarnation, *perSecond, sends, now});
         return true;
--- a/tests/coordination/routing/HealthTest.cpp
+++ b/tests/coordination/routing/HealthTest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(suspectReplicasComeLastUnlessInMajority);
     CPPUNIT_TEST(limitedReplicaGetsItsRateFromAllEntries);
     CPPUNIT_TEST(limitEndsWithItsNamingOrARestart);
+    CPPUNIT_TEST(limitOutlastsAQuietTime);
     CPPUNIT_TEST(triedReplicasComeLast);
     CPPUNIT_TEST_SUITE_END();
 
@@ -138,6 +139,19 @@
         CPPUNIT_ASSERT(!chooser.choose({replicas[0]}, {}, *next));
     }
 
+    // Guards against an entry that forgets a limit because it has had no answer for a while: an
+    // answer that names none would then no longer end the limit of an engine.
+    void limitOutlastsAQuietTime()
+    {
+        ReplicaChooser chooser(1);
+        const state::EndpointDescription &limited = replica(0).description;
+        chooser.limitNamed(limited.id, limited.incarnation, 1.0, this->now);
+        this->now += std::chrono::minutes(10);
+        const state::EndpointDescription &other = replica(1).description;
+        chooser.limitNamed(other.id, other.incarnation, 1.0, this->now);
+        CPPUNIT_ASSERT(chooser.isLimited(limited.id, limited.incarnation));
+    }
+
     // Guards against a limit that outlives the need that it was named for.
     void limitEndsWithItsNamingOrARestart()
     {
