--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -111,6 +111,7 @@
               {"endpoint", outcome.endpoint.value()},
               {"configuration", outcome.configuration},
               {"prompt_tokens", outcome.promptTokens},
+              {"parts", state::formatPromptParts(outcome.promptParts)},
               {"status", outcome.status},
               {"whole", outcome.whole ? "yes" : "no"},
               {"attempts", outcome.attempts},
--- a/src/program/RelayCodec.h
+++ b/src/program/RelayCodec.h
@@ -7,6 +7,7 @@
 #include "program/Scheduler.h"
 #include "protocol/HttpMessage.h"
 #include "state/Endpoint.h"
+#include "state/PromptPart.h"
 #include "state/control/ControlView.h"
 #include "state/routes/RouteTable.h"
 #include "transport/HttpServer.h"
@@ -32,6 +33,8 @@
     state::ModelName model;
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0; // upper limit
+    // Ids of the prompt's parts, in order. The last part, which no other request has, is left out.
+    std::vector<state::PromptPart> promptParts;
     // The caller excludes some endpoints, which refuse the request as if another one were meant.
     bool restrictsEndpoints = false;
 };
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -99,6 +99,16 @@
               {"source", source}});
 }
 
+// What an attempt has brought so far.
+struct AttemptProgress
+{
+    state::Instant sentAt;       // when it began to connect
+    state::Instant firstEventAt; // Instant{}: no event yet
+    std::uint64_t events = 0;    // reads that brought complete events
+    // The endpoint or the network has ended the connection, before the end of the answer.
+    bool connectionEnded = false;
+};
+
 // The endpoint of an attempt, and how the scheduler wants it to run there.
 struct Target
 {
@@ -201,6 +211,7 @@
         this->request = std::move(decoded.value());
         this->outcome.id = this->request.id;
         this->outcome.promptTokens = this->request.promptTokens;
+        this->outcome.promptParts = this->request.promptParts;
         this->outcome.forPeer = this->exchange.peer();
         this->outcome.route = this->handed->route;
         this->outcome.account = this->handed->account;
@@ -233,6 +244,7 @@
         this->request = std::move(decoded.value());
         this->outcome.id = this->request.id;
         this->outcome.promptTokens = this->request.promptTokens;
+        this->outcome.promptParts = this->request.promptParts;
         if (this->hooks.refuses())
             return RelayRefusal{503, "this node is leaving", retryElsewhere};
         if (this->routes->version() == 0)
@@ -577,14 +589,34 @@
         this->outcome.helpers.clear();
         for (const HelperTarget &helper : target.helpers)
             this->outcome.helpers.push_back(helper.address);
+        const state::EndpointDescription endpoint = target.endpoint;
         auto exchanging = this->exchangeWith(std::move(target));
-        co_return co_await this->supervise(std::move(exchanging));
+        const AttemptResult end = co_await this->supervise(std::move(exchanging));
+        if (end == AttemptResult::Lost)
+            this->logLoss(endpoint);
+        co_return end;
+    }
+
+    void logLoss(const state::EndpointDescription &endpoint) const
+    {
+        logEvent(LogLevel::Info, "attempt.lost",
+                 {{"request", this->outcome.id.value()},
+                  {"attempt", this->outcome.attempts},
+                  {"endpoint", endpoint.id.value()},
+                  {"incarnation", endpoint.incarnation},
+                  {"connection", this->progress.connectionEnded ? "ended" : "given-up"},
+                  {"events", this->progress.events},
+                  {"after_us", std::int64_t((monotonicNow() - this->progress.sentAt).count())},
+                  {"parts", state::formatPromptParts(this->outcome.promptParts)},
+                  {"cause", this->outcome.reason}});
     }
 
     // Runs one attempt with an inactivity timeout, if it may be abandoned, and counts its result.
     asio::awaitable<AttemptResult> supervise(asio::awaitable<AttemptResult> exchanging)
     {
         ++this->outcome.attempts;
+        this->progress = {};
+        this->progress.sentAt = monotonicNow();
         this->outcome.resumed = this->events.passedEvents() > 0;
         this->startInactivityTimeout();
         const AttemptResult end = co_await std::move(exchanging);
@@ -732,6 +764,7 @@
         this->outcome.reason = error.step + ": " + error.cause;
         const bool unseen =
                 error.step == transport::connectStep || error.step == transport::beforeSendStep;
+        this->progress.connectionEnded = !unseen && error.code == state::ErrorCode::Unavailable;
         return unseen ? AttemptResult::NeverSent : AttemptResult::Lost;
     }
 
@@ -801,7 +834,7 @@
         while (true) {
             const auto piece = co_await stream.read(remaining(this->deadline));
             if (!piece) {
-                this->outcome.reason = piece.error().step + ": " + piece.error().cause;
+                this->readFailed(piece.error());
                 co_return AttemptResult::Lost;
             }
             if (!piece.value())
@@ -830,6 +863,12 @@
         this->outcome.whole = sent.has_value();
     }
 
+    void readFailed(const state::Error &error)
+    {
+        this->outcome.reason = error.step + ": " + error.cause;
+        this->progress.connectionEnded = error.code == state::ErrorCode::Unavailable;
+    }
+
     // Forwards complete events as they arrive. The head is sent with the first event, so that the
     // caller does not notice an endpoint that fails before it.
     asio::awaitable<AttemptResult> relayStream(transport::HttpAnswerStream &stream,
@@ -839,7 +878,7 @@
         while (true) {
             const auto piece = co_await stream.read(remaining(this->deadline));
             if (!piece) {
-                this->outcome.reason = piece.error().step + ": " + piece.error().cause;
+                this->readFailed(piece.error());
                 co_return AttemptResult::Lost;
             }
             if (!piece.value())
@@ -847,6 +886,7 @@
             const std::string whole = this->events.append(*piece.value());
             if (whole.empty())
                 continue;
+            this->recordEvents();
             if (this->inactivityTimeout)
                 this->inactivityTimeout->restart(this->pauseTimeout());
             const bool passed = co_await this->forwardEvents(whole, headers);
@@ -855,11 +895,18 @@
         }
         if (this->events.hasPartialEvent()) {
             this->outcome.reason = "the stream ended inside an event";
+            this->progress.connectionEnded = true;
             co_return AttemptResult::Lost;
         }
         co_return co_await this->finishStream(headers);
     }
 
+    void recordEvents()
+    {
+        if (this->progress.events++ == 0)
+            this->progress.firstEventAt = monotonicNow();
+    }
+
     asio::awaitable<bool> forwardEvents(std::string_view events,
                                         const protocol::HttpHeaders &headers)
     {
@@ -982,6 +1029,7 @@
     state::Instant lastEventAt;
     CallState facts;
     RelayOutcome outcome;
+    AttemptProgress progress; // of the running attempt
     coordination::relay::EventSplitter events;
     // The last error that an endpoint answered.
     std::optional<protocol::HttpResponse> endpointAnswer;
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -37,7 +37,8 @@
     state::EndpointId endpoint;      // of the last attempt
     std::uint64_t configuration = 0; // version of the routes that were used
     std::uint32_t promptTokens = 0;
-    unsigned status = 0; // 0: the caller had disconnected
+    std::vector<state::PromptPart> promptParts; // as in RelayRequest
+    unsigned status = 0;                        // 0: the caller had disconnected
     unsigned attempts = 0;
     state::Address address;              // of the last attempt's endpoint
     std::vector<state::Address> helpers; // of the last attempt
