--- a/soak/Callers.cpp
+++ b/soak/Callers.cpp
@@ -36,7 +36,8 @@
     , random(this->settings.seed)
 {}
 
-protocol::HttpRequest Caller::makeRequest(const std::string &id, const std::string &path)
+protocol::HttpRequest Caller::makeRequest(const std::string &id, const std::string &path,
+                                          const std::string &promptPrefix)
 {
     const std::size_t prompt = this->settings.briefOnly ? 0 : this->random() % tokens.size();
     protocol::HttpRequest request;
@@ -45,6 +46,8 @@
     request.headers = {
             {"Host", "soak"},          {"Request-Id", id}, {"Request-Deadline", "3000"},
             {"Credential", "key-one"}, {"Model", "m"},     {"Token-Count", tokens[prompt]}};
+    if (!promptPrefix.empty())
+        request.headers.add("Prompt-Prefix", promptPrefix);
     return request;
 }
 
@@ -90,10 +93,10 @@
     co_await this->callAt(this->settings.viaProxy(entry), path);
 }
 
-asio::awaitable<bool> Caller::callAt(state::Address to, std::string path)
+asio::awaitable<bool> Caller::callAt(state::Address to, std::string path, std::string promptPrefix)
 {
     const std::string id = this->settings.name + "-" + std::to_string(++this->count);
-    protocol::HttpRequest request = this->makeRequest(id, path);
+    protocol::HttpRequest request = this->makeRequest(id, path, promptPrefix);
     transport::HttpCallLimits limits;
     limits.connectTimeout = milliseconds(500);
     limits.timeout = milliseconds(3'500);
--- a/soak/Callers.h
+++ b/soak/Callers.h
@@ -35,14 +35,16 @@
     boost::asio::awaitable<void> callForEver(std::chrono::milliseconds pause);
     void stop() { this->stopped = true; }
     // One request at that entry, on "/stream/", "/post/" or "/read/". True: a whole success.
-    boost::asio::awaitable<bool> callAt(state::Address entry, std::string path);
+    boost::asio::awaitable<bool> callAt(state::Address entry, std::string path,
+                                        std::string promptPrefix = {});
     // One lookup on a route; the status, 0 if there was no answer.
     boost::asio::awaitable<unsigned> probe(state::Address entry, std::string path);
 
 private:
     boost::asio::awaitable<void> callOnce();
     boost::asio::awaitable<std::vector<state::Address>> resolve();
-    protocol::HttpRequest makeRequest(const std::string &id, const std::string &path);
+    protocol::HttpRequest makeRequest(const std::string &id, const std::string &path,
+                                      const std::string &promptPrefix = {});
     bool judge(const std::string &id, const std::string &path, unsigned status,
                const std::string &body, bool sealed);
 
--- a/soak/Proxy.cpp
+++ b/soak/Proxy.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 
+#include <fcntl.h>
+
 #include <array>
 
 namespace lavenderthread::soak {
@@ -34,6 +36,13 @@
     return {peer.address().to_string(), peer.port()};
 }
 
+// Processes that are started later must not inherit the socket: closing it here would not close it.
+template <typename Socket>
+void closeOnExec(Socket &socket)
+{
+    ::fcntl(socket.native_handle(), F_SETFD, FD_CLOEXEC);
+}
+
 } // namespace
 
 struct Proxy::Pair
@@ -58,9 +67,12 @@
 
 Proxy::Proxy(asio::io_context &context, const state::Address &listen, state::Address target)
     : context(context)
+    , listen(listen)
     , acceptor(context, endpointOf(listen))
     , target(std::move(target))
-{}
+{
+    closeOnExec(this->acceptor);
+}
 
 void Proxy::start()
 {
@@ -77,6 +89,21 @@
     }
 }
 
+void Proxy::endTarget()
+{
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+    for (const auto &pair : this->pairs)
+        pair->close();
+}
+
+void Proxy::listenAgain()
+{
+    this->acceptor = tcp::acceptor(this->context, endpointOf(this->listen));
+    closeOnExec(this->acceptor);
+    this->start();
+}
+
 asio::awaitable<void> Proxy::acceptAll()
 {
     while (true) {
@@ -94,6 +121,8 @@
                 co_await pair->endpoint.async_connect(to, asio::as_tuple(asio::use_awaitable));
         if (unreachable)
             continue;
+        closeOnExec(pair->caller);
+        closeOnExec(pair->endpoint);
         this->pairs.insert(pair);
         asio::co_spawn(this->context, this->carry(pair, false), asio::detached);
         asio::co_spawn(this->context, this->carry(pair, true), asio::detached);
--- a/soak/Proxy.h
+++ b/soak/Proxy.h
@@ -34,6 +34,10 @@
     using FaultOf = std::function<LinkFault(const state::Address &)>;
     void setFaultOf(FaultOf next) { this->faultOf = std::move(next); }
     void resetAll(); // open connections
+    // Closes all connections, and the port until listenAgain(), as if the target's process had
+    // ended.
+    void endTarget();
+    void listenAgain();
 
 private:
     struct Pair;
@@ -42,6 +46,7 @@
     boost::asio::awaitable<void> carry(std::shared_ptr<Pair> pair, bool fromTarget);
 
     boost::asio::io_context &context;
+    state::Address listen;
     boost::asio::ip::tcp::acceptor acceptor;
     state::Address target;
     LinkFault fault = LinkFault::None;
--- a/soak/StandIn.cpp
+++ b/soak/StandIn.cpp
@@ -63,6 +63,7 @@
     this->id = "i-" + std::to_string(this->random() % 100'000'000);
     this->sequence = 0;
     this->limit = {};
+    this->ended = false;
 }
 
 void StandIn::nameLimit(std::optional<double> perSecond)
@@ -85,6 +86,10 @@
 {
     const auto self = this->shared_from_this();
     while (true) {
+        if (this->ended) {
+            co_await transport::pause(heartbeatInterval);
+            continue;
+        }
         protocol::HttpRequest request;
         request.method = "POST";
         request.target = "/replicas/" + this->id + "/heartbeat";
@@ -123,6 +128,7 @@
         co_return;
     }
     ++this->arrived;
+    this->settings.arrived(request);
     this->limit.recordArrival(program::monotonicNow());
     const std::string requestId = valueOf(request, "Request-Id");
     protocol::HttpResponse answer;
@@ -166,6 +172,8 @@
     const std::string behind = valueOf(exchange.request(), "Last-Event-Id");
     const std::uint64_t first = behind.empty() ? 1 : std::stoull(behind) + 1;
     co_await exchange.beginStream(std::move(head));
+    if (this->settings.ends(exchange.request()))
+        co_return;
     for (std::uint64_t event = first; event <= events; ++event) {
         co_await transport::pause(eventTime);
         std::string text = expectedEvent(requestId, event);
--- a/soak/StandIn.h
+++ b/soak/StandIn.h
@@ -11,6 +11,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -37,6 +38,10 @@
     std::vector<state::Address> controls;
     std::string failureDomain;
     std::uint64_t seed = 0;
+    // Called when a request arrives, and when an engine begins to write its answer. The latter
+    // tells whether the engine ends instead.
+    std::function<void(const protocol::HttpRequest &)> arrived = [](const auto &) {};
+    std::function<bool(const protocol::HttpRequest &)> ends = [](const auto &) { return false; };
 };
 
 class StandIn : public std::enable_shared_from_this<StandIn>
@@ -47,6 +52,9 @@
     void start();
     void setFault(EndpointFault next) { this->fault = next; }
     void restart(); // under a new id and incarnation, at the same address
+    // Announces itself no more until restart().
+    void end() { this->ended = true; }
+    bool hasEnded() const { return this->ended; }
     // Names that many requests a second in its answers; nothing: names none.
     void nameLimit(std::optional<double> perSecond);
     const NamedLimit &namedLimit() const { return this->limit; }
@@ -74,6 +82,7 @@
     std::uint64_t born = 0;
     std::uint64_t sequence = 0;
     std::size_t control = 0;
+    bool ended = false;
 };
 
 } // namespace lavenderthread::soak
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,11 +1,12 @@
 // Runs one seed: a small fleet of real processes, endpoints, callers and an operator, faults for so
 // many seconds, then a calm end in which everything has to work again.
-// With --path-loss, --control-loss or --endpoint-limits, plays that scenario in place of the
-// faults. usage: fault-soak --binary PATH --folder PATH [--seed N] [--seconds N] [--path-loss
-// hang|reset]
-//                   [--control-loss freeze|kill] [--endpoint-limits]
+// With --path-loss, --control-loss, --endpoint-limits or --crashing-prompt, plays that scenario in
+// place of the faults. usage: fault-soak --binary PATH --folder PATH [--seed N] [--seconds N]
+//                   [--path-loss hang|reset] [--control-loss freeze|kill] [--endpoint-limits]
+//                   [--crashing-prompt second|first|two|none]
 #include "Callers.h"
 #include "ControlLoss.h"
+#include "CrashingPrompt.h"
 #include "EndpointLimits.h"
 #include "Faults.h"
 #include "Operator.h"
@@ -39,12 +40,13 @@
     unsigned seconds = 15;
     std::string pathLoss;    // how connections of cut-off entries fail; empty: not played
     std::string controlLoss; // how control members stop running; empty: not played
-
     bool endpointLimits = false;
+    std::string crashingPrompt; // where the part is that ends engines; empty: not played
 
     bool playsScenario() const
     {
-        return !this->pathLoss.empty() || !this->controlLoss.empty() || this->endpointLimits;
+        return !this->pathLoss.empty() || !this->controlLoss.empty() || this->endpointLimits
+               || !this->crashingPrompt.empty();
     }
 };
 
@@ -55,6 +57,7 @@
 constexpr std::size_t controlsForControlLoss = 5;
 constexpr std::size_t entriesCutOff = 3;
 constexpr std::size_t engines = 4;
+constexpr std::size_t enginesForCrashes = 12;
 constexpr std::size_t replicas = 3;
 constexpr milliseconds callPause{40};
 constexpr milliseconds changePause{400};
@@ -70,6 +73,11 @@
 constexpr unsigned statusNotFound = 404;
 constexpr double calmShare = 0.95; // of the calls of the calm end that have to succeed
 
+const std::map<std::string, CrashingPart> crashingParts = {{"second", CrashingPart::Second},
+                                                           {"first", CrashingPart::First},
+                                                           {"two", CrashingPart::Two},
+                                                           {"none", CrashingPart::None}};
+
 class Soak
 {
 public:
@@ -124,11 +132,23 @@
         this->proxies.back()->start();
     }
 
+    std::size_t engineCount() const
+    {
+        return this->options.crashingPrompt.empty() ? engines : enginesForCrashes;
+    }
+
     void makeEndpoints(std::uint64_t seed)
     {
-        for (std::size_t index = 0; index < engines + replicas; ++index) {
+        for (std::size_t index = 0; index < this->engineCount() + replicas; ++index) {
             StandInSettings settings;
-            settings.engine = index < engines;
+            settings.engine = index < this->engineCount();
+            settings.arrived = [this](const protocol::HttpRequest &request) {
+                if (this->crashes)
+                    this->crashes->requestArrived(request);
+            };
+            settings.ends = [this, index](const protocol::HttpRequest &request) {
+                return this->crashes && this->crashes->engineEnds(index, request);
+            };
             settings.service = settings.engine ? "llm" : "app";
             settings.listen = this->at(2, index);
             settings.announced = this->at(3, index);
@@ -174,6 +194,8 @@
             co_await this->playControlLoss();
         else if (this->options.endpointLimits)
             co_await this->playEndpointLimits();
+        else if (!this->options.crashingPrompt.empty())
+            co_await this->playCrashingPrompt();
         else
             co_await this->playFaults();
     }
@@ -188,13 +210,37 @@
                 this->options.pathLoss == "reset" ? LinkFault::Refused : LinkFault::Unreachable;
         settings.cutOff = entriesCutOff;
         settings.seed = this->options.seed;
-        std::vector<Proxy *> links; // those before the endpoints come first
-        for (std::size_t index = 0; index < engines + replicas; ++index)
-            links.push_back(this->proxies[index].get());
-        PathLoss scenario(this->context, settings, this->fleet, std::move(links), this->ledger);
+        PathLoss scenario(this->context, settings, this->fleet, this->proxiesOf(engines + replicas),
+                          this->ledger);
         co_await scenario.play();
     }
 
+    // Those before the first endpoints.
+    std::vector<Proxy *> proxiesOf(std::size_t count) const
+    {
+        std::vector<Proxy *> links; // the endpoints' proxies come before all others
+        for (std::size_t index = 0; index < count; ++index)
+            links.push_back(this->proxies[index].get());
+        return links;
+    }
+
+    asio::awaitable<void> playCrashingPrompt()
+    {
+        const bool started = co_await this->startFleet();
+        if (!started)
+            co_return;
+        CrashingPrompt::Settings settings;
+        settings.part = crashingParts.at(this->options.crashingPrompt);
+        settings.seed = this->options.seed;
+        settings.engines = this->engineCount();
+        this->crashes =
+                std::make_unique<CrashingPrompt>(this->context, settings, this->fleet,
+                                                 this->proxiesOf(settings.engines), this->ledger);
+        this->crashes->setEngines({this->endpoints.begin(),
+                                   this->endpoints.begin() + std::ptrdiff_t(settings.engines)});
+        co_await this->crashes->play();
+    }
+
     asio::awaitable<void> playControlLoss()
     {
         const bool started = co_await this->startFleet();
@@ -320,6 +366,7 @@
     std::vector<std::unique_ptr<Caller>> people;
     std::map<state::Address, state::Address> proxyOf; // of an entry's callers
     std::unique_ptr<Faults> faults;
+    std::unique_ptr<CrashingPrompt> crashes;
     Operator operators;
     std::uint16_t port;
 };
@@ -341,6 +388,9 @@
                    "Stop the leader and another voter after changes: freeze, kill")
             ->check(CLI::IsMember({"freeze", "kill"}));
     app.add_flag("--endpoint-limits", options.endpointLimits, "Endpoints name request limits");
+    app.add_option("--crashing-prompt", options.crashingPrompt,
+                   "Prompts with a certain part end engines; which part: second, first, two, none")
+            ->check(CLI::IsMember({"second", "first", "two", "none"}));
     CLI11_PARSE(app, argc, argv);
     std::cout << "seed " << options.seed << '\n';
     Soak soak(options);
