--- /dev/null
+++ b/src/coordination/quarantine/PromptQuarantine.cpp
@@ -0,0 +1,347 @@
+#include "coordination/quarantine/PromptQuarantine.h"
+
+#include <algorithm>
+
+namespace lavenderthread::coordination::quarantine {
+
+using state::Instant;
+using state::PromptPart;
+using state::ServiceName;
+
+namespace {
+
+constexpr std::size_t maximumBlocks = 16;
+
+// Ages come from other processes and may be anything.
+Instant instantOf(std::int64_t ageUs, Instant now)
+{
+    constexpr state::Duration longestAge = std::chrono::hours(24 * 365);
+    return now - state::Duration(std::clamp<std::int64_t>(ageUs, 0, longestAge.count()));
+}
+
+std::int64_t ageOf(Instant at, Instant now)
+{
+    return (now - at).count();
+}
+
+bool contains(const std::vector<PromptPart> &parts, const std::vector<PromptPart> &wanted)
+{
+    return std::ranges::all_of(
+            wanted, [&](PromptPart each) { return std::ranges::find(parts, each) != parts.end(); });
+}
+
+} // namespace
+
+ReportResult PromptQuarantine::apply(const CrashReport &report, Instant now)
+{
+    const Instant at = instantOf(report.ageUs, now);
+    const CutOffRequest request{report.hasBegun, instantOf(report.sentAgeUs, now)};
+    std::vector<PromptPart> suspects = report.parts;
+    suspects.resize(std::min(suspects.size(), CrashReport::maximumParts));
+    std::ranges::sort(suspects);
+    const auto repeated = std::ranges::unique(suspects);
+    suspects.erase(repeated.begin(), repeated.end());
+    std::erase_if(suspects, [&](PromptPart part) {
+        return this->isCleared({report.service, part}, at);
+    });
+    if (suspects.empty())
+        return ReportResult::Cleared;
+    if (now - at >= this->settings.memory)
+        return ReportResult::Known;
+    this->forgetOld(now);
+    const auto known = this->crashes.find(report.crash);
+    if (known == this->crashes.end()) {
+        this->makeRoom();
+        this->crashes[report.crash] = {report.service, at, {{std::move(suspects), request}}};
+    } else if (known->second.requests.size() >= this->settings.maximumRequestsOfCrash
+               || !add(known->second, std::move(suspects), request)) {
+        return ReportResult::Known;
+    }
+    this->update();
+    return ReportResult::New;
+}
+
+// Returns whether the crash has changed.
+bool PromptQuarantine::add(Crash &crash, std::vector<PromptPart> parts,
+                           const CutOffRequest &request)
+{
+    const auto [known, isNew] = crash.requests.try_emplace(std::move(parts), request);
+    if (isNew)
+        return true;
+    CutOffRequest &merged = known->second;
+    const CutOffRequest before = merged;
+    merged.hasBegun = merged.hasBegun && request.hasBegun;
+    merged.sentAt = std::max(merged.sentAt, request.sentAt);
+    return merged != before;
+}
+
+bool PromptQuarantine::apply(const PartCleared &cleared, Instant now)
+{
+    const PartKey key{cleared.service, cleared.part};
+    const Instant at = instantOf(cleared.ageUs, now);
+    const auto known = this->clearedAt.find(key);
+    if (known != this->clearedAt.end() && known->second >= at)
+        return false;
+    if (this->clearedAt.size() >= this->settings.maximumClearedParts)
+        this->clearedAt.erase(std::ranges::min_element(
+                this->clearedAt, {}, [](const auto &each) { return each.second; }));
+    this->clearedAt[key] = at;
+    bool wasSuspect = false;
+    for (auto &[id, crash] : this->crashes) {
+        if (crash.service != cleared.service || crash.at > at)
+            continue;
+        Crash left{crash.service, crash.at, {}};
+        for (const auto &[before, request] : crash.requests) {
+            std::vector<PromptPart> parts = before;
+            wasSuspect = std::erase(parts, cleared.part) > 0 || wasSuspect;
+            if (!parts.empty())
+                add(left, std::move(parts), request);
+        }
+        crash = std::move(left);
+    }
+    std::erase_if(this->crashes, [](const auto &each) { return each.second.requests.empty(); });
+    if (wasSuspect)
+        this->update();
+    return wasSuspect;
+}
+
+bool PromptQuarantine::apply(const TrialStarted &trial, Instant now)
+{
+    Trials &known = this->trials[{trial.service, trial.part}];
+    if (trial.count <= known.count)
+        return false;
+    known = {trial.count, instantOf(trial.ageUs, now)};
+    return true;
+}
+
+std::vector<PartCleared> PromptQuarantine::answerSurvived(const ServiceName &service,
+                                                          const std::vector<PromptPart> &parts,
+                                                          Instant now)
+{
+    std::vector<PartCleared> cleared;
+    for (const PromptPart part : parts) {
+        const PartCleared news{service, part, 0};
+        const bool isSuspect = std::ranges::any_of(this->crashes, [&](const auto &each) {
+            return each.second.service == service
+                   && std::ranges::any_of(each.second.requests, [&](const auto &request) {
+                          return std::ranges::binary_search(request.first, part);
+                      });
+        });
+        if (isSuspect && this->apply(news, now))
+            cleared.push_back(news);
+    }
+    return cleared;
+}
+
+std::vector<PartCleared> PromptQuarantine::recentlyCleared(Instant now) const
+{
+    std::vector<PartCleared> cleared;
+    for (const auto &[key, at] : this->clearedAt) {
+        if (now - at < this->settings.clearedToldFor)
+            cleared.push_back({key.first, key.second, ageOf(at, now)});
+    }
+    std::ranges::sort(cleared, {}, &PartCleared::ageUs);
+    cleared.resize(std::min(cleared.size(), this->settings.maximumClearedTold));
+    return cleared;
+}
+
+SendDecision PromptQuarantine::decide(const ServiceName &service,
+                                      const std::vector<PromptPart> &parts, Instant now) const
+{
+    const Block *block = this->blockOf(service, parts);
+    if (block == nullptr || now - block->lastCrashAt() >= this->settings.memory)
+        return {};
+    const Trials done = this->trialsOf(*block);
+    Instant next = block->lastCrashAt() + this->settings.memory;
+    if (done.count < this->settings.maximumTrials) {
+        state::Duration delay = this->settings.firstTrialAfter;
+        for (std::uint32_t trial = 0; trial < done.count; ++trial)
+            delay *= this->settings.trialDelayFactor;
+        next = std::max(block->lastCrashAt(), done.lastAt) + delay;
+    }
+    if (next <= now)
+        return {SendVerdict::SendAsTrial, *block, {}};
+    return {SendVerdict::Refuse, *block, next - now};
+}
+
+TrialStarted PromptQuarantine::startTrial(const Block &block, Instant now)
+{
+    const TrialStarted trial{block.service, block.parts.front(), this->trialsOf(block).count + 1,
+                             0};
+    this->apply(trial, now);
+    return trial;
+}
+
+bool PromptQuarantine::mayRepeat(const ServiceName &service,
+                                 const std::vector<PromptPart> &parts) const
+{
+    if (this->blockOf(service, parts) != nullptr)
+        return false;
+    const CrashesOfParts all = this->crashesOfParts(service, {});
+    return std::ranges::none_of(parts, [&](PromptPart part) {
+        const auto found = all.find(part);
+        return found != all.end()
+               && this->moments(found->second) >= this->settings.crashesUntilNoRepeat;
+    });
+}
+
+std::vector<CrashReport> PromptQuarantine::reportsOfBlocks(Instant now) const
+{
+    std::vector<CrashReport> reports;
+    for (const Block &block : this->blockList) {
+        const std::size_t count =
+                std::min(block.crashes.size(), this->settings.maximumReportsOfBlock);
+        for (std::size_t index = block.crashes.size() - count; index < block.crashes.size();
+             ++index) {
+            const CrashOfPart &crash = block.crashes[index];
+            reports.push_back({block.service, crash.id, block.parts, crash.hasBegun,
+                               ageOf(crash.at, now), ageOf(crash.sentAt, now)});
+        }
+    }
+    return reports;
+}
+
+std::vector<TrialStarted> PromptQuarantine::trialsOfBlocks(Instant now) const
+{
+    std::vector<TrialStarted> started;
+    for (const Block &block : this->blockList) {
+        const Trials done = this->trialsOf(block);
+        if (done.count > 0)
+            started.push_back(
+                    {block.service, block.parts.front(), done.count, ageOf(done.lastAt, now)});
+    }
+    return started;
+}
+
+void PromptQuarantine::forgetOld(Instant now)
+{
+    const auto erased = std::erase_if(this->crashes, [&](const auto &each) {
+        return now - each.second.at >= this->settings.memory;
+    });
+    if (erased > 0)
+        this->update();
+}
+
+void PromptQuarantine::makeRoom()
+{
+    if (this->crashes.size() < this->settings.maximumCrashes)
+        return;
+    const auto order = [this](const auto &each) {
+        return std::pair(this->backsBlock(each.first), each.second.at);
+    };
+    this->crashes.erase(std::ranges::min_element(this->crashes, {}, order));
+}
+
+void PromptQuarantine::update()
+{
+    this->blockList.clear();
+    std::set<ServiceName> services;
+    for (const auto &[id, crash] : this->crashes)
+        services.insert(crash.service);
+    for (const ServiceName &service : services)
+        this->findBlocks(service);
+    std::erase_if(this->trials, [this](const auto &each) {
+        return std::ranges::none_of(this->blockList, [&](const Block &block) {
+            return block.service == each.first.first && block.parts.front() == each.first.second;
+        });
+    });
+}
+
+// The part with the most crashes explains these; the others are judged by the crashes that are
+// left, so that parts which requests share with the crashing one are not blocked with it.
+void PromptQuarantine::findBlocks(const ServiceName &service)
+{
+    std::set<CrashId> explained;
+    while (this->blockList.size() < maximumBlocks) {
+        const CrashesOfParts left = this->crashesOfParts(service, explained);
+        const auto weight = [this](const auto &each) {
+            return std::pair(this->moments(each.second), each.second.size());
+        };
+        const auto worst = std::ranges::max_element(left, {}, weight);
+        if (worst == left.end()
+            || this->moments(worst->second) < this->settings.crashesUntilBlocked)
+            return;
+        Block block;
+        block.service = service;
+        for (const auto &[part, crashesOfPart] : left) {
+            if (std::ranges::equal(crashesOfPart, worst->second, {}, &CrashOfPart::id,
+                                   &CrashOfPart::id))
+                block.parts.push_back(part);
+        }
+        block.crashes = worst->second;
+        for (const CrashOfPart &crash : block.crashes)
+            explained.insert(crash.id);
+        this->blockList.push_back(std::move(block));
+    }
+}
+
+PromptQuarantine::CrashesOfParts
+PromptQuarantine::crashesOfParts(const ServiceName &service,
+                                 const std::set<CrashId> &explained) const
+{
+    CrashesOfParts found;
+    for (const auto &[id, crash] : this->crashes) {
+        if (crash.service != service || explained.contains(id))
+            continue;
+        // An engine crashes when it begins to answer the prompt: if it had not begun some answers,
+        // the prompt is among these.
+        const bool allBegun = std::ranges::all_of(
+                crash.requests, [](const auto &each) { return each.second.hasBegun; });
+        std::map<PromptPart, Instant> sentAt;
+        for (const auto &[parts, request] : crash.requests) {
+            if (request.hasBegun && !allBegun)
+                continue;
+            for (const PromptPart part : parts)
+                sentAt[part] = std::max(sentAt[part], request.sentAt);
+        }
+        for (const auto &[part, sent] : sentAt)
+            found[part].push_back({crash.at, id, sent, allBegun});
+    }
+    for (auto &[part, crashesOfPart] : found)
+        std::ranges::sort(crashesOfPart);
+    return found;
+}
+
+std::uint32_t PromptQuarantine::moments(const std::vector<CrashOfPart> &crashes) const
+{
+    std::uint32_t count = 0;
+    Instant last;
+    for (const CrashOfPart &crash : crashes) {
+        const bool sameCause = crash.at - last < this->settings.sameMoment && crash.sentAt <= last;
+        if (count > 0 && sameCause)
+            continue;
+        ++count;
+        last = crash.at;
+    }
+    return count;
+}
+
+bool PromptQuarantine::isCleared(const PartKey &part, Instant crashAt) const
+{
+    const auto known = this->clearedAt.find(part);
+    return known != this->clearedAt.end() && known->second >= crashAt;
+}
+
+bool PromptQuarantine::backsBlock(const CrashId &crash) const
+{
+    return std::ranges::any_of(this->blockList, [&](const Block &block) {
+        return std::ranges::find(block.crashes, crash, &CrashOfPart::id) != block.crashes.end();
+    });
+}
+
+const Block *PromptQuarantine::blockOf(const ServiceName &service,
+                                       const std::vector<PromptPart> &parts) const
+{
+    const auto found = std::ranges::find_if(this->blockList, [&](const Block &block) {
+        return block.service == service && contains(parts, block.parts);
+    });
+    return found == this->blockList.end() ? nullptr : &*found;
+}
+
+PromptQuarantine::Trials PromptQuarantine::trialsOf(const Block &block) const
+{
+    const auto known = this->trials.find({block.service, block.parts.front()});
+    return known == this->trials.end() ? Trials() : known->second;
+}
+
+} // namespace lavenderthread::coordination::quarantine
--- /dev/null
+++ b/src/coordination/quarantine/PromptQuarantine.h
@@ -0,0 +1,170 @@
+// Finds the parts of prompts under which engines crash, from the requests that were cut off by each
+// crash, and decides which requests are sent. Every entry derives the same blocks from the same
+// reports, so entries exchange reports and nothing has to be agreed on.
+#pragma once
+
+#include "coordination/quarantine/QuarantineUpdate.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace lavenderthread::coordination::quarantine {
+
+struct QuarantineSettings
+{
+    // Crashes under one part before it is blocked.
+    std::uint32_t crashesUntilBlocked = 3;
+    // From so many on, a request that was cut off is not sent to another engine.
+    std::uint32_t crashesUntilNoRepeat = 2;
+    // Engines that end at the same moment have a cause in common, which is no prompt: they count
+    // once. A request that was sent after one end is evidence of its own at the next.
+    state::Duration sameMoment = std::chrono::milliseconds(100);
+    // After this time, and each further trial after the factor times as long, one request is sent.
+    // The first one comes soon, as it ends a block of a part that only happened to be there.
+    state::Duration firstTrialAfter = std::chrono::seconds(1);
+    std::uint32_t trialDelayFactor = 30;
+    std::uint32_t maximumTrials = 3;
+    // After so long without a crash a part is sent again in any case.
+    state::Duration memory = std::chrono::hours(24);
+    std::size_t maximumCrashes = 64;         // remembered; the oldest are dropped first
+    std::size_t maximumRequestsOfCrash = 32; // with different prompts
+    std::size_t maximumPartsOfRequest = 64;  // the first ones of a prompt
+    std::size_t maximumClearedParts = 1'024;
+    std::size_t maximumReportsOfBlock = 6; // to peers
+    // For so long, and so many, parts that were cleared are told to peers.
+    state::Duration clearedToldFor = std::chrono::seconds(10);
+    std::size_t maximumClearedTold = 32;
+};
+
+// A crash that cut off requests with a part.
+struct CrashOfPart
+{
+    state::Instant at;
+    CrashId id;
+    state::Instant sentAt; // when the last of these requests was sent
+    bool hasBegun = false; // all requests that it cut off had got some of their answers
+
+    auto operator<=>(const CrashOfPart &) const = default;
+};
+
+// Requests with all of these parts are refused.
+struct Block
+{
+    state::ServiceName service;
+    // Sorted. More than one if these were always together in the requests that were cut off.
+    std::vector<state::PromptPart> parts;
+    std::vector<CrashOfPart> crashes; // under which it was found, in the order of time; never none
+
+    state::Instant firstCrashAt() const { return this->crashes.front().at; }
+    state::Instant lastCrashAt() const { return this->crashes.back().at; }
+    auto operator<=>(const Block &) const = default;
+};
+
+enum class SendVerdict : std::uint8_t {
+    Send,
+    SendAsTrial, // if startTrial() is called and its update is sent to the peers
+    Refuse,
+};
+
+struct SendDecision
+{
+    SendVerdict verdict = SendVerdict::Send;
+    std::optional<Block> block;   // unless Send
+    state::Duration retryAfter{}; // of a refusal: until the next trial
+};
+
+enum class ReportResult : std::uint8_t {
+    New,
+    Known,
+    Cleared, // none of its parts is suspect any more
+};
+
+class PromptQuarantine
+{
+public:
+    explicit PromptQuarantine(QuarantineSettings chosen = {})
+        : settings(chosen)
+    {}
+
+    ReportResult apply(const CrashReport &report, state::Instant now);
+    // These return whether it was news.
+    bool apply(const PartCleared &cleared, state::Instant now);
+    bool apply(const TrialStarted &trial, state::Instant now);
+
+    // Whether anything is suspect; if not, all requests may be sent.
+    bool hasSuspects() const { return !this->crashes.empty(); }
+    // An engine has survived an answer on such a prompt: clears its parts and returns what to tell
+    // the peers.
+    std::vector<PartCleared> answerSurvived(const state::ServiceName &service,
+                                            const std::vector<state::PromptPart> &parts,
+                                            state::Instant now);
+    // The parts that were cleared lately, for peers that may have missed it.
+    std::vector<PartCleared> recentlyCleared(state::Instant now) const;
+    bool knows(const CrashId &crash) const { return this->crashes.contains(crash); }
+
+    SendDecision decide(const state::ServiceName &service,
+                        const std::vector<state::PromptPart> &parts, state::Instant now) const;
+    TrialStarted startTrial(const Block &block, state::Instant now);
+    // Whether a request that a crash has cut off may be sent to another engine.
+    bool mayRepeat(const state::ServiceName &service,
+                   const std::vector<state::PromptPart> &parts) const;
+
+    const std::vector<Block> &blocks() const { return this->blockList; }
+    // The reports by which another entry finds the same blocks.
+    std::vector<CrashReport> reportsOfBlocks(state::Instant now) const;
+    std::vector<TrialStarted> trialsOfBlocks(state::Instant now) const;
+
+private:
+    using PartKey = std::pair<state::ServiceName, state::PromptPart>;
+
+    struct CutOffRequest
+    {
+        bool hasBegun = false;
+        state::Instant sentAt;
+
+        auto operator<=>(const CutOffRequest &) const = default;
+    };
+    struct Crash
+    {
+        state::ServiceName service;
+        state::Instant at;
+        // By the suspect parts of its prompt, which are never none. Of several with the same parts,
+        // the one that had come least far, and was sent last.
+        std::map<std::vector<state::PromptPart>, CutOffRequest> requests;
+    };
+    struct Trials
+    {
+        std::uint32_t count = 0;
+        state::Instant lastAt;
+    };
+    // In the order of time.
+    using CrashesOfParts = std::map<state::PromptPart, std::vector<CrashOfPart>>;
+
+    void forgetOld(state::Instant now);
+    void makeRoom();
+    void update(); // derives the blocks from the crashes
+    void findBlocks(const state::ServiceName &service);
+    CrashesOfParts crashesOfParts(const state::ServiceName &service,
+                                  const std::set<CrashId> &explained) const;
+    // Crashes that don't have a cause in common with the one before.
+    std::uint32_t moments(const std::vector<CrashOfPart> &crashes) const;
+    static bool add(Crash &crash, std::vector<state::PromptPart> parts,
+                    const CutOffRequest &request);
+    bool isCleared(const PartKey &part, state::Instant crashAt) const;
+    bool backsBlock(const CrashId &crash) const;
+    const Block *blockOf(const state::ServiceName &service,
+                         const std::vector<state::PromptPart> &parts) const;
+    Trials trialsOf(const Block &block) const;
+
+    QuarantineSettings settings;
+    std::map<CrashId, Crash> crashes;
+    std::map<PartKey, state::Instant> clearedAt; // the newest time
+    std::map<PartKey, Trials> trials;            // by the first part of a block
+    std::vector<Block> blockList;                // derived from `crashes`
+};
+
+} // namespace lavenderthread::coordination::quarantine
--- /dev/null
+++ b/src/coordination/quarantine/QuarantineUpdate.h
@@ -0,0 +1,85 @@
+// What entries tell each other about prompts under which engines end.
+#pragma once
+
+#include "state/Ids.h"
+#include "state/PromptPart.h"
+#include "state/Time.h"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace lavenderthread::coordination::quarantine {
+
+// The unplanned end of one start of an engine.
+struct CrashId
+{
+    state::EndpointId endpoint;
+    std::uint64_t incarnation = 0;
+
+    auto operator<=>(const CrashId &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->endpoint, this->incarnation);
+    }
+};
+
+// A request that an engine's end has cut off before its answer had gone far.
+struct CrashReport
+{
+    static constexpr std::size_t maximumParts = 64; // the first ones of a longer prompt
+
+    state::ServiceName service;
+    CrashId crash;
+    std::vector<state::PromptPart> parts; // of its prompt
+    bool hasBegun = false;                // some of the answer had come
+    std::int64_t ageUs = 0;               // since the crash
+    std::int64_t sentAgeUs = 0;           // since the request was sent to the engine
+
+    auto operator<=>(const CrashReport &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->service, this->crash, this->parts, this->hasBegun, this->ageUs,
+                this->sentAgeUs);
+    }
+};
+
+// An engine has survived an answer on a prompt with that part.
+struct PartCleared
+{
+    state::ServiceName service;
+    state::PromptPart part = 0;
+    std::int64_t ageUs = 0;
+
+    auto operator<=>(const PartCleared &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->service, this->part, this->ageUs);
+    }
+};
+
+// A single request with a blocked part is sent, to find out whether the block is still needed.
+struct TrialStarted
+{
+    state::ServiceName service;
+    state::PromptPart part = 0;
+    std::uint32_t count = 0; // trials since the part was blocked
+    std::int64_t ageUs = 0;
+
+    auto operator<=>(const TrialStarted &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->service, this->part, this->count, this->ageUs);
+    }
+};
+
+} // namespace lavenderthread::coordination::quarantine
--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -26,6 +26,8 @@
 // Burst allowance: a link of 14 Mbit/s dropped what exceeded 30,000 bytes sent at once.
 constexpr double newsBurstBytes = 16'000;
 constexpr double bytesPerMegabit = 125'000;
+// Repeated news reach all members of a fleet of 300 in about six rounds.
+constexpr std::size_t randomReceivers = 3;
 constexpr std::chrono::seconds newsLossLogInterval{1}; // at most one log line in this time
 // An endpoint expires after this many heartbeat intervals: one heartbeat may be lost with its
 // connection, and the next goes to another node after a second without an answer.
@@ -105,6 +107,7 @@
     , entryDirectory(directory)
     , strand(asio::make_strand(context))
     , flushTimer(this->strand)
+    , random(XXH3_64bits(settings.vm.value().data(), settings.vm.value().size()))
 {}
 
 state::Result<std::shared_ptr<Cluster>> Cluster::create(const Settings &settings,
@@ -390,6 +393,21 @@
                });
 }
 
+void Cluster::shareWithSome(std::vector<protocol::PeerUpdate> news)
+{
+    if (!this->membership)
+        return;
+    asio::post(this->strand, [self = this->shared_from_this(), news = std::move(news)] {
+        const auto datagrams = protocol::sealPeerUpdates(self->settings.keys, news);
+        const auto view = self->membership->view();
+        for (const auto *member :
+             view->members->randomLive(randomReceivers, self->settings.vm, {}, self->random)) {
+            if (member->record.description != nullptr)
+                self->sendNews(member->record.description->caller, datagrams);
+        }
+    });
+}
+
 void Cluster::scheduleFlush()
 {
     if (this->flushArmed)
--- a/src/program/Cluster.h
+++ b/src/program/Cluster.h
@@ -22,6 +22,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <vector>
 
 namespace lavenderthread::program {
@@ -80,6 +81,8 @@
     void share(protocol::PeerUpdate news);
     // Sends the news to one peer only.
     void shareWith(const state::VmId &peer, protocol::PeerUpdate news);
+    // Sends the news to some random live members of any kind.
+    void shareWithSome(std::vector<protocol::PeerUpdate> news);
     // Endpoints that were described to this node, used by it or not. Any thread.
     std::size_t endpointsKnown() const;
     // Peer news datagrams that were never sent, since the start. Any thread.
@@ -126,6 +129,7 @@
     std::vector<protocol::PeerUpdate> pendingNews;                              // on the strand
     std::map<state::VmId, std::vector<protocol::PeerUpdate>> pendingNewsOfPeer; // on the strand
     bool flushArmed = false;
+    std::mt19937_64 random;              // on the strand
     std::uint64_t loggedLostUpdates = 0; // the count in the last log line
     state::Instant lostNewsLoggedAt{};
 };
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -11,6 +11,7 @@
 #include "program/Entry.h"
 #include "program/Log.h"
 #include "program/Metrics.h"
+#include "program/PromptGuard.h"
 #include "program/RelayListeners.h"
 #include "transport/Await.h"
 
@@ -166,6 +167,7 @@
                                 {this->incarnation,
                                  this->control ? this->control->identity() : state::VmId()},
                                 this->clusterHooks()));
+        this->prompts = PromptGuard::create(this->context, this->promptHooks());
         if (this->settings.hasControlMembers())
             this->client =
                     ControlClient::create(this->settings, this->context, this->clientHooks());
@@ -186,6 +188,7 @@
             this->control->start();
         this->entry->start();
         this->cluster->start();
+        this->prompts->start();
         if (this->client)
             this->client->start();
         this->publishPhase();
@@ -252,6 +255,7 @@
         hooks.endpoints = [this] { return this->registry->table(); };
         hooks.cluster = this->cluster;
         hooks.client = this->client;
+        hooks.prompts = this->prompts;
         hooks.ready = [this] { return this->entry->phase() == EntryPhase::Serving; };
         hooks.profilesChanged = [this](auto profiles) {
             this->policy->setProfiles(std::move(profiles));
@@ -264,6 +268,18 @@
         return hooks;
     }
 
+    PromptGuard::Hooks promptHooks()
+    {
+        PromptGuard::Hooks hooks;
+        hooks.share = [this](protocol::PeerUpdate update) {
+            this->cluster->share(std::move(update));
+        };
+        hooks.shareWithSome = [this](std::vector<protocol::PeerUpdate> updates) {
+            this->cluster->shareWithSome(std::move(updates));
+        };
+        return hooks;
+    }
+
     Cluster::Hooks clusterHooks()
     {
         Cluster::Hooks hooks;
@@ -286,7 +302,14 @@
 
     void handlePeerUpdate(const protocol::PeerUpdate &update)
     {
-        if (const auto *replaced = std::get_if<protocol::EndpointReplaced>(&update))
+        namespace quarantine = coordination::quarantine;
+        if (const auto *report = std::get_if<quarantine::CrashReport>(&update))
+            this->prompts->peerReported(*report);
+        else if (const auto *cleared = std::get_if<quarantine::PartCleared>(&update))
+            this->prompts->peerCleared(*cleared);
+        else if (const auto *trial = std::get_if<quarantine::TrialStarted>(&update))
+            this->prompts->peerStartedTrial(*trial);
+        else if (const auto *replaced = std::get_if<protocol::EndpointReplaced>(&update))
             this->policy->engineReplaced(replaced->endpoint, replaced->incarnation);
         else if (const auto *limit = std::get_if<protocol::EndpointLimited>(&update))
             this->handlePeerLimit(*limit);
@@ -532,6 +555,8 @@
         });
         if (this->control)
             this->serveControlMetrics();
+        this->metrics.gauge("prompt_blocks",
+                            [this] { return double(this->prompts->blockCount()); });
         this->metrics.gauge("endpoints_known",
                             [this] { return double(this->cluster->endpointsKnown()); });
         this->metrics.gauge("reaches_endpoints",
@@ -605,6 +630,7 @@
     std::shared_ptr<Cluster> cluster;
     std::shared_ptr<ControlService> control; // null unless this node is a control member
     std::shared_ptr<ControlClient> client;   // null if there are no control members
+    std::shared_ptr<PromptGuard> prompts;
     std::shared_ptr<DispatcherScheduler> policy;
     std::shared_ptr<Entry> entry;
     std::shared_ptr<RelayListeners> front;                // null if no relay listener is configured
--- /dev/null
+++ b/src/program/PromptGuard.cpp
@@ -0,0 +1,282 @@
+#include "program/PromptGuard.h"
+
+#include "program/Clock.h"
+#include "program/Log.h"
+#include "transport/Await.h"
+#include "transport/ConnectProbe.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace lavenderthread::program {
+
+namespace asio = boost::asio;
+using coordination::quarantine::Block;
+using coordination::quarantine::CrashId;
+using coordination::quarantine::CrashOfPart;
+using coordination::quarantine::CrashReport;
+using coordination::quarantine::PartCleared;
+using coordination::quarantine::ReportResult;
+using coordination::quarantine::SendDecision;
+using coordination::quarantine::SendVerdict;
+using coordination::quarantine::TrialStarted;
+using state::PromptPart;
+using state::ServiceName;
+using std::chrono::milliseconds;
+
+namespace {
+
+// The port of a crashed engine is closed at once, and an engine needs seconds to start. A lost
+// packet leaves it open whether it has crashed.
+constexpr milliseconds portProbeTime{200};
+// Members that have started, were cut off, or have missed a datagram learn of a block within a few
+// of these intervals.
+constexpr milliseconds repeatInterval{250};
+
+std::string formatCrashes(const std::vector<CrashOfPart> &crashes)
+{
+    std::string text;
+    for (const CrashOfPart &crash : crashes)
+        text += (text.empty() ? "" : ",") + crash.id.endpoint.value();
+    return text;
+}
+
+void logReport(LogLevel level, const CrashReport &report, const char *source)
+{
+    logEvent(level, "prompt.crash-reported",
+             {{"service", report.service.value()},
+              {"endpoint", report.crash.endpoint.value()},
+              {"incarnation", report.crash.incarnation},
+              {"parts", state::formatPromptParts(report.parts)},
+              {"begun", report.hasBegun ? "yes" : "no"},
+              {"age_us", report.ageUs},
+              {"sent_age_us", report.sentAgeUs},
+              {"source", source}});
+}
+
+void logCleared(const PartCleared &cleared, const char *source)
+{
+    logEvent(LogLevel::Info, "prompt.cleared",
+             {{"service", cleared.service.value()},
+              {"part", state::formatPromptParts({cleared.part})},
+              {"source", source}});
+}
+
+void logBlock(const char *event, const Block &block)
+{
+    const state::Instant now = monotonicNow();
+    logEvent(LogLevel::Warning, event,
+             {{"service", block.service.value()},
+              {"parts", state::formatPromptParts(block.parts)},
+              {"crashes", formatCrashes(block.crashes)},
+              {"first_age_ms", toMilliseconds(now - block.firstCrashAt())},
+              {"last_age_ms", toMilliseconds(now - block.lastCrashAt())}});
+}
+
+std::optional<PromptRefusal> toRefusal(const SendDecision &decision)
+{
+    if (decision.verdict != SendVerdict::Refuse)
+        return std::nullopt;
+    const Block &block = *decision.block;
+    return PromptRefusal{
+            std::to_string(block.crashes.size()) + " engines crashed on prompts with part "
+                    + state::formatPromptParts(block.parts) + ", the last "
+                    + std::to_string(toMilliseconds(monotonicNow() - block.lastCrashAt()))
+                    + " ms ago",
+            std::chrono::ceil<milliseconds>(decision.retryAfter)};
+}
+
+} // namespace
+
+PromptGuard::PromptGuard(asio::io_context &context, Hooks hooks)
+    : context(context)
+    , hooks(std::move(hooks))
+{}
+
+std::shared_ptr<PromptGuard> PromptGuard::create(asio::io_context &context, Hooks hooks)
+{
+    return std::shared_ptr<PromptGuard>(new PromptGuard(context, std::move(hooks)));
+}
+
+void PromptGuard::start()
+{
+    asio::co_spawn(
+            this->context, [self = this->shared_from_this()] { return self->repeatForEver(); },
+            asio::detached);
+}
+
+asio::awaitable<void> PromptGuard::repeatForEver()
+{
+    while (true) {
+        co_await transport::pause(repeatInterval);
+        std::vector<protocol::PeerUpdate> updates;
+        {
+            const std::lock_guard lock(this->mutex);
+            const state::Instant now = monotonicNow();
+            for (CrashReport &report : this->quarantine.reportsOfBlocks(now))
+                updates.emplace_back(std::move(report));
+            for (TrialStarted &trial : this->quarantine.trialsOfBlocks(now))
+                updates.emplace_back(std::move(trial));
+            for (PartCleared &cleared : this->quarantine.recentlyCleared(now))
+                updates.emplace_back(std::move(cleared));
+        }
+        if (!updates.empty())
+            this->hooks.shareWithSome(std::move(updates));
+    }
+}
+
+std::optional<PromptRefusal> PromptGuard::refusal(const ServiceName &service,
+                                                  const std::vector<PromptPart> &parts) const
+{
+    if (!this->hasSuspects || parts.empty())
+        return std::nullopt;
+    const std::lock_guard lock(this->mutex);
+    return toRefusal(this->quarantine.decide(service, parts, monotonicNow()));
+}
+
+std::optional<PromptRefusal> PromptGuard::refusalBeforeSend(const state::RequestId &request,
+                                                            const ServiceName &service,
+                                                            const std::vector<PromptPart> &parts)
+{
+    if (!this->hasSuspects || parts.empty())
+        return std::nullopt;
+    TrialStarted trial;
+    {
+        const std::lock_guard lock(this->mutex);
+        const state::Instant now = monotonicNow();
+        const SendDecision decision = this->quarantine.decide(service, parts, now);
+        if (decision.verdict != SendVerdict::SendAsTrial)
+            return toRefusal(decision);
+        trial = this->quarantine.startTrial(*decision.block, now);
+    }
+    this->hooks.share(trial);
+    logEvent(LogLevel::Warning, "prompt.trial",
+             {{"request", request.value()},
+              {"service", service.value()},
+              {"parts", state::formatPromptParts(parts)},
+              {"count", trial.count}});
+    return std::nullopt;
+}
+
+asio::awaitable<void> PromptGuard::attemptLost(state::EndpointDescription engine,
+                                               std::vector<PromptPart> parts, bool hasBegun,
+                                               state::Instant sentAt)
+{
+    if (parts.empty())
+        co_return;
+    CrashReport report;
+    report.service = engine.service;
+    report.crash = {engine.id, engine.incarnation};
+    report.parts = std::move(parts);
+    report.parts.resize(std::min(report.parts.size(), CrashReport::maximumParts));
+    report.hasBegun = hasBegun;
+    const state::Instant lostAt = monotonicNow();
+    // A reset of one connection, or an answer that was cut short, is no crash.
+    if (!this->isKnownCrash(report.crash)) {
+        const asio::any_io_executor executor = co_await asio::this_coro::executor;
+        const transport::PortState port =
+                co_await transport::probePort(executor, engine.address, portProbeTime);
+        if (port != transport::PortState::Closed)
+            co_return;
+    }
+    const state::Instant now = monotonicNow();
+    report.ageUs = (now - lostAt).count();
+    report.sentAgeUs = (now - sentAt).count();
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->quarantine.apply(report, now) != ReportResult::New)
+            co_return;
+        this->logChangedBlocks();
+    }
+    this->hooks.share(report);
+    logReport(LogLevel::Info, report, "attempt");
+}
+
+bool PromptGuard::isKnownCrash(const CrashId &crash) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->quarantine.knows(crash);
+}
+
+void PromptGuard::answerSurvived(const ServiceName &service, const std::vector<PromptPart> &parts)
+{
+    if (!this->hasSuspects || parts.empty())
+        return;
+    std::vector<PartCleared> cleared;
+    {
+        const std::lock_guard lock(this->mutex);
+        cleared = this->quarantine.answerSurvived(service, parts, monotonicNow());
+        this->logChangedBlocks();
+    }
+    for (const PartCleared &each : cleared) {
+        this->hooks.share(each);
+        logCleared(each, "answer");
+    }
+}
+
+bool PromptGuard::mayRepeat(const ServiceName &service, const std::vector<PromptPart> &parts) const
+{
+    if (!this->hasSuspects || parts.empty())
+        return true;
+    const std::lock_guard lock(this->mutex);
+    return this->quarantine.mayRepeat(service, parts);
+}
+
+std::size_t PromptGuard::blockCount() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->quarantine.blocks().size();
+}
+
+void PromptGuard::peerReported(const CrashReport &report)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->quarantine.apply(report, monotonicNow()) != ReportResult::New)
+            return;
+        this->logChangedBlocks();
+    }
+    logReport(LogLevel::Debug, report, "peer");
+}
+
+void PromptGuard::peerCleared(const PartCleared &cleared)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        if (!this->quarantine.apply(cleared, monotonicNow()))
+            return;
+        this->logChangedBlocks();
+    }
+    logCleared(cleared, "peer");
+}
+
+void PromptGuard::peerStartedTrial(const TrialStarted &trial)
+{
+    const std::lock_guard lock(this->mutex);
+    this->quarantine.apply(trial, monotonicNow());
+}
+
+void PromptGuard::logChangedBlocks()
+{
+    this->hasSuspects = this->quarantine.hasSuspects();
+    const Blocks &now = this->quarantine.blocks();
+    const auto isIn = [](const Blocks &blocks, const Block &wanted) {
+        return std::ranges::any_of(blocks, [&](const Block &each) {
+            return each.service == wanted.service && each.parts == wanted.parts;
+        });
+    };
+    for (const Block &block : now) {
+        if (!isIn(this->loggedBlocks, block))
+            logBlock("prompt.blocked", block);
+    }
+    for (const Block &block : this->loggedBlocks) {
+        if (!isIn(now, block))
+            logBlock("prompt.released", block);
+    }
+    this->loggedBlocks = now;
+}
+
+} // namespace lavenderthread::program
--- /dev/null
+++ b/src/program/PromptGuard.h
@@ -0,0 +1,89 @@
+// Keeps prompts from engines if their like has crashed engines. Gathers the evidence of this
+// process and its peers for coordination::quarantine::PromptQuarantine, and passes it on.
+#pragma once
+
+#include "coordination/quarantine/PromptQuarantine.h"
+#include "protocol/PeerUpdate.h"
+#include "state/Endpoint.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lavenderthread::program {
+
+// The request has not run. Its prompt is refused until the next trial.
+struct PromptRefusal
+{
+    std::string detail;
+    std::chrono::milliseconds retryAfter{};
+};
+
+class PromptGuard : public std::enable_shared_from_this<PromptGuard>
+{
+public:
+    struct Hooks
+    {
+        // With all peers that send to engines.
+        std::function<void(protocol::PeerUpdate)> share = [](auto) {};
+        // With some random members of any kind.
+        std::function<void(std::vector<protocol::PeerUpdate>)> shareWithSome = [](auto) {};
+    };
+
+    // An answer that has gone on for so long after its first event was survived by its engine.
+    static constexpr std::chrono::milliseconds survivalTime{150};
+
+    static std::shared_ptr<PromptGuard> create(boost::asio::io_context &context, Hooks hooks);
+
+    // Begins to repeat to other members what they need to refuse the same requests.
+    void start();
+
+    // All of these may be called from any thread.
+    std::optional<PromptRefusal> refusal(const state::ServiceName &service,
+                                         const std::vector<state::PromptPart> &parts) const;
+    // The same, directly before the request is sent; it may become a trial.
+    std::optional<PromptRefusal> refusalBeforeSend(const state::RequestId &request,
+                                                   const state::ServiceName &service,
+                                                   const std::vector<state::PromptPart> &parts);
+    // The engine has ended the connection before the answer had gone on for survivalTime.
+    boost::asio::awaitable<void> attemptLost(state::EndpointDescription engine,
+                                             std::vector<state::PromptPart> parts, bool hasBegun,
+                                             state::Instant sentAt);
+    void answerSurvived(const state::ServiceName &service,
+                        const std::vector<state::PromptPart> &parts);
+    // Whether a request that an engine has cut off may be sent to another one.
+    bool mayRepeat(const state::ServiceName &service,
+                   const std::vector<state::PromptPart> &parts) const;
+    std::size_t blockCount() const;
+
+    void peerReported(const coordination::quarantine::CrashReport &report);
+    void peerCleared(const coordination::quarantine::PartCleared &cleared);
+    void peerStartedTrial(const coordination::quarantine::TrialStarted &trial);
+
+private:
+    using Blocks = std::vector<coordination::quarantine::Block>;
+
+    PromptGuard(boost::asio::io_context &context, Hooks hooks);
+
+    boost::asio::awaitable<void> repeatForEver();
+    bool isKnownCrash(const coordination::quarantine::CrashId &crash) const;
+    // Call with the mutex held, after each change.
+    void logChangedBlocks();
+
+    boost::asio::io_context &context;
+    Hooks hooks;
+    mutable std::mutex mutex; // guards the members below; never held across I/O or a hook
+    coordination::quarantine::PromptQuarantine quarantine;
+    Blocks loggedBlocks;
+    std::atomic<bool> hasSuspects = false; // false: nothing is refused or cleared
+};
+
+} // namespace lavenderthread::program
--- a/src/program/RelayCodec.h
+++ b/src/program/RelayCodec.h
@@ -33,7 +33,7 @@
     state::ModelName model;
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0; // upper limit
-    // Ids of the prompt's parts, in order. The last part, which no other request has, is left out.
+    // Ids of the prompt's parts, in order; other requests may share all but the last.
     std::vector<state::PromptPart> promptParts;
     // The caller excludes some endpoints, which refuse the request as if another one were meant.
     bool restrictsEndpoints = false;
--- a/src/program/RelayListeners.cpp
+++ b/src/program/RelayListeners.cpp
@@ -91,6 +91,7 @@
     relayHooks.share = [this](protocol::PeerUpdate update) {
         this->hooks.cluster->share(std::move(update));
     };
+    relayHooks.prompts = this->hooks.prompts;
     relayHooks.finished = this->hooks.finished;
     return relayHooks;
 }
--- a/src/program/RelayListeners.h
+++ b/src/program/RelayListeners.h
@@ -6,6 +6,7 @@
 #include "program/Cluster.h"
 #include "program/ControlClient.h"
 #include "program/PathMonitor.h"
+#include "program/PromptGuard.h"
 #include "program/RelayCodec.h"
 #include "program/RouteRelay.h"
 #include "program/Settings.h"
@@ -31,6 +32,7 @@
         std::function<state::SnapshotView<EndpointTable>()> endpoints;
         std::shared_ptr<Cluster> cluster;
         std::shared_ptr<ControlClient> client;
+        std::shared_ptr<PromptGuard> prompts;
         std::function<bool()> ready; // whether the rest of the process can serve
         // Called with the services' engine profiles whenever a configuration comes into force.
         std::function<void(std::map<state::ServiceName, state::routes::EngineProfile>)>
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -156,6 +156,12 @@
 private:
     asio::awaitable<void> runAccepted()
     {
+        // Waiting, or trying elsewhere, would not help the caller.
+        if (this->isPromptRefused()) {
+            co_await this->sendFinalAnswer(this->promptRefusal->detail,
+                                           this->promptRefusal->retryAfter);
+            co_return;
+        }
         const bool done = co_await this->runThroughPeersIfPathLost();
         if (done)
             co_return;
@@ -165,6 +171,49 @@
             co_await this->runOnReplicas();
     }
 
+    // Asked again whenever the request is about to be sent: it may have waited since it came.
+    bool isPromptRefused()
+    {
+        return this->recordRefusal(
+                this->hooks.prompts->refusal(this->outcome.service, this->request.promptParts));
+    }
+
+    // The connection stands, and the request would go out now.
+    bool isSendRefused()
+    {
+        return this->recordRefusal(this->hooks.prompts->refusalBeforeSend(
+                this->request.id, this->outcome.service, this->request.promptParts));
+    }
+
+    bool recordRefusal(std::optional<PromptRefusal> refusal)
+    {
+        this->promptRefusal = std::move(refusal);
+        return this->promptRefusal.has_value();
+    }
+
+    // Whether the prompt may be sent once more, after an attempt that ended so.
+    bool mayRepeatPrompt(AttemptResult end) const
+    {
+        if (this->promptRefusal)
+            return false;
+        return end != AttemptResult::Lost
+               || this->hooks.prompts->mayRepeat(this->outcome.service, this->request.promptParts);
+    }
+
+    // An engine that is leaving ends its connections as planned.
+    bool mayHaveCrashed(const state::EndpointDescription &endpoint) const
+    {
+        if (!this->progress.connectionEnded)
+            return false;
+        const bool survived =
+                this->progress.events > 0
+                && monotonicNow() - this->progress.firstEventAt >= PromptGuard::survivalTime;
+        const auto table = this->hooks.endpoints();
+        const auto known = table->endpoints.find(endpoint.id);
+        const bool isLeaving = known != table->endpoints.end() && known->second.draining;
+        return !survived && !isLeaving;
+    }
+
     const protocol::HttpRequest &callerRequest() const
     {
         return this->handed ? this->handed->request : this->exchange.request();
@@ -316,7 +365,7 @@
                 break;
             }
             this->updateTimeIsOver();
-            if (!coordination::relay::mayRetry(this->facts, end))
+            if (!coordination::relay::mayRetry(this->facts, end) || !this->mayRepeatPrompt(end))
                 break;
             if (this->shouldUsePeers()) {
                 co_await this->moveFromEngine(current, end);
@@ -332,6 +381,10 @@
                 this->outcome.reason = placement.error().detail + "; " + this->outcome.reason;
                 retryAfter = placement.error().retryAfter;
             }
+            if (this->promptRefusal) {
+                this->outcome.reason = this->promptRefusal->detail;
+                retryAfter = this->promptRefusal->retryAfter;
+            }
             co_await this->sendFinalAnswer(this->outcome.reason, retryAfter);
         }
         this->hooks.scheduler.finished(this->request.id, lastAttempt, this->outcome.whole);
@@ -439,7 +492,7 @@
             this->updateTimeIsOver();
             const bool tokenTaken = std::exchange(this->retryTokenTaken, false);
             const bool needsToken = end != AttemptResult::NeverSent && !tokenTaken;
-            if (!coordination::relay::mayRetry(this->facts, end)
+            if (!coordination::relay::mayRetry(this->facts, end) || !this->mayRepeatPrompt(end)
                 || (needsToken && !this->takeRetryToken()))
                 break;
             const bool done = co_await this->runThroughPeersIfPathLost();
@@ -492,9 +545,9 @@
     void recordReplicaResult(const state::EndpointDescription &replica, AttemptResult end)
     {
         // A healthy endpoint also answers a request that it can't carry out with its own error.
-        const AttemptOutcome health = this->facts.callerGone
-                                              ? AttemptOutcome::Succeeded
-                                              : healthOf(end, this->endpointReplaced);
+        const bool endedHere = this->facts.callerGone || this->promptRefusal;
+        const AttemptOutcome health =
+                endedHere ? AttemptOutcome::Succeeded : healthOf(end, this->endpointReplaced);
         bool suspected = false;
         {
             const std::lock_guard lock(this->relay.choiceMutex);
@@ -563,7 +616,8 @@
             taken = true;
             // As the others would; a stream in progress is worth asking them.
             const bool refused = end == AttemptResult::NotRun && this->facts.runs == 0;
-            if (refused || !coordination::relay::mayRetry(this->facts, end)
+            if (refused || !this->mayRepeatPrompt(end)
+                || !coordination::relay::mayRetry(this->facts, end)
                 || !(tokenTaken || this->takeRetryToken()))
                 break;
         }
@@ -594,6 +648,10 @@
         const AttemptResult end = co_await this->supervise(std::move(exchanging));
         if (end == AttemptResult::Lost)
             this->logLoss(endpoint);
+        if (end == AttemptResult::Lost && this->mayHaveCrashed(endpoint))
+            co_await this->hooks.prompts->attemptLost(endpoint, this->request.promptParts,
+                                                      this->progress.events > 0,
+                                                      this->progress.sentAt);
         co_return end;
     }
 
@@ -642,7 +700,7 @@
     asio::awaitable<AttemptResult> exchangeWith(Target target)
     {
         const milliseconds left = remaining(this->deadline);
-        if (left == milliseconds(0) || this->facts.callerGone)
+        if (left == milliseconds(0) || this->facts.callerGone || this->isPromptRefused())
             co_return AttemptResult::NeverSent;
         ForwardParameters terms;
         terms.timeLeft = left;
@@ -652,8 +710,11 @@
         terms.helpers = target.helpers;
         terms.resumeAfter = this->events.lastId();
         protocol::HttpRequest forwarded = this->hooks.codec.forward(this->callerRequest(), terms);
+        transport::BeforeSend beforeSend = [this]() -> asio::awaitable<bool> {
+            co_return !this->isSendRefused();
+        };
         auto opened = co_await this->open(target.endpoint.address, std::move(forwarded),
-                                          std::min(connectTimeout, left));
+                                          std::min(connectTimeout, left), std::move(beforeSend));
         if (!opened) {
             if (isPathFailure(opened.error(), left))
                 this->hooks.recordPath(target.endpoint, PathOutcome::Unreachable);
@@ -680,28 +741,33 @@
     asio::awaitable<AttemptResult> relayAnswer(transport::HttpAnswerStream &stream,
                                                protocol::HttpHeaders headers)
     {
-        if (isSuccess(stream.status()) && this->route->kind == CallKind::Stream)
-            co_return co_await this->relayStream(stream, std::move(headers));
-        co_return co_await this->relayBuffered(stream, std::move(headers));
+        const bool isStream = isSuccess(stream.status()) && this->route->kind == CallKind::Stream;
+        auto relaying = isStream ? this->relayStream(stream, std::move(headers))
+                                 : this->relayBuffered(stream, std::move(headers));
+        const AttemptResult end = co_await std::move(relaying);
+        // The end of a connection does not tell a whole answer from an engine that has crashed.
+        if (end == AttemptResult::Complete && !stream.endsWithConnection())
+            this->recordSurvival();
+        co_return end;
     }
 
     asio::awaitable<state::Result<transport::HttpAnswerStream>>
-    open(state::Address peer, protocol::HttpRequest request, milliseconds timeToConnect)
+    open(state::Address peer, protocol::HttpRequest request, milliseconds timeToConnect,
+         transport::BeforeSend beforeSend = {})
     {
         transport::HttpCallLimits limits;
         limits.connectTimeout = timeToConnect;
         limits.unacknowledgedTimeout = unacknowledgedTimeout;
         limits.timeout = remaining(this->deadline);
-        transport::BeforeSend noBeforeSend;
         co_return co_await transport::openHttpStream(this->exchange.executor(), std::move(peer),
-                                                     std::move(request), limits, noBeforeSend,
-                                                     this->running->handle);
+                                                     std::move(request), limits,
+                                                     std::move(beforeSend), this->running->handle);
     }
 
     asio::awaitable<AttemptResult> exchangeWithPeer(state::Address peer)
     {
         const milliseconds left = remaining(this->deadline);
-        if (left == milliseconds(0) || this->facts.callerGone)
+        if (left == milliseconds(0) || this->facts.callerGone || this->isPromptRefused())
             co_return AttemptResult::NeverSent;
         this->outcome.via = peer;
         this->peerResult = PeerResult::Unknown;
@@ -903,8 +969,16 @@
 
     void recordEvents()
     {
+        const state::Instant now = monotonicNow();
         if (this->progress.events++ == 0)
-            this->progress.firstEventAt = monotonicNow();
+            this->progress.firstEventAt = now;
+        if (now - this->progress.firstEventAt >= PromptGuard::survivalTime)
+            this->recordSurvival();
+    }
+
+    void recordSurvival()
+    {
+        this->hooks.prompts->answerSurvived(this->outcome.service, this->request.promptParts);
     }
 
     asio::awaitable<bool> forwardEvents(std::string_view events,
@@ -975,8 +1049,10 @@
             this->outcome.whole = false;
             break;
         case FinalAnswer::NotRun:
-            co_await this->refuseWith(
-                    503, std::min(retryAfter.value_or(retryWithoutEndpoint), longestRetryAfter));
+            // A prompt that is refused will not be served sooner.
+            if (!this->promptRefusal)
+                retryAfter = std::min(retryAfter.value_or(retryWithoutEndpoint), longestRetryAfter);
+            co_await this->refuseWith(503, retryAfter);
             break;
         case FinalAnswer::Unknown:
             co_await this->refuseWith(502, std::nullopt);
@@ -1030,6 +1106,7 @@
     CallState facts;
     RelayOutcome outcome;
     AttemptProgress progress; // of the running attempt
+    std::optional<PromptRefusal> promptRefusal;
     coordination::relay::EventSplitter events;
     // The last error that an endpoint answered.
     std::optional<protocol::HttpResponse> endpointAnswer;
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -7,6 +7,7 @@
 #include "coordination/routing/PathHealth.h"
 #include "coordination/routing/ReplicaChooser.h"
 #include "program/EndpointRegistry.h"
+#include "program/PromptGuard.h"
 #include "program/RelayCodec.h"
 #include "program/Scheduler.h"
 #include "program/Settings.h"
@@ -75,6 +76,7 @@
                 [](const state::ServiceName &) { return false; };
         std::function<void(const state::EndpointDescription &, coordination::routing::PathOutcome)>
                 recordPath = [](const auto &, auto) {};
+        std::shared_ptr<PromptGuard> prompts;
         // Sends an update to the peers.
         std::function<void(protocol::PeerUpdate)> share = [](auto) {};
         std::function<void(const RelayOutcome &)> finished;
--- a/src/protocol/PeerUpdate.cpp
+++ b/src/protocol/PeerUpdate.cpp
@@ -10,7 +10,7 @@
 // The number is incremented with each change to the format of the updates, which are never stored.
 // The envelope's version can't serve for this: it also applies to stored data, which nodes must be
 // able to read after an upgrade.
-constexpr std::string_view peerNewsContext = "peer-news-4";
+constexpr std::string_view peerNewsContext = "peer-news-5";
 // Encoded size of one cache event, and of the rest of a datagram that carries cache events.
 constexpr std::size_t cacheEventBytes = 9;
 constexpr std::size_t cacheOverheadBytes = 300;
--- a/src/protocol/PeerUpdate.h
+++ b/src/protocol/PeerUpdate.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "coordination/admission/Events.h"
+#include "coordination/quarantine/QuarantineUpdate.h"
 #include "coordination/routing/WorkNote.h"
 #include "protocol/EndpointJson.h"
 #include "protocol/Seal.h"
@@ -77,7 +78,9 @@
 
 using PeerUpdate =
         std::variant<coordination::routing::WorkNote, coordination::admission::BacklogNote,
-                     CacheUpdate, EndpointReplaced, EndpointLimited, LimitedCall>;
+                     CacheUpdate, EndpointReplaced, EndpointLimited, LimitedCall,
+                     coordination::quarantine::CrashReport, coordination::quarantine::PartCleared,
+                     coordination::quarantine::TrialStarted>;
 
 // Size limit of a sealed datagram; below the MTU of all common network paths.
 constexpr std::size_t maximumPeerUpdateBytes = 1'200;
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -152,6 +152,12 @@
     return toHeaders(this->state->parser.get());
 }
 
+bool HttpAnswerStream::endsWithConnection() const
+{
+    const auto &parser = this->state->parser;
+    return !parser.chunked() && !parser.content_length();
+}
+
 asio::awaitable<state::Result<std::optional<std::string>>>
 HttpAnswerStream::read(std::chrono::milliseconds timeout)
 {
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -72,6 +72,8 @@
 
     unsigned status() const;
     protocol::HttpHeaders headers() const;
+    // The body has neither a length nor chunks: it ends where the peer closes the connection.
+    bool endsWithConnection() const;
 
     // The next piece, as much as has arrived; nothing at the proper end of the body. Errors have
     // step receiveStep; Timeout if no byte came within `timeout`.
--- /dev/null
+++ b/tests/coordination/quarantine/PromptQuarantineTest.cpp
@@ -0,0 +1,355 @@
+// Tests PromptQuarantine: which parts are blocked by which crashes, what clears them, and how many
+// requests may find out whether a block is still needed.
+#include "coordination/quarantine/PromptQuarantine.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <random>
+#include <string>
+
+namespace lavenderthread::coordination::quarantine {
+
+using state::PromptPart;
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+class PromptQuarantineTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PromptQuarantineTest);
+    CPPUNIT_TEST(sendsEverythingWithoutCrashes);
+    CPPUNIT_TEST(blocksPartAfterThreeCrashes);
+    CPPUNIT_TEST(cutOffRequestIsNotRepeatedAfterTwoCrashes);
+    CPPUNIT_TEST(oneCrashThatCutsOffManyRequestsIsOneCrash);
+    CPPUNIT_TEST(requestSentAfterOneCrashIsEvidenceOfItsOwn);
+    CPPUNIT_TEST(answersThatHadBegunAreSuspectOnlyIfAllHad);
+    CPPUNIT_TEST(enginesThatEndAtOnceBlockNothing);
+    CPPUNIT_TEST(partOfSurvivedAnswersIsNotBlocked);
+    CPPUNIT_TEST(partsThatAreSharedWithTheCrashingOneAreNotBlocked);
+    CPPUNIT_TEST(partsThatAreAlwaysTogetherAreBlockedTogether);
+    CPPUNIT_TEST(anotherCrashTellsPartsApart);
+    CPPUNIT_TEST(twoCrashingPartsAreBothBlocked);
+    CPPUNIT_TEST(otherServiceIsNotBlocked);
+    CPPUNIT_TEST(survivedAnswerEndsBlock);
+    CPPUNIT_TEST(lateReportOfClearedPartChangesNothing);
+    CPPUNIT_TEST(trialsAreFewAndEachComesLater);
+    CPPUNIT_TEST(trialOfPeerPostponesOwn);
+    CPPUNIT_TEST(reportsOfBlocksGiveAnotherEntryTheSameBlocks);
+    CPPUNIT_TEST(orderOfReportsDoesNotMatter);
+    CPPUNIT_TEST(manyCrashesWithoutCommonPartKeepMemoryBounded);
+    CPPUNIT_TEST(blockSurvivesManyOtherCrashes);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr PromptPart crashing = 0xbad;
+    static constexpr PromptPart shared = 0x5a1;
+    static constexpr PromptPart otherShared = 0x5a2;
+    const state::Instant start{seconds(100'000)};
+    const state::ServiceName service{"llm"};
+
+    CrashReport report(int engine, std::vector<PromptPart> parts) const
+    {
+        CrashReport made;
+        made.service = this->service;
+        made.crash = {state::EndpointId("i-" + std::to_string(engine)), 7};
+        made.parts = std::move(parts);
+        made.sentAgeUs = state::Duration(milliseconds(150)).count();
+        return made;
+    }
+
+    // A crash each second, each of another engine and with other shared parts.
+    void crash(PromptQuarantine &quarantine, int count, int firstEngine = 0) const
+    {
+        for (int index = 0; index < count; ++index)
+            quarantine.apply(this->report(firstEngine + index,
+                                          {PromptPart(0x100 + firstEngine + index), crashing}),
+                             this->start + seconds(firstEngine + index));
+    }
+
+    SendVerdict verdict(const PromptQuarantine &quarantine, const std::vector<PromptPart> &parts,
+                        state::Instant now) const
+    {
+        return quarantine.decide(this->service, parts, now).verdict;
+    }
+
+    bool isRefused(const PromptQuarantine &quarantine, const std::vector<PromptPart> &parts) const
+    {
+        return this->verdict(quarantine, parts, this->start + seconds(10)) != SendVerdict::Send;
+    }
+
+public:
+    void sendsEverythingWithoutCrashes()
+    {
+        const PromptQuarantine quarantine;
+        CPPUNIT_ASSERT(!quarantine.hasSuspects());
+        CPPUNIT_ASSERT(!this->isRefused(quarantine, {crashing}));
+        CPPUNIT_ASSERT(quarantine.mayRepeat(this->service, {crashing}));
+    }
+
+    void blocksPartAfterThreeCrashes()
+    {
+        PromptQuarantine quarantine;
+        this->crash(quarantine, 2);
+        CPPUNIT_ASSERT(!this->isRefused(quarantine, {shared, crashing}));
+        this->crash(quarantine, 1, 2);
+        CPPUNIT_ASSERT(this->isRefused(quarantine, {shared, crashing}));
+        CPPUNIT_ASSERT(this->isRefused(quarantine, {crashing, shared}));
+        CPPUNIT_ASSERT(!this->isRefused(quarantine, {shared}));
+    }
+
+    // Guards against one request that ends an engine with each of its attempts.
+    void cutOffRequestIsNotRepeatedAfterTwoCrashes()
+    {
+        PromptQuarantine quarantine;
+        this->crash(quarantine, 1);
+        CPPUNIT_ASSERT(quarantine.mayRepeat(this->service, {shared, crashing}));
+        this->crash(quarantine, 1, 1);
+        CPPUNIT_ASSERT(!quarantine.mayRepeat(this->service, {shared, crashing}));
+        CPPUNIT_ASSERT(quarantine.mayRepeat(this->service, {shared}));
+    }
+
+    void oneCrashThatCutsOffManyRequestsIsOneCrash()
+    {
+        PromptQuarantine quarantine;
+        for (int request = 0; request < 8; ++request)
+            quarantine.apply(this->report(0, {PromptPart(0x300 + request), shared}),
+                             this->start + milliseconds(request * 200));
+        CPPUNIT_ASSERT(!this->isRefused(quarantine, {shared}));
+        CPPUNIT_ASSERT(quarantine.mayRepeat(this->service, {shared}));
+    }
+
+    // Guards against counting a request's second attempt as the same moment: both are close in
+    // time.
+    void requestSentAfterOneCrashIsEvidenceOfItsOwn()
+    {
+        PromptQuarantine quarantine;
+        for (int engine = 0; engine < 3; ++engine) {
+            CrashReport cutOff = this->report(engine, {shared, crashing});
+            cutOff.sentAgeUs = 10'000;
+            quarantine.apply(cutOff, this->start + milliseconds(engine * 15));
+        }
+        CPPUNIT_ASSERT(this->isRefused(quarantine, {shared, crashing}));
+    }
+
+    // Guards against blaming answers that were under way for an engine that ended under another.
+    void answersThatHadBegunAreSuspectOnlyIfAllHad()
+    {
+        PromptQuarantine quarantine;
+        for (int engine = 0; engine < 3; ++engine) {
+            CrashReport begun = this->report(engine, {shared});
+            begun.hasBegun = true;
+            quarantine.apply(begun, this->start + seconds(engine));
+        }
+        CPPUNIT_ASSERT(this->isRefused(quarantine, {shared}));
+        this->crash(quarantine, 3);
+        CPPUNIT_ASSERT(!this->isRefused(quarantine, {shared}));
+        CPPUNIT_ASSERT(this->isRefused(quarantine, {crashing}));
+    }
+
+    // Guards against refusing a frequent part because a third of the engines lost power.
+    void enginesThatEndAtOnceBlockNothing()
+    {
+        PromptQuarantine quarantine;
+        for (int engine = 0; engine < 8; ++engine)
+            quarantine.apply(this->report(engine, {shared}), this->start + milliseconds(engine));
+        CPPUNIT_ASSERT(!this->isRefused(quarantine, {shared}));
+        CPPUNIT_ASSERT(quarantine.mayRepeat(this->service, {shared}));
+    }
+
+    void partOfSurvivedAnswersIsNotBlocked()
+    {
+        PromptQuarantine quarantine;
+        for (int engine = 0; engine < 12; ++engine) {
+            quarantine.apply(this->report(engine, {shared}), this->start + seconds(engine));
+            if (engine % 2 == 1)
+                quarantine.answerSurvived(this->service, {shared},
+                                          this->start + seconds(engine) + milliseconds(500));
+        }
+        CPPUNIT_ASSERT(!this->isRefused(quarantine, {shared}));
+        CPPUNIT_ASSERT(!quarantine.hasSuspects());
+    }
+
+    // Guards against refusing everything that begins like the crashing prompts.
+    void partsThatAreSharedWithTheCrashingOneAreNotBlocked()
+    {
+        PromptQuarantine quarantine;
+        for (int engine = 0; engine < 6; ++engine)
+            quarantine.apply(this->report(engine, {engine == 0 ? otherShared : shared, crashing}),
+                             this->start + seconds(engine));
+        CPPUNIT_ASSERT(this->isRefused(quarantine, {otherShared, crashing}));
+        CPPUNIT_ASSERT(!this->isRefused(quarantine, {shared}));
+        CPPUNIT_ASSERT(!this->isRefused(quarantine, {otherShared}));
+    }
+
+    void partsThatAreAlwaysTogetherAreBlockedTogether()
+    {
+        PromptQuarantine quarantine;
+        for (int engine = 0; engine < 4; ++engine)
+            quarantine.apply(this->report(engine, {shared, crashing}),
+                             this->start + seconds(engine));
+        CPPUNIT_ASSERT(this->isRefused(quarantine, {shared, crashing}));
+        CPPUNIT_ASSERT(this->isRefused(quarantine, {crashing, otherShared, shared}));
+        CPPUNIT_ASSERT(!this->isRefused(quarantine, {shared}));
+    }
+
+    void anotherCrashTellsPartsApart()
+    {
+        PromptQuarantine quarantine;
+        for (int engine = 0; engine < 4; ++engine)
+            quarantine.apply(this->report(engine, {shared, crashing}),
+                             this->start + seconds(engine));
+        quarantine.apply(this->report(4, {otherShared, crashing}), this->start + seconds(4));
+        CPPUNIT_ASSERT(this->isRefused(quarantine, {0x777, crashing}));
+        CPPUNIT_ASSERT(!this->isRefused(quarantine, {shared}));
+    }
+
+    void twoCrashingPartsAreBothBlocked()
+    {
+        PromptQuarantine quarantine;
+        constexpr PromptPart other = 0xbae;
+        for (int engine = 0; engine < 8; ++engine)
+            quarantine.apply(this->report(engine, {shared, engine % 2 == 0 ? crashing : other}),
+                             this->start + seconds(engine));
+        quarantine.answerSurvived(this->service, {shared}, this->start + seconds(9));
+        CPPUNIT_ASSERT(this->isRefused(quarantine, {shared, crashing}));
+        CPPUNIT_ASSERT(this->isRefused(quarantine, {shared, other}));
+        CPPUNIT_ASSERT(!this->isRefused(quarantine, {shared}));
+    }
+
+    void otherServiceIsNotBlocked()
+    {
+        PromptQuarantine quarantine;
+        this->crash(quarantine, 5);
+        CPPUNIT_ASSERT(
+                quarantine.decide(state::ServiceName("other"), {crashing}, this->start + seconds(6))
+                        .verdict
+                == SendVerdict::Send);
+    }
+
+    void survivedAnswerEndsBlock()
+    {
+        PromptQuarantine quarantine;
+        this->crash(quarantine, 5);
+        const auto told = quarantine.answerSurvived(this->service, {shared, crashing},
+                                                    this->start + seconds(8));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), told.size());
+        CPPUNIT_ASSERT(!this->isRefused(quarantine, {crashing}));
+        PromptQuarantine peer;
+        this->crash(peer, 5);
+        CPPUNIT_ASSERT(peer.apply(told.front(), this->start + seconds(8)));
+        CPPUNIT_ASSERT(!this->isRefused(peer, {crashing}));
+    }
+
+    void lateReportOfClearedPartChangesNothing()
+    {
+        PromptQuarantine quarantine;
+        this->crash(quarantine, 3);
+        quarantine.answerSurvived(this->service, {crashing}, this->start + seconds(5));
+        CrashReport late = this->report(9, {crashing});
+        late.ageUs = state::Duration(seconds(3)).count();
+        CPPUNIT_ASSERT(quarantine.apply(late, this->start + seconds(6)) == ReportResult::Cleared);
+        late.ageUs = 0;
+        CPPUNIT_ASSERT(quarantine.apply(late, this->start + seconds(7)) == ReportResult::New);
+    }
+
+    // Guards against finding out again and again, at the price of an engine each time.
+    void trialsAreFewAndEachComesLater()
+    {
+        PromptQuarantine quarantine;
+        this->crash(quarantine, 3);
+        int trials = 0;
+        int engine = 3;
+        for (state::Instant now = this->start + seconds(3); now < this->start + hours(20);
+             now += seconds(1)) {
+            const SendDecision decision = quarantine.decide(this->service, {crashing}, now);
+            if (decision.verdict == SendVerdict::Refuse)
+                continue;
+            CPPUNIT_ASSERT(decision.verdict == SendVerdict::SendAsTrial);
+            ++trials;
+            quarantine.startTrial(*decision.block, now);
+            CPPUNIT_ASSERT(this->verdict(quarantine, {crashing}, now) == SendVerdict::Refuse);
+            quarantine.apply(this->report(engine++, {crashing}), now);
+        }
+        CPPUNIT_ASSERT_EQUAL(3, trials);
+    }
+
+    void trialOfPeerPostponesOwn()
+    {
+        PromptQuarantine quarantine;
+        PromptQuarantine peer;
+        this->crash(quarantine, 3);
+        this->crash(peer, 3);
+        const state::Instant due = this->start + seconds(4);
+        CPPUNIT_ASSERT(this->verdict(quarantine, {crashing}, due) == SendVerdict::SendAsTrial);
+        const auto decision = peer.decide(this->service, {crashing}, due);
+        quarantine.apply(peer.startTrial(*decision.block, due), due);
+        CPPUNIT_ASSERT(this->verdict(quarantine, {crashing}, due) == SendVerdict::Refuse);
+    }
+
+    // Guards against an entry that starts after the crashes and sends what all others refuse.
+    void reportsOfBlocksGiveAnotherEntryTheSameBlocks()
+    {
+        PromptQuarantine quarantine;
+        this->crash(quarantine, 30);
+        const state::Instant now = this->start + seconds(31);
+        PromptQuarantine starter;
+        for (const CrashReport &each : quarantine.reportsOfBlocks(now))
+            starter.apply(each, now);
+        CPPUNIT_ASSERT(this->verdict(starter, {shared, crashing}, now) != SendVerdict::Send);
+        CPPUNIT_ASSERT(this->verdict(starter, {shared}, now) == SendVerdict::Send);
+    }
+
+    void orderOfReportsDoesNotMatter()
+    {
+        std::vector<CrashReport> reports;
+        for (int engine = 0; engine < 6; ++engine) {
+            CrashReport crashed = this->report(engine, {shared, crashing});
+            crashed.ageUs = state::Duration(seconds(6 - engine)).count();
+            crashed.sentAgeUs = crashed.ageUs + 150'000;
+            reports.push_back(crashed);
+            crashed.parts = {otherShared};
+            reports.push_back(crashed);
+        }
+        reports[4].parts = {crashing};
+        std::mt19937_64 random(5);
+        std::vector<Block> expected;
+        for (int round = 0; round < 20; ++round) {
+            std::ranges::shuffle(reports, random);
+            PromptQuarantine quarantine;
+            for (const CrashReport &each : reports)
+                quarantine.apply(each, this->start);
+            if (round == 0)
+                expected = quarantine.blocks();
+            CPPUNIT_ASSERT(quarantine.blocks() == expected);
+        }
+        CPPUNIT_ASSERT(!expected.empty());
+    }
+
+    void manyCrashesWithoutCommonPartKeepMemoryBounded()
+    {
+        PromptQuarantine quarantine;
+        for (int engine = 0; engine < 2'000; ++engine)
+            quarantine.apply(this->report(engine, {PromptPart(engine)}),
+                             this->start + seconds(engine));
+        CPPUNIT_ASSERT(quarantine.blocks().empty());
+        CPPUNIT_ASSERT(quarantine.knows(this->report(1'999, {}).crash));
+        CPPUNIT_ASSERT(!quarantine.knows(this->report(0, {}).crash));
+    }
+
+    // Guards against crowding a block out by other crashes.
+    void blockSurvivesManyOtherCrashes()
+    {
+        PromptQuarantine quarantine;
+        this->crash(quarantine, 4);
+        for (int engine = 100; engine < 1'000; ++engine)
+            quarantine.apply(this->report(engine, {PromptPart(engine)}),
+                             this->start + seconds(4) + milliseconds(engine));
+        CPPUNIT_ASSERT(this->isRefused(quarantine, {shared, crashing}));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PromptQuarantineTest);
+
+} // namespace lavenderthread::coordination::quarantine
--- a/tests/platform/RelayFixture.h
+++ b/tests/platform/RelayFixture.h
@@ -31,6 +31,7 @@
     Refuses,             // 503, request not run
     IsOtherEndpoint,     // 421: another endpoint has the address
     Closes,              // the connection, without an answer
+    Ends,                // the same, and takes no more connections
     CutsBody,            // in the middle of the body
     AnswersOtherRequest, // sends the answer of another request
     Unsealed,
@@ -133,6 +134,7 @@
         return program::runToEnd(run(address, std::move(wanted)));
     }
 
+    program::PromptGuard &promptGuard() { return *this->prompts; }
     void publishEndpoints() { this->table.publish(EndpointTable(this->announced)); }
     void withdrawEndpoints() { this->table.publish(EndpointTable()); }
 
@@ -182,6 +184,7 @@
 
     std::atomic<coordination::orders::ViewStatus> standing =
             coordination::orders::ViewStatus::Confirmed;
+    std::function<void()> beforePlacement = [] {}; // called when the scheduler is asked
     std::atomic<int> arrivals = 0;
     std::atomic<std::int64_t> closedAtUs = 0; // when an endpoint noticed that its caller had closed
     std::vector<program::AttemptFailure> failures; // as the scheduler was told
@@ -279,6 +282,7 @@
         hooks.routes = [this] { return this->routes.read(); };
         hooks.standing = [this] { return this->standing.load(); };
         hooks.refuses = [] { return false; };
+        hooks.prompts = this->prompts;
         hooks.finished = [](const program::RelayOutcome &) {};
         return hooks;
     }
@@ -289,6 +293,7 @@
         program::Scheduler scheduler;
         scheduler.place = [this](const program::ScheduledRequest &)
                 -> asio::awaitable<program::PlacementResult> {
+            this->beforePlacement();
             const auto known = this->table.read();
             if (known->endpoints.empty())
                 co_return protocol::Problem{503, "no-engine", "no engine is known",
@@ -347,6 +352,10 @@
         case Behaviour::NeverAnswers:
             co_await this->waitForClose(exchange);
             co_return;
+        case Behaviour::Ends:
+            for (const auto &server : this->servers)
+                server->stopAccepting();
+            co_return;
         case Behaviour::Closes:
             co_return;
         default:
@@ -392,6 +401,7 @@
     std::vector<Behaviour> behaviours;
     program::Settings settings;
     asio::io_context context{1};
+    std::shared_ptr<program::PromptGuard> prompts = program::PromptGuard::create(this->context, {});
     state::Snapshot<state::routes::RouteTable> routes;
     EndpointTable announced;
     state::Snapshot<EndpointTable> table;
--- a/tests/platform/RelayTest.cpp
+++ b/tests/platform/RelayTest.cpp
@@ -35,6 +35,10 @@
     CPPUNIT_TEST(outdatedConfigurationIsNotUsed);
     CPPUNIT_TEST(unconfirmedConfigurationDoesNotAnswer404);
     CPPUNIT_TEST(callsThatNoReplicaAcceptsAreRefusedAtOnce);
+    CPPUNIT_TEST(promptThatCrashesEnginesIsRefusedAtOnce);
+    CPPUNIT_TEST(waitingPromptIsRefusedBeforeItIsSent);
+    CPPUNIT_TEST(lostConnectionToOpenPortIsNoCrash);
+    CPPUNIT_TEST(lostConnectionToClosedPortIsCrash);
     CPPUNIT_TEST_SUITE_END();
 
     using Kind = state::routes::CallKind;
@@ -60,7 +64,69 @@
         return request;
     }
 
+    static protocol::HttpRequest requestWithParts()
+    {
+        protocol::HttpRequest request = RelayFixture::request();
+        request.headers.add("Prompt-Prefix", "5a1:40,bad:60,77:4900");
+        return request;
+    }
+
+    static void reportCrashes(program::PromptGuard &prompts, int count)
+    {
+        for (int index = 0; index < count; ++index) {
+            coordination::quarantine::CrashReport report;
+            report.service = service;
+            report.crash = {state::EndpointId("gone-" + std::to_string(index)), 1};
+            report.parts = {0xbad};
+            report.ageUs = (10 - index) * 1'000'000LL;
+            report.sentAgeUs = report.ageUs + 100'000;
+            prompts.peerReported(report);
+        }
+    }
+
 public:
+    // Guards against ending engine after engine with requests that have one part in their prompts.
+    void promptThatCrashesEnginesIsRefusedAtOnce()
+    {
+        RelayFixture fixture(Kind::Stream, {Behaviour::Streams}, true);
+        reportCrashes(fixture.promptGuard(), 3);
+        fixture.promptGuard().peerStartedTrial({service, 0xbad, 1, 0});
+        const auto answer = fixture.call(requestWithParts());
+        CPPUNIT_ASSERT_EQUAL(503U, answer.value().status);
+        CPPUNIT_ASSERT(answer.value().headers.find("Retry-After").has_value());
+        CPPUNIT_ASSERT_EQUAL(0, fixture.arrivals.load());
+        CPPUNIT_ASSERT_EQUAL(200U, fixture.call().value().status);
+    }
+
+    // Guards against sending a request that was accepted before its prompt became known.
+    void waitingPromptIsRefusedBeforeItIsSent()
+    {
+        RelayFixture fixture(Kind::Stream, {Behaviour::Streams}, true);
+        fixture.beforePlacement = [&fixture] {
+            reportCrashes(fixture.promptGuard(), 3);
+            fixture.promptGuard().peerStartedTrial({service, 0xbad, 1, 0});
+        };
+        CPPUNIT_ASSERT_EQUAL(503U, fixture.call(requestWithParts()).value().status);
+        CPPUNIT_ASSERT_EQUAL(0, fixture.arrivals.load());
+    }
+
+    // Guards against blaming prompts for connections that were reset while the engine runs on.
+    void lostConnectionToOpenPortIsNoCrash()
+    {
+        RelayFixture fixture(Kind::Stream, {Behaviour::Closes}, true);
+        reportCrashes(fixture.promptGuard(), 2);
+        fixture.call(requestWithParts());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), fixture.promptGuard().blockCount());
+    }
+
+    void lostConnectionToClosedPortIsCrash()
+    {
+        RelayFixture fixture(Kind::Stream, {Behaviour::Ends}, true);
+        reportCrashes(fixture.promptGuard(), 2);
+        fixture.call(requestWithParts());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.promptGuard().blockCount());
+    }
+
     // Guards against running a request on the service of an older configuration after a newer one
     // was acknowledged.
     void outdatedConfigurationIsNotUsed()
--- a/tests/platform/RelayWireTest.cpp
+++ b/tests/platform/RelayWireTest.cpp
@@ -27,7 +27,7 @@
                        {"Last-Event-Id", "12"},
                        {"Model", "m"},
                        {"Token-Count", "1460,80"},
-                       {"Prompt-Prefix", "5c1e07a2:800"},
+                       {"Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,e4402b7d:250"},
                        {"Request-Deadline", "10000"},
                        {"Credential", "secret-key"},
                        {"Connection", "keep-alive, X-Hop"},
@@ -65,6 +65,8 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(12), *decoded.resumeAfter);
         CPPUNIT_ASSERT_EQUAL(1460U, decoded.promptTokens);
         CPPUNIT_ASSERT_EQUAL(80U, decoded.outputTokens);
+        CPPUNIT_ASSERT(decoded.promptParts
+                       == (std::vector<state::PromptPart>{0x5c1e07a2, 0x91bd3f06, 0xe4402b7d}));
     }
 
     void malformedHeadersAreIgnored()
@@ -73,10 +75,12 @@
         request.headers = {{"Request-Id", "x"},
                            {"Request-Deadline", "soon"},
                            {"Token-Count", "1,2,3"},
+                           {"Prompt-Prefix", ",no number:1,ffffffffffffffffffff:2,"},
                            {"Last-Event-Id", ""}};
         const auto decoded = this->codec.decode(request).value();
         CPPUNIT_ASSERT(!decoded.timeLimit && !decoded.resumeAfter);
         CPPUNIT_ASSERT_EQUAL(0U, decoded.promptTokens);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), decoded.promptParts.size());
         request.headers = {};
         CPPUNIT_ASSERT(!this->codec.decode(request));
     }
@@ -97,7 +101,8 @@
         CPPUNIT_ASSERT_EQUAL(std::string("body"), sent.body);
         CPPUNIT_ASSERT_EQUAL(id.value(), value("Request-Id"));
         CPPUNIT_ASSERT_EQUAL(std::string("h.example:8227"), value("Host"));
-        CPPUNIT_ASSERT_EQUAL(std::string("5c1e07a2:800"), value("Prompt-Prefix"));
+        CPPUNIT_ASSERT_EQUAL(std::string("5c1e07a2:800, 91bd3f06:410,e4402b7d:250"),
+                             value("Prompt-Prefix"));
         CPPUNIT_ASSERT_EQUAL(std::string("stays"), value("X-Other"));
         CPPUNIT_ASSERT_EQUAL(std::string("9500"), value("Request-Deadline"));
         CPPUNIT_ASSERT_EQUAL(std::string("i-7"), value("Expect-Instance"));
--- a/tests/protocol/PeerUpdateTest.cpp
+++ b/tests/protocol/PeerUpdateTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(notesOfAllStagesRoundTrip);
     CPPUNIT_TEST(replacedEndpointRoundTrips);
     CPPUNIT_TEST(limitsOfEndpointsRoundTrip);
+    CPPUNIT_TEST(crashReportOfLongPromptFitsDatagram);
     CPPUNIT_TEST(noteForLongPromptFitsLinkQueue);
     CPPUNIT_TEST(updatesInAnotherFormatAreRejected);
     CPPUNIT_TEST_SUITE_END();
@@ -98,6 +99,26 @@
         CPPUNIT_ASSERT(std::get<LimitedCall>(updates.value().at(1)) == call);
     }
 
+    void crashReportOfLongPromptFitsDatagram()
+    {
+        using namespace coordination::quarantine;
+        constexpr std::size_t parts = 64;
+        CrashReport report;
+        report.service = state::ServiceName("llm");
+        report.crash = {state::EndpointId("i-1"), 1'780'000'000'123};
+        report.parts.assign(parts, ~0ULL);
+        report.ageUs = 20;
+        const PartCleared cleared{state::ServiceName("llm"), 7, 30};
+        const TrialStarted trial{state::ServiceName("llm"), 7, 2, 40};
+        const auto datagrams = sealPeerUpdates(this->keys, {report, cleared, trial});
+        for (const std::string &datagram : datagrams)
+            CPPUNIT_ASSERT(datagram.size() <= maximumPeerUpdateBytes);
+        const auto updates = unsealPeerUpdates(this->keys, datagrams.front());
+        CPPUNIT_ASSERT(std::get<CrashReport>(updates.value().at(0)) == report);
+        CPPUNIT_ASSERT(std::get<PartCleared>(updates.value().at(1)) == cleared);
+        CPPUNIT_ASSERT(std::get<TrialStarted>(updates.value().at(2)) == trial);
+    }
+
     void noteForLongPromptFitsLinkQueue()
     {
         // A note about a prompt that 17 engines prefill is sent to 116 peers, and the queue of a
