Relay: a stream without length or chunks that ended before its first event has been broken off

Callers would have seen an empty success (200, no event) where an engine crashed between the head of its answer and the first event, and the crash was taken for a survived answer.

Cause: the end of the connection is the proper end of such a body, and a stream of no events is a whole number of events.

Evidence: UnframedAnswerTest plays such answers byte for byte; streamWithoutAnEventIsNoSuccess and answersThroughPeersEndAlike failed before (200 where a failure, or the second endpoint's answer, is due). The other six passed before: whole streams and bodies, streams that end inside an event or are reset between events, bodies that are reset, and the peers' path.

Why it works: no answer to a prompt is without an event, so such an end is a lost attempt: it is tried elsewhere, or answered as a failure, and it is evidence of a crash. What can't be told apart stays: an end between two events is taken as whole.

--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -964,6 +964,12 @@
             this->progress.connectionEnded = true;
             co_return AttemptResult::Lost;
         }
+        // Without a length or chunks, an engine that crashed before its first event looks the same.
+        if (stream.endsWithConnection() && this->progress.events == 0) {
+            this->outcome.reason = "the connection ended before the first event";
+            this->progress.connectionEnded = true;
+            co_return AttemptResult::Lost;
+        }
         co_return co_await this->finishStream(headers);
     }
 
--- a/tests/platform/RelayFixture.h
+++ b/tests/platform/RelayFixture.h
@@ -134,6 +134,19 @@
         return program::runToEnd(run(address, std::move(wanted)));
     }
 
+    // Adds endpoints of the service at an address that the test serves.
+    void announce(const state::Address &address, int count)
+    {
+        for (int index = 0; index < count; ++index) {
+            state::EndpointDescription endpoint;
+            endpoint.id = state::EndpointId("announced-" + std::to_string(index));
+            endpoint.service = service;
+            endpoint.incarnation = 1;
+            endpoint.address = address;
+            this->announced.endpoints[endpoint.id] = {endpoint, false, false};
+        }
+        this->publishEndpoints();
+    }
     program::PromptGuard &promptGuard() { return *this->prompts; }
     void publishEndpoints() { this->table.publish(EndpointTable(this->announced)); }
     void withdrawEndpoints() { this->table.publish(EndpointTable()); }
--- /dev/null
+++ b/tests/platform/UnframedAnswerTest.cpp
@@ -0,0 +1,197 @@
+// Tests answers of endpoints that have neither a length nor chunks, and end with their connection:
+// whole ones are passed on as whole, and those that broke off never look so.
+#include "RelayFixture.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+
+namespace lavenderthread::platform {
+
+namespace {
+
+// What an endpoint sends on one connection before it closes it.
+struct RawAnswer
+{
+    std::string body;
+    bool reset = false; // the connection, in place of an orderly end
+};
+
+std::string headOf(const char *contentType)
+{
+    return std::string("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: seal\r\n"
+                       "Content-Type: ")
+           + contentType + "\r\nConnection: close\r\n\r\n";
+}
+
+// Answers each connection with the next of its answers, byte for byte.
+class RawEndpoint
+{
+public:
+    RawEndpoint(std::string answerHead, std::deque<RawAnswer> connections)
+        : head(std::move(answerHead))
+        , answers(std::move(connections))
+        , acceptor(this->context, {asio::ip::make_address("127.0.0.1"), 0})
+    {
+        asio::co_spawn(this->context, this->serve(), asio::detached);
+        this->thread = std::thread([this] { this->context.run(); });
+    }
+    ~RawEndpoint()
+    {
+        this->context.stop();
+        this->thread.join();
+    }
+    RawEndpoint(const RawEndpoint &) = delete;
+    RawEndpoint &operator=(const RawEndpoint &) = delete;
+
+    state::Address address() const { return {"127.0.0.1", this->acceptor.local_endpoint().port()}; }
+
+private:
+    asio::awaitable<void> serve()
+    {
+        while (!this->answers.empty()) {
+            asio::ip::tcp::socket socket =
+                    co_await this->acceptor.async_accept(asio::use_awaitable);
+            std::string request;
+            co_await asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n{}",
+                                            asio::use_awaitable);
+            const RawAnswer answer = this->answers.front();
+            this->answers.pop_front();
+            const std::string bytes = this->head + answer.body;
+            co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
+            // A reset that overtakes the bytes would only test a lost answer.
+            co_await transport::pause(std::chrono::milliseconds(30));
+            if (answer.reset)
+                socket.set_option(asio::socket_base::linger(true, 0));
+            socket.close();
+        }
+    }
+
+    std::string head;
+    std::deque<RawAnswer> answers;
+    asio::io_context context{1};
+    asio::ip::tcp::acceptor acceptor;
+    std::thread thread;
+};
+
+std::string eventsBetween(int first, int last)
+{
+    return eventsUpTo(last).substr(eventsUpTo(first - 1).size());
+}
+
+} // namespace
+
+class UnframedAnswerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(UnframedAnswerTest);
+    CPPUNIT_TEST(wholeStreamIsWhole);
+    CPPUNIT_TEST(streamThatEndsInsideAnEventIsResumed);
+    CPPUNIT_TEST(streamThatIsResetBetweenEventsIsResumed);
+    CPPUNIT_TEST(streamThatBrokeOffIsNotWhole);
+    CPPUNIT_TEST(streamWithoutAnEventIsNoSuccess);
+    CPPUNIT_TEST(wholeBodyIsWhole);
+    CPPUNIT_TEST(bodyThatIsResetIsNoSuccess);
+    CPPUNIT_TEST(answersThroughPeersEndAlike);
+    CPPUNIT_TEST_SUITE_END();
+
+    using Kind = state::routes::CallKind;
+
+    struct Setting
+    {
+        Kind kind = Kind::Stream;
+        std::deque<RawAnswer> answers;
+        bool throughPeer = false;
+    };
+
+    static state::Result<protocol::HttpResponse> call(const Setting &setting)
+    {
+        const char *type = setting.kind == Kind::Stream ? "text/event-stream" : "text/plain";
+        RawEndpoint endpoint(headOf(type), setting.answers);
+        std::vector<PeerBehaviour> peers;
+        if (setting.throughPeer)
+            peers.push_back(PeerBehaviour::Serves);
+        RelayFixture fixture(setting.kind, {}, false, peers);
+        constexpr int enoughForARetry = 2;
+        fixture.announce(endpoint.address(), enoughForARetry);
+        fixture.pathLost = setting.throughPeer;
+        return fixture.call();
+    }
+
+    static void checkWhole(const Setting &setting, const std::string &expected)
+    {
+        const auto answer = call(setting);
+        CPPUNIT_ASSERT(answer.has_value());
+        CPPUNIT_ASSERT_EQUAL(200U, answer.value().status);
+        CPPUNIT_ASSERT_EQUAL(expected, answer.value().body);
+    }
+
+    static void checkNoSuccess(const Setting &setting)
+    {
+        const auto answer = call(setting);
+        CPPUNIT_ASSERT(!answer || answer.value().status >= 500);
+    }
+
+public:
+    void wholeStreamIsWhole() { checkWhole({Kind::Stream, {{eventsUpTo(4)}}}, eventsUpTo(4)); }
+
+    // Guards against passing on half an event, and against ending the answer there as a success.
+    void streamThatEndsInsideAnEventIsResumed()
+    {
+        checkWhole({Kind::Stream, {{eventsUpTo(2) + "id: 3\nda"}, {eventsBetween(3, 4)}}},
+                   eventsUpTo(4));
+    }
+
+    void streamThatIsResetBetweenEventsIsResumed()
+    {
+        checkWhole({Kind::Stream, {{eventsUpTo(2), true}, {eventsBetween(3, 4)}}}, eventsUpTo(4));
+    }
+
+    void streamThatBrokeOffIsNotWhole()
+    {
+        const RawAnswer inside{"id: 1\nda"};
+        checkNoSuccess({Kind::Stream, {inside, inside}});
+        const RawAnswer behindTwo{eventsUpTo(2) + "id: 3\nda"};
+        checkNoSuccess({Kind::Stream, {behindTwo, behindTwo}});
+    }
+
+    // Guards against an empty success for an engine that ended before its first event.
+    void streamWithoutAnEventIsNoSuccess()
+    {
+        checkNoSuccess({Kind::Stream, {{""}, {""}}});
+        checkWhole({Kind::Stream, {{""}, {eventsUpTo(3)}}}, eventsUpTo(3));
+    }
+
+    void wholeBodyIsWhole()
+    {
+        checkWhole({Kind::Idempotent, {{"the endpoint's bytes"}}}, "the endpoint's bytes");
+        checkWhole({Kind::NonIdempotent, {{"the endpoint's bytes"}}}, "the endpoint's bytes");
+    }
+
+    void bodyThatIsResetIsNoSuccess()
+    {
+        checkNoSuccess({Kind::NonIdempotent, {{"the endpo", true}}});
+        checkNoSuccess({Kind::Idempotent, {{"the endpo", true}, {"the endpo", true}}});
+        checkWhole({Kind::Idempotent, {{"the endpo", true}, {"the endpoint's bytes"}}},
+                   "the endpoint's bytes");
+    }
+
+    void answersThroughPeersEndAlike()
+    {
+        checkWhole({Kind::Stream, {{eventsUpTo(4)}}, true}, eventsUpTo(4));
+        checkWhole({Kind::Idempotent, {{"the endpoint's bytes"}}, true}, "the endpoint's bytes");
+        const RawAnswer behindTwo{eventsUpTo(2) + "id: 3\nda"};
+        checkNoSuccess({Kind::Stream, {behindTwo, behindTwo}, true});
+        checkNoSuccess({Kind::Stream, {{""}, {""}}, true});
+        checkNoSuccess({Kind::NonIdempotent, {{"the endpo", true}}, true});
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UnframedAnswerTest);
+
+} // namespace lavenderthread::platform
