Relay: engines that are left are used after all peers have refused

Cause: while more endpoints are unreachable than were reached an entry takes its own paths for lost, as all entries do then. A request that no peer takes is tried on own paths, but each engine that refused a connection sent it to the peers again, which ended it.

Evidence: enginesThatAreLeftServeAfterAllPeersRefused failed before (503; the second engine got no request) and passes.

Why it works: peers that all have no path show that the fault is at the endpoints, so the request stays here and goes to the next engine.

--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -576,8 +576,8 @@
 
     bool shouldUsePeers() const
     {
-        return !this->handed && this->hooks.isPathLost(this->outcome.service)
-               && !this->hooks.peers().empty();
+        return !this->handed && !this->peersHaveNoPath
+               && this->hooks.isPathLost(this->outcome.service) && !this->hooks.peers().empty();
     }
 
     // Whether the caller has been answered.
@@ -622,8 +622,10 @@
                 break;
         }
         if (!taken && this->facts.runs == 0 && !this->facts.deadlinePassed
-            && !this->facts.callerGone)
+            && !this->facts.callerGone) {
+            this->peersHaveNoPath = true;
             co_return false;
+        }
         co_await this->sendFinalAnswer(this->outcome.reason, this->peerRetryAfter);
         co_return true;
     }
@@ -1123,7 +1125,9 @@
     bool scheduled = false;
     PeerResult refusalResult = PeerResult::NotRun; // of a 503, for the peer
     PeerResult peerResult = PeerResult::Unknown;   // of the last attempt through a peer
-    std::optional<milliseconds> peerRetryAfter;    // with it
+    // No peer could take the request: the fault is at endpoints, of which some may be left.
+    bool peersHaveNoPath = false;
+    std::optional<milliseconds> peerRetryAfter; // with it
     bool peerFailed = false;         // the last answer reports the failure of another endpoint
     bool endpointReplaced = false;   // another endpoint has answered at the address
     std::uint32_t attemptNumber = 0; // number that the scheduler gave the attempt
--- a/tests/platform/PeerRelayTest.cpp
+++ b/tests/platform/PeerRelayTest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(streamLostAtPeerIsResumedAtAnother);
     CPPUNIT_TEST(failureOfEndpointPassesThroughUnchanged);
     CPPUNIT_TEST(requestIsNotHandedOnTwice);
+    CPPUNIT_TEST(enginesThatAreLeftServeAfterAllPeersRefused);
     CPPUNIT_TEST(callerCloseReachesEndpointThroughPeer);
     CPPUNIT_TEST(pathLostDuringRequestMovesItToPeer);
     CPPUNIT_TEST(forgedHandoverIsRefused);
@@ -133,6 +134,19 @@
         CPPUNIT_ASSERT_EQUAL(1, fixture.arrivals.load());
     }
 
+    // Guards against refusing everything while most engines have crashed and all entries believe
+    // that their own paths are lost.
+    void enginesThatAreLeftServeAfterAllPeersRefused()
+    {
+        RelayFixture fixture(Kind::Stream, {Behaviour::Streams}, true,
+                             {PeerBehaviour::HasNoPath, PeerBehaviour::HasNoPath});
+        fixture.pathLost = true;
+        fixture.failFirstConnection = true;
+        CPPUNIT_ASSERT_EQUAL(200U, fixture.call().value().status);
+        CPPUNIT_ASSERT_EQUAL(2, fixture.handedOver.load());
+        CPPUNIT_ASSERT_EQUAL(1, fixture.arrivals.load());
+    }
+
     // Guards against work that goes on at an endpoint after its caller has left another entry.
     void callerCloseReachesEndpointThroughPeer()
     {
--- a/tests/platform/RelayFixture.h
+++ b/tests/platform/RelayFixture.h
@@ -43,6 +43,7 @@
 };
 
 inline const state::ServiceName service("app");
+constexpr std::uint16_t closedPort = 1;
 // Exceeds the 0.9 s after which the relay prefers to resume at another endpoint.
 constexpr std::chrono::milliseconds longPause{1'400};
 
@@ -197,6 +198,7 @@
 
     std::atomic<coordination::orders::ViewStatus> standing =
             coordination::orders::ViewStatus::Confirmed;
+    std::atomic<bool> failFirstConnection = false; // the scheduler then places it elsewhere
     std::function<void()> beforePlacement = [] {}; // called when the scheduler is asked
     std::atomic<int> arrivals = 0;
     std::atomic<std::int64_t> closedAtUs = 0; // when an endpoint noticed that its caller had closed
@@ -313,12 +315,20 @@
                                             protocol::Ran::No, std::nullopt};
             program::Placement placement;
             placement.endpoint = known->endpoints.begin()->second.description;
+            if (this->failFirstConnection)
+                placement.endpoint.address.port = closedPort;
             co_return placement;
         };
         scheduler.placeAgain = [this](const state::RequestId &, const program::Placement &,
                                       program::AttemptFailure failure)
                 -> asio::awaitable<program::PlacementResult> {
             this->failures.push_back(failure);
+            if (this->failFirstConnection) {
+                program::Placement next;
+                next.endpoint = this->table.read()->endpoints.begin()->second.description;
+                next.attempt = 2;
+                co_return next;
+            }
             co_return protocol::Problem{503, "no-engine", "no other engine", protocol::Ran::No,
                                         std::nullopt};
         };
