Completions: the product's own API keeps crashing prompts from engines too

The same cause elsewhere: CompletionRelay sent a request whose engine had ended to the next one, as often as the policy allows, and no entry knew of the others' losses.

Evidence: CompletionRelayTest. Without the change promptUnderWhichEnginesCrashIsNotRepeated places the request again, and promptThatCrashesEnginesIsNotSent reaches the engine.

Why it works: a prompt's blocks are its parts (each hash stands for the prompt up to its end); what is reported, cleared and refused is the same as on the routes, and is asked directly before each attempt, so requests that have waited are refused as well.

--- a/src/program/CompletionRelay.cpp
+++ b/src/program/CompletionRelay.cpp
@@ -18,6 +18,24 @@
 
 constexpr std::chrono::milliseconds retryAfterFailure{500};
 
+// Each block's hash stands for the prompt up to its end: the first ones for what prompts share, the
+// last ones for this prompt.
+std::vector<state::PromptPart> promptPartsOf(const std::vector<std::uint64_t> &prefixBlocks)
+{
+    constexpr std::size_t most = coordination::quarantine::CrashReport::maximumParts;
+    if (prefixBlocks.size() <= most)
+        return prefixBlocks;
+    constexpr std::ptrdiff_t half = most / 2;
+    std::vector<state::PromptPart> parts(prefixBlocks.begin(), prefixBlocks.begin() + half);
+    parts.insert(parts.end(), prefixBlocks.end() - half, prefixBlocks.end());
+    return parts;
+}
+
+Problem toProblem(const PromptRefusal &refusal)
+{
+    return {503, "prompt-refused", refusal.detail, Ran::No, refusal.retryAfter};
+}
+
 // State of one request while it is relayed.
 class RelayedRequest
 {
@@ -30,6 +48,7 @@
         , exchange(exchange)
         , request(std::move(request))
         , resume(std::move(resume))
+        , parts(promptPartsOf(this->request.body.prefixBlocks))
         , body(std::make_shared<const std::string>(exchange.request().body))
         , writer(exchange, this->request.body, this->request.id.value(), settings.keys,
                  this->resume ? this->resume->offset + 1 : 0)
@@ -122,6 +141,26 @@
 
     asio::awaitable<AttemptResult> attempt(const Placement &placement)
     {
+        const auto refusal = this->hooks.prompts->refusalBeforeSend(
+                this->request.id, placement.endpoint.service, this->parts);
+        if (refusal) {
+            co_await this->giveUp(toProblem(*refusal));
+            co_return AttemptResult::Ended;
+        }
+        const AttemptResult end = co_await this->sendTo(placement);
+        if (end != AttemptResult::Lost
+            || this->hooks.prompts->mayRepeat(placement.endpoint.service, this->parts))
+            co_return end;
+        Problem problem{503, "prompt-refused", "engines crashed on such prompts", this->ran,
+                        std::nullopt};
+        co_await this->giveUp(std::move(problem));
+        co_return AttemptResult::Ended;
+    }
+
+    asio::awaitable<AttemptResult> sendTo(const Placement &placement)
+    {
+        this->sentAt = monotonicNow();
+        this->firstTokenOfAttempt = {};
         AttemptRequest attempt = this->attemptRequest(placement);
         const std::string stream = attempt.stream;
         EngineAttempt engine(this->exchange.executor(), std::move(attempt), this->settings.endpoint,
@@ -132,6 +171,7 @@
             const bool deadlinePassed = co_await this->failIfDeadlinePassed();
             if (deadlinePassed)
                 co_return AttemptResult::Ended;
+            co_await this->reportLoss(placement, opened.error());
             if (opened.error().step == transport::connectStep)
                 co_return AttemptResult::Unreachable;
             co_return opened.error().code == state::ErrorCode::Overloaded ? AttemptResult::NotRun
@@ -161,6 +201,7 @@
             if (!lines) {
                 this->recordFailure(lines.error());
                 const bool deadlinePassed = co_await this->failIfDeadlinePassed();
+                co_await this->reportLoss(placement, lines.error());
                 engine.cancel();
                 co_return deadlinePassed ? AttemptResult::Ended : AttemptResult::Lost;
             }
@@ -172,6 +213,7 @@
                 }
                 position.offset = line.offset;
                 if (line.done && line.total == this->writer.nextOffset()) {
+                    this->hooks.prompts->answerSurvived(placement.endpoint.service, this->parts);
                     this->whole = co_await this->writer.finish(line.finishReason);
                     co_return AttemptResult::Ended;
                 }
@@ -180,6 +222,7 @@
                     co_return AttemptResult::Lost;
                 }
             }
+            this->recordProgress(placement);
             const bool callerConnected = co_await this->writer.flush();
             if (!callerConnected)
                 co_return AttemptResult::Ended;
@@ -188,6 +231,28 @@
         }
     }
 
+    void recordProgress(const Placement &placement)
+    {
+        const state::Instant now = monotonicNow();
+        if (this->firstTokenOfAttempt == state::Instant{})
+            this->firstTokenOfAttempt = now;
+        if (now - this->firstTokenOfAttempt >= PromptGuard::survivalTime)
+            this->hooks.prompts->answerSurvived(placement.endpoint.service, this->parts);
+    }
+
+    asio::awaitable<void> reportLoss(const Placement &placement, const state::Error &error)
+    {
+        const bool hasBegun = this->firstTokenOfAttempt != state::Instant{};
+        const bool survived =
+                hasBegun && monotonicNow() - this->firstTokenOfAttempt >= PromptGuard::survivalTime;
+        const bool ended =
+                error.code == state::ErrorCode::Unavailable && error.step != transport::connectStep;
+        if (!ended || survived)
+            co_return;
+        co_await this->hooks.prompts->attemptLost(placement.endpoint, this->parts, hasBegun,
+                                                  this->sentAt);
+    }
+
     AnswerWriter::TakeResult takeToken(const protocol::EngineLine &line,
                                        const protocol::EventId &position)
     {
@@ -247,6 +312,7 @@
     transport::HttpExchange &exchange;
     ScheduledRequest request;
     std::optional<protocol::EventId> resume;
+    const std::vector<state::PromptPart> parts;
     std::shared_ptr<const std::string> body;
     AnswerWriter writer;
     std::uint64_t firstOffset;
@@ -258,6 +324,8 @@
     unsigned status = 0;
     bool whole = false;
     state::Duration firstToken{};
+    state::Instant sentAt;              // of the running attempt
+    state::Instant firstTokenOfAttempt; // Instant{}: none yet
     std::optional<state::Error> lastError;
 };
 
--- a/src/program/Entry.cpp
+++ b/src/program/Entry.cpp
@@ -80,8 +80,9 @@
     : settings(settings)
     , registry(std::move(registry))
     , hooks(std::move(hooks))
-    , completions(settings, {this->hooks.scheduler, [this] { return this->nextRequestId(); },
-                             this->hooks.completionFinished})
+    , completions(settings,
+                  {this->hooks.scheduler, this->hooks.prompts,
+                   [this] { return this->nextRequestId(); }, this->hooks.completionFinished})
     , services(settings, {[this] { return this->registry->table(); }, this->hooks.claims,
                           [this] { return this->nextRequestId(); }, this->hooks.serviceFinished})
     , requestPrefix(settings.vm.value() + "-" + std::to_string(wallNow().time_since_epoch().count())
--- a/src/program/Entry.h
+++ b/src/program/Entry.h
@@ -46,6 +46,7 @@
     struct Hooks
     {
         Scheduler scheduler;
+        std::shared_ptr<PromptGuard> prompts;
         ClaimGate claims;
         std::function<DirectoryAnswer(const state::ClientAccountId &)> directory;
         // Called with an endpoint's announcement; passes it on to the other entries.
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -359,6 +359,7 @@
     {
         Entry::Hooks hooks;
         hooks.scheduler = this->policy->scheduler();
+        hooks.prompts = this->prompts;
         hooks.claims =
                 this->client ? this->client->claimGate(this->incarnation) : makeLocalClaims();
         hooks.accountOfKey = [this](std::string_view key) -> std::optional<AccountSetting> {
