Quarantine: what is known of a request is kept when it is reported again; repeats cost less

Found by the new simulation (EntriesPlay: 18 to 300 entries, datagrams delayed and lost): a report that was passed on moved the time at which its request was sent a little later each time, since its age leaves out the time on the way. Each repeat counted as news, the blocks were derived again each time, and in the end a request would have counted as sent after the crash before its own.

Reports of a block are repeated each half second, 4 a block and 12 in all, with the 8 parts that were cleared last.

--- a/src/coordination/quarantine/PromptQuarantine.cpp
+++ b/src/coordination/quarantine/PromptQuarantine.cpp
@@ -1,6 +1,7 @@
 #include "coordination/quarantine/PromptQuarantine.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace lavenderthread::coordination::quarantine {
 
@@ -39,8 +40,7 @@
     std::vector<PromptPart> suspects = report.parts;
     suspects.resize(std::min(suspects.size(), CrashReport::maximumParts));
     std::ranges::sort(suspects);
-    const auto repeated = std::ranges::unique(suspects);
-    suspects.erase(repeated.begin(), repeated.end());
+    suspects.erase(std::unique(suspects.begin(), suspects.end()), suspects.end());
     std::erase_if(suspects, [&](PromptPart part) {
         return this->isCleared({report.service, part}, at);
     });
@@ -61,18 +61,16 @@
     return ReportResult::New;
 }
 
-// Returns whether the crash has changed.
+// Returns whether the crash has changed. What is known of a request comes again with reports that
+// were passed on, whose ages don't include the time on their way.
 bool PromptQuarantine::add(Crash &crash, std::vector<PromptPart> parts,
                            const CutOffRequest &request)
 {
     const auto [known, isNew] = crash.requests.try_emplace(std::move(parts), request);
-    if (isNew)
-        return true;
-    CutOffRequest &merged = known->second;
-    const CutOffRequest before = merged;
-    merged.hasBegun = merged.hasBegun && request.hasBegun;
-    merged.sentAt = std::max(merged.sentAt, request.sentAt);
-    return merged != before;
+    const bool isEarlier = known->second.hasBegun && !request.hasBegun;
+    if (isEarlier)
+        known->second = request;
+    return isNew || isEarlier;
 }
 
 bool PromptQuarantine::apply(const PartCleared &cleared, Instant now)
@@ -166,8 +164,7 @@
 
 TrialStarted PromptQuarantine::startTrial(const Block &block, Instant now)
 {
-    const TrialStarted trial{block.service, block.parts.front(), this->trialsOf(block).count + 1,
-                             0};
+    TrialStarted trial{block.service, block.parts.front(), this->trialsOf(block).count + 1, 0};
     this->apply(trial, now);
     return trial;
 }
@@ -255,7 +252,7 @@
     while (this->blockList.size() < maximumBlocks) {
         const CrashesOfParts left = this->crashesOfParts(service, explained);
         const auto weight = [this](const auto &each) {
-            return std::pair(this->moments(each.second), each.second.size());
+            return std::tuple(this->moments(each.second), each.second.size(), each.first);
         };
         const auto worst = std::ranges::max_element(left, {}, weight);
         if (worst == left.end()
@@ -264,13 +261,16 @@
         Block block;
         block.service = service;
         for (const auto &[part, crashesOfPart] : left) {
-            if (std::ranges::equal(crashesOfPart, worst->second, {}, &CrashOfPart::id,
-                                   &CrashOfPart::id))
+            if (std::ranges::equal(crashesOfPart, worst->second, {}, &CrashView::crash,
+                                   &CrashView::crash))
                 block.parts.push_back(part);
         }
-        block.crashes = worst->second;
-        for (const CrashOfPart &crash : block.crashes)
-            explained.insert(crash.id);
+        std::ranges::sort(block.parts);
+        for (const CrashView &each : worst->second) {
+            block.crashes.push_back(
+                    {each.at(), each.id(), each.sentAt, hasBegunAll(each.crash->second)});
+            explained.insert(each.id());
+        }
         this->blockList.push_back(std::move(block));
     }
 }
@@ -279,39 +279,49 @@
 PromptQuarantine::crashesOfParts(const ServiceName &service,
                                  const std::set<CrashId> &explained) const
 {
+    std::vector<const std::pair<const CrashId, Crash> *> inOrder;
+    for (const auto &each : this->crashes) {
+        if (each.second.service == service && !explained.contains(each.first))
+            inOrder.push_back(&each);
+    }
+    std::ranges::stable_sort(inOrder, {}, [](const auto *each) { return each->second.at; });
     CrashesOfParts found;
-    for (const auto &[id, crash] : this->crashes) {
-        if (crash.service != service || explained.contains(id))
-            continue;
+    for (const auto *each : inOrder) {
         // An engine crashes when it begins to answer the prompt: if it had not begun some answers,
         // the prompt is among these.
-        const bool allBegun = std::ranges::all_of(
-                crash.requests, [](const auto &each) { return each.second.hasBegun; });
-        std::map<PromptPart, Instant> sentAt;
-        for (const auto &[parts, request] : crash.requests) {
+        const bool allBegun = hasBegunAll(each->second);
+        for (const auto &[parts, request] : each->second.requests) {
             if (request.hasBegun && !allBegun)
                 continue;
-            for (const PromptPart part : parts)
-                sentAt[part] = std::max(sentAt[part], request.sentAt);
+            for (const PromptPart part : parts) {
+                std::vector<CrashView> &crashesOfPart = found[part];
+                if (crashesOfPart.empty() || crashesOfPart.back().crash != each)
+                    crashesOfPart.push_back({each, request.sentAt});
+                CrashView &last = crashesOfPart.back();
+                last.sentAt = std::max(last.sentAt, request.sentAt);
+            }
         }
-        for (const auto &[part, sent] : sentAt)
-            found[part].push_back({crash.at, id, sent, allBegun});
     }
-    for (auto &[part, crashesOfPart] : found)
-        std::ranges::sort(crashesOfPart);
     return found;
 }
 
-std::uint32_t PromptQuarantine::moments(const std::vector<CrashOfPart> &crashes) const
+bool PromptQuarantine::hasBegunAll(const Crash &crash)
+{
+    return std::ranges::all_of(crash.requests,
+                               [](const auto &each) { return each.second.hasBegun; });
+}
+
+std::uint32_t PromptQuarantine::moments(const std::vector<CrashView> &crashes) const
 {
     std::uint32_t count = 0;
     Instant last;
-    for (const CrashOfPart &crash : crashes) {
-        const bool sameCause = crash.at - last < this->settings.sameMoment && crash.sentAt <= last;
+    for (const CrashView &crash : crashes) {
+        const bool sameCause =
+                crash.at() - last < this->settings.sameMoment && crash.sentAt <= last;
         if (count > 0 && sameCause)
             continue;
         ++count;
-        last = crash.at;
+        last = crash.at();
     }
     return count;
 }
--- a/src/coordination/quarantine/PromptQuarantine.h
+++ b/src/coordination/quarantine/PromptQuarantine.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -34,10 +35,10 @@
     std::size_t maximumRequestsOfCrash = 32; // with different prompts
     std::size_t maximumPartsOfRequest = 64;  // the first ones of a prompt
     std::size_t maximumClearedParts = 1'024;
-    std::size_t maximumReportsOfBlock = 6; // to peers
+    std::size_t maximumReportsOfBlock = 4; // to peers; as many as a block needs, and one more
     // For so long, and so many, parts that were cleared are told to peers.
-    state::Duration clearedToldFor = std::chrono::seconds(10);
-    std::size_t maximumClearedTold = 32;
+    state::Duration clearedToldFor = std::chrono::seconds(5);
+    std::size_t maximumClearedTold = 8;
 };
 
 // A crash that cut off requests with a part.
@@ -132,8 +133,8 @@
     {
         state::ServiceName service;
         state::Instant at;
-        // By the suspect parts of its prompt, which are never none. Of several with the same parts,
-        // the one that had come least far, and was sent last.
+        // By the suspect parts of its prompt, which are never none. Of several with the same parts
+        // the first one that had not begun.
         std::map<std::vector<state::PromptPart>, CutOffRequest> requests;
     };
     struct Trials
@@ -141,8 +142,17 @@
         std::uint32_t count = 0;
         state::Instant lastAt;
     };
+    // Points to an item of `crashes`; `sentAt` as in CrashOfPart.
+    struct CrashView
+    {
+        const std::pair<const CrashId, Crash> *crash = nullptr;
+        state::Instant sentAt;
+
+        state::Instant at() const { return this->crash->second.at; }
+        const CrashId &id() const { return this->crash->first; }
+    };
     // In the order of time.
-    using CrashesOfParts = std::map<state::PromptPart, std::vector<CrashOfPart>>;
+    using CrashesOfParts = std::unordered_map<state::PromptPart, std::vector<CrashView>>;
 
     void forgetOld(state::Instant now);
     void makeRoom();
@@ -150,8 +160,9 @@
     void findBlocks(const state::ServiceName &service);
     CrashesOfParts crashesOfParts(const state::ServiceName &service,
                                   const std::set<CrashId> &explained) const;
+    static bool hasBegunAll(const Crash &crash);
     // Crashes that don't have a cause in common with the one before.
-    std::uint32_t moments(const std::vector<CrashOfPart> &crashes) const;
+    std::uint32_t moments(const std::vector<CrashView> &crashes) const;
     static bool add(Crash &crash, std::vector<state::PromptPart> parts,
                     const CutOffRequest &request);
     bool isCleared(const PartKey &part, state::Instant crashAt) const;
--- a/src/program/PromptGuard.cpp
+++ b/src/program/PromptGuard.cpp
@@ -34,7 +34,9 @@
 constexpr milliseconds portProbeTime{200};
 // Members that have started, were cut off, or have missed a datagram learn of a block within a few
 // of these intervals.
-constexpr milliseconds repeatInterval{250};
+constexpr milliseconds repeatInterval{500};
+// With three receivers in each interval, some 5 kB a second while anything is blocked.
+constexpr std::size_t maximumRepeatedReports = 12;
 
 std::string formatCrashes(const std::vector<CrashOfPart> &crashes)
 {
@@ -116,7 +118,10 @@
         {
             const std::lock_guard lock(this->mutex);
             const state::Instant now = monotonicNow();
-            for (CrashReport &report : this->quarantine.reportsOfBlocks(now))
+            std::vector<CrashReport> reports = this->quarantine.reportsOfBlocks(now);
+            std::ranges::shuffle(reports, this->random);
+            reports.resize(std::min(reports.size(), maximumRepeatedReports));
+            for (CrashReport &report : reports)
                 updates.emplace_back(std::move(report));
             for (TrialStarted &trial : this->quarantine.trialsOfBlocks(now))
                 updates.emplace_back(std::move(trial));
--- a/src/program/PromptGuard.h
+++ b/src/program/PromptGuard.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -83,6 +84,7 @@
     mutable std::mutex mutex; // guards the members below; never held across I/O or a hook
     coordination::quarantine::PromptQuarantine quarantine;
     Blocks loggedBlocks;
+    std::minstd_rand random;               // which reports are repeated; any seed will do
     std::atomic<bool> hasSuspects = false; // false: nothing is refused or cleared
 };
 
--- a/tests/coordination/quarantine/PromptQuarantineTest.cpp
+++ b/tests/coordination/quarantine/PromptQuarantineTest.cpp
@@ -6,17 +6,191 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <functional>
+#include <map>
+#include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace lavenderthread::coordination::quarantine {
 
+namespace {
+
+using state::Instant;
 using state::PromptPart;
-using std::chrono::hours;
 using std::chrono::milliseconds;
-using std::chrono::minutes;
 using std::chrono::seconds;
 
+constexpr PromptPart crashingPart = 0xbad;
+constexpr std::size_t receiversOfRepeats = 3;
+constexpr milliseconds repeatInterval{500};
+constexpr milliseconds crashTime{120}; // from sending a request until its engine ends
+constexpr milliseconds contactTime{3'000};
+constexpr milliseconds startTime{6'000}; // of the entries that start late
+constexpr milliseconds length{12'000};
+
+// Entries that each see some of the crashes, and tell the others by datagrams that are delayed and
+// lost as in PromptGuard. Crashing requests come at any of them, and callers repeat once.
+class EntriesPlay
+{
+public:
+    struct Settings
+    {
+        std::size_t entries = 18;
+        double requestsPerSecond = 8;
+        double lostDatagrams = 0.05;
+        milliseconds longestDelay{30};
+        std::size_t lateEntries = 0;
+        std::uint64_t seed = 1;
+    };
+    struct Result
+    {
+        std::size_t crashes = 0;
+        std::size_t late = 0; // arrivals later than the contact time after the fifth crash
+    };
+
+    explicit EntriesPlay(const Settings &chosen)
+        : settings(chosen)
+        , random(chosen.seed)
+        , entries(chosen.entries)
+    {
+        for (std::size_t entry = 0; entry < this->settings.entries; ++entry)
+            this->scheduleRepeat(entry, this->begin + this->draw(repeatInterval));
+        this->scheduleRequest(this->begin);
+    }
+
+    Result play()
+    {
+        while (!this->events.empty() && this->events.begin()->first < this->begin + length) {
+            const auto next = this->events.extract(this->events.begin());
+            this->now = next.key();
+            next.mapped()();
+        }
+        return this->result;
+    }
+
+private:
+    bool isUp(std::size_t entry) const
+    {
+        return entry >= this->settings.lateEntries || this->now >= this->begin + startTime;
+    }
+
+    state::Duration draw(state::Duration longest)
+    {
+        return state::Duration(
+                std::uniform_int_distribution<std::int64_t>(1, longest.count())(this->random));
+    }
+
+    std::size_t drawEntry()
+    {
+        std::size_t entry = this->random() % this->settings.entries;
+        while (!this->isUp(entry))
+            entry = this->random() % this->settings.entries;
+        return entry;
+    }
+
+    void at(Instant when, std::function<void()> event)
+    {
+        this->events.emplace(when, std::move(event));
+    }
+
+    template <typename Update>
+    void deliver(std::size_t entry, Update update)
+    {
+        if (std::bernoulli_distribution(this->settings.lostDatagrams)(this->random))
+            return;
+        this->at(this->now + this->draw(this->settings.longestDelay), [this, entry, update] {
+            if (this->isUp(entry))
+                this->entries[entry].apply(update, this->now);
+        });
+    }
+
+    template <typename Update>
+    void share(std::size_t sender, const Update &update)
+    {
+        for (std::size_t entry = 0; entry < this->settings.entries; ++entry) {
+            if (entry != sender)
+                this->deliver(entry, update);
+        }
+    }
+
+    void scheduleRepeat(std::size_t entry, Instant when)
+    {
+        this->at(when, [this, entry] {
+            for (std::size_t copy = 0; copy < receiversOfRepeats; ++copy) {
+                const std::size_t to = this->random() % this->settings.entries;
+                for (const CrashReport &report : this->entries[entry].reportsOfBlocks(this->now))
+                    this->deliver(to, report);
+                for (const TrialStarted &trial : this->entries[entry].trialsOfBlocks(this->now))
+                    this->deliver(to, trial);
+            }
+            this->scheduleRepeat(entry, this->now + repeatInterval);
+        });
+    }
+
+    void scheduleRequest(Instant when)
+    {
+        this->at(when, [this] {
+            const std::vector<PromptPart> parts = {PromptPart(this->random() % 60), crashingPart,
+                                                   PromptPart(1'000'000 + this->random())};
+            this->send(this->drawEntry(), parts, 1, true);
+            this->scheduleRequest(this->now
+                                  + std::chrono::microseconds(
+                                          std::int64_t(1e6 / this->settings.requestsPerSecond)));
+        });
+    }
+
+    void send(std::size_t entry, const std::vector<PromptPart> &parts, int attempt,
+              bool callerRepeats)
+    {
+        PromptQuarantine &quarantine = this->entries[entry];
+        const SendDecision decision = quarantine.decide(this->service, parts, this->now);
+        if (decision.verdict == SendVerdict::Refuse)
+            return;
+        if (decision.verdict == SendVerdict::SendAsTrial)
+            this->share(entry, quarantine.startTrial(*decision.block, this->now));
+        if (this->fifthCrashAt && this->now > *this->fifthCrashAt + contactTime)
+            ++this->result.late;
+        this->at(this->now + crashTime, [this, entry, parts, attempt, callerRepeats] {
+            this->crash(entry, parts, attempt, callerRepeats);
+        });
+    }
+
+    void crash(std::size_t entry, const std::vector<PromptPart> &parts, int attempt,
+               bool callerRepeats)
+    {
+        if (++this->result.crashes == 5)
+            this->fifthCrashAt = this->now;
+        CrashReport report;
+        report.service = this->service;
+        report.crash = {state::EndpointId(std::to_string(this->result.crashes)), 1};
+        report.parts = parts;
+        report.sentAgeUs = state::Duration(crashTime).count();
+        this->entries[entry].apply(report, this->now);
+        this->share(entry, report);
+        const bool repeats = attempt == 1 && this->entries[entry].mayRepeat(this->service, parts);
+        if (repeats)
+            this->send(entry, parts, 2, callerRepeats);
+        else if (callerRepeats)
+            this->send(this->drawEntry(), parts, 1, false);
+    }
+
+    const state::ServiceName service{"llm"};
+    const Instant begin{seconds(1'000)};
+    Settings settings;
+    std::mt19937_64 random;
+    std::vector<PromptQuarantine> entries;
+    std::multimap<Instant, std::function<void()>> events;
+    Instant now = this->begin;
+    std::optional<Instant> fifthCrashAt;
+    Result result;
+};
+
+} // namespace
+
+using std::chrono::hours;
+
 class PromptQuarantineTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(PromptQuarantineTest);
@@ -41,6 +215,8 @@
     CPPUNIT_TEST(orderOfReportsDoesNotMatter);
     CPPUNIT_TEST(manyCrashesWithoutCommonPartKeepMemoryBounded);
     CPPUNIT_TEST(blockSurvivesManyOtherCrashes);
+    CPPUNIT_TEST(allEntriesStopSoonAfterTheFifthCrash);
+    CPPUNIT_TEST(entriesThatStartLaterAreTold);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr PromptPart crashing = 0xbad;
@@ -327,6 +503,40 @@
         CPPUNIT_ASSERT(!expected.empty());
     }
 
+    // Guards against entries that each count only the crashes that they have seen.
+    void allEntriesStopSoonAfterTheFifthCrash()
+    {
+        for (const auto &[entries, seeds] :
+             {std::pair<std::size_t, std::uint64_t>{18, 5}, {126, 2}, {300, 1}}) {
+            for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+                EntriesPlay::Settings settings;
+                settings.entries = entries;
+                settings.requestsPerSecond = double(entries) / 2;
+                settings.seed = seed;
+                const auto result = EntriesPlay(settings).play();
+                const std::string text = std::to_string(entries) + " entries, seed "
+                                         + std::to_string(seed) + ": " + std::to_string(result.late)
+                                         + " requests late, " + std::to_string(result.crashes)
+                                         + " crashes";
+                CPPUNIT_ASSERT_MESSAGE(text, result.late <= 3);
+                CPPUNIT_ASSERT_MESSAGE(text, result.crashes >= 3);
+            }
+        }
+    }
+
+    // Guards against entries that start when all crashes are over and learn of none.
+    void entriesThatStartLaterAreTold()
+    {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            EntriesPlay::Settings settings;
+            settings.lateEntries = 6;
+            settings.seed = seed;
+            const auto result = EntriesPlay(settings).play();
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(result.late) + " requests late",
+                                   result.late <= 3);
+        }
+    }
+
     void manyCrashesWithoutCommonPartKeepMemoryBounded()
     {
         PromptQuarantine quarantine;
