Quarantine: a block that comes to have fewer parts keeps its trials

The count of trials hung on the first part of a block. When another crash or a survived answer told parts apart, the trials of what was left began anew, each at the price of an engine. blockOfFewerPartsKeepsItsTrials failed before (sent as a trial two seconds after the first one; by reading, then shown). The count now goes with each part.

--- a/src/coordination/quarantine/PromptQuarantine.cpp
+++ b/src/coordination/quarantine/PromptQuarantine.cpp
@@ -105,11 +105,15 @@
 
 bool PromptQuarantine::apply(const TrialStarted &trial, Instant now)
 {
-    Trials &known = this->trials[{trial.service, trial.part}];
-    if (trial.count <= known.count)
-        return false;
-    known = {trial.count, instantOf(trial.ageUs, now)};
-    return true;
+    bool isNew = false;
+    for (const PromptPart part : trial.parts) {
+        Trials &known = this->trials[{trial.service, part}];
+        if (trial.count <= known.count)
+            continue;
+        known = {trial.count, instantOf(trial.ageUs, now)};
+        isNew = true;
+    }
+    return isNew;
 }
 
 std::vector<PartCleared> PromptQuarantine::answerSurvived(const ServiceName &service,
@@ -164,7 +168,7 @@
 
 TrialStarted PromptQuarantine::startTrial(const Block &block, Instant now)
 {
-    TrialStarted trial{block.service, block.parts.front(), this->trialsOf(block).count + 1, 0};
+    TrialStarted trial{block.service, block.parts, this->trialsOf(block).count + 1, 0};
     this->apply(trial, now);
     return trial;
 }
@@ -204,8 +208,7 @@
     for (const Block &block : this->blockList) {
         const Trials done = this->trialsOf(block);
         if (done.count > 0)
-            started.push_back(
-                    {block.service, block.parts.front(), done.count, ageOf(done.lastAt, now)});
+            started.push_back({block.service, block.parts, done.count, ageOf(done.lastAt, now)});
     }
     return started;
 }
@@ -350,8 +353,13 @@
 
 PromptQuarantine::Trials PromptQuarantine::trialsOf(const Block &block) const
 {
-    const auto known = this->trials.find({block.service, block.parts.front()});
-    return known == this->trials.end() ? Trials() : known->second;
+    Trials most;
+    for (const PromptPart part : block.parts) {
+        const auto known = this->trials.find({block.service, part});
+        if (known != this->trials.end() && known->second.count > most.count)
+            most = known->second;
+    }
+    return most;
 }
 
 } // namespace lavenderthread::coordination::quarantine
--- a/src/coordination/quarantine/PromptQuarantine.h
+++ b/src/coordination/quarantine/PromptQuarantine.h
@@ -174,7 +174,7 @@
     QuarantineSettings settings;
     std::map<CrashId, Crash> crashes;
     std::map<PartKey, state::Instant> clearedAt; // the newest time
-    std::map<PartKey, Trials> trials;            // by the first part of a block
+    std::map<PartKey, Trials> trials;            // of each part of a block
     std::vector<Block> blockList;                // derived from `crashes`
 };
 
--- a/src/coordination/quarantine/QuarantineUpdate.h
+++ b/src/coordination/quarantine/QuarantineUpdate.h
@@ -65,12 +65,12 @@
     }
 };
 
-// A single request with a blocked part is sent, to find out whether the block is still needed.
+// A single request with blocked parts is sent, to find out whether the block is still needed.
 struct TrialStarted
 {
     state::ServiceName service;
-    state::PromptPart part = 0;
-    std::uint32_t count = 0; // trials since the part was blocked
+    std::vector<state::PromptPart> parts; // of the block
+    std::uint32_t count = 0;              // trials since they were blocked
     std::int64_t ageUs = 0;
 
     auto operator<=>(const TrialStarted &) const = default;
@@ -78,7 +78,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->service, this->part, this->count, this->ageUs);
+        archive(this->service, this->parts, this->count, this->ageUs);
     }
 };
 
--- a/tests/coordination/quarantine/PromptQuarantineTest.cpp
+++ b/tests/coordination/quarantine/PromptQuarantineTest.cpp
@@ -211,6 +211,7 @@
     CPPUNIT_TEST(lateReportOfClearedPartChangesNothing);
     CPPUNIT_TEST(trialsAreFewAndEachComesLater);
     CPPUNIT_TEST(trialOfPeerPostponesOwn);
+    CPPUNIT_TEST(blockOfFewerPartsKeepsItsTrials);
     CPPUNIT_TEST(reportsOfBlocksGiveAnotherEntryTheSameBlocks);
     CPPUNIT_TEST(orderOfReportsDoesNotMatter);
     CPPUNIT_TEST(manyCrashesWithoutCommonPartKeepMemoryBounded);
@@ -464,6 +465,22 @@
         CPPUNIT_ASSERT(this->verdict(quarantine, {crashing}, due) == SendVerdict::Refuse);
     }
 
+    // Guards against trials that begin anew as another crash or a survived answer tells parts
+    // apart.
+    void blockOfFewerPartsKeepsItsTrials()
+    {
+        PromptQuarantine quarantine;
+        for (int engine = 0; engine < 3; ++engine)
+            quarantine.apply(this->report(engine, {shared, crashing}),
+                             this->start + seconds(engine));
+        const Instant due = this->start + seconds(4);
+        const auto decision = quarantine.decide(this->service, {shared, crashing}, due);
+        quarantine.startTrial(*decision.block, due);
+        quarantine.answerSurvived(this->service, {shared}, due);
+        CPPUNIT_ASSERT(this->verdict(quarantine, {crashing}, due + seconds(2))
+                       == SendVerdict::Refuse);
+    }
+
     // Guards against an entry that starts after the crashes and sends what all others refuse.
     void reportsOfBlocksGiveAnotherEntryTheSameBlocks()
     {
--- a/tests/platform/RelayTest.cpp
+++ b/tests/platform/RelayTest.cpp
@@ -90,7 +90,7 @@
     {
         RelayFixture fixture(Kind::Stream, {Behaviour::Streams}, true);
         reportCrashes(fixture.promptGuard(), 3);
-        fixture.promptGuard().peerStartedTrial({service, 0xbad, 1, 0});
+        fixture.promptGuard().peerStartedTrial({service, {0xbad}, 1, 0});
         const auto answer = fixture.call(requestWithParts());
         CPPUNIT_ASSERT_EQUAL(503U, answer.value().status);
         CPPUNIT_ASSERT(answer.value().headers.find("Retry-After").has_value());
@@ -104,7 +104,7 @@
         RelayFixture fixture(Kind::Stream, {Behaviour::Streams}, true);
         fixture.beforePlacement = [&fixture] {
             reportCrashes(fixture.promptGuard(), 3);
-            fixture.promptGuard().peerStartedTrial({service, 0xbad, 1, 0});
+            fixture.promptGuard().peerStartedTrial({service, {0xbad}, 1, 0});
         };
         CPPUNIT_ASSERT_EQUAL(503U, fixture.call(requestWithParts()).value().status);
         CPPUNIT_ASSERT_EQUAL(0, fixture.arrivals.load());
--- a/tests/program/CompletionRelayTest.cpp
+++ b/tests/program/CompletionRelayTest.cpp
@@ -92,9 +92,7 @@
     void startTrial()
     {
         const auto body = protocol::parseCompletion(protocol::CompletionKind::Text, prompt());
-        auto parts = body.value().prefixBlocks;
-        std::ranges::sort(parts);
-        this->prompts->peerStartedTrial({service, parts.front(), 1, 0});
+        this->prompts->peerStartedTrial({service, body.value().prefixBlocks, 1, 0});
     }
 
     std::atomic<int> arrivals = 0; // at the engine
--- a/tests/protocol/PeerUpdateTest.cpp
+++ b/tests/protocol/PeerUpdateTest.cpp
@@ -109,7 +109,7 @@
         report.parts.assign(parts, ~0ULL);
         report.ageUs = 20;
         const PartCleared cleared{state::ServiceName("llm"), 7, 30};
-        const TrialStarted trial{state::ServiceName("llm"), 7, 2, 40};
+        const TrialStarted trial{state::ServiceName("llm"), {7, 8}, 2, 40};
         const auto datagrams = sealPeerUpdates(this->keys, {report, cleared, trial});
         for (const std::string &datagram : datagrams)
             CPPUNIT_ASSERT(datagram.size() <= maximumPeerUpdateBytes);
