--- a/soak/CrashingPrompt.cpp
+++ b/soak/CrashingPrompt.cpp
@@ -193,6 +193,23 @@
             program::monotonicNow() + contactTime;
 }
 
+// Only the control members go on, so what all entries knew has to come from them.
+asio::awaitable<void> CrashingPrompt::restartAllEntries()
+{
+    this->crashing = false;
+    co_await transport::pause(crashingPause);
+    for (std::size_t index = 0; index < this->fleet.size(); ++index) {
+        if (this->fleet.isControl(index))
+            continue;
+        this->fleet.kill(index);
+        this->fleet.start(index);
+        this->disturbedUntil[index] = program::monotonicNow() + contactTime;
+    }
+    co_await transport::pause(contactTime + crashingPause);
+    this->crashing = true;
+    asio::co_spawn(this->context, this->sendCrashing(), asio::detached);
+}
+
 asio::awaitable<void> CrashingPrompt::play()
 {
     for (std::size_t entry = 0; entry < this->fleet.size(); ++entry) {
@@ -223,6 +240,9 @@
     co_await this->disturbEntries();
     const Count disturbed = co_await this->count(countedTime + contactTime);
     this->judgeServed("beside crashing prompts and disturbed entries", disturbed, leastShareOfCalm);
+    co_await this->restartAllEntries();
+    const Count restarted = co_await this->count(countedTime);
+    this->judgeServed("after all entries were killed", restarted, leastShareOfCalm);
     this->crashing = false;
     co_await transport::pause(lastAnswer);
     this->judgeArrivals();
--- a/soak/CrashingPrompt.h
+++ b/soak/CrashingPrompt.h
@@ -68,6 +68,7 @@
     boost::asio::awaitable<void> callCrashing(std::string prefix);
     boost::asio::awaitable<void> bringBack(std::size_t engine);
     boost::asio::awaitable<void> disturbEntries();
+    boost::asio::awaitable<void> restartAllEntries();
     boost::asio::awaitable<Count> count(std::chrono::milliseconds time);
     boost::asio::awaitable<void> playCrashingPart();
     boost::asio::awaitable<void> playUnrelatedEnds();
