--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -1,19 +1,17 @@
 #include "Fleet.h"
 
-#include <arpa/inet.h>
+#include "SocketInode.h"
+
 #include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
-#include <array>
 #include <csignal>
-#include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
-#include <sstream>
 #include <string_view>
 
 namespace lavenderthread::soak {
@@ -26,30 +24,6 @@
 constexpr std::uint16_t directoryPort = 3;
 constexpr std::uint16_t operatorPort = 4;
 
-// The inode of the connected TCP socket at that local address; empty if there is none. The system
-// lists addresses as hexadecimal numbers in network byte order.
-std::string inodeOf(const state::Address &local)
-{
-    in_addr ip{};
-    ::inet_pton(AF_INET, local.ip.c_str(), &ip);
-    std::array<char, 32> wanted{};
-    std::snprintf(wanted.data(), wanted.size(), "%08X:%04X", ip.s_addr, local.port);
-    std::ifstream sockets("/proc/net/tcp");
-    std::string line;
-    while (std::getline(sockets, line)) {
-        std::istringstream words(line);
-        std::string number, address, skipped, inode;
-        words >> number >> address;
-        constexpr int wordsBetween = 7;
-        for (int word = 0; word < wordsBetween; ++word)
-            words >> skipped;
-        words >> inode;
-        if (address == wanted.data())
-            return inode;
-    }
-    return {};
-}
-
 } // namespace
 
 Fleet::Fleet(FleetSettings chosen)
@@ -192,12 +166,13 @@
 }
 
 std::optional<std::size_t> Fleet::ownerOfSocket(const state::Address &local,
+                                                const state::Address &remote,
                                                 const std::set<std::size_t> &among) const
 {
-    const std::string inode = inodeOf(local);
-    if (inode.empty())
+    const auto inode = inodeOfSocket(local, remote);
+    if (!inode)
         return std::nullopt;
-    const std::string wanted = "socket:[" + inode + "]";
+    const std::string wanted = "socket:[" + std::to_string(*inode) + "]";
     for (const std::size_t index : among) {
         std::error_code problem;
         const std::string folder = "/proc/" + std::to_string(this->processes[index].pid) + "/fd";
--- a/soak/Fleet.h
+++ b/soak/Fleet.h
@@ -45,8 +45,9 @@
     void kill(std::size_t index);
     void wipe(std::size_t index);    // its data folder; it must not run
     void tearLog(std::size_t index); // leaves a torn write behind; it must not run
-    // Which of these processes has the TCP socket bound to `local`.
+    // Which of these processes has the TCP socket at `local` whose peer is `remote`.
     std::optional<std::size_t> ownerOfSocket(const state::Address &local,
+                                             const state::Address &remote,
                                              const std::set<std::size_t> &among) const;
     std::uint64_t exitsOfItsOwn() const { return this->ownExits; }
 
--- a/soak/PathLoss.cpp
+++ b/soak/PathLoss.cpp
@@ -55,11 +55,11 @@
     }
 }
 
-// A connection is identified by its process, which is slow but works without privileges: all
-// processes have the same source address on loopback.
-LinkFault PathLoss::faultOf(const state::Address &caller) const
+// A connection is identified by its process, since all processes have the same source address on
+// loopback.
+LinkFault PathLoss::faultOf(const state::Address &caller, const state::Address &proxy) const
 {
-    const bool isCut = this->fleet.ownerOfSocket(caller, this->cut).has_value();
+    const bool isCut = this->fleet.ownerOfSocket(caller, proxy, this->cut).has_value();
     return isCut ? this->settings.fault : LinkFault::None;
 }
 
@@ -96,7 +96,9 @@
             this->cut.insert(index);
     }
     for (Proxy *proxy : this->proxies)
-        proxy->setFaultOf([this](const state::Address &caller) { return this->faultOf(caller); });
+        proxy->setFaultOf([this](const state::Address &caller, const state::Address &at) {
+            return this->faultOf(caller, at);
+        });
     co_await transport::pause(contactTime);
     this->counting = true;
     co_await transport::pause(countedTime);
--- a/soak/PathLoss.h
+++ b/soak/PathLoss.h
@@ -47,7 +47,7 @@
     // Calls that entry at a steady rate, however long the answers take.
     boost::asio::awaitable<void> callSteadily(std::size_t entry);
     boost::asio::awaitable<void> callOnce(std::size_t entry, std::string path);
-    LinkFault faultOf(const state::Address &caller) const;
+    LinkFault faultOf(const state::Address &caller, const state::Address &proxy) const;
     void judge() const;
 
     boost::asio::io_context &context;
--- a/soak/Proxy.cpp
+++ b/soak/Proxy.cpp
@@ -111,7 +111,8 @@
                 co_await this->acceptor.async_accept(asio::as_tuple(asio::use_awaitable));
         if (problem)
             co_return;
-        const LinkFault own = this->faultOf ? this->faultOf(peerOf(socket)) : LinkFault::None;
+        const LinkFault own =
+                this->faultOf ? this->faultOf(peerOf(socket), this->listen) : LinkFault::None;
         if (this->fault == LinkFault::Refused || own == LinkFault::Refused)
             continue;
         const auto pair = std::make_shared<Pair>(std::move(socket), this->context);
--- a/soak/Proxy.h
+++ b/soak/Proxy.h
@@ -30,8 +30,9 @@
 
     void start();
     void setFault(LinkFault next) { this->fault = next; }
-    // Faults of single connections, by the address that they come from; an empty function: none.
-    using FaultOf = std::function<LinkFault(const state::Address &)>;
+    // Faults of single connections, by the addresses that they come from and go to; an empty
+    // function: none.
+    using FaultOf = std::function<LinkFault(const state::Address &from, const state::Address &to)>;
     void setFaultOf(FaultOf next) { this->faultOf = std::move(next); }
     void resetAll(); // open connections
     // Closes all connections, and the port until listenAgain(), as if the target's process had
