Relay: only a success shows that an engine has survived a prompt

A whole answer of any status cleared a prompt's parts, also a 400 or 413 of an engine that had not run the request: a rejected trial would have ended the block for all entries. rejectedTrialEndsNoBlock failed before (no block left) and passes.

--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -737,20 +737,20 @@
                     "refused by the endpoint with " + std::to_string(stream.status());
             co_return AttemptResult::NotRun;
         }
-        co_return co_await this->relayAnswer(stream, headers);
+        const AttemptResult end = co_await this->relayAnswer(stream, headers);
+        // The end of a connection does not tell a whole answer from an engine that has crashed.
+        if (end == AttemptResult::Complete && isSuccess(stream.status())
+            && !stream.endsWithConnection())
+            this->recordSurvival();
+        co_return end;
     }
 
     asio::awaitable<AttemptResult> relayAnswer(transport::HttpAnswerStream &stream,
                                                protocol::HttpHeaders headers)
     {
-        const bool isStream = isSuccess(stream.status()) && this->route->kind == CallKind::Stream;
-        auto relaying = isStream ? this->relayStream(stream, std::move(headers))
-                                 : this->relayBuffered(stream, std::move(headers));
-        const AttemptResult end = co_await std::move(relaying);
-        // The end of a connection does not tell a whole answer from an engine that has crashed.
-        if (end == AttemptResult::Complete && !stream.endsWithConnection())
-            this->recordSurvival();
-        co_return end;
+        if (isSuccess(stream.status()) && this->route->kind == CallKind::Stream)
+            co_return co_await this->relayStream(stream, std::move(headers));
+        co_return co_await this->relayBuffered(stream, std::move(headers));
     }
 
     asio::awaitable<state::Result<transport::HttpAnswerStream>>
--- a/tests/platform/RelayFixture.h
+++ b/tests/platform/RelayFixture.h
@@ -28,6 +28,7 @@
 enum class Behaviour {
     Answers,
     Fails,               // with its own status 500
+    Rejects,             // with its own status 400
     Refuses,             // 503, request not run
     IsOtherEndpoint,     // 421: another endpoint has the address
     Closes,              // the connection, without an answer
@@ -356,6 +357,9 @@
         case Behaviour::Fails:
             answer.status = 500;
             break;
+        case Behaviour::Rejects:
+            answer.status = 400;
+            break;
         case Behaviour::Refuses:
             answer.status = 503;
             answer.headers.add("Not-Executed", "1");
--- a/tests/platform/RelayTest.cpp
+++ b/tests/platform/RelayTest.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(waitingPromptIsRefusedBeforeItIsSent);
     CPPUNIT_TEST(lostConnectionToOpenPortIsNoCrash);
     CPPUNIT_TEST(lostConnectionToClosedPortIsCrash);
+    CPPUNIT_TEST(rejectedTrialEndsNoBlock);
     CPPUNIT_TEST_SUITE_END();
 
     using Kind = state::routes::CallKind;
@@ -119,6 +120,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), fixture.promptGuard().blockCount());
     }
 
+    // Guards against ending a block because an engine refused to run such a request.
+    void rejectedTrialEndsNoBlock()
+    {
+        RelayFixture rejecting(Kind::Stream, {Behaviour::Rejects}, true);
+        reportCrashes(rejecting.promptGuard(), 3);
+        CPPUNIT_ASSERT_EQUAL(400U, rejecting.call(requestWithParts()).value().status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), rejecting.promptGuard().blockCount());
+
+        RelayFixture serving(Kind::Stream, {Behaviour::Streams}, true);
+        reportCrashes(serving.promptGuard(), 3);
+        CPPUNIT_ASSERT_EQUAL(200U, serving.call(requestWithParts()).value().status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), serving.promptGuard().blockCount());
+    }
+
     void lostConnectionToClosedPortIsCrash()
     {
         RelayFixture fixture(Kind::Stream, {Behaviour::Ends}, true);
