--- a/src/program/PromptGuard.cpp
+++ b/src/program/PromptGuard.cpp
@@ -59,9 +59,9 @@
               {"source", source}});
 }
 
-void logCleared(const PartCleared &cleared, const char *source)
+void logCleared(LogLevel level, const PartCleared &cleared, const char *source)
 {
-    logEvent(LogLevel::Info, "prompt.cleared",
+    logEvent(level, "prompt.cleared",
              {{"service", cleared.service.value()},
               {"part", state::formatPromptParts({cleared.part})},
               {"source", source}});
@@ -194,7 +194,7 @@
         const std::lock_guard lock(this->mutex);
         if (this->quarantine.apply(report, now) != ReportResult::New)
             co_return;
-        this->logChangedBlocks();
+        this->noteChange();
     }
     this->hooks.share(report);
     logReport(LogLevel::Info, report, "attempt");
@@ -214,11 +214,12 @@
     {
         const std::lock_guard lock(this->mutex);
         cleared = this->quarantine.answerSurvived(service, parts, monotonicNow());
-        this->logChangedBlocks();
+        if (!cleared.empty())
+            this->noteChange();
     }
     for (const PartCleared &each : cleared) {
         this->hooks.share(each);
-        logCleared(each, "answer");
+        logCleared(LogLevel::Info, each, "answer");
     }
 }
 
@@ -242,7 +243,7 @@
         const std::lock_guard lock(this->mutex);
         if (this->quarantine.apply(report, monotonicNow()) != ReportResult::New)
             return;
-        this->logChangedBlocks();
+        this->noteChange();
     }
     logReport(LogLevel::Debug, report, "peer");
 }
@@ -253,9 +254,9 @@
         const std::lock_guard lock(this->mutex);
         if (!this->quarantine.apply(cleared, monotonicNow()))
             return;
-        this->logChangedBlocks();
+        this->noteChange();
     }
-    logCleared(cleared, "peer");
+    logCleared(LogLevel::Debug, cleared, "peer");
 }
 
 void PromptGuard::peerStartedTrial(const TrialStarted &trial)
@@ -264,7 +265,7 @@
     this->quarantine.apply(trial, monotonicNow());
 }
 
-void PromptGuard::logChangedBlocks()
+void PromptGuard::noteChange()
 {
     this->hasSuspects = this->quarantine.hasSuspects();
     const Blocks &now = this->quarantine.blocks();
--- a/src/program/PromptGuard.h
+++ b/src/program/PromptGuard.h
@@ -76,8 +76,9 @@
 
     boost::asio::awaitable<void> repeatForEver();
     bool isKnownCrash(const coordination::quarantine::CrashId &crash) const;
-    // Call with the mutex held, after each change.
-    void logChangedBlocks();
+    // Updates `hasSuspects` and logs blocks that began or ended. Call with the mutex held, after
+    // each change.
+    void noteChange();
 
     boost::asio::io_context &context;
     Hooks hooks;
--- a/tests/coordination/quarantine/PromptQuarantineTest.cpp
+++ b/tests/coordination/quarantine/PromptQuarantineTest.cpp
@@ -32,7 +32,7 @@
 
 // Entries that each see some of the crashes, and tell the others by datagrams that are delayed and
 // lost as in PromptGuard. Crashing requests come at any of them, and callers repeat once.
-class EntriesPlay
+class FleetSimulation
 {
 public:
     struct Settings
@@ -50,7 +50,7 @@
         std::size_t late = 0; // arrivals later than the contact time after the fifth crash
     };
 
-    explicit EntriesPlay(const Settings &chosen)
+    explicit FleetSimulation(const Settings &chosen)
         : settings(chosen)
         , random(chosen.seed)
         , entries(chosen.entries)
@@ -60,7 +60,7 @@
         this->scheduleRequest(this->begin);
     }
 
-    Result play()
+    Result run()
     {
         while (!this->events.empty() && this->events.begin()->first < this->begin + length) {
             const auto next = this->events.extract(this->events.begin());
@@ -526,11 +526,11 @@
         for (const auto &[entries, seeds] :
              {std::pair<std::size_t, std::uint64_t>{18, 5}, {126, 2}, {300, 1}}) {
             for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-                EntriesPlay::Settings settings;
+                FleetSimulation::Settings settings;
                 settings.entries = entries;
                 settings.requestsPerSecond = double(entries) / 2;
                 settings.seed = seed;
-                const auto result = EntriesPlay(settings).play();
+                const auto result = FleetSimulation(settings).run();
                 const std::string text = std::to_string(entries) + " entries, seed "
                                          + std::to_string(seed) + ": " + std::to_string(result.late)
                                          + " requests late, " + std::to_string(result.crashes)
@@ -545,10 +545,10 @@
     void entriesThatStartLaterAreTold()
     {
         for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-            EntriesPlay::Settings settings;
+            FleetSimulation::Settings settings;
             settings.lateEntries = 6;
             settings.seed = seed;
-            const auto result = EntriesPlay(settings).play();
+            const auto result = FleetSimulation(settings).run();
             CPPUNIT_ASSERT_MESSAGE(std::to_string(result.late) + " requests late",
                                    result.late <= 3);
         }
