--- a/src/coordination/quarantine/PromptQuarantine.cpp
+++ b/src/coordination/quarantine/PromptQuarantine.cpp
@@ -182,7 +182,7 @@
     return std::ranges::none_of(parts, [&](PromptPart part) {
         const auto found = all.find(part);
         return found != all.end()
-               && this->moments(found->second) >= this->settings.crashesUntilNoRepeat;
+               && this->countIndependent(found->second) >= this->settings.crashesUntilNoRepeat;
     });
 }
 
@@ -255,11 +255,11 @@
     while (this->blockList.size() < maximumBlocks) {
         const CrashesOfParts left = this->crashesOfParts(service, explained);
         const auto weight = [this](const auto &each) {
-            return std::tuple(this->moments(each.second), each.second.size(), each.first);
+            return std::tuple(this->countIndependent(each.second), each.second.size(), each.first);
         };
         const auto worst = std::ranges::max_element(left, {}, weight);
         if (worst == left.end()
-            || this->moments(worst->second) < this->settings.crashesUntilBlocked)
+            || this->countIndependent(worst->second) < this->settings.crashesUntilBlocked)
             return;
         Block block;
         block.service = service;
@@ -314,7 +314,7 @@
                                [](const auto &each) { return each.second.hasBegun; });
 }
 
-std::uint32_t PromptQuarantine::moments(const std::vector<CrashView> &crashes) const
+std::uint32_t PromptQuarantine::countIndependent(const std::vector<CrashView> &crashes) const
 {
     std::uint32_t count = 0;
     Instant last;
--- a/src/coordination/quarantine/PromptQuarantine.h
+++ b/src/coordination/quarantine/PromptQuarantine.h
@@ -161,8 +161,8 @@
     CrashesOfParts crashesOfParts(const state::ServiceName &service,
                                   const std::set<CrashId> &explained) const;
     static bool hasBegunAll(const Crash &crash);
-    // Crashes that don't have a cause in common with the one before.
-    std::uint32_t moments(const std::vector<CrashView> &crashes) const;
+    // The crashes that need not have a cause in common with the one before.
+    std::uint32_t countIndependent(const std::vector<CrashView> &crashes) const;
     static bool add(Crash &crash, std::vector<state::PromptPart> parts,
                     const CutOffRequest &request);
     bool isCleared(const PartKey &part, state::Instant crashAt) const;
