--- a/tests/platform/RelayTest.cpp
+++ b/tests/platform/RelayTest.cpp
@@ -85,6 +85,14 @@
         }
     }
 
+    // The relay clears the prompt a moment after the caller has the end of the answer.
+    static bool endsItsBlock(const program::PromptGuard &prompts)
+    {
+        for (int waits = 0; waits < 100 && prompts.blockCount() > 0; ++waits)
+            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+        return prompts.blockCount() == 0;
+    }
+
 public:
     // Guards against ending engine after engine with requests that have one part in their prompts.
     void promptThatCrashesEnginesIsRefusedAtOnce()
@@ -131,7 +139,7 @@
         RelayFixture serving(Kind::Stream, {Behaviour::Streams}, true);
         reportCrashes(serving.promptGuard(), 3);
         CPPUNIT_ASSERT_EQUAL(200U, serving.call(requestWithParts()).value().status);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(0), serving.promptGuard().blockCount());
+        CPPUNIT_ASSERT(endsItsBlock(serving.promptGuard()));
     }
 
     void lostConnectionToClosedPortIsCrash()
