Prompt guard: when an answer counts as survived is decided in one place

Cause: RouteRelay and CompletionRelay each computed whether an answer had gone on for long enough, once for the report of a lost attempt and once for clearing parts, and shared a constant of the guard for it. They pass the times now, and the guard decides.

--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -26,7 +26,7 @@
 // Burst allowance: a link of 14 Mbit/s dropped what exceeded 30,000 bytes sent at once.
 constexpr double newsBurstBytes = 16'000;
 constexpr double bytesPerMegabit = 125'000;
-// Repeated news reach all members of a fleet of 300 in about six rounds.
+// Repeated news reach all members in a number of rounds that grows with the fleet's logarithm.
 constexpr std::size_t randomReceivers = 3;
 constexpr std::chrono::seconds newsLossLogInterval{1}; // at most one log line in this time
 // An endpoint expires after this many heartbeat intervals: one heartbeat may be lost with its
--- a/src/program/CompletionRelay.cpp
+++ b/src/program/CompletionRelay.cpp
@@ -233,24 +233,19 @@
 
     void recordProgress(const Placement &placement)
     {
-        const state::Instant now = monotonicNow();
         if (this->firstTokenOfAttempt == state::Instant{})
-            this->firstTokenOfAttempt = now;
-        if (now - this->firstTokenOfAttempt >= PromptGuard::survivalTime)
-            this->hooks.prompts->answerSurvived(placement.endpoint.service, this->parts);
+            this->firstTokenOfAttempt = monotonicNow();
+        this->hooks.prompts->answerContinues(placement.endpoint.service, this->parts,
+                                             this->firstTokenOfAttempt);
     }
 
     asio::awaitable<void> reportLoss(const Placement &placement, const state::Error &error)
     {
-        const bool hasBegun = this->firstTokenOfAttempt != state::Instant{};
-        const bool survived =
-                hasBegun && monotonicNow() - this->firstTokenOfAttempt >= PromptGuard::survivalTime;
         const bool ended =
                 error.code == state::ErrorCode::Unavailable && error.step != transport::connectStep;
-        if (!ended || survived)
-            co_return;
-        co_await this->hooks.prompts->attemptLost(placement.endpoint, this->parts, hasBegun,
-                                                  this->sentAt);
+        if (ended)
+            co_await this->hooks.prompts->attemptLost(placement.endpoint, this->parts, this->sentAt,
+                                                      this->firstTokenOfAttempt);
     }
 
     AnswerWriter::TakeResult takeToken(const protocol::EngineLine &line,
--- a/src/program/PromptGuard.cpp
+++ b/src/program/PromptGuard.cpp
@@ -38,6 +38,14 @@
 // With three receivers in each interval, some 5 kB a second while anything is blocked.
 constexpr std::size_t maximumRepeatedReports = 12;
 
+// An answer that has gone on for so long after its first event was survived by its engine.
+constexpr milliseconds survivalTime{150};
+
+bool hasSurvived(state::Instant firstEventAt)
+{
+    return firstEventAt != state::Instant{} && monotonicNow() - firstEventAt >= survivalTime;
+}
+
 std::string formatCrashes(const std::vector<CrashOfPart> &crashes)
 {
     std::string text;
@@ -167,17 +175,17 @@
 }
 
 asio::awaitable<void> PromptGuard::attemptLost(state::EndpointDescription engine,
-                                               std::vector<PromptPart> parts, bool hasBegun,
-                                               state::Instant sentAt)
+                                               std::vector<PromptPart> parts, state::Instant sentAt,
+                                               state::Instant firstEventAt)
 {
-    if (parts.empty())
+    if (parts.empty() || hasSurvived(firstEventAt))
         co_return;
     CrashReport report;
     report.service = engine.service;
     report.crash = {engine.id, engine.incarnation};
     report.parts = std::move(parts);
     report.parts.resize(std::min(report.parts.size(), CrashReport::maximumParts));
-    report.hasBegun = hasBegun;
+    report.hasBegun = firstEventAt != state::Instant{};
     const state::Instant lostAt = monotonicNow();
     // A reset of one connection, or an answer that was cut short, is no crash.
     if (!this->isKnownCrash(report.crash)) {
@@ -206,6 +214,13 @@
     return this->quarantine.knows(crash);
 }
 
+void PromptGuard::answerContinues(const ServiceName &service, const std::vector<PromptPart> &parts,
+                                  state::Instant firstEventAt)
+{
+    if (hasSurvived(firstEventAt))
+        this->answerSurvived(service, parts);
+}
+
 void PromptGuard::answerSurvived(const ServiceName &service, const std::vector<PromptPart> &parts)
 {
     if (!this->hasSuspects || parts.empty())
--- a/src/program/PromptGuard.h
+++ b/src/program/PromptGuard.h
@@ -39,9 +39,6 @@
         std::function<void(std::vector<protocol::PeerUpdate>)> shareWithSome = [](auto) {};
     };
 
-    // An answer that has gone on for so long after its first event was survived by its engine.
-    static constexpr std::chrono::milliseconds survivalTime{150};
-
     static std::shared_ptr<PromptGuard> create(boost::asio::io_context &context, Hooks hooks);
 
     // Begins to repeat to other members what they need to refuse the same requests.
@@ -54,10 +51,15 @@
     std::optional<PromptRefusal> refusalBeforeSend(const state::RequestId &request,
                                                    const state::ServiceName &service,
                                                    const std::vector<state::PromptPart> &parts);
-    // The engine has ended the connection before the answer had gone on for survivalTime.
+    // The engine has ended the connection before the end of the answer. `firstEventAt` is Instant{}
+    // if no event had come.
     boost::asio::awaitable<void> attemptLost(state::EndpointDescription engine,
-                                             std::vector<state::PromptPart> parts, bool hasBegun,
-                                             state::Instant sentAt);
+                                             std::vector<state::PromptPart> parts,
+                                             state::Instant sentAt, state::Instant firstEventAt);
+    // Events of an answer have come, the first one at that time.
+    void answerContinues(const state::ServiceName &service,
+                         const std::vector<state::PromptPart> &parts, state::Instant firstEventAt);
+    // The engine has ended the answer itself.
     void answerSurvived(const state::ServiceName &service,
                         const std::vector<state::PromptPart> &parts);
     // Whether a request that an engine has cut off may be sent to another one.
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -205,13 +205,9 @@
     {
         if (!this->progress.connectionEnded)
             return false;
-        const bool survived =
-                this->progress.events > 0
-                && monotonicNow() - this->progress.firstEventAt >= PromptGuard::survivalTime;
         const auto table = this->hooks.endpoints();
         const auto known = table->endpoints.find(endpoint.id);
-        const bool isLeaving = known != table->endpoints.end() && known->second.draining;
-        return !survived && !isLeaving;
+        return known == table->endpoints.end() || !known->second.draining;
     }
 
     const protocol::HttpRequest &callerRequest() const
@@ -652,8 +648,8 @@
             this->logLoss(endpoint);
         if (end == AttemptResult::Lost && this->mayHaveCrashed(endpoint))
             co_await this->hooks.prompts->attemptLost(endpoint, this->request.promptParts,
-                                                      this->progress.events > 0,
-                                                      this->progress.sentAt);
+                                                      this->progress.sentAt,
+                                                      this->progress.firstEventAt);
         co_return end;
     }
 
@@ -741,7 +737,7 @@
         // The end of a connection does not tell a whole answer from an engine that has crashed.
         if (end == AttemptResult::Complete && isSuccess(stream.status())
             && !stream.endsWithConnection())
-            this->recordSurvival();
+            this->hooks.prompts->answerSurvived(this->outcome.service, this->request.promptParts);
         co_return end;
     }
 
@@ -977,16 +973,10 @@
 
     void recordEvents()
     {
-        const state::Instant now = monotonicNow();
         if (this->progress.events++ == 0)
-            this->progress.firstEventAt = now;
-        if (now - this->progress.firstEventAt >= PromptGuard::survivalTime)
-            this->recordSurvival();
-    }
-
-    void recordSurvival()
-    {
-        this->hooks.prompts->answerSurvived(this->outcome.service, this->request.promptParts);
+            this->progress.firstEventAt = monotonicNow();
+        this->hooks.prompts->answerContinues(this->outcome.service, this->request.promptParts,
+                                             this->progress.firstEventAt);
     }
 
     asio::awaitable<bool> forwardEvents(std::string_view events,
