--- a/soak/Callers.cpp
+++ b/soak/Callers.cpp
@@ -43,9 +43,12 @@
     protocol::HttpRequest request;
     request.method = path == "/read/" ? "GET" : "POST";
     request.target = path + "x";
-    request.headers = {
-            {"Host", "soak"},          {"Request-Id", id}, {"Request-Deadline", "3000"},
-            {"Credential", "key-one"}, {"Model", "m"},     {"Token-Count", tokens[prompt]}};
+    request.headers = {{"Host", "soak"},
+                       {"Request-Id", id},
+                       {"Request-Deadline", std::to_string(this->settings.timeLimit.count())},
+                       {"Credential", "key-one"},
+                       {"Model", "m"},
+                       {"Token-Count", tokens[prompt]}};
     if (!promptPrefix.empty())
         request.headers.add("Prompt-Prefix", promptPrefix);
     return request;
--- a/soak/Callers.h
+++ b/soak/Callers.h
@@ -21,8 +21,9 @@
 {
     std::vector<state::Address> directories;
     std::uint64_t seed = 0;
-    std::string name;       // begins its request ids
-    bool briefOnly = false; // sends no long prompts
+    std::string name;                           // begins its request ids
+    bool briefOnly = false;                     // sends no long prompts
+    std::chrono::milliseconds timeLimit{3'000}; // of each request
     // Where to connect instead of an address of the directory: a proxy before it.
     std::function<state::Address(const state::Address &)> viaProxy;
 };
--- a/soak/PathLoss.cpp
+++ b/soak/PathLoss.cpp
@@ -21,6 +21,11 @@
 constexpr milliseconds contactTime{3'000}; // an entry has this long to find other ways
 constexpr milliseconds countedTime{6'000};
 constexpr milliseconds recoveryTime{6'000};
+// Quiet scenario: how often paths are lost, and the requests that each entry then gets.
+constexpr int quietRounds = 3;
+constexpr int quietCalls = 3;
+constexpr milliseconds quietCallPause{800};
+constexpr milliseconds quietTimeLimit{1'000}; // the shortest that callers have
 // The entries without paths serve at least so many of their first tries as the others of theirs, or
 // hardly any fail there.
 constexpr double leastShareOfOthers = 2.0 / 3;
@@ -51,6 +56,8 @@
         caller.seed = this->settings.seed * 1'000 + index;
         caller.name = "p" + std::to_string(index);
         caller.briefOnly = true;
+        if (this->settings.quiet)
+            caller.timeLimit = quietTimeLimit;
         this->people.push_back(std::make_unique<Caller>(this->context, caller, this->ledger));
     }
 }
@@ -86,29 +93,50 @@
 
 asio::awaitable<void> PathLoss::play()
 {
-    for (std::size_t entry = 0; entry < this->fleet.size(); ++entry) {
-        if (!this->fleet.isControl(entry))
-            asio::co_spawn(this->context, this->callSteadily(entry), asio::detached);
-    }
-    co_await transport::pause(calmTime);
-    for (std::size_t index = 0; index < this->fleet.size(); ++index) {
-        if (!this->fleet.isControl(index) && this->cut.size() < this->settings.cutOff)
+    if (this->settings.quiet)
+        co_await this->playQuiet();
+    else
+        co_await this->playSteady();
+}
+
+// Cuts the wanted number of entries off, counted from `first` on.
+void PathLoss::cutPaths(std::size_t first)
+{
+    this->cut.clear();
+    for (std::size_t step = 0; step < this->fleet.size(); ++step) {
+        const std::size_t index = (first + step) % this->fleet.size();
+        if (this->isEntry(index) && this->cut.size() < this->settings.cutOff)
             this->cut.insert(index);
     }
     for (Proxy *proxy : this->proxies)
         proxy->setFaultOf([this](const state::Address &caller, const state::Address &at) {
             return this->faultOf(caller, at);
         });
+}
+
+void PathLoss::restorePaths()
+{
+    for (Proxy *proxy : this->proxies) {
+        proxy->setFaultOf({});
+        proxy->resetAll();
+    }
+}
+
+asio::awaitable<void> PathLoss::playSteady()
+{
+    for (std::size_t entry = 0; entry < this->fleet.size(); ++entry) {
+        if (this->isEntry(entry))
+            asio::co_spawn(this->context, this->callSteadily(entry), asio::detached);
+    }
+    co_await transport::pause(calmTime);
+    this->cutPaths(0);
     co_await transport::pause(contactTime);
     this->counting = true;
     co_await transport::pause(countedTime);
     this->counting = false;
     co_await transport::pause(lastAnswer);
     this->judge();
-    for (Proxy *proxy : this->proxies) {
-        proxy->setFaultOf({});
-        proxy->resetAll();
-    }
+    this->restorePaths();
     co_await transport::pause(recoveryTime);
     this->countOfCut = {};
     this->countOfOthers = {};
@@ -122,6 +150,34 @@
                                        this->countOfCut.sent));
 }
 
+asio::awaitable<void> PathLoss::callEachInTurn()
+{
+    for (int call = 0; call < quietCalls; ++call) {
+        for (std::size_t entry = 0; entry < this->fleet.size(); ++entry) {
+            const std::string path = paths[(entry + std::size_t(call)) % paths.size()];
+            if (this->isEntry(entry))
+                asio::co_spawn(this->context, this->callOnce(entry, path), asio::detached);
+        }
+        co_await transport::pause(quietCallPause);
+    }
+    co_await transport::pause(lastAnswer);
+}
+
+asio::awaitable<void> PathLoss::playQuiet()
+{
+    co_await transport::pause(calmTime);
+    co_await this->callEachInTurn();
+    this->counting = true;
+    for (int round = 0; round < quietRounds; ++round) {
+        this->cutPaths(this->settings.seed + std::size_t(round));
+        co_await transport::pause(contactTime);
+        co_await this->callEachInTurn();
+        this->restorePaths();
+        co_await transport::pause(recoveryTime);
+    }
+    this->judge();
+}
+
 void PathLoss::judge() const
 {
     const Count &ours = this->countOfCut;
--- a/soak/PathLoss.h
+++ b/soak/PathLoss.h
@@ -1,5 +1,6 @@
-// One scenario: some entries lose their paths to all endpoints for some seconds, while callers and
-// the other entries still reach them. Compares the first tries at them with those at the others.
+// Scenarios in which some entries lose their paths to all endpoints for some seconds, while callers
+// and the other entries still reach them. Compares the first tries at them with those at the
+// others.
 #pragma once
 
 #include "Callers.h"
@@ -24,6 +25,8 @@
                 LinkFault::Unreachable; // of connections from the entries that are cut off
         std::size_t cutOff = 0;         // how many of the entries
         std::uint64_t seed = 0;
+        // Entries get no requests in the time in which they may find other ways.
+        bool quiet = false;
     };
 
     PathLoss(boost::asio::io_context &context, Settings chosen, Fleet &fleet,
@@ -33,6 +36,12 @@
     boost::asio::awaitable<void> play();
 
 private:
+    boost::asio::awaitable<void> playSteady();
+    boost::asio::awaitable<void> playQuiet();
+    boost::asio::awaitable<void> callEachInTurn();
+    void cutPaths(std::size_t first);
+    void restorePaths();
+
     struct Count
     {
         std::uint64_t sent = 0;
@@ -44,6 +53,7 @@
         }
     };
 
+    bool isEntry(std::size_t index) const { return !this->fleet.isControl(index); }
     // Calls that entry at a steady rate, however long the answers take.
     boost::asio::awaitable<void> callSteadily(std::size_t entry);
     boost::asio::awaitable<void> callOnce(std::size_t entry, std::string path);
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -209,6 +209,7 @@
         settings.fault =
                 this->options.pathLoss == "reset" ? LinkFault::Refused : LinkFault::Unreachable;
         settings.cutOff = entriesCutOff;
+        settings.quiet = this->options.pathLoss == "quiet";
         settings.seed = this->options.seed;
         PathLoss scenario(this->context, settings, this->fleet, this->proxiesOf(engines + replicas),
                           this->ledger);
@@ -382,8 +383,9 @@
             ->required();
     app.add_option("--seed", options.seed, "Of the faults and the load");
     app.add_option("--seconds", options.seconds, "How long faults strike");
-    app.add_option("--path-loss", options.pathLoss, "Cut entries off from endpoints: hang, reset")
-            ->check(CLI::IsMember({"hang", "reset"}));
+    app.add_option("--path-loss", options.pathLoss,
+                   "Cut entries off from endpoints: hang, reset, quiet")
+            ->check(CLI::IsMember({"hang", "reset", "quiet"}));
     app.add_option("--control-loss", options.controlLoss,
                    "Stop the leader and another voter after changes: freeze, kill")
             ->check(CLI::IsMember({"freeze", "kill"}));
