--- a/src/coordination/routing/PathHealth.cpp
+++ b/src/coordination/routing/PathHealth.cpp
@@ -22,9 +22,9 @@
         this->outcomes.clear();
 }
 
-PathHealth::Counts PathHealth::countsOf(const state::ServiceName *service, state::Instant now) const
+PathCounts PathHealth::countsOf(const state::ServiceName *service, state::Instant now) const
 {
-    Counts counts;
+    PathCounts counts;
     for (const auto &[endpoint, last] : this->outcomes) {
         if (!this->isRecent(last, now) || (service != nullptr && endpoint.service != *service))
             continue;
@@ -40,10 +40,10 @@
 {
     if (this->outcomes.empty())
         return false;
-    const Counts own = this->countsOf(&service, now);
+    const PathCounts own = this->countsOf(&service, now);
     if (this->isLost(own))
         return true;
-    const Counts all = this->countsOf(nullptr, now);
+    const PathCounts all = this->countsOf(nullptr, now);
     return own.reached == 0 && all.reached == 0 && this->isLost(all);
 }
 
--- a/src/coordination/routing/PathHealth.h
+++ b/src/coordination/routing/PathHealth.h
@@ -34,6 +34,15 @@
     auto operator<=>(const PathCandidate &) const = default;
 };
 
+// How many endpoints of a service gave which outcome, recently.
+struct PathCounts
+{
+    std::uint32_t reached = 0;
+    std::uint32_t unreachable = 0;
+
+    auto operator<=>(const PathCounts &) const = default;
+};
+
 // Holds the last outcome of each endpoint since a connection failed. A service is lost while more
 // of its endpoints are unreachable than have been reached. When several endpoints have crashed this
 // may be wrong for a moment; a few probes of the others correct it.
@@ -52,6 +61,10 @@
     // Whether this node has no usable path to the service. A service without any outcome is lost
     // if this node reaches nothing at all.
     bool isLost(const state::ServiceName &service, state::Instant now) const;
+    PathCounts counts(const state::ServiceName &service, state::Instant now) const
+    {
+        return this->countsOf(&service, now);
+    }
     // Whether an endpoint was unreachable recently.
     bool hasFailures(state::Instant now) const;
     // Whether each of these services is lost by an outcome of its own.
@@ -68,22 +81,16 @@
         PathOutcome outcome = PathOutcome::Reached;
         state::Instant at;
     };
-    struct Counts
-    {
-        std::uint32_t reached = 0;
-        std::uint32_t unreachable = 0;
-    };
-
     bool isRecent(const LastOutcome &last, state::Instant now) const
     {
         return now - last.at < this->settings.memory;
     }
-    bool isLost(const Counts &counts) const
+    bool isLost(const PathCounts &counts) const
     {
         return counts.unreachable >= this->settings.minimumUnreachable
                && counts.unreachable > counts.reached;
     }
-    Counts countsOf(const state::ServiceName *service, state::Instant now) const; // null: all
+    PathCounts countsOf(const state::ServiceName *service, state::Instant now) const; // null: all
 
     PathHealthSettings settings;
     std::map<PathCandidate, LastOutcome> outcomes; // empty while no endpoint is unreachable
--- a/src/program/PathMonitor.cpp
+++ b/src/program/PathMonitor.cpp
@@ -11,11 +11,13 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <map>
 
 namespace lavenderthread::program {
 
 namespace asio = boost::asio;
 using coordination::routing::PathCandidate;
+using coordination::routing::PathCounts;
 using coordination::routing::PathOutcome;
 using std::chrono::milliseconds;
 
@@ -24,6 +26,15 @@
 constexpr milliseconds probePause{250};
 constexpr milliseconds probeTimeout{400}; // many round trips within a region
 
+void logPath(LogLevel level, std::string_view event, const state::ServiceName &service,
+             const PathCounts &counts)
+{
+    logEvent(level, event,
+             {{"service", service.value()},
+              {"unreachable", std::uint64_t(counts.unreachable)},
+              {"reached", std::uint64_t(counts.reached)}});
+}
+
 } // namespace
 
 PathMonitor::PathMonitor(asio::io_context &context, Hooks hooks)
@@ -71,6 +82,7 @@
         services.insert(candidate.service);
     std::set<state::ServiceName> before;
     std::set<state::ServiceName> lost;
+    std::map<state::ServiceName, PathCounts> counts;
     bool startProbing = false;
     bool cutOffNow = false;
     {
@@ -80,6 +92,7 @@
         for (const state::ServiceName &service : services) {
             if (this->health.isLost(service, now))
                 lost.insert(service);
+            counts[service] = this->health.counts(service, now);
         }
         cutOffNow = this->health.isCutOff({services.begin(), services.end()}, now);
         before = std::exchange(this->lostServices, lost);
@@ -89,11 +102,11 @@
     }
     for (const state::ServiceName &service : lost) {
         if (!before.contains(service))
-            logEvent(LogLevel::Warning, "path.lost", {{"service", service.value()}});
+            logPath(LogLevel::Warning, "path.lost", service, counts[service]);
     }
     for (const state::ServiceName &service : before) {
         if (!lost.contains(service))
-            logEvent(LogLevel::Info, "path.regained", {{"service", service.value()}});
+            logPath(LogLevel::Info, "path.regained", service, counts[service]);
     }
     if (startProbing)
         asio::co_spawn(
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -601,6 +601,7 @@
                 co_return true;
             }
             this->updateTimeIsOver();
+            this->logPeerFailure(end);
             const bool tokenTaken = std::exchange(this->retryTokenTaken, false);
             if (!this->peerHasTaken(end)) {
                 // No endpoint has seen the request: this is neither a refusal nor a retry.
@@ -626,6 +627,18 @@
         co_return true;
     }
 
+    void logPeerFailure(AttemptResult end) const
+    {
+        logEvent(LogLevel::Info, "peer.failed",
+                 {{"request", this->outcome.id.value()},
+                  {"attempt", this->outcome.attempts},
+                  {"peer", this->outcome.via.toString()},
+                  {"result", end == AttemptResult::NeverSent ? std::string_view("unreachable")
+                                                             : toString(this->peerResult)},
+                  {"after_us", std::int64_t((monotonicNow() - this->progress.sentAt).count())},
+                  {"cause", this->outcome.reason}});
+    }
+
     bool peerHasTaken(AttemptResult end) const
     {
         return end == AttemptResult::Lost || end == AttemptResult::Failed
