Path health: one failed connection starts probes that tell a lost path from dark engines

Cause: an entry judged its paths by the failures of its own requests alone, by a simple majority of two outcomes, and probed only afterwards, one endpoint after the other and all engines before the first replica, so that it also said late that it reaches nothing. Why it works: the first failure starts five probes at once, of endpoints drawn at random; six outcomes with more than two thirds unreachable are a lost path. If two fifths of the engines are dark less than a fifth of the entries conclude so (PathHealthTest; a majority of two does in most). The service with the fewest outcomes is probed first.

--- a/src/coordination/routing/PathHealth.cpp
+++ b/src/coordination/routing/PathHealth.cpp
@@ -36,15 +36,25 @@
     return counts;
 }
 
-bool PathHealth::isLost(const state::ServiceName &service, state::Instant now) const
+PathState PathHealth::state(const state::ServiceName &service, state::Instant now) const
 {
     if (this->outcomes.empty())
-        return false;
+        return PathState::Usable;
     const PathCounts own = this->countsOf(&service, now);
     if (this->isLost(own))
-        return true;
+        return PathState::Lost;
+    if (own.reached > 0)
+        return PathState::Usable;
     const PathCounts all = this->countsOf(nullptr, now);
-    return own.reached == 0 && all.reached == 0 && this->isLost(all);
+    if (all.reached == 0 && this->isLost(all))
+        return PathState::Lost;
+    return own.unreachable > 0 ? PathState::Doubtful : PathState::Usable;
+}
+
+bool PathHealth::hasOutcome(const PathCandidate &candidate, state::Instant now) const
+{
+    const auto last = this->outcomes.find(candidate);
+    return last != this->outcomes.end() && this->isRecent(last->second, now);
 }
 
 bool PathHealth::hasFailures(state::Instant now) const
@@ -61,17 +71,66 @@
     });
 }
 
+bool PathHealth::isInconclusive(const std::vector<PathCandidate> &listed,
+                                const std::set<PathCandidate> &running, state::Instant now) const
+{
+    struct Service
+    {
+        std::uint32_t known = 0; // with an outcome, or being probed
+        std::uint32_t endpoints = 0;
+    };
+    std::map<state::ServiceName, Service> services;
+    for (const PathCandidate &candidate : listed) {
+        Service &service = services[candidate.service];
+        ++service.endpoints;
+        service.known += this->hasOutcome(candidate, now) || running.contains(candidate) ? 1 : 0;
+    }
+    return std::ranges::any_of(services, [&](const auto &each) {
+        const std::uint32_t wanted =
+                std::min(this->settings.conclusiveOutcomes, each.second.endpoints);
+        return each.second.known<wanted &&this->countsOf(&each.first, now).unreachable> 0;
+    });
+}
+
 std::optional<PathCandidate> PathHealth::nextProbe(const std::vector<PathCandidate> &listed,
-                                                   state::Instant now) const
+                                                   const std::set<PathCandidate> &running,
+                                                   state::Instant now)
+{
+    const auto unknown = this->nextUnknown(listed, running, now);
+    return unknown ? unknown : this->oldestUnreachable(listed, running, now);
+}
+
+// Drawn at random: after a crash, many nodes probe the same service.
+std::optional<PathCandidate> PathHealth::nextUnknown(const std::vector<PathCandidate> &listed,
+                                                     const std::set<PathCandidate> &running,
+                                                     state::Instant now)
+{
+    std::map<state::ServiceName, std::size_t> known;
+    std::vector<PathCandidate> unknown;
+    for (const PathCandidate &candidate : listed) {
+        const bool isKnown = running.contains(candidate) || this->hasOutcome(candidate, now);
+        known[candidate.service] += isKnown ? 1 : 0;
+        if (!isKnown)
+            unknown.push_back(candidate);
+    }
+    std::ranges::shuffle(unknown, this->random);
+    const auto fewest = std::ranges::min_element(
+            unknown, {}, [&](const PathCandidate &each) { return known[each.service]; });
+    return fewest == unknown.end() ? std::nullopt : std::optional(*fewest);
+}
+
+std::optional<PathCandidate> PathHealth::oldestUnreachable(const std::vector<PathCandidate> &listed,
+                                                           const std::set<PathCandidate> &running,
+                                                           state::Instant now) const
 {
     std::optional<PathCandidate> oldest;
     state::Instant oldestAt{};
     for (const PathCandidate &candidate : listed) {
         const auto last = this->outcomes.find(candidate);
-        if (last == this->outcomes.end() || !this->isRecent(last->second, now))
-            return candidate;
-        const bool unreachable = last->second.outcome == PathOutcome::Unreachable;
-        if (unreachable && (!oldest || last->second.at < oldestAt)) {
+        if (last == this->outcomes.end() || !this->isRecent(last->second, now)
+            || last->second.outcome != PathOutcome::Unreachable || running.contains(candidate))
+            continue;
+        if (!oldest || last->second.at < oldestAt) {
             oldest = candidate;
             oldestAt = last->second.at;
         }
--- a/src/coordination/routing/PathHealth.h
+++ b/src/coordination/routing/PathHealth.h
@@ -8,6 +8,8 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <random>
+#include <set>
 #include <vector>
 
 namespace lavenderthread::coordination::routing {
@@ -17,12 +19,22 @@
     Unreachable, // no connection, or one that ended before an answer
 };
 
+// What the outcomes at a service's endpoints say about this node's own paths to it.
+enum class PathState : std::uint8_t {
+    Usable,
+    Doubtful, // an endpoint is unreachable, and none has been reached since
+    Lost,
+};
+
 struct PathHealthSettings
 {
     // Outcomes older than this say nothing about the paths any more.
     state::Duration memory = std::chrono::seconds(5);
     // One endpoint alone may have crashed.
     std::uint32_t minimumUnreachable = 2;
+    // With fewer outcomes, a service with an unreachable endpoint is probed further: if two fifths
+    // of its endpoints are dark, five of six rarely are.
+    std::uint32_t conclusiveOutcomes = 6;
 };
 
 // An endpoint that may be probed, with its service.
@@ -43,14 +55,15 @@
     auto operator<=>(const PathCounts &) const = default;
 };
 
-// Holds the last outcome of each endpoint since a connection failed. A service is lost while more
-// of its endpoints are unreachable than have been reached. When several endpoints have crashed this
-// may be wrong for a moment; a few probes of the others correct it.
+// Holds the last outcome of each endpoint since a connection failed. A service is lost if more than
+// twice as many of its endpoints are unreachable as have been reached. When many endpoints are dark
+// this may be wrong for a moment; probes of the others correct it.
 class PathHealth
 {
 public:
-    explicit PathHealth(PathHealthSettings chosen = {})
+    explicit PathHealth(std::uint64_t seed = 0, PathHealthSettings chosen = {})
         : settings(chosen)
+        , random(static_cast<std::minstd_rand::result_type>(seed))
     {}
 
     void record(const PathCandidate &endpoint, PathOutcome outcome, state::Instant now);
@@ -58,9 +71,12 @@
     // sorted.
     void prune(const std::vector<PathCandidate> &listed, state::Instant now);
 
-    // Whether this node has no usable path to the service. A service without any outcome is lost
-    // if this node reaches nothing at all.
-    bool isLost(const state::ServiceName &service, state::Instant now) const;
+    // A service without any outcome is lost if this node reaches nothing at all.
+    PathState state(const state::ServiceName &service, state::Instant now) const;
+    bool isLost(const state::ServiceName &service, state::Instant now) const
+    {
+        return this->state(service, now) == PathState::Lost;
+    }
     PathCounts counts(const state::ServiceName &service, state::Instant now) const
     {
         return this->countsOf(&service, now);
@@ -70,10 +86,16 @@
     // Whether each of these services is lost by an outcome of its own.
     bool isCutOff(const std::vector<state::ServiceName> &services, state::Instant now) const;
 
-    // The endpoint whose path is to be probed next: one without an outcome, else the unreachable
-    // one whose outcome is the oldest. Nothing if all were reached.
+    // Whether more probes, beside those that are running, are needed to judge a service that has an
+    // unreachable endpoint.
+    bool isInconclusive(const std::vector<PathCandidate> &listed,
+                        const std::set<PathCandidate> &running, state::Instant now) const;
+    // The endpoint to probe next: any without an outcome, of the service with the fewest outcomes,
+    // else the unreachable one whose outcome is the oldest. Nothing if there is none that isn't
+    // being probed.
     std::optional<PathCandidate> nextProbe(const std::vector<PathCandidate> &listed,
-                                           state::Instant now) const;
+                                           const std::set<PathCandidate> &running,
+                                           state::Instant now);
 
 private:
     struct LastOutcome
@@ -81,6 +103,7 @@
         PathOutcome outcome = PathOutcome::Reached;
         state::Instant at;
     };
+
     bool isRecent(const LastOutcome &last, state::Instant now) const
     {
         return now - last.at < this->settings.memory;
@@ -88,11 +111,19 @@
     bool isLost(const PathCounts &counts) const
     {
         return counts.unreachable >= this->settings.minimumUnreachable
-               && counts.unreachable > counts.reached;
+               && counts.unreachable > 2 * counts.reached;
     }
+    bool hasOutcome(const PathCandidate &candidate, state::Instant now) const;
     PathCounts countsOf(const state::ServiceName *service, state::Instant now) const; // null: all
+    std::optional<PathCandidate> nextUnknown(const std::vector<PathCandidate> &listed,
+                                             const std::set<PathCandidate> &running,
+                                             state::Instant now);
+    std::optional<PathCandidate> oldestUnreachable(const std::vector<PathCandidate> &listed,
+                                                   const std::set<PathCandidate> &running,
+                                                   state::Instant now) const;
 
     PathHealthSettings settings;
+    std::minstd_rand random;
     std::map<PathCandidate, LastOutcome> outcomes; // empty while no endpoint is unreachable
 };
 
--- a/src/program/PathMonitor.cpp
+++ b/src/program/PathMonitor.cpp
@@ -1,5 +1,7 @@
-// Probes are paced while they fail. After one that succeeds the next follows at once, so that a
-// node whose links are back serves requests itself again within a round trip for each endpoint.
+// Several probes at once tell within one timeout whether a failed connection was the endpoint's
+// fault or this node's. While a service is lost, one prober goes on: paced while its probes fail,
+// and without a pause after one that succeeds, so that a node whose links are back serves requests
+// itself again within a round trip for each endpoint.
 #include "program/PathMonitor.h"
 
 #include "program/Clock.h"
@@ -19,12 +21,14 @@
 using coordination::routing::PathCandidate;
 using coordination::routing::PathCounts;
 using coordination::routing::PathOutcome;
+using coordination::routing::PathState;
 using std::chrono::milliseconds;
 
 namespace {
 
 constexpr milliseconds probePause{250};
 constexpr milliseconds probeTimeout{400}; // many round trips within a region
+constexpr std::size_t probersAtOnce = 5;
 
 void logPath(LogLevel level, std::string_view event, const state::ServiceName &service,
              const PathCounts &counts)
@@ -37,9 +41,10 @@
 
 } // namespace
 
-PathMonitor::PathMonitor(asio::io_context &context, Hooks hooks)
+PathMonitor::PathMonitor(asio::io_context &context, Hooks hooks, std::uint64_t seed)
     : context(context)
     , hooks(std::move(hooks))
+    , health(seed)
 {}
 
 void PathMonitor::record(const state::EndpointDescription &endpoint, PathOutcome outcome)
@@ -47,18 +52,19 @@
     {
         const std::lock_guard lock(this->mutex);
         this->health.record({endpoint.service, endpoint.id}, outcome, monotonicNow());
+        this->hasFailures = this->health.hasFailures(monotonicNow());
         if (outcome == PathOutcome::Reached && this->lostServices.empty())
             return;
     }
     this->update();
 }
 
-bool PathMonitor::isLost(const state::ServiceName &service) const
+PathState PathMonitor::state(const state::ServiceName &service) const
 {
-    if (!this->suspicious)
-        return false;
+    if (!this->hasFailures)
+        return PathState::Usable;
     const std::lock_guard lock(this->mutex);
-    return this->health.isLost(service, monotonicNow());
+    return this->health.state(service, monotonicNow());
 }
 
 std::vector<PathCandidate> PathMonitor::listed() const
@@ -83,7 +89,7 @@
     std::set<state::ServiceName> before;
     std::set<state::ServiceName> lost;
     std::map<state::ServiceName, PathCounts> counts;
-    bool startProbing = false;
+    std::size_t newProbers = 0;
     bool cutOffNow = false;
     {
         const std::lock_guard lock(this->mutex);
@@ -96,9 +102,10 @@
         }
         cutOffNow = this->health.isCutOff({services.begin(), services.end()}, now);
         before = std::exchange(this->lostServices, lost);
-        startProbing = !lost.empty() && !this->probing;
-        this->probing = this->probing || startProbing;
-        this->suspicious = !lost.empty();
+        this->findsWayBack = this->findsWayBack || !lost.empty();
+        if (this->probers == 0
+            && (!lost.empty() || this->health.isInconclusive(candidates, this->running, now)))
+            newProbers = this->probers = probersAtOnce;
     }
     for (const state::ServiceName &service : lost) {
         if (!before.contains(service))
@@ -108,10 +115,9 @@
         if (!lost.contains(service))
             logPath(LogLevel::Info, "path.regained", service, counts[service]);
     }
-    if (startProbing)
+    for (std::size_t started = 0; started < newProbers; ++started)
         asio::co_spawn(
-                this->context,
-                [self = this->shared_from_this()]() { return self->probeWhileFailing(); },
+                this->context, [self = this->shared_from_this()]() { return self->runProber(); },
                 asio::detached);
     if (this->cutOff.exchange(cutOffNow) == cutOffNow)
         return;
@@ -119,37 +125,59 @@
     this->hooks.changed();
 }
 
-asio::awaitable<void> PathMonitor::probeWhileFailing()
+std::optional<PathCandidate> PathMonitor::takeProbe()
+{
+    const std::vector<PathCandidate> candidates = this->listed();
+    const std::lock_guard lock(this->mutex);
+    const state::Instant now = monotonicNow();
+    const bool isLast = this->probers == 1;
+    const bool isNeeded = this->health.isInconclusive(candidates, this->running, now)
+                          || (isLast && this->findsWayBack && this->health.hasFailures(now));
+    std::optional<PathCandidate> next;
+    if (isNeeded)
+        next = this->health.nextProbe(candidates, this->running, now);
+    if (next) {
+        this->running.insert(*next);
+        return next;
+    }
+    --this->probers;
+    this->findsWayBack = this->findsWayBack && !isLast;
+    return std::nullopt;
+}
+
+asio::awaitable<void> PathMonitor::runProber()
 {
     const auto self = this->shared_from_this();
     while (true) {
-        std::optional<PathCandidate> next;
-        const std::vector<PathCandidate> candidates = this->listed();
+        const std::optional<PathCandidate> next = this->takeProbe();
+        if (!next)
+            break;
+        const bool reached = co_await this->probe(*next);
+        bool isLast = false;
         {
             const std::lock_guard lock(this->mutex);
-            const state::Instant now = monotonicNow();
-            if (this->health.hasFailures(now))
-                next = this->health.nextProbe(candidates, now);
-            this->probing = next.has_value();
+            this->running.erase(*next);
+            isLast = this->probers == 1;
         }
-        if (!next)
-            break;
-        const auto table = this->hooks.endpoints();
-        const auto known = table->endpoints.find(next->endpoint);
-        const bool reached =
-                known != table->endpoints.end() && co_await this->probe(known->second.description);
-        if (!reached)
+        if (!reached && isLast)
             co_await transport::pause(probePause);
     }
     this->update();
 }
 
 // Any answer shows that the path works both ways; an accepted connection alone does not.
-asio::awaitable<bool> PathMonitor::probe(const state::EndpointDescription &endpoint)
+asio::awaitable<bool> PathMonitor::probe(const PathCandidate &candidate)
 {
-    auto request = this->hooks.probeRequest(endpoint);
-    if (!request)
+    const auto table = this->hooks.endpoints();
+    const auto known = table->endpoints.find(candidate.endpoint);
+    std::optional<protocol::HttpRequest> request;
+    if (known != table->endpoints.end())
+        request = this->hooks.probeRequest(known->second.description);
+    if (!request) {
+        co_await transport::pause(probePause);
         co_return false;
+    }
+    const state::EndpointDescription &endpoint = known->second.description;
     transport::HttpCallLimits limits;
     limits.connectTimeout = probeTimeout;
     limits.timeout = probeTimeout;
--- a/src/program/PathMonitor.h
+++ b/src/program/PathMonitor.h
@@ -1,5 +1,5 @@
 // Watches this node's paths to the endpoints: collects the outcomes of its connections, and probes
-// the endpoints while a service seems to be out of reach.
+// the endpoints after one has failed and while a service is out of reach.
 #pragma once
 
 #include "coordination/routing/PathHealth.h"
@@ -33,19 +33,21 @@
         std::function<void()> changed; // isCutOff() has another result
     };
 
-    PathMonitor(boost::asio::io_context &context, Hooks hooks);
+    PathMonitor(boost::asio::io_context &context, Hooks hooks, std::uint64_t seed);
 
     // All of these may be called from any thread.
     void record(const state::EndpointDescription &endpoint,
                 coordination::routing::PathOutcome outcome);
-    // Whether requests for the service should go through a peer.
-    bool isLost(const state::ServiceName &service) const;
+    coordination::routing::PathState state(const state::ServiceName &service) const;
     // Whether this node reaches no endpoint of any service.
     bool isCutOff() const { return this->cutOff; }
 
 private:
-    boost::asio::awaitable<void> probeWhileFailing();
-    boost::asio::awaitable<bool> probe(const state::EndpointDescription &endpoint);
+    // One of several that probe at the same time.
+    boost::asio::awaitable<void> runProber();
+    boost::asio::awaitable<bool> probe(const coordination::routing::PathCandidate &candidate);
+    // The endpoint that a prober takes next; nothing if the prober is not needed any more.
+    std::optional<coordination::routing::PathCandidate> takeProbe();
     // The endpoints that take new work, sorted.
     std::vector<coordination::routing::PathCandidate> listed() const;
     void update();
@@ -54,10 +56,12 @@
     Hooks hooks;
     mutable std::mutex mutex; // guards the members below; never held across I/O or a hook
     coordination::routing::PathHealth health;
-    std::set<state::ServiceName> lostServices; // as logged
-    bool probing = false;
+    std::set<state::ServiceName> lostServices;              // as logged
+    std::set<coordination::routing::PathCandidate> running; // probes
+    std::size_t probers = 0;
+    bool findsWayBack = false; // a service was lost since the probers began
     std::atomic<bool> cutOff = false;
-    std::atomic<bool> suspicious = false; // false: no service is lost
+    std::atomic<bool> hasFailures = false; // false: no endpoint is unreachable
 };
 
 } // namespace lavenderthread::program
--- a/src/program/RelayListeners.cpp
+++ b/src/program/RelayListeners.cpp
@@ -58,16 +58,21 @@
     return profiles;
 }
 
+// Differs between nodes and between starts.
+std::uint64_t seedOf(const state::VmId &vm)
+{
+    return XXH3_64bits(vm.value().data(), vm.value().size())
+           ^ static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
+}
+
 } // namespace
 
 RelayListeners::RelayListeners(const Settings &settings, asio::io_context &context,
                                Hooks chosenHooks)
     : settings(settings)
     , hooks(std::move(chosenHooks))
-    , paths(std::make_shared<PathMonitor>(context, this->pathHooks()))
-    , relay(settings, this->relayHooks(),
-            XXH3_64bits(settings.vm.value().data(), settings.vm.value().size())
-                    ^ static_cast<std::uint64_t>(wallNow().time_since_epoch().count()))
+    , paths(std::make_shared<PathMonitor>(context, this->pathHooks(), seedOf(settings.vm)))
+    , relay(settings, this->relayHooks(), seedOf(settings.vm))
     , operatorApi(this->makeOperatorApi())
 {}
 
@@ -81,8 +86,8 @@
     relayHooks.standing = [this] { return this->hooks.client->standing(); };
     relayHooks.refuses = [this] { return this->refusing.load(); };
     relayHooks.peers = [this] { return this->hooks.cluster->relayPeers(); };
-    relayHooks.isPathLost = [this](const state::ServiceName &service) {
-        return this->paths->isLost(service);
+    relayHooks.pathState = [this](const state::ServiceName &service) {
+        return this->paths->state(service);
     };
     relayHooks.recordPath = [this](const state::EndpointDescription &endpoint,
                                    coordination::routing::PathOutcome outcome) {
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -22,6 +22,7 @@
 using coordination::relay::FinalAnswer;
 using coordination::routing::AttemptOutcome;
 using coordination::routing::PathOutcome;
+using coordination::routing::PathState;
 using coordination::routing::ReplicaCandidate;
 using protocol::PeerResult;
 using state::routes::CallKind;
@@ -265,7 +266,7 @@
             return RelayRefusal{503, "this node is leaving", retryElsewhere};
         if (this->routes->service(this->outcome.service) == nullptr)
             return RelayRefusal{503, "the service is not known here", retryWithoutEndpoint};
-        if (this->hooks.isPathLost(this->outcome.service))
+        if (this->hooks.pathState(this->outcome.service) == PathState::Lost)
             return RelayRefusal{503, "no path to the service either", retryWithoutEndpoint};
         this->refusalResult = PeerResult::NotRun;
         this->handedRoute.name = this->handed->route;
@@ -573,7 +574,8 @@
     bool shouldUsePeers() const
     {
         return !this->handed && !this->peersHaveNoPath
-               && this->hooks.isPathLost(this->outcome.service) && !this->hooks.peers().empty();
+               && this->hooks.pathState(this->outcome.service) == PathState::Lost
+               && !this->hooks.peers().empty();
     }
 
     // Whether the caller has been answered.
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -71,9 +71,9 @@
         std::function<std::vector<state::Address>()> peers = [] {
             return std::vector<state::Address>();
         };
-        // Whether this node's own paths to the service are lost.
-        std::function<bool(const state::ServiceName &)> isPathLost =
-                [](const state::ServiceName &) { return false; };
+        // This node's own paths to the service.
+        std::function<coordination::routing::PathState(const state::ServiceName &)> pathState =
+                [](const state::ServiceName &) { return coordination::routing::PathState::Usable; };
         std::function<void(const state::EndpointDescription &, coordination::routing::PathOutcome)>
                 recordPath = [](const auto &, auto) {};
         std::shared_ptr<PromptGuard> prompts;
--- a/tests/coordination/routing/PathHealthTest.cpp
+++ b/tests/coordination/routing/PathHealthTest.cpp
@@ -4,6 +4,10 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <functional>
+#include <string>
+
 namespace lavenderthread::coordination::routing {
 
 class PathHealthTest : public CppUnit::TestFixture
@@ -14,6 +18,9 @@
     CPPUNIT_TEST(crashesAmongReachedEndpointsAreNoLostPath);
     CPPUNIT_TEST(serviceWithoutOutcomeFollowsTheOthers);
     CPPUNIT_TEST(oneServiceOfTwoIsLost);
+    CPPUNIT_TEST(darkEnginesAreRarelyTakenForALostPath);
+    CPPUNIT_TEST(oneFailureIsFollowedByProbesThatConclude);
+    CPPUNIT_TEST(everyServiceIsProbedEarly);
     CPPUNIT_TEST(probesFindTheWayBack);
     CPPUNIT_TEST(oldAndUnlistedOutcomesAreForgotten);
     CPPUNIT_TEST_SUITE_END();
@@ -44,6 +51,32 @@
         return all;
     }
 
+    std::vector<PathCandidate> manyEngines(int count) const
+    {
+        std::vector<PathCandidate> all;
+        for (int index = 0; index < count; ++index)
+            all.push_back(at(this->engines, index));
+        std::ranges::sort(all);
+        return all;
+    }
+
+    // Probes as a node does after a failure; returns the number of probes.
+    int probeUntilConclusive(int engineCount, const std::function<bool(int)> &isDark)
+    {
+        const std::vector<PathCandidate> all = this->manyEngines(engineCount);
+        int probes = 0;
+        while (this->paths.isInconclusive(all, {}, this->now)) {
+            const auto next = this->paths.nextProbe(all, {}, this->now);
+            const int engine =
+                    std::stoi(next->endpoint.value().substr(this->engines.value().size()));
+            this->paths.record(*next,
+                               isDark(engine) ? PathOutcome::Unreachable : PathOutcome::Reached,
+                               this->now);
+            ++probes;
+        }
+        return probes;
+    }
+
 public:
     void setUp() override { this->paths = PathHealth(); }
 
@@ -90,13 +123,55 @@
         CPPUNIT_ASSERT(!this->paths.isCutOff({this->engines, this->replicas}, this->now));
     }
 
+    // Guards against a fleet in which nearly every entry takes its paths for lost because two
+    // fifths of the engines are dark.
+    void darkEnginesAreRarelyTakenForALostPath()
+    {
+        constexpr int entries = 400;
+        const auto isDark = [](int engine) { return engine % 5 < 2; };
+        int lost = 0;
+        for (int entry = 0; entry < entries; ++entry) {
+            this->paths = PathHealth(std::uint64_t(entry));
+            this->paths.record(at(this->engines, 0), PathOutcome::Unreachable, this->now);
+            this->probeUntilConclusive(50, isDark);
+            lost += this->paths.isLost(this->engines, this->now) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(lost < entries / 5);
+    }
+
+    // Guards against an entry with few requests that needs several of them to learn that its links
+    // are gone.
+    void oneFailureIsFollowedByProbesThatConclude()
+    {
+        this->record(this->engines, 0, 1, PathOutcome::Unreachable);
+        CPPUNIT_ASSERT(this->paths.state(this->engines, this->now) == PathState::Doubtful);
+        const int probes = this->probeUntilConclusive(50, [](int) { return true; });
+        CPPUNIT_ASSERT_EQUAL(5, probes);
+        CPPUNIT_ASSERT(this->paths.isLost(this->engines, this->now));
+        this->paths = PathHealth();
+        this->record(this->engines, 0, 1, PathOutcome::Unreachable);
+        this->probeUntilConclusive(50, [](int engine) { return engine == 0; });
+        CPPUNIT_ASSERT(this->paths.state(this->engines, this->now) == PathState::Usable);
+    }
+
+    // Guards against an entry that says late that it reaches nothing, as it probes all engines
+    // before the first replica of another service.
+    void everyServiceIsProbedEarly()
+    {
+        std::vector<PathCandidate> all = this->manyEngines(50);
+        all.push_back(at(this->replicas, 0));
+        this->record(this->engines, 0, 6, PathOutcome::Unreachable);
+        const auto next = this->paths.nextProbe(all, {}, this->now);
+        CPPUNIT_ASSERT(next == at(this->replicas, 0));
+    }
+
     // Guards against a node that stays cut off in its own view because it sends nothing itself.
     void probesFindTheWayBack()
     {
         this->record(this->engines, 0, 8, PathOutcome::Unreachable);
         this->record(this->replicas, 0, 3, PathOutcome::Unreachable);
         for (int probes = 0; probes < 11; ++probes) {
-            const auto next = this->paths.nextProbe(this->listed(), this->now);
+            const auto next = this->paths.nextProbe(this->listed(), {}, this->now);
             CPPUNIT_ASSERT(next.has_value());
             this->paths.record(*next, PathOutcome::Reached, this->now);
         }
--- a/tests/platform/RelayFixture.h
+++ b/tests/platform/RelayFixture.h
@@ -21,6 +21,7 @@
 namespace lavenderthread::platform {
 
 namespace asio = boost::asio;
+using coordination::routing::PathState;
 using program::EndpointTable;
 using program::RouteRelay;
 
@@ -221,8 +222,8 @@
     {
         RouteRelay::Hooks hooks = this->hooks();
         hooks.refuses = [behaviour] { return behaviour == PeerBehaviour::IsLeaving; };
-        hooks.isPathLost = [behaviour](const state::ServiceName &) {
-            return behaviour == PeerBehaviour::HasNoPath;
+        hooks.pathState = [behaviour](const state::ServiceName &) {
+            return behaviour == PeerBehaviour::HasNoPath ? PathState::Lost : PathState::Usable;
         };
         hooks.finished = [this](const program::RelayOutcome &outcome) {
             this->servedByPeers += outcome.whole ? 1 : 0;
@@ -262,7 +263,9 @@
     {
         RouteRelay::Hooks hooks = this->hooks();
         hooks.peers = [this] { return this->peerAddresses; };
-        hooks.isPathLost = [this](const state::ServiceName &) { return this->pathLost.load(); };
+        hooks.pathState = [this](const state::ServiceName &) {
+            return this->pathLost ? PathState::Lost : PathState::Usable;
+        };
         return hooks;
     }
 
