Relay: a request that meets a failed connection goes to a peer while the entry's path is in doubt

The first requests at an entry whose links were gone waited for two connections of 0.7 s one after the other, and their callers had left or their time was over; requests handed to a peer that was cut off too, and did not know it, were held there for up to three connections and then refused for good. Cause: a request had no other way before its entry was sure that its paths were lost; a peer took its own failed connections for a refusal by the endpoints. Evidence: peer.failed with result=unknown, 126 in ten seconds, 0.7 s in the mean and 3.2 s at most. Why it works: the first failed connection is enough to ask a peer, and if no peer has a path the engines are tried again. A peer in doubt says "elsewhere" at once. A connection gets 0.4 s: a lost packet costs a second either way.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -207,7 +207,7 @@
             co_return;
         PathLoss::Settings settings;
         settings.fault =
-                this->options.pathLoss == "reset" ? LinkFault::Refused : LinkFault::Unreachable;
+                this->options.pathLoss == "hang" ? LinkFault::Unreachable : LinkFault::Refused;
         settings.cutOff = entriesCutOff;
         settings.quiet = this->options.pathLoss == "quiet";
         settings.seed = this->options.seed;
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -52,7 +52,7 @@
 constexpr milliseconds shortestRetryAfterLimits{200};
 constexpr milliseconds longestRetryAfter{5'000};
 // An endpoint in the same region accepts within a few milliseconds; a lost packet adds a second.
-constexpr milliseconds connectTimeout{700};
+constexpr milliseconds connectTimeout{400};
 constexpr milliseconds peerConnectTimeout{300}; // entries are as near as endpoints
 // Peers that can't take a request say so within a round trip.
 constexpr std::size_t maxPeersAsked = 6;
@@ -266,7 +266,7 @@
             return RelayRefusal{503, "this node is leaving", retryElsewhere};
         if (this->routes->service(this->outcome.service) == nullptr)
             return RelayRefusal{503, "the service is not known here", retryWithoutEndpoint};
-        if (this->hooks.pathState(this->outcome.service) == PathState::Lost)
+        if (this->pathState() != PathState::Usable)
             return RelayRefusal{503, "no path to the service either", retryWithoutEndpoint};
         this->refusalResult = PeerResult::NotRun;
         this->handedRoute.name = this->handed->route;
@@ -364,6 +364,10 @@
             this->updateTimeIsOver();
             if (!coordination::relay::mayRetry(this->facts, end) || !this->mayRepeatPrompt(end))
                 break;
+            if (this->shouldGoElsewhere()) {
+                this->refusalResult = PeerResult::Elsewhere;
+                break;
+            }
             if (this->shouldUsePeers()) {
                 co_await this->moveFromEngine(current, end);
                 co_return;
@@ -396,9 +400,13 @@
         this->hooks.scheduler.finished(this->request.id, failed.attempt, false);
         this->scheduled = false;
         const bool paid = this->facts.runs == 0 || this->takeRetryToken();
-        const bool done = paid && co_await this->runThroughPeersIfPathLost();
-        if (!done)
+        if (!paid) {
             co_await this->sendFinalAnswer(this->outcome.reason, retryWithoutEndpoint);
+            co_return;
+        }
+        const bool done = co_await this->runThroughPeersIfPathLost();
+        if (!done) // no peer will be asked again
+            co_await this->runOnEngines();
     }
 
     // Right after a start, the scheduler knows the configuration shortly before it knows the first
@@ -492,6 +500,10 @@
             if (!coordination::relay::mayRetry(this->facts, end) || !this->mayRepeatPrompt(end)
                 || (needsToken && !this->takeRetryToken()))
                 break;
+            if (this->shouldGoElsewhere()) {
+                this->refusalResult = PeerResult::Elsewhere;
+                break;
+            }
             const bool done = co_await this->runThroughPeersIfPathLost();
             if (done)
                 co_return;
@@ -571,13 +583,27 @@
         this->facts.deadlinePassed = remaining(this->deadline) == milliseconds(0);
     }
 
+    PathState pathState() const { return this->hooks.pathState(this->outcome.service); }
+
+    // A request that has met a failed connection does not wait for the next one to fail.
+    bool avoidsOwnPath() const
+    {
+        const PathState paths = this->pathState();
+        return paths == PathState::Lost || (paths == PathState::Doubtful && this->pathFailed);
+    }
+
     bool shouldUsePeers() const
     {
-        return !this->handed && !this->peersHaveNoPath
-               && this->hooks.pathState(this->outcome.service) == PathState::Lost
+        return !this->handed && !this->peersHaveNoPath && this->avoidsOwnPath()
                && !this->hooks.peers().empty();
     }
 
+    // The peer that has handed the request over can ask another one, which may have a path.
+    bool shouldGoElsewhere() const
+    {
+        return this->handed && this->facts.runs == 0 && this->avoidsOwnPath();
+    }
+
     // Whether the caller has been answered.
     asio::awaitable<bool> runThroughPeersIfPathLost()
     {
@@ -729,8 +755,10 @@
         auto opened = co_await this->open(target.endpoint.address, std::move(forwarded),
                                           std::min(connectTimeout, left), std::move(beforeSend));
         if (!opened) {
-            if (isPathFailure(opened.error(), left))
+            if (isPathFailure(opened.error(), left)) {
+                this->pathFailed = true;
                 this->hooks.recordPath(target.endpoint, PathOutcome::Unreachable);
+            }
             co_return this->openFailed(opened.error());
         }
         this->hooks.recordPath(target.endpoint, PathOutcome::Reached);
@@ -1130,6 +1158,7 @@
     bool scheduled = false;
     PeerResult refusalResult = PeerResult::NotRun; // of a 503, for the peer
     PeerResult peerResult = PeerResult::Unknown;   // of the last attempt through a peer
+    bool pathFailed = false;                       // a connection to an endpoint has failed
     // No peer could take the request: the fault is at endpoints, of which some may be left.
     bool peersHaveNoPath = false;
     std::optional<milliseconds> peerRetryAfter; // with it
--- a/tests/platform/PeerRelayTest.cpp
+++ b/tests/platform/PeerRelayTest.cpp
@@ -20,6 +20,10 @@
     CPPUNIT_TEST(failureOfEndpointPassesThroughUnchanged);
     CPPUNIT_TEST(requestIsNotHandedOnTwice);
     CPPUNIT_TEST(enginesThatAreLeftServeAfterAllPeersRefused);
+    CPPUNIT_TEST(requestDoesNotWaitForASecondFailedConnection);
+    CPPUNIT_TEST(doubtfulPathServesWhatHasNotFailed);
+    CPPUNIT_TEST(enginesServeAfterPeersRefusedInDoubt);
+    CPPUNIT_TEST(peerThatLosesItsPathHandsTheRequestBack);
     CPPUNIT_TEST(callerCloseReachesEndpointThroughPeer);
     CPPUNIT_TEST(pathLostDuringRequestMovesItToPeer);
     CPPUNIT_TEST(forgedHandoverIsRefused);
@@ -48,6 +52,14 @@
         }
     }
 
+    // Of all placements, also those of peers.
+    static void failFirstPlacement(RelayFixture &fixture)
+    {
+        fixture.beforePlacement = [&fixture, placements = 0]() mutable {
+            fixture.failFirstConnection = placements++ == 0;
+        };
+    }
+
 public:
     // Guards against incident 08: an entry whose own links are gone refuses everything.
     void entryWithoutPathServesThroughPeer()
@@ -147,6 +159,47 @@
         CPPUNIT_ASSERT_EQUAL(1, fixture.arrivals.load());
     }
 
+    // Guards against a request that pays for one failed connection after the other while its entry
+    // is not sure yet that its links are gone.
+    void requestDoesNotWaitForASecondFailedConnection()
+    {
+        RelayFixture fixture(Kind::Stream, {Behaviour::Streams}, true, {PeerBehaviour::Serves});
+        fixture.pathDoubtful = true;
+        failFirstPlacement(fixture);
+        CPPUNIT_ASSERT_EQUAL(200U, fixture.call().value().status);
+        CPPUNIT_ASSERT_EQUAL(1, fixture.handedOver.load());
+        CPPUNIT_ASSERT(fixture.failures.empty());
+    }
+
+    // Guards against an entry that hands everything over because one endpoint has crashed.
+    void doubtfulPathServesWhatHasNotFailed()
+    {
+        RelayFixture fixture(Kind::Stream, {Behaviour::Streams}, true, {PeerBehaviour::Serves});
+        fixture.pathDoubtful = true;
+        CPPUNIT_ASSERT_EQUAL(200U, fixture.call().value().status);
+        CPPUNIT_ASSERT_EQUAL(0, fixture.handedOver.load());
+    }
+
+    // Guards against a refusal while engines are left and all peers are in doubt too.
+    void enginesServeAfterPeersRefusedInDoubt()
+    {
+        RelayFixture fixture(Kind::Stream, {Behaviour::Streams}, true, {PeerBehaviour::HasNoPath});
+        fixture.pathDoubtful = true;
+        failFirstPlacement(fixture);
+        CPPUNIT_ASSERT_EQUAL(200U, fixture.call().value().status);
+        CPPUNIT_ASSERT_EQUAL(1, fixture.handedOver.load());
+        CPPUNIT_ASSERT_EQUAL(1, fixture.arrivals.load());
+    }
+
+    // Guards against a peer that is cut off too, does not know it, and refuses for good what
+    // another one would serve.
+    void peerThatLosesItsPathHandsTheRequestBack()
+    {
+        using enum PeerBehaviour;
+        checkServed(Kind::NonIdempotent, Behaviour::Answers, {LosesPath, Serves}, false);
+        checkServed(Kind::Idempotent, Behaviour::Answers, {LosesPath, LosesPath, Serves}, false);
+    }
+
     // Guards against work that goes on at an endpoint after its caller has left another entry.
     void callerCloseReachesEndpointThroughPeer()
     {
