Relay: peers of other failure domains are asked too, and those that could not serve come last

Requests of entries without paths were refused, or served late, after six peers in vain. Cause: the list of peers held those of the entry's own failure domain only, if four of them said that they reach endpoints. What takes the links of most of a failure domain takes theirs too, and six of them were drawn anew for each request.

--- a/src/coordination/directory/RelayDirectory.cpp
+++ b/src/coordination/directory/RelayDirectory.cpp
@@ -67,20 +67,21 @@
     return addresses;
 }
 
-std::vector<state::Address> relayPeers(const membership::MemberTable &members,
-                                       const state::VmId &self)
+routing::RelayPeers relayPeers(const membership::MemberTable &members, const state::VmId &self)
 {
+    routing::RelayPeers peers;
     const MemberEntry *own = members.find(self);
     if (own == nullptr || own->record.description == nullptr)
-        return {};
+        return peers;
     const Accept isPeer = [&](const MemberEntry &entry) {
         return hasPaths(entry) && entry.record.id != self;
     };
-    std::vector<state::Address> addresses;
-    for (const MemberEntry *peer :
-         nearbyRelays(members, own->record.description->failureDomain, isPeer))
-        addresses.push_back(peer->record.description->caller);
-    return addresses;
+    for (const MemberEntry *peer : relaysOf(members, isPeer)) {
+        const auto &description = *peer->record.description;
+        const bool isNearby = description.failureDomain == own->record.description->failureDomain;
+        (isNearby ? peers.nearby : peers.distant).push_back(description.caller);
+    }
+    return peers;
 }
 
 } // namespace lavenderthread::coordination::directory
--- a/src/coordination/directory/RelayDirectory.h
+++ b/src/coordination/directory/RelayDirectory.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "coordination/membership/MemberTable.h"
+#include "coordination/routing/PeerOrder.h"
 
 #include <vector>
 
@@ -15,8 +16,7 @@
                                            const state::FailureDomain &callers);
 
 // Returns the entry addresses of the other ready relays that reach endpoints, for requests that
-// `self` can't send itself; those in its failure domain if there are enough of them, otherwise all.
-std::vector<state::Address> relayPeers(const membership::MemberTable &members,
-                                       const state::VmId &self);
+// `self` can't send itself. Empty if `self` is not listed.
+routing::RelayPeers relayPeers(const membership::MemberTable &members, const state::VmId &self);
 
 } // namespace lavenderthread::coordination::directory
--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -249,7 +249,7 @@
     return coordination::directory::relayAddresses(*this->membership->view()->members, callers);
 }
 
-std::vector<state::Address> Cluster::relayPeers() const
+coordination::routing::RelayPeers Cluster::relayPeers() const
 {
     if (!this->membership)
         return {};
--- a/src/program/Cluster.h
+++ b/src/program/Cluster.h
@@ -5,6 +5,7 @@
 #include "coordination/consensus/MemberPlan.h"
 #include "coordination/directory/Directory.h"
 #include "coordination/directory/WorkPeers.h"
+#include "coordination/routing/PeerOrder.h"
 #include "program/ControlClient.h"
 #include "program/EndpointRegistry.h"
 #include "program/Entry.h"
@@ -67,8 +68,8 @@
                                                          std::optional<std::uint64_t> incarnation);
     // Addresses of relay nodes for callers in that failure domain.
     std::vector<state::Address> relays(const state::FailureDomain &callers) const;
-    // Entry addresses of relays that reach the endpoints; see directory::relayPeers.
-    std::vector<state::Address> relayPeers() const;
+    // Relays that reach the endpoints; see directory::relayPeers.
+    coordination::routing::RelayPeers relayPeers() const;
     // The control members that are believed to be alive; those of the settings if there are none.
     std::vector<ControlMemberAddress> controlMembers() const;
     std::vector<coordination::consensus::MemberCandidate> controlCandidates() const;
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -55,7 +55,7 @@
 constexpr milliseconds connectTimeout{400};
 constexpr milliseconds peerConnectTimeout{300}; // entries are as near as endpoints
 // Peers that can't take a request say so within a round trip.
-constexpr std::size_t maxPeersAsked = 6;
+constexpr std::size_t maxPeersAsked = 12;
 // A connection that is not made in this time tells something about the path.
 constexpr milliseconds conclusiveConnectTime{300};
 // If sent bytes stay unacknowledged for this long, the endpoint's machine is considered lost.
@@ -616,7 +616,7 @@
     asio::awaitable<bool> runThroughPeers()
     {
         bool taken = false;
-        std::vector<state::Address> peers = this->relay.shuffledPeers();
+        std::vector<state::Address> peers = this->relay.orderedPeers();
         peers.resize(std::min(peers.size(), maxPeersAsked));
         for (const state::Address &peer : peers) {
             // A new one: the scheduler may still interrupt the attempt that was its own.
@@ -626,6 +626,7 @@
             if (end == AttemptResult::Complete) {
                 const std::lock_guard lock(this->relay.choiceMutex);
                 this->relay.retryBudgetOf(this->outcome.service).addSuccess();
+                this->relay.peerOrder.served(peer);
                 co_return true;
             }
             this->updateTimeIsOver();
@@ -634,6 +635,7 @@
             if (!this->peerHasTaken(end)) {
                 // No endpoint has seen the request: this is neither a refusal nor a retry.
                 --this->facts.refusals;
+                this->rememberPeerFailure(peer);
                 if (this->facts.callerGone || this->facts.deadlinePassed)
                     break;
                 continue;
@@ -655,6 +657,14 @@
         co_return true;
     }
 
+    void rememberPeerFailure(const state::Address &peer) const
+    {
+        if (this->facts.callerGone)
+            return;
+        const std::lock_guard lock(this->relay.choiceMutex);
+        this->relay.peerOrder.couldNotServe(peer, monotonicNow());
+    }
+
     void logPeerFailure(AttemptResult end) const
     {
         logEvent(LogLevel::Info, "peer.failed",
@@ -1174,6 +1184,7 @@
     , hooks(std::move(hooks))
     , random(seed)
     , chooser(seed + 1)
+    , peerOrder(seed + 2)
 {}
 
 asio::awaitable<void> RouteRelay::run(transport::HttpExchange &exchange)
@@ -1247,12 +1258,11 @@
     this->chooser.peerCallStarted(call.endpoint, call.incarnation, monotonicNow());
 }
 
-std::vector<state::Address> RouteRelay::shuffledPeers()
+std::vector<state::Address> RouteRelay::orderedPeers()
 {
-    std::vector<state::Address> peers = this->hooks.peers();
+    const coordination::routing::RelayPeers peers = this->hooks.peers();
     const std::lock_guard lock(this->choiceMutex);
-    std::ranges::shuffle(peers, this->random);
-    return peers;
+    return this->peerOrder.draw(peers, monotonicNow());
 }
 
 double RouteRelay::drawUniform()
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -5,6 +5,7 @@
 #include "coordination/admission/RetryBudget.h"
 #include "coordination/orders/FeedReceiver.h"
 #include "coordination/routing/PathHealth.h"
+#include "coordination/routing/PeerOrder.h"
 #include "coordination/routing/ReplicaChooser.h"
 #include "program/EndpointRegistry.h"
 #include "program/PromptGuard.h"
@@ -68,8 +69,8 @@
         std::function<coordination::orders::ViewStatus()> standing; // of `routes`
         std::function<bool()> refuses; // true: this node is shutting down, no new work
         // Entry addresses of peers that have paths to the endpoints.
-        std::function<std::vector<state::Address>()> peers = [] {
-            return std::vector<state::Address>();
+        std::function<coordination::routing::RelayPeers()> peers = [] {
+            return coordination::routing::RelayPeers();
         };
         // This node's own paths to the service.
         std::function<coordination::routing::PathState(const state::ServiceName &)> pathState =
@@ -104,7 +105,7 @@
     double drawUniform();
     // An answer of the endpoint names the rate that it accepts, or none.
     void limitNamed(const state::EndpointDescription &endpoint, std::optional<double> perSecond);
-    std::vector<state::Address> shuffledPeers();
+    std::vector<state::Address> orderedPeers();
     coordination::admission::RetryBudget &retryBudgetOf(const state::ServiceName &service);
 
     const Settings &settings;
@@ -113,6 +114,7 @@
     std::mutex choiceMutex; // guards the members below; held only for a choice, never across I/O
     std::mt19937_64 random;
     coordination::routing::ReplicaChooser chooser;
+    coordination::routing::PeerOrder peerOrder;
     std::map<state::ServiceName, coordination::admission::RetryBudget> budgets;
 };
 
--- a/tests/coordination/directory/RelayDirectoryTest.cpp
+++ b/tests/coordination/directory/RelayDirectoryTest.cpp
@@ -94,10 +94,15 @@
         MemberTable members;
         for (int number = 1; number <= 6; ++number)
             add(members, number, "a", number != 2);
-        const auto peers = relayPeers(members, state::VmId("vm-1"));
+        add(members, 7, "b", true);
+        add(members, 8, "b", false);
+        const auto all = relayPeers(members, state::VmId("vm-1"));
+        const auto &peers = all.nearby;
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), peers.size());
         CPPUNIT_ASSERT(!lists(peers, 1) && !lists(peers, 2));
         CPPUNIT_ASSERT_EQUAL(callerPort, peers.front().port);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), all.distant.size());
+        CPPUNIT_ASSERT(lists(all.distant, 7));
     }
 };
 
--- a/tests/platform/RelayFixture.h
+++ b/tests/platform/RelayFixture.h
@@ -298,7 +298,7 @@
     RouteRelay::Hooks hooksWithPeers()
     {
         RouteRelay::Hooks hooks = this->hooks();
-        hooks.peers = [this] { return this->peerAddresses; };
+        hooks.peers = [this] { return coordination::routing::RelayPeers{this->peerAddresses, {}}; };
         hooks.endpoints = [this] {
             return this->monitor ? this->unreachable.read() : this->table.read();
         };
