--- /dev/null
+++ b/soak/EndpointRest.h
@@ -0,0 +1,79 @@
+// One scenario: half of the endpoints turn requests away and ask for rest, while an entry freezes
+// and another one is restarted. Checks what each entry sends them meanwhile.
+#pragma once
+
+#include "Callers.h"
+#include "Fleet.h"
+#include "StandIn.h"
+
+#include "state/Time.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace lavenderthread::soak {
+
+class EndpointRest
+{
+public:
+    struct Settings
+    {
+        std::uint64_t seed = 0;
+        std::size_t engines = 0; // the first endpoints; the others are replicas of a plain service
+    };
+
+    EndpointRest(boost::asio::io_context &context, Settings chosen, Fleet &fleet,
+                 std::vector<std::shared_ptr<StandIn>> &endpoints, Ledger &ledger);
+
+    // Ends after all endpoints serve again. Tells the ledger what was broken.
+    boost::asio::awaitable<void> play();
+
+    // What the endpoint of that index sees.
+    void requestArrived(std::size_t endpoint, const protocol::HttpRequest &request);
+    void askedForRest(std::size_t endpoint, const protocol::HttpRequest &request,
+                      std::chrono::milliseconds time);
+
+private:
+    struct Count
+    {
+        std::uint64_t sent = 0;
+        std::uint64_t served = 0;
+    };
+    // Of one endpoint, from one entry.
+    struct Rest
+    {
+        state::Instant countedFrom; // some time after the answer that asked for it
+        state::Instant until;
+        std::uint64_t arrivals = 0;
+    };
+    using Pair = std::pair<std::size_t, std::size_t>; // endpoint, entry
+
+    boost::asio::awaitable<void> callSteadily(std::size_t entry);
+    boost::asio::awaitable<void> callOnce(std::size_t entry, std::string path);
+    boost::asio::awaitable<Count> count(std::chrono::milliseconds time);
+    boost::asio::awaitable<void> disturbEntries();
+    // The half of the endpoints that is used; other ones have time to take over.
+    void restHalf(std::chrono::milliseconds time, std::size_t offset);
+    void serveAgain();
+    void judge();
+    static std::size_t entryOf(const protocol::HttpRequest &request);
+
+    boost::asio::io_context &context;
+    Settings settings;
+    Fleet &fleet;
+    std::vector<std::shared_ptr<StandIn>> &endpoints;
+    Ledger &ledger;
+    std::vector<std::unique_ptr<Caller>> people; // one for each process
+    std::map<Pair, std::vector<Rest>> rests;
+    std::set<std::size_t> excused; // entries that were disturbed
+    Count counted;
+    bool stopped = false;
+};
+
+} // namespace lavenderthread::soak
--- a/soak/StandIn.cpp
+++ b/soak/StandIn.cpp
@@ -63,6 +63,7 @@
     this->id = "i-" + std::to_string(this->random() % 100'000'000);
     this->sequence = 0;
     this->limit = {};
+    this->restTime.reset();
     this->ended = false;
 }
 
@@ -140,6 +141,16 @@
         co_await exchange.respond(std::move(answer));
         co_return;
     }
+    if (this->restTime) {
+        constexpr double msPerSecond = 1'000;
+        answer.status = 503;
+        answer.headers.add("Not-Executed", "1");
+        answer.headers.add("Retry-After",
+                           std::to_string(double(this->restTime->count()) / msPerSecond));
+        this->settings.askedForRest(request, *this->restTime);
+        co_await exchange.respond(std::move(answer));
+        co_return;
+    }
     if (this->strikes(EndpointFault::Refuses)) {
         answer.status = 503;
         answer.headers.add("Not-Executed", "1");
--- a/soak/StandIn.h
+++ b/soak/StandIn.h
@@ -42,6 +42,9 @@
     // tells whether the engine ends instead.
     std::function<void(const protocol::HttpRequest &)> arrived = [](const auto &) {};
     std::function<bool(const protocol::HttpRequest &)> ends = [](const auto &) { return false; };
+    // Called when a request is turned away and the caller is asked for so much rest.
+    std::function<void(const protocol::HttpRequest &, std::chrono::milliseconds)> askedForRest =
+            [](const auto &, auto) {};
 };
 
 class StandIn : public std::enable_shared_from_this<StandIn>
@@ -58,6 +61,8 @@
     // Names that many requests a second in its answers; nothing: names none.
     void nameLimit(std::optional<double> perSecond);
     const NamedLimit &namedLimit() const { return this->limit; }
+    // Turns all requests away and asks for so much rest; nothing: serves again.
+    void askForRest(std::optional<std::chrono::milliseconds> time) { this->restTime = time; }
     const std::string &name() const { return this->id; }
     std::uint64_t arrivals() const { return this->arrived; }
 
@@ -77,6 +82,7 @@
     std::shared_ptr<transport::HttpServer> server;
     EndpointFault fault = EndpointFault::None;
     NamedLimit limit;
+    std::optional<std::chrono::milliseconds> restTime;
     std::uint64_t arrived = 0; // requests, orders left out
     std::string id;
     std::uint64_t born = 0;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -8,6 +8,7 @@
 #include "ControlLoss.h"
 #include "CrashingPrompt.h"
 #include "EndpointLimits.h"
+#include "EndpointRest.h"
 #include "Faults.h"
 #include "Operator.h"
 #include "PathLoss.h"
@@ -41,12 +42,13 @@
     std::string pathLoss;    // how connections of cut-off entries fail; empty: not played
     std::string controlLoss; // how control members stop running; empty: not played
     bool endpointLimits = false;
+    bool endpointRest = false;
     std::string crashingPrompt; // where the part is that ends engines; empty: not played
 
     bool playsScenario() const
     {
         return !this->pathLoss.empty() || !this->controlLoss.empty() || this->endpointLimits
-               || !this->crashingPrompt.empty();
+               || this->endpointRest || !this->crashingPrompt.empty();
     }
 };
 
@@ -142,7 +144,14 @@
         for (std::size_t index = 0; index < this->engineCount() + replicas; ++index) {
             StandInSettings settings;
             settings.engine = index < this->engineCount();
-            settings.arrived = [this](const protocol::HttpRequest &request) {
+            settings.askedForRest = [this, index](const protocol::HttpRequest &request,
+                                                  milliseconds time) {
+                if (this->rests)
+                    this->rests->askedForRest(index, request, time);
+            };
+            settings.arrived = [this, index](const protocol::HttpRequest &request) {
+                if (this->rests)
+                    this->rests->requestArrived(index, request);
                 if (this->crashes)
                     this->crashes->requestArrived(request);
             };
@@ -194,6 +203,8 @@
             co_await this->playControlLoss();
         else if (this->options.endpointLimits)
             co_await this->playEndpointLimits();
+        else if (this->options.endpointRest)
+            co_await this->playEndpointRest();
         else if (!this->options.crashingPrompt.empty())
             co_await this->playCrashingPrompt();
         else
@@ -265,6 +276,17 @@
         co_await scenario.play();
     }
 
+    asio::awaitable<void> playEndpointRest()
+    {
+        const bool started = co_await this->startFleet();
+        if (!started)
+            co_return;
+        this->rests = std::make_unique<EndpointRest>(
+                this->context, EndpointRest::Settings{this->options.seed, engines}, this->fleet,
+                this->endpoints, this->ledger);
+        co_await this->rests->play();
+    }
+
     // Starts all processes and sends the first configuration.
     asio::awaitable<bool> startFleet()
     {
@@ -368,6 +390,7 @@
     std::map<state::Address, state::Address> proxyOf; // of an entry's callers
     std::unique_ptr<Faults> faults;
     std::unique_ptr<CrashingPrompt> crashes;
+    std::unique_ptr<EndpointRest> rests;
     Operator operators;
     std::uint16_t port;
 };
@@ -390,6 +413,8 @@
                    "Stop the leader and another voter after changes: freeze, kill")
             ->check(CLI::IsMember({"freeze", "kill"}));
     app.add_flag("--endpoint-limits", options.endpointLimits, "Endpoints name request limits");
+    app.add_flag("--endpoint-rest", options.endpointRest,
+                 "Endpoints turn requests away for a while");
     app.add_option("--crashing-prompt", options.crashingPrompt,
                    "Prompts with a certain part end engines; which part: second, first, two, none")
             ->check(CLI::IsMember({"second", "first", "two", "none"}));
