Relay: endpoints that ask for rest get no request for that time

Cause: Retry-After of an endpoint's 503 was decoded nowhere. The engine answered fast and looked idle, so that it was chosen again; three refusals made it suspect for a second. Why it works: the rest is an input of placing (an engine that rests has no slot, a replica is not chosen) and is asked again at the moment of sending, so that what was placed before does not go out either. It counts for the entry that got the answer and for that start of the endpoint, does not touch its health, and if all rest the caller is told at once until when. Tests that failed before it (no such input): restingEnginesGetNothing, restingReplicaIsNotChosen, replicaThatAskedForRestGetsNothing, requestIsWithheldIfItsEngineHasAskedForRest, decodesRest.

--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -127,6 +127,7 @@
     void on(const EngineDraining &event);
     void on(const EngineSuspected &event);
     void on(const EngineLimited &event);
+    void on(const EngineRests &event);
     void on(const LoadReported &event);
     void on(const CacheReported &event);
     void on(const PeerWorkReceived &event);
--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -60,6 +60,13 @@
         this->engines.limitSends(event.engine, event.perSecond, this->now);
 }
 
+void Dispatcher::on(const EngineRests &event)
+{
+    routing::EngineView *view = this->engines.find(event.engine);
+    if (view != nullptr && view->description().incarnation == event.incarnation)
+        view->restUntil(event.until);
+}
+
 void Dispatcher::on(const LoadReported &event)
 {
     if (routing::EngineView *view = this->engines.find(event.report.endpoint))
--- a/src/coordination/admission/Events.h
+++ b/src/coordination/admission/Events.h
@@ -50,6 +50,14 @@
     std::optional<double> perSecond;
 };
 
+// The engine wants no request from this entry until then.
+struct EngineRests
+{
+    state::EndpointId engine;
+    std::uint64_t incarnation = 0;
+    state::Instant until;
+};
+
 // The engine is lost: its announcements ended, it restarted, or its connections fail.
 struct EngineGone
 {
@@ -169,10 +177,10 @@
 {};
 
 using Event = std::variant<RequestArrived, CallerCancelled, EngineAnnounced, EngineGone,
-                           EngineDraining, EngineSuspected, EngineLimited, LoadReported,
-                           CacheReported, SlicePrefilled, TokensReceived, RequestFinished,
-                           AttemptFailed, MoveRequested, ReservationAnswered, TableChanged,
-                           PeerWorkReceived, PeerJoined, PeerBacklogReceived, Tick>;
+                           EngineDraining, EngineSuspected, EngineLimited, EngineRests,
+                           LoadReported, CacheReported, SlicePrefilled, TokensReceived,
+                           RequestFinished, AttemptFailed, MoveRequested, ReservationAnswered,
+                           TableChanged, PeerWorkReceived, PeerJoined, PeerBacklogReceived, Tick>;
 
 // Whether the request ran; No only if that is certain.
 enum class Ran : std::uint8_t { No, Unknown };
--- a/src/coordination/routing/EngineView.cpp
+++ b/src/coordination/routing/EngineView.cpp
@@ -39,6 +39,7 @@
         this->reportedMemory = 0;
         this->reportedRequests = 0;
         this->sendLimit.reset();
+        this->restsUntil = {};
     }
     this->endpoint = std::move(announced);
 }
@@ -53,15 +54,24 @@
         this->sendLimit.emplace(*perSecond, now, seed);
 }
 
+void EngineView::restUntil(state::Instant until)
+{
+    this->restsUntil = std::max(this->restsUntil, until);
+}
+
 std::size_t EngineView::sendsAvailable() const
 {
+    if (this->advancedTo < this->restsUntil)
+        return 0;
     return this->sendLimit ? this->sendLimit->available(this->advancedTo)
                            : std::numeric_limits<std::size_t>::max();
 }
 
 state::Instant EngineView::nextSend() const
 {
-    return this->sendLimit ? this->sendLimit->nextSend(this->advancedTo) : state::Instant{};
+    const state::Instant next =
+            this->sendLimit ? this->sendLimit->nextSend(this->advancedTo) : state::Instant{};
+    return std::max(next, this->restsUntil);
 }
 
 void EngineView::apply(const WorkNote &note, state::Instant now)
--- a/src/coordination/routing/EngineView.h
+++ b/src/coordination/routing/EngineView.h
@@ -64,6 +64,8 @@
     void completeHelperWork(std::uint64_t requestHash, WorkStage stage, state::Instant now);
     // Sets the rate of requests that the engine accepts from all entries; nothing: any rate.
     void limitSends(std::optional<double> perSecond, state::Instant now, std::uint64_t seed);
+    // The engine wants no request from this entry until then. A later time replaces an earlier one.
+    void restUntil(state::Instant until);
     // How many requests may be sent to it now. Call advance(now) first.
     std::size_t sendsAvailable() const;
     // When one may be sent; in the past if it accepts any rate.
@@ -97,6 +99,7 @@
     double decodeSlowdownDuringPrefill;
 
     std::optional<SendLimit> sendLimit; // of this incarnation; none: it accepts any rate
+    state::Instant restsUntil{};        // of this incarnation
     std::vector<ResidentWork> work;     // ordered by priority, then by arrival
     // Tokens reported beyond the known work; decreases with time.
     double unattributedPrefillTokens = 0;
--- a/src/coordination/routing/ReplicaChooser.cpp
+++ b/src/coordination/routing/ReplicaChooser.cpp
@@ -31,7 +31,7 @@
     std::tuple<bool, bool, double, std::uint64_t> bestRank;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const ReplicaCandidate &candidate = candidates[index];
-        if (!this->acceptsCall(candidate.description, now))
+        if (this->acceptsCallAt(candidate.description, now) > now)
             continue;
         const bool alreadyTried = std::ranges::find(tried, candidate.description.id) != tried.end();
         const std::tuple rank(alreadyTried, trustHealth && isStaleOrSuspect(candidate),
@@ -63,10 +63,9 @@
     std::optional<state::Instant> next;
     for (const ReplicaCandidate &candidate : candidates) {
         const state::EndpointDescription &replica = candidate.description;
-        if (this->acceptsCall(replica, now))
+        const state::Instant at = this->acceptsCallAt(replica, now);
+        if (at <= now)
             return std::nullopt;
-        const state::Instant at =
-                this->limitOf(replica.id, replica.incarnation)->sends.nextSend(now);
         next = next ? std::min(*next, at) : at;
     }
     return next;
@@ -85,11 +84,36 @@
     return this->limitOf(replica, incarnation) != nullptr;
 }
 
-bool ReplicaChooser::acceptsCall(const state::EndpointDescription &replica,
-                                 state::Instant now) const
+state::Instant ReplicaChooser::acceptsCallAt(const state::EndpointDescription &replica,
+                                             state::Instant now) const
 {
+    state::Instant at = now;
+    if (this->isResting(replica.id, replica.incarnation, now))
+        at = this->rests.at(replica.id).until;
     const NamedLimit *limit = this->limitOf(replica.id, replica.incarnation);
-    return limit == nullptr || limit->sends.available(now) > 0;
+    if (limit != nullptr && limit->sends.available(now) == 0)
+        at = std::max(at, limit->sends.nextSend(now));
+    return at;
+}
+
+void ReplicaChooser::restNamed(const state::EndpointId &endpoint, std::uint64_t incarnation,
+                               state::Instant until, state::Instant now)
+{
+    std::erase_if(this->rests, [now](const auto &each) { return each.second.until <= now; });
+    NamedRest &rest = this->rests[endpoint];
+    if (incarnation < rest.incarnation)
+        return; // of an earlier start
+    if (incarnation > rest.incarnation)
+        rest = {incarnation, until};
+    rest.until = std::max(rest.until, until);
+}
+
+bool ReplicaChooser::isResting(const state::EndpointId &endpoint, std::uint64_t incarnation,
+                               state::Instant now) const
+{
+    const auto found = this->rests.find(endpoint);
+    return found != this->rests.end() && found->second.incarnation == incarnation
+           && now < found->second.until;
 }
 
 bool ReplicaChooser::limitNamed(const state::EndpointId &replica, std::uint64_t incarnation,
--- a/src/coordination/routing/ReplicaChooser.h
+++ b/src/coordination/routing/ReplicaChooser.h
@@ -37,15 +37,17 @@
         : random(seed)
     {}
 
-    // Returns an index into `candidates`, or nothing if there are none or their limits are used up.
-    // Replicas in `tried` are used only if no others remain. Healthy replicas are preferred to
-    // stale or suspect ones unless these are the majority: then the fault is more likely on the
-    // side of this entry or the callers, and avoiding most replicas would only overload the rest.
+    // Returns an index into `candidates`, or nothing if none accepts a call now: see
+    // limitedUntil(). Replicas in `tried` are used only if no others remain. Healthy replicas are
+    // preferred to stale or suspect ones unless these are the majority: then the fault is more
+    // likely on the side of this entry or the callers, and avoiding most replicas would only
+    // overload the rest.
     std::optional<std::size_t> choose(const std::vector<ReplicaCandidate> &candidates,
                                       const std::vector<state::EndpointId> &tried,
                                       state::Instant now);
 
-    // When a replica accepts a call again, if the limits of all candidates are used up.
+    // When a replica accepts a call again, if the limits of all candidates are used up or they
+    // rest.
     std::optional<state::Instant> limitedUntil(const std::vector<ReplicaCandidate> &candidates,
                                                state::Instant now) const;
 
@@ -58,6 +60,12 @@
     bool limitNamed(const state::EndpointId &replica, std::uint64_t incarnation,
                     std::optional<double> perSecond, state::Instant now);
     bool isLimited(const state::EndpointId &replica, std::uint64_t incarnation) const;
+    // The endpoint wants no request from this entry until then. A later time replaces an earlier
+    // one.
+    void restNamed(const state::EndpointId &endpoint, std::uint64_t incarnation,
+                   state::Instant until, state::Instant now);
+    bool isResting(const state::EndpointId &endpoint, std::uint64_t incarnation,
+                   state::Instant now) const;
     // Returns true if the outcome made the replica suspect.
     bool callEnded(const state::EndpointDescription &replica, AttemptOutcome outcome,
                    state::Instant now);
@@ -83,14 +91,24 @@
         state::Instant namedAt; // last
     };
 
+    // What this start of an endpoint has asked for.
+    struct NamedRest
+    {
+        std::uint64_t incarnation = 0;
+        state::Instant until;
+    };
+
     const NamedLimit *limitOf(const state::EndpointId &replica, std::uint64_t incarnation) const;
-    bool acceptsCall(const state::EndpointDescription &replica, state::Instant now) const;
+    // When it accepts a call; not after `now` if it does already.
+    state::Instant acceptsCallAt(const state::EndpointDescription &replica,
+                                 state::Instant now) const;
     double estimatedLoad(const state::EndpointId &replica, state::Instant now) const;
 
     std::mt19937_64 random;
     EndpointHealth health;
     std::map<state::EndpointId, ReplicaState> replicas;
     std::map<state::EndpointId, NamedLimit> limits;
+    std::map<state::EndpointId, NamedRest> rests;
 };
 
 } // namespace lavenderthread::coordination::routing
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -579,11 +579,14 @@
     scheduler.placeAgain = [waitFor](state::RequestId id, Placement failed,
                                      AttemptFailure failure) {
         return waitFor(id, [id, failed, failure](State &state) {
-            if (failure != AttemptFailure::PeerLost)
+            const bool saysNothing = failure == AttemptFailure::PeerLost
+                                     || failure == AttemptFailure::Rests
+                                     || failure == AttemptFailure::Withheld;
+            if (!saysNothing)
                 state.noteHealth(failed.endpoint, outcomeOf(failure));
-            state.handle(admission::AttemptFailed{id, failed.attempt,
-                                                  failure != AttemptFailure::Lost,
-                                                  failure == AttemptFailure::Unreachable});
+            state.handle(admission::AttemptFailed{
+                    id, failed.attempt, failure != AttemptFailure::Lost,
+                    failure == AttemptFailure::Unreachable || failure == AttemptFailure::Withheld});
         });
     };
     scheduler.mayAbandon = [self](state::RequestId id, std::uint32_t attempt) {
@@ -624,6 +627,10 @@
                                   std::optional<double> perSecond) {
         self->post(admission::EngineLimited{endpoint, incarnation, perSecond});
     };
+    scheduler.restNamed = [self](const state::EndpointId &endpoint, std::uint64_t incarnation,
+                                 state::Instant until) {
+        self->post(admission::EngineRests{endpoint, incarnation, until});
+    };
     scheduler.reportPeerFailure = [self](const state::Address &address) {
         asio::post(self->state->strand,
                    [self, address] { self->state->handlePeerFailure(address); });
--- a/src/program/RelayCodec.h
+++ b/src/program/RelayCodec.h
@@ -59,6 +59,8 @@
     std::optional<coordination::routing::ReplicaLoad> load;
     // Requests a second that the endpoint accepts from all entries; nothing: any rate.
     std::optional<double> acceptedPerSecond;
+    // With a refusal: the endpoint wants no request from this entry for so long.
+    std::optional<std::chrono::milliseconds> rest;
     std::optional<state::Address> faulty; // another endpoint, whose failure caused the refusal
 };
 
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -186,6 +186,15 @@
                 this->request.id, this->outcome.service, this->request.promptParts));
     }
 
+    // The endpoint may have asked for rest since it was chosen.
+    bool isWithheld(const state::EndpointDescription &endpoint)
+    {
+        this->withheld = this->relay.isResting(endpoint);
+        if (this->withheld)
+            this->outcome.reason = "the endpoint has asked for rest";
+        return this->withheld;
+    }
+
     bool recordRefusal(std::optional<PromptRefusal> refusal)
     {
         this->promptRefusal = std::move(refusal);
@@ -427,8 +436,12 @@
 
     AttemptFailure failureOf(AttemptResult end) const
     {
+        if (this->withheld)
+            return AttemptFailure::Withheld;
         if (end == AttemptResult::NeverSent)
             return AttemptFailure::Unreachable;
+        if (this->askedForRest)
+            return AttemptFailure::Rests;
         if (end == AttemptResult::NotRun && this->peerFailed)
             return AttemptFailure::PeerLost;
         if (end == AttemptResult::NotRun)
@@ -555,8 +568,9 @@
     {
         // A healthy endpoint also answers a request that it can't carry out with its own error.
         const bool endedHere = this->facts.callerGone || this->promptRefusal;
-        const AttemptOutcome health =
-                endedHere ? AttemptOutcome::Succeeded : healthOf(end, this->endpointReplaced);
+        const bool rests = this->withheld || this->askedForRest;
+        const AttemptOutcome health = endedHere || rests ? AttemptOutcome::Succeeded
+                                                         : healthOf(end, this->endpointReplaced);
         bool suspected = false;
         {
             const std::lock_guard lock(this->relay.choiceMutex);
@@ -749,7 +763,10 @@
     asio::awaitable<AttemptResult> exchangeWith(Target target)
     {
         const milliseconds left = remaining(this->deadline);
-        if (left == milliseconds(0) || this->facts.callerGone || this->isPromptRefused())
+        this->withheld = false;
+        this->askedForRest = false;
+        if (left == milliseconds(0) || this->facts.callerGone || this->isPromptRefused()
+            || this->isWithheld(target.endpoint))
             co_return AttemptResult::NeverSent;
         ForwardParameters terms;
         terms.timeLeft = left;
@@ -759,8 +776,9 @@
         terms.helpers = target.helpers;
         terms.resumeAfter = this->events.lastId();
         protocol::HttpRequest forwarded = this->hooks.codec.forward(this->callerRequest(), terms);
-        transport::BeforeSend beforeSend = [this]() -> asio::awaitable<bool> {
-            co_return !this->isSendRefused();
+        transport::BeforeSend beforeSend = [this,
+                                            endpoint = target.endpoint]() -> asio::awaitable<bool> {
+            co_return !this->isSendRefused() && !this->isWithheld(endpoint);
         };
         auto opened = co_await this->open(target.endpoint.address, std::move(forwarded),
                                           std::min(connectTimeout, left), std::move(beforeSend));
@@ -894,6 +912,9 @@
             this->hooks.scheduler.reportPeerFailure(*head.faulty);
         if (head.genuine && !head.otherEndpoint)
             this->relay.limitNamed(target.endpoint, head.acceptedPerSecond);
+        this->askedForRest = head.genuine && head.rest.has_value();
+        if (this->askedForRest)
+            this->relay.restNamed(target.endpoint, *head.rest);
         if (!head.load || !head.genuine)
             return;
         const std::lock_guard lock(this->relay.choiceMutex);
@@ -1169,6 +1190,8 @@
     PeerResult refusalResult = PeerResult::NotRun; // of a 503, for the peer
     PeerResult peerResult = PeerResult::Unknown;   // of the last attempt through a peer
     bool pathFailed = false;                       // a connection to an endpoint has failed
+    bool withheld = false;     // the last attempt was not sent, since its endpoint rests
+    bool askedForRest = false; // the endpoint of the last attempt has
     // No peer could take the request: the fault is at endpoints, of which some may be left.
     bool peersHaveNoPath = false;
     std::optional<milliseconds> peerRetryAfter; // with it
@@ -1238,6 +1261,26 @@
                                                 perSecond.has_value(), perSecond.value_or(0)});
 }
 
+void RouteRelay::restNamed(const state::EndpointDescription &endpoint, state::Duration time)
+{
+    const state::Instant now = monotonicNow();
+    {
+        const std::lock_guard lock(this->choiceMutex);
+        this->chooser.restNamed(endpoint.id, endpoint.incarnation, now + time, now);
+    }
+    this->hooks.scheduler.restNamed(endpoint.id, endpoint.incarnation, now + time);
+    logEvent(LogLevel::Info, "endpoint.rests",
+             {{"endpoint", endpoint.id.value()},
+              {"incarnation", endpoint.incarnation},
+              {"for_us", std::int64_t(time.count())}});
+}
+
+bool RouteRelay::isResting(const state::EndpointDescription &endpoint)
+{
+    const std::lock_guard lock(this->choiceMutex);
+    return this->chooser.isResting(endpoint.id, endpoint.incarnation, monotonicNow());
+}
+
 void RouteRelay::peerHeardLimit(const protocol::EndpointLimited &limit)
 {
     const auto perSecond = limit.isLimited ? std::optional(limit.perSecond) : std::nullopt;
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -105,6 +105,9 @@
     double drawUniform();
     // An answer of the endpoint names the rate that it accepts, or none.
     void limitNamed(const state::EndpointDescription &endpoint, std::optional<double> perSecond);
+    // A refusal of the endpoint asks for rest.
+    void restNamed(const state::EndpointDescription &endpoint, state::Duration time);
+    bool isResting(const state::EndpointDescription &endpoint);
     std::vector<state::Address> orderedPeers();
     coordination::admission::RetryBudget &retryBudgetOf(const state::ServiceName &service);
 
--- a/src/program/Scheduler.h
+++ b/src/program/Scheduler.h
@@ -39,6 +39,8 @@
 enum class AttemptFailure {
     Unreachable, // no connection: this request did not reach the engine, and others can't either
     NotRun,      // the engine refused the request
+    Rests,       // the same, and it wants no more for a while; says nothing about its health
+    Withheld,    // not sent, since the engine has asked for rest in the meantime
     Replaced,    // another endpoint has the engine's address
     PeerLost,    // refused, because another engine that this one needed has failed
     Lost,        // the request may have run
@@ -108,6 +110,9 @@
     std::function<void(const state::EndpointId &, std::uint64_t incarnation,
                        std::optional<double> perSecond)>
             limitNamed;
+    // The endpoint wants no request from this entry until then.
+    std::function<void(const state::EndpointId &, std::uint64_t incarnation, state::Instant until)>
+            restNamed;
     // Reports that an engine named this peer, which it needed for the prompt, as failed.
     std::function<void(const state::Address &)> reportPeerFailure;
     // Whether the endpoint is still known to be alive under that incarnation.
--- a/tests/coordination/admission/DispatcherPassesTest.cpp
+++ b/tests/coordination/admission/DispatcherPassesTest.cpp
@@ -92,6 +92,7 @@
     CPPUNIT_TEST(engineLearnedLateIsNotBelievedIdle);
     CPPUNIT_TEST(entryThatStartsIsToldOfWorkInProgress);
     CPPUNIT_TEST(limitedEngineGetsItsRateFromAllEntries);
+    CPPUNIT_TEST(restingEnginesGetNothing);
     CPPUNIT_TEST(promptsThatNoEngineAcceptsAreRefusedAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
@@ -581,6 +582,34 @@
                              fixture.dispatcher->fleet().find(limited)->sendsAvailable());
     }
 
+    // Guards against requests to engines that have asked this entry for rest, and against holding
+    // one while all of them rest.
+    void restingEnginesGetNothing()
+    {
+        PassesFixture fixture;
+        const auto rest = [&fixture](std::size_t index, state::Duration time) {
+            fixture.handle(EngineRests{PassesFixture::engine(index).id, 1, fixture.now + time});
+        };
+        rest(0, seconds(3));
+        for (int index = 0; index < 40; ++index) {
+            fixture.now += milliseconds(50);
+            fixture.handle(RequestArrived{fixture.request("b" + std::to_string(index), 3'000)});
+            for (const Dispatch &dispatch : fixture.actionsOf<Dispatch>()) {
+                CPPUNIT_ASSERT(dispatch.engine != PassesFixture::engine(0).id);
+                fixture.handle(RequestFinished{dispatch.id, dispatch.attempt});
+            }
+        }
+        for (std::size_t index = 0; index < PassesFixture::engines; ++index)
+            rest(index, seconds(2));
+        fixture.handle(RequestArrived{fixture.request("brief", 3'000)});
+        const Refuse refusal = fixture.onlyAction<Refuse>();
+        CPPUNIT_ASSERT(refusal.reason == RefusalReason::EndpointLimits);
+        CPPUNIT_ASSERT(refusal.retryAfter > seconds(1));
+        fixture.now += seconds(2);
+        fixture.handle(RequestArrived{fixture.request("later", 3'000)});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.actionsOf<Dispatch>().size());
+    }
+
     // All engines are in need: a request that none accepts is told when to come back, and does not
     // wait until its time is over.
     void promptsThatNoEngineAcceptsAreRefusedAtOnce()
--- a/tests/coordination/routing/HealthTest.cpp
+++ b/tests/coordination/routing/HealthTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(probeEndsSuspicionByFailedConnections);
     CPPUNIT_TEST(restartClearsSuspicion);
     CPPUNIT_TEST(leastLoadedReplicaIsChosen);
+    CPPUNIT_TEST(restingReplicaIsNotChosen);
     CPPUNIT_TEST(suspectReplicasComeLastUnlessInMajority);
     CPPUNIT_TEST(limitedReplicaGetsItsRateFromAllEntries);
     CPPUNIT_TEST(limitEndsWithItsNamingOrARestart);
@@ -167,6 +168,26 @@
         CPPUNIT_ASSERT(chooser.choose({replica(0)}, {}, this->now).has_value());
     }
 
+    // Guards against requests to a replica that has asked this entry for rest.
+    void restingReplicaIsNotChosen()
+    {
+        ReplicaChooser chooser(1);
+        const state::EndpointDescription &resting = replica(0).description;
+        const state::Instant until = this->now + std::chrono::seconds(3);
+        chooser.restNamed(resting.id, resting.incarnation, until, this->now);
+        chooser.restNamed(resting.id, resting.incarnation, until - std::chrono::seconds(1),
+                          this->now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                             *chooser.choose({replica(0), replica(1)}, {}, this->now));
+        CPPUNIT_ASSERT(!chooser.choose({replica(0)}, {}, until - state::Duration(1)));
+        CPPUNIT_ASSERT(chooser.limitedUntil({replica(0)}, this->now) == std::optional(until));
+        CPPUNIT_ASSERT(!chooser.limitedUntil({replica(0), replica(1)}, this->now));
+        CPPUNIT_ASSERT(chooser.choose({replica(0)}, {}, until).has_value());
+        ReplicaCandidate restarted = replica(0);
+        ++restarted.description.incarnation;
+        CPPUNIT_ASSERT(chooser.choose({restarted}, {}, this->now).has_value());
+    }
+
     void suspectReplicasComeLastUnlessInMajority()
     {
         ReplicaChooser chooser(1);
--- a/tests/platform/RelayFixture.h
+++ b/tests/platform/RelayFixture.h
@@ -38,7 +38,8 @@
     CutsBody,            // in the middle of the body
     AnswersOtherRequest, // sends the answer of another request
     Unsealed,
-    NamesLimit, // answers, and accepts one request in two seconds from now on
+    AsksForRest, // refuses, and wants nothing for half a second
+    NamesLimit,  // answers, and accepts one request in two seconds from now on
     CutsInsideAnEvent,
     PausesLong, // after the second event, then continues
     Streams,
@@ -152,6 +153,12 @@
         }
         this->publishEndpoints();
     }
+    void keepOneEndpoint()
+    {
+        this->announced.endpoints.erase(std::next(this->announced.endpoints.begin()),
+                                        this->announced.endpoints.end());
+        this->publishEndpoints();
+    }
     program::PromptGuard &promptGuard() { return *this->prompts; }
     void publishEndpoints()
     {
@@ -390,6 +397,7 @@
                                   coordination::routing::AttemptOutcome) {};
         scheduler.reportPeerFailure = [](const state::Address &) {};
         scheduler.limitNamed = [](const auto &, auto, auto) {};
+        scheduler.restNamed = [](const auto &, auto, auto) {};
         return scheduler;
     }
 
@@ -414,6 +422,11 @@
             answer.status = 503;
             answer.headers.add("Not-Executed", "1");
             break;
+        case Behaviour::AsksForRest:
+            answer.status = 503;
+            answer.headers.add("Not-Executed", "1");
+            answer.headers.add("Retry-After", "0.5");
+            break;
         case Behaviour::IsOtherEndpoint:
             answer.status = 421;
             break;
--- a/tests/platform/RelayTest.cpp
+++ b/tests/platform/RelayTest.cpp
@@ -35,6 +35,8 @@
     CPPUNIT_TEST(outdatedConfigurationIsNotUsed);
     CPPUNIT_TEST(unconfirmedConfigurationDoesNotAnswer404);
     CPPUNIT_TEST(callsThatNoReplicaAcceptsAreRefusedAtOnce);
+    CPPUNIT_TEST(replicaThatAskedForRestGetsNothing);
+    CPPUNIT_TEST(requestIsWithheldIfItsEngineHasAskedForRest);
     CPPUNIT_TEST(promptThatCrashesEnginesIsRefusedAtOnce);
     CPPUNIT_TEST(waitingPromptIsRefusedBeforeItIsSent);
     CPPUNIT_TEST(lostConnectionToOpenPortIsNoCrash);
@@ -194,6 +196,31 @@
         CPPUNIT_ASSERT(served > 0 && served < calls); // each replica has named its limit once
     }
 
+    // Guards against calls that reach a replica in the time for which it has asked for rest.
+    void replicaThatAskedForRestGetsNothing()
+    {
+        RelayFixture fixture(Kind::NonIdempotent, {Behaviour::AsksForRest, Behaviour::Answers});
+        fixture.keepOneEndpoint();
+        CPPUNIT_ASSERT_EQUAL(503U, fixture.call().value().status);
+        const auto refused = fixture.call().value();
+        CPPUNIT_ASSERT_EQUAL(503U, refused.status);
+        CPPUNIT_ASSERT(refused.headers.find("Retry-After").has_value());
+        CPPUNIT_ASSERT_EQUAL(1, fixture.arrivals.load());
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(200U, fixture.call().value().status);
+    }
+
+    // Guards against a request that was placed before its engine asked for rest and is sent in it.
+    void requestIsWithheldIfItsEngineHasAskedForRest()
+    {
+        RelayFixture fixture(Kind::Stream, {Behaviour::AsksForRest, Behaviour::Streams}, true);
+        CPPUNIT_ASSERT_EQUAL(503U, fixture.call().value().status);
+        CPPUNIT_ASSERT_EQUAL(503U, fixture.call().value().status);
+        CPPUNIT_ASSERT_EQUAL(1, fixture.arrivals.load());
+        CPPUNIT_ASSERT(fixture.failures.front() == program::AttemptFailure::Rests);
+        CPPUNIT_ASSERT(fixture.failures.back() == program::AttemptFailure::Withheld);
+    }
+
     // A non-idempotent request that may have run is not sent to another replica and is never
     // answered with "not run".
     void nonIdempotentCalls()
--- a/tests/platform/RelayWireTest.cpp
+++ b/tests/platform/RelayWireTest.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(forwardedHeadersOmitKeyAndSetTerms);
     CPPUNIT_TEST(decodesAnswerHeads);
     CPPUNIT_TEST(decodesAcceptedRate);
+    CPPUNIT_TEST(decodesRest);
     CPPUNIT_TEST(refusalsContainRetryAfter);
     CPPUNIT_TEST(encodesMemoryOrders);
     CPPUNIT_TEST_SUITE_END();
@@ -169,6 +170,20 @@
         CPPUNIT_ASSERT(!this->codec.readHead(200, {}, id).acceptedPerSecond);
     }
 
+    void decodesRest()
+    {
+        using std::chrono::milliseconds;
+        const auto restOf = [this](const char *text, unsigned status = 503) {
+            return this->codec.readHead(status, {{"Retry-After", text}}, id).rest;
+        };
+        CPPUNIT_ASSERT(restOf("3") == std::optional(milliseconds(3'000)));
+        CPPUNIT_ASSERT(restOf(" 0.25 ") == std::optional(milliseconds(250)));
+        CPPUNIT_ASSERT(restOf("999999999") == std::optional(milliseconds(3'600'000)));
+        for (const char *text : {"", "0", "-3", "soon", "1e400", "Wed, 21 Oct 2026 07:28:00 GMT"})
+            CPPUNIT_ASSERT_MESSAGE(text, !restOf(text));
+        CPPUNIT_ASSERT(!restOf("3", 200) && !restOf("3", 429));
+    }
+
     void refusalsContainRetryAfter()
     {
         const auto answer = this->codec.refuse({503, "busy", std::chrono::milliseconds(1'250)});
