Relay: an endpoint that says in an answer that it leaves gets no new work

Cause: that an endpoint leaves was read from its announcements only; one that says so in its answers and announces itself as ready went on getting work. Why it works: the answer is the same fact as a leave notice, so it takes the same way: the record of that start of the endpoint becomes "left" and spreads to the peers, a later announcement of the same start does not undo it, and a new start does. Once for each start and entry. Tests: endpointThatLeavesIsReportedOnce (no such hook before), decodesLeaving.

--- a/soak/EndpointRest.cpp
+++ b/soak/EndpointRest.cpp
@@ -30,6 +30,7 @@
 // Requests that are under way when an endpoint asks for rest may still arrive.
 constexpr milliseconds underWay{500};
 constexpr std::uint64_t allowedInOneRest = 2;
+constexpr milliseconds drainTime{2'000}; // an entry has this long to stop
 
 constexpr std::array paths = {"/stream/", "/post/", "/read/"};
 
@@ -63,6 +64,14 @@
     const state::Instant now = program::monotonicNow();
     for (Rest &rest : this->rests[{endpoint, entryOf(request)}])
         rest.arrivals += rest.countedFrom < now && now < rest.until ? 1 : 0;
+    const auto leaving = this->leavingSince.find({endpoint, entryOf(request)});
+    if (leaving != this->leavingSince.end() && now > leaving->second + drainTime)
+        ++this->arrivalsAfterLeaving;
+}
+
+void EndpointRest::saidLeaving(std::size_t endpoint, const protocol::HttpRequest &request)
+{
+    this->leavingSince.try_emplace({endpoint, entryOf(request)}, program::monotonicNow());
 }
 
 void EndpointRest::askedForRest(std::size_t endpoint, const protocol::HttpRequest &request,
@@ -146,6 +155,10 @@
     co_await transport::pause(restTime);
     const Count afterwards = co_await this->count(calmTime);
     print("afterwards", afterwards);
+    this->endpoints.front()->sayLeaving();
+    this->endpoints[this->settings.engines]->sayLeaving();
+    const Count leaving = co_await this->count(phaseTime);
+    print("two endpoints leave", leaving);
     this->stopped = true;
     co_await transport::pause(lastAnswer);
     this->judge();
@@ -167,6 +180,9 @@
         this->ledger.broken("in " + std::to_string(broken)
                             + " rests more than two requests came from one entry, at most "
                             + std::to_string(most));
+    if (this->arrivalsAfterLeaving > 0)
+        this->ledger.broken(std::to_string(this->arrivalsAfterLeaving)
+                            + " requests reached endpoints that had said that they leave");
 }
 
 } // namespace lavenderthread::soak
--- a/soak/EndpointRest.h
+++ b/soak/EndpointRest.h
@@ -1,5 +1,6 @@
 // One scenario: half of the endpoints turn requests away and ask for rest, while an entry freezes
-// and another one is restarted. Checks what each entry sends them meanwhile.
+// and another one is restarted; then some say in their answers that they leave. Checks what each
+// entry sends them from then on.
 #pragma once
 
 #include "Callers.h"
@@ -38,6 +39,7 @@
     void requestArrived(std::size_t endpoint, const protocol::HttpRequest &request);
     void askedForRest(std::size_t endpoint, const protocol::HttpRequest &request,
                       std::chrono::milliseconds time);
+    void saidLeaving(std::size_t endpoint, const protocol::HttpRequest &request);
 
 private:
     struct Count
@@ -71,7 +73,9 @@
     Ledger &ledger;
     std::vector<std::unique_ptr<Caller>> people; // one for each process
     std::map<Pair, std::vector<Rest>> rests;
-    std::set<std::size_t> excused; // entries that were disturbed
+    std::map<Pair, state::Instant> leavingSince; // as told by the first answer
+    std::uint64_t arrivalsAfterLeaving = 0;      // too late
+    std::set<std::size_t> excused;               // entries that were disturbed
     Count counted;
     bool stopped = false;
 };
--- a/soak/StandIn.cpp
+++ b/soak/StandIn.cpp
@@ -64,6 +64,7 @@
     this->sequence = 0;
     this->limit = {};
     this->restTime.reset();
+    this->leaving = false;
     this->ended = false;
 }
 
@@ -136,6 +137,10 @@
     answer.headers = {{"Request-Id", requestId}, {"Response-Seal", "seal"}};
     if (const auto perSecond = this->limit.current())
         answer.headers.add("Server-Limit", std::to_string(*perSecond));
+    if (this->leaving) {
+        answer.headers.add("Server-Leaving", "1");
+        this->settings.saidLeaving(request);
+    }
     if (valueOf(request, "Expect-Instance") != this->id) {
         answer.status = 421;
         co_await exchange.respond(std::move(answer));
--- a/soak/StandIn.h
+++ b/soak/StandIn.h
@@ -45,6 +45,8 @@
     // Called when a request is turned away and the caller is asked for so much rest.
     std::function<void(const protocol::HttpRequest &, std::chrono::milliseconds)> askedForRest =
             [](const auto &, auto) {};
+    // Called when an answer says that the endpoint leaves.
+    std::function<void(const protocol::HttpRequest &)> saidLeaving = [](const auto &) {};
 };
 
 class StandIn : public std::enable_shared_from_this<StandIn>
@@ -63,6 +65,8 @@
     const NamedLimit &namedLimit() const { return this->limit; }
     // Turns all requests away and asks for so much rest; nothing: serves again.
     void askForRest(std::optional<std::chrono::milliseconds> time) { this->restTime = time; }
+    // Says in all its answers that it leaves, and goes on announcing itself as before.
+    void sayLeaving() { this->leaving = true; }
     const std::string &name() const { return this->id; }
     std::uint64_t arrivals() const { return this->arrived; }
 
@@ -88,6 +92,7 @@
     std::uint64_t born = 0;
     std::uint64_t sequence = 0;
     std::size_t control = 0;
+    bool leaving = false;
     bool ended = false;
 };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -149,6 +149,10 @@
                 if (this->rests)
                     this->rests->askedForRest(index, request, time);
             };
+            settings.saidLeaving = [this, index](const protocol::HttpRequest &request) {
+                if (this->rests)
+                    this->rests->saidLeaving(index, request);
+            };
             settings.arrived = [this, index](const protocol::HttpRequest &request) {
                 if (this->rests)
                     this->rests->requestArrived(index, request);
--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -228,6 +228,14 @@
     co_return co_await transport::awaitCallback<state::Result<void>>(std::move(start));
 }
 
+void Cluster::endpointLeaves(const state::EndpointDescription &endpoint)
+{
+    if (this->membership)
+        this->membership->drain(endpoint);
+    else if (this->registry->setDraining(endpoint.id, true))
+        this->hooks.endpointsChanged();
+}
+
 asio::awaitable<state::Result<void>> Cluster::withdraw(state::EndpointId endpoint,
                                                        std::optional<std::uint64_t> incarnation)
 {
--- a/src/program/Cluster.h
+++ b/src/program/Cluster.h
@@ -64,6 +64,8 @@
     // Complete when the deregistration is acknowledged; see MembershipService::leave. Errors as
     // EndpointLifecycle::leave.
     boost::asio::awaitable<state::Result<void>> drain(state::EndpointDescription endpoint);
+    // The same without waiting, for an endpoint that says so in an answer to this node.
+    void endpointLeaves(const state::EndpointDescription &endpoint);
     boost::asio::awaitable<state::Result<void>> withdraw(state::EndpointId endpoint,
                                                          std::optional<std::uint64_t> incarnation);
     // Addresses of relay nodes for callers in that failure domain.
--- a/src/program/RelayCodec.h
+++ b/src/program/RelayCodec.h
@@ -61,6 +61,7 @@
     std::optional<double> acceptedPerSecond;
     // With a refusal: the endpoint wants no request from this entry for so long.
     std::optional<std::chrono::milliseconds> rest;
+    bool leaving = false;                 // the endpoint wants no new work, whatever it announces
     std::optional<state::Address> faulty; // another endpoint, whose failure caused the refusal
 };
 
--- a/src/program/RelayListeners.cpp
+++ b/src/program/RelayListeners.cpp
@@ -96,6 +96,9 @@
     relayHooks.share = [this](protocol::PeerUpdate update) {
         this->hooks.cluster->share(std::move(update));
     };
+    relayHooks.endpointLeaves = [this](const state::EndpointDescription &endpoint) {
+        this->hooks.cluster->endpointLeaves(endpoint);
+    };
     relayHooks.prompts = this->hooks.prompts;
     relayHooks.finished = this->hooks.finished;
     return relayHooks;
@@ -197,7 +200,8 @@
         logEvent(LogLevel::Info, "endpoint.leaves",
                  {{"endpoint", endpoint.id.value()},
                   {"address", endpoint.address.toString()},
-                  {"incarnation", endpoint.incarnation}});
+                  {"incarnation", endpoint.incarnation},
+                  {"source", "announcement"}});
         return this->hooks.cluster->drain(std::move(endpoint));
     };
     face.leave = [this](state::EndpointId endpoint, std::optional<std::uint64_t> incarnation) {
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -912,6 +912,8 @@
             this->hooks.scheduler.reportPeerFailure(*head.faulty);
         if (head.genuine && !head.otherEndpoint)
             this->relay.limitNamed(target.endpoint, head.acceptedPerSecond);
+        if (head.genuine && !head.otherEndpoint && head.leaving)
+            this->relay.leavingNamed(target.endpoint);
         this->askedForRest = head.genuine && head.rest.has_value();
         if (this->askedForRest)
             this->relay.restNamed(target.endpoint, *head.rest);
@@ -1275,6 +1277,28 @@
               {"for_us", std::int64_t(time.count())}});
 }
 
+void RouteRelay::leavingNamed(const state::EndpointDescription &endpoint)
+{
+    const auto table = this->hooks.endpoints();
+    const RegisteredEndpoint *known = table->find(endpoint.id, endpoint.incarnation);
+    if (known == nullptr || known->draining)
+        return;
+    {
+        const std::lock_guard lock(this->choiceMutex);
+        std::erase_if(this->leaving, [&table](const auto &each) {
+            return table->find(each.first, each.second) == nullptr;
+        });
+        if (!this->leaving.insert_or_assign(endpoint.id, endpoint.incarnation).second)
+            return;
+    }
+    logEvent(LogLevel::Info, "endpoint.leaves",
+             {{"endpoint", endpoint.id.value()},
+              {"address", endpoint.address.toString()},
+              {"incarnation", endpoint.incarnation},
+              {"source", "answer"}});
+    this->hooks.endpointLeaves(endpoint);
+}
+
 bool RouteRelay::isResting(const state::EndpointDescription &endpoint)
 {
     const std::lock_guard lock(this->choiceMutex);
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -77,6 +77,9 @@
                 [](const state::ServiceName &) { return coordination::routing::PathState::Usable; };
         std::function<void(const state::EndpointDescription &, coordination::routing::PathOutcome)>
                 recordPath = [](const auto &, auto) {};
+        // An endpoint has said in an answer that it leaves.
+        std::function<void(const state::EndpointDescription &)> endpointLeaves = [](const auto &) {
+        };
         std::shared_ptr<PromptGuard> prompts;
         // Sends an update to the peers.
         std::function<void(protocol::PeerUpdate)> share = [](auto) {};
@@ -108,6 +111,8 @@
     // A refusal of the endpoint asks for rest.
     void restNamed(const state::EndpointDescription &endpoint, state::Duration time);
     bool isResting(const state::EndpointDescription &endpoint);
+    // An answer says that the endpoint leaves; passed on once for each start of an endpoint.
+    void leavingNamed(const state::EndpointDescription &endpoint);
     std::vector<state::Address> orderedPeers();
     coordination::admission::RetryBudget &retryBudgetOf(const state::ServiceName &service);
 
@@ -119,6 +124,7 @@
     coordination::routing::ReplicaChooser chooser;
     coordination::routing::PeerOrder peerOrder;
     std::map<state::ServiceName, coordination::admission::RetryBudget> budgets;
+    std::map<state::EndpointId, std::uint64_t> leaving; // incarnations; those that are still listed
 };
 
 } // namespace lavenderthread::program
--- a/tests/platform/RelayFixture.h
+++ b/tests/platform/RelayFixture.h
@@ -38,6 +38,7 @@
     CutsBody,            // in the middle of the body
     AnswersOtherRequest, // sends the answer of another request
     Unsealed,
+    Leaves,      // answers, and says that it leaves
     AsksForRest, // refuses, and wants nothing for half a second
     NamesLimit,  // answers, and accepts one request in two seconds from now on
     CutsInsideAnEvent,
@@ -239,6 +240,7 @@
     std::atomic<int> arrivals = 0;
     std::atomic<std::int64_t> closedAtUs = 0; // when an endpoint noticed that its caller had closed
     std::vector<program::AttemptFailure> failures; // as the scheduler was told
+    std::atomic<int> endpointsLeft = 0;            // as they said in their answers
     std::string resumedBehind;                     // as sent to the last endpoint
     std::atomic<int> handedOver = 0;               // requests that reached a peer
     std::atomic<int> servedByPeers = 0;            // completely
@@ -305,6 +307,7 @@
     RouteRelay::Hooks hooksWithPeers()
     {
         RouteRelay::Hooks hooks = this->hooks();
+        hooks.endpointLeaves = [this](const auto &) { ++this->endpointsLeft; };
         hooks.peers = [this] { return coordination::routing::RelayPeers{this->peerAddresses, {}}; };
         hooks.endpoints = [this] {
             return this->monitor ? this->unreachable.read() : this->table.read();
@@ -422,6 +425,9 @@
             answer.status = 503;
             answer.headers.add("Not-Executed", "1");
             break;
+        case Behaviour::Leaves:
+            answer.headers.add("Server-Leaving", "1");
+            break;
         case Behaviour::AsksForRest:
             answer.status = 503;
             answer.headers.add("Not-Executed", "1");
--- a/tests/platform/RelayTest.cpp
+++ b/tests/platform/RelayTest.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(unconfirmedConfigurationDoesNotAnswer404);
     CPPUNIT_TEST(callsThatNoReplicaAcceptsAreRefusedAtOnce);
     CPPUNIT_TEST(replicaThatAskedForRestGetsNothing);
+    CPPUNIT_TEST(endpointThatLeavesIsReportedOnce);
     CPPUNIT_TEST(requestIsWithheldIfItsEngineHasAskedForRest);
     CPPUNIT_TEST(promptThatCrashesEnginesIsRefusedAtOnce);
     CPPUNIT_TEST(waitingPromptIsRefusedBeforeItIsSent);
@@ -210,6 +211,16 @@
         CPPUNIT_ASSERT_EQUAL(200U, fixture.call().value().status);
     }
 
+    // Guards against requests to an endpoint that says in its answers that it leaves, and announces
+    // itself as ready.
+    void endpointThatLeavesIsReportedOnce()
+    {
+        RelayFixture fixture(Kind::NonIdempotent, {Behaviour::Leaves});
+        for (int call = 0; call < 3; ++call)
+            CPPUNIT_ASSERT_EQUAL(200U, fixture.call().value().status);
+        CPPUNIT_ASSERT_EQUAL(1, fixture.endpointsLeft.load());
+    }
+
     // Guards against a request that was placed before its engine asked for rest and is sent in it.
     void requestIsWithheldIfItsEngineHasAskedForRest()
     {
--- a/tests/platform/RelayWireTest.cpp
+++ b/tests/platform/RelayWireTest.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(decodesAnswerHeads);
     CPPUNIT_TEST(decodesAcceptedRate);
     CPPUNIT_TEST(decodesRest);
+    CPPUNIT_TEST(decodesLeaving);
     CPPUNIT_TEST(refusalsContainRetryAfter);
     CPPUNIT_TEST(encodesMemoryOrders);
     CPPUNIT_TEST_SUITE_END();
@@ -184,6 +185,16 @@
         CPPUNIT_ASSERT(!restOf("3", 200) && !restOf("3", 429));
     }
 
+    void decodesLeaving()
+    {
+        const auto isLeaving = [this](const char *text, unsigned status) {
+            return this->codec.readHead(status, {{"Server-Leaving", text}}, id).leaving;
+        };
+        CPPUNIT_ASSERT(isLeaving("1", 200) && isLeaving(" 1 ", 503) && isLeaving("1", 500));
+        CPPUNIT_ASSERT(!isLeaving("0", 200) && !isLeaving("", 200));
+        CPPUNIT_ASSERT(!this->codec.readHead(200, {}, id).leaving);
+    }
+
     void refusalsContainRetryAfter()
     {
         const auto answer = this->codec.refuse({503, "busy", std::chrono::milliseconds(1'250)});
