Relay: failed connections are counted apart from refusals

Cause: the bound of three refusals, which spares overloaded endpoints, also counted connections that were never made; with shorter waits it was reached after 1.2 s. Why it works: a failed connection adds no load to an endpoint. Test that failed before it: failedConnectionsAreNoRefusals (three attempts).

--- a/src/coordination/relay/FinalAnswer.cpp
+++ b/src/coordination/relay/FinalAnswer.cpp
@@ -6,6 +6,8 @@
 
 // Refusals don't count as runs, but a call must not try every endpoint of an overloaded service.
 constexpr std::uint32_t maxRefusals = 3;
+// A connection that fails adds no load, but each one may cost the caller a timeout.
+constexpr std::uint32_t maxUnsent = 4;
 
 } // namespace
 
@@ -13,7 +15,7 @@
 {
     if (facts.callerGone || facts.deadlinePassed)
         return false;
-    if (facts.runs >= facts.maxRuns || facts.refusals >= maxRefusals)
+    if (facts.runs >= facts.maxRuns || facts.refusals >= maxRefusals || facts.unsent >= maxUnsent)
         return false;
     // Once the call may have run, it is retried only if it is repeatable, also when a later
     // endpoint refused it.
--- a/src/coordination/relay/FinalAnswer.h
+++ b/src/coordination/relay/FinalAnswer.h
@@ -22,7 +22,8 @@
     bool repeatable = false;    // may run more than once
     std::uint32_t maxRuns = 1;  // maximum number of endpoints that may run it
     std::uint32_t runs = 0;     // attempts that ended Failed or Lost
-    std::uint32_t refusals = 0; // attempts that ended NeverSent or NotRun
+    std::uint32_t refusals = 0; // attempts that ended NotRun
+    std::uint32_t unsent = 0;   // attempts that ended NeverSent
     bool answerBegun = false;   // part of an answer has been sent to the caller
     bool deadlinePassed = false;
     bool callerGone = false;
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -648,7 +648,7 @@
             const bool tokenTaken = std::exchange(this->retryTokenTaken, false);
             if (!this->peerHasTaken(end)) {
                 // No endpoint has seen the request: this is neither a refusal nor a retry.
-                --this->facts.refusals;
+                --(end == AttemptResult::NeverSent ? this->facts.unsent : this->facts.refusals);
                 this->rememberPeerFailure(peer);
                 if (this->facts.callerGone || this->facts.deadlinePassed)
                     break;
@@ -749,6 +749,8 @@
         case AttemptResult::Complete:
             break;
         case AttemptResult::NeverSent:
+            ++this->facts.unsent;
+            break;
         case AttemptResult::NotRun:
             ++this->facts.refusals;
             break;
--- a/tests/coordination/relay/FinalAnswerTest.cpp
+++ b/tests/coordination/relay/FinalAnswerTest.cpp
@@ -23,7 +23,10 @@
 
 void add(CallState &facts, AttemptResult end)
 {
-    ++(mayHaveRun(end) ? facts.runs : facts.refusals);
+    if (mayHaveRun(end))
+        ++facts.runs;
+    else
+        ++(end == AttemptResult::NeverSent ? facts.unsent : facts.refusals);
 }
 
 // Applies the retry rules to a sequence of attempt outcomes; returns the number of attempts made.
@@ -50,6 +53,7 @@
     CPPUNIT_TEST(notRunIsTrue);
     CPPUNIT_TEST(runsStayWithinTheLimit);
     CPPUNIT_TEST(refusalsAreBounded);
+    CPPUNIT_TEST(failedConnectionsAreNoRefusals);
     CPPUNIT_TEST(finalAnswerOfEachCase);
     CPPUNIT_TEST_SUITE_END();
 
@@ -113,6 +117,16 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), runAttempts(facts, outcomes, answered));
     }
 
+    // Guards against a refusal after three connections that failed, while most endpoints are well.
+    void failedConnectionsAreNoRefusals()
+    {
+        CallState facts{.repeatable = false, .maxRuns = 1};
+        bool answered = false;
+        const std::vector<AttemptResult> outcomes(10, AttemptResult::NeverSent);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), runAttempts(facts, outcomes, answered));
+        CPPUNIT_ASSERT(finalAnswer(facts, answered) == FinalAnswer::NotRun);
+    }
+
     void finalAnswerOfEachCase()
     {
         struct Case
