Dispatcher: a request may meet one more failed connection

Cause: the dispatcher allowed two engines beyond the route's attempts, of which connections that were never made are counted like the rest. Why it works: as many connections as the relay allows; what an endpoint refuses stays bounded by the relay's three refusals.

--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -171,7 +171,7 @@
 // towards the limit, but only a few more attempts are made because of them.
 bool Dispatcher::isExhausted(const ActiveRequest &active) const
 {
-    constexpr std::uint32_t extraAttempts = 2;
+    constexpr std::uint32_t extraAttempts = 3; // failed connections and refusals
     const std::uint32_t attempts = active.request.attemptLimit;
     if (attempts == 0)
         return active.attempt >= this->policy.attemptsLimit;
