Soak: the steady callers of two scenarios are one class

Cause of the change: the review of the whole change, EndpointRest had taken over 60 lines of EndpointLimits.

--- a/soak/EndpointLimits.cpp
+++ b/soak/EndpointLimits.cpp
@@ -2,11 +2,6 @@
 
 #include "transport/Await.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
-#include <array>
-#include <csignal>
 #include <iostream>
 
 namespace lavenderthread::soak {
@@ -16,11 +11,9 @@
 
 namespace {
 
-constexpr milliseconds callPause{120};
 constexpr milliseconds calmTime{3'000};
 constexpr milliseconds learningTime{3'000}; // until all entries keep the limits
 constexpr milliseconds phaseTime{8'000};
-constexpr milliseconds freezeTime{1'500};
 constexpr milliseconds lastAnswer{3'500};
 // Endpoints without a limit take what those with one leave.
 constexpr double leastShareBesideOthers = 0.95;
@@ -29,8 +22,6 @@
 constexpr double leastShareOfLimits = 0.5;
 constexpr std::size_t replicaCount = 3;
 
-constexpr std::array paths = {"/stream/", "/post/", "/read/"};
-
 std::string describe(std::uint64_t served, std::uint64_t sent)
 {
     return std::to_string(served) + " of " + std::to_string(sent) + " calls served";
@@ -40,64 +31,16 @@
 
 EndpointLimits::EndpointLimits(asio::io_context &context, Settings chosen, Fleet &fleet,
                                std::vector<std::shared_ptr<StandIn>> &endpoints, Ledger &ledger)
-    : context(context)
-    , settings(chosen)
+    : settings(chosen)
     , fleet(fleet)
     , endpoints(endpoints)
     , ledger(ledger)
-{
-    for (std::size_t index = 0; index < this->fleet.size(); ++index) {
-        CallerSettings caller;
-        caller.seed = this->settings.seed * 1'000 + index;
-        caller.name = "n" + std::to_string(index);
-        caller.briefOnly = true;
-        this->people.push_back(std::make_unique<Caller>(this->context, caller, this->ledger));
-    }
-}
-
-asio::awaitable<void> EndpointLimits::callSteadily(std::size_t entry)
-{
-    std::size_t turn = entry;
-    while (!this->stopped) {
-        asio::co_spawn(this->context, this->callOnce(entry, paths[++turn % paths.size()]),
-                       asio::detached);
-        co_await transport::pause(callPause);
-    }
-}
-
-asio::awaitable<void> EndpointLimits::callOnce(std::size_t entry, std::string path)
-{
-    const bool served = co_await this->people[entry]->callAt(this->fleet.callers(entry), path);
-    ++this->counted.sent;
-    this->counted.served += served ? 1 : 0;
-}
-
-asio::awaitable<EndpointLimits::Count> EndpointLimits::count(milliseconds time)
-{
-    this->counted = {};
-    co_await transport::pause(time);
-    co_return this->counted;
-}
-
-// One entry freezes for a while and another one is killed and started again: it knows no limit
-// then.
-asio::awaitable<void> EndpointLimits::disturbEntries()
-{
-    const std::size_t last = this->fleet.size() - 1;
-    this->fleet.signal(last, SIGSTOP);
-    co_await transport::pause(freezeTime);
-    this->fleet.signal(last, SIGCONT);
-    this->fleet.kill(last - 1);
-    co_await transport::pause(milliseconds(300));
-    this->fleet.start(last - 1);
-}
+    , callers(context, {.seed = chosen.seed}, fleet, ledger)
+{}
 
 asio::awaitable<void> EndpointLimits::play()
 {
-    for (std::size_t entry = 0; entry < this->fleet.size(); ++entry) {
-        if (!this->fleet.isControl(entry))
-            asio::co_spawn(this->context, this->callSteadily(entry), asio::detached);
-    }
+    this->callers.start();
     co_await transport::pause(calmTime);
 
     this->engine(0).nameLimit(1);
@@ -105,9 +48,9 @@
     this->replica(0).nameLimit(2);
     this->replica(1).nameLimit(0.3);
     co_await transport::pause(learningTime);
-    const Count beside = co_await this->count(phaseTime);
+    const CallCount beside = co_await this->callers.count(phaseTime);
     this->judgeServed("beside endpoints without a limit", beside, leastShareBesideOthers);
-    co_await this->disturbEntries();
+    co_await disturbLastEntries(this->fleet);
     co_await transport::pause(phaseTime);
     this->judgeLimits("with some endpoints limited");
 
@@ -136,9 +79,9 @@
     for (std::size_t index = 0; index < replicaCount; ++index)
         this->replica(index).nameLimit(std::nullopt);
     co_await transport::pause(learningTime);
-    const Count afterwards = co_await this->count(calmTime);
+    const CallCount afterwards = co_await this->callers.count(calmTime);
     this->judgeServed("after the limits were withdrawn", afterwards, leastShareAfterwards);
-    this->stopped = true;
+    this->callers.stop();
     co_await transport::pause(lastAnswer);
 }
 
@@ -152,7 +95,7 @@
     }
 }
 
-void EndpointLimits::judgeServed(const char *phase, const Count &seen, double leastShare)
+void EndpointLimits::judgeServed(const char *phase, const CallCount &seen, double leastShare)
 {
     const std::string text = std::string(phase) + ": " + describe(seen.served, seen.sent);
     std::cout << "  " << text << '\n';
--- a/soak/EndpointLimits.h
+++ b/soak/EndpointLimits.h
@@ -3,9 +3,9 @@
 // other endpoints serve the rest.
 #pragma once
 
-#include "Callers.h"
 #include "Fleet.h"
 #include "StandIn.h"
+#include "SteadyCallers.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -31,30 +31,16 @@
     boost::asio::awaitable<void> play();
 
 private:
-    struct Count
-    {
-        std::uint64_t sent = 0;
-        std::uint64_t served = 0;
-    };
-
-    boost::asio::awaitable<void> callSteadily(std::size_t entry);
-    boost::asio::awaitable<void> callOnce(std::size_t entry, std::string path);
-    // Lets that much time pass and returns what the calls that ended in it brought.
-    boost::asio::awaitable<Count> count(std::chrono::milliseconds time);
-    boost::asio::awaitable<void> disturbEntries();
     StandIn &engine(std::size_t index) { return *this->endpoints[index]; }
     StandIn &replica(std::size_t index) { return *this->endpoints[this->settings.engines + index]; }
     void judgeLimits(const char *phase) const;
-    void judgeServed(const char *phase, const Count &seen, double leastShare);
+    void judgeServed(const char *phase, const CallCount &seen, double leastShare);
 
-    boost::asio::io_context &context;
     Settings settings;
     Fleet &fleet;
     std::vector<std::shared_ptr<StandIn>> &endpoints;
     Ledger &ledger;
-    std::vector<std::unique_ptr<Caller>> people; // one for each process
-    Count counted;
-    bool stopped = false;
+    SteadyCallers callers;
 };
 
 } // namespace lavenderthread::soak
--- a/soak/EndpointRest.h
+++ b/soak/EndpointRest.h
@@ -3,9 +3,9 @@
 // entry sends them from then on.
 #pragma once
 
-#include "Callers.h"
 #include "Fleet.h"
 #include "StandIn.h"
+#include "SteadyCallers.h"
 
 #include "state/Time.h"
 
@@ -42,11 +42,6 @@
     void saidLeaving(std::size_t endpoint, const protocol::HttpRequest &request);
 
 private:
-    struct Count
-    {
-        std::uint64_t sent = 0;
-        std::uint64_t served = 0;
-    };
     // Of one endpoint, from one entry.
     struct Rest
     {
@@ -56,28 +51,20 @@
     };
     using Pair = std::pair<std::size_t, std::size_t>; // endpoint, entry
 
-    boost::asio::awaitable<void> callSteadily(std::size_t entry);
-    boost::asio::awaitable<void> callOnce(std::size_t entry, std::string path);
-    boost::asio::awaitable<Count> count(std::chrono::milliseconds time);
-    boost::asio::awaitable<void> disturbEntries();
     // The half of the endpoints that is used; other ones have time to take over.
     void restHalf(std::chrono::milliseconds time, std::size_t offset);
     void serveAgain();
     void judge();
-    static std::size_t entryOf(const protocol::HttpRequest &request);
 
-    boost::asio::io_context &context;
     Settings settings;
     Fleet &fleet;
     std::vector<std::shared_ptr<StandIn>> &endpoints;
     Ledger &ledger;
-    std::vector<std::unique_ptr<Caller>> people; // one for each process
+    SteadyCallers callers;
     std::map<Pair, std::vector<Rest>> rests;
     std::map<Pair, state::Instant> leavingSince; // as told by the first answer
     std::uint64_t arrivalsAfterLeaving = 0;      // too late
     std::set<std::size_t> excused;               // entries that were disturbed
-    Count counted;
-    bool stopped = false;
 };
 
 } // namespace lavenderthread::soak
