--- a/src/coordination/routing/PeerOrder.cpp
+++ b/src/coordination/routing/PeerOrder.cpp
@@ -31,8 +31,9 @@
     std::erase_if(this->failedAt,
                   [now](const auto &each) { return now - each.second >= failureMemory; });
     std::vector<state::Address> order = this->alternate(peers);
-    std::ranges::stable_partition(
-            order, [this](const state::Address &each) { return !this->failedAt.contains(each); });
+    std::stable_partition(order.begin(), order.end(), [this](const state::Address &each) {
+        return !this->failedAt.contains(each);
+    });
     return order;
 }
 
