Relay: a request that returns from its peers to the engines has another id at the scheduler

What callers would see: memory of an engine set aside after its use, or released under a prompt. Memory leases are named after id, attempt and part, so names were used twice, and the release of the first is repeated until it is answered. Why it works: each placing has an id of its own.

--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -343,12 +343,13 @@
         this->facts.callerGone = true;
         this->running->interrupt();
         if (this->scheduled)
-            this->hooks.scheduler.cancel(this->request.id);
+            this->hooks.scheduler.cancel(this->scheduledId);
     }
 
     asio::awaitable<void> runOnEngines()
     {
         co_await this->waitForEngines();
+        this->scheduledId = this->nextScheduledId();
         ScheduledRequest scheduledRequest = this->toScheduled();
         this->scheduled = true;
         PlacementResult placement =
@@ -382,7 +383,7 @@
                 co_return;
             }
             this->running->renew();
-            placement = co_await this->hooks.scheduler.placeAgain(this->request.id, current,
+            placement = co_await this->hooks.scheduler.placeAgain(this->scheduledId, current,
                                                                   this->failureOf(end));
         }
         if (!this->outcome.whole) {
@@ -397,7 +398,7 @@
             }
             co_await this->sendFinalAnswer(this->outcome.reason, retryAfter);
         }
-        this->hooks.scheduler.finished(this->request.id, lastAttempt, this->outcome.whole);
+        this->hooks.scheduler.finished(this->scheduledId, lastAttempt, this->outcome.whole);
     }
 
     // Ends the request at the scheduler and goes on through peers.
@@ -406,7 +407,7 @@
         if (!this->peerFailed)
             this->hooks.scheduler.noteHealth(failed.endpoint,
                                              healthOf(end, this->endpointReplaced));
-        this->hooks.scheduler.finished(this->request.id, failed.attempt, false);
+        this->hooks.scheduler.finished(this->scheduledId, failed.attempt, false);
         this->scheduled = false;
         const bool paid = this->facts.runs == 0 || this->takeRetryToken();
         if (!paid) {
@@ -449,10 +450,17 @@
         return AttemptFailure::Lost;
     }
 
+    // Differs each time: the scheduler names memory leases after it, and names are never reused.
+    state::RequestId nextScheduledId() const
+    {
+        const bool isFirst = this->scheduledId.empty();
+        return isFirst ? this->request.id : state::RequestId(this->scheduledId.value() + "+");
+    }
+
     ScheduledRequest toScheduled()
     {
         ScheduledRequest wanted;
-        wanted.id = this->request.id;
+        wanted.id = this->scheduledId;
         wanted.account = this->outcome.account;
         wanted.workClass = state::WorkClass(this->route->name);
         wanted.body.model =
@@ -945,7 +953,7 @@
         watchHooks.onTimeout = [running = this->running] { running->interrupt(); };
         if (this->scheduled) {
             watchHooks.mayRetryElsewhere = [mayMove = this->hooks.scheduler.mayAbandon,
-                                            id = this->request.id, attempt = this->attemptNumber] {
+                                            id = this->scheduledId, attempt = this->attemptNumber] {
                 return mayMove(id, attempt);
             };
         } else {
@@ -1089,7 +1097,7 @@
         this->outcome.status = statusOk;
         this->outcome.firstAnswer = monotonicNow() - this->arrival;
         if (this->scheduled)
-            this->hooks.scheduler.progressed(this->request.id, this->attemptNumber, 1);
+            this->hooks.scheduler.progressed(this->scheduledId, this->attemptNumber, 1);
         protocol::HttpResponse head{statusOk, headers, {}};
         this->addPeerResult(head.headers, PeerResult::Answer);
         const auto sent = co_await this->exchange.beginStream(std::move(head));
@@ -1191,6 +1199,7 @@
             inactivityTimeout;    // of the running attempt, if it may be abandoned
     bool retryTokenTaken = false; // a retry token was taken for a move to another replica
     bool scheduled = false;
+    state::RequestId scheduledId; // of the request at the scheduler; empty: it has not been there
     PeerResult refusalResult = PeerResult::NotRun; // of a 503, for the peer
     PeerResult peerResult = PeerResult::Unknown;   // of the last attempt through a peer
     bool pathFailed = false;                       // a connection to an endpoint has failed
--- a/tests/platform/PeerRelayTest.cpp
+++ b/tests/platform/PeerRelayTest.cpp
@@ -189,6 +189,7 @@
         CPPUNIT_ASSERT_EQUAL(200U, fixture.call().value().status);
         CPPUNIT_ASSERT_EQUAL(1, fixture.handedOver.load());
         CPPUNIT_ASSERT_EQUAL(1, fixture.arrivals.load());
+        CPPUNIT_ASSERT(!fixture.namesAreReused); // leases are named after them
     }
 
     // Guards against a peer that is cut off too, does not know it, and refuses for good what
--- a/tests/platform/RelayFixture.h
+++ b/tests/platform/RelayFixture.h
@@ -17,6 +17,7 @@
 
 #include <atomic>
 #include <optional>
+#include <set>
 #include <thread>
 
 namespace lavenderthread::platform {
@@ -237,6 +238,7 @@
             coordination::orders::ViewStatus::Confirmed;
     std::atomic<bool> failFirstConnection = false; // the scheduler then places it elsewhere
     std::function<void()> beforePlacement = [] {}; // called when the scheduler is asked
+    std::atomic<bool> namesAreReused = false;      // the scheduler was given an id twice
     std::atomic<int> arrivals = 0;
     std::atomic<std::int64_t> closedAtUs = 0; // when an endpoint noticed that its caller had closed
     std::vector<program::AttemptFailure> failures; // as the scheduler was told
@@ -367,8 +369,9 @@
     program::Scheduler firstEngine()
     {
         program::Scheduler scheduler;
-        scheduler.place = [this](const program::ScheduledRequest &)
+        scheduler.place = [this](const program::ScheduledRequest &wanted)
                 -> asio::awaitable<program::PlacementResult> {
+            this->namesAreReused = !this->scheduledIds.insert(wanted.id).second;
             this->beforePlacement();
             const auto known = this->table.read();
             if (known->endpoints.empty())
@@ -494,6 +497,7 @@
     // A relay of its own seed for each fixture, so that repeated tests ask peers in other orders.
     static inline std::uint64_t nextSeed = 1;
 
+    std::set<state::RequestId> scheduledIds;
     std::vector<Behaviour> behaviours;
     program::Settings settings;
     asio::io_context context{1};
