Soak: the scenario of endpoint limits lives as long as its callers

A call may take 4 s (0.5 to connect, 3.5 to answer), the scenario was destroyed 3.5 s after the last one began, and a call that ends later writes into it. By reading; not reproduced, and not run since: the program was built.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -275,9 +275,10 @@
         const bool started = co_await this->startFleet();
         if (!started)
             co_return;
-        EndpointLimits scenario(this->context, {this->options.seed, engines}, this->fleet,
-                                this->endpoints, this->ledger);
-        co_await scenario.play();
+        this->limits = std::make_unique<EndpointLimits>(
+                this->context, EndpointLimits::Settings{this->options.seed, engines}, this->fleet,
+                this->endpoints, this->ledger);
+        co_await this->limits->play();
     }
 
     asio::awaitable<void> playEndpointRest()
@@ -394,6 +395,7 @@
     std::map<state::Address, state::Address> proxyOf; // of an entry's callers
     std::unique_ptr<Faults> faults;
     std::unique_ptr<CrashingPrompt> crashes;
+    std::unique_ptr<EndpointLimits> limits; // calls may outlast the scenario
     std::unique_ptr<EndpointRest> rests;
     Operator operators;
     std::uint16_t port;
