--- a/soak/Callers.cpp
+++ b/soak/Callers.cpp
@@ -36,21 +36,21 @@
     , random(this->settings.seed)
 {}
 
-protocol::HttpRequest Caller::makeRequest(const std::string &id, const std::string &path,
-                                          const std::string &promptPrefix)
+protocol::HttpRequest Caller::makeRequest(const std::string &id, const CallShape &shape)
 {
     const std::size_t prompt = this->settings.briefOnly ? 0 : this->random() % tokens.size();
     protocol::HttpRequest request;
-    request.method = path == "/read/" ? "GET" : "POST";
-    request.target = path + "x";
+    request.method = shape.path == "/read/" && shape.body.empty() ? "GET" : "POST";
+    request.target = shape.path + shape.rest;
+    request.body = shape.body;
     request.headers = {{"Host", "soak"},
                        {"Request-Id", id},
                        {"Request-Deadline", std::to_string(this->settings.timeLimit.count())},
                        {"Credential", "key-one"},
                        {"Model", "m"},
                        {"Token-Count", tokens[prompt]}};
-    if (!promptPrefix.empty())
-        request.headers.add("Prompt-Prefix", promptPrefix);
+    if (!shape.promptPrefix.empty())
+        request.headers.add("Prompt-Prefix", shape.promptPrefix);
     return request;
 }
 
@@ -97,9 +97,17 @@
 }
 
 asio::awaitable<bool> Caller::callAt(state::Address to, std::string path, std::string promptPrefix)
+{
+    CallShape shape;
+    shape.path = std::move(path);
+    shape.promptPrefix = std::move(promptPrefix);
+    co_return co_await this->callAt(std::move(to), std::move(shape));
+}
+
+asio::awaitable<bool> Caller::callAt(state::Address to, CallShape shape)
 {
     const std::string id = this->settings.name + "-" + std::to_string(++this->count);
-    protocol::HttpRequest request = this->makeRequest(id, path, promptPrefix);
+    protocol::HttpRequest request = this->makeRequest(id, shape);
     transport::HttpCallLimits limits;
     limits.connectTimeout = milliseconds(500);
     limits.timeout = milliseconds(3'500);
@@ -122,7 +130,7 @@
         body += *piece.value();
     }
     const bool sealed = opened.value().headers().find("Response-Seal").has_value();
-    co_return this->judge(id, path, opened.value().status(), body, sealed);
+    co_return this->judge(id, shape.path, opened.value().status(), body, sealed);
 }
 
 bool Caller::judge(const std::string &id, const std::string &path, unsigned status,
@@ -152,7 +160,7 @@
 asio::awaitable<unsigned> Caller::probe(state::Address entry, std::string path)
 {
     const std::string id = this->settings.name + "-p" + std::to_string(++this->count);
-    protocol::HttpRequest request = this->makeRequest(id, "/read/");
+    protocol::HttpRequest request = this->makeRequest(id, {});
     request.target = std::move(path);
     transport::HttpCallLimits limits;
     limits.connectTimeout = milliseconds(500);
--- a/soak/Callers.h
+++ b/soak/Callers.h
@@ -28,6 +28,15 @@
     std::function<state::Address(const state::Address &)> viaProxy;
 };
 
+// What a request asks for.
+struct CallShape
+{
+    std::string path = "/read/"; // prefix of the route: "/stream/", "/post/" or "/read/"
+    std::string rest = "x";      // of the path
+    std::string promptPrefix;
+    std::string body;
+};
+
 class Caller
 {
 public:
@@ -35,7 +44,8 @@
 
     boost::asio::awaitable<void> callForEver(std::chrono::milliseconds pause);
     void stop() { this->stopped = true; }
-    // One request at that entry, on "/stream/", "/post/" or "/read/". True: a whole success.
+    // One request at that entry. True: a whole success.
+    boost::asio::awaitable<bool> callAt(state::Address entry, CallShape shape);
     boost::asio::awaitable<bool> callAt(state::Address entry, std::string path,
                                         std::string promptPrefix = {});
     // One lookup on a route; the status, 0 if there was no answer.
@@ -44,8 +54,7 @@
 private:
     boost::asio::awaitable<void> callOnce();
     boost::asio::awaitable<std::vector<state::Address>> resolve();
-    protocol::HttpRequest makeRequest(const std::string &id, const std::string &path,
-                                      const std::string &promptPrefix = {});
+    protocol::HttpRequest makeRequest(const std::string &id, const CallShape &shape);
     bool judge(const std::string &id, const std::string &path, unsigned status,
                const std::string &body, bool sealed);
 
--- a/soak/CrashingPrompt.cpp
+++ b/soak/CrashingPrompt.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include <algorithm>
 #include <csignal>
 #include <iostream>
 
@@ -23,14 +22,11 @@
 constexpr milliseconds contactTime{3'000}; // all entries know by then
 constexpr milliseconds crashingTime{14'000};
 constexpr milliseconds countedTime{5'000};
-constexpr milliseconds shortestAbsence{2'000}; // of an engine that has ended
-constexpr milliseconds longestAbsence{4'000};
 constexpr milliseconds recoveryTime{6'000};
 constexpr milliseconds freezeTime{1'500};
 constexpr milliseconds lastAnswer{3'500};
 
 constexpr std::size_t endsUntilKnown = 5;
-constexpr std::size_t toleratedArrivals = 3;
 constexpr double leastShareOfCalm = 0.5;
 constexpr double leastShareUndisturbed = 0.95;
 
@@ -41,11 +37,11 @@
 } // namespace
 
 CrashingPrompt::CrashingPrompt(asio::io_context &context, Settings chosen, Fleet &fleet,
-                               std::vector<Proxy *> engineProxies, Ledger &ledger)
+                               EndpointCrashes &engines, Ledger &ledger)
     : context(context)
     , settings(chosen)
     , fleet(fleet)
-    , proxies(std::move(engineProxies))
+    , engines(engines)
     , ledger(ledger)
     , random(chosen.seed)
     , disturbedUntil(fleet.size())
@@ -59,17 +55,12 @@
     }
 }
 
-void CrashingPrompt::setEngines(std::vector<std::shared_ptr<StandIn>> standIns)
-{
-    this->engines = std::move(standIns);
-}
-
 void CrashingPrompt::requestArrived(const protocol::HttpRequest &request)
 {
     const std::string prefix(request.headers.find("Prompt-Prefix").value_or(""));
     for (const char *part : {crashingPart, otherCrashingPart}) {
         if (prefix.find(part) != std::string::npos)
-            this->histories[part].arrivals.push_back(program::monotonicNow());
+            this->engines.arrived(part);
     }
 }
 
@@ -77,31 +68,12 @@
 {
     const std::string prefix(request.headers.find("Prompt-Prefix").value_or(""));
     for (const char *part : {crashingPart, otherCrashingPart}) {
-        if (prefix.find(part) == std::string::npos || this->engines[engine]->hasEnded())
-            continue;
-        this->histories[part].ends.push_back(program::monotonicNow());
-        this->endEngine(engine);
-        return true;
+        if (prefix.find(part) != std::string::npos && this->engines.endUnder(engine, part))
+            return true;
     }
     return false;
 }
 
-void CrashingPrompt::endEngine(std::size_t engine)
-{
-    this->engines[engine]->end();
-    this->proxies[engine]->endTarget();
-    asio::co_spawn(this->context, this->bringBack(engine), asio::detached);
-}
-
-asio::awaitable<void> CrashingPrompt::bringBack(std::size_t engine)
-{
-    std::uniform_int_distribution<std::int64_t> absence(shortestAbsence.count(),
-                                                        longestAbsence.count());
-    co_await transport::pause(milliseconds(absence(this->random)));
-    this->proxies[engine]->listenAgain();
-    this->engines[engine]->restart();
-}
-
 // Some parts are far more frequent than others.
 std::string CrashingPrompt::sharedPart()
 {
@@ -245,36 +217,20 @@
     this->judgeServed("after all entries were killed", restarted, leastShareOfCalm);
     this->crashing = false;
     co_await transport::pause(lastAnswer);
-    this->judgeArrivals();
+    this->engines.judgeArrivals(endsUntilKnown);
 }
 
 asio::awaitable<void> CrashingPrompt::playUnrelatedEnds()
 {
     for (const std::size_t divisor : {3, 4}) {
-        for (std::size_t index = 0; index < this->settings.engines / divisor; ++index)
-            this->endEngine(index);
+        for (std::size_t index = 0; index < this->engines.size() / divisor; ++index)
+            this->engines.end(index);
         const Count beside = co_await this->count(countedTime);
         this->judgeServed("while engines have ended", beside, leastShareOfCalm);
         co_await transport::pause(recoveryTime);
     }
 }
 
-void CrashingPrompt::judgeArrivals() const
-{
-    for (const auto &[part, history] : this->histories) {
-        std::cout << "  " << history.ends.size() << " engines ended under " << part << ", "
-                  << history.arrivals.size() << " requests with it arrived\n";
-        if (history.ends.size() < endsUntilKnown)
-            continue;
-        const state::Instant counted = history.ends[endsUntilKnown - 1] + contactTime;
-        const auto late = std::ranges::count_if(
-                history.arrivals, [&](const state::Instant &at) { return at > counted; });
-        if (late > std::ptrdiff_t(toleratedArrivals))
-            this->ledger.broken(std::to_string(late) + " requests with part " + part
-                                + " reached engines later than 3 s after the fifth end");
-    }
-}
-
 void CrashingPrompt::judgeServed(const char *phase, const Count &seen, double leastShare)
 {
     const std::string text = std::string(phase) + ": " + std::to_string(seen.served) + " of "
--- a/soak/CrashingPrompt.h
+++ b/soak/CrashingPrompt.h
@@ -3,16 +3,13 @@
 #pragma once
 
 #include "Callers.h"
+#include "EndpointCrashes.h"
 #include "Fleet.h"
-#include "Proxy.h"
-#include "StandIn.h"
 
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
-#include <map>
 #include <memory>
-#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -33,27 +30,19 @@
     {
         CrashingPart part = CrashingPart::Second;
         std::uint64_t seed = 0;
-        std::size_t engines = 0; // the first endpoints
     };
 
     CrashingPrompt(boost::asio::io_context &context, Settings chosen, Fleet &fleet,
-                   std::vector<Proxy *> engineProxies, Ledger &ledger);
+                   EndpointCrashes &engines, Ledger &ledger);
 
     // What the engines have to call; see StandInSettings.
     void requestArrived(const protocol::HttpRequest &request);
     bool engineEnds(std::size_t engine, const protocol::HttpRequest &request);
-    void setEngines(std::vector<std::shared_ptr<StandIn>> standIns);
 
     // Tells the ledger what was broken.
     boost::asio::awaitable<void> play();
 
 private:
-    // What has become of the requests with one crashing part.
-    struct PartHistory
-    {
-        std::vector<state::Instant> ends;     // of engines
-        std::vector<state::Instant> arrivals; // at engines
-    };
     struct Count
     {
         std::uint64_t sent = 0;
@@ -66,29 +55,24 @@
     boost::asio::awaitable<void> callOnce(std::size_t entry);
     boost::asio::awaitable<void> sendCrashing();
     boost::asio::awaitable<void> callCrashing(std::string prefix);
-    boost::asio::awaitable<void> bringBack(std::size_t engine);
     boost::asio::awaitable<void> disturbEntries();
     boost::asio::awaitable<void> restartAllEntries();
     boost::asio::awaitable<Count> count(std::chrono::milliseconds time);
     boost::asio::awaitable<void> playCrashingPart();
     boost::asio::awaitable<void> playUnrelatedEnds();
-    void endEngine(std::size_t engine);
     std::string sharedPart();
     std::string crashingPrefix();
     std::size_t undisturbedEntry();
-    void judgeArrivals() const;
     void judgeServed(const char *phase, const Count &seen, double leastShare);
 
     boost::asio::io_context &context;
     Settings settings;
     Fleet &fleet;
-    std::vector<Proxy *> proxies; // before the engines
+    EndpointCrashes &engines;
     Ledger &ledger;
     std::mt19937_64 random;
-    std::vector<std::shared_ptr<StandIn>> engines;
     std::vector<std::unique_ptr<Caller>> people; // one for each process
     std::vector<state::Instant> disturbedUntil;  // of each process
-    std::map<std::string, PartHistory> histories;
     Count counted;
     std::uint64_t prompts = 0;
     bool crashing = false; // such requests are sent
--- a/soak/StandIn.cpp
+++ b/soak/StandIn.cpp
@@ -178,6 +178,8 @@
         co_await this->stream(exchange, std::move(answer), requestId);
         co_return;
     }
+    if (!this->settings.engine && this->settings.ends(request))
+        co_return;
     answer.body = expectedBody(requestId);
     co_await exchange.respond(std::move(answer));
 }
--- a/soak/StandIn.h
+++ b/soak/StandIn.h
@@ -38,8 +38,8 @@
     std::vector<state::Address> controls;
     std::string failureDomain;
     std::uint64_t seed = 0;
-    // Called when a request arrives, and when an engine begins to write its answer. The latter
-    // tells whether the engine ends instead.
+    // Called when a request arrives, and when an engine begins to write its answer or a replica has
+    // run a call. The latter tells whether the endpoint ends instead.
     std::function<void(const protocol::HttpRequest &)> arrived = [](const auto &) {};
     std::function<bool(const protocol::HttpRequest &)> ends = [](const auto &) { return false; };
     // Called when a request is turned away and the caller is asked for so much rest.
--- a/soak/SteadyCallers.cpp
+++ b/soak/SteadyCallers.cpp
@@ -5,8 +5,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include <array>
 #include <csignal>
+#include <utility>
 
 namespace lavenderthread::soak {
 
@@ -18,14 +18,12 @@
 constexpr milliseconds freezeTime{1'500};
 constexpr milliseconds restartPause{300};
 
-constexpr std::array paths = {"/stream/", "/post/", "/read/"};
-
 } // namespace
 
 SteadyCallers::SteadyCallers(asio::io_context &context, Settings chosen, Fleet &fleet,
                              Ledger &ledger)
     : context(context)
-    , settings(chosen)
+    , settings(std::move(chosen))
     , fleet(fleet)
 {
     for (std::size_t index = 0; index < this->fleet.size(); ++index) {
@@ -49,8 +47,8 @@
 {
     std::size_t turn = entry;
     while (!this->stopped) {
-        asio::co_spawn(this->context, this->callOnce(entry, paths[++turn % paths.size()]),
-                       asio::detached);
+        const std::string &path = this->settings.paths[++turn % this->settings.paths.size()];
+        asio::co_spawn(this->context, this->callOnce(entry, path), asio::detached);
         co_await transport::pause(this->settings.pause);
     }
 }
--- a/soak/SteadyCallers.h
+++ b/soak/SteadyCallers.h
@@ -29,6 +29,7 @@
     {
         std::uint64_t seed = 0;
         std::chrono::milliseconds pause{120}; // between two calls at an entry
+        std::vector<std::string> paths = {"/stream/", "/post/", "/read/"}; // in turn
     };
 
     SteadyCallers(boost::asio::io_context &context, Settings chosen, Fleet &fleet, Ledger &ledger);
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,11 +1,14 @@
 // Runs one seed: a small fleet of real processes, endpoints, callers and an operator, faults for so
 // many seconds, then a calm end in which everything has to work again.
-// With --path-loss, --control-loss, --endpoint-limits or --crashing-prompt, plays that scenario in
-// place of the faults. usage: fault-soak --binary PATH --folder PATH [--seed N] [--seconds N]
+// With --path-loss, --control-loss, --endpoint-limits, --endpoint-rest, --crashing-prompt or
+// --crashing-call, plays that scenario in place of the faults. usage: fault-soak --binary PATH
+// --folder PATH [--seed N] [--seconds N]
 //                   [--path-loss hang|reset] [--control-loss freeze|kill] [--endpoint-limits]
-//                   [--crashing-prompt second|first|two|none]
+//                   [--endpoint-rest] [--crashing-prompt second|first|two|none]
+//                   [--crashing-call target|body|once|none]
 #include "Callers.h"
 #include "ControlLoss.h"
+#include "CrashingCall.h"
 #include "CrashingPrompt.h"
 #include "EndpointLimits.h"
 #include "EndpointRest.h"
@@ -44,11 +47,13 @@
     bool endpointLimits = false;
     bool endpointRest = false;
     std::string crashingPrompt; // where the part is that ends engines; empty: not played
+    std::string crashingCall;   // how calls are alike that end replicas; empty: not played
 
     bool playsScenario() const
     {
         return !this->pathLoss.empty() || !this->controlLoss.empty() || this->endpointLimits
-               || this->endpointRest || !this->crashingPrompt.empty();
+               || this->endpointRest || !this->crashingPrompt.empty()
+               || !this->crashingCall.empty();
     }
 };
 
@@ -80,6 +85,11 @@
                                                            {"two", CrashingPart::Two},
                                                            {"none", CrashingPart::None}};
 
+const std::map<std::string, CrashingCallKind> crashingCalls = {{"target", CrashingCallKind::Target},
+                                                               {"body", CrashingCallKind::Body},
+                                                               {"once", CrashingCallKind::OnceOnly},
+                                                               {"none", CrashingCallKind::None}};
+
 class Soak
 {
 public:
@@ -158,8 +168,12 @@
                     this->rests->requestArrived(index, request);
                 if (this->crashes)
                     this->crashes->requestArrived(request);
+                if (this->callCrashes)
+                    this->callCrashes->requestArrived(request);
             };
             settings.ends = [this, index](const protocol::HttpRequest &request) {
+                if (this->callCrashes)
+                    return this->callCrashes->replicaEnds(index - this->engineCount(), request);
                 return this->crashes && this->crashes->engineEnds(index, request);
             };
             settings.service = settings.engine ? "llm" : "app";
@@ -211,6 +225,8 @@
             co_await this->playEndpointRest();
         else if (!this->options.crashingPrompt.empty())
             co_await this->playCrashingPrompt();
+        else if (!this->options.crashingCall.empty())
+            co_await this->playCrashingCall();
         else
             co_await this->playFaults();
     }
@@ -248,15 +264,39 @@
         CrashingPrompt::Settings settings;
         settings.part = crashingParts.at(this->options.crashingPrompt);
         settings.seed = this->options.seed;
-        settings.engines = this->engineCount();
-        this->crashes =
-                std::make_unique<CrashingPrompt>(this->context, settings, this->fleet,
-                                                 this->proxiesOf(settings.engines), this->ledger);
-        this->crashes->setEngines({this->endpoints.begin(),
-                                   this->endpoints.begin() + std::ptrdiff_t(settings.engines)});
+        this->makeEndpointCrashes(0, this->engineCount());
+        this->crashes = std::make_unique<CrashingPrompt>(this->context, settings, this->fleet,
+                                                         *this->endpointCrashes, this->ledger);
         co_await this->crashes->play();
     }
 
+    asio::awaitable<void> playCrashingCall()
+    {
+        const bool started = co_await this->startFleet();
+        if (!started)
+            co_return;
+        CrashingCall::Settings settings;
+        settings.kind = crashingCalls.at(this->options.crashingCall);
+        settings.seed = this->options.seed;
+        this->makeEndpointCrashes(this->engineCount(), this->endpoints.size());
+        this->callCrashes = std::make_unique<CrashingCall>(this->context, settings, this->fleet,
+                                                           *this->endpointCrashes, this->ledger);
+        co_await this->callCrashes->play();
+    }
+
+    // Of the endpoints from `first` on and before `end`.
+    void makeEndpointCrashes(std::size_t first, std::size_t end)
+    {
+        const std::vector<Proxy *> links = this->proxiesOf(end);
+        this->endpointCrashes = std::make_unique<EndpointCrashes>(
+                this->context, this->options.seed,
+                std::vector<Proxy *>(links.begin() + std::ptrdiff_t(first), links.end()),
+                std::vector<std::shared_ptr<StandIn>>(
+                        this->endpoints.begin() + std::ptrdiff_t(first),
+                        this->endpoints.begin() + std::ptrdiff_t(end)),
+                this->ledger);
+    }
+
     asio::awaitable<void> playControlLoss()
     {
         const bool started = co_await this->startFleet();
@@ -394,7 +434,9 @@
     std::vector<std::unique_ptr<Caller>> people;
     std::map<state::Address, state::Address> proxyOf; // of an entry's callers
     std::unique_ptr<Faults> faults;
+    std::unique_ptr<EndpointCrashes> endpointCrashes;
     std::unique_ptr<CrashingPrompt> crashes;
+    std::unique_ptr<CrashingCall> callCrashes;
     std::unique_ptr<EndpointLimits> limits; // calls may outlast the scenario
     std::unique_ptr<EndpointRest> rests;
     Operator operators;
@@ -424,6 +466,10 @@
     app.add_option("--crashing-prompt", options.crashingPrompt,
                    "Prompts with a certain part end engines; which part: second, first, two, none")
             ->check(CLI::IsMember({"second", "first", "two", "none"}));
+    app.add_option("--crashing-call", options.crashingCall,
+                   "Certain calls end replicas of a plain service; how they are alike: target, "
+                   "body, once, none")
+            ->check(CLI::IsMember({"target", "body", "once", "none"}));
     CLI11_PARSE(app, argc, argv);
     std::cout << "seed " << options.seed << '\n';
     Soak soak(options);
