--- a/src/coordination/quarantine/QuarantineUpdate.h
+++ b/src/coordination/quarantine/QuarantineUpdate.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "state/Ids.h"
-#include "state/PromptPart.h"
+#include "state/RequestPart.h"
 #include "state/Time.h"
 
 #include <compare>
@@ -34,10 +34,10 @@
 
     state::ServiceName service;
     CrashId crash;
-    std::vector<state::PromptPart> parts; // of its prompt
-    bool hasBegun = false;                // some of the answer had come
-    std::int64_t ageUs = 0;               // since the crash
-    std::int64_t sentAgeUs = 0;           // since the request was sent to the engine
+    std::vector<state::RequestPart> parts; // of its prompt
+    bool hasBegun = false;                 // some of the answer had come
+    std::int64_t ageUs = 0;                // since the crash
+    std::int64_t sentAgeUs = 0;            // since the request was sent to the engine
 
     auto operator<=>(const CrashReport &) const = default;
 
@@ -53,7 +53,7 @@
 struct PartCleared
 {
     state::ServiceName service;
-    state::PromptPart part = 0;
+    state::RequestPart part = 0;
     std::int64_t ageUs = 0;
 
     auto operator<=>(const PartCleared &) const = default;
@@ -69,8 +69,8 @@
 struct TrialStarted
 {
     state::ServiceName service;
-    std::vector<state::PromptPart> parts; // of the block
-    std::uint32_t count = 0;              // trials since they were blocked
+    std::vector<state::RequestPart> parts; // of the block
+    std::uint32_t count = 0;               // trials since they were blocked
     std::int64_t ageUs = 0;
 
     auto operator<=>(const TrialStarted &) const = default;
--- a/src/coordination/quarantine/PromptQuarantine.cpp
+++ b/src/coordination/quarantine/RequestQuarantine.cpp
@@ -1,4 +1,4 @@
-#include "coordination/quarantine/PromptQuarantine.h"
+#include "coordination/quarantine/RequestQuarantine.h"
 
 #include <algorithm>
 #include <tuple>
@@ -6,7 +6,7 @@
 namespace lavenderthread::coordination::quarantine {
 
 using state::Instant;
-using state::PromptPart;
+using state::RequestPart;
 using state::ServiceName;
 
 namespace {
@@ -25,23 +25,24 @@
     return (now - at).count();
 }
 
-bool contains(const std::vector<PromptPart> &parts, const std::vector<PromptPart> &wanted)
+bool contains(const std::vector<RequestPart> &parts, const std::vector<RequestPart> &wanted)
 {
-    return std::ranges::all_of(
-            wanted, [&](PromptPart each) { return std::ranges::find(parts, each) != parts.end(); });
+    return std::ranges::all_of(wanted, [&](RequestPart each) {
+        return std::ranges::find(parts, each) != parts.end();
+    });
 }
 
 } // namespace
 
-ReportResult PromptQuarantine::apply(const CrashReport &report, Instant now)
+ReportResult RequestQuarantine::apply(const CrashReport &report, Instant now)
 {
     const Instant at = instantOf(report.ageUs, now);
     const CutOffRequest request{report.hasBegun, instantOf(report.sentAgeUs, now)};
-    std::vector<PromptPart> suspects = report.parts;
+    std::vector<RequestPart> suspects = report.parts;
     suspects.resize(std::min(suspects.size(), CrashReport::maximumParts));
     std::ranges::sort(suspects);
     suspects.erase(std::unique(suspects.begin(), suspects.end()), suspects.end());
-    std::erase_if(suspects, [&](PromptPart part) {
+    std::erase_if(suspects, [&](RequestPart part) {
         return this->isCleared({report.service, part}, at);
     });
     if (suspects.empty())
@@ -63,8 +64,8 @@
 
 // Returns whether the crash has changed. What is known of a request comes again with reports that
 // were passed on, whose ages don't include the time on their way.
-bool PromptQuarantine::add(Crash &crash, std::vector<PromptPart> parts,
-                           const CutOffRequest &request)
+bool RequestQuarantine::add(Crash &crash, std::vector<RequestPart> parts,
+                            const CutOffRequest &request)
 {
     const auto [known, isNew] = crash.requests.try_emplace(std::move(parts), request);
     const bool isEarlier = known->second.hasBegun && !request.hasBegun;
@@ -73,7 +74,7 @@
     return isNew || isEarlier;
 }
 
-bool PromptQuarantine::apply(const PartCleared &cleared, Instant now)
+bool RequestQuarantine::apply(const PartCleared &cleared, Instant now)
 {
     const PartKey key{cleared.service, cleared.part};
     const Instant at = instantOf(cleared.ageUs, now);
@@ -90,7 +91,7 @@
             continue;
         Crash left{crash.service, crash.at, {}};
         for (const auto &[before, request] : crash.requests) {
-            std::vector<PromptPart> parts = before;
+            std::vector<RequestPart> parts = before;
             wasSuspect = std::erase(parts, cleared.part) > 0 || wasSuspect;
             if (!parts.empty())
                 add(left, std::move(parts), request);
@@ -103,10 +104,10 @@
     return wasSuspect;
 }
 
-bool PromptQuarantine::apply(const TrialStarted &trial, Instant now)
+bool RequestQuarantine::apply(const TrialStarted &trial, Instant now)
 {
     bool isNew = false;
-    for (const PromptPart part : trial.parts) {
+    for (const RequestPart part : trial.parts) {
         Trials &known = this->trials[{trial.service, part}];
         if (trial.count <= known.count)
             continue;
@@ -116,12 +117,12 @@
     return isNew;
 }
 
-std::vector<PartCleared> PromptQuarantine::answerSurvived(const ServiceName &service,
-                                                          const std::vector<PromptPart> &parts,
-                                                          Instant now)
+std::vector<PartCleared> RequestQuarantine::answerSurvived(const ServiceName &service,
+                                                           const std::vector<RequestPart> &parts,
+                                                           Instant now)
 {
     std::vector<PartCleared> cleared;
-    for (const PromptPart part : parts) {
+    for (const RequestPart part : parts) {
         const PartCleared news{service, part, 0};
         const bool isSuspect = std::ranges::any_of(this->crashes, [&](const auto &each) {
             return each.second.service == service
@@ -135,7 +136,7 @@
     return cleared;
 }
 
-std::vector<PartCleared> PromptQuarantine::recentlyCleared(Instant now) const
+std::vector<PartCleared> RequestQuarantine::recentlyCleared(Instant now) const
 {
     std::vector<PartCleared> cleared;
     for (const auto &[key, at] : this->clearedAt) {
@@ -147,8 +148,8 @@
     return cleared;
 }
 
-SendDecision PromptQuarantine::decide(const ServiceName &service,
-                                      const std::vector<PromptPart> &parts, Instant now) const
+SendDecision RequestQuarantine::decide(const ServiceName &service,
+                                       const std::vector<RequestPart> &parts, Instant now) const
 {
     const Block *block = this->blockOf(service, parts);
     if (block == nullptr || now - block->lastCrashAt() >= this->settings.memory)
@@ -166,27 +167,27 @@
     return {SendVerdict::Refuse, *block, next - now};
 }
 
-TrialStarted PromptQuarantine::startTrial(const Block &block, Instant now)
+TrialStarted RequestQuarantine::startTrial(const Block &block, Instant now)
 {
     TrialStarted trial{block.service, block.parts, this->trialsOf(block).count + 1, 0};
     this->apply(trial, now);
     return trial;
 }
 
-bool PromptQuarantine::mayRepeat(const ServiceName &service,
-                                 const std::vector<PromptPart> &parts) const
+bool RequestQuarantine::mayRepeat(const ServiceName &service,
+                                  const std::vector<RequestPart> &parts) const
 {
     if (this->blockOf(service, parts) != nullptr)
         return false;
     const CrashesOfParts all = this->crashesOfParts(service, {});
-    return std::ranges::none_of(parts, [&](PromptPart part) {
+    return std::ranges::none_of(parts, [&](RequestPart part) {
         const auto found = all.find(part);
         return found != all.end()
                && this->countIndependent(found->second) >= this->settings.crashesUntilNoRepeat;
     });
 }
 
-std::vector<CrashReport> PromptQuarantine::reportsOfBlocks(Instant now) const
+std::vector<CrashReport> RequestQuarantine::reportsOfBlocks(Instant now) const
 {
     std::vector<CrashReport> reports;
     for (const Block &block : this->blockList) {
@@ -202,7 +203,7 @@
     return reports;
 }
 
-std::vector<TrialStarted> PromptQuarantine::trialsOfBlocks(Instant now) const
+std::vector<TrialStarted> RequestQuarantine::trialsOfBlocks(Instant now) const
 {
     std::vector<TrialStarted> started;
     for (const Block &block : this->blockList) {
@@ -213,7 +214,7 @@
     return started;
 }
 
-void PromptQuarantine::forgetOld(Instant now)
+void RequestQuarantine::forgetOld(Instant now)
 {
     const auto erased = std::erase_if(this->crashes, [&](const auto &each) {
         return now - each.second.at >= this->settings.memory;
@@ -222,7 +223,7 @@
         this->update();
 }
 
-void PromptQuarantine::makeRoom()
+void RequestQuarantine::makeRoom()
 {
     if (this->crashes.size() < this->settings.maximumCrashes)
         return;
@@ -232,7 +233,7 @@
     this->crashes.erase(std::ranges::min_element(this->crashes, {}, order));
 }
 
-void PromptQuarantine::update()
+void RequestQuarantine::update()
 {
     this->blockList.clear();
     std::set<ServiceName> services;
@@ -249,7 +250,7 @@
 
 // The part with the most crashes explains these; the others are judged by the crashes that are
 // left, so that parts which requests share with the crashing one are not blocked with it.
-void PromptQuarantine::findBlocks(const ServiceName &service)
+void RequestQuarantine::findBlocks(const ServiceName &service)
 {
     std::set<CrashId> explained;
     while (this->blockList.size() < maximumBlocks) {
@@ -278,9 +279,9 @@
     }
 }
 
-PromptQuarantine::CrashesOfParts
-PromptQuarantine::crashesOfParts(const ServiceName &service,
-                                 const std::set<CrashId> &explained) const
+RequestQuarantine::CrashesOfParts
+RequestQuarantine::crashesOfParts(const ServiceName &service,
+                                  const std::set<CrashId> &explained) const
 {
     std::vector<const std::pair<const CrashId, Crash> *> inOrder;
     for (const auto &each : this->crashes) {
@@ -296,7 +297,7 @@
         for (const auto &[parts, request] : each->second.requests) {
             if (request.hasBegun && !allBegun)
                 continue;
-            for (const PromptPart part : parts) {
+            for (const RequestPart part : parts) {
                 std::vector<CrashView> &crashesOfPart = found[part];
                 if (crashesOfPart.empty() || crashesOfPart.back().crash != each)
                     crashesOfPart.push_back({each, request.sentAt});
@@ -308,13 +309,13 @@
     return found;
 }
 
-bool PromptQuarantine::hasBegunAll(const Crash &crash)
+bool RequestQuarantine::hasBegunAll(const Crash &crash)
 {
     return std::ranges::all_of(crash.requests,
                                [](const auto &each) { return each.second.hasBegun; });
 }
 
-std::uint32_t PromptQuarantine::countIndependent(const std::vector<CrashView> &crashes) const
+std::uint32_t RequestQuarantine::countIndependent(const std::vector<CrashView> &crashes) const
 {
     std::uint32_t count = 0;
     Instant last;
@@ -329,21 +330,21 @@
     return count;
 }
 
-bool PromptQuarantine::isCleared(const PartKey &part, Instant crashAt) const
+bool RequestQuarantine::isCleared(const PartKey &part, Instant crashAt) const
 {
     const auto known = this->clearedAt.find(part);
     return known != this->clearedAt.end() && known->second >= crashAt;
 }
 
-bool PromptQuarantine::backsBlock(const CrashId &crash) const
+bool RequestQuarantine::backsBlock(const CrashId &crash) const
 {
     return std::ranges::any_of(this->blockList, [&](const Block &block) {
         return std::ranges::find(block.crashes, crash, &CrashOfPart::id) != block.crashes.end();
     });
 }
 
-const Block *PromptQuarantine::blockOf(const ServiceName &service,
-                                       const std::vector<PromptPart> &parts) const
+const Block *RequestQuarantine::blockOf(const ServiceName &service,
+                                        const std::vector<RequestPart> &parts) const
 {
     const auto found = std::ranges::find_if(this->blockList, [&](const Block &block) {
         return block.service == service && contains(parts, block.parts);
@@ -351,10 +352,10 @@
     return found == this->blockList.end() ? nullptr : &*found;
 }
 
-PromptQuarantine::Trials PromptQuarantine::trialsOf(const Block &block) const
+RequestQuarantine::Trials RequestQuarantine::trialsOf(const Block &block) const
 {
     Trials most;
-    for (const PromptPart part : block.parts) {
+    for (const RequestPart part : block.parts) {
         const auto known = this->trials.find({block.service, part});
         if (known != this->trials.end() && known->second.count > most.count)
             most = known->second;
--- a/src/coordination/quarantine/PromptQuarantine.h
+++ b/src/coordination/quarantine/RequestQuarantine.h
@@ -57,7 +57,7 @@
 {
     state::ServiceName service;
     // Sorted. More than one if these were always together in the requests that were cut off.
-    std::vector<state::PromptPart> parts;
+    std::vector<state::RequestPart> parts;
     std::vector<CrashOfPart> crashes; // under which it was found, in the order of time; never none
 
     state::Instant firstCrashAt() const { return this->crashes.front().at; }
@@ -84,10 +84,10 @@
     Cleared, // none of its parts is suspect any more
 };
 
-class PromptQuarantine
+class RequestQuarantine
 {
 public:
-    explicit PromptQuarantine(QuarantineSettings chosen = {})
+    explicit RequestQuarantine(QuarantineSettings chosen = {})
         : settings(chosen)
     {}
 
@@ -101,18 +101,18 @@
     // An engine has survived an answer on such a prompt: clears its parts and returns what to tell
     // the peers.
     std::vector<PartCleared> answerSurvived(const state::ServiceName &service,
-                                            const std::vector<state::PromptPart> &parts,
+                                            const std::vector<state::RequestPart> &parts,
                                             state::Instant now);
     // The parts that were cleared lately, for peers that may have missed it.
     std::vector<PartCleared> recentlyCleared(state::Instant now) const;
     bool knows(const CrashId &crash) const { return this->crashes.contains(crash); }
 
     SendDecision decide(const state::ServiceName &service,
-                        const std::vector<state::PromptPart> &parts, state::Instant now) const;
+                        const std::vector<state::RequestPart> &parts, state::Instant now) const;
     TrialStarted startTrial(const Block &block, state::Instant now);
     // Whether a request that a crash has cut off may be sent to another engine.
     bool mayRepeat(const state::ServiceName &service,
-                   const std::vector<state::PromptPart> &parts) const;
+                   const std::vector<state::RequestPart> &parts) const;
 
     const std::vector<Block> &blocks() const { return this->blockList; }
     // The reports by which another entry finds the same blocks.
@@ -120,7 +120,7 @@
     std::vector<TrialStarted> trialsOfBlocks(state::Instant now) const;
 
 private:
-    using PartKey = std::pair<state::ServiceName, state::PromptPart>;
+    using PartKey = std::pair<state::ServiceName, state::RequestPart>;
 
     struct CutOffRequest
     {
@@ -135,7 +135,7 @@
         state::Instant at;
         // By the suspect parts of its prompt, which are never none. Of several with the same parts
         // the first one that had not begun.
-        std::map<std::vector<state::PromptPart>, CutOffRequest> requests;
+        std::map<std::vector<state::RequestPart>, CutOffRequest> requests;
     };
     struct Trials
     {
@@ -152,7 +152,7 @@
         const CrashId &id() const { return this->crash->first; }
     };
     // In the order of time.
-    using CrashesOfParts = std::unordered_map<state::PromptPart, std::vector<CrashView>>;
+    using CrashesOfParts = std::unordered_map<state::RequestPart, std::vector<CrashView>>;
 
     void forgetOld(state::Instant now);
     void makeRoom();
@@ -163,12 +163,12 @@
     static bool hasBegunAll(const Crash &crash);
     // The crashes that need not have a cause in common with the one before.
     std::uint32_t countIndependent(const std::vector<CrashView> &crashes) const;
-    static bool add(Crash &crash, std::vector<state::PromptPart> parts,
+    static bool add(Crash &crash, std::vector<state::RequestPart> parts,
                     const CutOffRequest &request);
     bool isCleared(const PartKey &part, state::Instant crashAt) const;
     bool backsBlock(const CrashId &crash) const;
     const Block *blockOf(const state::ServiceName &service,
-                         const std::vector<state::PromptPart> &parts) const;
+                         const std::vector<state::RequestPart> &parts) const;
     Trials trialsOf(const Block &block) const;
 
     QuarantineSettings settings;
--- a/src/program/CompletionRelay.cpp
+++ b/src/program/CompletionRelay.cpp
@@ -20,18 +20,18 @@
 
 // Each block's hash stands for the prompt up to its end: the first ones for what prompts share, the
 // last ones for this prompt.
-std::vector<state::PromptPart> promptPartsOf(const std::vector<std::uint64_t> &prefixBlocks)
+std::vector<state::RequestPart> promptPartsOf(const std::vector<std::uint64_t> &prefixBlocks)
 {
     constexpr std::size_t most = coordination::quarantine::CrashReport::maximumParts;
     if (prefixBlocks.size() <= most)
         return prefixBlocks;
     constexpr std::ptrdiff_t half = most / 2;
-    std::vector<state::PromptPart> parts(prefixBlocks.begin(), prefixBlocks.begin() + half);
+    std::vector<state::RequestPart> parts(prefixBlocks.begin(), prefixBlocks.begin() + half);
     parts.insert(parts.end(), prefixBlocks.end() - half, prefixBlocks.end());
     return parts;
 }
 
-Problem toProblem(const PromptRefusal &refusal)
+Problem toProblem(const RequestRefusal &refusal)
 {
     return {503, "prompt-refused", refusal.detail, Ran::No, refusal.retryAfter};
 }
@@ -141,7 +141,7 @@
 
     asio::awaitable<AttemptResult> attempt(const Placement &placement)
     {
-        const auto refusal = this->hooks.prompts->refusalBeforeSend(
+        const auto refusal = this->hooks.guard->refusalBeforeSend(
                 this->request.id, placement.endpoint.service, this->parts);
         if (refusal) {
             co_await this->giveUp(toProblem(*refusal));
@@ -149,7 +149,7 @@
         }
         const AttemptResult end = co_await this->sendTo(placement);
         if (end != AttemptResult::Lost
-            || this->hooks.prompts->mayRepeat(placement.endpoint.service, this->parts))
+            || this->hooks.guard->mayRepeat(placement.endpoint.service, this->parts))
             co_return end;
         Problem problem{503, "prompt-refused", "engines crashed on such prompts", this->ran,
                         std::nullopt};
@@ -213,7 +213,7 @@
                 }
                 position.offset = line.offset;
                 if (line.done && line.total == this->writer.nextOffset()) {
-                    this->hooks.prompts->answerSurvived(placement.endpoint.service, this->parts);
+                    this->hooks.guard->answerSurvived(placement.endpoint.service, this->parts);
                     this->whole = co_await this->writer.finish(line.finishReason);
                     co_return AttemptResult::Ended;
                 }
@@ -235,8 +235,8 @@
     {
         if (this->firstTokenOfAttempt == state::Instant{})
             this->firstTokenOfAttempt = monotonicNow();
-        this->hooks.prompts->answerContinues(placement.endpoint.service, this->parts,
-                                             this->firstTokenOfAttempt);
+        this->hooks.guard->answerContinues(placement.endpoint.service, this->parts,
+                                           this->firstTokenOfAttempt);
     }
 
     asio::awaitable<void> reportLoss(const Placement &placement, const state::Error &error)
@@ -244,8 +244,8 @@
         const bool ended =
                 error.code == state::ErrorCode::Unavailable && error.step != transport::connectStep;
         if (ended)
-            co_await this->hooks.prompts->attemptLost(placement.endpoint, this->parts, this->sentAt,
-                                                      this->firstTokenOfAttempt);
+            co_await this->hooks.guard->attemptLost(placement.endpoint, this->parts, this->sentAt,
+                                                    this->firstTokenOfAttempt);
     }
 
     AnswerWriter::TakeResult takeToken(const protocol::EngineLine &line,
@@ -307,7 +307,7 @@
     transport::HttpExchange &exchange;
     ScheduledRequest request;
     std::optional<protocol::EventId> resume;
-    const std::vector<state::PromptPart> parts;
+    const std::vector<state::RequestPart> parts;
     std::shared_ptr<const std::string> body;
     AnswerWriter writer;
     std::uint64_t firstOffset;
--- a/src/program/CompletionRelay.h
+++ b/src/program/CompletionRelay.h
@@ -2,7 +2,7 @@
 // once, and ended at the deadline. Continues at another engine when one is lost.
 #pragma once
 
-#include "program/PromptGuard.h"
+#include "program/RequestGuard.h"
 #include "program/Scheduler.h"
 #include "program/Settings.h"
 #include "protocol/EventId.h"
@@ -41,7 +41,7 @@
     struct Hooks
     {
         Scheduler scheduler;
-        std::shared_ptr<PromptGuard> prompts;
+        std::shared_ptr<RequestGuard> guard;
         std::function<state::RequestId()> nextRequestId;
         std::function<void(const CompletionOutcome &)> finished;
     };
--- a/src/program/Entry.cpp
+++ b/src/program/Entry.cpp
@@ -81,7 +81,7 @@
     , registry(std::move(registry))
     , hooks(std::move(hooks))
     , completions(settings,
-                  {this->hooks.scheduler, this->hooks.prompts,
+                  {this->hooks.scheduler, this->hooks.guard,
                    [this] { return this->nextRequestId(); }, this->hooks.completionFinished})
     , services(settings, {[this] { return this->registry->table(); }, this->hooks.claims,
                           [this] { return this->nextRequestId(); }, this->hooks.serviceFinished})
--- a/src/program/Entry.h
+++ b/src/program/Entry.h
@@ -46,7 +46,7 @@
     struct Hooks
     {
         Scheduler scheduler;
-        std::shared_ptr<PromptGuard> prompts;
+        std::shared_ptr<RequestGuard> guard;
         ClaimGate claims;
         std::function<DirectoryAnswer(const state::ClientAccountId &)> directory;
         // Called with an endpoint's announcement; passes it on to the other entries.
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -11,8 +11,8 @@
 #include "program/Entry.h"
 #include "program/Log.h"
 #include "program/Metrics.h"
-#include "program/PromptGuard.h"
 #include "program/RelayListeners.h"
+#include "program/RequestGuard.h"
 #include "transport/Await.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -112,7 +112,7 @@
               {"endpoint", outcome.endpoint.value()},
               {"configuration", outcome.configuration},
               {"prompt_tokens", outcome.promptTokens},
-              {"parts", state::formatPromptParts(outcome.promptParts)},
+              {"parts", state::formatRequestParts(outcome.promptParts)},
               {"status", outcome.status},
               {"whole", outcome.whole ? "yes" : "no"},
               {"attempts", outcome.attempts},
@@ -167,7 +167,7 @@
                                 {this->incarnation,
                                  this->control ? this->control->identity() : state::VmId()},
                                 this->clusterHooks()));
-        this->prompts = PromptGuard::create(this->context, this->promptHooks());
+        this->guard = RequestGuard::create(this->context, this->guardHooks());
         if (this->settings.hasControlMembers())
             this->client =
                     ControlClient::create(this->settings, this->context, this->clientHooks());
@@ -188,7 +188,7 @@
             this->control->start();
         this->entry->start();
         this->cluster->start();
-        this->prompts->start();
+        this->guard->start();
         if (this->client)
             this->client->start();
         this->publishPhase();
@@ -255,7 +255,7 @@
         hooks.endpoints = [this] { return this->registry->table(); };
         hooks.cluster = this->cluster;
         hooks.client = this->client;
-        hooks.prompts = this->prompts;
+        hooks.guard = this->guard;
         hooks.ready = [this] { return this->entry->phase() == EntryPhase::Serving; };
         hooks.profilesChanged = [this](auto profiles) {
             this->policy->setProfiles(std::move(profiles));
@@ -268,9 +268,9 @@
         return hooks;
     }
 
-    PromptGuard::Hooks promptHooks()
+    RequestGuard::Hooks guardHooks()
     {
-        PromptGuard::Hooks hooks;
+        RequestGuard::Hooks hooks;
         hooks.share = [this](protocol::PeerUpdate update) {
             this->cluster->share(std::move(update));
         };
@@ -304,11 +304,11 @@
     {
         namespace quarantine = coordination::quarantine;
         if (const auto *report = std::get_if<quarantine::CrashReport>(&update))
-            this->prompts->peerReported(*report);
+            this->guard->peerReported(*report);
         else if (const auto *cleared = std::get_if<quarantine::PartCleared>(&update))
-            this->prompts->peerCleared(*cleared);
+            this->guard->peerCleared(*cleared);
         else if (const auto *trial = std::get_if<quarantine::TrialStarted>(&update))
-            this->prompts->peerStartedTrial(*trial);
+            this->guard->peerStartedTrial(*trial);
         else if (const auto *replaced = std::get_if<protocol::EndpointReplaced>(&update))
             this->policy->engineReplaced(replaced->endpoint, replaced->incarnation);
         else if (const auto *limit = std::get_if<protocol::EndpointLimited>(&update))
@@ -359,7 +359,7 @@
     {
         Entry::Hooks hooks;
         hooks.scheduler = this->policy->scheduler();
-        hooks.prompts = this->prompts;
+        hooks.guard = this->guard;
         hooks.claims =
                 this->client ? this->client->claimGate(this->incarnation) : makeLocalClaims();
         hooks.accountOfKey = [this](std::string_view key) -> std::optional<AccountSetting> {
@@ -556,8 +556,8 @@
         });
         if (this->control)
             this->serveControlMetrics();
-        this->metrics.gauge("prompt_blocks",
-                            [this] { return double(this->prompts->blockCount()); });
+        this->metrics.gauge("quarantine_blocks",
+                            [this] { return double(this->guard->blockCount()); });
         this->metrics.gauge("endpoints_known",
                             [this] { return double(this->cluster->endpointsKnown()); });
         this->metrics.gauge("reaches_endpoints",
@@ -631,7 +631,7 @@
     std::shared_ptr<Cluster> cluster;
     std::shared_ptr<ControlService> control; // null unless this node is a control member
     std::shared_ptr<ControlClient> client;   // null if there are no control members
-    std::shared_ptr<PromptGuard> prompts;
+    std::shared_ptr<RequestGuard> guard;
     std::shared_ptr<DispatcherScheduler> policy;
     std::shared_ptr<Entry> entry;
     std::shared_ptr<RelayListeners> front;                // null if no relay listener is configured
--- a/src/program/RelayCodec.h
+++ b/src/program/RelayCodec.h
@@ -7,7 +7,7 @@
 #include "program/Scheduler.h"
 #include "protocol/HttpMessage.h"
 #include "state/Endpoint.h"
-#include "state/PromptPart.h"
+#include "state/RequestPart.h"
 #include "state/control/ControlView.h"
 #include "state/routes/RouteTable.h"
 #include "transport/HttpServer.h"
@@ -34,7 +34,7 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0; // upper limit
     // Ids of the prompt's parts, in order; other requests may share all but the last.
-    std::vector<state::PromptPart> promptParts;
+    std::vector<state::RequestPart> promptParts;
     // The caller excludes some endpoints, which refuse the request as if another one were meant.
     bool restrictsEndpoints = false;
 };
--- a/src/program/RelayListeners.cpp
+++ b/src/program/RelayListeners.cpp
@@ -99,7 +99,7 @@
     relayHooks.endpointLeaves = [this](const state::EndpointDescription &endpoint) {
         this->hooks.cluster->endpointLeaves(endpoint);
     };
-    relayHooks.prompts = this->hooks.prompts;
+    relayHooks.guard = this->hooks.guard;
     relayHooks.finished = this->hooks.finished;
     return relayHooks;
 }
--- a/src/program/RelayListeners.h
+++ b/src/program/RelayListeners.h
@@ -6,8 +6,8 @@
 #include "program/Cluster.h"
 #include "program/ControlClient.h"
 #include "program/PathMonitor.h"
-#include "program/PromptGuard.h"
 #include "program/RelayCodec.h"
+#include "program/RequestGuard.h"
 #include "program/RouteRelay.h"
 #include "program/Settings.h"
 #include "state/Snapshot.h"
@@ -32,7 +32,7 @@
         std::function<state::SnapshotView<EndpointTable>()> endpoints;
         std::shared_ptr<Cluster> cluster;
         std::shared_ptr<ControlClient> client;
-        std::shared_ptr<PromptGuard> prompts;
+        std::shared_ptr<RequestGuard> guard;
         std::function<bool()> ready; // whether the rest of the process can serve
         // Called with the services' engine profiles whenever a configuration comes into force.
         std::function<void(std::map<state::ServiceName, state::routes::EngineProfile>)>
--- a/src/program/PromptGuard.cpp
+++ b/src/program/RequestGuard.cpp
@@ -1,4 +1,4 @@
-#include "program/PromptGuard.h"
+#include "program/RequestGuard.h"
 
 #include "program/Clock.h"
 #include "program/Log.h"
@@ -23,7 +23,7 @@
 using coordination::quarantine::SendDecision;
 using coordination::quarantine::SendVerdict;
 using coordination::quarantine::TrialStarted;
-using state::PromptPart;
+using state::RequestPart;
 using state::ServiceName;
 using std::chrono::milliseconds;
 
@@ -56,11 +56,11 @@
 
 void logReport(LogLevel level, const CrashReport &report, const char *source)
 {
-    logEvent(level, "prompt.crash-reported",
+    logEvent(level, "quarantine.crash-reported",
              {{"service", report.service.value()},
               {"endpoint", report.crash.endpoint.value()},
               {"incarnation", report.crash.incarnation},
-              {"parts", state::formatPromptParts(report.parts)},
+              {"parts", state::formatRequestParts(report.parts)},
               {"begun", report.hasBegun ? "yes" : "no"},
               {"age_us", report.ageUs},
               {"sent_age_us", report.sentAgeUs},
@@ -69,9 +69,9 @@
 
 void logCleared(LogLevel level, const PartCleared &cleared, const char *source)
 {
-    logEvent(level, "prompt.cleared",
+    logEvent(level, "quarantine.cleared",
              {{"service", cleared.service.value()},
-              {"part", state::formatPromptParts({cleared.part})},
+              {"part", state::formatRequestParts({cleared.part})},
               {"source", source}});
 }
 
@@ -80,20 +80,20 @@
     const state::Instant now = monotonicNow();
     logEvent(LogLevel::Warning, event,
              {{"service", block.service.value()},
-              {"parts", state::formatPromptParts(block.parts)},
+              {"parts", state::formatRequestParts(block.parts)},
               {"crashes", formatCrashes(block.crashes)},
               {"first_age_ms", toMilliseconds(now - block.firstCrashAt())},
               {"last_age_ms", toMilliseconds(now - block.lastCrashAt())}});
 }
 
-std::optional<PromptRefusal> toRefusal(const SendDecision &decision)
+std::optional<RequestRefusal> toRefusal(const SendDecision &decision)
 {
     if (decision.verdict != SendVerdict::Refuse)
         return std::nullopt;
     const Block &block = *decision.block;
-    return PromptRefusal{
+    return RequestRefusal{
             std::to_string(block.crashes.size()) + " engines crashed on prompts with part "
-                    + state::formatPromptParts(block.parts) + ", the last "
+                    + state::formatRequestParts(block.parts) + ", the last "
                     + std::to_string(toMilliseconds(monotonicNow() - block.lastCrashAt()))
                     + " ms ago",
             std::chrono::ceil<milliseconds>(decision.retryAfter)};
@@ -101,24 +101,24 @@
 
 } // namespace
 
-PromptGuard::PromptGuard(asio::io_context &context, Hooks hooks)
+RequestGuard::RequestGuard(asio::io_context &context, Hooks hooks)
     : context(context)
     , hooks(std::move(hooks))
 {}
 
-std::shared_ptr<PromptGuard> PromptGuard::create(asio::io_context &context, Hooks hooks)
+std::shared_ptr<RequestGuard> RequestGuard::create(asio::io_context &context, Hooks hooks)
 {
-    return std::shared_ptr<PromptGuard>(new PromptGuard(context, std::move(hooks)));
+    return std::shared_ptr<RequestGuard>(new RequestGuard(context, std::move(hooks)));
 }
 
-void PromptGuard::start()
+void RequestGuard::start()
 {
     asio::co_spawn(
             this->context, [self = this->shared_from_this()] { return self->repeatForEver(); },
             asio::detached);
 }
 
-asio::awaitable<void> PromptGuard::repeatForEver()
+asio::awaitable<void> RequestGuard::repeatForEver()
 {
     while (true) {
         co_await transport::pause(repeatInterval);
@@ -141,8 +141,8 @@
     }
 }
 
-std::optional<PromptRefusal> PromptGuard::refusal(const ServiceName &service,
-                                                  const std::vector<PromptPart> &parts) const
+std::optional<RequestRefusal> RequestGuard::refusal(const ServiceName &service,
+                                                    const std::vector<RequestPart> &parts) const
 {
     if (!this->hasSuspects || parts.empty())
         return std::nullopt;
@@ -150,9 +150,9 @@
     return toRefusal(this->quarantine.decide(service, parts, monotonicNow()));
 }
 
-std::optional<PromptRefusal> PromptGuard::refusalBeforeSend(const state::RequestId &request,
-                                                            const ServiceName &service,
-                                                            const std::vector<PromptPart> &parts)
+std::optional<RequestRefusal> RequestGuard::refusalBeforeSend(const state::RequestId &request,
+                                                              const ServiceName &service,
+                                                              const std::vector<RequestPart> &parts)
 {
     if (!this->hasSuspects || parts.empty())
         return std::nullopt;
@@ -166,17 +166,17 @@
         trial = this->quarantine.startTrial(*decision.block, now);
     }
     this->hooks.share(trial);
-    logEvent(LogLevel::Warning, "prompt.trial",
+    logEvent(LogLevel::Warning, "quarantine.trial",
              {{"request", request.value()},
               {"service", service.value()},
-              {"parts", state::formatPromptParts(parts)},
+              {"parts", state::formatRequestParts(parts)},
               {"count", trial.count}});
     return std::nullopt;
 }
 
-asio::awaitable<void> PromptGuard::attemptLost(state::EndpointDescription engine,
-                                               std::vector<PromptPart> parts, state::Instant sentAt,
-                                               state::Instant firstEventAt)
+asio::awaitable<void> RequestGuard::attemptLost(state::EndpointDescription engine,
+                                                std::vector<RequestPart> parts,
+                                                state::Instant sentAt, state::Instant firstEventAt)
 {
     if (parts.empty() || hasSurvived(firstEventAt))
         co_return;
@@ -208,20 +208,21 @@
     logReport(LogLevel::Info, report, "attempt");
 }
 
-bool PromptGuard::isKnownCrash(const CrashId &crash) const
+bool RequestGuard::isKnownCrash(const CrashId &crash) const
 {
     const std::lock_guard lock(this->mutex);
     return this->quarantine.knows(crash);
 }
 
-void PromptGuard::answerContinues(const ServiceName &service, const std::vector<PromptPart> &parts,
-                                  state::Instant firstEventAt)
+void RequestGuard::answerContinues(const ServiceName &service,
+                                   const std::vector<RequestPart> &parts,
+                                   state::Instant firstEventAt)
 {
     if (hasSurvived(firstEventAt))
         this->answerSurvived(service, parts);
 }
 
-void PromptGuard::answerSurvived(const ServiceName &service, const std::vector<PromptPart> &parts)
+void RequestGuard::answerSurvived(const ServiceName &service, const std::vector<RequestPart> &parts)
 {
     if (!this->hasSuspects || parts.empty())
         return;
@@ -238,7 +239,8 @@
     }
 }
 
-bool PromptGuard::mayRepeat(const ServiceName &service, const std::vector<PromptPart> &parts) const
+bool RequestGuard::mayRepeat(const ServiceName &service,
+                             const std::vector<RequestPart> &parts) const
 {
     if (!this->hasSuspects || parts.empty())
         return true;
@@ -246,13 +248,13 @@
     return this->quarantine.mayRepeat(service, parts);
 }
 
-std::size_t PromptGuard::blockCount() const
+std::size_t RequestGuard::blockCount() const
 {
     const std::lock_guard lock(this->mutex);
     return this->quarantine.blocks().size();
 }
 
-void PromptGuard::peerReported(const CrashReport &report)
+void RequestGuard::peerReported(const CrashReport &report)
 {
     {
         const std::lock_guard lock(this->mutex);
@@ -263,7 +265,7 @@
     logReport(LogLevel::Debug, report, "peer");
 }
 
-void PromptGuard::peerCleared(const PartCleared &cleared)
+void RequestGuard::peerCleared(const PartCleared &cleared)
 {
     {
         const std::lock_guard lock(this->mutex);
@@ -274,13 +276,13 @@
     logCleared(LogLevel::Debug, cleared, "peer");
 }
 
-void PromptGuard::peerStartedTrial(const TrialStarted &trial)
+void RequestGuard::peerStartedTrial(const TrialStarted &trial)
 {
     const std::lock_guard lock(this->mutex);
     this->quarantine.apply(trial, monotonicNow());
 }
 
-void PromptGuard::noteChange()
+void RequestGuard::noteChange()
 {
     this->hasSuspects = this->quarantine.hasSuspects();
     const Blocks &now = this->quarantine.blocks();
@@ -291,11 +293,11 @@
     };
     for (const Block &block : now) {
         if (!isIn(this->loggedBlocks, block))
-            logBlock("prompt.blocked", block);
+            logBlock("quarantine.blocked", block);
     }
     for (const Block &block : this->loggedBlocks) {
         if (!isIn(now, block))
-            logBlock("prompt.released", block);
+            logBlock("quarantine.released", block);
     }
     this->loggedBlocks = now;
 }
--- a/src/program/PromptGuard.h
+++ b/src/program/RequestGuard.h
@@ -1,8 +1,8 @@
 // Keeps prompts from engines if their like has crashed engines. Gathers the evidence of this
-// process and its peers for coordination::quarantine::PromptQuarantine, and passes it on.
+// process and its peers for coordination::quarantine::RequestQuarantine, and passes it on.
 #pragma once
 
-#include "coordination/quarantine/PromptQuarantine.h"
+#include "coordination/quarantine/RequestQuarantine.h"
 #include "protocol/PeerUpdate.h"
 #include "state/Endpoint.h"
 
@@ -22,13 +22,13 @@
 namespace lavenderthread::program {
 
 // The request has not run. Its prompt is refused until the next trial.
-struct PromptRefusal
+struct RequestRefusal
 {
     std::string detail;
     std::chrono::milliseconds retryAfter{};
 };
 
-class PromptGuard : public std::enable_shared_from_this<PromptGuard>
+class RequestGuard : public std::enable_shared_from_this<RequestGuard>
 {
 public:
     struct Hooks
@@ -39,32 +39,32 @@
         std::function<void(std::vector<protocol::PeerUpdate>)> shareWithSome = [](auto) {};
     };
 
-    static std::shared_ptr<PromptGuard> create(boost::asio::io_context &context, Hooks hooks);
+    static std::shared_ptr<RequestGuard> create(boost::asio::io_context &context, Hooks hooks);
 
     // Begins to repeat to other members what they need to refuse the same requests.
     void start();
 
     // All of these may be called from any thread.
-    std::optional<PromptRefusal> refusal(const state::ServiceName &service,
-                                         const std::vector<state::PromptPart> &parts) const;
+    std::optional<RequestRefusal> refusal(const state::ServiceName &service,
+                                          const std::vector<state::RequestPart> &parts) const;
     // The same, directly before the request is sent; it may become a trial.
-    std::optional<PromptRefusal> refusalBeforeSend(const state::RequestId &request,
-                                                   const state::ServiceName &service,
-                                                   const std::vector<state::PromptPart> &parts);
+    std::optional<RequestRefusal> refusalBeforeSend(const state::RequestId &request,
+                                                    const state::ServiceName &service,
+                                                    const std::vector<state::RequestPart> &parts);
     // The engine has ended the connection before the end of the answer. `firstEventAt` is Instant{}
     // if no event had come.
     boost::asio::awaitable<void> attemptLost(state::EndpointDescription engine,
-                                             std::vector<state::PromptPart> parts,
+                                             std::vector<state::RequestPart> parts,
                                              state::Instant sentAt, state::Instant firstEventAt);
     // Events of an answer have come, the first one at that time.
     void answerContinues(const state::ServiceName &service,
-                         const std::vector<state::PromptPart> &parts, state::Instant firstEventAt);
+                         const std::vector<state::RequestPart> &parts, state::Instant firstEventAt);
     // The engine has ended the answer itself.
     void answerSurvived(const state::ServiceName &service,
-                        const std::vector<state::PromptPart> &parts);
+                        const std::vector<state::RequestPart> &parts);
     // Whether a request that an engine has cut off may be sent to another one.
     bool mayRepeat(const state::ServiceName &service,
-                   const std::vector<state::PromptPart> &parts) const;
+                   const std::vector<state::RequestPart> &parts) const;
     std::size_t blockCount() const;
 
     void peerReported(const coordination::quarantine::CrashReport &report);
@@ -74,7 +74,7 @@
 private:
     using Blocks = std::vector<coordination::quarantine::Block>;
 
-    PromptGuard(boost::asio::io_context &context, Hooks hooks);
+    RequestGuard(boost::asio::io_context &context, Hooks hooks);
 
     boost::asio::awaitable<void> repeatForEver();
     bool isKnownCrash(const coordination::quarantine::CrashId &crash) const;
@@ -85,7 +85,7 @@
     boost::asio::io_context &context;
     Hooks hooks;
     mutable std::mutex mutex; // guards the members below; never held across I/O or a hook
-    coordination::quarantine::PromptQuarantine quarantine;
+    coordination::quarantine::RequestQuarantine quarantine;
     Blocks loggedBlocks;
     std::minstd_rand random;               // which reports are repeated; any seed will do
     std::atomic<bool> hasSuspects = false; // false: nothing is refused or cleared
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -158,9 +158,9 @@
     asio::awaitable<void> runAccepted()
     {
         // Waiting, or trying elsewhere, would not help the caller.
-        if (this->isPromptRefused()) {
-            co_await this->sendFinalAnswer(this->promptRefusal->detail,
-                                           this->promptRefusal->retryAfter);
+        if (this->isRequestRefused()) {
+            co_await this->sendFinalAnswer(this->requestRefusal->detail,
+                                           this->requestRefusal->retryAfter);
             co_return;
         }
         const bool done = co_await this->runThroughPeersIfPathLost();
@@ -173,16 +173,16 @@
     }
 
     // Asked again whenever the request is about to be sent: it may have waited since it came.
-    bool isPromptRefused()
+    bool isRequestRefused()
     {
         return this->recordRefusal(
-                this->hooks.prompts->refusal(this->outcome.service, this->request.promptParts));
+                this->hooks.guard->refusal(this->outcome.service, this->request.promptParts));
     }
 
     // The connection stands, and the request would go out now.
     bool isSendRefused()
     {
-        return this->recordRefusal(this->hooks.prompts->refusalBeforeSend(
+        return this->recordRefusal(this->hooks.guard->refusalBeforeSend(
                 this->request.id, this->outcome.service, this->request.promptParts));
     }
 
@@ -195,19 +195,19 @@
         return this->withheld;
     }
 
-    bool recordRefusal(std::optional<PromptRefusal> refusal)
+    bool recordRefusal(std::optional<RequestRefusal> refusal)
     {
-        this->promptRefusal = std::move(refusal);
-        return this->promptRefusal.has_value();
+        this->requestRefusal = std::move(refusal);
+        return this->requestRefusal.has_value();
     }
 
     // Whether the prompt may be sent once more, after an attempt that ended so.
-    bool mayRepeatPrompt(AttemptResult end) const
+    bool mayRepeatRequest(AttemptResult end) const
     {
-        if (this->promptRefusal)
+        if (this->requestRefusal)
             return false;
         return end != AttemptResult::Lost
-               || this->hooks.prompts->mayRepeat(this->outcome.service, this->request.promptParts);
+               || this->hooks.guard->mayRepeat(this->outcome.service, this->request.promptParts);
     }
 
     // An engine that is leaving ends its connections as planned.
@@ -372,7 +372,7 @@
                 break;
             }
             this->updateTimeIsOver();
-            if (!coordination::relay::mayRetry(this->facts, end) || !this->mayRepeatPrompt(end))
+            if (!coordination::relay::mayRetry(this->facts, end) || !this->mayRepeatRequest(end))
                 break;
             if (this->shouldGoElsewhere()) {
                 this->refusalResult = PeerResult::Elsewhere;
@@ -392,9 +392,9 @@
                 this->outcome.reason = placement.error().detail + "; " + this->outcome.reason;
                 retryAfter = placement.error().retryAfter;
             }
-            if (this->promptRefusal) {
-                this->outcome.reason = this->promptRefusal->detail;
-                retryAfter = this->promptRefusal->retryAfter;
+            if (this->requestRefusal) {
+                this->outcome.reason = this->requestRefusal->detail;
+                retryAfter = this->requestRefusal->retryAfter;
             }
             co_await this->sendFinalAnswer(this->outcome.reason, retryAfter);
         }
@@ -518,7 +518,7 @@
             this->updateTimeIsOver();
             const bool tokenTaken = std::exchange(this->retryTokenTaken, false);
             const bool needsToken = end != AttemptResult::NeverSent && !tokenTaken;
-            if (!coordination::relay::mayRetry(this->facts, end) || !this->mayRepeatPrompt(end)
+            if (!coordination::relay::mayRetry(this->facts, end) || !this->mayRepeatRequest(end)
                 || (needsToken && !this->takeRetryToken()))
                 break;
             if (this->shouldGoElsewhere()) {
@@ -575,7 +575,7 @@
     void recordReplicaResult(const state::EndpointDescription &replica, AttemptResult end)
     {
         // A healthy endpoint also answers a request that it can't carry out with its own error.
-        const bool endedHere = this->facts.callerGone || this->promptRefusal;
+        const bool endedHere = this->facts.callerGone || this->requestRefusal;
         const bool rests = this->withheld || this->askedForRest;
         const AttemptOutcome health = endedHere || rests ? AttemptOutcome::Succeeded
                                                          : healthOf(end, this->endpointReplaced);
@@ -665,7 +665,7 @@
             taken = true;
             // As the others would; a stream in progress is worth asking them.
             const bool refused = end == AttemptResult::NotRun && this->facts.runs == 0;
-            if (refused || !this->mayRepeatPrompt(end)
+            if (refused || !this->mayRepeatRequest(end)
                 || !coordination::relay::mayRetry(this->facts, end)
                 || !(tokenTaken || this->takeRetryToken()))
                 break;
@@ -720,9 +720,9 @@
         if (end == AttemptResult::Lost)
             this->logLoss(endpoint);
         if (end == AttemptResult::Lost && this->mayHaveCrashed(endpoint))
-            co_await this->hooks.prompts->attemptLost(endpoint, this->request.promptParts,
-                                                      this->progress.sentAt,
-                                                      this->progress.firstEventAt);
+            co_await this->hooks.guard->attemptLost(endpoint, this->request.promptParts,
+                                                    this->progress.sentAt,
+                                                    this->progress.firstEventAt);
         co_return end;
     }
 
@@ -736,7 +736,7 @@
                   {"connection", this->progress.connectionEnded ? "ended" : "given-up"},
                   {"events", this->progress.events},
                   {"after_us", std::int64_t((monotonicNow() - this->progress.sentAt).count())},
-                  {"parts", state::formatPromptParts(this->outcome.promptParts)},
+                  {"parts", state::formatRequestParts(this->outcome.promptParts)},
                   {"cause", this->outcome.reason}});
     }
 
@@ -775,7 +775,7 @@
         const milliseconds left = remaining(this->deadline);
         this->withheld = false;
         this->askedForRest = false;
-        if (left == milliseconds(0) || this->facts.callerGone || this->isPromptRefused()
+        if (left == milliseconds(0) || this->facts.callerGone || this->isRequestRefused()
             || this->isWithheld(target.endpoint))
             co_return AttemptResult::NeverSent;
         ForwardParameters terms;
@@ -818,7 +818,7 @@
         // The end of a connection does not tell a whole answer from an engine that has crashed.
         if (end == AttemptResult::Complete && isSuccess(stream.status())
             && !stream.endsWithConnection())
-            this->hooks.prompts->answerSurvived(this->outcome.service, this->request.promptParts);
+            this->hooks.guard->answerSurvived(this->outcome.service, this->request.promptParts);
         co_return end;
     }
 
@@ -846,7 +846,7 @@
     asio::awaitable<AttemptResult> exchangeWithPeer(state::Address peer)
     {
         const milliseconds left = remaining(this->deadline);
-        if (left == milliseconds(0) || this->facts.callerGone || this->isPromptRefused())
+        if (left == milliseconds(0) || this->facts.callerGone || this->isRequestRefused())
             co_return AttemptResult::NeverSent;
         this->outcome.via = peer;
         this->peerResult = PeerResult::Unknown;
@@ -1061,8 +1061,8 @@
     {
         if (this->progress.events++ == 0)
             this->progress.firstEventAt = monotonicNow();
-        this->hooks.prompts->answerContinues(this->outcome.service, this->request.promptParts,
-                                             this->progress.firstEventAt);
+        this->hooks.guard->answerContinues(this->outcome.service, this->request.promptParts,
+                                           this->progress.firstEventAt);
     }
 
     asio::awaitable<bool> forwardEvents(std::string_view events,
@@ -1134,7 +1134,7 @@
             break;
         case FinalAnswer::NotRun:
             // A prompt that is refused will not be served sooner.
-            if (!this->promptRefusal)
+            if (!this->requestRefusal)
                 retryAfter = std::min(retryAfter.value_or(retryWithoutEndpoint), longestRetryAfter);
             co_await this->refuseWith(503, retryAfter);
             break;
@@ -1190,7 +1190,7 @@
     CallState facts;
     RelayOutcome outcome;
     AttemptProgress progress; // of the running attempt
-    std::optional<PromptRefusal> promptRefusal;
+    std::optional<RequestRefusal> requestRefusal;
     coordination::relay::EventSplitter events;
     // The last error that an endpoint answered.
     std::optional<protocol::HttpResponse> endpointAnswer;
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -8,8 +8,8 @@
 #include "coordination/routing/PeerOrder.h"
 #include "coordination/routing/ReplicaChooser.h"
 #include "program/EndpointRegistry.h"
-#include "program/PromptGuard.h"
 #include "program/RelayCodec.h"
+#include "program/RequestGuard.h"
 #include "program/Scheduler.h"
 #include "program/Settings.h"
 #include "protocol/PeerUpdate.h"
@@ -39,8 +39,8 @@
     state::EndpointId endpoint;      // of the last attempt
     std::uint64_t configuration = 0; // version of the routes that were used
     std::uint32_t promptTokens = 0;
-    std::vector<state::PromptPart> promptParts; // as in RelayRequest
-    unsigned status = 0;                        // 0: the caller had disconnected
+    std::vector<state::RequestPart> promptParts; // as in RelayRequest
+    unsigned status = 0;                         // 0: the caller had disconnected
     unsigned attempts = 0;
     state::Address address;              // of the last attempt's endpoint
     std::vector<state::Address> helpers; // of the last attempt
@@ -80,7 +80,7 @@
         // An endpoint has said in an answer that it leaves.
         std::function<void(const state::EndpointDescription &)> endpointLeaves = [](const auto &) {
         };
-        std::shared_ptr<PromptGuard> prompts;
+        std::shared_ptr<RequestGuard> guard;
         // Sends an update to the peers.
         std::function<void(protocol::PeerUpdate)> share = [](auto) {};
         std::function<void(const RelayOutcome &)> finished;
--- a/src/state/PromptPart.cpp
+++ b/src/state/RequestPart.cpp
@@ -1,16 +1,16 @@
-#include "state/PromptPart.h"
+#include "state/RequestPart.h"
 
 #include <array>
 #include <charconv>
 
 namespace lavenderthread::state {
 
-std::string formatPromptParts(const std::vector<PromptPart> &parts)
+std::string formatRequestParts(const std::vector<RequestPart> &parts)
 {
     constexpr int hexadecimal = 16;
     std::string text;
-    for (const PromptPart part : parts) {
-        std::array<char, 2 * sizeof(PromptPart)> digits{};
+    for (const RequestPart part : parts) {
+        std::array<char, 2 * sizeof(RequestPart)> digits{};
         const auto [end, problem] =
                 std::to_chars(digits.data(), digits.data() + digits.size(), part, hexadecimal);
         text += text.empty() ? "" : ",";
--- /dev/null
+++ b/src/state/RequestPart.h
@@ -0,0 +1,16 @@
+// A part of a request that other requests may share: a part of its prompt, such as a document,
+// named by its id, or a digest of something that the request asks for.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace lavenderthread::state {
+
+using RequestPart = std::uint64_t;
+
+// Hexadecimal ids, joined by commas.
+std::string formatRequestParts(const std::vector<RequestPart> &parts);
+
+} // namespace lavenderthread::state
--- a/tests/coordination/quarantine/PromptQuarantineTest.cpp
+++ b/tests/coordination/quarantine/RequestQuarantineTest.cpp
@@ -1,6 +1,6 @@
-// Tests PromptQuarantine: which parts are blocked by which crashes, what clears them, and how many
+// Tests RequestQuarantine: which parts are blocked by which crashes, what clears them, and how many
 // requests may find out whether a block is still needed.
-#include "coordination/quarantine/PromptQuarantine.h"
+#include "coordination/quarantine/RequestQuarantine.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -18,11 +18,11 @@
 namespace {
 
 using state::Instant;
-using state::PromptPart;
+using state::RequestPart;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr PromptPart crashingPart = 0xbad;
+constexpr RequestPart crashingPart = 0xbad;
 constexpr std::size_t receiversOfRepeats = 3;
 constexpr milliseconds repeatInterval{500};
 constexpr milliseconds crashTime{120}; // from sending a request until its engine ends
@@ -31,7 +31,7 @@
 constexpr milliseconds length{12'000};
 
 // Entries that each see some of the crashes, and tell the others by datagrams that are delayed and
-// lost as in PromptGuard. Crashing requests come at any of them, and callers repeat once.
+// lost as in RequestGuard. Crashing requests come at any of them, and callers repeat once.
 class FleetSimulation
 {
 public:
@@ -132,8 +132,8 @@
     void scheduleRequest(Instant when)
     {
         this->at(when, [this] {
-            const std::vector<PromptPart> parts = {PromptPart(this->random() % 60), crashingPart,
-                                                   PromptPart(1'000'000 + this->random())};
+            const std::vector<RequestPart> parts = {RequestPart(this->random() % 60), crashingPart,
+                                                    RequestPart(1'000'000 + this->random())};
             this->send(this->drawEntry(), parts, 1, true);
             this->scheduleRequest(this->now
                                   + std::chrono::microseconds(
@@ -141,10 +141,10 @@
         });
     }
 
-    void send(std::size_t entry, const std::vector<PromptPart> &parts, int attempt,
+    void send(std::size_t entry, const std::vector<RequestPart> &parts, int attempt,
               bool callerRepeats)
     {
-        PromptQuarantine &quarantine = this->entries[entry];
+        RequestQuarantine &quarantine = this->entries[entry];
         const SendDecision decision = quarantine.decide(this->service, parts, this->now);
         if (decision.verdict == SendVerdict::Refuse)
             return;
@@ -157,7 +157,7 @@
         });
     }
 
-    void crash(std::size_t entry, const std::vector<PromptPart> &parts, int attempt,
+    void crash(std::size_t entry, const std::vector<RequestPart> &parts, int attempt,
                bool callerRepeats)
     {
         if (++this->result.crashes == 5)
@@ -180,7 +180,7 @@
     const Instant begin{seconds(1'000)};
     Settings settings;
     std::mt19937_64 random;
-    std::vector<PromptQuarantine> entries;
+    std::vector<RequestQuarantine> entries;
     std::multimap<Instant, std::function<void()>> events;
     Instant now = this->begin;
     std::optional<Instant> fifthCrashAt;
@@ -191,9 +191,9 @@
 
 using std::chrono::hours;
 
-class PromptQuarantineTest : public CppUnit::TestFixture
+class RequestQuarantineTest : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(PromptQuarantineTest);
+    CPPUNIT_TEST_SUITE(RequestQuarantineTest);
     CPPUNIT_TEST(sendsEverythingWithoutCrashes);
     CPPUNIT_TEST(blocksPartAfterThreeCrashes);
     CPPUNIT_TEST(cutOffRequestIsNotRepeatedAfterTwoCrashes);
@@ -220,13 +220,13 @@
     CPPUNIT_TEST(entriesThatStartLaterAreTold);
     CPPUNIT_TEST_SUITE_END();
 
-    static constexpr PromptPart crashing = 0xbad;
-    static constexpr PromptPart shared = 0x5a1;
-    static constexpr PromptPart otherShared = 0x5a2;
+    static constexpr RequestPart crashing = 0xbad;
+    static constexpr RequestPart shared = 0x5a1;
+    static constexpr RequestPart otherShared = 0x5a2;
     const state::Instant start{seconds(100'000)};
     const state::ServiceName service{"llm"};
 
-    CrashReport report(int engine, std::vector<PromptPart> parts) const
+    CrashReport report(int engine, std::vector<RequestPart> parts) const
     {
         CrashReport made;
         made.service = this->service;
@@ -237,21 +237,21 @@
     }
 
     // A crash each second, each of another engine and with other shared parts.
-    void crash(PromptQuarantine &quarantine, int count, int firstEngine = 0) const
+    void crash(RequestQuarantine &quarantine, int count, int firstEngine = 0) const
     {
         for (int index = 0; index < count; ++index)
             quarantine.apply(this->report(firstEngine + index,
-                                          {PromptPart(0x100 + firstEngine + index), crashing}),
+                                          {RequestPart(0x100 + firstEngine + index), crashing}),
                              this->start + seconds(firstEngine + index));
     }
 
-    SendVerdict verdict(const PromptQuarantine &quarantine, const std::vector<PromptPart> &parts,
+    SendVerdict verdict(const RequestQuarantine &quarantine, const std::vector<RequestPart> &parts,
                         state::Instant now) const
     {
         return quarantine.decide(this->service, parts, now).verdict;
     }
 
-    bool isRefused(const PromptQuarantine &quarantine, const std::vector<PromptPart> &parts) const
+    bool isRefused(const RequestQuarantine &quarantine, const std::vector<RequestPart> &parts) const
     {
         return this->verdict(quarantine, parts, this->start + seconds(10)) != SendVerdict::Send;
     }
@@ -259,7 +259,7 @@
 public:
     void sendsEverythingWithoutCrashes()
     {
-        const PromptQuarantine quarantine;
+        const RequestQuarantine quarantine;
         CPPUNIT_ASSERT(!quarantine.hasSuspects());
         CPPUNIT_ASSERT(!this->isRefused(quarantine, {crashing}));
         CPPUNIT_ASSERT(quarantine.mayRepeat(this->service, {crashing}));
@@ -267,7 +267,7 @@
 
     void blocksPartAfterThreeCrashes()
     {
-        PromptQuarantine quarantine;
+        RequestQuarantine quarantine;
         this->crash(quarantine, 2);
         CPPUNIT_ASSERT(!this->isRefused(quarantine, {shared, crashing}));
         this->crash(quarantine, 1, 2);
@@ -279,7 +279,7 @@
     // Guards against one request that ends an engine with each of its attempts.
     void cutOffRequestIsNotRepeatedAfterTwoCrashes()
     {
-        PromptQuarantine quarantine;
+        RequestQuarantine quarantine;
         this->crash(quarantine, 1);
         CPPUNIT_ASSERT(quarantine.mayRepeat(this->service, {shared, crashing}));
         this->crash(quarantine, 1, 1);
@@ -289,9 +289,9 @@
 
     void oneCrashThatCutsOffManyRequestsIsOneCrash()
     {
-        PromptQuarantine quarantine;
+        RequestQuarantine quarantine;
         for (int request = 0; request < 8; ++request)
-            quarantine.apply(this->report(0, {PromptPart(0x300 + request), shared}),
+            quarantine.apply(this->report(0, {RequestPart(0x300 + request), shared}),
                              this->start + milliseconds(request * 200));
         CPPUNIT_ASSERT(!this->isRefused(quarantine, {shared}));
         CPPUNIT_ASSERT(quarantine.mayRepeat(this->service, {shared}));
@@ -301,7 +301,7 @@
     // time.
     void requestSentAfterOneCrashIsEvidenceOfItsOwn()
     {
-        PromptQuarantine quarantine;
+        RequestQuarantine quarantine;
         for (int engine = 0; engine < 3; ++engine) {
             CrashReport cutOff = this->report(engine, {shared, crashing});
             cutOff.sentAgeUs = 10'000;
@@ -313,7 +313,7 @@
     // Guards against blaming answers that were under way for an engine that ended under another.
     void answersThatHadBegunAreSuspectOnlyIfAllHad()
     {
-        PromptQuarantine quarantine;
+        RequestQuarantine quarantine;
         for (int engine = 0; engine < 3; ++engine) {
             CrashReport begun = this->report(engine, {shared});
             begun.hasBegun = true;
@@ -328,7 +328,7 @@
     // Guards against refusing a frequent part because a third of the engines lost power.
     void enginesThatEndAtOnceBlockNothing()
     {
-        PromptQuarantine quarantine;
+        RequestQuarantine quarantine;
         for (int engine = 0; engine < 8; ++engine)
             quarantine.apply(this->report(engine, {shared}), this->start + milliseconds(engine));
         CPPUNIT_ASSERT(!this->isRefused(quarantine, {shared}));
@@ -337,7 +337,7 @@
 
     void partOfSurvivedAnswersIsNotBlocked()
     {
-        PromptQuarantine quarantine;
+        RequestQuarantine quarantine;
         for (int engine = 0; engine < 12; ++engine) {
             quarantine.apply(this->report(engine, {shared}), this->start + seconds(engine));
             if (engine % 2 == 1)
@@ -351,7 +351,7 @@
     // Guards against refusing everything that begins like the crashing prompts.
     void partsThatAreSharedWithTheCrashingOneAreNotBlocked()
     {
-        PromptQuarantine quarantine;
+        RequestQuarantine quarantine;
         for (int engine = 0; engine < 6; ++engine)
             quarantine.apply(this->report(engine, {engine == 0 ? otherShared : shared, crashing}),
                              this->start + seconds(engine));
@@ -362,7 +362,7 @@
 
     void partsThatAreAlwaysTogetherAreBlockedTogether()
     {
-        PromptQuarantine quarantine;
+        RequestQuarantine quarantine;
         for (int engine = 0; engine < 4; ++engine)
             quarantine.apply(this->report(engine, {shared, crashing}),
                              this->start + seconds(engine));
@@ -373,7 +373,7 @@
 
     void anotherCrashTellsPartsApart()
     {
-        PromptQuarantine quarantine;
+        RequestQuarantine quarantine;
         for (int engine = 0; engine < 4; ++engine)
             quarantine.apply(this->report(engine, {shared, crashing}),
                              this->start + seconds(engine));
@@ -384,8 +384,8 @@
 
     void twoCrashingPartsAreBothBlocked()
     {
-        PromptQuarantine quarantine;
-        constexpr PromptPart other = 0xbae;
+        RequestQuarantine quarantine;
+        constexpr RequestPart other = 0xbae;
         for (int engine = 0; engine < 8; ++engine)
             quarantine.apply(this->report(engine, {shared, engine % 2 == 0 ? crashing : other}),
                              this->start + seconds(engine));
@@ -397,7 +397,7 @@
 
     void otherServiceIsNotBlocked()
     {
-        PromptQuarantine quarantine;
+        RequestQuarantine quarantine;
         this->crash(quarantine, 5);
         CPPUNIT_ASSERT(
                 quarantine.decide(state::ServiceName("other"), {crashing}, this->start + seconds(6))
@@ -407,13 +407,13 @@
 
     void survivedAnswerEndsBlock()
     {
-        PromptQuarantine quarantine;
+        RequestQuarantine quarantine;
         this->crash(quarantine, 5);
         const auto told = quarantine.answerSurvived(this->service, {shared, crashing},
                                                     this->start + seconds(8));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), told.size());
         CPPUNIT_ASSERT(!this->isRefused(quarantine, {crashing}));
-        PromptQuarantine peer;
+        RequestQuarantine peer;
         this->crash(peer, 5);
         CPPUNIT_ASSERT(peer.apply(told.front(), this->start + seconds(8)));
         CPPUNIT_ASSERT(!this->isRefused(peer, {crashing}));
@@ -421,7 +421,7 @@
 
     void lateReportOfClearedPartChangesNothing()
     {
-        PromptQuarantine quarantine;
+        RequestQuarantine quarantine;
         this->crash(quarantine, 3);
         quarantine.answerSurvived(this->service, {crashing}, this->start + seconds(5));
         CrashReport late = this->report(9, {crashing});
@@ -434,7 +434,7 @@
     // Guards against finding out again and again, at the price of an engine each time.
     void trialsAreFewAndEachComesLater()
     {
-        PromptQuarantine quarantine;
+        RequestQuarantine quarantine;
         this->crash(quarantine, 3);
         int trials = 0;
         int engine = 3;
@@ -454,8 +454,8 @@
 
     void trialOfPeerPostponesOwn()
     {
-        PromptQuarantine quarantine;
-        PromptQuarantine peer;
+        RequestQuarantine quarantine;
+        RequestQuarantine peer;
         this->crash(quarantine, 3);
         this->crash(peer, 3);
         const state::Instant due = this->start + seconds(4);
@@ -469,7 +469,7 @@
     // apart.
     void blockOfFewerPartsKeepsItsTrials()
     {
-        PromptQuarantine quarantine;
+        RequestQuarantine quarantine;
         for (int engine = 0; engine < 3; ++engine)
             quarantine.apply(this->report(engine, {shared, crashing}),
                              this->start + seconds(engine));
@@ -484,10 +484,10 @@
     // Guards against an entry that starts after the crashes and sends what all others refuse.
     void reportsOfBlocksGiveAnotherEntryTheSameBlocks()
     {
-        PromptQuarantine quarantine;
+        RequestQuarantine quarantine;
         this->crash(quarantine, 30);
         const state::Instant now = this->start + seconds(31);
-        PromptQuarantine starter;
+        RequestQuarantine starter;
         for (const CrashReport &each : quarantine.reportsOfBlocks(now))
             starter.apply(each, now);
         CPPUNIT_ASSERT(this->verdict(starter, {shared, crashing}, now) != SendVerdict::Send);
@@ -510,7 +510,7 @@
         std::vector<Block> expected;
         for (int round = 0; round < 20; ++round) {
             std::ranges::shuffle(reports, random);
-            PromptQuarantine quarantine;
+            RequestQuarantine quarantine;
             for (const CrashReport &each : reports)
                 quarantine.apply(each, this->start);
             if (round == 0)
@@ -556,9 +556,9 @@
 
     void manyCrashesWithoutCommonPartKeepMemoryBounded()
     {
-        PromptQuarantine quarantine;
+        RequestQuarantine quarantine;
         for (int engine = 0; engine < 2'000; ++engine)
-            quarantine.apply(this->report(engine, {PromptPart(engine)}),
+            quarantine.apply(this->report(engine, {RequestPart(engine)}),
                              this->start + seconds(engine));
         CPPUNIT_ASSERT(quarantine.blocks().empty());
         CPPUNIT_ASSERT(quarantine.knows(this->report(1'999, {}).crash));
@@ -568,15 +568,15 @@
     // Guards against crowding a block out by other crashes.
     void blockSurvivesManyOtherCrashes()
     {
-        PromptQuarantine quarantine;
+        RequestQuarantine quarantine;
         this->crash(quarantine, 4);
         for (int engine = 100; engine < 1'000; ++engine)
-            quarantine.apply(this->report(engine, {PromptPart(engine)}),
+            quarantine.apply(this->report(engine, {RequestPart(engine)}),
                              this->start + seconds(4) + milliseconds(engine));
         CPPUNIT_ASSERT(this->isRefused(quarantine, {shared, crashing}));
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(PromptQuarantineTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestQuarantineTest);
 
 } // namespace lavenderthread::coordination::quarantine
--- a/tests/platform/RelayFixture.h
+++ b/tests/platform/RelayFixture.h
@@ -161,7 +161,7 @@
                                         this->announced.endpoints.end());
         this->publishEndpoints();
     }
-    program::PromptGuard &promptGuard() { return *this->prompts; }
+    program::RequestGuard &requestGuard() { return *this->guard; }
     void publishEndpoints()
     {
         this->table.publish(EndpointTable(this->announced));
@@ -360,7 +360,7 @@
         hooks.routes = [this] { return this->routes.read(); };
         hooks.standing = [this] { return this->standing.load(); };
         hooks.refuses = [] { return false; };
-        hooks.prompts = this->prompts;
+        hooks.guard = this->guard;
         hooks.finished = [](const program::RelayOutcome &) {};
         return hooks;
     }
@@ -501,7 +501,7 @@
     std::vector<Behaviour> behaviours;
     program::Settings settings;
     asio::io_context context{1};
-    std::shared_ptr<program::PromptGuard> prompts = program::PromptGuard::create(this->context, {});
+    std::shared_ptr<program::RequestGuard> guard = program::RequestGuard::create(this->context, {});
     state::Snapshot<state::routes::RouteTable> routes;
     EndpointTable announced;
     state::Snapshot<EndpointTable> table;
--- a/tests/platform/RelayTest.cpp
+++ b/tests/platform/RelayTest.cpp
@@ -75,7 +75,7 @@
         return request;
     }
 
-    static void reportCrashes(program::PromptGuard &prompts, int count)
+    static void reportCrashes(program::RequestGuard &guard, int count)
     {
         for (int index = 0; index < count; ++index) {
             coordination::quarantine::CrashReport report;
@@ -84,16 +84,16 @@
             report.parts = {0xbad};
             report.ageUs = (10 - index) * 1'000'000LL;
             report.sentAgeUs = report.ageUs + 100'000;
-            prompts.peerReported(report);
+            guard.peerReported(report);
         }
     }
 
     // The relay clears the prompt a moment after the caller has the end of the answer.
-    static bool endsItsBlock(const program::PromptGuard &prompts)
+    static bool endsItsBlock(const program::RequestGuard &guard)
     {
-        for (int waits = 0; waits < 100 && prompts.blockCount() > 0; ++waits)
+        for (int waits = 0; waits < 100 && guard.blockCount() > 0; ++waits)
             std::this_thread::sleep_for(std::chrono::milliseconds(2));
-        return prompts.blockCount() == 0;
+        return guard.blockCount() == 0;
     }
 
 public:
@@ -101,8 +101,8 @@
     void promptThatCrashesEnginesIsRefusedAtOnce()
     {
         RelayFixture fixture(Kind::Stream, {Behaviour::Streams}, true);
-        reportCrashes(fixture.promptGuard(), 3);
-        fixture.promptGuard().peerStartedTrial({service, {0xbad}, 1, 0});
+        reportCrashes(fixture.requestGuard(), 3);
+        fixture.requestGuard().peerStartedTrial({service, {0xbad}, 1, 0});
         const auto answer = fixture.call(requestWithParts());
         CPPUNIT_ASSERT_EQUAL(503U, answer.value().status);
         CPPUNIT_ASSERT(answer.value().headers.find("Retry-After").has_value());
@@ -115,8 +115,8 @@
     {
         RelayFixture fixture(Kind::Stream, {Behaviour::Streams}, true);
         fixture.beforePlacement = [&fixture] {
-            reportCrashes(fixture.promptGuard(), 3);
-            fixture.promptGuard().peerStartedTrial({service, {0xbad}, 1, 0});
+            reportCrashes(fixture.requestGuard(), 3);
+            fixture.requestGuard().peerStartedTrial({service, {0xbad}, 1, 0});
         };
         CPPUNIT_ASSERT_EQUAL(503U, fixture.call(requestWithParts()).value().status);
         CPPUNIT_ASSERT_EQUAL(0, fixture.arrivals.load());
@@ -126,31 +126,31 @@
     void lostConnectionToOpenPortIsNoCrash()
     {
         RelayFixture fixture(Kind::Stream, {Behaviour::Closes}, true);
-        reportCrashes(fixture.promptGuard(), 2);
+        reportCrashes(fixture.requestGuard(), 2);
         fixture.call(requestWithParts());
-        CPPUNIT_ASSERT_EQUAL(std::size_t(0), fixture.promptGuard().blockCount());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), fixture.requestGuard().blockCount());
     }
 
     // Guards against ending a block because an engine refused to run such a request.
     void rejectedTrialEndsNoBlock()
     {
         RelayFixture rejecting(Kind::Stream, {Behaviour::Rejects}, true);
-        reportCrashes(rejecting.promptGuard(), 3);
+        reportCrashes(rejecting.requestGuard(), 3);
         CPPUNIT_ASSERT_EQUAL(400U, rejecting.call(requestWithParts()).value().status);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), rejecting.promptGuard().blockCount());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), rejecting.requestGuard().blockCount());
 
         RelayFixture serving(Kind::Stream, {Behaviour::Streams}, true);
-        reportCrashes(serving.promptGuard(), 3);
+        reportCrashes(serving.requestGuard(), 3);
         CPPUNIT_ASSERT_EQUAL(200U, serving.call(requestWithParts()).value().status);
-        CPPUNIT_ASSERT(endsItsBlock(serving.promptGuard()));
+        CPPUNIT_ASSERT(endsItsBlock(serving.requestGuard()));
     }
 
     void lostConnectionToClosedPortIsCrash()
     {
         RelayFixture fixture(Kind::Stream, {Behaviour::Ends}, true);
-        reportCrashes(fixture.promptGuard(), 2);
+        reportCrashes(fixture.requestGuard(), 2);
         fixture.call(requestWithParts());
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.promptGuard().blockCount());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.requestGuard().blockCount());
     }
 
     // Guards against running a request on the service of an older configuration after a newer one
--- a/tests/platform/RelayWireTest.cpp
+++ b/tests/platform/RelayWireTest.cpp
@@ -68,7 +68,7 @@
         CPPUNIT_ASSERT_EQUAL(1460U, decoded.promptTokens);
         CPPUNIT_ASSERT_EQUAL(80U, decoded.outputTokens);
         CPPUNIT_ASSERT(decoded.promptParts
-                       == (std::vector<state::PromptPart>{0x5c1e07a2, 0x91bd3f06, 0xe4402b7d}));
+                       == (std::vector<state::RequestPart>{0x5c1e07a2, 0x91bd3f06, 0xe4402b7d}));
     }
 
     void malformedHeadersAreIgnored()
--- a/tests/program/CompletionRelayTest.cpp
+++ b/tests/program/CompletionRelayTest.cpp
@@ -86,13 +86,13 @@
             report.parts = body.value().prefixBlocks;
             report.ageUs = (10 - index) * 1'000'000LL;
             report.sentAgeUs = report.ageUs + 100'000;
-            this->prompts->peerReported(report);
+            this->guard->peerReported(report);
         }
     }
     void startTrial()
     {
         const auto body = protocol::parseCompletion(protocol::CompletionKind::Text, prompt());
-        this->prompts->peerStartedTrial({service, body.value().prefixBlocks, 1, 0});
+        this->guard->peerStartedTrial({service, body.value().prefixBlocks, 1, 0});
     }
 
     std::atomic<int> arrivals = 0; // at the engine
@@ -111,7 +111,7 @@
     {
         CompletionRelay::Hooks made;
         made.scheduler = this->oneEngine();
-        made.prompts = this->prompts;
+        made.guard = this->guard;
         made.nextRequestId = [] { return state::RequestId("r1"); };
         made.finished = [](const CompletionOutcome &) {};
         return made;
@@ -143,7 +143,7 @@
     Settings settings;
     AccountSetting account;
     asio::io_context context{1};
-    std::shared_ptr<PromptGuard> prompts = PromptGuard::create(this->context, {});
+    std::shared_ptr<RequestGuard> guard = RequestGuard::create(this->context, {});
     std::shared_ptr<transport::HttpServer> engine;
     std::unique_ptr<CompletionRelay> relay;
     std::shared_ptr<transport::HttpServer> entry;
