Relay: attempt.lost names what a plain call asks for, and the peer that it was sent for

Cause of the gap: the logs named the parts of prompts only, so that nothing told one call of a plain service from another.

--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -6,6 +6,7 @@
 #include "program/Clock.h"
 #include "program/InactivityTimeout.h"
 #include "program/Log.h"
+#include "program/RequestParts.h"
 #include "transport/Await.h"
 #include "transport/HttpClient.h"
 
@@ -263,10 +264,7 @@
         auto decoded = this->hooks.codec.decode(this->handed->request);
         if (!decoded)
             return RelayRefusal{503, decoded.error().cause, std::nullopt};
-        this->request = std::move(decoded.value());
-        this->outcome.id = this->request.id;
-        this->outcome.promptTokens = this->request.promptTokens;
-        this->outcome.promptParts = this->request.promptParts;
+        this->setRequest(std::move(decoded.value()));
         this->outcome.forPeer = this->exchange.peer();
         this->outcome.route = this->handed->route;
         this->outcome.account = this->handed->account;
@@ -291,15 +289,21 @@
         return std::nullopt;
     }
 
+    void setRequest(RelayRequest decoded)
+    {
+        this->request = std::move(decoded);
+        this->parts = partsOf(this->callerRequest(), this->request.host, this->request.promptParts);
+        this->outcome.id = this->request.id;
+        this->outcome.promptTokens = this->request.promptTokens;
+        this->outcome.promptParts = this->request.promptParts;
+    }
+
     std::optional<RelayRefusal> refusalAtArrival()
     {
         auto decoded = this->hooks.codec.decode(this->exchange.request());
         if (!decoded)
             return RelayRefusal{400, decoded.error().cause, std::nullopt};
-        this->request = std::move(decoded.value());
-        this->outcome.id = this->request.id;
-        this->outcome.promptTokens = this->request.promptTokens;
-        this->outcome.promptParts = this->request.promptParts;
+        this->setRequest(std::move(decoded.value()));
         if (this->hooks.refuses())
             return RelayRefusal{503, "this node is leaving", retryElsewhere};
         if (this->routes->version() == 0)
@@ -733,10 +737,11 @@
                   {"attempt", this->outcome.attempts},
                   {"endpoint", endpoint.id.value()},
                   {"incarnation", endpoint.incarnation},
+                  {"for_peer", this->outcome.forPeer},
                   {"connection", this->progress.connectionEnded ? "ended" : "given-up"},
                   {"events", this->progress.events},
                   {"after_us", std::int64_t((monotonicNow() - this->progress.sentAt).count())},
-                  {"parts", state::formatRequestParts(this->outcome.promptParts)},
+                  {"parts", state::formatRequestParts(this->parts)},
                   {"cause", this->outcome.reason}});
     }
 
@@ -1183,6 +1188,7 @@
     state::SnapshotView<RouteTable> routes; // one version is used for the whole request
     const state::Instant arrival;
     RelayRequest request;
+    std::vector<state::RequestPart> parts; // of `request`
     Route handedRoute;
     const Route *route = nullptr; // of `routes`, or `handedRoute`
     state::Instant deadline;
--- a/src/state/RequestPart.h
+++ b/src/state/RequestPart.h
@@ -10,6 +10,14 @@
 
 using RequestPart = std::uint64_t;
 
+// Set in the digest of a whole request, and in no other part.
+constexpr RequestPart wholeRequestBit = RequestPart(1) << 63U;
+
+constexpr bool isWholeRequest(RequestPart part)
+{
+    return (part & wholeRequestBit) != 0;
+}
+
 // Hexadecimal ids, joined by commas.
 std::string formatRequestParts(const std::vector<RequestPart> &parts);
 
