Quarantine: a plain call under which replicas crash is kept from the others

What callers saw: one call of one caller ended two replicas of three with its own attempts and the third one with its caller's repeat, 56 ms after the first send; from then on each replica that came back was ended by the next such call, and sound calls got 503.

Cause: what a plain call asks for was no input of any decision. The quarantine knew the parts of prompts only, so a lost call was held against its replica and sent to the next one, by every entry for itself.

Why this works: every request has parts now: digests of the whole request, its target and its body, and the parts of its prompt. Reports, blocks and trials are the ones of prompts. A whole request is blocked after two crashes, if no other request explains both; a part after three, as before. Its first trial comes after 5 s, when the replicas are back. An answer clears its parts, so a request that most callers send stays unblocked; one that ends with its connection does if the endpoint's port is open then. The same through the product's own services API, which had no safeguard, and its completions, whose short prompts had none.

UnframedAnswerTest: its endpoint took a probe of its port for a request; it answers requests only, as many as before. CompletionRelayTest reports the parts as peers do.

--- a/src/coordination/quarantine/RequestQuarantine.cpp
+++ b/src/coordination/quarantine/RequestQuarantine.cpp
@@ -34,6 +34,11 @@
 
 } // namespace
 
+bool Block::isOfWholeRequest() const
+{
+    return std::ranges::any_of(this->parts, &state::isWholeRequest);
+}
+
 ReportResult RequestQuarantine::apply(const CrashReport &report, Instant now)
 {
     const Instant at = instantOf(report.ageUs, now);
@@ -124,18 +129,20 @@
     std::vector<PartCleared> cleared;
     for (const RequestPart part : parts) {
         const PartCleared news{service, part, 0};
-        const bool isSuspect = std::ranges::any_of(this->crashes, [&](const auto &each) {
-            return each.second.service == service
-                   && std::ranges::any_of(each.second.requests, [&](const auto &request) {
-                          return std::ranges::binary_search(request.first, part);
-                      });
-        });
-        if (isSuspect && this->apply(news, now))
+        if (this->suspects(service, {part}) && this->apply(news, now))
             cleared.push_back(news);
     }
     return cleared;
 }
 
+bool RequestQuarantine::suspects(const ServiceName &service,
+                                 const std::vector<RequestPart> &parts) const
+{
+    return std::ranges::any_of(parts, [&](RequestPart part) {
+        return this->suspectParts.contains({part, service});
+    });
+}
+
 std::vector<PartCleared> RequestQuarantine::recentlyCleared(Instant now) const
 {
     std::vector<PartCleared> cleared;
@@ -156,17 +163,23 @@
         return {};
     const Trials done = this->trialsOf(*block);
     Instant next = block->lastCrashAt() + this->settings.memory;
-    if (done.count < this->settings.maximumTrials) {
-        state::Duration delay = this->settings.firstTrialAfter;
-        for (std::uint32_t trial = 0; trial < done.count; ++trial)
-            delay *= this->settings.trialDelayFactor;
-        next = std::max(block->lastCrashAt(), done.lastAt) + delay;
-    }
+    if (done.count < this->settings.maximumTrials)
+        next = std::max(block->lastCrashAt(), done.lastAt) + this->trialDelay(*block, done.count);
     if (next <= now)
         return {SendVerdict::SendAsTrial, *block, {}};
     return {SendVerdict::Refuse, *block, next - now};
 }
 
+state::Duration RequestQuarantine::trialDelay(const Block &block, std::uint32_t trialsDone) const
+{
+    if (trialsDone == 0 && block.isOfWholeRequest())
+        return this->settings.firstTrialOfRequestAfter;
+    state::Duration delay = this->settings.firstTrialAfter;
+    for (std::uint32_t trial = 0; trial < trialsDone; ++trial)
+        delay *= this->settings.trialDelayFactor;
+    return delay;
+}
+
 TrialStarted RequestQuarantine::startTrial(const Block &block, Instant now)
 {
     TrialStarted trial{block.service, block.parts, this->trialsOf(block).count + 1, 0};
@@ -236,9 +249,15 @@
 void RequestQuarantine::update()
 {
     this->blockList.clear();
+    this->suspectParts.clear();
     std::set<ServiceName> services;
-    for (const auto &[id, crash] : this->crashes)
+    for (const auto &[id, crash] : this->crashes) {
         services.insert(crash.service);
+        for (const auto &[parts, request] : crash.requests) {
+            for (const RequestPart part : parts)
+                this->suspectParts.insert({part, crash.service});
+        }
+    }
     for (const ServiceName &service : services)
         this->findBlocks(service);
     std::erase_if(this->trials, [this](const auto &each) {
@@ -258,9 +277,13 @@
         const auto weight = [this](const auto &each) {
             return std::tuple(this->countIndependent(each.second), each.second.size(), each.first);
         };
-        const auto worst = std::ranges::max_element(left, {}, weight);
-        if (worst == left.end()
-            || this->countIndependent(worst->second) < this->settings.crashesUntilBlocked)
+        auto worst = left.end();
+        for (auto each = left.begin(); each != left.end(); ++each) {
+            if (this->isConclusive(each->first, each->second)
+                && (worst == left.end() || weight(*worst) < weight(*each)))
+                worst = each;
+        }
+        if (worst == left.end())
             return;
         Block block;
         block.service = service;
@@ -279,6 +302,34 @@
     }
 }
 
+bool RequestQuarantine::isConclusive(RequestPart part, const std::vector<CrashView> &crashes) const
+{
+    const std::uint32_t count = this->countIndependent(crashes);
+    if (count >= this->settings.crashesUntilBlocked)
+        return true;
+    return state::isWholeRequest(part) && count >= this->settings.crashesUntilRequestBlocked
+           && !haveOtherRequestsInCommon(part, crashes);
+}
+
+// Whether requests without that part explain the crashes as well: some other part is in one of them
+// at each crash.
+bool RequestQuarantine::haveOtherRequestsInCommon(RequestPart part,
+                                                  const std::vector<CrashView> &crashes)
+{
+    std::map<RequestPart, std::size_t> crashesOfOthers;
+    for (const CrashView &view : crashes) {
+        std::set<RequestPart> others;
+        for (const auto &[parts, request] : view.crash->second.requests) {
+            if (!std::ranges::binary_search(parts, part))
+                others.insert(parts.begin(), parts.end());
+        }
+        for (const RequestPart other : others)
+            ++crashesOfOthers[other];
+    }
+    return std::ranges::any_of(crashesOfOthers,
+                               [&](const auto &each) { return each.second == crashes.size(); });
+}
+
 RequestQuarantine::CrashesOfParts
 RequestQuarantine::crashesOfParts(const ServiceName &service,
                                   const std::set<CrashId> &explained) const
@@ -291,7 +342,7 @@
     std::ranges::stable_sort(inOrder, {}, [](const auto *each) { return each->second.at; });
     CrashesOfParts found;
     for (const auto *each : inOrder) {
-        // An engine crashes when it begins to answer the prompt: if it had not begun some answers,
+        // An engine crashes when it begins to answer a prompt: if it had not begun some answers,
         // the prompt is among these.
         const bool allBegun = hasBegunAll(each->second);
         for (const auto &[parts, request] : each->second.requests) {
--- a/src/coordination/quarantine/RequestQuarantine.h
+++ b/src/coordination/quarantine/RequestQuarantine.h
@@ -1,6 +1,6 @@
-// Finds the parts of prompts under which engines crash, from the requests that were cut off by each
-// crash, and decides which requests are sent. Every entry derives the same blocks from the same
-// reports, so entries exchange reports and nothing has to be agreed on.
+// Finds the parts of requests under which endpoints crash, from the requests that were cut off by
+// each crash, and decides which requests are sent. Every entry derives the same blocks from the
+// same reports, so entries exchange reports and nothing has to be agreed on.
 #pragma once
 
 #include "coordination/quarantine/QuarantineUpdate.h"
@@ -19,21 +19,25 @@
 {
     // Crashes under one part before it is blocked.
     std::uint32_t crashesUntilBlocked = 3;
-    // From so many on, a request that was cut off is not sent to another engine.
+    // The same for a whole request, if the crashes have nothing in common with other requests.
+    std::uint32_t crashesUntilRequestBlocked = 2;
+    // From so many on, a request that was cut off is not sent to another endpoint.
     std::uint32_t crashesUntilNoRepeat = 2;
-    // Engines that end at the same moment have a cause in common, which is no prompt: they count
+    // Endpoints that end at the same moment have a cause in common, which is no request: they count
     // once. A request that was sent after one end is evidence of its own at the next.
     state::Duration sameMoment = std::chrono::milliseconds(100);
     // After this time, and each further trial after the factor times as long, one request is sent.
     // The first one comes soon, as it ends a block of a part that only happened to be there.
     state::Duration firstTrialAfter = std::chrono::seconds(1);
-    std::uint32_t trialDelayFactor = 30;
+    // The same for a block of a whole request, which hits no other one: by then most endpoints that
+    // have crashed are back, and a service of few can bear the next crash.
+    state::Duration firstTrialOfRequestAfter = std::chrono::seconds(5);
+    std::uint32_t trialDelayFactor = 30; // of `firstTrialAfter`, for both
     std::uint32_t maximumTrials = 3;
     // After so long without a crash a part is sent again in any case.
     state::Duration memory = std::chrono::hours(24);
     std::size_t maximumCrashes = 64;         // remembered; the oldest are dropped first
-    std::size_t maximumRequestsOfCrash = 32; // with different prompts
-    std::size_t maximumPartsOfRequest = 64;  // the first ones of a prompt
+    std::size_t maximumRequestsOfCrash = 32; // with different parts
     std::size_t maximumClearedParts = 1'024;
     std::size_t maximumReportsOfBlock = 4; // to peers; as many as a block needs, and one more
     // For so long, and so many, parts that were cleared are told to peers.
@@ -62,6 +66,7 @@
 
     state::Instant firstCrashAt() const { return this->crashes.front().at; }
     state::Instant lastCrashAt() const { return this->crashes.back().at; }
+    bool isOfWholeRequest() const;
     auto operator<=>(const Block &) const = default;
 };
 
@@ -98,8 +103,8 @@
 
     // Whether anything is suspect; if not, all requests may be sent.
     bool hasSuspects() const { return !this->crashes.empty(); }
-    // An engine has survived an answer on such a prompt: clears its parts and returns what to tell
-    // the peers.
+    // An endpoint has survived an answer to such a request: clears its parts and returns what to
+    // tell the peers.
     std::vector<PartCleared> answerSurvived(const state::ServiceName &service,
                                             const std::vector<state::RequestPart> &parts,
                                             state::Instant now);
@@ -110,7 +115,10 @@
     SendDecision decide(const state::ServiceName &service,
                         const std::vector<state::RequestPart> &parts, state::Instant now) const;
     TrialStarted startTrial(const Block &block, state::Instant now);
-    // Whether a request that a crash has cut off may be sent to another engine.
+    // Whether a part of it is suspect.
+    bool suspects(const state::ServiceName &service,
+                  const std::vector<state::RequestPart> &parts) const;
+    // Whether a request that a crash has cut off may be sent to another endpoint.
     bool mayRepeat(const state::ServiceName &service,
                    const std::vector<state::RequestPart> &parts) const;
 
@@ -133,7 +141,7 @@
     {
         state::ServiceName service;
         state::Instant at;
-        // By the suspect parts of its prompt, which are never none. Of several with the same parts
+        // By its suspect parts, which are never none. Of several with the same parts
         // the first one that had not begun.
         std::map<std::vector<state::RequestPart>, CutOffRequest> requests;
     };
@@ -160,6 +168,10 @@
     void findBlocks(const state::ServiceName &service);
     CrashesOfParts crashesOfParts(const state::ServiceName &service,
                                   const std::set<CrashId> &explained) const;
+    bool isConclusive(state::RequestPart part, const std::vector<CrashView> &crashes) const;
+    static bool haveOtherRequestsInCommon(state::RequestPart part,
+                                          const std::vector<CrashView> &crashes);
+    state::Duration trialDelay(const Block &block, std::uint32_t trialsDone) const;
     static bool hasBegunAll(const Crash &crash);
     // The crashes that need not have a cause in common with the one before.
     std::uint32_t countIndependent(const std::vector<CrashView> &crashes) const;
@@ -176,6 +188,7 @@
     std::map<PartKey, state::Instant> clearedAt; // the newest time
     std::map<PartKey, Trials> trials;            // of each part of a block
     std::vector<Block> blockList;                // derived from `crashes`
+    std::set<std::pair<state::RequestPart, state::ServiceName>> suspectParts; // the same
 };
 
 } // namespace lavenderthread::coordination::quarantine
--- a/src/program/CompletionRelay.cpp
+++ b/src/program/CompletionRelay.cpp
@@ -5,6 +5,7 @@
 #include "program/Clock.h"
 #include "program/EngineAttempt.h"
 #include "program/HeaderValues.h"
+#include "program/RequestParts.h"
 
 #include <optional>
 
@@ -22,7 +23,8 @@
 // last ones for this prompt.
 std::vector<state::RequestPart> promptPartsOf(const std::vector<std::uint64_t> &prefixBlocks)
 {
-    constexpr std::size_t most = coordination::quarantine::CrashReport::maximumParts;
+    constexpr std::size_t digests = 4; // see partsOf()
+    constexpr std::size_t most = coordination::quarantine::CrashReport::maximumParts - digests;
     if (prefixBlocks.size() <= most)
         return prefixBlocks;
     constexpr std::ptrdiff_t half = most / 2;
@@ -48,7 +50,7 @@
         , exchange(exchange)
         , request(std::move(request))
         , resume(std::move(resume))
-        , parts(promptPartsOf(this->request.body.prefixBlocks))
+        , parts(partsOf(exchange.request(), {}, promptPartsOf(this->request.body.prefixBlocks)))
         , body(std::make_shared<const std::string>(exchange.request().body))
         , writer(exchange, this->request.body, this->request.id.value(), settings.keys,
                  this->resume ? this->resume->offset + 1 : 0)
--- a/src/program/Entry.cpp
+++ b/src/program/Entry.cpp
@@ -83,8 +83,9 @@
     , completions(settings,
                   {this->hooks.scheduler, this->hooks.guard,
                    [this] { return this->nextRequestId(); }, this->hooks.completionFinished})
-    , services(settings, {[this] { return this->registry->table(); }, this->hooks.claims,
-                          [this] { return this->nextRequestId(); }, this->hooks.serviceFinished})
+    , services(settings,
+               {[this] { return this->registry->table(); }, this->hooks.claims, this->hooks.guard,
+                [this] { return this->nextRequestId(); }, this->hooks.serviceFinished})
     , requestPrefix(settings.vm.value() + "-" + std::to_string(wallNow().time_since_epoch().count())
                     + "-")
 {
--- a/src/program/RequestGuard.cpp
+++ b/src/program/RequestGuard.cpp
@@ -29,7 +29,7 @@
 
 namespace {
 
-// The port of a crashed engine is closed at once, and an engine needs seconds to start. A lost
+// The port of a crashed endpoint is closed at once, and an endpoint needs seconds to start. A lost
 // packet leaves it open whether it has crashed.
 constexpr milliseconds portProbeTime{200};
 // Members that have started, were cut off, or have missed a datagram learn of a block within a few
@@ -38,7 +38,7 @@
 // With three receivers in each interval, some 5 kB a second while anything is blocked.
 constexpr std::size_t maximumRepeatedReports = 12;
 
-// An answer that has gone on for so long after its first event was survived by its engine.
+// An answer that has gone on for so long after its first event was survived by its endpoint.
 constexpr milliseconds survivalTime{150};
 
 bool hasSurvived(state::Instant firstEventAt)
@@ -92,7 +92,7 @@
         return std::nullopt;
     const Block &block = *decision.block;
     return RequestRefusal{
-            std::to_string(block.crashes.size()) + " engines crashed on prompts with part "
+            std::to_string(block.crashes.size()) + " endpoints crashed on requests with part "
                     + state::formatRequestParts(block.parts) + ", the last "
                     + std::to_string(toMilliseconds(monotonicNow() - block.lastCrashAt()))
                     + " ms ago",
@@ -174,15 +174,15 @@
     return std::nullopt;
 }
 
-asio::awaitable<void> RequestGuard::attemptLost(state::EndpointDescription engine,
+asio::awaitable<void> RequestGuard::attemptLost(state::EndpointDescription endpoint,
                                                 std::vector<RequestPart> parts,
                                                 state::Instant sentAt, state::Instant firstEventAt)
 {
     if (parts.empty() || hasSurvived(firstEventAt))
         co_return;
     CrashReport report;
-    report.service = engine.service;
-    report.crash = {engine.id, engine.incarnation};
+    report.service = endpoint.service;
+    report.crash = {endpoint.id, endpoint.incarnation};
     report.parts = std::move(parts);
     report.parts.resize(std::min(report.parts.size(), CrashReport::maximumParts));
     report.hasBegun = firstEventAt != state::Instant{};
@@ -191,7 +191,7 @@
     if (!this->isKnownCrash(report.crash)) {
         const asio::any_io_executor executor = co_await asio::this_coro::executor;
         const transport::PortState port =
-                co_await transport::probePort(executor, engine.address, portProbeTime);
+                co_await transport::probePort(executor, endpoint.address, portProbeTime);
         if (port != transport::PortState::Closed)
             co_return;
     }
@@ -239,6 +239,27 @@
     }
 }
 
+asio::awaitable<void> RequestGuard::connectionEnded(state::EndpointDescription endpoint,
+                                                    std::vector<RequestPart> parts)
+{
+    if (!this->isSuspect(endpoint.service, parts))
+        co_return;
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    const transport::PortState port =
+            co_await transport::probePort(executor, endpoint.address, portProbeTime);
+    if (port == transport::PortState::Open)
+        this->answerSurvived(endpoint.service, parts);
+}
+
+bool RequestGuard::isSuspect(const ServiceName &service,
+                             const std::vector<RequestPart> &parts) const
+{
+    if (!this->hasSuspects)
+        return false;
+    const std::lock_guard lock(this->mutex);
+    return this->quarantine.suspects(service, parts);
+}
+
 bool RequestGuard::mayRepeat(const ServiceName &service,
                              const std::vector<RequestPart> &parts) const
 {
--- a/src/program/RequestGuard.h
+++ b/src/program/RequestGuard.h
@@ -1,4 +1,4 @@
-// Keeps prompts from engines if their like has crashed engines. Gathers the evidence of this
+// Keeps requests from endpoints if their like has crashed endpoints. Gathers the evidence of this
 // process and its peers for coordination::quarantine::RequestQuarantine, and passes it on.
 #pragma once
 
@@ -21,7 +21,7 @@
 
 namespace lavenderthread::program {
 
-// The request has not run. Its prompt is refused until the next trial.
+// The request has not run. Its like is refused until the next trial.
 struct RequestRefusal
 {
     std::string detail;
@@ -51,18 +51,21 @@
     std::optional<RequestRefusal> refusalBeforeSend(const state::RequestId &request,
                                                     const state::ServiceName &service,
                                                     const std::vector<state::RequestPart> &parts);
-    // The engine has ended the connection before the end of the answer. `firstEventAt` is Instant{}
-    // if no event had come.
-    boost::asio::awaitable<void> attemptLost(state::EndpointDescription engine,
+    // The endpoint has ended the connection before the end of the answer. `firstEventAt` is
+    // Instant{} if no event had come.
+    boost::asio::awaitable<void> attemptLost(state::EndpointDescription endpoint,
                                              std::vector<state::RequestPart> parts,
                                              state::Instant sentAt, state::Instant firstEventAt);
     // Events of an answer have come, the first one at that time.
     void answerContinues(const state::ServiceName &service,
                          const std::vector<state::RequestPart> &parts, state::Instant firstEventAt);
-    // The engine has ended the answer itself.
+    // The endpoint has ended the answer itself.
     void answerSurvived(const state::ServiceName &service,
                         const std::vector<state::RequestPart> &parts);
-    // Whether a request that an engine has cut off may be sent to another one.
+    // The answer ended with its connection, as it would have in a crash.
+    boost::asio::awaitable<void> connectionEnded(state::EndpointDescription endpoint,
+                                                 std::vector<state::RequestPart> parts);
+    // Whether a request that an endpoint has cut off may be sent to another one.
     bool mayRepeat(const state::ServiceName &service,
                    const std::vector<state::RequestPart> &parts) const;
     std::size_t blockCount() const;
@@ -77,6 +80,8 @@
     RequestGuard(boost::asio::io_context &context, Hooks hooks);
 
     boost::asio::awaitable<void> repeatForEver();
+    bool isSuspect(const state::ServiceName &service,
+                   const std::vector<state::RequestPart> &parts) const;
     bool isKnownCrash(const coordination::quarantine::CrashId &crash) const;
     // Updates `hasSuspects` and logs blocks that began or ended. Call with the mutex held, after
     // each change.
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -176,15 +176,14 @@
     // Asked again whenever the request is about to be sent: it may have waited since it came.
     bool isRequestRefused()
     {
-        return this->recordRefusal(
-                this->hooks.guard->refusal(this->outcome.service, this->request.promptParts));
+        return this->recordRefusal(this->hooks.guard->refusal(this->outcome.service, this->parts));
     }
 
     // The connection stands, and the request would go out now.
     bool isSendRefused()
     {
         return this->recordRefusal(this->hooks.guard->refusalBeforeSend(
-                this->request.id, this->outcome.service, this->request.promptParts));
+                this->request.id, this->outcome.service, this->parts));
     }
 
     // The endpoint may have asked for rest since it was chosen.
@@ -202,13 +201,13 @@
         return this->requestRefusal.has_value();
     }
 
-    // Whether the prompt may be sent once more, after an attempt that ended so.
+    // Whether the request may be sent once more, after an attempt that ended so.
     bool mayRepeatRequest(AttemptResult end) const
     {
         if (this->requestRefusal)
             return false;
         return end != AttemptResult::Lost
-               || this->hooks.guard->mayRepeat(this->outcome.service, this->request.promptParts);
+               || this->hooks.guard->mayRepeat(this->outcome.service, this->parts);
     }
 
     // An engine that is leaving ends its connections as planned.
@@ -724,8 +723,7 @@
         if (end == AttemptResult::Lost)
             this->logLoss(endpoint);
         if (end == AttemptResult::Lost && this->mayHaveCrashed(endpoint))
-            co_await this->hooks.guard->attemptLost(endpoint, this->request.promptParts,
-                                                    this->progress.sentAt,
+            co_await this->hooks.guard->attemptLost(endpoint, this->parts, this->progress.sentAt,
                                                     this->progress.firstEventAt);
         co_return end;
     }
@@ -820,13 +818,27 @@
             co_return AttemptResult::NotRun;
         }
         const AttemptResult end = co_await this->relayAnswer(stream, headers);
-        // The end of a connection does not tell a whole answer from an engine that has crashed.
-        if (end == AttemptResult::Complete && isSuccess(stream.status())
-            && !stream.endsWithConnection())
-            this->hooks.guard->answerSurvived(this->outcome.service, this->request.promptParts);
+        if (end == AttemptResult::Complete && this->hasRun(stream.status()))
+            co_await this->recordSurvival(target.endpoint, stream.endsWithConnection());
         co_return end;
     }
 
+    // An engine may reject a prompt before it runs it; what a replica answers it has run.
+    bool hasRun(unsigned status) const
+    {
+        return isSuccess(status) || this->route->kind != CallKind::Stream;
+    }
+
+    // The end of a connection does not tell a whole answer from an endpoint that has crashed.
+    asio::awaitable<void> recordSurvival(const state::EndpointDescription &endpoint,
+                                         bool connectionEnded)
+    {
+        if (connectionEnded)
+            co_await this->hooks.guard->connectionEnded(endpoint, this->parts);
+        else
+            this->hooks.guard->answerSurvived(this->outcome.service, this->parts);
+    }
+
     asio::awaitable<AttemptResult> relayAnswer(transport::HttpAnswerStream &stream,
                                                protocol::HttpHeaders headers)
     {
@@ -1066,7 +1078,7 @@
     {
         if (this->progress.events++ == 0)
             this->progress.firstEventAt = monotonicNow();
-        this->hooks.guard->answerContinues(this->outcome.service, this->request.promptParts,
+        this->hooks.guard->answerContinues(this->outcome.service, this->parts,
                                            this->progress.firstEventAt);
     }
 
@@ -1138,7 +1150,7 @@
             this->outcome.whole = false;
             break;
         case FinalAnswer::NotRun:
-            // A prompt that is refused will not be served sooner.
+            // A request whose like is refused will not be served sooner.
             if (!this->requestRefusal)
                 retryAfter = std::min(retryAfter.value_or(retryWithoutEndpoint), longestRetryAfter);
             co_await this->refuseWith(503, retryAfter);
--- a/src/program/ServiceRelay.cpp
+++ b/src/program/ServiceRelay.cpp
@@ -3,6 +3,7 @@
 
 #include "program/Clock.h"
 #include "program/HeaderValues.h"
+#include "program/RequestParts.h"
 #include "transport/HttpClient.h"
 
 #include <xxhash.h>
@@ -63,6 +64,7 @@
         , account(account.id)
         , target(std::move(target))
         , deadline(deadline)
+        , parts(partsOf(exchange.request(), {}, {}))
         , id(hooks.nextRequestId())
         , arrival(monotonicNow())
     {}
@@ -203,11 +205,13 @@
             transport::HttpCallLimits limits;
             limits.connectTimeout = std::min(this->settings.endpoint.connectTimeout, left);
             limits.timeout = left;
-            const auto answer =
-                    co_await transport::httpCall(this->exchange.executor(), replica.address,
-                                                 this->forwarded(attempts), limits, beforeSend);
+            const state::Instant sentAt = monotonicNow();
+            const auto answer = co_await transport::httpCall(
+                    this->exchange.executor(), replica.address, this->forwarded(attempts), limits,
+                    this->guarded(beforeSend));
             if (answer) {
                 this->ran = Ran::Yes;
+                co_await this->hooks.guard->connectionEnded(replica, this->parts);
                 co_return answer.value();
             }
             last = answer.error();
@@ -216,12 +220,34 @@
             if (last.step == transport::beforeSendStep)
                 break;
             this->ran = Ran::Unknown;
-            if (!repeatable)
+            if (last.code == state::ErrorCode::Unavailable)
+                co_await this->hooks.guard->attemptLost(replica, this->parts, sentAt, {});
+            if (!repeatable || !this->hooks.guard->mayRepeat(this->target.service, this->parts))
                 break;
         }
         co_return last;
     }
 
+    // Refuses a call whose like has crashed replicas. Not before the claim is taken: an earlier
+    // call with its key may have run.
+    transport::BeforeSend guarded(transport::BeforeSend beforeSend)
+    {
+        return [this, beforeSend = std::move(beforeSend)]() -> asio::awaitable<bool> {
+            this->refusal = this->hooks.guard->refusalBeforeSend(this->id, this->target.service,
+                                                                 this->parts);
+            if (this->refusal)
+                co_return false;
+            if (!beforeSend)
+                co_return true;
+            co_return co_await beforeSend();
+        };
+    }
+
+    protocol::HttpResponse refused(const RequestRefusal &reason)
+    {
+        return this->problem({503, "request-refused", reason.detail, this->ran, reason.retryAfter});
+    }
+
     protocol::HttpRequest forwarded(int attempt) const
     {
         const protocol::HttpRequest &request = this->exchange.request();
@@ -239,6 +265,8 @@
 
     protocol::HttpResponse failure(const state::Error &error)
     {
+        if (this->refusal && this->ran == Ran::No)
+            return this->refused(*this->refusal);
         const bool deadlinePassed = remaining(this->deadline) == std::chrono::milliseconds(0);
         std::optional<std::chrono::milliseconds> retryAfter;
         if (this->ran == Ran::No)
@@ -262,8 +290,10 @@
     state::ClientAccountId account;
     ServiceTarget target;
     state::Instant deadline;
+    std::vector<state::RequestPart> parts;
     state::RequestId id;
     state::Instant arrival;
+    std::optional<RequestRefusal> refusal; // of the last attempt
     Ran ran = Ran::No;
 };
 
--- a/src/program/ServiceRelay.h
+++ b/src/program/ServiceRelay.h
@@ -4,6 +4,7 @@
 
 #include "program/Claims.h"
 #include "program/EndpointRegistry.h"
+#include "program/RequestGuard.h"
 #include "program/Settings.h"
 #include "protocol/Problem.h"
 #include "transport/HttpServer.h"
@@ -46,6 +47,7 @@
     {
         std::function<state::SnapshotView<EndpointTable>()> endpoints;
         ClaimGate claims;
+        std::shared_ptr<RequestGuard> guard;
         std::function<state::RequestId()> nextRequestId;
         std::function<void(const ServiceOutcome &)> finished;
     };
--- a/tests/coordination/quarantine/RequestQuarantineTest.cpp
+++ b/tests/coordination/quarantine/RequestQuarantineTest.cpp
@@ -218,11 +218,18 @@
     CPPUNIT_TEST(blockSurvivesManyOtherCrashes);
     CPPUNIT_TEST(allEntriesStopSoonAfterTheFifthCrash);
     CPPUNIT_TEST(entriesThatStartLaterAreTold);
+    CPPUNIT_TEST(wholeRequestIsBlockedAfterTwoCrashes);
+    CPPUNIT_TEST(requestBesideACrashingOneIsNotBlocked);
+    CPPUNIT_TEST(frequentRequestThatIsAnsweredIsNotBlocked);
+    CPPUNIT_TEST(crashesOfOneMomentBlockNoRequest);
+    CPPUNIT_TEST(requestsOfOnePartAreBlockedByThatPart);
+    CPPUNIT_TEST(trialOfWholeRequestComesLater);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr RequestPart crashing = 0xbad;
     static constexpr RequestPart shared = 0x5a1;
     static constexpr RequestPart otherShared = 0x5a2;
+    static constexpr RequestPart target = 0x7a6;
     const state::Instant start{seconds(100'000)};
     const state::ServiceName service{"llm"};
 
@@ -565,6 +572,91 @@
         CPPUNIT_ASSERT(!quarantine.knows(this->report(0, {}).crash));
     }
 
+    // The parts of the `number`th request at one target.
+    static std::vector<RequestPart> requestAt(RequestPart number)
+    {
+        return {state::wholeRequestBit | number, target, 0x8000 + number};
+    }
+
+    // Guards against a call that ends replica after replica: two of three, and its caller's repeat
+    // the last one.
+    void wholeRequestIsBlockedAfterTwoCrashes()
+    {
+        RequestQuarantine quarantine;
+        quarantine.apply(this->report(0, requestAt(1)), this->start);
+        CPPUNIT_ASSERT(!this->isRefused(quarantine, requestAt(1)));
+        quarantine.apply(this->report(1, requestAt(1)), this->start + milliseconds(200));
+        CPPUNIT_ASSERT(this->isRefused(quarantine, requestAt(1)));
+        CPPUNIT_ASSERT(!this->isRefused(quarantine, requestAt(2)));
+        CPPUNIT_ASSERT(!this->isRefused(quarantine, {target}));
+    }
+
+    // Guards against blocking a sound request that was under way at both crashes of another one.
+    void requestBesideACrashingOneIsNotBlocked()
+    {
+        RequestQuarantine quarantine;
+        for (int replica = 0; replica < 2; ++replica) {
+            const Instant at = this->start + milliseconds(replica * 200);
+            quarantine.apply(this->report(replica, requestAt(1)), at);
+            quarantine.apply(this->report(replica, requestAt(2)), at);
+        }
+        CPPUNIT_ASSERT(!this->isRefused(quarantine, requestAt(1)));
+        CPPUNIT_ASSERT(!this->isRefused(quarantine, requestAt(2)));
+        quarantine.answerSurvived(this->service, requestAt(2), this->start + seconds(1));
+        CPPUNIT_ASSERT(this->isRefused(quarantine, requestAt(1)));
+        CPPUNIT_ASSERT(!this->isRefused(quarantine, requestAt(2)));
+    }
+
+    // Guards against refusing what most callers ask for, since it was under way at every crash.
+    void frequentRequestThatIsAnsweredIsNotBlocked()
+    {
+        RequestQuarantine quarantine;
+        for (int replica = 0; replica < 6; ++replica) {
+            const Instant at = this->start + seconds(replica);
+            quarantine.apply(this->report(replica, requestAt(1)), at);
+            quarantine.answerSurvived(this->service, requestAt(1), at + milliseconds(20));
+            CPPUNIT_ASSERT(!this->isRefused(quarantine, requestAt(1)));
+            CPPUNIT_ASSERT(quarantine.mayRepeat(this->service, requestAt(1)));
+        }
+    }
+
+    void crashesOfOneMomentBlockNoRequest()
+    {
+        RequestQuarantine quarantine;
+        for (int replica = 0; replica < 3; ++replica)
+            quarantine.apply(this->report(replica, requestAt(1)),
+                             this->start + milliseconds(replica * 20));
+        CPPUNIT_ASSERT(!this->isRefused(quarantine, requestAt(1)));
+    }
+
+    // Guards against holding crashes against each request by itself that a part of all of them has
+    // caused.
+    void requestsOfOnePartAreBlockedByThatPart()
+    {
+        RequestQuarantine quarantine;
+        for (int replica = 0; replica < 4; ++replica) {
+            std::vector<RequestPart> parts = requestAt(RequestPart(replica / 2));
+            parts.push_back(crashing);
+            quarantine.apply(this->report(replica, parts), this->start + seconds(replica));
+        }
+        quarantine.answerSurvived(this->service, {target}, this->start + seconds(5));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), quarantine.blocks().size());
+        CPPUNIT_ASSERT(quarantine.blocks().front().parts == std::vector<RequestPart>{crashing});
+    }
+
+    // Guards against ending the last replica of a small service by the first trial.
+    void trialOfWholeRequestComesLater()
+    {
+        RequestQuarantine quarantine;
+        for (int replica = 0; replica < 2; ++replica)
+            quarantine.apply(this->report(replica, requestAt(1)),
+                             this->start + milliseconds(replica * 200));
+        CPPUNIT_ASSERT(this->verdict(quarantine, requestAt(1), this->start + milliseconds(5'100))
+                       == SendVerdict::Refuse);
+        CPPUNIT_ASSERT(this->verdict(quarantine, requestAt(1), this->start + milliseconds(5'300))
+                       == SendVerdict::SendAsTrial);
+    }
+
     // Guards against crowding a block out by other crashes.
     void blockSurvivesManyOtherCrashes()
     {
--- a/tests/platform/RelayTest.cpp
+++ b/tests/platform/RelayTest.cpp
@@ -2,6 +2,8 @@
 // step at which an endpoint may fail.
 #include "RelayFixture.h"
 
+#include "program/RequestParts.h"
+
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -43,6 +45,9 @@
     CPPUNIT_TEST(lostConnectionToOpenPortIsNoCrash);
     CPPUNIT_TEST(lostConnectionToClosedPortIsCrash);
     CPPUNIT_TEST(rejectedTrialEndsNoBlock);
+    CPPUNIT_TEST(callThatCrashesReplicasIsRefusedAtOnce);
+    CPPUNIT_TEST(callOnWhichAReplicaEndsIsEvidence);
+    CPPUNIT_TEST(answeredTrialOfACallEndsItsBlock);
     CPPUNIT_TEST_SUITE_END();
 
     using Kind = state::routes::CallKind;
@@ -75,13 +80,14 @@
         return request;
     }
 
-    static void reportCrashes(program::RequestGuard &guard, int count)
+    static void reportCrashes(program::RequestGuard &guard, int count,
+                              const std::vector<state::RequestPart> &parts = {0xbad})
     {
         for (int index = 0; index < count; ++index) {
             coordination::quarantine::CrashReport report;
             report.service = service;
             report.crash = {state::EndpointId("gone-" + std::to_string(index)), 1};
-            report.parts = {0xbad};
+            report.parts = parts;
             report.ageUs = (10 - index) * 1'000'000LL;
             report.sentAgeUs = report.ageUs + 100'000;
             guard.peerReported(report);
@@ -153,6 +159,53 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.requestGuard().blockCount());
     }
 
+    static protocol::HttpRequest requestWithBody(std::string body)
+    {
+        protocol::HttpRequest request = RelayFixture::request();
+        request.body = std::move(body);
+        return request;
+    }
+
+    static std::vector<state::RequestPart> partsOfCall(const protocol::HttpRequest &request)
+    {
+        return program::partsOf(request, "h", {});
+    }
+
+    // Guards against ending replica after replica with the same call, which has no prompt.
+    void callThatCrashesReplicasIsRefusedAtOnce()
+    {
+        for (const Kind kind : {Kind::Idempotent, Kind::NonIdempotent}) {
+            RelayFixture fixture(kind, {Behaviour::Answers});
+            const protocol::HttpRequest crashing = requestWithBody("crashes");
+            reportCrashes(fixture.requestGuard(), 2, partsOfCall(crashing));
+            fixture.requestGuard().peerStartedTrial({service, partsOfCall(crashing), 1, 0});
+            const auto answer = fixture.call(crashing);
+            CPPUNIT_ASSERT_EQUAL(503U, answer.value().status);
+            CPPUNIT_ASSERT(answer.value().headers.find("Retry-After").has_value());
+            CPPUNIT_ASSERT_EQUAL(0, fixture.arrivals.load());
+            CPPUNIT_ASSERT_EQUAL(200U, fixture.call(requestWithBody("sound")).value().status);
+        }
+    }
+
+    // Guards against learning nothing from the end of a replica under a plain call.
+    void callOnWhichAReplicaEndsIsEvidence()
+    {
+        RelayFixture fixture(Kind::NonIdempotent, {Behaviour::Ends});
+        reportCrashes(fixture.requestGuard(), 1, partsOfCall(RelayFixture::request()));
+        CPPUNIT_ASSERT_EQUAL(502U, fixture.call().value().status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.requestGuard().blockCount());
+    }
+
+    // Guards against refusing a call for good that happened to be under way when replicas crashed.
+    void answeredTrialOfACallEndsItsBlock()
+    {
+        RelayFixture fixture(Kind::Idempotent, {Behaviour::Rejects});
+        reportCrashes(fixture.requestGuard(), 2, partsOfCall(RelayFixture::request()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.requestGuard().blockCount());
+        CPPUNIT_ASSERT_EQUAL(400U, fixture.call().value().status);
+        CPPUNIT_ASSERT(endsItsBlock(fixture.requestGuard()));
+    }
+
     // Guards against running a request on the service of an older configuration after a newer one
     // was acknowledged.
     void outdatedConfigurationIsNotUsed()
--- a/tests/platform/UnframedAnswerTest.cpp
+++ b/tests/platform/UnframedAnswerTest.cpp
@@ -2,6 +2,7 @@
 // whole ones are passed on as whole, and those that broke off never look so.
 #include "RelayFixture.h"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
@@ -59,8 +60,11 @@
             asio::ip::tcp::socket socket =
                     co_await this->acceptor.async_accept(asio::use_awaitable);
             std::string request;
-            co_await asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n{}",
-                                            asio::use_awaitable);
+            const auto [problem, bytesRead] = co_await asio::async_read_until(
+                    socket, asio::dynamic_buffer(request), "\r\n\r\n{}",
+                    asio::as_tuple(asio::use_awaitable));
+            if (problem) // a probe of the port
+                continue;
             const RawAnswer answer = this->answers.front();
             this->answers.pop_front();
             const std::string bytes = this->head + answer.body;
--- a/tests/program/CompletionRelayTest.cpp
+++ b/tests/program/CompletionRelayTest.cpp
@@ -3,6 +3,7 @@
 #include "program/CompletionRelay.h"
 
 #include "fakes/LoopbackServer.h"
+#include "program/RequestParts.h"
 #include "program/RunToEnd.h"
 #include "transport/HttpClient.h"
 
@@ -59,46 +60,52 @@
     CompletionRelayFixture(const CompletionRelayFixture &) = delete;
     CompletionRelayFixture &operator=(const CompletionRelayFixture &) = delete;
 
+    static protocol::HttpRequest request()
+    {
+        protocol::HttpRequest made;
+        made.method = "POST";
+        made.target = "/v1/completions";
+        made.headers.add("Content-Type", "application/json");
+        made.body = prompt();
+        return made;
+    }
+
     unsigned call()
     {
-        protocol::HttpRequest request;
-        request.method = "POST";
-        request.target = "/v1/completions";
-        request.headers.add("Content-Type", "application/json");
-        request.body = prompt();
         const state::Address address = this->entry->address();
         auto run = [](state::Address peer, protocol::HttpRequest sent)
                 -> asio::awaitable<state::Result<protocol::HttpResponse>> {
             const asio::any_io_executor executor = co_await asio::this_coro::executor;
             co_return co_await transport::httpCall(executor, peer, std::move(sent), {});
         };
-        return runToEnd(run(address, std::move(request))).value().status;
+        return runToEnd(run(address, request())).value().status;
     }
 
     // Crashes under the same prompt, as peers report them.
     void reportCrashes(int count)
     {
-        const auto body = protocol::parseCompletion(protocol::CompletionKind::Text, prompt());
         for (int index = 0; index < count; ++index) {
             coordination::quarantine::CrashReport report;
             report.service = service;
             report.crash = {state::EndpointId("gone-" + std::to_string(index)), 1};
-            report.parts = body.value().prefixBlocks;
+            report.parts = partsOfPrompt();
             report.ageUs = (10 - index) * 1'000'000LL;
             report.sentAgeUs = report.ageUs + 100'000;
             this->guard->peerReported(report);
         }
     }
-    void startTrial()
-    {
-        const auto body = protocol::parseCompletion(protocol::CompletionKind::Text, prompt());
-        this->guard->peerStartedTrial({service, body.value().prefixBlocks, 1, 0});
-    }
+    void startTrial() { this->guard->peerStartedTrial({service, partsOfPrompt(), 1, 0}); }
 
     std::atomic<int> arrivals = 0; // at the engine
     std::atomic<int> placedAgain = 0;
 
 private:
+    static std::vector<state::RequestPart> partsOfPrompt()
+    {
+        const auto body = protocol::parseCompletion(protocol::CompletionKind::Text, prompt());
+        return partsOf(request(), {}, body.value().prefixBlocks);
+    }
+
     static std::string prompt()
     {
         constexpr std::size_t bytes = 8'000;
--- a/tests/program/ServiceRelayTest.cpp
+++ b/tests/program/ServiceRelayTest.cpp
@@ -4,6 +4,7 @@
 
 #include "fakes/LoopbackServer.h"
 #include "program/Clock.h"
+#include "program/RequestParts.h"
 #include "program/RunToEnd.h"
 #include "transport/HttpClient.h"
 
@@ -20,7 +21,7 @@
 namespace {
 
 // How the replica treats a call.
-enum class Replica { Answers, ClosesUnanswered, IsDown };
+enum class Replica { Answers, ClosesUnanswered, Ends, IsDown };
 
 struct Case
 {
@@ -73,20 +74,40 @@
     ServiceRelayFixture(const ServiceRelayFixture &) = delete;
     ServiceRelayFixture &operator=(const ServiceRelayFixture &) = delete;
 
+    static protocol::HttpRequest request()
+    {
+        protocol::HttpRequest made;
+        made.method = "POST";
+        made.target = "/services/ledger/time-entries";
+        made.headers.add("Idempotency-Key", "key-1");
+        made.body = "{}";
+        return made;
+    }
+
+    // As if that call had ended other replicas.
+    void reportCrashes(int count)
+    {
+        for (int index = 0; index < count; ++index) {
+            coordination::quarantine::CrashReport report;
+            report.service = this->endpoint.service;
+            report.crash = {state::EndpointId("gone-" + std::to_string(index)), 1};
+            report.parts = partsOf(request(), {}, {});
+            report.ageUs = (count - index) * 1'000'000LL;
+            report.sentAgeUs = report.ageUs + 100'000;
+            this->guard->peerReported(report);
+        }
+    }
+    std::size_t blockCount() const { return this->guard->blockCount(); }
+
     protocol::HttpResponse post()
     {
-        protocol::HttpRequest request;
-        request.method = "POST";
-        request.target = "/services/ledger/time-entries";
-        request.headers.add("Idempotency-Key", "key-1");
-        request.body = "{}";
         const state::Address address = this->entry->address();
         auto call = [](state::Address peer, protocol::HttpRequest sent)
                 -> asio::awaitable<state::Result<protocol::HttpResponse>> {
             const asio::any_io_executor executor = co_await asio::this_coro::executor;
             co_return co_await transport::httpCall(executor, peer, std::move(sent), {});
         };
-        return runToEnd(call(address, std::move(request))).value();
+        return runToEnd(call(address, request())).value();
     }
 
     std::string steps()
@@ -105,7 +126,9 @@
     asio::awaitable<void> serveReplica(transport::HttpExchange &exchange, Replica behaviour)
     {
         this->recordStep("replica");
-        if (behaviour == Replica::ClosesUnanswered)
+        if (behaviour == Replica::Ends)
+            this->replica->stopAccepting();
+        if (behaviour == Replica::ClosesUnanswered || behaviour == Replica::Ends)
             co_return;
         protocol::HttpResponse answer{201, {}, "booked"};
         co_await exchange.respond(std::move(answer));
@@ -120,6 +143,7 @@
             state::Snapshot<EndpointTable> cell(std::move(table));
             return cell.read();
         };
+        made.guard = this->guard;
         made.nextRequestId = [] { return state::RequestId("request-1"); };
         made.finished = [](const ServiceOutcome &) {};
         made.claims.take = [this](ClaimKey, std::string, std::string,
@@ -151,6 +175,7 @@
     AccountSetting account{state::ClientAccountId("firm"), "firm-key-1", false};
     state::EndpointDescription endpoint;
     asio::io_context context;
+    std::shared_ptr<RequestGuard> guard = RequestGuard::create(this->context, {});
     std::mutex mutex;
     std::string recordedSteps;
     std::unique_ptr<ServiceRelay> relay;
@@ -166,6 +191,7 @@
     CPPUNIT_TEST_SUITE(ServiceRelayTest);
     CPPUNIT_TEST(claimedCallStepsRunInOrder);
     CPPUNIT_TEST(repeatabilityFollowsRulesAndMethod);
+    CPPUNIT_TEST(callThatCrashesReplicasIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -192,6 +218,21 @@
         }
     }
 
+    // Guards against sending a call on under which replicas have ended, and against using up its
+    // key.
+    void callThatCrashesReplicasIsRefused()
+    {
+        ServiceRelayFixture fixture({"ends", Replica::Ends, true, "", 502, ""});
+        fixture.reportCrashes(1);
+        CPPUNIT_ASSERT_EQUAL(502U, fixture.post().status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.blockCount());
+        const protocol::HttpResponse refused = fixture.post();
+        CPPUNIT_ASSERT_EQUAL(503U, refused.status);
+        CPPUNIT_ASSERT(refused.headers.find("Retry-After").has_value());
+        CPPUNIT_ASSERT(refused.body.find("\"ran\":\"no\"") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::string("take mark replica take release"), fixture.steps());
+    }
+
     void repeatabilityFollowsRulesAndMethod()
     {
         const Settings settings = settingsWithNonIdempotentService();
