Relay: answers without end are bounded in memory and time, and callers served elsewhere

Cause: nothing told bytes without end from a long answer. An event had no bound and was searched from its beginning with each piece; each whole answer could have 16 MB, however many came at once; a read from bytes that had arrived never met the deadline; httpCall() had a limit for each read, none for the answer; what the parser reads ahead (chunk headers, trailers) had none; 1xx heads were taken for the answer.

Now: an event has at most 1 MB; answers that are kept share 32 MB beyond their first 256 KB, and one that declares more than 16 MB is left at once; an answer without a length that goes on for three times the route's target (0.9 s at least) is left if the request may be sent elsewhere; the deadline ends endless reads; 16 interim answers are skipped; probes and orders take 64 KB. Each of these counts against the endpoint's health like a lost attempt.

--- /dev/null
+++ b/src/coordination/relay/AnswerBuffers.h
@@ -0,0 +1,83 @@
+// Bounds the memory of answers that are kept until they are whole, over all requests of a process.
+#pragma once
+
+#include <cstddef>
+#include <mutex>
+
+namespace lavenderthread::coordination::relay {
+
+class AnswerBuffers
+{
+public:
+    struct Settings
+    {
+        std::size_t maximumAnswer = 16U << 20U; // bytes of one answer
+        // The first bytes of an answer don't count: short answers are kept beside any long ones.
+        std::size_t uncounted = 256U << 10U;
+        std::size_t maximumCounted = 32U << 20U; // of all answers together
+    };
+
+    explicit AnswerBuffers(Settings chosen)
+        : settings(chosen)
+    {}
+    AnswerBuffers()
+        : AnswerBuffers(Settings{})
+    {}
+
+    std::size_t maximumAnswer() const { return this->settings.maximumAnswer; }
+    std::size_t counted() const
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->held;
+    }
+
+    // What one answer holds; given back when it goes out of scope.
+    class Share
+    {
+    public:
+        explicit Share(AnswerBuffers &buffers)
+            : buffers(buffers)
+        {}
+        ~Share() { this->buffers.release(this->counted); }
+        Share(const Share &) = delete;
+        Share &operator=(const Share &) = delete;
+
+        // The answer has grown to so many bytes. False if that is more than may be kept.
+        bool growTo(std::size_t bytes)
+        {
+            const AnswerBuffers::Settings &limits = this->buffers.settings;
+            if (bytes > limits.maximumAnswer)
+                return false;
+            const std::size_t wanted = bytes > limits.uncounted ? bytes - limits.uncounted : 0;
+            if (wanted > this->counted && !this->buffers.take(wanted - this->counted))
+                return false;
+            this->counted = wanted;
+            return true;
+        }
+
+    private:
+        AnswerBuffers &buffers;
+        std::size_t counted = 0; // bytes taken from `buffers`; never decreases
+    };
+
+private:
+    bool take(std::size_t bytes)
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->held + bytes > this->settings.maximumCounted)
+            return false;
+        this->held += bytes;
+        return true;
+    }
+    void release(std::size_t bytes)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->held -= bytes;
+    }
+
+    const Settings settings;
+    mutable std::mutex mutex;
+    std::size_t held = 0; // the sum of all shares
+};
+
+} // namespace lavenderthread::coordination::relay
--- a/src/coordination/relay/EventSplitter.cpp
+++ b/src/coordination/relay/EventSplitter.cpp
@@ -1,5 +1,6 @@
 #include "coordination/relay/EventSplitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace lavenderthread::coordination::relay {
@@ -28,15 +29,16 @@
     return std::nullopt;
 }
 
-// Position after the blank line that ends the event starting at `from`; npos if it is incomplete.
+constexpr std::size_t lfLength = 2; // of the blank line that ends an event
+constexpr std::size_t crlfLength = 4;
+
+// Position after the first blank line from `from` on; npos if there is none.
 std::size_t endOfEvent(std::string_view bytes, std::size_t from)
 {
     const std::size_t lfEnd = bytes.find("\n\n", from);
     const std::size_t crlfEnd = bytes.find("\r\n\r\n", from);
     if (lfEnd == std::string_view::npos && crlfEnd == std::string_view::npos)
         return std::string_view::npos;
-    constexpr std::size_t lfLength = 2;
-    constexpr std::size_t crlfLength = 4;
     return lfEnd < crlfEnd ? lfEnd + lfLength : crlfEnd + crlfLength;
 }
 
@@ -48,7 +50,7 @@
     std::string complete;
     std::size_t begin = 0;
     while (true) {
-        const std::size_t end = endOfEvent(this->buffer, begin);
+        const std::size_t end = endOfEvent(this->buffer, std::max(begin, this->searched));
         if (end == std::string_view::npos)
             break;
         const std::string_view event = std::string_view(this->buffer).substr(begin, end - begin);
@@ -59,9 +61,17 @@
         begin = end;
     }
     this->buffer.erase(0, begin);
+    // The blank line may have begun in the last bytes.
+    this->searched = this->buffer.size() < crlfLength ? 0 : this->buffer.size() - crlfLength + 1;
     return complete;
 }
 
+void EventSplitter::dropPartialEvent()
+{
+    this->buffer.clear();
+    this->searched = 0;
+}
+
 bool EventSplitter::isNew(std::string_view event)
 {
     const std::optional<std::uint64_t> id = idOf(event);
--- a/src/coordination/relay/EventSplitter.h
+++ b/src/coordination/relay/EventSplitter.h
@@ -2,6 +2,7 @@
 // and another endpoint can continue after the last one.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -12,14 +13,19 @@
 class EventSplitter
 {
 public:
+    // Longer ones are taken for bytes without end.
+    static constexpr std::size_t maximumEventBytes = 1U << 20U;
+
     // Appends bytes and returns, unchanged, the complete events that are new to the caller. Events
     // up to the last id passed on are left out, as an endpoint that resumes may repeat some.
     std::string append(std::string_view bytes);
 
     // Whether bytes of an incomplete event are buffered.
     bool hasPartialEvent() const { return !this->buffer.empty(); }
+    // Whether the incomplete event is too long to be continued.
+    bool isTooLong() const { return this->buffer.size() > maximumEventBytes; }
     // Drops the event that an endpoint left incomplete, before another one continues the stream.
-    void dropPartialEvent() { this->buffer.clear(); }
+    void dropPartialEvent();
 
     const std::optional<std::uint64_t> &lastId() const { return this->lastEventId; }
     // The caller resumes a stream of which it has all events up to `id`.
@@ -31,6 +37,7 @@
     bool isNew(std::string_view event);
 
     std::string buffer;
+    std::size_t searched = 0; // bytes of `buffer` in which no event ends
     // Highest event id that the caller has; never decreases.
     std::optional<std::uint64_t> lastEventId;
     std::uint64_t passedEventCount = 0;
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -33,6 +33,7 @@
 namespace {
 
 constexpr milliseconds engineCallTimeout{2'000};
+constexpr std::uint64_t largestOrderAnswer = 64U << 10U;
 // An engine answers a reservation request within a few milliseconds or not at all.
 constexpr milliseconds reserveAnswerTime{400};
 constexpr milliseconds releaseAnswerTime{500};
@@ -329,6 +330,7 @@
         transport::HttpCallLimits limits;
         limits.connectTimeout = std::min(limits.connectTimeout, timeout);
         limits.timeout = timeout;
+        limits.bodyBytes = largestOrderAnswer;
         asio::co_spawn(
                 this->strand,
                 [](asio::any_io_executor executor, state::Address peer, protocol::HttpRequest call,
--- a/src/program/PathMonitor.cpp
+++ b/src/program/PathMonitor.cpp
@@ -29,6 +29,7 @@
 constexpr milliseconds probePause{250};
 constexpr milliseconds probeTimeout{400}; // many round trips within a region
 constexpr std::size_t probersAtOnce = 5;
+constexpr std::uint64_t largestProbeAnswer = 64U << 10U;
 
 void logPath(LogLevel level, std::string_view event, const state::ServiceName &service,
              const PathCounts &counts)
@@ -181,6 +182,7 @@
     transport::HttpCallLimits limits;
     limits.connectTimeout = probeTimeout;
     limits.timeout = probeTimeout;
+    limits.bodyBytes = largestProbeAnswer;
     const asio::any_io_executor executor = this->context.get_executor();
     const auto answer =
             co_await transport::httpCall(executor, endpoint.address, std::move(*request), limits);
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -18,6 +18,7 @@
 
 namespace asio = boost::asio;
 using coordination::orders::ViewStatus;
+using coordination::relay::AnswerBuffers;
 using coordination::relay::AttemptResult;
 using coordination::relay::CallState;
 using coordination::relay::FinalAnswer;
@@ -69,8 +70,6 @@
 constexpr int pauseTargetFactor = 4;
 constexpr milliseconds shortestInactivityTimeout{900};
 
-constexpr std::uint64_t largestAnswer = 16U << 20U;
-
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusMultipleChoices = 300;
 constexpr unsigned statusServerError = 500;
@@ -755,7 +754,7 @@
         if (this->inactivityTimeout)
             this->inactivityTimeout->stop();
         if (this->inactivityTimeout && this->inactivityTimeout->hasTimedOut())
-            this->outcome.reason = "the endpoint was silent for too long";
+            this->outcome.reason = "the endpoint did not go on with its answer, or end it, in time";
         switch (end) {
         case AttemptResult::Complete:
             break;
@@ -992,14 +991,46 @@
         return this->retryTokenTaken;
     }
 
+    // An answer without a length that goes on for longer than this is not awaited if the request
+    // may be sent elsewhere.
+    void startAnswerTimeout()
+    {
+        if (this->inactivityTimeout || !this->facts.repeatable)
+            return;
+        InactivityTimeout::Hooks watchHooks;
+        watchHooks.onTimeout = [running = this->running] { running->interrupt(); };
+        watchHooks.mayRetryElsewhere = [this]() -> asio::awaitable<bool> {
+            co_return this->mayMoveToReplica();
+        };
+        this->inactivityTimeout = InactivityTimeout::start(
+                this->exchange.executor(), this->firstAnswerTimeout(), std::move(watchHooks));
+    }
+
+    // Bytes that have arrived already are read without a wait, so a stream of them would outlast
+    // the deadline.
+    asio::awaitable<state::Result<std::optional<std::string>>>
+    readPiece(transport::HttpAnswerStream &stream)
+    {
+        const milliseconds left = remaining(this->deadline);
+        if (left == milliseconds(0))
+            co_return state::makeError(state::ErrorCode::Timeout,
+                                       std::string(transport::receiveStep), "the time is over");
+        co_return co_await stream.read(left);
+    }
+
     // Reads the complete answer before sending any of it. If it breaks off, the request can still
     // be retried elsewhere or be answered with an accurate error.
     asio::awaitable<AttemptResult> relayBuffered(transport::HttpAnswerStream &stream,
                                                  protocol::HttpHeaders headers)
     {
         protocol::HttpResponse answer{stream.status(), std::move(headers), {}};
+        AnswerBuffers::Share share(this->relay.answerBuffers);
+        if (!stream.declaredLength())
+            this->startAnswerTimeout();
+        if (!share.growTo(stream.declaredLength().value_or(0)))
+            co_return this->answerTooLong();
         while (true) {
-            const auto piece = co_await stream.read(remaining(this->deadline));
+            const auto piece = co_await this->readPiece(stream);
             if (!piece) {
                 this->readFailed(piece.error());
                 co_return AttemptResult::Lost;
@@ -1007,11 +1038,11 @@
             if (!piece.value())
                 break;
             answer.body += *piece.value();
-            if (answer.body.size() > largestAnswer) {
-                this->outcome.reason = "the answer is larger than may be kept";
-                co_return AttemptResult::Lost;
-            }
+            if (!share.growTo(answer.body.size()))
+                co_return this->answerTooLong();
         }
+        if (this->inactivityTimeout)
+            this->inactivityTimeout->stop();
         if (answer.status >= statusServerError) {
             this->outcome.reason = "the endpoint answered " + std::to_string(answer.status);
             this->endpointAnswer = std::move(answer);
@@ -1021,6 +1052,12 @@
         co_return AttemptResult::Complete;
     }
 
+    AttemptResult answerTooLong()
+    {
+        this->outcome.reason = "the answer is longer than may be kept";
+        return AttemptResult::Lost;
+    }
+
     asio::awaitable<void> respond(protocol::HttpResponse answer)
     {
         this->outcome.status = answer.status;
@@ -1043,7 +1080,7 @@
     {
         this->events.dropPartialEvent();
         while (true) {
-            const auto piece = co_await stream.read(remaining(this->deadline));
+            const auto piece = co_await this->readPiece(stream);
             if (!piece) {
                 this->readFailed(piece.error());
                 co_return AttemptResult::Lost;
@@ -1051,6 +1088,10 @@
             if (!piece.value())
                 break;
             const std::string whole = this->events.append(*piece.value());
+            if (this->events.isTooLong()) {
+                this->outcome.reason = "an event is longer than may be kept";
+                co_return AttemptResult::Lost;
+            }
             if (whole.empty())
                 continue;
             this->recordEvents();
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -3,6 +3,7 @@
 
 #include "transport/BeastConversion.h"
 #include "transport/HttpCallParts.h"
+#include "transport/MonotonicClock.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -12,6 +13,7 @@
 #include <netinet/tcp.h>
 
 #include <limits>
+#include <memory>
 #include <utility>
 
 namespace lavenderthread::transport {
@@ -24,6 +26,9 @@
 namespace {
 
 constexpr std::size_t readPieceBytes = 64U << 10U;
+// What is read ahead of the parser. A chunk header or trailer without end would fill it.
+constexpr std::size_t readAheadBytes = 256U << 10U;
+constexpr int maximumInterimAnswers = 16; // 1xx, before the final one
 
 state::Error cancelledBefore(std::string_view step, const state::Address &peer)
 {
@@ -111,15 +116,21 @@
         : stream(std::move(executor))
         , peer(std::move(peer))
     {
-        this->parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+        this->renewParser();
+    }
+
+    void renewParser()
+    {
+        this->parser = std::make_unique<http::response_parser<http::buffer_body>>();
+        this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
         // Take all that has arrived in one go: tokens come as many small chunks.
-        this->parser.eager(true);
+        this->parser->eager(true);
     }
 
     beast::tcp_stream stream;
     state::Address peer;
-    beast::flat_buffer buffer;
-    http::response_parser<http::buffer_body> parser;
+    beast::flat_buffer buffer{readAheadBytes};
+    std::unique_ptr<http::response_parser<http::buffer_body>> parser; // never null
     std::string piece = std::string(readPieceBytes, '\0');
     http::request<http::string_body> message;
     std::shared_ptr<HttpCallHandle> handle;
@@ -144,30 +155,36 @@
 
 unsigned HttpAnswerStream::status() const
 {
-    return this->state->parser.get().result_int();
+    return this->state->parser->get().result_int();
 }
 
 protocol::HttpHeaders HttpAnswerStream::headers() const
 {
-    return toHeaders(this->state->parser.get());
+    return toHeaders(this->state->parser->get());
 }
 
 bool HttpAnswerStream::endsWithConnection() const
 {
-    const auto &parser = this->state->parser;
+    const auto &parser = *this->state->parser;
     return !parser.chunked() && !parser.content_length();
 }
 
+std::optional<std::uint64_t> HttpAnswerStream::declaredLength() const
+{
+    const auto length = this->state->parser->content_length();
+    return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
 asio::awaitable<state::Result<std::optional<std::string>>>
 HttpAnswerStream::read(std::chrono::milliseconds timeout)
 {
     State &my = *this->state;
     my.stream.expires_after(timeout);
-    while (!my.parser.is_done()) {
-        auto &body = my.parser.get().body();
+    while (!my.parser->is_done()) {
+        auto &body = my.parser->get().body();
         body.data = my.piece.data();
         body.size = my.piece.size();
-        auto [problem, bytes] = co_await http::async_read_some(my.stream, my.buffer, my.parser,
+        auto [problem, bytes] = co_await http::async_read_some(my.stream, my.buffer, *my.parser,
                                                                asio::as_tuple(asio::use_awaitable));
         const std::size_t got = my.piece.size() - body.size;
         if (problem && problem != http::error::need_buffer)
@@ -183,6 +200,29 @@
     this->state->stream.close();
 }
 
+namespace {
+
+bool isInterim(unsigned status)
+{
+    constexpr unsigned classSize = 100;
+    return status / classSize == 1;
+}
+
+// Reads up to the head of the final answer.
+asio::awaitable<beast::error_code> readHead(HttpAnswerStream::State &call)
+{
+    for (int interim = 0; interim <= maximumInterimAnswers; ++interim) {
+        call.renewParser();
+        auto [problem, bytes] = co_await http::async_read_header(
+                call.stream, call.buffer, *call.parser, asio::as_tuple(asio::use_awaitable));
+        if (problem || !isInterim(call.parser->get().result_int()))
+            co_return problem;
+    }
+    co_return http::error::header_limit;
+}
+
+} // namespace
+
 asio::awaitable<state::Result<HttpAnswerStream>>
 openHttpStream(asio::any_io_executor executor, state::Address peer, protocol::HttpRequest request,
                HttpCallLimits limits, BeforeSend beforeSend, std::shared_ptr<HttpCallHandle> handle)
@@ -219,8 +259,7 @@
                           call->sent = !problem;
                           call->sendProblem = problem;
                       });
-    auto [headProblem, headBytes] = co_await http::async_read_header(
-            call->stream, call->buffer, call->parser, asio::as_tuple(asio::use_awaitable));
+    const beast::error_code headProblem = co_await readHead(*call);
     if (headProblem) {
         const bool sending =
                 call->sendProblem && call->sendProblem != asio::error::operation_aborted;
@@ -240,8 +279,13 @@
         co_return opened.error();
     HttpAnswerStream &stream = opened.value();
     protocol::HttpResponse response{stream.status(), stream.headers(), {}};
+    const state::Instant end = monotonicNow() + limits.timeout;
     while (true) {
-        state::Result<std::optional<std::string>> piece = co_await stream.read(limits.timeout);
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - monotonicNow());
+        if (left.count() <= 0)
+            co_return state::makeError(state::ErrorCode::Timeout, std::string(receiveStep),
+                                       "the answer did not end in time", peer.toString());
+        state::Result<std::optional<std::string>> piece = co_await stream.read(left);
         if (!piece)
             co_return piece.error();
         if (!piece.value())
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -53,8 +53,8 @@
     // Bytes that the peer's machine does not acknowledge for so long end the connection; 0 leaves
     // it to the system. Without it a call to a machine behind a partition hangs until `timeout`.
     std::chrono::milliseconds unacknowledgedTimeout{0};
-    std::chrono::milliseconds timeout{
-            10'000};                      // from connected to the answer's head, then each read
+    // From connected to the answer's head, then each read; of httpCall(), then to the answer's end.
+    std::chrono::milliseconds timeout{10'000};
     std::uint64_t bodyBytes = 16U << 20U; // of a whole answer; streams are not limited
 };
 
@@ -75,6 +75,8 @@
     // The body has neither a length nor chunks: it ends where the peer closes the connection.
     bool endsWithConnection() const;
 
+    std::optional<std::uint64_t> declaredLength() const; // of the body
+
     // The next piece, as much as has arrived; nothing at the proper end of the body. Errors have
     // step receiveStep; Timeout if no byte came within `timeout`.
     boost::asio::awaitable<state::Result<std::optional<std::string>>>
--- /dev/null
+++ b/tests/coordination/relay/AnswerBuffersTest.cpp
@@ -0,0 +1,62 @@
+// Tests how much of unfinished answers a process keeps.
+#include "coordination/relay/AnswerBuffers.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <vector>
+
+namespace lavenderthread::coordination::relay {
+
+class AnswerBuffersTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(AnswerBuffersTest);
+    CPPUNIT_TEST(longAnswersShareOneBound);
+    CPPUNIT_TEST(shortAnswersAreKeptBesideLongOnes);
+    CPPUNIT_TEST(oneAnswerHasABoundOfItsOwn);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr AnswerBuffers::Settings settings{1'000, 100, 2'000};
+
+public:
+    // Guards against answers without end that are each within their bound and use up the memory
+    // together.
+    void longAnswersShareOneBound()
+    {
+        AnswerBuffers buffers(settings);
+        std::vector<std::unique_ptr<AnswerBuffers::Share>> shares;
+        for (int answer = 0; answer < 2; ++answer) {
+            shares.push_back(std::make_unique<AnswerBuffers::Share>(buffers));
+            CPPUNIT_ASSERT(shares.back()->growTo(500));
+            CPPUNIT_ASSERT(shares.back()->growTo(1'000));
+        }
+        AnswerBuffers::Share third(buffers);
+        CPPUNIT_ASSERT(third.growTo(300));
+        CPPUNIT_ASSERT(!third.growTo(301));
+        shares.clear();
+        CPPUNIT_ASSERT(third.growTo(301));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(201), buffers.counted());
+    }
+
+    void shortAnswersAreKeptBesideLongOnes()
+    {
+        AnswerBuffers buffers({1'000, 100, 900});
+        AnswerBuffers::Share full(buffers);
+        CPPUNIT_ASSERT(full.growTo(1'000));
+        AnswerBuffers::Share brief(buffers);
+        CPPUNIT_ASSERT(brief.growTo(100));
+        CPPUNIT_ASSERT(!brief.growTo(101));
+    }
+
+    void oneAnswerHasABoundOfItsOwn()
+    {
+        AnswerBuffers buffers(settings);
+        AnswerBuffers::Share share(buffers);
+        CPPUNIT_ASSERT(!share.growTo(1'001));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), buffers.counted());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AnswerBuffersTest);
+
+} // namespace lavenderthread::coordination::relay
--- a/tests/coordination/relay/EventSplitterTest.cpp
+++ b/tests/coordination/relay/EventSplitterTest.cpp
@@ -34,9 +34,37 @@
     CPPUNIT_TEST(repeatedEventsAreLeftOut);
     CPPUNIT_TEST(eventsWithoutIdsPass);
     CPPUNIT_TEST(crlfEndsEventsToo);
+    CPPUNIT_TEST(blankLineSplitOverManyPiecesEndsItsEvent);
+    CPPUNIT_TEST(eventWithoutEndIsTooLong);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void blankLineSplitOverManyPiecesEndsItsEvent()
+    {
+        for (const std::string text : {"id: 1\r\ndata: x\r\n\r\n", "id: 1\ndata: x\n\n"}) {
+            EventSplitter splitter;
+            std::string passed;
+            for (const char byte : text)
+                passed += splitter.append(std::string(1, byte));
+            CPPUNIT_ASSERT_EQUAL(text, passed);
+        }
+    }
+
+    // Guards against keeping bytes without end as one event, and against searching all of them
+    // again with each piece.
+    void eventWithoutEndIsTooLong()
+    {
+        EventSplitter splitter;
+        const std::string piece(1'000, 'x');
+        std::size_t pieces = 0;
+        for (; !splitter.isTooLong(); ++pieces)
+            CPPUNIT_ASSERT(splitter.append(piece).empty());
+        CPPUNIT_ASSERT_EQUAL(EventSplitter::maximumEventBytes / piece.size() + 1, pieces);
+        splitter.dropPartialEvent();
+        CPPUNIT_ASSERT(!splitter.isTooLong());
+        CPPUNIT_ASSERT_EQUAL(event(1), splitter.append(event(1)));
+    }
+
     void anySplitGivesTheSameStream()
     {
         const std::string whole = events(1, 40);
