Quarantine: what most requests share is not blamed for the crashes of others

Cause: a part that all requests share explains any set of crashes best.

Now the target is no part; prompts bring their parts, plain calls their body; a digest that was answered whole at an entry within two seconds is no evidence there (RecentAnswers); requests that share the body of a blocked one and nothing else are sent one a second until one is answered or crashes.

RecentAnswersTest, requestsWithABlockedBodyAreSentOneAtATime.

AnswerBuffers moved to program/: it has a mutex.

--- a/src/coordination/quarantine/RequestQuarantine.cpp
+++ b/src/coordination/quarantine/RequestQuarantine.cpp
@@ -34,9 +34,9 @@
 
 } // namespace
 
-bool Block::isOfWholeRequest() const
+bool Block::isOfDigest() const
 {
-    return std::ranges::any_of(this->parts, &state::isWholeRequest);
+    return std::ranges::any_of(this->parts, &state::isDigest);
 }
 
 ReportResult RequestQuarantine::apply(const CrashReport &report, Instant now)
@@ -159,7 +159,9 @@
                                        const std::vector<RequestPart> &parts, Instant now) const
 {
     const Block *block = this->blockOf(service, parts);
-    if (block == nullptr || now - block->lastCrashAt() >= this->settings.memory)
+    if (block == nullptr)
+        return this->decideBySameBody(service, parts, now);
+    if (now - block->lastCrashAt() >= this->settings.memory)
         return {};
     const Trials done = this->trialsOf(*block);
     Instant next = block->lastCrashAt() + this->settings.memory;
@@ -170,10 +172,31 @@
     return {SendVerdict::Refuse, *block, next - now};
 }
 
+SendDecision RequestQuarantine::decideBySameBody(const ServiceName &service,
+                                                 const std::vector<RequestPart> &parts,
+                                                 Instant now) const
+{
+    const auto body = std::ranges::find_if(parts, &state::isBody);
+    if (body == parts.end())
+        return {};
+    const auto blocked = std::ranges::find_if(this->blockList, [&](const Block &block) {
+        return block.service == service && contains(block.parts, {*body});
+    });
+    if (blocked == this->blockList.end() || now - blocked->lastCrashAt() >= this->settings.memory)
+        return {};
+    Block ofBody = *blocked;
+    ofBody.parts = {*body};
+    const Trials done = this->trialsOf(ofBody);
+    const Instant next = done.lastAt + this->settings.sameBodyInterval;
+    if (done.count == 0 || next <= now)
+        return {SendVerdict::SendAsTrial, std::move(ofBody), {}};
+    return {SendVerdict::Refuse, std::move(ofBody), next - now};
+}
+
 state::Duration RequestQuarantine::trialDelay(const Block &block, std::uint32_t trialsDone) const
 {
-    if (trialsDone == 0 && block.isOfWholeRequest())
-        return this->settings.firstTrialOfRequestAfter;
+    if (trialsDone == 0 && block.isOfDigest())
+        return this->settings.firstTrialOfDigestAfter;
     state::Duration delay = this->settings.firstTrialAfter;
     for (std::uint32_t trial = 0; trial < trialsDone; ++trial)
         delay *= this->settings.trialDelayFactor;
--- a/src/coordination/quarantine/RequestQuarantine.h
+++ b/src/coordination/quarantine/RequestQuarantine.h
@@ -29,11 +29,14 @@
     // After this time, and each further trial after the factor times as long, one request is sent.
     // The first one comes soon, as it ends a block of a part that only happened to be there.
     state::Duration firstTrialAfter = std::chrono::seconds(1);
-    // The same for a block of a whole request, which hits no other one: by then most endpoints that
-    // have crashed are back, and a service of few can bear the next crash.
-    state::Duration firstTrialOfRequestAfter = std::chrono::seconds(5);
+    // The same for a block of a digest, which hits few requests: by then most endpoints that have
+    // crashed are back, and a service of few can bear the next crash.
+    state::Duration firstTrialOfDigestAfter = std::chrono::seconds(5);
     std::uint32_t trialDelayFactor = 30; // of `firstTrialAfter`, for both
     std::uint32_t maximumTrials = 3;
+    // Requests that share the body of a blocked one are sent one at a time, this long apart, until
+    // one is answered or crashes its endpoint.
+    state::Duration sameBodyInterval = std::chrono::seconds(1);
     // After so long without a crash a part is sent again in any case.
     state::Duration memory = std::chrono::hours(24);
     std::size_t maximumCrashes = 64;         // remembered; the oldest are dropped first
@@ -66,7 +69,7 @@
 
     state::Instant firstCrashAt() const { return this->crashes.front().at; }
     state::Instant lastCrashAt() const { return this->crashes.back().at; }
-    bool isOfWholeRequest() const;
+    bool isOfDigest() const;
     auto operator<=>(const Block &) const = default;
 };
 
@@ -181,6 +184,10 @@
     bool backsBlock(const CrashId &crash) const;
     const Block *blockOf(const state::ServiceName &service,
                          const std::vector<state::RequestPart> &parts) const;
+    // For requests that are not blocked, but share the body of one that is.
+    SendDecision decideBySameBody(const state::ServiceName &service,
+                                  const std::vector<state::RequestPart> &parts,
+                                  state::Instant now) const;
     Trials trialsOf(const Block &block) const;
 
     QuarantineSettings settings;
--- a/src/coordination/relay/AnswerBuffers.h
+++ b/src/program/AnswerBuffers.h
@@ -4,7 +4,7 @@
 #include <cstddef>
 #include <mutex>
 
-namespace lavenderthread::coordination::relay {
+namespace lavenderthread::program {
 
 class AnswerBuffers
 {
@@ -80,4 +80,4 @@
     std::size_t held = 0; // the sum of all shares
 };
 
-} // namespace lavenderthread::coordination::relay
+} // namespace lavenderthread::program
--- a/src/program/RequestGuard.cpp
+++ b/src/program/RequestGuard.cpp
@@ -178,7 +178,13 @@
                                                 std::vector<RequestPart> parts,
                                                 state::Instant sentAt, state::Instant firstEventAt)
 {
-    if (parts.empty() || hasSurvived(firstEventAt))
+    if (hasSurvived(firstEventAt))
+        co_return;
+    {
+        const std::lock_guard lock(this->mutex);
+        parts = this->answers.withoutAnswered(endpoint.service, std::move(parts), monotonicNow());
+    }
+    if (parts.empty())
         co_return;
     CrashReport report;
     report.service = endpoint.service;
@@ -218,17 +224,16 @@
                                    const std::vector<RequestPart> &parts,
                                    state::Instant firstEventAt)
 {
-    if (hasSurvived(firstEventAt))
+    if (this->hasSuspects && hasSurvived(firstEventAt))
         this->answerSurvived(service, parts);
 }
 
 void RequestGuard::answerSurvived(const ServiceName &service, const std::vector<RequestPart> &parts)
 {
-    if (!this->hasSuspects || parts.empty())
-        return;
     std::vector<PartCleared> cleared;
     {
         const std::lock_guard lock(this->mutex);
+        this->answers.record(service, parts, monotonicNow());
         cleared = this->quarantine.answerSurvived(service, parts, monotonicNow());
         if (!cleared.empty())
             this->noteChange();
@@ -242,8 +247,11 @@
 asio::awaitable<void> RequestGuard::connectionEnded(state::EndpointDescription endpoint,
                                                     std::vector<RequestPart> parts)
 {
-    if (!this->isSuspect(endpoint.service, parts))
+    if (!this->isSuspect(endpoint.service, parts)) {
+        const std::lock_guard lock(this->mutex);
+        this->answers.record(endpoint.service, parts, monotonicNow());
         co_return;
+    }
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
     const transport::PortState port =
             co_await transport::probePort(executor, endpoint.address, portProbeTime);
--- a/src/program/RequestGuard.h
+++ b/src/program/RequestGuard.h
@@ -2,6 +2,7 @@
 // process and its peers for coordination::quarantine::RequestQuarantine, and passes it on.
 #pragma once
 
+#include "coordination/quarantine/RecentAnswers.h"
 #include "coordination/quarantine/RequestQuarantine.h"
 #include "protocol/PeerUpdate.h"
 #include "state/Endpoint.h"
@@ -91,9 +92,10 @@
     Hooks hooks;
     mutable std::mutex mutex; // guards the members below; never held across I/O or a hook
     coordination::quarantine::RequestQuarantine quarantine;
+    coordination::quarantine::RecentAnswers answers; // that this process has passed on
     Blocks loggedBlocks;
     std::minstd_rand random;               // which reports are repeated; any seed will do
-    std::atomic<bool> hasSuspects = false; // false: nothing is refused or cleared
+    std::atomic<bool> hasSuspects = false; // false: nothing is refused, and no part can be cleared
 };
 
 } // namespace lavenderthread::program
--- a/src/program/RequestParts.h
+++ b/src/program/RequestParts.h
@@ -10,9 +10,9 @@
 
 namespace lavenderthread::program {
 
-// Digests of the whole request, of method, host and target, and of the body if there is one; then
-// the parts of the prompt. They are the same when a caller sends the request again: headers don't
-// count, as ids and time limits differ.
+// A digest of the whole request, then the parts of its prompt or, without these, a digest of its
+// body if there is one. They are the same when a caller sends the request again: headers don't
+// count, as ids and time limits differ. The target is no part by itself: most requests share it.
 std::vector<state::RequestPart> partsOf(const protocol::HttpRequest &request, std::string_view host,
                                         const std::vector<state::RequestPart> &promptParts);
 
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -18,7 +18,6 @@
 
 namespace asio = boost::asio;
 using coordination::orders::ViewStatus;
-using coordination::relay::AnswerBuffers;
 using coordination::relay::AttemptResult;
 using coordination::relay::CallState;
 using coordination::relay::FinalAnswer;
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -4,10 +4,10 @@
 
 #include "coordination/admission/RetryBudget.h"
 #include "coordination/orders/FeedReceiver.h"
-#include "coordination/relay/AnswerBuffers.h"
 #include "coordination/routing/PathHealth.h"
 #include "coordination/routing/PeerOrder.h"
 #include "coordination/routing/ReplicaChooser.h"
+#include "program/AnswerBuffers.h"
 #include "program/EndpointRegistry.h"
 #include "program/RelayCodec.h"
 #include "program/RequestGuard.h"
@@ -120,7 +120,7 @@
     const Settings &settings;
     Hooks hooks;
     std::atomic<std::size_t> requestsInFlight = 0;
-    coordination::relay::AnswerBuffers answerBuffers;
+    AnswerBuffers answerBuffers;
     std::mutex choiceMutex; // guards the members below; held only for a choice, never across I/O
     std::mt19937_64 random;
     coordination::routing::ReplicaChooser chooser;
