HTTP server: what is read ahead of a request's parser has a bound

Cause: the read buffer had no limit, and the parser asks for more until a chunk header or trailer ends; the limits of header and body don't count either. The same as in answers of endpoints, where it took 540 and 863 MB from one replica; connections to control members, too.

EndlessRequestTest failed before (chunk extension, trailer).

--- a/src/transport/BeastConversion.h
+++ b/src/transport/BeastConversion.h
@@ -7,12 +7,15 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 
+#include <cstddef>
 #include <string>
 #include <utility>
 
 namespace lavenderthread::transport {
 
 constexpr unsigned httpVersion = 11; // 1.1, in the library's notation
+// What is read ahead of a parser. It grows while a chunk header or trailer has no end.
+constexpr std::size_t readAheadBytes = 256U << 10U;
 
 template <typename Fields>
 protocol::HttpHeaders toHeaders(const Fields &fields)
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -26,8 +26,6 @@
 namespace {
 
 constexpr std::size_t readPieceBytes = 64U << 10U;
-// What is read ahead of the parser. A chunk header or trailer without end would fill it.
-constexpr std::size_t readAheadBytes = 256U << 10U;
 constexpr int maximumInterimAnswers = 16; // 1xx, before the final one
 
 state::Error cancelledBefore(std::string_view step, const state::Address &peer)
--- a/src/transport/HttpConnection.cpp
+++ b/src/transport/HttpConnection.cpp
@@ -23,7 +23,7 @@
 
     beast::tcp_stream stream;
     state::Address peer;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{readAheadBytes};
 };
 
 HttpConnection::HttpConnection() = default;
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -142,6 +142,7 @@
         const HttpLimits limits = *this->server->limits.read();
         parser.header_limit(limits.headerBytes);
         parser.body_limit(limits.bodyBytes);
+        this->buffer.max_size(limits.headerBytes + readAheadBytes);
         // The first request must arrive at once; later ones may follow after an idle time.
         this->stream.expires_after(first ? limits.requestTimeout : limits.idleTimeout);
         auto [headProblem, headBytes] = co_await http::async_read_header(
