--- a/src/coordination/quarantine/QuarantineUpdate.h
+++ b/src/coordination/quarantine/QuarantineUpdate.h
@@ -1,4 +1,4 @@
-// What entries tell each other about prompts under which engines end.
+// What entries tell each other about requests under which endpoints end.
 #pragma once
 
 #include "state/Ids.h"
@@ -12,7 +12,7 @@
 
 namespace lavenderthread::coordination::quarantine {
 
-// The unplanned end of one start of an engine.
+// The unplanned end of one start of an endpoint.
 struct CrashId
 {
     state::EndpointId endpoint;
@@ -27,17 +27,17 @@
     }
 };
 
-// A request that an engine's end has cut off before its answer had gone far.
+// A request that an endpoint's end has cut off before its answer had gone far.
 struct CrashReport
 {
-    static constexpr std::size_t maximumParts = 64; // the first ones of a longer prompt
+    static constexpr std::size_t maximumParts = 64; // the first ones, if it has more
 
     state::ServiceName service;
     CrashId crash;
-    std::vector<state::RequestPart> parts; // of its prompt
+    std::vector<state::RequestPart> parts; // of the request
     bool hasBegun = false;                 // some of the answer had come
     std::int64_t ageUs = 0;                // since the crash
-    std::int64_t sentAgeUs = 0;            // since the request was sent to the engine
+    std::int64_t sentAgeUs = 0;            // since the request was sent to the endpoint
 
     auto operator<=>(const CrashReport &) const = default;
 
@@ -49,7 +49,7 @@
     }
 };
 
-// An engine has survived an answer on a prompt with that part.
+// An endpoint has survived an answer to a request with that part.
 struct PartCleared
 {
     state::ServiceName service;
--- a/src/program/RequestGuard.h
+++ b/src/program/RequestGuard.h
@@ -34,7 +34,7 @@
 public:
     struct Hooks
     {
-        // With all peers that send to engines.
+        // With all peers that send to endpoints.
         std::function<void(protocol::PeerUpdate)> share = [](auto) {};
         // With some random members of any kind.
         std::function<void(std::vector<protocol::PeerUpdate>)> shareWithSome = [](auto) {};
