Answer buffers: a share outlives the relay that it belongs to

Cause: a request that is suspended when its process ends is destroyed after the relay, and its share gave its bytes back to freed memory: address sanitizer, PeerRelayTest::entryWithoutPathServesThroughPeer, on (not in a plain build). The share owns the buffers now.

--- a/src/program/AnswerBuffers.h
+++ b/src/program/AnswerBuffers.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <cstddef>
+#include <memory>
 #include <mutex>
+#include <utility>
 
 namespace lavenderthread::program {
 
@@ -35,29 +37,30 @@
     class Share
     {
     public:
-        explicit Share(AnswerBuffers &buffers)
-            : buffers(buffers)
+        explicit Share(std::shared_ptr<AnswerBuffers> buffers)
+            : buffers(std::move(buffers))
         {}
-        ~Share() { this->buffers.release(this->counted); }
+        ~Share() { this->buffers->release(this->counted); }
         Share(const Share &) = delete;
         Share &operator=(const Share &) = delete;
 
         // The answer has grown to so many bytes. False if that is more than may be kept.
         bool growTo(std::size_t bytes)
         {
-            const AnswerBuffers::Settings &limits = this->buffers.settings;
+            const AnswerBuffers::Settings &limits = this->buffers->settings;
             if (bytes > limits.maximumAnswer)
                 return false;
             const std::size_t wanted = bytes > limits.uncounted ? bytes - limits.uncounted : 0;
-            if (wanted > this->counted && !this->buffers.take(wanted - this->counted))
+            if (wanted > this->counted && !this->buffers->take(wanted - this->counted))
                 return false;
             this->counted = wanted;
             return true;
         }
 
     private:
-        AnswerBuffers &buffers;
-        std::size_t counted = 0; // bytes taken from `buffers`; never decreases
+        // Requests that are still suspended at shutdown outlive the relay.
+        std::shared_ptr<AnswerBuffers> buffers; // never null
+        std::size_t counted = 0;                // bytes taken from `buffers`; never decreases
     };
 
 private:
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -120,7 +120,7 @@
     const Settings &settings;
     Hooks hooks;
     std::atomic<std::size_t> requestsInFlight = 0;
-    AnswerBuffers answerBuffers;
+    std::shared_ptr<AnswerBuffers> answerBuffers = std::make_shared<AnswerBuffers>();
     std::mutex choiceMutex; // guards the members below; held only for a choice, never across I/O
     std::mt19937_64 random;
     coordination::routing::ReplicaChooser chooser;
--- a/tests/program/AnswerBuffersTest.cpp
+++ b/tests/program/AnswerBuffersTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(longAnswersShareOneBound);
     CPPUNIT_TEST(shortAnswersAreKeptBesideLongOnes);
     CPPUNIT_TEST(oneAnswerHasABoundOfItsOwn);
+    CPPUNIT_TEST(shareOutlivesItsRelay);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr AnswerBuffers::Settings settings{1'000, 100, 2'000};
@@ -23,7 +24,7 @@
     // together.
     void longAnswersShareOneBound()
     {
-        AnswerBuffers buffers(settings);
+        const auto buffers = std::make_shared<AnswerBuffers>(settings);
         std::vector<std::unique_ptr<AnswerBuffers::Share>> shares;
         for (int answer = 0; answer < 2; ++answer) {
             shares.push_back(std::make_unique<AnswerBuffers::Share>(buffers));
@@ -35,12 +36,13 @@
         CPPUNIT_ASSERT(!third.growTo(301));
         shares.clear();
         CPPUNIT_ASSERT(third.growTo(301));
-        CPPUNIT_ASSERT_EQUAL(std::size_t(201), buffers.counted());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(201), buffers->counted());
     }
 
     void shortAnswersAreKeptBesideLongOnes()
     {
-        AnswerBuffers buffers({1'000, 100, 900});
+        const auto buffers =
+                std::make_shared<AnswerBuffers>(AnswerBuffers::Settings{1'000, 100, 900});
         AnswerBuffers::Share full(buffers);
         CPPUNIT_ASSERT(full.growTo(1'000));
         AnswerBuffers::Share brief(buffers);
@@ -48,12 +50,22 @@
         CPPUNIT_ASSERT(!brief.growTo(101));
     }
 
+    // Guards against giving back bytes to a relay that is gone, when a process ends amid requests.
+    void shareOutlivesItsRelay()
+    {
+        auto buffers = std::make_shared<AnswerBuffers>(settings);
+        AnswerBuffers::Share share(buffers);
+        CPPUNIT_ASSERT(share.growTo(200));
+        buffers.reset();
+        CPPUNIT_ASSERT(share.growTo(300));
+    }
+
     void oneAnswerHasABoundOfItsOwn()
     {
-        AnswerBuffers buffers(settings);
+        const auto buffers = std::make_shared<AnswerBuffers>(settings);
         AnswerBuffers::Share share(buffers);
         CPPUNIT_ASSERT(!share.growTo(1'001));
-        CPPUNIT_ASSERT_EQUAL(std::size_t(0), buffers.counted());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), buffers->counted());
     }
 };
 
