Completions: room for the one digest that a prompt gets, in place of four

Cause: four was right for the first version of partsOf(), which had the target and the body as parts too; a prompt has had one digest beside its own parts since, so three blocks of a long prompt were left out for nothing. CompletionRelayTest passes. A comment in RequestQuarantine names its source.

--- a/src/coordination/quarantine/RequestQuarantine.h
+++ b/src/coordination/quarantine/RequestQuarantine.h
@@ -195,7 +195,7 @@
     std::map<PartKey, state::Instant> clearedAt; // the newest time
     std::map<PartKey, Trials> trials;            // of each part of a block
     std::vector<Block> blockList;                // derived from `crashes`
-    std::set<std::pair<state::RequestPart, state::ServiceName>> suspectParts; // the same
+    std::set<std::pair<state::RequestPart, state::ServiceName>> suspectParts; // those in `crashes`
 };
 
 } // namespace lavenderthread::coordination::quarantine
--- a/src/program/CompletionRelay.cpp
+++ b/src/program/CompletionRelay.cpp
@@ -23,8 +23,8 @@
 // last ones for this prompt.
 std::vector<state::RequestPart> promptPartsOf(const std::vector<std::uint64_t> &prefixBlocks)
 {
-    constexpr std::size_t digests = 4; // see partsOf()
-    constexpr std::size_t most = coordination::quarantine::CrashReport::maximumParts - digests;
+    // partsOf() puts the digest of the whole request before them.
+    constexpr std::size_t most = coordination::quarantine::CrashReport::maximumParts - 1;
     if (prefixBlocks.size() <= most)
         return prefixBlocks;
     constexpr std::ptrdiff_t half = most / 2;
