Evacuation of a failure domain: kept in the replicated log, in force at all entries

Cause: operators could not keep new work away from a failure domain; their calls got no answer.

Evacuations are part of the view that entries get. Endpoints of an evacuated domain count as draining: what waits is placed elsewhere, also what waits for memory there, what has not been sent is placed again, what runs goes on. With all domains of a service evacuated, requests are refused at once.

--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -104,6 +104,8 @@
         std::vector<HelperReservation> helperReservations;
 
         bool dependsOn(const state::EndpointId &engine) const;
+        // Whether it has chosen that engine, or memory of it, and waits for reservations.
+        bool reservesAt(const state::EndpointId &engine) const;
     };
     using ActiveRequests = std::unordered_map<state::RequestId, ActiveRequest>;
 
@@ -136,6 +138,7 @@
     void on(const AttemptFailed &event);
     void on(const MoveRequested &event);
     bool isExhausted(const ActiveRequest &active) const;
+    void moveReservations(const state::EndpointId &engine);
     void handleAttemptLoss(ActiveRequest &active, const state::EndpointId &engine, bool didNotRun,
                            bool engineLost);
     // Fills in the fields of a note about dispatched work.
--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -44,9 +44,24 @@
 {
     if (routing::EngineView *view = this->engines.find(event.engine))
         view->draining = event.draining;
+    if (event.evacuated)
+        this->moveReservations(event.engine);
     this->placeWaiting();
 }
 
+// Requests that wait for memory of an evacuated engine are placed anew; what runs there goes on.
+void Dispatcher::moveReservations(const state::EndpointId &engine)
+{
+    std::vector<state::RequestId> waiting;
+    for (const auto &[id, active] : this->activeRequests) {
+        if (active.phase == Phase::Reserving && active.reservesAt(engine))
+            waiting.push_back(id);
+    }
+    std::ranges::sort(waiting); // makes the order reproducible
+    for (const state::RequestId &id : waiting)
+        this->handleAttemptLoss(this->activeRequests.at(id), engine, true, false);
+}
+
 void Dispatcher::on(const EngineSuspected &event)
 {
     if (routing::EngineView *view = this->engines.find(event.engine))
--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -36,6 +36,12 @@
            && std::ranges::find(this->helpers, engine) != this->helpers.end();
 }
 
+bool Dispatcher::ActiveRequest::reservesAt(const state::EndpointId &engine) const
+{
+    const auto isThere = [&](const HelperReservation &each) { return each.share.engine == engine; };
+    return this->plan.usesEngine(engine) || std::ranges::any_of(this->helperReservations, isThere);
+}
+
 routing::PassRequest Dispatcher::passRequestOf(const CompletionRequest &request) const
 {
     routing::PassRequest passRequest;
--- a/src/coordination/admission/Events.h
+++ b/src/coordination/admission/Events.h
@@ -68,6 +68,8 @@
 {
     state::EndpointId engine;
     bool draining = true;
+    // Operators want nothing more sent there: memory that is being reserved there is given back.
+    bool evacuated = false;
 };
 
 struct LoadReported
--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -308,6 +308,35 @@
     return running > incarnation || (running == incarnation && !member->record.isLive());
 }
 
+std::optional<bool> Cluster::knowsFailureDomain(const state::FailureDomain &failureDomain) const
+{
+    if (failureDomain == this->settings.failureDomain)
+        return true;
+    if (!this->membership) {
+        const auto table = this->registry->table();
+        return std::ranges::any_of(table->endpoints, [&](const auto &each) {
+            return each.second.description.failureDomain == failureDomain;
+        });
+    }
+    const auto view = this->membership->view();
+    for (const auto &[id, member] : view->members->entries()) {
+        if (member.record.description && member.record.description->failureDomain == failureDomain)
+            return true;
+    }
+    for (const EndpointState &endpoint : view->endpoints->endpoints) {
+        const auto &description = endpoint.record.description;
+        if (description && description->failureDomain == failureDomain)
+            return true;
+    }
+    return view->synced ? std::optional(false) : std::nullopt;
+}
+
+void Cluster::setEvacuated(std::set<state::FailureDomain> failureDomains)
+{
+    if (this->registry->setEvacuated(std::move(failureDomains)))
+        this->hooks.endpointsChanged();
+}
+
 void Cluster::reportLoad(const state::LoadReport &report)
 {
     if (this->membership)
--- a/src/program/Cluster.h
+++ b/src/program/Cluster.h
@@ -24,6 +24,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <vector>
 
 namespace lavenderthread::program {
@@ -78,6 +79,11 @@
     // Whether that process of an entry is known to have ended: it is not live any more, or a later
     // process runs there. False for an entry that was removed from the table: nothing is known.
     bool hasEnded(const state::VmId &entry, std::uint64_t incarnation) const;
+    // Whether a member or an endpoint has been seen in that failure domain. Nothing while this
+    // process has not got the state of the others.
+    std::optional<bool> knowsFailureDomain(const state::FailureDomain &failureDomain) const;
+    // The failure domains whose endpoints get no new work from this process.
+    void setEvacuated(std::set<state::FailureDomain> failureDomains);
     void reportLoad(const state::LoadReport &report);
     void markDrain(const state::EndpointId &endpoint, state::log::LogPosition position,
                    bool draining);
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -485,7 +485,7 @@
                 this->handle(admission::EngineAnnounced{withProfile(endpoint.description, profile),
                                                         profile});
             if (drainChanged)
-                this->handle(admission::EngineDraining{id, endpoint.draining});
+                this->handle(admission::EngineDraining{id, endpoint.draining, endpoint.evacuated});
             this->announced[id] = endpoint;
             if (profile)
                 this->markSuspected(id, suspected || endpoint.stale);
--- a/src/program/EndpointRegistry.cpp
+++ b/src/program/EndpointRegistry.cpp
@@ -13,6 +13,25 @@
     return &found->second;
 }
 
+bool isEvacuated(const EndpointTable &table, const state::EndpointDescription &endpoint)
+{
+    const RegisteredEndpoint *known = table.find(endpoint.id, endpoint.incarnation);
+    return known != nullptr && known->evacuated;
+}
+
+bool isServiceEvacuated(const EndpointTable &table, const state::ServiceName &service)
+{
+    bool anyEvacuated = false;
+    for (const auto &[id, endpoint] : table.endpoints) {
+        if (endpoint.description.service != service)
+            continue;
+        if (!endpoint.draining)
+            return false;
+        anyEvacuated = anyEvacuated || endpoint.evacuated;
+    }
+    return anyEvacuated;
+}
+
 EndpointRegistry::EndpointRegistry(state::Duration expiry)
     : expiry(expiry)
 {}
@@ -66,12 +85,36 @@
 bool EndpointRegistry::assign(EndpointTable table)
 {
     const std::lock_guard lock(this->writeMutex);
-    if (*this->published.read() == table)
+    this->current = std::move(table);
+    EndpointTable next = this->withEvacuations(this->current);
+    if (*this->published.read() == next)
         return false;
-    this->published.publish(std::move(table));
+    this->published.publish(std::move(next));
     return true;
 }
 
+bool EndpointRegistry::setEvacuated(std::set<state::FailureDomain> failureDomains)
+{
+    const std::lock_guard lock(this->writeMutex);
+    this->evacuated = std::move(failureDomains);
+    EndpointTable next = this->withEvacuations(this->current);
+    if (*this->published.read() == next)
+        return false;
+    this->published.publish(std::move(next));
+    return true;
+}
+
+EndpointTable EndpointRegistry::withEvacuations(EndpointTable table) const
+{
+    if (this->evacuated.empty())
+        return table;
+    for (auto &[id, endpoint] : table.endpoints) {
+        endpoint.evacuated = this->evacuated.contains(endpoint.description.failureDomain);
+        endpoint.draining = endpoint.draining || endpoint.evacuated;
+    }
+    return table;
+}
+
 std::vector<state::EndpointId> EndpointRegistry::expire(state::Instant now)
 {
     const std::lock_guard lock(this->writeMutex);
@@ -91,7 +134,7 @@
 
 void EndpointRegistry::publish()
 {
-    this->published.publish(this->current);
+    this->published.publish(this->withEvacuations(this->current));
 }
 
 } // namespace lavenderthread::program
--- a/src/program/EndpointRegistry.h
+++ b/src/program/EndpointRegistry.h
@@ -8,14 +8,16 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 
 namespace lavenderthread::program {
 
 struct RegisteredEndpoint
 {
     state::EndpointDescription description;
-    bool draining = false; // gets no new work; running work continues
-    bool stale = false;    // its announcements have stopped; gets new work only as a last resort
+    bool draining = false;  // gets no new work; running work continues
+    bool stale = false;     // its announcements have stopped; gets new work only as a last resort
+    bool evacuated = false; // its failure domain is; then it is draining too
 
     auto operator<=>(const RegisteredEndpoint &) const = default;
 };
@@ -30,6 +32,11 @@
     const RegisteredEndpoint *find(const state::EndpointId &id, std::uint64_t incarnation) const;
 };
 
+// Whether the endpoint gets no new work because its failure domain is evacuated.
+bool isEvacuated(const EndpointTable &table, const state::EndpointDescription &endpoint);
+// Whether the service has endpoints and only evacuations keep all of them from new work.
+bool isServiceEvacuated(const EndpointTable &table, const state::ServiceName &service);
+
 // Holds the current table and publishes immutable copies, which the request path reads without a
 // lock.
 class EndpointRegistry
@@ -45,6 +52,9 @@
     bool leave(const state::EndpointId &id, std::uint64_t incarnation);
     // False if the endpoint is not known.
     bool setDraining(const state::EndpointId &id, bool draining);
+    // The failure domains whose endpoints get no new work, whatever they announce. Returns whether
+    // that changes the table.
+    bool setEvacuated(std::set<state::FailureDomain> failureDomains);
     // Publishes the table from membership, if it differs from the last one, and returns whether it
     // does. Not to be mixed with the calls above, which are for a single node.
     bool assign(EndpointTable table);
@@ -52,12 +62,15 @@
     std::vector<state::EndpointId> expire(state::Instant now);
 
 private:
-    void publish(); // the caller must hold the mutex
+    // The callers must hold the mutex.
+    void publish();
+    EndpointTable withEvacuations(EndpointTable table) const;
 
     state::Duration expiry;
     std::mutex writeMutex; // never held during I/O; readers don't take it
-    EndpointTable current; // on a single node; empty otherwise
-    // The same keys as `current`.
+    EndpointTable current; // without the effect of `evacuated`
+    std::set<state::FailureDomain> evacuated;
+    // The same keys as `current` on a single node; empty otherwise.
     std::map<state::EndpointId, state::Instant> lastRenewal;
     state::Snapshot<EndpointTable> published;
 };
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -436,6 +436,25 @@
                 this->cluster->markDrain(endpoint, {0, view.version}, false);
         }
         this->previouslyDrained = std::move(drained);
+        this->applyEvacuations(view);
+    }
+
+    void applyEvacuations(const state::control::ControlView &view)
+    {
+        std::set<state::FailureDomain> evacuated;
+        view.evacuations.forEach([&](const state::control::EvacuationMark &mark) {
+            if (mark.evacuated)
+                evacuated.insert(mark.failureDomain);
+            std::uint64_t &logged = this->loggedEvacuations[mark.failureDomain];
+            if (std::exchange(logged, mark.version) == mark.version)
+                return;
+            logEvent(LogLevel::Info, mark.evacuated ? "evacuation.begun" : "evacuation.finished",
+                     {{"failure_domain", mark.failureDomain.value()},
+                      {"version", mark.version},
+                      {"requested_by", mark.requestedBy}});
+        });
+        this->evacuatedDomains = evacuated.size();
+        this->cluster->setEvacuated(std::move(evacuated));
     }
 
     // Tells the other members whether callers may be directed here.
@@ -558,6 +577,7 @@
             this->serveControlMetrics();
         this->metrics.gauge("quarantine_blocks",
                             [this] { return double(this->guard->blockCount()); });
+        this->metrics.gauge("evacuated_domains", [this] { return double(this->evacuatedDomains); });
         this->metrics.gauge("endpoints_known",
                             [this] { return double(this->cluster->endpointsKnown()); });
         this->metrics.gauge("reaches_endpoints",
@@ -628,6 +648,8 @@
     std::atomic<bool> left = false;
     // Order ids by endpoint; accessed on the client's strand.
     std::map<state::EndpointId, std::uint64_t> previouslyDrained;
+    std::map<state::FailureDomain, std::uint64_t> loggedEvacuations; // versions
+    std::atomic<std::size_t> evacuatedDomains = 0;
     std::shared_ptr<Cluster> cluster;
     std::shared_ptr<ControlService> control; // null unless this node is a control member
     std::shared_ptr<ControlClient> client;   // null if there are no control members
--- a/src/program/RelayCodec.h
+++ b/src/program/RelayCodec.h
@@ -109,6 +109,12 @@
     // Error: Timeout if the newest configuration could not be determined with certainty.
     std::function<boost::asio::awaitable<state::Result<state::control::ConfigurationDocument>>()>
             newestConfiguration;
+    // Keeps new work away from the endpoints of a failure domain, or ends that. Returns once the
+    // order is committed. Errors: NotFound: no such failure domain; Conflict: another order for it
+    // came first; Unavailable or Timeout: it is unknown whether the order was committed.
+    std::function<boost::asio::awaitable<state::Result<void>>(state::FailureDomain, bool evacuated,
+                                                              std::string requestedBy)>
+            setEvacuation;
     // Errors: InvalidArgument; Conflict if the announcement is from an earlier incarnation.
     std::function<boost::asio::awaitable<state::Result<void>>(state::EndpointDescription)> announce;
     // Gives the endpoint no new work. Returns once the change is being sent to the other nodes.
--- a/src/program/RelayListeners.cpp
+++ b/src/program/RelayListeners.cpp
@@ -186,6 +186,10 @@
     face.replaceConfiguration = [this](ConfigurationDocument document) {
         return this->replaceConfiguration(std::move(document));
     };
+    face.setEvacuation = [this](state::FailureDomain failureDomain, bool evacuated,
+                                std::string requestedBy) {
+        return this->setEvacuation(std::move(failureDomain), evacuated, std::move(requestedBy));
+    };
     face.newestConfiguration = [this]() -> asio::awaitable<state::Result<ConfigurationDocument>> {
         return this->hooks.client->configuration(monotonicNow() + newestTime);
     };
@@ -241,6 +245,51 @@
     co_return accepted->version;
 }
 
+// Proposed once, with the state that this node knew when the call came: a node that was cut off
+// must not bring back an older state when its order arrives late.
+asio::awaitable<state::Result<void>>
+RelayListeners::setEvacuation(state::FailureDomain failureDomain, bool evacuated,
+                              std::string requestedBy)
+{
+    constexpr const char *step = "evacuation.set";
+    const std::optional<bool> known = this->hooks.cluster->knowsFailureDomain(failureDomain);
+    const auto view = this->hooks.client->view();
+    const state::control::EvacuationMark *mark = view->evacuations.find(failureDomain);
+    if (mark == nullptr && known != std::optional(true))
+        co_return state::makeError(
+                known ? state::ErrorCode::NotFound : state::ErrorCode::Unavailable, step,
+                "no member or endpoint has been seen in this domain", failureDomain.value());
+    state::control::SetEvacuation order;
+    order.failureDomain = failureDomain;
+    order.evacuated = evacuated;
+    order.expectedVersion = mark == nullptr ? 0 : mark->version;
+    order.requestedBy = std::move(requestedBy);
+    const state::Instant began = monotonicNow();
+    state::control::Command command = std::move(order);
+    const auto committed =
+            co_await this->hooks.client->propose(std::move(command), began + commitTime);
+    const auto *accepted =
+            committed ? std::get_if<state::control::Accepted>(&committed.value().answer) : nullptr;
+    const auto *refused =
+            committed ? std::get_if<state::control::Refused>(&committed.value().answer) : nullptr;
+    logEvent(accepted != nullptr ? LogLevel::Info : LogLevel::Warning, "evacuation.proposed",
+             {{"failure_domain", failureDomain.value()},
+              {"evacuated", evacuated ? "yes" : "no"},
+              {"outcome", accepted != nullptr  ? "accepted"
+                          : refused != nullptr ? "overtaken"
+                                               : "unknown"},
+              {"version", accepted != nullptr ? accepted->version : 0},
+              {"took_us", std::int64_t((monotonicNow() - began).count())}});
+    if (!committed)
+        co_return committed.error();
+    if (refused != nullptr)
+        co_return refused->error;
+    if (accepted == nullptr)
+        co_return state::makeError(state::ErrorCode::Internal, step,
+                                   "the command was answered by something else");
+    co_return state::outcome::success();
+}
+
 void RelayListeners::start()
 {
     for (const auto &server :
--- a/src/program/RelayListeners.h
+++ b/src/program/RelayListeners.h
@@ -80,6 +80,8 @@
     OperatorApi makeOperatorApi();
     boost::asio::awaitable<state::Result<std::uint64_t>>
     replaceConfiguration(state::control::ConfigurationDocument document);
+    boost::asio::awaitable<state::Result<void>>
+    setEvacuation(state::FailureDomain failureDomain, bool evacuated, std::string requestedBy);
 
     const Settings &settings;
     Hooks hooks;
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -50,6 +50,7 @@
 constexpr milliseconds retryUnconfirmed{300};
 constexpr milliseconds retryElsewhere{50}; // this node is leaving; another accepts at once
 constexpr milliseconds retryWithoutEndpoint{300};
+constexpr milliseconds retryWhileEvacuated{1'000}; // operators end an evacuation after seconds
 constexpr milliseconds shortestRetryAfterLimits{200};
 constexpr milliseconds longestRetryAfter{5'000};
 // An endpoint in the same region accepts within a few milliseconds; a lost packet adds a second.
@@ -162,6 +163,11 @@
                                            this->requestRefusal->retryAfter);
             co_return;
         }
+        if (isServiceEvacuated(*this->hooks.endpoints(), this->outcome.service)) {
+            co_await this->sendFinalAnswer("all failure domains of the service are evacuated",
+                                           retryWhileEvacuated);
+            co_return;
+        }
         const bool done = co_await this->runThroughPeersIfPathLost();
         if (done)
             co_return;
@@ -184,12 +190,15 @@
                 this->request.id, this->outcome.service, this->parts));
     }
 
-    // The endpoint may have asked for rest since it was chosen.
+    // Since it was chosen, the endpoint may have asked for rest, or its failure domain may have
+    // been evacuated.
     bool isWithheld(const state::EndpointDescription &endpoint)
     {
-        this->withheld = this->relay.isResting(endpoint);
+        const bool evacuated = isEvacuated(*this->hooks.endpoints(), endpoint);
+        this->withheld = evacuated || this->relay.isResting(endpoint);
         if (this->withheld)
-            this->outcome.reason = "the endpoint has asked for rest";
+            this->outcome.reason = evacuated ? "the endpoint's failure domain is evacuated"
+                                             : "the endpoint has asked for rest";
         return this->withheld;
     }
 
--- a/src/state/control/Commands.h
+++ b/src/state/control/Commands.h
@@ -4,6 +4,7 @@
 #include "state/Error.h"
 #include "state/control/Claim.h"
 #include "state/control/ControlView.h"
+#include "state/control/Evacuation.h"
 #include "state/control/Order.h"
 #include "state/table/Catalog.h"
 #include "state/table/RowEdit.h"
@@ -215,7 +216,7 @@
 
 using Command =
         std::variant<OperatorCommand, RecordOrderProgress, TakeClaim, DispatchClaim, ReleaseClaim,
-                     FinishClaim, EntryLost, AdvanceTime, ReplaceConfiguration>;
+                     FinishClaim, EntryLost, AdvanceTime, ReplaceConfiguration, SetEvacuation>;
 
 // The command changed the state, or is the resend of a command that did.
 struct Accepted
--- a/src/state/control/ControlState.cpp
+++ b/src/state/control/ControlState.cpp
@@ -121,6 +121,8 @@
         this->claimLedger.advance(*time);
     else if (const auto *replace = std::get_if<ReplaceConfiguration>(&command))
         return this->replaceConfiguration(replace->document);
+    else if (const auto *evacuation = std::get_if<SetEvacuation>(&command))
+        return this->setEvacuation(*evacuation);
     return Accepted{position.index};
 }
 
@@ -138,6 +140,30 @@
     return Accepted{this->currentView.configuration.version};
 }
 
+Answer ControlState::setEvacuation(const SetEvacuation &order)
+{
+    const EvacuationMark *known = this->currentView.evacuations.find(order.failureDomain);
+    const std::uint64_t version = known == nullptr ? 0 : known->version;
+    if ((known != nullptr && known->evacuated) == order.evacuated)
+        return Accepted{version, true};
+    const std::string subject = "evacuation of " + order.failureDomain.value();
+    if (version != order.expectedVersion)
+        return Refused{makeError(ErrorCode::Conflict, "control.apply",
+                                 subject + " has version " + std::to_string(version) + ", expected "
+                                         + std::to_string(order.expectedVersion)),
+                       std::nullopt};
+    if (known == nullptr && this->currentView.evacuations.size() >= this->limits.evacuations)
+        return Refused{
+                makeError(ErrorCode::Overloaded, "control.apply", "too many failure domains"),
+                std::nullopt};
+    Draft draft{{}, this->lastAppliedIndex, {}, {}};
+    draft.add(EvacuationMark{order.failureDomain, order.evacuated, this->lastAppliedIndex,
+                             order.requestedBy},
+              subject, order.evacuated ? "begun" : "finished");
+    this->commit(std::move(draft));
+    return Accepted{this->lastAppliedIndex};
+}
+
 Answer ControlState::applyOperator(const OperatorCommand &command)
 {
     const OperatorStamp &stamp = command.stamp;
--- a/src/state/control/ControlState.h
+++ b/src/state/control/ControlState.h
@@ -85,6 +85,7 @@
     std::size_t changesRemembered = 10'000;
     // Kept for entries that are behind; an entry further behind gets a whole view.
     std::size_t feedChanges = 50'000;
+    std::size_t evacuations = 1'000; // failure domains with an order, also ended ones
 };
 
 class ControlState
@@ -132,6 +133,7 @@
     using RequestKey = std::pair<OperatorId, std::string>;
 
     Answer replaceConfiguration(const ConfigurationDocument &document);
+    Answer setEvacuation(const SetEvacuation &order);
     Answer applyOperator(const OperatorCommand &command);
     Result<void> draft(const EditRows &action, Draft &draft, std::optional<RaceWinner> &winner);
     // `kind` is the prefix of the subject in errors and in the history, such as "service ".
--- a/src/state/control/ControlView.cpp
+++ b/src/state/control/ControlView.cpp
@@ -52,6 +52,10 @@
         if (document.version > this->view.configuration.version)
             this->view.configuration = document;
     }
+    void operator()(const EvacuationMark &mark) const
+    {
+        this->view.evacuations = this->view.evacuations.with(mark);
+    }
 };
 
 } // namespace
@@ -75,6 +79,7 @@
     this->catalog.models().forEach(add);
     this->table.forEach(add);
     this->drained.forEach(add);
+    this->evacuations.forEach(add);
     if (this->configuration.version > 0)
         changes.emplace_back(this->configuration);
     return changes;
--- a/src/state/control/ControlView.h
+++ b/src/state/control/ControlView.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "state/Ids.h"
+#include "state/control/Evacuation.h"
 #include "state/table/Catalog.h"
 #include "state/table/Table.h"
 
@@ -55,7 +56,7 @@
 // A record to store, or the key of a record to remove.
 using FeedChange = std::variant<table::StoredRow, TableKey, table::ClientAccount, ClientAccountId,
                                 table::Service, ServiceName, table::ModelVersion, ModelName,
-                                DrainMark, ConfigurationDocument>;
+                                DrainMark, ConfigurationDocument, EvacuationMark>;
 
 struct ControlView
 {
@@ -64,11 +65,18 @@
     table::Catalog catalog;
     table::PersistentMap<EndpointId, DrainMark, DrainMarkKey> drained; // drained ones only
     ConfigurationDocument configuration; // its version never decreases
+    table::PersistentMap<FailureDomain, EvacuationMark, EvacuationMarkKey>
+            evacuations; // also ended
 
     bool isDrained(const EndpointId &endpoint) const
     {
         return this->drained.find(endpoint) != nullptr;
     }
+    bool isEvacuated(const FailureDomain &failureDomain) const
+    {
+        const EvacuationMark *mark = this->evacuations.find(failureDomain);
+        return mark != nullptr && mark->evacuated;
+    }
     ControlView with(const std::vector<FeedChange> &changes, std::uint64_t newVersion) const;
     // The changes that build this view from an empty one.
     std::vector<FeedChange> asChanges() const;
--- /dev/null
+++ b/tests/program/EndpointRegistryTest.cpp
@@ -0,0 +1,93 @@
+// Tests how evacuations of failure domains show in the table that requests are routed by.
+#include "program/EndpointRegistry.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace lavenderthread::program {
+
+namespace {
+
+const state::ServiceName service("app");
+
+state::EndpointDescription endpointIn(const std::string &domain)
+{
+    state::EndpointDescription endpoint;
+    endpoint.id = state::EndpointId("i-" + domain);
+    endpoint.service = service;
+    endpoint.failureDomain = state::FailureDomain(domain);
+    endpoint.incarnation = 1;
+    return endpoint;
+}
+
+EndpointTable tableOf(const std::vector<std::string> &domains)
+{
+    EndpointTable table;
+    for (const std::string &domain : domains)
+        table.endpoints[endpointIn(domain).id] = {endpointIn(domain)};
+    return table;
+}
+
+} // namespace
+
+class EndpointRegistryTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(EndpointRegistryTest);
+    CPPUNIT_TEST(endpointsOfEvacuatedDomainGetNoNewWork);
+    CPPUNIT_TEST(endpointsThatAppearDuringEvacuationGetNone);
+    CPPUNIT_TEST(drainOutlastsEvacuation);
+    CPPUNIT_TEST(serviceIsEvacuatedOnlyWithAllItsDomains);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void endpointsOfEvacuatedDomainGetNoNewWork()
+    {
+        EndpointRegistry registry{state::Duration(0)};
+        registry.assign(tableOf({"a", "b"}));
+        CPPUNIT_ASSERT(registry.setEvacuated({state::FailureDomain("a")}));
+        const auto during = registry.table();
+        CPPUNIT_ASSERT(isEvacuated(*during, endpointIn("a")));
+        CPPUNIT_ASSERT(during->endpoints.at(endpointIn("a").id).draining);
+        CPPUNIT_ASSERT(!during->endpoints.at(endpointIn("b").id).draining);
+        CPPUNIT_ASSERT(registry.setEvacuated({}));
+        CPPUNIT_ASSERT(*registry.table() == tableOf({"a", "b"}));
+        CPPUNIT_ASSERT(!registry.setEvacuated({}));
+    }
+
+    // Guards against requests to endpoints that start, or are first heard of, while their domain is
+    // evacuated.
+    void endpointsThatAppearDuringEvacuationGetNone()
+    {
+        EndpointRegistry registry{state::Duration(0)};
+        registry.setEvacuated({state::FailureDomain("a")});
+        registry.assign(tableOf({"a"}));
+        CPPUNIT_ASSERT(registry.table()->endpoints.at(endpointIn("a").id).draining);
+    }
+
+    // Guards against new work for an endpoint that leaves by itself when the evacuation ends.
+    void drainOutlastsEvacuation()
+    {
+        EndpointRegistry registry{state::Duration(0)};
+        EndpointTable table = tableOf({"a"});
+        table.endpoints.at(endpointIn("a").id).draining = true;
+        registry.assign(table);
+        registry.setEvacuated({state::FailureDomain("a")});
+        registry.setEvacuated({});
+        CPPUNIT_ASSERT(*registry.table() == table);
+    }
+
+    void serviceIsEvacuatedOnlyWithAllItsDomains()
+    {
+        EndpointRegistry registry{state::Duration(0)};
+        registry.assign(tableOf({"a", "b"}));
+        CPPUNIT_ASSERT(!isServiceEvacuated(*registry.table(), service));
+        registry.setEvacuated({state::FailureDomain("a")});
+        CPPUNIT_ASSERT(!isServiceEvacuated(*registry.table(), service));
+        registry.setEvacuated({state::FailureDomain("a"), state::FailureDomain("b")});
+        CPPUNIT_ASSERT(isServiceEvacuated(*registry.table(), service));
+        CPPUNIT_ASSERT(!isServiceEvacuated(*registry.table(), state::ServiceName("other")));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EndpointRegistryTest);
+
+} // namespace lavenderthread::program
