Membership: starts of endpoints are broadcast over a tree, with a byte budget of their own

Cause: while a failure domain restarts, records of killed entries and of path changes use up the byte budget of gossip, and the record of a restarted endpoint is the least urgent one.

Member records that arrive again count as sent, and are sent half as often while more than 20 are queued.

--- a/src/coordination/membership/GossipMessage.h
+++ b/src/coordination/membership/GossipMessage.h
@@ -22,6 +22,8 @@
     Records,         // records that most members have; the receiver doesn't spread them
     Deregistrations, // News that the receiver confirms to the sender even if it knew them
     Confirm,         // deregistrations (`keys`) that the sender knows
+    Broadcast,       // News that the receiver passes on to the members with keys in a range
+    BroadcastAck,    // to the sender of the Broadcast with the same sequence
 };
 
 // Key and fingerprint of one record in a Summary.
@@ -52,7 +54,8 @@
     std::vector<std::uint8_t> buckets; // Summary: those that `summary` covers completely
     std::uint8_t differingBuckets = 0; // Summary: number of buckets that differ, 0 to digestBuckets
     std::vector<SummaryItem> summary;  // Summary
-    std::vector<std::uint64_t> keys;   // Pull: keys of records; Confirm: deregistrationKey()
+    // Pull: keys of records; Confirm: deregistrationKey(); Broadcast: first and last memberKey()
+    std::vector<std::uint64_t> keys;
     std::vector<state::LoadReport> loads; // Load
 };
 
--- a/src/coordination/membership/Membership.cpp
+++ b/src/coordination/membership/Membership.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr std::size_t sealAndHeaderBytes = 16 + 28; // seal, IPv4 and UDP headers
 constexpr std::size_t sealBytes = 16;
 // Exchanges and critical news may overdraw the budget by this much. Otherwise a burst of other news
 // would block joining members and delay drains for as long as it lasts.
@@ -21,9 +20,13 @@
 // Share of a full budget that gossip rounds leave to the eager push of new records: rounds repeat
 // records that were pushed when they were new.
 constexpr double budgetShareReservedFromRounds = 0.25;
+constexpr double secondsPerMinute = 60;
 constexpr double minimumDigits = 2; // lets news survive loss also in a small cluster
 // With more records than this in the queue, each ordinary one is sent burstSends times only.
 constexpr std::size_t burstRecords = 100;
+// With more than this, each member record is sent half as often: when many members fail together,
+// their records would use up the budget of a minute in seconds.
+constexpr std::size_t memberBurstRecords = 20;
 constexpr unsigned burstSends = 2;
 constexpr state::Duration forgetInterval = std::chrono::seconds(10);
 
@@ -57,6 +60,8 @@
     , random(this->settings.randomSeed)
     , failureDetector(this->settings.failureDetector, this->settings.self, now)
     , budget(this->settings.bytesPerSecond, this->settings.burstBytes, -overdraftBytes, now)
+    , endpointStartBudget(this->settings.endpointStartBytesPerMinute / secondsPerMinute,
+                          this->settings.endpointStartBytesPerMinute, 0, now)
     , startedAt(now)
     , nextGossip(now)
     , nextExchange(now)
@@ -80,6 +85,7 @@
     this->gossip(actions, now);
     this->sendConfirmations(actions);
     this->resendDeregistrations(actions, now);
+    this->resendBroadcasts(actions, now);
     this->exchange(actions, now);
     this->contactSeeds(actions, now);
     this->reconnect(actions, now);
@@ -131,27 +137,37 @@
     for (const MemberEntry *peer :
          this->memberTable.randomLive(this->settings.gossipFanout, this->settings.self,
                                       this->settings.self, this->random)) {
-        const double minimumBudget =
-                this->news.hasCritical()
-                        ? -overdraftBytes
-                        : this->settings.burstBytes * budgetShareReservedFromRounds;
-        if (this->news.empty() || this->budget.left(now) <= minimumBudget)
+        const std::optional<NewsUrgency> leastUrgent = this->leastUrgentOfRound(now);
+        if (!leastUrgent)
             return;
+        const std::uint64_t sentBefore = this->gossipCounters.sentBytes;
         this->sendWithPiggyback(actions, peer->record.description->gossip,
-                                this->makeMessage(GossipKind::News), now);
+                                this->makeMessage(GossipKind::News), now, *leastUrgent);
+        if (leastUrgent == NewsUrgency::EndpointStart)
+            this->endpointStartBudget.spend(this->gossipCounters.sentBytes - sentBefore);
     }
 }
 
+std::optional<NewsUrgency> Membership::leastUrgentOfRound(state::Instant now)
+{
+    if (this->news.empty())
+        return std::nullopt;
+    const double left = this->budget.left(now);
+    if (left > this->settings.burstBytes * budgetShareReservedFromRounds
+        || (this->news.has(NewsUrgency::Critical) && left > -overdraftBytes))
+        return NewsUrgency::Ordinary;
+    if (this->news.has(NewsUrgency::EndpointStart) && this->endpointStartBudget.left(now) > 0)
+        return NewsUrgency::EndpointStart;
+    return std::nullopt;
+}
+
 // Deregistrations and drains: a leaving endpoint takes new work for at most two seconds more, and
 // its deregistration is acknowledged because the eager push meets that limit. Gossip rounds alone
 // reached the last of 126 members after 2 to 10 s. These records are few and short, so they may
 // exceed the budget. Changes of many endpoints at once, as when their home entry is lost, exceed
 // the datagram and wait for the rounds.
 //
-// New descriptions: while half of a service was replaced, gossip rounds took 19 s to tell the last
-// of 126 members about the new endpoints, and half of the service was unusable there until then.
-// They stay within the budget.
-void Membership::pushEagerly(const std::vector<endpoints::EndpointRecord> &records,
+void Membership::pushEagerly(const std::vector<endpoints::EndpointRecord> &records, unsigned fanout,
                              GossipActions &actions, state::Instant now)
 {
     if (this->superseded)
@@ -169,9 +185,8 @@
     }
     if (message.endpointRecords.empty())
         return;
-    for (const MemberEntry *peer :
-         this->memberTable.randomLive(this->settings.eagerPushFanout, this->settings.self,
-                                      this->settings.self, this->random))
+    for (const MemberEntry *peer : this->memberTable.randomLive(fanout, this->settings.self,
+                                                                this->settings.self, this->random))
         this->sendPlain(actions, peer->record.description->gossip, message);
 }
 
@@ -309,9 +324,12 @@
     const bool full = merged.descriptionChanged;
     const NewsForm form = full ? NewsForm::Full : NewsForm::Short;
     this->news.add({NewsSubject::Endpoint, record.id.value()}, form,
-                   full ? NewsUrgency::Ordinary : NewsUrgency::Critical);
-    if (full || stopsNewWork(merged.record))
-        this->pushEagerly({inForm(merged.record, form)}, actions, now);
+                   urgencyOf(inForm(merged.record, form)));
+    const endpoints::EndpointRecord news = inForm(merged.record, form);
+    if (urgencyOf(news) == NewsUrgency::EndpointStart)
+        this->broadcast({news}, {}, actions, now);
+    else if (full || stopsNewWork(merged.record))
+        this->pushEagerly({news}, this->settings.eagerPushFanout, actions, now);
     return actions;
 }
 
@@ -388,16 +406,19 @@
 }
 
 void Membership::sendWithPiggyback(GossipActions &actions, const state::Address &to,
-                                   GossipMessage message, state::Instant now)
+                                   GossipMessage message, state::Instant now,
+                                   NewsUrgency leastUrgent)
 {
     const bool isNews = message.kind == GossipKind::News;
     if (isNews || this->budget.left(now) > 0) {
         this->news.fill(message, this->remainingBytes(message), this->newsLimits(),
-                        this->memberTable, this->endpointRecords);
+                        this->memberTable, this->endpointRecords, leastUrgent);
         // Statuses don't go with News datagrams but with probes, whose rate is fixed; else they
         // would use up the budget just when there is much news to send.
-        const std::size_t statuses = std::min(this->settings.statusesPerDatagram,
-                                              this->remainingBytes(message) / statusWireBytes);
+        const std::size_t wanted = this->news.empty() ? this->settings.statusesPerDatagram
+                                                      : this->settings.statusesBesideNews;
+        const std::size_t statuses =
+                std::min(wanted, this->remainingBytes(message) / statusWireBytes);
         if (!isNews)
             message.statuses = this->memberTable.takeStatuses(statuses, this->settings.self);
     }
@@ -449,8 +470,10 @@
             static_cast<unsigned>(std::max(minimumDigits, std::ceil(std::log10(members + 1))));
     // In a burst, sending each description only a few times and leaving the rest to the exchange is
     // faster than repeating all of them.
+    const bool memberBurst = this->news.size() > memberBurstRecords;
     const bool burst = this->news.size() > burstRecords;
-    return {this->settings.criticalNewsFactor * digits, this->settings.urgentNewsFactor * digits,
+    return {this->settings.criticalNewsFactor * digits, this->settings.endpointStartSends,
+            this->settings.urgentNewsFactor * digits / (memberBurst ? 2 : 1),
             burst ? burstSends : this->settings.ordinaryNewsFactor * digits};
 }
 
--- a/src/coordination/membership/Membership.h
+++ b/src/coordination/membership/Membership.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "coordination/endpoints/EndpointTable.h"
+#include "coordination/membership/BroadcastTracker.h"
 #include "coordination/membership/DeregistrationTracker.h"
 #include "coordination/membership/FailureDetector.h"
 #include "coordination/membership/GossipMessage.h"
@@ -13,6 +14,7 @@
 #include "state/ByteBudget.h"
 #include "state/Error.h"
 
+#include <optional>
 #include <random>
 
 namespace lavenderthread::coordination::membership {
@@ -70,6 +72,7 @@
 {
 public:
     static constexpr state::Duration tickInterval = std::chrono::milliseconds(100);
+    static constexpr std::size_t sealAndHeaderBytes = 16 + 28; // seal, IPv4 and UDP headers
 
     // Error: InvalidArgument, step "membership.create".
     static state::Result<Membership> create(MembershipSettings settings, state::Instant now);
@@ -123,9 +126,20 @@
 
     void probe(GossipActions &actions, state::Instant now);
     void gossip(GossipActions &actions, state::Instant now);
+    // What a gossip round may send: nothing, or the news that is at least so urgent.
+    std::optional<NewsUrgency> leastUrgentOfRound(state::Instant now);
     // Sends new records to a few random members at once, without waiting for the next gossip round.
-    void pushEagerly(const std::vector<endpoints::EndpointRecord> &records, GossipActions &actions,
-                     state::Instant now);
+    void pushEagerly(const std::vector<endpoints::EndpointRecord> &records, unsigned fanout,
+                     GossipActions &actions, state::Instant now);
+    // Sends the starts of endpoints to all live members with keys in the range: to a few of them,
+    // each of which passes them on within a part of the range.
+    void broadcast(const std::vector<endpoints::EndpointRecord> &records,
+                   const MemberKeyRange &range, GossipActions &actions, state::Instant now);
+    std::vector<std::uint64_t> liveKeysIn(const MemberKeyRange &range) const;
+    void sendBroadcast(BroadcastPart part, GossipActions &actions, state::Instant now);
+    void receiveBroadcast(const GossipMessage &message, const state::Address &from,
+                          GossipActions &actions, state::Instant now);
+    void resendBroadcasts(GossipActions &actions, state::Instant now);
     void resendDeregistrations(GossipActions &actions, state::Instant now);
     void sendConfirmations(GossipActions &actions);
     void queueConfirmation(const GossipMessage &message, const endpoints::EndpointRecord &news,
@@ -164,7 +178,7 @@
     // Fills the rest of the datagram with news before sending. A message of another kind than News
     // gets news and statuses only while the byte budget is above zero.
     void sendWithPiggyback(GossipActions &actions, const state::Address &to, GossipMessage message,
-                           state::Instant now);
+                           state::Instant now, NewsUrgency leastUrgent = NewsUrgency::Ordinary);
     // Sends the message as it is.
     void sendPlain(GossipActions &actions, const state::Address &to, GossipMessage message);
     void sendRecords(GossipActions &actions, const state::Address &to,
@@ -184,8 +198,12 @@
     // Keys of deregistrations received since the last tick, by the member that waits for the
     // confirmation.
     std::map<state::VmId, std::vector<std::uint64_t>> pendingConfirmations;
+    BroadcastTracker broadcastTracker;
     FailureDetector failureDetector;
     state::ByteBudget budget;
+    // For the starts of endpoints, which other news must not hold up. What it pays for is taken
+    // from `budget` too.
+    state::ByteBudget endpointStartBudget;
     GossipCounters gossipCounters;
     MemberStatus ownStatus;
     std::map<std::uint32_t, RelayedPing> relayedPings; // by the sequence of the relayed ping
--- a/src/coordination/membership/MembershipReceive.cpp
+++ b/src/coordination/membership/MembershipReceive.cpp
@@ -81,7 +81,8 @@
                            record.description ? NewsForm::Full : NewsForm::Short,
                            NewsUrgency::Urgent);
     }
-    std::vector<endpoints::EndpointRecord> fresh;
+    std::vector<endpoints::EndpointRecord> stopped;
+    std::vector<endpoints::EndpointRecord> started;
     for (const endpoints::EndpointRecord &record : message.endpointRecords) {
         const endpoints::MergeResult merged = this->endpointRecords.apply(record, now);
         this->queueConfirmation(message, record, merged);
@@ -99,11 +100,15 @@
         if (spread)
             this->news.add({NewsSubject::Endpoint, record.id.value()},
                            record.description ? NewsForm::Full : NewsForm::Short,
-                           record.description ? NewsUrgency::Ordinary : NewsUrgency::Critical);
-        if (spread && (record.description || stopsNewWork(record)))
-            fresh.push_back(record);
+                           urgencyOf(record));
+        if (spread && stopsNewWork(record))
+            stopped.push_back(record);
+        else if (spread && record.description)
+            started.push_back(record);
     }
-    this->pushEagerly(fresh, actions, now);
+    this->pushEagerly(stopped, this->settings.eagerPushFanout, actions, now);
+    if (message.kind != GossipKind::Broadcast)
+        this->pushEagerly(started, this->settings.missedBroadcastFanout, actions, now);
     for (const MemberStatus &status : message.statuses) {
         if (status.member != this->ownStatus.member)
             this->memberTable.applyStatus(status);
@@ -190,6 +195,12 @@
             this->deregistrationTracker.recordConfirmation(memberKey(message.sender), key);
         this->deregistrationTracker.removeFinished(this->memberTable, this->settings.self, now);
         return;
+    case GossipKind::Broadcast:
+        this->receiveBroadcast(message, from, actions, now);
+        return;
+    case GossipKind::BroadcastAck:
+        this->broadcastTracker.recordAcknowledgement(message.sequence, message.sender);
+        return;
     case GossipKind::News:
     case GossipKind::Records:
     case GossipKind::Deregistrations:
--- a/src/coordination/membership/NewsQueue.cpp
+++ b/src/coordination/membership/NewsQueue.cpp
@@ -9,9 +9,17 @@
 
 unsigned maximumSends(NewsUrgency urgency, const NewsLimits &limits)
 {
-    if (urgency == NewsUrgency::Critical)
+    switch (urgency) {
+    case NewsUrgency::Critical:
         return limits.critical;
-    return urgency == NewsUrgency::Urgent ? limits.urgent : limits.ordinary;
+    case NewsUrgency::EndpointStart:
+        return limits.endpointStart;
+    case NewsUrgency::Urgent:
+        return limits.urgent;
+    case NewsUrgency::Ordinary:
+        break;
+    }
+    return limits.ordinary;
 }
 
 // Adds the record if it fits. Returns its size in bytes, or 0 if it does not fit.
@@ -27,6 +35,14 @@
 
 } // namespace
 
+NewsUrgency urgencyOf(const endpoints::EndpointRecord &record)
+{
+    if (!record.description)
+        return NewsUrgency::Critical;
+    return record.phase == endpoints::EndpointPhase::Live ? NewsUrgency::EndpointStart
+                                                          : NewsUrgency::Ordinary;
+}
+
 void NewsQueue::add(const NewsKey &key, NewsForm form, NewsUrgency urgency)
 {
     Item &item = this->items[key];
@@ -38,28 +54,30 @@
     item.serial = this->nextSerial++;
 }
 
-bool NewsQueue::hasCritical() const
+bool NewsQueue::has(NewsUrgency urgency) const
 {
-    return std::any_of(this->items.begin(), this->items.end(), [](const auto &item) {
-        return item.second.urgency == NewsUrgency::Critical;
-    });
+    return std::any_of(this->items.begin(), this->items.end(),
+                       [urgency](const auto &item) { return item.second.urgency == urgency; });
 }
 
 void NewsQueue::recordDuplicate(const NewsKey &key)
 {
     const auto item = this->items.find(key);
-    if (item != this->items.end() && item->second.urgency == NewsUrgency::Ordinary)
+    if (item != this->items.end() && item->second.urgency >= NewsUrgency::Urgent)
         ++item->second.sends;
 }
 
 void NewsQueue::fill(GossipMessage &message, std::size_t bytes, const NewsLimits &limits,
-                     const MemberTable &members, const endpoints::EndpointTable &endpointTable)
+                     const MemberTable &members, const endpoints::EndpointTable &endpointTable,
+                     NewsUrgency leastUrgent)
 {
     using Position = std::map<NewsKey, Item>::iterator;
     std::vector<Position> order;
     order.reserve(this->items.size());
-    for (Position position = this->items.begin(); position != this->items.end(); ++position)
-        order.push_back(position);
+    for (Position position = this->items.begin(); position != this->items.end(); ++position) {
+        if (position->second.urgency <= leastUrgent)
+            order.push_back(position);
+    }
     constexpr std::size_t mostPerDatagram = 64; // more short records than fit into a datagram
     const std::size_t considered = std::min(mostPerDatagram, order.size());
     std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(considered),
--- a/src/coordination/membership/NewsQueue.h
+++ b/src/coordination/membership/NewsQueue.h
@@ -34,15 +34,20 @@
 
 // Ordered: more urgent records go into a datagram first.
 enum class NewsUrgency : std::uint8_t {
-    Critical, // an endpoint must get no more work, or may get work again; rare and short
-    Urgent,   // member records; frequent when the network is bad
-    Ordinary, // endpoint records with their descriptions
+    Critical,      // an endpoint must get no more work, or may get work again; rare and short
+    EndpointStart, // with the description; until it arrives, requests go to what ended before
+    Urgent,        // member records; frequent when the network is bad
+    Ordinary,      // other endpoint records with their descriptions
 };
 
+// `record` in the form in which it is sent.
+NewsUrgency urgencyOf(const endpoints::EndpointRecord &record);
+
 // Maximum number of times that one member sends the same record, by urgency.
 struct NewsLimits
 {
     unsigned critical = 0;
+    unsigned endpointStart = 0;
     unsigned urgent = 0;
     unsigned ordinary = 0;
 };
@@ -53,14 +58,16 @@
 public:
     // Adds a record, or starts its sends anew if it is queued already.
     void add(const NewsKey &key, NewsForm form, NewsUrgency urgency);
-    // Counts a record received from another member as a send, because it is spreading already. Only
-    // ordinary news is counted: the rest is short and must not wait for the exchange.
+    // Counts a record received from another member as a send, because it is spreading already.
+    // Critical news and endpoint starts are not counted: they must not wait for the exchange.
     void recordDuplicate(const NewsKey &key);
     // Adds records to `message` as far as they fit into `bytes`, by urgency and then fewest sends.
+    // Records less urgent than `leastUrgent` stay in the queue.
     void fill(GossipMessage &message, std::size_t bytes, const NewsLimits &limits,
-              const MemberTable &members, const endpoints::EndpointTable &endpointTable);
+              const MemberTable &members, const endpoints::EndpointTable &endpointTable,
+              NewsUrgency leastUrgent = NewsUrgency::Ordinary);
     bool empty() const { return this->items.empty(); }
-    bool hasCritical() const;
+    bool has(NewsUrgency urgency) const;
     std::size_t size() const { return this->items.size(); }
 
 private:
--- a/src/protocol/GossipMessages.cpp
+++ b/src/protocol/GossipMessages.cpp
@@ -186,7 +186,7 @@
 template <typename F>
 void fields(F &f, membership::GossipMessage &message)
 {
-    f.choice(message.kind, membership::GossipKind::Confirm);
+    f.choice(message.kind, membership::GossipKind::BroadcastAck);
     f.text(message.cluster);
     f.id(message.sender);
     f.number(message.senderIncarnation);
