--- a/tests/coordination/membership/MembershipRestartTest.cpp
+++ b/tests/coordination/membership/MembershipRestartTest.cpp
@@ -89,6 +89,25 @@
         return this->spread();
     }
 
+    // Kills half of the entries and starts them again together. Returns how long the last of them
+    // needs to know all endpoints; negative: over 20 s.
+    state::Duration restartHalf()
+    {
+        this->killHalf();
+        this->fleet.run(seconds(2));
+        for (std::size_t node = controlMembers; node < this->fleet.size(); node += 2)
+            this->fleet.restart(node, 5'000);
+        const auto allKnown = [this] {
+            for (std::size_t node = controlMembers; node < this->fleet.size(); node += 2) {
+                if (this->fleet.at(node).endpointTable().entries().size()
+                    < domains * endpointsPerDomain)
+                    return false;
+            }
+            return true;
+        };
+        return this->fleet.runUntil(allKnown, seconds(20));
+    }
+
 private:
     static constexpr milliseconds step{20};
 
@@ -228,6 +247,7 @@
     CPPUNIT_TEST_SUITE(MembershipRestartTest);
     CPPUNIT_TEST(restartedDomainIsKnownWithinSecond);
     CPPUNIT_TEST(restartedDomainIsKnownWithinSecondByThreeHundred);
+    CPPUNIT_TEST(restartedEntriesKnowEndpointsWithinSecond);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -245,6 +265,21 @@
     // The same at more than twice the size.
     void restartedDomainIsKnownWithinSecondByThreeHundred() { checkSpread(300, 1); }
 
+    // Guards against entries that refuse all callers for seconds after a restart for want of
+    // endpoints, since the others have no bytes left for a full exchange with many of them at once.
+    void restartedEntriesKnowEndpointsWithinSecond()
+    {
+        for (const std::size_t entries : {26U, 130U}) {
+            for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+                const state::Duration last = RestartingDomain(entries, seed).restartHalf();
+                CPPUNIT_ASSERT_MESSAGE(std::to_string(entries) + " entries, seed "
+                                               + std::to_string(seed) + ": the last after "
+                                               + std::to_string(last.count()) + " us",
+                                       last >= state::Duration::zero() && last <= seconds(1));
+            }
+        }
+    }
+
 private:
     static void checkSpread(std::size_t entries, std::uint64_t seed)
     {
