Ended incarnations: a 421 ends them at all entries and costs the request no attempt

A 421 counted as a refusal (three end a request), used the retry budget and an engine's attempt. An ended engine was only suspected, so that it was chosen again where most engines were suspected. Replicas that had ended were not reported to peers.

Change: attempts at replaced endpoints are counted apart (12 at most, within the time left), for engines and replicas, and take nothing from the retry budget. A replica's end is sent to the peers with EndpointReplaced, as an engine's is.

--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -91,8 +91,9 @@
         // Set once a waiting long prompt has missed its target: it goes behind all others, and is
         // refused if it has not started by then.
         std::optional<state::Instant> latestStart;
-        std::uint32_t runs = 0; // failed attempts that may have executed it
-        bool retryPaid = false; // the retry budget has paid for its next attempt
+        std::uint32_t runs = 0;              // failed attempts that may have executed it
+        std::uint32_t endedIncarnations = 0; // attempts at engines that another one has replaced
+        bool retryPaid = false;              // the retry budget has paid for its next attempt
 
         // KV memory at one of the first helpers, for a prompt that its engine can't hold.
         struct HelperReservation
@@ -128,6 +129,7 @@
     void on(const EngineGone &event);
     void on(const EngineDraining &event);
     void on(const EngineSuspected &event);
+    void on(const EngineEnded &event);
     void on(const EngineLimited &event);
     void on(const EngineRests &event);
     void on(const LoadReported &event);
@@ -137,10 +139,12 @@
     void on(const PeerBacklogReceived &event);
     void on(const AttemptFailed &event);
     void on(const MoveRequested &event);
+    // The attempts that count toward the policy's limit.
+    static std::uint32_t countedAttempts(const ActiveRequest &active);
     bool isExhausted(const ActiveRequest &active) const;
     void moveReservations(const state::EndpointId &engine);
     void handleAttemptLoss(ActiveRequest &active, const state::EndpointId &engine, bool didNotRun,
-                           bool engineLost);
+                           bool engineLost, bool replaced = false);
     // Fills in the fields of a note about dispatched work.
     void fillDispatchNote(const ActiveRequest &active, std::size_t part,
                           routing::WorkNote &note) const;
--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -68,6 +68,13 @@
         view->suspected = event.suspected;
 }
 
+void Dispatcher::on(const EngineEnded &event)
+{
+    routing::EngineView *view = this->engines.find(event.engine);
+    if (view != nullptr && view->description().incarnation == event.incarnation)
+        view->ended = event.ended;
+}
+
 void Dispatcher::on(const EngineLimited &event)
 {
     const routing::EngineView *view = this->engines.find(event.engine);
@@ -160,7 +167,10 @@
     const state::EndpointId engine = active->plan.parts[active->currentPart].engine;
     // The budget bounds the load of repeated requests; one that was never sent adds none.
     active->retryPaid = active->retryPaid || event.neverSent;
-    this->handleAttemptLoss(*active, engine, event.didNotRun, false);
+    // The attempt is the current one, so the engine has not been announced again since.
+    if (routing::EngineView *view = this->engines.find(engine); view != nullptr && event.replaced)
+        view->ended = true;
+    this->handleAttemptLoss(*active, engine, event.didNotRun, false, event.replaced);
     this->placeWaiting();
 }
 
@@ -175,26 +185,38 @@
     if (active != nullptr && active->request.idempotent) {
         const std::uint32_t attempts = active->request.attemptLimit;
         const bool lastRun = attempts > 0 ? active->runs + 1 >= attempts
-                                          : active->attempt >= this->policy.attemptsLimit;
+                                          : countedAttempts(*active) >= this->policy.attemptsLimit;
         answer.allowed = !lastRun && (active->retryPaid || this->retryBudget.tryTake());
         active->retryPaid = answer.allowed;
     }
     this->actions.emplace_back(answer);
 }
 
+std::uint32_t Dispatcher::countedAttempts(const ActiveRequest &active)
+{
+    // A lost attempt takes a number when it is lost, and another one when it is placed again.
+    constexpr std::uint32_t numbersPerLoss = 2;
+    return active.attempt - std::min(active.attempt, active.endedIncarnations * numbersPerLoss);
+}
+
 // A request with its own limit may run on that many engines. Engines that refuse it don't count
-// towards the limit, but only a few more attempts are made because of them.
+// towards the limit, but only a few more attempts are made because of them. Ended incarnations
+// count toward neither: when a failure domain restarts, a request may meet several of them within
+// milliseconds. Their own limit only ends a request that would never find another engine.
 bool Dispatcher::isExhausted(const ActiveRequest &active) const
 {
     constexpr std::uint32_t extraAttempts = 3; // failed connections and refusals
+    constexpr std::uint32_t maxEndedIncarnations = 12;
+    if (active.endedIncarnations >= maxEndedIncarnations)
+        return true;
     const std::uint32_t attempts = active.request.attemptLimit;
     if (attempts == 0)
-        return active.attempt >= this->policy.attemptsLimit;
+        return countedAttempts(active) >= this->policy.attemptsLimit;
     return active.runs >= attempts || active.failedEngines.size() >= attempts + extraAttempts;
 }
 
 void Dispatcher::handleAttemptLoss(ActiveRequest &active, const state::EndpointId &engine,
-                                   bool didNotRun, bool engineLost)
+                                   bool didNotRun, bool engineLost, bool replaced)
 {
     const bool wasReserving = active.phase == Phase::Reserving;
     const bool onEngine = !wasReserving;
@@ -214,11 +236,15 @@
             active.dispatched = false;
     }
     const bool ran = active.dispatched && !didNotRun;
-    active.failedEngines.push_back(engine);
+    if (replaced)
+        ++active.endedIncarnations; // the engine's next incarnation may take the request
+    else
+        active.failedEngines.push_back(engine);
     active.runs += didNotRun || wasReserving ? 0 : 1;
-    const bool noBudgetNeeded = wasReserving || (didNotRun && !this->policy.budgetRefused);
+    const bool noBudgetNeeded =
+            wasReserving || replaced || (didNotRun && !this->policy.budgetRefused);
     const bool repeatable = didNotRun || active.request.idempotent;
-    const bool alreadyPaid = std::exchange(active.retryPaid, false);
+    const bool alreadyPaid = !replaced && std::exchange(active.retryPaid, false);
     const bool allowed =
             noBudgetNeeded || (repeatable && (alreadyPaid || this->retryBudget.tryTake()));
     if ((ran && !active.request.idempotent) || !allowed || this->isExhausted(active)) {
--- a/src/coordination/admission/Events.h
+++ b/src/coordination/admission/Events.h
@@ -42,6 +42,15 @@
     bool suspected = true;
 };
 
+// Another endpoint has the address of that incarnation, which has therefore ended. It gets no new
+// work, also if most engines have ended; relays report the loss of what was sent to it.
+struct EngineEnded
+{
+    state::EndpointId engine;
+    std::uint64_t incarnation = 0;
+    bool ended = true;
+};
+
 // The engine accepts that many requests a second from all entries; nothing: any rate.
 struct EngineLimited
 {
@@ -116,6 +125,7 @@
     std::uint32_t attempt = 0;
     bool didNotRun = false;
     bool neverSent = false; // no byte of the request has reached the engine
+    bool replaced = false;  // another endpoint has answered: this incarnation has ended
 };
 
 // The engine has sent nothing for long, but its stream is still open: may the request move to
@@ -179,7 +189,7 @@
 {};
 
 using Event = std::variant<RequestArrived, CallerCancelled, EngineAnnounced, EngineGone,
-                           EngineDraining, EngineSuspected, EngineLimited, EngineRests,
+                           EngineDraining, EngineSuspected, EngineEnded, EngineLimited, EngineRests,
                            LoadReported, CacheReported, SlicePrefilled, TokensReceived,
                            RequestFinished, AttemptFailed, MoveRequested, ReservationAnswered,
                            TableChanged, PeerWorkReceived, PeerJoined, PeerBacklogReceived, Tick>;
--- a/src/coordination/relay/FinalAnswer.cpp
+++ b/src/coordination/relay/FinalAnswer.cpp
@@ -8,6 +8,9 @@
 constexpr std::uint32_t maxRefusals = 3;
 // A connection that fails adds no load, but each one may cost the caller a timeout.
 constexpr std::uint32_t maxUnsent = 4;
+// An ended incarnation costs a round trip, and no other request goes there. The limit only ends a
+// request that goes round endpoints that all answer for another one.
+constexpr std::uint32_t maxReplaced = 12;
 
 } // namespace
 
@@ -15,7 +18,8 @@
 {
     if (facts.callerGone || facts.deadlinePassed)
         return false;
-    if (facts.runs >= facts.maxRuns || facts.refusals >= maxRefusals || facts.unsent >= maxUnsent)
+    if (facts.runs >= facts.maxRuns || facts.refusals >= maxRefusals || facts.unsent >= maxUnsent
+        || facts.replaced >= maxReplaced)
         return false;
     // Once the call may have run, it is retried only if it is repeatable, also when a later
     // endpoint refused it.
--- a/src/coordination/relay/FinalAnswer.h
+++ b/src/coordination/relay/FinalAnswer.h
@@ -24,6 +24,7 @@
     std::uint32_t runs = 0;     // attempts that ended Failed or Lost
     std::uint32_t refusals = 0; // attempts that ended NotRun
     std::uint32_t unsent = 0;   // attempts that ended NeverSent
+    std::uint32_t replaced = 0; // attempts at incarnations that had ended; not counted as refusals
     bool answerBegun = false;   // part of an answer has been sent to the caller
     bool deadlinePassed = false;
     bool callerGone = false;
--- a/src/coordination/routing/EndpointHealth.cpp
+++ b/src/coordination/routing/EndpointHealth.cpp
@@ -23,7 +23,8 @@
     if (incarnation < recent.incarnation)
         return false; // the endpoint has restarted since
     if (incarnation > recent.incarnation)
-        recent = RecentOutcomes{incarnation, 0, 0, now, {}, this->settings.initialSuspicion, false};
+        recent = RecentOutcomes{incarnation, 0, 0, now, {}, this->settings.initialSuspicion,
+                                false,       {}};
     this->decay(recent, now);
     if (outcome == AttemptOutcome::Reachable) {
         if (recent.unreachable && now < recent.suspectUntil) {
@@ -42,7 +43,8 @@
     }
     if (outcome == AttemptOutcome::Replaced) {
         const state::Instant until = now + this->settings.suspicionIfReplaced;
-        const bool known = recent.suspectUntil > now + this->settings.maximumSuspicion;
+        const bool known = now < recent.replacedUntil;
+        recent.replacedUntil = until;
         recent.unreachable = false;
         recent.suspectUntil = std::max(recent.suspectUntil, until);
         return !known;
@@ -85,6 +87,14 @@
            && now < found->second.suspectUntil;
 }
 
+bool EndpointHealth::isReplaced(const state::EndpointId &id, std::uint64_t incarnation,
+                                state::Instant now) const
+{
+    const auto found = this->endpoints.find(id);
+    return found != this->endpoints.end() && found->second.incarnation == incarnation
+           && now < found->second.replacedUntil;
+}
+
 void EndpointHealth::removeInactive(state::Instant now)
 {
     std::erase_if(this->endpoints, [now](const auto &each) {
--- a/src/coordination/routing/EndpointHealth.h
+++ b/src/coordination/routing/EndpointHealth.h
@@ -45,6 +45,9 @@
                        AttemptOutcome outcome, state::Instant now);
     bool isSuspect(const state::EndpointId &id, std::uint64_t incarnation,
                    state::Instant now) const;
+    // Whether another endpoint was found at the address of that incarnation.
+    bool isReplaced(const state::EndpointId &id, std::uint64_t incarnation,
+                    state::Instant now) const;
     void removeInactive(state::Instant now); // drops endpoints without recent attempts
 
 private:
@@ -57,7 +60,8 @@
         state::Instant decayedAt;
         state::Instant suspectUntil;
         state::Duration nextSuspicion{0};
-        bool unreachable = false; // the suspicion began with a failed connection
+        bool unreachable = false;       // the suspicion began with a failed connection
+        state::Instant replacedUntil{}; // another endpoint has its address
     };
 
     void decay(RecentOutcomes &recent, state::Instant now) const;
--- a/src/coordination/routing/EngineView.h
+++ b/src/coordination/routing/EngineView.h
@@ -86,6 +86,7 @@
 
     bool draining = false;
     bool suspected = false; // attempts on it fail; it gets no new work for a while
+    bool ended = false;     // another endpoint has the address of this incarnation
 
 private:
     void insert(ResidentWork resident);
--- a/src/coordination/routing/Fleet.cpp
+++ b/src/coordination/routing/Fleet.cpp
@@ -402,7 +402,7 @@
     if (set == nullptr)
         return next;
     for (EngineView *view : set->views) {
-        if (view->draining || view->suspected)
+        if (view->draining || view->suspected || view->ended)
             continue;
         view->advance(now);
         if (view->sendsAvailable() > 0)
--- a/src/coordination/routing/PassCandidate.cpp
+++ b/src/coordination/routing/PassCandidate.cpp
@@ -84,7 +84,7 @@
     std::vector<PassCandidate> candidates;
     for (const EngineView *view : engines) {
         const bool failed = std::ranges::find(avoid, view->description().id) != avoid.end();
-        if (view->profile() && !failed && !view->draining)
+        if (view->profile() && !failed && !view->draining && !view->ended)
             candidates.push_back(summarise(*view, settings));
     }
     const auto usable = std::size_t(std::ranges::count_if(candidates, &PassCandidate::usable));
--- a/src/coordination/routing/PassCandidate.h
+++ b/src/coordination/routing/PassCandidate.h
@@ -49,8 +49,9 @@
     double loadSeconds() const;
 };
 
-// Returns the engines that may receive the request, in the given order. Suspected engines are left
-// out unless most engines are suspected: then the fault is more likely in this entry.
+// Returns the engines that may receive the request, in the given order. Ended incarnations are left
+// out, and suspected engines unless most engines are suspected: then the fault is more likely in
+// this entry.
 std::vector<PassCandidate> passCandidates(const std::vector<const EngineView *> &engines,
                                           const std::vector<state::EndpointId> &avoid,
                                           const PassPlacementSettings &settings);
--- a/src/coordination/routing/ReplicaChooser.cpp
+++ b/src/coordination/routing/ReplicaChooser.cpp
@@ -31,7 +31,8 @@
     std::tuple<bool, bool, double, std::uint64_t> bestRank;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const ReplicaCandidate &candidate = candidates[index];
-        if (this->acceptsCallAt(candidate.description, now) > now)
+        if (this->isReplaced(candidate.description, now)
+            || this->acceptsCallAt(candidate.description, now) > now)
             continue;
         const bool alreadyTried = std::ranges::find(tried, candidate.description.id) != tried.end();
         const std::tuple rank(alreadyTried, trustHealth && isStaleOrSuspect(candidate),
@@ -63,6 +64,8 @@
     std::optional<state::Instant> next;
     for (const ReplicaCandidate &candidate : candidates) {
         const state::EndpointDescription &replica = candidate.description;
+        if (this->isReplaced(replica, now))
+            continue;
         const state::Instant at = this->acceptsCallAt(replica, now);
         if (at <= now)
             return std::nullopt;
@@ -173,6 +176,18 @@
     return suspected;
 }
 
+bool ReplicaChooser::replacedAtPeer(const state::EndpointId &replica, std::uint64_t incarnation,
+                                    state::Instant now)
+{
+    this->health.removeInactive(now);
+    return this->health.recordAttempt(replica, incarnation, AttemptOutcome::Replaced, now);
+}
+
+bool ReplicaChooser::isReplaced(const state::EndpointDescription &replica, state::Instant now) const
+{
+    return this->health.isReplaced(replica.id, replica.incarnation, now);
+}
+
 void ReplicaChooser::reached(const state::EndpointDescription &replica, state::Instant now)
 {
     this->health.recordAttempt(replica.id, replica.incarnation, AttemptOutcome::Reachable, now);
--- a/src/coordination/routing/ReplicaChooser.h
+++ b/src/coordination/routing/ReplicaChooser.h
@@ -38,10 +38,10 @@
     {}
 
     // Returns an index into `candidates`, or nothing if none accepts a call now: see
-    // limitedUntil(). Replicas in `tried` are used only if no others remain. Healthy replicas are
-    // preferred to stale or suspect ones unless these are the majority: then the fault is more
-    // likely on the side of this entry or the callers, and avoiding most replicas would only
-    // overload the rest.
+    // limitedUntil(). Replicas that another endpoint has replaced are not used. Those in `tried`
+    // are used only if no others remain. Healthy replicas are preferred to stale or suspect ones
+    // unless these are the majority: then the fault is more likely on the side of this entry or the
+    // callers, and avoiding most replicas would only overload the rest.
     std::optional<std::size_t> choose(const std::vector<ReplicaCandidate> &candidates,
                                       const std::vector<state::EndpointId> &tried,
                                       state::Instant now);
@@ -69,6 +69,9 @@
     // Returns true if the outcome made the replica suspect.
     bool callEnded(const state::EndpointDescription &replica, AttemptOutcome outcome,
                    state::Instant now);
+    // A peer has found another endpoint at the replica's address. Returns true if that is new.
+    bool replacedAtPeer(const state::EndpointId &replica, std::uint64_t incarnation,
+                        state::Instant now);
     // A probe has reached the replica.
     void reached(const state::EndpointDescription &replica, state::Instant now);
     void loadReported(const state::EndpointId &replica, const ReplicaLoad &load,
@@ -102,6 +105,7 @@
     // When it accepts a call; not after `now` if it does already.
     state::Instant acceptsCallAt(const state::EndpointDescription &replica,
                                  state::Instant now) const;
+    bool isReplaced(const state::EndpointDescription &replica, state::Instant now) const;
     double estimatedLoad(const state::EndpointId &replica, state::Instant now) const;
 
     std::mt19937_64 random;
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -367,7 +367,8 @@
         if (!this->health.recordAttempt(engine, incarnation, AttemptOutcome::Replaced,
                                         monotonicNow()))
             return;
-        this->logSuspected(engine, incarnation, toString(AttemptOutcome::Replaced), "peer");
+        if (this->announced.contains(engine)) // not a replica of a plain service
+            this->logSuspected(engine, incarnation, toString(AttemptOutcome::Replaced), "peer");
         this->hasSuspects = true;
         this->refreshEndpoints();
     }
@@ -475,7 +476,7 @@
             if (endpoint.description.kind != state::EndpointKind::Engine || (!profile && suspected))
                 continue;
             if (profile)
-                this->markSuspected(id, suspected || endpoint.stale);
+                this->markHealth(endpoint, suspected);
             const auto known = this->announced.find(id);
             const bool same = known != this->announced.end();
             if (same && known->second == endpoint)
@@ -488,15 +489,25 @@
                 this->handle(admission::EngineDraining{id, endpoint.draining, endpoint.evacuated});
             this->announced[id] = endpoint;
             if (profile)
-                this->markSuspected(id, suspected || endpoint.stale);
+                this->markHealth(endpoint, suspected);
         }
     }
 
-    void markSuspected(const state::EndpointId &id, bool suspected)
+    void markHealth(const RegisteredEndpoint &endpoint, bool isSuspect)
     {
+        const state::EndpointId &id = endpoint.description.id;
+        const std::uint64_t incarnation = endpoint.description.incarnation;
+        const bool suspected = isSuspect || endpoint.stale;
+        const bool ended = this->health.isReplaced(id, incarnation, monotonicNow());
         const auto known = this->dispatcher.fleet().find(id);
-        if (known != nullptr && known->suspected != suspected)
+        if (known == nullptr)
+            return;
+        // Asked before the dispatcher handles an event, which may remove the engine.
+        const bool endedChanged = known->ended != ended;
+        if (known->suspected != suspected)
             this->handle(admission::EngineSuspected{id, suspected});
+        if (endedChanged)
+            this->handle(admission::EngineEnded{id, incarnation, ended});
     }
 
     asio::strand<asio::io_context::executor_type> strand;
@@ -588,7 +599,8 @@
                 state.noteHealth(failed.endpoint, outcomeOf(failure));
             state.handle(admission::AttemptFailed{
                     id, failed.attempt, failure != AttemptFailure::Lost,
-                    failure == AttemptFailure::Unreachable || failure == AttemptFailure::Withheld});
+                    failure == AttemptFailure::Unreachable || failure == AttemptFailure::Withheld,
+                    failure == AttemptFailure::Replaced});
         });
     };
     scheduler.mayAbandon = [self](state::RequestId id, std::uint32_t attempt) {
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -310,7 +310,7 @@
         else if (const auto *trial = std::get_if<quarantine::TrialStarted>(&update))
             this->guard->peerStartedTrial(*trial);
         else if (const auto *replaced = std::get_if<protocol::EndpointReplaced>(&update))
-            this->policy->engineReplaced(replaced->endpoint, replaced->incarnation);
+            this->handlePeerReplaced(*replaced);
         else if (const auto *limit = std::get_if<protocol::EndpointLimited>(&update))
             this->handlePeerLimit(*limit);
         else if (const auto *call = std::get_if<protocol::LimitedCall>(&update))
@@ -323,6 +323,13 @@
             this->policy->post(coordination::admission::PeerWorkReceived{*work});
     }
 
+    void handlePeerReplaced(const protocol::EndpointReplaced &replaced)
+    {
+        this->policy->engineReplaced(replaced.endpoint, replaced.incarnation);
+        if (this->front)
+            this->front->peerFoundReplaced(replaced);
+    }
+
     void handlePeerLimit(const protocol::EndpointLimited &limit)
     {
         if (this->front)
--- a/src/program/RelayListeners.h
+++ b/src/program/RelayListeners.h
@@ -62,6 +62,10 @@
     {
         this->relay.peerHeardLimit(limit);
     }
+    void peerFoundReplaced(const protocol::EndpointReplaced &replaced)
+    {
+        this->relay.peerFoundReplaced(replaced);
+    }
     void peerCalled(const protocol::LimitedCall &call) { this->relay.peerCalled(call); }
 
     // Shutdown in three steps: close each connection after its next answer and report not ready,
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -100,6 +100,15 @@
               {"source", source}});
 }
 
+void logReplaced(const state::EndpointDescription &replica, std::string_view source)
+{
+    logEvent(LogLevel::Warning, "replica.replaced",
+             {{"endpoint", replica.id.value()},
+              {"address", replica.address.toString()},
+              {"incarnation", replica.incarnation},
+              {"source", source}});
+}
+
 // What an attempt has brought so far.
 struct AttemptProgress
 {
@@ -382,8 +391,12 @@
                 break;
             }
             this->updateTimeIsOver();
-            if (!coordination::relay::mayRetry(this->facts, end) || !this->mayRepeatRequest(end))
+            if (!coordination::relay::mayRetry(this->facts, end) || !this->mayRepeatRequest(end)) {
+                // The scheduler is not asked for another engine, but the peers are to know.
+                if (this->isReplaced(end))
+                    this->hooks.scheduler.noteHealth(current.endpoint, AttemptOutcome::Replaced);
                 break;
+            }
             if (this->shouldGoElsewhere()) {
                 this->refusalResult = PeerResult::Elsewhere;
                 break;
@@ -527,7 +540,8 @@
                 co_return;
             this->updateTimeIsOver();
             const bool tokenTaken = std::exchange(this->retryTokenTaken, false);
-            const bool needsToken = end != AttemptResult::NeverSent && !tokenTaken;
+            const bool needsToken =
+                    end != AttemptResult::NeverSent && !this->isReplaced(end) && !tokenTaken;
             if (!coordination::relay::mayRetry(this->facts, end) || !this->mayRepeatRequest(end)
                 || (needsToken && !this->takeRetryToken()))
                 break;
@@ -596,7 +610,10 @@
             if (end == AttemptResult::Complete)
                 this->relay.retryBudgetOf(this->outcome.service).addSuccess();
         }
-        if (suspected)
+        if (suspected && health == AttemptOutcome::Replaced) {
+            logReplaced(replica, "attempt");
+            this->hooks.share(protocol::EndpointReplaced{replica.id, replica.incarnation});
+        } else if (suspected)
             logEvent(LogLevel::Warning, "replica.suspected",
                      {{"endpoint", replica.id.value()},
                       {"address", replica.address.toString()},
@@ -604,6 +621,12 @@
                       {"cause", this->outcome.reason}});
     }
 
+    // Whether the attempt met an incarnation that had ended.
+    bool isReplaced(AttemptResult end) const
+    {
+        return end == AttemptResult::NotRun && this->endpointReplaced;
+    }
+
     bool takeRetryToken()
     {
         const std::lock_guard lock(this->relay.choiceMutex);
@@ -756,6 +779,7 @@
         ++this->outcome.attempts;
         this->progress = {};
         this->progress.sentAt = monotonicNow();
+        this->endpointReplaced = false;
         this->outcome.resumed = this->events.passedEvents() > 0;
         this->startInactivityTimeout();
         const AttemptResult end = co_await std::move(exchanging);
@@ -770,7 +794,7 @@
             ++this->facts.unsent;
             break;
         case AttemptResult::NotRun:
-            ++this->facts.refusals;
+            ++(this->endpointReplaced ? this->facts.replaced : this->facts.refusals);
             break;
         case AttemptResult::Failed:
         case AttemptResult::Lost:
@@ -1403,6 +1427,20 @@
     this->chooser.peerCallStarted(call.endpoint, call.incarnation, monotonicNow());
 }
 
+void RouteRelay::peerFoundReplaced(const protocol::EndpointReplaced &replaced)
+{
+    const state::Instant now = monotonicNow();
+    const auto table = this->hooks.endpoints();
+    const RegisteredEndpoint *known = table->find(replaced.endpoint, replaced.incarnation);
+    bool isNew = false;
+    {
+        const std::lock_guard lock(this->choiceMutex);
+        isNew = this->chooser.replacedAtPeer(replaced.endpoint, replaced.incarnation, now);
+    }
+    if (isNew && known != nullptr && known->description.kind == state::EndpointKind::PlainService)
+        logReplaced(known->description, "peer");
+}
+
 std::vector<state::Address> RouteRelay::orderedPeers()
 {
     const coordination::routing::RelayPeers peers = this->hooks.peers();
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -100,6 +100,8 @@
     // What peers tell about endpoints that limit their requests.
     void peerHeardLimit(const protocol::EndpointLimited &limit);
     void peerCalled(const protocol::LimitedCall &call);
+    // A peer has found another endpoint at the address of a replica.
+    void peerFoundReplaced(const protocol::EndpointReplaced &replaced);
 
     std::size_t inFlight() const { return this->requestsInFlight; }
 
--- a/tests/coordination/admission/DispatcherPassesTest.cpp
+++ b/tests/coordination/admission/DispatcherPassesTest.cpp
@@ -5,6 +5,8 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+
 namespace lavenderthread::coordination::admission {
 
 namespace {
@@ -77,6 +79,9 @@
     CPPUNIT_TEST(movedPromptMayWaitBeyondItsTarget);
     CPPUNIT_TEST(moveTakesOneRetryFromBudget);
     CPPUNIT_TEST(connectionThatFailedCostsNoRetry);
+    CPPUNIT_TEST(endedIncarnationsCostNoAttempt);
+    CPPUNIT_TEST(triesAtEndedIncarnationsAreBounded);
+    CPPUNIT_TEST(endedIncarnationsGetNothing);
     CPPUNIT_TEST(lastEngineServesLongPromptsToo);
     CPPUNIT_TEST(waitingPromptSurvivesLossOfAllEngines);
     CPPUNIT_TEST(idleEnginesServeLateRequests);
@@ -168,6 +173,69 @@
         CPPUNIT_ASSERT(fixture.onlyAction<Refuse>().retryBudgetSpent);
     }
 
+    // Most engines have restarted at once, and a request meets one ended incarnation after the
+    // other. Guards against refusing it with engines-lost after a few of them, and against retries
+    // that it has no budget for.
+    void endedIncarnationsCostNoAttempt()
+    {
+        routing::PolicySettings policy;
+        policy.retryBurst = 0;
+        policy.budgetRefused = true;
+        constexpr std::size_t ended = 10;
+        PassesFixture fixture(policy, ended + 2);
+        std::set<state::EndpointId> used;
+        Dispatch dispatch = fixture.firstDispatch;
+        for (std::size_t index = 0; index < ended; ++index) {
+            CPPUNIT_ASSERT(used.insert(dispatch.engine).second);
+            fixture.handle(AttemptFailed{dispatch.id, dispatch.attempt, true, false, true});
+            CPPUNIT_ASSERT(fixture.actionsOf<Refuse>().empty());
+            dispatch = fixture.onlyAction<Dispatch>();
+        }
+        CPPUNIT_ASSERT(used.insert(dispatch.engine).second);
+        fixture.handle(AttemptFailed{dispatch.id, dispatch.attempt, true, true});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.actionsOf<Dispatch>().size());
+    }
+
+    // Guards against a request that goes round endpoints that all answer for another one.
+    void triesAtEndedIncarnationsAreBounded()
+    {
+        PassesFixture fixture({}, 30);
+        Dispatch dispatch = fixture.firstDispatch;
+        std::size_t tries = 0;
+        while (fixture.actionsOf<Refuse>().empty()) {
+            CPPUNIT_ASSERT(++tries <= 12);
+            fixture.handle(AttemptFailed{dispatch.id, dispatch.attempt, true, false, true});
+            if (fixture.actionsOf<Refuse>().empty())
+                dispatch = fixture.onlyAction<Dispatch>();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(12), tries);
+        CPPUNIT_ASSERT(fixture.onlyAction<Refuse>().reason == RefusalReason::AttemptsExhausted);
+    }
+
+    // Three of four engines have ended, as a peer reports. Guards against choosing them because
+    // most engines are suspected, which is taken for a fault of this entry, and against avoiding
+    // the next incarnation of one.
+    void endedIncarnationsGetNothing()
+    {
+        PassesFixture fixture;
+        fixture.handle(RequestFinished{fixture.firstDispatch.id, fixture.firstDispatch.attempt});
+        for (std::size_t index = 0; index < 3; ++index)
+            fixture.handle(EngineEnded{PassesFixture::engine(index).id, 1});
+        for (int index = 0; index < 10; ++index) {
+            fixture.handle(RequestArrived{fixture.request("b" + std::to_string(index), 3'000)});
+            const Dispatch dispatch = fixture.onlyAction<Dispatch>();
+            CPPUNIT_ASSERT(dispatch.engine == PassesFixture::engine(3).id);
+            fixture.handle(RequestFinished{dispatch.id, dispatch.attempt});
+        }
+        fixture.handle(EngineEnded{PassesFixture::engine(3).id, 1});
+        state::EndpointDescription restarted = profiledEngine(0);
+        restarted.incarnation = 2;
+        fixture.handle(EngineAnnounced{restarted, profile()});
+        fixture.handle(EngineEnded{restarted.id, 1}); // a late report on the old one
+        fixture.handle(RequestArrived{fixture.request("after", 3'000)});
+        CPPUNIT_ASSERT(fixture.onlyAction<Dispatch>().engine == restarted.id);
+    }
+
     // A long prompt waits while all engines of its model leave. The entry announces waiting prompts
     // to its peers periodically. Guards against computing the prompt's engine time anew for that
     // from the known engines, which crashed when there was none.
--- a/tests/platform/RelayFixture.h
+++ b/tests/platform/RelayFixture.h
@@ -161,6 +161,17 @@
                                         this->announced.endpoints.end());
         this->publishEndpoints();
     }
+    void peerReportsReplaced(std::size_t index)
+    {
+        this->relay->peerFoundReplaced({state::EndpointId("i-" + std::to_string(index)), 1});
+    }
+    // How many endpoints were called by the requests from the given one on, in order of arrival.
+    int endpointsCalledSince(std::size_t first) const
+    {
+        return int(std::set<std::string>(this->calledEndpoints.begin() + std::ptrdiff_t(first),
+                                         this->calledEndpoints.end())
+                           .size());
+    }
     program::RequestGuard &requestGuard() { return *this->guard; }
     void publishEndpoints()
     {
@@ -237,6 +248,9 @@
     std::atomic<coordination::orders::ViewStatus> standing =
             coordination::orders::ViewStatus::Confirmed;
     std::atomic<bool> failFirstConnection = false; // the scheduler then places it elsewhere
+    std::atomic<bool> placesAgain = false; // the scheduler has another engine for each failure
+    std::atomic<int> replacedReports = 0;  // to the scheduler, of engines
+    std::atomic<int> replacedShared = 0;   // with peers, of replicas
     std::function<void()> beforePlacement = [] {}; // called when the scheduler is asked
     std::atomic<bool> namesAreReused = false;      // the scheduler was given an id twice
     std::atomic<int> arrivals = 0;
@@ -310,6 +324,10 @@
     {
         RouteRelay::Hooks hooks = this->hooks();
         hooks.endpointLeaves = [this](const auto &) { ++this->endpointsLeft; };
+        hooks.share = [this](const protocol::PeerUpdate &update) {
+            this->replacedShared +=
+                    std::holds_alternative<protocol::EndpointReplaced>(update) ? 1 : 0;
+        };
         hooks.peers = [this] { return coordination::routing::RelayPeers{this->peerAddresses, {}}; };
         hooks.endpoints = [this] {
             return this->monitor ? this->unreachable.read() : this->table.read();
@@ -387,7 +405,8 @@
                                       program::AttemptFailure failure)
                 -> asio::awaitable<program::PlacementResult> {
             this->failures.push_back(failure);
-            if (this->failFirstConnection) {
+            this->replacedReports += failure == program::AttemptFailure::Replaced ? 1 : 0;
+            if (this->failFirstConnection || this->placesAgain) {
                 program::Placement next;
                 next.endpoint = this->table.read()->endpoints.begin()->second.description;
                 next.attempt = 2;
@@ -399,8 +418,11 @@
         scheduler.progressed = [](const state::RequestId &, std::uint32_t, std::uint64_t) {};
         scheduler.finished = [](const state::RequestId &, std::uint32_t, bool) {};
         scheduler.cancel = [](const state::RequestId &) {};
-        scheduler.noteHealth = [](const state::EndpointDescription &,
-                                  coordination::routing::AttemptOutcome) {};
+        scheduler.noteHealth = [this](const state::EndpointDescription &,
+                                      coordination::routing::AttemptOutcome outcome) {
+            this->replacedReports +=
+                    outcome == coordination::routing::AttemptOutcome::Replaced ? 1 : 0;
+        };
         scheduler.reportPeerFailure = [](const state::Address &) {};
         scheduler.limitNamed = [](const auto &, auto, auto) {};
         scheduler.restNamed = [](const auto &, auto, auto) {};
@@ -410,6 +432,8 @@
     asio::awaitable<void> serveEndpoint(transport::HttpExchange &exchange)
     {
         const auto arrival = std::size_t(this->arrivals++);
+        this->calledEndpoints.emplace_back(
+                exchange.request().headers.find("Expect-Instance").value_or(""));
         if (this->losePathAtArrival)
             this->pathLost = true;
         const Behaviour behaviour =
@@ -498,6 +522,7 @@
     static inline std::uint64_t nextSeed = 1;
 
     std::set<state::RequestId> scheduledIds;
+    std::vector<std::string> calledEndpoints; // as named in the requests, in order of arrival
     std::vector<Behaviour> behaviours;
     program::Settings settings;
     asio::io_context context{1};
--- a/tests/platform/RelayTest.cpp
+++ b/tests/platform/RelayTest.cpp
@@ -34,6 +34,10 @@
     CPPUNIT_TEST(timeoutIsEnforced);
     CPPUNIT_TEST(firstEngineIsAwaited);
     CPPUNIT_TEST(replacedEngineIsReported);
+    CPPUNIT_TEST(replacedEnginesCostNoAttempt);
+    CPPUNIT_TEST(triesAtReplacedEndpointsAreBounded);
+    CPPUNIT_TEST(replacedReplicaIsReportedOnceAndNotChosen);
+    CPPUNIT_TEST(replicaReplacedAsAPeerReportsIsNotChosen);
     CPPUNIT_TEST(outdatedConfigurationIsNotUsed);
     CPPUNIT_TEST(unconfirmedConfigurationDoesNotAnswer404);
     CPPUNIT_TEST(callsThatNoReplicaAcceptsAreRefusedAtOnce);
@@ -298,6 +302,11 @@
                                            {"unsealed", {Unsealed, Answers}, 502, 1},
                                            {"refuses", {Refuses, Answers}, 200, 2},
                                            {"another", {IsOtherEndpoint, Answers}, 200, 2},
+                                           {"four others",
+                                            {IsOtherEndpoint, IsOtherEndpoint, IsOtherEndpoint,
+                                             IsOtherEndpoint, Answers},
+                                            200,
+                                            5},
                                            {"refuses, closes", {Refuses, Closes}, 502, 2},
                                            {"all refuse", {Refuses, Refuses, Refuses}, 503, 3},
                                    });
@@ -407,6 +416,60 @@
         CPPUNIT_ASSERT(restricted.failures.front() == program::AttemptFailure::NotRun);
     }
 
+    // A failure domain has restarted: the request meets one ended incarnation after the other.
+    // Guards against a 503 after the few refusals that a request may meet.
+    void replacedEnginesCostNoAttempt()
+    {
+        using enum Behaviour;
+        RelayFixture fixture(Kind::Stream,
+                             {IsOtherEndpoint, IsOtherEndpoint, IsOtherEndpoint, IsOtherEndpoint,
+                              IsOtherEndpoint, IsOtherEndpoint, Streams},
+                             true);
+        fixture.placesAgain = true;
+        const auto answer = fixture.call();
+        CPPUNIT_ASSERT_EQUAL(200U, answer.value().status);
+        CPPUNIT_ASSERT_EQUAL(eventsUpTo(6), answer.value().body);
+        CPPUNIT_ASSERT_EQUAL(7, fixture.arrivals.load());
+    }
+
+    // Guards against a request that goes round endpoints that all answer for another one, and
+    // against peers that are not told of the last one.
+    void triesAtReplacedEndpointsAreBounded()
+    {
+        RelayFixture engines(Kind::Stream, {Behaviour::IsOtherEndpoint}, true);
+        engines.placesAgain = true;
+        const auto answer = engines.call();
+        CPPUNIT_ASSERT_EQUAL(503U, answer.value().status);
+        CPPUNIT_ASSERT_EQUAL(12, engines.arrivals.load());
+        CPPUNIT_ASSERT_EQUAL(12, engines.replacedReports.load());
+    }
+
+    // Guards against calls of every entry that each find out for themselves that a replica has
+    // ended, and against calls that go to it again because most replicas are suspect.
+    void replacedReplicaIsReportedOnceAndNotChosen()
+    {
+        using enum Behaviour;
+        RelayFixture fixture(Kind::NonIdempotent, {IsOtherEndpoint, IsOtherEndpoint, Answers});
+        CPPUNIT_ASSERT_EQUAL(200U, fixture.call().value().status);
+        CPPUNIT_ASSERT_EQUAL(3, fixture.arrivals.load());
+        CPPUNIT_ASSERT_EQUAL(2, fixture.replacedShared.load());
+        for (int call = 0; call < 6; ++call)
+            CPPUNIT_ASSERT_EQUAL(200U, fixture.call().value().status);
+        CPPUNIT_ASSERT_EQUAL(1, fixture.endpointsCalledSince(2));
+        CPPUNIT_ASSERT_EQUAL(2, fixture.replacedShared.load());
+    }
+
+    void replicaReplacedAsAPeerReportsIsNotChosen()
+    {
+        using enum Behaviour;
+        RelayFixture fixture(Kind::NonIdempotent, {Answers, Answers, Answers});
+        fixture.peerReportsReplaced(0);
+        fixture.peerReportsReplaced(2);
+        for (int call = 0; call < 6; ++call)
+            CPPUNIT_ASSERT_EQUAL(200U, fixture.call().value().status);
+        CPPUNIT_ASSERT_EQUAL(1, fixture.endpointsCalledSince(0));
+    }
+
     // An endpoint never answers a request: the caller gets an answer at the route's timeout of 2 s.
     void timeoutIsEnforced()
     {
