Paths: the end of one failure domain does not make a service lost

Outcomes of all services were counted together, and two refused connections of one failure domain were enough.

Change: PathCandidate carries the failure domain. Probes prefer failure domains without an outcome, and go on until each has one. Without known domains nothing changes.

The present cases of PathHealthTest, PeerRelayTest and SilentPathTest pass unchanged.

--- a/src/coordination/routing/PathHealth.cpp
+++ b/src/coordination/routing/PathHealth.cpp
@@ -1,6 +1,7 @@
 #include "coordination/routing/PathHealth.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lavenderthread::coordination::routing {
 
@@ -20,6 +21,11 @@
     });
     if (!this->hasFailures(now))
         this->outcomes.clear();
+    this->domains.clear();
+    for (const PathCandidate &candidate : listed) {
+        if (!candidate.failureDomain.empty())
+            this->domains[candidate.service].insert(candidate.failureDomain);
+    }
 }
 
 PathCounts PathHealth::countsOf(const state::ServiceName *service, state::Instant now) const
@@ -28,10 +34,7 @@
     for (const auto &[endpoint, last] : this->outcomes) {
         if (!this->isRecent(last, now) || (service != nullptr && endpoint.service != *service))
             continue;
-        if (last.outcome == PathOutcome::Reached)
-            ++counts.reached;
-        else
-            ++counts.unreachable;
+        ++counts.of(last.outcome);
     }
     return counts;
 }
@@ -40,17 +43,55 @@
 {
     if (this->outcomes.empty())
         return PathState::Usable;
-    const PathCounts own = this->countsOf(&service, now);
-    if (this->isLost(own))
+    if (this->isLostByOutcomes(&service, now))
         return PathState::Lost;
+    const PathCounts own = this->countsOf(&service, now);
     if (own.reached > 0)
         return PathState::Usable;
     const PathCounts all = this->countsOf(nullptr, now);
-    if (all.reached == 0 && this->isLost(all))
+    if (all.reached == 0 && this->isLostByOutcomes(nullptr, now))
         return PathState::Lost;
     return own.unreachable > 0 ? PathState::Doubtful : PathState::Usable;
 }
 
+bool PathHealth::isLostByOutcomes(const state::ServiceName *service, state::Instant now) const
+{
+    const PathCounts counts = this->countsOf(service, now);
+    return counts.unreachable >= this->settings.minimumUnreachable
+           && counts.unreachable > 2 * counts.reached && !this->isFaultOfOneDomain(service, now);
+}
+
+bool PathHealth::isFaultOfOneDomain(const state::ServiceName *service, state::Instant now) const
+{
+    std::set<state::FailureDomain> listed;
+    for (const auto &[name, names] : this->domains) {
+        if (service == nullptr || name == *service)
+            listed.insert(names.begin(), names.end());
+    }
+    if (listed.size() < 2)
+        return false;
+    PathCounts rest;
+    std::map<state::FailureDomain, PathCounts> known;
+    for (const auto &[endpoint, last] : this->outcomes) {
+        if (!this->isRecent(last, now) || (service != nullptr && endpoint.service != *service))
+            continue;
+        if (!endpoint.failureDomain.empty())
+            ++known[endpoint.failureDomain].of(last.outcome);
+        ++rest.of(last.outcome);
+    }
+    const bool isKnownEverywhere = std::ranges::all_of(
+            listed, [&](const state::FailureDomain &each) { return known.contains(each); });
+    if (!isKnownEverywhere && rest.reached + rest.unreachable < this->settings.conclusiveOutcomes)
+        return true;
+    if (known.empty())
+        return false;
+    const auto worst = std::ranges::max_element(
+            known, {}, [](const auto &each) { return each.second.unreachable; });
+    rest.reached -= worst->second.reached;
+    rest.unreachable -= worst->second.unreachable;
+    return rest.unreachable <= rest.reached;
+}
+
 bool PathHealth::hasOutcome(const PathCandidate &candidate, state::Instant now) const
 {
     const auto last = this->outcomes.find(candidate);
@@ -78,17 +119,27 @@
     {
         std::uint32_t known = 0; // with an outcome, or being probed
         std::uint32_t endpoints = 0;
+        std::set<state::FailureDomain> domains;      // of its endpoints, if known
+        std::set<state::FailureDomain> knownDomains; // of those with an outcome or a probe
     };
     std::map<state::ServiceName, Service> services;
     for (const PathCandidate &candidate : listed) {
         Service &service = services[candidate.service];
         ++service.endpoints;
-        service.known += this->hasOutcome(candidate, now) || running.contains(candidate) ? 1 : 0;
+        const bool isKnown = this->hasOutcome(candidate, now) || running.contains(candidate);
+        service.known += isKnown ? 1 : 0;
+        if (candidate.failureDomain.empty())
+            continue;
+        service.domains.insert(candidate.failureDomain);
+        if (isKnown)
+            service.knownDomains.insert(candidate.failureDomain);
     }
     return std::ranges::any_of(services, [&](const auto &each) {
         const std::uint32_t wanted =
                 std::min(this->settings.conclusiveOutcomes, each.second.endpoints);
-        return each.second.known<wanted &&this->countsOf(&each.first, now).unreachable> 0;
+        const bool isJudged = each.second.known >= wanted
+                              && each.second.knownDomains.size() == each.second.domains.size();
+        return !isJudged && this->countsOf(&each.first, now).unreachable > 0;
     });
 }
 
@@ -100,22 +151,27 @@
     return unknown ? unknown : this->oldestUnreachable(listed, running, now);
 }
 
-// Drawn at random: after a crash, many nodes probe the same service.
+// Drawn at random: after a crash, many nodes probe the same service. Endpoints of a failure domain
+// without an outcome tell most: those of the domain in which a connection failed may all have
+// ended.
 std::optional<PathCandidate> PathHealth::nextUnknown(const std::vector<PathCandidate> &listed,
                                                      const std::set<PathCandidate> &running,
                                                      state::Instant now)
 {
     std::map<state::ServiceName, std::size_t> known;
+    std::map<std::pair<state::ServiceName, state::FailureDomain>, std::size_t> knownInDomain;
     std::vector<PathCandidate> unknown;
     for (const PathCandidate &candidate : listed) {
         const bool isKnown = running.contains(candidate) || this->hasOutcome(candidate, now);
         known[candidate.service] += isKnown ? 1 : 0;
+        knownInDomain[{candidate.service, candidate.failureDomain}] += isKnown ? 1 : 0;
         if (!isKnown)
             unknown.push_back(candidate);
     }
     std::ranges::shuffle(unknown, this->random);
-    const auto fewest = std::ranges::min_element(
-            unknown, {}, [&](const PathCandidate &each) { return known[each.service]; });
+    const auto fewest = std::ranges::min_element(unknown, {}, [&](const PathCandidate &each) {
+        return std::pair(known[each.service], knownInDomain[{each.service, each.failureDomain}]);
+    });
     return fewest == unknown.end() ? std::nullopt : std::optional(*fewest);
 }
 
--- a/src/coordination/routing/PathHealth.h
+++ b/src/coordination/routing/PathHealth.h
@@ -42,6 +42,7 @@
 {
     state::ServiceName service;
     state::EndpointId endpoint;
+    state::FailureDomain failureDomain{}; // empty: not known
 
     auto operator<=>(const PathCandidate &) const = default;
 };
@@ -52,12 +53,18 @@
     std::uint32_t reached = 0;
     std::uint32_t unreachable = 0;
 
+    std::uint32_t &of(PathOutcome outcome)
+    {
+        return outcome == PathOutcome::Reached ? this->reached : this->unreachable;
+    }
+
     auto operator<=>(const PathCounts &) const = default;
 };
 
 // Holds the last outcome of each endpoint since a connection failed. A service is lost if more than
-// twice as many of its endpoints are unreachable as have been reached. When many endpoints are dark
-// this may be wrong for a moment; probes of the others correct it.
+// twice as many of its endpoints are unreachable as have been reached, and if that is no fault of a
+// single failure domain: see isFaultOfOneDomain(). When many endpoints are dark this may be wrong
+// for a moment; probes of the others correct it.
 class PathHealth
 {
 public:
@@ -68,7 +75,8 @@
 
     void record(const PathCandidate &endpoint, PathOutcome outcome, state::Instant now);
     // Forgets old outcomes, and those of endpoints that are not listed any more. `listed` is
-    // sorted.
+    // sorted. Its failure domains are those in which endpoints may be known; without any call, the
+    // domains are not considered.
     void prune(const std::vector<PathCandidate> &listed, state::Instant now);
 
     // A service without any outcome is lost if this node reaches nothing at all.
@@ -87,12 +95,12 @@
     bool isCutOff(const std::vector<state::ServiceName> &services, state::Instant now) const;
 
     // Whether more probes, beside those that are running, are needed to judge a service that has an
-    // unreachable endpoint.
+    // unreachable endpoint: it has few outcomes, or none in one of its failure domains.
     bool isInconclusive(const std::vector<PathCandidate> &listed,
                         const std::set<PathCandidate> &running, state::Instant now) const;
-    // The endpoint to probe next: any without an outcome, of the service with the fewest outcomes,
-    // else the unreachable one whose outcome is the oldest. Nothing if there is none that isn't
-    // being probed.
+    // The endpoint to probe next: any without an outcome, of the service with the fewest outcomes
+    // and there of the failure domain with the fewest, else the unreachable one whose outcome is
+    // the oldest. Nothing if there is none that isn't being probed.
     std::optional<PathCandidate> nextProbe(const std::vector<PathCandidate> &listed,
                                            const std::set<PathCandidate> &running,
                                            state::Instant now);
@@ -108,11 +116,13 @@
     {
         return now - last.at < this->settings.memory;
     }
-    bool isLost(const PathCounts &counts) const
-    {
-        return counts.unreachable >= this->settings.minimumUnreachable
-               && counts.unreachable > 2 * counts.reached;
-    }
+    // By the outcomes of the service; null: of all services.
+    bool isLostByOutcomes(const state::ServiceName *service, state::Instant now) const;
+    // Whether the end of one failure domain may explain the unreachable endpoints. It may until an
+    // endpoint of each other domain has an outcome, or there are conclusiveOutcomes; then it does
+    // unless most endpoints outside of the domain with the most unreachable ones are unreachable
+    // too.
+    bool isFaultOfOneDomain(const state::ServiceName *service, state::Instant now) const;
     bool hasOutcome(const PathCandidate &candidate, state::Instant now) const;
     PathCounts countsOf(const state::ServiceName *service, state::Instant now) const; // null: all
     std::optional<PathCandidate> nextUnknown(const std::vector<PathCandidate> &listed,
@@ -125,6 +135,7 @@
     PathHealthSettings settings;
     std::minstd_rand random;
     std::map<PathCandidate, LastOutcome> outcomes; // empty while no endpoint is unreachable
+    std::map<state::ServiceName, std::set<state::FailureDomain>> domains; // those that are known
 };
 
 } // namespace lavenderthread::coordination::routing
--- a/src/program/PathMonitor.cpp
+++ b/src/program/PathMonitor.cpp
@@ -52,7 +52,8 @@
 {
     {
         const std::lock_guard lock(this->mutex);
-        this->health.record({endpoint.service, endpoint.id}, outcome, monotonicNow());
+        this->health.record({endpoint.service, endpoint.id, endpoint.failureDomain}, outcome,
+                            monotonicNow());
         this->hasFailures = this->health.hasFailures(monotonicNow());
         if (outcome == PathOutcome::Reached && this->lostServices.empty())
             return;
@@ -74,7 +75,8 @@
     const auto table = this->hooks.endpoints();
     for (const auto &[id, endpoint] : table->endpoints) {
         if (!endpoint.draining && !endpoint.stale)
-            candidates.push_back({endpoint.description.service, id});
+            candidates.push_back(
+                    {endpoint.description.service, id, endpoint.description.failureDomain});
     }
     std::ranges::sort(candidates);
     return candidates;
--- a/tests/coordination/routing/PathHealthTest.cpp
+++ b/tests/coordination/routing/PathHealthTest.cpp
@@ -20,6 +20,10 @@
     CPPUNIT_TEST(oneServiceOfTwoIsLost);
     CPPUNIT_TEST(darkEnginesAreRarelyTakenForALostPath);
     CPPUNIT_TEST(oneFailureIsFollowedByProbesThatConclude);
+    CPPUNIT_TEST(endedFailureDomainIsNoLostPath);
+    CPPUNIT_TEST(refusalsOfAnEndedFailureDomainAloneAreFollowedByProbes);
+    CPPUNIT_TEST(lossOfAllPathsIsFoundAsSoonAcrossFailureDomains);
+    CPPUNIT_TEST(lossOfMostPathsIsFoundAcrossFailureDomains);
     CPPUNIT_TEST(everyServiceIsProbedEarly);
     CPPUNIT_TEST(probesFindTheWayBack);
     CPPUNIT_TEST(oldAndUnlistedOutcomesAreForgotten);
@@ -60,6 +64,61 @@
         return all;
     }
 
+    // 60 engines and 3 replicas in three failure domains.
+    std::vector<PathCandidate> listedInDomains() const
+    {
+        std::vector<PathCandidate> all;
+        for (int index = 0; index < 60; ++index)
+            all.push_back(inDomain(this->engines, index));
+        for (int index = 0; index < 3; ++index)
+            all.push_back(inDomain(this->replicas, index));
+        std::ranges::sort(all);
+        return all;
+    }
+
+    static PathCandidate inDomain(const state::ServiceName &service, int index)
+    {
+        PathCandidate candidate = at(service, index);
+        candidate.failureDomain = state::FailureDomain("domain-" + std::to_string(index % 3));
+        return candidate;
+    }
+
+    void recordInDomain(const state::ServiceName &service, int index, PathOutcome outcome)
+    {
+        this->paths.record(inDomain(service, index), outcome, this->now);
+        this->paths.prune(this->listedInDomains(), this->now);
+    }
+
+    bool isAnyLost() const
+    {
+        return this->paths.isLost(this->engines, this->now)
+               || this->paths.isLost(this->replicas, this->now);
+    }
+
+    // Probes until that is conclusive; `isDown`: of that failure domain and index. Returns the
+    // number of probes, and records whether a service was held for lost on the way.
+    int probeDomains(const std::function<bool(const PathCandidate &)> &isDown, bool &wasLost)
+    {
+        const std::vector<PathCandidate> all = this->listedInDomains();
+        int probes = 0;
+        while (this->paths.isInconclusive(all, {}, this->now)) {
+            const auto next = this->paths.nextProbe(all, {}, this->now);
+            CPPUNIT_ASSERT(next.has_value());
+            this->paths.record(*next,
+                               isDown(*next) ? PathOutcome::Unreachable : PathOutcome::Reached,
+                               this->now);
+            this->paths.prune(all, this->now);
+            wasLost = wasLost || this->isAnyLost();
+            ++probes;
+        }
+        return probes;
+    }
+
+    static bool isInFirstDomain(const PathCandidate &candidate)
+    {
+        return candidate.failureDomain == state::FailureDomain("domain-0");
+    }
+
     // Probes as a node does after a failure; returns the number of probes.
     int probeUntilConclusive(int engineCount, const std::function<bool(int)> &isDark)
     {
@@ -154,6 +213,74 @@
         CPPUNIT_ASSERT(this->paths.state(this->engines, this->now) == PathState::Usable);
     }
 
+    // A failure domain of three is down. An entry with few requests meets one refused connection to
+    // an engine and one to a replica there; later ones meet all of the domain's engines. Guards
+    // against holding the service for lost before, while or after endpoints elsewhere are probed.
+    void endedFailureDomainIsNoLostPath()
+    {
+        for (std::uint64_t seed = 0; seed < 200; ++seed) {
+            this->paths = PathHealth(seed);
+            this->recordInDomain(this->engines, 0, PathOutcome::Unreachable);
+            CPPUNIT_ASSERT(!this->isAnyLost());
+            this->recordInDomain(this->replicas, 0, PathOutcome::Unreachable);
+            CPPUNIT_ASSERT(!this->isAnyLost());
+            this->recordInDomain(this->engines, 3, PathOutcome::Unreachable);
+            CPPUNIT_ASSERT(!this->isAnyLost());
+            bool wasLost = false;
+            this->probeDomains(isInFirstDomain, wasLost);
+            CPPUNIT_ASSERT(!wasLost);
+            CPPUNIT_ASSERT(this->paths.state(this->engines, this->now) == PathState::Usable);
+            CPPUNIT_ASSERT(this->paths.state(this->replicas, this->now) == PathState::Usable);
+            for (int engine = 0; engine < 60; engine += 3) {
+                this->recordInDomain(this->engines, engine, PathOutcome::Unreachable);
+                CPPUNIT_ASSERT(!this->isAnyLost());
+            }
+        }
+    }
+
+    // Guards against an entry that stays in doubt because it has enough outcomes, all of them from
+    // the failure domain that is down.
+    void refusalsOfAnEndedFailureDomainAloneAreFollowedByProbes()
+    {
+        for (int engine = 0; engine < 60; engine += 3)
+            this->recordInDomain(this->engines, engine, PathOutcome::Unreachable);
+        CPPUNIT_ASSERT(this->paths.state(this->engines, this->now) == PathState::Doubtful);
+        bool wasLost = false;
+        const int probes = this->probeDomains(isInFirstDomain, wasLost);
+        CPPUNIT_ASSERT(probes > 0 && probes <= 5);
+        CPPUNIT_ASSERT(!wasLost);
+        CPPUNIT_ASSERT(this->paths.state(this->engines, this->now) == PathState::Usable);
+    }
+
+    // Guards against an entry that has lost all its paths and waits for outcomes that its probes,
+    // five at once, don't bring within one timeout.
+    void lossOfAllPathsIsFoundAsSoonAcrossFailureDomains()
+    {
+        for (std::uint64_t seed = 0; seed < 200; ++seed) {
+            this->paths = PathHealth(seed);
+            this->recordInDomain(this->engines, 0, PathOutcome::Unreachable);
+            const std::vector<PathCandidate> all = this->listedInDomains();
+            std::set<PathCandidate> running;
+            for (int prober = 0; prober < 5; ++prober)
+                running.insert(*this->paths.nextProbe(all, running, this->now));
+            for (const PathCandidate &probed : running)
+                this->paths.record(probed, PathOutcome::Unreachable, this->now);
+            this->paths.prune(all, this->now);
+            CPPUNIT_ASSERT(this->paths.isLost(this->engines, this->now));
+            CPPUNIT_ASSERT(this->paths.isLost(this->replicas, this->now));
+        }
+    }
+
+    // 48 of 60 engines are out of reach, in all failure domains. Guards against a service that is
+    // not found lost because a single failure domain would explain a part of it.
+    void lossOfMostPathsIsFoundAcrossFailureDomains()
+    {
+        for (int engine = 0; engine < 24; ++engine)
+            this->recordInDomain(this->engines, engine,
+                                 engine % 5 == 4 ? PathOutcome::Reached : PathOutcome::Unreachable);
+        CPPUNIT_ASSERT(this->paths.isLost(this->engines, this->now));
+    }
+
     // Guards against an entry that says late that it reaches nothing, as it probes all engines
     // before the first replica of another service.
     void everyServiceIsProbedEarly()
