Full endpoints: one that has just refused a request comes after those that have room

A refusal that asks for no rest only counted toward suspicion, so that other requests went to the same endpoint at once.

Change: an endpoint that refuses with 503, not run and without Retry-After, counts as full for the route's first-answer target (100 to 500 ms) or until a load report. An engine then has no free slot while another one has (EngineFull, PassCandidate::full); a replica comes after the others. If all are full, they are tried as before. Callers that restrict the endpoint's version have no influence.

--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -132,6 +132,7 @@
     void on(const EngineEnded &event);
     void on(const EngineLimited &event);
     void on(const EngineRests &event);
+    void on(const EngineFull &event);
     void on(const LoadReported &event);
     void on(const CacheReported &event);
     void on(const PeerWorkReceived &event);
--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -89,6 +89,13 @@
         view->restUntil(event.until);
 }
 
+void Dispatcher::on(const EngineFull &event)
+{
+    routing::EngineView *view = this->engines.find(event.engine);
+    if (view != nullptr && view->description().incarnation == event.incarnation)
+        view->fullUntil(event.until);
+}
+
 void Dispatcher::on(const LoadReported &event)
 {
     if (routing::EngineView *view = this->engines.find(event.report.endpoint))
--- a/src/coordination/admission/Events.h
+++ b/src/coordination/admission/Events.h
@@ -67,6 +67,15 @@
     state::Instant until;
 };
 
+// The engine has refused a request as it has no room. Until then, or until a load report comes, it
+// counts as full.
+struct EngineFull
+{
+    state::EndpointId engine;
+    std::uint64_t incarnation = 0;
+    state::Instant until;
+};
+
 // The engine is lost: its announcements ended, it restarted, or its connections fail.
 struct EngineGone
 {
@@ -190,7 +199,7 @@
 
 using Event = std::variant<RequestArrived, CallerCancelled, EngineAnnounced, EngineGone,
                            EngineDraining, EngineSuspected, EngineEnded, EngineLimited, EngineRests,
-                           LoadReported, CacheReported, SlicePrefilled, TokensReceived,
+                           EngineFull, LoadReported, CacheReported, SlicePrefilled, TokensReceived,
                            RequestFinished, AttemptFailed, MoveRequested, ReservationAnswered,
                            TableChanged, PeerWorkReceived, PeerJoined, PeerBacklogReceived, Tick>;
 
--- a/src/coordination/routing/EngineView.cpp
+++ b/src/coordination/routing/EngineView.cpp
@@ -40,6 +40,7 @@
         this->reportedRequests = 0;
         this->sendLimit.reset();
         this->restsUntil = {};
+        this->refusesUntil = {};
     }
     this->endpoint = std::move(announced);
 }
@@ -59,6 +60,11 @@
     this->restsUntil = std::max(this->restsUntil, until);
 }
 
+void EngineView::fullUntil(state::Instant until)
+{
+    this->refusesUntil = std::max(this->refusesUntil, until);
+}
+
 std::size_t EngineView::sendsAvailable() const
 {
     if (this->advancedTo < this->restsUntil)
@@ -150,6 +156,7 @@
         return;
     this->advance(now);
     this->reportSequence = report.sequence;
+    this->refusesUntil = {};
     double known = 0;
     for (const ResidentWork &resident : this->work)
         known += resident.prefillLeft;
--- a/src/coordination/routing/EngineView.h
+++ b/src/coordination/routing/EngineView.h
@@ -66,6 +66,10 @@
     void limitSends(std::optional<double> perSecond, state::Instant now, std::uint64_t seed);
     // The engine wants no request from this entry until then. A later time replaces an earlier one.
     void restUntil(state::Instant until);
+    // The engine has refused a request as full: it is not believed to have room until then, or
+    // until its next load report.
+    void fullUntil(state::Instant until);
+    bool hasRefusedAsFull() const { return this->advancedTo < this->refusesUntil; }
     // How many requests may be sent to it now. Call advance(now) first.
     std::size_t sendsAvailable() const;
     // When one may be sent; in the past if it accepts any rate.
@@ -101,6 +105,7 @@
 
     std::optional<SendLimit> sendLimit; // of this incarnation; none: it accepts any rate
     state::Instant restsUntil{};        // of this incarnation
+    state::Instant refusesUntil{};      // of this incarnation
     std::vector<ResidentWork> work;     // ordered by priority, then by arrival
     // Tokens reported beyond the known work; decreases with time.
     double unattributedPrefillTokens = 0;
--- a/src/coordination/routing/PassCandidate.cpp
+++ b/src/coordination/routing/PassCandidate.cpp
@@ -37,6 +37,19 @@
     return candidate;
 }
 
+// An engine that refused a request as full a moment ago would refuse the next one too. It stays a
+// member of its group. If no other engine has a free slot, one of them is tried.
+void markFull(std::vector<PassCandidate> &candidates)
+{
+    const auto hasRoom = [](const PassCandidate &each) {
+        return !each.view->hasRefusedAsFull() && each.hasSlot();
+    };
+    if (std::ranges::none_of(candidates, hasRoom))
+        return;
+    for (PassCandidate &candidate : candidates)
+        candidate.full = candidate.view->hasRefusedAsFull();
+}
+
 } // namespace
 
 double PassCandidate::passSeconds() const
@@ -90,6 +103,7 @@
     const auto usable = std::size_t(std::ranges::count_if(candidates, &PassCandidate::usable));
     if (usable * 2 >= candidates.size())
         std::erase_if(candidates, [](const PassCandidate &each) { return !each.usable; });
+    markFull(candidates);
     return candidates;
 }
 
--- a/src/coordination/routing/PassCandidate.h
+++ b/src/coordination/routing/PassCandidate.h
@@ -26,13 +26,14 @@
     // Requests that may be sent to it, by the rate that it accepts from all entries.
     std::size_t sendsAvailable = std::numeric_limits<std::size_t>::max();
     bool usable = false;
+    bool full = false; // has refused a request as full a moment ago; others have a free slot
     bool held = false; // kept free for a long prompt that waits for it
 
     const state::routes::EngineProfile &profile() const { return *this->view->profile(); }
     bool hasSlot() const
     {
         const bool isFull = this->answeredRequests >= this->profile().slots;
-        return !isFull && this->sendsAvailable != 0;
+        return !isFull && !this->full && this->sendsAvailable != 0;
     }
     bool hasRoom(const PassRequest &request) const
     {
--- a/src/coordination/routing/ReplicaChooser.cpp
+++ b/src/coordination/routing/ReplicaChooser.cpp
@@ -28,7 +28,7 @@
     const auto staleOrSuspect = std::size_t(std::ranges::count_if(candidates, isStaleOrSuspect));
     const bool trustHealth = staleOrSuspect * 2 <= candidates.size();
     std::optional<std::size_t> best;
-    std::tuple<bool, bool, double, std::uint64_t> bestRank;
+    std::tuple<bool, bool, bool, double, std::uint64_t> bestRank;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const ReplicaCandidate &candidate = candidates[index];
         if (this->isReplaced(candidate.description, now)
@@ -36,6 +36,7 @@
             continue;
         const bool alreadyTried = std::ranges::find(tried, candidate.description.id) != tried.end();
         const std::tuple rank(alreadyTried, trustHealth && isStaleOrSuspect(candidate),
+                              this->isFull(candidate.description, now),
                               this->estimatedLoad(candidate.description.id, now),
                               std::uint64_t(this->random()));
         if (best && bestRank <= rank)
@@ -111,6 +112,22 @@
     rest.until = std::max(rest.until, until);
 }
 
+void ReplicaChooser::fullNamed(const state::EndpointId &replica, std::uint64_t incarnation,
+                               state::Instant until, state::Instant now)
+{
+    std::erase_if(this->full, [now](const auto &each) { return each.second.until <= now; });
+    const auto known = this->full.find(replica);
+    if (known == this->full.end() || known->second.incarnation <= incarnation)
+        this->full.insert_or_assign(replica, NamedRest{incarnation, until});
+}
+
+bool ReplicaChooser::isFull(const state::EndpointDescription &replica, state::Instant now) const
+{
+    const auto found = this->full.find(replica.id);
+    return found != this->full.end() && found->second.incarnation == replica.incarnation
+           && now < found->second.until;
+}
+
 bool ReplicaChooser::isResting(const state::EndpointId &endpoint, std::uint64_t incarnation,
                                state::Instant now) const
 {
@@ -200,6 +217,8 @@
     const std::uint32_t all = load.running + load.waiting;
     known.otherCalls = all > known.ownCalls ? all - known.ownCalls : 0;
     known.reportedAt = now;
+    if (all < load.slots)
+        this->full.erase(replica);
 }
 
 } // namespace lavenderthread::coordination::routing
--- a/src/coordination/routing/ReplicaChooser.h
+++ b/src/coordination/routing/ReplicaChooser.h
@@ -66,6 +66,10 @@
                    state::Instant until, state::Instant now);
     bool isResting(const state::EndpointId &endpoint, std::uint64_t incarnation,
                    state::Instant now) const;
+    // The replica has refused a call as full. Until then, or until it reports a free slot, it comes
+    // after the others.
+    void fullNamed(const state::EndpointId &replica, std::uint64_t incarnation,
+                   state::Instant until, state::Instant now);
     // Returns true if the outcome made the replica suspect.
     bool callEnded(const state::EndpointDescription &replica, AttemptOutcome outcome,
                    state::Instant now);
@@ -94,7 +98,7 @@
         state::Instant namedAt; // last
     };
 
-    // What this start of an endpoint has asked for.
+    // Until when this start of an endpoint has asked for rest, or counts as full.
     struct NamedRest
     {
         std::uint64_t incarnation = 0;
@@ -106,6 +110,7 @@
     state::Instant acceptsCallAt(const state::EndpointDescription &replica,
                                  state::Instant now) const;
     bool isReplaced(const state::EndpointDescription &replica, state::Instant now) const;
+    bool isFull(const state::EndpointDescription &replica, state::Instant now) const;
     double estimatedLoad(const state::EndpointId &replica, state::Instant now) const;
 
     std::mt19937_64 random;
@@ -113,6 +118,7 @@
     std::map<state::EndpointId, ReplicaState> replicas;
     std::map<state::EndpointId, NamedLimit> limits;
     std::map<state::EndpointId, NamedRest> rests;
+    std::map<state::EndpointId, NamedRest> full; // until when
 };
 
 } // namespace lavenderthread::coordination::routing
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -645,6 +645,10 @@
                                  state::Instant until) {
         self->post(admission::EngineRests{endpoint, incarnation, until});
     };
+    scheduler.fullNamed = [self](const state::EndpointId &endpoint, std::uint64_t incarnation,
+                                 state::Instant until) {
+        self->post(admission::EngineFull{endpoint, incarnation, until});
+    };
     scheduler.reportPeerFailure = [self](const state::Address &address) {
         asio::post(self->state->strand,
                    [self, address] { self->state->handlePeerFailure(address); });
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -55,6 +55,10 @@
 constexpr milliseconds longestRetryAfter{5'000};
 // An endpoint in the same region accepts within a few milliseconds; a lost packet adds a second.
 constexpr milliseconds connectTimeout{400};
+// An endpoint that serves such requests has answered another one by their first-answer target, and
+// may have room then. Long prompts may wait for seconds, in which many short ones end.
+constexpr milliseconds shortestFullTime{100};
+constexpr milliseconds longestFullTime{500};
 constexpr milliseconds peerConnectTimeout{300}; // entries are as near as endpoints
 // Peers that can't take a request say so within a round trip.
 constexpr std::size_t maxPeersAsked = 12;
@@ -844,6 +848,9 @@
             co_return AttemptResult::Lost;
         }
         if (head.notRun) {
+            if (stream.status() == statusUnavailable && !head.rest && !this->peerFailed
+                && !this->request.restrictsEndpoints)
+                this->relay.fullNamed(target.endpoint, this->fullTime());
             this->outcome.reason =
                     "refused by the endpoint with " + std::to_string(stream.status());
             co_return AttemptResult::NotRun;
@@ -981,6 +988,12 @@
         this->relay.chooser.loadReported(target.endpoint.id, *head.load, monotonicNow());
     }
 
+    // How long an endpoint that refuses a request as full counts as full.
+    milliseconds fullTime() const
+    {
+        return std::clamp(this->route->firstAnswerTarget, shortestFullTime, longestFullTime);
+    }
+
     milliseconds firstAnswerTimeout() const
     {
         return std::max(shortestInactivityTimeout,
@@ -1379,6 +1392,16 @@
               {"for_us", std::int64_t(time.count())}});
 }
 
+void RouteRelay::fullNamed(const state::EndpointDescription &endpoint, state::Duration time)
+{
+    const state::Instant now = monotonicNow();
+    {
+        const std::lock_guard lock(this->choiceMutex);
+        this->chooser.fullNamed(endpoint.id, endpoint.incarnation, now + time, now);
+    }
+    this->hooks.scheduler.fullNamed(endpoint.id, endpoint.incarnation, now + time);
+}
+
 void RouteRelay::leavingNamed(const state::EndpointDescription &endpoint)
 {
     const auto table = this->hooks.endpoints();
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -113,6 +113,8 @@
     void limitNamed(const state::EndpointDescription &endpoint, std::optional<double> perSecond);
     // A refusal of the endpoint asks for rest.
     void restNamed(const state::EndpointDescription &endpoint, state::Duration time);
+    // The endpoint has refused a request as full.
+    void fullNamed(const state::EndpointDescription &endpoint, state::Duration time);
     bool isResting(const state::EndpointDescription &endpoint);
     // An answer says that the endpoint leaves; passed on once for each start of an endpoint.
     void leavingNamed(const state::EndpointDescription &endpoint);
--- a/src/program/Scheduler.h
+++ b/src/program/Scheduler.h
@@ -113,6 +113,9 @@
     // The endpoint wants no request from this entry until then.
     std::function<void(const state::EndpointId &, std::uint64_t incarnation, state::Instant until)>
             restNamed;
+    // The endpoint has refused a request as full; it is not believed to have room until then.
+    std::function<void(const state::EndpointId &, std::uint64_t incarnation, state::Instant until)>
+            fullNamed = [](const auto &, auto, auto) {};
     // Reports that an engine named this peer, which it needed for the prompt, as failed.
     std::function<void(const state::Address &)> reportPeerFailure;
     // Whether the endpoint is still known to be alive under that incarnation.
--- a/tests/coordination/admission/DispatcherPassesTest.cpp
+++ b/tests/coordination/admission/DispatcherPassesTest.cpp
@@ -98,6 +98,7 @@
     CPPUNIT_TEST(entryThatStartsIsToldOfWorkInProgress);
     CPPUNIT_TEST(limitedEngineGetsItsRateFromAllEntries);
     CPPUNIT_TEST(restingEnginesGetNothing);
+    CPPUNIT_TEST(enginesThatRefusedAsFullComeLast);
     CPPUNIT_TEST(promptsThatNoEngineAcceptsAreRefusedAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
@@ -678,6 +679,47 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.actionsOf<Dispatch>().size());
     }
 
+    // Three of four engines are full, which no report has told yet. Guards against requests that
+    // are refused by several of them within a tenth of a second, and against refusing requests
+    // because all have refused one.
+    void enginesThatRefusedAsFullComeLast()
+    {
+        PassesFixture fixture;
+        fixture.handle(RequestFinished{fixture.firstDispatch.id, fixture.firstDispatch.attempt});
+        const auto refuse = [&fixture](std::size_t index) {
+            fixture.handle(EngineFull{PassesFixture::engine(index).id, 1,
+                                      fixture.now + milliseconds(300)});
+        };
+        const auto chosen = [&fixture](int request) {
+            fixture.handle(RequestArrived{fixture.request("b" + std::to_string(request), 3'000)});
+            const Dispatch dispatch = fixture.onlyAction<Dispatch>();
+            fixture.handle(RequestFinished{dispatch.id, dispatch.attempt});
+            return dispatch.engine;
+        };
+        int request = 0;
+        const state::EndpointId preferred = chosen(request++); // brief requests are packed
+        CPPUNIT_ASSERT(preferred != PassesFixture::engine(3).id);
+        for (std::size_t index = 0; index < 3; ++index)
+            refuse(index);
+        for (; request < 29; ++request) {
+            fixture.now += milliseconds(10);
+            CPPUNIT_ASSERT(chosen(request) == PassesFixture::engine(3).id);
+        }
+        refuse(3);
+        chosen(request++); // one of those that have refused
+        state::LoadReport report;
+        report.endpoint = PassesFixture::engine(1).id;
+        report.incarnation = 1;
+        report.sequence = 1;
+        for (std::size_t index = 0; index < 3; ++index)
+            refuse(index);
+        fixture.handle(LoadReported{report});
+        for (int last = request + 10; request < last; ++request)
+            CPPUNIT_ASSERT(chosen(request) == report.endpoint);
+        fixture.now += milliseconds(300);
+        CPPUNIT_ASSERT(chosen(request) == preferred);
+    }
+
     // All engines are in need: a request that none accepts is told when to come back, and does not
     // wait until its time is over.
     void promptsThatNoEngineAcceptsAreRefusedAtOnce()
--- a/tests/coordination/routing/HealthTest.cpp
+++ b/tests/coordination/routing/HealthTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(restartClearsSuspicion);
     CPPUNIT_TEST(leastLoadedReplicaIsChosen);
     CPPUNIT_TEST(restingReplicaIsNotChosen);
+    CPPUNIT_TEST(replicasThatRefusedAsFullComeLast);
     CPPUNIT_TEST(suspectReplicasComeLastUnlessInMajority);
     CPPUNIT_TEST(limitedReplicaGetsItsRateFromAllEntries);
     CPPUNIT_TEST(limitEndsWithItsNamingOrARestart);
@@ -168,6 +169,31 @@
         CPPUNIT_ASSERT(chooser.choose({replica(0)}, {}, this->now).has_value());
     }
 
+    // Guards against a call that is refused by one full replica after the other while another one
+    // has room, and against one that is not sent anywhere because all have refused.
+    void replicasThatRefusedAsFullComeLast()
+    {
+        ReplicaChooser chooser(1);
+        const std::vector<ReplicaCandidate> all = {replica(0), replica(1), replica(2), replica(3)};
+        const state::Instant until = this->now + std::chrono::milliseconds(200);
+        const auto refuse = [&](std::size_t index) {
+            const state::EndpointDescription &full = all[index].description;
+            chooser.fullNamed(full.id, full.incarnation, until, this->now);
+        };
+        for (std::size_t index = 0; index < 3; ++index)
+            refuse(index);
+        chooser.callStarted(all[3].description, this->now); // the one with room is busier
+        for (int call = 0; call < 20; ++call)
+            CPPUNIT_ASSERT_EQUAL(std::size_t(3), *chooser.choose(all, {}, this->now));
+        refuse(3);
+        CPPUNIT_ASSERT(chooser.choose(all, {}, this->now).has_value());
+        chooser.loadReported(all[1].description.id, {6, 0, 6}, this->now); // still full
+        chooser.loadReported(all[2].description.id, {5, 0, 6}, this->now);
+        for (int call = 0; call < 20; ++call)
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), *chooser.choose(all, {}, this->now));
+        CPPUNIT_ASSERT(*chooser.choose(all, {}, until) != 2);
+    }
+
     // Guards against requests to a replica that has asked this entry for rest.
     void restingReplicaIsNotChosen()
     {
--- a/tests/platform/RelayFixture.h
+++ b/tests/platform/RelayFixture.h
@@ -15,6 +15,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <optional>
 #include <set>
@@ -172,6 +173,11 @@
                                          this->calledEndpoints.end())
                            .size());
     }
+    // Requests to the endpoint that was called first.
+    int callsOfFirstEndpoint() const
+    {
+        return int(std::ranges::count(this->calledEndpoints, this->calledEndpoints.front()));
+    }
     program::RequestGuard &requestGuard() { return *this->guard; }
     void publishEndpoints()
     {
--- a/tests/platform/RelayTest.cpp
+++ b/tests/platform/RelayTest.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(unconfirmedConfigurationDoesNotAnswer404);
     CPPUNIT_TEST(callsThatNoReplicaAcceptsAreRefusedAtOnce);
     CPPUNIT_TEST(replicaThatAskedForRestGetsNothing);
+    CPPUNIT_TEST(replicaThatRefusedAsFullComesLast);
     CPPUNIT_TEST(endpointThatLeavesIsReportedOnce);
     CPPUNIT_TEST(requestIsWithheldIfItsEngineHasAskedForRest);
     CPPUNIT_TEST(promptThatCrashesEnginesIsRefusedAtOnce);
@@ -416,6 +417,17 @@
         CPPUNIT_ASSERT(restricted.failures.front() == program::AttemptFailure::NotRun);
     }
 
+    // Guards against calls that go to a replica which refused another one a moment ago.
+    void replicaThatRefusedAsFullComesLast()
+    {
+        using enum Behaviour;
+        RelayFixture fixture(Kind::NonIdempotent, {Refuses, Answers, Answers});
+        for (int call = 0; call < 8; ++call)
+            CPPUNIT_ASSERT_EQUAL(200U, fixture.call().value().status);
+        CPPUNIT_ASSERT_EQUAL(9, fixture.arrivals.load());
+        CPPUNIT_ASSERT_EQUAL(1, fixture.callsOfFirstEndpoint());
+    }
+
     // A failure domain has restarted: the request meets one ended incarnation after the other.
     // Guards against a 503 after the few refusals that a request may meet.
     void replacedEnginesCostNoAttempt()
