Evacuation: prompts that move cost no attempt, and several paths to evacuated engines are closed

A prompt that reserved memory in the domain was moved as if an attempt had failed, and refused once its attempts were used up; so was one that was withheld before it was sent. Engines were evacuated one by one, so what left the first could be placed on the next. An engine that restarted under its id lost its drain in the dispatcher, and a new one was announced before it was told to drain. An endpoint that the table no longer listed, or listed with a later incarnation, didn't count as evacuated. Calls of plain services of the completions API went down a list of replicas made before the evacuation. An evacuation of an endpoint that already drained moved no reservations. An entry had the routes of a view before its evacuations.

Change: EnginesEvacuated names all engines at once, before other changes of the table. Moves are counted and subtracted from attempts. EngineAnnounced carries the drain. The table carries the evacuated domains. ServiceRelay asks again before each replica. Evacuations are applied before routes. SetEvacuation takes part in the codec's round trips and corruption tests, and its feed in FeedEncoderTest.

The order of evacuations and routes and the order of the scheduler's events have no test of their own.

--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -93,6 +93,8 @@
         std::optional<state::Instant> latestStart;
         std::uint32_t runs = 0; // failed attempts that may have executed it
         bool retryPaid = false; // the retry budget has paid for its next attempt
+        // How often it left an engine that it was not sent to. Uses up no attempt.
+        std::uint32_t moves = 0;
 
         // KV memory at one of the first helpers, for a prompt that its engine can't hold.
         struct HelperReservation
@@ -127,6 +129,7 @@
     void on(const EngineAnnounced &event);
     void on(const EngineGone &event);
     void on(const EngineDraining &event);
+    void on(const EnginesEvacuated &event);
     void on(const EngineSuspected &event);
     void on(const EngineLimited &event);
     void on(const EngineRests &event);
--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -16,6 +16,8 @@
     if (restarted)
         this->on(EngineGone{event.description.id});
     this->engines.announce(event.description, event.profile);
+    if (event.draining)
+        this->engines.find(event.description.id)->draining = true;
     if (isNew)
         this->earlyWork.applyTo(*this->engines.find(event.description.id), this->now);
     this->placeWaiting();
@@ -44,8 +46,17 @@
 {
     if (routing::EngineView *view = this->engines.find(event.engine))
         view->draining = event.draining;
-    if (event.evacuated)
-        this->moveReservations(event.engine);
+    this->placeWaiting();
+}
+
+void Dispatcher::on(const EnginesEvacuated &event)
+{
+    for (const state::EndpointId &engine : event.engines) {
+        if (routing::EngineView *view = this->engines.find(engine))
+            view->draining = true;
+    }
+    for (const state::EndpointId &engine : event.engines)
+        this->moveReservations(engine);
     this->placeWaiting();
 }
 
@@ -58,8 +69,11 @@
             waiting.push_back(id);
     }
     std::ranges::sort(waiting); // makes the order reproducible
-    for (const state::RequestId &id : waiting)
-        this->handleAttemptLoss(this->activeRequests.at(id), engine, true, false);
+    for (const state::RequestId &id : waiting) {
+        ActiveRequest &active = this->activeRequests.at(id);
+        ++active.moves;
+        this->handleAttemptLoss(active, engine, true, false);
+    }
 }
 
 void Dispatcher::on(const EngineSuspected &event)
@@ -160,6 +174,7 @@
     const state::EndpointId engine = active->plan.parts[active->currentPart].engine;
     // The budget bounds the load of repeated requests; one that was never sent adds none.
     active->retryPaid = active->retryPaid || event.neverSent;
+    active->moves += event.withheld ? 1 : 0;
     this->handleAttemptLoss(*active, engine, event.didNotRun, false);
     this->placeWaiting();
 }
@@ -183,14 +198,18 @@
 }
 
 // A request with its own limit may run on that many engines. Engines that refuse it don't count
-// towards the limit, but only a few more attempts are made because of them.
+// towards the limit, but only a few more attempts are made because of them. An engine that the
+// request left without having been sent there counts towards neither.
 bool Dispatcher::isExhausted(const ActiveRequest &active) const
 {
     constexpr std::uint32_t extraAttempts = 3; // failed connections and refusals
+    // A loss and the placement that follows it each raise the number of the attempt.
+    constexpr std::uint32_t numbersPerMove = 2;
     const std::uint32_t attempts = active.request.attemptLimit;
     if (attempts == 0)
-        return active.attempt >= this->policy.attemptsLimit;
-    return active.runs >= attempts || active.failedEngines.size() >= attempts + extraAttempts;
+        return active.attempt >= this->policy.attemptsLimit + numbersPerMove * active.moves;
+    return active.runs >= attempts
+           || active.failedEngines.size() >= attempts + extraAttempts + active.moves;
 }
 
 void Dispatcher::handleAttemptLoss(ActiveRequest &active, const state::EndpointId &engine,
--- a/src/coordination/admission/Events.h
+++ b/src/coordination/admission/Events.h
@@ -32,6 +32,8 @@
 {
     state::EndpointDescription description;
     std::optional<state::routes::EngineProfile> profile; // if it works in declared passes
+    // It gets no new work from the start. False changes nothing for an engine that is known.
+    bool draining = false;
 };
 
 // Attempts on the engine fail, or succeed again. While suspected it gets no new work; work that
@@ -68,8 +70,14 @@
 {
     state::EndpointId engine;
     bool draining = true;
-    // Operators want nothing more sent there: memory that is being reserved there is given back.
-    bool evacuated = false;
+};
+
+// Operators want nothing more sent to these engines: besides draining, memory that is being
+// reserved there is given back. All engines are named at once, so that what leaves one of them is
+// not placed on the next.
+struct EnginesEvacuated
+{
+    std::vector<state::EndpointId> engines;
 };
 
 struct LoadReported
@@ -116,6 +124,8 @@
     std::uint32_t attempt = 0;
     bool didNotRun = false;
     bool neverSent = false; // no byte of the request has reached the engine
+    // Never sent, because this entry may send the engine nothing any more: uses up no attempt.
+    bool withheld = false;
 };
 
 // The engine has sent nothing for long, but its stream is still open: may the request move to
@@ -179,8 +189,8 @@
 {};
 
 using Event = std::variant<RequestArrived, CallerCancelled, EngineAnnounced, EngineGone,
-                           EngineDraining, EngineSuspected, EngineLimited, EngineRests,
-                           LoadReported, CacheReported, SlicePrefilled, TokensReceived,
+                           EngineDraining, EnginesEvacuated, EngineSuspected, EngineLimited,
+                           EngineRests, LoadReported, CacheReported, SlicePrefilled, TokensReceived,
                            RequestFinished, AttemptFailed, MoveRequested, ReservationAnswered,
                            TableChanged, PeerWorkReceived, PeerJoined, PeerBacklogReceived, Tick>;
 
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -444,10 +444,24 @@
         for (const auto &[id, endpoint] : this->announced) {
             const auto profile = this->profileOf(endpoint.description);
             this->handle(admission::EngineAnnounced{withProfile(endpoint.description, profile),
-                                                    profile});
+                                                    profile, endpoint.draining});
         }
     }
 
+    // Before all other changes of the table: those may free requests, which must not be placed on
+    // an engine that is evacuated too.
+    void applyEvacuations(const EndpointTable &table)
+    {
+        admission::EnginesEvacuated evacuated;
+        for (const auto &[id, known] : this->announced) {
+            const auto listed = table.endpoints.find(id);
+            if (listed != table.endpoints.end() && listed->second.evacuated && !known.evacuated)
+                evacuated.engines.push_back(id);
+        }
+        if (!evacuated.engines.empty())
+            this->handle(evacuated);
+    }
+
     void refreshEndpoints()
     {
         const auto table = this->registry->table();
@@ -455,6 +469,7 @@
             return;
         this->appliedTable = table;
         this->hasSuspects = false;
+        this->applyEvacuations(*table);
         // The relay itself monitors attempts on engines with a declared profile; suspecting such an
         // engine only keeps new work away.
         const auto isGone = [&](const auto &known) {
@@ -483,9 +498,9 @@
             const bool drainChanged = endpoint.draining != (same && known->second.draining);
             if (!same || known->second.description != endpoint.description)
                 this->handle(admission::EngineAnnounced{withProfile(endpoint.description, profile),
-                                                        profile});
+                                                        profile, endpoint.draining});
             if (drainChanged)
-                this->handle(admission::EngineDraining{id, endpoint.draining, endpoint.evacuated});
+                this->handle(admission::EngineDraining{id, endpoint.draining});
             this->announced[id] = endpoint;
             if (profile)
                 this->markSuspected(id, suspected || endpoint.stale);
@@ -588,7 +603,8 @@
                 state.noteHealth(failed.endpoint, outcomeOf(failure));
             state.handle(admission::AttemptFailed{
                     id, failed.attempt, failure != AttemptFailure::Lost,
-                    failure == AttemptFailure::Unreachable || failure == AttemptFailure::Withheld});
+                    failure == AttemptFailure::Unreachable || failure == AttemptFailure::Withheld,
+                    failure == AttemptFailure::Withheld});
         });
     };
     scheduler.mayAbandon = [self](state::RequestId id, std::uint32_t attempt) {
--- a/src/program/EndpointRegistry.cpp
+++ b/src/program/EndpointRegistry.cpp
@@ -15,8 +15,7 @@
 
 bool isEvacuated(const EndpointTable &table, const state::EndpointDescription &endpoint)
 {
-    const RegisteredEndpoint *known = table.find(endpoint.id, endpoint.incarnation);
-    return known != nullptr && known->evacuated;
+    return table.evacuated.contains(endpoint.failureDomain);
 }
 
 bool isServiceEvacuated(const EndpointTable &table, const state::ServiceName &service)
@@ -106,10 +105,9 @@
 
 EndpointTable EndpointRegistry::withEvacuations(EndpointTable table) const
 {
-    if (this->evacuated.empty())
-        return table;
+    table.evacuated = this->evacuated;
     for (auto &[id, endpoint] : table.endpoints) {
-        endpoint.evacuated = this->evacuated.contains(endpoint.description.failureDomain);
+        endpoint.evacuated = table.evacuated.contains(endpoint.description.failureDomain);
         endpoint.draining = endpoint.draining || endpoint.evacuated;
     }
     return table;
--- a/src/program/EndpointRegistry.h
+++ b/src/program/EndpointRegistry.h
@@ -25,6 +25,7 @@
 struct EndpointTable
 {
     std::map<state::EndpointId, RegisteredEndpoint> endpoints;
+    std::set<state::FailureDomain> evacuated; // also holds for endpoints that are not listed
 
     bool operator==(const EndpointTable &) const = default;
 
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -419,6 +419,8 @@
     // Called on the client's strand.
     void applyView(const state::control::ControlView &view)
     {
+        // Before the routes: an entry that starts sends nothing until it has routes.
+        this->applyEvacuations(view);
         if (this->front)
             this->front->viewChanged(view);
         coordination::admission::TableChanged changed;
@@ -436,7 +438,6 @@
                 this->cluster->markDrain(endpoint, {0, view.version}, false);
         }
         this->previouslyDrained = std::move(drained);
-        this->applyEvacuations(view);
     }
 
     void applyEvacuations(const state::control::ControlView &view)
--- a/src/program/Scheduler.h
+++ b/src/program/Scheduler.h
@@ -40,7 +40,7 @@
     Unreachable, // no connection: this request did not reach the engine, and others can't either
     NotRun,      // the engine refused the request
     Rests,       // the same, and it wants no more for a while; says nothing about its health
-    Withheld,    // not sent, since the engine has asked for rest in the meantime
+    Withheld,    // not sent: the engine has asked for rest, or has been evacuated, in the meantime
     Replaced,    // another endpoint has the engine's address
     PeerLost,    // refused, because another engine that this one needed has failed
     Lost,        // the request may have run
--- a/src/program/ServiceRelay.cpp
+++ b/src/program/ServiceRelay.cpp
@@ -199,6 +199,9 @@
                                              "no replica of the service is ready");
         int attempts = 0;
         for (const state::EndpointDescription &replica : this->replicas()) {
+            // Its failure domain may have been evacuated while others were tried.
+            if (isEvacuated(*this->hooks.endpoints(), replica))
+                continue;
             const auto left = remaining(this->deadline);
             if (left == std::chrono::milliseconds(0) || attempts++ == maximumAttempts)
                 break;
--- a/tests/program/EndpointRegistryTest.cpp
+++ b/tests/program/EndpointRegistryTest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST_SUITE(EndpointRegistryTest);
     CPPUNIT_TEST(endpointsOfEvacuatedDomainGetNoNewWork);
     CPPUNIT_TEST(endpointsThatAppearDuringEvacuationGetNone);
+    CPPUNIT_TEST(unlistedEndpointsOfEvacuatedDomainGetNothing);
     CPPUNIT_TEST(drainOutlastsEvacuation);
     CPPUNIT_TEST(serviceIsEvacuatedOnlyWithAllItsDomains);
     CPPUNIT_TEST_SUITE_END();
@@ -63,6 +64,23 @@
         CPPUNIT_ASSERT(registry.table()->endpoints.at(endpointIn("a").id).draining);
     }
 
+    // Guards against a request that was assigned to a process which the table has since replaced or
+    // dropped, and that is sent there although the domain is evacuated.
+    void unlistedEndpointsOfEvacuatedDomainGetNothing()
+    {
+        EndpointRegistry registry{state::Duration(0)};
+        registry.assign(tableOf({"a"}));
+        registry.setEvacuated({state::FailureDomain("a")});
+        state::EndpointDescription earlier = endpointIn("a");
+        earlier.incarnation = 0;
+        CPPUNIT_ASSERT(isEvacuated(*registry.table(), earlier));
+        registry.assign({});
+        CPPUNIT_ASSERT(isEvacuated(*registry.table(), endpointIn("a")));
+        CPPUNIT_ASSERT(!isEvacuated(*registry.table(), endpointIn("b")));
+        CPPUNIT_ASSERT(registry.setEvacuated({}));
+        CPPUNIT_ASSERT(!isEvacuated(*registry.table(), endpointIn("a")));
+    }
+
     // Guards against new work for an endpoint that leaves by itself when the evacuation ends.
     void drainOutlastsEvacuation()
     {
--- a/tests/program/ServiceRelayTest.cpp
+++ b/tests/program/ServiceRelayTest.cpp
@@ -11,6 +11,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <mutex>
 #include <thread>
 
@@ -97,6 +98,8 @@
             this->guard->peerReported(report);
         }
     }
+    // The second and every later reader of the endpoints sees their domain evacuated.
+    void evacuateAfterChoice() { this->evacuatesAfterChoice = true; }
     std::size_t blockCount() const { return this->guard->blockCount(); }
 
     protocol::HttpResponse post()
@@ -140,6 +143,8 @@
         made.endpoints = [this] {
             EndpointTable table;
             table.endpoints[this->endpoint.id] = {this->endpoint, false};
+            if (this->evacuatesAfterChoice && this->tableReads++ > 0)
+                table.evacuated.insert(this->endpoint.failureDomain);
             state::Snapshot<EndpointTable> cell(std::move(table));
             return cell.read();
         };
@@ -178,6 +183,8 @@
     std::shared_ptr<RequestGuard> guard = RequestGuard::create(this->context, {});
     std::mutex mutex;
     std::string recordedSteps;
+    std::atomic<bool> evacuatesAfterChoice = false;
+    std::atomic<int> tableReads = 0;
     std::unique_ptr<ServiceRelay> relay;
     std::shared_ptr<transport::HttpServer> replica;
     std::shared_ptr<transport::HttpServer> entry;
@@ -192,6 +199,7 @@
     CPPUNIT_TEST(claimedCallStepsRunInOrder);
     CPPUNIT_TEST(repeatabilityFollowsRulesAndMethod);
     CPPUNIT_TEST(callThatCrashesReplicasIsRefused);
+    CPPUNIT_TEST(replicaEvacuatedSinceItWasChosenGetsNothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -233,6 +241,18 @@
         CPPUNIT_ASSERT_EQUAL(std::string("take mark replica take release"), fixture.steps());
     }
 
+    // The failure domain is evacuated while the call tries other replicas. Guards against sending
+    // it on to the next one of the list that it made before.
+    void replicaEvacuatedSinceItWasChosenGetsNothing()
+    {
+        ServiceRelayFixture fixture({"evacuated", Replica::Answers, true, "", 503, ""});
+        fixture.evacuateAfterChoice();
+        const protocol::HttpResponse answer = fixture.post();
+        CPPUNIT_ASSERT_EQUAL(503U, answer.status);
+        CPPUNIT_ASSERT(answer.body.find("\"ran\":\"no\"") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::string("take release"), fixture.steps());
+    }
+
     void repeatabilityFollowsRulesAndMethod()
     {
         const Settings settings = settingsWithNonIdempotentService();
--- a/tests/protocol/ControlCommandsTest.cpp
+++ b/tests/protocol/ControlCommandsTest.cpp
@@ -34,7 +34,8 @@
             control::FinishClaim{id, holder, control::ClaimResult{201, "text/plain", "ok", true}},
             control::EntryLost{state::VmId("vm-1"), 2},
             control::AdvanceTime{std::chrono::seconds(1)},
-            control::ReplaceConfiguration{{7, "{\"Version\":7}"}}};
+            control::ReplaceConfiguration{{7, "{\"Version\":7}"}},
+            control::SetEvacuation{state::FailureDomain("zone-a"), true, 0, "10.0.0.1:7"}};
 }
 
 } // namespace
--- a/tests/protocol/FeedEncoderTest.cpp
+++ b/tests/protocol/FeedEncoderTest.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(patchForAnotherConfigurationIsRejected);
     CPPUNIT_TEST(corruptPatchIsRejected);
     CPPUNIT_TEST(changesOfOtherKindsCarryNoPatch);
+    CPPUNIT_TEST(evacuationsReachEntries);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -140,6 +141,29 @@
         CPPUNIT_ASSERT(!content.configuration);
         CPPUNIT_ASSERT(!decodeFeedContent(content, {3, documentOf(3, 500, 90)}).value().empty());
     }
+
+    // Guards against entries that learn of the configuration but not of the evacuated domains,
+    // whether they are told of the change or of the whole view.
+    void evacuationsReachEntries()
+    {
+        control::ControlState state;
+        FeedEncoder encoder;
+        accept(state, 10, 3, documentOf(3, 5, 90));
+        encoder.recordView(state.view());
+        const state::FailureDomain zone("zone-a");
+        state.apply({1, 11}, control::SetEvacuation{zone, true, 0, "operator"});
+        const control::EvacuationMark expected{zone, true, 11, "operator"};
+        for (const std::uint64_t known : {std::uint64_t(10), std::uint64_t(0)}) {
+            const auto content = encoder.contentFor(state, {known, known > 0 ? 3U : 0U});
+            const auto pages = decodeFeedContent(content, {3, documentOf(3, 5, 90)});
+            CPPUNIT_ASSERT(pages.has_value());
+            control::ControlView view;
+            for (const control::FeedPage &page : pages.value())
+                view = view.with(page.changes, page.to);
+            CPPUNIT_ASSERT(view.isEvacuated(zone));
+            CPPUNIT_ASSERT(*view.evacuations.find(zone) == expected);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FeedEncoderTest);
