Soak: a scenario that evacuates failure domains under steady calls and streams

Cause: nothing showed with real processes that an evacuation holds at all entries, and that neither calls nor running streams suffer from it.

Change: scenario `evacuation` of scripts/soak. Two domains are evacuated and taken back, each the one with the most running streams. In the first round the first acknowledgement is lost and the order sent again to another control member, and an entry is restarted; in the second the leader is killed right after the acknowledgement. It fails if a request reaches the domain more than 5 s after the acknowledgement, a stream there is broken off, a call fails at an entry that was not restarted, or an endpoint that was in use before is not used again within 5 s.

--- a/soak/Operator.cpp
+++ b/soak/Operator.cpp
@@ -15,7 +15,9 @@
 
 constexpr milliseconds answerTime{1'500};
 constexpr milliseconds betweenTries{100};
+constexpr milliseconds evacuationPatience{5'000}; // operators repeat an order for so long
 constexpr unsigned statusOk = 200;
+constexpr unsigned firstServerError = 500;
 constexpr std::uint64_t changesUntilHeld = 6;
 constexpr std::array<std::size_t, 3> fillerRouteCounts = {0, 200, 1'500};
 
@@ -58,11 +60,11 @@
 }
 
 asio::awaitable<state::Result<protocol::HttpResponse>>
-Operator::call(std::size_t control, const char *method, const char *path, std::string body)
+Operator::call(std::size_t control, const char *method, std::string path, std::string body)
 {
     protocol::HttpRequest request;
     request.method = method;
-    request.target = path;
+    request.target = std::move(path);
     request.body = std::move(body);
     transport::HttpCallLimits limits;
     limits.connectTimeout = milliseconds(300);
@@ -126,6 +128,26 @@
     co_return std::nullopt;
 }
 
+asio::awaitable<bool> Operator::evacuate(std::string failureDomain, bool evacuated,
+                                         std::size_t lostAnswers)
+{
+    const std::string path = "/evacuation/" + failureDomain + (evacuated ? "/begin" : "/finish");
+    const state::Instant limit = program::monotonicNow() + evacuationPatience;
+    std::size_t control = this->random(); // another one after each failure
+    while (program::monotonicNow() < limit) {
+        const auto answer = co_await this->call(control++, "POST", path, "");
+        const bool accepted = answer && answer.value().status == statusOk;
+        if (accepted && lostAnswers == 0)
+            co_return true;
+        lostAnswers -= accepted ? 1 : 0;
+        if (!accepted && answer && answer.value().status < firstServerError)
+            this->ledger.broken(path + " was refused with "
+                                + std::to_string(answer.value().status));
+        co_await transport::pause(betweenTries);
+    }
+    co_return false;
+}
+
 asio::awaitable<void> Operator::readForEver(milliseconds pause)
 {
     while (!this->stopped) {
--- a/soak/Operator.h
+++ b/soak/Operator.h
@@ -35,12 +35,16 @@
     boost::asio::awaitable<void> readForEver(std::chrono::milliseconds pause);
     // The newest version, or nothing if no node is sure within the time.
     boost::asio::awaitable<std::optional<std::uint64_t>> read(std::chrono::milliseconds patience);
+    // Begins or ends the evacuation of a failure domain, trying one control member after another.
+    // That many acknowledgements are lost, and the order is sent again. True once acknowledged.
+    boost::asio::awaitable<bool> evacuate(std::string failureDomain, bool evacuated,
+                                          std::size_t lostAnswers);
     void stop() { this->stopped = true; }
     std::uint64_t lastSent() const { return this->version; }
 
 private:
     boost::asio::awaitable<state::Result<protocol::HttpResponse>>
-    call(std::size_t control, const char *method, const char *path, std::string body);
+    call(std::size_t control, const char *method, std::string path, std::string body);
     std::string document() const;
 
     boost::asio::io_context &context;
--- a/soak/StandIn.cpp
+++ b/soak/StandIn.cpp
@@ -16,7 +16,6 @@
 
 constexpr milliseconds heartbeatInterval{400};
 constexpr milliseconds workTime{15};
-constexpr milliseconds eventTime{20};
 constexpr milliseconds hangTime{4'000};
 constexpr std::uint64_t events = 8; // of every stream
 constexpr double faultShare = 0.4;
@@ -175,7 +174,9 @@
     if (this->strikes(EndpointFault::Crossed))
         answer.headers = {{"Request-Id", "another"}, {"Response-Seal", "seal"}};
     if (this->settings.engine && answer.status == 200) {
-        co_await this->stream(exchange, std::move(answer), requestId);
+        this->settings.streamBegan();
+        const bool whole = co_await this->stream(exchange, std::move(answer), requestId);
+        this->settings.streamEnded(whole);
         co_return;
     }
     if (!this->settings.engine && this->settings.ends(request))
@@ -184,25 +185,26 @@
     co_await exchange.respond(std::move(answer));
 }
 
-asio::awaitable<void> StandIn::stream(transport::HttpExchange &exchange,
+asio::awaitable<bool> StandIn::stream(transport::HttpExchange &exchange,
                                       protocol::HttpResponse head, const std::string &requestId)
 {
     const std::string behind = valueOf(exchange.request(), "Last-Event-Id");
     const std::uint64_t first = behind.empty() ? 1 : std::stoull(behind) + 1;
     co_await exchange.beginStream(std::move(head));
     if (this->settings.ends(exchange.request()))
-        co_return;
+        co_return false;
     for (std::uint64_t event = first; event <= events; ++event) {
-        co_await transport::pause(eventTime);
+        co_await transport::pause(this->settings.eventTime);
         std::string text = expectedEvent(requestId, event);
         const bool breaks = this->strikes(EndpointFault::Breaks);
         if (breaks)
             text.resize(text.size() / 2);
         const auto sent = co_await exchange.write(text);
         if (!sent || breaks)
-            co_return;
+            co_return false;
     }
     co_await exchange.finishStream();
+    co_return true;
 }
 
 } // namespace lavenderthread::soak
--- a/soak/StandIn.h
+++ b/soak/StandIn.h
@@ -45,6 +45,10 @@
     // Called when a request is turned away and the caller is asked for so much rest.
     std::function<void(const protocol::HttpRequest &, std::chrono::milliseconds)> askedForRest =
             [](const auto &, auto) {};
+    std::chrono::milliseconds eventTime{20}; // between the events of a stream
+    // Called when an engine begins a stream, and when it ends: whole, or broken off by either side.
+    std::function<void()> streamBegan = [] {};
+    std::function<void(bool whole)> streamEnded = [](bool) {};
     // Called when an answer says that the endpoint leaves.
     std::function<void(const protocol::HttpRequest &)> saidLeaving = [](const auto &) {};
 };
@@ -74,7 +78,8 @@
     boost::asio::awaitable<void> beat();
     boost::asio::awaitable<void> serve(transport::HttpExchange &exchange);
     boost::asio::awaitable<void> serveOrder(transport::HttpExchange &exchange);
-    boost::asio::awaitable<void> stream(transport::HttpExchange &exchange,
+    // Whether the whole stream was written.
+    boost::asio::awaitable<bool> stream(transport::HttpExchange &exchange,
                                         protocol::HttpResponse head, const std::string &id);
     std::string heartbeat();
     bool strikes(EndpointFault which);
--- a/soak/SteadyCallers.cpp
+++ b/soak/SteadyCallers.cpp
@@ -25,6 +25,7 @@
     : context(context)
     , settings(std::move(chosen))
     , fleet(fleet)
+    , countedAt(fleet.size())
 {
     for (std::size_t index = 0; index < this->fleet.size(); ++index) {
         CallerSettings caller;
@@ -58,6 +59,8 @@
     const bool served = co_await this->people[entry]->callAt(this->fleet.callers(entry), path);
     ++this->counted.sent;
     this->counted.served += served ? 1 : 0;
+    ++this->countedAt[entry].sent;
+    this->countedAt[entry].served += served ? 1 : 0;
 }
 
 asio::awaitable<CallCount> SteadyCallers::count(milliseconds time)
--- a/soak/SteadyCallers.h
+++ b/soak/SteadyCallers.h
@@ -38,6 +38,8 @@
     void stop() { this->stopped = true; }
     // Lets that much time pass and returns what the calls that ended in it brought.
     boost::asio::awaitable<CallCount> count(std::chrono::milliseconds time);
+    // Of the calls at that entry since the start that have ended.
+    CallCount countOf(std::size_t entry) const { return this->countedAt[entry]; }
     // The index of the process that a request was sent to: request ids begin with it.
     static std::size_t entryOf(const protocol::HttpRequest &request);
 
@@ -50,6 +52,7 @@
     Fleet &fleet;
     std::vector<std::unique_ptr<Caller>> people; // one for each process
     CallCount counted;
+    std::vector<CallCount> countedAt; // by process, since the start
     bool stopped = false;
 };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,10 +1,11 @@
 // Runs one seed: a small fleet of real processes, endpoints, callers and an operator, faults for so
 // many seconds, then a calm end in which everything has to work again.
-// With --path-loss, --control-loss, --endpoint-limits, --endpoint-rest, --crashing-prompt or
-// --crashing-call, plays that scenario in place of the faults. usage: fault-soak --binary PATH
+// With --path-loss, --control-loss, --endpoint-limits, --endpoint-rest, --evacuation,
+// --crashing-prompt or --crashing-call, plays that scenario in place of the faults. usage:
+// fault-soak --binary PATH
 // --folder PATH [--seed N] [--seconds N]
 //                   [--path-loss hang|reset] [--control-loss freeze|kill] [--endpoint-limits]
-//                   [--endpoint-rest] [--crashing-prompt second|first|two|none]
+//                   [--endpoint-rest] [--evacuation] [--crashing-prompt second|first|two|none]
 //                   [--crashing-call target|body|once|none]
 #include "Callers.h"
 #include "ControlLoss.h"
@@ -12,6 +13,7 @@
 #include "CrashingPrompt.h"
 #include "EndpointLimits.h"
 #include "EndpointRest.h"
+#include "Evacuation.h"
 #include "Faults.h"
 #include "Operator.h"
 #include "PathLoss.h"
@@ -46,13 +48,14 @@
     std::string controlLoss; // how control members stop running; empty: not played
     bool endpointLimits = false;
     bool endpointRest = false;
+    bool evacuation = false;
     std::string crashingPrompt; // where the part is that ends engines; empty: not played
     std::string crashingCall;   // how calls are alike that end replicas; empty: not played
 
     bool playsScenario() const
     {
         return !this->pathLoss.empty() || !this->controlLoss.empty() || this->endpointLimits
-               || this->endpointRest || !this->crashingPrompt.empty()
+               || this->endpointRest || this->evacuation || !this->crashingPrompt.empty()
                || !this->crashingCall.empty();
     }
 };
@@ -66,6 +69,8 @@
 constexpr std::size_t engines = 4;
 constexpr std::size_t enginesForCrashes = 12;
 constexpr std::size_t replicas = 3;
+// Streams of the evacuation take over a second, so that some run when it begins.
+constexpr milliseconds eventTimeForEvacuation{150};
 constexpr milliseconds callPause{40};
 constexpr milliseconds changePause{400};
 constexpr milliseconds readPause{150};
@@ -138,6 +143,11 @@
         return {"127.78." + std::to_string(network) + "." + std::to_string(index + 1), this->port};
     }
 
+    static std::string failureDomainOf(std::size_t endpoint)
+    {
+        return "domain-" + std::to_string(endpoint % 3);
+    }
+
     void addProxy(const state::Address &listen, const state::Address &target)
     {
         this->proxies.push_back(std::make_unique<Proxy>(this->context, listen, target));
@@ -163,7 +173,17 @@
                 if (this->rests)
                     this->rests->saidLeaving(index, request);
             };
+            settings.streamBegan = [this, index] {
+                if (this->evacuation)
+                    this->evacuation->streamBegan(index);
+            };
+            settings.streamEnded = [this, index](bool whole) {
+                if (this->evacuation)
+                    this->evacuation->streamEnded(index, whole);
+            };
             settings.arrived = [this, index](const protocol::HttpRequest &request) {
+                if (this->evacuation)
+                    this->evacuation->requestArrived(index);
                 if (this->rests)
                     this->rests->requestArrived(index, request);
                 if (this->crashes)
@@ -180,8 +200,10 @@
             settings.listen = this->at(2, index);
             settings.announced = this->at(3, index);
             settings.controls = this->fleet.allOperators();
-            settings.failureDomain = "domain-" + std::to_string(index % 3);
+            settings.failureDomain = failureDomainOf(index);
             settings.seed = seed * 100 + index;
+            if (this->options.evacuation)
+                settings.eventTime = eventTimeForEvacuation;
             this->addProxy(settings.announced, settings.listen);
             this->endpoints.push_back(
                     std::make_shared<StandIn>(this->context, settings, this->ledger));
@@ -223,6 +245,8 @@
             co_await this->playEndpointLimits();
         else if (this->options.endpointRest)
             co_await this->playEndpointRest();
+        else if (this->options.evacuation)
+            co_await this->playEvacuation();
         else if (!this->options.crashingPrompt.empty())
             co_await this->playCrashingPrompt();
         else if (!this->options.crashingCall.empty())
@@ -332,6 +356,20 @@
         co_await this->rests->play();
     }
 
+    asio::awaitable<void> playEvacuation()
+    {
+        const bool started = co_await this->startFleet();
+        if (!started)
+            co_return;
+        Evacuation::Settings settings;
+        settings.seed = this->options.seed;
+        for (std::size_t index = 0; index < this->endpoints.size(); ++index)
+            settings.failureDomains.push_back(failureDomainOf(index));
+        this->evacuation = std::make_unique<Evacuation>(this->context, settings, this->fleet,
+                                                        this->operators, this->ledger);
+        co_await this->evacuation->play();
+    }
+
     // Starts all processes and sends the first configuration.
     asio::awaitable<bool> startFleet()
     {
@@ -439,6 +477,7 @@
     std::unique_ptr<CrashingCall> callCrashes;
     std::unique_ptr<EndpointLimits> limits; // calls may outlast the scenario
     std::unique_ptr<EndpointRest> rests;
+    std::unique_ptr<Evacuation> evacuation;
     Operator operators;
     std::uint16_t port;
 };
@@ -463,6 +502,8 @@
     app.add_flag("--endpoint-limits", options.endpointLimits, "Endpoints name request limits");
     app.add_flag("--endpoint-rest", options.endpointRest,
                  "Endpoints turn requests away for a while");
+    app.add_flag("--evacuation", options.evacuation,
+                 "Failure domains are evacuated and taken back");
     app.add_option("--crashing-prompt", options.crashingPrompt,
                    "Prompts with a certain part end engines; which part: second, first, two, none")
             ->check(CLI::IsMember({"second", "first", "two", "none"}));
