--- a/src/program/Entry.cpp
+++ b/src/program/Entry.cpp
@@ -286,7 +286,8 @@
                              {"kind", engine ? "engine" : "plain-service"},
                              {"failure_domain", endpoint.description.failureDomain.value()},
                              {"incarnation", endpoint.description.incarnation},
-                             {"draining", endpoint.draining}});
+                             {"draining", endpoint.draining},
+                             {"evacuated", endpoint.evacuated}});
     }
     return jsonResponse(200, {{"vm", this->settings.vm.value()},
                               {"failure_domain", this->settings.failureDomain.value()},
