Routing: long prompts use the engines for short ones while all of their own drain

Cause: on engines without a profile, a long prompt waited for the engines that are kept for long ones also when all of them were evacuated or drained, until it was refused, with other domains idle.

Change: Fleet::choose takes any engine if every engine of the group drains. One whose memory is full is waited for as before.

Measured: EvacuationMoveTest::longPromptUsesWhicheverDomainIsLeft failed before and passes.

--- a/src/coordination/routing/Fleet.cpp
+++ b/src/coordination/routing/Fleet.cpp
@@ -178,7 +178,12 @@
     if (isShort && (!choice || choice->prediction.prefillSecondsAhead > ownGroupMaxWaitSeconds))
         return this->cheapest(set, query, eligible);
     // Longer prompts use the engines for short ones only if their own group has no engine left.
-    if (!choice && ownGroup.empty() && query.ignoreQueueLimit)
+    bool groupDrains = true; // an engine of the group without memory is waited for
+    for (std::size_t index = 0; index < set.views.size(); ++index) {
+        const bool isOwn = isShort != (set.rank[index] < longCount);
+        groupDrains = groupDrains && (!isOwn || set.views[index]->draining);
+    }
+    if (!choice && ownGroup.empty() && (query.ignoreQueueLimit || groupDrains))
         return this->cheapest(set, query, eligible);
     return choice;
 }
--- a/tests/coordination/admission/EvacuationMoveTest.cpp
+++ b/tests/coordination/admission/EvacuationMoveTest.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(promptThatWasNotSentUsesUpNoAttempt);
     CPPUNIT_TEST(engineThatRestartsDuringEvacuationGetsNothing);
     CPPUNIT_TEST(waitingPromptSurvivesEvacuationOfAllDomains);
+    CPPUNIT_TEST(longPromptUsesWhicheverDomainIsLeft);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -202,6 +203,22 @@
         grantAll(entry);
     }
 
+    // Guards against long prompts that wait until they are refused because all engines that are
+    // kept for them are evacuated, while others are idle.
+    void longPromptUsesWhicheverDomainIsLeft()
+    {
+        for (std::size_t left = 0; left < domains; ++left) {
+            DispatcherFixture entry(domains);
+            for (std::size_t domain = 0; domain < domains; ++domain) {
+                if (domain != left)
+                    entry.handle(domainEvacuated(domain, domains));
+            }
+            entry.handle(RequestArrived{entry.request("long", 150'000)});
+            CPPUNIT_ASSERT(entry.onlyAction<Dispatch>().engine
+                           == DispatcherFixture::engine(left).id);
+        }
+    }
+
 private:
     static std::size_t domainOf(const state::EndpointId &engine)
     {
