--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -16,6 +16,8 @@
     if (restarted)
         this->on(EngineGone{event.description.id});
     this->engines.announce(event.description, event.profile);
+    if (event.draining)
+        this->engines.find(event.description.id)->draining = true;
     if (isNew)
         this->earlyWork.applyTo(*this->engines.find(event.description.id), this->now);
     this->placeWaiting();
@@ -44,8 +46,17 @@
 {
     if (routing::EngineView *view = this->engines.find(event.engine))
         view->draining = event.draining;
-    if (event.evacuated)
-        this->moveReservations(event.engine);
+    this->placeWaiting();
+}
+
+void Dispatcher::on(const EnginesEvacuated &event)
+{
+    for (const state::EndpointId &engine : event.engines) {
+        if (routing::EngineView *view = this->engines.find(engine))
+            view->draining = true;
+    }
+    for (const state::EndpointId &engine : event.engines)
+        this->moveReservations(engine);
     this->placeWaiting();
 }
 
@@ -58,8 +69,11 @@
             waiting.push_back(id);
     }
     std::ranges::sort(waiting); // makes the order reproducible
-    for (const state::RequestId &id : waiting)
-        this->handleAttemptLoss(this->activeRequests.at(id), engine, true, false);
+    for (const state::RequestId &id : waiting) {
+        ActiveRequest &active = this->activeRequests.at(id);
+        ++active.moves;
+        this->handleAttemptLoss(active, engine, true, false);
+    }
 }
 
 void Dispatcher::on(const EngineSuspected &event)
@@ -177,6 +191,7 @@
     // The attempt is the current one, so the engine has not been announced again since.
     if (routing::EngineView *view = this->engines.find(engine); view != nullptr && event.replaced)
         view->ended = true;
+    active->moves += event.withheld ? 1 : 0;
     this->handleAttemptLoss(*active, engine, event.didNotRun, false, event.replaced);
     this->placeWaiting();
 }
@@ -203,13 +218,15 @@
 {
     // A lost attempt takes a number when it is lost, and another one when it is placed again.
     constexpr std::uint32_t numbersPerLoss = 2;
-    return active.attempt - std::min(active.attempt, active.endedIncarnations * numbersPerLoss);
+    const std::uint32_t uncounted = numbersPerLoss * (active.endedIncarnations + active.moves);
+    return active.attempt - std::min(active.attempt, uncounted);
 }
 
 // A request with its own limit may run on that many engines. Engines that refuse it don't count
-// towards the limit, but only a few more attempts are made because of them. Ended incarnations
-// count toward neither: when a failure domain restarts, a request may meet several of them within
-// milliseconds. Their own limit only ends a request that would never find another engine.
+// towards the limit, but only a few more attempts are made because of them. An engine that the
+// request left without having been sent there counts towards neither. Nor do ended incarnations:
+// when a failure domain restarts, a request may meet several of them within milliseconds. Their own
+// limit only ends a request that would never find another engine.
 bool Dispatcher::isExhausted(const ActiveRequest &active) const
 {
     constexpr std::uint32_t extraAttempts = 3; // failed connections and refusals
@@ -219,7 +236,8 @@
     const std::uint32_t attempts = active.request.attemptLimit;
     if (attempts == 0)
         return countedAttempts(active) >= this->policy.attemptsLimit;
-    return active.runs >= attempts || active.failedEngines.size() >= attempts + extraAttempts;
+    return active.runs >= attempts
+           || active.failedEngines.size() >= attempts + extraAttempts + active.moves;
 }
 
 void Dispatcher::handleAttemptLoss(ActiveRequest &active, const state::EndpointId &engine,
--- a/src/coordination/admission/Events.h
+++ b/src/coordination/admission/Events.h
@@ -32,6 +32,8 @@
 {
     state::EndpointDescription description;
     std::optional<state::routes::EngineProfile> profile; // if it works in declared passes
+    // It gets no new work from the start. False changes nothing for an engine that is known.
+    bool draining = false;
 };
 
 // Attempts on the engine fail, or succeed again. While suspected it gets no new work; work that
@@ -86,8 +88,14 @@
 {
     state::EndpointId engine;
     bool draining = true;
-    // Operators want nothing more sent there: memory that is being reserved there is given back.
-    bool evacuated = false;
+};
+
+// Operators want nothing more sent to these engines: besides draining, memory that is being
+// reserved there is given back. All engines are named at once, so that what leaves one of them is
+// not placed on the next.
+struct EnginesEvacuated
+{
+    std::vector<state::EndpointId> engines;
 };
 
 struct LoadReported
@@ -135,6 +143,8 @@
     bool didNotRun = false;
     bool neverSent = false; // no byte of the request has reached the engine
     bool replaced = false;  // another endpoint has answered: this incarnation has ended
+    // Never sent, because this entry may send the engine nothing any more: uses up no attempt.
+    bool withheld = false;
 };
 
 // The engine has sent nothing for long, but its stream is still open: may the request move to
@@ -197,11 +207,12 @@
 struct Tick
 {};
 
-using Event = std::variant<RequestArrived, CallerCancelled, EngineAnnounced, EngineGone,
-                           EngineDraining, EngineSuspected, EngineEnded, EngineLimited, EngineRests,
-                           EngineFull, LoadReported, CacheReported, SlicePrefilled, TokensReceived,
-                           RequestFinished, AttemptFailed, MoveRequested, ReservationAnswered,
-                           TableChanged, PeerWorkReceived, PeerJoined, PeerBacklogReceived, Tick>;
+using Event =
+        std::variant<RequestArrived, CallerCancelled, EngineAnnounced, EngineGone, EngineDraining,
+                     EnginesEvacuated, EngineSuspected, EngineEnded, EngineLimited, EngineRests,
+                     EngineFull, LoadReported, CacheReported, SlicePrefilled, TokensReceived,
+                     RequestFinished, AttemptFailed, MoveRequested, ReservationAnswered,
+                     TableChanged, PeerWorkReceived, PeerJoined, PeerBacklogReceived, Tick>;
 
 // Whether the request ran; No only if that is certain.
 enum class Ran : std::uint8_t { No, Unknown };
