Cold endpoints: cold times are decoded, spread with endpoints' records and kept in the table

Cause: entries don't learn that an endpoint is cold, nor which rate its service accepts then.

The entry that receives the heartbeat adds a mark to the endpoint's record when the endpoint becomes cold, not while its time counts down. The mark is merged by itself, goes over the broadcast tree and carries the time that is left at its sender, so that members that join later don't count all of it. RegisteredEndpoint::coldUntil follows it, or the end of an evacuation. The version of messages between processes is 6. Nothing reads coldUntil yet.

--- a/src/coordination/endpoints/EndpointLifecycle.cpp
+++ b/src/coordination/endpoints/EndpointLifecycle.cpp
@@ -31,6 +31,24 @@
     return next;
 }
 
+// A renewal that was delayed names an outdated, longer time than is left.
+constexpr state::Duration coldTolerance = std::chrono::milliseconds(200);
+
+// The mark of an endpoint that has become cold; nothing if it is warm or its countdown goes on.
+std::optional<ColdMark> newColdMark(const EndpointEntry *entry,
+                                    const state::EndpointDescription &description,
+                                    state::Duration coldLeft, state::Instant now)
+{
+    const ColdMark known = entry == nullptr ? ColdMark{} : entry->record.cold;
+    const bool isKnown = known.incarnation == description.incarnation;
+    if (coldLeft <= state::Duration::zero() || known.incarnation > description.incarnation
+        || (isKnown && now + coldLeft <= entry->coldUntil + coldTolerance))
+        return std::nullopt;
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(coldLeft);
+    return ColdMark{description.incarnation, isKnown ? known.sequence + 1 : 1,
+                    std::uint32_t(left.count())};
+}
+
 bool isLiveMember(const state::VmId &id, const membership::MemberTable &members)
 {
     const membership::MemberEntry *entry = members.find(id);
@@ -66,7 +84,8 @@
 
 state::Result<std::optional<EndpointRecord>>
 EndpointLifecycle::announce(const state::EndpointDescription &description,
-                            const EndpointContext &context, state::Instant now)
+                            const EndpointContext &context, state::Instant now,
+                            std::optional<state::Duration> coldLeft)
 {
     const auto fail = [&](state::ErrorCode code, const char *cause) {
         return state::makeError(code, "endpoint.announce", cause, description.id.value());
@@ -83,6 +102,7 @@
     if (!restarted && known.phase == EndpointPhase::Left)
         return fail(state::ErrorCode::Conflict, "this incarnation has left");
     const bool changed = restarted || !known.description || *known.description != description;
+    const auto cold = newColdMark(entry, description, coldLeft.value_or(state::Duration(0)), now);
     if (changed
         && wireBytes(withDescription(known, description, EndpointPhase::Live, this->self))
                    > maximumRecordBytes)
@@ -90,9 +110,22 @@
 
     this->renew(description, now);
     this->damping.observe(description.id, description.incarnation, now);
-    if (changed)
-        return std::optional(withDescription(known, description,
-                                             this->livePhase(description.id, now), this->self));
+    std::optional<EndpointRecord> next = this->announcedRecord(known, description, context, now);
+    if (cold) {
+        next = next.value_or(known);
+        next->cold = *cold;
+    }
+    return next;
+}
+
+std::optional<EndpointRecord>
+EndpointLifecycle::announcedRecord(const EndpointRecord &known,
+                                   const state::EndpointDescription &description,
+                                   const EndpointContext &context, state::Instant now)
+{
+    if (!known.description || *known.description != description)
+        return withDescription(known, description, this->livePhase(description.id, now),
+                               this->self);
     return this->updateForRenewal(known, this->renewals.at(description.id), context, now);
 }
 
--- a/src/coordination/endpoints/EndpointLifecycle.h
+++ b/src/coordination/endpoints/EndpointLifecycle.h
@@ -41,12 +41,12 @@
     static state::Result<EndpointLifecycle> create(const EndpointLifecycleSettings &settings,
                                                    state::VmId self, state::Instant now);
 
-    // Handles a first announcement or a renewal. Returns the record to publish if something
-    // changed. Errors, step "endpoint.announce": InvalidArgument; Conflict for an incarnation that
-    // is old or has deregistered.
+    // Handles a first announcement or a renewal. `coldLeft`: how long the endpoint stays cold, if
+    // it is. Returns the record to publish if something changed. Errors, step "endpoint.announce":
+    // InvalidArgument; Conflict for an incarnation that is old or has deregistered.
     state::Result<std::optional<EndpointRecord>>
     announce(const state::EndpointDescription &description, const EndpointContext &context,
-             state::Instant now);
+             state::Instant now, std::optional<state::Duration> coldLeft = {});
     // Deregisters the endpoint; returns the record to publish unless it had left already. Errors,
     // step "endpoint.leave": NotFound; Conflict if `incarnation` is not the known one.
     state::Result<std::optional<EndpointRecord>> leave(const state::EndpointId &endpoint,
@@ -74,6 +74,11 @@
         , damping(chosen.damping)
     {}
 
+    // The record to publish without regard to cold times.
+    std::optional<EndpointRecord> announcedRecord(const EndpointRecord &known,
+                                                  const state::EndpointDescription &description,
+                                                  const EndpointContext &context,
+                                                  state::Instant now);
     void renew(const state::EndpointDescription &description, state::Instant now);
     EndpointPhase livePhase(const state::EndpointId &endpoint, state::Instant now);
     bool shouldTakeOver(const EndpointRecord &known, const EndpointContext &context,
--- a/src/coordination/endpoints/EndpointRecord.cpp
+++ b/src/coordination/endpoints/EndpointRecord.cpp
@@ -11,7 +11,8 @@
 namespace {
 
 constexpr std::size_t stringOverheadBytes = 1;
-constexpr std::size_t fixedRecordBytes = 44;
+constexpr std::size_t fixedRecordBytes = 45;
+constexpr std::size_t coldMarkBytes = 16;
 constexpr std::size_t fixedDescriptionBytes = 32;
 
 // Left is compared before the version. An endpoint whose acknowledgements are lost announces itself
@@ -49,7 +50,8 @@
             this->description == other.description
             || (this->description && other.description && *this->description == *other.description);
     return sameDescription && this->id == other.id && lifecycleOrder(*this) == lifecycleOrder(other)
-           && this->descriptionVersion == other.descriptionVersion && this->drain == other.drain;
+           && this->descriptionVersion == other.descriptionVersion && this->drain == other.drain
+           && this->cold == other.cold;
 }
 
 bool stopsNewWork(const EndpointRecord &record)
@@ -80,27 +82,37 @@
         result.record.drain = update.drain;
         result.changed = true;
     }
-    result.updateIsOlder =
-            hasNewerLifecycle(known, update) || known.drain.position > update.drain.position;
+    if (update.cold.isNewerThan(known.cold)) {
+        result.record.cold = update.cold;
+        result.coldChanged = true;
+        result.changed = true;
+    }
+    result.updateIsOlder = hasNewerLifecycle(known, update)
+                           || known.drain.position > update.drain.position
+                           || known.cold.isNewerThan(update.cold);
     return result;
 }
 
 std::uint64_t fingerprint(const EndpointRecord &record)
 {
-    const std::array<std::uint64_t, 6> parts{
+    const std::array<std::uint64_t, 8> parts{
             XXH64(record.id.value().data(), record.id.value().size(), 1),
             record.incarnation,
             (std::uint64_t{record.version} << 32U) | record.descriptionVersion,
             XXH64(record.home.value().data(), record.home.value().size(),
                   static_cast<std::uint64_t>(record.phase)),
             record.drain.position.term,
-            record.drain.position.index};
+            record.drain.position.index,
+            record.cold.incarnation,
+            record.cold.sequence};
     return XXH64(parts.data(), sizeof(parts), 0);
 }
 
 std::size_t wireBytes(const EndpointRecord &record)
 {
     std::size_t bytes = fixedRecordBytes + record.id.value().size() + record.home.value().size();
+    if (record.cold.incarnation != 0)
+        bytes += coldMarkBytes;
     if (!record.description)
         return bytes;
     const state::EndpointDescription &description = *record.description;
--- a/src/coordination/endpoints/EndpointRecord.h
+++ b/src/coordination/endpoints/EndpointRecord.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <memory>
 #include <string_view>
+#include <utility>
 
 namespace lavenderthread::coordination::endpoints {
 
@@ -45,8 +46,28 @@
     auto operator<=>(const DrainMark &) const = default;
 };
 
-// Immutable. The lifecycle part (all but `id` and `drain`) is written by the endpoint's home entry
-// node, or by its owner when the home is gone; the drain part follows the replicated log.
+// That an endpoint became cold. Each entry counts the time that is left from its own receipt and
+// sends on what is left then, so that a member that joins later doesn't count all of it again.
+struct ColdMark
+{
+    // A longer time is a mistake of the endpoint.
+    static constexpr std::uint32_t longestMs = 3'600'000;
+
+    std::uint64_t incarnation = 0; // of the endpoint; 0: never cold
+    std::uint32_t sequence = 0;    // incremented each time that this incarnation becomes cold
+    std::uint32_t leftMs = 0;      // at the sender
+
+    bool isNewerThan(const ColdMark &other) const
+    {
+        return std::pair(this->incarnation, this->sequence)
+               > std::pair(other.incarnation, other.sequence);
+    }
+    auto operator<=>(const ColdMark &) const = default;
+};
+
+// Immutable. The lifecycle part (all but `id`, `drain` and `cold`) is written by the endpoint's
+// home entry node, or by its owner when the home is gone; the drain part follows the replicated
+// log. The cold part is written by any entry that receives a renewal which says so.
 struct EndpointRecord
 {
     state::EndpointId id;
@@ -59,6 +80,7 @@
     // Null in the short form, which carries only a change of phase, home or drain mark. Shared, so
     // that all published views hold the same copy.
     std::shared_ptr<const state::EndpointDescription> description;
+    ColdMark cold; // without effect unless it is of this incarnation
 
     bool isUsable() const;                         // may get new work
     bool operator==(const EndpointRecord &) const; // descriptions by value
@@ -76,6 +98,7 @@
     bool changed = false;
     bool updateIsOlder = false; // the sender should be sent `known`
     bool descriptionChanged = false;
+    bool coldChanged = false; // the endpoint became cold
 };
 
 // A short-form `update` is applied only to the description version that it was made from; otherwise
--- a/src/coordination/endpoints/EndpointTable.cpp
+++ b/src/coordination/endpoints/EndpointTable.cpp
@@ -3,6 +3,8 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace lavenderthread::coordination::endpoints {
 
 namespace {
@@ -12,8 +14,21 @@
     return record.phase == EndpointPhase::Left || record.phase == EndpointPhase::Expired;
 }
 
+state::Instant coldUntil(const ColdMark &mark, state::Instant now)
+{
+    return mark.incarnation == 0 ? state::Instant{} : now + std::chrono::milliseconds(mark.leftMs);
+}
+
 } // namespace
 
+ColdMark EndpointEntry::coldMarkAt(state::Instant now) const
+{
+    ColdMark mark = this->record.cold;
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(this->coldUntil - now);
+    mark.leftMs = std::uint32_t(std::clamp<std::int64_t>(left.count(), 0, mark.leftMs));
+    return mark;
+}
+
 std::uint64_t endpointKey(const state::EndpointId &id)
 {
     constexpr std::uint64_t endpointSeed = 2;
@@ -34,14 +49,18 @@
             return MergeResult{update};
         EndpointRecord first = update;
         if (!first.description && !isDeregistration)
-            first = EndpointRecord{update.id,    0, 0, 0, EndpointPhase::Expired, {},
-                                   update.drain, {}};
+            first = EndpointRecord{update.id,    0,  0, 0, EndpointPhase::Expired, {},
+                                   update.drain, {}, {}};
         this->records.emplace(update.id, EndpointEntry{first, endpointKey(update.id),
-                                                       endpoints::fingerprint(first), now});
-        return MergeResult{first, true, false, first.description != nullptr};
+                                                       endpoints::fingerprint(first), now,
+                                                       coldUntil(first.cold, now)});
+        return MergeResult{first, true, false, first.description != nullptr,
+                           first.cold.incarnation != 0};
     }
     MergeResult merged = merge(found->second.record, update);
     if (merged.changed) {
+        if (merged.coldChanged)
+            found->second.coldUntil = coldUntil(merged.record.cold, now);
         found->second.record = merged.record;
         found->second.fingerprint = endpoints::fingerprint(merged.record);
         found->second.changedAt = now;
--- a/src/coordination/endpoints/EndpointTable.h
+++ b/src/coordination/endpoints/EndpointTable.h
@@ -15,6 +15,16 @@
     std::uint64_t key = 0;         // identifies the record in the full-state exchange
     std::uint64_t fingerprint = 0; // of `record`; cached so that digests need no hashing
     state::Instant changedAt;
+    state::Instant coldUntil{}; // of record.cold, counted from its receipt
+
+    // Instant{} if the present incarnation has not been cold.
+    state::Instant presentColdUntil() const
+    {
+        const bool isPresent = this->record.cold.incarnation == this->record.incarnation;
+        return isPresent ? this->coldUntil : state::Instant{};
+    }
+    // The cold mark with the time that is left now.
+    ColdMark coldMarkAt(state::Instant now) const;
 };
 
 std::uint64_t endpointKey(const state::EndpointId &id);
--- a/src/coordination/membership/EndpointStarts.cpp
+++ b/src/coordination/membership/EndpointStarts.cpp
@@ -1,4 +1,5 @@
-// The part of Membership that tells all members quickly that an endpoint has started.
+// The part of Membership that tells all members quickly that an endpoint has started or
+// become cold.
 //
 // While half of a service was replaced, gossip rounds took 19 s to tell the last of 126 members
 // about the new endpoints. While a failure domain started again, records of killed entries and of
@@ -80,6 +81,7 @@
     ++part.sends;
     GossipMessage message = this->makeMessage(GossipKind::Broadcast);
     message.endpointRecords = part.records;
+    this->updateColdTimes(message, now);
     message.keys = {part.range.first, part.range.last};
     message.sequence = this->broadcastTracker.track(std::move(part), now);
     this->endpointStartBudget.spend(wireBytes(message) + sealAndHeaderBytes);
--- a/src/coordination/membership/Membership.cpp
+++ b/src/coordination/membership/Membership.cpp
@@ -326,7 +326,7 @@
     this->news.add({NewsSubject::Endpoint, record.id.value()}, form,
                    urgencyOf(inForm(merged.record, form)));
     const endpoints::EndpointRecord news = inForm(merged.record, form);
-    if (urgencyOf(news) == NewsUrgency::EndpointStart)
+    if (urgencyOf(news) == NewsUrgency::EndpointStart || merged.coldChanged)
         this->broadcast({news}, {}, actions, now);
     else if (full || stopsNewWork(merged.record))
         this->pushEagerly({news}, this->settings.eagerPushFanout, actions, now);
@@ -413,6 +413,7 @@
     if (isNews || this->budget.left(now) > 0) {
         this->news.fill(message, this->remainingBytes(message), this->newsLimits(),
                         this->memberTable, this->endpointRecords, leastUrgent);
+        this->updateColdTimes(message, now);
         // Statuses don't go with News datagrams but with probes, whose rate is fixed; else they
         // would use up the budget just when there is much news to send.
         const std::size_t wanted = this->news.empty() ? this->settings.statusesPerDatagram
@@ -425,6 +426,15 @@
     this->sendPlain(actions, to, std::move(message));
 }
 
+void Membership::updateColdTimes(GossipMessage &message, state::Instant now) const
+{
+    for (endpoints::EndpointRecord &record : message.endpointRecords) {
+        const endpoints::EndpointEntry *known = this->endpointRecords.find(record.id);
+        if (known != nullptr && !record.cold.isNewerThan(known->record.cold))
+            record.cold = known->coldMarkAt(now);
+    }
+}
+
 void Membership::sendPlain(GossipActions &actions, const state::Address &to, GossipMessage message)
 {
     const std::size_t bytes = wireBytes(message) + sealAndHeaderBytes;
@@ -446,6 +456,7 @@
         GossipMessage message = this->makeMessage(GossipKind::Records);
         message.members = part.members;
         message.endpointRecords = part.endpointRecords;
+        this->updateColdTimes(message, now);
         this->sendPlain(actions, to, std::move(message));
     }
 }
--- a/src/coordination/membership/Membership.h
+++ b/src/coordination/membership/Membership.h
@@ -179,6 +179,8 @@
     // gets news and statuses only while the byte budget is above zero.
     void sendWithPiggyback(GossipActions &actions, const state::Address &to, GossipMessage message,
                            state::Instant now, NewsUrgency leastUrgent = NewsUrgency::Ordinary);
+    // Sets the cold times in the message to what is left of them now.
+    void updateColdTimes(GossipMessage &message, state::Instant now) const;
     // Sends the message as it is.
     void sendPlain(GossipActions &actions, const state::Address &to, GossipMessage message);
     void sendRecords(GossipActions &actions, const state::Address &to,
--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -190,10 +190,10 @@
 }
 
 asio::awaitable<state::Result<AnnounceAnswer>>
-Cluster::announce(state::EndpointDescription endpoint)
+Cluster::announce(state::EndpointDescription endpoint, std::optional<state::Duration> coldLeft)
 {
     if (!this->membership) {
-        const auto accepted = this->registry->announce(endpoint, monotonicNow());
+        const auto accepted = this->registry->announce(endpoint, monotonicNow(), coldLeft);
         if (!accepted)
             co_return accepted.error();
         this->hooks.endpointsChanged();
@@ -202,8 +202,9 @@
         co_return alone;
     }
     std::function<void(MembershipService::AnnounceHandler)> start =
-            [service = this->membership, endpoint](MembershipService::AnnounceHandler done) {
-                service->announce(endpoint, std::move(done));
+            [service = this->membership, endpoint,
+             coldLeft](MembershipService::AnnounceHandler done) {
+                service->announce(endpoint, std::move(done), coldLeft);
             };
     co_return co_await transport::awaitCallback<state::Result<AnnounceAnswer>>(std::move(start));
 }
@@ -333,7 +334,7 @@
 
 void Cluster::setEvacuated(std::set<state::FailureDomain> failureDomains)
 {
-    if (this->registry->setEvacuated(std::move(failureDomains)))
+    if (this->registry->setEvacuated(std::move(failureDomains), monotonicNow()))
         this->hooks.endpointsChanged();
 }
 
@@ -397,7 +398,9 @@
         if (record.description == nullptr || ((left || expired) && !this->settings.relay.listen))
             continue;
         const bool draining = left || (!expired && !record.isUsable());
-        table.endpoints[record.id] = RegisteredEndpoint{*record.description, draining, expired};
+        RegisteredEndpoint known{*record.description, draining, expired};
+        known.coldUntil = endpoint.coldUntil;
+        table.endpoints[record.id] = std::move(known);
     }
     removeReplacedEndpoints(table);
     if (this->registry->assign(std::move(table)))
--- a/src/program/Cluster.h
+++ b/src/program/Cluster.h
@@ -60,7 +60,7 @@
 
     DirectoryAnswer directory(const state::ClientAccountId &account) const;
     boost::asio::awaitable<state::Result<AnnounceAnswer>>
-    announce(state::EndpointDescription endpoint);
+    announce(state::EndpointDescription endpoint, std::optional<state::Duration> coldLeft = {});
     void leave(const state::EndpointId &endpoint, std::uint64_t incarnation);
     // Complete when the deregistration is acknowledged; see MembershipService::leave. Errors as
     // EndpointLifecycle::leave.
--- a/src/program/EndpointRegistry.cpp
+++ b/src/program/EndpointRegistry.cpp
@@ -2,6 +2,8 @@
 // see has changed: a renewal alone copies nothing.
 #include "program/EndpointRegistry.h"
 
+#include <algorithm>
+
 namespace lavenderthread::program {
 
 const RegisteredEndpoint *EndpointTable::find(const state::EndpointId &id,
@@ -37,7 +39,8 @@
 {}
 
 state::Result<void> EndpointRegistry::announce(const state::EndpointDescription &endpoint,
-                                               state::Instant now)
+                                               state::Instant now,
+                                               std::optional<state::Duration> coldLeft)
 {
     const std::lock_guard lock(this->writeMutex);
     const auto known = this->current.endpoints.find(endpoint.id);
@@ -46,13 +49,21 @@
             return state::makeError(state::ErrorCode::Conflict, "endpoint.announce",
                                     "a newer incarnation is known", endpoint.id.value());
         this->lastRenewal[endpoint.id] = now;
-        if (known->second.description == endpoint)
+        const bool restarted = known->second.description.incarnation != endpoint.incarnation;
+        const state::Instant coldBefore = restarted ? state::Instant{} : known->second.coldUntil;
+        const state::Instant coldUntil =
+                coldLeft ? std::max(coldBefore, now + *coldLeft) : coldBefore;
+        if (known->second.description == endpoint && known->second.coldUntil == coldUntil)
             return state::outcome::success();
         // A restart does not end the drain of the previous incarnation; only an operator does.
         known->second.description = endpoint;
+        known->second.coldUntil = coldUntil;
     } else {
         this->lastRenewal[endpoint.id] = now;
-        this->current.endpoints[endpoint.id] = RegisteredEndpoint{endpoint, false};
+        RegisteredEndpoint first{endpoint, false};
+        if (coldLeft)
+            first.coldUntil = now + *coldLeft;
+        this->current.endpoints[endpoint.id] = std::move(first);
     }
     this->publish();
     return state::outcome::success();
@@ -93,9 +104,11 @@
     return true;
 }
 
-bool EndpointRegistry::setEvacuated(std::set<state::FailureDomain> failureDomains)
+bool EndpointRegistry::setEvacuated(std::set<state::FailureDomain> failureDomains,
+                                    state::Instant now)
 {
     const std::lock_guard lock(this->writeMutex);
+    this->recordRejoined(failureDomains, now);
     this->evacuated = std::move(failureDomains);
     EndpointTable next = this->withEvacuations(this->current);
     if (*this->published.read() == next)
@@ -104,8 +117,33 @@
     return true;
 }
 
+void EndpointRegistry::setColdTimes(std::map<state::ServiceName, state::Duration> times)
+{
+    const std::lock_guard lock(this->writeMutex);
+    this->coldTimes = std::move(times);
+}
+
+void EndpointRegistry::recordRejoined(const std::set<state::FailureDomain> &next,
+                                      state::Instant now)
+{
+    std::erase_if(this->rejoined, [now](const auto &each) { return each.second.coldUntil <= now; });
+    for (const auto &[id, endpoint] : this->current.endpoints) {
+        const state::EndpointDescription &description = endpoint.description;
+        const auto time = this->coldTimes.find(description.service);
+        if (time != this->coldTimes.end() && this->evacuated.contains(description.failureDomain)
+            && !next.contains(description.failureDomain))
+            this->rejoined[id] = {description.incarnation, now + time->second};
+    }
+}
+
 EndpointTable EndpointRegistry::withEvacuations(EndpointTable table) const
 {
+    for (const auto &[id, cold] : this->rejoined) {
+        const auto found = table.endpoints.find(id);
+        if (found != table.endpoints.end()
+            && found->second.description.incarnation == cold.incarnation)
+            found->second.coldUntil = std::max(found->second.coldUntil, cold.coldUntil);
+    }
     if (this->evacuated.empty())
         return table;
     for (auto &[id, endpoint] : table.endpoints) {
--- a/src/program/EndpointRegistry.h
+++ b/src/program/EndpointRegistry.h
@@ -18,6 +18,8 @@
     bool draining = false;  // gets no new work; running work continues
     bool stale = false;     // its announcements have stopped; gets new work only as a last resort
     bool evacuated = false; // its failure domain is; then it is draining too
+    // By this process's clock; warm from then on. Instant{}: it has not been cold.
+    state::Instant coldUntil{};
 
     auto operator<=>(const RegisteredEndpoint &) const = default;
 };
@@ -47,14 +49,19 @@
     state::SnapshotView<EndpointTable> table() const { return this->published.read(); }
 
     // Adds, renews or restarts an endpoint. Error: Conflict if a higher incarnation is known.
-    state::Result<void> announce(const state::EndpointDescription &endpoint, state::Instant now);
+    // `coldLeft`: how long the endpoint stays cold, if it is.
+    state::Result<void> announce(const state::EndpointDescription &endpoint, state::Instant now,
+                                 std::optional<state::Duration> coldLeft = {});
     // False if the endpoint is not known under that incarnation.
     bool leave(const state::EndpointId &id, std::uint64_t incarnation);
     // False if the endpoint is not known.
     bool setDraining(const state::EndpointId &id, bool draining);
     // The failure domains whose endpoints get no new work, whatever they announce. Returns whether
-    // that changes the table.
-    bool setEvacuated(std::set<state::FailureDomain> failureDomains);
+    // that changes the table. The endpoints of a domain that is not evacuated any more count as
+    // cold from `now` on, for the time set for their service.
+    bool setEvacuated(std::set<state::FailureDomain> failureDomains, state::Instant now);
+    // How long endpoints of the services stay cold; services that are not listed need no such time.
+    void setColdTimes(std::map<state::ServiceName, state::Duration> times);
     // Publishes the table from membership, if it differs from the last one, and returns whether it
     // does. Not to be mixed with the calls above, which are for a single node.
     bool assign(EndpointTable table);
@@ -62,14 +69,24 @@
     std::vector<state::EndpointId> expire(state::Instant now);
 
 private:
+    // An endpoint that counts as cold because its failure domain gets traffic again.
+    struct Rejoined
+    {
+        std::uint64_t incarnation = 0;
+        state::Instant coldUntil;
+    };
+
     // The callers must hold the mutex.
     void publish();
     EndpointTable withEvacuations(EndpointTable table) const;
+    void recordRejoined(const std::set<state::FailureDomain> &next, state::Instant now);
 
     state::Duration expiry;
     std::mutex writeMutex; // never held during I/O; readers don't take it
     EndpointTable current; // without the effect of `evacuated`
     std::set<state::FailureDomain> evacuated;
+    std::map<state::EndpointId, Rejoined> rejoined;
+    std::map<state::ServiceName, state::Duration> coldTimes;
     // The same keys as `current` on a single node; empty otherwise.
     std::map<state::EndpointId, state::Instant> lastRenewal;
     state::Snapshot<EndpointTable> published;
--- a/src/program/MembershipService.cpp
+++ b/src/program/MembershipService.cpp
@@ -104,22 +104,25 @@
     });
 }
 
-void MembershipService::announce(const state::EndpointDescription &endpoint, AnnounceHandler done)
+void MembershipService::announce(const state::EndpointDescription &endpoint, AnnounceHandler done,
+                                 std::optional<state::Duration> coldLeft)
 {
-    asio::post(this->strand, [self = this->shared_from_this(), endpoint, done = std::move(done)] {
-        const state::Instant now = monotonicNow();
-        auto record = self->endpointLifecycle.announce(endpoint, self->endpointContext(), now);
-        if (record && record.value()) {
-            self->publishRecord(*record.value(), now);
-            self->publishSoon(now);
-        }
-        if (!done)
-            return;
-        if (record)
-            done(self->answerFor(endpoint));
-        else
-            done(record.error());
-    });
+    asio::post(this->strand,
+               [self = this->shared_from_this(), endpoint, done = std::move(done), coldLeft] {
+                   const state::Instant now = monotonicNow();
+                   auto record = self->endpointLifecycle.announce(endpoint, self->endpointContext(),
+                                                                  now, coldLeft);
+                   if (record && record.value()) {
+                       self->publishRecord(*record.value(), now);
+                       self->publishSoon(now);
+                   }
+                   if (!done)
+                       return;
+                   if (record)
+                       done(self->answerFor(endpoint));
+                   else
+                       done(record.error());
+               });
 }
 
 void MembershipService::leave(const state::EndpointId &endpoint,
--- a/src/program/MembershipService.h
+++ b/src/program/MembershipService.h
@@ -76,7 +76,8 @@
     void stop(); // closes the socket; only hooks that are already queued are still called
     void setSelf(const coordination::membership::SelfState &self);
     // `done` is called on the strand. Errors as EndpointLifecycle::announce.
-    void announce(const state::EndpointDescription &endpoint, AnnounceHandler done = {});
+    void announce(const state::EndpointDescription &endpoint, AnnounceHandler done = {},
+                  std::optional<state::Duration> coldLeft = {});
     using LeaveHandler = std::function<void(state::Result<void>)>;
     // Without an incarnation, the known one leaves. `done` is called on the strand when all live
     // members have confirmed it, or after a time limit. Errors as EndpointLifecycle::leave.
--- a/src/program/MembershipView.cpp
+++ b/src/program/MembershipView.cpp
@@ -56,7 +56,7 @@
         if (!record.description)
             continue;
         const std::size_t position = view.endpoints.size();
-        view.endpoints.push_back({record, owners.ownerOf(record)});
+        view.endpoints.push_back({record, owners.ownerOf(record), entry.presentColdUntil()});
         if (!record.isUsable())
             continue;
         if (!record.description->service.empty())
--- a/src/program/MembershipView.h
+++ b/src/program/MembershipView.h
@@ -16,6 +16,7 @@
     coordination::endpoints::EndpointRecord record; // isUsable(): it takes new work
     // The entry that audits its memory and grants reservations of it; empty if no entry serves.
     state::VmId owner;
+    state::Instant coldUntil{}; // by this process's clock
 
     bool operator==(const EndpointState &) const = default;
 };
--- a/src/program/RelayCodec.h
+++ b/src/program/RelayCodec.h
@@ -116,7 +116,10 @@
                                                               std::string requestedBy)>
             setEvacuation;
     // Errors: InvalidArgument; Conflict if the announcement is from an earlier incarnation.
-    std::function<boost::asio::awaitable<state::Result<void>>(state::EndpointDescription)> announce;
+    // `coldLeft`: how long the endpoint stays cold, if it is.
+    std::function<boost::asio::awaitable<state::Result<void>>(
+            state::EndpointDescription, std::optional<state::Duration> coldLeft)>
+            announce;
     // Gives the endpoint no new work. Returns once the change is being sent to the other nodes.
     std::function<boost::asio::awaitable<state::Result<void>>(state::EndpointDescription)> drain;
     // The same for an endpoint that only gives its id; applies to the known incarnation by default.
--- a/src/program/RelayListeners.cpp
+++ b/src/program/RelayListeners.cpp
@@ -193,9 +193,10 @@
     face.newestConfiguration = [this]() -> asio::awaitable<state::Result<ConfigurationDocument>> {
         return this->hooks.client->configuration(monotonicNow() + newestTime);
     };
-    face.announce =
-            [this](state::EndpointDescription endpoint) -> asio::awaitable<state::Result<void>> {
-        const auto answer = co_await this->hooks.cluster->announce(std::move(endpoint));
+    face.announce = [this](state::EndpointDescription endpoint,
+                           std::optional<state::Duration> coldLeft)
+            -> asio::awaitable<state::Result<void>> {
+        const auto answer = co_await this->hooks.cluster->announce(std::move(endpoint), coldLeft);
         if (!answer)
             co_return answer.error();
         co_return state::outcome::success();
--- a/src/protocol/Envelope.h
+++ b/src/protocol/Envelope.h
@@ -23,7 +23,7 @@
 
 // Incremented with every change to a message between processes. Messages of nodes with another
 // version are rejected.
-constexpr std::uint8_t peerProtocolVersion = 5;
+constexpr std::uint8_t peerProtocolVersion = 6;
 // Size limit of a message between processes; larger transfers are split.
 constexpr std::size_t maximumMessageBytes = 4U << 20U;
 
--- a/src/protocol/GossipMessages.cpp
+++ b/src/protocol/GossipMessages.cpp
@@ -145,6 +145,15 @@
     f.number(record.drain.position.term);
     f.number(record.drain.position.index);
     f.flag(record.drain.draining);
+    bool wasCold = record.cold.incarnation != 0;
+    f.flag(wasCold);
+    if (wasCold) {
+        f.number(record.cold.incarnation);
+        f.number(record.cold.sequence);
+        f.number(record.cold.leftMs);
+        if (record.cold.leftMs > endpoints::ColdMark::longestMs)
+            throw cereal::Exception("cold time out of range");
+    }
     optionalShared(f, record.description, [&](state::EndpointDescription &description) {
         description.id = record.id;
         description.incarnation = record.incarnation;
--- a/src/state/routes/Route.h
+++ b/src/state/routes/Route.h
@@ -58,6 +58,10 @@
     std::string healthPath;
     std::uint32_t connections = 0;       // that one endpoint accepts from all callers in total
     std::optional<EngineProfile> engine; // absent: a plain service
+    // How long an endpoint is cold after it starts or gets traffic again.
+    std::chrono::milliseconds coldTime{};
+    // That a cold endpoint accepts from all entries together; 0: any rate.
+    double coldRequestsPerSecond = 0;
 
     auto operator<=>(const ServiceProfile &) const = default;
 };
--- a/tests/coordination/endpoints/EndpointLifecycleTest.cpp
+++ b/tests/coordination/endpoints/EndpointLifecycleTest.cpp
@@ -48,13 +48,14 @@
     }
 
     // Returns whether the announcement was accepted.
-    bool announce(std::size_t entry, std::uint64_t incarnation, const char *model = "m1")
+    bool announce(std::size_t entry, std::uint64_t incarnation, const char *model = "m1",
+                  std::optional<state::Duration> coldLeft = {})
     {
         state::EndpointDescription description{engine, {"10.0.0.9", 1}};
         description.incarnation = incarnation;
         description.models = {state::ModelName(model)};
-        const auto result =
-                this->lifecycles[entry].announce(description, this->view(entry), this->now);
+        const auto result = this->lifecycles[entry].announce(description, this->view(entry),
+                                                             this->now, coldLeft);
         if (result.has_error())
             return false;
         if (result.value())
@@ -108,6 +109,7 @@
     CPPUNIT_TEST(mergeIsIndependentOfOrder);
     CPPUNIT_TEST(shortFormNeedsItsDescription);
     CPPUNIT_TEST(badAnnouncementsAreRefused);
+    CPPUNIT_TEST(coldTimeIsPublishedOnlyWhenItBegins);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -362,6 +364,34 @@
                 EndpointLifecycle::create({seconds(5), seconds(6)}, state::VmId("a"), cluster.now)
                         .has_error());
     }
+
+    // Guards against a record that spreads to all entries with each heartbeat of a cold endpoint,
+    // and against a second cold time that nobody learns of. The countdown is also heard by an entry
+    // that is not the endpoint's home.
+    void coldTimeIsPublishedOnlyWhenItBegins()
+    {
+        TestCluster cluster;
+        const auto coldUntil = [&cluster] {
+            return cluster.tables[2].find(engine)->presentColdUntil();
+        };
+        cluster.announce(0, 7, "m1", seconds(3));
+        const state::Instant first = cluster.now + seconds(3);
+        CPPUNIT_ASSERT(coldUntil() == first);
+        const int published = cluster.published;
+        cluster.step();
+        cluster.announce(0, 7, "m1", seconds(2));
+        cluster.step();
+        cluster.announce(1, 7, "m1", seconds(1));
+        cluster.step();
+        cluster.announce(0, 7);
+        CPPUNIT_ASSERT_EQUAL(published, cluster.published);
+        CPPUNIT_ASSERT(coldUntil() == first);
+        cluster.step();
+        cluster.announce(1, 7, "m1", seconds(2));
+        CPPUNIT_ASSERT_EQUAL(published + 1, cluster.published);
+        CPPUNIT_ASSERT(coldUntil() == cluster.now + seconds(2));
+        CPPUNIT_ASSERT(cluster.record().home == state::VmId("a"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndpointLifecycleTest);
--- a/tests/coordination/endpoints/EndpointTableTest.cpp
+++ b/tests/coordination/endpoints/EndpointTableTest.cpp
@@ -12,6 +12,9 @@
     CPPUNIT_TEST(deregistrationBeforeTheAnnouncementHolds);
     CPPUNIT_TEST(laterIncarnationOfAnEndpointThatLeftIsUsable);
     CPPUNIT_TEST(deregistrationOfALaterIncarnationHoldsBeforeItsAnnouncement);
+    CPPUNIT_TEST(coldTimeCountsFromTheReceipt);
+    CPPUNIT_TEST(coldTimeOfAnEarlierIncarnationHasNoEffect);
+    CPPUNIT_TEST(coldMarkArrivesInAnyOrder);
     CPPUNIT_TEST_SUITE_END();
 
     const state::Instant now{std::chrono::seconds(100)};
@@ -35,7 +38,64 @@
         return record;
     }
 
+    static EndpointRecord cold(EndpointRecord record, ColdMark mark)
+    {
+        record.cold = mark;
+        return record;
+    }
+
+    const EndpointEntry &entryOf(const EndpointTable &table) const
+    {
+        return *table.find(state::EndpointId("engine-1"));
+    }
+
 public:
+    // Guards against clocks that differ between entries, and against an entry that counts the whole
+    // time again when it gets the record late or a second time.
+    void coldTimeCountsFromTheReceipt()
+    {
+        EndpointTable table;
+        table.apply(cold(announcement(7), {7, 1, 3'000}), this->now);
+        const state::Instant until = this->now + std::chrono::seconds(3);
+        CPPUNIT_ASSERT(entryOf(table).presentColdUntil() == until);
+        const state::Instant later = this->now + std::chrono::seconds(2);
+        CPPUNIT_ASSERT(!table.apply(cold(announcement(7), {7, 1, 3'000}), later).changed);
+        CPPUNIT_ASSERT(entryOf(table).presentColdUntil() == until);
+        CPPUNIT_ASSERT_EQUAL(1'000U, entryOf(table).coldMarkAt(later).leftMs);
+        EndpointTable joined;
+        joined.apply(cold(announcement(7), entryOf(table).coldMarkAt(later)), later);
+        CPPUNIT_ASSERT(entryOf(joined).presentColdUntil() == until);
+        CPPUNIT_ASSERT_EQUAL(entryOf(table).fingerprint, entryOf(joined).fingerprint);
+        CPPUNIT_ASSERT_EQUAL(0U, entryOf(table).coldMarkAt(later + std::chrono::hours(1)).leftMs);
+        table.apply(cold(announcement(7), {7, 2, 500}), later + std::chrono::hours(1));
+        CPPUNIT_ASSERT_EQUAL(500U, entryOf(table).coldMarkAt(later + std::chrono::hours(1)).leftMs);
+    }
+
+    // Guards against a warm endpoint that is limited because the start before it was cold.
+    void coldTimeOfAnEarlierIncarnationHasNoEffect()
+    {
+        EndpointTable table;
+        table.apply(cold(announcement(7), {7, 1, 3'000}), this->now);
+        table.apply(announcement(8), this->now);
+        CPPUNIT_ASSERT(entryOf(table).presentColdUntil() == state::Instant{});
+    }
+
+    // Guards against tables that differ for ever because records arrived in different orders.
+    void coldMarkArrivesInAnyOrder()
+    {
+        const std::vector<EndpointRecord> records{announcement(7),
+                                                  cold(announcement(7), {7, 1, 3'000}),
+                                                  cold(announcement(7), {7, 2, 1'000}), left(7)};
+        EndpointTable forward;
+        EndpointTable backward;
+        for (std::size_t index = 0; index < records.size(); ++index) {
+            forward.apply(records[index], this->now);
+            backward.apply(records[records.size() - 1 - index], this->now);
+        }
+        CPPUNIT_ASSERT_EQUAL(entryOf(forward).fingerprint, entryOf(backward).fingerprint);
+        CPPUNIT_ASSERT_EQUAL(2U, entryOf(backward).record.cold.sequence);
+    }
+
     void deregistrationBeforeTheAnnouncementHolds()
     {
         // Guards against requests sent to a terminating engine: an engine is announced to one node
--- a/tests/platform/ConfigurationCodecTest.cpp
+++ b/tests/platform/ConfigurationCodecTest.cpp
@@ -20,6 +20,7 @@
 {
     CPPUNIT_TEST_SUITE(ConfigurationCodecTest);
     CPPUNIT_TEST(decodesEveryField);
+    CPPUNIT_TEST(coldRateIsDecoded);
     CPPUNIT_TEST(optionalFieldsMayBeAbsent);
     CPPUNIT_TEST(malformedDocumentsAreRejected);
     CPPUNIT_TEST(truncatedDocumentsAreRejected);
@@ -37,7 +38,27 @@
         return document["Routes"].as_array().at(index).as_object();
     }
 
+    static json::object &serviceOf(json::object &document, std::size_t index)
+    {
+        return document["Services"].as_array().at(index).as_object();
+    }
+
 public:
+    // Guards against a limit on services that name none, and against none on those that do.
+    void coldRateIsDecoded()
+    {
+        const auto table = decodeConfiguration(changed([](json::object &document) {
+                               serviceOf(document, 0)["ColdStartS"] = 3.0;
+                               serviceOf(document, 0)["ColdPerS"] = 17.5;
+                           })).value();
+        const auto &cold = *table.service(state::ServiceName("llm"));
+        CPPUNIT_ASSERT(cold.coldTime == std::chrono::seconds(3));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(17.5, cold.coldRequestsPerSecond, 1e-9);
+        const auto &other = *table.service(state::ServiceName("app"));
+        CPPUNIT_ASSERT(other.coldTime == std::chrono::seconds(0));
+        CPPUNIT_ASSERT_EQUAL(0.0, other.coldRequestsPerSecond);
+    }
+
     void decodesEveryField()
     {
         const auto table = decodeConfiguration(sampleConfiguration).value();
@@ -92,6 +113,14 @@
                 {"no service", [](auto &document) { routeOf(document, 1).erase("Service"); }},
                 {"unknown service",
                  [](auto &document) { routeOf(document, 1)["Service"] = "nobody"; }},
+                {"negative cold time",
+                 [](auto &document) { serviceOf(document, 0)["ColdStartS"] = -1; }},
+                {"cold for a day",
+                 [](auto &document) { serviceOf(document, 0)["ColdStartS"] = 86'400; }},
+                {"negative cold rate",
+                 [](auto &document) { serviceOf(document, 0)["ColdPerS"] = -17; }},
+                {"cold rate no number",
+                 [](auto &document) { serviceOf(document, 0)["ColdPerS"] = "17"; }},
                 {"same place", [](auto &document) { routeOf(document, 1)["PathPrefix"] = "/n/"; }},
                 {"no weight",
                  [](auto &document) {
--- a/tests/platform/EndpointNewsCodecTest.cpp
+++ b/tests/platform/EndpointNewsCodecTest.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(decodesEveryField);
     CPPUNIT_TEST(plainServicesHaveNoModels);
     CPPUNIT_TEST(unusableHeartbeatsAreRejected);
+    CPPUNIT_TEST(coldTimeIsDecoded);
+    CPPUNIT_TEST(impossibleColdTimesCountAsAbsent);
     CPPUNIT_TEST(deregistrationsContainTheIncarnation);
     CPPUNIT_TEST_SUITE_END();
 
@@ -80,6 +82,37 @@
         CPPUNIT_ASSERT(!decodeHeartbeat("i-1", "\xff\xfe"));
     }
 
+    // Guards against full load on an endpoint that says that it is cold.
+    void coldTimeIsDecoded()
+    {
+        json::object cold = sample();
+        cold["ColdLeftMs"] = 2'900;
+        const EndpointHeartbeat heartbeat = decodeHeartbeat("i-1", json::serialize(cold)).value();
+        CPPUNIT_ASSERT(heartbeat.coldLeft == std::chrono::milliseconds(2'900));
+        CPPUNIT_ASSERT(!heartbeat.coldLeftIgnored);
+        cold.erase("ColdLeftMs");
+        for (const std::string &warm : {sampleHeartbeat, json::serialize(cold)}) {
+            CPPUNIT_ASSERT(!decodeHeartbeat("i-1", warm).value().coldLeft);
+            CPPUNIT_ASSERT(!decodeHeartbeat("i-1", warm).value().coldLeftIgnored);
+        }
+    }
+
+    // Guards against an endpoint that is lost, or limited for hours, because of one odd value.
+    void impossibleColdTimesCountAsAbsent()
+    {
+        const std::vector<json::value> odd = {-1,     -0.5, 3'600'001, 1e300,
+                                              "2900", true, {2'900},   9'223'372'036'854'775'807};
+        for (const json::value &each : odd) {
+            json::object cold = sample();
+            cold["ColdLeftMs"] = each;
+            const auto heartbeat = decodeHeartbeat("i-1", json::serialize(cold));
+            const std::string text = json::serialize(each);
+            CPPUNIT_ASSERT_MESSAGE(text, heartbeat.has_value());
+            CPPUNIT_ASSERT_MESSAGE(text, !heartbeat.value().coldLeft);
+            CPPUNIT_ASSERT_MESSAGE(text, heartbeat.value().coldLeftIgnored);
+        }
+    }
+
     void deregistrationsContainTheIncarnation()
     {
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(12), *decodeDeregistration(R"({"born":12})"));
--- a/tests/program/EndpointRegistryTest.cpp
+++ b/tests/program/EndpointRegistryTest.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 const state::ServiceName service("app");
+const state::Instant now{std::chrono::seconds(100)};
 
 state::EndpointDescription endpointIn(const std::string &domain)
 {
@@ -36,6 +37,8 @@
     CPPUNIT_TEST(endpointsThatAppearDuringEvacuationGetNone);
     CPPUNIT_TEST(drainOutlastsEvacuation);
     CPPUNIT_TEST(serviceIsEvacuatedOnlyWithAllItsDomains);
+    CPPUNIT_TEST(endpointsAreColdAfterEvacuation);
+    CPPUNIT_TEST(announcedColdTimeCountsOnSingleNode);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -43,14 +46,14 @@
     {
         EndpointRegistry registry{state::Duration(0)};
         registry.assign(tableOf({"a", "b"}));
-        CPPUNIT_ASSERT(registry.setEvacuated({state::FailureDomain("a")}));
+        CPPUNIT_ASSERT(registry.setEvacuated({state::FailureDomain("a")}, now));
         const auto during = registry.table();
         CPPUNIT_ASSERT(isEvacuated(*during, endpointIn("a")));
         CPPUNIT_ASSERT(during->endpoints.at(endpointIn("a").id).draining);
         CPPUNIT_ASSERT(!during->endpoints.at(endpointIn("b").id).draining);
-        CPPUNIT_ASSERT(registry.setEvacuated({}));
+        CPPUNIT_ASSERT(registry.setEvacuated({}, now));
         CPPUNIT_ASSERT(*registry.table() == tableOf({"a", "b"}));
-        CPPUNIT_ASSERT(!registry.setEvacuated({}));
+        CPPUNIT_ASSERT(!registry.setEvacuated({}, now));
     }
 
     // Guards against requests to endpoints that start, or are first heard of, while their domain is
@@ -58,7 +61,7 @@
     void endpointsThatAppearDuringEvacuationGetNone()
     {
         EndpointRegistry registry{state::Duration(0)};
-        registry.setEvacuated({state::FailureDomain("a")});
+        registry.setEvacuated({state::FailureDomain("a")}, now);
         registry.assign(tableOf({"a"}));
         CPPUNIT_ASSERT(registry.table()->endpoints.at(endpointIn("a").id).draining);
     }
@@ -70,8 +73,8 @@
         EndpointTable table = tableOf({"a"});
         table.endpoints.at(endpointIn("a").id).draining = true;
         registry.assign(table);
-        registry.setEvacuated({state::FailureDomain("a")});
-        registry.setEvacuated({});
+        registry.setEvacuated({state::FailureDomain("a")}, now);
+        registry.setEvacuated({}, now);
         CPPUNIT_ASSERT(*registry.table() == table);
     }
 
@@ -80,12 +83,52 @@
         EndpointRegistry registry{state::Duration(0)};
         registry.assign(tableOf({"a", "b"}));
         CPPUNIT_ASSERT(!isServiceEvacuated(*registry.table(), service));
-        registry.setEvacuated({state::FailureDomain("a")});
+        registry.setEvacuated({state::FailureDomain("a")}, now);
         CPPUNIT_ASSERT(!isServiceEvacuated(*registry.table(), service));
-        registry.setEvacuated({state::FailureDomain("a"), state::FailureDomain("b")});
+        registry.setEvacuated({state::FailureDomain("a"), state::FailureDomain("b")}, now);
         CPPUNIT_ASSERT(isServiceEvacuated(*registry.table(), service));
         CPPUNIT_ASSERT(!isServiceEvacuated(*registry.table(), state::ServiceName("other")));
     }
+
+    // Guards against full load at once on endpoints that had no traffic during an evacuation, and
+    // against a limit for other domains, for later incarnations or in services without a cold time.
+    void endpointsAreColdAfterEvacuation()
+    {
+        EndpointRegistry registry{state::Duration(0)};
+        const auto coldUntil = [&registry](const std::string &domain) {
+            return registry.table()->endpoints.at(endpointIn(domain).id).coldUntil;
+        };
+        EndpointTable table = tableOf({"a", "b"});
+        registry.assign(table);
+        registry.setEvacuated({state::FailureDomain("a")}, now);
+        registry.setEvacuated({}, now);
+        CPPUNIT_ASSERT(coldUntil("a") == state::Instant{});
+        registry.setColdTimes({{service, std::chrono::seconds(3)}});
+        registry.setEvacuated({state::FailureDomain("a")}, now);
+        registry.setEvacuated({}, now);
+        CPPUNIT_ASSERT(coldUntil("a") == now + std::chrono::seconds(3));
+        CPPUNIT_ASSERT(coldUntil("b") == state::Instant{});
+        table.endpoints.at(endpointIn("a").id).description.incarnation = 2;
+        registry.assign(table);
+        CPPUNIT_ASSERT(coldUntil("a") == state::Instant{});
+    }
+
+    // Guards against a node without membership that ignores cold times.
+    void announcedColdTimeCountsOnSingleNode()
+    {
+        EndpointRegistry registry{std::chrono::seconds(10)};
+        const auto coldUntil = [&registry] {
+            return registry.table()->endpoints.at(endpointIn("a").id).coldUntil;
+        };
+        CPPUNIT_ASSERT(registry.announce(endpointIn("a"), now, std::chrono::seconds(3)));
+        CPPUNIT_ASSERT(coldUntil() == now + std::chrono::seconds(3));
+        CPPUNIT_ASSERT(registry.announce(endpointIn("a"), now + std::chrono::seconds(1)));
+        CPPUNIT_ASSERT(coldUntil() == now + std::chrono::seconds(3));
+        state::EndpointDescription restarted = endpointIn("a");
+        restarted.incarnation = 2;
+        CPPUNIT_ASSERT(registry.announce(restarted, now + std::chrono::seconds(1)));
+        CPPUNIT_ASSERT(coldUntil() == state::Instant{});
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndpointRegistryTest);
--- a/tests/protocol/GossipMessagesTest.cpp
+++ b/tests/protocol/GossipMessagesTest.cpp
@@ -52,6 +52,9 @@
                                      static_cast<endpoints::EndpointPhase>(random() % 4),
                                      state::VmId(name(random)),
                                      {{random(), random()}, random() % 2 == 0}};
+    if (random() % 2 == 0)
+        record.cold = {random(), static_cast<std::uint32_t>(random()),
+                       static_cast<std::uint32_t>(random() % endpoints::ColdMark::longestMs)};
     if (full)
         record.description = std::make_shared<const state::EndpointDescription>(
                 state::EndpointDescription{record.id,
