Cold endpoints: replicas and engines are chosen by this entry's share

Cause: an entry sends a cold endpoint as much as a warm one.

Change: program/ColdEndpoints computes the share from the rates of services, the relay entries that membership knows and coldUntil. ReplicaChooser and EngineView hold an endpoint back where SendLimit would; if all are held back, the request is refused as with SendLimit. The share comes with the event that announces an engine, since waiting requests are placed at once. Among equals a warm endpoint goes first. Services without a cold rate are not affected. Shown: log line endpoint.cold, metrics cold_endpoints, cold_sends_total.

Measured (unit tests): of 200 requests in 10 s, a cold engine gets 7 to 10 with a spacing of 1 s, and an engine whose set this entry is not in gets none.

--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -128,6 +128,7 @@
     void on(const EngineGone &event);
     void on(const EngineDraining &event);
     void on(const EngineSuspected &event);
+    void on(const EngineCold &event);
     void on(const EngineLimited &event);
     void on(const EngineRests &event);
     void on(const LoadReported &event);
--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -16,6 +16,7 @@
     if (restarted)
         this->on(EngineGone{event.description.id});
     this->engines.announce(event.description, event.profile);
+    this->engines.find(event.description.id)->limitCold(event.cold);
     if (isNew)
         this->earlyWork.applyTo(*this->engines.find(event.description.id), this->now);
     this->placeWaiting();
@@ -68,6 +69,13 @@
         view->suspected = event.suspected;
 }
 
+void Dispatcher::on(const EngineCold &event)
+{
+    routing::EngineView *view = this->engines.find(event.engine);
+    if (view != nullptr && view->description().incarnation == event.incarnation)
+        view->limitCold(event.share);
+}
+
 void Dispatcher::on(const EngineLimited &event)
 {
     const routing::EngineView *view = this->engines.find(event.engine);
--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -349,6 +349,9 @@
     active.predictedFirstEvent = toDuration(choice.firstEventSeconds);
     active.placementSnapshot = choice.placementSnapshot;
     ++active.attempt;
+    // Also if memory is reserved first: until then others must not be placed there too.
+    if (routing::EngineView *view = this->engines.find(choice.engine))
+        view->recordOwnSend(this->now);
     if (choice.memory.empty())
         this->dispatchNext(active);
     else
--- a/src/coordination/admission/DispatcherPlacing.cpp
+++ b/src/coordination/admission/DispatcherPlacing.cpp
@@ -214,6 +214,8 @@
     active.phase = Phase::Prefilling;
     active.dispatched = true;
     this->actions.emplace_back(dispatch);
+    if (routing::EngineView *view = this->engines.find(part.engine))
+        view->recordOwnSend(this->now);
     this->shareWorkNote(active, active.currentPart, routing::WorkStage::Dispatched,
                         whole ? this->equivalentPartTokens(active) : left, charged, priority);
     if (routing::EngineView *view = this->engines.find(part.engine);
--- a/src/coordination/admission/Events.h
+++ b/src/coordination/admission/Events.h
@@ -4,6 +4,7 @@
 
 #include "coordination/admission/FairQueue.h"
 #include "coordination/admission/Request.h"
+#include "coordination/routing/ColdAccess.h"
 #include "coordination/routing/PassPlacement.h"
 #include "coordination/routing/PrefixIndex.h"
 #include "coordination/routing/WorkNote.h"
@@ -32,6 +33,16 @@
 {
     state::EndpointDescription description;
     std::optional<state::routes::EngineProfile> profile; // if it works in declared passes
+    // As in EngineCold. Waiting requests are placed at once, so it must be known by then.
+    std::optional<routing::ColdShare> cold{};
+};
+
+// What this entry may send to the engine while it is cold; nothing: no limit.
+struct EngineCold
+{
+    state::EndpointId engine;
+    std::uint64_t incarnation = 0;
+    std::optional<routing::ColdShare> share;
 };
 
 // Attempts on the engine fail, or succeed again. While suspected it gets no new work; work that
@@ -179,7 +190,7 @@
 {};
 
 using Event = std::variant<RequestArrived, CallerCancelled, EngineAnnounced, EngineGone,
-                           EngineDraining, EngineSuspected, EngineLimited, EngineRests,
+                           EngineDraining, EngineSuspected, EngineCold, EngineLimited, EngineRests,
                            LoadReported, CacheReported, SlicePrefilled, TokensReceived,
                            RequestFinished, AttemptFailed, MoveRequested, ReservationAnswered,
                            TableChanged, PeerWorkReceived, PeerJoined, PeerBacklogReceived, Tick>;
--- a/src/coordination/directory/RelayDirectory.cpp
+++ b/src/coordination/directory/RelayDirectory.cpp
@@ -84,4 +84,17 @@
     return peers;
 }
 
+routing::RelayEntries relayEntries(const membership::MemberTable &members, bool complete)
+{
+    routing::RelayEntries entries;
+    entries.complete = complete;
+    for (const auto &[id, entry] : members.entries()) {
+        const auto &description = entry.record.description;
+        if (description != nullptr && description->relay.port != 0
+            && entry.record.phase != membership::MemberPhase::Left)
+            entries.ids.push_back(id);
+    }
+    return entries;
+}
+
 } // namespace lavenderthread::coordination::directory
--- a/src/coordination/directory/RelayDirectory.h
+++ b/src/coordination/directory/RelayDirectory.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "coordination/membership/MemberTable.h"
+#include "coordination/routing/ColdAccess.h"
 #include "coordination/routing/PeerOrder.h"
 
 #include <vector>
@@ -19,4 +20,8 @@
 // `self` can't send itself. Empty if `self` is not listed.
 routing::RelayPeers relayPeers(const membership::MemberTable &members, const state::VmId &self);
 
+// Returns all members that relay requests and have not left, dead or alive. `complete`: this member
+// has got the state of the others.
+routing::RelayEntries relayEntries(const membership::MemberTable &members, bool complete);
+
 } // namespace lavenderthread::coordination::directory
--- a/src/coordination/routing/EngineView.cpp
+++ b/src/coordination/routing/EngineView.cpp
@@ -39,6 +39,7 @@
         this->reportedMemory = 0;
         this->reportedRequests = 0;
         this->sendLimit.reset();
+        this->coldLimit.reset();
         this->restsUntil = {};
     }
     this->endpoint = std::move(announced);
@@ -59,10 +60,36 @@
     this->restsUntil = std::max(this->restsUntil, until);
 }
 
+void EngineView::limitCold(const std::optional<ColdShare> &share)
+{
+    if (!share)
+        this->coldLimit.reset();
+    else if (this->coldLimit)
+        this->coldLimit->setShare(*share);
+    else
+        this->coldLimit.emplace(*share);
+}
+
+void EngineView::recordOwnSend(state::Instant now)
+{
+    if (this->coldLimit)
+        this->coldLimit->recordSend(now);
+}
+
+bool EngineView::isCold() const
+{
+    return this->coldLimit && this->coldLimit->isCold(this->advancedTo);
+}
+
 std::size_t EngineView::sendsAvailable() const
 {
     if (this->advancedTo < this->restsUntil)
         return 0;
+    if (this->isCold()) {
+        const bool isLimited = this->sendLimit && this->sendLimit->available(this->advancedTo) == 0;
+        const bool isHeldBack = this->coldLimit->nextSend(this->advancedTo) > this->advancedTo;
+        return isLimited || isHeldBack ? 0 : 1;
+    }
     return this->sendLimit ? this->sendLimit->available(this->advancedTo)
                            : std::numeric_limits<std::size_t>::max();
 }
@@ -71,7 +98,9 @@
 {
     const state::Instant next =
             this->sendLimit ? this->sendLimit->nextSend(this->advancedTo) : state::Instant{};
-    return std::max(next, this->restsUntil);
+    const state::Instant whenCold =
+            this->coldLimit ? this->coldLimit->nextSend(this->advancedTo) : state::Instant{};
+    return std::max({next, whenCold, this->restsUntil});
 }
 
 void EngineView::apply(const WorkNote &note, state::Instant now)
--- a/src/coordination/routing/EngineView.h
+++ b/src/coordination/routing/EngineView.h
@@ -2,6 +2,7 @@
 // entry and its peers dispatched to it, and the contents of its prefix cache.
 #pragma once
 
+#include "coordination/routing/ColdAccess.h"
 #include "coordination/routing/PolicySettings.h"
 #include "coordination/routing/PrefixIndex.h"
 #include "coordination/routing/SendLimit.h"
@@ -66,6 +67,11 @@
     void limitSends(std::optional<double> perSecond, state::Instant now, std::uint64_t seed);
     // The engine wants no request from this entry until then. A later time replaces an earlier one.
     void restUntil(state::Instant until);
+    // What this entry may send while the engine is cold; nothing: it is warm or has no limit then.
+    void limitCold(const std::optional<ColdShare> &share);
+    // This entry sends the engine a request, or is about to.
+    void recordOwnSend(state::Instant now);
+    bool isCold() const; // Call advance(now) first.
     // How many requests may be sent to it now. Call advance(now) first.
     std::size_t sendsAvailable() const;
     // When one may be sent; in the past if it accepts any rate.
@@ -99,6 +105,7 @@
     double decodeSlowdownDuringPrefill;
 
     std::optional<SendLimit> sendLimit; // of this incarnation; none: it accepts any rate
+    std::optional<ColdLimit> coldLimit; // of this incarnation
     state::Instant restsUntil{};        // of this incarnation
     std::vector<ResidentWork> work;     // ordered by priority, then by arrival
     // Tokens reported beyond the known work; decreases with time.
--- a/src/coordination/routing/LongPlacement.cpp
+++ b/src/coordination/routing/LongPlacement.cpp
@@ -52,7 +52,8 @@
         cost += candidate.briefRequests > 0 ? settings.tightPauseCostSeconds : 0;
         cost += index + answeringCount < candidates.size() ? settings.outsideAnsweringCostSeconds
                                                            : 0;
-        if (cost < bestCost) {
+        const bool isWarmer = best != nullptr && best->cold && !candidate.cold;
+        if (cost < bestCost || (cost <= bestCost && isWarmer)) {
             best = &candidate;
             bestCost = cost;
         }
@@ -269,7 +270,7 @@
     const PassCandidate *beside =
             memoryShared ? nullptr
                          : answeringBriefEngine(briefGroup, choice.partSeconds, request, settings);
-    if (beside != nullptr)
+    if (beside != nullptr && (!beside->cold || answering->cold))
         answering = beside;
     double waiting = answering->waitingSeconds;
     for (const Helper &helper : *chosen) {
--- a/src/coordination/routing/PassCandidate.cpp
+++ b/src/coordination/routing/PassCandidate.cpp
@@ -14,6 +14,7 @@
     candidate.usable = !view.suspected;
     candidate.freeTokens = view.freeTokens();
     candidate.sendsAvailable = view.sendsAvailable();
+    candidate.cold = view.isCold();
     candidate.prefillTimeShare = view.prefillTimeShare();
     candidate.waitingSeconds = view.prefillSecondsLeft() / candidate.prefillTimeShare;
     for (const ResidentWork &resident : view.residentWork()) {
--- a/src/coordination/routing/PassCandidate.h
+++ b/src/coordination/routing/PassCandidate.h
@@ -25,6 +25,7 @@
     std::uint64_t freeTokens = 0; // memory that no request claims
     // Requests that may be sent to it, by the rate that it accepts from all entries.
     std::size_t sendsAvailable = std::numeric_limits<std::size_t>::max();
+    bool cold = false;
     bool usable = false;
     bool held = false; // kept free for a long prompt that waits for it
 
--- a/src/coordination/routing/PassPlacement.cpp
+++ b/src/coordination/routing/PassPlacement.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-// Returns one of the least loaded engines with a free slot and memory; null if there is none.
+// Returns one of the least loaded engines with a free slot and memory, a warm one if there is any
+// among them; null if there is none.
 const PassCandidate *drawLeastLoaded(std::span<const PassCandidate> candidates,
                                      const PassRequest &request, double equalLoadSeconds)
 {
@@ -27,6 +28,10 @@
     std::erase_if(leastLoaded, [&](const PassCandidate *each) {
         return each->loadSeconds() > least + equalLoadSeconds;
     });
+    // A cold engine is slow at first.
+    const auto isCold = [](const PassCandidate *each) { return each->cold; };
+    if (!std::all_of(leastLoaded.begin(), leastLoaded.end(), isCold))
+        std::erase_if(leastLoaded, isCold);
     return leastLoaded.empty() ? nullptr : leastLoaded[request.tieBreaker % leastLoaded.size()];
 }
 
--- a/src/coordination/routing/ReplicaChooser.cpp
+++ b/src/coordination/routing/ReplicaChooser.cpp
@@ -27,8 +27,9 @@
     };
     const auto staleOrSuspect = std::size_t(std::ranges::count_if(candidates, isStaleOrSuspect));
     const bool trustHealth = staleOrSuspect * 2 <= candidates.size();
+    this->updateCold(candidates, now);
     std::optional<std::size_t> best;
-    std::tuple<bool, bool, double, std::uint64_t> bestRank;
+    std::tuple<bool, bool, double, bool, std::uint64_t> bestRank;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const ReplicaCandidate &candidate = candidates[index];
         if (this->acceptsCallAt(candidate.description, now) > now)
@@ -36,6 +37,7 @@
         const bool alreadyTried = std::ranges::find(tried, candidate.description.id) != tried.end();
         const std::tuple rank(alreadyTried, trustHealth && isStaleOrSuspect(candidate),
                               this->estimatedLoad(candidate.description.id, now),
+                              this->coldLimitOf(candidate.description) != nullptr,
                               std::uint64_t(this->random()));
         if (best && bestRank <= rank)
             continue;
@@ -45,6 +47,32 @@
     return best;
 }
 
+void ReplicaChooser::updateCold(const std::vector<ReplicaCandidate> &candidates, state::Instant now)
+{
+    std::erase_if(this->cold, [now](const auto &each) { return !each.second.limit.isCold(now); });
+    for (const ReplicaCandidate &candidate : candidates) {
+        const state::EndpointDescription &replica = candidate.description;
+        const auto found = this->cold.find(replica.id);
+        const bool known =
+                found != this->cold.end() && found->second.incarnation == replica.incarnation;
+        if (known && candidate.cold)
+            found->second.limit.setShare(*candidate.cold);
+        else if (candidate.cold && now < candidate.cold->until)
+            this->cold.insert_or_assign(
+                    replica.id, ColdReplica{replica.incarnation, ColdLimit(*candidate.cold)});
+        else if (known)
+            this->cold.erase(found);
+    }
+}
+
+const ColdLimit *ReplicaChooser::coldLimitOf(const state::EndpointDescription &replica) const
+{
+    const auto found = this->cold.find(replica.id);
+    const bool known =
+            found != this->cold.end() && found->second.incarnation == replica.incarnation;
+    return known ? &found->second.limit : nullptr;
+}
+
 double ReplicaChooser::estimatedLoad(const state::EndpointId &replica, state::Instant now) const
 {
     const auto found = this->replicas.find(replica);
@@ -93,6 +121,8 @@
     const NamedLimit *limit = this->limitOf(replica.id, replica.incarnation);
     if (limit != nullptr && limit->sends.available(now) == 0)
         at = std::max(at, limit->sends.nextSend(now));
+    if (const ColdLimit *limited = this->coldLimitOf(replica))
+        at = std::max(at, limited->nextSend(now));
     return at;
 }
 
@@ -148,6 +178,9 @@
 {
     ++this->replicas[replica.id].ownCalls;
     this->peerCallStarted(replica.id, replica.incarnation, now);
+    const auto found = this->cold.find(replica.id);
+    if (found != this->cold.end() && found->second.incarnation == replica.incarnation)
+        found->second.limit.recordSend(now);
 }
 
 void ReplicaChooser::peerCallStarted(const state::EndpointId &replica, std::uint64_t incarnation,
--- a/src/coordination/routing/ReplicaChooser.h
+++ b/src/coordination/routing/ReplicaChooser.h
@@ -2,6 +2,7 @@
 // and the load that the replicas last reported.
 #pragma once
 
+#include "coordination/routing/ColdAccess.h"
 #include "coordination/routing/EndpointHealth.h"
 #include "coordination/routing/SendLimit.h"
 #include "state/Endpoint.h"
@@ -26,7 +27,8 @@
 struct ReplicaCandidate
 {
     state::EndpointDescription description;
-    bool stale = false; // its announcements have stopped
+    bool stale = false;              // its announcements have stopped
+    std::optional<ColdShare> cold{}; // while it is cold and its service limits requests then
 };
 
 // Tracks the load and the health of replicas and chooses one for each call.
@@ -99,6 +101,14 @@
     };
 
     const NamedLimit *limitOf(const state::EndpointId &replica, std::uint64_t incarnation) const;
+    struct ColdReplica
+    {
+        std::uint64_t incarnation = 0;
+        ColdLimit limit;
+    };
+
+    void updateCold(const std::vector<ReplicaCandidate> &candidates, state::Instant now);
+    const ColdLimit *coldLimitOf(const state::EndpointDescription &replica) const;
     // When it accepts a call; not after `now` if it does already.
     state::Instant acceptsCallAt(const state::EndpointDescription &replica,
                                  state::Instant now) const;
@@ -109,6 +119,7 @@
     std::map<state::EndpointId, ReplicaState> replicas;
     std::map<state::EndpointId, NamedLimit> limits;
     std::map<state::EndpointId, NamedRest> rests;
+    std::map<state::EndpointId, ColdReplica> cold;
 };
 
 } // namespace lavenderthread::coordination::routing
--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -380,6 +380,13 @@
     const auto peers = coordination::directory::workPeers(*view.members, this->settings.vm);
     for (const state::VmId &peer : this->peerArrivals.update(peers))
         this->hooks.peerJoined(peer);
+    if (this->settings.relay.placesRequests()) {
+        auto entries = coordination::directory::relayEntries(*view.members, view.synced);
+        if (entries != this->relayEntries) {
+            this->relayEntries = entries;
+            this->hooks.entriesChanged(std::move(entries));
+        }
+    }
     if (view.endpoints == this->appliedEndpoints)
         return;
     this->appliedEndpoints = view.endpoints;
--- a/src/program/Cluster.h
+++ b/src/program/Cluster.h
@@ -5,6 +5,7 @@
 #include "coordination/consensus/MemberPlan.h"
 #include "coordination/directory/Directory.h"
 #include "coordination/directory/WorkPeers.h"
+#include "coordination/routing/ColdAccess.h"
 #include "coordination/routing/PeerOrder.h"
 #include "program/ControlClient.h"
 #include "program/EndpointRegistry.h"
@@ -38,6 +39,8 @@
         std::function<void(const state::LoadReport &)> loadArrived;
         std::function<void(const protocol::PeerUpdate &)> newsArrived;
         std::function<void(const state::VmId &)> peerJoined; // news are shared with it from now on
+        // The relay entries that are known here. Called on membership's strand.
+        std::function<void(coordination::routing::RelayEntries)> entriesChanged = [](auto) {};
         std::function<void()> superseded; // another process with this VM id has replaced this one
     };
 
@@ -128,6 +131,7 @@
     std::map<state::EndpointId, LoggedState> loggedStates; // on membership's strand
     std::shared_ptr<const EndpointsView> appliedEndpoints; // in the registry; on the same strand
     coordination::directory::PeerArrivals peerArrivals;    // on the same strand
+    coordination::routing::RelayEntries relayEntries;      // as last passed on; on the same strand
     std::shared_ptr<EndpointRegistry> registry;
     Hooks hooks;
     coordination::directory::Directory entryDirectory;
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -444,14 +444,29 @@
         for (const auto &[id, endpoint] : this->announced) {
             const auto profile = this->profileOf(endpoint.description);
             this->handle(admission::EngineAnnounced{withProfile(endpoint.description, profile),
-                                                    profile});
+                                                    profile, this->coldShareOf(endpoint)});
         }
     }
 
+    std::optional<coordination::routing::ColdShare>
+    coldShareOf(const RegisteredEndpoint &endpoint) const
+    {
+        if (!this->hooks.coldShare)
+            return std::nullopt;
+        return this->hooks.coldShare(endpoint);
+    }
+
+    void refreshColdShares()
+    {
+        this->coldSharesChanged = true;
+        this->refreshEndpoints();
+    }
+
     void refreshEndpoints()
     {
         const auto table = this->registry->table();
-        if (table == this->appliedTable && !this->hasSuspects)
+        const bool sharesChanged = std::exchange(this->coldSharesChanged, false);
+        if (table == this->appliedTable && !this->hasSuspects && !sharesChanged)
             return;
         this->appliedTable = table;
         this->hasSuspects = false;
@@ -468,6 +483,8 @@
                 this->handle(admission::EngineGone{known.first});
         }
         std::erase_if(this->announced, isGone);
+        std::erase_if(this->coldShares,
+                      [this](const auto &each) { return !this->announced.contains(each.first); });
         for (const auto &[id, endpoint] : table->endpoints) {
             const auto profile = this->profileOf(endpoint.description);
             const bool suspected = this->isSuspected(endpoint.description);
@@ -478,12 +495,16 @@
                 this->markSuspected(id, suspected || endpoint.stale);
             const auto known = this->announced.find(id);
             const bool same = known != this->announced.end();
-            if (same && known->second == endpoint)
+            const auto cold = this->coldShareOf(endpoint);
+            const bool coldChanged = std::exchange(this->coldShares[id], cold) != cold;
+            if (same && known->second == endpoint && !coldChanged)
                 continue;
             const bool drainChanged = endpoint.draining != (same && known->second.draining);
             if (!same || known->second.description != endpoint.description)
                 this->handle(admission::EngineAnnounced{withProfile(endpoint.description, profile),
-                                                        profile});
+                                                        profile, cold});
+            else if (coldChanged)
+                this->handle(admission::EngineCold{id, endpoint.description.incarnation, cold});
             if (drainChanged)
                 this->handle(admission::EngineDraining{id, endpoint.draining, endpoint.evacuated});
             this->announced[id] = endpoint;
@@ -508,7 +529,9 @@
     EndpointHealth health; // a crashed engine stays announced until its renewals are missed
     std::map<state::EndpointId, RegisteredEndpoint> announced; // as the dispatcher was told
     state::SnapshotView<EndpointTable> appliedTable; // the last one that refreshEndpoints() applied
-    bool hasSuspects = false;                        // it must be applied again when they recover
+    std::map<state::EndpointId, std::optional<coordination::routing::ColdShare>> coldShares;
+    bool coldSharesChanged = false; // they must be asked for again
+    bool hasSuspects = false;       // it must be applied again when they recover
     std::map<state::ServiceName, state::routes::EngineProfile> profiles;
 };
 
@@ -556,6 +579,12 @@
                [self = this->shared_from_this()] { self->state->refreshEndpoints(); });
 }
 
+void DispatcherScheduler::refreshColdShares()
+{
+    asio::post(this->state->strand,
+               [self = this->shared_from_this()] { self->state->refreshColdShares(); });
+}
+
 Scheduler DispatcherScheduler::scheduler()
 {
     const auto self = this->shared_from_this();
--- a/src/program/DispatcherScheduler.h
+++ b/src/program/DispatcherScheduler.h
@@ -30,6 +30,9 @@
         std::function<void(const coordination::admission::BacklogNote &)> shareBacklog;
         // Tells them that another endpoint has that engine's address.
         std::function<void(const state::EndpointId &, std::uint64_t incarnation)> shareReplaced;
+        // What this entry may send to a cold endpoint; empty: no endpoint is limited.
+        std::function<std::optional<coordination::routing::ColdShare>(const RegisteredEndpoint &)>
+                coldShare;
         // Requests that reserve memory on engines with a declared profile.
         MemoryReservationCodec memory;
     };
@@ -49,6 +52,8 @@
     void engineReplaced(const state::EndpointId &engine, std::uint64_t incarnation);
     // Updates the dispatcher's engines from the registry's table. Any thread.
     void refreshEndpoints();
+    // coldShare() has other results. Any thread.
+    void refreshColdShares();
     // Sets the engine profiles that operators declare, by service. Any thread.
     void setProfiles(std::map<state::ServiceName, state::routes::EngineProfile> profiles);
 
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -4,6 +4,7 @@
 #include "coordination/directory/ShutdownSchedule.h"
 #include "program/Clock.h"
 #include "program/Cluster.h"
+#include "program/ColdEndpoints.h"
 #include "program/ControlClient.h"
 #include "program/ControlRoutes.h"
 #include "program/ControlService.h"
@@ -153,6 +154,7 @@
         , deployment(deployment)
         , context(static_cast<int>(settings.entry.workers))
         , registry(std::make_shared<EndpointRegistry>(settings.endpoint.expireAfter))
+        , cold(std::make_shared<ColdEndpoints>(settings.vm, monotonicNow()))
     {}
 
     state::Result<void> start()
@@ -167,6 +169,8 @@
                                 {this->incarnation,
                                  this->control ? this->control->identity() : state::VmId()},
                                 this->clusterHooks()));
+        if (!this->settings.gossipListen) // a single node is the only entry
+            this->cold->setEntries({{this->settings.vm}, true});
         this->guard = RequestGuard::create(this->context, this->guardHooks());
         if (this->settings.hasControlMembers())
             this->client =
@@ -260,6 +264,13 @@
         hooks.profilesChanged = [this](auto profiles) {
             this->policy->setProfiles(std::move(profiles));
         };
+        hooks.servicesChanged = [this](const auto &services) { this->applyColdTimes(services); };
+        hooks.coldShare = [this](const RegisteredEndpoint &endpoint) {
+            return this->cold->shareOf(endpoint, monotonicNow());
+        };
+        hooks.attemptStarted = [this](const state::EndpointDescription &endpoint) {
+            this->cold->countSend(*this->registry->table(), endpoint, monotonicNow());
+        };
         hooks.pathsChanged = [this] { this->publishPhase(); };
         hooks.finished = [this](const RelayOutcome &outcome) {
             countRelay(this->metrics, outcome);
@@ -268,6 +279,19 @@
         return hooks;
     }
 
+    void applyColdTimes(const std::vector<state::routes::ServiceProfile> &services)
+    {
+        std::map<state::ServiceName, state::Duration> times;
+        for (const state::routes::ServiceProfile &service : services) {
+            if (service.coldRequestsPerSecond > 0)
+                times[service.name] = service.coldTime;
+        }
+        this->registry->setColdTimes(std::move(times));
+        this->cold->setServices(services);
+        this->cold->logChanges(*this->registry->table(), monotonicNow());
+        this->policy->refreshColdShares();
+    }
+
     RequestGuard::Hooks guardHooks()
     {
         RequestGuard::Hooks hooks;
@@ -283,7 +307,14 @@
     Cluster::Hooks clusterHooks()
     {
         Cluster::Hooks hooks;
-        hooks.endpointsChanged = [this] { this->policy->refreshEndpoints(); };
+        hooks.endpointsChanged = [this] {
+            this->cold->logChanges(*this->registry->table(), monotonicNow());
+            this->policy->refreshEndpoints();
+        };
+        hooks.entriesChanged = [this](coordination::routing::RelayEntries entries) {
+            this->cold->setEntries(std::move(entries));
+            this->policy->refreshColdShares();
+        };
         hooks.loadArrived = [this](const state::LoadReport &report) {
             this->policy->post(coordination::admission::LoadReported{report});
         };
@@ -351,6 +382,9 @@
         hooks.shareReplaced = [this](const state::EndpointId &engine, std::uint64_t incarnation) {
             this->cluster->share(protocol::EndpointReplaced{engine, incarnation});
         };
+        hooks.coldShare = [cold = this->cold](const RegisteredEndpoint &endpoint) {
+            return cold->shareOf(endpoint, monotonicNow());
+        };
         hooks.memory = this->deployment.relay.memory;
         return hooks;
     }
@@ -578,6 +612,10 @@
         this->metrics.gauge("quarantine_blocks",
                             [this] { return double(this->guard->blockCount()); });
         this->metrics.gauge("evacuated_domains", [this] { return double(this->evacuatedDomains); });
+        this->metrics.gauge("cold_endpoints", [this] {
+            return double(this->cold->coldCount(*this->registry->table(), monotonicNow()));
+        });
+        this->metrics.gauge("cold_sends_total", [this] { return double(this->cold->sends()); });
         this->metrics.gauge("endpoints_known",
                             [this] { return double(this->cluster->endpointsKnown()); });
         this->metrics.gauge("reaches_endpoints",
@@ -643,6 +681,7 @@
     asio::signal_set reloadSignals{this->context, SIGHUP};
     Metrics metrics;
     std::shared_ptr<EndpointRegistry> registry;
+    std::shared_ptr<ColdEndpoints> cold;
     const std::uint64_t incarnation =
             static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
     std::atomic<bool> left = false;
--- a/src/program/RelayListeners.cpp
+++ b/src/program/RelayListeners.cpp
@@ -99,6 +99,8 @@
     relayHooks.endpointLeaves = [this](const state::EndpointDescription &endpoint) {
         this->hooks.cluster->endpointLeaves(endpoint);
     };
+    relayHooks.coldShare = this->hooks.coldShare;
+    relayHooks.attemptStarted = this->hooks.attemptStarted;
     relayHooks.guard = this->hooks.guard;
     relayHooks.finished = this->hooks.finished;
     return relayHooks;
@@ -313,6 +315,7 @@
     }
     this->routes.publish(table.value());
     this->relayServer->setLimits(limitsOf(table.value().limits()));
+    this->hooks.servicesChanged(table.value().services());
     this->hooks.profilesChanged(profilesOf(table.value()));
     logEvent(LogLevel::Info, "configuration.in-force",
              {{"version", view.configuration.version},
--- a/src/program/RelayListeners.h
+++ b/src/program/RelayListeners.h
@@ -37,6 +37,11 @@
         // Called with the services' engine profiles whenever a configuration comes into force.
         std::function<void(std::map<state::ServiceName, state::routes::EngineProfile>)>
                 profilesChanged;
+        // Called with the services whenever a configuration comes into force.
+        std::function<void(const std::vector<state::routes::ServiceProfile> &)> servicesChanged;
+        std::function<std::optional<coordination::routing::ColdShare>(const RegisteredEndpoint &)>
+                coldShare;
+        std::function<void(const state::EndpointDescription &)> attemptStarted;
         std::function<void()> pathsChanged; // isCutOff() has another result
         std::function<void(const RelayOutcome &)> finished;
     };
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -550,7 +550,8 @@
         const auto table = this->hooks.endpoints();
         for (const auto &[id, endpoint] : table->endpoints) {
             if (endpoint.description.service == this->outcome.service && !endpoint.draining)
-                candidates.push_back({endpoint.description, endpoint.stale});
+                candidates.push_back(
+                        {endpoint.description, endpoint.stale, this->hooks.coldShare(endpoint)});
         }
         const state::Instant now = monotonicNow();
         std::optional<std::size_t> chosen;
@@ -725,6 +726,7 @@
         for (const HelperTarget &helper : target.helpers)
             this->outcome.helpers.push_back(helper.address);
         const state::EndpointDescription endpoint = target.endpoint;
+        this->hooks.attemptStarted(endpoint);
         auto exchanging = this->exchangeWith(std::move(target));
         const AttemptResult end = co_await this->supervise(std::move(exchanging));
         if (end == AttemptResult::Lost)
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -81,6 +81,12 @@
         // An endpoint has said in an answer that it leaves.
         std::function<void(const state::EndpointDescription &)> endpointLeaves = [](const auto &) {
         };
+        // What this entry may send to a cold endpoint; nothing: no limit.
+        std::function<std::optional<coordination::routing::ColdShare>(const RegisteredEndpoint &)>
+                coldShare = [](const auto &) { return std::nullopt; };
+        // An attempt at the endpoint begins.
+        std::function<void(const state::EndpointDescription &)> attemptStarted = [](const auto &) {
+        };
         std::shared_ptr<RequestGuard> guard;
         // Sends an update to the peers.
         std::function<void(protocol::PeerUpdate)> share = [](auto) {};
--- a/tests/coordination/admission/DispatcherPassesTest.cpp
+++ b/tests/coordination/admission/DispatcherPassesTest.cpp
@@ -5,6 +5,8 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
+
 namespace lavenderthread::coordination::admission {
 
 namespace {
@@ -92,6 +94,9 @@
     CPPUNIT_TEST(engineLearnedLateIsNotBelievedIdle);
     CPPUNIT_TEST(entryThatStartsIsToldOfWorkInProgress);
     CPPUNIT_TEST(limitedEngineGetsItsRateFromAllEntries);
+    CPPUNIT_TEST(coldEngineGetsItsShare);
+    CPPUNIT_TEST(coldEngineThatIsAnnouncedGetsNothingBeforeItsShareIsKnown);
+    CPPUNIT_TEST(promptsThatColdEnginesHoldBackAreRefusedAtOnce);
     CPPUNIT_TEST(restingEnginesGetNothing);
     CPPUNIT_TEST(promptsThatNoEngineAcceptsAreRefusedAtOnce);
     CPPUNIT_TEST_SUITE_END();
@@ -582,6 +587,78 @@
                              fixture.dispatcher->fleet().find(limited)->sendsAvailable());
     }
 
+    static routing::ColdShare coldShare(state::Instant until, bool isSender)
+    {
+        return {until, isSender, seconds(1), {}};
+    }
+
+    // Guards against more requests to a cold engine than this entry's share, against none at all,
+    // and against a limit that outlasts the cold time.
+    void coldEngineGetsItsShare()
+    {
+        PassesFixture fixture;
+        const state::EndpointId cold = PassesFixture::engine(0).id;
+        const state::EndpointId heldBack = PassesFixture::engine(1).id;
+        // Ends right after the last of the first 200 requests.
+        const state::Instant until = fixture.now + milliseconds(10'025);
+        fixture.handle(EngineCold{cold, 1, coldShare(until, true)});
+        fixture.handle(EngineCold{heldBack, 1, coldShare(until, false)});
+        std::map<state::EndpointId, std::size_t> sent;
+        const auto sendTwentyPerSecond = [&](const std::string &name) {
+            for (int index = 0; index < 200; ++index) {
+                fixture.now += milliseconds(50);
+                fixture.handle(
+                        RequestArrived{fixture.request(name + std::to_string(index), 3'000)});
+                for (const Dispatch &dispatch : fixture.actionsOf<Dispatch>()) {
+                    ++sent[dispatch.engine];
+                    // The other engines stay busier than the cold ones.
+                    if (dispatch.engine == cold || dispatch.engine == heldBack || index % 8 == 0)
+                        fixture.handle(RequestFinished{dispatch.id, dispatch.attempt});
+                }
+            }
+        };
+        sendTwentyPerSecond("cold");
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(sent[cold]), sent[cold] >= 7 && sent[cold] <= 10);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), sent[heldBack]);
+        sent.clear();
+        sendTwentyPerSecond("warm");
+        // Only the slots of the engines limit it now.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(sent[heldBack]), sent[heldBack] > 100);
+    }
+
+    // Guards against waiting requests that are all sent to an engine in the moment in which it is
+    // announced.
+    void coldEngineThatIsAnnouncedGetsNothingBeforeItsShareIsKnown()
+    {
+        PassesFixture fixture({}, 1);
+        fixture.handle(EngineGone{PassesFixture::engine(0).id});
+        for (int index = 0; index < 5; ++index)
+            fixture.handle(RequestArrived{fixture.request("b" + std::to_string(index), 3'000)});
+        fixture.actionsOf<Dispatch>();
+        EngineAnnounced announced{profiledEngine(0), profile()};
+        announced.description.incarnation = 2;
+        announced.cold = coldShare(fixture.now + seconds(3), true);
+        fixture.handle(announced);
+        CPPUNIT_ASSERT(fixture.actionsOf<Dispatch>().size() <= 1);
+    }
+
+    // Guards against requests that wait until their time is over for engines that this entry may
+    // not use.
+    void promptsThatColdEnginesHoldBackAreRefusedAtOnce()
+    {
+        PassesFixture fixture;
+        const state::Instant until = fixture.now + seconds(2);
+        for (std::size_t index = 0; index < PassesFixture::engines; ++index)
+            fixture.handle(EngineCold{PassesFixture::engine(index).id, 1, coldShare(until, false)});
+        fixture.handle(RequestArrived{fixture.request("brief", 3'000)});
+        const Refuse refusal = fixture.onlyAction<Refuse>();
+        CPPUNIT_ASSERT(refusal.reason == RefusalReason::EndpointLimits);
+        CPPUNIT_ASSERT(refusal.ran == Ran::No);
+        fixture.now = until;
+        fixture.handle(RequestArrived{fixture.request("later", 3'000)});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.actionsOf<Dispatch>().size());
+    }
+
     // Guards against requests to engines that have asked this entry for rest, and against holding
     // one while all of them rest.
     void restingEnginesGetNothing()
--- a/tests/coordination/directory/RelayDirectoryTest.cpp
+++ b/tests/coordination/directory/RelayDirectoryTest.cpp
@@ -52,11 +52,32 @@
     CPPUNIT_TEST(domainWithoutPathsIsServedByOthers);
     CPPUNIT_TEST(relaysWithoutPathsAreBetterThanNone);
     CPPUNIT_TEST(peersHavePathsAndAreOthers);
+    CPPUNIT_TEST(deadRelaysCountForColdEndpointsUntilTheyLeave);
     CPPUNIT_TEST_SUITE_END();
 
     const state::FailureDomain domainA{"a"};
 
 public:
+    // Guards against a larger share for each entry during a partition, in which the others look
+    // dead but go on sending.
+    void deadRelaysCountForColdEndpointsUntilTheyLeave()
+    {
+        MemberTable members;
+        for (int number = 1; number <= 4; ++number)
+            add(members, number, "a", true);
+        MemberRecord record = members.find(state::VmId("vm-1"))->record;
+        record.health = membership::MemberHealth::Dead;
+        members.apply(record, {});
+        record = members.find(state::VmId("vm-2"))->record;
+        ++record.version;
+        record.phase = MemberPhase::Left;
+        members.apply(record, {});
+        const std::vector<state::VmId> expected{state::VmId("vm-1"), state::VmId("vm-3"),
+                                                state::VmId("vm-4")};
+        CPPUNIT_ASSERT(relayEntries(members, true).ids == expected);
+        CPPUNIT_ASSERT(!relayEntries(members, false).complete);
+    }
+
     // Guards against new callers at entries that have lost their links to all endpoints.
     void callersAreNotSentToRelaysWithoutPaths()
     {
--- a/tests/coordination/routing/HealthTest.cpp
+++ b/tests/coordination/routing/HealthTest.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(limitedReplicaGetsItsRateFromAllEntries);
     CPPUNIT_TEST(limitEndsWithItsNamingOrARestart);
     CPPUNIT_TEST(limitOutlastsAQuietTime);
+    CPPUNIT_TEST(coldReplicaGetsItsShare);
+    CPPUNIT_TEST(amongEqualsWarmReplicasGoFirst);
     CPPUNIT_TEST(triedReplicasComeLast);
     CPPUNIT_TEST_SUITE_END();
 
@@ -140,6 +142,45 @@
         CPPUNIT_ASSERT(!chooser.choose({replicas[0]}, {}, *next));
     }
 
+    // Guards against calls to a cold replica beyond this entry's share, and against a share of the
+    // start before it that counts for the present one.
+    void coldReplicaGetsItsShare()
+    {
+        ReplicaChooser chooser(1);
+        const state::Instant until = this->now + std::chrono::seconds(3);
+        std::vector<ReplicaCandidate> replicas{replica(0), replica(1)};
+        replicas[0].cold = ColdShare{until, true, std::chrono::seconds(1), {}};
+        replicas[1].cold = ColdShare{until, false};
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), *chooser.choose(replicas, {}, this->now));
+        chooser.callStarted(replicas[0].description, this->now);
+        CPPUNIT_ASSERT(!chooser.choose(replicas, {}, this->now));
+        CPPUNIT_ASSERT(*chooser.limitedUntil(replicas, this->now)
+                       == this->now + std::chrono::seconds(1));
+        CPPUNIT_ASSERT(
+                chooser.choose(replicas, {}, this->now + std::chrono::seconds(1)).has_value());
+        replicas[0].description.incarnation = 2;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), *chooser.choose(replicas, {}, this->now));
+        replicas[1].cold.reset();
+        replicas[0].cold = ColdShare{until, false};
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), *chooser.choose(replicas, {}, this->now));
+        replicas[1].cold = ColdShare{until, false};
+        CPPUNIT_ASSERT(!chooser.choose(replicas, {}, this->now));
+        CPPUNIT_ASSERT(chooser.choose(replicas, {}, until).has_value());
+    }
+
+    // Guards against the slow first seconds of a replica for calls that a warm one could take.
+    void amongEqualsWarmReplicasGoFirst()
+    {
+        ReplicaChooser chooser(1);
+        std::vector<ReplicaCandidate> replicas{replica(0), replica(1)};
+        const state::Instant until = this->now + std::chrono::seconds(3);
+        replicas[0].cold = ColdShare{until, true, std::chrono::milliseconds(1), {}};
+        for (int call = 0; call < 20; ++call)
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), *chooser.choose(replicas, {}, this->now));
+        chooser.callStarted(replicas[1].description, this->now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), *chooser.choose(replicas, {}, this->now));
+    }
+
     // Guards against an entry that forgets a limit because it has had no answer for a while: an
     // answer that names none would then no longer end the limit of an engine.
     void limitOutlastsAQuietTime()
--- a/tests/coordination/routing/PassPlacementTest.cpp
+++ b/tests/coordination/routing/PassPlacementTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(briefRequestsLeaveBusyGroup);
     CPPUNIT_TEST(longPromptStartsBesideBusyEngines);
     CPPUNIT_TEST(longRequestsJoinBriefOnes);
+    CPPUNIT_TEST(amongEqualsWarmEnginesGoFirst);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t engines = 8;
@@ -92,6 +93,23 @@
         }
     }
 
+    // Guards against the slow first seconds of a cold engine for prompts that warm ones could take,
+    // and against a warm engine that takes all prompts however busy it is.
+    void amongEqualsWarmEnginesGoFirst()
+    {
+        const ColdShare cold{this->start + std::chrono::seconds(3), true};
+        constexpr double anyEngine = 1e-6; // the brief group is always too late
+        for (std::size_t index = 0; index + 1 < engines; ++index)
+            this->views[index]->limitCold(cold);
+        const EngineView &warm = *this->views.back();
+        CPPUNIT_ASSERT(this->place(3'000, anyEngine)->engine == warm.description().id);
+        CPPUNIT_ASSERT_EQUAL(warm.description().id.value(), this->place(45'000)->engine.value());
+        for (std::uint64_t work = 1; work <= 4; ++work)
+            this->addDecodingSummary(*this->views.back(), work);
+        CPPUNIT_ASSERT(this->place(3'000, anyEngine)->engine != warm.description().id);
+        CPPUNIT_ASSERT(this->place(45'000)->engine != warm.description().id);
+    }
+
     void partsFitPausesOfDecodingRequests()
     {
         // Eight engines remain for long requests after a burst of brief ones, and each decodes a
