--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -133,6 +133,7 @@
     void on(const EnginesEvacuated &event);
     void on(const EngineSuspected &event);
     void on(const EngineEnded &event);
+    void on(const EngineCold &event);
     void on(const EngineLimited &event);
     void on(const EngineRests &event);
     void on(const EngineFull &event);
--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -18,6 +18,7 @@
     this->engines.announce(event.description, event.profile);
     if (event.draining)
         this->engines.find(event.description.id)->draining = true;
+    this->engines.find(event.description.id)->limitCold(event.cold);
     if (isNew)
         this->earlyWork.applyTo(*this->engines.find(event.description.id), this->now);
     this->placeWaiting();
@@ -89,6 +90,13 @@
         view->ended = event.ended;
 }
 
+void Dispatcher::on(const EngineCold &event)
+{
+    routing::EngineView *view = this->engines.find(event.engine);
+    if (view != nullptr && view->description().incarnation == event.incarnation)
+        view->limitCold(event.share);
+}
+
 void Dispatcher::on(const EngineLimited &event)
 {
     const routing::EngineView *view = this->engines.find(event.engine);
--- a/src/coordination/admission/Events.h
+++ b/src/coordination/admission/Events.h
@@ -4,6 +4,7 @@
 
 #include "coordination/admission/FairQueue.h"
 #include "coordination/admission/Request.h"
+#include "coordination/routing/ColdAccess.h"
 #include "coordination/routing/PassPlacement.h"
 #include "coordination/routing/PrefixIndex.h"
 #include "coordination/routing/WorkNote.h"
@@ -34,6 +35,16 @@
     std::optional<state::routes::EngineProfile> profile; // if it works in declared passes
     // It gets no new work from the start. False changes nothing for an engine that is known.
     bool draining = false;
+    // As in EngineCold. Waiting requests are placed at once, so it must be known by then.
+    std::optional<routing::ColdShare> cold{};
+};
+
+// What this entry may send to the engine while it is cold; nothing: no limit.
+struct EngineCold
+{
+    state::EndpointId engine;
+    std::uint64_t incarnation = 0;
+    std::optional<routing::ColdShare> share;
 };
 
 // Attempts on the engine fail, or succeed again. While suspected it gets no new work; work that
@@ -207,12 +218,12 @@
 struct Tick
 {};
 
-using Event =
-        std::variant<RequestArrived, CallerCancelled, EngineAnnounced, EngineGone, EngineDraining,
-                     EnginesEvacuated, EngineSuspected, EngineEnded, EngineLimited, EngineRests,
-                     EngineFull, LoadReported, CacheReported, SlicePrefilled, TokensReceived,
-                     RequestFinished, AttemptFailed, MoveRequested, ReservationAnswered,
-                     TableChanged, PeerWorkReceived, PeerJoined, PeerBacklogReceived, Tick>;
+using Event = std::variant<RequestArrived, CallerCancelled, EngineAnnounced, EngineGone,
+                           EngineDraining, EnginesEvacuated, EngineSuspected, EngineEnded,
+                           EngineCold, EngineLimited, EngineRests, EngineFull, LoadReported,
+                           CacheReported, SlicePrefilled, TokensReceived, RequestFinished,
+                           AttemptFailed, MoveRequested, ReservationAnswered, TableChanged,
+                           PeerWorkReceived, PeerJoined, PeerBacklogReceived, Tick>;
 
 // Whether the request ran; No only if that is certain.
 enum class Ran : std::uint8_t { No, Unknown };
--- a/src/coordination/routing/EngineView.h
+++ b/src/coordination/routing/EngineView.h
@@ -2,6 +2,7 @@
 // entry and its peers dispatched to it, and the contents of its prefix cache.
 #pragma once
 
+#include "coordination/routing/ColdAccess.h"
 #include "coordination/routing/PolicySettings.h"
 #include "coordination/routing/PrefixIndex.h"
 #include "coordination/routing/SendLimit.h"
@@ -70,6 +71,11 @@
     // until its next load report.
     void fullUntil(state::Instant until);
     bool hasRefusedAsFull() const { return this->advancedTo < this->refusesUntil; }
+    // What this entry may send while the engine is cold; nothing: it is warm or has no limit then.
+    void limitCold(const std::optional<ColdShare> &share);
+    // This entry sends the engine a request, or is about to.
+    void recordOwnSend(state::Instant now);
+    bool isCold() const; // Call advance(now) first.
     // How many requests may be sent to it now. Call advance(now) first.
     std::size_t sendsAvailable() const;
     // When one may be sent; in the past if it accepts any rate.
@@ -104,6 +110,7 @@
     double decodeSlowdownDuringPrefill;
 
     std::optional<SendLimit> sendLimit; // of this incarnation; none: it accepts any rate
+    std::optional<ColdLimit> coldLimit; // of this incarnation
     state::Instant restsUntil{};        // of this incarnation
     state::Instant refusesUntil{};      // of this incarnation
     std::vector<ResidentWork> work;     // ordered by priority, then by arrival
--- a/src/program/RelayListeners.cpp
+++ b/src/program/RelayListeners.cpp
@@ -99,6 +99,8 @@
     relayHooks.endpointLeaves = [this](const state::EndpointDescription &endpoint) {
         this->hooks.cluster->endpointLeaves(endpoint);
     };
+    relayHooks.coldShare = this->hooks.coldShare;
+    relayHooks.attemptStarted = this->hooks.attemptStarted;
     relayHooks.guard = this->hooks.guard;
     relayHooks.finished = this->hooks.finished;
     return relayHooks;
@@ -193,9 +195,10 @@
     face.newestConfiguration = [this]() -> asio::awaitable<state::Result<ConfigurationDocument>> {
         return this->hooks.client->configuration(monotonicNow() + newestTime);
     };
-    face.announce =
-            [this](state::EndpointDescription endpoint) -> asio::awaitable<state::Result<void>> {
-        const auto answer = co_await this->hooks.cluster->announce(std::move(endpoint));
+    face.announce = [this](state::EndpointDescription endpoint,
+                           std::optional<state::Duration> coldLeft)
+            -> asio::awaitable<state::Result<void>> {
+        const auto answer = co_await this->hooks.cluster->announce(std::move(endpoint), coldLeft);
         if (!answer)
             co_return answer.error();
         co_return state::outcome::success();
@@ -312,6 +315,7 @@
     }
     this->routes.publish(table.value());
     this->relayServer->setLimits(limitsOf(table.value().limits()));
+    this->hooks.servicesChanged(table.value().services());
     this->hooks.profilesChanged(profilesOf(table.value()));
     logEvent(LogLevel::Info, "configuration.in-force",
              {{"version", view.configuration.version},
