Dispatcher: ranked control under overload, on engines that work in passes

Requests were admitted, queued and refused by arrival alone, and refused callers were told fixed return times. The priority of a route or of its account did not reach the dispatcher.

With "overload": {"control": "ranked"} the priority goes from the route or account to the order of waiting prompts, and OverloadControl decides at arrival, before a waiting request takes a slot and before a retry. Return times are spread. The default "arrival" decides as before. The order of waiting long prompts is a setting of the policy. request.refused names the rank, what was ahead and the slots taken; refusals_total counts by cause and rank.

OverloadControl gave refusals that are milliseconds apart the same Retry-After; each now returns a gap later than the one before it (fullEnginesSpreadReturnTimes failed before).

--- a/src/coordination/admission/Dispatcher.cpp
+++ b/src/coordination/admission/Dispatcher.cpp
@@ -59,7 +59,8 @@
         return;
     const LengthClass lengthClass = this->lengthClassOf(request.promptTokens);
     this->engines.notePause(request.model, request.toleratedPause, this->now);
-    if (const std::optional<Refuse> refusal = this->admissionRefusal(request, lengthClass)) {
+    if (std::optional<Refuse> refusal = this->admissionRefusal(request, lengthClass)) {
+        refusal->rank = request.rank;
         ++this->counters.refused;
         this->actions.emplace_back(*refusal);
         return;
@@ -116,6 +117,10 @@
         return;
     ++this->counters.finished;
     this->retryBudget.addSuccess();
+    if (this->policy.rankedOverload && active->startedAt != state::Instant{}) {
+        this->overloadByModel[active->request.model].noteHeld(active->request.rank,
+                                                              this->now - active->startedAt);
+    }
     // The engine has already freed the stream, so endRequest() must not cancel it.
     this->activeRequests.at(event.id).dispatched = false;
     this->endRequest(event.id);
@@ -207,17 +212,21 @@
 {
     const Ran ran = this->activeRequests.at(id).dispatched ? Ran::Unknown : Ran::No;
     ++this->counters.refused;
-    this->actions.emplace_back(Refuse{id, reason, retryAfter, ran});
+    Refuse refusal{id, reason, retryAfter, ran};
+    refusal.rank = this->activeRequests.at(id).request.rank;
+    this->actions.emplace_back(refusal);
     this->endRequest(id);
 }
 
-void Dispatcher::refuseAfterAttempts(const ActiveRequest &active, bool retryBudgetSpent)
+void Dispatcher::refuseAfterAttempts(const ActiveRequest &active, bool retryBudgetSpent,
+                                     std::optional<state::Duration> retryAfter)
 {
     Refuse refusal;
     refusal.id = active.request.id;
     refusal.reason = RefusalReason::AttemptsExhausted;
-    refusal.retryAfter = std::chrono::duration_cast<state::Duration>(
-            std::chrono::duration<double>(this->idealSeconds(active.request)));
+    refusal.retryAfter = retryAfter.value_or(std::chrono::duration_cast<state::Duration>(
+            std::chrono::duration<double>(this->idealSeconds(active.request))));
+    refusal.rank = active.request.rank;
     refusal.ran = active.dispatched ? Ran::Unknown : Ran::No;
     refusal.failedAttempts = std::uint32_t(active.failedEngines.size());
     refusal.retryBudgetSpent = retryBudgetSpent;
--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -9,6 +9,7 @@
 #include "coordination/admission/Events.h"
 #include "coordination/admission/FairQueue.h"
 #include "coordination/admission/LongPromptQueue.h"
+#include "coordination/admission/OverloadControl.h"
 #include "coordination/admission/RetryBudget.h"
 #include "coordination/routing/EarlyWork.h"
 #include "coordination/routing/Fleet.h"
@@ -79,6 +80,7 @@
         std::uint32_t receivedTokens = 0;   // output tokens that the caller has received
         bool dispatched = false;            // an engine may be running it or may have run it
         state::Instant notBefore{};         // earliest time of the next placement
+        state::Instant startedAt{};         // of its last dispatch, on engines that work in passes
         state::Instant renewAt{};           // when its reservations are renewed
         state::FailureDomain avoidedDomain; // of the engine that failed last
         // Used only on engines that work in passes.
@@ -120,7 +122,8 @@
     ActiveRequest *findAttempt(const state::RequestId &id, std::uint32_t attempt);
     void endRequest(const state::RequestId &id);
     void refuse(const state::RequestId &id, RefusalReason reason, state::Duration retryAfter);
-    void refuseAfterAttempts(const ActiveRequest &active, bool retryBudgetSpent);
+    void refuseAfterAttempts(const ActiveRequest &active, bool retryBudgetSpent,
+                             std::optional<state::Duration> retryAfter = {});
     void shareBacklog();
 
     // DispatcherEngines.cpp: engines and peers
@@ -179,6 +182,7 @@
                                         state::Duration overrun) const;
     bool isLong(const CompletionRequest &request) const;
     WaitingPrompt waitingPromptOf(const CompletionRequest &request) const;
+    state::Duration rankDelayOf(const CompletionRequest &request, double prefillSeconds) const;
     double engineSecondsOf(const CompletionRequest &request) const; // of its whole prefill
     void placeLongPrompts();
     void refuseOverdue();
@@ -199,6 +203,18 @@
     std::uint32_t equivalentPartTokens(const ActiveRequest &active) const;
     void applyWorkNote(const routing::WorkNote &note);
 
+    // DispatcherOverload.cpp: the decision under overload, with PolicySettings::rankedOverload
+    OverloadQuery overloadQuery(const CompletionRequest &request);
+    std::optional<Refuse> rankedRefusal(const CompletionRequest &request);
+    bool mayStart(const ActiveRequest &active);
+    std::optional<state::Duration> retryRefusal(const ActiveRequest &active);
+    state::Duration retryAfterOf(const CompletionRequest &request, state::Duration fixed);
+    void noteAdmitted(const routing::WorkNote &note);
+    void rankRow(const CompletionRequest &request);
+    static state::Duration briefWaitOf(const CompletionRequest &request);
+    static std::uint8_t rankedPriority(std::uint8_t rank, bool isLong); // as sent to engines
+    static std::uint8_t rankOfPriority(std::uint8_t priority);
+
     // DispatcherSpans.cpp: reservations
     void on(const ReservationAnswered &event);
     bool placeSpan(ActiveRequest &active);
@@ -215,6 +231,7 @@
     routing::EarlyWork earlyWork;
     FairQueue queue;
     LongPromptQueue longPromptQueue; // own and peers' long prompts; for engines that work in passes
+    std::map<state::ModelName, OverloadControl> overloadByModel; // for engines that work in passes
     state::Instant waitingPromptsSharedAt{};
     state::Instant placementTriedAt{};   // last time when all waiting brief requests were tried
     state::Instant longPlacementDueAt{}; // next time when long prompts are tried
--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -114,6 +114,7 @@
     }
     this->longPromptQueue.remove(note.requestHash);
     this->applyWorkNote(note);
+    this->noteAdmitted(note);
     if (note.chargedTokens > 0)
         this->queue.charge(note.key, note.chargedTokens, this->now);
 }
@@ -219,6 +220,11 @@
     const bool noBudgetNeeded = wasReserving || (didNotRun && !this->policy.budgetRefused);
     const bool repeatable = didNotRun || active.request.idempotent;
     const bool alreadyPaid = std::exchange(active.retryPaid, false);
+    if (const std::optional<state::Duration> after = this->retryRefusal(active)) {
+        active.phase = Phase::Reserving; // none of it is on an engine any more
+        this->refuseAfterAttempts(active, false, after);
+        return;
+    }
     const bool allowed =
             noBudgetNeeded || (repeatable && (alreadyPaid || this->retryBudget.tryTake()));
     if ((ran && !active.request.idempotent) || !allowed || this->isExhausted(active)) {
--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -87,6 +87,8 @@
 
 std::optional<Refuse> Dispatcher::refusalByPasses(const CompletionRequest &request)
 {
+    if (this->policy.rankedOverload)
+        return this->rankedRefusal(request);
     const double waitingDemand = this->updateWaitingDemand(request.model);
     if (!this->isLong(request))
         return this->briefRefusal(request);
@@ -181,10 +183,37 @@
     prompt.engineSeconds = engineSeconds;
     prompt.firstEventTarget = request.firstEventTarget;
     prompt.arrival = request.arrival;
-    prompt.rankDelay = toDuration(engineSeconds * passes.rankDelayFactor / double(parts));
+    prompt.rankDelay = this->rankDelayOf(request, engineSeconds / double(parts));
     return prompt;
 }
 
+// How far a waiting prompt lets later ones pass. `prefillSeconds`: on as many engines as may share
+// the prompt.
+state::Duration Dispatcher::rankDelayOf(const CompletionRequest &request,
+                                        double prefillSeconds) const
+{
+    const routing::PassPlacementSettings &passes = this->policy.passes;
+    const double target = std::chrono::duration<double>(request.firstEventTarget).count();
+    double delay = 0;
+    switch (passes.waitingOrder) {
+    case routing::WaitingOrder::BoundedDelay:
+        delay = prefillSeconds * passes.rankDelayFactor;
+        break;
+    case routing::WaitingOrder::EarliestDeadline:
+        delay = target;
+        break;
+    case routing::WaitingOrder::LeastSlack:
+        delay = std::max(target - prefillSeconds, 0.0);
+        break;
+    case routing::WaitingOrder::ShortestFirst:
+        delay = std::min(prefillSeconds * passes.shortestFirstFactor, target);
+        break;
+    }
+    if (this->policy.rankedOverload)
+        delay += request.rank * passes.rankStepSeconds;
+    return toDuration(delay);
+}
+
 double Dispatcher::engineSecondsOf(const CompletionRequest &request) const
 {
     const routing::EngineView *view = nullptr;
@@ -221,6 +250,8 @@
         request.failedEngines = active.failedEngines;
         if (active.latestStart)
             request.firstEventTargetSeconds = 0; // missed
+        if (!this->mayStart(active))
+            continue;
         const auto choice = found->second->place(std::move(request));
         if (choice && active.notBefore <= this->now)
             this->startByPasses(active, *choice);
@@ -239,7 +270,7 @@
                 hasTarget ? request.firstEventTarget : longestRetryAfter;
         if (this->now - request.arrival > this->maximumWaitOf(active, defaultWait)
             && !this->defer(active))
-            this->refuse(id, RefusalReason::Overload, retryWhenFull);
+            this->refuse(id, RefusalReason::Overload, this->retryAfterOf(request, retryWhenFull));
     }
 }
 
@@ -315,14 +346,17 @@
     this->updateWaitingDemand(request.model);
     routing::PassRequest passRequest = this->passRequestOf(request);
     passRequest.failedEngines = active.failedEngines;
-    const auto choice = this->engines.chooseByPasses(request.model, passRequest, this->now);
+    std::optional<routing::PassChoice> choice;
+    if (this->mayStart(active))
+        choice = this->engines.chooseByPasses(request.model, passRequest, this->now);
     if (!choice) {
         // It would wait for one of few requests that the engines accept, among those of all
         // entries.
         if (const auto limitedUntil = this->engines.limitedUntil(request.model, this->now)) {
-            this->refuse(
-                    request.id, RefusalReason::EndpointLimits,
-                    std::clamp(*limitedUntil - this->now, shortestRetryAfter, longestRetryAfter));
+            const state::Duration after =
+                    std::clamp(*limitedUntil - this->now, shortestRetryAfter, longestRetryAfter);
+            this->refuse(request.id, RefusalReason::EndpointLimits,
+                         this->retryAfterOf(request, after));
             return true;
         }
         // No engine has capacity. The request may wait as long as it can still be in time.
@@ -333,7 +367,7 @@
             return false;
         const bool none = this->engines.watched(request.model).empty();
         this->refuse(request.id, none ? RefusalReason::UnknownModel : RefusalReason::Overload,
-                     none ? retryWithoutEngines : retryWhenFull);
+                     this->retryAfterOf(request, none ? retryWithoutEngines : retryWhenFull));
         return true;
     }
     this->startByPasses(active, *choice);
@@ -343,6 +377,7 @@
 void Dispatcher::startByPasses(ActiveRequest &active, const routing::PassChoice &choice)
 {
     this->dequeue(active);
+    active.startedAt = this->now;
     active.plan.parts = {{choice.engine, 0, active.request.promptTokens, 0, false}};
     active.helpers = choice.helpers;
     active.partSeconds = choice.partSeconds;
--- a/src/coordination/admission/DispatcherPlacing.cpp
+++ b/src/coordination/admission/DispatcherPlacing.cpp
@@ -21,6 +21,8 @@
 constexpr double aheadQueueShare = 0.25; // of the queue limit, for rows ahead of their share
 constexpr std::uint32_t milli = 1'000;
 constexpr state::Duration minimumRetryAfter = std::chrono::seconds(1);
+// Puts prompts that have missed their target behind those of all ranks that have not.
+constexpr state::Duration lastRankDelay = std::chrono::seconds(60);
 constexpr state::Duration maximumRetryAfter = std::chrono::seconds(30);
 
 double toSeconds(state::Duration duration)
@@ -232,6 +234,8 @@
         return ordinaryRowPriority;
     // Waiting requests are ordered at the entry; on the engine, brief ones go first.
     constexpr std::uint8_t briefPriority = 2;
+    if (this->engines.worksInPasses(request.model) && this->policy.rankedOverload)
+        return rankedPriority(request.rank, this->isLong(request));
     if (this->engines.worksInPasses(request.model))
         return this->isLong(request) ? ordinaryRowPriority : briefPriority;
     const int rowShift = int(this->queue.row(request.tableKey()).priority) - ordinaryRowPriority;
@@ -293,12 +297,16 @@
         if (active.latestStart) {
             prompt.firstEventTarget = state::Duration(0); // missed
             prompt.rankDelay = active.request.deadline - active.request.arrival;
+            if (this->policy.rankedOverload)
+                prompt.rankDelay += lastRankDelay;
         }
         this->longPromptQueue.add(active.request.id, prompt);
         this->longPlacementDueAt = this->now;
         this->sendWaitingNote(active, prompt, routing::WorkStage::Waiting);
         return;
     }
+    if (this->policy.rankedOverload && this->engines.worksInPasses(active.request.model))
+        this->rankRow(active.request);
     this->queue.push(this->queuedRequestOf(active), front, this->now);
 }
 
--- a/src/coordination/admission/Events.h
+++ b/src/coordination/admission/Events.h
@@ -239,6 +239,10 @@
     double queuedSeconds = 0; // engine time of the prompts that wait at the entries and go first
     // Basis of the decision, on engines that work in passes.
     routing::PlacementSnapshot placementSnapshot;
+    // With PolicySettings::rankedOverload only.
+    std::uint8_t rank = 0;
+    double waitingAhead = 0; // requests that waited and would have gone first
+    std::uint32_t slotsTaken = 0;
     std::uint32_t failedAttempts = 0;
     bool retryBudgetSpent = false; // the budget did not pay for another attempt
 };
--- a/src/coordination/admission/LongPromptQueue.cpp
+++ b/src/coordination/admission/LongPromptQueue.cpp
@@ -78,6 +78,19 @@
     return seconds;
 }
 
+double LongPromptQueue::countBefore(const WaitingPrompt &prompt, state::Instant now) const
+{
+    const Rank limit = rankOf(prompt);
+    double count = 0;
+    for (const auto &[rank, entry] : this->byRank) {
+        if (rank >= limit)
+            break;
+        if (entry.expires > now && entry.prompt.modelHash == prompt.modelHash)
+            ++count;
+    }
+    return count;
+}
+
 double LongPromptQueue::sumOf(std::uint64_t modelHash, state::Instant now,
                               const std::function<double(const WaitingPrompt &)> &property) const
 {
--- a/src/coordination/admission/LongPromptQueue.h
+++ b/src/coordination/admission/LongPromptQueue.h
@@ -60,6 +60,7 @@
     std::vector<QueuedPrompt> inOrder(state::Instant now);
     // Engine time, in seconds, of all waiting prompts of its model that go before this one.
     double secondsBefore(const WaitingPrompt &prompt, state::Instant now) const;
+    double countBefore(const WaitingPrompt &prompt, state::Instant now) const;
     // The sum of a property over all waiting prompts of a model.
     double sumOf(std::uint64_t modelHash, state::Instant now,
                  const std::function<double(const WaitingPrompt &)> &property) const;
--- a/src/coordination/admission/OverloadControl.cpp
+++ b/src/coordination/admission/OverloadControl.cpp
@@ -107,6 +107,11 @@
     return std::max(left, least) / this->heldSeconds.at(index);
 }
 
+bool OverloadControl::isIdle(const ServiceLoad &load) const
+{
+    return load.waiting <= 0 && load.taken < load.slots * this->settings.idleShare;
+}
+
 OverloadDecision OverloadControl::decide(const OverloadQuery &query, state::Instant now)
 {
     const ServiceLoad &load = query.load;
@@ -117,8 +122,7 @@
                 query.latestStart > state::Duration(0)
                         ? state::Duration(0)
                         : this->returnTime(query.rank, {}, query.timeLeft, now)};
-    const bool isIdle = load.waiting <= 0 && load.taken < load.slots * this->settings.idleShare;
-    if (isIdle)
+    if (this->isIdle(load))
         return {};
     const double missing = std::max(load.taken + 1 - this->slotLimit(query, now), 0.0);
     if (missing <= 0 && query.waitingAhead <= 0 && query.secondsAhead <= 0)
@@ -155,10 +159,10 @@
     const state::Instant bandEnd = now + toDuration(opening + width * double(index + 1));
     state::Instant chosen = bandStart;
     state::Instant &latest = this->latestReturn.at(index);
-    if (latest >= bandStart && latest < bandEnd) {
+    if (latest < bandEnd && latest != state::Instant{}) {
         const state::Duration gap = std::max(toDuration(width / givenPerBand), returnGap);
         // Once the band is nearly used up, half of what is left, so that the order holds.
-        chosen = std::min(latest + gap, latest + (bandEnd - latest) / 2);
+        chosen = std::max(bandStart, std::min(latest + gap, latest + (bandEnd - latest) / 2));
     } else if (latest >= bandEnd) {
         chosen = bandEnd;
     }
--- a/src/coordination/admission/OverloadControl.h
+++ b/src/coordination/admission/OverloadControl.h
@@ -94,6 +94,8 @@
         : settings(controlSettings)
     {}
 
+    // Whether every request is admitted: half of the slots are free and nothing waits.
+    bool isIdle(const ServiceLoad &load) const;
     OverloadDecision decide(const OverloadQuery &query, state::Instant now);
     // The time after which a caller that is refused now should return. Capacity is expected after
     // `expected`. Times given at one entry differ by a millisecond or more while the bound allows
--- a/src/coordination/admission/Request.h
+++ b/src/coordination/admission/Request.h
@@ -26,7 +26,8 @@
     bool idempotent = true;
     state::Duration firstEventTarget{0}; // from arrival to the first event, as requested; 0: none
     state::Duration toleratedPause{
-            0}; // longest that the caller tolerates between events; 0: not known
+            0};            // longest that the caller tolerates between events; 0: not known
+    std::uint8_t rank = 0; // priority within its service, 0 is the most urgent; see OverloadControl
     std::uint32_t attemptLimit = 0; // engines that it may run on; 0: the limit of the policy
 
     auto operator<=>(const CompletionRequest &) const = default;
--- a/src/coordination/routing/Fleet.cpp
+++ b/src/coordination/routing/Fleet.cpp
@@ -388,6 +388,25 @@
            && !isBrief(*(*profiled)->profile(), promptTokens, this->passSettings(model));
 }
 
+SlotLoad Fleet::slotLoad(const state::ModelName &model, state::Instant now)
+{
+    SlotLoad load;
+    const WatchedEngines *set = this->watchedEngines(model);
+    if (set == nullptr)
+        return load;
+    for (EngineView *view : set->views) {
+        if (!view->profile() || view->draining || view->suspected)
+            continue;
+        view->advance(now);
+        const std::size_t slots = view->profile()->slots;
+        const auto held = std::size_t(std::ranges::count_if(
+                view->residentWork(), [](const ResidentWork &each) { return !each.isHelperWork; }));
+        load.slots += slots;
+        load.taken += std::min(slots, held);
+    }
+    return load;
+}
+
 void Fleet::limitSends(const state::EndpointId &engine, std::optional<double> perSecond,
                        state::Instant now)
 {
--- a/src/coordination/routing/Fleet.h
+++ b/src/coordination/routing/Fleet.h
@@ -44,6 +44,15 @@
     Prediction prediction;
 };
 
+// Slots of the engines of a model that take new work, and those that are believed to be taken.
+struct SlotLoad
+{
+    std::size_t slots = 0;
+    std::size_t taken = 0;
+
+    auto operator<=>(const SlotLoad &) const = default;
+};
+
 // Keeps a view of each known engine and chooses an engine for each prompt.
 class Fleet
 {
@@ -88,6 +97,8 @@
     // When an engine accepts a request again, if the rates that the engines accept keep the model's
     // requests from all of them.
     std::optional<state::Instant> limitedUntil(const state::ModelName &model, state::Instant now);
+    // Counts engines that declare a profile. Parts of prompts that helpers prefill take no slot.
+    SlotLoad slotLoad(const state::ModelName &model, state::Instant now);
     // Records the pause between two events that a caller of the model tolerates. It expires if no
     // caller requests it for a while; otherwise one misconfigured route would set the limit for
     // ever.
--- a/src/coordination/routing/PassPlacementSettings.h
+++ b/src/coordination/routing/PassPlacementSettings.h
@@ -3,9 +3,18 @@
 
 #include <compare>
 #include <cstddef>
+#include <cstdint>
 
 namespace lavenderthread::coordination::routing {
 
+// The order of waiting long prompts. In each, a prompt lets later ones pass for a bounded time.
+enum class WaitingOrder : std::uint8_t {
+    BoundedDelay,     // arrival, and a delay by the time for which it occupies its engines
+    EarliestDeadline, // of the first event
+    LeastSlack,       // the same, less its prefill
+    ShortestFirst,    // by prefill, but at most its target behind prompts that came later
+};
+
 struct PassPlacementSettings
 {
     // A request whose prefill takes at most this long is brief and shares an engine with others.
@@ -64,6 +73,13 @@
     // A waiting long prompt ranks behind shorter ones that arrive within this many times its
     // prefill time on as many engines as may share it.
     double rankDelayFactor = 8.5;
+    WaitingOrder waitingOrder = WaitingOrder::BoundedDelay;
+    // ShortestFirst: as rankDelayFactor, so large that the bound applies to most prompts.
+    double shortestFirstFactor = 60;
+    // With PolicySettings::rankedOverload, each rank lets prompts of the next more urgent one pass
+    // that arrive within this time. It exceeds the targets of long prompts, after which a prompt
+    // is deferred or refused.
+    double rankStepSeconds = 6;
     // Tightest pause that callers of the model tolerate; a default until they state one. A pause is
     // tight if it is below tightPauseFactor times this value.
     double tightestPauseSeconds = 0.2;
--- a/src/coordination/routing/PolicySettings.h
+++ b/src/coordination/routing/PolicySettings.h
@@ -89,6 +89,9 @@
     // A request is refused if its first answer is predicted later than this many times its target:
     // the requests queued behind it would be late too, and none would meet its target.
     double lateTolerance = 4;
+    // Ranks and shares of accounts decide under overload, on engines that work in passes; else the
+    // time of arrival. See admission::OverloadControl.
+    bool rankedOverload = false;
     bool budgetRefused = false; // retries after an engine's refusal also use the retry budget
 
     auto operator<=>(const PolicySettings &) const = default;
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -189,6 +189,8 @@
     {
         const Problem problem = problemOf(action);
         logRefusal(action, problem);
+        if (this->hooks.countRefusal)
+            this->hooks.countRefusal(problem.title, action.rank);
         this->answer(action.id, problem);
     }
 
--- a/src/program/DispatcherScheduler.h
+++ b/src/program/DispatcherScheduler.h
@@ -30,6 +30,8 @@
         std::function<void(const coordination::admission::BacklogNote &)> shareBacklog;
         // Tells them that another endpoint has that engine's address.
         std::function<void(const state::EndpointId &, std::uint64_t incarnation)> shareReplaced;
+        // Counts a refusal by its cause and the request's rank.
+        std::function<void(const std::string &cause, std::uint8_t rank)> countRefusal;
         // Requests that reserve memory on engines with a declared profile.
         MemoryReservationCodec memory;
     };
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -213,6 +213,7 @@
     {
         coordination::routing::PolicySettings policy;
         policy.prefixBlockTokens = protocol::prefixBlockTokens;
+        policy.rankedOverload = settings.rankedOverload;
         if (!settings.relay.listen)
             return policy;
         // Long prompts are split over all engines at once, so every entry must watch all of them.
@@ -338,6 +339,10 @@
     DispatcherScheduler::Hooks policyHooks()
     {
         DispatcherScheduler::Hooks hooks;
+        hooks.countRefusal = [this](const std::string &cause, std::uint8_t rank) {
+            this->metrics.count("refusals_total{cause=\"" + cause + "\",rank=\""
+                                + std::to_string(rank) + "\"}");
+        };
         hooks.shareWork = [this](const coordination::routing::WorkNote &note) {
             this->cluster->share(note);
         };
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -484,6 +484,7 @@
         wanted.firstEventTarget = this->route->firstAnswerTarget;
         wanted.toleratedPause = this->route->pauseTarget;
         wanted.attempts = this->facts.maxRuns;
+        wanted.rank = this->routes->priorityOf(*this->route, this->outcome.account);
         wanted.interrupt = [running = this->running] { running->interrupt(); };
         return wanted;
     }
--- a/src/program/Scheduler.h
+++ b/src/program/Scheduler.h
@@ -30,6 +30,7 @@
     bool idempotent = true;
     state::Duration firstEventTarget{0}; // as in CompletionRequest
     state::Duration toleratedPause{0};
+    std::uint8_t rank = 0;      // as in CompletionRequest
     std::uint32_t attempts = 0; // the most engines to try; 0: as the policy sets it
     // Called on the scheduler's strand to end the running attempt: it was abandoned, or its caller
     // or an engine that it needs is gone. Empty: the engine is told to end the stream instead.
--- a/src/program/SchedulerTranslation.cpp
+++ b/src/program/SchedulerTranslation.cpp
@@ -65,6 +65,9 @@
              {{"request", action.id.value()},
               {"cause", problem.title},
               {"ran", protocol::toString(problem.ran)},
+              {"rank", std::uint64_t(action.rank)},
+              {"waiting_ahead", std::uint64_t(action.waitingAhead)},
+              {"slots_taken", std::uint64_t(action.slotsTaken)},
               {"retry_after_us", std::int64_t(action.retryAfter.count())},
               {"failed_attempts", action.failedAttempts},
               {"retry_budget", action.retryBudgetSpent ? "spent" : "left"},
@@ -93,6 +96,7 @@
     admitted.idempotent = request.idempotent;
     admitted.firstEventTarget = request.firstEventTarget;
     admitted.toleratedPause = request.toleratedPause;
+    admitted.rank = request.rank;
     admitted.attemptLimit = request.attempts;
     return admitted;
 }
--- a/src/program/Settings.cpp
+++ b/src/program/Settings.cpp
@@ -168,6 +168,11 @@
             std::chrono::milliseconds(std::llround(document.number("control.change_in_force_ms")));
     settings.relay = relaySettings(document);
     settings.gossip = gossipSettings(document);
+    const std::string overloadControl = document.text("overload.control");
+    if (overloadControl != "arrival" && overloadControl != "ranked")
+        return state::makeError(state::ErrorCode::InvalidArgument, "settings.check",
+                                "overload.control: expected arrival or ranked", file);
+    settings.rankedOverload = overloadControl == "ranked";
     settings.metricsListen = optionalAddress(document.text("metrics.listen"));
     settings.logLevel = document.text("log.level");
     readSeeds(document, settings);
--- a/src/program/Settings.h
+++ b/src/program/Settings.h
@@ -102,6 +102,7 @@
     std::vector<ControlMemberSetting> controlMembers;
     std::vector<AccountSetting> accounts;
     std::vector<ServiceSetting> services;
+    bool rankedOverload = false; // overload.control
     std::optional<state::Address> metricsListen;
     std::string logLevel;
 
--- a/src/state/routes/RouteTable.cpp
+++ b/src/state/routes/RouteTable.cpp
@@ -96,6 +96,15 @@
     return nullptr;
 }
 
+std::uint8_t RouteTable::priorityOf(const Route &route, const ClientAccountId &account) const
+{
+    if (!this->draft.accounts)
+        return route.priority;
+    const auto found = std::ranges::find(*this->draft.accounts, account, &RouteAccount::id);
+    return found == this->draft.accounts->end() ? route.priority
+                                                : found->priority.value_or(route.priority);
+}
+
 const RouteAccount *RouteTable::accountOfKey(std::string_view key) const
 {
     const auto found = this->accountIndexByKey.find(std::string(key));
--- a/src/state/routes/RouteTable.h
+++ b/src/state/routes/RouteTable.h
@@ -42,6 +42,8 @@
     const Route *match(std::string_view host, std::string_view path) const;
     // Null if no account holds the key.
     const RouteAccount *accountOfKey(std::string_view key) const;
+    // The account's priority if it has one, else the route's.
+    std::uint8_t priorityOf(const Route &route, const ClientAccountId &account) const;
     const ServiceProfile *service(const ServiceName &name) const;
 
 private:
--- a/tests/coordination/admission/DispatcherPassesTest.cpp
+++ b/tests/coordination/admission/DispatcherPassesTest.cpp
@@ -5,6 +5,8 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+
 namespace lavenderthread::coordination::admission {
 
 namespace {
@@ -94,6 +96,10 @@
     CPPUNIT_TEST(limitedEngineGetsItsRateFromAllEntries);
     CPPUNIT_TEST(restingEnginesGetNothing);
     CPPUNIT_TEST(promptsThatNoEngineAcceptsAreRefusedAtOnce);
+    CPPUNIT_TEST(rankCountsOnlyWithRankedControl);
+    CPPUNIT_TEST(fullEnginesSpreadReturnTimes);
+    CPPUNIT_TEST(lastSlotsAreKeptForUrgentRequests);
+    CPPUNIT_TEST(retryOnFullEnginesIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -627,6 +633,114 @@
         fixture.handle(RequestArrived{fixture.request("later", 3'000)});
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.actionsOf<Dispatch>().size());
     }
+
+    static routing::PolicySettings ranked()
+    {
+        routing::PolicySettings policy;
+        policy.rankedOverload = true;
+        policy.watchedEngines = 1'000;
+        return policy;
+    }
+
+    static CompletionRequest briefRequest(const PassesFixture &fixture, std::size_t index,
+                                          std::uint8_t rank)
+    {
+        CompletionRequest brief = fixture.request("brief-" + std::to_string(index), 1'000);
+        brief.account = state::ClientAccountId("account-" + std::to_string(index % 8));
+        brief.workClass = state::WorkClass("route-" + std::to_string(rank));
+        brief.firstEventTarget = milliseconds(300);
+        brief.deadline = fixture.now + seconds(9);
+        brief.rank = rank;
+        return brief;
+    }
+
+    // Sends brief requests of a rank until one is not placed at once; returns how many were.
+    static std::size_t fill(PassesFixture &fixture, std::uint8_t rank, std::size_t from)
+    {
+        constexpr std::size_t most = 1'000;
+        for (std::size_t index = 0; index < most; ++index) {
+            fixture.handle(RequestArrived{briefRequest(fixture, from + index, rank)});
+            if (fixture.actionsOf<Dispatch>().empty())
+                return index;
+        }
+        return most;
+    }
+
+    // The rank must change no decision of a deployment that does not ask for it.
+    void rankCountsOnlyWithRankedControl()
+    {
+        routing::PolicySettings policy;
+        PassesFixture plain(policy);
+        PassesFixture withRank(policy);
+        constexpr std::size_t requests = 200;
+        for (std::size_t index = 0; index < requests; ++index) {
+            CompletionRequest brief = briefRequest(plain, index, 0);
+            const std::vector<Action> expected = plain.handle(RequestArrived{brief});
+            brief.rank = std::uint8_t(index % 3);
+            const std::vector<Action> found = withRank.handle(RequestArrived{brief});
+            CPPUNIT_ASSERT_EQUAL(expected.size(), found.size());
+            for (std::size_t each = 0; each < found.size(); ++each) {
+                CPPUNIT_ASSERT_EQUAL(expected[each].index(), found[each].index());
+                const auto *dispatch = std::get_if<Dispatch>(&found[each]);
+                if (dispatch == nullptr)
+                    continue;
+                const Dispatch &other = std::get<Dispatch>(expected[each]);
+                CPPUNIT_ASSERT(dispatch->engine == other.engine);
+                CPPUNIT_ASSERT_EQUAL(int(other.priority), int(dispatch->priority));
+            }
+        }
+    }
+
+    // Callers that are all told to return after the same time come back as a second burst.
+    void fullEnginesSpreadReturnTimes()
+    {
+        PassesFixture fixture(ranked());
+        CPPUNIT_ASSERT_GREATER(std::size_t(16), fill(fixture, 0, 0));
+        std::set<state::Instant> returns;
+        std::set<state::Duration> times;
+        constexpr std::size_t more = 200;
+        std::size_t refused = 0;
+        for (std::size_t index = 0; index < more; ++index) {
+            fixture.handle(RequestArrived{briefRequest(fixture, 2'000 + index, 1)});
+            for (const Refuse &refusal : fixture.actionsOf<Refuse>()) {
+                ++refused;
+                times.insert(refusal.retryAfter);
+                returns.insert(fixture.now + refusal.retryAfter);
+                CPPUNIT_ASSERT_EQUAL(1, int(refusal.rank));
+                CPPUNIT_ASSERT(refusal.retryAfter < seconds(3));
+            }
+            fixture.now += milliseconds(1);
+        }
+        CPPUNIT_ASSERT_GREATER(std::size_t(20), refused);
+        CPPUNIT_ASSERT_EQUAL(refused, returns.size());
+        CPPUNIT_ASSERT(*times.rbegin() - *times.begin() > milliseconds(300));
+    }
+
+    // Less urgent requests must not take the slot that the next urgent one needs.
+    void lastSlotsAreKeptForUrgentRequests()
+    {
+        PassesFixture fixture(ranked());
+        fill(fixture, 2, 0);
+        const std::size_t urgent = fill(fixture, 0, 2'000);
+        CPPUNIT_ASSERT_GREATER(std::size_t(2), urgent);
+    }
+
+    // A retry takes a slot as a new request does. While none is expected before the deadline, the
+    // caller is told when to return.
+    void retryOnFullEnginesIsRefused()
+    {
+        PassesFixture fixture(ranked());
+        CompletionRequest late = briefRequest(fixture, 5'000, 2);
+        late.deadline = fixture.now + milliseconds(450);
+        fixture.handle(RequestArrived{late});
+        const Dispatch dispatch = fixture.onlyAction<Dispatch>();
+        fill(fixture, 0, 0);
+        fixture.now += milliseconds(200);
+        fixture.handle(AttemptFailed{late.id, dispatch.attempt, true});
+        const Refuse refusal = fixture.onlyAction<Refuse>();
+        CPPUNIT_ASSERT(refusal.reason == RefusalReason::AttemptsExhausted);
+        CPPUNIT_ASSERT(refusal.retryAfter * 3 <= late.deadline - fixture.now);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherPassesTest);
--- a/tests/program/SettingsTest.cpp
+++ b/tests/program/SettingsTest.cpp
@@ -36,6 +36,9 @@
         CPPUNIT_ASSERT(settings.value().entry.directoryTtl == std::chrono::seconds(5));
         CPPUNIT_ASSERT(!settings.value().controlBootstrap);
         CPPUNIT_ASSERT(!settings.value().gossipListen);
+        CPPUNIT_ASSERT(!settings.value().rankedOverload);
+        const auto ranked = Settings::parse(with(R"(,"overload":{"control":"ranked"})"), "f");
+        CPPUNIT_ASSERT(ranked.value().rankedOverload);
     }
 
     void invalidSettingsAreRejected()
@@ -52,6 +55,7 @@
                 {R"(,"gossip":7)", "gossip: expected an object"},
                 {R"(,"endpoint":{"renew_ms":9000,"expire_ms":5000})", "must be more than"},
                 {R"(,"endpoint":{"renew_ms":1.5})", "endpoint.renew_ms: expected integer from 50"},
+                {R"(,"overload":{"control":"fastest"})", "overload.control: expected arrival"},
                 {R"(,"log":{"level":"loud"})", "log.level: expected debug"},
                 {R"(,"control":{"bootstrap":"yes"})", "control.bootstrap: expected true or false"},
         };
--- a/tests/state/routes/RouteTableTest.cpp
+++ b/tests/state/routes/RouteTableTest.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST_SUITE(RouteTableTest);
     CPPUNIT_TEST(longestPrefixOfTheHostWins);
     CPPUNIT_TEST(findsAccountByKey);
+    CPPUNIT_TEST(accountReplacesPriorityOfRoute);
     CPPUNIT_TEST(invalidTablesAreRefused);
     CPPUNIT_TEST(weightsDetermineTheShares);
     CPPUNIT_TEST(onlyResumableStreamsAreRepeatable);
@@ -64,6 +65,16 @@
         CPPUNIT_ASSERT(table.accountOfKey("k9") == nullptr);
     }
 
+    void accountReplacesPriorityOfRoute()
+    {
+        const RouteTable table = RouteTable::create(draftOfTwo()).value();
+        Route urgent = table.routes().front();
+        urgent.priority = 3;
+        CPPUNIT_ASSERT_EQUAL(1, int(table.priorityOf(urgent, ClientAccountId("acme"))));
+        CPPUNIT_ASSERT_EQUAL(3, int(table.priorityOf(urgent, ClientAccountId("bell"))));
+        CPPUNIT_ASSERT_EQUAL(3, int(table.priorityOf(urgent, ClientAccountId("none"))));
+    }
+
     void invalidTablesAreRefused()
     {
         struct Case
