--- a/bench/PassFleetRun.cpp
+++ b/bench/PassFleetRun.cpp
@@ -298,6 +298,7 @@
     wanted.firstEventTarget = asked.firstTarget;
     wanted.toleratedPause = asked.pause;
     wanted.attemptLimit = 2;
+    wanted.rank = std::uint8_t(request.kind); // counts with ranked_overload only
     this->handle(request.entry, admission::RequestArrived{wanted});
 }
 
--- a/bench/PassPlans.cpp
+++ b/bench/PassPlans.cpp
@@ -117,6 +117,15 @@
     return plan;
 }
 
+PassPlan burstDay(std::uint64_t seed)
+{
+    PassPlan plan = grownSmallMemoryDay(seed);
+    plan.phases = {{milliseconds(3'000), {1, 1, 1}},
+                   {milliseconds(10'000), {2, 2, 2}},
+                   {milliseconds(4'000), {0.7, 0.7, 0.7}}};
+    return plan;
+}
+
 PassPlan restartDay(std::uint64_t seed)
 {
     PassPlan plan = smallMemoryDay(seed);
--- a/bench/PassPlans.h
+++ b/bench/PassPlans.h
@@ -15,6 +15,9 @@
 PassPlan smallMemoryDay(std::uint64_t seed);
 PassPlan grownSmallMemoryDay(std::uint64_t seed);
 
+// The latter with twice its load for ten seconds.
+PassPlan burstDay(std::uint64_t seed);
+
 // The second of them, with all entries killed at once while long prompts come.
 PassPlan restartDay(std::uint64_t seed);
 
--- a/bench/pass-bench.cpp
+++ b/bench/pass-bench.cpp
@@ -153,6 +153,7 @@
             {"large", bench::largeHeavyDay},
             {"small-memory", bench::smallMemoryDay},
             {"grown-small-memory", bench::grownSmallMemoryDay},
+            {"burst", bench::burstDay},
             {"restart", bench::restartDay},
             {"drawn", bench::drawnDay},
     };
