--- a/src/program/DispatcherScheduler.h
+++ b/src/program/DispatcherScheduler.h
@@ -33,6 +33,8 @@
         // What this entry may send to a cold endpoint; empty: no endpoint is limited.
         std::function<std::optional<coordination::routing::ColdShare>(const RegisteredEndpoint &)>
                 coldShare;
+        // Counts a refusal by its cause and the request's rank.
+        std::function<void(const std::string &cause, std::uint8_t rank)> countRefusal;
         // Requests that reserve memory on engines with a declared profile.
         MemoryReservationCodec memory;
     };
