--- a/tests/coordination/routing/ColdAccessTest.cpp
+++ b/tests/coordination/routing/ColdAccessTest.cpp
@@ -24,6 +24,7 @@
 
 constexpr double rate = 17;
 constexpr double mostInSecond = rate * 1.5 + 5;
+constexpr double leastShareUsed = 0.7; // under load
 const state::Instant start{seconds(100)};
 const state::EndpointId endpoint("i-7");
 constexpr std::uint64_t incarnation = 42;
@@ -43,7 +44,6 @@
     bool startsAgain = true;
     // Entries that start at 4 s under new ids. Those that are cut off never learn of them.
     std::size_t newEntries = 0;
-    double leastShareUsed = 0.7;
 };
 
 struct Result
@@ -254,6 +254,7 @@
     CPPUNIT_TEST(sendsAreSpaced);
     CPPUNIT_TEST(warmEndpointIsFree);
     CPPUNIT_TEST(keepsTheBoundAndUsesTheRate);
+    CPPUNIT_TEST(usesTheRateAfterEntriesAreLostForGood);
     CPPUNIT_TEST_SUITE_END();
 
     static std::vector<state::VmId> ids(std::size_t count)
@@ -342,24 +343,34 @@
     void keepsTheBoundAndUsesTheRate()
     {
         for (const std::size_t entries : {26U, 130U, 300U}) {
-            // An entry that is gone for good keeps its place in the set until it leaves or is
-            // forgotten, so its share of the rate is not used.
-            const std::vector<Load> loads{{"undisturbed", entries},
-                                          {"a third cut off", entries, 0.33},
-                                          {"half killed for a second", entries, 0, 0.5},
-                                          {"half killed for good", entries, 0, 0.5, false, 0, 0.4},
-                                          {"a tenth started", entries, 0, 0, true, entries / 10},
-                                          {"all at once", entries, 0.33, 0.5, true, entries / 10}};
-            for (const Load &load : loads) {
-                const Result set = play(load, Method::Set);
-                const Result bucket = play(load, Method::Bucket);
-                const std::string text = describe(load, "set", set);
-                std::cout << text << "\n" << describe(load, "bucket", bucket) << "\n";
-                CPPUNIT_ASSERT_MESSAGE(text, double(set.mostInSecond) <= mostInSecond);
-                CPPUNIT_ASSERT_MESSAGE(text, set.shareUsed >= load.leastShareUsed);
-            }
+            for (const Load &load :
+                 std::vector<Load>{{"undisturbed", entries},
+                                   {"a third cut off", entries, 0.33},
+                                   {"half killed for a second", entries, 0, 0.5},
+                                   {"a tenth started", entries, 0, 0, true, entries / 10},
+                                   {"all at once", entries, 0.33, 0.5, true, entries / 10}})
+                check(load);
         }
     }
+
+    // Guards against a cold endpoint that gets far less than it may because entries that are gone
+    // keep their places in the set until they leave or are forgotten.
+    void usesTheRateAfterEntriesAreLostForGood()
+    {
+        for (const std::size_t entries : {26U, 130U, 300U})
+            check({"half killed for good", entries, 0, 0.5, false});
+    }
+
+private:
+    static void check(const Load &load)
+    {
+        const Result set = play(load, Method::Set);
+        const Result bucket = play(load, Method::Bucket);
+        const std::string text = describe(load, "set", set);
+        std::cout << text << "\n" << describe(load, "bucket", bucket) << "\n";
+        CPPUNIT_ASSERT_MESSAGE(text, double(set.mostInSecond) <= mostInSecond);
+        CPPUNIT_ASSERT_MESSAGE(text, set.shareUsed >= leastShareUsed);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ColdAccessTest);
--- a/tests/program/EndpointRegistryTest.cpp
+++ b/tests/program/EndpointRegistryTest.cpp
@@ -73,14 +73,14 @@
     {
         EndpointRegistry registry{state::Duration(0)};
         registry.assign(tableOf({"a"}));
-        registry.setEvacuated({state::FailureDomain("a")});
+        registry.setEvacuated({state::FailureDomain("a")}, now);
         state::EndpointDescription earlier = endpointIn("a");
         earlier.incarnation = 0;
         CPPUNIT_ASSERT(isEvacuated(*registry.table(), earlier));
         registry.assign({});
         CPPUNIT_ASSERT(isEvacuated(*registry.table(), endpointIn("a")));
         CPPUNIT_ASSERT(!isEvacuated(*registry.table(), endpointIn("b")));
-        CPPUNIT_ASSERT(registry.setEvacuated({}));
+        CPPUNIT_ASSERT(registry.setEvacuated({}, now));
         CPPUNIT_ASSERT(!isEvacuated(*registry.table(), endpointIn("a")));
     }
 
