Node: the scheduler is asked for cold shares only once it exists

Cause: the cluster publishes its first view while it is created; since the cold shares follow the entries that it names, the hook reached a scheduler that was not there yet. Every process of a relay deployment ended with a segmentation fault at its start. No unit test starts a whole node. Change: the hook leaves the scheduler out until it exists.

--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -314,7 +314,9 @@
         };
         hooks.entriesChanged = [this](coordination::routing::RelayEntries entries) {
             this->cold->setEntries(std::move(entries));
-            this->policy->refreshColdShares();
+            // The cluster publishes its first view while it is created, before the scheduler is.
+            if (this->policy)
+                this->policy->refreshColdShares();
         };
         hooks.loadArrived = [this](const state::LoadReport &report) {
             this->policy->post(coordination::admission::LoadReported{report});
