Review: one filter for receivers of a broadcast, one count of ranks, a direct test of the reserved slots

The receivers of a broadcast were filtered in two places, the number of ranks stood twice, and the replay of OverloadControlTest orders its queue by rank itself, so that it shows little of the decision's own margin. No decision changes.

--- a/src/coordination/admission/DispatcherOverload.cpp
+++ b/src/coordination/admission/DispatcherOverload.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::uint8_t ranks = 4; // ranks of 3 and above are sent to engines as one
+constexpr std::uint8_t ranks = OverloadControl::ranks;
 // Priorities that are sent to engines. A brief request goes before a long one of any rank; peers
 // read the rank from the value.
 constexpr std::uint8_t firstBriefPriority = 1;
--- a/src/coordination/admission/OverloadControl.h
+++ b/src/coordination/admission/OverloadControl.h
@@ -90,6 +90,8 @@
 class OverloadControl
 {
 public:
+    static constexpr std::uint8_t ranks = 4; // priorities of 3 and above are treated alike
+
     explicit OverloadControl(OverloadSettings controlSettings = {})
         : settings(controlSettings)
     {}
@@ -112,8 +114,6 @@
     double shareRatio(const state::ClientAccountId &account, state::Instant now) const;
 
 private:
-    static constexpr std::size_t ranks = 4; // priorities of 3 and above are treated alike
-
     // Requests, or seconds for which they hold slots, per second; exponentially averaged.
     struct Rate
     {
--- a/src/coordination/membership/EndpointStarts.cpp
+++ b/src/coordination/membership/EndpointStarts.cpp
@@ -15,6 +15,15 @@
 
 namespace lavenderthread::coordination::membership {
 
+namespace {
+
+bool isReceiver(const MemberEntry &entry, const MemberKeyRange &range)
+{
+    return range.contains(entry.key) && entry.record.isLive() && entry.record.description;
+}
+
+} // namespace
+
 void Membership::broadcast(const std::vector<endpoints::EndpointRecord> &records,
                            const MemberKeyRange &range, GossipActions &actions, state::Instant now)
 {
@@ -47,10 +56,8 @@
 {
     std::vector<std::uint64_t> keys;
     for (const auto &[id, entry] : this->memberTable.entries()) {
-        const std::uint64_t key = memberKey(id);
-        if (id != this->settings.self && range.contains(key) && entry.record.isLive()
-            && entry.record.description)
-            keys.push_back(key);
+        if (id != this->settings.self && isReceiver(entry, range))
+            keys.push_back(entry.key);
     }
     std::ranges::sort(keys);
     return keys;
@@ -64,8 +71,7 @@
         return;
     std::vector<const MemberEntry *> receivers;
     for (const auto &[id, entry] : this->memberTable.entries()) {
-        if (id != this->settings.self && part.range.contains(memberKey(id)) && entry.record.isLive()
-            && entry.record.description)
+        if (id != this->settings.self && isReceiver(entry, part.range))
             receivers.push_back(&entry);
     }
     if (receivers.empty())
--- a/src/coordination/membership/Membership.cpp
+++ b/src/coordination/membership/Membership.cpp
@@ -323,10 +323,10 @@
         this->deregistrationTracker.track(merged.record, now);
     const bool full = merged.descriptionChanged;
     const NewsForm form = full ? NewsForm::Full : NewsForm::Short;
-    this->news.add({NewsSubject::Endpoint, record.id.value()}, form,
-                   urgencyOf(inForm(merged.record, form)));
     const endpoints::EndpointRecord news = inForm(merged.record, form);
-    if (urgencyOf(news) == NewsUrgency::EndpointStart || merged.coldChanged)
+    const NewsUrgency urgency = urgencyOf(news);
+    this->news.add({NewsSubject::Endpoint, record.id.value()}, form, urgency);
+    if (urgency == NewsUrgency::EndpointStart || merged.coldChanged)
         this->broadcast({news}, {}, actions, now);
     else if (full || stopsNewWork(merged.record))
         this->pushEagerly({news}, this->settings.eagerPushFanout, actions, now);
--- a/tests/coordination/admission/OverloadControlTest.cpp
+++ b/tests/coordination/admission/OverloadControlTest.cpp
@@ -6,6 +6,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <random>
 #include <set>
@@ -255,6 +256,7 @@
 {
     CPPUNIT_TEST_SUITE(OverloadControlTest);
     CPPUNIT_TEST(nothingIsRefusedWhileHalfIsFree);
+    CPPUNIT_TEST(lastSlotsAreLeftToMoreUrgentRanks);
     CPPUNIT_TEST(burstServesNoLessUrgentKindBetter);
     CPPUNIT_TEST(surgeTakesNothingFromOtherAccounts);
     CPPUNIT_TEST(burstIsRefusedAtArrival);
@@ -293,6 +295,18 @@
             CPPUNIT_ASSERT_EQUAL(0.0, outcomeOf(seed, surge).refusedIdle);
     }
 
+    // Guards against less urgent requests that take each slot which becomes free: the replay below
+    // orders its queue by rank, so it would not show that the decision ignores ranks.
+    void lastSlotsAreLeftToMoreUrgentRanks()
+    {
+        OverloadControl control;
+        const double nearlyFull = std::floor(slots * 0.95);
+        CPPUNIT_ASSERT(control.decide(query(0, nearlyFull), this->start).verdict
+                       == Verdict::Accept);
+        CPPUNIT_ASSERT(control.decide(query(2, nearlyFull), this->start).verdict
+                       != Verdict::Accept);
+    }
+
     // Long prompts tolerate longer waits. Without a margin for urgent ones they would take each
     // slot that becomes free, while brief prompts are refused.
     void burstServesNoLessUrgentKindBetter()
