Soak, evacuation: the domain is used again under a load that needs all engines

Change: after the end of an evacuation further callers take 53 of the 64 slots, so that every endpoint of the domain has to get requests, also those that had none before (they were left out). The domain that is evacuated is one where streams run.

--- a/soak/Evacuation.cpp
+++ b/soak/Evacuation.cpp
@@ -3,7 +3,9 @@
 #include "program/Clock.h"
 #include "transport/Await.h"
 
+#include <algorithm>
 #include <iostream>
+#include <iterator>
 
 namespace lavenderthread::soak {
 
@@ -22,12 +24,15 @@
 constexpr milliseconds untilRestart{1'500};
 constexpr milliseconds usedAgainWithin{5'000};
 constexpr milliseconds lastAnswer{3'500};
+// With the other callers, some 53 of the 64 slots of the engines are taken; three engines have 48.
+constexpr milliseconds fillerPause{250};
 
 } // namespace
 
 Evacuation::Evacuation(asio::io_context &context, Settings chosen, Fleet &fleet,
                        Operator &operators, Ledger &ledger)
-    : settings(std::move(chosen))
+    : context(context)
+    , settings(std::move(chosen))
     , fleet(fleet)
     , operators(operators)
     , ledger(ledger)
@@ -66,16 +71,18 @@
 
 std::string Evacuation::busiestDomain() const
 {
-    std::string busiest;
-    std::uint64_t most = 0;
-    for (const std::string &domain : this->settings.failureDomains) {
-        const std::uint64_t running = this->runningIn(domain);
-        if (this->done.contains(domain) || (running <= most && !busiest.empty()))
-            continue;
-        busiest = domain;
-        most = running;
-    }
-    return busiest;
+    std::vector<std::string> others;
+    std::ranges::copy_if(this->settings.failureDomains, std::back_inserter(others),
+                         [this](const auto &domain) { return !this->done.contains(domain); });
+    const std::string busiest = this->busiestDomainOf(others);
+    return this->runningIn(busiest) > 0 ? busiest
+                                        : this->busiestDomainOf(this->settings.failureDomains);
+}
+
+std::string Evacuation::busiestDomainOf(const std::vector<std::string> &domains) const
+{
+    return *std::ranges::max_element(
+            domains, {}, [this](const std::string &domain) { return this->runningIn(domain); });
 }
 
 asio::awaitable<void> Evacuation::play()
@@ -90,9 +97,7 @@
 
 asio::awaitable<void> Evacuation::playRound(Disturbance disturbance)
 {
-    this->arrivals.clear();
     co_await transport::pause(calmTime);
-    const std::map<std::size_t, std::uint64_t> before = this->arrivals;
     const auto leader = this->fleet.leader();
     if (!leader) {
         this->ledger.broken("no control member leads in a calm fleet");
@@ -124,7 +129,7 @@
         this->ledger.broken("the end of the evacuation was not acknowledged");
     if (disturbance == Disturbance::LeaderKill)
         this->fleet.start(*leader);
-    co_await this->checkUsedAgain(failureDomain, before);
+    co_await this->checkUsedAgain(failureDomain);
 }
 
 void Evacuation::judgeRound(std::uint64_t running)
@@ -164,12 +169,20 @@
         this->ledger.broken("the restarted entry serves no call");
 }
 
-asio::awaitable<void> Evacuation::checkUsedAgain(std::string failureDomain,
-                                                 std::map<std::size_t, std::uint64_t> before)
+asio::awaitable<void> Evacuation::checkUsedAgain(std::string failureDomain)
 {
+    SteadyCallers::Settings settings;
+    settings.seed = this->settings.seed + 1;
+    settings.nameSuffix = "f" + std::to_string(this->fillers.size());
+    settings.pause = fillerPause;
+    settings.paths = {"/stream/"};
+    this->fillers.push_back(
+            std::make_unique<SteadyCallers>(this->context, settings, this->fleet, this->ledger));
+    this->fillers.back()->start();
     co_await transport::pause(usedAgainWithin);
-    for (const auto &[endpoint, count] : before) {
-        if (this->settings.failureDomains[endpoint] == failureDomain && count > 0
+    this->fillers.back()->stop();
+    for (std::size_t endpoint = 0; endpoint < this->settings.failureDomains.size(); ++endpoint) {
+        if (this->settings.failureDomains[endpoint] == failureDomain
             && this->arrivals[endpoint] == 0)
             this->ledger.broken("endpoint " + std::to_string(endpoint) + " of " + failureDomain
                                 + " gets nothing after the evacuation");
--- a/soak/Evacuation.h
+++ b/soak/Evacuation.h
@@ -46,22 +46,24 @@
     enum class Disturbance { EntryRestart, LeaderKill };
 
     boost::asio::awaitable<void> playRound(Disturbance disturbance);
-    // The one with the most running streams that has not been evacuated yet.
+    // The one with the most running streams, of those that have not been evacuated yet if streams
+    // run there. Few brief requests share a few engines, so there may be none in the others.
     std::string busiestDomain() const;
+    std::string busiestDomainOf(const std::vector<std::string> &domains) const;
     void judgeRound(std::uint64_t running);
     boost::asio::awaitable<void> restartEntry();
-    // `before`: what each endpoint got before the evacuation. The engine that is kept for long
-    // prompts gets none of these calls.
-    boost::asio::awaitable<void> checkUsedAgain(std::string failureDomain,
-                                                std::map<std::size_t, std::uint64_t> before);
+    // Under a load that needs all engines: a lighter one stays on a few of them.
+    boost::asio::awaitable<void> checkUsedAgain(std::string failureDomain);
     void judgeCalls();
     std::uint64_t runningIn(const std::string &failureDomain) const;
 
+    boost::asio::io_context &context;
     Settings settings;
     Fleet &fleet;
     Operator &operators;
     Ledger &ledger;
     SteadyCallers callers;
+    std::vector<std::unique_ptr<SteadyCallers>> fillers; // further ones, of each round's end
     std::map<std::size_t, std::uint64_t> arrivals;       // by endpoint, in this phase
     std::map<std::size_t, std::uint64_t> runningStreams; // by endpoint
     std::set<std::string> done;                          // domains that have been evacuated
--- a/soak/SteadyCallers.cpp
+++ b/soak/SteadyCallers.cpp
@@ -30,7 +30,7 @@
     for (std::size_t index = 0; index < this->fleet.size(); ++index) {
         CallerSettings caller;
         caller.seed = this->settings.seed * 1'000 + index;
-        caller.name = std::to_string(index);
+        caller.name = std::to_string(index) + this->settings.nameSuffix;
         caller.briefOnly = true;
         this->people.push_back(std::make_unique<Caller>(this->context, caller, ledger));
     }
--- a/soak/SteadyCallers.h
+++ b/soak/SteadyCallers.h
@@ -28,6 +28,7 @@
     struct Settings
     {
         std::uint64_t seed = 0;
+        std::string nameSuffix; // tells the request ids of several sets of callers apart
         std::chrono::milliseconds pause{120}; // between two calls at an entry
         std::vector<std::string> paths = {"/stream/", "/post/", "/read/"}; // in turn
     };
