Relay: refused connections are counted apart from failed ones

Change: connections that fail within 50 ms have their own limit of twelve, as ended incarnations have, in the relay and in the dispatcher, and use up no attempt.

--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -93,8 +93,9 @@
         // Set once a waiting long prompt has missed its target: it goes behind all others, and is
         // refused if it has not started by then.
         std::optional<state::Instant> latestStart;
-        std::uint32_t runs = 0;              // failed attempts that may have executed it
-        std::uint32_t endedIncarnations = 0; // attempts at engines that another one has replaced
+        std::uint32_t runs = 0;               // failed attempts that may have executed it
+        std::uint32_t endedIncarnations = 0;  // attempts at engines that another one has replaced
+        std::uint32_t refusedConnections = 0; // attempts at engines that refused the connection
         // How often it left an engine that it was not sent to. Uses up no attempt.
         std::uint32_t moves = 0;
         bool retryPaid = false; // the retry budget has paid for its next attempt
--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -201,6 +201,7 @@
     if (routing::EngineView *view = this->engines.find(engine); view != nullptr && event.replaced)
         view->ended = true;
     active->moves += event.withheld ? 1 : 0;
+    active->refusedConnections += event.connectionRefused ? 1 : 0;
     this->handleAttemptLoss(*active, engine, event.didNotRun, false, event.replaced);
     this->placeWaiting();
 }
@@ -227,26 +228,31 @@
 {
     // A lost attempt takes a number when it is lost, and another one when it is placed again.
     constexpr std::uint32_t numbersPerLoss = 2;
-    const std::uint32_t uncounted = numbersPerLoss * (active.endedIncarnations + active.moves);
+    const std::uint32_t uncounted =
+            numbersPerLoss * (active.endedIncarnations + active.refusedConnections + active.moves);
     return active.attempt - std::min(active.attempt, uncounted);
 }
 
 // A request with its own limit may run on that many engines. Engines that refuse it don't count
 // towards the limit, but only a few more attempts are made because of them. An engine that the
-// request left without having been sent there counts towards neither. Nor do ended incarnations:
-// when a failure domain restarts, a request may meet several of them within milliseconds. Their own
-// limit only ends a request that would never find another engine.
+// request left without having been sent there counts towards neither. Nor do ended incarnations and
+// refused connections: while a failure domain is down, and when it restarts, a request may meet
+// several of them within milliseconds. Their own limits only end a request that would never find
+// another engine.
 bool Dispatcher::isExhausted(const ActiveRequest &active) const
 {
     constexpr std::uint32_t extraAttempts = 3; // failed connections and refusals
     constexpr std::uint32_t maxEndedIncarnations = 12;
-    if (active.endedIncarnations >= maxEndedIncarnations)
+    constexpr std::uint32_t maxRefusedConnections = 12;
+    if (active.endedIncarnations >= maxEndedIncarnations
+        || active.refusedConnections >= maxRefusedConnections)
         return true;
     const std::uint32_t attempts = active.request.attemptLimit;
     if (attempts == 0)
         return countedAttempts(active) >= this->policy.attemptsLimit;
     return active.runs >= attempts
-           || active.failedEngines.size() >= attempts + extraAttempts + active.moves;
+           || active.failedEngines.size()
+                      >= attempts + extraAttempts + active.refusedConnections + active.moves;
 }
 
 void Dispatcher::handleAttemptLoss(ActiveRequest &active, const state::EndpointId &engine,
--- a/src/coordination/admission/Events.h
+++ b/src/coordination/admission/Events.h
@@ -152,8 +152,9 @@
     state::RequestId id;
     std::uint32_t attempt = 0;
     bool didNotRun = false;
-    bool neverSent = false; // no byte of the request has reached the engine
-    bool replaced = false;  // another endpoint has answered: this incarnation has ended
+    bool neverSent = false;         // no byte of the request has reached the engine
+    bool replaced = false;          // another endpoint has answered: this incarnation has ended
+    bool connectionRefused = false; // never sent, and the attempt has taken no time
     // Never sent, because this entry may send the engine nothing any more: uses up no attempt.
     bool withheld = false;
 };
--- a/src/coordination/relay/FinalAnswer.cpp
+++ b/src/coordination/relay/FinalAnswer.cpp
@@ -8,6 +8,9 @@
 constexpr std::uint32_t maxRefusals = 3;
 // A connection that fails adds no load, but each one may cost the caller a timeout.
 constexpr std::uint32_t maxUnsent = 4;
+// A connection that is refused at once costs neither, and while a failure domain is down a request
+// meets several endpoints that have ended. The limit only ends a request that finds no other.
+constexpr std::uint32_t maxRefusedConnections = 12;
 // An ended incarnation costs a round trip, and no other request goes there. The limit only ends a
 // request that goes round endpoints that all answer for another one.
 constexpr std::uint32_t maxReplaced = 12;
@@ -19,7 +22,7 @@
     if (facts.callerGone || facts.deadlinePassed)
         return false;
     if (facts.runs >= facts.maxRuns || facts.refusals >= maxRefusals || facts.unsent >= maxUnsent
-        || facts.replaced >= maxReplaced)
+        || facts.refusedConnections >= maxRefusedConnections || facts.replaced >= maxReplaced)
         return false;
     // Once the call may have run, it is retried only if it is repeatable, also when a later
     // endpoint refused it.
--- a/src/coordination/relay/FinalAnswer.h
+++ b/src/coordination/relay/FinalAnswer.h
@@ -23,7 +23,8 @@
     std::uint32_t maxRuns = 1;  // maximum number of endpoints that may run it
     std::uint32_t runs = 0;     // attempts that ended Failed or Lost
     std::uint32_t refusals = 0; // attempts that ended NotRun
-    std::uint32_t unsent = 0;   // attempts that ended NeverSent
+    std::uint32_t unsent = 0;   // attempts that ended NeverSent, without refused connections
+    std::uint32_t refusedConnections = 0; // attempts that ended NeverSent within milliseconds
     std::uint32_t replaced = 0; // attempts at incarnations that had ended; not counted as refusals
     bool answerBegun = false;   // part of an answer has been sent to the caller
     bool deadlinePassed = false;
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -58,7 +58,7 @@
 // What a failed attempt says about its engine.
 AttemptOutcome outcomeOf(AttemptFailure failure)
 {
-    if (failure == AttemptFailure::Unreachable)
+    if (failure == AttemptFailure::Unreachable || failure == AttemptFailure::ConnectionRefused)
         return AttemptOutcome::Unreachable;
     return failure == AttemptFailure::Replaced ? AttemptOutcome::Replaced : AttemptOutcome::Failed;
 }
@@ -644,10 +644,14 @@
                                      || failure == AttemptFailure::Withheld;
             if (!saysNothing)
                 state.noteHealth(failed.endpoint, outcomeOf(failure));
-            state.handle(admission::AttemptFailed{
-                    id, failed.attempt, failure != AttemptFailure::Lost,
-                    failure == AttemptFailure::Unreachable || failure == AttemptFailure::Withheld,
-                    failure == AttemptFailure::Replaced, failure == AttemptFailure::Withheld});
+            admission::AttemptFailed event{.id = id, .attempt = failed.attempt};
+            event.didNotRun = failure != AttemptFailure::Lost;
+            event.connectionRefused = failure == AttemptFailure::ConnectionRefused;
+            event.withheld = failure == AttemptFailure::Withheld;
+            event.neverSent = failure == AttemptFailure::Unreachable || event.connectionRefused
+                              || event.withheld;
+            event.replaced = failure == AttemptFailure::Replaced;
+            state.handle(event);
         });
     };
     scheduler.mayAbandon = [self](state::RequestId id, std::uint32_t attempt) {
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -64,6 +64,8 @@
 constexpr std::size_t maxPeersAsked = 12;
 // A connection that is not made in this time tells something about the path.
 constexpr milliseconds conclusiveConnectTime{300};
+// A connection that fails within this time was refused or reset: it has cost the caller nothing.
+constexpr milliseconds refusedConnectionTime{50};
 // If sent bytes stay unacknowledged for this long, the endpoint's machine is considered lost.
 constexpr milliseconds unacknowledgedTimeout{1'500};
 
@@ -467,7 +469,8 @@
         if (this->withheld)
             return AttemptFailure::Withheld;
         if (end == AttemptResult::NeverSent)
-            return AttemptFailure::Unreachable;
+            return this->connectionRefused ? AttemptFailure::ConnectionRefused
+                                           : AttemptFailure::Unreachable;
         if (this->askedForRest)
             return AttemptFailure::Rests;
         if (end == AttemptResult::NotRun && this->peerFailed)
@@ -695,7 +698,7 @@
             const bool tokenTaken = std::exchange(this->retryTokenTaken, false);
             if (!this->peerHasTaken(end)) {
                 // No endpoint has seen the request: this is neither a refusal nor a retry.
-                --(end == AttemptResult::NeverSent ? this->facts.unsent : this->facts.refusals);
+                --this->countOf(end);
                 this->rememberPeerFailure(peer);
                 if (this->facts.callerGone || this->facts.deadlinePassed)
                     break;
@@ -787,6 +790,7 @@
         this->progress = {};
         this->progress.sentAt = monotonicNow();
         this->endpointReplaced = false;
+        this->connectionRefused = false;
         this->outcome.resumed = this->events.passedEvents() > 0;
         this->startInactivityTimeout();
         const AttemptResult end = co_await std::move(exchanging);
@@ -794,23 +798,21 @@
             this->inactivityTimeout->stop();
         if (this->inactivityTimeout && this->inactivityTimeout->hasTimedOut())
             this->outcome.reason = "the endpoint did not go on with its answer, or end it, in time";
-        switch (end) {
-        case AttemptResult::Complete:
-            break;
-        case AttemptResult::NeverSent:
-            ++this->facts.unsent;
-            break;
-        case AttemptResult::NotRun:
-            ++(this->endpointReplaced ? this->facts.replaced : this->facts.refusals);
-            break;
-        case AttemptResult::Failed:
-        case AttemptResult::Lost:
-            ++this->facts.runs;
-            break;
-        }
+        if (end != AttemptResult::Complete)
+            ++this->countOf(end);
         co_return end;
     }
 
+    // The counter of attempts that ended as the last one did.
+    std::uint32_t &countOf(AttemptResult end)
+    {
+        if (end == AttemptResult::NeverSent)
+            return this->connectionRefused ? this->facts.refusedConnections : this->facts.unsent;
+        if (end == AttemptResult::NotRun)
+            return this->endpointReplaced ? this->facts.replaced : this->facts.refusals;
+        return this->facts.runs;
+    }
+
     asio::awaitable<AttemptResult> exchangeWith(Target target)
     {
         const milliseconds left = remaining(this->deadline);
@@ -968,6 +970,9 @@
         const bool unseen =
                 error.step == transport::connectStep || error.step == transport::beforeSendStep;
         this->progress.connectionEnded = !unseen && error.code == state::ErrorCode::Unavailable;
+        this->connectionRefused =
+                error.step == transport::connectStep && error.code == state::ErrorCode::Unavailable
+                && monotonicNow() - this->progress.sentAt <= refusedConnectionTime;
         return unseen ? AttemptResult::NeverSent : AttemptResult::Lost;
     }
 
@@ -1316,6 +1321,7 @@
     bool peersHaveNoPath = false;
     std::optional<milliseconds> peerRetryAfter; // with it
     bool peerFailed = false;         // the last answer reports the failure of another endpoint
+    bool connectionRefused = false;  // by the endpoint or peer of the last attempt, at once
     bool endpointReplaced = false;   // another endpoint has answered at the address
     std::uint32_t attemptNumber = 0; // number that the scheduler gave the attempt
     // When a replica accepts a call again, if the limits of all were used up at the last choice.
--- a/src/program/Scheduler.h
+++ b/src/program/Scheduler.h
@@ -39,12 +39,13 @@
 
 enum class AttemptFailure {
     Unreachable, // no connection: this request did not reach the engine, and others can't either
-    NotRun,      // the engine refused the request
-    Rests,       // the same, and it wants no more for a while; says nothing about its health
-    Withheld,    // not sent: the engine has asked for rest, or has been evacuated, in the meantime
-    Replaced,    // another endpoint has the engine's address
-    PeerLost,    // refused, because another engine that this one needed has failed
-    Lost,        // the request may have run
+    ConnectionRefused, // the same, and the attempt has taken no time
+    NotRun,            // the engine refused the request
+    Rests,             // the same, and it wants no more for a while; says nothing about its health
+    Withheld, // not sent: the engine has asked for rest, or has been evacuated, in the meantime
+    Replaced, // another endpoint has the engine's address
+    PeerLost, // refused, because another engine that this one needed has failed
+    Lost,     // the request may have run
 };
 
 // An engine that prefills a part of the prompt for the engine that answers.
--- a/tests/coordination/admission/DispatcherPassesTest.cpp
+++ b/tests/coordination/admission/DispatcherPassesTest.cpp
@@ -71,6 +71,15 @@
     Dispatch firstDispatch;
 };
 
+AttemptFailed refusedConnection(const Dispatch &dispatch)
+{
+    return {.id = dispatch.id,
+            .attempt = dispatch.attempt,
+            .didNotRun = true,
+            .neverSent = true,
+            .connectionRefused = true};
+}
+
 } // namespace
 
 class DispatcherPassesTest : public CppUnit::TestFixture
@@ -82,6 +91,8 @@
     CPPUNIT_TEST(connectionThatFailedCostsNoRetry);
     CPPUNIT_TEST(endedIncarnationsCostNoAttempt);
     CPPUNIT_TEST(triesAtEndedIncarnationsAreBounded);
+    CPPUNIT_TEST(refusedConnectionsCostNoAttempt);
+    CPPUNIT_TEST(triesAtRefusedConnectionsAreBounded);
     CPPUNIT_TEST(endedIncarnationsGetNothing);
     CPPUNIT_TEST(lastEngineServesLongPromptsToo);
     CPPUNIT_TEST(waitingPromptSurvivesLossOfAllEngines);
@@ -221,6 +232,41 @@
         CPPUNIT_ASSERT(fixture.onlyAction<Refuse>().reason == RefusalReason::AttemptsExhausted);
     }
 
+    // A failure domain is down, and its engines look idle. Guards against refusing a request that
+    // has met five of them within milliseconds, while most engines are well.
+    void refusedConnectionsCostNoAttempt()
+    {
+        constexpr std::size_t down = 8;
+        PassesFixture fixture({}, down + 2);
+        std::set<state::EndpointId> used;
+        Dispatch dispatch = fixture.firstDispatch;
+        for (std::size_t index = 0; index < down; ++index) {
+            CPPUNIT_ASSERT(used.insert(dispatch.engine).second);
+            fixture.handle(refusedConnection(dispatch));
+            CPPUNIT_ASSERT(fixture.actionsOf<Refuse>().empty());
+            dispatch = fixture.onlyAction<Dispatch>();
+        }
+        CPPUNIT_ASSERT(used.insert(dispatch.engine).second);
+        fixture.handle(AttemptFailed{dispatch.id, dispatch.attempt, true});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.actionsOf<Dispatch>().size());
+    }
+
+    // Guards against a request that goes round engines that are all down.
+    void triesAtRefusedConnectionsAreBounded()
+    {
+        PassesFixture fixture({}, 30);
+        Dispatch dispatch = fixture.firstDispatch;
+        std::size_t tries = 0;
+        while (fixture.actionsOf<Refuse>().empty()) {
+            CPPUNIT_ASSERT(++tries <= 12);
+            fixture.handle(refusedConnection(dispatch));
+            if (fixture.actionsOf<Refuse>().empty())
+                dispatch = fixture.onlyAction<Dispatch>();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(12), tries);
+        CPPUNIT_ASSERT(fixture.onlyAction<Refuse>().reason == RefusalReason::AttemptsExhausted);
+    }
+
     // Three of four engines have ended, as a peer reports. Guards against choosing them because
     // most engines are suspected, which is taken for a fault of this entry, and against avoiding
     // the next incarnation of one.
--- a/tests/coordination/relay/FinalAnswerTest.cpp
+++ b/tests/coordination/relay/FinalAnswerTest.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(runsStayWithinTheLimit);
     CPPUNIT_TEST(refusalsAreBounded);
     CPPUNIT_TEST(failedConnectionsAreNoRefusals);
+    CPPUNIT_TEST(refusedConnectionsAreCountedApart);
     CPPUNIT_TEST(finalAnswerOfEachCase);
     CPPUNIT_TEST_SUITE_END();
 
@@ -127,6 +128,18 @@
         CPPUNIT_ASSERT(finalAnswer(facts, answered) == FinalAnswer::NotRun);
     }
 
+    // Guards against a refusal after four endpoints of a failure domain that is down, each of which
+    // has cost a millisecond, and against a call that tries all endpoints of a service.
+    void refusedConnectionsAreCountedApart()
+    {
+        CallState facts{.repeatable = false, .maxRuns = 1};
+        for (facts.refusedConnections = 1; facts.refusedConnections < 12;
+             ++facts.refusedConnections)
+            CPPUNIT_ASSERT(mayRetry(facts, AttemptResult::NeverSent));
+        CPPUNIT_ASSERT(!mayRetry(facts, AttemptResult::NeverSent));
+        CPPUNIT_ASSERT(finalAnswer(facts, false) == FinalAnswer::NotRun);
+    }
+
     void finalAnswerOfEachCase()
     {
         struct Case
--- a/tests/platform/RelayFixture.h
+++ b/tests/platform/RelayFixture.h
@@ -255,6 +255,7 @@
             coordination::orders::ViewStatus::Confirmed;
     std::atomic<bool> failFirstConnection = false; // the scheduler then places it elsewhere
     std::atomic<bool> placesAgain = false; // the scheduler has another engine for each failure
+    std::atomic<int> closedEngines = 0;    // the scheduler names so many closed ports in placeAgain
     std::atomic<int> replacedReports = 0;  // to the scheduler, of engines
     std::atomic<int> replacedShared = 0;   // with peers, of replicas
     std::function<void()> beforePlacement = [] {}; // called when the scheduler is asked
@@ -416,6 +417,10 @@
                 program::Placement next;
                 next.endpoint = this->table.read()->endpoints.begin()->second.description;
                 next.attempt = 2;
+                if (this->closedEngines > 0) {
+                    --this->closedEngines;
+                    next.endpoint.address.port = closedPort;
+                }
                 co_return next;
             }
             co_return protocol::Problem{503, "no-engine", "no other engine", protocol::Ran::No,
--- a/tests/platform/RelayTest.cpp
+++ b/tests/platform/RelayTest.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(firstEngineIsAwaited);
     CPPUNIT_TEST(replacedEngineIsReported);
     CPPUNIT_TEST(replacedEnginesCostNoAttempt);
+    CPPUNIT_TEST(refusedConnectionsCostNoAttempt);
     CPPUNIT_TEST(triesAtReplacedEndpointsAreBounded);
     CPPUNIT_TEST(replacedReplicaIsReportedOnceAndNotChosen);
     CPPUNIT_TEST(replicaReplacedAsAPeerReportsIsNotChosen);
@@ -444,6 +445,22 @@
         CPPUNIT_ASSERT_EQUAL(7, fixture.arrivals.load());
     }
 
+    // A failure domain is down: the request meets one closed port after the other. Guards against a
+    // 503 after the fourth, and against reports that name an unreachable path in place of a
+    // refusal.
+    void refusedConnectionsCostNoAttempt()
+    {
+        RelayFixture fixture(Kind::Stream, {Behaviour::Refuses, Behaviour::Streams}, true);
+        fixture.placesAgain = true;
+        fixture.closedEngines = 7;
+        const auto answer = fixture.call();
+        CPPUNIT_ASSERT_EQUAL(200U, answer.value().status);
+        CPPUNIT_ASSERT_EQUAL(eventsUpTo(6), answer.value().body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), fixture.failures.size());
+        CPPUNIT_ASSERT(fixture.failures.front() == program::AttemptFailure::NotRun);
+        CPPUNIT_ASSERT(fixture.failures.back() == program::AttemptFailure::ConnectionRefused);
+    }
+
     // Guards against a request that goes round endpoints that all answer for another one, and
     // against peers that are not told of the last one.
     void triesAtReplacedEndpointsAreBounded()
