--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -245,6 +245,7 @@
     state::Instant waitingPromptsSharedAt{};
     state::Instant placementTriedAt{};   // last time when all waiting brief requests were tried
     state::Instant longPlacementDueAt{}; // next time when long prompts are tried
+    std::optional<state::Instant> firstEngineAt; // when the first engine became known
     RetryBudget retryBudget;
     ActiveRequests activeRequests;
     std::set<std::pair<state::Instant, state::RequestId>> deadlines; // one for each request
--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -16,6 +16,8 @@
     if (restarted)
         this->on(EngineGone{event.description.id});
     this->engines.announce(event.description, event.profile);
+    if (!this->firstEngineAt)
+        this->firstEngineAt = this->now;
     if (event.draining)
         this->engines.find(event.description.id)->draining = true;
     this->engines.find(event.description.id)->limitCold(event.cold);
--- a/src/coordination/routing/PassPlacement.cpp
+++ b/src/coordination/routing/PassPlacement.cpp
@@ -45,12 +45,14 @@
 // Selects the least loaded engine of the brief group. Falls back to all engines if the group has no
 // free slot, or if it is so busy that the first event would be late: the group's size follows the
 // requests in progress and lags behind a burst of arrivals.
+// While an entry does not know yet what the others place, the group can't be sized at all.
 std::optional<PassChoice> placeBrief(const std::vector<PassCandidate> &candidates,
                                      std::size_t border, const PassRequest &request,
                                      const PassPlacementSettings &settings)
 {
-    const PassCandidate *best = drawLeastLoaded(std::span(candidates).first(border), request,
-                                                settings.equalLoadSeconds);
+    const std::span all(candidates);
+    const PassCandidate *best = drawLeastLoaded(request.usesAllEngines ? all : all.first(border),
+                                                request, settings.equalLoadSeconds);
     if (best != nullptr) {
         const PassChoice choice = briefChoice(*best, request);
         const double latestFirstEvent = request.firstEventTargetSeconds * settings.briefTargetShare;
--- a/src/coordination/routing/PassPlacement.h
+++ b/src/coordination/routing/PassPlacement.h
@@ -30,6 +30,7 @@
     double firstEventTargetSeconds = 0; // requested time from now to the first event; 0: none
     double longDemand = 0;        // long prefill from all entries, in engine seconds per second
     std::uint64_t tieBreaker = 0; // random value that selects among equally loaded engines
+    bool usesAllEngines = false;  // a brief request is not confined to the group for such requests
 };
 
 // Memory to reserve at a helper for a prompt that exceeds the answering engine's free memory.
--- a/src/coordination/routing/PolicySettings.cpp
+++ b/src/coordination/routing/PolicySettings.cpp
@@ -132,6 +132,8 @@
             {"queued_requests_limit",
              [](PolicySettings &s, double v) { s.queuedRequestsLimit = std::uint32_t(v); }},
             {"late_tolerance", [](PolicySettings &s, double v) { s.lateTolerance = v; }},
+            {"start_spread_ms",
+             [](PolicySettings &s, double v) { s.startSpreadTime = milliseconds(v); }},
             {"ranked_overload", [](PolicySettings &s, double v) { s.rankedOverload = v != 0; }},
             {"waiting_order",
              [](PolicySettings &s, double v) { s.passes.waitingOrder = WaitingOrder(int(v)); }},
--- a/src/coordination/routing/PolicySettings.h
+++ b/src/coordination/routing/PolicySettings.h
@@ -89,6 +89,10 @@
     // A request is refused if its first answer is predicted later than this many times its target:
     // the requests queued behind it would be late too, and none would meet its target.
     double lateTolerance = 4;
+    // For this long after it knows its first engine, an entry places brief requests on all engines.
+    // After a loss of all power, every entry would otherwise place the requests that have waited
+    // for it on the same few, before the work notes of the others arrive.
+    state::Duration startSpreadTime{0};
     // Ranks and shares of accounts decide under overload, on engines that work in passes; else the
     // time of arrival. See admission::OverloadControl.
     bool rankedOverload = false;
--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -410,7 +410,7 @@
         table.endpoints[record.id] = std::move(known);
     }
     removeReplacedEndpoints(table);
-    if (this->registry->assign(std::move(table)))
+    if (this->registry->assign(std::move(table), monotonicNow()))
         this->hooks.endpointsChanged();
 }
 
--- a/src/program/EndpointRegistry.cpp
+++ b/src/program/EndpointRegistry.cpp
@@ -92,10 +92,17 @@
     return true;
 }
 
-bool EndpointRegistry::assign(EndpointTable table)
+bool EndpointRegistry::isGrowing(state::Instant now) const
+{
+    const std::lock_guard lock(this->writeMutex);
+    return this->arrivals.isGrowing(now);
+}
+
+bool EndpointRegistry::assign(EndpointTable table, state::Instant now)
 {
     const std::lock_guard lock(this->writeMutex);
     this->current = std::move(table);
+    this->arrivals.update(this->current.endpoints.size(), now);
     EndpointTable next = this->withEvacuations(this->current);
     if (*this->published.read() == next)
         return false;
--- a/src/program/EndpointRegistry.h
+++ b/src/program/EndpointRegistry.h
@@ -1,6 +1,7 @@
 // The endpoints that this entry may route to.
 #pragma once
 
+#include "coordination/routing/EndpointArrivals.h"
 #include "state/Endpoint.h"
 #include "state/Snapshot.h"
 #include "state/Time.h"
@@ -65,7 +66,10 @@
     void setColdTimes(std::map<state::ServiceName, state::Duration> times);
     // Publishes the table from membership, if it differs from the last one, and returns whether it
     // does. Not to be mixed with the calls above, which are for a single node.
-    bool assign(EndpointTable table);
+    bool assign(EndpointTable table, state::Instant now);
+    // Whether this process has just started and is likely to learn of more endpoints within
+    // milliseconds; see coordination::routing::EndpointArrivals. False on a single node.
+    bool isGrowing(state::Instant now) const;
     // Removes endpoints that have not renewed in time and returns their ids.
     std::vector<state::EndpointId> expire(state::Instant now);
 
@@ -83,11 +87,12 @@
     void recordRejoined(const std::set<state::FailureDomain> &next, state::Instant now);
 
     state::Duration expiry;
-    std::mutex writeMutex; // never held during I/O; readers don't take it
-    EndpointTable current; // without the effect of `evacuated`
+    mutable std::mutex writeMutex; // never held during I/O; readers of the table don't take it
+    EndpointTable current;         // without the effect of `evacuated`
     std::set<state::FailureDomain> evacuated;
     std::map<state::EndpointId, Rejoined> rejoined;
     std::map<state::ServiceName, state::Duration> coldTimes;
+    coordination::routing::EndpointArrivals arrivals;
     // The same keys as `current` on a single node; empty otherwise.
     std::map<state::EndpointId, state::Instant> lastRenewal;
     state::Snapshot<EndpointTable> published;
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -227,6 +227,8 @@
         policy.retryShare = 0.12;
         policy.retryBurst = 4;
         policy.budgetRefused = true;
+        // Work notes arrive within milliseconds; the requests that have waited are placed by then.
+        policy.startSpreadTime = std::chrono::seconds(1);
         // Memory that a crashed entry had reserved must be free within four seconds.
         policy.reservationTtl = std::chrono::milliseconds(3'500);
         return policy;
@@ -258,6 +260,7 @@
         hooks.deployment = this->deployment;
         hooks.scheduler = this->policy->scheduler();
         hooks.endpoints = [this] { return this->registry->table(); };
+        hooks.endpointsGrowing = [this] { return this->registry->isGrowing(monotonicNow()); };
         hooks.cluster = this->cluster;
         hooks.client = this->client;
         hooks.guard = this->guard;
--- a/src/program/RelayListeners.cpp
+++ b/src/program/RelayListeners.cpp
@@ -82,6 +82,7 @@
     relayHooks.codec = this->hooks.deployment.relay;
     relayHooks.scheduler = this->hooks.scheduler;
     relayHooks.endpoints = this->hooks.endpoints;
+    relayHooks.endpointsGrowing = this->hooks.endpointsGrowing;
     relayHooks.routes = [this] { return this->routes.read(); };
     relayHooks.standing = [this] { return this->hooks.client->standing(); };
     relayHooks.refuses = [this] { return this->refusing.load(); };
--- a/src/program/RelayListeners.h
+++ b/src/program/RelayListeners.h
@@ -30,6 +30,7 @@
         Deployment deployment;
         Scheduler scheduler;
         std::function<state::SnapshotView<EndpointTable>()> endpoints;
+        std::function<bool()> endpointsGrowing; // as in RouteRelay::Hooks
         std::shared_ptr<Cluster> cluster;
         std::shared_ptr<ControlClient> client;
         std::shared_ptr<RequestGuard> guard;
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -454,6 +454,15 @@
     {
         const std::function<bool()> ready = [this] { return this->knowsEndpoint(); };
         co_await this->waitFor(ready, endpointWait);
+        co_await this->waitForMoreEndpoints();
+    }
+
+    // Also if the request has waited before: the hook bounds the wait.
+    asio::awaitable<void> waitForMoreEndpoints()
+    {
+        while (this->hooks.endpointsGrowing() && !this->facts.callerGone
+               && remaining(this->deadline) > milliseconds(0))
+            co_await transport::pause(waitingStep);
     }
 
     bool knowsEndpoint() const
@@ -522,6 +531,7 @@
 
     asio::awaitable<void> runOnReplicas()
     {
+        co_await this->waitForMoreEndpoints();
         std::vector<state::EndpointId> tried;
         while (true) {
             std::optional<state::EndpointDescription> replica;
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -66,6 +66,8 @@
         RelayCodec codec;
         Scheduler scheduler; // for engines
         std::function<state::SnapshotView<EndpointTable>()> endpoints;
+        // This process has just started, and more endpoints become known within milliseconds.
+        std::function<bool()> endpointsGrowing = [] { return false; };
         std::function<state::SnapshotView<state::routes::RouteTable>()> routes;
         std::function<coordination::orders::ViewStatus()> standing; // of `routes`
         std::function<bool()> refuses; // true: this node is shutting down, no new work
--- a/tests/coordination/admission/DispatcherPassesTest.cpp
+++ b/tests/coordination/admission/DispatcherPassesTest.cpp
@@ -93,6 +93,7 @@
     CPPUNIT_TEST(triesAtEndedIncarnationsAreBounded);
     CPPUNIT_TEST(refusedConnectionsCostNoAttempt);
     CPPUNIT_TEST(triesAtRefusedConnectionsAreBounded);
+    CPPUNIT_TEST(entriesThatStartTogetherUseAllEngines);
     CPPUNIT_TEST(endedIncarnationsGetNothing);
     CPPUNIT_TEST(lastEngineServesLongPromptsToo);
     CPPUNIT_TEST(waitingPromptSurvivesLossOfAllEngines);
@@ -267,6 +268,36 @@
         CPPUNIT_ASSERT(fixture.onlyAction<Refuse>().reason == RefusalReason::AttemptsExhausted);
     }
 
+    // All entries start at once after a loss of power, each with the requests that have waited for
+    // it, and none knows yet what the others place. Guards against placing all of them on the first
+    // engines of the shared order, which reject most and leave the rest waiting.
+    void entriesThatStartTogetherUseAllEngines()
+    {
+        constexpr std::size_t entries = 26;
+        constexpr std::size_t requestsOfEach = 20;
+        constexpr std::size_t engineCount = 48;
+        routing::PolicySettings policy;
+        policy.startSpreadTime = seconds(1);
+        std::map<state::EndpointId, std::size_t> placed;
+        for (std::size_t entry = 0; entry < entries; ++entry) {
+            DispatcherFixture fixture(0, policy);
+            for (std::size_t index = 0; index < engineCount; ++index)
+                fixture.handle(EngineAnnounced{profiledEngine(index), profile()});
+            for (std::size_t each = 0; each < requestsOfEach; ++each) {
+                const std::string id = std::to_string(entry) + "-" + std::to_string(each);
+                CompletionRequest request = fixture.request(id, 3'000);
+                request.firstEventTarget = milliseconds(300);
+                fixture.handle(RequestArrived{request});
+                ++placed[fixture.onlyAction<Dispatch>().engine];
+            }
+        }
+        std::size_t most = 0;
+        for (const auto &[engine, count] : placed)
+            most = std::max(most, count);
+        // An engine that gets at most twice its slots answers the last request after the first.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(most), most <= 2 * profile().slots);
+    }
+
     // Three of four engines have ended, as a peer reports. Guards against choosing them because
     // most engines are suspected, which is taken for a fault of this entry, and against avoiding
     // the next incarnation of one.
--- a/tests/program/EndpointRegistryTest.cpp
+++ b/tests/program/EndpointRegistryTest.cpp
@@ -46,7 +46,7 @@
     void endpointsOfEvacuatedDomainGetNoNewWork()
     {
         EndpointRegistry registry{state::Duration(0)};
-        registry.assign(tableOf({"a", "b"}));
+        registry.assign(tableOf({"a", "b"}), state::Instant{});
         CPPUNIT_ASSERT(registry.setEvacuated({state::FailureDomain("a")}, now));
         const auto during = registry.table();
         CPPUNIT_ASSERT(isEvacuated(*during, endpointIn("a")));
@@ -63,7 +63,7 @@
     {
         EndpointRegistry registry{state::Duration(0)};
         registry.setEvacuated({state::FailureDomain("a")}, now);
-        registry.assign(tableOf({"a"}));
+        registry.assign(tableOf({"a"}), state::Instant{});
         CPPUNIT_ASSERT(registry.table()->endpoints.at(endpointIn("a").id).draining);
     }
 
@@ -72,12 +72,12 @@
     void unlistedEndpointsOfEvacuatedDomainGetNothing()
     {
         EndpointRegistry registry{state::Duration(0)};
-        registry.assign(tableOf({"a"}));
+        registry.assign(tableOf({"a"}), state::Instant{});
         registry.setEvacuated({state::FailureDomain("a")}, now);
         state::EndpointDescription earlier = endpointIn("a");
         earlier.incarnation = 0;
         CPPUNIT_ASSERT(isEvacuated(*registry.table(), earlier));
-        registry.assign({});
+        registry.assign({}, state::Instant{});
         CPPUNIT_ASSERT(isEvacuated(*registry.table(), endpointIn("a")));
         CPPUNIT_ASSERT(!isEvacuated(*registry.table(), endpointIn("b")));
         CPPUNIT_ASSERT(registry.setEvacuated({}, now));
@@ -90,7 +90,7 @@
         EndpointRegistry registry{state::Duration(0)};
         EndpointTable table = tableOf({"a"});
         table.endpoints.at(endpointIn("a").id).draining = true;
-        registry.assign(table);
+        registry.assign(table, state::Instant{});
         registry.setEvacuated({state::FailureDomain("a")}, now);
         registry.setEvacuated({}, now);
         CPPUNIT_ASSERT(*registry.table() == table);
@@ -99,7 +99,7 @@
     void serviceIsEvacuatedOnlyWithAllItsDomains()
     {
         EndpointRegistry registry{state::Duration(0)};
-        registry.assign(tableOf({"a", "b"}));
+        registry.assign(tableOf({"a", "b"}), state::Instant{});
         CPPUNIT_ASSERT(!isServiceEvacuated(*registry.table(), service));
         registry.setEvacuated({state::FailureDomain("a")}, now);
         CPPUNIT_ASSERT(!isServiceEvacuated(*registry.table(), service));
@@ -117,7 +117,7 @@
             return registry.table()->endpoints.at(endpointIn(domain).id).coldUntil;
         };
         EndpointTable table = tableOf({"a", "b"});
-        registry.assign(table);
+        registry.assign(table, state::Instant{});
         registry.setEvacuated({state::FailureDomain("a")}, now);
         registry.setEvacuated({}, now);
         CPPUNIT_ASSERT(coldUntil("a") == state::Instant{});
@@ -127,7 +127,7 @@
         CPPUNIT_ASSERT(coldUntil("a") == now + std::chrono::seconds(3));
         CPPUNIT_ASSERT(coldUntil("b") == state::Instant{});
         table.endpoints.at(endpointIn("a").id).description.incarnation = 2;
-        registry.assign(table);
+        registry.assign(table, state::Instant{});
         CPPUNIT_ASSERT(coldUntil("a") == state::Instant{});
     }
 
