Placement: a refused connection leads to another failure domain, and not to a peer

A request met one engine of the domain after the other, some 15 ms each, or was handed to peers, some 30 ms each, since one refused connection leaves the paths of an entry in doubt; the peers met the same domain.

Change: after an attempt whose connection failed or ended, a brief request is placed outside of that engine's failure domain if there is room. A request that was refused once, at once, tries another domain before it asks a peer, where the service has endpoints in several.

--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -204,6 +204,11 @@
         view->ended = true;
     active->moves += event.withheld ? 1 : 0;
     active->refusedConnections += event.connectionRefused ? 1 : 0;
+    const routing::EngineView *failed = this->engines.find(engine);
+    const bool answered = event.didNotRun && !event.neverSent;
+    active->unreachableDomain = failed == nullptr || answered || event.withheld
+                                        ? state::FailureDomain()
+                                        : failed->description().failureDomain;
     this->handleAttemptLoss(*active, engine, event.didNotRun, false, event.replaced);
     this->placeWaiting();
 }
--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -250,6 +250,7 @@
         ActiveRequest &active = this->activeRequests.at(*queued.ownId);
         routing::PassRequest request = this->passRequestOf(active.request);
         request.failedEngines = active.failedEngines;
+        request.avoidedDomain = active.unreachableDomain;
         if (active.latestStart)
             request.firstEventTargetSeconds = 0; // missed
         if (!this->mayStart(active))
@@ -348,6 +349,7 @@
     this->updateWaitingDemand(request.model);
     routing::PassRequest passRequest = this->passRequestOf(request);
     passRequest.failedEngines = active.failedEngines;
+    passRequest.avoidedDomain = active.unreachableDomain;
     std::optional<routing::PassChoice> choice;
     if (this->mayStart(active))
         choice = this->engines.chooseByPasses(request.model, passRequest, this->now);
--- a/src/coordination/routing/PassPlacement.cpp
+++ b/src/coordination/routing/PassPlacement.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
 
 namespace lavenderthread::coordination::routing {
@@ -131,6 +132,16 @@
                                         const PassRequest &request,
                                         const PassPlacementSettings &settings)
 {
+    if (!request.avoidedDomain.empty()) {
+        std::vector<const EngineView *> others;
+        std::ranges::copy_if(engines, std::back_inserter(others), [&](const EngineView *view) {
+            return view->description().failureDomain != request.avoidedDomain;
+        });
+        const std::optional<PassChoice> choice = placeByPasses(
+                passCandidates(others, request.failedEngines, settings), request, settings);
+        if (choice)
+            return choice;
+    }
     return placeByPasses(passCandidates(engines, request.failedEngines, settings), request,
                          settings);
 }
--- a/src/coordination/routing/PassPlacement.h
+++ b/src/coordination/routing/PassPlacement.h
@@ -27,6 +27,9 @@
     double outputTokens = 0; // expected
     std::uint32_t memoryTokens = 0;
     std::vector<state::EndpointId> failedEngines; // engines that have failed this request
+    // Of the engine that failed last, if its connection failed: the others there may have ended
+    // with it. Used only if no engine of another domain has room.
+    state::FailureDomain avoidedDomain;
     double firstEventTargetSeconds = 0; // requested time from now to the first event; 0: none
     double longDemand = 0;        // long prefill from all entries, in engine seconds per second
     std::uint64_t tieBreaker = 0; // random value that selects among equally loaded engines
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace lavenderthread::program {
@@ -659,11 +660,26 @@
 
     PathState pathState() const { return this->hooks.pathState(this->outcome.service); }
 
-    // A request that has met a failed connection does not wait for the next one to fail.
+    // A request that has met a failed connection does not wait for the next one to fail. One that
+    // was refused at once may have met a failure domain that is down; another one is tried first.
     bool avoidsOwnPath() const
     {
         const PathState paths = this->pathState();
-        return paths == PathState::Lost || (paths == PathState::Doubtful && this->pathFailed);
+        if (paths != PathState::Doubtful || !this->pathFailed)
+            return paths == PathState::Lost;
+        return this->slowPathFailure || this->facts.refusedConnections >= 2
+               || !this->hasSeveralDomains();
+    }
+
+    bool hasSeveralDomains() const
+    {
+        std::set<state::FailureDomain> domains;
+        const auto table = this->hooks.endpoints();
+        for (const auto &[id, known] : table->endpoints) {
+            if (known.description.service == this->outcome.service && !known.draining)
+                domains.insert(known.description.failureDomain);
+        }
+        return domains.size() > 1;
     }
 
     bool shouldUsePeers() const
@@ -850,7 +866,10 @@
                 this->pathFailed = true;
                 this->hooks.recordPath(target.endpoint, PathOutcome::Unreachable);
             }
-            co_return this->openFailed(opened.error());
+            const AttemptResult end = this->openFailed(opened.error());
+            this->slowPathFailure =
+                    this->slowPathFailure || (this->pathFailed && !this->connectionRefused);
+            co_return end;
         }
         this->hooks.recordPath(target.endpoint, PathOutcome::Reached);
         transport::HttpAnswerStream &stream = opened.value();
@@ -1325,6 +1344,7 @@
     PeerResult refusalResult = PeerResult::NotRun; // of a 503, for the peer
     PeerResult peerResult = PeerResult::Unknown;   // of the last attempt through a peer
     bool pathFailed = false;                       // a connection to an endpoint has failed
+    bool slowPathFailure = false;                  // the same, and not at once
     bool withheld = false;     // the last attempt was not sent, since its endpoint rests
     bool askedForRest = false; // the endpoint of the last attempt has
     // No peer could take the request: the fault is at endpoints, of which some may be left.
--- a/tests/coordination/admission/DispatcherPassesTest.cpp
+++ b/tests/coordination/admission/DispatcherPassesTest.cpp
@@ -93,6 +93,7 @@
     CPPUNIT_TEST(triesAtEndedIncarnationsAreBounded);
     CPPUNIT_TEST(refusedConnectionsCostNoAttempt);
     CPPUNIT_TEST(triesAtRefusedConnectionsAreBounded);
+    CPPUNIT_TEST(failureDomainThatRefusesIsAvoided);
     CPPUNIT_TEST(entriesThatStartTogetherUseAllEngines);
     CPPUNIT_TEST(endedIncarnationsGetNothing);
     CPPUNIT_TEST(lastEngineServesLongPromptsToo);
@@ -252,6 +253,44 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.actionsOf<Dispatch>().size());
     }
 
+    // One of three failure domains has ended while its engines are believed idle. Guards against
+    // requests that meet one engine after the other there, 15 ms each, before they go elsewhere,
+    // and against requests that are not placed because only that domain has room.
+    void failureDomainThatRefusesIsAvoided()
+    {
+        DispatcherFixture fixture(0);
+        const auto domainOf = [](std::size_t index) {
+            return state::FailureDomain("domain-" + std::to_string(index % 3));
+        };
+        std::map<state::EndpointId, state::FailureDomain> domains;
+        for (std::size_t index = 0; index < 12; ++index) {
+            state::EndpointDescription description = profiledEngine(index);
+            description.failureDomain = domainOf(index);
+            domains[description.id] = description.failureDomain;
+            fixture.handle(EngineAnnounced{description, profile()});
+        }
+        for (int call = 0; call < 20; ++call) {
+            CompletionRequest request = fixture.request("r" + std::to_string(call), 3'000);
+            request.attemptLimit = 2;
+            fixture.handle(RequestArrived{request});
+            const Dispatch first = fixture.onlyAction<Dispatch>();
+            fixture.handle(refusedConnection(first));
+            const Dispatch second = fixture.onlyAction<Dispatch>();
+            CPPUNIT_ASSERT(domains[second.engine] != domains[first.engine]);
+            fixture.handle(RequestFinished{second.id, second.attempt});
+        }
+        for (std::size_t index = 0; index < 12; ++index) {
+            if (domainOf(index) != domainOf(0))
+                fixture.handle(EngineDraining{profiledEngine(index).id, true});
+        }
+        CompletionRequest last = fixture.request("last", 3'000);
+        last.attemptLimit = 2;
+        fixture.handle(RequestArrived{last});
+        const Dispatch first = fixture.onlyAction<Dispatch>();
+        fixture.handle(refusedConnection(first));
+        CPPUNIT_ASSERT(fixture.onlyAction<Dispatch>().engine != first.engine);
+    }
+
     // Guards against a request that goes round engines that are all down.
     void triesAtRefusedConnectionsAreBounded()
     {
