--- a/src/coordination/routing/PassPlacement.cpp
+++ b/src/coordination/routing/PassPlacement.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-// Returns one of the least loaded engines with a free slot and memory, a warm one if there is any
-// among them; null if there is none.
+// Returns one of the least loaded engines with a free slot and memory; null if there is none. Among
+// them, a warm one goes before a cold one, and then one of the preferred failure domain.
 const PassCandidate *drawLeastLoaded(std::span<const PassCandidate> candidates,
                                      const PassRequest &request, double equalLoadSeconds)
 {
@@ -33,6 +33,11 @@
     const auto isCold = [](const PassCandidate *each) { return each->cold; };
     if (!std::all_of(leastLoaded.begin(), leastLoaded.end(), isCold))
         std::erase_if(leastLoaded, isCold);
+    const auto isRemote = [&](const PassCandidate *each) {
+        return each->view->description().failureDomain != request.preferredDomain;
+    };
+    if (!std::all_of(leastLoaded.begin(), leastLoaded.end(), isRemote))
+        std::erase_if(leastLoaded, isRemote);
     return leastLoaded.empty() ? nullptr : leastLoaded[request.tieBreaker % leastLoaded.size()];
 }
 
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -229,6 +229,8 @@
         policy.budgetRefused = true;
         // Work notes arrive within milliseconds; the requests that have waited are placed by then.
         policy.startSpreadTime = std::chrono::seconds(1);
+        if (settings.relay.prefersOwnDomain)
+            policy.preferredDomain = settings.failureDomain;
         // Memory that a crashed entry had reserved must be free within four seconds.
         policy.reservationTtl = std::chrono::milliseconds(3'500);
         return policy;
