Soak: failure domains return cold, one after the other, while an entry is killed

Each round ends a domain's engines for 2 s, lets them return cold for 3 s (four requests a second each) under a load that needs them, and kills an entry meanwhile.

--- a/soak/Operator.cpp
+++ b/soak/Operator.cpp
@@ -32,6 +32,15 @@
     , fillerRoutes(fillerRouteCounts[seed % fillerRouteCounts.size()])
 {}
 
+std::string Operator::coldLimits() const
+{
+    if (this->coldRequestsPerSecond <= 0)
+        return {};
+    return R"("ColdStartS":)"
+           + std::to_string(std::chrono::duration<double>(this->coldTime).count())
+           + R"(,"ColdPerS":)" + std::to_string(this->coldRequestsPerSecond) + ",";
+}
+
 std::string Operator::document() const
 {
     const std::string route = R"("Host":"soak","TimeoutMs":3000,"Anonymous":false,"Attempts":2,)";
@@ -52,7 +61,8 @@
            + std::to_string(this->version) + R"(","PathPrefix":"/v)" + std::to_string(this->version)
            + R"(/","Kind":"idempotent",)" + route
            + R"("TargetLatencyMs":100,"Service":"app"}],"Services":[)"
-           + R"({"Name":"llm","HealthPath":"/health","MaxConns":100,"Engine":{"Slots":16,)"
+           + R"({"Name":"llm","HealthPath":"/health","MaxConns":100,)" + this->coldLimits()
+           + R"("Engine":{"Slots":16,)"
            + R"("KvCapacity":450000,"Stride":46,"step_ms":0.925,"per_seq_ms":0.00483,)"
            + R"("context_per_k":0.00254,"read_per_s":2560000.0,"pairs_per_m":0.00917,"chunk":2048}},)"
            + R"({"Name":"app","HealthPath":"/health","MaxConns":100}],)"
--- a/soak/Operator.h
+++ b/soak/Operator.h
@@ -39,6 +39,12 @@
     // That many acknowledgements are lost, and the order is sent again. True once acknowledged.
     boost::asio::awaitable<bool> evacuate(std::string failureDomain, bool evacuated,
                                           std::size_t lostAnswers);
+    // What the configurations from now on say of cold engines.
+    void limitColdEngines(std::chrono::milliseconds time, double requestsPerSecond)
+    {
+        this->coldTime = time;
+        this->coldRequestsPerSecond = requestsPerSecond;
+    }
     void stop() { this->stopped = true; }
     std::uint64_t lastSent() const { return this->version; }
 
@@ -46,6 +52,7 @@
     boost::asio::awaitable<state::Result<protocol::HttpResponse>>
     call(std::size_t control, const char *method, std::string path, std::string body);
     std::string document() const;
+    std::string coldLimits() const; // members of a service in the document; may be empty
 
     boost::asio::io_context &context;
     std::vector<state::Address> controls;
@@ -53,6 +60,8 @@
     std::mt19937_64 random;
     std::uint64_t version = 0;
     std::size_t fillerRoutes; // of every configuration
+    std::chrono::milliseconds coldTime{0};
+    double coldRequestsPerSecond = 0; // 0: no limit
     bool stopped = false;
 };
 
--- a/soak/StandIn.cpp
+++ b/soak/StandIn.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+
 namespace lavenderthread::soak {
 
 namespace asio = boost::asio;
@@ -63,10 +65,18 @@
     this->sequence = 0;
     this->limit = {};
     this->restTime.reset();
+    this->coldUntil = {};
+    this->accepted.reset();
     this->leaving = false;
     this->ended = false;
 }
 
+void StandIn::restartCold(milliseconds time)
+{
+    this->restart();
+    this->coldUntil = program::monotonicNow() + time;
+}
+
 void StandIn::nameLimit(std::optional<double> perSecond)
 {
     this->limit.set(perSecond, program::monotonicNow());
@@ -77,9 +87,13 @@
     std::string models;
     if (this->settings.engine)
         models = R"("Stage":"both","Models":[{"Name":"m","Version":1,"Adapters":[]}],)";
+    const state::Duration coldLeft =
+            std::max(this->coldUntil - program::monotonicNow(), state::Duration(0));
+    const auto coldLeftMs = std::chrono::ceil<milliseconds>(coldLeft).count();
     return R"({"Service":")" + this->settings.service + R"(","Address":")"
            + this->settings.announced.toString() + R"(","Zone":")" + this->settings.failureDomain
-           + R"(","Version":"v1","Slots":16,"State":"ready","ColdLeftMs":0,)" + models + R"("Seq":)"
+           + R"(","Version":"v1","Slots":16,"State":"ready","ColdLeftMs":)"
+           + std::to_string(coldLeftMs) + "," + models + R"("Seq":)"
            + std::to_string(++this->sequence) + R"(,"born":)" + std::to_string(this->born) + "}";
 }
 
@@ -104,6 +118,8 @@
         const auto answer = co_await transport::httpCall(executor, to, std::move(request), limits);
         if (!answer || answer.value().status != 200)
             ++this->control; // the next node
+        else if (!this->accepted)
+            this->accepted = program::monotonicNow();
         co_await transport::pause(heartbeatInterval);
     }
 }
--- a/soak/StandIn.h
+++ b/soak/StandIn.h
@@ -61,6 +61,10 @@
     void start();
     void setFault(EndpointFault next) { this->fault = next; }
     void restart(); // under a new id and incarnation, at the same address
+    // The same, and announces itself as cold for so long.
+    void restartCold(std::chrono::milliseconds time);
+    // When its first announcement since the last restart was accepted.
+    std::optional<state::Instant> announcedAt() const { return this->accepted; }
     // Announces itself no more until restart().
     void end() { this->ended = true; }
     bool hasEnded() const { return this->ended; }
@@ -93,6 +97,8 @@
     NamedLimit limit;
     std::optional<std::chrono::milliseconds> restTime;
     std::uint64_t arrived = 0; // requests, orders left out
+    std::optional<state::Instant> accepted;
+    state::Instant coldUntil; // Instant{}: has not been cold
     std::string id;
     std::uint64_t born = 0;
     std::uint64_t sequence = 0;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -5,9 +5,11 @@
 // fault-soak --binary PATH
 // --folder PATH [--seed N] [--seconds N]
 //                   [--path-loss hang|reset] [--control-loss freeze|kill] [--endpoint-limits]
-//                   [--endpoint-rest] [--evacuation] [--crashing-prompt second|first|two|none]
+//                   [--endpoint-rest] [--evacuation] [--cold-returns]
+//                   [--crashing-prompt second|first|two|none]
 //                   [--crashing-call target|body|once|none]
 #include "Callers.h"
+#include "ColdReturns.h"
 #include "ControlLoss.h"
 #include "CrashingCall.h"
 #include "CrashingPrompt.h"
@@ -49,14 +51,15 @@
     bool endpointLimits = false;
     bool endpointRest = false;
     bool evacuation = false;
+    bool coldReturns = false;
     std::string crashingPrompt; // where the part is that ends engines; empty: not played
     std::string crashingCall;   // how calls are alike that end replicas; empty: not played
 
     bool playsScenario() const
     {
         return !this->pathLoss.empty() || !this->controlLoss.empty() || this->endpointLimits
-               || this->endpointRest || this->evacuation || !this->crashingPrompt.empty()
-               || !this->crashingCall.empty();
+               || this->endpointRest || this->evacuation || this->coldReturns
+               || !this->crashingPrompt.empty() || !this->crashingCall.empty();
     }
 };
 
@@ -184,6 +187,8 @@
             settings.arrived = [this, index](const protocol::HttpRequest &request) {
                 if (this->evacuation)
                     this->evacuation->requestArrived(index);
+                if (this->coldReturns)
+                    this->coldReturns->requestArrived(index, request);
                 if (this->rests)
                     this->rests->requestArrived(index, request);
                 if (this->crashes)
@@ -202,7 +207,7 @@
             settings.controls = this->fleet.allOperators();
             settings.failureDomain = failureDomainOf(index);
             settings.seed = seed * 100 + index;
-            if (this->options.evacuation)
+            if (this->options.evacuation || this->options.coldReturns)
                 settings.eventTime = eventTimeForEvacuation;
             this->addProxy(settings.announced, settings.listen);
             this->endpoints.push_back(
@@ -247,6 +252,8 @@
             co_await this->playEndpointRest();
         else if (this->options.evacuation)
             co_await this->playEvacuation();
+        else if (this->options.coldReturns)
+            co_await this->playColdReturns();
         else if (!this->options.crashingPrompt.empty())
             co_await this->playCrashingPrompt();
         else if (!this->options.crashingCall.empty())
@@ -370,6 +377,23 @@
         co_await this->evacuation->play();
     }
 
+    asio::awaitable<void> playColdReturns()
+    {
+        this->operators.limitColdEngines(ColdReturns::coldTime, ColdReturns::requestsPerSecond);
+        const bool started = co_await this->startFleet();
+        if (!started)
+            co_return;
+        ColdReturns::Settings settings;
+        settings.seed = this->options.seed;
+        settings.engines = engines;
+        for (std::size_t index = 0; index < this->endpoints.size(); ++index)
+            settings.failureDomains.push_back(failureDomainOf(index));
+        this->coldReturns = std::make_unique<ColdReturns>(this->context, settings, this->fleet,
+                                                          this->proxiesOf(engines + replicas),
+                                                          this->endpoints, this->ledger);
+        co_await this->coldReturns->play();
+    }
+
     // Starts all processes and sends the first configuration.
     asio::awaitable<bool> startFleet()
     {
@@ -478,6 +502,7 @@
     std::unique_ptr<EndpointLimits> limits; // calls may outlast the scenario
     std::unique_ptr<EndpointRest> rests;
     std::unique_ptr<Evacuation> evacuation;
+    std::unique_ptr<ColdReturns> coldReturns;
     Operator operators;
     std::uint16_t port;
 };
@@ -504,6 +529,8 @@
                  "Endpoints turn requests away for a while");
     app.add_flag("--evacuation", options.evacuation,
                  "Failure domains are evacuated and taken back");
+    app.add_flag("--cold-returns", options.coldReturns,
+                 "Failure domains restart, and their engines are cold");
     app.add_option("--crashing-prompt", options.crashingPrompt,
                    "Prompts with a certain part end engines; which part: second, first, two, none")
             ->check(CLI::IsMember({"second", "first", "two", "none"}));
