Cold endpoints: the time that answers to probes name counts at once

An endpoint may become cold again between two announcements. Cold-Ms in the answer to a probe marks it as cold at the entry that has probed it; the others learn of it with its next heartbeat. A negative or huge value, or text, counts as absent and is logged (endpoint.cold-ignored).

--- a/src/program/EndpointRegistry.cpp
+++ b/src/program/EndpointRegistry.cpp
@@ -123,6 +123,22 @@
     return true;
 }
 
+bool EndpointRegistry::setCold(const state::EndpointId &id, std::uint64_t incarnation,
+                               state::Duration left, state::Instant now)
+{
+    // Each answer names the time that is left, so the end differs by the time on the way.
+    constexpr state::Duration sameTime = std::chrono::milliseconds(200);
+    const std::lock_guard lock(this->writeMutex);
+    const auto table = this->published.read();
+    const RegisteredEndpoint *known = table->find(id, incarnation);
+    if (known == nullptr || now + left <= known->coldUntil + sameTime)
+        return false;
+    this->removeWarm(now);
+    this->locallyCold[id] = {incarnation, now + left};
+    this->publish();
+    return true;
+}
+
 void EndpointRegistry::setColdTimes(std::map<state::ServiceName, state::Duration> times)
 {
     const std::lock_guard lock(this->writeMutex);
@@ -132,24 +148,29 @@
 void EndpointRegistry::recordRejoined(const std::set<state::FailureDomain> &next,
                                       state::Instant now)
 {
-    std::erase_if(this->rejoined, [now](const auto &each) { return each.second.coldUntil <= now; });
+    this->removeWarm(now);
     for (const auto &[id, endpoint] : this->current.endpoints) {
         const state::EndpointDescription &description = endpoint.description;
         const auto time = this->coldTimes.find(description.service);
         if (time != this->coldTimes.end() && this->evacuated.contains(description.failureDomain)
             && !next.contains(description.failureDomain))
-            this->rejoined[id] = {description.incarnation, now + time->second};
+            this->locallyCold[id] = {description.incarnation, now + time->second};
     }
 }
 
+void EndpointRegistry::removeWarm(state::Instant now)
+{
+    std::erase_if(this->locallyCold, [now](const auto &each) { return each.second.until <= now; });
+}
+
 EndpointTable EndpointRegistry::withEvacuations(EndpointTable table) const
 {
     table.evacuated = this->evacuated;
-    for (const auto &[id, cold] : this->rejoined) {
+    for (const auto &[id, cold] : this->locallyCold) {
         const auto found = table.endpoints.find(id);
         if (found != table.endpoints.end()
             && found->second.description.incarnation == cold.incarnation)
-            found->second.coldUntil = std::max(found->second.coldUntil, cold.coldUntil);
+            found->second.coldUntil = std::max(found->second.coldUntil, cold.until);
     }
     for (auto &[id, endpoint] : table.endpoints) {
         endpoint.evacuated = table.evacuated.contains(endpoint.description.failureDomain);
--- a/src/program/EndpointRegistry.h
+++ b/src/program/EndpointRegistry.h
@@ -62,6 +62,10 @@
     // that changes the table. The endpoints of a domain that is not evacuated any more count as
     // cold from `now` on, for the time set for their service.
     bool setEvacuated(std::set<state::FailureDomain> failureDomains, state::Instant now);
+    // The endpoint has told this process that it stays cold for so long. False if that is known, or
+    // the endpoint is not known under that incarnation.
+    bool setCold(const state::EndpointId &id, std::uint64_t incarnation, state::Duration left,
+                 state::Instant now);
     // How long endpoints of the services stay cold; services that are not listed need no such time.
     void setColdTimes(std::map<state::ServiceName, state::Duration> times);
     // Publishes the table from membership, if it differs from the last one, and returns whether it
@@ -74,23 +78,25 @@
     std::vector<state::EndpointId> expire(state::Instant now);
 
 private:
-    // An endpoint that counts as cold because its failure domain gets traffic again.
-    struct Rejoined
+    // An endpoint that counts as cold because its failure domain gets traffic again, or because
+    // it has told this process so.
+    struct LocallyCold
     {
         std::uint64_t incarnation = 0;
-        state::Instant coldUntil;
+        state::Instant until;
     };
 
     // The callers must hold the mutex.
     void publish();
     EndpointTable withEvacuations(EndpointTable table) const;
+    void removeWarm(state::Instant now); // from locallyCold
     void recordRejoined(const std::set<state::FailureDomain> &next, state::Instant now);
 
     state::Duration expiry;
     mutable std::mutex writeMutex; // never held during I/O; readers of the table don't take it
     EndpointTable current;         // without the effect of `evacuated`
     std::set<state::FailureDomain> evacuated;
-    std::map<state::EndpointId, Rejoined> rejoined;
+    std::map<state::EndpointId, LocallyCold> locallyCold;
     std::map<state::ServiceName, state::Duration> coldTimes;
     coordination::routing::EndpointArrivals arrivals;
     // The same keys as `current` on a single node; empty otherwise.
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -262,6 +262,14 @@
         hooks.deployment = this->deployment;
         hooks.scheduler = this->policy->scheduler();
         hooks.endpoints = [this] { return this->registry->table(); };
+        hooks.endpointCold = [this](const state::EndpointDescription &endpoint,
+                                    state::Duration left) {
+            const state::Instant now = monotonicNow();
+            if (!this->registry->setCold(endpoint.id, endpoint.incarnation, left, now))
+                return;
+            this->cold->logChanges(*this->registry->table(), now);
+            this->policy->refreshEndpoints();
+        };
         hooks.endpointsGrowing = [this] { return this->registry->isGrowing(monotonicNow()); };
         hooks.cluster = this->cluster;
         hooks.client = this->client;
--- a/src/program/PathMonitor.cpp
+++ b/src/program/PathMonitor.cpp
@@ -189,7 +189,7 @@
     const auto answer =
             co_await transport::httpCall(executor, endpoint.address, std::move(*request), limits);
     if (answer)
-        this->hooks.reached(endpoint);
+        this->hooks.reached(endpoint, answer.value().headers);
     this->record(endpoint, answer ? PathOutcome::Reached : PathOutcome::Unreachable);
     co_return answer.has_value();
 }
--- a/src/program/PathMonitor.h
+++ b/src/program/PathMonitor.h
@@ -28,8 +28,9 @@
         // A request that the endpoint answers at once, also under load; nothing if none is known.
         std::function<std::optional<protocol::HttpRequest>(const state::EndpointDescription &)>
                 probeRequest;
-        // A probe has reached the endpoint.
-        std::function<void(const state::EndpointDescription &)> reached;
+        // A probe has reached the endpoint, which answered with these headers.
+        std::function<void(const state::EndpointDescription &, const protocol::HttpHeaders &)>
+                reached;
         std::function<void()> changed; // isCutOff() has another result
     };
 
--- a/src/program/RelayCodec.h
+++ b/src/program/RelayCodec.h
@@ -83,6 +83,15 @@
 };
 
 // Converts relayed requests and their answers.
+// What an answer to a probe says.
+struct ProbeAnswer
+{
+    std::optional<state::Duration> coldLeft; // how long the endpoint stays cold, if it is
+    bool coldLeftIgnored = false;            // it names a time that can't be right
+
+    auto operator<=>(const ProbeAnswer &) const = default;
+};
+
 struct RelayCodec
 {
     // Error: InvalidArgument if the request lacks a value or has an invalid one.
@@ -95,6 +104,7 @@
     std::function<protocol::HttpResponse(const RelayRefusal &)> refuse;
     // A request that an endpoint of the service answers without delay and without running anything.
     std::function<protocol::HttpRequest(const state::routes::ServiceProfile &)> probe;
+    std::function<ProbeAnswer(const protocol::HttpHeaders &)> readProbe;
     MemoryReservationCodec memory;
 };
 
--- a/src/program/RelayListeners.cpp
+++ b/src/program/RelayListeners.cpp
@@ -119,10 +119,18 @@
             return std::nullopt;
         return this->hooks.deployment.relay.probe(*service);
     };
-    pathHooks.reached = [this](const state::EndpointDescription &endpoint) {
+    pathHooks.reached = [this](const state::EndpointDescription &endpoint,
+                               const protocol::HttpHeaders &headers) {
         this->hooks.scheduler.noteHealth(endpoint,
                                          coordination::routing::AttemptOutcome::Reachable);
         this->relay.endpointReached(endpoint);
+        const ProbeAnswer answer = this->hooks.deployment.relay.readProbe(headers);
+        if (answer.coldLeftIgnored)
+            logEvent(LogLevel::Warning, "endpoint.cold-ignored",
+                     {{"endpoint", endpoint.id.value()},
+                      {"cause", "the answer to a probe names no time of up to an hour"}});
+        if (answer.coldLeft)
+            this->hooks.endpointCold(endpoint, *answer.coldLeft);
     };
     pathHooks.changed = this->hooks.pathsChanged;
     return pathHooks;
--- a/src/program/RelayListeners.h
+++ b/src/program/RelayListeners.h
@@ -31,6 +31,8 @@
         Scheduler scheduler;
         std::function<state::SnapshotView<EndpointTable>()> endpoints;
         std::function<bool()> endpointsGrowing; // as in RouteRelay::Hooks
+        // An endpoint has said that it stays cold for so long.
+        std::function<void(const state::EndpointDescription &, state::Duration)> endpointCold;
         std::shared_ptr<Cluster> cluster;
         std::shared_ptr<ControlClient> client;
         std::shared_ptr<RequestGuard> guard;
--- a/tests/platform/RelayFixture.h
+++ b/tests/platform/RelayFixture.h
@@ -202,7 +202,7 @@
         hooks.probeRequest = [](const auto &) {
             return makeRelayCodec().probe(state::routes::ServiceProfile{service, "/health", 1, {}});
         };
-        hooks.reached = [](const auto &) {};
+        hooks.reached = [](const auto &, const auto &) {};
         hooks.changed = [] {};
         this->monitor = std::make_shared<program::PathMonitor>(this->context, std::move(hooks), 1);
     }
--- a/tests/platform/RelayWireTest.cpp
+++ b/tests/platform/RelayWireTest.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(decodesAnswerHeads);
     CPPUNIT_TEST(decodesAcceptedRate);
     CPPUNIT_TEST(decodesRest);
+    CPPUNIT_TEST(decodesColdTime);
     CPPUNIT_TEST(decodesLeaving);
     CPPUNIT_TEST(refusalsContainRetryAfter);
     CPPUNIT_TEST(encodesMemoryOrders);
@@ -171,6 +172,20 @@
         CPPUNIT_ASSERT(!this->codec.readHead(200, {}, id).acceptedPerSecond);
     }
 
+    // Guards against an endpoint that counts as cold for years, or a node that fails on such a
+    // value.
+    void decodesColdTime()
+    {
+        const auto read = makeRelayCodec().readProbe;
+        CPPUNIT_ASSERT(read({}) == program::ProbeAnswer{});
+        CPPUNIT_ASSERT(read({{"Cold-Ms", "0"}}) == program::ProbeAnswer{});
+        CPPUNIT_ASSERT(read({{"Cold-Ms", "1800"}})
+                       == (program::ProbeAnswer{std::chrono::milliseconds(1'800), false}));
+        for (const char *text : {"-5", "3600001", "99999999999999999999", "soon", "1.5x", ""})
+            CPPUNIT_ASSERT_MESSAGE(text, read({{"Cold-Ms", text}})
+                                                 == (program::ProbeAnswer{std::nullopt, true}));
+    }
+
     void decodesRest()
     {
         using std::chrono::milliseconds;
--- a/tests/program/EndpointRegistryTest.cpp
+++ b/tests/program/EndpointRegistryTest.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(serviceIsEvacuatedOnlyWithAllItsDomains);
     CPPUNIT_TEST(endpointsAreColdAfterEvacuation);
     CPPUNIT_TEST(announcedColdTimeCountsOnSingleNode);
+    CPPUNIT_TEST(coldTimeOfAProbeCountsAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -131,6 +132,27 @@
         CPPUNIT_ASSERT(coldUntil("a") == state::Instant{});
     }
 
+    // Guards against full load on an endpoint that has become cold again, until its next
+    // announcement arrives.
+    void coldTimeOfAProbeCountsAtOnce()
+    {
+        EndpointRegistry registry{state::Duration(0)};
+        const state::EndpointId id = endpointIn("a").id;
+        const auto coldUntil = [&] { return registry.table()->endpoints.at(id).coldUntil; };
+        EndpointTable table = tableOf({"a", "b"});
+        registry.assign(table, now);
+        CPPUNIT_ASSERT(!registry.setCold(id, 7, std::chrono::seconds(3), now));
+        CPPUNIT_ASSERT(!registry.setCold(state::EndpointId("x"), 1, std::chrono::seconds(3), now));
+        const std::uint64_t incarnation = table.endpoints.at(id).description.incarnation;
+        CPPUNIT_ASSERT(registry.setCold(id, incarnation, std::chrono::seconds(3), now));
+        CPPUNIT_ASSERT(coldUntil() == now + std::chrono::seconds(3));
+        // The next answer names what is left of the same time.
+        const state::Instant later = now + std::chrono::seconds(1);
+        CPPUNIT_ASSERT(!registry.setCold(id, incarnation, std::chrono::milliseconds(2'010), later));
+        registry.assign(table, later); // what the others know is older
+        CPPUNIT_ASSERT(coldUntil() == now + std::chrono::seconds(3));
+    }
+
     // Guards against a node without membership that ignores cold times.
     void announcedColdTimeCountsOnSingleNode()
     {
