--- a/src/coordination/routing/PassPlacement.cpp
+++ b/src/coordination/routing/PassPlacement.cpp
@@ -142,7 +142,7 @@
         std::ranges::copy_if(engines, std::back_inserter(others), [&](const EngineView *view) {
             return view->description().failureDomain != request.avoidedDomain;
         });
-        const std::optional<PassChoice> choice = placeByPasses(
+        std::optional<PassChoice> choice = placeByPasses(
                 passCandidates(others, request.failedEngines, settings), request, settings);
         if (choice)
             return choice;
--- a/tests/coordination/routing/EndpointArrivalsTest.cpp
+++ b/tests/coordination/routing/EndpointArrivalsTest.cpp
@@ -41,9 +41,9 @@
     void waitIsBounded()
     {
         EndpointArrivals arrivals;
-        for (int index = 0; index < 40; ++index)
-            arrivals.update(std::size_t(index + 1), this->at(index * 50));
-        CPPUNIT_ASSERT(!arrivals.isGrowing(this->at(301)));
+        for (std::size_t known = 1; known <= 40; ++known)
+            arrivals.update(known, this->at(int(known) * 50));
+        CPPUNIT_ASSERT(!arrivals.isGrowing(this->at(351)));
         EndpointArrivals once;
         once.update(48, this->at(0));
         CPPUNIT_ASSERT(!once.isGrowing(this->at(101)));
