Relay: an ended connection too may mean a failure domain that is down

A connection that was closed without an answer counts as one that was refused: where the service has several failure domains, the request tries another domain before it asks a peer.

--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -83,7 +83,7 @@
         state::Instant startedAt{};         // of its last dispatch, on engines that work in passes
         state::Instant renewAt{};           // when its reservations are renewed
         state::FailureDomain avoidedDomain; // of the engine that failed last
-        // The same, if its connection failed or ended; else empty.
+        // The same, unless it has refused the request in an answer; else empty.
         state::FailureDomain unreachableDomain;
         // Used only on engines that work in passes.
         std::vector<state::EndpointId> helpers;
--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -251,7 +251,6 @@
         ActiveRequest &active = this->activeRequests.at(*queued.ownId);
         routing::PassRequest request = this->passRequestOf(active.request);
         request.failedEngines = active.failedEngines;
-        request.avoidedDomain = active.unreachableDomain;
         if (active.latestStart)
             request.firstEventTargetSeconds = 0; // missed
         if (!this->mayStart(active))
--- a/src/coordination/routing/PassPlacement.h
+++ b/src/coordination/routing/PassPlacement.h
@@ -28,8 +28,8 @@
     std::uint32_t memoryTokens = 0;
     std::vector<state::EndpointId> failedEngines; // engines that have failed this request
     state::FailureDomain preferredDomain; // for brief requests, among equally loaded engines
-    // Of the engine that failed last, if its connection failed: the others there may have ended
-    // with it. Used only if no engine of another domain has room.
+    // Of the engine that failed last without an answer: the others there may have ended with it.
+    // Used only if no engine of another domain has room.
     state::FailureDomain avoidedDomain;
     double firstEventTargetSeconds = 0; // requested time from now to the first event; 0: none
     double longDemand = 0;        // long prefill from all entries, in engine seconds per second
--- a/src/program/RelayCodec.h
+++ b/src/program/RelayCodec.h
@@ -82,7 +82,6 @@
     std::function<bool(unsigned status)> granted;
 };
 
-// Converts relayed requests and their answers.
 // What an answer to a probe says.
 struct ProbeAnswer
 {
@@ -92,6 +91,7 @@
     auto operator<=>(const ProbeAnswer &) const = default;
 };
 
+// Converts relayed requests and their answers.
 struct RelayCodec
 {
     // Error: InvalidArgument if the request lacks a value or has an invalid one.
--- a/src/program/RelayListeners.h
+++ b/src/program/RelayListeners.h
@@ -30,9 +30,10 @@
         Deployment deployment;
         Scheduler scheduler;
         std::function<state::SnapshotView<EndpointTable>()> endpoints;
-        std::function<bool()> endpointsGrowing; // as in RouteRelay::Hooks
+        std::function<bool()> endpointsGrowing = [] { return false; }; // as in RouteRelay::Hooks
         // An endpoint has said that it stays cold for so long.
-        std::function<void(const state::EndpointDescription &, state::Duration)> endpointCold;
+        std::function<void(const state::EndpointDescription &, state::Duration)> endpointCold =
+                [](const auto &, auto) {};
         std::shared_ptr<Cluster> cluster;
         std::shared_ptr<ControlClient> client;
         std::shared_ptr<RequestGuard> guard;
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -660,15 +660,16 @@
 
     PathState pathState() const { return this->hooks.pathState(this->outcome.service); }
 
-    // A request that has met a failed connection does not wait for the next one to fail. One that
-    // was refused at once may have met a failure domain that is down; another one is tried first.
+    // A request that has met a failed connection does not wait for the next one to fail. If the
+    // connection was ended and has not timed out, a failure domain may be down, and another one is
+    // tried first.
     bool avoidsOwnPath() const
     {
         const PathState paths = this->pathState();
-        if (paths != PathState::Doubtful || !this->pathFailed)
+        const std::uint32_t failures = this->connectionsEnded + this->connectionsTimedOut;
+        if (paths != PathState::Doubtful || failures == 0)
             return paths == PathState::Lost;
-        return this->slowPathFailure || this->facts.refusedConnections >= 2
-               || !this->hasSeveralDomains();
+        return failures >= 2 || this->connectionsTimedOut > 0 || !this->hasSeveralDomains();
     }
 
     bool hasSeveralDomains() const
@@ -862,13 +863,12 @@
         auto opened = co_await this->open(target.endpoint.address, std::move(forwarded),
                                           std::min(connectTimeout, left), std::move(beforeSend));
         if (!opened) {
+            const AttemptResult end = this->openFailed(opened.error());
             if (isPathFailure(opened.error(), left)) {
-                this->pathFailed = true;
+                const bool atOnce = this->connectionRefused || this->progress.connectionEnded;
+                ++(atOnce ? this->connectionsEnded : this->connectionsTimedOut);
                 this->hooks.recordPath(target.endpoint, PathOutcome::Unreachable);
             }
-            const AttemptResult end = this->openFailed(opened.error());
-            this->slowPathFailure =
-                    this->slowPathFailure || (this->pathFailed && !this->connectionRefused);
             co_return end;
         }
         this->hooks.recordPath(target.endpoint, PathOutcome::Reached);
@@ -1343,8 +1343,8 @@
     state::RequestId scheduledId; // of the request at the scheduler; empty: it has not been there
     PeerResult refusalResult = PeerResult::NotRun; // of a 503, for the peer
     PeerResult peerResult = PeerResult::Unknown;   // of the last attempt through a peer
-    bool pathFailed = false;                       // a connection to an endpoint has failed
-    bool slowPathFailure = false;                  // the same, and not at once
+    std::uint32_t connectionsEnded = 0;    // to endpoints: refused, or closed without an answer
+    std::uint32_t connectionsTimedOut = 0; // to endpoints
     bool withheld = false;     // the last attempt was not sent, since its endpoint rests
     bool askedForRest = false; // the endpoint of the last attempt has
     // No peer could take the request: the fault is at endpoints, of which some may be left.
