Review: one rule for cold times, the choice of peers as a decision of its own, no preferred domain

Cause: a last reading of the whole change. The rule for a cold time that can't be right stood three times, the tolerance of its countdown and the publishing of a changed table twice.

--- a/soak/ColdReturns.cpp
+++ b/soak/ColdReturns.cpp
@@ -14,8 +14,7 @@
 
 namespace {
 
-constexpr milliseconds callPause{100};
-constexpr milliseconds streamPause{250}; // with the others, some 53 of 64 slots are taken
+constexpr milliseconds callPause{136}; // some 53 of the 64 slots are taken; two domains have fewer
 constexpr milliseconds calmTime{3'000};
 constexpr milliseconds downTime{2'000};
 constexpr milliseconds untilEntryIsKilled{500};
@@ -24,16 +23,6 @@
 constexpr milliseconds lastAnswer{3'500};
 constexpr double leastShareUsed = 0.7;
 
-SteadyCallers::Settings settingsOf(std::uint64_t seed, milliseconds pause, std::string suffix)
-{
-    SteadyCallers::Settings settings;
-    settings.seed = seed;
-    settings.pause = pause;
-    settings.nameSuffix = std::move(suffix);
-    settings.paths = {"/stream/"};
-    return settings;
-}
-
 } // namespace
 
 ColdReturns::ColdReturns(asio::io_context &context, Settings chosen, Fleet &fleet,
@@ -45,8 +34,8 @@
     , proxies(std::move(proxies))
     , endpoints(std::move(endpoints))
     , ledger(ledger)
-    , callers(context, settingsOf(this->settings.seed, callPause * 3, "a"), fleet, ledger)
-    , streams(context, settingsOf(this->settings.seed + 1, streamPause, "b"), fleet, ledger)
+    , callers(context, {.seed = this->settings.seed, .pause = callPause, .paths = {"/stream/"}},
+              fleet, ledger)
 {}
 
 // An answer with 421 doesn't count: it asks for an earlier process.
@@ -64,14 +53,12 @@
 asio::awaitable<void> ColdReturns::play()
 {
     this->callers.start();
-    this->streams.start();
     co_await transport::pause(calmTime);
     const std::set<std::string> domains(this->settings.failureDomains.begin(),
                                         this->settings.failureDomains.end());
     for (const std::string &domain : domains)
         co_await this->playRound(domain);
     this->callers.stop();
-    this->streams.stop();
     co_await transport::pause(lastAnswer);
 }
 
--- a/soak/ColdReturns.h
+++ b/soak/ColdReturns.h
@@ -3,9 +3,10 @@
 // more than they can take from all entries together, and against ones that get far less.
 #pragma once
 
-#include "EndpointCrashes.h"
 #include "Fleet.h"
 #include "Ledger.h"
+#include "Proxy.h"
+#include "StandIn.h"
 #include "SteadyCallers.h"
 
 #include "state/Time.h"
@@ -58,7 +59,6 @@
     std::vector<std::shared_ptr<StandIn>> endpoints;
     Ledger &ledger;
     SteadyCallers callers;
-    SteadyCallers streams; // further ones: the engines of two domains alone can't serve all
     std::map<std::size_t, std::vector<state::Instant>> arrivals; // by engine, while it is cold
     std::map<std::size_t, state::Instant> returnedAt;            // by engine
 };
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,11 +1,9 @@
 // Runs one seed: a small fleet of real processes, endpoints, callers and an operator, faults for so
 // many seconds, then a calm end in which everything has to work again.
-// With --path-loss, --control-loss, --endpoint-limits, --endpoint-rest, --evacuation,
-// --crashing-prompt or --crashing-call, plays that scenario in place of the faults. usage:
-// fault-soak --binary PATH
-// --folder PATH [--seed N] [--seconds N]
-//                   [--path-loss hang|reset] [--control-loss freeze|kill] [--endpoint-limits]
-//                   [--endpoint-rest] [--evacuation] [--cold-returns]
+// With an option that names a scenario, plays that one in place of the faults.
+// usage: fault-soak --binary PATH --folder PATH [--seed N] [--seconds N]
+//                   [--path-loss hang|reset|quiet] [--control-loss freeze|kill]
+//                   [--endpoint-limits] [--endpoint-rest] [--evacuation] [--cold-returns]
 //                   [--crashing-prompt second|first|two|none]
 //                   [--crashing-call target|body|once|none]
 #include "Callers.h"
@@ -72,8 +70,8 @@
 constexpr std::size_t engines = 4;
 constexpr std::size_t enginesForCrashes = 12;
 constexpr std::size_t replicas = 3;
-// Streams of the evacuation take over a second, so that some run when it begins.
-constexpr milliseconds eventTimeForEvacuation{150};
+// Streams take over a second, so that some run when a domain is evacuated, and slots are taken.
+constexpr milliseconds longEventTime{150};
 constexpr milliseconds callPause{40};
 constexpr milliseconds changePause{400};
 constexpr milliseconds readPause{150};
@@ -208,7 +206,7 @@
             settings.failureDomain = failureDomainOf(index);
             settings.seed = seed * 100 + index;
             if (this->options.evacuation || this->options.coldReturns)
-                settings.eventTime = eventTimeForEvacuation;
+                settings.eventTime = longEventTime;
             this->addProxy(settings.announced, settings.listen);
             this->endpoints.push_back(
                     std::make_shared<StandIn>(this->context, settings, this->ledger));
--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -244,15 +244,13 @@
 // towards the limit, but only a few more attempts are made because of them. An engine that the
 // request left without having been sent there counts towards neither. Nor do ended incarnations and
 // refused connections: while a failure domain is down, and when it restarts, a request may meet
-// several of them within milliseconds. Their own limits only end a request that would never find
+// several of them within milliseconds. Their own limit only ends a request that would never find
 // another engine.
 bool Dispatcher::isExhausted(const ActiveRequest &active) const
 {
     constexpr std::uint32_t extraAttempts = 3; // failed connections and refusals
-    constexpr std::uint32_t maxEndedIncarnations = 12;
-    constexpr std::uint32_t maxRefusedConnections = 12;
-    if (active.endedIncarnations >= maxEndedIncarnations
-        || active.refusedConnections >= maxRefusedConnections)
+    constexpr std::uint32_t maxUncounted = 12; // of either kind
+    if (std::max(active.endedIncarnations, active.refusedConnections) >= maxUncounted)
         return true;
     const std::uint32_t attempts = active.request.attemptLimit;
     if (attempts == 0)
--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -51,7 +51,6 @@
     passRequest.firstEventTargetSeconds =
             std::chrono::duration<double>(request.firstEventTarget).count();
     passRequest.tieBreaker = requestHashOf(request.id);
-    passRequest.preferredDomain = this->policy.preferredDomain;
     passRequest.usesAllEngines =
             this->firstEngineAt && this->now < *this->firstEngineAt + this->policy.startSpreadTime;
     return passRequest;
--- a/src/coordination/endpoints/EndpointLifecycle.cpp
+++ b/src/coordination/endpoints/EndpointLifecycle.cpp
@@ -31,9 +31,6 @@
     return next;
 }
 
-// A renewal that was delayed names an outdated, longer time than is left.
-constexpr state::Duration coldTolerance = std::chrono::milliseconds(200);
-
 // The mark of an endpoint that has become cold; nothing if it is warm or its countdown goes on.
 std::optional<ColdMark> newColdMark(const EndpointEntry *entry,
                                     const state::EndpointDescription &description,
@@ -42,7 +39,7 @@
     const ColdMark known = entry == nullptr ? ColdMark{} : entry->record.cold;
     const bool isKnown = known.incarnation == description.incarnation;
     if (coldLeft <= state::Duration::zero() || known.incarnation > description.incarnation
-        || (isKnown && now + coldLeft <= entry->coldUntil + coldTolerance))
+        || (isKnown && now + coldLeft <= entry->coldUntil + ColdMark::tolerance))
         return std::nullopt;
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(coldLeft);
     return ColdMark{description.incarnation, isKnown ? known.sequence + 1 : 1,
--- a/src/coordination/endpoints/EndpointRecord.h
+++ b/src/coordination/endpoints/EndpointRecord.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "state/Endpoint.h"
+#include "state/Time.h"
 #include "state/log/LogEntry.h"
 
 #include <cstdint>
@@ -52,6 +53,8 @@
 {
     // A longer time is a mistake of the endpoint.
     static constexpr std::uint32_t longestMs = 3'600'000;
+    // A countdown that ends later by less than this goes on: the time on the way differs.
+    static constexpr state::Duration tolerance = std::chrono::milliseconds(200);
 
     std::uint64_t incarnation = 0; // of the endpoint; 0: never cold
     std::uint32_t sequence = 0;    // incremented each time that this incarnation becomes cold
--- a/src/coordination/relay/FinalAnswer.cpp
+++ b/src/coordination/relay/FinalAnswer.cpp
@@ -8,12 +8,10 @@
 constexpr std::uint32_t maxRefusals = 3;
 // A connection that fails adds no load, but each one may cost the caller a timeout.
 constexpr std::uint32_t maxUnsent = 4;
-// A connection that is refused at once costs neither, and while a failure domain is down a request
-// meets several endpoints that have ended. The limit only ends a request that finds no other.
-constexpr std::uint32_t maxRefusedConnections = 12;
-// An ended incarnation costs a round trip, and no other request goes there. The limit only ends a
-// request that goes round endpoints that all answer for another one.
-constexpr std::uint32_t maxReplaced = 12;
+// A connection that is refused at once, or an incarnation that has ended, costs at most a round
+// trip. While a failure domain is down, and when it restarts, a request meets several of them. The
+// limit of either kind only ends a request that finds no other endpoint.
+constexpr std::uint32_t maxCostless = 12;
 
 } // namespace
 
@@ -22,7 +20,7 @@
     if (facts.callerGone || facts.deadlinePassed)
         return false;
     if (facts.runs >= facts.maxRuns || facts.refusals >= maxRefusals || facts.unsent >= maxUnsent
-        || facts.refusedConnections >= maxRefusedConnections || facts.replaced >= maxReplaced)
+        || facts.refusedConnections >= maxCostless || facts.replaced >= maxCostless)
         return false;
     // Once the call may have run, it is retried only if it is repeatable, also when a later
     // endpoint refused it.
--- a/src/coordination/routing/EndpointArrivals.cpp
+++ b/src/coordination/routing/EndpointArrivals.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-// Some fifty endpoints that announce themselves within a heartbeat interval come closer together.
+// A dozen endpoints that each announce themselves once a second come closer together.
 constexpr state::Duration longestGap = std::chrono::milliseconds(100);
 // About the first-answer target of brief requests: they may wait this long once, after a start.
 constexpr state::Duration longestGrowth = std::chrono::milliseconds(300);
--- a/src/coordination/routing/PassPlacement.cpp
+++ b/src/coordination/routing/PassPlacement.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-// Returns one of the least loaded engines with a free slot and memory; null if there is none. Among
-// them, a warm one goes before a cold one, and then one of the preferred failure domain.
+// Returns one of the least loaded engines with a free slot and memory, a warm one if there is any
+// among them; null if there is none.
 const PassCandidate *drawLeastLoaded(std::span<const PassCandidate> candidates,
                                      const PassRequest &request, double equalLoadSeconds)
 {
@@ -33,11 +33,6 @@
     const auto isCold = [](const PassCandidate *each) { return each->cold; };
     if (!std::all_of(leastLoaded.begin(), leastLoaded.end(), isCold))
         std::erase_if(leastLoaded, isCold);
-    const auto isRemote = [&](const PassCandidate *each) {
-        return each->view->description().failureDomain != request.preferredDomain;
-    };
-    if (!std::all_of(leastLoaded.begin(), leastLoaded.end(), isRemote))
-        std::erase_if(leastLoaded, isRemote);
     return leastLoaded.empty() ? nullptr : leastLoaded[request.tieBreaker % leastLoaded.size()];
 }
 
@@ -50,8 +45,8 @@
 
 // Selects the least loaded engine of the brief group. Falls back to all engines if the group has no
 // free slot, or if it is so busy that the first event would be late: the group's size follows the
-// requests in progress and lags behind a burst of arrivals.
-// While an entry does not know yet what the others place, the group can't be sized at all.
+// requests in progress and lags behind a burst of arrivals. While an entry does not know yet what
+// the others place, the group can't be sized at all.
 std::optional<PassChoice> placeBrief(const std::vector<PassCandidate> &candidates,
                                      std::size_t border, const PassRequest &request,
                                      const PassPlacementSettings &settings)
--- a/src/coordination/routing/PassPlacement.h
+++ b/src/coordination/routing/PassPlacement.h
@@ -27,7 +27,6 @@
     double outputTokens = 0; // expected
     std::uint32_t memoryTokens = 0;
     std::vector<state::EndpointId> failedEngines; // engines that have failed this request
-    state::FailureDomain preferredDomain; // for brief requests, among equally loaded engines
     // Of the engine that failed last without an answer: the others there may have ended with it.
     // Used only if no engine of another domain has room.
     state::FailureDomain avoidedDomain;
--- a/src/coordination/routing/PolicySettings.h
+++ b/src/coordination/routing/PolicySettings.h
@@ -3,7 +3,6 @@
 
 #include "coordination/routing/PassPlacementSettings.h"
 #include "state/Error.h"
-#include "state/Ids.h"
 #include "state/Time.h"
 
 #include <compare>
@@ -90,10 +89,6 @@
     // A request is refused if its first answer is predicted later than this many times its target:
     // the requests queued behind it would be late too, and none would meet its target.
     double lateTolerance = 4;
-    // Brief requests go to engines of this domain among equally loaded ones; empty: to any. Links
-    // between failure domains are narrower, lose more packets and are cut more often than those
-    // within one.
-    state::FailureDomain preferredDomain;
     // For this long after it knows its first engine, an entry places brief requests on all engines.
     // After a loss of all power, every entry would otherwise place the requests that have waited
     // for it on the same few, before the work notes of the others arrive.
--- a/src/coordination/routing/ReplicaChooser.cpp
+++ b/src/coordination/routing/ReplicaChooser.cpp
@@ -134,7 +134,7 @@
                                state::Instant until, state::Instant now)
 {
     std::erase_if(this->rests, [now](const auto &each) { return each.second.until <= now; });
-    NamedRest &rest = this->rests[endpoint];
+    Unavailability &rest = this->rests[endpoint];
     if (incarnation < rest.incarnation)
         return; // of an earlier start
     if (incarnation > rest.incarnation)
@@ -148,7 +148,7 @@
     std::erase_if(this->full, [now](const auto &each) { return each.second.until <= now; });
     const auto known = this->full.find(replica);
     if (known == this->full.end() || known->second.incarnation <= incarnation)
-        this->full.insert_or_assign(replica, NamedRest{incarnation, until});
+        this->full.insert_or_assign(replica, Unavailability{incarnation, until});
 }
 
 bool ReplicaChooser::isFull(const state::EndpointDescription &replica, state::Instant now) const
--- a/src/coordination/routing/ReplicaChooser.h
+++ b/src/coordination/routing/ReplicaChooser.h
@@ -101,19 +101,19 @@
     };
 
     // Until when this start of an endpoint has asked for rest, or counts as full.
-    struct NamedRest
+    struct Unavailability
     {
         std::uint64_t incarnation = 0;
         state::Instant until;
     };
 
-    const NamedLimit *limitOf(const state::EndpointId &replica, std::uint64_t incarnation) const;
     struct ColdReplica
     {
         std::uint64_t incarnation = 0;
         ColdLimit limit;
     };
 
+    const NamedLimit *limitOf(const state::EndpointId &replica, std::uint64_t incarnation) const;
     void updateCold(const std::vector<ReplicaCandidate> &candidates, state::Instant now);
     const ColdLimit *coldLimitOf(const state::EndpointDescription &replica) const;
     // When it accepts a call; not after `now` if it does already.
@@ -127,8 +127,8 @@
     EndpointHealth health;
     std::map<state::EndpointId, ReplicaState> replicas;
     std::map<state::EndpointId, NamedLimit> limits;
-    std::map<state::EndpointId, NamedRest> rests;
-    std::map<state::EndpointId, NamedRest> full; // until when
+    std::map<state::EndpointId, Unavailability> rests;
+    std::map<state::EndpointId, Unavailability> full; // until when
     std::map<state::EndpointId, ColdReplica> cold;
 };
 
--- a/src/program/EndpointRegistry.cpp
+++ b/src/program/EndpointRegistry.cpp
@@ -2,6 +2,8 @@
 // see has changed: a renewal alone copies nothing.
 #include "program/EndpointRegistry.h"
 
+#include "coordination/endpoints/EndpointRecord.h"
+
 #include <algorithm>
 
 namespace lavenderthread::program {
@@ -33,6 +35,16 @@
     return anyEvacuated;
 }
 
+bool hasSeveralFailureDomains(const EndpointTable &table, const state::ServiceName &service)
+{
+    std::set<state::FailureDomain> domains;
+    for (const auto &[id, endpoint] : table.endpoints) {
+        if (endpoint.description.service == service && !endpoint.draining)
+            domains.insert(endpoint.description.failureDomain);
+    }
+    return domains.size() > 1;
+}
+
 EndpointRegistry::EndpointRegistry(state::Duration expiry)
     : expiry(expiry)
 {}
@@ -103,11 +115,7 @@
     const std::lock_guard lock(this->writeMutex);
     this->current = std::move(table);
     this->arrivals.update(this->current.endpoints.size(), now);
-    EndpointTable next = this->withEvacuations(this->current);
-    if (*this->published.read() == next)
-        return false;
-    this->published.publish(std::move(next));
-    return true;
+    return this->publishIfChanged();
 }
 
 bool EndpointRegistry::setEvacuated(std::set<state::FailureDomain> failureDomains,
@@ -116,27 +124,21 @@
     const std::lock_guard lock(this->writeMutex);
     this->recordRejoined(failureDomains, now);
     this->evacuated = std::move(failureDomains);
-    EndpointTable next = this->withEvacuations(this->current);
-    if (*this->published.read() == next)
-        return false;
-    this->published.publish(std::move(next));
-    return true;
+    return this->publishIfChanged();
 }
 
 bool EndpointRegistry::setCold(const state::EndpointId &id, std::uint64_t incarnation,
                                state::Duration left, state::Instant now)
 {
-    // Each answer names the time that is left, so the end differs by the time on the way.
-    constexpr state::Duration sameTime = std::chrono::milliseconds(200);
     const std::lock_guard lock(this->writeMutex);
     const auto table = this->published.read();
     const RegisteredEndpoint *known = table->find(id, incarnation);
-    if (known == nullptr || now + left <= known->coldUntil + sameTime)
+    if (known == nullptr
+        || now + left <= known->coldUntil + coordination::endpoints::ColdMark::tolerance)
         return false;
     this->removeWarm(now);
     this->locallyCold[id] = {incarnation, now + left};
-    this->publish();
-    return true;
+    return this->publishIfChanged();
 }
 
 void EndpointRegistry::setColdTimes(std::map<state::ServiceName, state::Duration> times)
@@ -201,4 +203,13 @@
     this->published.publish(this->withEvacuations(this->current));
 }
 
+bool EndpointRegistry::publishIfChanged()
+{
+    EndpointTable next = this->withEvacuations(this->current);
+    if (*this->published.read() == next)
+        return false;
+    this->published.publish(std::move(next));
+    return true;
+}
+
 } // namespace lavenderthread::program
--- a/src/program/EndpointRegistry.h
+++ b/src/program/EndpointRegistry.h
@@ -41,6 +41,9 @@
 // Whether the service has endpoints and only evacuations keep all of them from new work.
 bool isServiceEvacuated(const EndpointTable &table, const state::ServiceName &service);
 
+// Whether endpoints of several failure domains take new work of the service.
+bool hasSeveralFailureDomains(const EndpointTable &table, const state::ServiceName &service);
+
 // Holds the current table and publishes immutable copies, which the request path reads without a
 // lock.
 class EndpointRegistry
@@ -88,6 +91,7 @@
 
     // The callers must hold the mutex.
     void publish();
+    bool publishIfChanged();
     EndpointTable withEvacuations(EndpointTable table) const;
     void removeWarm(state::Instant now); // from locallyCold
     void recordRejoined(const std::set<state::FailureDomain> &next, state::Instant now);
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -229,8 +229,6 @@
         policy.budgetRefused = true;
         // Work notes arrive within milliseconds; the requests that have waited are placed by then.
         policy.startSpreadTime = std::chrono::seconds(1);
-        if (settings.relay.prefersOwnDomain)
-            policy.preferredDomain = settings.failureDomain;
         // Memory that a crashed entry had reserved must be free within four seconds.
         policy.reservationTtl = std::chrono::milliseconds(3'500);
         return policy;
@@ -264,11 +262,8 @@
         hooks.endpoints = [this] { return this->registry->table(); };
         hooks.endpointCold = [this](const state::EndpointDescription &endpoint,
                                     state::Duration left) {
-            const state::Instant now = monotonicNow();
-            if (!this->registry->setCold(endpoint.id, endpoint.incarnation, left, now))
-                return;
-            this->cold->logChanges(*this->registry->table(), now);
-            this->policy->refreshEndpoints();
+            if (this->registry->setCold(endpoint.id, endpoint.incarnation, left, monotonicNow()))
+                this->applyEndpoints();
         };
         hooks.endpointsGrowing = [this] { return this->registry->isGrowing(monotonicNow()); };
         hooks.cluster = this->cluster;
@@ -293,6 +288,12 @@
         return hooks;
     }
 
+    void applyEndpoints()
+    {
+        this->cold->logChanges(*this->registry->table(), monotonicNow());
+        this->policy->refreshEndpoints();
+    }
+
     void applyColdTimes(const std::vector<state::routes::ServiceProfile> &services)
     {
         std::map<state::ServiceName, state::Duration> times;
@@ -321,10 +322,7 @@
     Cluster::Hooks clusterHooks()
     {
         Cluster::Hooks hooks;
-        hooks.endpointsChanged = [this] {
-            this->cold->logChanges(*this->registry->table(), monotonicNow());
-            this->policy->refreshEndpoints();
-        };
+        hooks.endpointsChanged = [this] { this->applyEndpoints(); };
         hooks.entriesChanged = [this](coordination::routing::RelayEntries entries) {
             this->cold->setEntries(std::move(entries));
             // The cluster publishes its first view while it is created, before the scheduler is.
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -3,6 +3,7 @@
 
 #include "coordination/relay/EventSplitter.h"
 #include "coordination/relay/FinalAnswer.h"
+#include "coordination/relay/PathChoice.h"
 #include "program/Clock.h"
 #include "program/InactivityTimeout.h"
 #include "program/Log.h"
@@ -12,7 +13,6 @@
 
 #include <algorithm>
 #include <optional>
-#include <set>
 #include <utility>
 
 namespace lavenderthread::program {
@@ -21,6 +21,7 @@
 using coordination::orders::ViewStatus;
 using coordination::relay::AttemptResult;
 using coordination::relay::CallState;
+using coordination::relay::ConnectionFailures;
 using coordination::relay::FinalAnswer;
 using coordination::routing::AttemptOutcome;
 using coordination::routing::PathOutcome;
@@ -660,27 +661,14 @@
 
     PathState pathState() const { return this->hooks.pathState(this->outcome.service); }
 
-    // A request that has met a failed connection does not wait for the next one to fail. If the
-    // connection was ended and has not timed out, a failure domain may be down, and another one is
-    // tried first.
+    // A request that has met failed connections does not wait for the next one to fail.
     bool avoidsOwnPath() const
     {
-        const PathState paths = this->pathState();
-        const std::uint32_t failures = this->connectionsEnded + this->connectionsTimedOut;
-        if (paths != PathState::Doubtful || failures == 0)
-            return paths == PathState::Lost;
-        return failures >= 2 || this->connectionsTimedOut > 0 || !this->hasSeveralDomains();
-    }
-
-    bool hasSeveralDomains() const
-    {
-        std::set<state::FailureDomain> domains;
-        const auto table = this->hooks.endpoints();
-        for (const auto &[id, known] : table->endpoints) {
-            if (known.description.service == this->outcome.service && !known.draining)
-                domains.insert(known.description.failureDomain);
-        }
-        return domains.size() > 1;
+        const bool severalDomains =
+                this->failures != ConnectionFailures{}
+                && hasSeveralFailureDomains(*this->hooks.endpoints(), this->outcome.service);
+        return coordination::relay::shouldLeaveOwnPaths(this->pathState(), this->failures,
+                                                        severalDomains);
     }
 
     bool shouldUsePeers() const
@@ -866,7 +854,7 @@
             const AttemptResult end = this->openFailed(opened.error());
             if (isPathFailure(opened.error(), left)) {
                 const bool atOnce = this->connectionRefused || this->progress.connectionEnded;
-                ++(atOnce ? this->connectionsEnded : this->connectionsTimedOut);
+                ++(atOnce ? this->failures.ended : this->failures.timedOut);
                 this->hooks.recordPath(target.endpoint, PathOutcome::Unreachable);
             }
             co_return end;
@@ -1343,8 +1331,7 @@
     state::RequestId scheduledId; // of the request at the scheduler; empty: it has not been there
     PeerResult refusalResult = PeerResult::NotRun; // of a 503, for the peer
     PeerResult peerResult = PeerResult::Unknown;   // of the last attempt through a peer
-    std::uint32_t connectionsEnded = 0;    // to endpoints: refused, or closed without an answer
-    std::uint32_t connectionsTimedOut = 0; // to endpoints
+    ConnectionFailures failures;
     bool withheld = false;     // the last attempt was not sent, since its endpoint rests
     bool askedForRest = false; // the endpoint of the last attempt has
     // No peer could take the request: the fault is at endpoints, of which some may be left.
--- a/src/program/Settings.cpp
+++ b/src/program/Settings.cpp
@@ -66,7 +66,6 @@
     relay.directoryListen = optionalAddress(document.text("relay.directory_listen"));
     relay.operatorListen = optionalAddress(document.text("relay.operator_listen"));
     relay.directoryTtl = milliseconds(document, "relay.directory_ttl_ms");
-    relay.prefersOwnDomain = document.flag("relay.prefer_own_domain");
     relay.heartbeatInterval = milliseconds(document, "relay.heartbeat_ms");
     relay.terminationLimit = milliseconds(document, "relay.termination_ms");
     return relay;
--- a/src/program/Settings.h
+++ b/src/program/Settings.h
@@ -64,7 +64,6 @@
     std::optional<state::Address> directoryListen;
     std::optional<state::Address> operatorListen;
     std::chrono::milliseconds directoryTtl{};
-    bool prefersOwnDomain = false; // of engines for brief prompts
     std::chrono::milliseconds heartbeatInterval{};
     std::chrono::milliseconds terminationLimit{};
 
--- a/src/program/SettingsRules.cpp
+++ b/src/program/SettingsRules.cpp
@@ -105,9 +105,6 @@
             {"relay.termination_ms", Integer, "ms", 8'000, false, 1'000, 10 * minute,
              "a relaying node is gone this long after SIGTERM; in the first half it serves on, "
              "then it finishes what is in flight"},
-            {"relay.prefer_own_domain", Flag, "", false, false, 0, 0,
-             "brief prompts go to engines of this node's failure domain while none elsewhere is "
-             "clearly less loaded"},
             {"overload.control", Text, "", "arrival", false, 6, 7,
              "arrival or ranked; ranked: while callers ask for more than the engines can serve, "
              "priorities of routes and accounts and the accounts' shares decide who is served"},
