Cold endpoints: dead entries are replaced in the set, and groups that are cut off share the bound

Cause: ceil(rate) entries, dead or alive, could use a cold endpoint, each at its part of the rate.

Change: the live entries with the highest hash form the set, rate + slack / 2 of them, so each sends less often. An entry that sees 1 in n of the entries plans with the n-th part of 0.8 of rate x cold_overshoot + cold_slack, as n such groups may be cut off from each other. One that takes the place of another waits for one spacing. The bound is a setting (relay.cold_overshoot and relay.cold_slack, 1.5 and 5).

--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -20,7 +20,7 @@
         this->firstEngineAt = this->now;
     if (event.draining)
         this->engines.find(event.description.id)->draining = true;
-    this->engines.find(event.description.id)->limitCold(event.cold);
+    this->engines.find(event.description.id)->limitCold(event.cold, this->now);
     if (isNew)
         this->earlyWork.applyTo(*this->engines.find(event.description.id), this->now);
     this->placeWaiting();
@@ -96,7 +96,7 @@
 {
     routing::EngineView *view = this->engines.find(event.engine);
     if (view != nullptr && view->description().incarnation == event.incarnation)
-        view->limitCold(event.share);
+        view->limitCold(event.share, this->now);
 }
 
 void Dispatcher::on(const EngineLimited &event)
--- a/src/coordination/directory/RelayDirectory.cpp
+++ b/src/coordination/directory/RelayDirectory.cpp
@@ -92,7 +92,7 @@
         const auto &description = entry.record.description;
         if (description != nullptr && description->relay.port != 0
             && entry.record.phase != membership::MemberPhase::Left)
-            entries.ids.push_back(id);
+            entries.entries.push_back({id, entry.record.isLive()});
     }
     return entries;
 }
--- a/src/coordination/routing/ColdAccess.cpp
+++ b/src/coordination/routing/ColdAccess.cpp
@@ -14,53 +14,96 @@
     return XXH3_64bits_withSeed(entry.value().data(), entry.value().size(), seed);
 }
 
-std::size_t setSize(double perSecond, std::size_t known)
-{
-    const double wanted = std::ceil(std::max(perSecond, 0.0));
-    return wanted >= double(known) ? known : std::size_t(wanted);
-}
+// The rest of the bound is for entries that are not known everywhere yet, and for those that have
+// just taken the place of another one in the set.
+constexpr double usableShare = 0.8;
+// Shorter spacings would let each entry send three times in a second.
+constexpr std::chrono::milliseconds shortestSpacing{500};
+// A send that was late by up to this much doesn't delay the following ones, as long as the entry
+// doesn't send twice in a second because of it.
+constexpr std::chrono::milliseconds longestCatchUp{200};
+constexpr std::chrono::milliseconds shortestAfterCatchUp{1'000};
 
 } // namespace
 
+ColdSenders coldSenders(const ColdRate &rate, std::size_t live, std::size_t known)
+{
+    ColdSenders senders;
+    if (rate.perSecond <= 0 || live == 0)
+        return senders;
+    const double bound = usableShare * (rate.perSecond * rate.overshoot + rate.slack);
+    const std::size_t groups = std::max<std::size_t>(known / live, 1);
+    const double share = bound / double(groups);
+    // A group whose share is below one request a second sends nothing: if each of many entries was
+    // cut off alone, their first sends would come together.
+    const double wanted = std::min(share, rate.perSecond + rate.slack / 2);
+    senders.count = share < 1 ? 0 : std::min(live, std::size_t(std::ceil(wanted)));
+    senders.perSecond = std::min(rate.perSecond, share);
+    return senders;
+}
+
 bool isColdSender(const state::EndpointId &endpoint, std::uint64_t incarnation,
-                  const state::VmId &self, const std::vector<state::VmId> &known, double perSecond)
+                  const state::VmId &self, const std::vector<RelayEntry> &known, std::size_t count)
 {
     const std::uint64_t seed =
             XXH3_64bits_withSeed(endpoint.value().data(), endpoint.value().size(), incarnation);
     const std::uint64_t own = scoreOf(self, seed);
-    const auto isAhead = [&](const state::VmId &entry) {
-        const std::uint64_t score = scoreOf(entry, seed);
-        return score > own || (score == own && entry > self);
+    const auto isAhead = [&](const RelayEntry &entry) {
+        if (!entry.isLive || entry.id == self)
+            return false;
+        const std::uint64_t score = scoreOf(entry.id, seed);
+        return score > own || (score == own && entry.id > self);
     };
-    return std::size_t(std::ranges::count_if(known, isAhead)) < setSize(perSecond, known.size());
+    return std::size_t(std::ranges::count_if(known, isAhead)) < count;
 }
 
 ColdShare coldShare(const state::EndpointId &endpoint, std::uint64_t incarnation,
                     const state::VmId &self, state::Instant startedAt, const RelayEntries &known,
-                    double perSecond, state::Instant until)
+                    const ColdRate &rate, state::Instant until)
 {
     ColdShare share{until};
-    if (!known.complete || perSecond <= 0)
+    if (!known.complete)
+        return share;
+    const auto live = std::size_t(std::ranges::count_if(
+            known.entries, [](const RelayEntry &entry) { return entry.isLive; }));
+    const ColdSenders senders = coldSenders(rate, live, known.entries.size());
+    if (senders.count == 0)
         return share;
-    share.isSender = isColdSender(endpoint, incarnation, self, known.ids, perSecond);
-    const double senders = std::max(1.0, double(setSize(perSecond, known.ids.size())));
+    share.isSender = isColdSender(endpoint, incarnation, self, known.entries, senders.count);
+    const std::chrono::duration<double> spacing(double(senders.count) / senders.perSecond);
     share.spacing =
-            std::chrono::ceil<state::Duration>(std::chrono::duration<double>(senders / perSecond));
+            std::max<state::Duration>(shortestSpacing, std::chrono::ceil<state::Duration>(spacing));
     // The process that ran here before may have sent just before its end.
     share.firstSendAt = startedAt + share.spacing;
     return share;
 }
 
+void ColdLimit::setShare(const ColdShare &next, state::Instant now)
+{
+    if (next.isSender && !this->share.isSender)
+        this->notBefore = now + next.spacing;
+    this->share = next;
+}
+
 state::Instant ColdLimit::nextSend(state::Instant now) const
 {
     if (!this->isCold(now))
         return now;
     if (!this->share.isSender)
         return this->share.until;
-    state::Instant next = this->share.firstSendAt;
-    if (this->lastSend != state::Instant{})
-        next = std::max(next, this->lastSend + this->share.spacing);
+    state::Instant next = std::max(this->share.firstSendAt, this->notBefore);
+    if (this->lastSlot != state::Instant{})
+        next = std::max(next, this->lastSlot + this->share.spacing);
     return std::min(std::max(next, now), this->share.until);
 }
 
+void ColdLimit::recordSend(state::Instant now)
+{
+    const state::Instant due =
+            this->lastSlot == state::Instant{} ? now : this->lastSlot + this->share.spacing;
+    const state::Duration catchUp = std::clamp<state::Duration>(
+            this->share.spacing - shortestAfterCatchUp, state::Duration(0), longestCatchUp);
+    this->lastSlot = std::clamp(due, now - catchUp, now);
+}
+
 } // namespace lavenderthread::coordination::routing
--- a/src/coordination/routing/ColdAccess.h
+++ b/src/coordination/routing/ColdAccess.h
@@ -11,11 +11,18 @@
 
 namespace lavenderthread::coordination::routing {
 
-// The relay entries that one entry knows, dead or alive, without those that left. Dead ones count,
-// because a dead entry can't be told from one that is cut off and still sends.
+struct RelayEntry
+{
+    state::VmId id;
+    bool isLive = true; // as membership sees it: a dead entry may be cut off and still send
+
+    bool operator==(const RelayEntry &) const = default;
+};
+
+// The relay entries that one entry knows, dead or alive, without those that left.
 struct RelayEntries
 {
-    std::vector<state::VmId> ids;
+    std::vector<RelayEntry> entries;
     // False while the entry has not got the state of the others. It sends nothing to cold endpoints
     // then: if all entries restart, each one knows only itself at first and would use the full
     // rate.
@@ -24,26 +31,52 @@
     bool operator==(const RelayEntries &) const = default;
 };
 
+// What all entries together may send to a cold endpoint.
+struct ColdRate
+{
+    double perSecond = 0; // accepted by the endpoint
+    // In no second are more than perSecond * overshoot + slack requests sent, whatever the entries
+    // believe about each other.
+    double overshoot = 1.5;
+    double slack = 5;
+
+    bool operator==(const ColdRate &) const = default;
+};
+
 // What one entry may send to one cold endpoint.
 struct ColdShare
 {
     state::Instant until; // warm from then on
     bool isSender = false;
-    state::Duration spacing{};    // of the sends of this entry
+    state::Duration spacing{};    // of the sends of this entry, on average
     state::Instant firstSendAt{}; // not before
 
     bool operator==(const ColdShare &) const = default;
 };
 
-// Whether `self` belongs to the set of ceil(perSecond) entries that may use the endpoint. The order
-// of the entries in `known` makes no difference.
+// The entries that may use a cold endpoint, as one entry sees them.
+struct ColdSenders
+{
+    std::size_t count = 0;
+    double perSecond = 0; // of all of them together
+
+    bool operator==(const ColdSenders &) const = default;
+};
+
+// `live` of the `known` entries are alive, as one entry sees them. Entries that are cut off from
+// each other take each other for dead, so as many groups as could each have this share of the
+// entries divide the bound. An entry that sees most of the others uses the full rate.
+ColdSenders coldSenders(const ColdRate &rate, std::size_t live, std::size_t known);
+
+// Whether `self` is one of the `count` live entries that may use the endpoint, by rendezvous
+// hashing. The order of the entries makes no difference.
 bool isColdSender(const state::EndpointId &endpoint, std::uint64_t incarnation,
-                  const state::VmId &self, const std::vector<state::VmId> &known, double perSecond);
+                  const state::VmId &self, const std::vector<RelayEntry> &known, std::size_t count);
 
-// The share of `self`, which runs since `startedAt`. `perSecond` must be above 0.
+// The share of `self`, which runs since `startedAt`.
 ColdShare coldShare(const state::EndpointId &endpoint, std::uint64_t incarnation,
                     const state::VmId &self, state::Instant startedAt, const RelayEntries &known,
-                    double perSecond, state::Instant until);
+                    const ColdRate &rate, state::Instant until);
 
 // Spaces the sends of one entry to one cold endpoint.
 class ColdLimit
@@ -53,16 +86,18 @@
         : share(share)
     {}
 
-    // Keeps the time of the last send.
-    void setShare(const ColdShare &next) { this->share = next; }
+    // Keeps the slot of the last send. An entry that takes the place of another one waits for one
+    // spacing: the other one may have sent just before, or not know yet that it is taken for dead.
+    void setShare(const ColdShare &next, state::Instant now);
     bool isCold(state::Instant now) const { return now < this->share.until; }
     // When a request may be sent; not after `now` if one may be sent already.
     state::Instant nextSend(state::Instant now) const;
-    void recordSend(state::Instant now) { this->lastSend = now; }
+    void recordSend(state::Instant now);
 
 private:
     ColdShare share;
-    state::Instant lastSend{}; // Instant{}: none
+    state::Instant notBefore{};
+    state::Instant lastSlot{}; // of the last send; Instant{}: none
 };
 
 } // namespace lavenderthread::coordination::routing
--- a/src/coordination/routing/EngineView.cpp
+++ b/src/coordination/routing/EngineView.cpp
@@ -66,12 +66,12 @@
     this->refusesUntil = std::max(this->refusesUntil, until);
 }
 
-void EngineView::limitCold(const std::optional<ColdShare> &share)
+void EngineView::limitCold(const std::optional<ColdShare> &share, state::Instant now)
 {
     if (!share)
         this->coldLimit.reset();
     else if (this->coldLimit)
-        this->coldLimit->setShare(*share);
+        this->coldLimit->setShare(*share, now);
     else
         this->coldLimit.emplace(*share);
 }
--- a/src/coordination/routing/EngineView.h
+++ b/src/coordination/routing/EngineView.h
@@ -72,7 +72,7 @@
     void fullUntil(state::Instant until);
     bool hasRefusedAsFull() const { return this->advancedTo < this->refusesUntil; }
     // What this entry may send while the engine is cold; nothing: it is warm or has no limit then.
-    void limitCold(const std::optional<ColdShare> &share);
+    void limitCold(const std::optional<ColdShare> &share, state::Instant now);
     // This entry sends the engine a request, or is about to.
     void recordOwnSend(state::Instant now);
     bool isCold() const; // Call advance(now) first.
--- a/src/coordination/routing/ReplicaChooser.cpp
+++ b/src/coordination/routing/ReplicaChooser.cpp
@@ -58,7 +58,7 @@
         const bool known =
                 found != this->cold.end() && found->second.incarnation == replica.incarnation;
         if (known && candidate.cold)
-            found->second.limit.setShare(*candidate.cold);
+            found->second.limit.setShare(*candidate.cold, now);
         else if (candidate.cold && now < candidate.cold->until)
             this->cold.insert_or_assign(
                     replica.id, ColdReplica{replica.incarnation, ColdLimit(*candidate.cold)});
--- a/src/program/ColdEndpoints.cpp
+++ b/src/program/ColdEndpoints.cpp
@@ -4,9 +4,11 @@
 
 namespace lavenderthread::program {
 
-ColdEndpoints::ColdEndpoints(state::VmId self, state::Instant startedAt)
+ColdEndpoints::ColdEndpoints(state::VmId self, state::Instant startedAt,
+                             coordination::routing::ColdRate bound)
     : self(std::move(self))
     , startedAt(startedAt)
+    , bound(bound)
 {}
 
 void ColdEndpoints::setServices(const std::vector<state::routes::ServiceProfile> &services)
@@ -37,8 +39,9 @@
     if (endpoint.coldUntil <= now)
         return std::nullopt;
     const std::lock_guard lock(this->mutex);
-    const double rate = this->rateOf(endpoint.description.service);
-    if (rate <= 0)
+    coordination::routing::ColdRate rate = this->bound;
+    rate.perSecond = this->rateOf(endpoint.description.service);
+    if (rate.perSecond <= 0)
         return std::nullopt;
     return coordination::routing::coldShare(
             endpoint.description.id, endpoint.description.incarnation, this->self, this->startedAt,
--- a/src/program/ColdEndpoints.h
+++ b/src/program/ColdEndpoints.h
@@ -17,7 +17,9 @@
 class ColdEndpoints
 {
 public:
-    ColdEndpoints(state::VmId self, state::Instant startedAt);
+    // `bound`: its overshoot and slack; the rates are those of the services.
+    ColdEndpoints(state::VmId self, state::Instant startedAt,
+                  coordination::routing::ColdRate bound = {});
 
     void setServices(const std::vector<state::routes::ServiceProfile> &services);
     void setEntries(coordination::routing::RelayEntries next);
@@ -40,6 +42,7 @@
 
     const state::VmId self;
     const state::Instant startedAt;
+    const coordination::routing::ColdRate bound;
     mutable std::mutex mutex;
     std::map<state::ServiceName, double> rates; // above 0
     coordination::routing::RelayEntries entries;
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -72,6 +72,11 @@
               {"total_us", std::int64_t(outcome.total.count())}});
 }
 
+coordination::routing::ColdRate coldBound(const Settings &settings)
+{
+    return {0, settings.relay.coldOvershoot, settings.relay.coldSlack};
+}
+
 std::string joinAddresses(const std::vector<state::Address> &addresses)
 {
     std::string text;
@@ -154,7 +159,7 @@
         , deployment(deployment)
         , context(static_cast<int>(settings.entry.workers))
         , registry(std::make_shared<EndpointRegistry>(settings.endpoint.expireAfter))
-        , cold(std::make_shared<ColdEndpoints>(settings.vm, monotonicNow()))
+        , cold(std::make_shared<ColdEndpoints>(settings.vm, monotonicNow(), coldBound(settings)))
     {}
 
     state::Result<void> start()
@@ -170,7 +175,7 @@
                                  this->control ? this->control->identity() : state::VmId()},
                                 this->clusterHooks()));
         if (!this->settings.gossipListen) // a single node is the only entry
-            this->cold->setEntries({{this->settings.vm}, true});
+            this->cold->setEntries({{{this->settings.vm}}, true});
         this->guard = RequestGuard::create(this->context, this->guardHooks());
         if (this->settings.hasControlMembers())
             this->client =
--- a/src/program/Settings.cpp
+++ b/src/program/Settings.cpp
@@ -68,6 +68,8 @@
     relay.directoryTtl = milliseconds(document, "relay.directory_ttl_ms");
     relay.heartbeatInterval = milliseconds(document, "relay.heartbeat_ms");
     relay.terminationLimit = milliseconds(document, "relay.termination_ms");
+    relay.coldOvershoot = document.number("relay.cold_overshoot");
+    relay.coldSlack = document.number("relay.cold_slack");
     return relay;
 }
 
--- a/src/program/SettingsRules.cpp
+++ b/src/program/SettingsRules.cpp
@@ -102,6 +102,11 @@
              "without relay.listen places no requests"},
             {"relay.heartbeat_ms", Integer, "ms", 1'200, false, 50, minute,
              "endpoints announce themselves again after about this time"},
+            {"relay.cold_overshoot", Number, "", 1.5, false, 1, 10,
+             "a cold endpoint gets at most its rate times this, plus relay.cold_slack, in a "
+             "second"},
+            {"relay.cold_slack", Number, "", 5.0, false, 0, 1'000,
+             "requests in a second, see relay.cold_overshoot"},
             {"relay.termination_ms", Integer, "ms", 8'000, false, 1'000, 10 * minute,
              "a relaying node is gone this long after SIGTERM; in the first half it serves on, "
              "then it finishes what is in flight"},
