Cold endpoints: a low rate with no slack is served too

Cause: an entry that sees all others sent nothing to a cold endpoint if its share of the bound was below one request a second (rate 1, no slack); found when the change was read again. Change: only groups that may be cut off from others send nothing then.

--- a/src/coordination/routing/ColdAccess.cpp
+++ b/src/coordination/routing/ColdAccess.cpp
@@ -34,10 +34,11 @@
     const double bound = usableShare * (rate.perSecond * rate.overshoot + rate.slack);
     const std::size_t groups = std::max<std::size_t>(known / live, 1);
     const double share = bound / double(groups);
-    // A group whose share is below one request a second sends nothing: if each of many entries was
-    // cut off alone, their first sends would come together.
+    // If each of many entries was cut off alone, their first sends would come together.
+    if (groups > 1 && share < 1)
+        return senders;
     const double wanted = std::min(share, rate.perSecond + rate.slack / 2);
-    senders.count = share < 1 ? 0 : std::min(live, std::size_t(std::ceil(wanted)));
+    senders.count = std::min(live, std::size_t(std::ceil(wanted)));
     senders.perSecond = std::min(rate.perSecond, share);
     return senders;
 }
--- a/src/coordination/routing/ColdAccess.h
+++ b/src/coordination/routing/ColdAccess.h
@@ -35,8 +35,8 @@
 struct ColdRate
 {
     double perSecond = 0; // accepted by the endpoint
-    // In no second are more than perSecond * overshoot + slack requests sent, whatever the entries
-    // believe about each other.
+    // The endpoint may crash if it gets more than perSecond * overshoot + slack requests in a
+    // second. The entries plan with a part of that, for the time in which their views differ.
     double overshoot = 1.5;
     double slack = 5;
 
@@ -65,7 +65,8 @@
 
 // `live` of the `known` entries are alive, as one entry sees them. Entries that are cut off from
 // each other take each other for dead, so as many groups as could each have this share of the
-// entries divide the bound. An entry that sees most of the others uses the full rate.
+// entries divide the bound; a group whose part is below one request a second sends nothing. An
+// entry that sees most of the others uses the full rate.
 ColdSenders coldSenders(const ColdRate &rate, std::size_t live, std::size_t known);
 
 // Whether `self` is one of the `count` live entries that may use the endpoint, by rendezvous
@@ -96,8 +97,8 @@
 
 private:
     ColdShare share;
-    state::Instant notBefore{};
-    state::Instant lastSlot{}; // of the last send; Instant{}: none
+    state::Instant notBefore{}; // this entry has taken the place of another one
+    state::Instant lastSlot{};  // of the last send; Instant{}: none
 };
 
 } // namespace lavenderthread::coordination::routing
--- a/tests/coordination/routing/ColdAccessTest.cpp
+++ b/tests/coordination/routing/ColdAccessTest.cpp
@@ -64,7 +64,7 @@
 constexpr milliseconds newEntriesAt{4'000};
 constexpr milliseconds joinTime{300}; // until an entry that started has the state of the others
 constexpr milliseconds viewStep{200}; // entries look at each other this often
-// An entry takes another one for dead once it has not heard of it for so long.
+// An entry believes another one dead once it has not heard from it for so long.
 constexpr std::array<milliseconds, 3> deadAfter{milliseconds(800), milliseconds(1'200),
                                                 milliseconds(1'600)};
 constexpr milliseconds reportDelay{20}; // of messages between entries that reach each other
@@ -76,7 +76,7 @@
     bool cutOff = false;
     bool killed = false;
     bool isNew = false;
-    std::size_t patience = 0; // index in deadAfter
+    std::size_t detectionIndex = 0; // index in deadAfter
     std::unique_ptr<ColdLimit> cold;
     std::unique_ptr<SendLimit> bucket;
 };
@@ -97,7 +97,7 @@
             entry.isNew = index >= load.entries;
             entry.cutOff = !entry.isNew && this->draw(load.cutOffShare);
             entry.killed = !entry.isNew && this->draw(load.killedShare);
-            entry.patience = index % deadAfter.size();
+            entry.detectionIndex = index % deadAfter.size();
             this->entries.push_back(std::move(entry));
         }
     }
@@ -144,10 +144,10 @@
         return this->runs(other, at) && !isCutOff(listener, at) && !isCutOff(other, at);
     }
 
-    bool takesForLive(const SimulatedEntry &viewer, const SimulatedEntry &other,
-                      milliseconds at) const
+    bool believesAlive(const SimulatedEntry &viewer, const SimulatedEntry &other,
+                       milliseconds at) const
     {
-        for (milliseconds ago{0}; ago < deadAfter[viewer.patience]; ago += viewStep) {
+        for (milliseconds ago{0}; ago < deadAfter[viewer.detectionIndex]; ago += viewStep) {
             if (at < ago || this->hears(viewer, other, at - ago))
                 return true;
         }
@@ -166,7 +166,7 @@
             std::optional<bool> &live = liveByKind[(each.cutOff ? 1 : 0) + (each.killed ? 2 : 0)
                                                    + (each.isNew ? 4 : 0)];
             if (!live)
-                live = this->takesForLive(viewer, each, at);
+                live = this->believesAlive(viewer, each, at);
             known.entries.push_back({each.id, *live || each.id == viewer.id});
         }
         return known;
@@ -176,8 +176,8 @@
     void updateEntries(milliseconds at)
     {
         const state::Instant now = start + at;
-        const bool looksAround = this->method == Method::Set && this->isDisturbed
-                                 && at % viewStep == milliseconds{0};
+        const bool updatesViews = this->method == Method::Set && this->isDisturbed
+                                  && at % viewStep == milliseconds{0};
         for (SimulatedEntry &entry : this->entries) {
             const bool begins = (at == milliseconds{0} && !entry.isNew)
                                 || (entry.isNew && at == newEntriesAt)
@@ -193,7 +193,7 @@
                     (entry.isNew && at < newEntriesAt + joinTime)
                     || (entry.killed && at >= startedAgainAt && at < startedAgainAt + joinTime);
             if (!this->runs(entry, at) || isJoining
-                || (at != milliseconds{0} && !joins && !looksAround))
+                || (at != milliseconds{0} && !joins && !updatesViews))
                 continue;
             const RelayEntries known = this->viewOf(entry, at);
             state::Instant began = start - seconds(60);
@@ -326,11 +326,13 @@
     }
 
 public:
-    // Guards against a rate that exceeds what the endpoint accepts while all entries are alive.
+    // Guards against a rate that exceeds what the endpoint accepts while all entries are alive, and
+    // against one that gets nothing because its rate is low.
     void sendersFollowTheRateAndTheBound()
     {
         CPPUNIT_ASSERT(coldSenders(coldRate, 130, 130) == (ColdSenders{20, 17}));
         CPPUNIT_ASSERT(coldSenders(coldRate, 14, 26) == (ColdSenders{14, 17}));
+        CPPUNIT_ASSERT(coldSenders({1, 1, 0}, 26, 26) == (ColdSenders{1, 0.8}));
         CPPUNIT_ASSERT(coldSenders({0, 1.5, 5}, 26, 26) == ColdSenders{});
         CPPUNIT_ASSERT(coldSenders(coldRate, 0, 0) == ColdSenders{});
     }
