Cold endpoints: the bound comes from the deployment's settings, and is written once

Cause: read again, the overshoot and slack stood as defaults in three places, the template passed neither, so a deployment with another bound would have been served by 1.5 and 5; tests no longer had fractional rates and fewer entries than senders.

--- a/src/coordination/routing/ColdAccess.h
+++ b/src/coordination/routing/ColdAccess.h
@@ -37,8 +37,8 @@
     double perSecond = 0; // accepted by the endpoint
     // The endpoint may crash if it gets more than perSecond * overshoot + slack requests in a
     // second. The entries plan with a part of that, for the time in which their views differ.
-    double overshoot = 1.5;
-    double slack = 5;
+    double overshoot = 0;
+    double slack = 0;
 
     bool operator==(const ColdRate &) const = default;
 };
--- a/src/program/ColdEndpoints.h
+++ b/src/program/ColdEndpoints.h
@@ -19,7 +19,7 @@
 public:
     // `bound`: its overshoot and slack; the rates are those of the services.
     ColdEndpoints(state::VmId self, state::Instant startedAt,
-                  coordination::routing::ColdRate bound = {});
+                  coordination::routing::ColdRate bound);
 
     void setServices(const std::vector<state::routes::ServiceProfile> &services);
     void setEntries(coordination::routing::RelayEntries next);
--- a/src/program/Settings.h
+++ b/src/program/Settings.h
@@ -66,8 +66,8 @@
     std::chrono::milliseconds directoryTtl{};
     std::chrono::milliseconds heartbeatInterval{};
     std::chrono::milliseconds terminationLimit{};
-    double coldOvershoot = 1.5; // see coordination::routing::ColdRate
-    double coldSlack = 5;
+    double coldOvershoot = 0; // see coordination::routing::ColdRate
+    double coldSlack = 0;
 
     // A node that takes announcements of a relay deployment and relays nothing places no requests.
     bool placesRequests() const { return this->listen || !this->operatorListen; }
--- a/tests/coordination/routing/ColdAccessTest.cpp
+++ b/tests/coordination/routing/ColdAccessTest.cpp
@@ -332,6 +332,9 @@
     {
         CPPUNIT_ASSERT(coldSenders(coldRate, 130, 130) == (ColdSenders{20, 17}));
         CPPUNIT_ASSERT(coldSenders(coldRate, 14, 26) == (ColdSenders{14, 17}));
+        CPPUNIT_ASSERT(coldSenders({16.2, 1.5, 5}, 300, 300) == (ColdSenders{19, 16.2}));
+        CPPUNIT_ASSERT(coldSenders({0.5, 1.5, 5}, 26, 26) == (ColdSenders{3, 0.5}));
+        CPPUNIT_ASSERT(coldSenders(coldRate, 5, 5) == (ColdSenders{5, 17}));
         CPPUNIT_ASSERT(coldSenders({1, 1, 0}, 26, 26) == (ColdSenders{1, 0.8}));
         CPPUNIT_ASSERT(coldSenders({0, 1.5, 5}, 26, 26) == ColdSenders{});
         CPPUNIT_ASSERT(coldSenders(coldRate, 0, 0) == ColdSenders{});
--- a/tests/program/ColdEndpointsTest.cpp
+++ b/tests/program/ColdEndpointsTest.cpp
@@ -15,7 +15,7 @@
     CPPUNIT_TEST_SUITE_END();
 
     const state::Instant now{std::chrono::seconds(100)};
-    ColdEndpoints cold{state::VmId("vm-0"), state::Instant(std::chrono::seconds(10))};
+    ColdEndpoints cold{state::VmId("vm-0"), state::Instant(std::chrono::seconds(10)), {0, 1.5, 5}};
 
     RegisteredEndpoint endpoint(const std::string &service) const
     {
