Storage: every file operation of the log goes through its hooks

Reading, listing, locking and creating the folder used the system directly, so a test could not put a disk of its own under the log. They are hooks now. A folder that can't be listed is an error; it was taken for an empty one.

--- a/src/transport/storage/DurableLog.cpp
+++ b/src/transport/storage/DurableLog.cpp
@@ -6,12 +6,9 @@
 #include "transport/storage/SnapshotFile.h"
 
 #include <fcntl.h>
-#include <sys/file.h>
 
 #include <algorithm>
 #include <cerrno>
-#include <filesystem>
-#include <system_error>
 
 namespace lavenderthread::transport::storage {
 
@@ -28,13 +25,10 @@
 {
     if (settings.folder.empty() || settings.newIdentity.empty())
         return makeError(ErrorCode::InvalidArgument, "log.open", "folder and identity are needed");
-    std::error_code problem;
-    std::filesystem::create_directories(settings.folder, problem);
-    if (problem)
-        return storageError("log.open", settings.folder, problem.value());
+    BOOST_OUTCOME_TRYV(createFolder(hooks, settings.folder));
     std::unique_ptr<DurableLog> log(new DurableLog(std::move(settings), std::move(hooks)));
     BOOST_OUTCOME_TRYV(log->lockFolder());
-    BOOST_OUTCOME_TRY(RecoveredFolder found, recoverFolder(log->settings.folder));
+    BOOST_OUTCOME_TRY(RecoveredFolder found, recoverFolder(log->hooks, log->settings.folder));
     BOOST_OUTCOME_TRYV(log->repair(found));
     found.recovered.identity = log->identity;
     return Opened{std::move(log), std::move(found.recovered)};
@@ -46,7 +40,7 @@
 {
     const std::string path = this->settings.folder + "/" + std::string(lockName);
     BOOST_OUTCOME_TRY(this->lock, File::open(this->hooks, path, O_RDWR | O_CREAT));
-    if (::flock(this->lock.descriptor(), LOCK_EX | LOCK_NB) != 0)
+    if (this->hooks.lock(this->lock.descriptor()) != 0)
         return makeError(ErrorCode::Unavailable, "log.lock",
                          "another process uses this data folder", path);
     return state::outcome::success();
@@ -56,8 +50,8 @@
 {
     const Recovered &recovered = found.recovered;
     const std::string &folder = this->settings.folder;
-    for (const std::string &path : listTemporaryFiles(folder)) {
-        BOOST_OUTCOME_TRYV(this->removeFile(path));
+    for (const std::string &name : found.temporary) {
+        BOOST_OUTCOME_TRYV(this->removeFile(folder + "/" + name));
     }
     for (const std::uint64_t segment : found.unusable) {
         BOOST_OUTCOME_TRYV(this->removeFile(segmentPath(folder, segment)));
--- a/src/transport/storage/File.cpp
+++ b/src/transport/storage/File.cpp
@@ -2,11 +2,10 @@
 #include "transport/storage/File.h"
 
 #include <fcntl.h>
-#include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
-#include <fstream>
-#include <iterator>
+#include <filesystem>
 #include <system_error>
 #include <utility>
 
@@ -29,7 +28,7 @@
 File::~File()
 {
     if (this->handle >= 0)
-        ::close(this->handle);
+        this->hooks->close(this->handle);
 }
 
 state::Result<File> File::open(const FileHooks &hooks, const std::string &path, int flags)
@@ -57,6 +56,24 @@
     return state::outcome::success();
 }
 
+state::Result<std::string> File::readAll()
+{
+    constexpr std::size_t pieceBytes = 64U << 10U;
+    std::string bytes;
+    while (true) {
+        const std::size_t before = bytes.size();
+        bytes.resize(before + pieceBytes);
+        const ssize_t got = this->hooks->read(this->handle, bytes.data() + before, pieceBytes);
+        bytes.resize(before + static_cast<std::size_t>(std::max<ssize_t>(got, 0)));
+        if (got < 0 && errno == EINTR)
+            continue;
+        if (got < 0)
+            return storageError("storage.read", this->name, errno);
+        if (got == 0)
+            return bytes;
+    }
+}
+
 state::Result<void> File::syncData()
 {
     if (this->hooks->syncData(this->handle) != 0)
@@ -86,13 +103,10 @@
     return state::makeError(state::ErrorCode::StorageFailed, step, cause, path);
 }
 
-state::Result<std::string> readWholeFile(const std::string &path)
+state::Result<std::string> readWholeFile(const FileHooks &hooks, const std::string &path)
 {
-    std::ifstream stream(path, std::ios::binary);
-    std::string bytes{std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
-    if (!stream)
-        return storageError("storage.read", path, EIO);
-    return bytes;
+    BOOST_OUTCOME_TRY(File file, File::open(hooks, path, O_RDONLY));
+    return file.readAll();
 }
 
 state::Result<void> syncFolder(const FileHooks &hooks, const std::string &folder)
@@ -101,4 +115,16 @@
     return handle.sync();
 }
 
+state::Result<void> createFolder(const FileHooks &hooks, const std::string &folder)
+{
+    if (File::open(hooks, folder, O_RDONLY | O_DIRECTORY))
+        return state::outcome::success();
+    const std::filesystem::path parent =
+            std::filesystem::absolute(folder + "/").lexically_normal().parent_path().parent_path();
+    BOOST_OUTCOME_TRYV(createFolder(hooks, parent.string()));
+    if (hooks.makeFolder(folder) != 0 && errno != EEXIST)
+        return storageError("storage.create", folder, errno);
+    return state::outcome::success();
+}
+
 } // namespace lavenderthread::transport::storage
--- a/src/transport/storage/File.h
+++ b/src/transport/storage/File.h
@@ -22,6 +22,7 @@
     // `hooks` has to outlive the file.
     static state::Result<File> open(const FileHooks &hooks, const std::string &path, int flags);
 
+    state::Result<std::string> readAll(); // from the current position on
     state::Result<void> writeAll(std::string_view bytes);
     state::Result<void> syncData();
     state::Result<void> sync();
@@ -38,8 +39,10 @@
 // Error StorageFailed from errno, with advice for a full disk.
 state::Error storageError(const char *step, const std::string &path, int errorNumber);
 
-state::Result<std::string> readWholeFile(const std::string &path);
+state::Result<std::string> readWholeFile(const FileHooks &hooks, const std::string &path);
 // Makes created, renamed and removed names of the folder last.
 state::Result<void> syncFolder(const FileHooks &hooks, const std::string &folder);
+// Creates the folder and missing parents.
+state::Result<void> createFolder(const FileHooks &hooks, const std::string &folder);
 
 } // namespace lavenderthread::transport::storage
--- a/src/transport/storage/FolderNames.cpp
+++ b/src/transport/storage/FolderNames.cpp
@@ -1,26 +1,14 @@
-// Lists the data folder by name.
+// Names carry a fixed count of digits, so that they also sort by number.
 #include "transport/storage/FolderNames.h"
 
+#include "transport/storage/File.h"
+
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
-#include <filesystem>
-#include <system_error>
 
 namespace lavenderthread::transport::storage {
 
-namespace {
-
-std::vector<std::string> namesIn(const std::string &folder)
-{
-    std::vector<std::string> names;
-    std::error_code problem;
-    for (const auto &file : std::filesystem::directory_iterator(folder, problem))
-        names.push_back(file.path().filename().string());
-    return names;
-}
-
-} // namespace
-
 std::string numberedName(std::string_view prefix, std::uint64_t number, std::string_view suffix)
 {
     constexpr std::size_t digits = 20;
@@ -30,11 +18,20 @@
     return name;
 }
 
-std::vector<std::uint64_t> listNumbers(const std::string &folder, std::string_view prefix,
-                                       std::string_view suffix)
+state::Result<std::vector<std::string>> listFolder(const FileHooks &hooks,
+                                                   const std::string &folder)
+{
+    std::vector<std::string> names;
+    if (hooks.list(folder, names) != 0)
+        return storageError("storage.list", folder, errno);
+    return names;
+}
+
+std::vector<std::uint64_t> numbersIn(const std::vector<std::string> &names, std::string_view prefix,
+                                     std::string_view suffix)
 {
     std::vector<std::uint64_t> numbers;
-    for (const std::string &name : namesIn(folder)) {
+    for (const std::string &name : names) {
         const bool fits = name.size() > prefix.size() + suffix.size() && name.starts_with(prefix)
                           && name.ends_with(suffix);
         if (!fits)
@@ -50,14 +47,4 @@
     return numbers;
 }
 
-std::vector<std::string> listTemporaryFiles(const std::string &folder)
-{
-    std::vector<std::string> paths;
-    for (const std::string &name : namesIn(folder)) {
-        if (name.ends_with(temporarySuffix))
-            paths.push_back((std::filesystem::path(folder) / name).string());
-    }
-    return paths;
-}
-
 } // namespace lavenderthread::transport::storage
--- a/src/transport/storage/FolderNames.h
+++ b/src/transport/storage/FolderNames.h
@@ -1,6 +1,9 @@
 // Names of the files in the data folder.
 #pragma once
 
+#include "state/Error.h"
+#include "transport/storage/FileHooks.h"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -17,10 +20,11 @@
 
 // "segment-00000000000000000007.log"
 std::string numberedName(std::string_view prefix, std::uint64_t number, std::string_view suffix);
-// Numbers of the files of that form, ascending; other files are passed over.
-std::vector<std::uint64_t> listNumbers(const std::string &folder, std::string_view prefix,
-                                       std::string_view suffix);
-std::vector<std::string> // paths
-listTemporaryFiles(const std::string &folder);
+// All names in the folder. Error StorageFailed.
+state::Result<std::vector<std::string>> listFolder(const FileHooks &hooks,
+                                                   const std::string &folder);
+// Numbers of the names of that form, ascending; other names are passed over.
+std::vector<std::uint64_t> numbersIn(const std::vector<std::string> &names, std::string_view prefix,
+                                     std::string_view suffix);
 
 } // namespace lavenderthread::transport::storage
--- a/src/transport/storage/LogRecovery.cpp
+++ b/src/transport/storage/LogRecovery.cpp
@@ -89,16 +89,23 @@
 class FolderReader
 {
 public:
-    explicit FolderReader(std::string folder)
-        : folder(std::move(folder))
+    FolderReader(const FileHooks &hooks, std::string folder)
+        : hooks(hooks)
+        , folder(std::move(folder))
         , replay(this->result.recovered)
     {}
 
     state::Result<RecoveredFolder> read()
     {
-        BOOST_OUTCOME_TRY(this->result.recovered.snapshot, readNewestSnapshot(this->folder));
-        const std::vector<std::uint64_t> numbers =
-                listNumbers(this->folder, segmentPrefix, segmentSuffix);
+        BOOST_OUTCOME_TRY(this->result.recovered.snapshot,
+                          readNewestSnapshot(this->hooks, this->folder));
+        BOOST_OUTCOME_TRY(const std::vector<std::string> names,
+                          listFolder(this->hooks, this->folder));
+        for (const std::string &name : names) {
+            if (name.ends_with(temporarySuffix))
+                this->result.temporary.push_back(name);
+        }
+        const std::vector<std::uint64_t> numbers = numbersIn(names, segmentPrefix, segmentSuffix);
         for (std::size_t place = 0; place < numbers.size(); ++place) {
             BOOST_OUTCOME_TRYV(this->readSegment(numbers[place], place + 1 == numbers.size()));
         }
@@ -115,7 +122,7 @@
     state::Result<void> readSegment(std::uint64_t number, bool last)
     {
         const std::string path = segmentPath(this->folder, number);
-        BOOST_OUTCOME_TRY(const std::string bytes, readWholeFile(path));
+        BOOST_OUTCOME_TRY(const std::string bytes, readWholeFile(this->hooks, path));
         SegmentScan scan = scanSegment(bytes);
         const std::uint64_t badRecord =
                 scan.records.empty() ? this->result.nextRecord : scan.records.back().number + 1;
@@ -190,6 +197,7 @@
         return state::outcome::success();
     }
 
+    const FileHooks &hooks;
     std::string folder;
     RecoveredFolder result;
     Replay replay; // into result.recovered
@@ -202,9 +210,9 @@
     return folder + "/" + numberedName(segmentPrefix, segment, segmentSuffix);
 }
 
-state::Result<RecoveredFolder> recoverFolder(const std::string &folder)
+state::Result<RecoveredFolder> recoverFolder(const FileHooks &hooks, const std::string &folder)
 {
-    FolderReader reader(folder);
+    FolderReader reader(hooks, folder);
     return reader.read();
 }
 
--- a/src/transport/storage/LogRecovery.h
+++ b/src/transport/storage/LogRecovery.h
@@ -4,6 +4,7 @@
 
 #include "state/Error.h"
 #include "state/log/LogEntry.h"
+#include "transport/storage/FileHooks.h"
 #include "transport/storage/LogRecord.h"
 
 #include <cstddef>
@@ -41,10 +42,11 @@
     std::vector<LogRecord> unsettled;
     std::optional<std::size_t> tornAt;   // length to which the last segment is to be cut
     std::vector<std::uint64_t> unusable; // last segment, if not even its start was written
+    std::vector<std::string> temporary;  // names of files that a writer left behind
 };
 
 // Errors: Corrupt (tells the file and what to do), StorageFailed.
-state::Result<RecoveredFolder> recoverFolder(const std::string &folder);
+state::Result<RecoveredFolder> recoverFolder(const FileHooks &hooks, const std::string &folder);
 
 std::string segmentPath(const std::string &folder, std::uint64_t segment);
 
--- a/src/transport/storage/SnapshotFile.cpp
+++ b/src/transport/storage/SnapshotFile.cpp
@@ -66,13 +66,15 @@
     return syncFolder(hooks, folder);
 }
 
-state::Result<std::optional<state::log::LogSnapshot>> readNewestSnapshot(const std::string &folder)
+state::Result<std::optional<state::log::LogSnapshot>> readNewestSnapshot(const FileHooks &hooks,
+                                                                         const std::string &folder)
 {
-    const std::vector<std::uint64_t> found = listNumbers(folder, snapshotPrefix, snapshotSuffix);
+    BOOST_OUTCOME_TRY(const std::vector<std::string> names, listFolder(hooks, folder));
+    const std::vector<std::uint64_t> found = numbersIn(names, snapshotPrefix, snapshotSuffix);
     if (found.empty())
         return std::nullopt;
     const std::string path = snapshotPath(folder, found.back());
-    BOOST_OUTCOME_TRY(const std::string bytes, readWholeFile(path));
+    BOOST_OUTCOME_TRY(const std::string bytes, readWholeFile(hooks, path));
     const std::size_t headBytes = snapshotMagic.size() + checksumBytes;
     if (bytes.size() < headBytes || !bytes.starts_with(snapshotMagic))
         return damaged(path);
@@ -94,7 +96,8 @@
 state::Result<void> removeOldSnapshots(const FileHooks &hooks, const std::string &folder,
                                        std::uint64_t index)
 {
-    for (const std::uint64_t each : listNumbers(folder, snapshotPrefix, snapshotSuffix)) {
+    BOOST_OUTCOME_TRY(const std::vector<std::string> names, listFolder(hooks, folder));
+    for (const std::uint64_t each : numbersIn(names, snapshotPrefix, snapshotSuffix)) {
         if (each < index && hooks.unlink(snapshotPath(folder, each)) != 0)
             return storageError("storage.remove", snapshotPath(folder, each), errno);
     }
--- a/src/transport/storage/SnapshotFile.h
+++ b/src/transport/storage/SnapshotFile.h
@@ -20,7 +20,8 @@
 
 // The newest one; nothing if there is none. Error Corrupt if it does not check out: an older one
 // would lack entries that were dropped since.
-state::Result<std::optional<state::log::LogSnapshot>> readNewestSnapshot(const std::string &folder);
+state::Result<std::optional<state::log::LogSnapshot>> readNewestSnapshot(const FileHooks &hooks,
+                                                                         const std::string &folder);
 
 // Removes every snapshot below `index`.
 state::Result<void> removeOldSnapshots(const FileHooks &hooks, const std::string &folder,
--- a/tests/transport/storage/FaultyDisk.h
+++ b/tests/transport/storage/FaultyDisk.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <string>
 
+#include <fcntl.h>
 #include <unistd.h>
 
 namespace lavenderthread::transport::storage {
@@ -28,7 +29,8 @@
         const FileHooks real = hooks;
         hooks.open = [this, real](const std::string &path, int flags) {
             const int handle = real.open(path, flags);
-            this->paths[handle] = path;
+            if ((flags & O_ACCMODE) != O_RDONLY || (flags & O_DIRECTORY) != 0)
+                this->paths[handle] = path;
             return handle;
         };
         hooks.write = [this, real](int handle, const char *bytes, std::size_t size) -> ssize_t {
