Storage: removed log segments that come back in part no longer keep a member from starting

Compaction removes several names, and no number of syncs makes that one step: a loss of power leaves any subset of them.

Change: the start of a segment tells the index that the log had reached (format 2; format 1 is read, and there the first entry behind a gap has to show it). As a safeguard compact() syncs the folder, so that at most what the last compaction removed can come back; recovery doesn't rely on it.

--- a/src/transport/storage/DurableLog.cpp
+++ b/src/transport/storage/DurableLog.cpp
@@ -53,7 +53,7 @@
     for (const std::string &name : found.temporary) {
         BOOST_OUTCOME_TRYV(this->removeFile(folder + "/" + name));
     }
-    for (const std::uint64_t segment : found.unusable) {
+    for (const std::uint64_t segment : found.removable) {
         BOOST_OUTCOME_TRYV(this->removeFile(segmentPath(folder, segment)));
     }
     if (!found.segments.empty()) {
@@ -93,8 +93,8 @@
     BOOST_OUTCOME_TRY(this->current,
                       File::open(this->hooks, path, O_WRONLY | O_CREAT | O_EXCL | O_APPEND));
     this->syncedThrough = this->nextRecord;
-    this->add(
-            SegmentStart{logFormatVersion, this->currentSegment, this->identity, this->hardState});
+    this->add(SegmentStart{logFormatVersion, this->currentSegment, this->identity, this->hardState,
+                           this->last});
     BOOST_OUTCOME_TRYV(this->writeBuffer());
     BOOST_OUTCOME_TRYV(this->current.sync());
     this->syncedThrough = this->nextRecord;
@@ -218,7 +218,10 @@
         BOOST_OUTCOME_TRYV(this->latch(this->removeFile(path)));
         this->closed.erase(this->closed.begin());
     }
-    return this->latch(removeOldSnapshots(this->hooks, this->settings.folder, this->snapshotIndex));
+    BOOST_OUTCOME_TRYV(this->latch(
+            removeOldSnapshots(this->hooks, this->settings.folder, this->snapshotIndex)));
+    // Recovery passes over removed files that come back; this bounds how many there may be.
+    return this->latch(syncFolder(this->hooks, this->settings.folder));
 }
 
 } // namespace lavenderthread::transport::storage
--- a/src/transport/storage/LogRecord.h
+++ b/src/transport/storage/LogRecord.h
@@ -15,7 +15,8 @@
 
 namespace lavenderthread::transport::storage {
 
-constexpr std::uint32_t logFormatVersion = 1;
+constexpr std::uint32_t logFormatVersion = 2; // older ones are read too
+constexpr std::uint32_t lastIndexFormatVersion = 2;
 constexpr std::size_t recordHeaderBytes = 32;
 constexpr std::size_t maximumRecordBytes = 64U << 20U;
 
@@ -26,6 +27,7 @@
     std::uint64_t segment = 0; // number in its file name
     std::string identity;      // of the member that the folder belongs to
     state::log::HardState hardState;
+    std::uint64_t lastIndex = 0; // of the log before this segment; format 2 on
 
     auto operator<=>(const SegmentStart &) const = default;
 
@@ -33,6 +35,8 @@
     void serialize(Archive &archive)
     {
         archive(this->formatVersion, this->segment, this->identity, this->hardState);
+        if (this->formatVersion >= lastIndexFormatVersion)
+            archive(this->lastIndex);
     }
 };
 
--- a/src/transport/storage/LogRecovery.cpp
+++ b/src/transport/storage/LogRecovery.cpp
@@ -42,7 +42,7 @@
                 this->target.identity.empty() || this->target.identity == start.identity;
         this->target.identity = start.identity;
         this->target.hardState = start.hardState;
-        return sameMember && start.formatVersion == logFormatVersion;
+        return sameMember && start.formatVersion <= logFormatVersion;
     }
     bool operator()(const LogEntry &entry)
     {
@@ -114,51 +114,96 @@
         if (this->result.segments.empty() && this->result.recovered.snapshot)
             return damaged(this->folder,
                            "there is a snapshot but no log; the member's vote is lost");
+        BOOST_OUTCOME_TRYV(this->finishTail());
+        BOOST_OUTCOME_TRYV(this->checkCompacted());
         BOOST_OUTCOME_TRYV(this->dropCoveredEntries());
         return std::move(this->result);
     }
 
 private:
+    // The newest segment read so far. Only the last one may end in the torn part of a write.
+    struct Tail
+    {
+        std::string path;
+        SegmentScan scan;
+    };
+
     state::Result<void> readSegment(std::uint64_t number, bool last)
     {
         const std::string path = segmentPath(this->folder, number);
         BOOST_OUTCOME_TRY(const std::string bytes, readWholeFile(this->hooks, path));
         SegmentScan scan = scanSegment(bytes);
-        const std::uint64_t badRecord =
-                scan.records.empty() ? this->result.nextRecord : scan.records.back().number + 1;
-        if (!scan.whole && (!last || scan.syncedThrough > badRecord))
-            return damaged(path, "record " + std::to_string(badRecord) + " at byte "
-                                         + std::to_string(scan.goodBytes) + " is damaged");
-        if (scan.records.empty()) {
+        if (scan.records.empty() && scan.syncedThrough == 0) {
             // A new segment is used only after its start is synced: a crash came before that.
             if (!last)
                 return damaged(path, "the segment is empty");
-            this->result.unusable.push_back(number);
+            this->result.removable.push_back(number);
             return state::outcome::success();
         }
-        BOOST_OUTCOME_TRYV(this->checkStart(path, number, scan.records.front()));
+        const auto *start = scan.records.empty()
+                                    ? nullptr
+                                    : std::get_if<SegmentStart>(&scan.records.front().body);
+        if (start == nullptr || start->segment != number)
+            return damaged(path, "the segment's start is missing");
+        this->joinSegment(path, scan.records.front().number);
+        if (this->result.segments.empty() && start->formatVersion >= lastIndexFormatVersion)
+            this->precedingIndex = start->lastIndex;
         for (const LogRecord &record : scan.records) {
             if (!std::visit(this->replay, record.body))
                 return damaged(path, "record " + std::to_string(record.number)
                                              + " does not follow the ones before it");
         }
         this->result.segments.push_back({number, highestIndexOf(scan.records)});
-        this->result.nextRecord = badRecord;
-        if (last)
-            this->noteTail(std::move(scan));
+        this->result.nextRecord = scan.records.back().number + 1;
+        this->tail = Tail{path, std::move(scan)};
         return state::outcome::success();
     }
 
-    state::Result<void> checkStart(const std::string &path, std::uint64_t number,
-                                   const LogRecord &first)
+    // Compaction removes several names, and a loss of power may leave any subset of them. What
+    // stands before a gap can't be used; checkCompacted() tells whether it is needed.
+    void joinSegment(const std::string &path, std::uint64_t firstRecord)
     {
-        const auto *start = std::get_if<SegmentStart>(&first.body);
-        if (start == nullptr || start->segment != number)
-            return damaged(path, "the segment's start is missing");
-        const bool follows =
-                this->result.segments.empty() || first.number == this->result.nextRecord;
-        if (!follows)
-            return damaged(path, "the segment before this one is missing");
+        if (!this->tail)
+            return;
+        if (this->tail->scan.whole && firstRecord == this->result.nextRecord)
+            return;
+        this->gap = this->tail->scan.whole ? damaged(path, "the segment before this one is missing")
+                                           : this->damagedTail();
+        for (const SegmentSummary &segment : this->result.segments)
+            this->result.removable.push_back(segment.segment);
+        this->result.segments.clear();
+        this->result.recovered.entries.clear();
+        this->precedingIndex.reset();
+    }
+
+    // Everything before the oldest usable segment has to be in the snapshot.
+    state::Result<void> checkCompacted() const
+    {
+        const Recovered &recovered = this->result.recovered;
+        std::optional<std::uint64_t> needed = this->precedingIndex;
+        if (!needed && !recovered.entries.empty())
+            needed = recovered.entries.front().position.index - 1;
+        const std::uint64_t covered = recovered.snapshot ? recovered.snapshot->last.index : 0;
+        if (needed ? *needed <= covered : !this->gap)
+            return state::outcome::success();
+        return this->gap.value_or(damaged(this->folder, "entries are missing behind index "
+                                                                + std::to_string(covered)));
+    }
+
+    state::Error damagedTail() const
+    {
+        return damaged(this->tail->path,
+                       "record " + std::to_string(this->result.nextRecord) + " at byte "
+                               + std::to_string(this->tail->scan.goodBytes) + " is damaged");
+    }
+
+    state::Result<void> finishTail()
+    {
+        if (!this->tail)
+            return state::outcome::success();
+        if (!this->tail->scan.whole && this->tail->scan.syncedThrough > this->result.nextRecord)
+            return this->damagedTail();
+        this->noteTail(std::move(this->tail->scan));
         return state::outcome::success();
     }
 
@@ -201,6 +246,10 @@
     std::string folder;
     RecoveredFolder result;
     Replay replay; // into result.recovered
+    std::optional<Tail> tail;
+    // Index of the last entry before the oldest usable segment, where its start tells it.
+    std::optional<std::uint64_t> precedingIndex;
+    std::optional<state::Error> gap; // what is wrong before the oldest usable segment
 };
 
 } // namespace
--- a/src/transport/storage/LogRecovery.h
+++ b/src/transport/storage/LogRecovery.h
@@ -40,9 +40,9 @@
     // Records of the last write, perhaps never synced; to be written again before anyone relies on
     // them: after a failed sync the kernel may hold pages as clean that never reached the disk.
     std::vector<LogRecord> unsettled;
-    std::optional<std::size_t> tornAt;   // length to which the last segment is to be cut
-    std::vector<std::uint64_t> unusable; // last segment, if not even its start was written
-    std::vector<std::string> temporary;  // names of files that a writer left behind
+    std::optional<std::size_t> tornAt;    // length to which the last segment is to be cut
+    std::vector<std::uint64_t> removable; // segments that nothing is read from
+    std::vector<std::string> temporary;   // names of files that a writer left behind
 };
 
 // Errors: Corrupt (tells the file and what to do), StorageFailed.
