Storage: an empty segment before others no longer keeps a member from starting

What callers would see: the same as with gaps, members that end at each start ("the segment is empty").

Cause: a start that is cut off leaves its new segment empty. The next start removes it without a sync and creates the following number; if power is lost before the folder is synced, both names may be there, and recovery accepted an empty segment only as the last one. A full disk leads there too: each attempt to open the folder leaves an empty segment.

Evidence: startsAfterTwoStartsThatWereCutOff loses power before each operation of two starts in a row, with each outcome; it failed before this change.

Change: a segment without one whole record has never been used, wherever it stands. If it was used and damaged, the record numbers of the next one show it.

Result: the test passes; DurableLogTest's flipped bits are refused as before.

--- a/src/transport/storage/DurableLog.cpp
+++ b/src/transport/storage/DurableLog.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <filesystem>
 
 namespace lavenderthread::transport::storage {
 
@@ -51,7 +52,7 @@
     const Recovered &recovered = found.recovered;
     const std::string &folder = this->settings.folder;
     for (const std::string &name : found.temporary) {
-        BOOST_OUTCOME_TRYV(this->removeFile(folder + "/" + name));
+        BOOST_OUTCOME_TRYV(this->removeFile((std::filesystem::path(folder) / name).string()));
     }
     for (const std::uint64_t segment : found.removable) {
         BOOST_OUTCOME_TRYV(this->removeFile(segmentPath(folder, segment)));
--- a/src/transport/storage/LogRecovery.cpp
+++ b/src/transport/storage/LogRecovery.cpp
@@ -106,8 +106,8 @@
                 this->result.temporary.push_back(name);
         }
         const std::vector<std::uint64_t> numbers = numbersIn(names, segmentPrefix, segmentSuffix);
-        for (std::size_t place = 0; place < numbers.size(); ++place) {
-            BOOST_OUTCOME_TRYV(this->readSegment(numbers[place], place + 1 == numbers.size()));
+        for (const std::uint64_t number : numbers) {
+            BOOST_OUTCOME_TRYV(this->readSegment(number));
         }
         if (!numbers.empty())
             this->result.nextSegment = numbers.back() + 1;
@@ -128,15 +128,14 @@
         SegmentScan scan;
     };
 
-    state::Result<void> readSegment(std::uint64_t number, bool last)
+    state::Result<void> readSegment(std::uint64_t number)
     {
         const std::string path = segmentPath(this->folder, number);
         BOOST_OUTCOME_TRY(const std::string bytes, readWholeFile(this->hooks, path));
         SegmentScan scan = scanSegment(bytes);
         if (scan.records.empty() && scan.syncedThrough == 0) {
-            // A new segment is used only after its start is synced: a crash came before that.
-            if (!last)
-                return damaged(path, "the segment is empty");
+            // A new segment is used only after its start is synced: a crash came before that. Later
+            // segments may follow, since a loss of power can bring its name back.
             this->result.removable.push_back(number);
             return state::outcome::success();
         }
--- a/tests/transport/storage/PowerLossTest.cpp
+++ b/tests/transport/storage/PowerLossTest.cpp
@@ -6,6 +6,8 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
+#include <functional>
 #include <vector>
 
 namespace lavenderthread::transport::storage {
@@ -13,6 +15,8 @@
 namespace {
 
 constexpr const char *folder = "/data/control";
+constexpr std::array allUnsyncedWrites{UnsyncedWrites::Present, UnsyncedWrites::Torn,
+                                       UnsyncedWrites::WithoutFirst, UnsyncedWrites::Missing};
 
 state::log::LogEntry entry(std::uint64_t index)
 {
@@ -53,6 +57,7 @@
     CPPUNIT_TEST(startsWithAnySubsetOfCompactedSegments);
     CPPUNIT_TEST(missingSegmentThatNoSnapshotCoversIsRefused);
     CPPUNIT_TEST(gapsInFoldersOfFormatOneNeedAnEntryBehindThem);
+    CPPUNIT_TEST(startsAfterTwoStartsThatWereCutOff);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -112,7 +117,36 @@
         this->assertHolds(disk, 6);
     }
 
+    // A start that was cut off left an empty segment, the next one removed it without a sync and
+    // was cut off too: both names were there, and the member refused to start for ever.
+    void startsAfterTwoStartsThatWereCutOff()
+    {
+        PowerLossDisk disk = PowerLossDisk::withFolder(folder);
+        liveShortly(disk, 2);
+        forEachCutOffStart(disk, [](PowerLossDisk &once) {
+            forEachCutOffStart(once, [](PowerLossDisk &twice) { assertHolds(twice, 2); });
+        });
+    }
+
 private:
+    // Power is lost before each operation of a start, with each outcome.
+    static void forEachCutOffStart(const PowerLossDisk &disk,
+                                   const std::function<void(PowerLossDisk &)> &check)
+    {
+        constexpr std::size_t most = 20; // more than a start takes
+        for (std::size_t allowed = 0; allowed < most; ++allowed) {
+            PowerLossDisk cutOff = disk.copy();
+            cutOff.operationsLeft = allowed;
+            (void)open(cutOff);
+            for (std::size_t outcome = 0; outcome < cutOff.nameOutcomes(); ++outcome) {
+                for (const UnsyncedWrites writes : allUnsyncedWrites) {
+                    PowerLossDisk after = cutOff.afterPowerLoss(outcome, writes);
+                    check(after);
+                }
+            }
+        }
+    }
+
     static void writeFormatOne(PowerLossDisk &disk, std::uint64_t segment,
                                const std::vector<RecordBody> &records)
     {
