Storage: a data folder that the first start creates outlives a loss of power

What callers would see: a member that comes back empty, with its vote and what it acknowledged gone.

Cause: the folder and its missing parents were created without a sync of the folders that they were created in.

Evidence: createdFolderOutlivesLossOfPower failed before this change (nothing was left of one acknowledged entry).

Result: it passes. A process that is killed between creating the folder and the sync leaves the name unsynced, as the next start finds it there; not mended.

--- a/src/transport/storage/File.cpp
+++ b/src/transport/storage/File.cpp
@@ -119,12 +119,14 @@
 {
     if (File::open(hooks, folder, O_RDONLY | O_DIRECTORY))
         return state::outcome::success();
-    const std::filesystem::path parent =
-            std::filesystem::absolute(folder + "/").lexically_normal().parent_path().parent_path();
+    std::filesystem::path parent = std::filesystem::absolute(folder).lexically_normal();
+    if (!parent.has_filename())
+        parent = parent.parent_path(); // the path ended in a slash
+    parent = parent.parent_path();
     BOOST_OUTCOME_TRYV(createFolder(hooks, parent.string()));
     if (hooks.makeFolder(folder) != 0 && errno != EEXIST)
         return storageError("storage.create", folder, errno);
-    return state::outcome::success();
+    return syncFolder(hooks, parent.string());
 }
 
 } // namespace lavenderthread::transport::storage
--- a/src/transport/storage/File.h
+++ b/src/transport/storage/File.h
@@ -42,7 +42,7 @@
 state::Result<std::string> readWholeFile(const FileHooks &hooks, const std::string &path);
 // Makes created, renamed and removed names of the folder last.
 state::Result<void> syncFolder(const FileHooks &hooks, const std::string &folder);
-// Creates the folder and missing parents.
+// Creates the folder and missing parents, durably.
 state::Result<void> createFolder(const FileHooks &hooks, const std::string &folder);
 
 } // namespace lavenderthread::transport::storage
--- a/tests/transport/storage/PowerLossTest.cpp
+++ b/tests/transport/storage/PowerLossTest.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(missingSegmentThatNoSnapshotCoversIsRefused);
     CPPUNIT_TEST(gapsInFoldersOfFormatOneNeedAnEntryBehindThem);
     CPPUNIT_TEST(startsAfterTwoStartsThatWereCutOff);
+    CPPUNIT_TEST(createdFolderOutlivesLossOfPower);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -128,6 +129,18 @@
         });
     }
 
+    // A data folder that the first start had created was gone after a loss of power, with all that
+    // was acknowledged in it.
+    void createdFolderOutlivesLossOfPower()
+    {
+        PowerLossDisk disk;
+        liveShortly(disk, 1);
+        for (std::size_t outcome = 0; outcome < disk.nameOutcomes(); ++outcome) {
+            PowerLossDisk after = disk.afterPowerLoss(outcome, UnsyncedWrites::Missing);
+            assertHolds(after, 1);
+        }
+    }
+
 private:
     // Power is lost before each operation of a start, with each outcome.
     static void forEachCutOffStart(const PowerLossDisk &disk,
