Storage tests: loss of power at every point of a member's lives

The member has to start with all that it acknowledged, and be able to write.

With folder syncs that do nothing it finds losses too (folderSyncsThatDoNothingAreCaught).

--- a/tests/transport/storage/PowerLossTest.cpp
+++ b/tests/transport/storage/PowerLossTest.cpp
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <functional>
+#include <random>
 #include <vector>
 
 namespace lavenderthread::transport::storage {
@@ -49,6 +50,117 @@
     }
 }
 
+// What a member has acknowledged to others, and so has to find again.
+struct Acknowledged
+{
+    std::uint64_t lastIndex = 0;
+    state::log::HardState hardState;
+};
+
+// Several lives of a member on one disk: appends that fill segments, snapshots of its own and from
+// a leader, compactions, dropped entries, and processes that are killed. Ends at the first failure.
+class MemberLives
+{
+public:
+    explicit MemberLives(PowerLossDisk &disk)
+        : disk(disk)
+    {}
+
+    Acknowledged run()
+    {
+        this->ended = false;
+        this->live([this](DurableLog &log) { this->append(log, 6); });
+        this->live([this](DurableLog &log) { this->append(log, 1); });
+        this->live([this](DurableLog &log) {
+            this->append(log, 2);
+            this->compact(log);
+            this->append(log, 4);
+        });
+        this->live([](DurableLog &) {});
+        this->live([this](DurableLog &log) {
+            this->install(log, log.lastIndex() + 50);
+            this->append(log, 3);
+        });
+        this->live([this](DurableLog &log) {
+            this->rewriteLast(log);
+            this->compact(log);
+            this->compact(log);
+        });
+        return this->acknowledged;
+    }
+
+private:
+    static constexpr std::size_t segmentBytes = 400; // some entries
+
+    void live(const std::function<void(DurableLog &)> &work)
+    {
+        auto opened = this->ended ? state::makeError(state::ErrorCode::Cancelled, "test", "ended")
+                                  : open(this->disk, segmentBytes);
+        this->ended = !opened;
+        if (opened)
+            work(*opened.value().log);
+    }
+
+    void append(DurableLog &log, std::uint64_t count)
+    {
+        for (; count > 0 && !this->ended; --count) {
+            const std::uint64_t next = log.lastIndex() + 1;
+            const state::log::HardState vote{this->acknowledged.hardState.currentTerm + 1, "vm-2"};
+            (void)log.saveHardState(vote);
+            (void)log.append(std::vector{entry(next)});
+            this->ended = !log.sync();
+            if (!this->ended)
+                this->acknowledged = {next, vote};
+        }
+    }
+
+    // A new leader replaces an entry that was stored but not committed.
+    void rewriteLast(DurableLog &log)
+    {
+        this->ended =
+                this->ended || !log.append(std::vector{entry(log.lastIndex())}) || !log.sync();
+    }
+
+    void compact(DurableLog &log)
+    {
+        const state::log::LogSnapshot snapshot{{1, log.lastIndex()}, "members", "state"};
+        this->ended =
+                this->ended || !log.saveSnapshot(snapshot) || !log.compact(snapshot.last.index);
+    }
+
+    void install(DurableLog &log, std::uint64_t index)
+    {
+        this->ended = this->ended || !log.installSnapshot({{1, index}, "members", "state"});
+        if (!this->ended)
+            this->acknowledged.lastIndex = index;
+    }
+
+    PowerLossDisk &disk;
+    Acknowledged acknowledged;
+    bool ended = false;
+};
+
+// Why the folder doesn't hold what was acknowledged, or can't be used any more; empty if it does.
+std::string problemOf(PowerLossDisk &disk, const Acknowledged &acknowledged)
+{
+    const auto opened = open(disk);
+    if (!opened)
+        return opened.error().describe();
+    const Recovered &found = opened.value().recovered;
+    if (lastIndexOf(found) < acknowledged.lastIndex)
+        return "acknowledged entries are gone";
+    if (found.hardState.currentTerm < acknowledged.hardState.currentTerm)
+        return "the acknowledged vote is gone";
+    std::uint64_t expected = found.snapshot ? found.snapshot->last.index : 0;
+    for (const state::log::LogEntry &each : found.entries) {
+        if (each != entry(++expected))
+            return "entry " + std::to_string(expected) + " is another one";
+    }
+    DurableLog &log = *opened.value().log;
+    const bool writable = log.append(std::vector{entry(log.lastIndex() + 1)}) && log.sync();
+    return writable ? "" : "the log can't be written";
+}
+
 } // namespace
 
 class PowerLossTest : public CppUnit::TestFixture
@@ -59,6 +171,8 @@
     CPPUNIT_TEST(gapsInFoldersOfFormatOneNeedAnEntryBehindThem);
     CPPUNIT_TEST(startsAfterTwoStartsThatWereCutOff);
     CPPUNIT_TEST(createdFolderOutlivesLossOfPower);
+    CPPUNIT_TEST(everyLossOfPowerKeepsWhatWasAcknowledged);
+    CPPUNIT_TEST(folderSyncsThatDoNothingAreCaught);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -141,7 +255,75 @@
         }
     }
 
+    // The class of failure: whatever a loss of power leaves of the names and writes since their
+    // last sync, the member starts with all that it has acknowledged, also after losses in a row.
+    void everyLossOfPowerKeepsWhatWasAcknowledged()
+    {
+        std::size_t losses = 0;
+        forEachLossOfPower(false, [&](PowerLossDisk &after, const Acknowledged &acknowledged) {
+            ++losses;
+            const std::string problem = problemOf(after, acknowledged);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(losses), std::string(), problem);
+        });
+        CPPUNIT_ASSERT(losses > 1'000);
+    }
+
+    void folderSyncsThatDoNothingAreCaught()
+    {
+        std::size_t caught = 0;
+        forEachLossOfPower(true, [&](PowerLossDisk &after, const Acknowledged &acknowledged) {
+            caught += problemOf(after, acknowledged).empty() ? 0 : 1;
+        });
+        CPPUNIT_ASSERT(caught > 100);
+    }
+
 private:
+    using AfterLoss = std::function<void(PowerLossDisk &, const Acknowledged &)>;
+
+    // Every point of a member's lives, with every outcome; from each a random walk through further
+    // starts that are cut off.
+    static void forEachLossOfPower(bool ignoreFolderSyncs, const AfterLoss &check)
+    {
+        std::mt19937_64 random(1);
+        PowerLossDisk whole = PowerLossDisk::withFolder(folder);
+        (void)MemberLives(whole).run();
+        for (std::size_t allowed = 0; allowed <= whole.operations; ++allowed) {
+            PowerLossDisk disk = PowerLossDisk::withFolder(folder);
+            disk.ignoreFolderSyncs = ignoreFolderSyncs;
+            disk.operationsLeft = allowed;
+            const Acknowledged acknowledged = MemberLives(disk).run();
+            forEachOutcome(disk, random, [&](PowerLossDisk &after) {
+                cutOffStarts(after, random, 3);
+                check(after, acknowledged);
+            });
+        }
+    }
+
+    static void forEachOutcome(const PowerLossDisk &disk, std::mt19937_64 &random,
+                               const std::function<void(PowerLossDisk &)> &check)
+    {
+        constexpr std::size_t most = 64; // beyond it a sample
+        const std::size_t outcomes = disk.nameOutcomes();
+        for (std::size_t turn = 0; turn < std::min(outcomes, most); ++turn) {
+            const std::size_t outcome = outcomes <= most ? turn : random() % outcomes;
+            for (const UnsyncedWrites writes : allUnsyncedWrites) {
+                PowerLossDisk after = disk.afterPowerLoss(outcome, writes);
+                check(after);
+            }
+        }
+    }
+
+    static void cutOffStarts(PowerLossDisk &disk, std::mt19937_64 &random, std::size_t most)
+    {
+        constexpr std::size_t operationsOfAStart = 12;
+        for (std::size_t starts = random() % (most + 1); starts > 0; --starts) {
+            disk.operationsLeft = random() % operationsOfAStart;
+            (void)open(disk);
+            disk = disk.afterPowerLoss(random() % disk.nameOutcomes(),
+                                       allUnsyncedWrites.at(random() % allUnsyncedWrites.size()));
+        }
+    }
+
     // Power is lost before each operation of a start, with each outcome.
     static void forEachCutOffStart(const PowerLossDisk &disk,
                                    const std::function<void(PowerLossDisk &)> &check)
