Transport: an interim answer on a kept connection is not taken for the final one

What callers would see: a call to a control member whose answer begins with a 1xx head got that head as the answer, whole and without a body, and the real answer was then read as that of the next call.

Cause: HttpConnection read one head; openHttpStream() alone passed over interim ones.

Evidence: TruncatedAnswerTest cuts answers at each byte, by an orderly end and by a reset, with a length, with chunks and trailers, behind an interim answer and without either, read as a stream, whole and on a kept connection. Before this change it failed for the kept connection behind the interim head; all other combinations passed, so the reported empty 200 can't come from here.

--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -26,7 +26,6 @@
 namespace {
 
 constexpr std::size_t readPieceBytes = 64U << 10U;
-constexpr int maximumInterimAnswers = 16; // 1xx, before the final one
 
 state::Error cancelledBefore(std::string_view step, const state::Address &peer)
 {
@@ -117,12 +116,13 @@
         this->renewParser();
     }
 
-    void renewParser()
+    http::response_parser<http::buffer_body> &renewParser()
     {
         this->parser = std::make_unique<http::response_parser<http::buffer_body>>();
         this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
         // Take all that has arrived in one go: tokens come as many small chunks.
         this->parser->eager(true);
+        return *this->parser;
     }
 
     beast::tcp_stream stream;
@@ -198,29 +198,6 @@
     this->state->stream.close();
 }
 
-namespace {
-
-bool isInterim(unsigned status)
-{
-    constexpr unsigned classSize = 100;
-    return status / classSize == 1;
-}
-
-// Reads up to the head of the final answer.
-asio::awaitable<beast::error_code> readHead(HttpAnswerStream::State &call)
-{
-    for (int interim = 0; interim <= maximumInterimAnswers; ++interim) {
-        call.renewParser();
-        auto [problem, bytes] = co_await http::async_read_header(
-                call.stream, call.buffer, *call.parser, asio::as_tuple(asio::use_awaitable));
-        if (problem || !isInterim(call.parser->get().result_int()))
-            co_return problem;
-    }
-    co_return http::error::header_limit;
-}
-
-} // namespace
-
 asio::awaitable<state::Result<HttpAnswerStream>>
 openHttpStream(asio::any_io_executor executor, state::Address peer, protocol::HttpRequest request,
                HttpCallLimits limits, BeforeSend beforeSend, std::shared_ptr<HttpCallHandle> handle)
@@ -257,7 +234,13 @@
                           call->sent = !problem;
                           call->sendProblem = problem;
                       });
-    const beast::error_code headProblem = co_await readHead(*call);
+    const std::function<http::response_parser<http::buffer_body> &()> renewParser = [call]()
+            -> auto &
+    {
+        return call->renewParser();
+    };
+    const beast::error_code headProblem =
+            co_await readFinalHead(call->stream, call->buffer, renewParser);
     if (headProblem) {
         const bool sending =
                 call->sendProblem && call->sendProblem != asio::error::operation_aborted;
--- a/src/transport/HttpConnection.cpp
+++ b/src/transport/HttpConnection.cpp
@@ -69,15 +69,25 @@
             co_await http::async_write(used->stream, message, asio::as_tuple(asio::use_awaitable));
     if (sendProblem)
         co_return callError(sendProblem, sendStep, used->peer);
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(limits.bodyBytes);
-    auto [readProblem, received] = co_await http::async_read(used->stream, used->buffer, parser,
-                                                             asio::as_tuple(asio::use_awaitable));
-    if (readProblem == http::error::body_limit)
+    std::unique_ptr<http::response_parser<http::string_body>> parser;
+    const std::function<http::response_parser<http::string_body> &()> renewParser =
+            [&parser, &limits ]() -> auto &
+    {
+        parser = std::make_unique<http::response_parser<http::string_body>>();
+        parser->body_limit(limits.bodyBytes);
+        return *parser;
+    };
+    beast::error_code problem = co_await readFinalHead(used->stream, used->buffer, renewParser);
+    if (!problem) {
+        const auto [readProblem, received] = co_await http::async_read(
+                used->stream, used->buffer, *parser, asio::as_tuple(asio::use_awaitable));
+        problem = readProblem;
+    }
+    if (problem == http::error::body_limit)
         co_return answerTooLarge(used->peer);
-    if (readProblem)
-        co_return callError(readProblem, receiveStep, used->peer);
-    http::response<http::string_body> answer = parser.release();
+    if (problem)
+        co_return callError(problem, receiveStep, used->peer);
+    http::response<http::string_body> answer = parser->release();
     const bool kept = answer.keep_alive();
     protocol::HttpResponse response{answer.result_int(), toHeaders(answer),
                                     std::move(answer.body())};
--- /dev/null
+++ b/tests/transport/TruncatedAnswerTest.cpp
@@ -0,0 +1,225 @@
+// Answers that are cut at any byte, by an orderly end of the connection or a reset, as seen by all
+// ways to read one.
+#include "transport/HttpClient.h"
+#include "transport/HttpConnection.h"
+
+#include "program/RunToEnd.h"
+#include "transport/Await.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <optional>
+#include <string>
+#include <thread>
+
+namespace lavenderthread::transport {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+enum class End { Orderly, Reset };
+
+// Sends the first bytes of an answer to each request, and closes the connection.
+class CuttingPeer
+{
+public:
+    CuttingPeer()
+        : acceptor(this->context, {asio::ip::make_address("127.0.0.1"), 0})
+    {
+        asio::co_spawn(this->context, this->serve(), asio::detached);
+        this->thread = std::thread([this] { this->context.run(); });
+    }
+    ~CuttingPeer()
+    {
+        this->context.stop();
+        this->thread.join();
+    }
+    CuttingPeer(const CuttingPeer &) = delete;
+    CuttingPeer &operator=(const CuttingPeer &) = delete;
+
+    state::Address address() const { return {"127.0.0.1", this->acceptor.local_endpoint().port()}; }
+
+    // Set while no call is under way.
+    std::string sent;
+    End end = End::Orderly;
+
+private:
+    asio::awaitable<void> serve()
+    {
+        while (true) {
+            tcp::socket socket = co_await this->acceptor.async_accept(asio::use_awaitable);
+            std::string request;
+            const auto [problem, bytes] = co_await asio::async_read_until(
+                    socket, asio::dynamic_buffer(request), "\r\n\r\n",
+                    asio::as_tuple(asio::use_awaitable));
+            if (problem)
+                continue;
+            co_await asio::async_write(socket, asio::buffer(this->sent),
+                                       asio::as_tuple(asio::use_awaitable));
+            if (this->end == End::Reset) {
+                // A reset that overtakes the bytes would only test a lost answer.
+                co_await pause(std::chrono::milliseconds(2));
+                socket.set_option(asio::socket_base::linger(true, 0));
+            }
+            socket.close();
+        }
+    }
+
+    asio::io_context context{1};
+    tcp::acceptor acceptor;
+    std::thread thread;
+};
+
+// The body of an answer that was taken for whole; nothing if the reader noticed that it is not.
+using Body = std::optional<std::string>;
+
+protocol::HttpRequest request()
+{
+    protocol::HttpRequest made;
+    made.method = "GET";
+    made.target = "/";
+    return made;
+}
+
+asio::awaitable<Body> readStream(state::Address peer)
+{
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    auto opened = co_await openHttpStream(executor, peer, request(), {});
+    if (!opened)
+        co_return std::nullopt;
+    std::string body;
+    while (true) {
+        const auto piece = co_await opened.value().read(std::chrono::seconds(5));
+        if (!piece)
+            co_return std::nullopt;
+        if (!piece.value())
+            co_return body;
+        body += *piece.value();
+    }
+}
+
+asio::awaitable<Body> readWhole(state::Address peer)
+{
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    const auto answer = co_await httpCall(executor, peer, request(), {});
+    co_return answer ? Body(answer.value().body) : std::nullopt;
+}
+
+asio::awaitable<Body> readOnKeptConnection(state::Address peer)
+{
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    HttpConnection connection;
+    const auto answer = co_await connection.call(executor, peer, request(), {});
+    co_return answer ? Body(answer.value().body) : std::nullopt;
+}
+
+struct Reader
+{
+    const char *name;
+    asio::awaitable<Body> (*read)(state::Address peer);
+};
+
+constexpr std::array readers{Reader{"stream", readStream}, Reader{"call", readWhole},
+                             Reader{"kept connection", readOnKeptConnection}};
+
+struct Sample
+{
+    std::string head;
+    std::string body;    // as sent
+    std::string content; // as read
+    bool framed = true;  // its end shows in its bytes
+};
+
+Sample withLength()
+{
+    return {"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 12\r\n\r\n", "twelve bytes",
+            "twelve bytes"};
+}
+
+Sample withChunks()
+{
+    return {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: T\r\n\r\n",
+            "c;x=1\r\ntwelve bytes\r\n3\r\nend\r\n0\r\nT: 1\r\n\r\n", "twelve bytesend"};
+}
+
+Sample behindInterimAnswer()
+{
+    Sample sample = withLength();
+    sample.head = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + sample.head;
+    return sample;
+}
+
+Sample withoutEither()
+{
+    return {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "twelve bytes", "twelve bytes", false};
+}
+
+} // namespace
+
+class TruncatedAnswerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TruncatedAnswerTest);
+    CPPUNIT_TEST(framedAnswerIsWholeOnlyWithItsLastByte);
+    CPPUNIT_TEST(unframedAnswerIsWholeOnlyBehindAnOrderlyEnd);
+    CPPUNIT_TEST_SUITE_END();
+
+    static void checkCuts(const Sample &sample, End end)
+    {
+        CuttingPeer peer;
+        peer.end = end;
+        const std::string whole = sample.head + sample.body;
+        for (std::size_t cut = 0; cut <= whole.size(); ++cut) {
+            peer.sent = whole.substr(0, cut);
+            const bool headSent = cut >= sample.head.size();
+            for (const auto &[name, read] : readers) {
+                const Body body = program::runToEnd(read(peer.address()));
+                const std::string seen = std::string(name) + ": " + peer.sent + "\nread as "
+                                         + body.value_or("broken off");
+                if (sample.framed)
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(seen, cut == whole.size(), body.has_value());
+                else
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(seen, headSent && end == End::Orderly,
+                                                 body.has_value());
+                if (body)
+                    CPPUNIT_ASSERT_EQUAL(
+                            sample.framed ? sample.content
+                                          : sample.content.substr(0, cut - sample.head.size()),
+                            *body);
+            }
+        }
+    }
+
+public:
+    // Guards against a success with an empty or short body for an answer that ended in its head, in
+    // its body, or between its last chunk and the end of its trailers.
+    void framedAnswerIsWholeOnlyWithItsLastByte()
+    {
+        for (const Sample &sample : {withLength(), withChunks(), behindInterimAnswer()}) {
+            checkCuts(sample, End::Orderly);
+            checkCuts(sample, End::Reset);
+        }
+    }
+
+    // Guards against the same for answers that end with their connection.
+    void unframedAnswerIsWholeOnlyBehindAnOrderlyEnd()
+    {
+        checkCuts(withoutEither(), End::Orderly);
+        checkCuts(withoutEither(), End::Reset);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TruncatedAnswerTest);
+
+} // namespace lavenderthread::transport
