--- /dev/null
+++ b/tests/platform/RawEndpoint.h
@@ -0,0 +1,91 @@
+// An endpoint or peer whose answers are given byte for byte, and that then closes the connection.
+#pragma once
+
+#include "state/Address.h"
+#include "transport/Await.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <chrono>
+#include <deque>
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace lavenderthread::platform {
+
+namespace asio = boost::asio;
+
+// What an endpoint sends on one connection before it closes it.
+struct RawAnswer
+{
+    std::string bytes;
+    bool reset = false; // the connection, in place of an orderly end
+};
+
+// Answers each connection with the next of its answers, byte for byte.
+class RawEndpoint
+{
+public:
+    explicit RawEndpoint(std::deque<RawAnswer> connections)
+        : answers(std::move(connections))
+        , acceptor(this->context, {asio::ip::make_address("127.0.0.1"), 0})
+    {
+        asio::co_spawn(this->context, this->serve(), asio::detached);
+        this->thread = std::thread([this] { this->context.run(); });
+    }
+    ~RawEndpoint()
+    {
+        this->context.stop();
+        this->thread.join();
+    }
+    RawEndpoint(const RawEndpoint &) = delete;
+    RawEndpoint &operator=(const RawEndpoint &) = delete;
+
+    state::Address address() const { return {"127.0.0.1", this->acceptor.local_endpoint().port()}; }
+
+private:
+    // Also the body: a close with unread bytes would reset the connection.
+    static asio::awaitable<bool> receiveRequest(asio::ip::tcp::socket &socket)
+    {
+        boost::beast::flat_buffer buffer;
+        boost::beast::http::request<boost::beast::http::string_body> request;
+        const auto [problem, bytes] = co_await boost::beast::http::async_read(
+                socket, buffer, request, asio::as_tuple(asio::use_awaitable));
+        co_return !problem;
+    }
+
+    asio::awaitable<void> serve()
+    {
+        while (!this->answers.empty()) {
+            asio::ip::tcp::socket socket =
+                    co_await this->acceptor.async_accept(asio::use_awaitable);
+            const bool received = co_await receiveRequest(socket);
+            if (!received) // a probe of the port
+                continue;
+            const RawAnswer answer = this->answers.front();
+            this->answers.pop_front();
+            co_await asio::async_write(socket, asio::buffer(answer.bytes), asio::use_awaitable);
+            if (answer.reset) {
+                // A reset that overtakes the bytes would only test a lost answer.
+                co_await transport::pause(std::chrono::milliseconds(30));
+                socket.set_option(asio::socket_base::linger(true, 0));
+            }
+            socket.close();
+        }
+    }
+
+    std::deque<RawAnswer> answers;
+    asio::io_context context{1};
+    asio::ip::tcp::acceptor acceptor;
+    std::thread thread;
+};
+
+} // namespace lavenderthread::platform
--- a/tests/platform/RelayFixture.h
+++ b/tests/platform/RelayFixture.h
@@ -156,6 +156,8 @@
         }
         this->publishEndpoints();
     }
+    // Adds a peer at an address that the test serves.
+    void addPeerAt(const state::Address &address) { this->peerAddresses.push_back(address); }
     void keepOneEndpoint()
     {
         this->announced.endpoints.erase(std::next(this->announced.endpoints.begin()),
--- a/tests/platform/UnframedAnswerTest.cpp
+++ b/tests/platform/UnframedAnswerTest.cpp
@@ -1,13 +1,8 @@
 // Tests answers of endpoints that have neither a length nor chunks, and end with their connection:
 // whole ones are passed on as whole, and those that broke off never look so.
+#include "RawEndpoint.h"
 #include "RelayFixture.h"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -17,13 +12,6 @@
 
 namespace {
 
-// What an endpoint sends on one connection before it closes it.
-struct RawAnswer
-{
-    std::string body;
-    bool reset = false; // the connection, in place of an orderly end
-};
-
 std::string headOf(const char *contentType)
 {
     return std::string("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: seal\r\n"
@@ -31,59 +19,6 @@
            + contentType + "\r\nConnection: close\r\n\r\n";
 }
 
-// Answers each connection with the next of its answers, byte for byte.
-class RawEndpoint
-{
-public:
-    RawEndpoint(std::string answerHead, std::deque<RawAnswer> connections)
-        : head(std::move(answerHead))
-        , answers(std::move(connections))
-        , acceptor(this->context, {asio::ip::make_address("127.0.0.1"), 0})
-    {
-        asio::co_spawn(this->context, this->serve(), asio::detached);
-        this->thread = std::thread([this] { this->context.run(); });
-    }
-    ~RawEndpoint()
-    {
-        this->context.stop();
-        this->thread.join();
-    }
-    RawEndpoint(const RawEndpoint &) = delete;
-    RawEndpoint &operator=(const RawEndpoint &) = delete;
-
-    state::Address address() const { return {"127.0.0.1", this->acceptor.local_endpoint().port()}; }
-
-private:
-    asio::awaitable<void> serve()
-    {
-        while (!this->answers.empty()) {
-            asio::ip::tcp::socket socket =
-                    co_await this->acceptor.async_accept(asio::use_awaitable);
-            std::string request;
-            const auto [problem, bytesRead] = co_await asio::async_read_until(
-                    socket, asio::dynamic_buffer(request), "\r\n\r\n{}",
-                    asio::as_tuple(asio::use_awaitable));
-            if (problem) // a probe of the port
-                continue;
-            const RawAnswer answer = this->answers.front();
-            this->answers.pop_front();
-            const std::string bytes = this->head + answer.body;
-            co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
-            // A reset that overtakes the bytes would only test a lost answer.
-            co_await transport::pause(std::chrono::milliseconds(30));
-            if (answer.reset)
-                socket.set_option(asio::socket_base::linger(true, 0));
-            socket.close();
-        }
-    }
-
-    std::string head;
-    std::deque<RawAnswer> answers;
-    asio::io_context context{1};
-    asio::ip::tcp::acceptor acceptor;
-    std::thread thread;
-};
-
 std::string eventsBetween(int first, int last)
 {
     return eventsUpTo(last).substr(eventsUpTo(first - 1).size());
@@ -116,7 +51,10 @@
     static state::Result<protocol::HttpResponse> call(const Setting &setting)
     {
         const char *type = setting.kind == Kind::Stream ? "text/event-stream" : "text/plain";
-        RawEndpoint endpoint(headOf(type), setting.answers);
+        std::deque<RawAnswer> answers = setting.answers;
+        for (RawAnswer &answer : answers)
+            answer.bytes.insert(0, headOf(type));
+        RawEndpoint endpoint(std::move(answers));
         std::vector<PeerBehaviour> peers;
         if (setting.throughPeer)
             peers.push_back(PeerBehaviour::Serves);
