--- a/src/program/ControlMemberHost.cpp
+++ b/src/program/ControlMemberHost.cpp
@@ -68,6 +68,7 @@
                                         .segmentBytes = settings.segmentBytes}));
     this->log = std::move(opened.log);
     this->identity = state::VmId(opened.recovered.identity);
+    this->passedOver = opened.recovered.segmentsPassedOver;
     this->stored.hardState = opened.recovered.hardState;
     this->stored.entries = std::move(opened.recovered.entries);
     if (opened.recovered.snapshot)
--- a/src/program/ControlMemberHost.h
+++ b/src/program/ControlMemberHost.h
@@ -67,6 +67,8 @@
     ControlMember &member() { return *this->controlMember; }
     const state::VmId &id() const { return this->identity; }
     state::Address address() const { return this->peerLink->address(); }
+    // Segments in the folder that recovery did not need; some after a loss of power.
+    std::size_t segmentsPassedOver() const { return this->passedOver; }
     // Use on the member's strand only: in its hooks and in the callbacks of propose() and read().
     const state::control::ControlState &state() const { return this->controlState; }
 
@@ -86,6 +88,7 @@
     boost::asio::io_context &io;
     ControlMemberHostHooks hooks;
     state::VmId identity;
+    std::size_t passedOver = 0;
     // As read from the folder; empty once the member is created.
     coordination::consensus::StoredState stored;
     state::control::ControlState controlState;
--- a/src/program/ControlService.cpp
+++ b/src/program/ControlService.cpp
@@ -150,7 +150,8 @@
     logEvent(LogLevel::Info, "control.opened",
              {{"identity", this->id.value()},
               {"address", opened->address().toString()},
-              {"founds", hostSettings.founders ? "yes" : "no"}});
+              {"founds", hostSettings.founders ? "yes" : "no"},
+              {"segments_passed_over", std::uint64_t(opened->segmentsPassedOver())}});
     const std::lock_guard lock(this->hostMutex);
     this->currentHost = std::move(opened);
     return state::outcome::success();
--- a/src/transport/storage/File.cpp
+++ b/src/transport/storage/File.cpp
@@ -95,6 +95,19 @@
     return state::outcome::success();
 }
 
+state::Error damageError(const char *step, const std::string &path, const std::string &what)
+{
+    return state::makeError(
+            state::ErrorCode::Corrupt, step,
+            what
+                    + ". Acknowledged changes may be lost here, so this member does not start. "
+                      "Keep "
+                      "a copy of the folder. If most other control members run, empty it and start "
+                      "again: the member joins under a new identity and copies the state from "
+                      "them. If not, empty no folder: they may hold the only copy of a change",
+            path);
+}
+
 state::Error storageError(const char *step, const std::string &path, int errorNumber)
 {
     std::string cause = std::generic_category().message(errorNumber);
--- a/src/transport/storage/File.h
+++ b/src/transport/storage/File.h
@@ -36,6 +36,9 @@
     std::string name;
 };
 
+// Error Corrupt: bytes that were synced fail their check; with advice for the operator.
+state::Error damageError(const char *step, const std::string &path, const std::string &what);
+
 // Error StorageFailed from errno, with advice for a full disk.
 state::Error storageError(const char *step, const std::string &path, int errorNumber);
 
--- a/src/transport/storage/LogRecovery.cpp
+++ b/src/transport/storage/LogRecovery.cpp
@@ -18,13 +18,7 @@
 
 state::Error damaged(const std::string &path, const std::string &what)
 {
-    return state::makeError(
-            state::ErrorCode::Corrupt, "log.recover",
-            what
-                    + ". Acknowledged changes may be lost here, so this member does not start. "
-                      "Remove it from the cluster, empty its data folder, and add it again under "
-                      "a new identity: it then copies the state from the others",
-            path);
+    return damageError("log.recover", path, what);
 }
 
 // Applies records in order to what the folder held before them.
@@ -117,6 +111,7 @@
         BOOST_OUTCOME_TRYV(this->finishTail());
         BOOST_OUTCOME_TRYV(this->checkCompacted());
         BOOST_OUTCOME_TRYV(this->dropCoveredEntries());
+        this->result.recovered.segmentsPassedOver = this->result.removable.size();
         return std::move(this->result);
     }
 
--- a/src/transport/storage/SnapshotFile.cpp
+++ b/src/transport/storage/SnapshotFile.cpp
@@ -34,11 +34,8 @@
 
 state::Error damaged(const std::string &path)
 {
-    return state::makeError(state::ErrorCode::Corrupt, "snapshot.read",
-                            "the snapshot is damaged; entries before it are no longer on this "
-                            "disk. Remove this member, empty its data folder, and add it again: "
-                            "it then copies the state from the others",
-                            path);
+    return damageError("snapshot.read", path,
+                       "the snapshot is damaged, and entries before it are no longer on this disk");
 }
 
 } // namespace
