--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -12,6 +12,7 @@
 
 #include <netinet/tcp.h>
 
+#include <functional>
 #include <limits>
 #include <memory>
 #include <utility>
@@ -109,6 +110,8 @@
 
 struct HttpAnswerStream::State
 {
+    using Parser = http::response_parser<http::buffer_body>;
+
     State(asio::any_io_executor executor, state::Address peer)
         : stream(std::move(executor))
         , peer(std::move(peer))
@@ -116,9 +119,9 @@
         this->renewParser();
     }
 
-    http::response_parser<http::buffer_body> &renewParser()
+    Parser &renewParser()
     {
-        this->parser = std::make_unique<http::response_parser<http::buffer_body>>();
+        this->parser = std::make_unique<Parser>();
         this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
         // Take all that has arrived in one go: tokens come as many small chunks.
         this->parser->eager(true);
@@ -128,7 +131,7 @@
     beast::tcp_stream stream;
     state::Address peer;
     beast::flat_buffer buffer{readAheadBytes};
-    std::unique_ptr<http::response_parser<http::buffer_body>> parser; // never null
+    std::unique_ptr<Parser> parser; // never null
     std::string piece = std::string(readPieceBytes, '\0');
     http::request<http::string_body> message;
     std::shared_ptr<HttpCallHandle> handle;
@@ -234,11 +237,8 @@
                           call->sent = !problem;
                           call->sendProblem = problem;
                       });
-    const std::function<http::response_parser<http::buffer_body> &()> renewParser = [call]()
-            -> auto &
-    {
-        return call->renewParser();
-    };
+    const std::function<HttpAnswerStream::State::Parser &()> renewParser =
+            std::bind_front(&HttpAnswerStream::State::renewParser, call);
     const beast::error_code headProblem =
             co_await readFinalHead(call->stream, call->buffer, renewParser);
     if (headProblem) {
--- a/src/transport/HttpConnection.cpp
+++ b/src/transport/HttpConnection.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <optional>
 #include <utility>
 
 namespace lavenderthread::transport {
@@ -69,12 +70,10 @@
             co_await http::async_write(used->stream, message, asio::as_tuple(asio::use_awaitable));
     if (sendProblem)
         co_return callError(sendProblem, sendStep, used->peer);
-    std::unique_ptr<http::response_parser<http::string_body>> parser;
-    const std::function<http::response_parser<http::string_body> &()> renewParser =
-            [&parser, &limits ]() -> auto &
-    {
-        parser = std::make_unique<http::response_parser<http::string_body>>();
-        parser->body_limit(limits.bodyBytes);
+    using Parser = http::response_parser<http::string_body>;
+    std::optional<Parser> parser;
+    const std::function<Parser &()> renewParser = [&]() -> Parser & {
+        parser.emplace().body_limit(limits.bodyBytes);
         return *parser;
     };
     beast::error_code problem = co_await readFinalHead(used->stream, used->buffer, renewParser);
--- a/src/transport/storage/File.cpp
+++ b/src/transport/storage/File.cpp
@@ -97,15 +97,13 @@
 
 state::Error damageError(const char *step, const std::string &path, const std::string &what)
 {
-    return state::makeError(
-            state::ErrorCode::Corrupt, step,
-            what
-                    + ". Acknowledged changes may be lost here, so this member does not start. "
-                      "Keep "
-                      "a copy of the folder. If most other control members run, empty it and start "
-                      "again: the member joins under a new identity and copies the state from "
-                      "them. If not, empty no folder: they may hold the only copy of a change",
-            path);
+    constexpr std::string_view advice =
+            ". Acknowledged changes may be lost here, so this member does not start. Keep a copy "
+            "of "
+            "the folder. If most other control members run, empty it and start again: the member "
+            "joins under a new identity and copies the state from them. If not, empty no folder: "
+            "they may hold the only copy of a change";
+    return state::makeError(state::ErrorCode::Corrupt, step, what + std::string(advice), path);
 }
 
 state::Error storageError(const char *step, const std::string &path, int errorNumber)
--- a/tests/transport/storage/DurableLogTest.cpp
+++ b/tests/transport/storage/DurableLogTest.cpp
@@ -56,6 +56,7 @@
     CPPUNIT_TEST(everyCutLeavesAPrefix);
     CPPUNIT_TEST(everyFlippedBitIsNoticed);
     CPPUNIT_TEST(missingSegmentIsRefused);
+    CPPUNIT_TEST(damagedSegmentIsPassedOverIfTheSnapshotCoversIt);
     CPPUNIT_TEST(missingLogBesideASnapshotIsRefused);
     CPPUNIT_TEST(compactionBoundsTheFolder);
     CPPUNIT_TEST(installedSnapshotReplacesTheLog);
@@ -168,6 +169,29 @@
         CPPUNIT_ASSERT(this->open().error().code == ErrorCode::Corrupt);
     }
 
+    // Guards against a member that stays down for a segment that compaction has not yet removed,
+    // and against passing over one that is still needed.
+    void damagedSegmentIsPassedOverIfTheSnapshotCoversIt()
+    {
+        for (int round = 0; round < 3; ++round) {
+            const auto opened = this->open().value();
+            this->fill(*opened.log, 1 + 5 * static_cast<std::uint64_t>(round), 5);
+        }
+        const std::string path = segmentPath(this->folder, 2);
+        std::string bytes = readFile(path);
+        bytes[bytes.size() / 2] = static_cast<char>(bytes[bytes.size() / 2] ^ 1);
+        writeFile(path, bytes);
+        CPPUNIT_ASSERT(this->open().error().code == ErrorCode::Corrupt);
+        const FileHooks hooks = FileHooks::system();
+        CPPUNIT_ASSERT(writeSnapshotFile(hooks, this->folder, {{1, 9}, "members", "state"}));
+        CPPUNIT_ASSERT(this->open().error().code == ErrorCode::Corrupt);
+        CPPUNIT_ASSERT(writeSnapshotFile(hooks, this->folder, {{1, 10}, "members", "state"}));
+        const auto again = this->open().value();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), again.recovered.segmentsPassedOver);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(15), lastIndexOf(again.recovered));
+        CPPUNIT_ASSERT(!std::filesystem::exists(path));
+    }
+
     void missingLogBesideASnapshotIsRefused()
     {
         {
