--- a/tests/transport/storage/PowerLossTest.cpp
+++ b/tests/transport/storage/PowerLossTest.cpp
@@ -2,6 +2,7 @@
 #include "PowerLossDisk.h"
 
 #include "transport/storage/DurableLog.h"
+#include "transport/storage/SnapshotFile.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -168,6 +169,7 @@
     CPPUNIT_TEST_SUITE(PowerLossTest);
     CPPUNIT_TEST(startsWithAnySubsetOfCompactedSegments);
     CPPUNIT_TEST(missingSegmentThatNoSnapshotCoversIsRefused);
+    CPPUNIT_TEST(foldersOfFormatOneAreRead);
     CPPUNIT_TEST(gapsInFoldersOfFormatOneNeedAnEntryBehindThem);
     CPPUNIT_TEST(startsAfterTwoStartsThatWereCutOff);
     CPPUNIT_TEST(createdFolderOutlivesLossOfPower);
@@ -217,6 +219,25 @@
         CPPUNIT_ASSERT(open(disk).error().code == state::ErrorCode::Corrupt);
     }
 
+    // Guards against members that don't start after an upgrade, also where the oldest segments were
+    // compacted away before it.
+    void foldersOfFormatOneAreRead()
+    {
+        PowerLossDisk disk = PowerLossDisk::withFolder(folder);
+        const state::log::HardState vote{6, "vm-2"};
+        writeFormatOne(disk, 8, {SegmentStart{1, 8, "vm-1", vote}, entry(1), entry(2), entry(6)});
+        CPPUNIT_ASSERT(open(disk).error().code == state::ErrorCode::Corrupt); // no entry 3
+        writeFormatOne(disk, 8, {SegmentStart{1, 8, "vm-1", vote}, entry(5), entry(6)});
+        CPPUNIT_ASSERT(open(disk).error().code == state::ErrorCode::Corrupt); // no snapshot
+        CPPUNIT_ASSERT(writeSnapshotFile(disk.hooks(), folder, {{1, 4}, "members", "state"}));
+        PowerLossDisk withoutEntries = disk.copy();
+        assertHolds(disk, 6);
+        liveShortly(disk, 1);
+        assertHolds(disk, 7);
+        writeFormatOne(withoutEntries, 8, {SegmentStart{1, 8, "vm-1", {4, "vm-2"}}});
+        assertHolds(withoutEntries, 4);
+    }
+
     // Segments of format 1 don't tell where the log stood at their start; only their entries show
     // that nothing is missing before them.
     void gapsInFoldersOfFormatOneNeedAnEntryBehindThem()
