--- a/tests/platform/RawEndpoint.h
+++ b/tests/fakes/RawEndpoint.h
@@ -19,7 +19,7 @@
 #include <thread>
 #include <utility>
 
-namespace lavenderthread::platform {
+namespace lavenderthread::fakes {
 
 namespace asio = boost::asio;
 
@@ -28,6 +28,8 @@
 {
     std::string bytes;
     bool reset = false; // the connection, in place of an orderly end
+    // A reset that overtakes the bytes would only test a lost answer.
+    std::chrono::milliseconds beforeReset{30};
 };
 
 // Answers each connection with the next of its answers, byte for byte.
@@ -74,8 +76,7 @@
             this->answers.pop_front();
             co_await asio::async_write(socket, asio::buffer(answer.bytes), asio::use_awaitable);
             if (answer.reset) {
-                // A reset that overtakes the bytes would only test a lost answer.
-                co_await transport::pause(std::chrono::milliseconds(30));
+                co_await transport::pause(answer.beforeReset);
                 socket.set_option(asio::socket_base::linger(true, 0));
             }
             socket.close();
@@ -88,4 +89,4 @@
     std::thread thread;
 };
 
-} // namespace lavenderthread::platform
+} // namespace lavenderthread::fakes
--- a/tests/platform/TruncatedAnswerRelayTest.cpp
+++ b/tests/platform/TruncatedAnswerRelayTest.cpp
@@ -1,7 +1,8 @@
 // Answers of endpoints and peers that end within their head or framing, through the relay.
-#include "RawEndpoint.h"
 #include "RelayFixture.h"
 
+#include "fakes/RawEndpoint.h"
+
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -12,6 +13,8 @@
 namespace {
 
 using Kind = state::routes::CallKind;
+using fakes::RawAnswer;
+using fakes::RawEndpoint;
 
 const std::string commonHead = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: seal\r\n";
 const std::string content = "the endpoint's bytes";
--- a/tests/platform/UnframedAnswerTest.cpp
+++ b/tests/platform/UnframedAnswerTest.cpp
@@ -1,8 +1,9 @@
 // Tests answers of endpoints that have neither a length nor chunks, and end with their connection:
 // whole ones are passed on as whole, and those that broke off never look so.
-#include "RawEndpoint.h"
 #include "RelayFixture.h"
 
+#include "fakes/RawEndpoint.h"
+
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -12,6 +13,9 @@
 
 namespace {
 
+using fakes::RawAnswer;
+using fakes::RawEndpoint;
+
 std::string headOf(const char *contentType)
 {
     return std::string("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: seal\r\n"
--- a/tests/transport/TruncatedAnswerTest.cpp
+++ b/tests/transport/TruncatedAnswerTest.cpp
@@ -3,16 +3,8 @@
 #include "transport/HttpClient.h"
 #include "transport/HttpConnection.h"
 
+#include "fakes/RawEndpoint.h"
 #include "program/RunToEnd.h"
-#include "transport/Await.h"
-
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -20,67 +12,12 @@
 #include <array>
 #include <optional>
 #include <string>
-#include <thread>
 
 namespace lavenderthread::transport {
 
 namespace {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
-
-enum class End { Orderly, Reset };
-
-// Sends the first bytes of an answer to each request, and closes the connection.
-class CuttingPeer
-{
-public:
-    CuttingPeer()
-        : acceptor(this->context, {asio::ip::make_address("127.0.0.1"), 0})
-    {
-        asio::co_spawn(this->context, this->serve(), asio::detached);
-        this->thread = std::thread([this] { this->context.run(); });
-    }
-    ~CuttingPeer()
-    {
-        this->context.stop();
-        this->thread.join();
-    }
-    CuttingPeer(const CuttingPeer &) = delete;
-    CuttingPeer &operator=(const CuttingPeer &) = delete;
-
-    state::Address address() const { return {"127.0.0.1", this->acceptor.local_endpoint().port()}; }
-
-    // Set while no call is under way.
-    std::string sent;
-    End end = End::Orderly;
-
-private:
-    asio::awaitable<void> serve()
-    {
-        while (true) {
-            tcp::socket socket = co_await this->acceptor.async_accept(asio::use_awaitable);
-            std::string request;
-            const auto [problem, bytes] = co_await asio::async_read_until(
-                    socket, asio::dynamic_buffer(request), "\r\n\r\n",
-                    asio::as_tuple(asio::use_awaitable));
-            if (problem)
-                continue;
-            co_await asio::async_write(socket, asio::buffer(this->sent),
-                                       asio::as_tuple(asio::use_awaitable));
-            if (this->end == End::Reset) {
-                // A reset that overtakes the bytes would only test a lost answer.
-                co_await pause(std::chrono::milliseconds(2));
-                socket.set_option(asio::socket_base::linger(true, 0));
-            }
-            socket.close();
-        }
-    }
-
-    asio::io_context context{1};
-    tcp::acceptor acceptor;
-    std::thread thread;
-};
 
 // The body of an answer that was taken for whole; nothing if the reader noticed that it is not.
 using Body = std::optional<std::string>;
@@ -175,23 +112,22 @@
     CPPUNIT_TEST(unframedAnswerIsWholeOnlyBehindAnOrderlyEnd);
     CPPUNIT_TEST_SUITE_END();
 
-    static void checkCuts(const Sample &sample, End end)
+    static void checkCuts(const Sample &sample, bool reset)
     {
-        CuttingPeer peer;
-        peer.end = end;
+        constexpr std::chrono::milliseconds beforeReset{2};
         const std::string whole = sample.head + sample.body;
         for (std::size_t cut = 0; cut <= whole.size(); ++cut) {
-            peer.sent = whole.substr(0, cut);
+            const std::string sent = whole.substr(0, cut);
             const bool headSent = cut >= sample.head.size();
             for (const auto &[name, read] : readers) {
+                fakes::RawEndpoint peer({{sent, reset, beforeReset}});
                 const Body body = program::runToEnd(read(peer.address()));
-                const std::string seen = std::string(name) + ": " + peer.sent + "\nread as "
+                const std::string seen = std::string(name) + ": " + sent + "\nread as "
                                          + body.value_or("broken off");
                 if (sample.framed)
                     CPPUNIT_ASSERT_EQUAL_MESSAGE(seen, cut == whole.size(), body.has_value());
                 else
-                    CPPUNIT_ASSERT_EQUAL_MESSAGE(seen, headSent && end == End::Orderly,
-                                                 body.has_value());
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(seen, headSent && !reset, body.has_value());
                 if (body)
                     CPPUNIT_ASSERT_EQUAL(
                             sample.framed ? sample.content
@@ -207,16 +143,16 @@
     void framedAnswerIsWholeOnlyWithItsLastByte()
     {
         for (const Sample &sample : {withLength(), withChunks(), behindInterimAnswer()}) {
-            checkCuts(sample, End::Orderly);
-            checkCuts(sample, End::Reset);
+            checkCuts(sample, false);
+            checkCuts(sample, true);
         }
     }
 
     // Guards against the same for answers that end with their connection.
     void unframedAnswerIsWholeOnlyBehindAnOrderlyEnd()
     {
-        checkCuts(withoutEither(), End::Orderly);
-        checkCuts(withoutEither(), End::Reset);
+        checkCuts(withoutEither(), false);
+        checkCuts(withoutEither(), true);
     }
 };
 
