Relay: open requests are counted by stage, waits and unanswered ones are logged

Cause of the gap: requests in flight were two counters, and a request was logged only when it was placed, refused or finished.

Change: OpenRequests holds each open request with its stage, in place of the counters. request.queued, request.deferred, request.unanswered; node.leaving and node.stopped name the stages; requests_open{stage=} on the metrics address. What RouteRelay learns about endpoints moves to a file of its own; no decision changes.

--- a/src/coordination/admission/DispatcherPasses.cpp
+++ b/src/coordination/admission/DispatcherPasses.cpp
@@ -292,6 +292,7 @@
     if (outlook.engines == 0 || latestStart <= this->now)
         return false;
     active.latestStart = latestStart;
+    this->actions.emplace_back(Deferred{request.id, latestStart});
     this->dequeue(active);
     this->enqueue(active, false);
     return true;
--- a/src/coordination/admission/Events.h
+++ b/src/coordination/admission/Events.h
@@ -296,6 +296,13 @@
     Ran ran = Ran::No;
 };
 
+// A waiting prompt has missed its target and goes behind all others. For the log.
+struct Deferred
+{
+    state::RequestId id;
+    state::Instant latestStart; // it is refused if it has not started by then
+};
+
 struct CancelOnEngine
 {
     state::RequestId id;
@@ -348,7 +355,7 @@
     BacklogNote note;
 };
 
-using Action = std::variant<Dispatch, Refuse, Expire, CancelOnEngine, MoveAnswered, Reserve,
-                            Release, ShareWork, ShareWorkWith, ShareBacklog>;
+using Action = std::variant<Dispatch, Refuse, Expire, Deferred, CancelOnEngine, MoveAnswered,
+                            Reserve, Release, ShareWork, ShareWorkWith, ShareBacklog>;
 
 } // namespace lavenderthread::coordination::admission
--- a/src/program/CompletionRelay.cpp
+++ b/src/program/CompletionRelay.cpp
@@ -55,7 +55,10 @@
         , writer(exchange, this->request.body, this->request.id.value(), settings.keys,
                  this->resume ? this->resume->offset + 1 : 0)
         , firstOffset(this->writer.nextOffset())
-    {}
+        , openRequest(hooks.openRequests->open(this->request.arrival))
+    {
+        this->openRequest.setId(this->request.id);
+    }
 
     asio::awaitable<CompletionOutcome> run()
     {
@@ -64,6 +67,7 @@
             if (ended)
                 co_return this->outcome();
         }
+        this->openRequest.enter(RequestStage::Queued);
         PlacementResult placement = co_await this->hooks.scheduler.place(this->request);
         if (!placement) {
             co_await this->giveUp(placement.error());
@@ -76,6 +80,7 @@
             const AttemptResult end = co_await this->attempt(current);
             if (end == AttemptResult::Ended)
                 break;
+            this->openRequest.enter(RequestStage::Queued);
             if (end == AttemptResult::SliceDone)
                 placement = co_await this->hooks.scheduler.sliceDone(this->request.id, current);
             else
@@ -127,6 +132,7 @@
     AttemptRequest attemptRequest(const Placement &placement)
     {
         ++this->attempts;
+        this->openRequest.enter(RequestStage::Sent);
         AttemptRequest attempt;
         attempt.endpoint = placement.endpoint;
         attempt.stream = streamIdOf(this->request.id, placement);
@@ -235,6 +241,7 @@
 
     void recordProgress(const Placement &placement)
     {
+        this->openRequest.enter(RequestStage::Answering);
         if (this->firstTokenOfAttempt == state::Instant{})
             this->firstTokenOfAttempt = monotonicNow();
         this->hooks.guard->answerContinues(placement.endpoint.service, this->parts,
@@ -279,6 +286,7 @@
 
     asio::awaitable<void> fail(Problem problem)
     {
+        this->openRequest.enter(RequestStage::Answering);
         this->status = problem.status;
         if (this->lastError)
             problem.detail += " (" + this->lastError->step + ": " + this->lastError->cause + ")";
@@ -313,6 +321,7 @@
     std::shared_ptr<const std::string> body;
     AnswerWriter writer;
     std::uint64_t firstOffset;
+    OpenRequest openRequest;
     Ran ran = Ran::No; // only changes in the order No, Unknown, Yes
     // Target of the last slice. The next slice to the same engine can omit the body.
     state::EndpointId sliceEndpoint;
--- a/src/program/CompletionRelay.h
+++ b/src/program/CompletionRelay.h
@@ -2,6 +2,7 @@
 // once, and ended at the deadline. Continues at another engine when one is lost.
 #pragma once
 
+#include "program/OpenRequests.h"
 #include "program/RequestGuard.h"
 #include "program/Scheduler.h"
 #include "program/Settings.h"
@@ -44,6 +45,7 @@
         std::shared_ptr<RequestGuard> guard;
         std::function<state::RequestId()> nextRequestId;
         std::function<void(const CompletionOutcome &)> finished;
+        std::shared_ptr<OpenRequests> openRequests = OpenRequests::create();
     };
 
     CompletionRelay(const Settings &settings, Hooks hooks);
--- a/src/program/DispatcherScheduler.cpp
+++ b/src/program/DispatcherScheduler.cpp
@@ -55,6 +55,29 @@
     return "none";
 }
 
+std::string_view toString(AttemptFailure failure)
+{
+    switch (failure) {
+    case AttemptFailure::Unreachable:
+        return "unreachable";
+    case AttemptFailure::ConnectionRefused:
+        return "connection-refused";
+    case AttemptFailure::NotRun:
+        return "not-run";
+    case AttemptFailure::Rests:
+        return "rests";
+    case AttemptFailure::Withheld:
+        return "withheld";
+    case AttemptFailure::Replaced:
+        return "replaced";
+    case AttemptFailure::PeerLost:
+        return "peer-lost";
+    case AttemptFailure::Lost:
+        return "lost";
+    }
+    return "lost";
+}
+
 // What a failed attempt says about its engine.
 AttemptOutcome outcomeOf(AttemptFailure failure)
 {
@@ -143,6 +166,14 @@
         waiter(std::move(result));
     }
 
+    // `cause`: why it needs a placement.
+    void logIfQueued(const state::RequestId &id, std::string_view cause) const
+    {
+        const auto found = this->pending.find(id);
+        if (found != this->pending.end() && found->second.waiter)
+            logEvent(LogLevel::Info, "request.queued", {{"request", id.value()}, {"cause", cause}});
+    }
+
     // Calls `waiter` with the result that is ready, or keeps it until there is one.
     void setWaiter(const state::RequestId &id, Answer waiter)
     {
@@ -201,6 +232,8 @@
                      Problem{504, "deadline", "the deadline has passed", ran, std::nullopt});
     }
 
+    void execute(const admission::Deferred &action) { logDeferral(action, monotonicNow()); }
+
     void execute(const admission::CancelOnEngine &action)
     {
         const auto found = this->pending.find(action.id);
@@ -634,6 +667,7 @@
             if (waiting != state.pending.end())
                 waiting->second.interrupt = request.interrupt;
             state.handle(admission::RequestArrived{toAdmission(request)});
+            state.logIfQueued(request.id, "arrival");
         });
     };
     scheduler.placeAgain = [waitFor](state::RequestId id, Placement failed,
@@ -652,6 +686,7 @@
                               || event.withheld;
             event.replaced = failure == AttemptFailure::Replaced;
             state.handle(event);
+            state.logIfQueued(id, toString(failure));
         });
     };
     scheduler.mayAbandon = [self](state::RequestId id, std::uint32_t attempt) {
--- a/src/program/Entry.cpp
+++ b/src/program/Entry.cpp
@@ -44,23 +44,6 @@
     return limits;
 }
 
-// Counts one request as in flight during its lifetime.
-class InFlight
-{
-public:
-    explicit InFlight(std::atomic<std::size_t> &counter)
-        : counter(counter)
-    {
-        ++this->counter;
-    }
-    ~InFlight() { --this->counter; }
-    InFlight(const InFlight &) = delete;
-    InFlight &operator=(const InFlight &) = delete;
-
-private:
-    std::atomic<std::size_t> &counter;
-};
-
 } // namespace
 
 std::string_view toString(EntryPhase phase)
@@ -80,12 +63,12 @@
     : settings(settings)
     , registry(std::move(registry))
     , hooks(std::move(hooks))
-    , completions(settings,
-                  {this->hooks.scheduler, this->hooks.guard,
-                   [this] { return this->nextRequestId(); }, this->hooks.completionFinished})
-    , services(settings,
-               {[this] { return this->registry->table(); }, this->hooks.claims, this->hooks.guard,
-                [this] { return this->nextRequestId(); }, this->hooks.serviceFinished})
+    , completions(settings, {this->hooks.scheduler, this->hooks.guard,
+                             [this] { return this->nextRequestId(); },
+                             this->hooks.completionFinished, this->hooks.openRequests})
+    , services(settings, {[this] { return this->registry->table(); }, this->hooks.claims,
+                          this->hooks.guard, [this] { return this->nextRequestId(); },
+                          this->hooks.serviceFinished, this->hooks.openRequests})
     , requestPrefix(settings.vm.value() + "-" + std::to_string(wallNow().time_since_epoch().count())
                     + "-")
 {
@@ -121,7 +104,8 @@
 {
     this->currentPhase = phase;
     logEvent(LogLevel::Info, "entry.phase",
-             {{"phase", toString(phase)}, {"in_flight", std::uint64_t(this->inFlight())}});
+             {{"phase", toString(phase)},
+              {"in_flight", std::uint64_t(this->hooks.openRequests->count())}});
 }
 
 asio::awaitable<void> Entry::handle(transport::HttpExchange &exchange)
@@ -158,7 +142,6 @@
 asio::awaitable<void> Entry::handleWork(transport::HttpExchange &exchange,
                                         const AccountSetting &account)
 {
-    const InFlight counted(this->requestsInFlight);
     const protocol::HttpRequest &request = exchange.request();
     const std::string_view path = request.path();
     if (this->currentPhase == EntryPhase::Refusing) {
@@ -292,7 +275,7 @@
     return jsonResponse(200, {{"vm", this->settings.vm.value()},
                               {"failure_domain", this->settings.failureDomain.value()},
                               {"phase", std::string(toString(this->currentPhase.load()))},
-                              {"in_flight", this->inFlight()},
+                              {"in_flight", this->hooks.openRequests->count()},
                               {"endpoints", std::move(endpoints)}});
 }
 
--- a/src/program/Entry.h
+++ b/src/program/Entry.h
@@ -69,6 +69,7 @@
                 extraRoutes;
         std::function<void(const CompletionOutcome &)> completionFinished;
         std::function<void(const ServiceOutcome &)> serviceFinished;
+        std::shared_ptr<OpenRequests> openRequests = OpenRequests::create(); // of the process
     };
 
     // Error: Unavailable, step "listener.bind".
@@ -80,7 +81,6 @@
     void start();
     void enter(EntryPhase phase);
     EntryPhase phase() const { return this->currentPhase; }
-    std::size_t inFlight() const { return this->requestsInFlight; }
     state::Address address() const { return this->server->address(); }
     void stopAccepting() { this->server->stopAccepting(); }
 
@@ -109,7 +109,6 @@
     ServiceRelay services;
     std::shared_ptr<transport::HttpServer> server;
     std::atomic<EntryPhase> currentPhase = EntryPhase::Serving;
-    std::atomic<std::size_t> requestsInFlight = 0;
     std::atomic<std::uint64_t> requestCounter = 0;
     std::string requestPrefix; // differs for each start of the process
 };
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -12,6 +12,7 @@
 #include "program/Entry.h"
 #include "program/Log.h"
 #include "program/Metrics.h"
+#include "program/OpenRequests.h"
 #include "program/RelayListeners.h"
 #include "program/RequestGuard.h"
 #include "transport/Await.h"
@@ -23,6 +24,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <map>
@@ -134,6 +136,37 @@
               {"reason", outcome.reason}});
 }
 
+// The stages of the open requests that some are in, each with their number.
+std::string formatStages(const OpenRequests &open)
+{
+    const auto counts = open.countByStage();
+    std::string text;
+    for (std::size_t stage = 0; stage < counts.size(); ++stage) {
+        if (counts[stage] > 0)
+            text.append(text.empty() ? "" : ",")
+                    .append(toString(RequestStage(stage)))
+                    .append(":")
+                    .append(std::to_string(counts[stage]));
+    }
+    return text;
+}
+
+// The process ends without an answer to these.
+void logUnanswered(const OpenRequests &open)
+{
+    constexpr std::size_t most = 100;
+    const state::Instant now = monotonicNow();
+    std::vector<OpenRequests::Entry> entries = open.list();
+    entries.resize(std::min(entries.size(), most));
+    for (const OpenRequests::Entry &each : entries) {
+        logEvent(LogLevel::Warning, "request.unanswered",
+                 {{"request", each.id.value()},
+                  {"stage", toString(each.stage)},
+                  {"age_us", std::int64_t((now - each.arrival).count())},
+                  {"stage_us", std::int64_t((now - each.stageSince).count())}});
+    }
+}
+
 coordination::admission::Event toEvent(const protocol::CacheUpdate &news)
 {
     using coordination::routing::CacheOperation;
@@ -274,6 +307,7 @@
         hooks.cluster = this->cluster;
         hooks.client = this->client;
         hooks.guard = this->guard;
+        hooks.openRequests = this->openRequests;
         hooks.ready = [this] { return this->entry->phase() == EntryPhase::Serving; };
         hooks.profilesChanged = [this](auto profiles) {
             this->policy->setProfiles(std::move(profiles));
@@ -460,6 +494,7 @@
         };
         hooks.completionFinished = logCompletion;
         hooks.serviceFinished = logService;
+        hooks.openRequests = this->openRequests;
         return hooks;
     }
 
@@ -578,7 +613,8 @@
         const ShutdownSchedule schedule = this->shutdownSchedule();
         const state::Instant limit = monotonicNow() + schedule.exitAfter;
         logEvent(LogLevel::Info, "node.leaving",
-                 {{"in_flight", std::uint64_t(this->inFlight())},
+                 {{"in_flight", std::uint64_t(this->openRequests->count())},
+                  {"stages", formatStages(*this->openRequests)},
                   {"takes_calls_ms", toMilliseconds(schedule.acceptCallsFor)},
                   {"limit_ms", toMilliseconds(schedule.exitAfter)}});
         this->entry->enter(EntryPhase::Leaving);
@@ -589,7 +625,7 @@
         this->entry->enter(EntryPhase::Refusing);
         if (this->front)
             this->front->refuseNew();
-        while (this->inFlight() > 0 && monotonicNow() < limit)
+        while (this->openRequests->count() > 0 && monotonicNow() < limit)
             co_await transport::pause(drainCheckInterval);
         this->entry->stopAccepting();
         if (this->front)
@@ -597,7 +633,10 @@
         this->left = true;
         this->publishPhase();
         co_await transport::pause(finalSendTime);
-        logEvent(LogLevel::Info, "node.stopped", {{"in_flight", std::uint64_t(this->inFlight())}});
+        logUnanswered(*this->openRequests);
+        logEvent(LogLevel::Info, "node.stopped",
+                 {{"in_flight", std::uint64_t(this->openRequests->count())},
+                  {"stages", formatStages(*this->openRequests)}});
         if (this->client)
             this->client->stop();
         if (this->control)
@@ -625,7 +664,14 @@
 
     state::Result<void> serveMetrics()
     {
-        this->metrics.gauge("requests_in_flight", [this] { return double(this->inFlight()); });
+        this->metrics.gauge("requests_in_flight",
+                            [this] { return double(this->openRequests->count()); });
+        for (std::size_t stage = 0; stage < requestStageCount; ++stage) {
+            const std::string name(toString(RequestStage(stage)));
+            this->metrics.gauge("requests_open{stage=\"" + name + "\"}", [this, stage] {
+                return double(this->openRequests->countByStage()[stage]);
+            });
+        }
         this->metrics.gauge("table_version", [this] {
             return this->client ? double(this->client->view()->version) : 0.0;
         });
@@ -673,11 +719,6 @@
         return state::outcome::success();
     }
 
-    std::size_t inFlight() const
-    {
-        return this->entry->inFlight() + (this->front ? this->front->inFlight() : 0);
-    }
-
     ShutdownSchedule shutdownSchedule() const
     {
         if (this->settings.relay.listen)
@@ -711,6 +752,7 @@
     asio::signal_set stopSignals{this->context, SIGTERM, SIGINT};
     asio::signal_set reloadSignals{this->context, SIGHUP};
     Metrics metrics;
+    std::shared_ptr<OpenRequests> openRequests = OpenRequests::create();
     std::shared_ptr<EndpointRegistry> registry;
     std::shared_ptr<ColdEndpoints> cold;
     const std::uint64_t incarnation =
--- a/src/program/RelayListeners.cpp
+++ b/src/program/RelayListeners.cpp
@@ -103,6 +103,7 @@
     relayHooks.coldShare = this->hooks.coldShare;
     relayHooks.attemptStarted = this->hooks.attemptStarted;
     relayHooks.guard = this->hooks.guard;
+    relayHooks.openRequests = this->hooks.openRequests;
     relayHooks.finished = this->hooks.finished;
     return relayHooks;
 }
--- a/src/program/RelayListeners.h
+++ b/src/program/RelayListeners.h
@@ -37,6 +37,7 @@
         std::shared_ptr<Cluster> cluster;
         std::shared_ptr<ControlClient> client;
         std::shared_ptr<RequestGuard> guard;
+        std::shared_ptr<OpenRequests> openRequests;
         std::function<bool()> ready; // whether the rest of the process can serve
         // Called with the services' engine profiles whenever a configuration comes into force.
         std::function<void(std::map<state::ServiceName, state::routes::EngineProfile>)>
@@ -82,7 +83,6 @@
     void beginLeaving();
     void refuseNew() { this->refusing = true; }
     void stopAccepting();
-    std::size_t inFlight() const { return this->relay.inFlight(); }
 
 private:
     RelayListeners(const Settings &settings, boost::asio::io_context &context, Hooks hooks);
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -97,26 +97,6 @@
     return end == AttemptResult::NeverSent ? AttemptOutcome::Unreachable : AttemptOutcome::Failed;
 }
 
-void logLimit(const state::EndpointId &endpoint, std::uint64_t incarnation,
-              std::optional<double> perSecond, std::string_view source)
-{
-    constexpr double thousandths = 1'000;
-    logEvent(LogLevel::Info, perSecond ? "endpoint.limited" : "endpoint.unlimited",
-             {{"endpoint", endpoint.value()},
-              {"incarnation", incarnation},
-              {"per_second_milli", std::int64_t(perSecond.value_or(0) * thousandths)},
-              {"source", source}});
-}
-
-void logReplaced(const state::EndpointDescription &replica, std::string_view source)
-{
-    logEvent(LogLevel::Warning, "replica.replaced",
-             {{"endpoint", replica.id.value()},
-              {"address", replica.address.toString()},
-              {"incarnation", replica.incarnation},
-              {"source", source}});
-}
-
 // What an attempt has brought so far.
 struct AttemptProgress
 {
@@ -159,6 +139,7 @@
         , handed(std::move(handed))
         , routes(relay.hooks.routes())
         , arrival(monotonicNow() - (this->handed ? this->handed->age : milliseconds(0)))
+        , openRequest(relay.hooks.openRequests->open(this->arrival))
     {}
 
     asio::awaitable<RelayOutcome> run()
@@ -317,6 +298,7 @@
         this->request = std::move(decoded);
         this->parts = partsOf(this->callerRequest(), this->request.host, this->request.promptParts);
         this->outcome.id = this->request.id;
+        this->openRequest.setId(this->request.id);
         this->outcome.promptTokens = this->request.promptTokens;
         this->outcome.promptParts = this->request.promptParts;
     }
@@ -379,6 +361,7 @@
         this->scheduledId = this->nextScheduledId();
         ScheduledRequest scheduledRequest = this->toScheduled();
         this->scheduled = true;
+        this->openRequest.enter(RequestStage::Queued);
         PlacementResult placement =
                 co_await this->hooks.scheduler.place(std::move(scheduledRequest));
         if (!placement) {
@@ -414,6 +397,7 @@
                 co_return;
             }
             this->running->renew();
+            this->openRequest.enter(RequestStage::Queued);
             placement = co_await this->hooks.scheduler.placeAgain(this->scheduledId, current,
                                                                   this->failureOf(end));
         }
@@ -454,6 +438,7 @@
     // engine, and would refuse every request that arrives in between.
     asio::awaitable<void> waitForEngines()
     {
+        this->openRequest.enter(RequestStage::Endpoints);
         const std::function<bool()> ready = [this] { return this->knowsEndpoint(); };
         co_await this->waitFor(ready, endpointWait);
         co_await this->waitForMoreEndpoints();
@@ -533,9 +518,11 @@
 
     asio::awaitable<void> runOnReplicas()
     {
+        this->openRequest.enter(RequestStage::Endpoints);
         co_await this->waitForMoreEndpoints();
         std::vector<state::EndpointId> tried;
         while (true) {
+            this->openRequest.enter(RequestStage::Endpoints);
             std::optional<state::EndpointDescription> replica;
             const std::function<bool()> chosen = [this, &replica, &tried] {
                 replica = this->chooseReplica(tried);
@@ -802,6 +789,7 @@
     asio::awaitable<AttemptResult> supervise(asio::awaitable<AttemptResult> exchanging)
     {
         ++this->outcome.attempts;
+        this->openRequest.enter(RequestStage::Sent);
         this->progress = {};
         this->progress.sentAt = monotonicNow();
         this->endpointReplaced = false;
@@ -925,6 +913,7 @@
         const milliseconds left = remaining(this->deadline);
         if (left == milliseconds(0) || this->facts.callerGone || this->isRequestRefused())
             co_return AttemptResult::NeverSent;
+        this->openRequest.enter(RequestStage::Handed);
         this->outcome.via = peer;
         this->peerResult = PeerResult::Unknown;
         auto opened = co_await this->open(peer, this->requestForPeer(left),
@@ -1130,6 +1119,7 @@
 
     asio::awaitable<void> respond(protocol::HttpResponse answer)
     {
+        this->openRequest.enter(RequestStage::Answering);
         this->outcome.status = answer.status;
         this->outcome.firstAnswer = monotonicNow() - this->arrival;
         this->addPeerResult(answer.headers, PeerResult::Answer);
@@ -1222,6 +1212,7 @@
         if (this->facts.answerBegun)
             co_return true;
         this->facts.answerBegun = true;
+        this->openRequest.enter(RequestStage::Answering);
         this->outcome.status = statusOk;
         this->outcome.firstAnswer = monotonicNow() - this->arrival;
         if (this->scheduled)
@@ -1286,6 +1277,7 @@
 
     asio::awaitable<void> refuse(RelayRefusal refusal)
     {
+        this->openRequest.enter(RequestStage::Answering);
         this->outcome.status = refusal.status;
         if (this->outcome.reason.empty())
             this->outcome.reason = refusal.detail;
@@ -1310,6 +1302,7 @@
     const std::optional<protocol::RelayedRequest> handed; // by a peer, in this exchange
     state::SnapshotView<RouteTable> routes; // one version is used for the whole request
     const state::Instant arrival;
+    OpenRequest openRequest;
     RelayRequest request;
     std::vector<state::RequestPart> parts; // of `request`
     Route handedRoute;
@@ -1355,10 +1348,8 @@
 
 asio::awaitable<void> RouteRelay::run(transport::HttpExchange &exchange)
 {
-    ++this->requestsInFlight;
     RelayedCall call(*this, exchange);
     const RelayOutcome outcome = co_await call.run();
-    --this->requestsInFlight;
     this->hooks.finished(outcome);
 }
 
@@ -1372,124 +1363,11 @@
         co_await exchange.respond(std::move(refusal));
         co_return;
     }
-    ++this->requestsInFlight;
     RelayedCall call(*this, exchange, std::move(handed.value()));
     const RelayOutcome outcome = co_await call.run();
-    --this->requestsInFlight;
     this->hooks.finished(outcome);
 }
 
-void RouteRelay::endpointReached(const state::EndpointDescription &endpoint)
-{
-    const std::lock_guard lock(this->choiceMutex);
-    this->chooser.reached(endpoint, monotonicNow());
-}
-
-void RouteRelay::limitNamed(const state::EndpointDescription &endpoint,
-                            std::optional<double> perSecond)
-{
-    bool isNew = false;
-    {
-        const std::lock_guard lock(this->choiceMutex);
-        if (!perSecond && !this->chooser.isLimited(endpoint.id, endpoint.incarnation))
-            return;
-        isNew = this->chooser.limitNamed(endpoint.id, endpoint.incarnation, perSecond,
-                                         monotonicNow());
-    }
-    this->hooks.scheduler.limitNamed(endpoint.id, endpoint.incarnation, perSecond);
-    if (!isNew)
-        return;
-    logLimit(endpoint.id, endpoint.incarnation, perSecond, "answer");
-    this->hooks.share(protocol::EndpointLimited{endpoint.id, endpoint.incarnation,
-                                                perSecond.has_value(), perSecond.value_or(0)});
-}
-
-void RouteRelay::restNamed(const state::EndpointDescription &endpoint, state::Duration time)
-{
-    const state::Instant now = monotonicNow();
-    {
-        const std::lock_guard lock(this->choiceMutex);
-        this->chooser.restNamed(endpoint.id, endpoint.incarnation, now + time, now);
-    }
-    this->hooks.scheduler.restNamed(endpoint.id, endpoint.incarnation, now + time);
-    logEvent(LogLevel::Info, "endpoint.rests",
-             {{"endpoint", endpoint.id.value()},
-              {"incarnation", endpoint.incarnation},
-              {"for_us", std::int64_t(time.count())}});
-}
-
-void RouteRelay::fullNamed(const state::EndpointDescription &endpoint, state::Duration time)
-{
-    const state::Instant now = monotonicNow();
-    {
-        const std::lock_guard lock(this->choiceMutex);
-        this->chooser.fullNamed(endpoint.id, endpoint.incarnation, now + time, now);
-    }
-    this->hooks.scheduler.fullNamed(endpoint.id, endpoint.incarnation, now + time);
-}
-
-void RouteRelay::leavingNamed(const state::EndpointDescription &endpoint)
-{
-    const auto table = this->hooks.endpoints();
-    const RegisteredEndpoint *known = table->find(endpoint.id, endpoint.incarnation);
-    if (known == nullptr || known->draining)
-        return;
-    {
-        const std::lock_guard lock(this->choiceMutex);
-        std::erase_if(this->leaving, [&table](const auto &each) {
-            return table->find(each.first, each.second) == nullptr;
-        });
-        if (!this->leaving.insert_or_assign(endpoint.id, endpoint.incarnation).second)
-            return;
-    }
-    logEvent(LogLevel::Info, "endpoint.leaves",
-             {{"endpoint", endpoint.id.value()},
-              {"address", endpoint.address.toString()},
-              {"incarnation", endpoint.incarnation},
-              {"source", "answer"}});
-    this->hooks.endpointLeaves(endpoint);
-}
-
-bool RouteRelay::isResting(const state::EndpointDescription &endpoint)
-{
-    const std::lock_guard lock(this->choiceMutex);
-    return this->chooser.isResting(endpoint.id, endpoint.incarnation, monotonicNow());
-}
-
-void RouteRelay::peerHeardLimit(const protocol::EndpointLimited &limit)
-{
-    const auto perSecond = limit.isLimited ? std::optional(limit.perSecond) : std::nullopt;
-    bool isNew = false;
-    {
-        const std::lock_guard lock(this->choiceMutex);
-        isNew = this->chooser.limitNamed(limit.endpoint, limit.incarnation, perSecond,
-                                         monotonicNow());
-    }
-    this->hooks.scheduler.limitNamed(limit.endpoint, limit.incarnation, perSecond);
-    if (isNew)
-        logLimit(limit.endpoint, limit.incarnation, perSecond, "peer");
-}
-
-void RouteRelay::peerCalled(const protocol::LimitedCall &call)
-{
-    const std::lock_guard lock(this->choiceMutex);
-    this->chooser.peerCallStarted(call.endpoint, call.incarnation, monotonicNow());
-}
-
-void RouteRelay::peerFoundReplaced(const protocol::EndpointReplaced &replaced)
-{
-    const state::Instant now = monotonicNow();
-    const auto table = this->hooks.endpoints();
-    const RegisteredEndpoint *known = table->find(replaced.endpoint, replaced.incarnation);
-    bool isNew = false;
-    {
-        const std::lock_guard lock(this->choiceMutex);
-        isNew = this->chooser.replacedAtPeer(replaced.endpoint, replaced.incarnation, now);
-    }
-    if (isNew && known != nullptr && known->description.kind == state::EndpointKind::PlainService)
-        logReplaced(known->description, "peer");
-}
-
 std::vector<state::Address> RouteRelay::orderedPeers()
 {
     const coordination::routing::RelayPeers peers = this->hooks.peers();
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -9,6 +9,7 @@
 #include "coordination/routing/ReplicaChooser.h"
 #include "program/AnswerBuffers.h"
 #include "program/EndpointRegistry.h"
+#include "program/OpenRequests.h"
 #include "program/RelayCodec.h"
 #include "program/RequestGuard.h"
 #include "program/Scheduler.h"
@@ -27,6 +28,7 @@
 #include <mutex>
 #include <random>
 #include <string>
+#include <string_view>
 
 namespace lavenderthread::program {
 
@@ -56,6 +58,9 @@
     state::Duration total{};
 };
 
+// Another endpoint has the replica's address; `source`: how this became known.
+void logReplaced(const state::EndpointDescription &replica, std::string_view source);
+
 // Serves requests on the routes: chooses an endpoint, retries elsewhere where the request allows it
 // and the retry budget permits it, and relays the answer.
 class RouteRelay
@@ -90,6 +95,7 @@
         std::function<void(const state::EndpointDescription &)> attemptStarted = [](const auto &) {
         };
         std::shared_ptr<RequestGuard> guard;
+        std::shared_ptr<OpenRequests> openRequests = OpenRequests::create();
         // Sends an update to the peers.
         std::function<void(protocol::PeerUpdate)> share = [](auto) {};
         std::function<void(const RelayOutcome &)> finished;
@@ -111,8 +117,6 @@
     // A peer has found another endpoint at the address of a replica.
     void peerFoundReplaced(const protocol::EndpointReplaced &replaced);
 
-    std::size_t inFlight() const { return this->requestsInFlight; }
-
 private:
     friend class RelayedCall;
 
@@ -131,7 +135,6 @@
 
     const Settings &settings;
     Hooks hooks;
-    std::atomic<std::size_t> requestsInFlight = 0;
     std::shared_ptr<AnswerBuffers> answerBuffers = std::make_shared<AnswerBuffers>();
     std::mutex choiceMutex; // guards the members below; held only for a choice, never across I/O
     std::mt19937_64 random;
--- a/src/program/SchedulerTranslation.cpp
+++ b/src/program/SchedulerTranslation.cpp
@@ -81,6 +81,13 @@
                std::int64_t(action.placementSnapshot.longDemand * thousandthsPerUnit)}});
 }
 
+void logDeferral(const admission::Deferred &action, state::Instant now)
+{
+    logEvent(LogLevel::Info, "request.deferred",
+             {{"request", action.id.value()},
+              {"latest_start_us", std::int64_t((action.latestStart - now).count())}});
+}
+
 admission::CompletionRequest toAdmission(const ScheduledRequest &request)
 {
     admission::CompletionRequest admitted;
--- a/src/program/SchedulerTranslation.h
+++ b/src/program/SchedulerTranslation.h
@@ -14,8 +14,9 @@
 protocol::Problem problemOf(const coordination::admission::Refuse &refusal);
 
 // Log one line per decision, with the state of the fleet that it was based on: the events
-// request.placed and request.refused.
+// request.placed, request.refused and request.deferred.
 void logPlacement(const coordination::admission::Dispatch &action);
 void logRefusal(const coordination::admission::Refuse &action, const protocol::Problem &problem);
+void logDeferral(const coordination::admission::Deferred &action, state::Instant now);
 
 } // namespace lavenderthread::program
--- a/src/program/ServiceRelay.cpp
+++ b/src/program/ServiceRelay.cpp
@@ -67,7 +67,10 @@
         , parts(partsOf(exchange.request(), {}, {}))
         , id(hooks.nextRequestId())
         , arrival(monotonicNow())
-    {}
+        , openRequest(hooks.openRequests->open(this->arrival))
+    {
+        this->openRequest.setId(this->id);
+    }
 
     asio::awaitable<ServiceOutcome> run()
     {
@@ -80,6 +83,7 @@
         else
             answer = co_await this->runUnclaimed(repeatability == Repeatability::Idempotent);
         answer.headers.add("Request-Id", this->id.value());
+        this->openRequest.enter(RequestStage::Answering);
         ServiceOutcome outcome{this->id,      this->account, this->target.service,
                                answer.status, this->ran,     monotonicNow() - this->arrival};
         co_await this->exchange.respond(std::move(answer));
@@ -209,6 +213,7 @@
             limits.connectTimeout = std::min(this->settings.endpoint.connectTimeout, left);
             limits.timeout = left;
             const state::Instant sentAt = monotonicNow();
+            this->openRequest.enter(RequestStage::Sent);
             const auto answer = co_await transport::httpCall(
                     this->exchange.executor(), replica.address, this->forwarded(attempts), limits,
                     this->guarded(beforeSend));
@@ -296,6 +301,7 @@
     std::vector<state::RequestPart> parts;
     state::RequestId id;
     state::Instant arrival;
+    OpenRequest openRequest;
     std::optional<RequestRefusal> refusal; // of the last attempt
     Ran ran = Ran::No;
 };
--- a/src/program/ServiceRelay.h
+++ b/src/program/ServiceRelay.h
@@ -4,6 +4,7 @@
 
 #include "program/Claims.h"
 #include "program/EndpointRegistry.h"
+#include "program/OpenRequests.h"
 #include "program/RequestGuard.h"
 #include "program/Settings.h"
 #include "protocol/Problem.h"
@@ -50,6 +51,7 @@
         std::shared_ptr<RequestGuard> guard;
         std::function<state::RequestId()> nextRequestId;
         std::function<void(const ServiceOutcome &)> finished;
+        std::shared_ptr<OpenRequests> openRequests = OpenRequests::create();
     };
 
     ServiceRelay(const Settings &settings, Hooks hooks);
