Soak: entries that are stopped while prompts wait for engines

Real processes: six entries are told to stop one after the other, some twice, and reload their settings, while callers with kept connections send prompts of 190,000 tokens (bodies with a length and in chunks) for four engines that are slower than predicted and break some answers off. Every request that was read must get a complete answer; one that an engine still works on in the last sixth of the termination time is excused, as the rule says.

--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -97,7 +97,8 @@
         file << R"("control": {"admit_when_stale": true, "change_in_force_ms": )"
              << this->settings.changeInForceMs << R"(}, "relay": {"listen": )" << at(callerPort)
              << R"(, "directory_listen": )" << at(directoryPort);
-    file << R"(, "directory_ttl_ms": 500, "heartbeat_ms": 400, "termination_ms": 4000}})" << '\n';
+    file << R"(, "directory_ttl_ms": 500, "heartbeat_ms": 400, "termination_ms": )"
+         << this->settings.terminationMs << "}}\n";
 }
 
 void Fleet::start(std::size_t index)
--- a/soak/Fleet.h
+++ b/soak/Fleet.h
@@ -22,6 +22,7 @@
     std::size_t founders = 3; // the first controls, which all processes are told as seeds
     std::size_t entries = 4;
     std::uint32_t changeInForceMs = 2'500;
+    std::uint32_t terminationMs = 4'000; // from SIGTERM until an operator would kill a process
     std::uint16_t port = 0; // first of five that every process uses, each at its own loopback IP
 };
 
--- a/soak/Operator.cpp
+++ b/soak/Operator.cpp
@@ -43,7 +43,11 @@
 
 std::string Operator::document() const
 {
-    const std::string route = R"("Host":"soak","TimeoutMs":3000,"Anonymous":false,"Attempts":2,)";
+    const auto routeWithin = [](milliseconds timeout) {
+        return R"("Host":"soak","TimeoutMs":)" + std::to_string(timeout.count())
+               + R"(,"Anonymous":false,"Attempts":2,)";
+    };
+    const std::string route = routeWithin(milliseconds(3'000));
     std::string filler;
     for (std::size_t index = 0; index < this->fillerRoutes; ++index) {
         const std::string name = "filler" + std::to_string(index);
@@ -53,7 +57,9 @@
     }
     return R"({"Version":)" + std::to_string(this->version) + R"(,"Routes":[)" + filler
            + R"({"Name":"stream","PathPrefix":"/stream/","Kind":"streaming","Resumable":true,)"
-           + route + R"("TargetLatencyMs":3000,"TargetGapMs":800,"Service":"llm"},)"
+           + routeWithin(this->streamTimeout) + R"("TargetLatencyMs":)"
+           + std::to_string(this->firstEventTarget.count())
+           + R"(,"TargetGapMs":800,"Service":"llm"},)"
            + R"({"Name":"post","PathPrefix":"/post/","Kind":"non_idempotent",)" + route
            + R"("TargetLatencyMs":100,"Service":"app"},)"
            + R"({"Name":"read","PathPrefix":"/read/","Kind":"idempotent",)" + route
@@ -64,7 +70,8 @@
            + R"({"Name":"llm","HealthPath":"/health","MaxConns":100,)" + this->coldLimits()
            + R"("Engine":{"Slots":16,)"
            + R"("KvCapacity":450000,"Stride":46,"step_ms":0.925,"per_seq_ms":0.00483,)"
-           + R"("context_per_k":0.00254,"read_per_s":2560000.0,"pairs_per_m":0.00917,"chunk":2048}},)"
+           + R"("context_per_k":0.00254,"read_per_s":)" + std::to_string(this->readRate)
+           + R"(,"pairs_per_m":0.00917,"chunk":2048}},)"
            + R"({"Name":"app","HealthPath":"/health","MaxConns":100}],)"
            + R"("Tenants":[{"Name":"acme","ApiKeys":["key-one"]}]})";
 }
--- a/soak/Operator.h
+++ b/soak/Operator.h
@@ -45,6 +45,14 @@
         this->coldTime = time;
         this->coldRequestsPerSecond = requestsPerSecond;
     }
+    // Of the stream route, in the configurations from now on.
+    void setStreamTimes(std::chrono::milliseconds timeout, std::chrono::milliseconds firstEvent)
+    {
+        this->streamTimeout = timeout;
+        this->firstEventTarget = firstEvent;
+    }
+    // Prompt tokens that an engine reads in a second, in the configurations from now on.
+    void setReadRate(std::uint32_t perSecond) { this->readRate = perSecond; }
     void stop() { this->stopped = true; }
     std::uint64_t lastSent() const { return this->version; }
 
@@ -62,6 +70,9 @@
     std::size_t fillerRoutes; // of every configuration
     std::chrono::milliseconds coldTime{0};
     double coldRequestsPerSecond = 0; // 0: no limit
+    std::uint32_t readRate = 2'560'000;
+    std::chrono::milliseconds streamTimeout{3'000};
+    std::chrono::milliseconds firstEventTarget{3'000};
     bool stopped = false;
 };
 
--- a/soak/StandIn.cpp
+++ b/soak/StandIn.cpp
@@ -17,7 +17,6 @@
 namespace {
 
 constexpr milliseconds heartbeatInterval{400};
-constexpr milliseconds workTime{15};
 constexpr milliseconds hangTime{4'000};
 constexpr std::uint64_t events = 8; // of every stream
 constexpr double faultShare = 0.4;
@@ -178,7 +177,7 @@
         co_return;
     }
     this->ledger.ran(requestId, isRepeatable(request));
-    co_await transport::pause(workTime);
+    co_await transport::pause(this->settings.workTime);
     if (this->strikes(EndpointFault::Hangs)) {
         co_await transport::pause(hangTime);
         co_return;
@@ -193,6 +192,7 @@
         this->settings.streamBegan();
         const bool whole = co_await this->stream(exchange, std::move(answer), requestId);
         this->settings.streamEnded(whole);
+        this->settings.workEnded(request);
         co_return;
     }
     if (!this->settings.engine && this->settings.ends(request))
--- a/soak/StandIn.h
+++ b/soak/StandIn.h
@@ -45,7 +45,10 @@
     // Called when a request is turned away and the caller is asked for so much rest.
     std::function<void(const protocol::HttpRequest &, std::chrono::milliseconds)> askedForRest =
             [](const auto &, auto) {};
+    std::chrono::milliseconds workTime{15};  // before an answer, or the first event of a stream
     std::chrono::milliseconds eventTime{20}; // between the events of a stream
+    // Called when the work on a request has ended, in whatever way; not for one that was refused.
+    std::function<void(const protocol::HttpRequest &)> workEnded = [](const auto &) {};
     // Called when an engine begins a stream, and when it ends: whole, or broken off by either side.
     std::function<void()> streamBegan = [] {};
     std::function<void(bool whole)> streamEnded = [](bool) {};
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -2,7 +2,7 @@
 // many seconds, then a calm end in which everything has to work again.
 // With an option that names a scenario, plays that one in place of the faults.
 // usage: fault-soak --binary PATH --folder PATH [--seed N] [--seconds N]
-//                   [--path-loss hang|reset|quiet] [--control-loss freeze|kill]
+//                   [--path-loss hang|reset|quiet] [--control-loss freeze|kill] [--entry-stops]
 //                   [--endpoint-limits] [--endpoint-rest] [--evacuation] [--cold-returns]
 //                   [--crashing-prompt second|first|two|none]
 //                   [--crashing-call target|body|once|none]
@@ -13,6 +13,7 @@
 #include "CrashingPrompt.h"
 #include "EndpointLimits.h"
 #include "EndpointRest.h"
+#include "EntryStops.h"
 #include "Evacuation.h"
 #include "Faults.h"
 #include "Operator.h"
@@ -48,6 +49,7 @@
     std::string controlLoss; // how control members stop running; empty: not played
     bool endpointLimits = false;
     bool endpointRest = false;
+    bool entryStops = false;
     bool evacuation = false;
     bool coldReturns = false;
     std::string crashingPrompt; // where the part is that ends engines; empty: not played
@@ -56,7 +58,7 @@
     bool playsScenario() const
     {
         return !this->pathLoss.empty() || !this->controlLoss.empty() || this->endpointLimits
-               || this->endpointRest || this->evacuation || this->coldReturns
+               || this->endpointRest || this->entryStops || this->evacuation || this->coldReturns
                || !this->crashingPrompt.empty() || !this->crashingCall.empty();
     }
 };
@@ -70,6 +72,8 @@
 constexpr std::size_t engines = 4;
 constexpr std::size_t enginesForCrashes = 12;
 constexpr std::size_t replicas = 3;
+// Entries that are told to stop have time for most of the answers that are under way.
+constexpr milliseconds longTermination{8'000};
 // Streams take over a second, so that some run when a domain is evacuated, and slots are taken.
 constexpr milliseconds longEventTime{150};
 constexpr milliseconds callPause{40};
@@ -106,6 +110,7 @@
                  .controls = options.controlLoss.empty() ? controls : controlsForControlLoss,
                  .entries = options.playsScenario() ? entriesForScenarios : entries,
                  .changeInForceMs = std::uint32_t(changeInForce.count()),
+                 .terminationMs = terminationMsOf(options),
                  .port = portOf(options.seed)})
         , operators(this->context, this->fleet.allOperators(), this->ledger, options.seed)
         , port(portOf(options.seed))
@@ -139,6 +144,12 @@
         return std::uint16_t(21'000 + (seed * 7 + std::uint64_t(::getpid())) % slots * 20);
     }
 
+    static std::uint32_t terminationMsOf(const Options &options)
+    {
+        return options.entryStops ? std::uint32_t(longTermination.count())
+                                  : FleetSettings{}.terminationMs;
+    }
+
     state::Address at(int network, std::size_t index) const
     {
         return {"127.78." + std::to_string(network) + "." + std::to_string(index + 1), this->port};
@@ -193,6 +204,12 @@
                     this->crashes->requestArrived(request);
                 if (this->callCrashes)
                     this->callCrashes->requestArrived(request);
+                if (this->entryStops)
+                    this->entryStops->requestArrived(request);
+            };
+            settings.workEnded = [this](const protocol::HttpRequest &request) {
+                if (this->entryStops)
+                    this->entryStops->workEnded(request);
             };
             settings.ends = [this, index](const protocol::HttpRequest &request) {
                 if (this->callCrashes)
@@ -207,6 +224,8 @@
             settings.seed = seed * 100 + index;
             if (this->options.evacuation || this->options.coldReturns)
                 settings.eventTime = longEventTime;
+            if (this->options.entryStops)
+                settings.workTime = EntryStops::workTime;
             this->addProxy(settings.announced, settings.listen);
             this->endpoints.push_back(
                     std::make_shared<StandIn>(this->context, settings, this->ledger));
@@ -248,6 +267,8 @@
             co_await this->playEndpointLimits();
         else if (this->options.endpointRest)
             co_await this->playEndpointRest();
+        else if (this->options.entryStops)
+            co_await this->playEntryStops();
         else if (this->options.evacuation)
             co_await this->playEvacuation();
         else if (this->options.coldReturns)
@@ -361,6 +382,23 @@
         co_await this->rests->play();
     }
 
+    asio::awaitable<void> playEntryStops()
+    {
+        this->operators.setStreamTimes(EntryStops::timeLimit, EntryStops::firstEventTarget);
+        this->operators.setReadRate(EntryStops::readRate);
+        const bool started = co_await this->startFleet();
+        if (!started)
+            co_return;
+        EntryStops::Settings settings;
+        settings.seed = this->options.seed;
+        settings.termination = longTermination;
+        this->entryStops = std::make_unique<EntryStops>(
+                this->context, settings, this->fleet,
+                std::vector(this->endpoints.begin(), this->endpoints.begin() + engines),
+                this->ledger);
+        co_await this->entryStops->play();
+    }
+
     asio::awaitable<void> playEvacuation()
     {
         const bool started = co_await this->startFleet();
@@ -499,6 +537,7 @@
     std::unique_ptr<CrashingCall> callCrashes;
     std::unique_ptr<EndpointLimits> limits; // calls may outlast the scenario
     std::unique_ptr<EndpointRest> rests;
+    std::unique_ptr<EntryStops> entryStops;
     std::unique_ptr<Evacuation> evacuation;
     std::unique_ptr<ColdReturns> coldReturns;
     Operator operators;
@@ -525,6 +564,8 @@
     app.add_flag("--endpoint-limits", options.endpointLimits, "Endpoints name request limits");
     app.add_flag("--endpoint-rest", options.endpointRest,
                  "Endpoints turn requests away for a while");
+    app.add_flag("--entry-stops", options.entryStops,
+                 "Entries at which prompts wait are told to stop, one after the other");
     app.add_flag("--evacuation", options.evacuation,
                  "Failure domains are evacuated and taken back");
     app.add_flag("--cold-returns", options.coldReturns,
