Admission, relay: requests end before the process that took them

Cause: the end of a process is a deadline that its requests did not know. A prompt that misses its target is deferred until its own deadline, 15 s; the entry ends 7.6 s after the signal and stopped with requests in its queue.

Change: OpenRequests owns the time by which all must be answered. The dispatcher is told it (EntryLeaving) and refuses whatever it has not dispatched once the answer would come too late: at the signal, at each arrival, at each check; the answer's time is the prediction times how much longer recent ones took (RunTimes). At the limit every request whose answer has not begun is interrupted and answered: 503 if it has not run, else 502 or 504. A peer gets no more time than is left here.

--- a/src/coordination/admission/Dispatcher.cpp
+++ b/src/coordination/admission/Dispatcher.cpp
@@ -49,9 +49,18 @@
         consider(this->backlogSharedAt + backlogSharePeriod);
     for (const state::RequestId &id : this->reservationHolders)
         consider(this->activeRequests.at(id).renewAt);
+    if (this->answersUntil && !this->activeRequests.empty())
+        consider(this->answersCheckedAt + answerCheckPeriod);
     return wake;
 }
 
+void Dispatcher::noteRunTime(const ActiveRequest &active)
+{
+    if (active.startedAt != state::Instant{})
+        this->runTimes[this->isLong(active.request) ? 1 : 0].add(active.predictedCompletion,
+                                                                 this->now - active.startedAt);
+}
+
 void Dispatcher::on(const RequestArrived &event)
 {
     const CompletionRequest &request = event.request;
@@ -117,6 +126,7 @@
         return;
     ++this->counters.finished;
     this->retryBudget.addSuccess();
+    this->noteRunTime(*active);
     if (this->policy.rankedOverload && active->startedAt != state::Instant{}) {
         this->overloadByModel[active->request.model].noteHeld(active->request.rank,
                                                               this->now - active->startedAt);
@@ -149,6 +159,7 @@
             this->renewReservations(active);
     }
     this->refuseOverdue();
+    this->refuseUnanswerable();
     this->placeWaiting();
     this->shareWaitingPrompts();
     this->shareBacklog();
--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -11,11 +11,13 @@
 #include "coordination/admission/LongPromptQueue.h"
 #include "coordination/admission/OverloadControl.h"
 #include "coordination/admission/RetryBudget.h"
+#include "coordination/admission/RunTimes.h"
 #include "coordination/routing/EarlyWork.h"
 #include "coordination/routing/Fleet.h"
 #include "coordination/routing/PolicySettings.h"
 #include "coordination/routing/SpanPlan.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <optional>
@@ -64,6 +66,9 @@
     const routing::Fleet &fleet() const { return this->engines; }
 
 private:
+    // How often an entry that leaves looks for requests that it can't answer any more.
+    static constexpr state::Duration answerCheckPeriod = std::chrono::milliseconds(20);
+
     enum class Phase : std::uint8_t { Queued, Reserving, Prefilling, Decoding };
 
     // A request from its admission until its end, queued or on an engine.
@@ -89,6 +94,7 @@
         std::vector<state::EndpointId> helpers;
         double partSeconds = 0; // prefill time at the engine and at each helper
         state::Duration predictedFirstEvent{0};
+        state::Duration predictedCompletion{0}; // from `startedAt`
         routing::PlacementSnapshot placementSnapshot;
         std::optional<routing::WorkNote> dispatchNote; // the last one sent about a dispatch
         std::vector<state::EndpointId> failedEngines;  // one for each failed attempt
@@ -125,6 +131,7 @@
     void on(const RequestFinished &event);
     void on(const TableChanged &event);
     void on(const Tick &event);
+    void noteRunTime(const ActiveRequest &active);
     ActiveRequest *findAttempt(const state::RequestId &id, std::uint32_t attempt);
     void endRequest(const state::RequestId &id);
     void refuse(const state::RequestId &id, RefusalReason reason, state::Duration retryAfter);
@@ -164,6 +171,13 @@
                        std::uint32_t prefillTokens = 0, std::uint32_t chargedTokens = 0,
                        std::uint8_t priority = 0);
 
+    // DispatcherLeaving.cpp: the end of this entry
+    void on(const EntryLeaving &event);
+    double answerSeconds(const CompletionRequest &request);
+    bool isUnanswerable(const CompletionRequest &request);
+    std::optional<Refuse> leavingRefusal(const CompletionRequest &request);
+    void refuseUnanswerable();
+
     // DispatcherPlacing.cpp: admission and placement
     std::optional<Refuse> admissionRefusal(const CompletionRequest &request,
                                            LengthClass lengthClass);
@@ -249,6 +263,9 @@
     state::Instant longPlacementDueAt{}; // next time when long prompts are tried
     std::optional<state::Instant> firstEngineAt; // when the first engine became known
     RetryBudget retryBudget;
+    std::array<RunTimes, 2> runTimes;           // of brief and of long requests
+    std::optional<state::Instant> answersUntil; // once this entry has been told to stop
+    state::Instant answersCheckedAt{};          // last refuseUnanswerable()
     ActiveRequests activeRequests;
     std::set<std::pair<state::Instant, state::RequestId>> deadlines; // one for each request
     std::set<state::RequestId> reservationHolders; // requests whose reservations must be renewed
--- a/src/coordination/admission/DispatcherPlacing.cpp
+++ b/src/coordination/admission/DispatcherPlacing.cpp
@@ -49,8 +49,10 @@
         return refusal(RefusalReason::UnknownModel, maximumRetryAfter);
     if (this->queue.size() >= this->policy.queuedRequestsLimit)
         return refusal(RefusalReason::Overload, minimumRetryAfter);
-    if (this->engines.worksInPasses(request.model))
-        return this->refusalByPasses(request);
+    if (this->engines.worksInPasses(request.model)) {
+        std::optional<Refuse> refused = this->refusalByPasses(request);
+        return refused ? refused : this->leavingRefusal(request);
+    }
     if (this->policy.admitByDeadline) {
         const double left = toSeconds(request.deadline - this->now);
         const double waits = this->expectedWaitSeconds(request, lengthClass);
@@ -73,6 +75,8 @@
         if (total > left)
             return refusal(RefusalReason::Deadline, retryAfter(total - left));
     }
+    if (std::optional<Refuse> leaving = this->leavingRefusal(request))
+        return leaving;
     if (this->hooks.acquireLimit) {
         if (const auto after = this->hooks.acquireLimit(request, this->now))
             return refusal(RefusalReason::Limit, *after);
--- a/src/coordination/admission/Events.h
+++ b/src/coordination/admission/Events.h
@@ -216,6 +216,12 @@
     BacklogNote note;
 };
 
+// This entry has been told to stop. Whatever is not answered by then never is.
+struct EntryLeaving
+{
+    state::Instant answersUntil;
+};
+
 struct Tick
 {};
 
@@ -224,7 +230,7 @@
                            EngineCold, EngineLimited, EngineRests, EngineFull, LoadReported,
                            CacheReported, SlicePrefilled, TokensReceived, RequestFinished,
                            AttemptFailed, MoveRequested, ReservationAnswered, TableChanged,
-                           PeerWorkReceived, PeerJoined, PeerBacklogReceived, Tick>;
+                           PeerWorkReceived, PeerJoined, PeerBacklogReceived, EntryLeaving, Tick>;
 
 // Whether the request ran; No only if that is certain.
 enum class Ran : std::uint8_t { No, Unknown };
@@ -236,6 +242,7 @@
     Overload,         // the queue is full, or it has waited too long for capacity
     Limit,            // a limit of its table row is exceeded
     EndpointLimits,   // the engines accept no more requests from all entries now
+    Leaving,          // this entry ends before it could be answered
     AttemptsExhausted // attempts failed and no retry is left or allowed
 };
 
--- a/src/coordination/relay/FinalAnswer.cpp
+++ b/src/coordination/relay/FinalAnswer.cpp
@@ -17,7 +17,7 @@
 
 bool mayRetry(const CallState &facts, AttemptResult last)
 {
-    if (facts.callerGone || facts.deadlinePassed)
+    if (facts.callerGone || facts.deadlinePassed || facts.entryEnds)
         return false;
     if (facts.runs >= facts.maxRuns || facts.refusals >= maxRefusals || facts.unsent >= maxUnsent
         || facts.refusedConnections >= maxCostless || facts.replaced >= maxCostless)
--- a/src/coordination/relay/FinalAnswer.h
+++ b/src/coordination/relay/FinalAnswer.h
@@ -29,6 +29,7 @@
     bool answerBegun = false;   // part of an answer has been sent to the caller
     bool deadlinePassed = false;
     bool callerGone = false;
+    bool entryEnds = false; // nothing can be answered any more but what is known now
 
     auto operator<=>(const CallState &) const = default;
 };
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -617,6 +617,8 @@
                   {"stages", formatStages(*this->openRequests)},
                   {"takes_calls_ms", toMilliseconds(schedule.acceptCallsFor)},
                   {"limit_ms", toMilliseconds(schedule.exitAfter)}});
+        this->openRequests->answerUntil(limit);
+        this->policy->post(coordination::admission::EntryLeaving{limit});
         this->entry->enter(EntryPhase::Leaving);
         if (this->front)
             this->front->beginLeaving();
@@ -632,6 +634,7 @@
             this->front->stopAccepting();
         this->left = true;
         this->publishPhase();
+        this->openRequests->endAll();
         co_await transport::pause(finalSendTime);
         logUnanswered(*this->openRequests);
         logEvent(LogLevel::Info, "node.stopped",
--- a/src/program/OpenRequests.cpp
+++ b/src/program/OpenRequests.cpp
@@ -60,6 +60,17 @@
     return {this->entries.begin(), this->entries.end()};
 }
 
+void OpenRequests::endAll()
+{
+    std::map<const Entry *, std::function<void()>> due;
+    {
+        const std::lock_guard lock(this->mutex);
+        due.swap(this->endings);
+    }
+    for (const auto &[entry, end] : due)
+        end();
+}
+
 OpenRequest::OpenRequest(std::shared_ptr<OpenRequests> all, OpenRequests::Entries::iterator entry)
     : all(std::move(all))
     , entry(entry)
@@ -68,6 +79,7 @@
 OpenRequest::~OpenRequest()
 {
     const std::lock_guard lock(this->all->mutex);
+    this->all->endings.erase(&*this->entry);
     this->all->entries.erase(this->entry);
 }
 
@@ -86,4 +98,10 @@
     this->entry->stageSince = monotonicNow();
 }
 
+void OpenRequest::onEnd(std::function<void()> end)
+{
+    const std::lock_guard lock(this->all->mutex);
+    this->all->endings[&*this->entry] = std::move(end);
+}
+
 } // namespace lavenderthread::program
--- a/src/program/OpenRequests.h
+++ b/src/program/OpenRequests.h
@@ -1,15 +1,19 @@
-// The requests that this process has taken and not answered yet, each with what it waits for.
+// The requests that this process has taken and not answered yet, each with what it waits for, and
+// the time by which all must be answered once the process has been told to stop.
 #pragma once
 
 #include "state/Ids.h"
 #include "state/Time.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string_view>
@@ -55,14 +59,27 @@
     std::array<std::size_t, requestStageCount> countByStage() const; // by RequestStage
     std::vector<Entry> list() const;
 
+    // The process ends soon after that time.
+    void answerUntil(state::Instant limit) { this->limit = limit; }
+    // The lesser of `deadline` and the time by which all must be answered.
+    state::Instant boundOf(state::Instant deadline) const
+    {
+        return std::min(deadline, this->limit.load());
+    }
+    // Makes each open request answer with what is known of it, unless its answer has begun.
+    void endAll();
+
 private:
     friend class OpenRequest;
     using Entries = std::list<Entry>;
 
     OpenRequests() = default;
 
-    mutable std::mutex mutex; // guards `entries`
-    Entries entries;          // in order of arrival at this process
+    // Instant::max(): the process has not been told to stop.
+    std::atomic<state::Instant> limit = state::Instant::max();
+    mutable std::mutex mutex;                               // guards the members below
+    Entries entries;                                        // in order of arrival at this process
+    std::map<const Entry *, std::function<void()>> endings; // of those that can be ended
 };
 
 // The place of one request among the open ones, from open() until its destruction.
@@ -75,6 +92,8 @@
 
     void setId(const state::RequestId &id);
     void enter(RequestStage stage);
+    // `end` is called at most once, from any thread, when the request must be answered now.
+    void onEnd(std::function<void()> end);
 
 private:
     friend class OpenRequests;
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -140,7 +140,14 @@
         , routes(relay.hooks.routes())
         , arrival(monotonicNow() - (this->handed ? this->handed->age : milliseconds(0)))
         , openRequest(relay.hooks.openRequests->open(this->arrival))
-    {}
+    {
+        this->openRequest.onEnd([self = std::weak_ptr(this->self), executor = exchange.executor()] {
+            asio::post(executor, [self] {
+                if (const auto call = self.lock())
+                    (*call)->entryEnds();
+            });
+        });
+    }
 
     asio::awaitable<RelayOutcome> run()
     {
@@ -243,14 +250,17 @@
         co_return false;
     }
 
-    // Waits until `ready`, the caller disconnects, or `longest` has passed since the arrival.
+    // Waits until `ready`, the caller disconnects, this process has to answer, or `longest` has
+    // passed since the arrival.
     asio::awaitable<void> waitFor(std::function<bool()> ready, milliseconds longest)
     {
         const state::Instant limit = this->arrival + longest;
-        while (!ready() && !this->facts.callerGone && monotonicNow() < limit)
+        while (!ready() && !this->mustAnswer() && monotonicNow() < limit)
             co_await transport::pause(waitingStep);
     }
 
+    bool mustAnswer() const { return this->facts.callerGone || this->facts.entryEnds; }
+
     asio::awaitable<void> waitForConfiguration()
     {
         const std::function<bool()> ready = [this] {
@@ -355,6 +365,17 @@
             this->hooks.scheduler.cancel(this->scheduledId);
     }
 
+    // This process ends. What its caller gets already goes on until then.
+    void entryEnds()
+    {
+        if (this->facts.answerBegun)
+            return;
+        this->facts.entryEnds = true;
+        this->running->interrupt();
+        if (this->scheduled)
+            this->hooks.scheduler.cancel(this->scheduledId);
+    }
+
     asio::awaitable<void> runOnEngines()
     {
         co_await this->waitForEngines();
@@ -368,8 +389,7 @@
             this->scheduled = false;
             const bool done = co_await this->runThroughPeersIfPathLost();
             if (!done)
-                co_await this->sendFinalAnswer(placement.error().detail,
-                                               placement.error().retryAfter);
+                co_await this->sendRefusal(placement.error());
             co_return;
         }
         std::uint32_t lastAttempt = 0;
@@ -416,6 +436,14 @@
         this->hooks.scheduler.finished(this->scheduledId, lastAttempt, this->outcome.whole);
     }
 
+    // A peer that has handed the request over asks another one, if another entry would take it.
+    asio::awaitable<void> sendRefusal(const protocol::Problem &problem)
+    {
+        if (problem.title == leavingTitle)
+            this->refusalResult = PeerResult::Elsewhere;
+        co_await this->sendFinalAnswer(problem.detail, problem.retryAfter);
+    }
+
     // Ends the request at the scheduler and goes on through peers.
     asio::awaitable<void> moveFromEngine(Placement failed, AttemptResult end)
     {
@@ -447,7 +475,7 @@
     // Also if the request has waited before: the hook bounds the wait.
     asio::awaitable<void> waitForMoreEndpoints()
     {
-        while (this->hooks.endpointsGrowing() && !this->facts.callerGone
+        while (this->hooks.endpointsGrowing() && !this->mustAnswer()
                && remaining(this->deadline) > milliseconds(0))
             co_await transport::pause(waitingStep);
     }
@@ -702,7 +730,7 @@
                 // No endpoint has seen the request: this is neither a refusal nor a retry.
                 --this->countOf(end);
                 this->rememberPeerFailure(peer);
-                if (this->facts.callerGone || this->facts.deadlinePassed)
+                if (this->mustAnswer() || this->facts.deadlinePassed)
                     break;
                 continue;
             }
@@ -714,8 +742,7 @@
                 || !(tokenTaken || this->takeRetryToken()))
                 break;
         }
-        if (!taken && this->facts.runs == 0 && !this->facts.deadlinePassed
-            && !this->facts.callerGone) {
+        if (!taken && this->facts.runs == 0 && !this->facts.deadlinePassed && !this->mustAnswer()) {
             this->peersHaveNoPath = true;
             co_return false;
         }
@@ -821,7 +848,7 @@
         const milliseconds left = remaining(this->deadline);
         this->withheld = false;
         this->askedForRest = false;
-        if (left == milliseconds(0) || this->facts.callerGone || this->isRequestRefused()
+        if (left == milliseconds(0) || this->mustAnswer() || this->isRequestRefused()
             || this->isWithheld(target.endpoint))
             co_return AttemptResult::NeverSent;
         ForwardParameters terms;
@@ -910,8 +937,8 @@
 
     asio::awaitable<AttemptResult> exchangeWithPeer(state::Address peer)
     {
-        const milliseconds left = remaining(this->deadline);
-        if (left == milliseconds(0) || this->facts.callerGone || this->isRequestRefused())
+        const milliseconds left = remaining(this->hooks.openRequests->boundOf(this->deadline));
+        if (left == milliseconds(0) || this->mustAnswer() || this->isRequestRefused())
             co_return AttemptResult::NeverSent;
         this->openRequest.enter(RequestStage::Handed);
         this->outcome.via = peer;
@@ -1240,6 +1267,11 @@
                                           std::optional<milliseconds> retryAfter)
     {
         this->updateTimeIsOver();
+        if (this->facts.entryEnds) {
+            detail = "this entry ends";
+            retryAfter = retryElsewhere;
+            this->refusalResult = PeerResult::Elsewhere;
+        }
         this->outcome.reason = detail;
         switch (coordination::relay::finalAnswer(this->facts, this->endpointAnswer.has_value())) {
         case FinalAnswer::None:
@@ -1302,6 +1334,8 @@
     const std::optional<protocol::RelayedRequest> handed; // by a peer, in this exchange
     state::SnapshotView<RouteTable> routes; // one version is used for the whole request
     const state::Instant arrival;
+    // Expires with this object, before what was posted to its executor.
+    const std::shared_ptr<RelayedCall *> self = std::make_shared<RelayedCall *>(this);
     OpenRequest openRequest;
     RelayRequest request;
     std::vector<state::RequestPart> parts; // of `request`
--- a/src/program/Scheduler.h
+++ b/src/program/Scheduler.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lavenderthread::program {
@@ -37,6 +38,9 @@
     std::function<void()> interrupt;
 };
 
+// Title of the problem with which a request is refused that another entry would take.
+constexpr std::string_view leavingTitle = "leaving";
+
 enum class AttemptFailure {
     Unreachable, // no connection: this request did not reach the engine, and others can't either
     ConnectionRefused, // the same, and the attempt has taken no time
--- a/src/program/SchedulerTranslation.cpp
+++ b/src/program/SchedulerTranslation.cpp
@@ -36,6 +36,9 @@
         return {429, "limit", "the account's limit is used up", ran, retryAfter};
     case admission::RefusalReason::EndpointLimits:
         return {503, "endpoint-limits", "the engines accept no more requests now", ran, retryAfter};
+    case admission::RefusalReason::Leaving:
+        return {503, std::string(leavingTitle), "this entry ends before it could be answered", ran,
+                retryAfter};
     case admission::RefusalReason::AttemptsExhausted:
         return {503, "engines-lost", "the engines that worked on it were lost", ran, retryAfter};
     }
--- a/tests/platform/RelayFixture.h
+++ b/tests/platform/RelayFixture.h
@@ -272,6 +272,8 @@
     std::atomic<bool> pathLost = false;            // of the relay, not of its peers
     std::atomic<bool> pathDoubtful = false;        // the same
     std::atomic<bool> losePathAtArrival = false;   // of a request at an endpoint
+    const std::shared_ptr<program::OpenRequests> openRequests =
+            program::OpenRequests::create(); // of the relay, without its peers
 
 private:
     struct Peer
@@ -332,6 +334,7 @@
     RouteRelay::Hooks hooksWithPeers()
     {
         RouteRelay::Hooks hooks = this->hooks();
+        hooks.openRequests = this->openRequests;
         hooks.endpointLeaves = [this](const auto &) { ++this->endpointsLeft; };
         hooks.share = [this](const protocol::PeerUpdate &update) {
             this->replacedShared +=
