Node: a repeated SIGTERM no longer ends the process at once

Cause: any second signal stopped the context, with all requests in flight. Meant for an operator at a terminal; supervisors and overlapping stops repeat SIGTERM.

Change: only a second SIGINT ends the process at once. The soak's entry-stops repeats SIGTERM at half of the stops, and tells answers that an engine broke off from others.

--- a/soak/EntryStops.cpp
+++ b/soak/EntryStops.cpp
@@ -68,9 +68,12 @@
     ++this->working[std::string(request.headers.find("Request-Id").value_or(""))];
 }
 
-void EntryStops::workEnded(const protocol::HttpRequest &request)
+void EntryStops::workEnded(const protocol::HttpRequest &request, bool brokeOff)
 {
-    --this->working[std::string(request.headers.find("Request-Id").value_or(""))];
+    const std::string id(request.headers.find("Request-Id").value_or(""));
+    --this->working[id];
+    if (brokeOff)
+        this->brokenOff.insert(id);
 }
 
 milliseconds EntryStops::drawUpTo(milliseconds most)
@@ -100,7 +103,7 @@
         if (this->stopping.insert(entry).second)
             asio::co_spawn(this->context, this->stopAndStart(entry), asio::detached);
         else
-            this->fleet.signal(entry, SIGTERM); // an operator's tool repeats it
+            this->fleet.signal(entry, SIGTERM);
         co_await transport::pause(this->drawUpTo(longestStopPause));
     }
     while (!this->stopping.empty())
@@ -118,6 +121,10 @@
     if (this->fleet.isRunning(entry)) {
         this->fleet.signal(entry, SIGTERM);
         this->stoppedAt[entry] = program::monotonicNow();
+        if (this->random() % 2 == 0) {
+            co_await transport::pause(this->drawUpTo(acceptTime));
+            this->fleet.signal(entry, SIGTERM); // a supervisor repeats it
+        }
         while (this->fleet.isRunning(entry)
                && program::monotonicNow() < this->stoppedAt[entry] + this->settings.termination)
             co_await transport::pause(exitCheck);
@@ -181,6 +188,8 @@
 bool EntryStops::isExcused(const std::string &id, const KeptCallResult &result,
                            state::Instant stop) const
 {
+    if (result.end == CallEnd::ClosedMidway && this->brokenOff.contains(id))
+        return true;
     const auto engines = this->working.find(id);
     const bool atWork = engines != this->working.end() && engines->second > 0;
     const state::Duration lastPart = this->settings.termination / lastShare;
@@ -200,7 +209,7 @@
     const bool crossed =
             result.end == CallEnd::Closed && result.endedAt < result.sentAt + crossingTime;
     if (cut && stop != this->stoppedAt.end() && this->isExcused(id, result, stop->second))
-        end += ", an engine at work";
+        end += ", excused";
     else if (cut && crossed)
         end += ", not read";
     else if (cut) {
--- a/soak/EntryStops.h
+++ b/soak/EntryStops.h
@@ -49,7 +49,7 @@
 
     // What an engine sees.
     void requestArrived(const protocol::HttpRequest &request);
-    void workEnded(const protocol::HttpRequest &request);
+    void workEnded(const protocol::HttpRequest &request, bool brokeOff);
 
 private:
     boost::asio::awaitable<void> callForEver(std::size_t entry, std::size_t person);
@@ -58,7 +58,8 @@
     boost::asio::awaitable<void> breakAnswersForEver();
     boost::asio::awaitable<void> stopAndStart(std::size_t entry);
     void judge(std::size_t entry, const std::string &id, const KeptCallResult &result);
-    // Whether an engine still worked on the request when the process had to end.
+    // Whether an engine still worked on the request when the process had to end, or had broken off
+    // an answer that the caller had a part of.
     bool isExcused(const std::string &id, const KeptCallResult &result,
                    state::Instant stoppedAt) const;
     std::chrono::milliseconds drawUpTo(std::chrono::milliseconds most);
@@ -72,6 +73,7 @@
     std::map<std::size_t, state::Instant> stoppedAt; // first SIGTERM of the last stop, by process
     std::set<std::size_t> stopping;                  // told to stop, and not started again yet
     std::map<std::string, std::size_t> working;      // engines that work on the request
+    std::set<std::string> brokenOff;                 // requests whose answer an engine broke off
     std::map<std::string, std::uint64_t> counts;     // of requests, by how they ended
     bool stopped = false;
 };
--- a/soak/StandIn.cpp
+++ b/soak/StandIn.cpp
@@ -177,38 +177,46 @@
         co_return;
     }
     this->ledger.ran(requestId, isRepeatable(request));
+    const bool answered = co_await this->run(exchange, std::move(answer), requestId);
+    this->settings.workEnded(request, !answered);
+}
+
+asio::awaitable<bool> StandIn::run(transport::HttpExchange &exchange, protocol::HttpResponse answer,
+                                   const std::string &requestId)
+{
     co_await transport::pause(this->settings.workTime);
     if (this->strikes(EndpointFault::Hangs)) {
         co_await transport::pause(hangTime);
-        co_return;
+        co_return false;
     }
     if (this->strikes(EndpointFault::Breaks))
-        co_return;
+        co_return false;
     if (this->strikes(EndpointFault::Fails))
         answer.status = 500;
     if (this->strikes(EndpointFault::Crossed))
         answer.headers = {{"Request-Id", "another"}, {"Response-Seal", "seal"}};
     if (this->settings.engine && answer.status == 200) {
         this->settings.streamBegan();
-        const bool whole = co_await this->stream(exchange, std::move(answer), requestId);
-        this->settings.streamEnded(whole);
-        this->settings.workEnded(request);
-        co_return;
+        const StreamEnd end = co_await this->stream(exchange, std::move(answer), requestId);
+        this->settings.streamEnded(end == StreamEnd::Whole);
+        co_return end != StreamEnd::BrokenOff;
     }
-    if (!this->settings.engine && this->settings.ends(request))
-        co_return;
+    if (!this->settings.engine && this->settings.ends(exchange.request()))
+        co_return false;
     answer.body = expectedBody(requestId);
     co_await exchange.respond(std::move(answer));
+    co_return true;
 }
 
-asio::awaitable<bool> StandIn::stream(transport::HttpExchange &exchange,
-                                      protocol::HttpResponse head, const std::string &requestId)
+asio::awaitable<StandIn::StreamEnd> StandIn::stream(transport::HttpExchange &exchange,
+                                                    protocol::HttpResponse head,
+                                                    const std::string &requestId)
 {
     const std::string behind = valueOf(exchange.request(), "Last-Event-Id");
     const std::uint64_t first = behind.empty() ? 1 : std::stoull(behind) + 1;
     co_await exchange.beginStream(std::move(head));
     if (this->settings.ends(exchange.request()))
-        co_return false;
+        co_return StreamEnd::BrokenOff;
     for (std::uint64_t event = first; event <= events; ++event) {
         co_await transport::pause(this->settings.eventTime);
         std::string text = expectedEvent(requestId, event);
@@ -217,10 +225,10 @@
             text.resize(text.size() / 2);
         const auto sent = co_await exchange.write(text);
         if (!sent || breaks)
-            co_return false;
+            co_return breaks ? StreamEnd::BrokenOff : StreamEnd::CallerGone;
     }
     co_await exchange.finishStream();
-    co_return true;
+    co_return StreamEnd::Whole;
 }
 
 } // namespace lavenderthread::soak
--- a/soak/StandIn.h
+++ b/soak/StandIn.h
@@ -47,8 +47,10 @@
             [](const auto &, auto) {};
     std::chrono::milliseconds workTime{15};  // before an answer, or the first event of a stream
     std::chrono::milliseconds eventTime{20}; // between the events of a stream
-    // Called when the work on a request has ended, in whatever way; not for one that was refused.
-    std::function<void(const protocol::HttpRequest &)> workEnded = [](const auto &) {};
+    // Called when the work on a request has ended, unless it was refused; `brokeOff`: without the
+    // whole answer, by a fault of the endpoint.
+    std::function<void(const protocol::HttpRequest &, bool brokeOff)> workEnded = [](const auto &,
+                                                                                     bool) {};
     // Called when an engine begins a stream, and when it ends: whole, or broken off by either side.
     std::function<void()> streamBegan = [] {};
     std::function<void(bool whole)> streamEnded = [](bool) {};
@@ -85,9 +87,13 @@
     boost::asio::awaitable<void> beat();
     boost::asio::awaitable<void> serve(transport::HttpExchange &exchange);
     boost::asio::awaitable<void> serveOrder(transport::HttpExchange &exchange);
-    // Whether the whole stream was written.
-    boost::asio::awaitable<bool> stream(transport::HttpExchange &exchange,
-                                        protocol::HttpResponse head, const std::string &id);
+    enum class StreamEnd { Whole, BrokenOff, CallerGone };
+
+    // Runs the request. False: its answer was broken off.
+    boost::asio::awaitable<bool> run(transport::HttpExchange &exchange,
+                                     protocol::HttpResponse answer, const std::string &id);
+    boost::asio::awaitable<StreamEnd> stream(transport::HttpExchange &exchange,
+                                             protocol::HttpResponse head, const std::string &id);
     std::string heartbeat();
     bool strikes(EndpointFault which);
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -207,9 +207,9 @@
                 if (this->entryStops)
                     this->entryStops->requestArrived(request);
             };
-            settings.workEnded = [this](const protocol::HttpRequest &request) {
+            settings.workEnded = [this](const protocol::HttpRequest &request, bool brokeOff) {
                 if (this->entryStops)
-                    this->entryStops->workEnded(request);
+                    this->entryStops->workEnded(request, brokeOff);
             };
             settings.ends = [this, index](const protocol::HttpRequest &request) {
                 if (this->callCrashes)
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -608,8 +608,7 @@
     asio::awaitable<void> shutDownOnSignal()
     {
         co_await this->stopSignals.async_wait(asio::as_tuple(asio::use_awaitable));
-        // A second signal stops the process at once: the operator does not want to wait.
-        this->stopSignals.async_wait([this](auto, auto) { this->context.stop(); });
+        this->stopAtOnceOnInterrupt();
         const ShutdownSchedule schedule = this->shutdownSchedule();
         const state::Instant limit = monotonicNow() + schedule.exitAfter;
         logEvent(LogLevel::Info, "node.leaving",
@@ -648,6 +647,20 @@
         this->context.stop();
     }
 
+    // An operator at a terminal who interrupts again does not want to wait. Supervisors repeat
+    // SIGTERM, and callers still get their answers then.
+    void stopAtOnceOnInterrupt()
+    {
+        this->stopSignals.async_wait([this](const boost::system::error_code &problem, int signal) {
+            if (problem)
+                return;
+            if (signal == SIGINT)
+                this->context.stop();
+            else
+                this->stopAtOnceOnInterrupt();
+        });
+    }
+
     void serveControlMetrics()
     {
         using Status = ControlMemberStatus;
