Transport, node: requests that are being read count before the process ends

Change: HttpServer counts exchanges from the end of the head until the handler returns. A leaving process waits for those of callers and operators up to 3 s beyond its first refusal, and logs them in node.leaving and node.stopped.

--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -44,6 +44,8 @@
 
 constexpr milliseconds expiryCheckInterval{200};
 constexpr milliseconds drainCheckInterval{20};
+// From the first refusal: bodies that are being read end, and operators get their answers.
+constexpr milliseconds exchangeTime{3'000};
 // Before the process exits: time to send the leave notice and the last answers from the sockets.
 constexpr milliseconds finalSendTime{300};
 
@@ -614,6 +616,7 @@
         logEvent(LogLevel::Info, "node.leaving",
                  {{"in_flight", std::uint64_t(this->openRequests->count())},
                   {"stages", formatStages(*this->openRequests)},
+                  {"exchanges", std::uint64_t(this->openExchanges())},
                   {"takes_calls_ms", toMilliseconds(schedule.acceptCallsFor)},
                   {"limit_ms", toMilliseconds(schedule.exitAfter)}});
         this->openRequests->answerUntil(limit);
@@ -626,7 +629,9 @@
         this->entry->enter(EntryPhase::Refusing);
         if (this->front)
             this->front->refuseNew();
-        while (this->openRequests->count() > 0 && monotonicNow() < limit)
+        const state::Instant exchangesLimit = std::min(limit, monotonicNow() + exchangeTime);
+        while ((this->openRequests->count() > 0 && monotonicNow() < limit)
+               || (this->openExchanges() > 0 && monotonicNow() < exchangesLimit))
             co_await transport::pause(drainCheckInterval);
         this->entry->stopAccepting();
         if (this->front)
@@ -638,7 +643,8 @@
         logUnanswered(*this->openRequests);
         logEvent(LogLevel::Info, "node.stopped",
                  {{"in_flight", std::uint64_t(this->openRequests->count())},
-                  {"stages", formatStages(*this->openRequests)}});
+                  {"stages", formatStages(*this->openRequests)},
+                  {"exchanges", std::uint64_t(this->openExchanges())}});
         if (this->client)
             this->client->stop();
         if (this->control)
@@ -735,6 +741,8 @@
         return state::outcome::success();
     }
 
+    std::size_t openExchanges() const { return this->front ? this->front->openExchanges() : 0; }
+
     ShutdownSchedule shutdownSchedule() const
     {
         if (this->settings.relay.listen)
--- a/src/program/RelayListeners.cpp
+++ b/src/program/RelayListeners.cpp
@@ -340,6 +340,14 @@
         this->relayServer->closeAfterAnswers();
 }
 
+std::size_t RelayListeners::openExchanges() const
+{
+    std::size_t open = 0;
+    for (const auto &server : {this->relayServer, this->operatorServer})
+        open += server ? server->openExchanges() : 0;
+    return open;
+}
+
 void RelayListeners::stopAccepting()
 {
     for (const auto &server :
--- a/src/program/RelayListeners.h
+++ b/src/program/RelayListeners.h
@@ -83,6 +83,8 @@
     void beginLeaving();
     void refuseNew() { this->refusing = true; }
     void stopAccepting();
+    // Requests that are being read or answered, operators' included.
+    std::size_t openExchanges() const;
 
 private:
     RelayListeners(const Settings &settings, boost::asio::io_context &context, Hooks hooks);
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -57,6 +57,7 @@
     state::Snapshot<HttpLimits> limits;
     HttpServer::Hooks hooks;
     std::atomic<std::size_t> connections = 0;
+    std::atomic<std::size_t> exchanges = 0;
     std::atomic<bool> accepting = true;
     std::atomic<bool> closing = false; // answers close their connections
 };
@@ -65,6 +66,23 @@
 
 using Shared = HttpServer::Shared;
 
+// Counts an exchange during its lifetime.
+class OpenExchange
+{
+public:
+    explicit OpenExchange(Shared &server)
+        : server(server)
+    {
+        ++this->server.exchanges;
+    }
+    ~OpenExchange() { --this->server.exchanges; }
+    OpenExchange(const OpenExchange &) = delete;
+    OpenExchange &operator=(const OpenExchange &) = delete;
+
+private:
+    Shared &server;
+};
+
 // One caller's connection. Lives as long as its coroutine; all work is on its strand.
 class Connection
 {
@@ -79,7 +97,8 @@
     {
         bool first = true;
         while (first || this->server->accepting) {
-            std::optional<protocol::HttpRequest> request = co_await this->readRequest(first);
+            std::optional<OpenExchange> open;
+            std::optional<protocol::HttpRequest> request = co_await this->readRequest(first, open);
             if (!request)
                 break;
             first = false;
@@ -135,8 +154,10 @@
         this->stream.socket().cancel(ignored);
     }
 
-    // Nothing when the connection is to be closed; rejections have been answered by then.
-    asio::awaitable<std::optional<protocol::HttpRequest>> readRequest(bool first)
+    // Nothing when the connection is to be closed; rejections have been answered by then. `open` is
+    // set once a request has begun.
+    asio::awaitable<std::optional<protocol::HttpRequest>>
+    readRequest(bool first, std::optional<OpenExchange> &open)
     {
         http::request_parser<http::string_body> parser;
         const HttpLimits limits = *this->server->limits.read();
@@ -151,6 +172,7 @@
             co_await this->reject(headProblem, headBytes);
             co_return std::nullopt;
         }
+        open.emplace(*this->server);
         this->stream.expires_after(limits.requestTimeout);
         if (parser.get()[http::field::expect] == "100-continue")
             co_await this->sendContinue();
@@ -411,6 +433,11 @@
     return this->shared->connections;
 }
 
+std::size_t HttpServer::openExchanges() const
+{
+    return this->shared->exchanges;
+}
+
 state::Address HttpServer::address() const
 {
     beast::error_code problem;
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -100,6 +100,8 @@
     // No new connections; open ones finish their request in flight and are then closed.
     void stopAccepting();
     std::size_t openConnections() const;
+    // Requests whose head has been read and whose handler has not returned.
+    std::size_t openExchanges() const;
     state::Address address() const; // with the port that was really bound
 
     struct Shared; // what connections hold on to
