Platform, endpoints: odd entries of other writers are refused

Other operators: another writer left an odd entry among those of the replicas (very deeply nested, a number too large, a port out of range), and the readers ended again and again, or stopped following the list.

Cause looked for here: readers of heartbeats, deregistrations, configurations and headers. No process ends: nesting is bounded by the parser, names and records by the lifecycle. Found: port 0 and texts that are no IP number became endpoints; a start time of 2^64-1 became an incarnation that no later start of the endpoint could ever replace; a deregistration whose start could not be read ended the present incarnation, whatever it was; 1e400 in a configuration was read as an infinite speed; counts of 2^32 and more in headers wrapped around.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -3,6 +3,7 @@
 // With an option that names a scenario, plays that one in place of the faults.
 // usage: fault-soak --binary PATH --folder PATH [--seed N] [--seconds N]
 //                   [--path-loss hang|reset|quiet] [--control-loss freeze|kill] [--entry-stops]
+//                   [--odd-entries]
 //                   [--endpoint-limits] [--endpoint-rest] [--evacuation] [--cold-returns]
 //                   [--crashing-prompt second|first|two|none]
 //                   [--crashing-call target|body|once|none]
@@ -16,6 +17,7 @@
 #include "EntryStops.h"
 #include "Evacuation.h"
 #include "Faults.h"
+#include "OddEntries.h"
 #include "Operator.h"
 #include "PathLoss.h"
 
@@ -50,6 +52,7 @@
     bool endpointLimits = false;
     bool endpointRest = false;
     bool entryStops = false;
+    bool oddEntries = false;
     bool evacuation = false;
     bool coldReturns = false;
     std::string crashingPrompt; // where the part is that ends engines; empty: not played
@@ -58,8 +61,8 @@
     bool playsScenario() const
     {
         return !this->pathLoss.empty() || !this->controlLoss.empty() || this->endpointLimits
-               || this->endpointRest || this->entryStops || this->evacuation || this->coldReturns
-               || !this->crashingPrompt.empty() || !this->crashingCall.empty();
+               || this->endpointRest || this->entryStops || this->oddEntries || this->evacuation
+               || this->coldReturns || !this->crashingPrompt.empty() || !this->crashingCall.empty();
     }
 };
 
@@ -269,6 +272,8 @@
             co_await this->playEndpointRest();
         else if (this->options.entryStops)
             co_await this->playEntryStops();
+        else if (this->options.oddEntries)
+            co_await this->playOddEntries();
         else if (this->options.evacuation)
             co_await this->playEvacuation();
         else if (this->options.coldReturns)
@@ -399,6 +404,16 @@
         co_await this->entryStops->play();
     }
 
+    asio::awaitable<void> playOddEntries()
+    {
+        const bool started = co_await this->startFleet();
+        if (!started)
+            co_return;
+        this->oddEntries = std::make_unique<OddEntries>(this->context, this->options.seed,
+                                                        this->fleet, this->endpoints, this->ledger);
+        co_await this->oddEntries->play();
+    }
+
     asio::awaitable<void> playEvacuation()
     {
         const bool started = co_await this->startFleet();
@@ -538,6 +553,7 @@
     std::unique_ptr<EndpointLimits> limits; // calls may outlast the scenario
     std::unique_ptr<EndpointRest> rests;
     std::unique_ptr<EntryStops> entryStops;
+    std::unique_ptr<OddEntries> oddEntries; // calls may outlast the scenario
     std::unique_ptr<Evacuation> evacuation;
     std::unique_ptr<ColdReturns> coldReturns;
     Operator operators;
@@ -566,6 +582,8 @@
                  "Endpoints turn requests away for a while");
     app.add_flag("--entry-stops", options.entryStops,
                  "Entries at which prompts wait are told to stop, one after the other");
+    app.add_flag("--odd-entries", options.oddEntries,
+                 "Another writer announces endpoints that can't be right");
     app.add_flag("--evacuation", options.evacuation,
                  "Failure domains are evacuated and taken back");
     app.add_flag("--cold-returns", options.coldReturns,
--- a/src/coordination/endpoints/EndpointLifecycle.cpp
+++ b/src/coordination/endpoints/EndpointLifecycle.cpp
@@ -59,7 +59,7 @@
         if (!fits(model))
             return false;
     }
-    return !description.id.empty() && fits(description.id) && !description.address.ip.empty()
+    return !description.id.empty() && fits(description.id) && description.address.isConnectable()
            && fits(description.failureDomain) && fits(description.service)
            && description.incarnation > 0;
 }
--- a/tests/coordination/endpoints/EndpointLifecycleTest.cpp
+++ b/tests/coordination/endpoints/EndpointLifecycleTest.cpp
@@ -360,6 +360,13 @@
             huge.models.emplace_back("model-" + std::to_string(model));
         const auto refused = cluster.lifecycles[0].announce(huge, cluster.view(0), cluster.now);
         CPPUNIT_ASSERT(refused.error().code == state::ErrorCode::InvalidArgument);
+        for (const state::Address &address :
+             {state::Address{"10.0.0.9", 0}, state::Address{"999.0.0.9", 1}}) {
+            state::EndpointDescription odd{engine, address};
+            odd.incarnation = 1;
+            CPPUNIT_ASSERT(
+                    cluster.lifecycles[0].announce(odd, cluster.view(0), cluster.now).has_error());
+        }
         CPPUNIT_ASSERT(
                 EndpointLifecycle::create({seconds(5), seconds(6)}, state::VmId("a"), cluster.now)
                         .has_error());
--- a/tests/platform/ConfigurationCodecTest.cpp
+++ b/tests/platform/ConfigurationCodecTest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(coldRateIsDecoded);
     CPPUNIT_TEST(optionalFieldsMayBeAbsent);
     CPPUNIT_TEST(malformedDocumentsAreRejected);
+    CPPUNIT_TEST(numbersOutOfRangeAreRejected);
     CPPUNIT_TEST(truncatedDocumentsAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -92,6 +93,17 @@
         CPPUNIT_ASSERT(!without.value().needsKeys());
     }
 
+    // Guards against infinite speeds, by which every wait is predicted as none.
+    void numbersOutOfRangeAreRejected()
+    {
+        for (const std::string member : {"per_seq_ms", "read_per_s", "pairs_per_m"}) {
+            std::string text(sampleConfiguration);
+            const std::size_t at = text.find(member) + member.size() + 2;
+            text.replace(at, text.find(',', at) - at, "1e400");
+            CPPUNIT_ASSERT_MESSAGE(member, !decodeConfiguration(text));
+        }
+    }
+
     void malformedDocumentsAreRejected()
     {
         struct Case
--- a/tests/state/AddressTest.cpp
+++ b/tests/state/AddressTest.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(AddressTest);
     CPPUNIT_TEST(roundTrip);
     CPPUNIT_TEST(refusesBadText);
+    CPPUNIT_TEST(onlyIpNumbersWithPortAreConnectable);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -33,6 +34,15 @@
             CPPUNIT_ASSERT_EQUAL(std::string("address.parse"), address.error().step);
         }
     }
+
+    void onlyIpNumbersWithPortAreConnectable()
+    {
+        for (const char *text : {"127.0.0.1:80", "[::1]:65535"})
+            CPPUNIT_ASSERT_MESSAGE(text, Address::parse(text).value().isConnectable());
+        for (const char *text : {"127.0.0.1:0", "999.1.1.1:80", "1.2.3:80", "...:80", "[::]:0",
+                                 "[:::]:80", "a.b.c.d:80"})
+            CPPUNIT_ASSERT_MESSAGE(text, !Address::parse(text).value().isConnectable());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AddressTest);
