--- a/soak/EntryStops.cpp
+++ b/soak/EntryStops.cpp
@@ -206,8 +206,8 @@
     const bool cut =
             (result.end == CallEnd::Closed || result.end == CallEnd::ClosedMidway) && !timeIsOver;
     const auto stop = this->stoppedAt.find(entry);
-    const bool crossed =
-            result.end == CallEnd::Closed && result.endedAt < result.sentAt + crossingTime;
+    const bool crossed = result.end == CallEnd::Closed && !this->working.contains(id)
+                         && result.endedAt < result.sentAt + crossingTime;
     if (cut && stop != this->stoppedAt.end() && this->isExcused(id, result, stop->second))
         end += ", excused";
     else if (cut && crossed)
--- a/soak/EntryStops.h
+++ b/soak/EntryStops.h
@@ -36,7 +36,9 @@
     };
 
     static constexpr std::chrono::milliseconds timeLimit{15'000}; // of each request
+    // With the shorter one, entries give up engines that are silent for less than their work takes.
     static constexpr std::chrono::milliseconds firstEventTarget{2'500};
+    static constexpr std::chrono::milliseconds shortFirstEventTarget{700};
     static constexpr std::uint32_t readRate = 206'000; // tokens a second, as engines declare
     // An engine's time for a prompt, more than twice of what follows from that rate.
     static constexpr std::chrono::milliseconds workTime{2'500};
--- a/soak/StandIn.cpp
+++ b/soak/StandIn.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace lavenderthread::soak {
 
@@ -177,8 +178,14 @@
         co_return;
     }
     this->ledger.ran(requestId, isRepeatable(request));
+    const auto ended = std::make_shared<bool>(false);
+    exchange.onCallerGone([self = this->shared_from_this(), request, ended] {
+        if (!std::exchange(*ended, true))
+            self->settings.workEnded(request, false);
+    });
     const bool answered = co_await this->run(exchange, std::move(answer), requestId);
-    this->settings.workEnded(request, !answered);
+    if (!std::exchange(*ended, true))
+        this->settings.workEnded(request, !answered);
 }
 
 asio::awaitable<bool> StandIn::run(transport::HttpExchange &exchange, protocol::HttpResponse answer,
--- a/soak/StandIn.h
+++ b/soak/StandIn.h
@@ -47,8 +47,8 @@
             [](const auto &, auto) {};
     std::chrono::milliseconds workTime{15};  // before an answer, or the first event of a stream
     std::chrono::milliseconds eventTime{20}; // between the events of a stream
-    // Called when the work on a request has ended, unless it was refused; `brokeOff`: without the
-    // whole answer, by a fault of the endpoint.
+    // Called when the work on a request has ended, or its connection has, unless it was refused;
+    // `brokeOff`: without the whole answer, by a fault of the endpoint.
     std::function<void(const protocol::HttpRequest &, bool brokeOff)> workEnded = [](const auto &,
                                                                                      bool) {};
     // Called when an engine begins a stream, and when it ends: whole, or broken off by either side.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -389,7 +389,10 @@
 
     asio::awaitable<void> playEntryStops()
     {
-        this->operators.setStreamTimes(EntryStops::timeLimit, EntryStops::firstEventTarget);
+        const bool isShort = this->options.seed % 2 == 0;
+        this->operators.setStreamTimes(EntryStops::timeLimit,
+                                       isShort ? EntryStops::shortFirstEventTarget
+                                               : EntryStops::firstEventTarget);
         this->operators.setReadRate(EntryStops::readRate);
         const bool started = co_await this->startFleet();
         if (!started)
--- a/src/coordination/admission/Dispatcher.h
+++ b/src/coordination/admission/Dispatcher.h
@@ -67,7 +67,9 @@
 
 private:
     // How often an entry that leaves looks for requests that it can't answer any more.
-    static constexpr state::Duration answerCheckPeriod = std::chrono::milliseconds(20);
+    static constexpr state::Duration answerCheckPeriod = std::chrono::milliseconds(100);
+    // After a refusal by an entry that leaves; another one takes the request at once.
+    static constexpr state::Duration retryElsewhere = std::chrono::milliseconds(50);
 
     enum class Phase : std::uint8_t { Queued, Reserving, Prefilling, Decoding };
 
--- a/src/coordination/admission/DispatcherEngines.cpp
+++ b/src/coordination/admission/DispatcherEngines.cpp
@@ -221,7 +221,8 @@
 {
     MoveAnswered answer{event.id, event.attempt, false};
     ActiveRequest *active = this->findAttempt(event.id, event.attempt);
-    if (active != nullptr && active->request.idempotent) {
+    // An entry that leaves could not send it elsewhere in time; its engine may still answer.
+    if (active != nullptr && active->request.idempotent && !this->isUnanswerable(active->request)) {
         const std::uint32_t attempts = active->request.attemptLimit;
         const bool lastRun = attempts > 0 ? active->runs + 1 >= attempts
                                           : countedAttempts(*active) >= this->policy.attemptsLimit;
@@ -295,6 +296,11 @@
         this->refuseAfterAttempts(active, false, after);
         return;
     }
+    if (this->isUnanswerable(active.request)) {
+        active.phase = Phase::Reserving; // none of it is on an engine any more
+        this->refuse(active.request.id, RefusalReason::Leaving, retryElsewhere);
+        return;
+    }
     const bool allowed =
             noBudgetNeeded || (repeatable && (alreadyPaid || this->retryBudget.tryTake()));
     if ((ran && !active.request.idempotent) || !allowed || this->isExhausted(active)) {
--- a/src/coordination/admission/DispatcherLeaving.cpp
+++ b/src/coordination/admission/DispatcherLeaving.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-// Another entry takes the request at once.
-constexpr state::Duration retryElsewhere = std::chrono::milliseconds(50);
-
 state::Duration toDuration(double seconds)
 {
     return std::chrono::duration_cast<state::Duration>(std::chrono::duration<double>(seconds));
--- a/src/coordination/admission/RunTimes.cpp
+++ b/src/coordination/admission/RunTimes.cpp
@@ -15,7 +15,7 @@
 
 double RunTimes::ratio() const
 {
-    if (this->count == 0)
+    if (this->count < fewest)
         return leastRatio;
     std::array<double, kept> sorted = this->ratios;
     const auto end = sorted.begin() + std::ptrdiff_t(this->count);
--- a/src/coordination/admission/RunTimes.h
+++ b/src/coordination/admission/RunTimes.h
@@ -14,7 +14,7 @@
     // Both from a request's dispatch to the end of its answer.
     void add(state::Duration predicted, state::Duration measured);
     // Measured over predicted time, which three of four recent requests stayed below; at least
-    // `leastRatio`, also if there are no recent ones.
+    // `leastRatio`, also if there are too few of them.
     double ratio() const;
 
     // A prediction can't know what the other entries send meanwhile.
@@ -22,6 +22,7 @@
 
 private:
     static constexpr std::size_t kept = 16;
+    static constexpr std::size_t fewest = 4;
 
     std::array<double, kept> ratios{}; // a ring; the first `count` are set
     std::size_t count = 0;
--- a/src/program/CompletionRelay.cpp
+++ b/src/program/CompletionRelay.cpp
@@ -58,6 +58,7 @@
         , openRequest(hooks.openRequests->open(this->request.arrival))
     {
         this->openRequest.setId(this->request.id);
+        this->openRequest.onEnd(exchange.executor(), [this] { this->entryEnds(); });
     }
 
     asio::awaitable<CompletionOutcome> run()
@@ -109,6 +110,16 @@
         return end == AttemptResult::NotRun ? AttemptFailure::NotRun : AttemptFailure::Lost;
     }
 
+    // This process ends. What its caller gets already goes on until then.
+    void entryEnds()
+    {
+        if (this->writer.begun())
+            return;
+        this->ending = true;
+        this->call->cancel();
+        this->hooks.scheduler.cancel(this->request.id);
+    }
+
     // Continues the stream that the caller's previous entry started. False if the engine no longer
     // has it.
     asio::awaitable<bool> joinRunningStream()
@@ -144,6 +155,9 @@
         attempt.resumeFrom = this->writer.nextOffset();
         attempt.body = this->body;
         attempt.deadline = this->request.deadline;
+        if (!this->ending)
+            this->call = std::make_shared<transport::HttpCallHandle>();
+        attempt.handle = this->call;
         return attempt;
     }
 
@@ -278,6 +292,9 @@
     // Answers with the scheduler's refusal and with what is known about whether the request ran.
     asio::awaitable<void> giveUp(Problem problem)
     {
+        if (this->ending)
+            problem = {this->ran == Ran::No ? 503U : 502U, std::string(leavingTitle),
+                       "this entry ends", this->ran, std::nullopt};
         problem.ran = this->ran;
         if (this->resume && this->ran == Ran::No)
             problem.ran = Ran::Unknown; // it ran elsewhere before, so "no" would be false
@@ -322,7 +339,10 @@
     AnswerWriter writer;
     std::uint64_t firstOffset;
     OpenRequest openRequest;
-    Ran ran = Ran::No; // only changes in the order No, Unknown, Yes
+    // Of the running attempt.
+    std::shared_ptr<transport::HttpCallHandle> call = std::make_shared<transport::HttpCallHandle>();
+    bool ending = false; // the process ends, and the request must be answered now
+    Ran ran = Ran::No;   // only changes in the order No, Unknown, Yes
     // Target of the last slice. The next slice to the same engine can omit the body.
     state::EndpointId sliceEndpoint;
     std::string sliceStream;
--- a/src/program/EngineAttempt.cpp
+++ b/src/program/EngineAttempt.cpp
@@ -87,7 +87,7 @@
     limits.connectTimeout = std::min(this->settings.connectTimeout, left);
     limits.timeout = std::min(this->settings.silenceTimeout, left);
     return transport::openHttpStream(this->executor, this->request.endpoint.address,
-                                     std::move(call), limits);
+                                     std::move(call), limits, {}, this->request.handle);
 }
 
 asio::awaitable<state::Result<void>> EngineAttempt::open()
--- a/src/program/EngineAttempt.h
+++ b/src/program/EngineAttempt.h
@@ -30,6 +30,7 @@
     bool joinExisting = false; // continue a stream that another entry started
     std::shared_ptr<const std::string> body; // the caller's, unchanged
     state::Instant deadline;
+    std::shared_ptr<transport::HttpCallHandle> handle; // ends the attempt from outside; may be null
 };
 
 class EngineAttempt
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -45,7 +45,7 @@
 constexpr milliseconds expiryCheckInterval{200};
 constexpr milliseconds drainCheckInterval{20};
 // From the first refusal: bodies that are being read end, and operators get their answers.
-constexpr milliseconds exchangeTime{3'000};
+constexpr milliseconds exchangeTime{2'000};
 // Before the process exits: time to send the leave notice and the last answers from the sockets.
 constexpr milliseconds finalSendTime{300};
 
--- a/src/program/OpenRequests.cpp
+++ b/src/program/OpenRequests.cpp
@@ -2,6 +2,8 @@
 
 #include "program/Clock.h"
 
+#include <boost/asio/post.hpp>
+
 #include <utility>
 
 namespace lavenderthread::program {
@@ -62,13 +64,17 @@
 
 void OpenRequests::endAll()
 {
-    std::map<const Entry *, std::function<void()>> due;
+    std::map<const Entry *, Ending> due;
     {
         const std::lock_guard lock(this->mutex);
         due.swap(this->endings);
     }
-    for (const auto &[entry, end] : due)
-        end();
+    for (const auto &[entry, ending] : due) {
+        boost::asio::post(ending.executor, [end = ending.end] {
+            if (const auto present = end.lock())
+                (*present)();
+        });
+    }
 }
 
 OpenRequest::OpenRequest(std::shared_ptr<OpenRequests> all, OpenRequests::Entries::iterator entry)
@@ -98,10 +104,11 @@
     this->entry->stageSince = monotonicNow();
 }
 
-void OpenRequest::onEnd(std::function<void()> end)
+void OpenRequest::onEnd(boost::asio::any_io_executor executor, std::function<void()> ending)
 {
+    this->end = std::make_shared<const std::function<void()>>(std::move(ending));
     const std::lock_guard lock(this->all->mutex);
-    this->all->endings[&*this->entry] = std::move(end);
+    this->all->endings[&*this->entry] = {std::move(executor), this->end};
 }
 
 } // namespace lavenderthread::program
--- a/src/program/OpenRequests.h
+++ b/src/program/OpenRequests.h
@@ -5,6 +5,8 @@
 #include "state/Ids.h"
 #include "state/Time.h"
 
+#include <boost/asio/any_io_executor.hpp>
+
 #include <algorithm>
 #include <array>
 #include <atomic>
@@ -61,6 +63,7 @@
 
     // The process ends soon after that time.
     void answerUntil(state::Instant limit) { this->limit = limit; }
+    bool isLeaving() const { return this->limit.load() != state::Instant::max(); }
     // The lesser of `deadline` and the time by which all must be answered.
     state::Instant boundOf(state::Instant deadline) const
     {
@@ -73,13 +76,19 @@
     friend class OpenRequest;
     using Entries = std::list<Entry>;
 
+    struct Ending
+    {
+        boost::asio::any_io_executor executor;
+        std::weak_ptr<const std::function<void()>> end; // expires with the OpenRequest
+    };
+
     OpenRequests() = default;
 
     // Instant::max(): the process has not been told to stop.
     std::atomic<state::Instant> limit = state::Instant::max();
-    mutable std::mutex mutex;                               // guards the members below
-    Entries entries;                                        // in order of arrival at this process
-    std::map<const Entry *, std::function<void()>> endings; // of those that can be ended
+    mutable std::mutex mutex;                // guards the members below
+    Entries entries;                         // in order of arrival at this process
+    std::map<const Entry *, Ending> endings; // of those that can be ended
 };
 
 // The place of one request among the open ones, from open() until its destruction.
@@ -92,8 +101,9 @@
 
     void setId(const state::RequestId &id);
     void enter(RequestStage stage);
-    // `end` is called at most once, from any thread, when the request must be answered now.
-    void onEnd(std::function<void()> end);
+    // `end` is called at most once, on `executor`, when the request must be answered now. This
+    // object must be destroyed on that executor, which runs one handler at a time.
+    void onEnd(boost::asio::any_io_executor executor, std::function<void()> end);
 
 private:
     friend class OpenRequests;
@@ -102,6 +112,7 @@
 
     std::shared_ptr<OpenRequests> all;
     OpenRequests::Entries::iterator entry;
+    std::shared_ptr<const std::function<void()>> end; // null unless onEnd() was called
 };
 
 } // namespace lavenderthread::program
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -141,12 +141,7 @@
         , arrival(monotonicNow() - (this->handed ? this->handed->age : milliseconds(0)))
         , openRequest(relay.hooks.openRequests->open(this->arrival))
     {
-        this->openRequest.onEnd([self = std::weak_ptr(this->self), executor = exchange.executor()] {
-            asio::post(executor, [self] {
-                if (const auto call = self.lock())
-                    (*call)->entryEnds();
-            });
-        });
+        this->openRequest.onEnd(exchange.executor(), [this] { this->entryEnds(); });
     }
 
     asio::awaitable<RelayOutcome> run()
@@ -225,7 +220,7 @@
     // An engine that is leaving ends its connections as planned.
     bool mayHaveCrashed(const state::EndpointDescription &endpoint) const
     {
-        if (!this->progress.connectionEnded)
+        if (!this->progress.connectionEnded || this->mustAnswer())
             return false;
         const auto table = this->hooks.endpoints();
         const auto known = table->endpoints.find(endpoint.id);
@@ -426,6 +421,8 @@
             if (!placement) {
                 this->outcome.reason = placement.error().detail + "; " + this->outcome.reason;
                 retryAfter = placement.error().retryAfter;
+                if (placement.error().title == leavingTitle && this->facts.runs == 0)
+                    this->refusalResult = PeerResult::Elsewhere;
             }
             if (this->requestRefusal) {
                 this->outcome.reason = this->requestRefusal->detail;
@@ -529,7 +526,9 @@
         wanted.toleratedPause = this->route->pauseTarget;
         wanted.attempts = this->facts.maxRuns;
         wanted.rank = this->routes->priorityOf(*this->route, this->outcome.account);
-        wanted.interrupt = [running = this->running] { running->interrupt(); };
+        wanted.interrupt = [running = this->running, executor = this->exchange.executor()] {
+            asio::post(executor, [running] { running->interrupt(); });
+        };
         return wanted;
     }
 
@@ -635,7 +634,7 @@
     void recordReplicaResult(const state::EndpointDescription &replica, AttemptResult end)
     {
         // A healthy endpoint also answers a request that it can't carry out with its own error.
-        const bool endedHere = this->facts.callerGone || this->requestRefusal;
+        const bool endedHere = this->mustAnswer() || this->requestRefusal;
         const bool rests = this->withheld || this->askedForRest;
         const AttemptOutcome health = endedHere || rests ? AttemptOutcome::Succeeded
                                                          : healthOf(end, this->endpointReplaced);
@@ -752,7 +751,7 @@
 
     void rememberPeerFailure(const state::Address &peer) const
     {
-        if (this->facts.callerGone)
+        if (this->mustAnswer())
             return;
         const std::lock_guard lock(this->relay.choiceMutex);
         this->relay.peerOrder.couldNotServe(peer, monotonicNow());
@@ -1069,6 +1068,8 @@
 
     bool mayMoveToReplica()
     {
+        if (this->hooks.openRequests->isLeaving())
+            return false; // another replica could hardly answer in time, this one may
         CallState next = this->facts;
         ++next.runs;
         this->retryTokenTaken = this->retryTokenTaken
@@ -1334,8 +1335,6 @@
     const std::optional<protocol::RelayedRequest> handed; // by a peer, in this exchange
     state::SnapshotView<RouteTable> routes; // one version is used for the whole request
     const state::Instant arrival;
-    // Expires with this object, before what was posted to its executor.
-    const std::shared_ptr<RelayedCall *> self = std::make_shared<RelayedCall *>(this);
     OpenRequest openRequest;
     RelayRequest request;
     std::vector<state::RequestPart> parts; // of `request`
--- a/src/program/ServiceRelay.cpp
+++ b/src/program/ServiceRelay.cpp
@@ -70,6 +70,10 @@
         , openRequest(hooks.openRequests->open(this->arrival))
     {
         this->openRequest.setId(this->id);
+        this->openRequest.onEnd(exchange.executor(), [this] {
+            this->ending = true;
+            this->call->cancel();
+        });
     }
 
     asio::awaitable<ServiceOutcome> run()
@@ -207,7 +211,8 @@
             if (isEvacuated(*this->hooks.endpoints(), replica))
                 continue;
             const auto left = remaining(this->deadline);
-            if (left == std::chrono::milliseconds(0) || attempts++ == maximumAttempts)
+            if (left == std::chrono::milliseconds(0) || this->ending
+                || attempts++ == maximumAttempts)
                 break;
             transport::HttpCallLimits limits;
             limits.connectTimeout = std::min(this->settings.endpoint.connectTimeout, left);
@@ -216,7 +221,7 @@
             this->openRequest.enter(RequestStage::Sent);
             const auto answer = co_await transport::httpCall(
                     this->exchange.executor(), replica.address, this->forwarded(attempts), limits,
-                    this->guarded(beforeSend));
+                    this->guarded(beforeSend), this->call);
             if (answer) {
                 this->ran = Ran::Yes;
                 co_await this->hooks.guard->connectionEnded(replica, this->parts);
@@ -302,6 +307,8 @@
     state::RequestId id;
     state::Instant arrival;
     OpenRequest openRequest;
+    std::shared_ptr<transport::HttpCallHandle> call = std::make_shared<transport::HttpCallHandle>();
+    bool ending = false;                   // the process ends, and the call must be answered now
     std::optional<RequestRefusal> refusal; // of the last attempt
     Ran ran = Ran::No;
 };
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -252,10 +252,11 @@
 
 asio::awaitable<state::Result<protocol::HttpResponse>>
 httpCall(asio::any_io_executor executor, state::Address peer, protocol::HttpRequest request,
-         HttpCallLimits limits, BeforeSend beforeSend)
+         HttpCallLimits limits, BeforeSend beforeSend, std::shared_ptr<HttpCallHandle> handle)
 {
-    state::Result<HttpAnswerStream> opened = co_await openHttpStream(
-            std::move(executor), peer, std::move(request), limits, std::move(beforeSend));
+    state::Result<HttpAnswerStream> opened =
+            co_await openHttpStream(std::move(executor), peer, std::move(request), limits,
+                                    std::move(beforeSend), std::move(handle));
     if (!opened)
         co_return opened.error();
     HttpAnswerStream &stream = opened.value();
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -99,6 +99,7 @@
 // The whole answer. Errors as above, and Corrupt if the body is over the limit.
 boost::asio::awaitable<state::Result<protocol::HttpResponse>>
 httpCall(boost::asio::any_io_executor executor, state::Address peer, protocol::HttpRequest request,
-         HttpCallLimits limits, BeforeSend beforeSend = {});
+         HttpCallLimits limits, BeforeSend beforeSend = {},
+         std::shared_ptr<HttpCallHandle> handle = {});
 
 } // namespace lavenderthread::transport
--- a/tests/coordination/admission/EntryLeavingTest.cpp
+++ b/tests/coordination/admission/EntryLeavingTest.cpp
@@ -74,6 +74,8 @@
     CPPUNIT_TEST(promptThatCanBeAnsweredIsStarted);
     CPPUNIT_TEST(arrivalThatCannotBeAnsweredIsRefusedAtOnce);
     CPPUNIT_TEST(lostAttemptDoesNotWaitBeyondTheEnd);
+    CPPUNIT_TEST(lostAttemptIsNotStartedAgainTooLate);
+    CPPUNIT_TEST(silentEngineIsNotLeftWhenNoOtherCouldAnswer);
     CPPUNIT_TEST(enginesSlowerThanPredictedAreAllowedFor);
     CPPUNIT_TEST_SUITE_END();
 
@@ -153,6 +155,35 @@
         CPPUNIT_ASSERT(refusal->ran == Ran::Unknown);
     }
 
+    // The same where another engine is free.
+    void lostAttemptIsNotStartedAgainTooLate()
+    {
+        LeavingFixture fixture;
+        fixture.handle(RequestArrived{fixture.longRequest("lost")});
+        const Dispatch dispatch = fixture.onlyAction<Dispatch>();
+        fixture.handle(EntryLeaving{fixture.now + seconds(3)});
+        fixture.now += milliseconds(2'800);
+        fixture.handle(AttemptFailed{.id = dispatch.id,
+                                     .attempt = dispatch.attempt,
+                                     .didNotRun = true,
+                                     .neverSent = true});
+        CPPUNIT_ASSERT(fixture.actionsOf<Dispatch>().empty());
+        CPPUNIT_ASSERT(fixture.onlyAction<Refuse>().reason == RefusalReason::Leaving);
+        CPPUNIT_ASSERT(fixture.onlyAction<Refuse>().ran == Ran::No);
+    }
+
+    // Guards against an answer that is given up for silence, and then for want of time.
+    void silentEngineIsNotLeftWhenNoOtherCouldAnswer()
+    {
+        LeavingFixture fixture;
+        fixture.handle(RequestArrived{fixture.longRequest("silent")});
+        const Dispatch dispatch = fixture.onlyAction<Dispatch>();
+        fixture.handle(EntryLeaving{fixture.now + seconds(3)});
+        fixture.now += milliseconds(2'800);
+        fixture.handle(MoveRequested{dispatch.id, dispatch.attempt});
+        CPPUNIT_ASSERT(!fixture.onlyAction<MoveAnswered>().allowed);
+    }
+
     // Guards against starting prompts whose answers are then cut off with the process.
     void enginesSlowerThanPredictedAreAllowedFor()
     {
--- a/tests/platform/EntryEndTest.cpp
+++ b/tests/platform/EntryEndTest.cpp
@@ -79,8 +79,10 @@
         while (fixture.openRequests->countByStage()[std::size_t(stage)] == 0
                && program::monotonicNow() < limit)
             std::this_thread::sleep_for(milliseconds(1));
-        // Long enough for the request to have arrived.
-        std::this_thread::sleep_for(milliseconds(100));
+        const bool atEndpoint = stage == RequestStage::Sent || stage == RequestStage::Handed;
+        while (atEndpoint && fixture.arrivals == 0 && program::monotonicNow() < limit)
+            std::this_thread::sleep_for(milliseconds(1));
+        CPPUNIT_ASSERT(program::monotonicNow() < limit);
         fixture.openRequests->endAll();
         return answer.get();
     }
--- a/tests/program/OpenRequestsTest.cpp
+++ b/tests/program/OpenRequestsTest.cpp
@@ -1,5 +1,7 @@
 #include "program/OpenRequests.h"
 
+#include <boost/asio/io_context.hpp>
+
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -33,15 +35,19 @@
     void openRequestsAreEndedOnce()
     {
         const auto all = OpenRequests::create();
+        boost::asio::io_context context;
         int ended = 0;
         OpenRequest open = all->open(state::Instant{});
-        open.onEnd([&ended] { ++ended; });
+        open.onEnd(context.get_executor(), [&ended] { ++ended; });
         {
             OpenRequest answered = all->open(state::Instant{});
-            answered.onEnd([&ended] { ++ended; });
+            answered.onEnd(context.get_executor(), [&ended] { ++ended; });
+            OpenRequest answeredBefore = all->open(state::Instant{});
+            answeredBefore.onEnd(context.get_executor(), [&ended] { ++ended; });
+            all->endAll();
         }
         all->endAll();
-        all->endAll();
+        context.run();
         CPPUNIT_ASSERT_EQUAL(1, ended);
     }
 
