--- a/tests/system/alone.sh
+++ b/tests/system/alone.sh
@@ -101,3 +101,35 @@
     stop vm1 || { echo "the entry did not end with exit code 0"; ok=1; }
     return "$ok"
 }
+
+# Guards against requests at slow endpoints that get no answer when their entry has to end.
+test_open_requests_are_answered_before_the_end() {
+    local ok=0 base auth words completion lookup
+    base=http://$(entry_address 1)
+    auth="Authorization: Bearer $fleet_key"
+    write_settings 1 1 0
+    sed -i 's/"shutdown_grace_ms": 1500/"shutdown_grace_ms": 300, "shutdown_limit_ms": 1200/' "$work/vm1.json"
+    start_entry 1
+    await_up 1 || return 1
+    prefill_rate=2000 start_engine engine1 1 "$(entry_address 1)"
+    start_service ledger1 11 "$(entry_address 1)" --delay-ms 20000
+    await_endpoints 1 2 || return 1
+    words=$(printf 'word %.0s' $(seq 1 20000))
+    echo "{\"model\":\"m1\",\"prompt\":\"$words\"}" >"$work/prompt"
+    curl -s -o "$work/completion" -w '%{http_code}' -H "$auth" -H 'Deadline-Ms: 60000' -d "@$work/prompt" \
+        "$base/v1/completions" >"$work/completion.status" &
+    completion=$!
+    curl -s -o "$work/lookup" -w '%{http_code}' -H "$auth" -H 'Deadline-Ms: 60000' "$base/services/ledger/x" \
+        >"$work/lookup.status" &
+    lookup=$!
+    sleep 0.7
+    stop vm1 || { echo "the entry did not end with exit code 0"; ok=1; }
+    wait "$completion" "$lookup"
+    expect "completion at an engine" 502 "$(cat "$work/completion.status")" || ok=1
+    expect "lookup at a replica" 502 "$(cat "$work/lookup.status")" || ok=1
+    contains "stages" "$(grep node.leaving "$work/vm1.log")" 'stages=sent:2' || ok=1
+    grep -q request.unanswered "$work/vm1.log" && { echo "a request was left unanswered"; ok=1; }
+    crash engine1
+    crash ledger1
+    return "$ok"
+}
