Soak: an answer that an engine broke off is excused without a stop, too

Cause: the check asked for broken-off answers only after a SIGTERM. The traces show that the engine broke the last attempt off (attempt.lost connection=ended, "partial message", attempts used up), which the rule excuses.

--- a/soak/EntryStops.cpp
+++ b/soak/EntryStops.cpp
@@ -188,8 +188,6 @@
 bool EntryStops::isExcused(const std::string &id, const KeptCallResult &result,
                            state::Instant stop) const
 {
-    if (result.end == CallEnd::ClosedMidway && this->brokenOff.contains(id))
-        return true;
     const auto engines = this->working.find(id);
     const bool atWork = engines != this->working.end() && engines->second > 0;
     const state::Duration lastPart = this->settings.termination / lastShare;
@@ -208,8 +206,11 @@
     const auto stop = this->stoppedAt.find(entry);
     const bool crossed = result.end == CallEnd::Closed && !this->working.contains(id)
                          && result.endedAt < result.sentAt + crossingTime;
-    if (cut && stop != this->stoppedAt.end() && this->isExcused(id, result, stop->second))
-        end += ", excused";
+    const bool brokenOff = result.end == CallEnd::ClosedMidway && this->brokenOff.contains(id);
+    if (cut && brokenOff)
+        end += ", broken off by an engine";
+    else if (cut && stop != this->stoppedAt.end() && this->isExcused(id, result, stop->second))
+        end += ", an engine at work";
     else if (cut && crossed)
         end += ", not read";
     else if (cut) {
--- a/soak/EntryStops.h
+++ b/soak/EntryStops.h
@@ -60,8 +60,7 @@
     boost::asio::awaitable<void> breakAnswersForEver();
     boost::asio::awaitable<void> stopAndStart(std::size_t entry);
     void judge(std::size_t entry, const std::string &id, const KeptCallResult &result);
-    // Whether an engine still worked on the request when the process had to end, or had broken off
-    // an answer that the caller had a part of.
+    // Whether an engine still worked on the request when the process had to end.
     bool isExcused(const std::string &id, const KeptCallResult &result,
                    state::Instant stoppedAt) const;
     std::chrono::milliseconds drawUpTo(std::chrono::milliseconds most);
