State: the check of connectable addresses has a file of its own

Cause: a declaration in Address.h, which nearly every file includes, for one caller. No change of behaviour; AddressTest and EndpointLifecycleTest pass. A copy that the linter found in the soak is a reference.

--- a/soak/OddEntries.cpp
+++ b/soak/OddEntries.cpp
@@ -145,7 +145,7 @@
 asio::awaitable<void> OddEntries::send(protocol::HttpRequest request)
 {
     const std::vector<state::Address> controls = this->fleet.allOperators();
-    const state::Address to = controls[this->random() % controls.size()];
+    const state::Address &to = controls[this->random() % controls.size()];
     transport::HttpCallLimits limits;
     limits.connectTimeout = milliseconds(300);
     limits.timeout = milliseconds(1'500);
--- a/src/coordination/endpoints/EndpointLifecycle.cpp
+++ b/src/coordination/endpoints/EndpointLifecycle.cpp
@@ -1,6 +1,8 @@
 // Handles announcements, renewals, expiry and the takeover of the home role.
 #include "coordination/endpoints/EndpointLifecycle.h"
 
+#include "state/ConnectableAddress.h"
+
 namespace lavenderthread::coordination::endpoints {
 
 namespace {
@@ -59,9 +61,9 @@
         if (!fits(model))
             return false;
     }
-    return !description.id.empty() && fits(description.id) && description.address.isConnectable()
-           && fits(description.failureDomain) && fits(description.service)
-           && description.incarnation > 0;
+    return !description.id.empty() && fits(description.id)
+           && state::isConnectable(description.address) && fits(description.failureDomain)
+           && fits(description.service) && description.incarnation > 0;
 }
 
 } // namespace
--- a/src/state/Address.cpp
+++ b/src/state/Address.cpp
@@ -2,10 +2,6 @@
 // connects the address checks that the IP address is valid.
 #include "state/Address.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-
-#include <array>
 #include <charconv>
 
 namespace lavenderthread::state {
@@ -35,14 +31,6 @@
     return Address{std::string(ip), port};
 }
 
-bool Address::isConnectable() const
-{
-    std::array<unsigned char, sizeof(in6_addr)> bytes{};
-    const bool isIp = ::inet_pton(AF_INET, this->ip.c_str(), bytes.data()) == 1
-                      || ::inet_pton(AF_INET6, this->ip.c_str(), bytes.data()) == 1;
-    return isIp && this->port != 0;
-}
-
 std::string Address::toString() const
 {
     if (this->ip.find(':') != std::string::npos)
--- a/src/state/Address.h
+++ b/src/state/Address.h
@@ -18,8 +18,6 @@
     // Accepts "10.0.0.1:80" and "[::1]:80". Error: InvalidArgument, step "address.parse".
     static Result<Address> parse(std::string_view text);
 
-    // Whether a connection to it can be tried: an IP number, and a port that isn't 0.
-    bool isConnectable() const;
     std::string toString() const;
     auto operator<=>(const Address &) const = default;
 
--- a/tests/state/AddressTest.cpp
+++ b/tests/state/AddressTest.cpp
@@ -1,5 +1,5 @@
 // Tests state::Address: accepted and refused texts, and the round trip.
-#include "state/Address.h"
+#include "state/ConnectableAddress.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -38,10 +38,10 @@
     void onlyIpNumbersWithPortAreConnectable()
     {
         for (const char *text : {"127.0.0.1:80", "[::1]:65535"})
-            CPPUNIT_ASSERT_MESSAGE(text, Address::parse(text).value().isConnectable());
+            CPPUNIT_ASSERT_MESSAGE(text, isConnectable(Address::parse(text).value()));
         for (const char *text : {"127.0.0.1:0", "999.1.1.1:80", "1.2.3:80", "...:80", "[::]:0",
                                  "[:::]:80", "a.b.c.d:80"})
-            CPPUNIT_ASSERT_MESSAGE(text, !Address::parse(text).value().isConnectable());
+            CPPUNIT_ASSERT_MESSAGE(text, !isConnectable(Address::parse(text).value()));
     }
 };
 
