--- a/tests/system/alone.sh
+++ b/tests/system/alone.sh
@@ -104,7 +104,7 @@
 
 # Guards against requests at slow endpoints that get no answer when their entry has to end.
 test_open_requests_are_answered_before_the_end() {
-    local ok=0 base auth words completion lookup
+    local ok=0 base auth words completion lookup tries
     base=http://$(entry_address 1)
     auth="Authorization: Bearer $fleet_key"
     write_settings 1 1 0
@@ -122,7 +122,11 @@
     curl -s -o "$work/lookup" -w '%{http_code}' -H "$auth" -H 'Deadline-Ms: 60000' "$base/services/ledger/x" \
         >"$work/lookup.status" &
     lookup=$!
-    sleep 0.7
+    for tries in $(seq 1 100); do
+        curl -s "$base/v1/status" | grep -q '"in_flight":2' && break
+        sleep 0.05
+    done
+    sleep 0.5 # both are at their endpoints
     stop vm1 || { echo "the entry did not end with exit code 0"; ok=1; }
     wait "$completion" "$lookup"
     expect "completion at an engine" 502 "$(cat "$work/completion.status")" || ok=1
