Relay, transport: logs tell how each endpoint's answer ended

A log line of a relayed request could not tell an answer that was whole by its framing from one that was taken for whole at the end of its connection. relay.finished and attempt.lost name framing, declared and read bytes, the end, whether the request had been sent whole, whether the head of another answer stands in the body, and whether the answer names the request. relay_answers_total counts framings and ends, relay_next_answers_total the second answers. No answer is handled in another way.

NextAnswerDetectorTest: 4 passed.

--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -14,6 +14,7 @@
 #include "program/Metrics.h"
 #include "program/OpenRequests.h"
 #include "program/RelayListeners.h"
+#include "program/RelayLog.h"
 #include "program/RequestGuard.h"
 #include "transport/Await.h"
 
@@ -81,63 +82,6 @@
     return {0, settings.relay.coldOvershoot, settings.relay.coldSlack};
 }
 
-std::string joinAddresses(const std::vector<state::Address> &addresses)
-{
-    std::string text;
-    for (const state::Address &address : addresses)
-        text += (text.empty() ? "" : ",") + address.toString();
-    return text;
-}
-
-void countRelay(Metrics &metrics, const RelayOutcome &outcome)
-{
-    constexpr double microseconds = 1e6;
-    if (!outcome.forPeer.empty()) {
-        metrics.count("relay_for_peers_total{status=\"" + std::to_string(outcome.status) + "\"}");
-        return; // the peer that took the request counts it
-    }
-    if (outcome.via.port != 0)
-        metrics.count("relay_through_peers_total");
-    const std::string route = "{route=\"" + outcome.route + "\"}";
-    metrics.count("relay_requests_total{route=\"" + outcome.route + "\",status=\""
-                  + std::to_string(outcome.status) + "\"}");
-    if (outcome.attempts > 1)
-        metrics.count("relay_retried_total" + route, outcome.attempts - 1);
-    if (outcome.firstAnswer.count() > 0)
-        metrics.observe("relay_first_answer_seconds" + route,
-                        double(outcome.firstAnswer.count()) / microseconds);
-    if (outcome.longestPause.count() > 0)
-        metrics.observe("relay_longest_pause_seconds" + route,
-                        double(outcome.longestPause.count()) / microseconds);
-    metrics.observe("relay_total_seconds" + route, double(outcome.total.count()) / microseconds);
-}
-
-void logRelay(const RelayOutcome &outcome)
-{
-    logEvent(LogLevel::Info, "relay.finished",
-             {{"request", outcome.id.value()},
-              {"route", outcome.route},
-              {"account", outcome.account.value()},
-              {"service", outcome.service.value()},
-              {"endpoint", outcome.endpoint.value()},
-              {"configuration", outcome.configuration},
-              {"prompt_tokens", outcome.promptTokens},
-              {"parts", state::formatRequestParts(outcome.promptParts)},
-              {"status", outcome.status},
-              {"whole", outcome.whole ? "yes" : "no"},
-              {"attempts", outcome.attempts},
-              {"address", outcome.address.toString()},
-              {"helpers", joinAddresses(outcome.helpers)},
-              {"via", outcome.via.port == 0 ? std::string() : outcome.via.toString()},
-              {"for_peer", outcome.forPeer},
-              {"resumed", outcome.resumed ? "yes" : "no"},
-              {"first_us", std::int64_t(outcome.firstAnswer.count())},
-              {"predicted_first_us", std::int64_t(outcome.predictedFirst.count())},
-              {"longest_pause_us", std::int64_t(outcome.longestPause.count())},
-              {"total_us", std::int64_t(outcome.total.count())},
-              {"reason", outcome.reason}});
-}
-
 // The stages of the open requests that some are in, each with their number.
 std::string formatStages(const OpenRequests &open)
 {
@@ -322,6 +266,9 @@
             this->cold->countSend(*this->registry->table(), endpoint, monotonicNow());
         };
         hooks.pathsChanged = [this] { this->publishPhase(); };
+        hooks.answerEnded = [this](const transport::AnswerReport &answer) {
+            countAnswer(this->metrics, answer);
+        };
         hooks.finished = [this](const RelayOutcome &outcome) {
             countRelay(this->metrics, outcome);
             logRelay(outcome);
--- a/src/program/RelayCodec.h
+++ b/src/program/RelayCodec.h
@@ -54,6 +54,7 @@
 struct EndpointAnswerHead
 {
     bool genuine = true;        // it answers this request; a success has a valid seal
+    bool namesRequest = false;  // it has this request's id
     bool notRun = false;        // the endpoint guarantees that it has not run the request
     bool otherEndpoint = false; // refused because another endpoint was meant
     std::optional<coordination::routing::ReplicaLoad> load;
--- a/src/program/RelayListeners.h
+++ b/src/program/RelayListeners.h
@@ -48,6 +48,7 @@
                 coldShare;
         std::function<void(const state::EndpointDescription &)> attemptStarted;
         std::function<void()> pathsChanged; // isCutOff() has another result
+        std::function<void(const transport::AnswerReport &)> answerEnded;
         std::function<void(const RelayOutcome &)> finished;
     };
 
--- /dev/null
+++ b/src/program/RelayLog.h
@@ -0,0 +1,21 @@
+// Log lines and counters of relayed requests.
+#pragma once
+
+#include "program/Metrics.h"
+#include "program/RelayOutcome.h"
+#include "state/Endpoint.h"
+#include "state/RequestPart.h"
+
+#include <vector>
+
+namespace lavenderthread::program {
+
+void countRelay(Metrics &metrics, const RelayOutcome &outcome);
+// By framing and by how the answer ended; also bodies in which another answer's head was found.
+void countAnswer(Metrics &metrics, const transport::AnswerReport &answer);
+void logRelay(const RelayOutcome &outcome);
+// The last attempt has ended without a whole answer.
+void logLostAttempt(const RelayOutcome &outcome, const state::EndpointDescription &endpoint,
+                    const std::vector<state::RequestPart> &parts, const AttemptProgress &progress);
+
+} // namespace lavenderthread::program
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -7,6 +7,7 @@
 #include "program/Clock.h"
 #include "program/InactivityTimeout.h"
 #include "program/Log.h"
+#include "program/RelayLog.h"
 #include "program/RequestParts.h"
 #include "transport/Await.h"
 #include "transport/HttpClient.h"
@@ -97,16 +98,6 @@
     return end == AttemptResult::NeverSent ? AttemptOutcome::Unreachable : AttemptOutcome::Failed;
 }
 
-// What an attempt has brought so far.
-struct AttemptProgress
-{
-    state::Instant sentAt;       // when it began to connect
-    state::Instant firstEventAt; // Instant{}: no event yet
-    std::uint64_t events = 0;    // reads that brought complete events
-    // The endpoint or the network has ended the connection, before the end of the answer.
-    bool connectionEnded = false;
-};
-
 // The endpoint of an attempt, and how the scheduler wants it to run there.
 struct Target
 {
@@ -789,33 +780,19 @@
         auto exchanging = this->exchangeWith(std::move(target));
         const AttemptResult end = co_await this->supervise(std::move(exchanging));
         if (end == AttemptResult::Lost)
-            this->logLoss(endpoint);
+            logLostAttempt(this->outcome, endpoint, this->parts, this->progress);
         if (end == AttemptResult::Lost && this->mayHaveCrashed(endpoint))
             co_await this->hooks.guard->attemptLost(endpoint, this->parts, this->progress.sentAt,
                                                     this->progress.firstEventAt);
         co_return end;
     }
 
-    void logLoss(const state::EndpointDescription &endpoint) const
-    {
-        logEvent(LogLevel::Info, "attempt.lost",
-                 {{"request", this->outcome.id.value()},
-                  {"attempt", this->outcome.attempts},
-                  {"endpoint", endpoint.id.value()},
-                  {"incarnation", endpoint.incarnation},
-                  {"for_peer", this->outcome.forPeer},
-                  {"connection", this->progress.connectionEnded ? "ended" : "given-up"},
-                  {"events", this->progress.events},
-                  {"after_us", std::int64_t((monotonicNow() - this->progress.sentAt).count())},
-                  {"parts", state::formatRequestParts(this->parts)},
-                  {"cause", this->outcome.reason}});
-    }
-
     // Runs one attempt with an inactivity timeout, if it may be abandoned, and counts its result.
     asio::awaitable<AttemptResult> supervise(asio::awaitable<AttemptResult> exchanging)
     {
         ++this->outcome.attempts;
         this->openRequest.enter(RequestStage::Sent);
+        this->outcome.answer = {};
         this->progress = {};
         this->progress.sentAt = monotonicNow();
         this->endpointReplaced = false;
@@ -879,6 +856,7 @@
         const EndpointAnswerHead head =
                 this->hooks.codec.readHead(stream.status(), headers, this->request.id);
         this->recordAnswerHead(target, head);
+        this->outcome.answerNamesRequest = head.namesRequest;
         if (!head.genuine) {
             this->outcome.reason = "the answer was not to this request";
             co_return AttemptResult::Lost;
@@ -916,9 +894,14 @@
     asio::awaitable<AttemptResult> relayAnswer(transport::HttpAnswerStream &stream,
                                                protocol::HttpHeaders headers)
     {
+        AttemptResult end = AttemptResult::Lost;
         if (isSuccess(stream.status()) && this->route->kind == CallKind::Stream)
-            co_return co_await this->relayStream(stream, std::move(headers));
-        co_return co_await this->relayBuffered(stream, std::move(headers));
+            end = co_await this->relayStream(stream, std::move(headers));
+        else
+            end = co_await this->relayBuffered(stream, std::move(headers));
+        this->outcome.answer = stream.report();
+        this->hooks.answerEnded(this->outcome.answer);
+        co_return end;
     }
 
     asio::awaitable<state::Result<transport::HttpAnswerStream>>
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -11,6 +11,7 @@
 #include "program/EndpointRegistry.h"
 #include "program/OpenRequests.h"
 #include "program/RelayCodec.h"
+#include "program/RelayOutcome.h"
 #include "program/RequestGuard.h"
 #include "program/Scheduler.h"
 #include "program/Settings.h"
@@ -32,32 +33,6 @@
 
 namespace lavenderthread::program {
 
-// Result of a relayed request, for the log and the metrics.
-struct RelayOutcome
-{
-    state::RequestId id;
-    std::string route;
-    state::ClientAccountId account;
-    state::ServiceName service;
-    state::EndpointId endpoint;      // of the last attempt
-    std::uint64_t configuration = 0; // version of the routes that were used
-    std::uint32_t promptTokens = 0;
-    std::vector<state::RequestPart> promptParts; // as in RelayRequest
-    unsigned status = 0;                         // 0: the caller had disconnected
-    unsigned attempts = 0;
-    state::Address address;              // of the last attempt's endpoint
-    std::vector<state::Address> helpers; // of the last attempt
-    state::Address via;                  // peer that the last attempt went through; port 0: none
-    std::string forPeer;                 // peer that handed the request over; empty: none
-    bool whole = false;
-    bool resumed = false;
-    std::string reason; // of a failure or refusal
-    state::Duration firstAnswer{};
-    state::Duration predictedFirst{}; // as estimated by the last placement
-    state::Duration longestPause{};   // between two writes of a stream to the caller
-    state::Duration total{};
-};
-
 // Another endpoint has the replica's address; `source`: how this became known.
 void logReplaced(const state::EndpointDescription &replica, std::string_view source);
 
@@ -98,6 +73,8 @@
         std::shared_ptr<OpenRequests> openRequests = OpenRequests::create();
         // Sends an update to the peers.
         std::function<void(protocol::PeerUpdate)> share = [](auto) {};
+        // The reading of an endpoint's or peer's answer has ended.
+        std::function<void(const transport::AnswerReport &)> answerEnded = [](const auto &) {};
         std::function<void(const RelayOutcome &)> finished;
     };
 
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -112,9 +112,10 @@
 {
     using Parser = http::response_parser<http::buffer_body>;
 
-    State(asio::any_io_executor executor, state::Address peer)
+    State(asio::any_io_executor executor, state::Address peer, IsAnswerHead isAnswerHead)
         : stream(std::move(executor))
         , peer(std::move(peer))
+        , nextAnswer(std::move(isAnswerHead))
     {
         this->renewParser();
     }
@@ -135,6 +136,9 @@
     std::string piece = std::string(readPieceBytes, '\0');
     http::request<http::string_body> message;
     std::shared_ptr<HttpCallHandle> handle;
+    NextAnswerDetector nextAnswer;
+    std::uint64_t bodyBytes = 0; // read so far
+    AnswerEnd end = AnswerEnd::Open;
     bool sent = false; // the whole request
     beast::error_code sendProblem;
 };
@@ -176,6 +180,23 @@
     return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
 }
 
+AnswerReport HttpAnswerStream::report() const
+{
+    const State &my = *this->state;
+    AnswerReport report;
+    if (my.parser->is_header_done()) {
+        report.framing = my.parser->chunked()          ? AnswerFraming::Chunks
+                         : my.parser->content_length() ? AnswerFraming::Length
+                                                       : AnswerFraming::Connection;
+        report.declaredBytes = this->declaredLength();
+    }
+    report.bodyBytes = my.bodyBytes;
+    report.end = my.end;
+    report.requestSent = my.sent;
+    report.nextAnswer = my.nextAnswer.found();
+    return report;
+}
+
 asio::awaitable<state::Result<std::optional<std::string>>>
 HttpAnswerStream::read(std::chrono::milliseconds timeout)
 {
@@ -188,11 +209,17 @@
         auto [problem, bytes] = co_await http::async_read_some(my.stream, my.buffer, *my.parser,
                                                                asio::as_tuple(asio::use_awaitable));
         const std::size_t got = my.piece.size() - body.size;
-        if (problem && problem != http::error::need_buffer)
+        if (problem && problem != http::error::need_buffer) {
+            my.end = AnswerEnd::Broken;
             co_return callError(problem, receiveStep, my.peer);
+        }
+        my.bodyBytes += got;
+        if (got > 0 && this->endsWithConnection())
+            my.nextAnswer.append(std::string_view(my.piece).substr(0, got));
         if (got > 0)
             co_return std::optional<std::string>(my.piece.substr(0, got));
     }
+    my.end = this->endsWithConnection() ? AnswerEnd::Closed : AnswerEnd::Framed;
     co_return std::optional<std::string>();
 }
 
@@ -205,7 +232,8 @@
 openHttpStream(asio::any_io_executor executor, state::Address peer, protocol::HttpRequest request,
                HttpCallLimits limits, BeforeSend beforeSend, std::shared_ptr<HttpCallHandle> handle)
 {
-    auto call = std::make_shared<HttpAnswerStream::State>(std::move(executor), peer);
+    auto call = std::make_shared<HttpAnswerStream::State>(std::move(executor), peer,
+                                                          limits.isAnswerHead);
     HttpAnswerStream answer(call); // closes the connection on every way out
     if (handle && handle->isCancelled())
         co_return cancelledBefore(connectStep, peer);
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -6,6 +6,8 @@
 #include "protocol/HttpMessage.h"
 #include "state/Address.h"
 #include "state/Error.h"
+#include "transport/AnswerReport.h"
+#include "transport/NextAnswerDetector.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -56,6 +58,8 @@
     // From connected to the answer's head, then each read; of httpCall(), then to the answer's end.
     std::chrono::milliseconds timeout{10'000};
     std::uint64_t bodyBytes = 16U << 20U; // of a whole answer; streams are not limited
+    // Of the peer; asked about heads in the body of an answer without a length or chunks.
+    IsAnswerHead isAnswerHead = [](const protocol::HttpHeaders &) { return true; };
 };
 
 // An answer whose body is read piece by piece. Used from one coroutine at a time; closing drops the
@@ -76,6 +80,7 @@
     bool endsWithConnection() const;
 
     std::optional<std::uint64_t> declaredLength() const; // of the body
+    AnswerReport report() const;                         // of what was read so far
 
     // The next piece, as much as has arrived; nothing at the proper end of the body. Errors have
     // step receiveStep; Timeout if no byte came within `timeout`.
--- /dev/null
+++ b/src/transport/NextAnswerDetector.cpp
@@ -0,0 +1,109 @@
+#include "transport/NextAnswerDetector.h"
+
+#include "transport/BeastConversion.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace lavenderthread::transport {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::string_view lineEnd = "\r\n";
+// '#' stands for a digit; a reason phrase follows, which may be empty.
+constexpr std::string_view statusLinePattern = "HTTP/1.# ### ";
+
+bool isDigit(char character)
+{
+    return character >= '0' && character <= '9';
+}
+
+// Whether the text may begin with a status line, as far as it goes.
+bool mayBeginStatusLine(std::string_view text)
+{
+    const std::string_view line = text.substr(0, text.find('\n'));
+    const std::size_t compared = std::min(line.size(), statusLinePattern.size());
+    for (std::size_t index = 0; index < compared; ++index) {
+        const char wanted = statusLinePattern[index];
+        if (wanted == '#' ? !isDigit(line[index]) : line[index] != wanted)
+            return false;
+    }
+    const bool ends = line.size() < text.size();
+    return !ends || (line.size() > statusLinePattern.size() && line.back() == '\r');
+}
+
+// The headers of a whole head; nothing if the text doesn't begin with one.
+std::optional<protocol::HttpHeaders> parseHead(std::string_view text)
+{
+    http::response_parser<http::empty_body> parser;
+    parser.header_limit(std::uint32_t(NextAnswerDetector::maximumHeadBytes));
+    parser.skip(true); // the body is not looked at
+    boost::beast::error_code problem;
+    parser.put(boost::asio::buffer(text.data(), text.size()), problem);
+    if (!parser.is_header_done())
+        return std::nullopt;
+    return toHeaders(parser.get());
+}
+
+} // namespace
+
+NextAnswerDetector::NextAnswerDetector(IsAnswerHead isAnswerHead)
+    : isAnswerHead(std::move(isAnswerHead))
+{}
+
+NextAnswerDetector::Match NextAnswerDetector::matchHead(std::string_view text) const
+{
+    if (!mayBeginStatusLine(text))
+        return Match::None;
+    const std::size_t end = text.find("\r\n\r\n");
+    if (end == std::string_view::npos)
+        return text.size() < maximumHeadBytes ? Match::Partial : Match::None;
+    const auto headers = parseHead(text.substr(0, end + 2 * lineEnd.size()));
+    return headers && this->isAnswerHead(*headers) ? Match::Head : Match::None;
+}
+
+std::string NextAnswerDetector::takeFront(std::size_t bytes)
+{
+    std::string front = this->kept.substr(0, bytes);
+    this->kept.erase(0, bytes);
+    return front;
+}
+
+std::string NextAnswerDetector::append(std::string_view bytes)
+{
+    if (this->isFound)
+        return {};
+    this->kept += bytes;
+    for (std::size_t at = this->kept.find('H'); at != std::string::npos;
+         at = this->kept.find('H', at + 1)) {
+        const Match match = this->matchHead(std::string_view(this->kept).substr(at));
+        if (match == Match::None)
+            continue;
+        this->isFound = match == Match::Head;
+        return this->takeFront(at);
+    }
+    return std::exchange(this->kept, {});
+}
+
+std::string NextAnswerDetector::finish()
+{
+    if (this->isFound)
+        return {};
+    // A status line, and nothing behind it that can't stand in a head: the peer has been cut off
+    // inside the head of another answer.
+    const std::size_t lines = this->kept.rfind(lineEnd);
+    const bool beginsHead = lines != std::string::npos
+                            && parseHead(this->kept.substr(0, lines) + "\r\n\r\n").has_value();
+    this->isFound = beginsHead;
+    return beginsHead ? std::string() : std::exchange(this->kept, {});
+}
+
+} // namespace lavenderthread::transport
--- /dev/null
+++ b/tests/transport/NextAnswerDetectorTest.cpp
@@ -0,0 +1,108 @@
+// Tests which bytes of a body are taken for the head of another answer.
+#include "transport/NextAnswerDetector.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace lavenderthread::transport {
+
+namespace {
+
+const std::string head =
+        "HTTP/1.1 200 Some Reason\r\nContent-Type: text/plain\r\nRequest-Id: r1\r\n\r\n";
+
+bool namesRequest(const protocol::HttpHeaders &headers)
+{
+    return headers.find("Request-Id").has_value();
+}
+
+struct Seen
+{
+    std::string body;
+    bool found = false;
+};
+
+// In pieces of that many bytes.
+Seen readIn(std::size_t pieceBytes, const std::string &bytes)
+{
+    NextAnswerDetector detector(namesRequest);
+    Seen seen;
+    for (std::size_t at = 0; at < bytes.size(); at += pieceBytes)
+        seen.body += detector.append(std::string_view(bytes).substr(at, pieceBytes));
+    seen.body += detector.finish();
+    seen.found = detector.found();
+    return seen;
+}
+
+} // namespace
+
+class NextAnswerDetectorTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(NextAnswerDetectorTest);
+    CPPUNIT_TEST(headOfAnotherAnswerEndsTheBody);
+    CPPUNIT_TEST(headThatIsCutOffEndsTheBody);
+    CPPUNIT_TEST(textThatIsNoHeadBelongsToTheBody);
+    CPPUNIT_TEST(bytesThatCantBeginAHeadAreNotKept);
+    CPPUNIT_TEST_SUITE_END();
+
+    static void check(const std::string &bytes, const std::string &body, bool found)
+    {
+        for (const std::size_t piece : {std::size_t(1), std::size_t(7), bytes.size()}) {
+            const Seen seen = readIn(piece, bytes);
+            CPPUNIT_ASSERT_EQUAL(body, seen.body);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(bytes, found, seen.found);
+        }
+    }
+
+public:
+    void headOfAnotherAnswerEndsTheBody()
+    {
+        check("a body" + head + "another", "a body", true);
+        check("HHTTP/1.1 " + head + "another", "HHTTP/1.1 ", true);
+        check("id: 1\ndata: x\n\n" + head, "id: 1\ndata: x\n\n", true);
+        check("HTTP/1.1 200 OK\r\nServer: quoted\r\n\r\n" + head,
+              "HTTP/1.1 200 OK\r\nServer: quoted\r\n\r\n", true);
+        check("a bodyHTTP/1.0 404 \r\nrequest-id: r2\r\n\r\n", "a body", true);
+    }
+
+    // Guards against a part of a head at the end of a body, of a peer that has ended inside it.
+    void headThatIsCutOffEndsTheBody()
+    {
+        for (std::size_t cut = head.find('\n') + 1; cut < head.size(); ++cut)
+            check("a body" + head.substr(0, cut), "a body", true);
+    }
+
+    // Guards against documents cut short because they quote an answer.
+    void textThatIsNoHeadBelongsToTheBody()
+    {
+        for (const std::string &text :
+             {std::string("plain"), std::string("HTTP/1.1"), std::string("HTTP/1.1 200 OK"),
+              std::string("HTTP/1.1 200 OK\nRequest-Id: r1\n\n"),
+              std::string("HTTP/1.1 200\r\nRequest-Id: r1\r\n\r\n"),
+              std::string("HTTP/1.1 2000 OK\r\nRequest-Id: r1\r\n\r\n"),
+              std::string("HTTP/x.1 200 OK\r\nRequest-Id: r1\r\n\r\n"),
+              std::string("HTTP/1.1 200 OK\r\nServer: quoted\r\n\r\nmore"),
+              std::string("HTTP/1.1 200 OK\r\nno header\r\nRequest-Id: r1\r\n\r\n"),
+              std::string("data: HTTP/1.1 200 OK\ndata: Request-Id: r1\n\n"),
+              "HTTP/1.1 200 " + std::string(NextAnswerDetector::maximumHeadBytes, 'x') + "\r\n"
+                      + "Request-Id: r1\r\n\r\n"})
+            check(text, text, false);
+    }
+
+    // Guards against events that are held up until the next ones come.
+    void bytesThatCantBeginAHeadAreNotKept()
+    {
+        for (const std::string &event :
+             {std::string("id: 1\ndata: HTTP/1.1 200 OK\n\n"), std::string("data: HTTP/\n\n"),
+              std::string("data: HTTP/1.1 200 OK\r\ndata: x\r\n\r\n")}) {
+            NextAnswerDetector detector(namesRequest);
+            CPPUNIT_ASSERT_EQUAL(event, detector.append(event));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NextAnswerDetectorTest);
+
+} // namespace lavenderthread::transport
