Soak, tests: endpoints that answer twice or are reset, failing

The scenario stuttering-endpoints plays real processes (3 control members, 6 entries), endpoints that spoil half of their answers in every framing, callers on kept connections that compare every byte, and entries that lose their paths, are told to stop, are frozen and killed meanwhile.

--- a/soak/KeptCaller.cpp
+++ b/soak/KeptCaller.cpp
@@ -110,9 +110,16 @@
         result.end = parser.is_header_done() ? CallEnd::ClosedMidway : CallEnd::Closed;
     else
         result.end = CallEnd::Answered;
-    if (result.end == CallEnd::Answered)
-        result.retryAfter = retryAfterOf(parser.get());
-    if (problem || !parser.keep_alive())
+    const bool isKept = !problem && parser.keep_alive();
+    if (result.end == CallEnd::Answered) {
+        result.unaskedBytes = this->connection->buffer.size();
+        http::response<http::string_body> answer = parser.release();
+        result.retryAfter = retryAfterOf(answer);
+        result.answers = std::string(answer["Request-Id"]);
+        result.sealed = answer.find("Response-Seal") != answer.end();
+        result.body = std::move(answer.body());
+    }
+    if (!isKept)
         this->connection.reset();
     co_return result;
 }
--- a/soak/KeptCaller.h
+++ b/soak/KeptCaller.h
@@ -13,6 +13,7 @@
 #include <compare>
 #include <cstdint>
 #include <memory>
+#include <string>
 
 namespace lavenderthread::soak {
 
@@ -31,6 +32,10 @@
     state::Instant sentAt; // the last byte was written
     state::Instant endedAt;
     std::chrono::milliseconds retryAfter{0}; // as asked for; 0: not
+    std::string body;                        // of a complete answer
+    std::string answers;                     // the request id that it names
+    bool sealed = false;
+    std::size_t unaskedBytes = 0; // came behind the answer
 
     auto operator<=>(const KeptCallResult &) const = default;
 };
--- a/soak/Operator.cpp
+++ b/soak/Operator.cpp
@@ -72,10 +72,18 @@
            + R"("KvCapacity":450000,"Stride":46,"step_ms":0.925,"per_seq_ms":0.00483,)"
            + R"("context_per_k":0.00254,"read_per_s":)" + std::to_string(this->readRate)
            + R"(,"pairs_per_m":0.00917,"chunk":2048}},)"
-           + R"({"Name":"app","HealthPath":"/health","MaxConns":100}],)"
+           + R"({"Name":"app","HealthPath":"/health","MaxConns":100}],)" + this->limits()
            + R"("Tenants":[{"Name":"acme","ApiKeys":["key-one"]}]})";
 }
 
+std::string Operator::limits() const
+{
+    if (this->mostBytes == 0)
+        return {};
+    return R"("Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":)" + std::to_string(this->mostBytes)
+           + R"(,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},)";
+}
+
 asio::awaitable<state::Result<protocol::HttpResponse>>
 Operator::call(std::size_t control, const char *method, std::string path, std::string body)
 {
--- a/soak/Operator.h
+++ b/soak/Operator.h
@@ -53,6 +53,8 @@
     }
     // Prompt tokens that an engine reads in a second, in the configurations from now on.
     void setReadRate(std::uint32_t perSecond) { this->readRate = perSecond; }
+    // Of a request's body.
+    void setMostBytes(std::uint64_t bytes) { this->mostBytes = bytes; }
     void stop() { this->stopped = true; }
     std::uint64_t lastSent() const { return this->version; }
 
@@ -61,6 +63,7 @@
     call(std::size_t control, const char *method, std::string path, std::string body);
     std::string document() const;
     std::string coldLimits() const; // members of a service in the document; may be empty
+    std::string limits() const;
 
     boost::asio::io_context &context;
     std::vector<state::Address> controls;
@@ -71,6 +74,7 @@
     std::chrono::milliseconds coldTime{0};
     double coldRequestsPerSecond = 0; // 0: no limit
     std::uint32_t readRate = 2'560'000;
+    std::uint64_t mostBytes = 0; // 0: not set by the configuration
     std::chrono::milliseconds streamTimeout{3'000};
     std::chrono::milliseconds firstEventTarget{3'000};
     bool stopped = false;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -3,7 +3,7 @@
 // With an option that names a scenario, plays that one in place of the faults.
 // usage: fault-soak --binary PATH --folder PATH [--seed N] [--seconds N]
 //                   [--path-loss hang|reset|quiet] [--control-loss freeze|kill] [--entry-stops]
-//                   [--odd-entries]
+//                   [--odd-entries] [--stuttering-endpoints]
 //                   [--endpoint-limits] [--endpoint-rest] [--evacuation] [--cold-returns]
 //                   [--crashing-prompt second|first|two|none]
 //                   [--crashing-call target|body|once|none]
@@ -20,6 +20,7 @@
 #include "OddEntries.h"
 #include "Operator.h"
 #include "PathLoss.h"
+#include "StutteringEndpoints.h"
 
 #include "program/Clock.h"
 #include "transport/Await.h"
@@ -53,6 +54,7 @@
     bool endpointRest = false;
     bool entryStops = false;
     bool oddEntries = false;
+    bool stutteringEndpoints = false;
     bool evacuation = false;
     bool coldReturns = false;
     std::string crashingPrompt; // where the part is that ends engines; empty: not played
@@ -61,8 +63,9 @@
     bool playsScenario() const
     {
         return !this->pathLoss.empty() || !this->controlLoss.empty() || this->endpointLimits
-               || this->endpointRest || this->entryStops || this->oddEntries || this->evacuation
-               || this->coldReturns || !this->crashingPrompt.empty() || !this->crashingCall.empty();
+               || this->endpointRest || this->entryStops || this->oddEntries
+               || this->stutteringEndpoints || this->evacuation || this->coldReturns
+               || !this->crashingPrompt.empty() || !this->crashingCall.empty();
     }
 };
 
@@ -229,7 +232,10 @@
                 settings.eventTime = longEventTime;
             if (this->options.entryStops)
                 settings.workTime = EntryStops::workTime;
-            this->addProxy(settings.announced, settings.listen);
+            if (this->options.stutteringEndpoints)
+                settings.announced = this->at(5, index);
+            else
+                this->addProxy(settings.announced, settings.listen);
             this->endpoints.push_back(
                     std::make_shared<StandIn>(this->context, settings, this->ledger));
             this->endpoints.back()->start();
@@ -274,6 +280,8 @@
             co_await this->playEntryStops();
         else if (this->options.oddEntries)
             co_await this->playOddEntries();
+        else if (this->options.stutteringEndpoints)
+            co_await this->playStutteringEndpoints();
         else if (this->options.evacuation)
             co_await this->playEvacuation();
         else if (this->options.coldReturns)
@@ -417,6 +425,26 @@
         co_await this->oddEntries->play();
     }
 
+    asio::awaitable<void> playStutteringEndpoints()
+    {
+        this->operators.setMostBytes(StutteringEndpoints::longRequestBytes);
+        const bool started = co_await this->startFleet();
+        if (!started)
+            co_return;
+        StutteringEndpoints::Settings settings;
+        settings.seed = this->options.seed;
+        this->stuttering = std::make_unique<StutteringEndpoints>(this->context, settings,
+                                                                 this->fleet, this->ledger);
+        for (std::size_t index = 0; index < this->endpoints.size(); ++index) {
+            StutteringEndpoint::Settings endpoint;
+            endpoint.listen = this->at(5, index);
+            endpoint.engine = index < engines;
+            endpoint.seed = this->options.seed * 100 + index;
+            this->stuttering->addEndpoint(endpoint, this->endpoints[index]);
+        }
+        co_await this->stuttering->play();
+    }
+
     asio::awaitable<void> playEvacuation()
     {
         const bool started = co_await this->startFleet();
@@ -556,7 +584,8 @@
     std::unique_ptr<EndpointLimits> limits; // calls may outlast the scenario
     std::unique_ptr<EndpointRest> rests;
     std::unique_ptr<EntryStops> entryStops;
-    std::unique_ptr<OddEntries> oddEntries; // calls may outlast the scenario
+    std::unique_ptr<OddEntries> oddEntries;          // calls may outlast the scenario
+    std::unique_ptr<StutteringEndpoints> stuttering; // calls may outlast the scenario
     std::unique_ptr<Evacuation> evacuation;
     std::unique_ptr<ColdReturns> coldReturns;
     Operator operators;
@@ -587,6 +616,8 @@
                  "Entries at which prompts wait are told to stop, one after the other");
     app.add_flag("--odd-entries", options.oddEntries,
                  "Another writer announces endpoints that can't be right");
+    app.add_flag("--stuttering-endpoints", options.stutteringEndpoints,
+                 "Endpoints spoil half of their answers");
     app.add_flag("--evacuation", options.evacuation,
                  "Failure domains are evacuated and taken back");
     app.add_flag("--cold-returns", options.coldReturns,
--- a/tests/fakes/RawEndpoint.h
+++ b/tests/fakes/RawEndpoint.h
@@ -23,6 +23,8 @@
 
 namespace asio = boost::asio;
 
+constexpr std::chrono::milliseconds pauseBeforeLater{60};
+
 // What an endpoint sends on one connection before it closes it.
 struct RawAnswer
 {
@@ -30,6 +32,8 @@
     bool reset = false; // the connection, in place of an orderly end
     // A reset that overtakes the bytes would only test a lost answer.
     std::chrono::milliseconds beforeReset{30};
+    bool early = false; // the answer comes behind the request's head, whose body is not read
+    std::string later;  // follows the bytes after a pause
 };
 
 // Answers each connection with the next of its answers, byte for byte.
@@ -54,13 +58,19 @@
     state::Address address() const { return {"127.0.0.1", this->acceptor.local_endpoint().port()}; }
 
 private:
-    // Also the body: a close with unread bytes would reset the connection.
-    static asio::awaitable<bool> receiveRequest(asio::ip::tcp::socket &socket)
+    // Also the body, unless the answer is early: a close with unread bytes would reset the
+    // connection.
+    static asio::awaitable<bool> receiveRequest(asio::ip::tcp::socket &socket, bool early)
     {
         boost::beast::flat_buffer buffer;
-        boost::beast::http::request<boost::beast::http::string_body> request;
+        boost::beast::http::request_parser<boost::beast::http::string_body> parser;
+        parser.body_limit(boost::none);
+        const auto [headProblem, headBytes] = co_await boost::beast::http::async_read_header(
+                socket, buffer, parser, asio::as_tuple(asio::use_awaitable));
+        if (headProblem || early)
+            co_return !headProblem;
         const auto [problem, bytes] = co_await boost::beast::http::async_read(
-                socket, buffer, request, asio::as_tuple(asio::use_awaitable));
+                socket, buffer, parser, asio::as_tuple(asio::use_awaitable));
         co_return !problem;
     }
 
@@ -69,12 +79,18 @@
         while (!this->answers.empty()) {
             asio::ip::tcp::socket socket =
                     co_await this->acceptor.async_accept(asio::use_awaitable);
-            const bool received = co_await receiveRequest(socket);
+            const bool received = co_await receiveRequest(socket, this->answers.front().early);
             if (!received) // a probe of the port
                 continue;
             const RawAnswer answer = this->answers.front();
             this->answers.pop_front();
             co_await asio::async_write(socket, asio::buffer(answer.bytes), asio::use_awaitable);
+            if (!answer.later.empty()) {
+                co_await transport::pause(pauseBeforeLater);
+                // A reader that has all it needs has closed the connection by then.
+                co_await asio::async_write(socket, asio::buffer(answer.later),
+                                           asio::as_tuple(asio::use_awaitable));
+            }
             if (answer.reset) {
                 co_await transport::pause(answer.beforeReset);
                 socket.set_option(asio::socket_base::linger(true, 0));
--- a/tests/platform/UnframedAnswerTest.cpp
+++ b/tests/platform/UnframedAnswerTest.cpp
@@ -41,6 +41,10 @@
     CPPUNIT_TEST(wholeBodyIsWhole);
     CPPUNIT_TEST(bodyThatIsResetIsNoSuccess);
     CPPUNIT_TEST(answersThroughPeersEndAlike);
+    CPPUNIT_TEST(secondAnswerIsNoPartOfTheFirst);
+    CPPUNIT_TEST(secondAnswerIsNoPartOfTheFirstThroughPeers);
+    CPPUNIT_TEST(bodyThatQuotesAnAnswerIsWhole);
+    CPPUNIT_TEST(answerThatIsResetWhileItsRequestIsSentIsNoSuccess);
     CPPUNIT_TEST_SUITE_END();
 
     using Kind = state::routes::CallKind;
@@ -50,6 +54,7 @@
         Kind kind = Kind::Stream;
         std::deque<RawAnswer> answers;
         bool throughPeer = false;
+        std::size_t requestBytes = 0;
     };
 
     static state::Result<protocol::HttpResponse> call(const Setting &setting)
@@ -66,7 +71,29 @@
         constexpr int enoughForARetry = 2;
         fixture.announce(endpoint.address(), enoughForARetry);
         fixture.pathLost = setting.throughPeer;
-        return fixture.call();
+        protocol::HttpRequest wanted = RelayFixture::request();
+        wanted.body = std::string(setting.requestBytes, 'x');
+        return fixture.call(std::move(wanted));
+    }
+
+    static void checkSecondAnswers(bool throughPeer)
+    {
+        const std::string bytes = "the endpoint's bytes";
+        for (const char *id : {"r1", "r0"}) {
+            const std::string second = std::string("HTTP/1.1 200 OK\r\nRequest-Id: ") + id
+                                       + "\r\nResponse-Seal: seal\r\n\r\nother bytes";
+            for (const RawAnswer &twice :
+                 {RawAnswer{.bytes = bytes + second}, RawAnswer{.bytes = bytes, .later = second}}) {
+                checkNoSuccess({Kind::NonIdempotent, {twice}, throughPeer});
+                checkWhole({Kind::Idempotent, {twice, {bytes}}, throughPeer}, bytes);
+            }
+            for (const RawAnswer &twice : {RawAnswer{.bytes = eventsUpTo(3) + second},
+                                           RawAnswer{.bytes = eventsUpTo(3), .later = second}}) {
+                checkWhole({Kind::Stream, {twice, {eventsBetween(4, 4)}}, throughPeer},
+                           eventsUpTo(4));
+                checkNoSuccess({Kind::Stream, {twice, twice}, throughPeer});
+            }
+        }
     }
 
     static void checkWhole(const Setting &setting, const std::string &expected)
@@ -136,6 +163,32 @@
         checkNoSuccess({Kind::Stream, {{""}, {""}}, true});
         checkNoSuccess({Kind::NonIdempotent, {{"the endpo", true}}, true});
     }
+
+    // Guards against a success with another answer, its head included, behind the caller's own.
+    void secondAnswerIsNoPartOfTheFirst() { checkSecondAnswers(false); }
+    void secondAnswerIsNoPartOfTheFirstThroughPeers() { checkSecondAnswers(true); }
+
+    void bodyThatQuotesAnAnswerIsWhole()
+    {
+        const std::string quoting = "see HTTP/1.1 200 OK\r\nServer: quoted\r\n\r\nand so on";
+        checkWhole({Kind::NonIdempotent, {{quoting}}}, quoting);
+        const std::string event = "id: 1\ndata: HTTP/1.1 200 OK\ndata: Request-Id: r1\n\n";
+        checkWhole({Kind::Stream, {{event}}}, event);
+    }
+
+    // Guards against a part of an answer passed on as a success: the write of the request takes the
+    // error of a reset, and the reader sees an end.
+    void answerThatIsResetWhileItsRequestIsSentIsNoSuccess()
+    {
+        constexpr std::size_t longBody = 12U << 20U;
+        const RawAnswer body{.bytes = "the endpo", .reset = true, .early = true};
+        checkNoSuccess({Kind::NonIdempotent, {body}, false, longBody});
+        checkWhole({Kind::Idempotent, {body, {"the endpoint's bytes"}}, false, longBody},
+                   "the endpoint's bytes");
+        const RawAnswer events{.bytes = eventsUpTo(2), .reset = true, .early = true};
+        checkWhole({Kind::Stream, {events, {eventsBetween(3, 4)}}, false, longBody}, eventsUpTo(4));
+        checkNoSuccess({Kind::Stream, {events, events}, false, longBody});
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UnframedAnswerTest);
--- a/tests/transport/TruncatedAnswerTest.cpp
+++ b/tests/transport/TruncatedAnswerTest.cpp
@@ -22,18 +22,22 @@
 // The body of an answer that was taken for whole; nothing if the reader noticed that it is not.
 using Body = std::optional<std::string>;
 
-protocol::HttpRequest request()
+// More than the sockets' buffers hold, so that a part is still unsent when the answer comes.
+constexpr std::size_t longBody = 12U << 20U;
+
+protocol::HttpRequest request(std::size_t bodyBytes = 0)
 {
     protocol::HttpRequest made;
-    made.method = "GET";
+    made.method = "POST";
     made.target = "/";
+    made.body = std::string(bodyBytes, 'x');
     return made;
 }
 
-asio::awaitable<Body> readStream(state::Address peer)
+asio::awaitable<Body> readStream(state::Address peer, std::size_t bodyBytes = 0)
 {
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
-    auto opened = co_await openHttpStream(executor, peer, request(), {});
+    auto opened = co_await openHttpStream(executor, peer, request(bodyBytes), {});
     if (!opened)
         co_return std::nullopt;
     std::string body;
@@ -47,25 +51,25 @@
     }
 }
 
-asio::awaitable<Body> readWhole(state::Address peer)
+asio::awaitable<Body> readWhole(state::Address peer, std::size_t bodyBytes = 0)
 {
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
-    const auto answer = co_await httpCall(executor, peer, request(), {});
+    const auto answer = co_await httpCall(executor, peer, request(bodyBytes), {});
     co_return answer ? Body(answer.value().body) : std::nullopt;
 }
 
-asio::awaitable<Body> readOnKeptConnection(state::Address peer)
+asio::awaitable<Body> readOnKeptConnection(state::Address peer, std::size_t bodyBytes = 0)
 {
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
     HttpConnection connection;
-    const auto answer = co_await connection.call(executor, peer, request(), {});
+    const auto answer = co_await connection.call(executor, peer, request(bodyBytes), {});
     co_return answer ? Body(answer.value().body) : std::nullopt;
 }
 
 struct Reader
 {
     const char *name;
-    asio::awaitable<Body> (*read)(state::Address peer);
+    asio::awaitable<Body> (*read)(state::Address peer, std::size_t bodyBytes);
 };
 
 constexpr std::array readers{Reader{"stream", readStream}, Reader{"call", readWhole},
@@ -110,6 +114,8 @@
     CPPUNIT_TEST_SUITE(TruncatedAnswerTest);
     CPPUNIT_TEST(framedAnswerIsWholeOnlyWithItsLastByte);
     CPPUNIT_TEST(unframedAnswerIsWholeOnlyBehindAnOrderlyEnd);
+    CPPUNIT_TEST(resetWhileTheRequestIsSentIsNoEndOfTheAnswer);
+    CPPUNIT_TEST(framedAnswerBeforeTheRequestIsSentIsWhole);
     CPPUNIT_TEST_SUITE_END();
 
     static void checkCuts(const Sample &sample, bool reset)
@@ -121,7 +127,7 @@
             const bool headSent = cut >= sample.head.size();
             for (const auto &[name, read] : readers) {
                 fakes::RawEndpoint peer({{sent, reset, beforeReset}});
-                const Body body = program::runToEnd(read(peer.address()));
+                const Body body = program::runToEnd(read(peer.address(), 0));
                 const std::string seen = std::string(name) + ": " + sent + "\nread as "
                                          + body.value_or("broken off");
                 if (sample.framed)
@@ -154,6 +160,29 @@
         checkCuts(withoutEither(), false);
         checkCuts(withoutEither(), true);
     }
+
+    // Guards against a part of a body taken for all of it: the write of the request takes the
+    // socket's error, and later reads only see an end.
+    void resetWhileTheRequestIsSentIsNoEndOfTheAnswer()
+    {
+        for (const auto &[name, read] : readers) {
+            fakes::RawEndpoint peer(
+                    {{.bytes = withoutEither().head + "twelve b", .reset = true, .early = true}});
+            const Body body = program::runToEnd(read(peer.address(), longBody));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::string(name) + " read " + body.value_or(""), false,
+                                         body.has_value());
+        }
+    }
+
+    void framedAnswerBeforeTheRequestIsSentIsWhole()
+    {
+        for (const Sample &sample : {withLength(), withChunks()}) {
+            fakes::RawEndpoint peer(
+                    {{.bytes = sample.head + sample.body, .reset = true, .early = true}});
+            const Body body = program::runToEnd(readStream(peer.address(), longBody));
+            CPPUNIT_ASSERT_EQUAL(sample.content, body.value_or("broken off"));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TruncatedAnswerTest);
