Transport: a reset while the request is being sent is no end of the answer

What callers saw: a 200 with seal and two thirds of the body, or a stream that ended as complete in its middle, when an endpoint reset the connection while the entry still sent a long request, and the answer had neither a length nor chunks.

Cause: a socket reports its error once. The request is written and the answer read at the same time, and the reactor runs the write first; the write takes ECONNRESET (or the timeout of unacknowledged data), and every later read gives the bytes that are left and then 0, as after an orderly close. sendProblem was only asked about while the head was read.

An answer that ends with its connection is whole only if the whole request had been sent by then; the transport decides that in read(), the one place that all calls use. If all was sent, no write is left that could take the error, and the read reports it.

--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -34,6 +34,14 @@
                             "the call was withdrawn", peer.toString());
 }
 
+state::Error endedWhileSending(const beast::error_code &sendProblem, const state::Address &peer)
+{
+    const std::string cause = sendProblem ? ": " + sendProblem.message() : std::string();
+    return state::makeError(state::ErrorCode::Unavailable, std::string(receiveStep),
+                            "the connection ended while the request was being sent" + cause,
+                            peer.toString());
+}
+
 using UnacknowledgedTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 } // namespace
@@ -219,7 +227,17 @@
         if (got > 0)
             co_return std::optional<std::string>(my.piece.substr(0, got));
     }
-    my.end = this->endsWithConnection() ? AnswerEnd::Closed : AnswerEnd::Framed;
+    if (!this->endsWithConnection()) {
+        my.end = AnswerEnd::Framed;
+        co_return std::optional<std::string>();
+    }
+    // A socket reports a reset once, and later reads see an orderly end. While the request is being
+    // sent, that report goes to the write.
+    if (!my.sent) {
+        my.end = AnswerEnd::Broken;
+        co_return endedWhileSending(my.sendProblem, my.peer);
+    }
+    my.end = AnswerEnd::Closed;
     co_return std::optional<std::string>();
 }
 
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -82,8 +82,10 @@
     std::optional<std::uint64_t> declaredLength() const; // of the body
     AnswerReport report() const;                         // of what was read so far
 
-    // The next piece, as much as has arrived; nothing at the proper end of the body. Errors have
-    // step receiveStep; Timeout if no byte came within `timeout`.
+    // The next piece, as much as has arrived; nothing at the end of a whole body: by its length or
+    // last chunk, or, with neither, where the peer closed the connection in order after the request
+    // had been sent. Errors have step receiveStep; Timeout if no byte came within `timeout`,
+    // Unavailable if the connection ended in another way.
     boost::asio::awaitable<state::Result<std::optional<std::string>>>
     read(std::chrono::milliseconds timeout);
 
