Transport, relay: another answer in a body without a length ends it

What callers saw: a 200 whose body went on with 'HTTP/1.1 200 ...' and the answer to another request, or a stream with such a head as an event, when an endpoint answered twice before it closed the connection.

Cause: an answer with neither a length nor chunks was read to the end of its connection, whatever came before that end. The transport looks for a second head in such bodies (NextAnswerDetector; the library's parser decides what is a head, the deployment's codec whose it is) and ends the body there. Endpoints echo the request's id in their answers: with the caller's own id the endpoint has begun to answer the same request again, and the first answer is whole; with another id a document may quote it, so nothing tells where the answer ends, and the attempt is lost. Heads without an id belong to the body, and framed bodies are not looked at.

Evidence: secondAnswerIsNoPartOfTheFirst failed before (known red), also through a peer; NextAnswerDetectorTest cuts heads at each byte.

--- a/soak/StutteringEndpoints.cpp
+++ b/soak/StutteringEndpoints.cpp
@@ -71,7 +71,8 @@
                && this->fleet.ownerOfSocket(from, to, this->cutOff).has_value();
     };
     hooks.answered = [this](const std::string &id, AnswerFault fault, BodyFraming framing) {
-        this->spoiled[id] = std::string(toString(fault)) + "/" + std::string(toString(framing));
+        this->answered.try_emplace(id, std::string(toString(fault)) + "/"
+                                               + std::string(toString(framing)));
     };
     this->endpoints.push_back(std::make_shared<StutteringEndpoint>(
             this->context, std::move(endpoint), std::move(hooks), this->ledger));
@@ -107,9 +108,9 @@
 void StutteringEndpoints::judge(const std::string &id, const std::string &path,
                                 const KeptCallResult &result)
 {
-    const auto found = this->spoiled.find(id);
-    Ends &ends = this->ends[found == this->spoiled.end() ? "not-answered" : found->second];
-    const std::string answeredAs = found == this->spoiled.end() ? "" : found->second;
+    const auto found = this->answered.find(id);
+    Ends &ends = this->ends[found == this->answered.end() ? "not-answered" : found->second];
+    const std::string answeredAs = found == this->answered.end() ? "" : found->second;
     if (result.unaskedBytes > 0) {
         ++ends.wrong;
         this->ledger.broken("request " + id + ": " + std::to_string(result.unaskedBytes)
--- a/soak/StutteringEndpoints.h
+++ b/soak/StutteringEndpoints.h
@@ -61,8 +61,8 @@
     std::mt19937_64 random;
     std::vector<std::shared_ptr<StutteringEndpoint>> endpoints;
     std::set<std::size_t> cutOff; // processes whose connections to endpoints are refused
-    std::map<std::string, std::string> spoiled; // how a request was last answered; most are sound
-    std::map<std::string, Ends> ends;           // by how the requests were answered last
+    std::map<std::string, std::string> answered; // how an endpoint first answered each request
+    std::map<std::string, Ends> ends;            // by how the requests were answered first
     bool stopped = false;
 };
 
--- a/src/program/RelayCodec.h
+++ b/src/program/RelayCodec.h
@@ -11,6 +11,7 @@
 #include "state/control/ControlView.h"
 #include "state/routes/RouteTable.h"
 #include "transport/HttpServer.h"
+#include "transport/NextAnswerDetector.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -102,6 +103,9 @@
     std::function<EndpointAnswerHead(unsigned status, const protocol::HttpHeaders &,
                                      const state::RequestId &)>
             readHead;
+    // What a head in the body of an answer to this request is.
+    std::function<transport::HeadInBody(const protocol::HttpHeaders &, const state::RequestId &)>
+            classifyHead;
     std::function<protocol::HttpResponse(const RelayRefusal &)> refuse;
     // A request that an endpoint of the service answers without delay and without running anything.
     std::function<protocol::HttpRequest(const state::routes::ServiceProfile &)> probe;
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -912,6 +912,9 @@
         limits.connectTimeout = timeToConnect;
         limits.unacknowledgedTimeout = unacknowledgedTimeout;
         limits.timeout = remaining(this->deadline);
+        limits.classifyHead = [this](const protocol::HttpHeaders &headers) {
+            return this->hooks.codec.classifyHead(headers, this->request.id);
+        };
         co_return co_await transport::openHttpStream(this->exchange.executor(), std::move(peer),
                                                      std::move(request), limits,
                                                      std::move(beforeSend), this->running->handle);
--- a/src/transport/AnswerReport.cpp
+++ b/src/transport/AnswerReport.cpp
@@ -26,6 +26,8 @@
         return "framed";
     case AnswerEnd::Closed:
         return "closed";
+    case AnswerEnd::Repeated:
+        return "repeated";
     case AnswerEnd::Broken:
         return "broken";
     }
--- a/src/transport/AnswerReport.h
+++ b/src/transport/AnswerReport.h
@@ -15,10 +15,11 @@
 };
 
 enum class AnswerEnd : std::uint8_t {
-    Open,   // not read to an end
-    Framed, // by its length or its last chunk
-    Closed, // the peer closed the connection in order
-    Broken, // the connection ended in another way
+    Open,     // not read to an end
+    Framed,   // by its length or its last chunk
+    Closed,   // the peer closed the connection in order
+    Repeated, // the peer began to answer the same request again
+    Broken,   // the connection ended in another way, or another answer began in the body
 };
 
 // Of one answer, as far as it was read.
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -38,7 +38,7 @@
 {
     const std::string cause = sendProblem ? ": " + sendProblem.message() : std::string();
     return state::makeError(state::ErrorCode::Unavailable, std::string(receiveStep),
-                            "the connection ended while the request was being sent" + cause,
+                            "the answer ended while the request was being sent" + cause,
                             peer.toString());
 }
 
@@ -120,10 +120,10 @@
 {
     using Parser = http::response_parser<http::buffer_body>;
 
-    State(asio::any_io_executor executor, state::Address peer, IsAnswerHead isAnswerHead)
+    State(asio::any_io_executor executor, state::Address peer, ClassifyHead classifyHead)
         : stream(std::move(executor))
         , peer(std::move(peer))
-        , nextAnswer(std::move(isAnswerHead))
+        , nextAnswer(std::move(classifyHead))
     {
         this->renewParser();
     }
@@ -201,7 +201,7 @@
     report.bodyBytes = my.bodyBytes;
     report.end = my.end;
     report.requestSent = my.sent;
-    report.nextAnswer = my.nextAnswer.found();
+    report.nextAnswer = my.nextAnswer.found() != HeadInBody::Quoted;
     return report;
 }
 
@@ -210,7 +210,7 @@
 {
     State &my = *this->state;
     my.stream.expires_after(timeout);
-    while (!my.parser->is_done()) {
+    while (!my.parser->is_done() && my.nextAnswer.found() == HeadInBody::Quoted) {
         auto &body = my.parser->get().body();
         body.data = my.piece.data();
         body.size = my.piece.size();
@@ -222,23 +222,42 @@
             co_return callError(problem, receiveStep, my.peer);
         }
         my.bodyBytes += got;
-        if (got > 0 && this->endsWithConnection())
-            my.nextAnswer.append(std::string_view(my.piece).substr(0, got));
-        if (got > 0)
-            co_return std::optional<std::string>(my.piece.substr(0, got));
+        std::string piece = my.piece.substr(0, got);
+        if (this->endsWithConnection())
+            piece = my.nextAnswer.append(piece);
+        if (!piece.empty())
+            co_return std::optional<std::string>(std::move(piece));
     }
+    co_return this->readEnd();
+}
+
+state::Result<std::optional<std::string>> HttpAnswerStream::readEnd()
+{
+    State &my = *this->state;
     if (!this->endsWithConnection()) {
         my.end = AnswerEnd::Framed;
-        co_return std::optional<std::string>();
+        return std::optional<std::string>();
     }
+    my.end = AnswerEnd::Broken;
     // A socket reports a reset once, and later reads see an orderly end. While the request is being
     // sent, that report goes to the write.
-    if (!my.sent) {
-        my.end = AnswerEnd::Broken;
-        co_return endedWhileSending(my.sendProblem, my.peer);
+    if (!my.sent)
+        return endedWhileSending(my.sendProblem, my.peer);
+    std::string rest = my.nextAnswer.finish();
+    switch (my.nextAnswer.found()) {
+    case HeadInBody::OtherAnswer:
+        return state::makeError(state::ErrorCode::Corrupt, std::string(receiveStep),
+                                "another answer begins in the body", my.peer.toString());
+    case HeadInBody::SameRequest:
+        my.end = AnswerEnd::Repeated;
+        break;
+    case HeadInBody::Quoted:
+        my.end = AnswerEnd::Closed;
+        break;
     }
-    my.end = AnswerEnd::Closed;
-    co_return std::optional<std::string>();
+    if (rest.empty())
+        return std::optional<std::string>();
+    return std::optional<std::string>(std::move(rest));
 }
 
 void HttpAnswerStream::close()
@@ -251,7 +270,7 @@
                HttpCallLimits limits, BeforeSend beforeSend, std::shared_ptr<HttpCallHandle> handle)
 {
     auto call = std::make_shared<HttpAnswerStream::State>(std::move(executor), peer,
-                                                          limits.isAnswerHead);
+                                                          limits.classifyHead);
     HttpAnswerStream answer(call); // closes the connection on every way out
     if (handle && handle->isCancelled())
         co_return cancelledBefore(connectStep, peer);
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -58,8 +58,10 @@
     // From connected to the answer's head, then each read; of httpCall(), then to the answer's end.
     std::chrono::milliseconds timeout{10'000};
     std::uint64_t bodyBytes = 16U << 20U; // of a whole answer; streams are not limited
-    // Of the peer; asked about heads in the body of an answer without a length or chunks.
-    IsAnswerHead isAnswerHead = [](const protocol::HttpHeaders &) { return true; };
+    // Asked about heads in the body of an answer without a length or chunks.
+    ClassifyHead classifyHead = [](const protocol::HttpHeaders &) {
+        return HeadInBody::OtherAnswer;
+    };
 };
 
 // An answer whose body is read piece by piece. Used from one coroutine at a time; closing drops the
@@ -83,9 +85,10 @@
     AnswerReport report() const;                         // of what was read so far
 
     // The next piece, as much as has arrived; nothing at the end of a whole body: by its length or
-    // last chunk, or, with neither, where the peer closed the connection in order after the request
-    // had been sent. Errors have step receiveStep; Timeout if no byte came within `timeout`,
-    // Unavailable if the connection ended in another way.
+    // last chunk, or, with neither, where the peer closed the connection in order, or began to
+    // answer the same request again, after the request had been sent. Errors have step receiveStep;
+    // Timeout if no byte came within `timeout`, Unavailable if the connection ended in another way,
+    // Corrupt if another answer begins in a body that ends with its connection.
     boost::asio::awaitable<state::Result<std::optional<std::string>>>
     read(std::chrono::milliseconds timeout);
 
@@ -93,6 +96,9 @@
     void close();
 
 private:
+    // Behind the last byte that was received.
+    state::Result<std::optional<std::string>> readEnd();
+
     std::shared_ptr<State> state; // also held by a write that is still under way
 };
 
--- a/src/transport/NextAnswerDetector.cpp
+++ b/src/transport/NextAnswerDetector.cpp
@@ -55,11 +55,11 @@
 
 } // namespace
 
-NextAnswerDetector::NextAnswerDetector(IsAnswerHead isAnswerHead)
-    : isAnswerHead(std::move(isAnswerHead))
+NextAnswerDetector::NextAnswerDetector(ClassifyHead classify)
+    : classify(std::move(classify))
 {}
 
-NextAnswerDetector::Match NextAnswerDetector::matchHead(std::string_view text) const
+NextAnswerDetector::Match NextAnswerDetector::matchHead(std::string_view text)
 {
     if (!mayBeginStatusLine(text))
         return Match::None;
@@ -67,7 +67,9 @@
     if (end == std::string_view::npos)
         return text.size() < maximumHeadBytes ? Match::Partial : Match::None;
     const auto headers = parseHead(text.substr(0, end + 2 * lineEnd.size()));
-    return headers && this->isAnswerHead(*headers) ? Match::Head : Match::None;
+    if (headers)
+        this->foundHead = this->classify(*headers);
+    return this->foundHead == HeadInBody::Quoted ? Match::None : Match::Head;
 }
 
 std::string NextAnswerDetector::takeFront(std::size_t bytes)
@@ -79,7 +81,7 @@
 
 std::string NextAnswerDetector::append(std::string_view bytes)
 {
-    if (this->isFound)
+    if (this->foundHead != HeadInBody::Quoted)
         return {};
     this->kept += bytes;
     for (std::size_t at = this->kept.find('H'); at != std::string::npos;
@@ -87,7 +89,6 @@
         const Match match = this->matchHead(std::string_view(this->kept).substr(at));
         if (match == Match::None)
             continue;
-        this->isFound = match == Match::Head;
         return this->takeFront(at);
     }
     return std::exchange(this->kept, {});
@@ -95,15 +96,20 @@
 
 std::string NextAnswerDetector::finish()
 {
-    if (this->isFound)
+    if (this->foundHead != HeadInBody::Quoted)
         return {};
     // A status line, and nothing behind it that can't stand in a head: the peer has been cut off
     // inside the head of another answer.
     const std::size_t lines = this->kept.rfind(lineEnd);
-    const bool beginsHead = lines != std::string::npos
-                            && parseHead(this->kept.substr(0, lines) + "\r\n\r\n").has_value();
-    this->isFound = beginsHead;
-    return beginsHead ? std::string() : std::exchange(this->kept, {});
+    const auto headers = lines == std::string::npos
+                                 ? std::nullopt
+                                 : parseHead(this->kept.substr(0, lines) + "\r\n\r\n");
+    if (!headers)
+        return std::exchange(this->kept, {});
+    this->foundHead = this->classify(*headers);
+    if (this->foundHead == HeadInBody::Quoted)
+        this->foundHead = HeadInBody::OtherAnswer;
+    return {};
 }
 
 } // namespace lavenderthread::transport
