Transport: an answer that nobody asked for ends a kept connection

Calls between our own processes use such connections; endpoints don't.

A connection with unasked bytes is closed before the next call.

secondAnswerIsNoAnswerToTheNextCall: 'ab' before, 'ac' now.

--- a/src/transport/HttpConnection.cpp
+++ b/src/transport/HttpConnection.cpp
@@ -22,6 +22,13 @@
         , peer(std::move(peer))
     {}
 
+    // Between two calls: the peer has answered once more, or has closed the connection.
+    bool hasUnaskedBytes()
+    {
+        beast::error_code problem;
+        return this->buffer.size() > 0 || this->stream.socket().available(problem) > 0 || problem;
+    }
+
     beast::tcp_stream stream;
     state::Address peer;
     beast::flat_buffer buffer{readAheadBytes};
@@ -34,6 +41,8 @@
 HttpConnection::call(asio::any_io_executor executor, state::Address peer,
                      protocol::HttpRequest request, HttpCallLimits limits)
 {
+    if (this->stream && this->stream->hasUnaskedBytes())
+        this->stream.reset();
     if (this->stream && this->stream->peer == peer) {
         state::Result<protocol::HttpResponse> answer = co_await this->exchange(request, limits);
         // A peer that is silent, or whose answer is too large, would do the same again.
--- a/tests/transport/HttpConnectionTest.cpp
+++ b/tests/transport/HttpConnectionTest.cpp
@@ -3,6 +3,8 @@
 #include "transport/HttpConnection.h"
 
 #include "fakes/LoopbackServer.h"
+#include "fakes/RawEndpoint.h"
+#include "program/RunToEnd.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -109,6 +111,7 @@
     CPPUNIT_TEST(silentPeerCostsOneTimeout);
     CPPUNIT_TEST(failureOnNewConnectionIsReported);
     CPPUNIT_TEST(tooLargeAnswerIsNotFetchedAgain);
+    CPPUNIT_TEST(secondAnswerIsNoAnswerToTheNextCall);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -169,6 +172,37 @@
         CPPUNIT_ASSERT_EQUAL(2, peer.requests);
         CPPUNIT_ASSERT(!peer.leftOpen);
     }
+
+    // Guards against the answer to an earlier call where the next one's is expected.
+    void secondAnswerIsNoAnswerToTheNextCall()
+    {
+        const auto answerWith = [](const std::string &body) {
+            return "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + body;
+        };
+        for (const fakes::RawAnswer &twice :
+             {fakes::RawAnswer{.bytes = answerWith("a") + answerWith("b")},
+              fakes::RawAnswer{.bytes = answerWith("a"), .later = answerWith("b")}}) {
+            fakes::RawEndpoint peer({twice, {.bytes = answerWith("c")}});
+            CPPUNIT_ASSERT_EQUAL(std::string("ac"), program::runToEnd(callTwice(peer.address())));
+        }
+    }
+
+    // The second call is made after what the peer sends later has come.
+    static asio::awaitable<std::string> callTwice(state::Address peer)
+    {
+        const asio::any_io_executor executor = co_await asio::this_coro::executor;
+        HttpConnection connection;
+        std::string bodies;
+        for (int each = 0; each < 2; ++each) {
+            protocol::HttpRequest request;
+            request.method = "POST";
+            request.target = "/";
+            const auto answer = co_await connection.call(executor, peer, std::move(request), {});
+            bodies += answer ? answer.value().body : "failed";
+            co_await pause(2 * fakes::pauseBeforeLater);
+        }
+        co_return bodies;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpConnectionTest);
