Relays: answers, events and lines that are kept share one bound

One AnswerBuffers a process bounds them all; what has been passed on is given back. Probes and orders keep their small bounds. Bytes without end of a peer are tested as those of endpoints are.

--- a/src/coordination/relay/EventSplitter.h
+++ b/src/coordination/relay/EventSplitter.h
@@ -22,6 +22,7 @@
 
     // Whether bytes of an incomplete event are buffered.
     bool hasPartialEvent() const { return !this->buffer.empty(); }
+    std::size_t bufferedBytes() const { return this->buffer.size(); }
     // Whether the incomplete event is too long to be continued.
     bool isTooLong() const { return this->buffer.size() > maximumEventBytes; }
     // Drops the event that an endpoint left incomplete, before another one continues the stream.
--- a/src/program/AnswerBuffers.h
+++ b/src/program/AnswerBuffers.h
@@ -1,4 +1,5 @@
-// Bounds the memory of answers that are kept until they are whole, over all requests of a process.
+// Bounds the memory of answers, events and lines that are kept until they are whole, over all
+// requests of a process.
 #pragma once
 
 #include <cstddef>
@@ -44,8 +45,8 @@
         Share(const Share &) = delete;
         Share &operator=(const Share &) = delete;
 
-        // The answer has grown to so many bytes. False if that is more than may be kept.
-        bool growTo(std::size_t bytes)
+        // So many bytes are kept now. False if that is more than may be kept.
+        bool resizeTo(std::size_t bytes)
         {
             const AnswerBuffers::Settings &limits = this->buffers->settings;
             if (bytes > limits.maximumAnswer)
@@ -53,6 +54,8 @@
             const std::size_t wanted = bytes > limits.uncounted ? bytes - limits.uncounted : 0;
             if (wanted > this->counted && !this->buffers->take(wanted - this->counted))
                 return false;
+            if (wanted < this->counted)
+                this->buffers->release(this->counted - wanted);
             this->counted = wanted;
             return true;
         }
@@ -60,7 +63,7 @@
     private:
         // Requests that are still suspended at shutdown outlive the relay.
         std::shared_ptr<AnswerBuffers> buffers; // never null
-        std::size_t counted = 0;                // bytes taken from `buffers`; never decreases
+        std::size_t counted = 0;                // bytes taken from `buffers`
     };
 
 private:
--- a/src/program/CompletionRelay.cpp
+++ b/src/program/CompletionRelay.cpp
@@ -158,6 +158,7 @@
         if (!this->ending)
             this->call = std::make_shared<transport::HttpCallHandle>();
         attempt.handle = this->call;
+        attempt.answerBuffers = this->hooks.answerBuffers;
         return attempt;
     }
 
--- a/src/program/CompletionRelay.h
+++ b/src/program/CompletionRelay.h
@@ -2,6 +2,7 @@
 // once, and ended at the deadline. Continues at another engine when one is lost.
 #pragma once
 
+#include "program/AnswerBuffers.h"
 #include "program/OpenRequests.h"
 #include "program/RequestGuard.h"
 #include "program/Scheduler.h"
@@ -46,6 +47,7 @@
         std::function<state::RequestId()> nextRequestId;
         std::function<void(const CompletionOutcome &)> finished;
         std::shared_ptr<OpenRequests> openRequests = OpenRequests::create();
+        std::shared_ptr<AnswerBuffers> answerBuffers = std::make_shared<AnswerBuffers>();
     };
 
     CompletionRelay(const Settings &settings, Hooks hooks);
--- a/src/program/EngineAttempt.cpp
+++ b/src/program/EngineAttempt.cpp
@@ -48,6 +48,7 @@
     , request(std::move(request))
     , settings(settings)
     , isAlive(std::move(isAlive))
+    , share(this->request.answerBuffers)
 {}
 
 EngineAttempt::~EngineAttempt()
@@ -174,7 +175,7 @@
             begin = end + 1;
         }
         this->partial.erase(0, begin);
-        if (this->partial.size() > longestLine)
+        if (this->partial.size() > longestLine || !this->share.resizeTo(this->partial.size()))
             co_return state::makeError(state::ErrorCode::Corrupt, "engine.read", "line too long",
                                        peer);
     }
--- a/src/program/EngineAttempt.h
+++ b/src/program/EngineAttempt.h
@@ -2,6 +2,7 @@
 // fails when the engine sends nothing for too long or is no longer known to be alive.
 #pragma once
 
+#include "program/AnswerBuffers.h"
 #include "program/Settings.h"
 #include "protocol/Completion.h"
 #include "state/Endpoint.h"
@@ -31,6 +32,7 @@
     std::shared_ptr<const std::string> body; // the caller's, unchanged
     state::Instant deadline;
     std::shared_ptr<transport::HttpCallHandle> handle; // ends the attempt from outside; may be null
+    std::shared_ptr<AnswerBuffers> answerBuffers = std::make_shared<AnswerBuffers>();
 };
 
 class EngineAttempt
@@ -68,7 +70,8 @@
     EndpointSettings settings;
     std::function<bool(const state::EndpointDescription &)> isAlive;
     std::shared_ptr<Watch> watch;
-    std::string partial; // start of an incomplete line
+    std::string partial;        // start of an incomplete line
+    AnswerBuffers::Share share; // of `partial`
     bool sawToken = false;
     bool sawDone = false;
 };
--- a/src/program/Entry.cpp
+++ b/src/program/Entry.cpp
@@ -63,12 +63,14 @@
     : settings(settings)
     , registry(std::move(registry))
     , hooks(std::move(hooks))
-    , completions(settings, {this->hooks.scheduler, this->hooks.guard,
-                             [this] { return this->nextRequestId(); },
-                             this->hooks.completionFinished, this->hooks.openRequests})
-    , services(settings, {[this] { return this->registry->table(); }, this->hooks.claims,
-                          this->hooks.guard, [this] { return this->nextRequestId(); },
-                          this->hooks.serviceFinished, this->hooks.openRequests})
+    , completions(settings,
+                  {this->hooks.scheduler, this->hooks.guard,
+                   [this] { return this->nextRequestId(); }, this->hooks.completionFinished,
+                   this->hooks.openRequests, this->hooks.answerBuffers})
+    , services(settings,
+               {[this] { return this->registry->table(); }, this->hooks.claims, this->hooks.guard,
+                [this] { return this->nextRequestId(); }, this->hooks.serviceFinished,
+                this->hooks.openRequests, this->hooks.answerBuffers})
     , requestPrefix(settings.vm.value() + "-" + std::to_string(wallNow().time_since_epoch().count())
                     + "-")
 {
--- a/src/program/Entry.h
+++ b/src/program/Entry.h
@@ -70,6 +70,7 @@
         std::function<void(const CompletionOutcome &)> completionFinished;
         std::function<void(const ServiceOutcome &)> serviceFinished;
         std::shared_ptr<OpenRequests> openRequests = OpenRequests::create(); // of the process
+        std::shared_ptr<AnswerBuffers> answerBuffers = std::make_shared<AnswerBuffers>(); // too
     };
 
     // Error: Unavailable, step "listener.bind".
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -2,6 +2,7 @@
 #include "program/Node.h"
 
 #include "coordination/directory/ShutdownSchedule.h"
+#include "program/AnswerBuffers.h"
 #include "program/Clock.h"
 #include "program/Cluster.h"
 #include "program/ColdEndpoints.h"
@@ -254,6 +255,7 @@
         hooks.client = this->client;
         hooks.guard = this->guard;
         hooks.openRequests = this->openRequests;
+        hooks.answerBuffers = this->answerBuffers;
         hooks.ready = [this] { return this->entry->phase() == EntryPhase::Serving; };
         hooks.profilesChanged = [this](auto profiles) {
             this->policy->setProfiles(std::move(profiles));
@@ -444,6 +446,7 @@
         hooks.completionFinished = logCompletion;
         hooks.serviceFinished = logService;
         hooks.openRequests = this->openRequests;
+        hooks.answerBuffers = this->answerBuffers;
         return hooks;
     }
 
@@ -732,6 +735,7 @@
     asio::signal_set reloadSignals{this->context, SIGHUP};
     Metrics metrics;
     std::shared_ptr<OpenRequests> openRequests = OpenRequests::create();
+    std::shared_ptr<AnswerBuffers> answerBuffers = std::make_shared<AnswerBuffers>();
     std::shared_ptr<EndpointRegistry> registry;
     std::shared_ptr<ColdEndpoints> cold;
     const std::uint64_t incarnation =
--- a/src/program/RelayListeners.cpp
+++ b/src/program/RelayListeners.cpp
@@ -104,6 +104,7 @@
     relayHooks.attemptStarted = this->hooks.attemptStarted;
     relayHooks.guard = this->hooks.guard;
     relayHooks.openRequests = this->hooks.openRequests;
+    relayHooks.answerBuffers = this->hooks.answerBuffers;
     relayHooks.answerEnded = this->hooks.answerEnded;
     relayHooks.finished = this->hooks.finished;
     return relayHooks;
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -1101,10 +1101,10 @@
                                                  protocol::HttpHeaders headers)
     {
         protocol::HttpResponse answer{stream.status(), std::move(headers), {}};
-        AnswerBuffers::Share share(this->relay.answerBuffers);
+        AnswerBuffers::Share share(this->hooks.answerBuffers);
         if (!stream.declaredLength())
             this->startAnswerTimeout();
-        if (!share.growTo(stream.declaredLength().value_or(0)))
+        if (!share.resizeTo(stream.declaredLength().value_or(0)))
             co_return this->answerTooLong();
         while (true) {
             const auto piece = co_await this->readPiece(stream);
@@ -1115,7 +1115,7 @@
             if (!piece.value())
                 break;
             answer.body += *piece.value();
-            if (!share.growTo(answer.body.size()))
+            if (!share.resizeTo(answer.body.size()))
                 co_return this->answerTooLong();
         }
         if (this->inactivityTimeout)
@@ -1157,6 +1157,7 @@
                                                protocol::HttpHeaders headers)
     {
         this->events.dropPartialEvent();
+        AnswerBuffers::Share share(this->hooks.answerBuffers);
         while (true) {
             const auto piece = co_await this->readPiece(stream);
             if (!piece) {
@@ -1166,7 +1167,7 @@
             if (!piece.value())
                 break;
             const std::string whole = this->events.append(*piece.value());
-            if (this->events.isTooLong()) {
+            if (this->events.isTooLong() || !share.resizeTo(this->events.bufferedBytes())) {
                 this->outcome.reason = "an event is longer than may be kept";
                 co_return AttemptResult::Lost;
             }
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -71,6 +71,7 @@
         };
         std::shared_ptr<RequestGuard> guard;
         std::shared_ptr<OpenRequests> openRequests = OpenRequests::create();
+        std::shared_ptr<AnswerBuffers> answerBuffers = std::make_shared<AnswerBuffers>();
         // Sends an update to the peers.
         std::function<void(protocol::PeerUpdate)> share = [](auto) {};
         // The reading of an endpoint's or peer's answer has ended.
@@ -112,7 +113,6 @@
 
     const Settings &settings;
     Hooks hooks;
-    std::shared_ptr<AnswerBuffers> answerBuffers = std::make_shared<AnswerBuffers>();
     std::mutex choiceMutex; // guards the members below; held only for a choice, never across I/O
     std::mt19937_64 random;
     coordination::routing::ReplicaChooser chooser;
--- a/src/program/ServiceRelay.cpp
+++ b/src/program/ServiceRelay.cpp
@@ -217,6 +217,8 @@
             transport::HttpCallLimits limits;
             limits.connectTimeout = std::min(this->settings.endpoint.connectTimeout, left);
             limits.timeout = left;
+            AnswerBuffers::Share share(this->hooks.answerBuffers);
+            limits.mayKeep = [&share](std::uint64_t bytes) { return share.resizeTo(bytes); };
             const state::Instant sentAt = monotonicNow();
             this->openRequest.enter(RequestStage::Sent);
             const auto answer = co_await transport::httpCall(
--- a/src/program/ServiceRelay.h
+++ b/src/program/ServiceRelay.h
@@ -2,6 +2,7 @@
 // idempotent call is retried at another replica when one is lost.
 #pragma once
 
+#include "program/AnswerBuffers.h"
 #include "program/Claims.h"
 #include "program/EndpointRegistry.h"
 #include "program/OpenRequests.h"
@@ -52,6 +53,7 @@
         std::function<state::RequestId()> nextRequestId;
         std::function<void(const ServiceOutcome &)> finished;
         std::shared_ptr<OpenRequests> openRequests = OpenRequests::create();
+        std::shared_ptr<AnswerBuffers> answerBuffers = std::make_shared<AnswerBuffers>();
     };
 
     ServiceRelay(const Settings &settings, Hooks hooks);
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -338,7 +338,7 @@
         if (!piece.value())
             co_return response;
         response.body += *piece.value();
-        if (response.body.size() > limits.bodyBytes)
+        if (response.body.size() > limits.bodyBytes || !limits.mayKeep(response.body.size()))
             co_return answerTooLarge(peer);
     }
 }
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -58,6 +58,8 @@
     // From connected to the answer's head, then each read; of httpCall(), then to the answer's end.
     std::chrono::milliseconds timeout{10'000};
     std::uint64_t bodyBytes = 16U << 20U; // of a whole answer; streams are not limited
+    // Asked as a whole answer's body grows; false: more than may be kept.
+    std::function<bool(std::uint64_t bodyBytes)> mayKeep = [](std::uint64_t) { return true; };
     // Asked about heads in the body of an answer without a length or chunks.
     ClassifyHead classifyHead = [](const protocol::HttpHeaders &) {
         return HeadInBody::OtherAnswer;
@@ -109,7 +111,7 @@
                protocol::HttpRequest request, HttpCallLimits limits, BeforeSend beforeSend = {},
                std::shared_ptr<HttpCallHandle> handle = {});
 
-// The whole answer. Errors as above, and Corrupt if the body is over the limit.
+// The whole answer. Errors as above, and Corrupt if the body is over the limit or may not be kept.
 boost::asio::awaitable<state::Result<protocol::HttpResponse>>
 httpCall(boost::asio::any_io_executor executor, state::Address peer, protocol::HttpRequest request,
          HttpCallLimits limits, BeforeSend beforeSend = {},
--- a/tests/platform/EndlessAnswerTest.cpp
+++ b/tests/platform/EndlessAnswerTest.cpp
@@ -114,6 +114,7 @@
     CPPUNIT_TEST_SUITE(EndlessAnswerTest);
     CPPUNIT_TEST(callersAreServedElsewhere);
     CPPUNIT_TEST(callThatMayRunOnceEndsInTime);
+    CPPUNIT_TEST(callHandedToAPeerEndsInTime);
     CPPUNIT_TEST_SUITE_END();
 
     static std::vector<Endless> cases()
@@ -185,6 +186,29 @@
                                    endless.mostSent < each.mostBytes);
         }
     }
+
+    // Guards against the same for bytes without end of a peer.
+    void callHandedToAPeerEndsInTime()
+    {
+        constexpr milliseconds longestCall{2'500};
+        const std::string result = std::string(protocol::peerResultHeader) + ": answer\r\n";
+        std::vector<Endless> all = cases();
+        for (Endless &each : all) {
+            if (each.begin.starts_with(answerHead))
+                each.begin.insert(std::string_view(answerHead).size(), result);
+            EndlessEndpoint endless(each);
+            RelayFixture fixture(each.kind, {Behaviour::Answers});
+            fixture.addPeerAt(endless.address());
+            fixture.pathLost = true;
+            const state::Instant begin = program::monotonicNow();
+            const auto answer = fixture.call();
+            CPPUNIT_ASSERT_MESSAGE(each.name, !answer || answer.value().status >= 500);
+            CPPUNIT_ASSERT_MESSAGE(each.name, program::monotonicNow() - begin < longestCall);
+            CPPUNIT_ASSERT_MESSAGE(each.name, endless.connections > 0);
+            CPPUNIT_ASSERT_MESSAGE(std::string(each.name) + ": " + std::to_string(endless.mostSent),
+                                   endless.mostSent < each.mostBytes);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndlessAnswerTest);
--- a/tests/program/ServiceRelayTest.cpp
+++ b/tests/program/ServiceRelayTest.cpp
@@ -22,7 +22,7 @@
 namespace {
 
 // How the replica treats a call.
-enum class Replica { Answers, ClosesUnanswered, Ends, IsDown };
+enum class Replica { Answers, ClosesUnanswered, Ends, IsDown, AnswersWithoutEnd };
 
 struct Case
 {
@@ -34,6 +34,9 @@
     const char *ran;
 };
 
+constexpr std::size_t mostOfReplica = 64U << 20U; // bytes of an answer without end
+constexpr AnswerBuffers::Settings buffers{16U << 20U, 64U << 10U, 1U << 20U};
+
 Settings settingsWithNonIdempotentService()
 {
     const char *text = R"({"cluster":{"name":"t","keys":["cluster-key"]},
@@ -100,6 +103,7 @@
     }
     // The second and every later reader of the endpoints sees their domain evacuated.
     void evacuateAfterChoice() { this->evacuatesAfterChoice = true; }
+    std::size_t bytesOfReplica() const { return this->replicaBytes; }
     std::size_t blockCount() const { return this->guard->blockCount(); }
 
     protocol::HttpResponse post()
@@ -133,13 +137,31 @@
             this->replica->stopAccepting();
         if (behaviour == Replica::ClosesUnanswered || behaviour == Replica::Ends)
             co_return;
+        if (behaviour == Replica::AnswersWithoutEnd) {
+            co_await this->answerWithoutEnd(exchange);
+            co_return;
+        }
         protocol::HttpResponse answer{201, {}, "booked"};
         co_await exchange.respond(std::move(answer));
     }
 
+    asio::awaitable<void> answerWithoutEnd(transport::HttpExchange &exchange)
+    {
+        const std::string piece(64U << 10U, 'x');
+        protocol::HttpResponse head{201, {}, {}};
+        co_await exchange.beginStream(std::move(head));
+        while (this->replicaBytes < mostOfReplica) {
+            const auto sent = co_await exchange.write(piece);
+            if (!sent)
+                co_return;
+            this->replicaBytes += piece.size();
+        }
+    }
+
     ServiceRelay::Hooks hooks(const Case &fault)
     {
         ServiceRelay::Hooks made;
+        made.answerBuffers = std::make_shared<AnswerBuffers>(buffers);
         made.endpoints = [this] {
             EndpointTable table;
             table.endpoints[this->endpoint.id] = {this->endpoint, false};
@@ -183,6 +205,7 @@
     std::shared_ptr<RequestGuard> guard = RequestGuard::create(this->context, {});
     std::mutex mutex;
     std::string recordedSteps;
+    std::atomic<std::size_t> replicaBytes = 0; // of its answers
     std::atomic<bool> evacuatesAfterChoice = false;
     std::atomic<int> tableReads = 0;
     std::unique_ptr<ServiceRelay> relay;
@@ -200,6 +223,7 @@
     CPPUNIT_TEST(repeatabilityFollowsRulesAndMethod);
     CPPUNIT_TEST(callThatCrashesReplicasIsRefused);
     CPPUNIT_TEST(replicaEvacuatedSinceItWasChosenGetsNothing);
+    CPPUNIT_TEST(answersWithoutEndShareABound);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -253,6 +277,16 @@
         CPPUNIT_ASSERT_EQUAL(std::string("take release"), fixture.steps());
     }
 
+    // Guards against replicas whose answers are each within their bound and use up the memory of an
+    // entry together.
+    void answersWithoutEndShareABound()
+    {
+        constexpr std::size_t socketBuffers = 8U << 20U; // of both sides of a connection
+        ServiceRelayFixture fixture({"without end", Replica::AnswersWithoutEnd, true, "", 502, ""});
+        CPPUNIT_ASSERT_EQUAL(502U, fixture.post().status);
+        CPPUNIT_ASSERT(fixture.bytesOfReplica() < buffers.maximumCounted + socketBuffers);
+    }
+
     void repeatabilityFollowsRulesAndMethod()
     {
         const Settings settings = settingsWithNonIdempotentService();
