Relay: a request over the limits is no refusal for good before the configuration is known

The entry answers 503 with a Retry-After then; the request has not run. The scenario counts an own 4xx as broken now.

--- a/soak/StutteringEndpoints.cpp
+++ b/soak/StutteringEndpoints.cpp
@@ -129,7 +129,8 @@
     }
     const bool isOthers = result.body.find(failureOfAnother) != std::string::npos
                           || (!result.answers.empty() && result.answers != id);
-    if (result.status != statusOk && !isOthers) {
+    const bool refusedForGood = result.status >= 400 && result.status < 500 && !result.sealed;
+    if (result.status != statusOk && !isOthers && !refusedForGood) {
         ++ends.failed;
         this->ledger.ended("status-" + std::to_string(result.status));
         return;
--- a/src/program/RelayListeners.cpp
+++ b/src/program/RelayListeners.cpp
@@ -27,6 +27,8 @@
 // would lose a request.
 constexpr milliseconds idleMargin{3'000};
 constexpr milliseconds requestMargin{2'000};
+constexpr milliseconds retryWithoutConfiguration{300};
+constexpr unsigned statusUnavailable = 503;
 
 transport::HttpLimits limitsOf(const state::routes::CallerLimits &wanted)
 {
@@ -149,15 +151,21 @@
 
 state::Result<void> RelayListeners::listen(asio::io_context &context)
 {
+    using Server = std::shared_ptr<transport::HttpServer>;
     const auto open = [&](const std::optional<state::Address> &address,
                           const transport::HttpLimits &limits, transport::HttpHandler handler,
-                          std::shared_ptr<transport::HttpServer> &server) -> state::Result<void> {
+                          Server &server) -> state::Result<void> {
         if (!address)
             return state::outcome::success();
         transport::HttpServer::Hooks serverHooks;
         serverHooks.handle = std::move(handler);
-        serverHooks.reject = [this](unsigned status, std::string_view cause) {
-            return this->hooks.deployment.relay.refuse({status, std::string(cause), std::nullopt});
+        const bool forCallers = &server == &this->relayServer;
+        serverHooks.reject = [this, forCallers](unsigned status, std::string_view cause) {
+            RelayRefusal refusal{status, std::string(cause), std::nullopt};
+            // The request may be within the limits of the configuration.
+            if (forCallers && !this->hasConfiguration())
+                refusal = {statusUnavailable, refusal.detail, retryWithoutConfiguration};
+            return this->hooks.deployment.relay.refuse(refusal);
         };
         BOOST_OUTCOME_TRY(server, transport::HttpServer::create(context, *address, limits,
                                                                 std::move(serverHooks)));
