Transport: looking for a second head takes linear time

A body of many beginnings of heads was searched for their ends again and again: found while reading the change.

--- a/src/transport/NextAnswerDetector.cpp
+++ b/src/transport/NextAnswerDetector.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr std::string_view lineEnd = "\r\n";
+constexpr std::string_view headEnd = "\r\n\r\n";
 // '#' stands for a digit; a reason phrase follows, which may be empty.
 constexpr std::string_view statusLinePattern = "HTTP/1.# ### ";
 
@@ -26,18 +27,21 @@
     return character >= '0' && character <= '9';
 }
 
+constexpr std::size_t longestStatusLine = 1'024; // bytes
+
 // Whether the text may begin with a status line, as far as it goes.
 bool mayBeginStatusLine(std::string_view text)
 {
-    const std::string_view line = text.substr(0, text.find('\n'));
-    const std::size_t compared = std::min(line.size(), statusLinePattern.size());
+    const std::size_t compared = std::min(text.size(), statusLinePattern.size());
     for (std::size_t index = 0; index < compared; ++index) {
         const char wanted = statusLinePattern[index];
-        if (wanted == '#' ? !isDigit(line[index]) : line[index] != wanted)
+        if (wanted == '#' ? !isDigit(text[index]) : text[index] != wanted)
             return false;
     }
-    const bool ends = line.size() < text.size();
-    return !ends || (line.size() > statusLinePattern.size() && line.back() == '\r');
+    const std::size_t end = text.substr(0, longestStatusLine).find('\n');
+    if (end == std::string_view::npos)
+        return text.size() < longestStatusLine;
+    return text[end - 1] == '\r';
 }
 
 // The headers of a whole head; nothing if the text doesn't begin with one.
@@ -59,14 +63,17 @@
     : classify(std::move(classify))
 {}
 
-NextAnswerDetector::Match NextAnswerDetector::matchHead(std::string_view text)
+// `blankLine`: position of the first one in `kept` from `at` on.
+NextAnswerDetector::Match NextAnswerDetector::matchHead(std::size_t at, std::size_t blankLine)
 {
+    const std::string_view text = std::string_view(this->kept).substr(at);
     if (!mayBeginStatusLine(text))
         return Match::None;
-    const std::size_t end = text.find("\r\n\r\n");
-    if (end == std::string_view::npos)
-        return text.size() < maximumHeadBytes ? Match::Partial : Match::None;
-    const auto headers = parseHead(text.substr(0, end + 2 * lineEnd.size()));
+    if (std::min(blankLine, this->kept.size()) - at > maximumHeadBytes)
+        return Match::None;
+    if (blankLine == std::string::npos)
+        return Match::Partial;
+    const auto headers = parseHead(text.substr(0, blankLine - at + headEnd.size()));
     if (headers)
         this->foundHead = this->classify(*headers);
     return this->foundHead == HeadInBody::Quoted ? Match::None : Match::Head;
@@ -84,12 +91,13 @@
     if (this->foundHead != HeadInBody::Quoted)
         return {};
     this->kept += bytes;
+    std::size_t blankLine = this->kept.find(headEnd);
     for (std::size_t at = this->kept.find('H'); at != std::string::npos;
          at = this->kept.find('H', at + 1)) {
-        const Match match = this->matchHead(std::string_view(this->kept).substr(at));
-        if (match == Match::None)
-            continue;
-        return this->takeFront(at);
+        if (blankLine < at)
+            blankLine = this->kept.find(headEnd, at);
+        if (this->matchHead(at, blankLine) != Match::None)
+            return this->takeFront(at);
     }
     return std::exchange(this->kept, {});
 }
@@ -103,7 +111,7 @@
     const std::size_t lines = this->kept.rfind(lineEnd);
     const auto headers = lines == std::string::npos
                                  ? std::nullopt
-                                 : parseHead(this->kept.substr(0, lines) + "\r\n\r\n");
+                                 : parseHead(this->kept.substr(0, lines).append(headEnd));
     if (!headers)
         return std::exchange(this->kept, {});
     this->foundHead = this->classify(*headers);
--- a/src/transport/NextAnswerDetector.h
+++ b/src/transport/NextAnswerDetector.h
@@ -40,7 +40,7 @@
 private:
     enum class Match { None, Partial, Head };
 
-    Match matchHead(std::string_view text);
+    Match matchHead(std::size_t at, std::size_t blankLine);
     std::string takeFront(std::size_t bytes);
 
     ClassifyHead classify;
--- a/tests/transport/NextAnswerDetectorTest.cpp
+++ b/tests/transport/NextAnswerDetectorTest.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <chrono>
 #include <string>
 
 namespace lavenderthread::transport {
@@ -48,6 +49,7 @@
     CPPUNIT_TEST(headThatIsCutOffEndsTheBody);
     CPPUNIT_TEST(textThatIsNoHeadBelongsToTheBody);
     CPPUNIT_TEST(bytesThatCantBeginAHeadAreNotKept);
+    CPPUNIT_TEST(bodiesOfBeginningsTakeLittleTime);
     CPPUNIT_TEST_SUITE_END();
 
     static void check(const std::string &bytes, const std::string &body, HeadInBody found)
@@ -106,6 +108,26 @@
             CPPUNIT_ASSERT_EQUAL(event, detector.append(event));
         }
     }
+
+    // Guards against a faulty endpoint that takes an entry's processor time with bytes that look
+    // like heads.
+    void bodiesOfBeginningsTakeLittleTime()
+    {
+        constexpr std::size_t bodyBytes = 16U << 20U;
+        constexpr std::chrono::seconds longest{2};
+        for (const std::string &text :
+             {std::string("H"), std::string("HTTP/1.1 200 "), std::string("HTTP/1.1 200 x\r\n"),
+              std::string("HTTP/1.1 200 x\r\na: b\r\n"),
+              std::string("HTTP/1.1 200 x\r\na: b\r\n\r\n")}) {
+            std::string body;
+            while (body.size() < bodyBytes)
+                body += text;
+            const auto begin = std::chrono::steady_clock::now();
+            const Seen seen = readIn(64U << 10U, body);
+            CPPUNIT_ASSERT_MESSAGE(text, std::chrono::steady_clock::now() - begin < longest);
+            CPPUNIT_ASSERT_EQUAL(bodyBytes <= seen.body.size(), true);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(NextAnswerDetectorTest);
