Transport, relay: raised limits hold for requests on open connections

A caller that had connected before the first configuration, or before one that raised the limit, was answered 413 for good. And a configuration that couldn't be decoded counted as known.

The limit is read once the head is there; the configuration counts as known once its limits are in force. raisedLimitsHoldOnOpenConnections: 413 before, 200 now.

--- a/src/program/RelayListeners.cpp
+++ b/src/program/RelayListeners.cpp
@@ -334,9 +334,12 @@
 
 void RelayListeners::viewChanged(const state::control::ControlView &view)
 {
-    this->configured = this->configured || view.configuration.version > 0;
-    if (!this->relayServer || view.configuration.version <= this->routes.read()->version())
-        return; // a control VM without a relay has no processor time for documents of 100 KB
+    if (!this->relayServer) { // a control VM has no processor time for documents of 100 KB
+        this->configured = this->configured || view.configuration.version > 0;
+        return;
+    }
+    if (view.configuration.version <= this->routes.read()->version())
+        return;
     const auto table = this->hooks.deployment.decodeConfiguration(view.configuration.text);
     if (!table) {
         // Another node that runs the same program checked it before it was accepted.
@@ -345,6 +348,7 @@
     }
     this->routes.publish(table.value());
     this->relayServer->setLimits(limitsOf(table.value().limits()));
+    this->configured = true;
     this->hooks.servicesChanged(table.value().services());
     this->hooks.profilesChanged(profilesOf(table.value()));
     logEvent(LogLevel::Info, "configuration.in-force",
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -162,7 +162,7 @@
         http::request_parser<http::string_body> parser;
         const HttpLimits limits = *this->server->limits.read();
         parser.header_limit(limits.headerBytes);
-        parser.body_limit(limits.bodyBytes);
+        parser.body_limit(boost::none); // checked below, with the limits of that time
         this->buffer.max_size(limits.headerBytes + readAheadBytes);
         // The first request must arrive at once; later ones may follow after an idle time.
         this->stream.expires_after(first ? limits.requestTimeout : limits.idleTimeout);
@@ -173,6 +173,12 @@
             co_return std::nullopt;
         }
         open.emplace(*this->server);
+        const std::uint64_t mostBytes = this->server->limits.read()->bodyBytes;
+        if (parser.content_length().value_or(0) > mostBytes) {
+            co_await this->reject(http::error::body_limit, headBytes);
+            co_return std::nullopt;
+        }
+        parser.body_limit(mostBytes);
         this->stream.expires_after(limits.requestTimeout);
         if (parser.get()[http::field::expect] == "100-continue")
             co_await this->sendContinue();
--- a/tests/transport/HttpConnectionTest.cpp
+++ b/tests/transport/HttpConnectionTest.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -112,6 +113,7 @@
     CPPUNIT_TEST(failureOnNewConnectionIsReported);
     CPPUNIT_TEST(tooLargeAnswerIsNotFetchedAgain);
     CPPUNIT_TEST(secondAnswerIsNoAnswerToTheNextCall);
+    CPPUNIT_TEST(raisedLimitsHoldOnOpenConnections);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -187,6 +189,38 @@
         }
     }
 
+    // Guards against a request refused for good by limits that had been in force when its
+    // connection was opened.
+    void raisedLimitsHoldOnOpenConnections()
+    {
+        constexpr std::uint64_t raised = 1'000;
+        Peer peer;
+        HttpLimits limits;
+        limits.bodyBytes = raised / 2;
+        peer.server->setLimits(limits);
+        const auto call = [&]() -> asio::awaitable<unsigned> {
+            const asio::any_io_executor executor = co_await asio::this_coro::executor;
+            HttpConnection connection;
+            unsigned status = 0;
+            for (const std::uint64_t bytes : {std::uint64_t(1), raised}) {
+                protocol::HttpRequest request;
+                request.method = "POST";
+                request.target = "/";
+                request.body = std::string(bytes, 'x');
+                const auto answer = co_await connection.call(executor, peer.server->address(),
+                                                             std::move(request), {});
+                status = answer ? answer.value().status : 0;
+                limits.bodyBytes = raised;
+                peer.server->setLimits(limits);
+            }
+            peer.context.stop();
+            co_return status;
+        };
+        auto result = asio::co_spawn(peer.context, call(), asio::use_future);
+        peer.context.run();
+        CPPUNIT_ASSERT_EQUAL(200U, result.get());
+    }
+
     // The second call is made after what the peer sends later has come.
     static asio::awaitable<std::string> callTwice(state::Address peer)
     {
