--- a/src/program/RelayCodec.h
+++ b/src/program/RelayCodec.h
@@ -104,7 +104,8 @@
                                      const state::RequestId &)>
             readHead;
     // What a head in the body of an answer to this request is.
-    std::function<transport::HeadInBody(const protocol::HttpHeaders &, const state::RequestId &)>
+    std::function<std::optional<transport::NextAnswer>(const protocol::HttpHeaders &,
+                                                       const state::RequestId &)>
             classifyHead;
     std::function<protocol::HttpResponse(const RelayRefusal &)> refuse;
     // A request that an endpoint of the service answers without delay and without running anything.
--- a/src/transport/AnswerReport.cpp
+++ b/src/transport/AnswerReport.cpp
@@ -13,6 +13,8 @@
         return "chunks";
     case AnswerFraming::Connection:
         return "connection";
+    case AnswerFraming::NoBody:
+        return "no-body";
     }
     return "unknown";
 }
--- a/src/transport/AnswerReport.h
+++ b/src/transport/AnswerReport.h
@@ -12,6 +12,7 @@
     Length,
     Chunks,
     Connection, // neither: the body ends with the connection
+    NoBody,     // by its status, or to a HEAD request
 };
 
 enum class AnswerEnd : std::uint8_t {
@@ -19,7 +20,7 @@
     Framed,   // by its length or its last chunk
     Closed,   // the peer closed the connection in order
     Repeated, // the peer began to answer the same request again
-    Broken,   // the connection ended in another way, or another answer began in the body
+    Broken, // in another way: also a timeout, bytes that are no answer, another answer in the body
 };
 
 // Of one answer, as far as it was read.
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -6,6 +6,7 @@
 #include "transport/MonotonicClock.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -120,8 +121,9 @@
 {
     using Parser = http::response_parser<http::buffer_body>;
 
-    State(asio::any_io_executor executor, state::Address peer, ClassifyHead classifyHead)
-        : stream(std::move(executor))
+    State(const asio::any_io_executor &executor, state::Address peer, ClassifyHead classifyHead)
+        : stream(executor)
+        , written(executor)
         , peer(std::move(peer))
         , nextAnswer(std::move(classifyHead))
     {
@@ -134,10 +136,20 @@
         this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
         // Take all that has arrived in one go: tokens come as many small chunks.
         this->parser->eager(true);
+        this->parser->skip(this->message.method() == http::verb::head);
         return *this->parser;
     }
 
+    // Until the whole request was sent, or can't be.
+    asio::awaitable<void> waitUntilWritten(std::chrono::milliseconds timeout)
+    {
+        this->written.expires_after(timeout);
+        if (!this->sent && !this->sendProblem)
+            co_await this->written.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+
     beast::tcp_stream stream;
+    asio::steady_timer written; // cancelled once the write of the request has ended
     state::Address peer;
     beast::flat_buffer buffer{readAheadBytes};
     std::unique_ptr<Parser> parser; // never null
@@ -147,7 +159,8 @@
     NextAnswerDetector nextAnswer;
     std::uint64_t bodyBytes = 0; // read so far
     AnswerEnd end = AnswerEnd::Open;
-    bool sent = false; // the whole request
+    std::optional<state::Error> failure; // of an earlier read
+    bool sent = false;                   // the whole request
     beast::error_code sendProblem;
 };
 
@@ -178,8 +191,7 @@
 
 bool HttpAnswerStream::endsWithConnection() const
 {
-    const auto &parser = *this->state->parser;
-    return !parser.chunked() && !parser.content_length();
+    return this->state->parser->need_eof();
 }
 
 std::optional<std::uint64_t> HttpAnswerStream::declaredLength() const
@@ -195,13 +207,14 @@
     if (my.parser->is_header_done()) {
         report.framing = my.parser->chunked()          ? AnswerFraming::Chunks
                          : my.parser->content_length() ? AnswerFraming::Length
-                                                       : AnswerFraming::Connection;
+                         : this->endsWithConnection()  ? AnswerFraming::Connection
+                                                       : AnswerFraming::NoBody;
         report.declaredBytes = this->declaredLength();
     }
     report.bodyBytes = my.bodyBytes;
     report.end = my.end;
     report.requestSent = my.sent;
-    report.nextAnswer = my.nextAnswer.found() != HeadInBody::Quoted;
+    report.nextAnswer = my.nextAnswer.found().has_value();
     return report;
 }
 
@@ -209,8 +222,11 @@
 HttpAnswerStream::read(std::chrono::milliseconds timeout)
 {
     State &my = *this->state;
+    // A later read on a connection that was reset would see an orderly end.
+    if (my.failure)
+        co_return *my.failure;
     my.stream.expires_after(timeout);
-    while (!my.parser->is_done() && my.nextAnswer.found() == HeadInBody::Quoted) {
+    while (!my.parser->is_done() && !my.nextAnswer.found()) {
         auto &body = my.parser->get().body();
         body.data = my.piece.data();
         body.size = my.piece.size();
@@ -219,16 +235,22 @@
         const std::size_t got = my.piece.size() - body.size;
         if (problem && problem != http::error::need_buffer) {
             my.end = AnswerEnd::Broken;
-            co_return callError(problem, receiveStep, my.peer);
+            my.failure = callError(problem, receiveStep, my.peer);
+            co_return *my.failure;
         }
-        my.bodyBytes += got;
         std::string piece = my.piece.substr(0, got);
         if (this->endsWithConnection())
             piece = my.nextAnswer.append(piece);
+        my.bodyBytes += piece.size();
         if (!piece.empty())
             co_return std::optional<std::string>(std::move(piece));
     }
-    co_return this->readEnd();
+    if (this->endsWithConnection())
+        co_await my.waitUntilWritten(timeout);
+    state::Result<std::optional<std::string>> last = this->readEnd();
+    if (!last)
+        my.failure = last.error();
+    co_return last;
 }
 
 state::Result<std::optional<std::string>> HttpAnswerStream::readEnd()
@@ -244,17 +266,11 @@
     if (!my.sent)
         return endedWhileSending(my.sendProblem, my.peer);
     std::string rest = my.nextAnswer.finish();
-    switch (my.nextAnswer.found()) {
-    case HeadInBody::OtherAnswer:
+    if (my.nextAnswer.found() == NextAnswer::OtherRequest)
         return state::makeError(state::ErrorCode::Corrupt, std::string(receiveStep),
                                 "another answer begins in the body", my.peer.toString());
-    case HeadInBody::SameRequest:
-        my.end = AnswerEnd::Repeated;
-        break;
-    case HeadInBody::Quoted:
-        my.end = AnswerEnd::Closed;
-        break;
-    }
+    my.end = my.nextAnswer.found() ? AnswerEnd::Repeated : AnswerEnd::Closed;
+    my.bodyBytes += rest.size();
     if (rest.empty())
         return std::optional<std::string>();
     return std::optional<std::string>(std::move(rest));
@@ -301,6 +317,7 @@
                       [call](const beast::error_code &problem, std::size_t) {
                           call->sent = !problem;
                           call->sendProblem = problem;
+                          call->written.cancel();
                       });
     const std::function<HttpAnswerStream::State::Parser &()> renewParser =
             std::bind_front(&HttpAnswerStream::State::renewParser, call);
@@ -326,6 +343,9 @@
         co_return opened.error();
     HttpAnswerStream &stream = opened.value();
     protocol::HttpResponse response{stream.status(), stream.headers(), {}};
+    const std::uint64_t declared = stream.declaredLength().value_or(0);
+    if (declared > limits.bodyBytes || !limits.mayKeep(declared))
+        co_return answerTooLarge(peer);
     const state::Instant end = monotonicNow() + limits.timeout;
     while (true) {
         const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - monotonicNow());
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -62,7 +62,7 @@
     std::function<bool(std::uint64_t bodyBytes)> mayKeep = [](std::uint64_t) { return true; };
     // Asked about heads in the body of an answer without a length or chunks.
     ClassifyHead classifyHead = [](const protocol::HttpHeaders &) {
-        return HeadInBody::OtherAnswer;
+        return NextAnswer::OtherRequest;
     };
 };
 
@@ -80,7 +80,8 @@
 
     unsigned status() const;
     protocol::HttpHeaders headers() const;
-    // The body has neither a length nor chunks: it ends where the peer closes the connection.
+    // There is a body with neither a length nor chunks: it ends where the peer closes the
+    // connection.
     bool endsWithConnection() const;
 
     std::optional<std::uint64_t> declaredLength() const; // of the body
--- a/src/transport/HttpConnection.cpp
+++ b/src/transport/HttpConnection.cpp
@@ -22,7 +22,7 @@
         , peer(std::move(peer))
     {}
 
-    // Between two calls: the peer has answered once more, or has closed the connection.
+    // Between two calls: the peer has answered once more.
     bool hasUnaskedBytes()
     {
         beast::error_code problem;
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -189,6 +189,7 @@
             co_return std::nullopt;
         }
         this->keepAlive = parser.get().keep_alive();
+        this->withoutBody = parser.get().method() == http::verb::head;
         co_return toHttpRequest(parser.release());
     }
 
@@ -238,6 +239,8 @@
     {
         http::response<http::string_body> message = toBeast(std::move(response));
         message.keep_alive(this->keepAlive && this->server->keepsConnections());
+        if (this->withoutBody)
+            message.body().clear();
         message.prepare_payload();
         this->keepAlive = message.keep_alive();
         this->stream.expires_after(this->server->limits.read()->writeTimeout);
@@ -262,6 +265,8 @@
 
     asio::awaitable<state::Result<void>> writeChunk(std::string_view piece)
     {
+        if (this->withoutBody)
+            co_return state::outcome::success();
         this->stream.expires_after(this->server->limits.read()->writeTimeout);
         auto [problem, bytes] = co_await asio::async_write(
                 this->stream, http::make_chunk(asio::buffer(piece.data(), piece.size())),
@@ -271,6 +276,10 @@
 
     asio::awaitable<state::Result<void>> finishStream()
     {
+        if (this->withoutBody) {
+            this->streamOpen = false;
+            co_return state::outcome::success();
+        }
         this->stream.expires_after(this->server->limits.read()->writeTimeout);
         auto [problem, bytes] = co_await asio::async_write(this->stream, http::make_chunk_last(),
                                                            asio::as_tuple(asio::use_awaitable));
@@ -291,6 +300,7 @@
     std::string peer;
     beast::flat_buffer buffer;
     bool keepAlive = false;
+    bool withoutBody = false;       // the answer to a HEAD request
     bool broken = false;            // a write failed; nothing more can be sent
     bool streamOpen = false;        // begun and not finished
     std::shared_ptr<bool> watching; // set while the caller is watched; false inside: no longer
--- a/src/transport/NextAnswerDetector.cpp
+++ b/src/transport/NextAnswerDetector.cpp
@@ -57,26 +57,44 @@
     return toHeaders(parser.get());
 }
 
+bool mayBeginHeaderLine(std::string_view text)
+{
+    const std::string_view name = text.substr(0, text.find(':'));
+    return std::ranges::none_of(name, [](char each) { return each == ' ' || each == '\n'; });
+}
+
+// The headers that are there of a head that may go on behind the text; nothing if it is none.
+std::optional<protocol::HttpHeaders> parsePartialHead(std::string_view text)
+{
+    const std::size_t lines = text.rfind(lineEnd);
+    if (lines == std::string_view::npos || text.size() > NextAnswerDetector::maximumHeadBytes
+        || !mayBeginHeaderLine(text.substr(lines + lineEnd.size())))
+        return std::nullopt;
+    return parseHead(std::string(text.substr(0, lines)).append(headEnd));
+}
+
 } // namespace
 
 NextAnswerDetector::NextAnswerDetector(ClassifyHead classify)
     : classify(std::move(classify))
 {}
 
-// `blankLine`: position of the first one in `kept` from `at` on.
-NextAnswerDetector::Match NextAnswerDetector::matchHead(std::size_t at, std::size_t blankLine)
+NextAnswerDetector::Match NextAnswerDetector::matchAt(std::size_t at, std::size_t blankLine)
 {
     const std::string_view text = std::string_view(this->kept).substr(at);
     if (!mayBeginStatusLine(text))
         return Match::None;
-    if (std::min(blankLine, this->kept.size()) - at > maximumHeadBytes)
+    if (blankLine == std::string::npos) {
+        const bool onlyStatusLine = text.find(lineEnd) == std::string_view::npos;
+        return onlyStatusLine || parsePartialHead(text) ? Match::Answer : Match::None;
+    }
+    if (blankLine - at > maximumHeadBytes)
         return Match::None;
-    if (blankLine == std::string::npos)
-        return Match::Partial;
     const auto headers = parseHead(text.substr(0, blankLine - at + headEnd.size()));
-    if (headers)
-        this->foundHead = this->classify(*headers);
-    return this->foundHead == HeadInBody::Quoted ? Match::None : Match::Head;
+    if (!headers)
+        return Match::None;
+    this->nextAnswer = this->classify(*headers);
+    return this->nextAnswer ? Match::Answer : Match::QuotedHead;
 }
 
 std::string NextAnswerDetector::takeFront(std::size_t bytes)
@@ -88,35 +106,32 @@
 
 std::string NextAnswerDetector::append(std::string_view bytes)
 {
-    if (this->foundHead != HeadInBody::Quoted)
+    if (this->nextAnswer)
         return {};
     this->kept += bytes;
     std::size_t blankLine = this->kept.find(headEnd);
-    for (std::size_t at = this->kept.find('H'); at != std::string::npos;
-         at = this->kept.find('H', at + 1)) {
+    std::size_t at = this->kept.find('H');
+    while (at != std::string::npos) {
         if (blankLine < at)
             blankLine = this->kept.find(headEnd, at);
-        if (this->matchHead(at, blankLine) != Match::None)
+        const Match match = this->matchAt(at, blankLine);
+        if (match == Match::Answer)
             return this->takeFront(at);
+        // A head within a quoted one would have the same headers.
+        at = this->kept.find('H', (match == Match::QuotedHead ? blankLine : at) + 1);
     }
     return std::exchange(this->kept, {});
 }
 
 std::string NextAnswerDetector::finish()
 {
-    if (this->foundHead != HeadInBody::Quoted)
+    if (this->nextAnswer)
         return {};
-    // A status line, and nothing behind it that can't stand in a head: the peer has been cut off
-    // inside the head of another answer.
-    const std::size_t lines = this->kept.rfind(lineEnd);
-    const auto headers = lines == std::string::npos
-                                 ? std::nullopt
-                                 : parseHead(this->kept.substr(0, lines).append(headEnd));
+    // The peer may have been cut off inside the head of another answer.
+    const auto headers = parsePartialHead(this->kept);
     if (!headers)
         return std::exchange(this->kept, {});
-    this->foundHead = this->classify(*headers);
-    if (this->foundHead == HeadInBody::Quoted)
-        this->foundHead = HeadInBody::OtherAnswer;
+    this->nextAnswer = this->classify(*headers).value_or(NextAnswer::OtherRequest);
     return {};
 }
 
--- a/src/transport/NextAnswerDetector.h
+++ b/src/transport/NextAnswerDetector.h
@@ -8,18 +8,19 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace lavenderthread::transport {
 
-// What the headers of a head in a body tell.
-enum class HeadInBody : std::uint8_t {
-    Quoted,      // no head of the peer's own: it belongs to the body
-    SameRequest, // the peer answers the same request again, so the first answer has ended
-    OtherAnswer, // an answer of the peer, or a body that quotes one
+// Another answer that begins in a body.
+enum class NextAnswer : std::uint8_t {
+    SameRequest,  // the peer answers the same request again, so the first answer has ended
+    OtherRequest, // or the body quotes an answer: nothing tells where it ends
 };
-using ClassifyHead = std::function<HeadInBody(const protocol::HttpHeaders &)>;
+// What a head with such headers begins; nothing: it belongs to the body.
+using ClassifyHead = std::function<std::optional<NextAnswer>(const protocol::HttpHeaders &headers)>;
 
 class NextAnswerDetector
 {
@@ -34,18 +35,19 @@
     std::string append(std::string_view bytes);
     // The body has ended: returns what was kept, unless that is the beginning of another head.
     std::string finish();
-    // Quoted until a head was found.
-    HeadInBody found() const { return this->foundHead; }
+    std::optional<NextAnswer> found() const { return this->nextAnswer; }
 
 private:
-    enum class Match { None, Partial, Head };
+    enum class Match { None, QuotedHead, Answer };
 
-    Match matchHead(std::size_t at, std::size_t blankLine);
+    // What the bytes kept from `at` on begin, as far as they go. `blankLine`: the first one in
+    // them.
+    Match matchAt(std::size_t at, std::size_t blankLine);
     std::string takeFront(std::size_t bytes);
 
     ClassifyHead classify;
     std::string kept; // may begin a head
-    HeadInBody foundHead = HeadInBody::Quoted;
+    std::optional<NextAnswer> nextAnswer;
 };
 
 } // namespace lavenderthread::transport
--- a/tests/fakes/RawEndpoint.h
+++ b/tests/fakes/RawEndpoint.h
@@ -74,6 +74,18 @@
         co_return !problem;
     }
 
+    static asio::awaitable<void> readToEnd(asio::ip::tcp::socket &socket)
+    {
+        socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+        std::string sink(64U << 10U, '\0');
+        while (true) {
+            const auto [problem, bytes] = co_await socket.async_read_some(
+                    asio::buffer(sink), asio::as_tuple(asio::use_awaitable));
+            if (problem)
+                co_return;
+        }
+    }
+
     asio::awaitable<void> serve()
     {
         while (!this->answers.empty()) {
@@ -94,6 +106,8 @@
             if (answer.reset) {
                 co_await transport::pause(answer.beforeReset);
                 socket.set_option(asio::socket_base::linger(true, 0));
+            } else if (answer.early) {
+                co_await readToEnd(socket);
             }
             socket.close();
         }
--- a/tests/transport/NextAnswerDetectorTest.cpp
+++ b/tests/transport/NextAnswerDetectorTest.cpp
@@ -5,6 +5,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
+#include <optional>
 #include <string>
 
 namespace lavenderthread::transport {
@@ -14,20 +15,28 @@
 const std::string head =
         "HTTP/1.1 200 Some Reason\r\nContent-Type: text/plain\r\nRequest-Id: r1\r\n\r\n";
 
-HeadInBody classify(const protocol::HttpHeaders &headers)
+std::optional<NextAnswer> classify(const protocol::HttpHeaders &headers)
 {
     const auto id = headers.find("Request-Id");
     if (!id)
-        return HeadInBody::Quoted;
-    return *id == "r1" ? HeadInBody::SameRequest : HeadInBody::OtherAnswer;
+        return std::nullopt;
+    return *id == "r1" ? NextAnswer::SameRequest : NextAnswer::OtherRequest;
 }
 
 struct Seen
 {
     std::string body;
-    HeadInBody found = HeadInBody::Quoted;
+    std::optional<NextAnswer> found;
 };
 
+std::string manyLines(const std::string &line)
+{
+    std::string lines;
+    while (lines.size() + line.size() < NextAnswerDetector::maximumHeadBytes - 100)
+        lines += line;
+    return lines;
+}
+
 // In pieces of that many bytes.
 Seen readIn(std::size_t pieceBytes, const std::string &bytes)
 {
@@ -52,7 +61,8 @@
     CPPUNIT_TEST(bodiesOfBeginningsTakeLittleTime);
     CPPUNIT_TEST_SUITE_END();
 
-    static void check(const std::string &bytes, const std::string &body, HeadInBody found)
+    static void check(const std::string &bytes, const std::string &body,
+                      std::optional<NextAnswer> found)
     {
         for (const std::size_t piece : {std::size_t(1), std::size_t(7), bytes.size()}) {
             const Seen seen = readIn(piece, bytes);
@@ -64,12 +74,12 @@
 public:
     void headOfAnotherAnswerEndsTheBody()
     {
-        check("a body" + head + "another", "a body", HeadInBody::SameRequest);
-        check("HHTTP/1.1 " + head + "another", "HHTTP/1.1 ", HeadInBody::SameRequest);
-        check("id: 1\ndata: x\n\n" + head, "id: 1\ndata: x\n\n", HeadInBody::SameRequest);
+        check("a body" + head + "another", "a body", NextAnswer::SameRequest);
+        check("HHTTP/1.1 " + head + "another", "HHTTP/1.1 ", NextAnswer::SameRequest);
+        check("id: 1\ndata: x\n\n" + head, "id: 1\ndata: x\n\n", NextAnswer::SameRequest);
         check("HTTP/1.1 200 OK\r\nServer: quoted\r\n\r\n" + head,
-              "HTTP/1.1 200 OK\r\nServer: quoted\r\n\r\n", HeadInBody::SameRequest);
-        check("a bodyHTTP/1.0 404 \r\nrequest-id: r2\r\n\r\n", "a body", HeadInBody::OtherAnswer);
+              "HTTP/1.1 200 OK\r\nServer: quoted\r\n\r\n", NextAnswer::SameRequest);
+        check("a bodyHTTP/1.0 404 \r\nrequest-id: r2\r\n\r\n", "a body", NextAnswer::OtherRequest);
     }
 
     // Guards against a part of a head at the end of a body, of a peer that has ended inside it.
@@ -77,8 +87,8 @@
     {
         for (std::size_t cut = head.find('\n') + 1; cut < head.size(); ++cut)
             check("a body" + head.substr(0, cut), "a body",
-                  cut > head.find("r1\r\n") + 3 ? HeadInBody::SameRequest
-                                                : HeadInBody::OtherAnswer);
+                  cut > head.find("r1\r\n") + 3 ? NextAnswer::SameRequest
+                                                : NextAnswer::OtherRequest);
     }
 
     // Guards against documents cut short because they quote an answer.
@@ -93,9 +103,11 @@
               std::string("HTTP/1.1 200 OK\r\nServer: quoted\r\n\r\nmore"),
               std::string("HTTP/1.1 200 OK\r\nno header\r\nRequest-Id: r1\r\n\r\n"),
               std::string("data: HTTP/1.1 200 OK\ndata: Request-Id: r1\n\n"),
+              std::string("HTTP/1.1 200 OK\r\nand so on"),
+              std::string("HTTP/1.1 200 OK\r\nServer: quoted\r\n\r\n"),
               "HTTP/1.1 200 " + std::string(NextAnswerDetector::maximumHeadBytes, 'x') + "\r\n"
                       + "Request-Id: r1\r\n\r\n"})
-            check(text, text, HeadInBody::Quoted);
+            check(text, text, std::nullopt);
     }
 
     // Guards against events that are held up until the next ones come.
@@ -103,7 +115,8 @@
     {
         for (const std::string &event :
              {std::string("id: 1\ndata: HTTP/1.1 200 OK\n\n"), std::string("data: HTTP/\n\n"),
-              std::string("data: HTTP/1.1 200 OK\r\ndata: x\r\n\r\n")}) {
+              std::string("data: HTTP/1.1 200 OK\r\ndata: x\r\n\r\n"),
+              std::string("{\"a\": \"HTTP/1.1 200 x\"}\r\n{\"b\": 1}\r\n")}) {
             NextAnswerDetector detector(classify);
             CPPUNIT_ASSERT_EQUAL(event, detector.append(event));
         }
@@ -118,14 +131,16 @@
         for (const std::string &text :
              {std::string("H"), std::string("HTTP/1.1 200 "), std::string("HTTP/1.1 200 x\r\n"),
               std::string("HTTP/1.1 200 x\r\na: b\r\n"),
-              std::string("HTTP/1.1 200 x\r\na: b\r\n\r\n")}) {
+              std::string("HTTP/1.1 200 x\r\na: b\r\n\r\n"), std::string("a: HTTP/1.1 200 x\r\n"),
+              std::string("HTTP/1.1 200 x\r\n") + manyLines("a: HTTP/1.1 200 x\r\n") + "\r\n"}) {
             std::string body;
             while (body.size() < bodyBytes)
                 body += text;
+            body += " that ends in another way";
             const auto begin = std::chrono::steady_clock::now();
             const Seen seen = readIn(64U << 10U, body);
             CPPUNIT_ASSERT_MESSAGE(text, std::chrono::steady_clock::now() - begin < longest);
-            CPPUNIT_ASSERT_EQUAL(bodyBytes <= seen.body.size(), true);
+            CPPUNIT_ASSERT_EQUAL(body.size(), seen.body.size());
         }
     }
 };
--- a/tests/transport/TruncatedAnswerTest.cpp
+++ b/tests/transport/TruncatedAnswerTest.cpp
@@ -116,6 +116,9 @@
     CPPUNIT_TEST(unframedAnswerIsWholeOnlyBehindAnOrderlyEnd);
     CPPUNIT_TEST(resetWhileTheRequestIsSentIsNoEndOfTheAnswer);
     CPPUNIT_TEST(framedAnswerBeforeTheRequestIsSentIsWhole);
+    CPPUNIT_TEST(unframedAnswerBeforeTheRequestIsSentIsWhole);
+    CPPUNIT_TEST(answerToHeadEndsWithItsHead);
+    CPPUNIT_TEST(readBehindAFailureFailsAgain);
     CPPUNIT_TEST_SUITE_END();
 
     static void checkCuts(const Sample &sample, bool reset)
@@ -174,6 +177,50 @@
         }
     }
 
+    // Guards against the loss of an answer that came before its request was all sent.
+    void unframedAnswerBeforeTheRequestIsSentIsWhole()
+    {
+        const Sample sample = withoutEither();
+        fakes::RawEndpoint peer({{.bytes = sample.head + sample.body, .early = true}});
+        const Body body = program::runToEnd(readStream(peer.address(), longBody));
+        CPPUNIT_ASSERT_EQUAL(sample.content, body.value_or("broken off"));
+    }
+
+    // Guards against the bytes of a second answer in place of the body that a HEAD request hasn't.
+    void answerToHeadEndsWithItsHead()
+    {
+        fakes::RawEndpoint peer({{withLength().head + withLength().head + withLength().body}});
+        const auto call = [](state::Address to) -> asio::awaitable<Body> {
+            const asio::any_io_executor executor = co_await asio::this_coro::executor;
+            protocol::HttpRequest head = request();
+            head.method = "HEAD";
+            const auto answer = co_await httpCall(executor, to, std::move(head), {});
+            co_return answer ? Body(answer.value().body) : std::nullopt;
+        };
+        const Body body = program::runToEnd(call(peer.address()));
+        CPPUNIT_ASSERT_EQUAL(std::string(), body.value_or("broken off"));
+    }
+
+    // Guards against the orderly end that a socket shows once its reset was reported.
+    void readBehindAFailureFailsAgain()
+    {
+        const auto readTwice = [](state::Address to) -> asio::awaitable<int> {
+            const asio::any_io_executor executor = co_await asio::this_coro::executor;
+            auto opened = co_await openHttpStream(executor, to, request(), {});
+            int failures = 0;
+            for (int read = 0; opened && failures < 2 && read < 5; ++read) {
+                const auto piece = co_await opened.value().read(std::chrono::seconds(5));
+                if (!piece)
+                    ++failures;
+                else if (!piece.value())
+                    break;
+            }
+            co_return failures;
+        };
+        fakes::RawEndpoint peer({{.bytes = withoutEither().head + "twelve b", .reset = true}});
+        CPPUNIT_ASSERT_EQUAL(2, program::runToEnd(readTwice(peer.address())));
+    }
+
     void framedAnswerBeforeTheRequestIsSentIsWhole()
     {
         for (const Sample &sample : {withLength(), withChunks()}) {
