Platform: a 421 without a request id is no promise about this request

Found by the review: a 421 says that the request has not run. One without an id may be another request's, while the endpoint runs this one; a call that may run once was sent to a second replica then, or its caller was told "not run".

The case "another endpoint at the address" of decodesAnswerHeads had no id and asked for a genuine answer; it has one now, and a 421 without an id is asked to be not genuine. The soak's failures without an id include 421.

--- a/soak/StutteringEndpoint.cpp
+++ b/soak/StutteringEndpoint.cpp
@@ -31,7 +31,7 @@
 // The entry has read what was sent by then.
 constexpr milliseconds beforeReset{60};
 constexpr std::array secondAnswerDelays{milliseconds(0), milliseconds(50), milliseconds(200)};
-constexpr std::array unnamedStatuses{400U, 404U, 500U};
+constexpr std::array unnamedStatuses{400U, 404U, 421U, 500U};
 constexpr std::uint64_t largestRequest = 64U << 20U;
 
 template <std::size_t size, typename Value>
--- a/tests/platform/RelayWireTest.cpp
+++ b/tests/platform/RelayWireTest.cpp
@@ -148,7 +148,8 @@
                 {"full, without id", 503, {{"Not-Executed", "1"}}, false, true},
                 {"full", 503, {{"Request-Id", id.value()}, {"Not-Executed", "1"}}, true, true},
                 {"overloaded, may have run", 503, {{"Request-Id", id.value()}}, true, false},
-                {"another endpoint at the address", 421, {}, true, true},
+                {"another endpoint at the address", 421, {{"Request-Id", id.value()}}, true, true},
+                {"421 without id", 421, {}, false, true},
         };
         for (const Case &each : cases) {
             const auto head = this->codec.readHead(each.status, each.headers, id);
