Relay: answers that are not to this request show in the log

Found by the review: answer= was filled in behind the check of the head, so a failure without an id was logged as answer=none, and the mark no-request-id could stay for a later attempt through a peer.

--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -793,6 +793,7 @@
         ++this->outcome.attempts;
         this->openRequest.enter(RequestStage::Sent);
         this->outcome.answer = {};
+        this->outcome.answerNamesRequest = true;
         this->progress = {};
         this->progress.sentAt = monotonicNow();
         this->endpointReplaced = false;
@@ -852,6 +853,7 @@
         }
         this->hooks.recordPath(target.endpoint, PathOutcome::Reached);
         transport::HttpAnswerStream &stream = opened.value();
+        this->outcome.answer = stream.report();
         const protocol::HttpHeaders headers = stream.headers();
         const EndpointAnswerHead head =
                 this->hooks.codec.readHead(stream.status(), headers, this->request.id);
