Relays: what is kept of answers counts until the caller has it

Found by the review: a plain service's answer, and a failure that is kept while other replicas are tried, no longer counted in the shared bound once they had been read whole, so callers that read slowly held them uncounted. The share belongs to the call now, and a declared length is asked for before the body is read.

--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -131,6 +131,7 @@
         , routes(relay.hooks.routes())
         , arrival(monotonicNow() - (this->handed ? this->handed->age : milliseconds(0)))
         , openRequest(relay.hooks.openRequests->open(this->arrival))
+        , share(relay.hooks.answerBuffers)
     {
         this->openRequest.onEnd(exchange.executor(), [this] { this->entryEnds(); });
     }
@@ -1103,10 +1104,9 @@
                                                  protocol::HttpHeaders headers)
     {
         protocol::HttpResponse answer{stream.status(), std::move(headers), {}};
-        AnswerBuffers::Share share(this->hooks.answerBuffers);
         if (!stream.declaredLength())
             this->startAnswerTimeout();
-        if (!share.resizeTo(stream.declaredLength().value_or(0)))
+        if (!this->mayKeep(stream.declaredLength().value_or(0)))
             co_return this->answerTooLong();
         while (true) {
             const auto piece = co_await this->readPiece(stream);
@@ -1117,7 +1117,7 @@
             if (!piece.value())
                 break;
             answer.body += *piece.value();
-            if (!share.resizeTo(answer.body.size()))
+            if (!this->mayKeep(answer.body.size()))
                 co_return this->answerTooLong();
         }
         if (this->inactivityTimeout)
@@ -1131,6 +1131,13 @@
         co_return AttemptResult::Complete;
     }
 
+    // So many bytes, beside the last error that an endpoint answered.
+    bool mayKeep(std::size_t bytes)
+    {
+        return this->share.resizeTo(
+                bytes + (this->endpointAnswer ? this->endpointAnswer->body.size() : 0));
+    }
+
     AttemptResult answerTooLong()
     {
         this->outcome.reason = "the answer is longer than may be kept";
@@ -1159,7 +1166,6 @@
                                                protocol::HttpHeaders headers)
     {
         this->events.dropPartialEvent();
-        AnswerBuffers::Share share(this->hooks.answerBuffers);
         while (true) {
             const auto piece = co_await this->readPiece(stream);
             if (!piece) {
@@ -1169,7 +1175,7 @@
             if (!piece.value())
                 break;
             const std::string whole = this->events.append(*piece.value());
-            if (this->events.isTooLong() || !share.resizeTo(this->events.bufferedBytes())) {
+            if (this->events.isTooLong() || !this->mayKeep(this->events.bufferedBytes())) {
                 this->outcome.reason = "an event is longer than may be kept";
                 co_return AttemptResult::Lost;
             }
@@ -1329,6 +1335,7 @@
     state::SnapshotView<RouteTable> routes; // one version is used for the whole request
     const state::Instant arrival;
     OpenRequest openRequest;
+    AnswerBuffers::Share share; // of what is kept of answers
     RelayRequest request;
     std::vector<state::RequestPart> parts; // of `request`
     Route handedRoute;
--- a/src/program/ServiceRelay.cpp
+++ b/src/program/ServiceRelay.cpp
@@ -68,6 +68,7 @@
         , id(hooks.nextRequestId())
         , arrival(monotonicNow())
         , openRequest(hooks.openRequests->open(this->arrival))
+        , share(hooks.answerBuffers)
     {
         this->openRequest.setId(this->id);
         this->openRequest.onEnd(exchange.executor(), [this] {
@@ -217,8 +218,7 @@
             transport::HttpCallLimits limits;
             limits.connectTimeout = std::min(this->settings.endpoint.connectTimeout, left);
             limits.timeout = left;
-            AnswerBuffers::Share share(this->hooks.answerBuffers);
-            limits.mayKeep = [&share](std::uint64_t bytes) { return share.resizeTo(bytes); };
+            limits.mayKeep = [this](std::uint64_t bytes) { return this->share.resizeTo(bytes); };
             const state::Instant sentAt = monotonicNow();
             this->openRequest.enter(RequestStage::Sent);
             const auto answer = co_await transport::httpCall(
@@ -309,6 +309,7 @@
     state::RequestId id;
     state::Instant arrival;
     OpenRequest openRequest;
+    AnswerBuffers::Share share; // of the answer, until the caller has it
     std::shared_ptr<transport::HttpCallHandle> call = std::make_shared<transport::HttpCallHandle>();
     bool ending = false;                   // the process ends, and the call must be answered now
     std::optional<RequestRefusal> refusal; // of the last attempt
