Soak: calls that may run once, sent shortly before their entry refuses

Another operator reports that in a planned stop in calm, requests that came late in the grace were passed on and cut at its end without an answer, among them some that may not be repeated. No scenario sent plain calls at a stopping entry, and none sent most of them in the last second in which it takes calls.

late-calls does both: 32 callers with kept connections send calls of kind non_idempotent in that second, bodies with a length or in chunks, and go on until they are refused. Replicas work from 0.1 s to 1.5 s longer than the entry has left. Each call must get a whole answer or 502, 503 or 504, and a call that was answered 503 must not have run. Nothing is excused.

--- a/soak/Operator.cpp
+++ b/soak/Operator.cpp
@@ -47,7 +47,7 @@
         return R"("Host":"soak","TimeoutMs":)" + std::to_string(timeout.count())
                + R"(,"Anonymous":false,"Attempts":2,)";
     };
-    const std::string route = routeWithin(milliseconds(3'000));
+    const std::string route = routeWithin(this->callTimeout);
     std::string filler;
     for (std::size_t index = 0; index < this->fillerRoutes; ++index) {
         const std::string name = "filler" + std::to_string(index);
--- a/soak/Operator.h
+++ b/soak/Operator.h
@@ -52,6 +52,8 @@
         this->firstEventTarget = firstEvent;
     }
     // Prompt tokens that an engine reads in a second, in the configurations from now on.
+    // Of calls that are no streams.
+    void setCallTimeout(std::chrono::milliseconds timeout) { this->callTimeout = timeout; }
     void setReadRate(std::uint32_t perSecond) { this->readRate = perSecond; }
     // Of a request's body.
     void setMostBytes(std::uint64_t bytes) { this->mostBytes = bytes; }
@@ -76,6 +78,7 @@
     std::uint32_t readRate = 2'560'000;
     std::uint64_t mostBytes = 0; // 0: not set by the configuration
     std::chrono::milliseconds streamTimeout{3'000};
+    std::chrono::milliseconds callTimeout{3'000};
     std::chrono::milliseconds firstEventTarget{3'000};
     bool stopped = false;
 };
--- a/soak/StandIn.cpp
+++ b/soak/StandIn.cpp
@@ -191,7 +191,10 @@
 asio::awaitable<bool> StandIn::run(transport::HttpExchange &exchange, protocol::HttpResponse answer,
                                    const std::string &requestId)
 {
-    co_await transport::pause(this->settings.workTime);
+    milliseconds workTime = this->settings.workTime;
+    if (this->settings.workTimeOf)
+        workTime = this->settings.workTimeOf(exchange.request());
+    co_await transport::pause(workTime);
     if (this->strikes(EndpointFault::Hangs)) {
         co_await transport::pause(hangTime);
         co_return false;
--- a/soak/StandIn.h
+++ b/soak/StandIn.h
@@ -45,7 +45,9 @@
     // Called when a request is turned away and the caller is asked for so much rest.
     std::function<void(const protocol::HttpRequest &, std::chrono::milliseconds)> askedForRest =
             [](const auto &, auto) {};
-    std::chrono::milliseconds workTime{15};  // before an answer, or the first event of a stream
+    std::chrono::milliseconds workTime{15}; // before an answer, or the first event of a stream
+    // Of one request, in place of `workTime`.
+    std::function<std::chrono::milliseconds(const protocol::HttpRequest &)> workTimeOf;
     std::chrono::milliseconds eventTime{20}; // between the events of a stream
     // Called when the work on a request has ended, or its connection has, unless it was refused;
     // `brokeOff`: without the whole answer, by a fault of the endpoint.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -3,6 +3,7 @@
 // With an option that names a scenario, plays that one in place of the faults.
 // usage: fault-soak --binary PATH --folder PATH [--seed N] [--seconds N]
 //                   [--path-loss hang|reset|quiet] [--control-loss freeze|kill] [--entry-stops]
+//                   [--late-calls]
 //                   [--odd-entries] [--stuttering-endpoints]
 //                   [--endpoint-limits] [--endpoint-rest] [--evacuation] [--cold-returns]
 //                   [--crashing-prompt second|first|two|none]
@@ -17,6 +18,7 @@
 #include "EntryStops.h"
 #include "Evacuation.h"
 #include "Faults.h"
+#include "LateCalls.h"
 #include "OddEntries.h"
 #include "Operator.h"
 #include "PathLoss.h"
@@ -53,6 +55,7 @@
     bool endpointLimits = false;
     bool endpointRest = false;
     bool entryStops = false;
+    bool lateCalls = false;
     bool oddEntries = false;
     bool stutteringEndpoints = false;
     bool evacuation = false;
@@ -63,7 +66,7 @@
     bool playsScenario() const
     {
         return !this->pathLoss.empty() || !this->controlLoss.empty() || this->endpointLimits
-               || this->endpointRest || this->entryStops || this->oddEntries
+               || this->endpointRest || this->entryStops || this->lateCalls || this->oddEntries
                || this->stutteringEndpoints || this->evacuation || this->coldReturns
                || !this->crashingPrompt.empty() || !this->crashingCall.empty();
     }
@@ -152,8 +155,8 @@
 
     static std::uint32_t terminationMsOf(const Options &options)
     {
-        return options.entryStops ? std::uint32_t(longTermination.count())
-                                  : FleetSettings{}.terminationMs;
+        return options.entryStops || options.lateCalls ? std::uint32_t(longTermination.count())
+                                                       : FleetSettings{}.terminationMs;
     }
 
     state::Address at(int network, std::size_t index) const
@@ -232,6 +235,8 @@
                 settings.eventTime = longEventTime;
             if (this->options.entryStops)
                 settings.workTime = EntryStops::workTime;
+            if (this->options.lateCalls)
+                settings.workTimeOf = LateCalls::workTimeOf;
             if (this->options.stutteringEndpoints)
                 settings.announced = this->at(5, index);
             else
@@ -278,6 +283,8 @@
             co_await this->playEndpointRest();
         else if (this->options.entryStops)
             co_await this->playEntryStops();
+        else if (this->options.lateCalls)
+            co_await this->playLateCalls();
         else if (this->options.oddEntries)
             co_await this->playOddEntries();
         else if (this->options.stutteringEndpoints)
@@ -415,6 +422,19 @@
         co_await this->entryStops->play();
     }
 
+    asio::awaitable<void> playLateCalls()
+    {
+        this->operators.setCallTimeout(LateCalls::timeLimit);
+        const bool started = co_await this->startFleet();
+        if (!started)
+            co_return;
+        LateCalls::Settings settings;
+        settings.seed = this->options.seed;
+        settings.termination = longTermination;
+        LateCalls scenario(this->context, settings, this->fleet, this->ledger);
+        co_await scenario.play();
+    }
+
     asio::awaitable<void> playOddEntries()
     {
         const bool started = co_await this->startFleet();
@@ -614,6 +634,8 @@
                  "Endpoints turn requests away for a while");
     app.add_flag("--entry-stops", options.entryStops,
                  "Entries at which prompts wait are told to stop, one after the other");
+    app.add_flag("--late-calls", options.lateCalls,
+                 "Entries get calls that may run once shortly before they refuse them");
     app.add_flag("--odd-entries", options.oddEntries,
                  "Another writer announces endpoints that can't be right");
     app.add_flag("--stuttering-endpoints", options.stutteringEndpoints,
