ServiceRelayTest: a call whose claim waits when the process ends (fails)

A plain service call that may run once waits for the control members when its claim is taken, marked, released or finished. The test holds each of the four steps beyond that end.

--- a/tests/program/ServiceRelayTest.cpp
+++ b/tests/program/ServiceRelayTest.cpp
@@ -6,6 +6,7 @@
 #include "program/Clock.h"
 #include "program/RequestParts.h"
 #include "program/RunToEnd.h"
+#include "transport/Await.h"
 #include "transport/HttpClient.h"
 
 #include <cppunit/TestFixture.h>
@@ -32,8 +33,11 @@
     const char *steps; // in order; the order decides what the caller is told
     unsigned status;
     const char *ran;
+    const char *heldStep = ""; // this step of the claim outlasts the process
 };
 
+constexpr std::chrono::milliseconds holdTime{2'000};
+
 constexpr std::size_t mostOfReplica = 64U << 20U; // bytes of an answer without end
 constexpr AnswerBuffers::Settings buffers{16U << 20U, 64U << 10U, 1U << 20U};
 
@@ -51,6 +55,7 @@
 public:
     explicit ServiceRelayFixture(const Case &fault)
         : settings(settingsWithNonIdempotentService())
+        , heldStep(fault.heldStep)
     {
         this->replica = fakes::serveOnLoopback(
                 this->context, [this, fault](transport::HttpExchange &exchange) {
@@ -123,6 +128,21 @@
         return this->recordedSteps;
     }
 
+    // Whether the held step has ended.
+    bool holdIsOver() const { return this->holdOver; }
+
+    // The steps after the held one has ended, and what follows from it.
+    std::string stepsAfterHold()
+    {
+        constexpr std::chrono::milliseconds check{10};
+        constexpr std::chrono::milliseconds timeToFollow{200};
+        const state::Instant limit = monotonicNow() + 5 * holdTime;
+        while (!this->holdOver && monotonicNow() < limit)
+            std::this_thread::sleep_for(check);
+        std::this_thread::sleep_for(timeToFollow);
+        return this->steps();
+    }
+
 private:
     void recordStep(const std::string &step)
     {
@@ -130,6 +150,17 @@
         this->recordedSteps += (this->recordedSteps.empty() ? "" : " ") + step;
     }
 
+    // During the held step, the process reaches the time by which all must be answered.
+    asio::awaitable<void> runClaimStep(const char *step)
+    {
+        this->recordStep(step);
+        if (this->heldStep != step)
+            co_return;
+        this->openRequests->endAll();
+        co_await transport::pause(holdTime);
+        this->holdOver = true;
+    }
+
     asio::awaitable<void> serveReplica(transport::HttpExchange &exchange, Replica behaviour)
     {
         this->recordStep("replica");
@@ -171,11 +202,12 @@
             return cell.read();
         };
         made.guard = this->guard;
+        made.openRequests = this->openRequests;
         made.nextRequestId = [] { return state::RequestId("request-1"); };
         made.finished = [](const ServiceOutcome &) {};
         made.claims.take = [this](ClaimKey, std::string, std::string,
                                   state::Instant) -> asio::awaitable<state::Result<ClaimAnswer>> {
-            this->recordStep("take");
+            co_await this->runClaimStep("take");
             ClaimAnswer granted;
             granted.verdict = ClaimVerdict::Granted;
             co_return granted;
@@ -183,22 +215,25 @@
         made.claims.beginDispatch =
                 [this, granted = fault.markGranted](ClaimKey, std::string,
                                                     state::Instant) -> asio::awaitable<bool> {
-            this->recordStep("mark");
+            co_await this->runClaimStep("mark");
             co_return granted;
         };
         made.claims.release = [this](ClaimKey, std::string) -> asio::awaitable<bool> {
-            this->recordStep("release");
+            co_await this->runClaimStep("release");
             co_return true;
         };
         made.claims.finish = [this](ClaimKey, std::string,
                                     protocol::HttpResponse) -> asio::awaitable<void> {
-            this->recordStep("finish");
+            co_await this->runClaimStep("finish");
             co_return;
         };
         return made;
     }
 
     Settings settings;
+    std::string heldStep;
+    std::shared_ptr<OpenRequests> openRequests = OpenRequests::create();
+    std::atomic<bool> holdOver = false;
     AccountSetting account{state::ClientAccountId("firm"), "firm-key-1", false};
     state::EndpointDescription endpoint;
     asio::io_context context;
@@ -220,6 +255,7 @@
 {
     CPPUNIT_TEST_SUITE(ServiceRelayTest);
     CPPUNIT_TEST(claimedCallStepsRunInOrder);
+    CPPUNIT_TEST(callIsAnsweredBeforeTheEndWhileItsClaimWaits);
     CPPUNIT_TEST(repeatabilityFollowsRulesAndMethod);
     CPPUNIT_TEST(callThatCrashesReplicasIsRefused);
     CPPUNIT_TEST(replicaEvacuatedSinceItWasChosenGetsNothing);
@@ -250,6 +286,29 @@
         }
     }
 
+    // Guards against a call that is closed without an answer when the process ends while the call
+    // waits for control members, against one that is sent then, and against a claim that outlives
+    // it.
+    void callIsAnsweredBeforeTheEndWhileItsClaimWaits()
+    {
+        const char *unknown = "\"ran\":\"unknown\"";
+        const Case cases[] = {
+                {"take", Replica::Answers, true, "take release", 502, unknown, "take"},
+                {"mark", Replica::Answers, true, "take mark release", 502, unknown, "mark"},
+                {"release", Replica::IsDown, true, "take release", 502, unknown, "release"},
+                {"finish", Replica::Answers, true, "take mark replica finish", 201, "", "finish"},
+        };
+        for (const Case &fault : cases) {
+            ServiceRelayFixture fixture(fault);
+            const protocol::HttpResponse answer = fixture.post();
+            CPPUNIT_ASSERT_MESSAGE(fault.name, !fixture.holdIsOver());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(fault.name, fault.status, answer.status);
+            CPPUNIT_ASSERT_MESSAGE(fault.name, answer.body.find(fault.ran) != std::string::npos);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(fault.name, std::string(fault.steps),
+                                         fixture.stepsAfterHold());
+        }
+    }
+
     // Guards against sending a call on under which replicas have ended, and against using up its
     // key.
     void callThatCrashesReplicasIsRefused()
