ServiceRelay: calls that wait for their claim are answered before the process ends

The end of the process now interrupts these waits. What the control members answer within 0.15 s still counts, since the process leaves 0.3 s for the last answers. After that the call is answered with what is true of it: 502 "unknown" while the claim may be held, 503 "not run" only once its release is recorded, or the replica's whole answer if only its record is missing. A mark that is granted after the end sends nothing. A step that goes on alone uses nothing of the call, and releases a claim that is granted too late.

--- a/src/program/ServiceRelay.cpp
+++ b/src/program/ServiceRelay.cpp
@@ -6,9 +6,16 @@
 #include "program/RequestParts.h"
 #include "transport/HttpClient.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <xxhash.h>
 
 #include <algorithm>
+#include <exception>
+#include <memory>
 #include <optional>
 
 namespace lavenderthread::program {
@@ -24,6 +31,9 @@
 constexpr std::chrono::milliseconds retryAfterInProgress{1'000};
 constexpr std::size_t longestIdempotencyKey = 255;
 constexpr int maximumAttempts = 3;
+// Once the process ends, answers of the control members are awaited for this long in all. The
+// answer to the caller still has to leave after that.
+constexpr std::chrono::milliseconds claimTimeAtEnd{150};
 
 // The parts of "/services/NAME/rest?query".
 struct ServiceTarget
@@ -51,6 +61,45 @@
     return request.method + ' ' + request.target + '\n' + request.body;
 }
 
+// The value of a step that may outlast whoever waits for it. Touched on one strand.
+template <typename Value>
+struct PendingValue
+{
+    explicit PendingValue(const asio::any_io_executor &executor)
+        : changed(executor)
+    {}
+
+    asio::steady_timer changed;
+    std::optional<Value> value;
+    std::exception_ptr failure;
+};
+
+template <typename Value>
+asio::awaitable<void> storeValue(asio::awaitable<Value> step,
+                                 std::shared_ptr<PendingValue<Value>> pending)
+{
+    Value value = co_await std::move(step);
+    pending->value.emplace(std::move(value));
+}
+
+// Releases a claim that is granted when nobody waits for it any more.
+asio::awaitable<state::Result<ClaimAnswer>>
+takeUnlessAbandoned(ClaimGate claims, ClaimKey key, std::string body, std::string attempt,
+                    state::Instant deadline, std::shared_ptr<const bool> abandoned)
+{
+    auto answer = co_await claims.take(key, std::move(body), attempt, deadline);
+    if (*abandoned && answer && answer.value().verdict == ClaimVerdict::Granted)
+        co_await claims.release(key, attempt);
+    co_return answer;
+}
+
+asio::awaitable<bool> finishClaim(ClaimGate claims, ClaimKey key, std::string attempt,
+                                  protocol::HttpResponse result)
+{
+    co_await claims.finish(key, attempt, std::move(result));
+    co_return true;
+}
+
 // State of one call while it is relayed.
 class RelayedCall
 {
@@ -72,7 +121,10 @@
         this->openRequest.setId(this->id);
         this->openRequest.onEnd(exchange.executor(), [this] {
             this->ending = true;
+            this->claimLimit = monotonicNow() + claimTimeAtEnd;
             this->call->cancel();
+            if (this->shortenWait)
+                this->shortenWait();
         });
     }
 
@@ -129,6 +181,32 @@
         return found;
     }
 
+    // The value of a step that needs the control members. Nothing if the process ends first; the
+    // step goes on without this call then.
+    template <typename Value>
+    asio::awaitable<std::optional<Value>> awaitUntilEnd(asio::awaitable<Value> step)
+    {
+        const asio::any_io_executor executor = this->exchange.executor();
+        const auto pending = std::make_shared<PendingValue<Value>>(executor);
+        asio::co_spawn(executor, storeValue(std::move(step), pending),
+                       [pending](const std::exception_ptr &failure) {
+                           pending->failure = failure;
+                           pending->changed.cancel();
+                       });
+        this->shortenWait = [pending] { pending->changed.cancel(); };
+        while (!pending->value && !pending->failure && monotonicNow() < this->claimLimit) {
+            if (this->ending)
+                pending->changed.expires_after(remaining(this->claimLimit));
+            else
+                pending->changed.expires_at(asio::steady_timer::time_point::max());
+            co_await pending->changed.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+        this->shortenWait = {};
+        if (pending->failure)
+            std::rethrow_exception(pending->failure);
+        co_return std::move(pending->value);
+    }
+
     asio::awaitable<protocol::HttpResponse> runClaimed()
     {
         const auto header = this->exchange.request().headers.find("Idempotency-Key");
@@ -137,8 +215,19 @@
                                      "this call needs an Idempotency-Key of 1 to 255 characters",
                                      Ran::No, std::nullopt});
         const ClaimKey key{this->account, std::string(*header)};
-        const auto claim = co_await this->hooks.claims.take(
-                key, claimedBody(this->exchange.request()), this->id.value(), this->deadline);
+        const auto abandoned = std::make_shared<bool>(false);
+        auto taking =
+                takeUnlessAbandoned(this->hooks.claims, key, claimedBody(this->exchange.request()),
+                                    this->id.value(), this->deadline, abandoned);
+        const auto taken = co_await this->awaitUntilEnd(std::move(taking));
+        if (!taken) {
+            *abandoned = true;
+            // Nothing was sent, but the claim may be held for a while.
+            co_return this->problem({502, "claim-unknown",
+                                     "this node ends before it knows whether the claim was granted",
+                                     Ran::Unknown, std::nullopt});
+        }
+        const state::Result<ClaimAnswer> &claim = *taken;
         if (!claim)
             co_return this->problem(
                     {503, "claim-unavailable", claim.error().cause, Ran::No, retryAfterRefusal});
@@ -177,19 +266,23 @@
         const std::string attempt = this->id.value();
         // Connect, then mark the claim as dispatched, then send. A replica that is down thus does
         // not use up the key, and no byte is sent before the mark is committed.
-        const auto mark = [this, key, attempt] {
-            return this->hooks.claims.beginDispatch(key, attempt, this->deadline);
+        const auto mark = [this, key, attempt]() -> asio::awaitable<bool> {
+            auto marking = this->hooks.claims.beginDispatch(key, attempt, this->deadline);
+            const auto granted = co_await this->awaitUntilEnd(std::move(marking));
+            co_return granted.value_or(false) && !this->ending;
         };
         const auto answer = co_await this->callReplicas(false, mark);
         if (answer) {
-            co_await this->hooks.claims.finish(key, attempt, answer.value());
+            auto finishing = finishClaim(this->hooks.claims, key, attempt, answer.value());
+            co_await this->awaitUntilEnd(std::move(finishing));
             co_return answer.value();
         }
         // The answer is "no" only after the release of the claim is committed. If the mark was
         // committed but its answer was lost, the key counts as dispatched and the release fails.
         if (this->ran == Ran::No) {
-            const bool released = co_await this->hooks.claims.release(key, attempt);
-            this->ran = released ? Ran::No : Ran::Unknown;
+            auto releasing = this->hooks.claims.release(key, attempt);
+            const auto released = co_await this->awaitUntilEnd(std::move(releasing));
+            this->ran = released.value_or(false) ? Ran::No : Ran::Unknown;
         }
         co_return this->failure(answer.error());
     }
@@ -310,7 +403,10 @@
     state::Instant arrival;
     OpenRequest openRequest;
     std::shared_ptr<transport::HttpCallHandle> call = std::make_shared<transport::HttpCallHandle>();
-    bool ending = false;                   // the process ends, and the call must be answered now
+    bool ending = false; // the process ends, and the call must be answered now
+    // Until then, steps that need the control members are awaited.
+    state::Instant claimLimit = state::Instant::max();
+    std::function<void()> shortenWait; // applies `claimLimit` to the present wait, if there is one
     std::optional<RequestRefusal> refusal; // of the last attempt
     Ran ran = Ran::No;
 };
