--- a/soak/EntryStops.cpp
+++ b/soak/EntryStops.cpp
@@ -34,23 +34,6 @@
 constexpr unsigned statusUnavailable = 503;
 constexpr std::size_t largestBody = 200'000;
 
-std::string_view nameOf(CallEnd end)
-{
-    switch (end) {
-    case CallEnd::NotSent:
-        return "not-sent";
-    case CallEnd::Answered:
-        return "answered";
-    case CallEnd::Closed:
-        return "closed";
-    case CallEnd::ClosedMidway:
-        return "closed-midway";
-    case CallEnd::OutOfPatience:
-        return "out-of-patience";
-    }
-    return "";
-}
-
 } // namespace
 
 EntryStops::EntryStops(asio::io_context &context, Settings chosen, Fleet &fleet,
@@ -197,7 +180,7 @@
 
 void EntryStops::judge(std::size_t entry, const std::string &id, const KeptCallResult &result)
 {
-    std::string end(nameOf(result.end));
+    std::string end(toString(result.end));
     if (result.end == CallEnd::Answered)
         end += " " + std::to_string(result.status);
     const bool timeIsOver = result.endedAt >= result.sentAt + timeLimit;
--- a/soak/KeptCaller.cpp
+++ b/soak/KeptCaller.cpp
@@ -48,6 +48,23 @@
 
 } // namespace
 
+std::string_view toString(CallEnd end)
+{
+    switch (end) {
+    case CallEnd::NotSent:
+        return "not-sent";
+    case CallEnd::Answered:
+        return "answered";
+    case CallEnd::Closed:
+        return "closed";
+    case CallEnd::ClosedMidway:
+        return "closed-midway";
+    case CallEnd::OutOfPatience:
+        return "out-of-patience";
+    }
+    return "";
+}
+
 struct KeptCaller::Connection
 {
     explicit Connection(asio::io_context &context)
--- a/soak/KeptCaller.h
+++ b/soak/KeptCaller.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace lavenderthread::soak {
 
@@ -24,6 +25,7 @@
     ClosedMidway,  // it ended inside the answer
     OutOfPatience, // no end within the time that the caller waits
 };
+std::string_view toString(CallEnd end);
 
 struct KeptCallResult
 {
--- a/soak/LateCalls.cpp
+++ b/soak/LateCalls.cpp
@@ -30,21 +30,11 @@
 constexpr std::size_t largestBody = 50'000;
 constexpr std::string_view callPath = "/post/";
 
+// The status of an answer, else how the call ended.
 std::string nameOf(const KeptCallResult &result)
 {
-    switch (result.end) {
-    case CallEnd::NotSent:
-        return "not-sent";
-    case CallEnd::Answered:
-        return std::to_string(result.status);
-    case CallEnd::Closed:
-        return "closed";
-    case CallEnd::ClosedMidway:
-        return "closed-midway";
-    case CallEnd::OutOfPatience:
-        return "out-of-patience";
-    }
-    return "";
+    return result.end == CallEnd::Answered ? std::to_string(result.status)
+                                           : std::string(toString(result.end));
 }
 
 } // namespace
--- a/src/program/Entry.h
+++ b/src/program/Entry.h
@@ -70,7 +70,8 @@
         std::function<void(const CompletionOutcome &)> completionFinished;
         std::function<void(const ServiceOutcome &)> serviceFinished;
         std::shared_ptr<OpenRequests> openRequests = OpenRequests::create(); // of the process
-        std::shared_ptr<AnswerBuffers> answerBuffers = std::make_shared<AnswerBuffers>(); // too
+        std::shared_ptr<AnswerBuffers> answerBuffers =
+                std::make_shared<AnswerBuffers>(); // likewise
     };
 
     // Error: Unavailable, step "listener.bind".
--- a/src/program/RelayListeners.cpp
+++ b/src/program/RelayListeners.cpp
@@ -27,7 +27,6 @@
 // would lose a request.
 constexpr milliseconds idleMargin{3'000};
 constexpr milliseconds requestMargin{2'000};
-constexpr milliseconds retryWithoutConfiguration{300};
 constexpr unsigned statusUnavailable = 503;
 
 transport::HttpLimits limitsOf(const state::routes::CallerLimits &wanted)
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -44,7 +44,6 @@
 // A node that has just started receives its configuration within a second if a majority of the
 // control members is running. Callers retry only once or twice, so their requests wait here.
 constexpr milliseconds configurationWait{900};
-constexpr milliseconds retryWithoutConfiguration{1'200};
 // After a start, or after all replicas of a service were replaced, the first replica becomes known
 // within one heartbeat.
 constexpr milliseconds endpointWait{600};
--- a/src/program/RouteRelay.h
+++ b/src/program/RouteRelay.h
@@ -33,6 +33,9 @@
 
 namespace lavenderthread::program {
 
+// For callers of a node that has received no configuration yet.
+constexpr std::chrono::milliseconds retryWithoutConfiguration{1'200};
+
 // Another endpoint has the replica's address; `source`: how this became known.
 void logReplaced(const state::EndpointDescription &replica, std::string_view source);
 
