Transport: next answers show in bodies with a length or chunks too

Heads of answers to the same request are looked for in all bodies now and reported as next-answer; nothing else depends on them yet. Heads of other requests count only where a body has neither length nor chunks, as before.

--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -128,11 +128,23 @@
         : stream(executor)
         , written(executor)
         , peer(std::move(peer))
-        , nextAnswer(std::move(classifyHead))
+        , classifyHead(std::move(classifyHead))
+        , nextAnswer([this](const protocol::HttpHeaders &headers) {
+            return this->classifyNext(headers);
+        })
     {
         this->renewParser();
     }
 
+    // A document with a length or chunks may quote answers to other requests: its framing tells
+    // where it ends.
+    std::optional<NextAnswer> classifyNext(const protocol::HttpHeaders &headers) const
+    {
+        const auto next = this->classifyHead(headers);
+        const bool quoted = next == NextAnswer::OtherRequest && !this->parser->need_eof();
+        return quoted ? std::nullopt : next;
+    }
+
     Parser &renewParser()
     {
         this->parser = std::make_unique<Parser>();
@@ -162,6 +174,7 @@
     std::string piece = std::string(readPieceBytes, '\0');
     http::request<http::string_body> message;
     std::shared_ptr<HttpCallHandle> handle;
+    ClassifyHead classifyHead;
     NextAnswerDetector nextAnswer;
     std::uint64_t bodyBytes = 0; // read so far
     AnswerEnd end = AnswerEnd::Open;
@@ -233,7 +246,8 @@
     if (my.failure)
         co_return *my.failure;
     my.stream.expires_after(timeout);
-    while (!my.parser->is_done() && !my.nextAnswer.found()) {
+    const bool isUnframed = this->endsWithConnection();
+    while (!my.parser->is_done() && !(isUnframed && my.nextAnswer.found())) {
         auto &body = my.parser->get().body();
         body.data = my.piece.data();
         body.size = my.piece.size();
@@ -246,8 +260,9 @@
             co_return *my.failure;
         }
         std::string piece = my.piece.substr(0, got);
-        if (this->endsWithConnection())
-            piece = my.nextAnswer.append(piece);
+        std::string withoutNext = my.nextAnswer.append(piece);
+        if (isUnframed)
+            piece = std::move(withoutNext);
         my.bodyBytes += piece.size();
         if (!piece.empty())
             co_return std::optional<std::string>(std::move(piece));
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -60,7 +60,7 @@
     std::uint64_t bodyBytes = 16U << 20U; // of a whole answer; streams are not limited
     // Asked as a whole answer's body grows; false: more than may be kept.
     std::function<bool(std::uint64_t bodyBytes)> mayKeep = [](std::uint64_t) { return true; };
-    // Asked about heads in the body of an answer without a length or chunks.
+    // Asked about heads in the body of an answer.
     ClassifyHead classifyHead = [](const protocol::HttpHeaders &) {
         return NextAnswer::OtherRequest;
     };
