--- a/soak/KeptCaller.cpp
+++ b/soak/KeptCaller.cpp
@@ -39,6 +39,12 @@
     return message;
 }
 
+bool isOutOfProtocol(const beast::error_code &problem)
+{
+    return problem.category() == http::make_error_code(http::error::bad_chunk).category()
+           && problem != http::error::end_of_stream && problem != http::error::partial_message;
+}
+
 milliseconds retryAfterOf(const http::response<http::string_body> &answer)
 {
     constexpr double msPerSecond = 1'000;
@@ -59,6 +65,8 @@
         return "closed";
     case CallEnd::ClosedMidway:
         return "closed-midway";
+    case CallEnd::NoAnswer:
+        return "no-answer";
     case CallEnd::OutOfPatience:
         return "out-of-patience";
     }
@@ -123,6 +131,8 @@
         result.end = CallEnd::NotSent;
     else if (problem == beast::error::timeout)
         result.end = CallEnd::OutOfPatience;
+    else if (problem && isOutOfProtocol(problem))
+        result.end = CallEnd::NoAnswer;
     else if (problem)
         result.end = parser.is_header_done() ? CallEnd::ClosedMidway : CallEnd::Closed;
     else
--- a/soak/KeptCaller.h
+++ b/soak/KeptCaller.h
@@ -23,6 +23,7 @@
     Answered,      // a complete answer, of any status
     Closed,        // the connection ended before the first byte of an answer
     ClosedMidway,  // it ended inside the answer
+    NoAnswer,      // bytes came that are no answer, or no part of the one that had begun
     OutOfPatience, // no end within the time that the caller waits
 };
 std::string_view toString(CallEnd end);
--- a/soak/StutteringEndpoint.cpp
+++ b/soak/StutteringEndpoint.cpp
@@ -32,6 +32,7 @@
 constexpr milliseconds beforeReset{60};
 constexpr std::array secondAnswerDelays{milliseconds(0), milliseconds(50), milliseconds(200)};
 constexpr std::array unnamedStatuses{400U, 404U, 421U, 500U};
+constexpr std::array failedResumes{302U, 404U, 409U, 500U};
 constexpr std::uint64_t largestRequest = 64U << 20U;
 
 template <std::size_t size, typename Value>
@@ -55,6 +56,25 @@
     return all;
 }
 
+// Two thirds of the body: of the events, or of the only part.
+std::vector<std::string> brokenOff(std::vector<std::string> parts)
+{
+    if (parts.size() > 2)
+        parts.resize(parts.size() * 2 / 3);
+    else
+        parts.back().resize(parts.back().size() * 2 / 3);
+    return parts;
+}
+
+// The same, or inside the last part of that.
+std::vector<std::string> brokenOffAnywhere(std::vector<std::string> parts, std::mt19937_64 &random)
+{
+    parts = brokenOff(std::move(parts));
+    if (random() % 2 == 0 && parts.size() > 2)
+        parts.back().resize(random() % parts.back().size());
+    return parts;
+}
+
 // False: the connection has ended.
 asio::awaitable<bool> send(tcp::socket &socket, std::string bytes)
 {
@@ -108,6 +128,10 @@
         return "reset-early";
     case AnswerFault::UnnamedFailure:
         return "unnamed-failure";
+    case AnswerFault::AnsweredAgain:
+        return "answered-again";
+    case AnswerFault::FailedResume:
+        return "failed-resume";
     }
     return "";
 }
@@ -166,16 +190,18 @@
     }
 }
 
-AnswerFault StutteringEndpoint::drawFault(bool isLong)
+AnswerFault StutteringEndpoint::drawFault(bool isLong, bool isResumed)
 {
     if (std::uniform_real_distribution<double>(0, 1)(this->random) >= this->settings.spoiledShare)
         return AnswerFault::None;
     if (isLong)
         return AnswerFault::ResetEarly;
-    constexpr std::array faults{AnswerFault::SecondAnswer,   AnswerFault::SecondAnswer,
-                                AnswerFault::OtherFirst,     AnswerFault::FailureFirst,
-                                AnswerFault::InterimOfOther, AnswerFault::Reset,
-                                AnswerFault::UnnamedFailure};
+    if (isResumed && this->random() % 2 == 0)
+        return AnswerFault::FailedResume;
+    constexpr std::array faults{
+            AnswerFault::SecondAnswer,   AnswerFault::SecondAnswer,   AnswerFault::OtherFirst,
+            AnswerFault::FailureFirst,   AnswerFault::InterimOfOther, AnswerFault::Reset,
+            AnswerFault::UnnamedFailure, AnswerFault::AnsweredAgain,  AnswerFault::AnsweredAgain};
     return drawFrom(faults, this->random);
 }
 
@@ -252,7 +278,7 @@
     }
     const std::string target(head.target());
     const bool isLong = parser.content_length().value_or(0) > longRequest;
-    call.fault = this->drawFault(isLong);
+    call.fault = this->drawFault(isLong, call.firstEvent > 1);
     call.framing =
             call.fault == AnswerFault::ResetEarly ? BodyFraming::Connection : this->drawFraming();
     if (call.fault != AnswerFault::ResetEarly) {
@@ -302,15 +328,23 @@
         break;
     case AnswerFault::Reset:
     case AnswerFault::ResetEarly: {
-        // Two thirds of the body: of the events, or of the only part.
-        if (own.size() > 2)
-            own.resize(own.size() * 2 / 3);
-        else
-            own.back().resize(own.back().size() * 2 / 3);
-        co_await sendParts(socket, std::move(own));
+        co_await sendParts(socket, brokenOff(std::move(own)));
         co_await reset(socket);
         break;
     }
+    case AnswerFault::AnsweredAgain: {
+        const bool sent = co_await sendParts(socket, brokenOffAnywhere(own, this->random));
+        if (!sent)
+            break;
+        co_await transport::pause(drawFrom(secondAnswerDelays, this->random));
+        co_await sendParts(socket, std::move(own));
+        break;
+    }
+    case AnswerFault::FailedResume: {
+        const unsigned status = drawFrom(failedResumes, this->random);
+        co_await sendParts(socket, this->answerParts(call, call.id, status));
+        break;
+    }
     case AnswerFault::UnnamedFailure: {
         const unsigned status = drawFrom(unnamedStatuses, this->random);
         co_await send(socket, "HTTP/1.1 " + std::to_string(status)
--- a/soak/StutteringEndpoint.h
+++ b/soak/StutteringEndpoint.h
@@ -1,5 +1,5 @@
 // An endpoint that spoils some of its answers, byte for byte: second answers, answers of other
-// requests, failures of other requests, resets. A StandIn announces it.
+// requests, failures of other requests, answers that break off. A StandIn announces it.
 #pragma once
 
 #include "Ledger.h"
@@ -29,6 +29,8 @@
     Reset,          // after two thirds of the body
     ResetEarly,     // the same, before the request has been read
     UnnamedFailure, // of another request, without its id
+    AnsweredAgain,  // breaks off; the whole answer follows on the same connection, at once or later
+    FailedResume,   // a failure in place of the rest of a stream
 };
 std::string_view toString(AnswerFault fault);
 
@@ -71,7 +73,7 @@
     boost::asio::awaitable<void> acceptAll();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> spoil(boost::asio::ip::tcp::socket &socket, const Call &call);
-    AnswerFault drawFault(bool isLong);
+    AnswerFault drawFault(bool isLong, bool isResumed);
     BodyFraming drawFraming();
     std::vector<std::string> answerParts(const Call &call, const std::string &id, unsigned status);
     std::string drawOtherId(const Call &call);
--- a/soak/StutteringEndpoints.cpp
+++ b/soak/StutteringEndpoints.cpp
@@ -116,6 +116,13 @@
         this->ledger.broken("request " + id + ": " + std::to_string(result.unaskedBytes)
                             + " bytes behind its answer");
     }
+    if (result.end == CallEnd::NoAnswer) {
+        ++ends.wrong;
+        this->ledger.broken("request " + id + " (" + answeredAs + ") on " + path
+                            + " got bytes that are no answer, status "
+                            + std::to_string(result.status));
+        return;
+    }
     if (result.end != CallEnd::Answered) {
         ++ends.failed;
         this->ledger.ended("cut");
--- a/tests/platform/RelayFixture.h
+++ b/tests/platform/RelayFixture.h
@@ -13,6 +13,7 @@
 #include "transport/HttpClient.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
@@ -214,14 +215,22 @@
     {
         asio::io_context io;
         asio::ip::tcp::socket socket(io);
-        const state::Address to = this->front->address();
-        socket.connect({asio::ip::make_address(to.ip), to.port});
-        const std::string text = "POST /p/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
-                                 "Request-Deadline: 5000\r\nContent-Length: 0\r\n\r\n";
-        asio::write(socket, asio::buffer(text));
+        this->sendRequest(socket, "keep-alive");
         std::this_thread::sleep_for(after);
     }
 
+    // All that comes on the connection of one request, until it ends.
+    std::string callRaw()
+    {
+        asio::io_context io;
+        asio::ip::tcp::socket socket(io);
+        this->sendRequest(socket, "close");
+        std::string bytes;
+        boost::system::error_code end;
+        asio::read(socket, asio::dynamic_buffer(bytes), end);
+        return bytes;
+    }
+
     // Whether a peer has served a request; its relay ends a moment after the caller has the answer.
     bool servesThroughPeer() const
     {
@@ -276,6 +285,16 @@
             program::OpenRequests::create(); // of the relay, without its peers
 
 private:
+    void sendRequest(asio::ip::tcp::socket &socket, const std::string &connection)
+    {
+        const state::Address to = this->front->address();
+        socket.connect({asio::ip::make_address(to.ip), to.port});
+        const std::string text = "POST /p/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                                 "Request-Deadline: 5000\r\nContent-Length: 0\r\nConnection: "
+                                 + connection + "\r\n\r\n";
+        asio::write(socket, asio::buffer(text));
+    }
+
     struct Peer
     {
         std::unique_ptr<RouteRelay> relay;
--- /dev/null
+++ b/tests/platform/ResumedStreamTest.cpp
@@ -0,0 +1,117 @@
+// Tests what callers get, byte for byte, when an endpoint fails a run that resumes their stream.
+#include "RelayFixture.h"
+
+#include "fakes/RawEndpoint.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <cstdio>
+#include <deque>
+#include <string>
+
+namespace lavenderthread::platform {
+
+namespace {
+
+using fakes::RawAnswer;
+using fakes::RawEndpoint;
+using Kind = state::routes::CallKind;
+
+const std::string commonHead = "Request-Id: r1\r\nResponse-Seal: seal\r\n";
+
+std::string chunk(const std::string &bytes)
+{
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx", bytes.size());
+    return std::string(size.data()) + "\r\n" + bytes + "\r\n";
+}
+
+// Breaks off after two events.
+RawAnswer streamThatBreaksOff()
+{
+    return {"HTTP/1.1 200 OK\r\n" + commonHead
+            + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + chunk(eventsUpTo(2))};
+}
+
+RawAnswer restOfTheStream()
+{
+    const std::string rest = eventsUpTo(4).substr(eventsUpTo(2).size());
+    return {"HTTP/1.1 200 OK\r\n" + commonHead
+            + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(rest)
+            + "0\r\n\r\n"};
+}
+
+RawAnswer failure(unsigned status)
+{
+    return {"HTTP/1.1 " + std::to_string(status) + " Some Reason\r\n" + commonHead
+            + "Content-Length: 9\r\n\r\nits error"};
+}
+
+} // namespace
+
+class ResumedStreamTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ResumedStreamTest);
+    CPPUNIT_TEST(failureOfAResumedRunIsNoPartOfTheStream);
+    CPPUNIT_TEST(failureOfAResumedRunAtAPeerIsNoPartOfTheStream);
+    CPPUNIT_TEST(streamIsResumedAfterAFailureThatCameFirst);
+    CPPUNIT_TEST_SUITE_END();
+
+    // All bytes that the caller's connection brings.
+    static std::string call(std::deque<RawAnswer> answers, bool throughPeer = false)
+    {
+        RawEndpoint endpoint(std::move(answers));
+        std::vector<PeerBehaviour> peers;
+        if (throughPeer)
+            peers.push_back(PeerBehaviour::Serves);
+        RelayFixture fixture(Kind::Stream, {}, false, peers);
+        constexpr int enoughForARetry = 2;
+        fixture.announce(endpoint.address(), enoughForARetry);
+        fixture.pathLost = throughPeer;
+        return fixture.callRaw();
+    }
+
+    static std::size_t headsIn(const std::string &bytes)
+    {
+        std::size_t heads = 0;
+        for (std::size_t at = bytes.find("HTTP/1.1 "); at != std::string::npos;
+             at = bytes.find("HTTP/1.1 ", at + 1))
+            ++heads;
+        return heads;
+    }
+
+    static void checkCutBehindTwoEvents(const std::string &bytes)
+    {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(bytes, std::size_t(1), headsIn(bytes));
+        CPPUNIT_ASSERT_MESSAGE(bytes, bytes.ends_with(chunk(eventsUpTo(2))));
+    }
+
+public:
+    // Guards against the head and body of an endpoint's failure in the middle of a caller's stream.
+    void failureOfAResumedRunIsNoPartOfTheStream()
+    {
+        for (const unsigned status : {302U, 400U, 404U, 500U})
+            checkCutBehindTwoEvents(call({streamThatBreaksOff(), failure(status)}));
+    }
+
+    void failureOfAResumedRunAtAPeerIsNoPartOfTheStream()
+    {
+        for (const unsigned status : {302U, 400U, 404U, 500U})
+            checkCutBehindTwoEvents(call({streamThatBreaksOff(), failure(status)}, true));
+    }
+
+    void streamIsResumedAfterAFailureThatCameFirst()
+    {
+        const std::string bytes = call({streamThatBreaksOff(), restOfTheStream()});
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(bytes, std::size_t(1), headsIn(bytes));
+        CPPUNIT_ASSERT_MESSAGE(bytes, bytes.ends_with("0\r\n\r\n"));
+        CPPUNIT_ASSERT_MESSAGE(bytes, bytes.find("id: 4\n") != std::string::npos);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ResumedStreamTest);
+
+} // namespace lavenderthread::platform
