Relay, transport: a request gets one answer, also when a resumed run fails

What callers saw: in the middle of a stream, the status line, headers and body of an endpoint's failure; a parser ends there with an error, a lenient reader takes them for its stream (MIXED: bytes that are no answer).

Cause: a run that resumes a stream may be answered with a failure that is neither a refusal nor the endpoint's own 5xx. The relay took each such answer for the caller's, though the caller already reads the first run's, and the server wrote what it was given. The class: which answer a caller reads was decided by what the last endpoint said, not by what had been sent.

Change: once an answer has begun, only events may follow; a failure ends that attempt like a failure of its endpoint. An exchange refuses a second head (error Internal, nothing written), so no handler can do it. The line peer.failed moved to RelayLog.

--- a/src/program/RelayLog.cpp
+++ b/src/program/RelayLog.cpp
@@ -109,4 +109,16 @@
               {"cause", outcome.reason}});
 }
 
+void logFailedPeer(const RelayOutcome &outcome, std::string_view result,
+                   const AttemptProgress &progress)
+{
+    logEvent(LogLevel::Info, "peer.failed",
+             {{"request", outcome.id.value()},
+              {"attempt", outcome.attempts},
+              {"peer", outcome.via.toString()},
+              {"result", result},
+              {"after_us", std::int64_t((monotonicNow() - progress.sentAt).count())},
+              {"cause", outcome.reason}});
+}
+
 } // namespace lavenderthread::program
--- a/src/program/RelayLog.h
+++ b/src/program/RelayLog.h
@@ -6,6 +6,7 @@
 #include "state/Endpoint.h"
 #include "state/RequestPart.h"
 
+#include <string_view>
 #include <vector>
 
 namespace lavenderthread::program {
@@ -18,4 +19,8 @@
 void logLostAttempt(const RelayOutcome &outcome, const state::EndpointDescription &endpoint,
                     const std::vector<state::RequestPart> &parts, const AttemptProgress &progress);
 
+// A request that was handed to a peer, which did not answer it; `result` as the peer has told.
+void logFailedPeer(const RelayOutcome &outcome, std::string_view result,
+                   const AttemptProgress &progress);
+
 } // namespace lavenderthread::program
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -714,7 +714,10 @@
                 co_return true;
             }
             this->updateTimeIsOver();
-            this->logPeerFailure(end);
+            logFailedPeer(this->outcome,
+                          end == AttemptResult::NeverSent ? "unreachable"
+                                                          : toString(this->peerResult),
+                          this->progress);
             const bool tokenTaken = std::exchange(this->retryTokenTaken, false);
             if (!this->peerHasTaken(end)) {
                 // No endpoint has seen the request: this is neither a refusal nor a retry.
@@ -748,18 +751,6 @@
         this->relay.peerOrder.couldNotServe(peer, monotonicNow());
     }
 
-    void logPeerFailure(AttemptResult end) const
-    {
-        logEvent(LogLevel::Info, "peer.failed",
-                 {{"request", this->outcome.id.value()},
-                  {"attempt", this->outcome.attempts},
-                  {"peer", this->outcome.via.toString()},
-                  {"result", end == AttemptResult::NeverSent ? std::string_view("unreachable")
-                                                             : toString(this->peerResult)},
-                  {"after_us", std::int64_t((monotonicNow() - this->progress.sentAt).count())},
-                  {"cause", this->outcome.reason}});
-    }
-
     bool peerHasTaken(AttemptResult end) const
     {
         return end == AttemptResult::Lost || end == AttemptResult::Failed
@@ -899,6 +890,8 @@
         AttemptResult end = AttemptResult::Lost;
         if (isSuccess(stream.status()) && this->route->kind == CallKind::Stream)
             end = co_await this->relayStream(stream, std::move(headers));
+        else if (this->facts.answerBegun)
+            end = this->resumeFailed(stream.status());
         else
             end = co_await this->relayBuffered(stream, std::move(headers));
         this->outcome.answer = stream.report();
@@ -906,6 +899,14 @@
         co_return end;
     }
 
+    // The caller already reads the stream that was to be resumed.
+    AttemptResult resumeFailed(unsigned status)
+    {
+        this->outcome.reason = "the endpoint answered " + std::to_string(status)
+                               + " where it was to resume the stream";
+        return AttemptResult::Failed;
+    }
+
     asio::awaitable<state::Result<transport::HttpAnswerStream>>
     open(state::Address peer, protocol::HttpRequest request, milliseconds timeToConnect,
          transport::BeforeSend beforeSend = {})
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -369,14 +369,22 @@
 
 asio::awaitable<state::Result<void>> HttpExchange::respond(protocol::HttpResponse response)
 {
-    this->answerBegun = true;
-    return this->hooks.respond(std::move(response));
+    if (std::exchange(this->answerBegun, true))
+        co_return this->secondAnswer();
+    co_return co_await this->hooks.respond(std::move(response));
 }
 
 asio::awaitable<state::Result<void>> HttpExchange::beginStream(protocol::HttpResponse head)
 {
-    this->answerBegun = true;
-    return this->hooks.beginStream(std::move(head));
+    if (std::exchange(this->answerBegun, true))
+        co_return this->secondAnswer();
+    co_return co_await this->hooks.beginStream(std::move(head));
+}
+
+state::Error HttpExchange::secondAnswer() const
+{
+    return state::makeError(state::ErrorCode::Internal, "caller.write",
+                            "an answer to this request has begun", this->peerText);
 }
 
 asio::awaitable<state::Result<void>> HttpExchange::write(std::string_view piece)
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -60,18 +60,21 @@
     // from then on.
     void onCallerGone(std::function<void()> gone);
 
-    // The errors have step "caller.write": the caller is gone or does not read.
+    // The errors have step "caller.write". Unavailable: the caller is gone or does not read;
+    // Internal: an answer to this request has begun before, and nothing was written.
     boost::asio::awaitable<state::Result<void>> respond(protocol::HttpResponse response);
     boost::asio::awaitable<state::Result<void>> beginStream(protocol::HttpResponse head);
     boost::asio::awaitable<state::Result<void>> write(std::string_view piece);
     boost::asio::awaitable<state::Result<void>> finishStream();
 
 private:
+    state::Error secondAnswer() const;
+
     protocol::HttpRequest received;
     std::string peerText;
     boost::asio::any_io_executor strand;
     Hooks hooks;
-    bool answerBegun = false;
+    bool answerBegun = false; // a request gets one head: another would stand in the first answer
 };
 
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange &)>;
