Transport: an answer that is given again inside its body is not whole

What callers saw: a 200 with the declared number of bytes, of which the last are the head and the beginning of the next answer; in a stream, an event with a head in it (MIXED).

Cause: a body with a length or chunks ends by counting bytes, whatever they are. An endpoint, or a proxy before it, that breaks off and answers the same request again on the same connection supplies the missing ones.

Change: a head that names this request, inside a body with a length or chunks, ends the answer as broken off, and the bytes from there on are not passed on. What could begin such a head at the end of a body is looked at together with the bytes behind it. A document that quotes an answer to another request is whole, as before.

--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -13,6 +13,7 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <functional>
 #include <limits>
 #include <memory>
@@ -158,6 +159,19 @@
     // Its answer has no body, whatever length it names.
     bool isHead() const { return this->message.method() == http::verb::head; }
 
+    // Bytes of the body, as many as have arrived; none at its end.
+    asio::awaitable<state::Result<std::string>> receive()
+    {
+        auto &body = this->parser->get().body();
+        body.data = this->piece.data();
+        body.size = this->piece.size();
+        auto [problem, bytes] = co_await http::async_read_some(
+                this->stream, this->buffer, *this->parser, asio::as_tuple(asio::use_awaitable));
+        if (problem && problem != http::error::need_buffer)
+            co_return callError(problem, receiveStep, this->peer);
+        co_return this->piece.substr(0, this->piece.size() - body.size);
+    }
+
     // Until the whole request was sent, or can't be.
     asio::awaitable<void> waitUntilWritten(std::chrono::milliseconds timeout)
     {
@@ -247,41 +261,42 @@
         co_return *my.failure;
     my.stream.expires_after(timeout);
     const bool isUnframed = this->endsWithConnection();
-    while (!my.parser->is_done() && !(isUnframed && my.nextAnswer.found())) {
-        auto &body = my.parser->get().body();
-        body.data = my.piece.data();
-        body.size = my.piece.size();
-        auto [problem, bytes] = co_await http::async_read_some(my.stream, my.buffer, *my.parser,
-                                                               asio::as_tuple(asio::use_awaitable));
-        const std::size_t got = my.piece.size() - body.size;
-        if (problem && problem != http::error::need_buffer) {
+    while (!my.parser->is_done() && !my.nextAnswer.found()) {
+        const state::Result<std::string> received = co_await my.receive();
+        if (!received) {
             my.end = AnswerEnd::Broken;
-            my.failure = callError(problem, receiveStep, my.peer);
+            my.failure = received.error();
             co_return *my.failure;
         }
-        std::string piece = my.piece.substr(0, got);
-        std::string withoutNext = my.nextAnswer.append(piece);
-        if (isUnframed)
-            piece = std::move(withoutNext);
+        std::string piece = my.nextAnswer.append(received.value());
         my.bodyBytes += piece.size();
         if (!piece.empty())
             co_return std::optional<std::string>(std::move(piece));
     }
-    if (this->endsWithConnection())
+    if (isUnframed)
         co_await my.waitUntilWritten(timeout);
-    state::Result<std::optional<std::string>> last = this->readEnd();
+    state::Result<std::optional<std::string>> last =
+            isUnframed ? this->readEndOfConnection() : this->readEndOfFrame();
     if (!last)
         my.failure = last.error();
     co_return last;
 }
 
-state::Result<std::optional<std::string>> HttpAnswerStream::readEnd()
+state::Result<std::optional<std::string>> HttpAnswerStream::readEndOfFrame()
+{
+    State &my = *this->state;
+    const auto behind = my.buffer.data();
+    std::string rest =
+            my.nextAnswer.finishFramed({static_cast<const char *>(behind.data()), behind.size()});
+    if (my.nextAnswer.found())
+        return this->brokenOff("the answer broke off: the next one begins in its body");
+    my.end = AnswerEnd::Framed;
+    return this->lastPiece(std::move(rest));
+}
+
+state::Result<std::optional<std::string>> HttpAnswerStream::readEndOfConnection()
 {
     State &my = *this->state;
-    if (!this->endsWithConnection()) {
-        my.end = AnswerEnd::Framed;
-        return std::optional<std::string>();
-    }
     my.end = AnswerEnd::Broken;
     // A socket reports a reset once, and later reads see an orderly end. While the request is being
     // sent, that report goes to the write.
@@ -289,13 +304,22 @@
         return endedWhileSending(my.sendProblem, my.peer);
     std::string rest = my.nextAnswer.finish();
     if (my.nextAnswer.found() == NextAnswer::OtherRequest)
-        return state::makeError(state::ErrorCode::Corrupt, std::string(receiveStep),
-                                "another answer begins in the body", my.peer.toString());
+        return this->brokenOff("another answer begins in the body");
     my.end = my.nextAnswer.found() ? AnswerEnd::Repeated : AnswerEnd::Closed;
-    my.bodyBytes += rest.size();
-    if (rest.empty())
-        return std::optional<std::string>();
-    return std::optional<std::string>(std::move(rest));
+    return this->lastPiece(std::move(rest));
+}
+
+state::Error HttpAnswerStream::brokenOff(const char *how)
+{
+    this->state->end = AnswerEnd::Broken;
+    return state::makeError(state::ErrorCode::Corrupt, std::string(receiveStep), how,
+                            this->state->peer.toString());
+}
+
+std::optional<std::string> HttpAnswerStream::lastPiece(std::string rest)
+{
+    this->state->bodyBytes += rest.size();
+    return rest.empty() ? std::nullopt : std::optional<std::string>(std::move(rest));
 }
 
 void HttpAnswerStream::close()
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -91,7 +91,8 @@
     // last chunk, or, with neither, where the peer closed the connection in order, or began to
     // answer the same request again, after the request had been sent. Errors have step receiveStep;
     // Timeout if no byte came within `timeout`, Unavailable if the connection ended in another way,
-    // Corrupt if another answer begins in a body that ends with its connection.
+    // Corrupt if another answer begins in the body, unless a body with neither a length nor chunks
+    // ends there.
     boost::asio::awaitable<state::Result<std::optional<std::string>>>
     read(std::chrono::milliseconds timeout);
 
@@ -99,8 +100,13 @@
     void close();
 
 private:
-    // Behind the last byte that was received.
-    state::Result<std::optional<std::string>> readEnd();
+    // Behind the last byte of a body with a length or chunks, or where another answer begins in it.
+    state::Result<std::optional<std::string>> readEndOfFrame();
+    // The same for a body that has neither.
+    state::Result<std::optional<std::string>> readEndOfConnection();
+    state::Error brokenOff(const char *how);
+    // Counts it; nothing if it is empty.
+    std::optional<std::string> lastPiece(std::string rest);
 
     std::shared_ptr<State> state; // also held by a write that is still under way
 };
--- a/src/transport/NextAnswerDetector.cpp
+++ b/src/transport/NextAnswerDetector.cpp
@@ -134,4 +134,18 @@
     return {};
 }
 
+std::string NextAnswerDetector::finishFramed(std::string_view behind)
+{
+    if (this->nextAnswer)
+        return {};
+    std::string rest = this->kept;
+    const bool endsBeforeHead = mayBeginStatusLine(behind);
+    const std::size_t headAt = endsBeforeHead ? rest.size() : this->append(behind).size();
+    this->kept.clear();
+    if (headAt < rest.size() && this->nextAnswer)
+        return {};
+    this->nextAnswer.reset();
+    return rest;
+}
+
 } // namespace lavenderthread::transport
--- a/src/transport/NextAnswerDetector.h
+++ b/src/transport/NextAnswerDetector.h
@@ -1,6 +1,6 @@
-// Finds the head of another answer in a body that has neither a length nor chunks. A faulty peer
-// may answer twice before it closes the connection, and the second answer would count as part of
-// the body.
+// Finds the head of another answer in a body. A faulty peer may answer twice on a connection, also
+// before its first answer is whole. The second answer would count as the end of a body with neither
+// a length nor chunks, and would stand for the missing bytes of one that has either.
 #pragma once
 
 #include "protocol/HttpMessage.h"
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace lavenderthread::transport {
 
@@ -33,9 +34,15 @@
     // Adds bytes of the body and returns those that belong to it. The rest is kept until it is
     // known whether another head begins there. Nothing more is returned once one was found.
     std::string append(std::string_view bytes);
-    // The body has ended: returns what was kept, unless that is the beginning of another head.
+    // The body has ended with its connection: returns what was kept, unless that is the beginning
+    // of another head.
     std::string finish();
+    // The body has ended by its framing: returns what was kept, unless that and the bytes behind
+    // the body are another head together.
+    std::string finishFramed(std::string_view behind);
     std::optional<NextAnswer> found() const { return this->nextAnswer; }
+    // What was received from the head of the next answer on.
+    std::string takeNextAnswer() { return std::exchange(this->kept, {}); }
 
 private:
     enum class Match { None, QuotedHead, Answer };
@@ -46,7 +53,7 @@
     std::string takeFront(std::size_t bytes);
 
     ClassifyHead classify;
-    std::string kept; // may begin a head
+    std::string kept; // may begin a head; begins with it once one was found
     std::optional<NextAnswer> nextAnswer;
 };
 
--- a/tests/transport/NextAnswerDetectorTest.cpp
+++ b/tests/transport/NextAnswerDetectorTest.cpp
@@ -56,6 +56,8 @@
     CPPUNIT_TEST_SUITE(NextAnswerDetectorTest);
     CPPUNIT_TEST(headOfAnotherAnswerEndsTheBody);
     CPPUNIT_TEST(headThatIsCutOffEndsTheBody);
+    CPPUNIT_TEST(headBehindAFramedBodyIsNoPartOfIt);
+    CPPUNIT_TEST(headThatBeginsInAFramedBodyIsFound);
     CPPUNIT_TEST(textThatIsNoHeadBelongsToTheBody);
     CPPUNIT_TEST(bytesThatCantBeginAHeadAreNotKept);
     CPPUNIT_TEST(bodiesOfBeginningsTakeLittleTime);
@@ -71,6 +73,17 @@
         }
     }
 
+    // `behind`: what was received behind the body.
+    static void checkFramed(const std::string &bytes, const std::string &behind,
+                            const std::string &body, bool found)
+    {
+        NextAnswerDetector detector(classify);
+        std::string seen = detector.append(bytes);
+        seen += detector.finishFramed(behind);
+        CPPUNIT_ASSERT_EQUAL(body, seen);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(bytes, found, detector.found().has_value());
+    }
+
 public:
     void headOfAnotherAnswerEndsTheBody()
     {
@@ -91,6 +104,22 @@
                                                 : NextAnswer::OtherRequest);
     }
 
+    void headBehindAFramedBodyIsNoPartOfIt()
+    {
+        for (const std::string &body : {std::string("a body"), std::string("a body, H"),
+                                        std::string("a body, HTTP/1.1 200 OK\r\nServer:")}) {
+            for (const std::string &behind : {std::string(), head + "another", head.substr(0, 30)})
+                checkFramed(body, behind, body, false);
+        }
+    }
+
+    // Guards against a body of the declared length whose last bytes are those of the next head.
+    void headThatBeginsInAFramedBodyIsFound()
+    {
+        for (const std::size_t inBody : {std::size_t(1), std::size_t(9), std::size_t(40)})
+            checkFramed("a body" + head.substr(0, inBody), head.substr(inBody), "a body", true);
+    }
+
     // Guards against documents cut short because they quote an answer.
     void textThatIsNoHeadBelongsToTheBody()
     {
