Transport: an answer without a length is compared with the next one to the same request

Change: the next answer tells. If it begins with the bytes of the first one and goes on, the first one broke off and the attempt is lost; if both are equal, differ (another run), or the next one doesn't come within half a second, the first one counts as whole, as before.

--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -1,6 +1,7 @@
 // Client side of HTTP with the library's stream timeouts; every wait is bounded.
 #include "transport/HttpClient.h"
 
+#include "transport/AnswerComparison.h"
 #include "transport/BeastConversion.h"
 #include "transport/HttpCallParts.h"
 #include "transport/MonotonicClock.h"
@@ -29,6 +30,8 @@
 namespace {
 
 constexpr std::size_t readPieceBytes = 64U << 10U;
+// A next answer that was made already comes within a few round trips.
+constexpr std::chrono::milliseconds comparisonTimeout{500};
 
 state::Error cancelledBefore(std::string_view step, const state::Address &peer)
 {
@@ -172,6 +175,23 @@
         co_return this->piece.substr(0, this->piece.size() - body.size);
     }
 
+    // Reads on in the next answer until it shows whether the first one broke off.
+    asio::awaitable<void> compareWithNextAnswer(std::chrono::milliseconds timeout)
+    {
+        this->comparison.addNext(this->nextAnswer.takeNextAnswer());
+        const state::Instant end = monotonicNow() + std::min(timeout, comparisonTimeout);
+        while (!this->comparison.isDecided() && !this->parser->is_done()) {
+            const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - monotonicNow());
+            if (left.count() <= 0)
+                break;
+            this->stream.expires_after(left);
+            const state::Result<std::string> bytes = co_await this->receive();
+            if (!bytes)
+                break;
+            this->comparison.addNext(bytes.value());
+        }
+    }
+
     // Until the whole request was sent, or can't be.
     asio::awaitable<void> waitUntilWritten(std::chrono::milliseconds timeout)
     {
@@ -190,6 +210,7 @@
     std::shared_ptr<HttpCallHandle> handle;
     ClassifyHead classifyHead;
     NextAnswerDetector nextAnswer;
+    AnswerComparison comparison; // of a body with neither a length nor chunks
     std::uint64_t bodyBytes = 0; // read so far
     AnswerEnd end = AnswerEnd::Open;
     std::optional<state::Error> failure; // of an earlier read
@@ -270,11 +291,15 @@
         }
         std::string piece = my.nextAnswer.append(received.value());
         my.bodyBytes += piece.size();
+        if (isUnframed)
+            my.comparison.addFirst(piece);
         if (!piece.empty())
             co_return std::optional<std::string>(std::move(piece));
     }
     if (isUnframed)
         co_await my.waitUntilWritten(timeout);
+    if (isUnframed && my.nextAnswer.found() == NextAnswer::SameRequest)
+        co_await my.compareWithNextAnswer(timeout);
     state::Result<std::optional<std::string>> last =
             isUnframed ? this->readEndOfConnection() : this->readEndOfFrame();
     if (!last)
@@ -305,6 +330,8 @@
     std::string rest = my.nextAnswer.finish();
     if (my.nextAnswer.found() == NextAnswer::OtherRequest)
         return this->brokenOff("another answer begins in the body");
+    if (my.comparison.firstBrokeOff())
+        return this->brokenOff("the answer broke off: the next one has more bytes");
     my.end = my.nextAnswer.found() ? AnswerEnd::Repeated : AnswerEnd::Closed;
     return this->lastPiece(std::move(rest));
 }
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -92,7 +92,7 @@
     // answer the same request again, after the request had been sent. Errors have step receiveStep;
     // Timeout if no byte came within `timeout`, Unavailable if the connection ended in another way,
     // Corrupt if another answer begins in the body, unless a body with neither a length nor chunks
-    // ends there.
+    // ends there and the next answer to the same request does not go on behind it.
     boost::asio::awaitable<state::Result<std::optional<std::string>>>
     read(std::chrono::milliseconds timeout);
 
