Relay: events that were read with the beginning of a long one are passed on

What callers may see: a stream with a gap.

By default 256 KB of each answer are kept without a share of the bound and a read brings 64 KB, so this needs a kept failure of an earlier attempt beside it; no run shows it.

Before: eventsBeforeOneThatMayNotBeKeptArePassedOn fails with a bound of nothing. After: passes.

--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -1175,18 +1175,18 @@
             if (!piece.value())
                 break;
             const std::string whole = this->events.append(*piece.value());
+            if (!whole.empty()) {
+                this->recordEvents();
+                if (this->inactivityTimeout)
+                    this->inactivityTimeout->restart(this->pauseTimeout());
+                const bool passed = co_await this->forwardEvents(whole, headers);
+                if (!passed)
+                    co_return AttemptResult::Lost;
+            }
             if (this->events.isTooLong() || !this->mayKeep(this->events.bufferedBytes())) {
                 this->outcome.reason = "an event is longer than may be kept";
                 co_return AttemptResult::Lost;
             }
-            if (whole.empty())
-                continue;
-            this->recordEvents();
-            if (this->inactivityTimeout)
-                this->inactivityTimeout->restart(this->pauseTimeout());
-            const bool passed = co_await this->forwardEvents(whole, headers);
-            if (!passed)
-                co_return AttemptResult::Lost;
         }
         if (this->events.hasPartialEvent()) {
             this->outcome.reason = "the stream ended inside an event";
--- a/tests/platform/RelayFixture.h
+++ b/tests/platform/RelayFixture.h
@@ -81,8 +81,10 @@
 {
 public:
     RelayFixture(state::routes::CallKind kind, std::vector<Behaviour> behaviours,
-                 bool engines = false, std::vector<PeerBehaviour> peerBehaviours = {})
+                 bool engines = false, std::vector<PeerBehaviour> peerBehaviours = {},
+                 program::AnswerBuffers::Settings buffers = {})
         : behaviours(std::move(behaviours))
+        , answerBuffers(std::make_shared<program::AnswerBuffers>(buffers))
     {
         this->settings.keys.keys = {"key"};
         this->publishRoutes(kind, engines);
@@ -410,6 +412,7 @@
         hooks.standing = [this] { return this->standing.load(); };
         hooks.refuses = [] { return false; };
         hooks.guard = this->guard;
+        hooks.answerBuffers = this->answerBuffers;
         hooks.finished = [](const program::RelayOutcome &) {};
         return hooks;
     }
@@ -559,6 +562,7 @@
     std::set<state::RequestId> scheduledIds;
     std::vector<std::string> calledEndpoints; // as named in the requests, in order of arrival
     std::vector<Behaviour> behaviours;
+    const std::shared_ptr<program::AnswerBuffers> answerBuffers; // of the relay and its peers
     program::Settings settings;
     asio::io_context context{1};
     std::shared_ptr<program::RequestGuard> guard = program::RequestGuard::create(this->context, {});
--- a/tests/platform/ResumedStreamTest.cpp
+++ b/tests/platform/ResumedStreamTest.cpp
@@ -1,4 +1,4 @@
-// Tests what callers get, byte for byte, when an endpoint fails a run that resumes their stream.
+// Tests what callers of streams get, byte for byte, when a run is lost and when another resumes it.
 #include "RelayFixture.h"
 
 #include "fakes/RawEndpoint.h"
@@ -57,17 +57,19 @@
     CPPUNIT_TEST_SUITE(ResumedStreamTest);
     CPPUNIT_TEST(failureOfAResumedRunIsNoPartOfTheStream);
     CPPUNIT_TEST(failureOfAResumedRunAtAPeerIsNoPartOfTheStream);
-    CPPUNIT_TEST(streamIsResumedAfterAFailureThatCameFirst);
+    CPPUNIT_TEST(streamThatBreaksOffIsResumed);
+    CPPUNIT_TEST(eventsBeforeOneThatMayNotBeKeptArePassedOn);
     CPPUNIT_TEST_SUITE_END();
 
     // All bytes that the caller's connection brings.
-    static std::string call(std::deque<RawAnswer> answers, bool throughPeer = false)
+    static std::string call(std::deque<RawAnswer> answers, bool throughPeer = false,
+                            program::AnswerBuffers::Settings buffers = {})
     {
         RawEndpoint endpoint(std::move(answers));
         std::vector<PeerBehaviour> peers;
         if (throughPeer)
             peers.push_back(PeerBehaviour::Serves);
-        RelayFixture fixture(Kind::Stream, {}, false, peers);
+        RelayFixture fixture(Kind::Stream, {}, false, peers, buffers);
         constexpr int enoughForARetry = 2;
         fixture.announce(endpoint.address(), enoughForARetry);
         fixture.pathLost = throughPeer;
@@ -89,6 +91,15 @@
         CPPUNIT_ASSERT_MESSAGE(bytes, bytes.ends_with(chunk(eventsUpTo(2))));
     }
 
+    static void checkWhole(const std::string &bytes)
+    {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(bytes, std::size_t(1), headsIn(bytes));
+        CPPUNIT_ASSERT_MESSAGE(bytes, bytes.ends_with("0\r\n\r\n"));
+        for (int id = 1; id <= 4; ++id)
+            CPPUNIT_ASSERT_MESSAGE(bytes, bytes.find("id: " + std::to_string(id) + "\n")
+                                                  != std::string::npos);
+    }
+
 public:
     // Guards against the head and body of an endpoint's failure in the middle of a caller's stream.
     void failureOfAResumedRunIsNoPartOfTheStream()
@@ -103,12 +114,22 @@
             checkCutBehindTwoEvents(call({streamThatBreaksOff(), failure(status)}, true));
     }
 
-    void streamIsResumedAfterAFailureThatCameFirst()
+    void streamThatBreaksOffIsResumed()
     {
-        const std::string bytes = call({streamThatBreaksOff(), restOfTheStream()});
-        CPPUNIT_ASSERT_EQUAL_MESSAGE(bytes, std::size_t(1), headsIn(bytes));
-        CPPUNIT_ASSERT_MESSAGE(bytes, bytes.ends_with("0\r\n\r\n"));
-        CPPUNIT_ASSERT_MESSAGE(bytes, bytes.find("id: 4\n") != std::string::npos);
+        checkWhole(call({streamThatBreaksOff(), restOfTheStream()}));
+    }
+
+    // Guards against a stream without the events that were read together with the beginning of one
+    // that may not be kept: the next run goes on behind them.
+    void eventsBeforeOneThatMayNotBeKeptArePassedOn()
+    {
+        RawAnswer first = streamThatBreaksOff();
+        const std::size_t head = first.bytes.find("\r\n\r\n") + 4;
+        first.bytes = first.bytes.substr(0, head) + chunk(eventsUpTo(2) + "id: 3\ndata: ");
+        program::AnswerBuffers::Settings noRoom;
+        noRoom.uncounted = 0;
+        noRoom.maximumCounted = 0;
+        checkWhole(call({first, restOfTheStream()}, false, noRoom));
     }
 };
 
