Relay, transport: a stream has the status of its endpoint

What callers saw: 200 for any other success of a stream's endpoint, and a chunked body behind a 204.

Change: the head that begins a stream is the endpoint's; an answer without a body (204, 304, HEAD) is passed on as such, also if it names a length.

Before: streamHasTheStatusOfItsEndpoint fails. After: 86 thread tests of platform, 27 unit tests of platform passed.

--- a/src/program/RelayLog.cpp
+++ b/src/program/RelayLog.cpp
@@ -109,6 +109,15 @@
               {"cause", outcome.reason}});
 }
 
+void logSuspected(const state::EndpointDescription &replica, std::string_view cause)
+{
+    logEvent(LogLevel::Warning, "replica.suspected",
+             {{"endpoint", replica.id.value()},
+              {"address", replica.address.toString()},
+              {"incarnation", replica.incarnation},
+              {"cause", cause}});
+}
+
 void logFailedPeer(const RelayOutcome &outcome, std::string_view result,
                    const AttemptProgress &progress)
 {
--- a/src/program/RelayLog.h
+++ b/src/program/RelayLog.h
@@ -19,6 +19,8 @@
 void logLostAttempt(const RelayOutcome &outcome, const state::EndpointDescription &endpoint,
                     const std::vector<state::RequestPart> &parts, const AttemptProgress &progress);
 
+// A replica that new requests avoid, since the last one failed there.
+void logSuspected(const state::EndpointDescription &replica, std::string_view cause);
 // A request that was handed to a peer, which did not answer it; `result` as the peer has told.
 void logFailedPeer(const RelayOutcome &outcome, std::string_view result,
                    const AttemptProgress &progress);
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -28,6 +28,7 @@
 using coordination::routing::PathOutcome;
 using coordination::routing::PathState;
 using coordination::routing::ReplicaCandidate;
+using protocol::isSuccess;
 using protocol::PeerResult;
 using state::routes::CallKind;
 using state::routes::Route;
@@ -78,16 +79,9 @@
 constexpr int pauseTargetFactor = 4;
 constexpr milliseconds shortestInactivityTimeout{900};
 
-constexpr unsigned statusOk = 200;
-constexpr unsigned statusMultipleChoices = 300;
 constexpr unsigned statusServerError = 500;
 constexpr unsigned statusUnavailable = 503;
 
-bool isSuccess(unsigned status)
-{
-    return status >= statusOk && status < statusMultipleChoices;
-}
-
 AttemptOutcome healthOf(AttemptResult end, bool replaced)
 {
     if (end == AttemptResult::Complete)
@@ -640,11 +634,7 @@
             logReplaced(replica, "attempt");
             this->hooks.share(protocol::EndpointReplaced{replica.id, replica.incarnation});
         } else if (suspected)
-            logEvent(LogLevel::Warning, "replica.suspected",
-                     {{"endpoint", replica.id.value()},
-                      {"address", replica.address.toString()},
-                      {"incarnation", replica.incarnation},
-                      {"cause", this->outcome.reason}});
+            logSuspected(replica, this->outcome.reason);
     }
 
     // Whether the attempt met an incarnation that had ended.
@@ -888,7 +878,7 @@
                                                protocol::HttpHeaders headers)
     {
         AttemptResult end = AttemptResult::Lost;
-        if (isSuccess(stream.status()) && this->route->kind == CallKind::Stream)
+        if (this->bringsEvents(stream))
             end = co_await this->relayStream(stream, std::move(headers));
         else if (this->facts.answerBegun)
             end = this->resumeFailed(stream.status());
@@ -899,6 +889,15 @@
         co_return end;
     }
 
+    bool bringsEvents(const transport::HttpAnswerStream &stream) const
+    {
+        if (!isSuccess(stream.status()) || this->route->kind != CallKind::Stream)
+            return false;
+        // A run that resumes a stream of which nothing is left may say so without a body.
+        return this->facts.answerBegun
+               || stream.report().framing != transport::AnswerFraming::NoBody;
+    }
+
     // The caller already reads the stream that was to be resumed.
     AttemptResult resumeFailed(unsigned status)
     {
@@ -968,12 +967,7 @@
         handing.age = std::chrono::floor<milliseconds>(monotonicNow() - this->arrival);
         handing.timeLeft = left;
         handing.resumeAfter = this->events.lastId();
-        protocol::HttpRequest request;
-        request.method = "POST";
-        request.target = std::string(protocol::peerRelayPath);
-        request.headers.add("Content-Type", "application/octet-stream");
-        request.body = protocol::sealRelayedRequest(this->relay.settings.keys, handing);
-        return request;
+        return protocol::toPeerRequest(this->relay.settings.keys, handing);
     }
 
     // Silence and a withdrawal say nothing about the path: a healthy endpoint may be slow, and the
@@ -1165,6 +1159,7 @@
     asio::awaitable<AttemptResult> relayStream(transport::HttpAnswerStream &stream,
                                                protocol::HttpHeaders headers)
     {
+        const protocol::HttpResponse head{stream.status(), std::move(headers), {}};
         this->events.dropPartialEvent();
         while (true) {
             const auto piece = co_await this->readPiece(stream);
@@ -1179,7 +1174,7 @@
                 this->recordEvents();
                 if (this->inactivityTimeout)
                     this->inactivityTimeout->restart(this->pauseTimeout());
-                const bool passed = co_await this->forwardEvents(whole, headers);
+                const bool passed = co_await this->forwardEvents(whole, head);
                 if (!passed)
                     co_return AttemptResult::Lost;
             }
@@ -1199,7 +1194,7 @@
             this->progress.connectionEnded = true;
             co_return AttemptResult::Lost;
         }
-        co_return co_await this->finishStream(headers);
+        co_return co_await this->finishStream(head);
     }
 
     void recordEvents()
@@ -1210,10 +1205,9 @@
                                            this->progress.firstEventAt);
     }
 
-    asio::awaitable<bool> forwardEvents(std::string_view events,
-                                        const protocol::HttpHeaders &headers)
+    asio::awaitable<bool> forwardEvents(std::string_view events, const protocol::HttpResponse &head)
     {
-        const bool begun = co_await this->beginAnswer(headers);
+        const bool begun = co_await this->beginAnswer(head);
         if (!begun)
             co_return false;
         this->recordPause();
@@ -1234,17 +1228,17 @@
         this->lastEventAt = now;
     }
 
-    asio::awaitable<bool> beginAnswer(const protocol::HttpHeaders &headers)
+    asio::awaitable<bool> beginAnswer(const protocol::HttpResponse &answer)
     {
         if (this->facts.answerBegun)
             co_return true;
         this->facts.answerBegun = true;
         this->openRequest.enter(RequestStage::Answering);
-        this->outcome.status = statusOk;
+        this->outcome.status = answer.status;
         this->outcome.firstAnswer = monotonicNow() - this->arrival;
         if (this->scheduled)
             this->hooks.scheduler.progressed(this->scheduledId, this->attemptNumber, 1);
-        protocol::HttpResponse head{statusOk, headers, {}};
+        protocol::HttpResponse head = answer;
         this->addPeerResult(head.headers, PeerResult::Answer);
         const auto sent = co_await this->exchange.beginStream(std::move(head));
         if (!sent)
@@ -1252,9 +1246,9 @@
         co_return sent.has_value();
     }
 
-    asio::awaitable<AttemptResult> finishStream(const protocol::HttpHeaders &headers)
+    asio::awaitable<AttemptResult> finishStream(const protocol::HttpResponse &head)
     {
-        const bool begun = co_await this->beginAnswer(headers);
+        const bool begun = co_await this->beginAnswer(head);
         if (!begun)
             co_return AttemptResult::Lost;
         const auto sent = co_await this->exchange.finishStream();
--- a/src/protocol/HttpMessage.h
+++ b/src/protocol/HttpMessage.h
@@ -48,6 +48,14 @@
     bool operator==(const HttpResponse &) const = default;
 };
 
+// A 2xx status.
+constexpr bool isSuccess(unsigned status)
+{
+    constexpr unsigned firstSuccess = 200;
+    constexpr unsigned firstRedirection = 300;
+    return status >= firstSuccess && status < firstRedirection;
+}
+
 // Decodes percent-encoding; malformed escapes are left unchanged.
 std::string percentDecode(std::string_view text);
 
--- a/src/protocol/RelayedRequest.cpp
+++ b/src/protocol/RelayedRequest.cpp
@@ -139,6 +139,16 @@
     return seal(keys, requestContext, encode(wire));
 }
 
+HttpRequest toPeerRequest(const SealKeys &keys, const RelayedRequest &relayed)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = std::string(peerRelayPath);
+    request.headers.add("Content-Type", "application/octet-stream");
+    request.body = sealRelayedRequest(keys, relayed);
+    return request;
+}
+
 state::Result<RelayedRequest> unsealRelayedRequest(const SealKeys &keys, std::string_view bytes)
 {
     BOOST_OUTCOME_TRY(const std::string opened, unseal(keys, requestContext, bytes));
--- a/src/protocol/RelayedRequest.h
+++ b/src/protocol/RelayedRequest.h
@@ -64,6 +64,8 @@
                            std::optional<std::chrono::milliseconds> retryAfter);
 
 std::string sealRelayedRequest(const SealKeys &keys, const RelayedRequest &relayed);
+// As a peer's listener takes it.
+HttpRequest toPeerRequest(const SealKeys &keys, const RelayedRequest &relayed);
 // Errors: Unauthorized, Unsupported, Corrupt.
 state::Result<RelayedRequest> unsealRelayedRequest(const SealKeys &keys, std::string_view bytes);
 
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -159,9 +159,16 @@
         return *this->parser;
     }
 
-    // Its answer has no body, whatever length it names.
     bool isHead() const { return this->message.method() == http::verb::head; }
 
+    // Whatever length the answer names.
+    bool isWithoutBody() const
+    {
+        const http::status status = this->parser->get().result();
+        return this->isHead() || status == http::status::no_content
+               || status == http::status::not_modified;
+    }
+
     // Bytes of the body, as many as have arrived; none at its end.
     asio::awaitable<state::Result<std::string>> receive()
     {
@@ -251,7 +258,8 @@
 std::optional<std::uint64_t> HttpAnswerStream::declaredLength() const
 {
     const auto length = this->state->parser->content_length();
-    return length && !this->state->isHead() ? std::optional<std::uint64_t>(*length) : std::nullopt;
+    return length && !this->state->isWithoutBody() ? std::optional<std::uint64_t>(*length)
+                                                   : std::nullopt;
 }
 
 AnswerReport HttpAnswerStream::report() const
@@ -259,7 +267,7 @@
     const State &my = *this->state;
     AnswerReport report;
     if (my.parser->is_header_done()) {
-        report.framing = my.isHead()                  ? AnswerFraming::NoBody
+        report.framing = my.isWithoutBody()           ? AnswerFraming::NoBody
                          : my.parser->chunked()       ? AnswerFraming::Chunks
                          : this->declaredLength()     ? AnswerFraming::Length
                          : this->endsWithConnection() ? AnswerFraming::Connection
--- a/tests/platform/ResumedStreamTest.cpp
+++ b/tests/platform/ResumedStreamTest.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(failureOfAResumedRunAtAPeerIsNoPartOfTheStream);
     CPPUNIT_TEST(streamThatBreaksOffIsResumed);
     CPPUNIT_TEST(eventsBeforeOneThatMayNotBeKeptArePassedOn);
+    CPPUNIT_TEST(streamHasTheStatusOfItsEndpoint);
     CPPUNIT_TEST_SUITE_END();
 
     // All bytes that the caller's connection brings.
@@ -131,6 +132,25 @@
         noRoom.maximumCounted = 0;
         checkWhole(call({first, restOfTheStream()}, false, noRoom));
     }
+
+    // Guards against a 200 in place of another success.
+    void streamHasTheStatusOfItsEndpoint()
+    {
+        RawAnswer created = streamThatBreaksOff();
+        created.bytes.replace(0, std::string_view("HTTP/1.1 200 OK").size(),
+                              "HTTP/1.1 201 Created");
+        created.bytes += "0\r\n\r\n";
+        for (const bool throughPeer : {false, true}) {
+            const std::string bytes = call({created}, throughPeer);
+            CPPUNIT_ASSERT_MESSAGE(bytes, bytes.starts_with("HTTP/1.1 201 "));
+            CPPUNIT_ASSERT_MESSAGE(bytes, bytes.ends_with("\r\n0\r\n\r\n"));
+            const RawAnswer empty{"HTTP/1.1 204 No Content\r\n" + commonHead + "\r\n"};
+            const std::string nothing = call({empty}, throughPeer);
+            CPPUNIT_ASSERT_MESSAGE(nothing, nothing.starts_with("HTTP/1.1 204 "));
+            CPPUNIT_ASSERT_MESSAGE(nothing, nothing.ends_with("\r\n\r\n"));
+            CPPUNIT_ASSERT_MESSAGE(nothing, nothing.find("chunked") == std::string::npos);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ResumedStreamTest);
