Transport: an answer without a length that ends in a failure is not whole

What callers saw: a 200 with the beginning of a body, or a stream that ends early as complete, of an endpoint that failed in the middle and said so with a second head, as servers do that catch an error after they have begun to answer.

Cause: the next answer to the same request ends a first one without a length; one whose body differs tells nothing about it. Its status does: a failure behind the beginning of a success is no second copy.

Change: the comparison takes the first answer's status, and a failure behind a success makes the attempt a lost one.

--- a/soak/StutteringEndpoint.cpp
+++ b/soak/StutteringEndpoint.cpp
@@ -130,6 +130,8 @@
         return "unnamed-failure";
     case AnswerFault::AnsweredAgain:
         return "answered-again";
+    case AnswerFault::FailsMidway:
+        return "fails-midway";
     case AnswerFault::FailedResume:
         return "failed-resume";
     }
@@ -198,10 +200,11 @@
         return AnswerFault::ResetEarly;
     if (isResumed && this->random() % 2 == 0)
         return AnswerFault::FailedResume;
-    constexpr std::array faults{
-            AnswerFault::SecondAnswer,   AnswerFault::SecondAnswer,   AnswerFault::OtherFirst,
-            AnswerFault::FailureFirst,   AnswerFault::InterimOfOther, AnswerFault::Reset,
-            AnswerFault::UnnamedFailure, AnswerFault::AnsweredAgain,  AnswerFault::AnsweredAgain};
+    constexpr std::array faults{AnswerFault::SecondAnswer,   AnswerFault::SecondAnswer,
+                                AnswerFault::OtherFirst,     AnswerFault::FailureFirst,
+                                AnswerFault::InterimOfOther, AnswerFault::Reset,
+                                AnswerFault::UnnamedFailure, AnswerFault::AnsweredAgain,
+                                AnswerFault::AnsweredAgain,  AnswerFault::FailsMidway};
     return drawFrom(faults, this->random);
 }
 
@@ -332,12 +335,16 @@
         co_await reset(socket);
         break;
     }
-    case AnswerFault::AnsweredAgain: {
+    case AnswerFault::AnsweredAgain:
+    case AnswerFault::FailsMidway: {
+        std::vector<std::string> next = call.fault == AnswerFault::FailsMidway
+                                                ? this->answerParts(call, call.id, 500)
+                                                : own;
         const bool sent = co_await sendParts(socket, brokenOffAnywhere(own, this->random));
         if (!sent)
             break;
         co_await transport::pause(drawFrom(secondAnswerDelays, this->random));
-        co_await sendParts(socket, std::move(own));
+        co_await sendParts(socket, std::move(next));
         break;
     }
     case AnswerFault::FailedResume: {
--- a/soak/StutteringEndpoint.h
+++ b/soak/StutteringEndpoint.h
@@ -30,6 +30,7 @@
     ResetEarly,     // the same, before the request has been read
     UnnamedFailure, // of another request, without its id
     AnsweredAgain,  // breaks off; the whole answer follows on the same connection, at once or later
+    FailsMidway,    // breaks off; a 500 to the same request follows
     FailedResume,   // a failure in place of the rest of a stream
 };
 std::string_view toString(AnswerFault fault);
--- a/src/transport/AnswerComparison.cpp
+++ b/src/transport/AnswerComparison.cpp
@@ -1,5 +1,7 @@
 #include "transport/AnswerComparison.h"
 
+#include "protocol/HttpMessage.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -10,8 +12,9 @@
 
 namespace http = boost::beast::http;
 
-AnswerComparison::AnswerComparison()
-    : firstHash(makeHash())
+AnswerComparison::AnswerComparison(unsigned firstStatus)
+    : firstStatus(firstStatus)
+    , firstHash(makeHash())
     , nextHash(makeHash())
 {
     this->parser.body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -62,11 +65,20 @@
 
 bool AnswerComparison::isDecided() const
 {
-    return this->unreadable || this->nextBytes > this->firstBytes || this->parser.is_done();
+    return this->unreadable || this->nextBytes > this->firstBytes || this->parser.is_done()
+           || this->nextFailed();
+}
+
+bool AnswerComparison::nextFailed() const
+{
+    return this->parser.is_header_done() && protocol::isSuccess(this->firstStatus)
+           && !protocol::isSuccess(this->parser.get().result_int());
 }
 
 bool AnswerComparison::firstBrokeOff() const
 {
+    if (this->nextFailed())
+        return true;
     return this->nextBytes > this->firstBytes
            && XXH3_64bits_digest(this->firstHash.get()) == XXH3_64bits_digest(this->nextHash.get());
 }
--- a/src/transport/AnswerComparison.h
+++ b/src/transport/AnswerComparison.h
@@ -1,5 +1,6 @@
 // Compares an answer with the next one to the same request on its connection. An answer without a
-// length that broke off can be told from a whole one by this alone.
+// length that broke off can be told from a whole one by this alone: the next one goes on behind it,
+// or reports a failure.
 #pragma once
 
 #include <boost/beast/http/buffer_body.hpp>
@@ -19,7 +20,7 @@
 class AnswerComparison
 {
 public:
-    AnswerComparison();
+    explicit AnswerComparison(unsigned firstStatus);
 
     void addFirst(std::string_view body);
     // The next answer, from its head on. Not followed by addFirst().
@@ -27,7 +28,7 @@
 
     // More bytes of the next answer don't change the result.
     bool isDecided() const;
-    // The next answer begins with the first one's body and goes on.
+    // The next answer begins with the first one's body and goes on, or is a failure to a success.
     bool firstBrokeOff() const;
 
 private:
@@ -39,7 +40,9 @@
 
     static Hash makeHash();
     void addNextBody(std::string_view body);
+    bool nextFailed() const;
 
+    unsigned firstStatus;
     Hash firstHash;
     std::uint64_t firstBytes = 0;
     Hash nextHash; // of as many bytes as the first body has
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -182,12 +182,20 @@
         co_return this->piece.substr(0, this->piece.size() - body.size);
     }
 
+    AnswerComparison &comparisonOfAnswers()
+    {
+        if (!this->comparison)
+            this->comparison.emplace(this->parser->get().result_int());
+        return *this->comparison;
+    }
+
     // Reads on in the next answer until it shows whether the first one broke off.
     asio::awaitable<void> compareWithNextAnswer(std::chrono::milliseconds timeout)
     {
-        this->comparison.addNext(this->nextAnswer.takeNextAnswer());
+        AnswerComparison &answers = this->comparisonOfAnswers();
+        answers.addNext(this->nextAnswer.takeNextAnswer());
         const state::Instant end = monotonicNow() + std::min(timeout, comparisonTimeout);
-        while (!this->comparison.isDecided() && !this->parser->is_done()) {
+        while (!answers.isDecided() && !this->parser->is_done()) {
             const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - monotonicNow());
             if (left.count() <= 0)
                 break;
@@ -195,7 +203,7 @@
             const state::Result<std::string> bytes = co_await this->receive();
             if (!bytes)
                 break;
-            this->comparison.addNext(bytes.value());
+            answers.addNext(bytes.value());
         }
     }
 
@@ -217,8 +225,8 @@
     std::shared_ptr<HttpCallHandle> handle;
     ClassifyHead classifyHead;
     NextAnswerDetector nextAnswer;
-    AnswerComparison comparison; // of a body with neither a length nor chunks
-    std::uint64_t bodyBytes = 0; // read so far
+    std::optional<AnswerComparison> comparison; // of a body with neither a length nor chunks
+    std::uint64_t bodyBytes = 0;                // read so far
     AnswerEnd end = AnswerEnd::Open;
     std::optional<state::Error> failure; // of an earlier read
     bool sent = false;                   // the whole request
@@ -300,7 +308,7 @@
         std::string piece = my.nextAnswer.append(received.value());
         my.bodyBytes += piece.size();
         if (isUnframed)
-            my.comparison.addFirst(piece);
+            my.comparisonOfAnswers().addFirst(piece);
         if (!piece.empty())
             co_return std::optional<std::string>(std::move(piece));
     }
@@ -338,8 +346,8 @@
     std::string rest = my.nextAnswer.finish();
     if (my.nextAnswer.found() == NextAnswer::OtherRequest)
         return this->brokenOff("another answer begins in the body");
-    if (my.comparison.firstBrokeOff())
-        return this->brokenOff("the answer broke off: the next one has more bytes");
+    if (my.comparison && my.comparison->firstBrokeOff())
+        return this->brokenOff("the answer broke off: the next one goes on, or reports a failure");
     my.end = my.nextAnswer.found() ? AnswerEnd::Repeated : AnswerEnd::Closed;
     return this->lastPiece(std::move(rest));
 }
--- a/tests/platform/RepeatedAnswerTest.cpp
+++ b/tests/platform/RepeatedAnswerTest.cpp
@@ -74,14 +74,19 @@
     return text + body;
 }
 
-// Breaks off before the last `missing` bytes of the body; the whole answer follows at once or
-// later.
-std::vector<RawAnswer> givenAgain(Framing framing, const std::string &body, std::size_t missing)
+// Breaks off before the last `missing` bytes of the body; the next answer follows at once or later.
+std::vector<RawAnswer> brokenOffBefore(const std::string &next, Framing framing,
+                                       const std::string &body, std::size_t missing)
 {
     const std::string whole = answer(framing, body);
     const std::size_t end = whole.find(body) + body.size();
     const std::string begun = missing == 0 ? whole : whole.substr(0, end - missing);
-    return {RawAnswer{.bytes = begun + whole}, RawAnswer{.bytes = begun, .later = whole}};
+    return {RawAnswer{.bytes = begun + next}, RawAnswer{.bytes = begun, .later = next}};
+}
+
+std::vector<RawAnswer> givenAgain(Framing framing, const std::string &body, std::size_t missing)
+{
+    return brokenOffBefore(answer(framing, body), framing, body, missing);
 }
 
 state::Result<protocol::HttpResponse> call(Kind kind, std::deque<RawAnswer> answers,
@@ -119,6 +124,7 @@
     CPPUNIT_TEST(bodyThatBrokeOffAndIsGivenAgainIsNoSuccess);
     CPPUNIT_TEST(callIsRepeatedIfItsAnswerBrokeOffAndIsGivenAgain);
     CPPUNIT_TEST(streamThatBrokeOffAndIsGivenAgainIsResumed);
+    CPPUNIT_TEST(answerThatBreaksOffInAFailureIsNoSuccess);
     CPPUNIT_TEST(wholeAnswerThatIsGivenAgainIsWhole);
     CPPUNIT_TEST(bodyThatEndsLikeAHeadIsWhole);
     CPPUNIT_TEST_SUITE_END();
@@ -165,6 +171,26 @@
         }
     }
 
+    // Guards against a part of an answer as a success, of an endpoint that failed in its middle and
+    // said so on the same connection.
+    void answerThatBreaksOffInAFailureIsNoSuccess()
+    {
+        const std::string failure = "HTTP/1.1 500 Internal Server Error\r\nRequest-Id: r1\r\n"
+                                    "Response-Seal: seal\r\nContent-Length: 5\r\n\r\nerror";
+        const std::string body = numberedBody();
+        const std::string events = longEvents(1, eventsOfStream);
+        for (const Framing framing : framings) {
+            const RawAnswer rest{answer(framing, longEvents(3, eventsOfStream))};
+            for (const RawAnswer &sent : brokenOffBefore(failure, framing, body, 300)) {
+                checkNoSuccess(sent, call(Kind::NonIdempotent, {sent}));
+                checkWhole(sent, call(Kind::Idempotent, {sent, {answer(framing, body)}}), body);
+            }
+            const std::size_t twoEvents = longEvent(1).size() * 2;
+            for (const RawAnswer &sent : brokenOffBefore(failure, framing, events, twoEvents))
+                checkWhole(sent, call(Kind::Stream, {sent, rest}), events);
+        }
+    }
+
     void wholeAnswerThatIsGivenAgainIsWhole()
     {
         const std::string body = numberedBody();
--- a/tests/transport/AnswerComparisonTest.cpp
+++ b/tests/transport/AnswerComparisonTest.cpp
@@ -39,7 +39,7 @@
 // In pieces of that many bytes.
 Seen compare(const std::string &first, const std::string &next, std::size_t pieceBytes)
 {
-    AnswerComparison comparison;
+    AnswerComparison comparison(200);
     for (std::size_t at = 0; at < first.size(); at += pieceBytes)
         comparison.addFirst(std::string_view(first).substr(at, pieceBytes));
     for (std::size_t at = 0; at < next.size(); at += pieceBytes)
@@ -56,6 +56,7 @@
     CPPUNIT_TEST(equalAnswersAreWhole);
     CPPUNIT_TEST(answerOfAnotherRunTellsNothing);
     CPPUNIT_TEST(nextThatBrokeOffTellsNothing);
+    CPPUNIT_TEST(successBeforeAFailureBrokeOff);
     CPPUNIT_TEST_SUITE_END();
 
     static void check(const std::string &first, const std::string &next, bool brokeOff)
@@ -94,6 +95,17 @@
         CPPUNIT_ASSERT(!compare("the answer", cut, 1'000).brokeOff);
         CPPUNIT_ASSERT(!compare("the answer", "HTTP/1.1 200 ", 1'000).decided);
     }
+
+    // Guards against a part of an answer that counts as whole where the endpoint reports a failure.
+    void successBeforeAFailureBrokeOff()
+    {
+        const std::string failure = "HTTP/1.1 500 Failed\r\nContent-Length: 5\r\n\r\n";
+        const Seen seen = compare("the answ", failure, 7);
+        CPPUNIT_ASSERT(seen.decided && seen.brokeOff);
+        AnswerComparison ofFailures(404);
+        ofFailures.addNext(failure);
+        CPPUNIT_ASSERT(!ofFailures.firstBrokeOff());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AnswerComparisonTest);
