--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -50,6 +50,7 @@
     std::string folder;
     std::uint64_t seed = 1;
     unsigned seconds = 15;
+    std::size_t scenarioEntries = 6;
     std::string pathLoss;    // how connections of cut-off entries fail; empty: not played
     std::string controlLoss; // how control members stop running; empty: not played
     bool endpointLimits = false;
@@ -74,7 +75,6 @@
 
 constexpr std::size_t callers = 6;
 constexpr std::size_t entries = 4;
-constexpr std::size_t entriesForScenarios = 6;
 constexpr std::size_t controls = 3;
 constexpr std::size_t controlsForControlLoss = 5;
 constexpr std::size_t entriesCutOff = 3;
@@ -117,7 +117,7 @@
         , fleet({.binary = options.binary,
                  .folder = options.folder,
                  .controls = options.controlLoss.empty() ? controls : controlsForControlLoss,
-                 .entries = options.playsScenario() ? entriesForScenarios : entries,
+                 .entries = options.playsScenario() ? options.scenarioEntries : entries,
                  .changeInForceMs = std::uint32_t(changeInForce.count()),
                  .terminationMs = terminationMsOf(options),
                  .port = portOf(options.seed)})
@@ -623,6 +623,8 @@
             ->required();
     app.add_option("--seed", options.seed, "Of the faults and the load");
     app.add_option("--seconds", options.seconds, "How long faults strike");
+    app.add_option("--entries", options.scenarioEntries, "Entries of a scenario")
+            ->check(CLI::Range(6, 60));
     app.add_option("--path-loss", options.pathLoss,
                    "Cut entries off from endpoints: hang, reset, quiet")
             ->check(CLI::IsMember({"hang", "reset", "quiet"}));
