--- /dev/null
+++ b/tests/platform/RawCall.h
@@ -0,0 +1,52 @@
+// One call through a relay to an endpoint whose answers are given byte for byte.
+#pragma once
+
+#include "RelayFixture.h"
+
+#include "fakes/RawEndpoint.h"
+
+#include <array>
+#include <cstdio>
+#include <deque>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lavenderthread::platform {
+
+// The relay knows the endpoint under two ids, so that it may try a second time.
+class RawCall
+{
+public:
+    RawCall(state::routes::CallKind kind, std::deque<fakes::RawAnswer> answers,
+            bool throughPeer = false, program::AnswerBuffers::Settings buffers = {})
+        : endpoint(std::move(answers))
+        , fixture(kind, {}, false, peersOf(throughPeer), buffers)
+    {
+        constexpr int enoughForARetry = 2;
+        this->fixture.announce(this->endpoint.address(), enoughForARetry);
+        this->fixture.pathLost = throughPeer;
+    }
+
+    state::Result<protocol::HttpResponse> answer() { return this->fixture.call(); }
+    // All bytes that the caller's connection brings.
+    std::string bytes() { return this->fixture.callRaw(); }
+
+private:
+    static std::vector<PeerBehaviour> peersOf(bool throughPeer)
+    {
+        return throughPeer ? std::vector{PeerBehaviour::Serves} : std::vector<PeerBehaviour>();
+    }
+
+    fakes::RawEndpoint endpoint;
+    RelayFixture fixture;
+};
+
+inline std::string chunk(const std::string &bytes)
+{
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx", bytes.size());
+    return std::string(size.data()) + "\r\n" + bytes + "\r\n";
+}
+
+} // namespace lavenderthread::platform
--- a/tests/platform/RepeatedAnswerTest.cpp
+++ b/tests/platform/RepeatedAnswerTest.cpp
@@ -1,15 +1,13 @@
 // Tests answers that break off and are then given again, from the start, on the same connection.
-#include "RelayFixture.h"
-
-#include "fakes/RawEndpoint.h"
+#include "RawCall.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <array>
-#include <cstdio>
 #include <deque>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lavenderthread::platform {
@@ -17,7 +15,6 @@
 namespace {
 
 using fakes::RawAnswer;
-using fakes::RawEndpoint;
 using Kind = state::routes::CallKind;
 
 enum class Framing { Length, Chunks, Connection };
@@ -49,13 +46,6 @@
     return events;
 }
 
-std::string chunk(const std::string &bytes)
-{
-    std::array<char, 16> size{};
-    std::snprintf(size.data(), size.size(), "%zx", bytes.size());
-    return std::string(size.data()) + "\r\n" + bytes + "\r\n";
-}
-
 std::string head(Framing framing, std::size_t bytes)
 {
     std::string text = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: seal\r\n";
@@ -92,15 +82,7 @@
 state::Result<protocol::HttpResponse> call(Kind kind, std::deque<RawAnswer> answers,
                                            bool throughPeer = false)
 {
-    RawEndpoint endpoint(std::move(answers));
-    std::vector<PeerBehaviour> peers;
-    if (throughPeer)
-        peers.push_back(PeerBehaviour::Serves);
-    RelayFixture fixture(kind, {}, false, peers);
-    constexpr int enoughForARetry = 2;
-    fixture.announce(endpoint.address(), enoughForARetry);
-    fixture.pathLost = throughPeer;
-    return fixture.call();
+    return RawCall(kind, std::move(answers), throughPeer).answer();
 }
 
 void checkNoSuccess(const RawAnswer &sent, const state::Result<protocol::HttpResponse> &got)
--- a/tests/platform/ResumedStreamTest.cpp
+++ b/tests/platform/ResumedStreamTest.cpp
@@ -1,33 +1,22 @@
 // Tests what callers of streams get, byte for byte, when a run is lost and when another resumes it.
-#include "RelayFixture.h"
-
-#include "fakes/RawEndpoint.h"
+#include "RawCall.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <array>
-#include <cstdio>
 #include <deque>
 #include <string>
+#include <utility>
 
 namespace lavenderthread::platform {
 
 namespace {
 
 using fakes::RawAnswer;
-using fakes::RawEndpoint;
 using Kind = state::routes::CallKind;
 
 const std::string commonHead = "Request-Id: r1\r\nResponse-Seal: seal\r\n";
 
-std::string chunk(const std::string &bytes)
-{
-    std::array<char, 16> size{};
-    std::snprintf(size.data(), size.size(), "%zx", bytes.size());
-    return std::string(size.data()) + "\r\n" + bytes + "\r\n";
-}
-
 // Breaks off after two events.
 RawAnswer streamThatBreaksOff()
 {
@@ -62,19 +51,10 @@
     CPPUNIT_TEST(streamHasTheStatusOfItsEndpoint);
     CPPUNIT_TEST_SUITE_END();
 
-    // All bytes that the caller's connection brings.
     static std::string call(std::deque<RawAnswer> answers, bool throughPeer = false,
                             program::AnswerBuffers::Settings buffers = {})
     {
-        RawEndpoint endpoint(std::move(answers));
-        std::vector<PeerBehaviour> peers;
-        if (throughPeer)
-            peers.push_back(PeerBehaviour::Serves);
-        RelayFixture fixture(Kind::Stream, {}, false, peers, buffers);
-        constexpr int enoughForARetry = 2;
-        fixture.announce(endpoint.address(), enoughForARetry);
-        fixture.pathLost = throughPeer;
-        return fixture.callRaw();
+        return RawCall(Kind::Stream, std::move(answers), throughPeer, buffers).bytes();
     }
 
     static std::size_t headsIn(const std::string &bytes)
--- a/tests/platform/TruncatedAnswerRelayTest.cpp
+++ b/tests/platform/TruncatedAnswerRelayTest.cpp
@@ -1,12 +1,11 @@
 // Answers of endpoints and peers that end within their head or framing, through the relay.
-#include "RelayFixture.h"
-
-#include "fakes/RawEndpoint.h"
+#include "RawCall.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lavenderthread::platform {
@@ -77,15 +76,7 @@
 state::Result<protocol::HttpResponse> callWith(Kind kind, std::deque<RawAnswer> answers,
                                                bool throughPeer = false)
 {
-    RawEndpoint endpoint(std::move(answers));
-    std::vector<PeerBehaviour> peers;
-    if (throughPeer)
-        peers.push_back(PeerBehaviour::Serves);
-    RelayFixture fixture(kind, {}, false, peers);
-    constexpr int enoughForARetry = 2;
-    fixture.announce(endpoint.address(), enoughForARetry);
-    fixture.pathLost = throughPeer;
-    return fixture.call();
+    return RawCall(kind, std::move(answers), throughPeer).answer();
 }
 
 void checkNoSuccess(const std::string &sent, const state::Result<protocol::HttpResponse> &answer)
