Tests: two checks measure what they guard, also on a busy machine

The relay gives the attempt up after 0.9 s and asks again from the start, and the test's answers, which are given in turn, met the wrong attempt. RawCall's relay waits for the whole time of its route now; giving up silent endpoints is tested elsewhere (RelayTest, SilentPathTest).

It guards an entry's processor time, so it measures that; the bound of 2 s is unchanged.

--- a/tests/platform/RawCall.h
+++ b/tests/platform/RawCall.h
@@ -14,7 +14,9 @@
 
 namespace lavenderthread::platform {
 
-// The relay knows the endpoint under two ids, so that it may try a second time.
+// The relay knows the endpoint under two ids, so that it may try a second time. It is patient: on a
+// busy machine the endpoint may be silent for longer than an attempt lasts, and answers that are
+// given in turn would meet other attempts than meant.
 class RawCall
 {
 public:
@@ -24,6 +26,8 @@
         , fixture(kind, {}, false, peersOf(throughPeer), buffers)
     {
         constexpr int enoughForARetry = 2;
+        constexpr bool patient = true;
+        this->fixture.publishRoutes(kind, false, patient);
         this->fixture.announce(this->endpoint.address(), enoughForARetry);
         this->fixture.pathLost = throughPeer;
     }
--- a/tests/platform/RelayFixture.h
+++ b/tests/platform/RelayFixture.h
@@ -146,6 +146,30 @@
         return program::runToEnd(run(address, std::move(wanted)));
     }
 
+    // `patient`: no attempt is given up for silence before the route's time is over.
+    void publishRoutes(state::routes::CallKind kind, bool engines, bool patient = false)
+    {
+        state::routes::RouteTableDraft draft;
+        draft.version = 1;
+        draft.services = {{service, "/health", 10, {}}};
+        if (engines)
+            draft.services.front().engine = state::routes::EngineProfile{.slots = 1};
+        state::routes::Route route;
+        route.name = "route";
+        route.host = "h";
+        route.pathPrefix = "/p/";
+        route.kind = kind;
+        route.resumable = true;
+        const bool streams = kind == state::routes::CallKind::Stream;
+        route.timeout = std::chrono::milliseconds(streams ? 5'000 : 2'000);
+        route.firstAnswerTarget = patient ? route.timeout : std::chrono::milliseconds(300);
+        route.pauseTarget = patient ? route.timeout : std::chrono::milliseconds(200);
+        route.attempts = 2;
+        route.services = {{service, 1}};
+        draft.routes = {route};
+        this->routes.publish(state::routes::RouteTable::create(std::move(draft)).value());
+    }
+
     // Adds endpoints of the service at an address that the test serves.
     void announce(const state::Address &address, int count)
     {
@@ -379,29 +403,6 @@
         return hooks;
     }
 
-    void publishRoutes(state::routes::CallKind kind, bool engines)
-    {
-        state::routes::RouteTableDraft draft;
-        draft.version = 1;
-        draft.services = {{service, "/health", 10, {}}};
-        if (engines)
-            draft.services.front().engine = state::routes::EngineProfile{.slots = 1};
-        state::routes::Route route;
-        route.name = "route";
-        route.host = "h";
-        route.pathPrefix = "/p/";
-        route.kind = kind;
-        route.resumable = true;
-        const bool streams = kind == state::routes::CallKind::Stream;
-        route.timeout = std::chrono::milliseconds(streams ? 5'000 : 2'000);
-        route.firstAnswerTarget = std::chrono::milliseconds(300);
-        route.pauseTarget = std::chrono::milliseconds(200);
-        route.attempts = 2;
-        route.services = {{service, 1}};
-        draft.routes = {route};
-        this->routes.publish(state::routes::RouteTable::create(std::move(draft)).value());
-    }
-
     RouteRelay::Hooks hooks()
     {
         RouteRelay::Hooks hooks;
--- a/tests/transport/NextAnswerDetectorTest.cpp
+++ b/tests/transport/NextAnswerDetectorTest.cpp
@@ -4,7 +4,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <chrono>
+#include <ctime>
 #include <optional>
 #include <string>
 
@@ -156,7 +156,7 @@
     void bodiesOfBeginningsTakeLittleTime()
     {
         constexpr std::size_t bodyBytes = 16U << 20U;
-        constexpr std::chrono::seconds longest{2};
+        constexpr double longestSeconds = 2;
         for (const std::string &text :
              {std::string("H"), std::string("HTTP/1.1 200 "), std::string("HTTP/1.1 200 x\r\n"),
               std::string("HTTP/1.1 200 x\r\na: b\r\n"),
@@ -166,9 +166,10 @@
             while (body.size() < bodyBytes)
                 body += text;
             body += " that ends in another way";
-            const auto begin = std::chrono::steady_clock::now();
+            const std::clock_t begin = std::clock();
             const Seen seen = readIn(64U << 10U, body);
-            CPPUNIT_ASSERT_MESSAGE(text, std::chrono::steady_clock::now() - begin < longest);
+            const double seconds = double(std::clock() - begin) / CLOCKS_PER_SEC;
+            CPPUNIT_ASSERT_MESSAGE(text, seconds < longestSeconds);
             CPPUNIT_ASSERT_EQUAL(body.size(), seen.body.size());
         }
     }
