--- a/src/transport/NextAnswerDetector.cpp
+++ b/src/transport/NextAnswerDetector.cpp
@@ -139,6 +139,7 @@
     if (this->nextAnswer)
         return {};
     std::string rest = this->kept;
+    // A next answer that begins right behind the body says nothing about it.
     const bool endsBeforeHead = mayBeginStatusLine(behind);
     const std::size_t headAt = endsBeforeHead ? rest.size() : this->append(behind).size();
     this->kept.clear();
