--- a/tests/platform/RepeatedAnswerTest.cpp
+++ b/tests/platform/RepeatedAnswerTest.cpp
@@ -173,6 +173,7 @@
         }
     }
 
+    // Guards against a whole answer that is lost since it is given twice.
     void wholeAnswerThatIsGivenAgainIsWhole()
     {
         const std::string body = numberedBody();
--- a/tests/platform/ResumedStreamTest.cpp
+++ b/tests/platform/ResumedStreamTest.cpp
@@ -89,6 +89,7 @@
             checkCutBehindTwoEvents(call({streamThatBreaksOff(), failure(status)}));
     }
 
+    // Guards against the same where a peer has the request and resumes the stream.
     void failureOfAResumedRunAtAPeerIsNoPartOfTheStream()
     {
         for (const unsigned status : {302U, 400U, 404U, 500U})
--- a/tests/transport/NextAnswerDetectorTest.cpp
+++ b/tests/transport/NextAnswerDetectorTest.cpp
@@ -104,6 +104,7 @@
                                                 : NextAnswer::OtherRequest);
     }
 
+    // Guards against a whole answer that is lost since another one follows it.
     void headBehindAFramedBodyIsNoPartOfIt()
     {
         for (const std::string &body : {std::string("a body"), std::string("a body, H"),
