Relay: logs tell how an endpoint answered a run, and how many events were passed on

Cause: only lost attempts were logged, and the head of an answer was kept only for its framing.

Change: answer_status and events in relay.finished, answer_status and resumed in attempt.lost, attempt.failed beside it. The head is recorded in one place, for endpoints and peers.

--- a/src/program/RelayLog.cpp
+++ b/src/program/RelayLog.cpp
@@ -88,23 +88,28 @@
               {"predicted_first_us", std::int64_t(outcome.predictedFirst.count())},
               {"longest_pause_us", std::int64_t(outcome.longestPause.count())},
               {"total_us", std::int64_t(outcome.total.count())},
+              {"events", outcome.passedEvents},
+              {"answer_status", outcome.answerStatus},
               {"answer", formatAnswer(outcome)},
               {"reason", outcome.reason}});
 }
 
-void logLostAttempt(const RelayOutcome &outcome, const state::EndpointDescription &endpoint,
-                    const std::vector<state::RequestPart> &parts, const AttemptProgress &progress)
+void logEndedAttempt(std::string_view event, const RelayOutcome &outcome,
+                     const state::EndpointDescription &endpoint,
+                     const std::vector<state::RequestPart> &parts, const AttemptProgress &progress)
 {
-    logEvent(LogLevel::Info, "attempt.lost",
+    logEvent(LogLevel::Info, event,
              {{"request", outcome.id.value()},
               {"attempt", outcome.attempts},
               {"endpoint", endpoint.id.value()},
               {"incarnation", endpoint.incarnation},
               {"for_peer", outcome.forPeer},
+              {"resumed", outcome.resumed ? "yes" : "no"},
               {"connection", progress.connectionEnded ? "ended" : "given-up"},
               {"events", progress.events},
               {"after_us", std::int64_t((monotonicNow() - progress.sentAt).count())},
               {"parts", state::formatRequestParts(parts)},
+              {"answer_status", outcome.answerStatus},
               {"answer", formatAnswer(outcome)},
               {"cause", outcome.reason}});
 }
--- a/src/program/RelayOutcome.h
+++ b/src/program/RelayOutcome.h
@@ -38,6 +38,8 @@
     state::Duration longestPause{};   // between two writes of a stream to the caller
     state::Duration total{};
     transport::AnswerReport answer; // of the last attempt
+    unsigned answerStatus = 0;      // of that answer; 0: none
+    std::uint64_t passedEvents = 0; // of a stream, by all attempts together
     bool answerNamesRequest = true; // by its id; of the last attempt at an endpoint
 };
 
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -136,6 +136,7 @@
         if (accepted)
             co_await this->runAccepted();
         this->outcome.total = monotonicNow() - this->arrival;
+        this->outcome.passedEvents = this->events.passedEvents();
         co_return this->outcome;
     }
 
@@ -760,8 +761,9 @@
         this->hooks.attemptStarted(endpoint);
         auto exchanging = this->exchangeWith(std::move(target));
         const AttemptResult end = co_await this->supervise(std::move(exchanging));
-        if (end == AttemptResult::Lost)
-            logLostAttempt(this->outcome, endpoint, this->parts, this->progress);
+        if (end == AttemptResult::Lost || end == AttemptResult::Failed)
+            logEndedAttempt(end == AttemptResult::Lost ? "attempt.lost" : "attempt.failed",
+                            this->outcome, endpoint, this->parts, this->progress);
         if (end == AttemptResult::Lost && this->mayHaveCrashed(endpoint))
             co_await this->hooks.guard->attemptLost(endpoint, this->parts, this->progress.sentAt,
                                                     this->progress.firstEventAt);
@@ -774,6 +776,7 @@
         ++this->outcome.attempts;
         this->openRequest.enter(RequestStage::Sent);
         this->outcome.answer = {};
+        this->outcome.answerStatus = 0;
         this->outcome.answerNamesRequest = true;
         this->progress = {};
         this->progress.sentAt = monotonicNow();
@@ -834,7 +837,6 @@
         }
         this->hooks.recordPath(target.endpoint, PathOutcome::Reached);
         transport::HttpAnswerStream &stream = opened.value();
-        this->outcome.answer = stream.report();
         const protocol::HttpHeaders headers = stream.headers();
         const EndpointAnswerHead head =
                 this->hooks.codec.readHead(stream.status(), headers, this->request.id);
@@ -917,9 +919,14 @@
         limits.classifyHead = [this](const protocol::HttpHeaders &headers) {
             return this->hooks.codec.classifyHead(headers, this->request.id);
         };
-        co_return co_await transport::openHttpStream(this->exchange.executor(), std::move(peer),
-                                                     std::move(request), limits,
-                                                     std::move(beforeSend), this->running->handle);
+        auto opened = co_await transport::openHttpStream(
+                this->exchange.executor(), std::move(peer), std::move(request), limits,
+                std::move(beforeSend), this->running->handle);
+        if (opened) {
+            this->outcome.answer = opened.value().report();
+            this->outcome.answerStatus = opened.value().status();
+        }
+        co_return opened;
     }
 
     asio::awaitable<AttemptResult> exchangeWithPeer(state::Address peer)
