Soak, tests: resumed runs with any status, framing and type, failing

Change: the soak's wrong resumed runs were four failures with a length; now any status from 200 to 599, with a length, chunks or neither, of three types, empty, with an error's text or with events. ResumedStreamTest has the table of classes, through an entry and a peer.

--- a/soak/StutteringEndpoint.cpp
+++ b/soak/StutteringEndpoint.cpp
@@ -32,7 +32,13 @@
 constexpr milliseconds beforeReset{60};
 constexpr std::array secondAnswerDelays{milliseconds(0), milliseconds(50), milliseconds(200)};
 constexpr std::array unnamedStatuses{400U, 404U, 421U, 500U};
-constexpr std::array failedResumes{302U, 404U, 409U, 500U};
+// Successes and others without events, which could be taken for the rest of a stream.
+constexpr std::array likelyResumes{200U, 201U, 204U, 205U, 206U, 304U};
+constexpr unsigned leastFinalStatus = 200;
+constexpr unsigned finalStatuses = 400; // 200 to 599
+constexpr std::array<std::string_view, 3> resumeTypes{"Content-Type: text/event-stream\r\n",
+                                                      "Content-Type: application/json\r\n", ""};
+constexpr std::string_view errorText = "an error of the endpoint";
 constexpr std::uint64_t largestRequest = 64U << 20U;
 
 template <std::size_t size, typename Value>
@@ -255,6 +261,46 @@
     return parts;
 }
 
+// Any status, framing and type, with no events that follow unless status or type tell that they
+// belong to no stream.
+std::string StutteringEndpoint::drawWrongResume(const Call &call)
+{
+    const unsigned status = this->random() % 2 == 0
+                                    ? drawFrom(likelyResumes, this->random)
+                                    : leastFinalStatus + this->random() % finalStatuses;
+    const std::size_t type = this->random() % resumeTypes.size();
+    const bool isStream = status == 200 && type == 0;
+    std::string body;
+    switch (this->random() % 4) {
+    case 0:
+        break;
+    case 1:
+        body = errorText;
+        break;
+    case 2:
+        body = std::string(errorText) + "\n\n";
+        break;
+    default: {
+        const std::uint64_t last = isStream ? call.firstEvent - 2 : events;
+        for (std::uint64_t event = 1; event <= last; ++event)
+            body += expectedEvent(call.id, event);
+    }
+    }
+    std::string head = "HTTP/1.1 " + std::to_string(status)
+                       + " Some Reason\r\nRequest-Id: " + call.id + "\r\nResponse-Seal: seal\r\n"
+                       + std::string(resumeTypes.at(type));
+    switch (call.framing) {
+    case BodyFraming::Length:
+        return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    case BodyFraming::Chunks:
+        return head + "Transfer-Encoding: chunked\r\n\r\n"
+               + (body.empty() ? std::string() : chunk(body)) + "0\r\n\r\n";
+    case BodyFraming::Connection:
+        break;
+    }
+    return head + "Connection: close\r\n\r\n" + body;
+}
+
 asio::awaitable<void> StutteringEndpoint::serve(tcp::socket socket)
 {
     const auto self = this->shared_from_this();
@@ -348,8 +394,7 @@
         break;
     }
     case AnswerFault::FailedResume: {
-        const unsigned status = drawFrom(failedResumes, this->random);
-        co_await sendParts(socket, this->answerParts(call, call.id, status));
+        co_await send(socket, this->drawWrongResume(call));
         break;
     }
     case AnswerFault::UnnamedFailure: {
--- a/soak/StutteringEndpoint.h
+++ b/soak/StutteringEndpoint.h
@@ -31,7 +31,7 @@
     UnnamedFailure, // of another request, without its id
     AnsweredAgain,  // breaks off; the whole answer follows on the same connection, at once or later
     FailsMidway,    // breaks off; a 500 to the same request follows
-    FailedResume,   // a failure in place of the rest of a stream
+    FailedResume,   // another answer in place of the rest of a stream
 };
 std::string_view toString(AnswerFault fault);
 
@@ -78,6 +78,7 @@
     BodyFraming drawFraming();
     std::vector<std::string> answerParts(const Call &call, const std::string &id, unsigned status);
     std::string drawOtherId(const Call &call);
+    std::string drawWrongResume(const Call &call);
 
     boost::asio::io_context &context;
     Settings settings;
--- a/tests/platform/ResumedStreamTest.cpp
+++ b/tests/platform/ResumedStreamTest.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <deque>
 #include <string>
 #include <utility>
@@ -39,6 +40,28 @@
             + "Content-Length: 9\r\n\r\nits error"};
 }
 
+enum class Framing { Length, Chunks, Connection };
+constexpr std::array framings{Framing::Length, Framing::Chunks, Framing::Connection};
+const std::string eventStream = "Content-Type: text/event-stream\r\n";
+
+// An answer that ends in order.
+RawAnswer answerOf(unsigned status, const std::string &typeLine, Framing framing,
+                   const std::string &body)
+{
+    const std::string head =
+            "HTTP/1.1 " + std::to_string(status) + " Some Reason\r\n" + commonHead + typeLine;
+    switch (framing) {
+    case Framing::Length:
+        return {head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
+    case Framing::Chunks:
+        return {head + "Transfer-Encoding: chunked\r\n\r\n"
+                + (body.empty() ? std::string() : chunk(body)) + "0\r\n\r\n"};
+    case Framing::Connection:
+        break;
+    }
+    return {head + "\r\n" + body};
+}
+
 } // namespace
 
 class ResumedStreamTest : public CppUnit::TestFixture
@@ -46,6 +69,10 @@
     CPPUNIT_TEST_SUITE(ResumedStreamTest);
     CPPUNIT_TEST(failureOfAResumedRunIsNoPartOfTheStream);
     CPPUNIT_TEST(failureOfAResumedRunAtAPeerIsNoPartOfTheStream);
+    CPPUNIT_TEST(runWithoutANextEventDoesNotEndTheStream);
+    CPPUNIT_TEST(answerOfAnotherStatusIsNoPartOfTheStream);
+    CPPUNIT_TEST(answerOfAnotherTypeIsNoPartOfTheStream);
+    CPPUNIT_TEST(runThatRepeatsTheLastEventMayEndTheStream);
     CPPUNIT_TEST(streamThatBreaksOffIsResumed);
     CPPUNIT_TEST(eventsBeforeOneThatMayNotBeKeptArePassedOn);
     CPPUNIT_TEST(streamHasTheStatusOfItsEndpoint);
@@ -72,6 +99,15 @@
         CPPUNIT_ASSERT_MESSAGE(bytes, bytes.ends_with(chunk(eventsUpTo(2))));
     }
 
+    // In place of the rest of a stream, at the entry's own endpoint or at a peer's.
+    static void checkNoPartOfTheStream(const RawAnswer &answer)
+    {
+        for (const bool throughPeer : {false, true}) {
+            const std::string bytes = call({streamThatBreaksOff(), answer}, throughPeer);
+            checkCutBehindTwoEvents(bytes);
+        }
+    }
+
     static void checkWhole(const std::string &bytes)
     {
         CPPUNIT_ASSERT_EQUAL_MESSAGE(bytes, std::size_t(1), headsIn(bytes));
@@ -96,6 +132,55 @@
             checkCutBehindTwoEvents(call({streamThatBreaksOff(), failure(status)}, true));
     }
 
+    // Guards against a stream that lacks events and ends as if it were complete, since the run that
+    // was to resume it ended in order without one that the caller lacks.
+    void runWithoutANextEventDoesNotEndTheStream()
+    {
+        for (const std::string &body : {std::string(), std::string(": ping\n\n"), eventsUpTo(1)}) {
+            for (const Framing framing : framings)
+                checkNoPartOfTheStream(answerOf(200, eventStream, framing, body));
+        }
+    }
+
+    // Guards against the same, and against foreign bytes in a stream, where the run that was to
+    // resume it is answered with another status.
+    void answerOfAnotherStatusIsNoPartOfTheStream()
+    {
+        constexpr std::array statuses{201U, 202U, 203U, 204U, 205U, 206U, 226U, 299U,
+                                      300U, 304U, 399U, 400U, 429U, 499U, 500U, 599U};
+        for (const unsigned status : statuses) {
+            const Framing framing = framings.at(status % framings.size());
+            for (const std::string &body : {std::string(), eventsUpTo(4)})
+                checkNoPartOfTheStream(answerOf(status, eventStream, framing, body));
+        }
+    }
+
+    // Guards against a page or an error that comes with a 200 in the middle of a stream.
+    void answerOfAnotherTypeIsNoPartOfTheStream()
+    {
+        for (const std::string &type :
+             {std::string(), std::string("Content-Type: text/html; charset=utf-8\r\n")}) {
+            for (const Framing framing : framings) {
+                for (const std::string &body : {std::string("its\n\nerror\n\n"), eventsUpTo(4)})
+                    checkNoPartOfTheStream(answerOf(200, type, framing, body));
+            }
+        }
+    }
+
+    void runThatRepeatsTheLastEventMayEndTheStream()
+    {
+        const std::string type = "content-type: Text/Event-Stream; charset=utf-8\r\n";
+        for (const Framing framing : {Framing::Length, Framing::Chunks}) {
+            for (const int last : {2, 4}) {
+                const std::string bytes = call(
+                        {streamThatBreaksOff(), answerOf(200, type, framing, eventsUpTo(last))});
+                CPPUNIT_ASSERT_MESSAGE(bytes, bytes.ends_with("\r\n0\r\n\r\n"));
+                const std::string lastEvent = "id: " + std::to_string(last) + "\n";
+                CPPUNIT_ASSERT_MESSAGE(bytes, bytes.find(lastEvent) != std::string::npos);
+            }
+        }
+    }
+
     void streamThatBreaksOffIsResumed()
     {
         checkWhole(call({streamThatBreaksOff(), restOfTheStream()}));
