Relay: a run goes on with a stream only if its answer could have begun it

Cause: once a stream had begun, RouteRelay::bringsEvents took every success for the rest of it, also one without a body, although the caller has the head of the first answer, and that is what the bytes behind it have to fit.

Change: a run that resumes must have the status and the media type with which the stream began, and a body; what has not ends the attempt as a failure does. One place decides for entry and peer.

Before: answerOfAnotherStatusIsNoPartOfTheStream and answerOfAnotherTypeIsNoPartOfTheStream failed.

--- /dev/null
+++ b/src/program/RelayAttempt.cpp
@@ -0,0 +1,35 @@
+#include "program/RelayAttempt.h"
+
+#include "transport/HttpClient.h"
+
+namespace lavenderthread::program {
+
+using coordination::relay::AttemptResult;
+using coordination::routing::AttemptOutcome;
+
+namespace {
+
+// A connection that is not made in this time tells something about the path.
+constexpr std::chrono::milliseconds conclusiveConnectTime{300};
+
+} // namespace
+
+AttemptOutcome healthOf(AttemptResult end, bool replaced)
+{
+    if (end == AttemptResult::Complete)
+        return AttemptOutcome::Succeeded;
+    if (end == AttemptResult::NotRun && replaced)
+        return AttemptOutcome::Replaced;
+    return end == AttemptResult::NeverSent ? AttemptOutcome::Unreachable : AttemptOutcome::Failed;
+}
+
+// Silence and a withdrawal say nothing about the path: a healthy endpoint may be slow, and the
+// caller's deadline may end a connection early.
+bool isPathFailure(const state::Error &error, std::chrono::milliseconds timeLeft)
+{
+    if (error.code == state::ErrorCode::Timeout)
+        return error.step == transport::connectStep && timeLeft >= conclusiveConnectTime;
+    return error.code != state::ErrorCode::Cancelled;
+}
+
+} // namespace lavenderthread::program
--- /dev/null
+++ b/src/program/RelayAttempt.h
@@ -0,0 +1,19 @@
+// What the end of one attempt to relay a request tells about its endpoint and the path to it.
+#pragma once
+
+#include "coordination/relay/FinalAnswer.h"
+#include "coordination/routing/EndpointHealth.h"
+#include "state/Error.h"
+
+#include <chrono>
+
+namespace lavenderthread::program {
+
+// `replaced`: another endpoint has the address.
+coordination::routing::AttemptOutcome healthOf(coordination::relay::AttemptResult end,
+                                               bool replaced);
+
+// Whether a call that could not be opened, with so much time left, tells that the path is lost.
+bool isPathFailure(const state::Error &error, std::chrono::milliseconds timeLeft);
+
+} // namespace lavenderthread::program
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -4,9 +4,11 @@
 #include "coordination/relay/EventSplitter.h"
 #include "coordination/relay/FinalAnswer.h"
 #include "coordination/relay/PathChoice.h"
+#include "coordination/relay/StreamHead.h"
 #include "program/Clock.h"
 #include "program/InactivityTimeout.h"
 #include "program/Log.h"
+#include "program/RelayAttempt.h"
 #include "program/RelayLog.h"
 #include "program/RequestParts.h"
 #include "transport/Await.h"
@@ -24,6 +26,7 @@
 using coordination::relay::CallState;
 using coordination::relay::ConnectionFailures;
 using coordination::relay::FinalAnswer;
+using coordination::relay::StreamHead;
 using coordination::routing::AttemptOutcome;
 using coordination::routing::PathOutcome;
 using coordination::routing::PathState;
@@ -65,8 +68,6 @@
 constexpr milliseconds peerConnectTimeout{300}; // entries are as near as endpoints
 // Peers that can't take a request say so within a round trip.
 constexpr std::size_t maxPeersAsked = 12;
-// A connection that is not made in this time tells something about the path.
-constexpr milliseconds conclusiveConnectTime{300};
 // A connection that fails within this time was refused or reset: it has cost the caller nothing.
 constexpr milliseconds refusedConnectionTime{50};
 // If sent bytes stay unacknowledged for this long, the endpoint's machine is considered lost.
@@ -82,15 +83,6 @@
 constexpr unsigned statusServerError = 500;
 constexpr unsigned statusUnavailable = 503;
 
-AttemptOutcome healthOf(AttemptResult end, bool replaced)
-{
-    if (end == AttemptResult::Complete)
-        return AttemptOutcome::Succeeded;
-    if (end == AttemptResult::NotRun && replaced)
-        return AttemptOutcome::Replaced;
-    return end == AttemptResult::NeverSent ? AttemptOutcome::Unreachable : AttemptOutcome::Failed;
-}
-
 // The endpoint of an attempt, and how the scheduler wants it to run there.
 struct Target
 {
@@ -893,11 +885,15 @@
 
     bool bringsEvents(const transport::HttpAnswerStream &stream) const
     {
-        if (!isSuccess(stream.status()) || this->route->kind != CallKind::Stream)
-            return false;
-        // A run that resumes a stream of which nothing is left may say so without a body.
-        return this->facts.answerBegun
-               || stream.report().framing != transport::AnswerFraming::NoBody;
+        return isSuccess(stream.status()) && this->route->kind == CallKind::Stream
+               && stream.report().framing != transport::AnswerFraming::NoBody
+               && (!this->begunStream
+                   || *this->begunStream == streamHeadOf(stream.status(), stream.headers()));
+    }
+
+    static StreamHead streamHeadOf(unsigned status, const protocol::HttpHeaders &headers)
+    {
+        return StreamHead::of(status, headers.find("Content-Type"));
     }
 
     // The caller already reads the stream that was to be resumed.
@@ -977,15 +973,6 @@
         return protocol::toPeerRequest(this->relay.settings.keys, handing);
     }
 
-    // Silence and a withdrawal say nothing about the path: a healthy endpoint may be slow, and the
-    // caller's deadline may end a connection early.
-    static bool isPathFailure(const state::Error &error, milliseconds timeLeft)
-    {
-        if (error.code == state::ErrorCode::Timeout)
-            return error.step == transport::connectStep && timeLeft >= conclusiveConnectTime;
-        return error.code != state::ErrorCode::Cancelled;
-    }
-
     AttemptResult openFailed(const state::Error &error)
     {
         this->outcome.reason = error.step + ": " + error.cause;
@@ -1240,6 +1227,7 @@
         if (this->facts.answerBegun)
             co_return true;
         this->facts.answerBegun = true;
+        this->begunStream = streamHeadOf(answer.status, answer.headers);
         this->openRequest.enter(RequestStage::Answering);
         this->outcome.status = answer.status;
         this->outcome.firstAnswer = monotonicNow() - this->arrival;
@@ -1348,6 +1336,7 @@
     AttemptProgress progress; // of the running attempt
     std::optional<RequestRefusal> requestRefusal;
     coordination::relay::EventSplitter events;
+    std::optional<StreamHead> begunStream; // set with facts.answerBegun
     // The last error that an endpoint answered.
     std::optional<protocol::HttpResponse> endpointAnswer;
     std::shared_ptr<RunningAttempt> running = std::make_shared<RunningAttempt>();
