Relay: a run that brings nothing the caller lacks doesn't end its stream

Cause: the end of a resumed run was the end of the stream by its framing alone. What tells "nothing left" from "nothing came" is that the run has brought the last event that the caller has, or a later one; the framing says neither.

Change: the splitter knows how far a run is; its end ends the stream only from that event on, and events without an id are left out before. Such a run counts as failed: the stream goes on at another endpoint or is cut visibly. Ways weighed: to take an empty event stream with a length or chunks for the end (an endpoint that fails quietly then completes a stream that lacks events, which the caller can't see), to cut it (a stream that broke off behind its last event is cut, which the caller sees and can resume by itself).

--- a/src/coordination/relay/EventSplitter.cpp
+++ b/src/coordination/relay/EventSplitter.cpp
@@ -66,20 +66,26 @@
     return complete;
 }
 
-void EventSplitter::dropPartialEvent()
+void EventSplitter::beginRun()
 {
     this->buffer.clear();
     this->searched = 0;
+    const bool resumes = this->passedEventCount > 0 && this->lastEventId;
+    this->progress = resumes ? RunProgress::Behind : RunProgress::Beyond;
 }
 
 bool EventSplitter::isNew(std::string_view event)
 {
     const std::optional<std::uint64_t> id = idOf(event);
     if (!id)
-        return true;
-    if (this->lastEventId && *id <= *this->lastEventId)
+        return this->progress == RunProgress::Beyond;
+    if (this->lastEventId && *id <= *this->lastEventId) {
+        if (*id == *this->lastEventId)
+            this->progress = std::max(this->progress, RunProgress::Reached);
         return false;
+    }
     this->lastEventId = id;
+    this->progress = RunProgress::Beyond;
     return true;
 }
 
--- a/src/coordination/relay/EventSplitter.h
+++ b/src/coordination/relay/EventSplitter.h
@@ -16,17 +16,21 @@
     // Longer ones are taken for bytes without end.
     static constexpr std::size_t maximumEventBytes = 1U << 20U;
 
+    // Another endpoint continues the stream: drops the event that the last one left incomplete.
+    void beginRun();
     // Appends bytes and returns, unchanged, the complete events that are new to the caller. Events
-    // up to the last id passed on are left out, as an endpoint that resumes may repeat some.
+    // up to the last id passed on are left out, as an endpoint that resumes may repeat some; until
+    // it has passed that id, so are those without one.
     std::string append(std::string_view bytes);
+    // Whether this run has brought the last event that the caller has, or a later one. Otherwise
+    // the end of the run tells nothing about the end of the stream.
+    bool runHasReachedCaller() const { return this->progress != RunProgress::Behind; }
 
     // Whether bytes of an incomplete event are buffered.
     bool hasPartialEvent() const { return !this->buffer.empty(); }
     std::size_t bufferedBytes() const { return this->buffer.size(); }
     // Whether the incomplete event is too long to be continued.
     bool isTooLong() const { return this->buffer.size() > maximumEventBytes; }
-    // Drops the event that an endpoint left incomplete, before another one continues the stream.
-    void dropPartialEvent();
 
     const std::optional<std::uint64_t> &lastId() const { return this->lastEventId; }
     // The caller resumes a stream of which it has all events up to `id`.
@@ -35,6 +39,12 @@
     std::uint64_t passedEvents() const { return this->passedEventCount; }
 
 private:
+    enum class RunProgress : std::uint8_t {
+        Behind,  // only events before the last one that the caller has
+        Reached, // that one
+        Beyond,  // events that the caller lacked
+    };
+
     bool isNew(std::string_view event);
 
     std::string buffer;
@@ -42,6 +52,7 @@
     // Highest event id that the caller has; never decreases.
     std::optional<std::uint64_t> lastEventId;
     std::uint64_t passedEventCount = 0;
+    RunProgress progress = RunProgress::Beyond; // the first run has nothing to repeat
 };
 
 } // namespace lavenderthread::coordination::relay
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -1154,7 +1154,7 @@
                                                protocol::HttpHeaders headers)
     {
         const protocol::HttpResponse head{stream.status(), std::move(headers), {}};
-        this->events.dropPartialEvent();
+        this->events.beginRun();
         while (true) {
             const auto piece = co_await this->readPiece(stream);
             if (!piece) {
@@ -1188,6 +1188,10 @@
             this->progress.connectionEnded = true;
             co_return AttemptResult::Lost;
         }
+        if (!this->events.runHasReachedCaller()) {
+            this->outcome.reason = "the run ended before the event that the caller has";
+            co_return AttemptResult::Failed;
+        }
         co_return co_await this->finishStream(head);
     }
 
--- a/tests/coordination/relay/EventSplitterTest.cpp
+++ b/tests/coordination/relay/EventSplitterTest.cpp
@@ -33,12 +33,38 @@
     CPPUNIT_TEST(anotherEndpointContinuesAfterAPartialEvent);
     CPPUNIT_TEST(repeatedEventsAreLeftOut);
     CPPUNIT_TEST(eventsWithoutIdsPass);
+    CPPUNIT_TEST(eventsWithoutIdsOfAnotherRunAreLeftOutUntilItGoesOn);
+    CPPUNIT_TEST(runThatBringsNothingOfTheStreamHasNotReachedTheCaller);
     CPPUNIT_TEST(crlfEndsEventsToo);
     CPPUNIT_TEST(blankLineSplitOverManyPiecesEndsItsEvent);
     CPPUNIT_TEST(eventWithoutEndIsTooLong);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against an endpoint's error as an event of a stream that it was to resume.
+    void eventsWithoutIdsOfAnotherRunAreLeftOutUntilItGoesOn()
+    {
+        EventSplitter splitter;
+        CPPUNIT_ASSERT_EQUAL(events(1, 2), splitter.append(events(1, 2)));
+        splitter.beginRun();
+        const std::string other = "data: an error\n\n";
+        CPPUNIT_ASSERT_EQUAL(std::string(), splitter.append(other + event(2) + other));
+        CPPUNIT_ASSERT_EQUAL(event(3) + other, splitter.append(event(3) + other));
+    }
+
+    // Guards against taking the end of a run that brought nothing for the end of the stream.
+    void runThatBringsNothingOfTheStreamHasNotReachedTheCaller()
+    {
+        EventSplitter splitter;
+        splitter.append(events(1, 3));
+        CPPUNIT_ASSERT(splitter.runHasReachedCaller());
+        splitter.beginRun();
+        splitter.append(": ping\n\n" + events(1, 2));
+        CPPUNIT_ASSERT(!splitter.runHasReachedCaller());
+        splitter.append(event(3));
+        CPPUNIT_ASSERT(splitter.runHasReachedCaller());
+    }
+
     void blankLineSplitOverManyPiecesEndsItsEvent()
     {
         for (const std::string text : {"id: 1\r\ndata: x\r\n\r\n", "id: 1\ndata: x\n\n"}) {
@@ -60,7 +86,7 @@
         for (; !splitter.isTooLong(); ++pieces)
             CPPUNIT_ASSERT(splitter.append(piece).empty());
         CPPUNIT_ASSERT_EQUAL(EventSplitter::maximumEventBytes / piece.size() + 1, pieces);
-        splitter.dropPartialEvent();
+        splitter.beginRun();
         CPPUNIT_ASSERT(!splitter.isTooLong());
         CPPUNIT_ASSERT_EQUAL(event(1), splitter.append(event(1)));
     }
@@ -90,7 +116,7 @@
         std::string passed = splitter.append(events(1, 2) + "id: 3\ndata: tok");
         CPPUNIT_ASSERT(splitter.hasPartialEvent());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), *splitter.lastId());
-        splitter.dropPartialEvent();
+        splitter.beginRun();
         passed += splitter.append(events(3, 5));
         CPPUNIT_ASSERT_EQUAL(events(1, 5), passed);
     }
