Relay: a stream whose events have no ids isn't begun again

What callers would see: events that come twice, where a stream without ids broke off (ORDER).

Change: once data without an id has been passed on, the request may not be repeated, and silence is no reason to move it.

Before: streamWithoutIdsIsNotBegunAgain gave x, y, x, y, z. After: 10 tests of ResumedStreamTest and 10 of EventSplitterTest pass.

--- a/src/coordination/relay/EventSplitter.cpp
+++ b/src/coordination/relay/EventSplitter.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::string_view idField = "id:";
+constexpr std::string_view dataField = "data";
+constexpr std::string_view laterDataField = "\ndata";
 
 // The numeric id of an event; nothing if it has no id line with a number.
 std::optional<std::uint64_t> idOf(std::string_view event)
@@ -29,6 +31,11 @@
     return std::nullopt;
 }
 
+bool hasData(std::string_view event)
+{
+    return event.starts_with(dataField) || event.find(laterDataField) != event.npos;
+}
+
 constexpr std::size_t lfLength = 2; // of the blank line that ends an event
 constexpr std::size_t crlfLength = 4;
 
@@ -77,8 +84,11 @@
 bool EventSplitter::isNew(std::string_view event)
 {
     const std::optional<std::uint64_t> id = idOf(event);
-    if (!id)
-        return this->progress == RunProgress::Beyond;
+    if (!id) {
+        const bool isNew = this->progress == RunProgress::Beyond;
+        this->passedWithoutId = this->passedWithoutId || (isNew && hasData(event));
+        return isNew;
+    }
     if (this->lastEventId && *id <= *this->lastEventId) {
         if (*id == *this->lastEventId)
             this->progress = std::max(this->progress, RunProgress::Reached);
--- a/src/coordination/relay/EventSplitter.h
+++ b/src/coordination/relay/EventSplitter.h
@@ -35,6 +35,8 @@
     const std::optional<std::uint64_t> &lastId() const { return this->lastEventId; }
     // The caller resumes a stream of which it has all events up to `id`.
     void resumeAfter(std::uint64_t id) { this->lastEventId = id; }
+    // Whether another run can go on behind what was passed on: it is asked for by id.
+    bool canBeResumed() const { return !this->passedWithoutId; }
     // Number of events passed on.
     std::uint64_t passedEvents() const { return this->passedEventCount; }
 
@@ -52,6 +54,7 @@
     // Highest event id that the caller has; never decreases.
     std::optional<std::uint64_t> lastEventId;
     std::uint64_t passedEventCount = 0;
+    bool passedWithoutId = false; // data; not only comments and settings of the stream
     RunProgress progress = RunProgress::Beyond; // the first run has nothing to repeat
 };
 
--- a/src/program/RelayAttempt.cpp
+++ b/src/program/RelayAttempt.cpp
@@ -32,4 +32,9 @@
     return error.code != state::ErrorCode::Cancelled;
 }
 
+coordination::relay::StreamHead streamHeadOf(unsigned status, const protocol::HttpHeaders &headers)
+{
+    return coordination::relay::StreamHead::of(status, headers.find("Content-Type"));
+}
+
 } // namespace lavenderthread::program
--- a/src/program/RelayAttempt.h
+++ b/src/program/RelayAttempt.h
@@ -1,8 +1,10 @@
-// What the end of one attempt to relay a request tells about its endpoint and the path to it.
+// What one attempt to relay a request tells about its endpoint, the path to it and its stream.
 #pragma once
 
 #include "coordination/relay/FinalAnswer.h"
+#include "coordination/relay/StreamHead.h"
 #include "coordination/routing/EndpointHealth.h"
+#include "protocol/HttpMessage.h"
 #include "state/Error.h"
 
 #include <chrono>
@@ -16,4 +18,6 @@
 // Whether a call that could not be opened, with so much time left, tells that the path is lost.
 bool isPathFailure(const state::Error &error, std::chrono::milliseconds timeLeft);
 
+coordination::relay::StreamHead streamHeadOf(unsigned status, const protocol::HttpHeaders &headers);
+
 } // namespace lavenderthread::program
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -891,11 +891,6 @@
                    || *this->begunStream == streamHeadOf(stream.status(), stream.headers()));
     }
 
-    static StreamHead streamHeadOf(unsigned status, const protocol::HttpHeaders &headers)
-    {
-        return StreamHead::of(status, headers.find("Content-Type"));
-    }
-
     // The caller already reads the stream that was to be resumed.
     AttemptResult resumeFailed(unsigned status)
     {
@@ -1166,8 +1161,10 @@
             const std::string whole = this->events.append(*piece.value());
             if (!whole.empty()) {
                 this->recordEvents();
-                if (this->inactivityTimeout)
+                if (this->inactivityTimeout && this->events.canBeResumed())
                     this->inactivityTimeout->restart(this->pauseTimeout());
+                else if (this->inactivityTimeout)
+                    this->inactivityTimeout->stop();
                 const bool passed = co_await this->forwardEvents(whole, head);
                 if (!passed)
                     co_return AttemptResult::Lost;
@@ -1209,6 +1206,7 @@
         if (!begun)
             co_return false;
         this->recordPause();
+        this->facts.repeatable = this->facts.repeatable && this->events.canBeResumed();
         const auto sent = co_await this->exchange.write(events);
         if (sent)
             co_return true;
--- a/tests/coordination/relay/EventSplitterTest.cpp
+++ b/tests/coordination/relay/EventSplitterTest.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(eventsWithoutIdsPass);
     CPPUNIT_TEST(eventsWithoutIdsOfAnotherRunAreLeftOutUntilItGoesOn);
     CPPUNIT_TEST(runThatBringsNothingOfTheStreamHasNotReachedTheCaller);
+    CPPUNIT_TEST(streamWithDataWithoutIdsCantBeResumed);
     CPPUNIT_TEST(crlfEndsEventsToo);
     CPPUNIT_TEST(blankLineSplitOverManyPiecesEndsItsEvent);
     CPPUNIT_TEST(eventWithoutEndIsTooLong);
@@ -52,6 +53,16 @@
         CPPUNIT_ASSERT_EQUAL(event(3) + other, splitter.append(event(3) + other));
     }
 
+    // Guards against events that come twice, since the next run begins anew.
+    void streamWithDataWithoutIdsCantBeResumed()
+    {
+        EventSplitter splitter;
+        splitter.append(": ping\n\nretry: 10\n\n" + events(1, 2));
+        CPPUNIT_ASSERT(splitter.canBeResumed());
+        splitter.append("event: note\ndata: x\n\n");
+        CPPUNIT_ASSERT(!splitter.canBeResumed());
+    }
+
     // Guards against taking the end of a run that brought nothing for the end of the stream.
     void runThatBringsNothingOfTheStreamHasNotReachedTheCaller()
     {
--- a/tests/platform/ResumedStreamTest.cpp
+++ b/tests/platform/ResumedStreamTest.cpp
@@ -73,6 +73,7 @@
     CPPUNIT_TEST(answerOfAnotherStatusIsNoPartOfTheStream);
     CPPUNIT_TEST(answerOfAnotherTypeIsNoPartOfTheStream);
     CPPUNIT_TEST(runThatRepeatsTheLastEventMayEndTheStream);
+    CPPUNIT_TEST(streamWithoutIdsIsNotBegunAgain);
     CPPUNIT_TEST(streamThatBreaksOffIsResumed);
     CPPUNIT_TEST(eventsBeforeOneThatMayNotBeKeptArePassedOn);
     CPPUNIT_TEST(streamHasTheStatusOfItsEndpoint);
@@ -181,6 +182,17 @@
         }
     }
 
+    // Guards against events that come twice: another run of a stream without ids begins anew.
+    void streamWithoutIdsIsNotBegunAgain()
+    {
+        const std::string two = "data: x\n\ndata: y\n\n";
+        RawAnswer first = streamThatBreaksOff();
+        first.bytes = first.bytes.substr(0, first.bytes.find("\r\n\r\n") + 4) + chunk(two);
+        const std::string bytes =
+                call({first, answerOf(200, eventStream, Framing::Chunks, two + "data: z\n\n")});
+        CPPUNIT_ASSERT_MESSAGE(bytes, bytes.ends_with(chunk(two)));
+    }
+
     void streamThatBreaksOffIsResumed()
     {
         checkWhole(call({streamThatBreaksOff(), restOfTheStream()}));
