Soak: crowds of clients that don't behave, with bounds on memory and descriptors, failing

Our pages say that clients stay inside the limits; these don't.

Cause: not mended here. What outsiders decide is bounded for each connection, never over all.

Change: crowd-tests, 23 crowds of 40 to 400 connections at the doors of real processes: callers, no route, ready, directory, own interface, operators, peers. Checked: the processes live, resident memory and bytes in their sockets stay under the smallest machine of the pages (112 MB of an entry, 256 MB of a control member), descriptors under theirs (2,670, or 260 where 300 may be opened), and an ordinary request and then the largest one are answered afterwards.

--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -4,6 +4,7 @@
 
 #include <fcntl.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -23,6 +24,27 @@
 constexpr std::uint16_t callerPort = 2;
 constexpr std::uint16_t directoryPort = 3;
 constexpr std::uint16_t operatorPort = 4;
+constexpr std::uint16_t readyPort = 5;
+
+// Bounds the descriptors of the processes that are started meanwhile.
+class DescriptorLimit
+{
+public:
+    explicit DescriptorLimit(std::uint64_t descriptors)
+    {
+        ::getrlimit(RLIMIT_NOFILE, &this->before);
+        rlimit lowered = this->before;
+        if (descriptors > 0)
+            lowered.rlim_cur = std::min<rlim_t>(descriptors, lowered.rlim_max);
+        ::setrlimit(RLIMIT_NOFILE, &lowered);
+    }
+    ~DescriptorLimit() { ::setrlimit(RLIMIT_NOFILE, &this->before); }
+    DescriptorLimit(const DescriptorLimit &) = delete;
+    DescriptorLimit &operator=(const DescriptorLimit &) = delete;
+
+private:
+    rlimit before{};
+};
 
 } // namespace
 
@@ -50,19 +72,39 @@
     return this->settings.folder + "/data" + std::to_string(index);
 }
 
+state::Address Fleet::at(std::size_t index, std::uint16_t offset) const
+{
+    return {this->ip(index), std::uint16_t(this->settings.port + offset)};
+}
+
+state::Address Fleet::peers(std::size_t index) const
+{
+    return this->at(index, gossipPort);
+}
+
+state::Address Fleet::own(std::size_t index) const
+{
+    return this->at(index, peerPort);
+}
+
 state::Address Fleet::callers(std::size_t index) const
 {
-    return {this->ip(index), std::uint16_t(this->settings.port + callerPort)};
+    return this->at(index, callerPort);
+}
+
+state::Address Fleet::ready(std::size_t index) const
+{
+    return this->at(index, readyPort);
 }
 
 state::Address Fleet::directory(std::size_t index) const
 {
-    return {this->ip(index), std::uint16_t(this->settings.port + directoryPort)};
+    return this->at(index, directoryPort);
 }
 
 state::Address Fleet::operators(std::size_t index) const
 {
-    return {this->ip(index), std::uint16_t(this->settings.port + operatorPort)};
+    return this->at(index, operatorPort);
 }
 
 std::vector<state::Address> Fleet::allOperators() const
@@ -76,7 +118,7 @@
 void Fleet::writeSettings(std::size_t index) const
 {
     const auto at = [&](std::uint16_t offset) {
-        return "\"" + this->ip(index) + ":" + std::to_string(this->settings.port + offset) + "\"";
+        return "\"" + this->at(index, offset).toString() + "\"";
     };
     std::string seeds;
     for (std::size_t seed = 0; seed < this->settings.founders; ++seed)
@@ -96,7 +138,8 @@
     else
         file << R"("control": {"admit_when_stale": true, "change_in_force_ms": )"
              << this->settings.changeInForceMs << R"(}, "relay": {"listen": )" << at(callerPort)
-             << R"(, "directory_listen": )" << at(directoryPort);
+             << R"(, "directory_listen": )" << at(directoryPort) << R"(, "ready_listen": )"
+             << at(readyPort);
     file << R"(, "directory_ttl_ms": 500, "heartbeat_ms": 400, "termination_ms": )"
          << this->settings.terminationMs << "}}\n";
 }
@@ -118,6 +161,7 @@
         arguments.push_back(word.data());
     arguments.push_back(nullptr);
     Process &process = this->processes[index];
+    const DescriptorLimit limit(this->settings.descriptors);
     const int problem = posix_spawn(&process.pid, this->settings.binary.c_str(), &actions, nullptr,
                                     arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
--- a/soak/Fleet.h
+++ b/soak/Fleet.h
@@ -23,7 +23,8 @@
     std::size_t entries = 4;
     std::uint32_t changeInForceMs = 2'500;
     std::uint32_t terminationMs = 4'000; // from SIGTERM until an operator would kill a process
-    std::uint16_t port = 0; // first of five that every process uses, each at its own loopback IP
+    std::uint16_t port = 0; // first of six that every process uses, each at its own loopback IP
+    std::uint64_t descriptors = 0; // that a process may open; 0: as this one
 };
 
 class Fleet
@@ -52,7 +53,12 @@
                                              const std::set<std::size_t> &among) const;
     std::uint64_t exitsOfItsOwn() const { return this->ownExits; }
 
+    pid_t pid(std::size_t index) const { return this->processes[index].pid; } // 0: does not run
+    std::string ip(std::size_t index) const;
+    state::Address peers(std::size_t index) const;     // TCP, of a control member
+    state::Address own(std::size_t index) const;       // the product's own interface
     state::Address callers(std::size_t index) const;   // of an entry
+    state::Address ready(std::size_t index) const;     // of an entry
     state::Address directory(std::size_t index) const; // of an entry
     state::Address operators(std::size_t index) const; // of a control member
     std::vector<state::Address> allOperators() const;
@@ -65,7 +71,7 @@
         bool founded = false; // has run before
     };
 
-    std::string ip(std::size_t index) const;
+    state::Address at(std::size_t index, std::uint16_t offset) const;
     std::string dataFolder(std::size_t index) const;
     void writeSettings(std::size_t index) const;
 
--- a/soak/StandIn.cpp
+++ b/soak/StandIn.cpp
@@ -214,6 +214,8 @@
     if (!this->settings.engine && this->settings.ends(exchange.request()))
         co_return false;
     answer.body = expectedBody(requestId);
+    if (exchange.request().target.starts_with("/read/large"))
+        answer.body += std::string(this->settings.largeAnswerBytes, 'x');
     co_await exchange.respond(std::move(answer));
     co_return true;
 }
--- a/soak/StandIn.h
+++ b/soak/StandIn.h
@@ -38,6 +38,7 @@
     std::vector<state::Address> controls;
     std::string failureDomain;
     std::uint64_t seed = 0;
+    std::size_t largeAnswerBytes = 0; // are added to the answers of a replica below /read/large
     // Called when a request arrives, and when an engine begins to write its answer or a replica has
     // run a call. The latter tells whether the endpoint ends instead.
     std::function<void(const protocol::HttpRequest &)> arrived = [](const auto &) {};
