Relay: an empty run ends its stream by its last chunk

Change: an event stream that brings no event and ends by its last chunk may end the stream, as streams are framed. A declared length of 0, no body, the end of the connection, data without an id and events that the caller has may not.

--- a/soak/StutteringEndpoint.cpp
+++ b/soak/StutteringEndpoint.cpp
@@ -286,6 +286,8 @@
             body += expectedEvent(call.id, event);
     }
     }
+    if (isStream && body.empty() && call.framing == BodyFraming::Chunks)
+        body = std::string(errorText) + "\n\n"; // empty, it would say that nothing is left
     std::string head = "HTTP/1.1 " + std::to_string(status)
                        + " Some Reason\r\nRequest-Id: " + call.id + "\r\nResponse-Seal: seal\r\n"
                        + std::string(resumeTypes.at(type));
--- a/src/coordination/relay/EventSplitter.cpp
+++ b/src/coordination/relay/EventSplitter.cpp
@@ -79,11 +79,13 @@
     this->searched = 0;
     const bool resumes = this->passedEventCount > 0 && this->lastEventId;
     this->progress = resumes ? RunProgress::Behind : RunProgress::Beyond;
+    this->runHasEvents = false;
 }
 
 bool EventSplitter::isNew(std::string_view event)
 {
     const std::optional<std::uint64_t> id = idOf(event);
+    this->runHasEvents = this->runHasEvents || id || hasData(event);
     if (!id) {
         const bool isNew = this->progress == RunProgress::Beyond;
         this->passedWithoutId = this->passedWithoutId || (isNew && hasData(event));
--- a/src/coordination/relay/EventSplitter.h
+++ b/src/coordination/relay/EventSplitter.h
@@ -22,10 +22,13 @@
     // up to the last id passed on are left out, as an endpoint that resumes may repeat some; until
     // it has passed that id, so are those without one.
     std::string append(std::string_view bytes);
-    // Whether this run has brought the last event that the caller has, or a later one. Otherwise
-    // the end of the run tells nothing about the end of the stream.
-    bool runHasReachedCaller() const { return this->progress != RunProgress::Behind; }
-
+    // Whether the end of this run is the end of the stream: it has brought the last event that the
+    // caller has, or a later one, or it has no event at all and says by its last chunk that nothing
+    // is left. A run that ended before has only repeated what the caller has.
+    bool runMayEndStream(bool byLastChunk) const
+    {
+        return this->progress != RunProgress::Behind || (byLastChunk && !this->runHasEvents);
+    }
     // Whether bytes of an incomplete event are buffered.
     bool hasPartialEvent() const { return !this->buffer.empty(); }
     std::size_t bufferedBytes() const { return this->buffer.size(); }
@@ -54,6 +57,7 @@
     // Highest event id that the caller has; never decreases.
     std::optional<std::uint64_t> lastEventId;
     std::uint64_t passedEventCount = 0;
+    bool runHasEvents = false;
     bool passedWithoutId = false; // data; not only comments and settings of the stream
     RunProgress progress = RunProgress::Beyond; // the first run has nothing to repeat
 };
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -1185,7 +1185,8 @@
             this->progress.connectionEnded = true;
             co_return AttemptResult::Lost;
         }
-        if (!this->events.runHasReachedCaller()) {
+        if (!this->events.runMayEndStream(stream.report().framing
+                                          == transport::AnswerFraming::Chunks)) {
             this->outcome.reason = "the run ended before the event that the caller has";
             co_return AttemptResult::Failed;
         }
