Transport: one budget of bytes and connections for all listeners of a process

Cause: what outsiders decide was bounded for each connection, never over all: bodies and their copies, fields, what is read ahead, answers that nobody reads, what the kernel keeps, and the connections of each listener.

Change: state::ConnectionBudget decides over all listeners, transport::ConnectionPool closes what has to make room, and ResourceLimits works both out from vm.memory_mb and vm.descriptors. A body is counted as it arrives, twice for the copy that is sent on. Where there is no room, the connection closes whose bytes times age are most; if none has waited for half a second, the request is refused with 503, not run, Retry-After 1 s. Questions (readiness, directory, metrics) take bodies of 16 KB. The kernel keeps 64 KB each way. Answers count from 16 KB on, and a reader that stands still is closed when little room is left. The allocator returns large blocks.

--- a/src/program/AnswerBuffers.h
+++ b/src/program/AnswerBuffers.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <utility>
@@ -20,8 +21,11 @@
         std::size_t maximumCounted = 32U << 20U; // of all answers together
     };
 
-    explicit AnswerBuffers(Settings chosen)
+    // `pressed` is called, from any thread, when little room is left.
+    explicit AnswerBuffers(
+            Settings chosen, std::function<void()> pressed = [] {})
         : settings(chosen)
+        , pressed(std::move(pressed))
     {}
     AnswerBuffers()
         : AnswerBuffers(Settings{})
@@ -69,11 +73,17 @@
 private:
     bool take(std::size_t bytes)
     {
-        const std::lock_guard lock(this->mutex);
-        if (this->held + bytes > this->settings.maximumCounted)
-            return false;
-        this->held += bytes;
-        return true;
+        constexpr std::size_t quarters = 3;
+        std::unique_lock lock(this->mutex);
+        const bool hasRoom = this->held + bytes <= this->settings.maximumCounted;
+        if (hasRoom)
+            this->held += bytes;
+        const bool isPressed =
+                !hasRoom || this->held > this->settings.maximumCounted / 4 * quarters;
+        lock.unlock();
+        if (isPressed)
+            this->pressed();
+        return hasRoom;
     }
     void release(std::size_t bytes)
     {
@@ -82,6 +92,7 @@
     }
 
     const Settings settings;
+    const std::function<void()> pressed;
     mutable std::mutex mutex;
     std::size_t held = 0; // the sum of all shares
 };
--- a/src/program/Entry.cpp
+++ b/src/program/Entry.cpp
@@ -27,6 +27,9 @@
 constexpr std::string_view bearerPrefix = "Bearer ";
 constexpr std::chrono::milliseconds retryElsewhereAfter{100};
 constexpr std::chrono::milliseconds retryStaleAfter{500};
+// Requests that hold all room end or are closed by then.
+constexpr std::chrono::milliseconds retryWithoutRoomAfter{1'000};
+constexpr unsigned statusUnavailable = 503;
 
 protocol::HttpResponse simpleProblem(unsigned status, std::string title, std::string detail)
 {
@@ -89,8 +92,12 @@
         return self->handle(exchange);
     };
     serverHooks.reject = [](unsigned status, std::string_view cause) {
+        if (status == statusUnavailable)
+            return toResponse(Problem{status, "overloaded", std::string(cause), Ran::No,
+                                      retryWithoutRoomAfter});
         return simpleProblem(status, "invalid-request", std::string(cause));
     };
+    serverHooks.pool = entry->hooks.pool;
     BOOST_OUTCOME_TRY(entry->server, transport::HttpServer::create(context, settings.entry.listen,
                                                                    limitsOf(settings.entry),
                                                                    std::move(serverHooks)));
--- a/src/program/Entry.h
+++ b/src/program/Entry.h
@@ -72,6 +72,8 @@
         std::shared_ptr<OpenRequests> openRequests = OpenRequests::create(); // of the process
         std::shared_ptr<AnswerBuffers> answerBuffers =
                 std::make_shared<AnswerBuffers>(); // likewise
+        std::shared_ptr<transport::ConnectionPool> pool =
+                transport::ConnectionPool::create(); // likewise
     };
 
     // Error: Unavailable, step "listener.bind".
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -17,6 +17,8 @@
 #include "program/RelayListeners.h"
 #include "program/RelayLog.h"
 #include "program/RequestGuard.h"
+#include "program/ResourceLimits.h"
+#include "program/ShedLog.h"
 #include "transport/Await.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -34,6 +36,8 @@
 #include <thread>
 #include <vector>
 
+#include <malloc.h>
+
 namespace lavenderthread::program {
 
 namespace asio = boost::asio;
@@ -45,6 +49,10 @@
 namespace {
 
 constexpr milliseconds expiryCheckInterval{200};
+constexpr std::uint64_t metricsBodyBytes = 16U << 10U; // questions need no body
+// Larger allocations go back to the system when they are freed. By default the allocator raises
+// this with the first large body, and memory that a crowd has used stays with the process.
+constexpr int largeAllocationBytes = 128 << 10;
 constexpr milliseconds drainCheckInterval{20};
 // From the first refusal: bodies that are being read end, and operators get their answers.
 constexpr milliseconds exchangeTime{2'000};
@@ -138,6 +146,10 @@
         , settingsFile(std::move(settingsFile))
         , deployment(deployment)
         , context(static_cast<int>(settings.entry.workers))
+        , pool(transport::ConnectionPool::create(ResourceLimits::of(settings).connections))
+        , answerBuffers(std::make_shared<AnswerBuffers>(
+                  ResourceLimits::of(settings).answers,
+                  [pool = this->pool] { pool->closeSlowestReader(); }))
         , registry(std::make_shared<EndpointRegistry>(settings.endpoint.expireAfter))
         , cold(std::make_shared<ColdEndpoints>(settings.vm, monotonicNow(), coldBound(settings)))
     {}
@@ -256,6 +268,7 @@
         hooks.guard = this->guard;
         hooks.openRequests = this->openRequests;
         hooks.answerBuffers = this->answerBuffers;
+        hooks.pool = this->pool;
         hooks.ready = [this] { return this->entry->phase() == EntryPhase::Serving; };
         hooks.profilesChanged = [this](auto profiles) {
             this->policy->setProfiles(std::move(profiles));
@@ -447,6 +460,7 @@
         hooks.serviceFinished = logService;
         hooks.openRequests = this->openRequests;
         hooks.answerBuffers = this->answerBuffers;
+        hooks.pool = this->pool;
         return hooks;
     }
 
@@ -551,6 +565,7 @@
         while (true) {
             co_await transport::pause(expiryCheckInterval);
             flushLog();
+            this->shedLog.write(this->pool->counts(), monotonicNow());
             if (!this->settings.gossipListen) {
                 for (const state::EndpointId &id : this->registry->expire(monotonicNow()))
                     logEvent(LogLevel::Warning, "endpoint.expired", {{"endpoint", id.value()}});
@@ -636,6 +651,21 @@
               [](const Status &status) { return double(status.committed); });
     }
 
+    void serveConnectionMetrics()
+    {
+        using Counts = transport::ConnectionPool::Counts;
+        const auto gauge = [this](const char *name, auto Counts::*count) {
+            this->metrics.gauge(name,
+                                [this, count] { return double(this->pool->counts().*count); });
+        };
+        gauge("connections", &Counts::connections);
+        gauge("connection_bytes", &Counts::bytes);
+        gauge("connections_shed_total{for=\"connections\"}", &Counts::closedForConnections);
+        gauge("connections_shed_total{for=\"bytes\"}", &Counts::closedForBytes);
+        gauge("connections_refused_total", &Counts::refusedConnections);
+        gauge("requests_refused_total{for=\"bytes\"}", &Counts::refusedBytes);
+    }
+
     state::Result<void> serveMetrics()
     {
         this->metrics.gauge("requests_in_flight",
@@ -660,6 +690,7 @@
         });
         if (this->control)
             this->serveControlMetrics();
+        this->serveConnectionMetrics();
         this->metrics.gauge("quarantine_blocks",
                             [this] { return double(this->guard->blockCount()); });
         this->metrics.gauge("evacuated_domains", [this] { return double(this->evacuatedDomains); });
@@ -686,9 +717,12 @@
             answer.body = std::string(cause);
             return answer;
         };
+        hooks.pool = this->pool;
+        transport::HttpLimits limits;
+        limits.bodyBytes = metricsBodyBytes;
         BOOST_OUTCOME_TRY(this->metricsServer, transport::HttpServer::create(
                                                        this->context, *this->settings.metricsListen,
-                                                       {}, std::move(hooks)));
+                                                       limits, std::move(hooks)));
         this->metricsServer->start();
         return state::outcome::success();
     }
@@ -733,9 +767,11 @@
     // every SIGTERM.
     asio::signal_set stopSignals{this->context, SIGTERM, SIGINT};
     asio::signal_set reloadSignals{this->context, SIGHUP};
+    const std::shared_ptr<transport::ConnectionPool> pool;
+    const std::shared_ptr<AnswerBuffers> answerBuffers;
+    ShedLog shedLog;
     Metrics metrics;
     std::shared_ptr<OpenRequests> openRequests = OpenRequests::create();
-    std::shared_ptr<AnswerBuffers> answerBuffers = std::make_shared<AnswerBuffers>();
     std::shared_ptr<EndpointRegistry> registry;
     std::shared_ptr<ColdEndpoints> cold;
     const std::uint64_t incarnation =
@@ -761,6 +797,7 @@
 state::Result<void> runNode(const Settings &settings, const std::string &settingsFile,
                             const Deployment &deployment)
 {
+    ::mallopt(M_MMAP_THRESHOLD, largeAllocationBytes);
     Node node(settings, settingsFile, deployment);
     BOOST_OUTCOME_TRY(node.start());
     logEvent(LogLevel::Info, "node.started",
--- a/src/program/RelayListeners.cpp
+++ b/src/program/RelayListeners.cpp
@@ -23,6 +23,9 @@
 constexpr std::uint32_t callerConnections = 1'200;
 constexpr std::uint32_t auxiliaryConnections = 400;
 constexpr std::uint64_t operatorBodyBytes = 4U << 20U;
+constexpr std::uint64_t questionBodyBytes = 16U << 10U; // questions need no body
+// Requests that hold all room end or are closed by then.
+constexpr milliseconds retryWithoutRoom{1'000};
 // Callers may reuse a connection until the configured idle timeout. Closing it at that same moment
 // would lose a request.
 constexpr milliseconds idleMargin{3'000};
@@ -40,10 +43,10 @@
     return limits;
 }
 
-transport::HttpLimits auxiliaryLimits()
+transport::HttpLimits auxiliaryLimits(std::uint64_t bodyBytes)
 {
     transport::HttpLimits limits;
-    limits.bodyBytes = operatorBodyBytes;
+    limits.bodyBytes = bodyBytes;
     limits.connections = auxiliaryConnections;
     return limits;
 }
@@ -164,8 +167,11 @@
             // The request may be within the limits of the configuration.
             if (forCallers && !this->hasConfiguration())
                 refusal = {statusUnavailable, refusal.detail, retryWithoutConfiguration};
+            else if (status == statusUnavailable)
+                refusal.retryAfter = retryWithoutRoom;
             return this->hooks.deployment.relay.refuse(refusal);
         };
+        serverHooks.pool = this->hooks.pool;
         BOOST_OUTCOME_TRY(server, transport::HttpServer::create(context, *address, limits,
                                                                 std::move(serverHooks)));
         return state::outcome::success();
@@ -176,7 +182,7 @@
             [this](transport::HttpExchange &exchange) { return this->relay.run(exchange); },
             this->relayServer));
     BOOST_OUTCOME_TRYV(open(
-            where.readyListen, auxiliaryLimits(),
+            where.readyListen, auxiliaryLimits(questionBodyBytes),
             [this](transport::HttpExchange &exchange) {
                 const bool ready =
                         !this->leaving && this->hasConfiguration() && this->hooks.ready();
@@ -188,13 +194,13 @@
                                  },
                                  where.directoryTtl};
     BOOST_OUTCOME_TRYV(open(
-            where.directoryListen, auxiliaryLimits(),
+            where.directoryListen, auxiliaryLimits(questionBodyBytes),
             [this, directory](transport::HttpExchange &exchange) {
                 return this->hooks.deployment.answerDirectory(exchange, directory);
             },
             this->directoryServer));
     return open(
-            where.operatorListen, auxiliaryLimits(),
+            where.operatorListen, auxiliaryLimits(operatorBodyBytes),
             [this](transport::HttpExchange &exchange) { return this->answerOperator(exchange); },
             this->operatorServer);
 }
--- a/src/program/RelayListeners.h
+++ b/src/program/RelayListeners.h
@@ -38,8 +38,9 @@
         std::shared_ptr<ControlClient> client;
         std::shared_ptr<RequestGuard> guard;
         std::shared_ptr<OpenRequests> openRequests;
-        std::shared_ptr<AnswerBuffers> answerBuffers; // of the process
-        std::function<bool()> ready;                  // whether the rest of the process can serve
+        std::shared_ptr<AnswerBuffers> answerBuffers;    // of the process
+        std::shared_ptr<transport::ConnectionPool> pool; // likewise
+        std::function<bool()> ready; // whether the rest of the process can serve
         // Called with the services' engine profiles whenever a configuration comes into force.
         std::function<void(std::map<state::ServiceName, state::routes::EngineProfile>)>
                 profilesChanged;
--- a/src/program/Settings.cpp
+++ b/src/program/Settings.cpp
@@ -157,6 +157,8 @@
     settings.failureDomain = state::FailureDomain(document.text("vm.failure_domain"));
     settings.region = state::Region(document.text("vm.region"));
     settings.linkMbps = document.number("vm.link_mbps");
+    settings.memoryMb = std::uint64_t(document.integer("vm.memory_mb"));
+    settings.descriptors = std::uint64_t(document.integer("vm.descriptors"));
     settings.entry = entrySettings(document);
     settings.endpoint = endpointSettings(document);
     settings.gossipListen = optionalAddress(document.text("gossip.listen"));
--- a/src/program/Settings.h
+++ b/src/program/Settings.h
@@ -90,6 +90,8 @@
     state::FailureDomain failureDomain;
     state::Region region;
     double linkMbps = 0;
+    std::uint64_t memoryMb = 0;
+    std::uint64_t descriptors = 0; // 0: as the system allows
     EntrySettings entry;
     EndpointSettings endpoint;
     RelaySettings relay;
--- a/src/program/SettingsRules.cpp
+++ b/src/program/SettingsRules.cpp
@@ -26,6 +26,13 @@
             {"vm.link_mbps", Number, "Mbit/s", 1'000, false, 0.1, 1'000'000,
              "rate of this VM's link; news to many peers are spread over time so that they take "
              "half of it"},
+            {"vm.memory_mb", Integer, "MB", 112, false, 48, mebibyte,
+             "memory of this process; bounds what all callers, endpoints and peers together make "
+             "it hold. A request for which there is no room is refused with 503, not run"},
+            {"vm.descriptors", Integer, "", 0, false, 0, mebibyte,
+             "descriptors that this process may open, 0: as many as the system allows; bounds the "
+             "connections of all listeners together. Where they are all taken, the one closes that "
+             "has waited longest for a request or for its answer to be read"},
             {"vm.region", Text, "", "default", false, 1, 64, "region of this VM"},
             {"entry.listen", IpAddress, "", nullptr, true, 0, 0,
              "where callers, operators and endpoints connect; told to callers as it stands"},
@@ -37,7 +44,7 @@
             {"entry.body_limit_bytes", Integer, "bytes", 16 * mebibyte, false, 1'024,
              256 * mebibyte, "larger request bodies are refused with 413"},
             {"entry.connections", Integer, "", 10'000, false, 1, 1'000'000,
-             "connections at once; further ones are closed"},
+             "connections at once, see vm.descriptors"},
             {"entry.request_timeout_ms", Integer, "ms", 30'000, false, 50, 10 * minute,
              "a request that takes longer to arrive is refused with 408"},
             {"entry.idle_timeout_ms", Integer, "ms", 60'000, false, 50, hour,
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -18,6 +18,8 @@
 #include <cerrno>
 
 #include <atomic>
+#include <iterator>
+#include <memory>
 #include <optional>
 #include <utility>
 
@@ -32,6 +34,12 @@
 
 // Pause after accept fails, for example when descriptors run out: without it the loop would spin.
 constexpr std::chrono::milliseconds acceptRetryDelay{50};
+// Of the kernel, in each direction: by itself it would keep megabytes for a peer that sends ahead
+// or doesn't read.
+constexpr int socketBufferBytes = 64 << 10;
+constexpr std::size_t readBytes = 32U << 10U;
+// What a header field takes beside its text, here and in the request that is sent on.
+constexpr std::size_t fieldBytes = 256;
 
 state::Error writeError(const beast::error_code &problem, const std::string &peer)
 {
@@ -48,6 +56,7 @@
         , acceptor(std::move(acceptor))
         , limits(limits)
         , hooks(std::move(hooks))
+        , listener(this->hooks.pool->addListener())
     {}
 
     asio::io_context &context;
@@ -56,6 +65,7 @@
 
     state::Snapshot<HttpLimits> limits;
     HttpServer::Hooks hooks;
+    const ConnectionPool::Listener listener;
     std::atomic<std::size_t> connections = 0;
     std::atomic<std::size_t> exchanges = 0;
     std::atomic<bool> accepting = true;
@@ -65,6 +75,7 @@
 namespace {
 
 using Shared = HttpServer::Shared;
+using Phase = ConnectionPool::Phase;
 
 // Counts an exchange during its lifetime.
 class OpenExchange
@@ -87,11 +98,25 @@
 class Connection
 {
 public:
-    Connection(std::shared_ptr<Shared> server, tcp::socket socket, std::string peer)
+    // Whether it still lives. Used on its strand.
+    using Life = std::shared_ptr<Connection *>;
+
+    Connection(std::shared_ptr<Shared> server, tcp::socket socket, std::string peer,
+               std::unique_ptr<ConnectionPool::Member> member, Life life)
         : server(std::move(server))
         , stream(std::move(socket))
         , peer(std::move(peer))
-    {}
+        , member(std::move(member))
+        , life(std::move(life))
+    {
+        *this->life = this;
+    }
+    ~Connection() { *this->life = nullptr; }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
+    // Ends what it waits for.
+    void close() { this->stream.close(); }
 
     asio::awaitable<void> run()
     {
@@ -103,6 +128,7 @@
                 break;
             first = false;
             this->streamOpen = false;
+            this->member->enter(Phase::Handling);
             HttpExchange exchange(std::move(*request), this->peer, this->stream.get_executor(),
                                   this->exchangeHooks());
             co_await this->server->hooks.handle(exchange);
@@ -110,6 +136,7 @@
             // A stream that was not finished is cut: closing without the last chunk shows it.
             if (!this->keepAlive || !exchange.answered() || this->broken || this->streamOpen)
                 break;
+            this->becomeIdle();
         }
         beast::error_code ignored;
         this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
@@ -133,17 +160,37 @@
         const auto watch = std::make_shared<bool>(true);
         this->watching = watch;
         tcp::socket &socket = this->stream.socket();
-        socket.async_wait(tcp::socket::wait_read, [&socket, watch, gone = std::move(gone)](
+        socket.async_wait(tcp::socket::wait_read, [this, &socket, watch, gone = std::move(gone)](
                                                           const beast::error_code &problem) {
             if (problem || !*watch)
                 return;
             char next = 0;
             const auto got = ::recv(socket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
-            if (got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
+            const bool sentAhead = got > 0 && !this->holdSentAhead();
+            if (got == 0 || sentAhead || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
                 gone();
         });
     }
 
+    // A caller that sends its next request ahead fills the kernel's buffers. False: there is no
+    // room for them.
+    bool holdSentAhead()
+    {
+        this->broken =
+                this->broken || !this->member->resize(this->heldBytes + 2 * socketBufferBytes);
+        return !this->broken;
+    }
+
+    void becomeIdle()
+    {
+        if (this->buffer.size() == 0)
+            this->buffer.shrink_to_fit();
+        this->member->setAnswerBytes(0);
+        this->heldBytes = this->buffer.capacity();
+        this->member->resize(this->heldBytes);
+        this->member->enter(Phase::Idle);
+    }
+
     void stopWatching()
     {
         if (!this->watching)
@@ -163,7 +210,7 @@
         const HttpLimits limits = *this->server->limits.read();
         parser.header_limit(limits.headerBytes);
         parser.body_limit(boost::none); // checked below, with the limits of that time
-        this->buffer.max_size(limits.headerBytes + readAheadBytes);
+        this->buffer.max_size(limits.headerBytes + readBytes);
         // The first request must arrive at once; later ones may follow after an idle time.
         this->stream.expires_after(first ? limits.requestTimeout : limits.idleTimeout);
         auto [headProblem, headBytes] = co_await http::async_read_header(
@@ -182,17 +229,45 @@
         this->stream.expires_after(limits.requestTimeout);
         if (parser.get()[http::field::expect] == "100-continue")
             co_await this->sendContinue();
-        auto [bodyProblem, bodyBytes] = co_await http::async_read(
-                this->stream, this->buffer, parser, asio::as_tuple(asio::use_awaitable));
-        if (bodyProblem) {
-            co_await this->reject(bodyProblem, headBytes + bodyBytes);
+        const bool received = co_await this->readBody(parser, headBytes);
+        if (!received)
             co_return std::nullopt;
-        }
         this->keepAlive = parser.get().keep_alive();
         this->withoutBody = parser.get().method() == http::verb::head;
         co_return toHttpRequest(parser.release());
     }
 
+    // False: the connection is to be closed; a rejection has been answered.
+    asio::awaitable<bool> readBody(http::request_parser<http::string_body> &parser,
+                                   std::size_t headBytes)
+    {
+        this->member->enter(Phase::Receiving);
+        const auto &fields = parser.get();
+        const auto fieldCount = std::size_t(std::distance(fields.begin(), fields.end()));
+        const std::size_t headHeld = 2 * headBytes + fieldCount * fieldBytes;
+        std::size_t bytesRead = headBytes;
+        parser.eager(true);
+        while (true) {
+            // The request that is sent on is a second copy.
+            this->heldBytes = headHeld + 2 * parser.get().body().size() + this->buffer.capacity();
+            if (!this->member->resize(this->heldBytes)) {
+                std::string().swap(parser.get().body());
+                co_await this->refuse(503, "there is no room for the request now");
+                co_return false;
+            }
+            if (parser.is_done())
+                co_return true;
+            auto [problem, bytes] = co_await http::async_read_some(
+                    this->stream, this->buffer, parser, asio::as_tuple(asio::use_awaitable));
+            bytesRead += bytes;
+            if (problem) {
+                std::string().swap(parser.get().body());
+                co_await this->reject(problem, bytesRead);
+                co_return false;
+            }
+        }
+    }
+
     asio::awaitable<void> sendContinue()
     {
         http::response<http::empty_body> go(http::status::continue_, httpVersion);
@@ -212,16 +287,25 @@
         else if (problem.category() != http::make_error_code(http::error::bad_method).category()
                  || problem == http::error::end_of_stream)
             co_return;
+        co_await this->refuse(status, problem.message());
+    }
+
+    asio::awaitable<void> refuse(unsigned status, std::string cause)
+    {
         this->keepAlive = false;
-        co_await this->respond(this->server->hooks.reject(status, problem.message()));
+        co_await this->respond(this->server->hooks.reject(status, cause));
+        this->buffer.clear();
+        this->buffer.shrink_to_fit();
+        this->member->resize(0);
+        this->member->enter(Phase::Receiving);
         co_await this->drainInput();
     }
 
     // Closing with unread input resets the connection, and the caller would lose the refusal.
     asio::awaitable<void> drainInput()
     {
-        constexpr std::size_t drainBytes = 64U << 10U;
-        constexpr int drainReads = 512;
+        constexpr std::size_t drainBytes = 8U << 10U;
+        constexpr int drainReads = 4'096;
         constexpr std::chrono::seconds drainTime{2};
         beast::error_code ignored;
         this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
@@ -243,10 +327,10 @@
             message.body().clear();
         message.prepare_payload();
         this->keepAlive = message.keep_alive();
-        this->stream.expires_after(this->server->limits.read()->writeTimeout);
+        this->beginWrite(message.body().size());
         auto [problem, bytes] = co_await http::async_write(this->stream, message,
                                                            asio::as_tuple(asio::use_awaitable));
-        co_return this->outcomeOf(problem);
+        co_return this->endWrite(problem);
     }
 
     asio::awaitable<state::Result<void>> beginStream(protocol::HttpResponse head)
@@ -257,21 +341,21 @@
         this->keepAlive = this->keepAlive && this->server->keepsConnections();
         message.keep_alive(this->keepAlive);
         http::response_serializer<http::empty_body> serializer(message);
-        this->stream.expires_after(this->server->limits.read()->writeTimeout);
+        this->beginWrite(0);
         auto [problem, bytes] = co_await http::async_write_header(
                 this->stream, serializer, asio::as_tuple(asio::use_awaitable));
-        co_return this->outcomeOf(problem);
+        co_return this->endWrite(problem);
     }
 
     asio::awaitable<state::Result<void>> writeChunk(std::string_view piece)
     {
         if (this->withoutBody)
             co_return state::outcome::success();
-        this->stream.expires_after(this->server->limits.read()->writeTimeout);
+        this->beginWrite(piece.size());
         auto [problem, bytes] = co_await asio::async_write(
                 this->stream, http::make_chunk(asio::buffer(piece.data(), piece.size())),
                 asio::as_tuple(asio::use_awaitable));
-        co_return this->outcomeOf(problem);
+        co_return this->endWrite(problem);
     }
 
     asio::awaitable<state::Result<void>> finishStream()
@@ -280,15 +364,23 @@
             this->streamOpen = false;
             co_return state::outcome::success();
         }
-        this->stream.expires_after(this->server->limits.read()->writeTimeout);
+        this->beginWrite(0);
         auto [problem, bytes] = co_await asio::async_write(this->stream, http::make_chunk_last(),
                                                            asio::as_tuple(asio::use_awaitable));
         this->streamOpen = false;
-        co_return this->outcomeOf(problem);
+        co_return this->endWrite(problem);
     }
 
-    state::Result<void> outcomeOf(const beast::error_code &problem)
+    void beginWrite(std::size_t bodyBytes)
     {
+        this->stream.expires_after(this->server->limits.read()->writeTimeout);
+        this->member->setAnswerBytes(bodyBytes);
+        this->member->enter(Phase::Sending);
+    }
+
+    state::Result<void> endWrite(const beast::error_code &problem)
+    {
+        this->member->enter(Phase::Handling);
         if (!problem)
             return state::outcome::success();
         this->broken = true;
@@ -298,7 +390,10 @@
     std::shared_ptr<Shared> server;
     beast::tcp_stream stream;
     std::string peer;
+    std::unique_ptr<ConnectionPool::Member> member;
+    Life life; // empty from the end of this object on
     beast::flat_buffer buffer;
+    std::size_t heldBytes = 0; // of the request and what is read ahead
     bool keepAlive = false;
     bool withoutBody = false;       // the answer to a HEAD request
     bool broken = false;            // a write failed; nothing more can be sent
@@ -307,9 +402,12 @@
 };
 
 asio::awaitable<void> serveConnection(std::shared_ptr<Shared> server, tcp::socket socket,
-                                      std::string peer)
+                                      std::string peer,
+                                      std::unique_ptr<ConnectionPool::Member> member,
+                                      Connection::Life life)
 {
-    Connection connection(server, std::move(socket), std::move(peer));
+    Connection connection(server, std::move(socket), std::move(peer), std::move(member),
+                          std::move(life));
     try {
         co_await connection.run();
     } catch (const std::exception &) {
@@ -341,13 +439,24 @@
             co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
             continue;
         }
-        if (server->connections >= server->limits.read()->connections)
+        const auto life = std::make_shared<Connection *>(nullptr);
+        const auto close = [strand, life] {
+            asio::post(strand, [life] {
+                if (*life != nullptr)
+                    (*life)->close();
+            });
+        };
+        auto member = server->hooks.pool->join(server->listener, server->limits.read()->connections,
+                                               close);
+        if (!member)
             continue; // closes the socket
         beast::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
         ++server->connections;
         std::string peer = peerOf(socket);
-        asio::co_spawn(strand, serveConnection(server, std::move(socket), std::move(peer)),
+        asio::co_spawn(strand,
+                       serveConnection(server, std::move(socket), std::move(peer),
+                                       std::move(member), life),
                        asio::detached);
     }
 }
@@ -414,6 +523,10 @@
     acceptor.open(local.protocol(), problem);
     if (!problem)
         acceptor.set_option(asio::socket_base::reuse_address(true), problem);
+    // Connections inherit these; without them, the system's own sizes stay.
+    beast::error_code ignored;
+    acceptor.set_option(asio::socket_base::receive_buffer_size(socketBufferBytes), ignored);
+    acceptor.set_option(asio::socket_base::send_buffer_size(socketBufferBytes), ignored);
     if (!problem)
         acceptor.bind(local, problem);
     if (!problem)
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -5,6 +5,7 @@
 #include "protocol/HttpMessage.h"
 #include "state/Address.h"
 #include "state/Error.h"
+#include "transport/ConnectionPool.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -25,7 +26,7 @@
 {
     std::uint32_t headerBytes = 16U << 10U;           // 431 above
     std::uint64_t bodyBytes = 16U << 20U;             // 413 above
-    std::uint32_t connections = 10'000;               // further ones are closed at once
+    std::uint32_t connections = 10'000;               // for others, one of them has to make room
     std::chrono::milliseconds requestTimeout{30'000}; // first byte to last byte of a request
     std::chrono::milliseconds idleTimeout{60'000};    // between requests of one connection
     std::chrono::milliseconds writeTimeout{30'000};   // one write to a caller that does not read
@@ -85,9 +86,11 @@
     struct Hooks
     {
         HttpHandler handle;
-        // What to answer to a request that can't be parsed (400), is too large (413, 431) or too
-        // slow (408).
+        // What to answer to a request that can't be parsed (400), is too large (413, 431), too slow
+        // (408), or for which there is no room (503).
         std::function<protocol::HttpResponse(unsigned status, std::string_view cause)> reject;
+        // Shared by all listeners of a process.
+        std::shared_ptr<ConnectionPool> pool = ConnectionPool::create();
     };
 
     // Binds and listens. Error: Unavailable, step "listener.bind", peer the address (busy port).
