Transport: frames of strangers count, and are read as they come

Cause: the length that a stranger names was allocated at once, for each of 64 connections, before the seal was checked; and 64 strangers kept peers out.

Change: frames are read in pieces and counted in the budget of all listeners; a connection that has brought no sealed frame makes room before those that have.

--- a/src/program/ControlMemberHost.cpp
+++ b/src/program/ControlMemberHost.cpp
@@ -97,7 +97,8 @@
                       transport::PeerLink::listen(
                               this->io, linkSettings, settings.keys,
                               {[this](const std::string &bytes) { this->receive(bytes); },
-                               [this](const state::Error &error) { this->reportProblem(error); }}));
+                               [this](const state::Error &error) { this->reportProblem(error); },
+                               this->hooks.pool}));
     this->peerLink = std::move(opened);
     return state::outcome::success();
 }
--- a/src/program/ControlMemberHost.h
+++ b/src/program/ControlMemberHost.h
@@ -49,6 +49,8 @@
     std::function<void(const coordination::consensus::MemberSet &)> membersChanged; // committed
     // An error to be logged; also called on the link's strand.
     std::function<void(const state::Error &)> problem;
+    std::shared_ptr<transport::ConnectionPool> pool =
+            transport::ConnectionPool::create(); // of the process
 };
 
 // Must outlive every thread that runs the io_context, and be destroyed before the io_context.
--- a/src/program/ControlService.cpp
+++ b/src/program/ControlService.cpp
@@ -144,6 +144,7 @@
         logEvent(LogLevel::Debug, "control.problem",
                  {{"step", error.step}, {"peer", error.peer}, {"cause", error.cause}});
     };
+    memberHooks.pool = this->hooks.pool;
     BOOST_OUTCOME_TRY(auto opened,
                       ControlMemberHost::open(this->context, hostSettings, memberHooks));
     this->id = opened->id();
--- a/src/program/ControlService.h
+++ b/src/program/ControlService.h
@@ -32,6 +32,8 @@
         std::function<std::vector<coordination::consensus::MemberCandidate>()> candidates;
         // Returns whether that process is known to have ended. Empty hook: none is.
         std::function<bool(const state::VmId &entry, std::uint64_t incarnation)> hasEnded;
+        std::shared_ptr<transport::ConnectionPool> pool =
+                transport::ConnectionPool::create(); // of the process
     };
 
     // Errors: those of ControlMemberHost::open.
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -242,6 +242,7 @@
     ControlService::Hooks controlHooks()
     {
         ControlService::Hooks hooks;
+        hooks.pool = this->pool;
         // If the settings name the members, operators decide which nodes are members.
         if (this->settings.controlMembers.empty())
             hooks.candidates = [this] { return this->cluster->controlCandidates(); };
--- a/src/transport/PeerLink.cpp
+++ b/src/transport/PeerLink.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -27,6 +28,7 @@
 namespace {
 
 constexpr std::size_t lengthBytes = 4;
+constexpr std::size_t frameReadBytes = 64U << 10U;
 constexpr std::chrono::milliseconds acceptPause{
         50}; // after a failed accept, such as no descriptors
 
@@ -57,6 +59,7 @@
     , settings(chosen)
     , keys(sealKeys)
     , hooks(linkHooks)
+    , listener(this->hooks.pool->addListener())
     , acceptor(this->strand)
 {}
 
@@ -149,7 +152,16 @@
                                              asio::redirect_error(asio::use_awaitable, error));
         if (this->stopped)
             co_return;
-        if (error || this->accepted.size() >= this->settings.connections) {
+        std::unique_ptr<ConnectionPool::Member> member;
+        if (!error)
+            member = this->hooks.pool->join(this->listener, this->settings.connections,
+                                            [strand = this->strand, socket] {
+                                                asio::post(strand, [socket] {
+                                                    boost::system::error_code ignored;
+                                                    socket->close(ignored);
+                                                });
+                                            });
+        if (!member) {
             this->report(makeError(ErrorCode::Overloaded, "peer.accept",
                                    error ? error.message() : "too many connections"));
             asio::steady_timer timer(this->strand, acceptPause);
@@ -160,12 +172,35 @@
         this->accepted.insert(socket);
         asio::co_spawn(
                 this->strand,
-                [self = this->shared_from_this(), socket] { return self->receiveAll(socket); },
+                [self = this->shared_from_this(), socket, member = std::move(member)]() mutable {
+                    return self->receiveAll(socket, std::move(member));
+                },
                 asio::detached);
     }
 }
 
-asio::awaitable<void> PeerLink::receiveAll(std::shared_ptr<Socket> socket)
+asio::awaitable<state::Result<std::string>>
+PeerLink::receiveFrame(Socket &socket, ConnectionPool::Member &member, std::size_t length) const
+{
+    std::string sealed;
+    while (sealed.size() < length) {
+        const std::size_t received = sealed.size();
+        const std::size_t piece = std::min(frameReadBytes, length - received);
+        sealed.resize(received + piece);
+        if (!member.resize(sealed.capacity()))
+            co_return makeError(ErrorCode::Overloaded, "peer.receive", "no room for a frame");
+        boost::system::error_code error;
+        co_await asio::async_read(socket, asio::buffer(sealed.data() + received, piece),
+                                  asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return makeError(ErrorCode::Corrupt, "peer.receive",
+                                "cut inside a frame: " + error.message());
+    }
+    co_return sealed;
+}
+
+asio::awaitable<void> PeerLink::receiveAll(std::shared_ptr<Socket> socket,
+                                           std::unique_ptr<ConnectionPool::Member> member)
 {
     boost::system::error_code error;
     const tcp::endpoint remote = socket->remote_endpoint(error);
@@ -190,20 +225,22 @@
             problem = "frame of " + std::to_string(length) + " bytes";
             break;
         }
-        std::string sealed(length, '\0');
-        co_await asio::async_read(*socket, asio::buffer(sealed),
-                                  asio::redirect_error(asio::use_awaitable, error));
-        if (error) {
-            problem = "cut inside a frame: " + error.message();
+        const auto sealed = co_await this->receiveFrame(*socket, *member, length);
+        if (sealed.has_error()) {
+            code = sealed.error().code;
+            problem = sealed.error().cause;
             break;
         }
         state::Result<std::string> bytes =
-                protocol::unseal(this->keys, this->settings.context, sealed);
+                protocol::unseal(this->keys, this->settings.context, sealed.value());
         if (bytes.has_error()) {
             code = bytes.error().code;
             problem = bytes.error().cause;
         } else if (!this->stopped) {
             this->hooks.received(std::move(bytes).value());
+            // Who holds a key makes room only after strangers.
+            member->resize(0);
+            member->enter(ConnectionPool::Phase::Idle);
         }
     }
     idle.cancel();
--- a/src/transport/PeerLink.h
+++ b/src/transport/PeerLink.h
@@ -7,6 +7,7 @@
 #include "protocol/Seal.h"
 #include "state/Address.h"
 #include "state/Error.h"
+#include "transport/ConnectionPool.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -32,7 +33,7 @@
     std::string context = "consensus"; // of the seal
     std::size_t frameBytes = protocol::maximumMessageBytes + protocol::sealBytes;
     std::size_t queueBytes = 16U << 20U; // waiting for one peer; beyond it the oldest are dropped
-    std::size_t connections = 64;        // accepted at once; more are closed
+    std::size_t connections = 64; // accepted at once; for others, one of them has to make room
     std::chrono::milliseconds connectTimeout{500};
     // Data in flight unanswered for so long ends the connection. The system's own retries double
     // their pauses, so that after a partition of minutes an old connection would stay silent for
@@ -48,6 +49,8 @@
 {
     std::function<void(std::string bytes)> received; // seal checked and taken off
     std::function<void(const state::Error &)> problem;
+    // Shared by all listeners of a process.
+    std::shared_ptr<ConnectionPool> pool = ConnectionPool::create();
 };
 
 class PeerLink : public std::enable_shared_from_this<PeerLink>
@@ -77,13 +80,18 @@
 
     state::Result<void> bind();
     boost::asio::awaitable<void> acceptAll();
-    boost::asio::awaitable<void> receiveAll(std::shared_ptr<Socket> socket);
+    boost::asio::awaitable<void> receiveAll(std::shared_ptr<Socket> socket,
+                                            std::unique_ptr<ConnectionPool::Member> member);
+    // The frame's bytes, read in pieces: most of a length that a stranger names need not come.
+    boost::asio::awaitable<state::Result<std::string>>
+    receiveFrame(Socket &socket, ConnectionPool::Member &member, std::size_t length) const;
     void report(const state::Error &error) const;
 
     Strand strand;
     PeerLinkSettings settings;
     protocol::SealKeys keys;
     PeerLinkHooks hooks;
+    const ConnectionPool::Listener listener;
     boost::asio::ip::tcp::acceptor acceptor;
     state::Address bound;
     // The rest is used on the strand only.
