--- a/tests/platform/UnframedAnswerTest.cpp
+++ b/tests/platform/UnframedAnswerTest.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(answerOfAnotherRequestInABodyIsNoSuccess);
     CPPUNIT_TEST(bodyThatQuotesAnAnswerIsWhole);
     CPPUNIT_TEST(answerThatIsResetWhileItsRequestIsSentIsNoSuccess);
+    CPPUNIT_TEST(answerThatIsResetBehindARequestOfAnyLengthIsNoSuccess);
     CPPUNIT_TEST_SUITE_END();
 
     using Kind = state::routes::CallKind;
@@ -206,6 +207,22 @@
         checkWhole({Kind::Stream, {events, {eventsBetween(3, 4)}}, false, longBody}, eventsUpTo(4));
         checkNoSuccess({Kind::Stream, {events, events}, false, longBody});
     }
+
+    // Guards against the same where most of the request, or all of it, waits in the system's
+    // buffers, and where a peer sends it.
+    void answerThatIsResetBehindARequestOfAnyLengthIsNoSuccess()
+    {
+        constexpr std::size_t mebibyte = 1U << 20U;
+        const RawAnswer body{.bytes = "the endpo", .reset = true, .early = true};
+        const RawAnswer events{.bytes = eventsUpTo(2), .reset = true, .early = true};
+        for (const std::size_t length : {mebibyte / 4, mebibyte, 2 * mebibyte, 4 * mebibyte}) {
+            for (const bool throughPeer : {false, true}) {
+                checkNoSuccess({Kind::NonIdempotent, {body}, throughPeer, length});
+                checkNoSuccess({Kind::Idempotent, {body, body}, throughPeer, length});
+                checkNoSuccess({Kind::Stream, {events, events}, throughPeer, length});
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UnframedAnswerTest);
