Relay: a run for a caller or a peer that resumes is held against its last event

What callers would see: a stream that ends as if it were complete, where an entry had begun it and a peer resumed it: a length of 0, a comment, or events that the caller has. And an error's text without a field name, in chunks, ended a stream anywhere.

Cause: how far a run is was measured against what this process had passed on, not against the id that it was asked to go on behind; a peer has passed on nothing, and gives each run a last chunk. Only blocks with an id or data counted as events.

Change: a run is behind from the start if there is a last event, whoever has it; every block but comments and retry is an event. A caller that resumes by itself gets the same: an empty answer that is no event stream's end is no success any more.

--- a/src/coordination/relay/EventSplitter.cpp
+++ b/src/coordination/relay/EventSplitter.cpp
@@ -8,8 +8,7 @@
 namespace {
 
 constexpr std::string_view idField = "id:";
-constexpr std::string_view dataField = "data";
-constexpr std::string_view laterDataField = "\ndata";
+constexpr std::string_view retryField = "retry:";
 
 // The numeric id of an event; nothing if it has no id line with a number.
 std::optional<std::uint64_t> idOf(std::string_view event)
@@ -31,9 +30,19 @@
     return std::nullopt;
 }
 
-bool hasData(std::string_view event)
+// Whether a block is more than comments and the time after which a caller connects again.
+bool carriesEvent(std::string_view block)
 {
-    return event.starts_with(dataField) || event.find(laterDataField) != event.npos;
+    while (!block.empty()) {
+        const std::size_t end = block.find('\n');
+        std::string_view line = block.substr(0, end);
+        block = end == std::string_view::npos ? std::string_view() : block.substr(end + 1);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        if (!line.empty() && !line.starts_with(':') && !line.starts_with(retryField))
+            return true;
+    }
+    return false;
 }
 
 constexpr std::size_t lfLength = 2; // of the blank line that ends an event
@@ -77,18 +86,18 @@
 {
     this->buffer.clear();
     this->searched = 0;
-    const bool resumes = this->passedEventCount > 0 && this->lastEventId;
-    this->progress = resumes ? RunProgress::Behind : RunProgress::Beyond;
+    this->progress = this->lastEventId ? RunProgress::Behind : RunProgress::Beyond;
     this->runHasEvents = false;
 }
 
 bool EventSplitter::isNew(std::string_view event)
 {
     const std::optional<std::uint64_t> id = idOf(event);
-    this->runHasEvents = this->runHasEvents || id || hasData(event);
+    const bool isEvent = id || carriesEvent(event);
+    this->runHasEvents = this->runHasEvents || isEvent;
     if (!id) {
         const bool isNew = this->progress == RunProgress::Beyond;
-        this->passedWithoutId = this->passedWithoutId || (isNew && hasData(event));
+        this->passedWithoutId = this->passedWithoutId || (isNew && isEvent);
         return isNew;
     }
     if (this->lastEventId && *id <= *this->lastEventId) {
--- a/src/coordination/relay/EventSplitter.h
+++ b/src/coordination/relay/EventSplitter.h
@@ -16,7 +16,8 @@
     // Longer ones are taken for bytes without end.
     static constexpr std::size_t maximumEventBytes = 1U << 20U;
 
-    // Another endpoint continues the stream: drops the event that the last one left incomplete.
+    // An endpoint begins or continues the stream: drops the event that the last one left
+    // incomplete.
     void beginRun();
     // Appends bytes and returns, unchanged, the complete events that are new to the caller. Events
     // up to the last id passed on are left out, as an endpoint that resumes may repeat some; until
@@ -58,7 +59,7 @@
     std::optional<std::uint64_t> lastEventId;
     std::uint64_t passedEventCount = 0;
     bool runHasEvents = false;
-    bool passedWithoutId = false; // data; not only comments and settings of the stream
+    bool passedWithoutId = false; // an event; not only comments and settings of the stream
     RunProgress progress = RunProgress::Beyond; // the first run has nothing to repeat
 };
 
--- a/tests/coordination/relay/EventSplitterTest.cpp
+++ b/tests/coordination/relay/EventSplitterTest.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(eventsWithoutIdsOfAnotherRunAreLeftOutUntilItGoesOn);
     CPPUNIT_TEST(runThatBringsNothingOfTheStreamDoesNotEndIt);
     CPPUNIT_TEST(streamWithDataWithoutIdsCantBeResumed);
+    CPPUNIT_TEST(runForACallerThatResumesIsHeldAgainstItsLastEvent);
     CPPUNIT_TEST(crlfEndsEventsToo);
     CPPUNIT_TEST(blankLineSplitOverManyPiecesEndsItsEvent);
     CPPUNIT_TEST(eventWithoutEndIsTooLong);
@@ -53,6 +54,19 @@
         CPPUNIT_ASSERT_EQUAL(event(3) + other, splitter.append(event(3) + other));
     }
 
+    // Guards against the same where a caller or a peer resumes a stream that it has begun
+    // elsewhere.
+    void runForACallerThatResumesIsHeldAgainstItsLastEvent()
+    {
+        EventSplitter splitter;
+        splitter.resumeAfter(3);
+        splitter.beginRun();
+        CPPUNIT_ASSERT_EQUAL(std::string(), splitter.append("an error\n\n" + events(1, 2)));
+        CPPUNIT_ASSERT(!splitter.runMayEndStream(true));
+        CPPUNIT_ASSERT_EQUAL(event(4), splitter.append(events(3, 4)));
+        CPPUNIT_ASSERT(splitter.runMayEndStream(false));
+    }
+
     // Guards against events that come twice, since the next run begins anew.
     void streamWithDataWithoutIdsCantBeResumed()
     {
@@ -73,7 +87,9 @@
         splitter.append(": ping\n\n");
         CPPUNIT_ASSERT(!splitter.runMayEndStream(false));
         CPPUNIT_ASSERT(splitter.runMayEndStream(true));
-        for (const std::string &other : {std::string("data: an error\n\n"), events(1, 2)}) {
+        for (const std::string &other :
+             {std::string("data: an error\n\n"), std::string("an error\n\n"),
+              std::string("event: error\n\n"), std::string("error: busy\r\n\r\n"), events(1, 2)}) {
             splitter.beginRun();
             splitter.append(other);
             CPPUNIT_ASSERT(!splitter.runMayEndStream(true));
--- a/tests/platform/ResumedStreamTest.cpp
+++ b/tests/platform/ResumedStreamTest.cpp
@@ -5,8 +5,11 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <array>
+#include <chrono>
 #include <deque>
+#include <future>
 #include <string>
+#include <thread>
 #include <utility>
 
 namespace lavenderthread::platform {
@@ -70,6 +73,7 @@
     CPPUNIT_TEST(failureOfAResumedRunIsNoPartOfTheStream);
     CPPUNIT_TEST(failureOfAResumedRunAtAPeerIsNoPartOfTheStream);
     CPPUNIT_TEST(runWithoutANextEventDoesNotEndTheStream);
+    CPPUNIT_TEST(runOfAPeerWithoutANextEventDoesNotEndTheStream);
     CPPUNIT_TEST(emptyRunEndsTheStreamByItsLastChunk);
     CPPUNIT_TEST(answerOfAnotherStatusIsNoPartOfTheStream);
     CPPUNIT_TEST(answerOfAnotherTypeIsNoPartOfTheStream);
@@ -139,7 +143,10 @@
     void runWithoutANextEventDoesNotEndTheStream()
     {
         for (const Framing framing : framings) {
-            for (const std::string &body : {std::string("data: its error\n\n"), eventsUpTo(1)})
+            for (const std::string &body :
+                 {std::string("data: its error\n\n"), std::string("its error\n\n"),
+                  std::string("{\"error\":\"busy\"}\n\n"), std::string("event: error\n\n"),
+                  eventsUpTo(1)})
                 checkNoPartOfTheStream(answerOf(200, eventStream, framing, body));
             if (framing == Framing::Chunks) // nothing is left, see below
                 continue;
@@ -148,6 +155,30 @@
         }
     }
 
+    // Guards against the same where the stream has begun at the entry, and a peer resumes it.
+    void runOfAPeerWithoutANextEventDoesNotEndTheStream()
+    {
+        RawAnswer first = streamThatBreaksOff();
+        first.reset = true;
+        first.beforeReset = std::chrono::milliseconds(200);
+        constexpr std::chrono::milliseconds untilPathIsLost{80};
+        for (const RawAnswer &answer : {answerOf(200, eventStream, Framing::Length, ""),
+                                        answerOf(200, eventStream, Framing::Length, ": ping\n\n"),
+                                        answerOf(200, eventStream, Framing::Chunks, eventsUpTo(1)),
+                                        answerOf(200, eventStream, Framing::Chunks, "error\n\n"),
+                                        answerOf(204, eventStream, Framing::Length, "")}) {
+            fakes::RawEndpoint endpoint({first, answer});
+            RelayFixture fixture(Kind::Stream, {}, false, {PeerBehaviour::Serves});
+            fixture.publishRoutes(Kind::Stream, false, true);
+            fixture.announce(endpoint.address(), 2);
+            auto bytes = std::async(std::launch::async, [&fixture] { return fixture.callRaw(); });
+            std::this_thread::sleep_for(untilPathIsLost);
+            fixture.pathLost = true;
+            checkCutBehindTwoEvents(bytes.get());
+            CPPUNIT_ASSERT_EQUAL(1, fixture.handedOver.load());
+        }
+    }
+
     void emptyRunEndsTheStreamByItsLastChunk()
     {
         for (const std::string &body : {std::string(), std::string(": ping\n\n")}) {
