State: trees of JSON from outside are bounded

Cause: the tree of a text takes up to fifty times its bytes, and all checks came after it had been built.

Change: what comes from outside is parsed with 32 MB at most, the parser's own need included; more is refused as no JSON.

--- a/soak/CrowdTests.cpp
+++ b/soak/CrowdTests.cpp
@@ -105,6 +105,18 @@
     return script;
 }
 
+// A text whose tree takes many times its bytes.
+CrowdScript manyNumbers(state::Address to, const std::string &line)
+{
+    constexpr std::uint64_t largestBody = 16U << 20U; // of the product's own interface
+    const std::string begin = "{\"a\":[";
+    CrowdScript script = wholeBodies(std::move(to), line);
+    script.head = requestHead(line, withLength(largestBody)) + begin;
+    script.unit = repeated("0,", unitBytes / 2);
+    script.bytes = largestBody - begin.size();
+    return script;
+}
+
 CrowdScript halfBody(state::Address to, const std::string &line)
 {
     CrowdScript script = bodyOneByteShort(std::move(to), line);
@@ -279,6 +291,7 @@
     };
     const Script frame = [](auto to, const auto &) { return unfinishedFrame(to); };
     constexpr std::size_t smallCrowd = 40;
+    constexpr std::size_t oneConnection = 1;
     constexpr std::size_t manyConnections = 400;
     constexpr std::uint64_t fewDescriptors = 300;
     const std::string call = "POST /read/x";
@@ -296,6 +309,8 @@
             atDoor("bodiesInSmallPieces", &Fleet::callers, call, pieces),
             atDoor("wholeBodiesOverAndOver", &Fleet::callers, call, wholeBodies),
             atDoor("shortFieldsAndBodies", &Fleet::callers, call, fields),
+            atDoor("numbersAtOwnInterface", &Fleet::own, "POST /v1/endpoints/announce", manyNumbers,
+                   oneConnection),
             atDoor("halfBodies", &Fleet::callers, call, halfBody),
             atDoor("bodiesFarOverTheLimit", &Fleet::callers, call, overLimit),
             atDoor("slowBodies", &Fleet::callers, call, slowBody),
--- a/src/program/ControlRoutes.cpp
+++ b/src/program/ControlRoutes.cpp
@@ -6,12 +6,12 @@
 #include "protocol/ControlCommands.h"
 #include "protocol/JsonResponse.h"
 #include "protocol/Problem.h"
+#include "state/BoundedJson.h"
 #include "state/table/TableDifference.h"
 #include "state/table/TableText.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <charconv>
@@ -171,7 +171,7 @@
     asio::awaitable<HttpResponse> putAccount()
     {
         boost::system::error_code problem;
-        const json::value root = json::parse(this->request.body, problem);
+        const json::value root = state::parseJson(this->request.body, problem);
         const auto textOf = [&](const char *name) {
             const json::value *value =
                     root.is_object() ? root.get_object().if_contains(name) : nullptr;
@@ -204,7 +204,7 @@
             return state::makeError(state::ErrorCode::InvalidArgument, "order.parse", cause);
         };
         boost::system::error_code problem;
-        const json::value root = json::parse(body, problem);
+        const json::value root = state::parseJson(body, problem);
         if (problem || !root.is_object())
             return fail("the body must be a JSON object");
         const json::object &object = root.get_object();
--- a/src/protocol/Completion.cpp
+++ b/src/protocol/Completion.cpp
@@ -2,10 +2,10 @@
 #include "protocol/Completion.h"
 
 #include "coordination/routing/PrefixIndex.h"
+#include "state/BoundedJson.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 namespace lavenderthread::protocol {
@@ -76,7 +76,7 @@
 state::Result<CompletionBody> parseCompletion(CompletionKind kind, std::string_view text)
 {
     boost::system::error_code problem;
-    const json::value root = json::parse(json::string_view(text.data(), text.size()), problem);
+    const json::value root = state::parseJson(text, problem);
     if (problem || !root.is_object())
         return bodyError("the body must be a JSON object");
     const json::object &object = root.get_object();
@@ -149,7 +149,7 @@
         return state::makeError(state::ErrorCode::Corrupt, "engine.line", cause);
     };
     boost::system::error_code problem;
-    const json::value root = json::parse(json::string_view(text.data(), text.size()), problem);
+    const json::value root = state::parseJson(text, problem);
     if (problem || !root.is_object())
         return fail("not a JSON object");
     const json::object &object = root.get_object();
--- a/src/protocol/EndpointJson.cpp
+++ b/src/protocol/EndpointJson.cpp
@@ -1,7 +1,8 @@
 // Parses the calls of endpoints and checks every JSON member for presence, type and range.
 #include "protocol/EndpointJson.h"
 
-#include <boost/json/parse.hpp>
+#include "state/BoundedJson.h"
+
 #include <boost/json/value.hpp>
 
 #include <charconv>
@@ -25,7 +26,7 @@
         : step(std::move(step))
     {
         boost::system::error_code problem;
-        this->root = json::parse(json::string_view(text.data(), text.size()), problem);
+        this->root = state::parseJson(text, problem);
         if (problem || !this->root.is_object())
             this->fail("the body must be a JSON object");
     }
--- a/src/state/table/TableText.cpp
+++ b/src/state/table/TableText.cpp
@@ -2,6 +2,8 @@
 // invalid cell.
 #include "state/table/TableText.h"
 
+#include "state/BoundedJson.h"
+
 #include <boost/json.hpp>
 
 #include <charconv>
@@ -217,7 +219,7 @@
     if (text.size() > maximumImportBytes)
         return makeError(ErrorCode::InvalidArgument, step, "larger than 64 MiB");
     boost::system::error_code problem;
-    const json::value document = json::parse(text, problem);
+    const json::value document = parseJson(text, problem);
     if (problem)
         return makeError(ErrorCode::InvalidArgument, step, problem.message());
     const json::value *rows =
