State: uploads and peers make room only after connections that lose nothing

What callers would see: an upload or an answer cut off after half a second, where an idle connection could have made room, or for a request that was refused all the same; and peers whose links were closed in a burst of strangers (found by review).

Cause: all unfinished requests went before idle connections, however young; the age of a peer's link was that of its first message; and connections were closed before it was known whether that would do.

Change: an unfinished request or an unread answer goes before idle connections after two seconds, otherwise behind them; each message, write and head begins a phase anew; in a burst no idle connection goes; nothing is closed if it isn't enough.

--- a/src/state/ConnectionBudget.cpp
+++ b/src/state/ConnectionBudget.cpp
@@ -1,5 +1,7 @@
 #include "state/ConnectionBudget.h"
 
+#include <utility>
+
 namespace lavenderthread::state {
 
 namespace {
@@ -39,13 +41,14 @@
     return admission;
 }
 
-void ConnectionBudget::enter(Id connection, ConnectionPhase phase, Instant now)
+bool ConnectionBudget::enter(Id connection, ConnectionPhase phase, Instant now)
 {
     const auto found = this->connections.find(connection);
-    if (found == this->connections.end() || found->second.phase == phase)
-        return;
+    if (found == this->connections.end())
+        return false;
     found->second.phase = phase;
     found->second.since = now;
+    return true;
 }
 
 bool ConnectionBudget::resize(Id connection, std::size_t bytes, Instant now,
@@ -57,12 +60,13 @@
     Connection &own = found->second;
     const std::size_t wanted =
             bytes > this->settings.uncounted ? bytes - this->settings.uncounted : 0;
+    if (wanted > own.counted && !this->hasRoomFor(wanted - own.counted, own)
+        && !this->canFree(wanted - own.counted, connection, now)) {
+        ++this->totals.refusedBytes;
+        return false;
+    }
     while (wanted > own.counted && !this->hasRoomFor(wanted - own.counted, own)) {
         const auto victim = this->largestWaiting(connection, now);
-        if (victim == this->connections.end()) {
-            ++this->totals.refusedBytes;
-            return false;
-        }
         closed.push_back(victim->first);
         ++this->totals.closedForBytes;
         this->erase(victim);
@@ -85,7 +89,7 @@
     double most = 0;
     for (auto each = this->connections.begin(); each != this->connections.end(); ++each) {
         const Connection &connection = each->second;
-        if (connection.phase != ConnectionPhase::Sending || this->isPatientWith(connection, now))
+        if (connection.phase != ConnectionPhase::Sending || !this->isWaiting(connection, now))
             continue;
         const double held = byteSeconds(connection.answerBytes, now - connection.since);
         if (held > most) {
@@ -114,32 +118,63 @@
            || this->totals.bytes == connection.counted;
 }
 
-bool ConnectionBudget::isPatientWith(const Connection &connection, Instant now) const
+bool ConnectionBudget::isWaiting(const Connection &connection, Instant now) const
+{
+    return connection.phase != ConnectionPhase::Handling
+           && now - connection.since >= this->settings.patience;
+}
+
+// Whether closing all that wait would leave room, if nothing else is held then.
+bool ConnectionBudget::canFree(std::size_t bytes, Id except, Instant now) const
 {
-    return now - connection.since < this->settings.patience;
+    std::size_t kept = 0;
+    std::size_t own = 0;
+    for (const auto &[id, connection] : this->connections) {
+        if (id == except)
+            own = connection.counted;
+        else if (!this->isWaiting(connection, now))
+            kept += connection.counted;
+    }
+    return kept == 0 || kept + own + bytes <= this->settings.bytes;
+}
+
+// What has lasted too long for a caller that behaves goes first, then idle connections, whose
+// callers lose nothing but a connection, then the others.
+bool ConnectionBudget::makesRoomBefore(const Connection &one, const Connection &other,
+                                       Instant now) const
+{
+    const auto rank = [this, now](const Connection &connection) {
+        if (connection.phase == ConnectionPhase::Idle)
+            return 1;
+        return now - connection.since >= this->settings.longPatience ? 0 : 2;
+    };
+    return std::pair(rank(one), one.since) < std::pair(rank(other), other.since);
 }
 
-// Requests and answers that have made no end for long go before connections that are idle: these
-// have behaved so far.
 ConnectionBudget::Connections::iterator
 ConnectionBudget::longestWaiting(std::optional<Listener> listener, Instant now)
 {
     auto longest = this->connections.end();
+    std::size_t candidates = 0;
+    std::size_t justBegun = 0;
     for (auto each = this->connections.begin(); each != this->connections.end(); ++each) {
         const Connection &connection = each->second;
-        if (connection.phase == ConnectionPhase::Handling || this->isPatientWith(connection, now)
-            || (listener && connection.listener != *listener)
+        if ((listener && connection.listener != *listener)
             || (!listener && this->held[connection.listener] <= this->settings.reserved))
             continue;
-        if (longest == this->connections.end()) {
-            longest = each;
-            continue;
-        }
-        const bool isIdle = connection.phase == ConnectionPhase::Idle;
-        const bool longestIsIdle = longest->second.phase == ConnectionPhase::Idle;
-        if (isIdle != longestIsIdle ? longestIsIdle : connection.since < longest->second.since)
+        const bool waits = this->isWaiting(connection, now);
+        justBegun += connection.phase == ConnectionPhase::Receiving && !waits ? 1 : 0;
+        ++candidates;
+        if (waits
+            && (longest == this->connections.end()
+                || this->makesRoomBefore(connection, longest->second, now)))
             longest = each;
     }
+    // In a burst of new connections, those that have behaved don't make room for the next ones.
+    const bool isBurst = justBegun * 2 > candidates;
+    if (longest != this->connections.end() && isBurst
+        && longest->second.phase == ConnectionPhase::Idle)
+        return this->connections.end();
     return longest;
 }
 
@@ -150,8 +185,7 @@
     double most = 0;
     for (auto each = this->connections.begin(); each != this->connections.end(); ++each) {
         const Connection &connection = each->second;
-        if (connection.phase == ConnectionPhase::Handling || each->first == except
-            || this->isPatientWith(connection, now))
+        if (each->first == except || !this->isWaiting(connection, now))
             continue;
         const double held = byteSeconds(connection.counted, now - connection.since);
         if (held > most) {
--- a/src/state/ConnectionBudget.h
+++ b/src/state/ConnectionBudget.h
@@ -38,6 +38,8 @@
         std::size_t uncounted = 16U << 10U;
         // A connection that has been in its phase for less is not closed.
         std::chrono::milliseconds patience{500};
+        // Unfinished requests and answers that last for longer make room before idle connections.
+        std::chrono::milliseconds longPatience{2'000};
     };
 
     struct Counts
@@ -67,8 +69,8 @@
     // A new connection, which is Receiving. `most`: that this listener may hold.
     Admission admit(Listener listener, std::size_t most, Instant now);
     // A connection that has been closed to make room is not known any more: the calls below do
-    // nothing then, and resize() returns false.
-    void enter(Id connection, ConnectionPhase phase, Instant now);
+    // nothing then, and enter() and resize() return false. Each call begins the phase anew.
+    bool enter(Id connection, ConnectionPhase phase, Instant now);
     // So many bytes are held for the connection now. False, with its count as it was, if there is
     // no room, after the connections in `closed` have been closed. A single connection may hold
     // any number.
@@ -93,10 +95,12 @@
     using Connections = std::map<Id, Connection>;
 
     bool hasRoomFor(std::size_t more, const Connection &connection) const;
-    bool isPatientWith(const Connection &connection, Instant now) const;
     // `listener`: only of this one.
     Connections::iterator longestWaiting(std::optional<Listener> listener, Instant now);
+    bool makesRoomBefore(const Connection &one, const Connection &other, Instant now) const;
     Connections::iterator largestWaiting(Id except, Instant now);
+    bool canFree(std::size_t bytes, Id except, Instant now) const;
+    bool isWaiting(const Connection &connection, Instant now) const;
     void erase(Connections::iterator position);
 
     const Settings settings;
--- a/src/transport/ConnectionPool.cpp
+++ b/src/transport/ConnectionPool.cpp
@@ -20,10 +20,10 @@
     this->pool->closers.erase(this->id);
 }
 
-void ConnectionPool::Member::enter(Phase phase)
+bool ConnectionPool::Member::enter(Phase phase)
 {
     const std::lock_guard lock(this->pool->mutex);
-    this->pool->budget.enter(this->id, phase, monotonicNow());
+    return this->pool->budget.enter(this->id, phase, monotonicNow());
 }
 
 bool ConnectionPool::Member::resize(std::size_t bytes)
--- a/src/transport/ConnectionPool.h
+++ b/src/transport/ConnectionPool.h
@@ -30,7 +30,8 @@
         Member(const Member &) = delete;
         Member &operator=(const Member &) = delete;
 
-        void enter(Phase phase);
+        // False: it has been closed to make room.
+        bool enter(Phase phase);
         // So many bytes are held for it now. False: there is no room for them.
         bool resize(std::size_t bytes);
         void setAnswerBytes(std::size_t bytes);
--- a/src/transport/PeerLink.cpp
+++ b/src/transport/PeerLink.cpp
@@ -225,6 +225,7 @@
             problem = "frame of " + std::to_string(length) + " bytes";
             break;
         }
+        member->enter(ConnectionPool::Phase::Receiving);
         const auto sealed = co_await this->receiveFrame(*socket, *member, length);
         if (sealed.has_error()) {
             code = sealed.error().code;
