Transport: answers, trailers and unread bytes count in the budget

What callers would see: memory over the machine's by answers of side doors that nobody reads, by trailers, by bytes left in the system's buffers; a request that was cut off since its caller had sent the next one; one that had been read and was closed, with several workers; and 502 for a call that a peer had refused as not run (found by review, by reading).

Cause: the budget counted what comes in by the head, not what comes behind it, nor what goes out; a connection that had been closed to make room was not told when its request was to be handled; the refusal at the own interface had no mark for peers.

Change: answers count while they are written, but at the callers' door, where AnswerBuffers counts them; trailers' fields count; behind a large answer what is not acknowledged counts; a closed connection drops what is unread. A request that is handled goes on, and the connection ends behind it. enter() tells. The refusal says Elsewhere to peers. The largest answer fits the smallest VM; pressure is told once.

--- a/src/program/AnswerBuffers.h
+++ b/src/program/AnswerBuffers.h
@@ -73,13 +73,13 @@
 private:
     bool take(std::size_t bytes)
     {
-        constexpr std::size_t quarters = 3;
+        const std::size_t little = this->settings.maximumCounted / 4 * 3;
         std::unique_lock lock(this->mutex);
-        const bool hasRoom = this->held + bytes <= this->settings.maximumCounted;
+        const std::size_t before = this->held;
+        const bool hasRoom = before + bytes <= this->settings.maximumCounted;
         if (hasRoom)
             this->held += bytes;
-        const bool isPressed =
-                !hasRoom || this->held > this->settings.maximumCounted / 4 * quarters;
+        const bool isPressed = !hasRoom || (before <= little && this->held > little);
         lock.unlock();
         if (isPressed)
             this->pressed();
--- a/src/program/Entry.cpp
+++ b/src/program/Entry.cpp
@@ -5,6 +5,7 @@
 #include "program/HeaderValues.h"
 #include "program/Log.h"
 #include "protocol/JsonResponse.h"
+#include "protocol/RelayedRequest.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -92,9 +93,14 @@
         return self->handle(exchange);
     };
     serverHooks.reject = [](unsigned status, std::string_view cause) {
-        if (status == statusUnavailable)
-            return toResponse(Problem{status, "overloaded", std::string(cause), Ran::No,
-                                      retryWithoutRoomAfter});
+        if (status == statusUnavailable) {
+            protocol::HttpResponse refusal = toResponse(Problem{
+                    status, "overloaded", std::string(cause), Ran::No, retryWithoutRoomAfter});
+            // The request may have been handed over by a peer.
+            refusal.headers = protocol::withPeerResult(
+                    refusal.headers, protocol::PeerResult::Elsewhere, retryWithoutRoomAfter);
+            return refusal;
+        }
         return simpleProblem(status, "invalid-request", std::string(cause));
     };
     serverHooks.pool = entry->hooks.pool;
--- a/src/program/RelayListeners.cpp
+++ b/src/program/RelayListeners.cpp
@@ -172,6 +172,7 @@
             return this->hooks.deployment.relay.refuse(refusal);
         };
         serverHooks.pool = this->hooks.pool;
+        serverHooks.countsAnswers = !forCallers; // AnswerBuffers counts those of endpoints
         BOOST_OUTCOME_TRY(server, transport::HttpServer::create(context, *address, limits,
                                                                 std::move(serverHooks)));
         return state::outcome::success();
--- a/src/program/ResourceLimits.cpp
+++ b/src/program/ResourceLimits.cpp
@@ -11,8 +11,8 @@
 constexpr std::uint64_t mebibyte = 1U << 20U;
 constexpr std::uint64_t tenths = 10;
 constexpr std::uint64_t tenthsForOutsiders = 7; // of the memory
-constexpr std::uint64_t tenthsForRequests = 6;  // of what connections leave of it
-constexpr std::uint64_t leastCountedBytes = 16 * mebibyte;
+constexpr std::uint64_t tenthsForAnswers = 4;   // of what connections leave of it
+constexpr std::uint64_t leastCountedBytes = 32 * mebibyte;
 constexpr std::uint64_t connectionsPerMb = 11;
 // Peers, control members, probes, files; then each connection may need another one to an endpoint.
 constexpr std::uint64_t ownDescriptors = 80;
@@ -36,8 +36,9 @@
                                     * (limits.connections.uncounted + limits.answers.uncounted);
     const std::uint64_t counted =
             std::max(forOutsiders - std::min(forOutsiders, uncounted), leastCountedBytes);
-    limits.connections.bytes = counted / tenths * tenthsForRequests;
-    limits.answers.maximumCounted = counted - limits.connections.bytes;
+    limits.answers.maximumCounted =
+            std::max(counted / tenths * tenthsForAnswers, limits.answers.maximumAnswer);
+    limits.connections.bytes = counted - limits.answers.maximumCounted;
     return limits;
 }
 
--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -13,6 +13,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -37,7 +39,9 @@
 // Of the kernel, in each direction: by itself it would keep megabytes for a peer that sends ahead
 // or doesn't read.
 constexpr int socketBufferBytes = 64 << 10;
-constexpr std::size_t readBytes = 32U << 10U;
+constexpr std::size_t readBytes = 16U << 10U;
+// What the peer of a larger answer hasn't read is counted behind it.
+constexpr std::size_t largeAnswerBytes = 16U << 10U;
 // What a header field takes beside its text, here and in the request that is sent on.
 constexpr std::size_t fieldBytes = 256;
 
@@ -111,12 +115,23 @@
     {
         *this->life = this;
     }
-    ~Connection() { *this->life = nullptr; }
+    ~Connection()
+    {
+        *this->life = nullptr;
+        if (this->watching)
+            *this->watching = false;
+    }
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
 
-    // Ends what it waits for.
-    void close() { this->stream.close(); }
+    // Ends what it waits for. What the peer hasn't read is dropped: an orderly end would leave it
+    // in the system's buffers.
+    void close()
+    {
+        beast::error_code ignored;
+        this->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+        this->stream.close();
+    }
 
     asio::awaitable<void> run()
     {
@@ -128,7 +143,8 @@
                 break;
             first = false;
             this->streamOpen = false;
-            this->member->enter(Phase::Handling);
+            if (!this->member->enter(Phase::Handling))
+                break;
             HttpExchange exchange(std::move(*request), this->peer, this->stream.get_executor(),
                                   this->exchangeHooks());
             co_await this->server->hooks.handle(exchange);
@@ -166,19 +182,19 @@
                 return;
             char next = 0;
             const auto got = ::recv(socket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
-            const bool sentAhead = got > 0 && !this->holdSentAhead();
-            if (got == 0 || sentAhead || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
+            if (got > 0)
+                this->holdSentAhead();
+            if (got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
                 gone();
         });
     }
 
-    // A caller that sends its next request ahead fills the kernel's buffers. False: there is no
-    // room for them.
-    bool holdSentAhead()
+    // A caller that sends its next request ahead fills the kernel's buffers. Without room for them,
+    // the connection ends behind the answer to the request that is being handled.
+    void holdSentAhead()
     {
-        this->broken =
-                this->broken || !this->member->resize(this->heldBytes + 2 * socketBufferBytes);
-        return !this->broken;
+        this->keepAlive =
+                this->keepAlive && this->member->resize(this->heldBytes + 2 * socketBufferBytes);
     }
 
     void becomeIdle()
@@ -187,6 +203,8 @@
             this->buffer.shrink_to_fit();
         this->member->setAnswerBytes(0);
         this->heldBytes = this->buffer.capacity();
+        if (this->hasLargeAnswer)
+            this->heldBytes += this->unreadBytes();
         this->member->resize(this->heldBytes);
         this->member->enter(Phase::Idle);
     }
@@ -237,19 +255,34 @@
         co_return toHttpRequest(parser.release());
     }
 
+    static std::size_t countOf(const http::fields &fields)
+    {
+        return std::size_t(std::distance(fields.begin(), fields.end()));
+    }
+
+    // Bytes that were written and that the peer's system hasn't acknowledged.
+    std::size_t unreadBytes()
+    {
+        int bytes = 0;
+        const int socket = this->stream.socket().native_handle();
+        return ::ioctl(socket, SIOCOUTQ, &bytes) == 0 && bytes > 0 ? std::size_t(bytes) : 0;
+    }
+
     // False: the connection is to be closed; a rejection has been answered.
     asio::awaitable<bool> readBody(http::request_parser<http::string_body> &parser,
                                    std::size_t headBytes)
     {
         this->member->enter(Phase::Receiving);
         const auto &fields = parser.get();
-        const auto fieldCount = std::size_t(std::distance(fields.begin(), fields.end()));
+        const std::size_t fieldCount = countOf(fields);
         const std::size_t headHeld = 2 * headBytes + fieldCount * fieldBytes;
         std::size_t bytesRead = headBytes;
         parser.eager(true);
         while (true) {
             // The request that is sent on is a second copy.
             this->heldBytes = headHeld + 2 * parser.get().body().size() + this->buffer.capacity();
+            if (parser.is_done()) // there may be trailers
+                this->heldBytes += (countOf(fields) - fieldCount) * fieldBytes;
             if (!this->member->resize(this->heldBytes)) {
                 std::string().swap(parser.get().body());
                 co_await this->refuse(503, "there is no room for the request now");
@@ -327,6 +360,11 @@
             message.body().clear();
         message.prepare_payload();
         this->keepAlive = message.keep_alive();
+        this->hasLargeAnswer = message.body().size() > largeAnswerBytes;
+        const bool hasRoom = !this->server->hooks.countsAnswers
+                             || this->member->resize(this->heldBytes + message.body().size());
+        if (!hasRoom)
+            co_return this->endWrite(asio::error::no_buffer_space);
         this->beginWrite(message.body().size());
         auto [problem, bytes] = co_await http::async_write(this->stream, message,
                                                            asio::as_tuple(asio::use_awaitable));
@@ -394,6 +432,7 @@
     Life life; // empty from the end of this object on
     beast::flat_buffer buffer;
     std::size_t heldBytes = 0; // of the request and what is read ahead
+    bool hasLargeAnswer = false;
     bool keepAlive = false;
     bool withoutBody = false;       // the answer to a HEAD request
     bool broken = false;            // a write failed; nothing more can be sent
--- a/src/transport/HttpServer.h
+++ b/src/transport/HttpServer.h
@@ -91,6 +91,9 @@
         std::function<protocol::HttpResponse(unsigned status, std::string_view cause)> reject;
         // Shared by all listeners of a process.
         std::shared_ptr<ConnectionPool> pool = ConnectionPool::create();
+        // Whether answers count in the pool until they are written; otherwise the handler bounds
+        // them.
+        bool countsAnswers = true;
     };
 
     // Binds and listens. Error: Unavailable, step "listener.bind", peer the address (busy port).
