Transport: an answer doesn't end in order before its request has arrived

Cause: what the system has taken counts as sent; behind an orderly end, a read doesn't tell the reset that the rest of the upload brought.

Change: where the end of the connection ends an answer, bytes that the peer's system has not acknowledged, or an error that waits at the socket, mean that the answer broke off. An endpoint acknowledges with its answer what it has received.

--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -12,7 +12,10 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <functional>
@@ -50,6 +53,19 @@
                             peer.toString());
 }
 
+// Whether the peer's system has closed the connection before all that was written reached it: the
+// end of the answer acknowledges what had come by then.
+bool hasUnreceivedBytes(tcp::socket &socket)
+{
+    int bytes = 0;
+    if (::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0)
+        return true;
+    int problem = 0;
+    socklen_t size = sizeof(problem);
+    return ::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &problem, &size) == 0
+           && problem != 0;
+}
+
 using UnacknowledgedTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 } // namespace
@@ -343,6 +359,8 @@
     // sent, that report goes to the write.
     if (!my.sent)
         return endedWhileSending(my.sendProblem, my.peer);
+    if (hasUnreceivedBytes(my.stream.socket()))
+        return endedWhileSending({}, my.peer);
     std::string rest = my.nextAnswer.finish();
     if (my.nextAnswer.found() == NextAnswer::OtherRequest)
         return this->brokenOff("another answer begins in the body");
