Transport: a request without room is told so at all doors

Cause: the refusal was counted beside the request that it refuses, and then had no room either.

Change: what the refused request held is given back before the refusal is written.

Before: requestWithoutRoomIsRefusedAndTold fails. After: it passes, and the 23 thread tests of transport.

--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -326,10 +326,11 @@
     asio::awaitable<void> refuse(unsigned status, std::string cause)
     {
         this->keepAlive = false;
-        co_await this->respond(this->server->hooks.reject(status, cause));
         this->buffer.clear();
         this->buffer.shrink_to_fit();
+        this->heldBytes = 0;
         this->member->resize(0);
+        co_await this->respond(this->server->hooks.reject(status, cause));
         this->member->enter(Phase::Receiving);
         co_await this->drainInput();
     }
