Program: what is said and taken without room has one place

Cause: the last reading found the same Retry-After in Entry and RelayListeners, the same bound on bodies in RelayListeners and Node, and a comment with figures of two deployments in RouteRelay.

Change: both constants are in ResourceLimits; the comment says what it means. No change of behaviour.

--- a/src/program/Entry.cpp
+++ b/src/program/Entry.cpp
@@ -4,6 +4,7 @@
 #include "program/Clock.h"
 #include "program/HeaderValues.h"
 #include "program/Log.h"
+#include "program/ResourceLimits.h"
 #include "protocol/JsonResponse.h"
 #include "protocol/RelayedRequest.h"
 
@@ -28,8 +29,6 @@
 constexpr std::string_view bearerPrefix = "Bearer ";
 constexpr std::chrono::milliseconds retryElsewhereAfter{100};
 constexpr std::chrono::milliseconds retryStaleAfter{500};
-// Requests that hold all room end or are closed by then.
-constexpr std::chrono::milliseconds retryWithoutRoomAfter{1'000};
 constexpr unsigned statusUnavailable = 503;
 
 protocol::HttpResponse simpleProblem(unsigned status, std::string title, std::string detail)
@@ -94,11 +93,11 @@
     };
     serverHooks.reject = [](unsigned status, std::string_view cause) {
         if (status == statusUnavailable) {
-            protocol::HttpResponse refusal = toResponse(Problem{
-                    status, "overloaded", std::string(cause), Ran::No, retryWithoutRoomAfter});
+            protocol::HttpResponse refusal = toResponse(
+                    Problem{status, "overloaded", std::string(cause), Ran::No, retryWithoutRoom});
             // The request may have been handed over by a peer.
             refusal.headers = protocol::withPeerResult(
-                    refusal.headers, protocol::PeerResult::Elsewhere, retryWithoutRoomAfter);
+                    refusal.headers, protocol::PeerResult::Elsewhere, retryWithoutRoom);
             return refusal;
         }
         return simpleProblem(status, "invalid-request", std::string(cause));
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -49,7 +49,6 @@
 namespace {
 
 constexpr milliseconds expiryCheckInterval{200};
-constexpr std::uint64_t metricsBodyBytes = 16U << 10U; // questions need no body
 // Larger allocations go back to the system when they are freed. By default the allocator raises
 // this with the first large body, and memory that a crowd has used stays with the process.
 constexpr int largeAllocationBytes = 128 << 10;
@@ -720,7 +719,7 @@
         };
         hooks.pool = this->pool;
         transport::HttpLimits limits;
-        limits.bodyBytes = metricsBodyBytes;
+        limits.bodyBytes = questionBodyBytes;
         BOOST_OUTCOME_TRY(this->metricsServer, transport::HttpServer::create(
                                                        this->context, *this->settings.metricsListen,
                                                        limits, std::move(hooks)));
--- a/src/program/RelayListeners.cpp
+++ b/src/program/RelayListeners.cpp
@@ -2,6 +2,7 @@
 
 #include "program/Clock.h"
 #include "program/Log.h"
+#include "program/ResourceLimits.h"
 
 #include <xxhash.h>
 
@@ -23,9 +24,6 @@
 constexpr std::uint32_t callerConnections = 1'200;
 constexpr std::uint32_t auxiliaryConnections = 400;
 constexpr std::uint64_t operatorBodyBytes = 4U << 20U;
-constexpr std::uint64_t questionBodyBytes = 16U << 10U; // questions need no body
-// Requests that hold all room end or are closed by then.
-constexpr milliseconds retryWithoutRoom{1'000};
 // Callers may reuse a connection until the configured idle timeout. Closing it at that same moment
 // would lose a request.
 constexpr milliseconds idleMargin{3'000};
--- a/src/program/ResourceLimits.h
+++ b/src/program/ResourceLimits.h
@@ -6,10 +6,16 @@
 #include "program/Settings.h"
 #include "transport/ConnectionPool.h"
 
+#include <chrono>
 #include <cstdint>
 
 namespace lavenderthread::program {
 
+// For callers for whose requests there is no room: what holds it ends or is closed by then.
+constexpr std::chrono::milliseconds retryWithoutRoom{1'000};
+// Of requests that need no body.
+constexpr std::uint64_t questionBodyBytes = 16U << 10U;
+
 struct ResourceLimits
 {
     transport::ConnectionPool::Settings connections;
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -41,7 +41,7 @@
 namespace {
 
 // In any ten seconds, all nodes together may send retries for a fifth of the requests plus a fixed
-// number. Each node stays below its share of both (for 18 nodes; 117 nodes share a larger number).
+// number that grows with the nodes. Each node stays below its share of both.
 constexpr double retriesPerRequest = 0.12;
 constexpr double retriesAtOnce = 4;
 
