Transport: a text from outside ends no head; ids that no field carries are refused

What callers saw: successes; but the endpoint had run their requests without body and account, and behind each another one that no client had sent, under the caller's account.

Cause: the client side of HTTP wrote any text into the head as it was, and the library doesn't check it either. A heartbeat of another writer named an id with line breaks, which nothing refused; it became Expect-Instance, ended the head early, and what stood behind was the next request.

Change: toBeastRequest() returns an error (step peer.encode) for a method, target, field name or value that would be read as another head; the attempt counts as not sent and its endpoint isn't blamed. Answers with such a head are replaced by a bare 500. That mends the class. Beside it the safeguard for the table: EndpointLifecycle and the platform's codec refuse ids that no field carries unchanged, also from endpoints that drain, and views leave out such ids of members of an earlier version.

--- a/src/coordination/endpoints/EndpointLifecycle.cpp
+++ b/src/coordination/endpoints/EndpointLifecycle.cpp
@@ -2,6 +2,7 @@
 #include "coordination/endpoints/EndpointLifecycle.h"
 
 #include "state/ConnectableAddress.h"
+#include "state/FieldText.h"
 
 namespace lavenderthread::coordination::endpoints {
 
@@ -54,6 +55,13 @@
     return entry != nullptr && entry->record.isLive();
 }
 
+// Requests name the endpoint that they are meant for in their head.
+bool isValid(const state::EndpointId &id)
+{
+    return !id.empty() && id.value().size() <= maximumIdCharacters
+           && state::isFieldValue(id.value());
+}
+
 bool isValid(const state::EndpointDescription &description)
 {
     const auto fits = [](const auto &id) { return id.value().size() <= maximumIdCharacters; };
@@ -61,9 +69,9 @@
         if (!fits(model))
             return false;
     }
-    return !description.id.empty() && fits(description.id)
-           && state::isConnectable(description.address) && fits(description.failureDomain)
-           && fits(description.service) && description.incarnation > 0;
+    return isValid(description.id) && state::isConnectable(description.address)
+           && fits(description.failureDomain) && fits(description.service)
+           && description.incarnation > 0;
 }
 
 } // namespace
--- a/src/program/CompletionRelay.cpp
+++ b/src/program/CompletionRelay.cpp
@@ -195,7 +195,7 @@
             if (deadlinePassed)
                 co_return AttemptResult::Ended;
             co_await this->reportLoss(placement, opened.error());
-            if (opened.error().step == transport::connectStep)
+            if (transport::isUnseen(opened.error()))
                 co_return AttemptResult::Unreachable;
             co_return opened.error().code == state::ErrorCode::Overloaded ? AttemptResult::NotRun
                                                                           : AttemptResult::Lost;
@@ -208,7 +208,7 @@
     void recordFailure(const state::Error &error)
     {
         const bool unseen =
-                error.step == transport::connectStep || error.code == state::ErrorCode::Overloaded;
+                transport::isUnseen(error) || error.code == state::ErrorCode::Overloaded;
         if (!unseen && this->ran == Ran::No)
             this->ran = Ran::Unknown;
         this->lastError = error;
--- a/src/program/MembershipView.cpp
+++ b/src/program/MembershipView.cpp
@@ -1,6 +1,8 @@
 // Indexes the endpoints by model and by service.
 #include "program/MembershipView.h"
 
+#include "state/FieldText.h"
+
 #include <algorithm>
 
 namespace lavenderthread::program {
@@ -53,7 +55,8 @@
     view.endpoints.reserve(table.entries().size());
     for (const auto &[id, entry] : table.entries()) {
         const EndpointRecord &record = entry.record;
-        if (!record.description)
+        // Members of an earlier version accept any text as an id.
+        if (!record.description || !state::isFieldValue(id.value()))
             continue;
         const std::size_t position = view.endpoints.size();
         view.endpoints.push_back({record, owners.ownerOf(record), entry.presentColdUntil()});
--- a/src/program/RelayAttempt.cpp
+++ b/src/program/RelayAttempt.cpp
@@ -23,13 +23,13 @@
     return end == AttemptResult::NeverSent ? AttemptOutcome::Unreachable : AttemptOutcome::Failed;
 }
 
-// Silence and a withdrawal say nothing about the path: a healthy endpoint may be slow, and the
-// caller's deadline may end a connection early.
+// Silence, a withdrawal and a head that can't be written say nothing about the path: a healthy
+// endpoint may be slow, and the caller's deadline may end a connection early.
 bool isPathFailure(const state::Error &error, std::chrono::milliseconds timeLeft)
 {
     if (error.code == state::ErrorCode::Timeout)
         return error.step == transport::connectStep && timeLeft >= conclusiveConnectTime;
-    return error.code != state::ErrorCode::Cancelled;
+    return error.code != state::ErrorCode::Cancelled && error.step != transport::encodeStep;
 }
 
 coordination::relay::StreamHead streamHeadOf(unsigned status, const protocol::HttpHeaders &headers)
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -971,8 +971,12 @@
     AttemptResult openFailed(const state::Error &error)
     {
         this->outcome.reason = error.step + ": " + error.cause;
-        const bool unseen =
-                error.step == transport::connectStep || error.step == transport::beforeSendStep;
+        const bool unseen = transport::isUnseen(error);
+        const bool unwritable = error.step == transport::encodeStep;
+        // The endpoint, which may be sound, has no part in it.
+        this->withheld = this->withheld || unwritable;
+        if (unwritable)
+            logError("relay.head-unwritable", error);
         this->progress.connectionEnded = !unseen && error.code == state::ErrorCode::Unavailable;
         this->connectionRefused =
                 error.step == transport::connectStep && error.code == state::ErrorCode::Unavailable
@@ -1351,7 +1355,8 @@
     PeerResult refusalResult = PeerResult::NotRun; // of a 503, for the peer
     PeerResult peerResult = PeerResult::Unknown;   // of the last attempt through a peer
     ConnectionFailures failures;
-    bool withheld = false;     // the last attempt was not sent, since its endpoint rests
+    // The last attempt was not sent: its endpoint rests, or its head could not be written.
+    bool withheld = false;
     bool askedForRest = false; // the endpoint of the last attempt has
     // No peer could take the request: the fault is at endpoints, of which some may be left.
     bool peersHaveNoPath = false;
--- a/src/program/ServiceRelay.cpp
+++ b/src/program/ServiceRelay.cpp
@@ -323,10 +323,10 @@
                 co_return answer.value();
             }
             last = answer.error();
-            if (last.step == transport::connectStep)
-                continue;
             if (last.step == transport::beforeSendStep)
                 break;
+            if (transport::isUnseen(last))
+                continue;
             this->ran = Ran::Unknown;
             if (last.code == state::ErrorCode::Unavailable)
                 co_await this->hooks.guard->attemptLost(replica, this->parts, sentAt, {});
--- a/src/transport/BeastConversion.h
+++ b/src/transport/BeastConversion.h
@@ -2,11 +2,13 @@
 #pragma once
 
 #include "protocol/HttpMessage.h"
+#include "state/FieldText.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <cstddef>
 #include <string>
 #include <utility>
@@ -45,6 +47,13 @@
            || name == field::connection || name == field::keep_alive;
 }
 
+inline bool hasWritableFields(const protocol::HttpHeaders &headers)
+{
+    return std::ranges::all_of(headers.fields(), [](const auto &field) {
+        return state::isToken(field.first) && state::isFieldValue(field.second);
+    });
+}
+
 template <typename Message>
 void addHeaders(Message &message, const protocol::HttpHeaders &headers)
 {
@@ -54,9 +63,12 @@
     }
 }
 
+// An answer whose head would be read as another one is replaced by a bare 500.
 inline boost::beast::http::response<boost::beast::http::string_body>
 toBeast(protocol::HttpResponse response)
 {
+    if (!hasWritableFields(response.headers))
+        response = {static_cast<unsigned>(boost::beast::http::status::internal_server_error)};
     boost::beast::http::response<boost::beast::http::string_body> message(
             static_cast<boost::beast::http::status>(response.status), httpVersion);
     addHeaders(message, response.headers);
--- a/src/transport/HttpCallParts.h
+++ b/src/transport/HttpCallParts.h
@@ -21,8 +21,9 @@
 
 state::Error answerTooLarge(const state::Address &peer);
 
-// Without keep-alive.
-boost::beast::http::request<boost::beast::http::string_body>
+// Without keep-alive. Error: InvalidArgument, step encodeStep, for a head that would be read as
+// another one.
+state::Result<boost::beast::http::request<boost::beast::http::string_body>>
 toBeastRequest(protocol::HttpRequest request, const state::Address &peer);
 
 // Connects and sets the socket's options. Errors: step connectStep.
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -6,6 +6,8 @@
 #include "transport/HttpCallParts.h"
 #include "transport/MonotonicClock.h"
 
+#include "state/FieldText.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -74,6 +76,11 @@
 
 } // namespace
 
+bool isUnseen(const state::Error &error)
+{
+    return error.step == encodeStep || error.step == connectStep || error.step == beforeSendStep;
+}
+
 state::Error callError(const beast::error_code &problem, std::string_view step,
                        const state::Address &peer)
 {
@@ -91,9 +98,18 @@
                             "the answer is larger than allowed", peer.toString());
 }
 
-http::request<http::string_body> toBeastRequest(protocol::HttpRequest request,
-                                                const state::Address &peer)
+state::Result<http::request<http::string_body>> toBeastRequest(protocol::HttpRequest request,
+                                                               const state::Address &peer)
 {
+    // The library writes texts as they are.
+    const std::string_view wrong = !state::isToken(request.method)           ? "the method"
+                                   : !state::isRequestTarget(request.target) ? "the target"
+                                   : !hasWritableFields(request.headers)     ? "a header field"
+                                                                             : "";
+    if (!wrong.empty())
+        return state::makeError(state::ErrorCode::InvalidArgument, std::string(encodeStep),
+                                std::string(wrong) + " has characters that can't stand there",
+                                peer.toString());
     http::request<http::string_body> message;
     message.method_string(request.method);
     message.target(request.target);
@@ -411,6 +427,10 @@
     HttpAnswerStream answer(call); // closes the connection on every way out
     if (handle && handle->isCancelled())
         co_return cancelledBefore(connectStep, peer);
+    auto message = toBeastRequest(std::move(request), peer);
+    if (!message)
+        co_return message.error();
+    call->message = std::move(message.value());
     if (handle) {
         call->handle = handle;
         HttpCallAccess::attach(*handle, [weak = std::weak_ptr(call)] {
@@ -430,7 +450,6 @@
         if (!go)
             co_return cancelledBefore(beforeSendStep, peer);
     }
-    call->message = toBeastRequest(std::move(request), peer);
     call->stream.expires_after(limits.timeout);
     // Reading begins at once: a peer may answer a large request before it has read it all, and
     // would otherwise wait for this side to read while this side waits for it to read.
--- a/src/transport/HttpClient.h
+++ b/src/transport/HttpClient.h
@@ -22,13 +22,17 @@
 
 namespace lavenderthread::transport {
 
-// Steps of a call, as errors name them. Only after connectStep alone is it certain that the peer
-// has not seen the request.
+// Steps of a call, as errors name them. After the first three it is certain that the peer has not
+// seen the request.
+constexpr std::string_view encodeStep = "peer.encode"; // a text of the head can't stand in it
 constexpr std::string_view connectStep = "peer.connect";
-constexpr std::string_view beforeSendStep = "peer.before-send"; // the peer has not seen it either
+constexpr std::string_view beforeSendStep = "peer.before-send";
 constexpr std::string_view sendStep = "peer.send";
 constexpr std::string_view receiveStep = "peer.receive";
 
+// Whether it is certain that the peer has not seen the request of a call that failed so.
+bool isUnseen(const state::Error &error);
+
 // Asked once connected, before the first byte goes out; false ends the call with Cancelled, step
 // beforeSendStep.
 using BeforeSend = std::function<boost::asio::awaitable<bool>()>;
--- a/src/transport/HttpConnection.cpp
+++ b/src/transport/HttpConnection.cpp
@@ -72,7 +72,10 @@
 {
     // Owned here until the exchange is over: it is kept only after a whole answer.
     std::unique_ptr<Stream> used = std::move(this->stream);
-    http::request<http::string_body> message = toBeastRequest(std::move(request), used->peer);
+    auto encoded = toBeastRequest(std::move(request), used->peer);
+    if (!encoded)
+        co_return encoded.error();
+    http::request<http::string_body> &message = encoded.value();
     message.keep_alive(true);
     used->stream.expires_after(limits.timeout);
     auto [sendProblem, sent] =
--- a/tests/coordination/endpoints/EndpointLifecycleTest.cpp
+++ b/tests/coordination/endpoints/EndpointLifecycleTest.cpp
@@ -2,6 +2,8 @@
 // at once.
 #include "coordination/endpoints/EndpointLifecycle.h"
 
+#include "fakes/EveryByte.h"
+
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -109,6 +111,7 @@
     CPPUNIT_TEST(mergeIsIndependentOfOrder);
     CPPUNIT_TEST(shortFormNeedsItsDescription);
     CPPUNIT_TEST(badAnnouncementsAreRefused);
+    CPPUNIT_TEST(idsThatNoHeaderCarriesAreRefused);
     CPPUNIT_TEST(coldTimeIsPublishedOnlyWhenItBegins);
     CPPUNIT_TEST_SUITE_END();
 
@@ -372,6 +375,20 @@
                         .has_error());
     }
 
+    // Guards against a record of an endpoint that no request can name in its head.
+    void idsThatNoHeaderCarriesAreRefused()
+    {
+        TestCluster cluster;
+        for (const std::string &id : fakes::textsWithEveryByte()) {
+            state::EndpointDescription named{state::EndpointId(id), {"10.0.0.9", 1}};
+            named.incarnation = 1;
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(id, fakes::isReadWhole(id),
+                                         cluster.lifecycles[0]
+                                                 .announce(named, cluster.view(0), cluster.now)
+                                                 .has_value());
+        }
+    }
+
     // Guards against a record that spreads to all entries with each heartbeat of a cold endpoint,
     // and against a second cold time that nobody learns of. The countdown is also heard by an entry
     // that is not the endpoint's home.
--- a/tests/platform/EndpointNewsCodecTest.cpp
+++ b/tests/platform/EndpointNewsCodecTest.cpp
@@ -2,6 +2,7 @@
 // endpoint, and calls of other senders.
 #include "platform/EndpointNewsCodec.h"
 
+#include "fakes/EveryByte.h"
 #include "platform/Samples.h"
 
 #include <boost/json/object.hpp>
@@ -27,6 +28,7 @@
     CPPUNIT_TEST(deregistrationsContainTheIncarnation);
     CPPUNIT_TEST(oddDeregistrationsAreRejected);
     CPPUNIT_TEST(oddEntriesOfOtherWritersAreRejected);
+    CPPUNIT_TEST(idsThatNoHeaderCarriesAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
     static json::object sample() { return json::parse(sampleHeartbeat).as_object(); }
@@ -164,6 +166,15 @@
         // Not read, so it may be anything.
         CPPUNIT_ASSERT(decodeHeartbeat("i-1", with("Ignored", "1e19")));
     }
+
+    // Guards against an id in the path of a heartbeat that becomes several lines in the head of a
+    // request, or that endpoints read as the id of a sound one.
+    void idsThatNoHeaderCarriesAreRejected()
+    {
+        for (const std::string &id : fakes::textsWithEveryByte())
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(id, fakes::isReadWhole(id),
+                                         decodeHeartbeat(id, sampleHeartbeat).has_value());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndpointNewsCodecTest);
--- a/tests/platform/RelayFixture.h
+++ b/tests/platform/RelayFixture.h
@@ -183,6 +183,19 @@
         }
         this->publishEndpoints();
     }
+    // Adds one endpoint of that id, or replaces all others by it.
+    void announceAs(const std::string &id, const state::Address &address, bool beside = false)
+    {
+        if (!beside)
+            this->announced.endpoints.clear();
+        state::EndpointDescription endpoint;
+        endpoint.id = state::EndpointId(id);
+        endpoint.service = service;
+        endpoint.incarnation = 1;
+        endpoint.address = address;
+        this->announced.endpoints[endpoint.id] = {endpoint, false, false};
+        this->publishEndpoints();
+    }
     // Adds a peer at an address that the test serves.
     void addPeerAt(const state::Address &address) { this->peerAddresses.push_back(address); }
     void keepOneEndpoint()
