Relay: an endpoint's status doesn't tell callers "not run" after a run

What callers saw: 503 for a request that may run once and had run; the status promises "not run", so they send it again.

Cause: whether an answer is passed on was decided by its status class alone. 408, 421, 429 and 503 are a promise of ours to callers; only Not-Executed is the endpoint's promise to us, and it was read for repetitions but not for this.

Change: coordination::relay::mayPassOn(): of a call that may run once, an answer with one of the four statuses and without that promise is a failed run. The caller gets 502 without the seal, or 504 after the deadline. Calls that may be repeated get the endpoint's answer as before.

--- a/src/coordination/relay/FinalAnswer.cpp
+++ b/src/coordination/relay/FinalAnswer.cpp
@@ -1,5 +1,8 @@
 #include "coordination/relay/FinalAnswer.h"
 
+#include <algorithm>
+#include <array>
+
 namespace lavenderthread::coordination::relay {
 
 namespace {
@@ -13,6 +16,9 @@
 // limit of either kind only ends a request that finds no other endpoint.
 constexpr std::uint32_t maxCostless = 12;
 
+// Callers take each of these for the promise that the call has not run and never will.
+constexpr std::array notRunStatuses = {408U, 421U, 429U, 503U};
+
 } // namespace
 
 bool mayRetry(const CallState &facts, AttemptResult last)
@@ -29,6 +35,11 @@
     return last != AttemptResult::Complete;
 }
 
+bool mayPassOn(const CallState &facts, unsigned status)
+{
+    return facts.repeatable || std::ranges::find(notRunStatuses, status) == notRunStatuses.end();
+}
+
 FinalAnswer finalAnswer(const CallState &facts, bool hasEndpointAnswer)
 {
     if (facts.callerGone)
--- a/src/coordination/relay/FinalAnswer.h
+++ b/src/coordination/relay/FinalAnswer.h
@@ -38,6 +38,11 @@
 // after a complete answer.
 bool mayRetry(const CallState &facts, AttemptResult last);
 
+// Whether the status that an endpoint answered may reach the caller, where the endpoint doesn't say
+// that it has not run the call. To callers, some statuses promise that it has not run, and they
+// send it again.
+bool mayPassOn(const CallState &facts, unsigned status);
+
 enum class FinalAnswer : std::uint8_t {
     None,           // the caller has gone
     Truncated,      // an answer has begun: end it so that the caller sees it is incomplete
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -1109,9 +1109,13 @@
         }
         if (this->inactivityTimeout)
             this->inactivityTimeout->stop();
-        if (answer.status >= statusServerError) {
+        const bool mayPassOn = coordination::relay::mayPassOn(this->facts, answer.status);
+        if (answer.status >= statusServerError || !mayPassOn) {
             this->outcome.reason = "the endpoint answered " + std::to_string(answer.status);
-            this->endpointAnswer = std::move(answer);
+            if (mayPassOn)
+                this->endpointAnswer = std::move(answer);
+            else
+                this->outcome.reason += ", but may have run the request";
             co_return AttemptResult::Failed;
         }
         co_await this->respond(std::move(answer));
--- a/tests/coordination/relay/FinalAnswerTest.cpp
+++ b/tests/coordination/relay/FinalAnswerTest.cpp
@@ -56,6 +56,7 @@
     CPPUNIT_TEST(failedConnectionsAreNoRefusals);
     CPPUNIT_TEST(refusedConnectionsAreCountedApart);
     CPPUNIT_TEST(finalAnswerOfEachCase);
+    CPPUNIT_TEST(statusesThatPromiseNotRunAreNotPassedOn);
     CPPUNIT_TEST_SUITE_END();
 
     template <typename Check>
@@ -140,6 +141,19 @@
         CPPUNIT_ASSERT(finalAnswer(facts, false) == FinalAnswer::NotRun);
     }
 
+    // Guards against a status of an endpoint that ran the call, which makes the caller send it
+    // again.
+    void statusesThatPromiseNotRunAreNotPassedOn()
+    {
+        constexpr unsigned first = 100;
+        constexpr unsigned last = 599;
+        for (unsigned status = first; status <= last; ++status) {
+            const bool promises = status == 408 || status == 421 || status == 429 || status == 503;
+            CPPUNIT_ASSERT(mayPassOn({.repeatable = true}, status));
+            CPPUNIT_ASSERT_EQUAL(!promises, mayPassOn({.repeatable = false}, status));
+        }
+    }
+
     void finalAnswerOfEachCase()
     {
         struct Case
--- a/tests/platform/RawCall.h
+++ b/tests/platform/RawCall.h
@@ -21,13 +21,14 @@
 {
 public:
     RawCall(state::routes::CallKind kind, std::deque<fakes::RawAnswer> answers,
-            bool throughPeer = false, program::AnswerBuffers::Settings buffers = {})
+            bool throughPeer = false, program::AnswerBuffers::Settings buffers = {},
+            RelayFixture::RouteTerms terms = {true, 2})
         : endpoint(std::move(answers))
         , fixture(kind, {}, false, peersOf(throughPeer), buffers)
     {
         constexpr int enoughForARetry = 2;
         constexpr bool patient = true;
-        this->fixture.publishRoutes(kind, false, patient);
+        this->fixture.publishRoutes(kind, false, patient, terms);
         this->fixture.announce(this->endpoint.address(), enoughForARetry);
         this->fixture.pathLost = throughPeer;
     }
--- a/tests/platform/RelayFixture.h
+++ b/tests/platform/RelayFixture.h
@@ -146,8 +146,15 @@
         return program::runToEnd(run(address, std::move(wanted)));
     }
 
+    struct RouteTerms
+    {
+        bool resumable = true;
+        unsigned attempts = 2;
+    };
+
     // `patient`: no attempt is given up for silence before the route's time is over.
-    void publishRoutes(state::routes::CallKind kind, bool engines, bool patient = false)
+    void publishRoutes(state::routes::CallKind kind, bool engines, bool patient = false,
+                       RouteTerms terms = {true, 2})
     {
         state::routes::RouteTableDraft draft;
         draft.version = 1;
@@ -159,12 +166,12 @@
         route.host = "h";
         route.pathPrefix = "/p/";
         route.kind = kind;
-        route.resumable = true;
+        route.resumable = terms.resumable;
         const bool streams = kind == state::routes::CallKind::Stream;
         route.timeout = std::chrono::milliseconds(streams ? 5'000 : 2'000);
         route.firstAnswerTarget = patient ? route.timeout : std::chrono::milliseconds(300);
         route.pauseTarget = patient ? route.timeout : std::chrono::milliseconds(200);
-        route.attempts = 2;
+        route.attempts = terms.attempts;
         route.services = {{service, 1}};
         draft.routes = {route};
         this->routes.publish(state::routes::RouteTable::create(std::move(draft)).value());
