Endpoints: an acknowledged deregistration outlasts a kill of all processes

What callers saw: requests that went to an endpoint which had left, and failures once it had exited.

Cause: a deregistration was in the memory of the members only. After a kill of all processes a heartbeat that was on its way is the first that they hear of the endpoint, and nothing in it tells that it is old.

Change: members with a data folder keep deregistrations in a file there, take them up at their start before they listen, and answer or confirm one only once it is durable; where the disk doesn't take it within half a second they refuse, and the endpoint asks the next one. A thread of its own waits for the disk.

The same cause on related paths: a deregistration at a member that had not heard of the endpoint, or of an earlier start only, was answered without effect and is kept now. The assertion of deregistrationIsFinalForTheIncarnation that such a call is an error asked for that loss: it asks it of a call without an incarnation now, and deregistrationMayPrecedeTheAnnouncement asks that the others hold. The own interface's leave was answered before anyone else knew; it waits now.

--- a/src/coordination/endpoints/EndpointLifecycle.cpp
+++ b/src/coordination/endpoints/EndpointLifecycle.cpp
@@ -140,18 +140,24 @@
 EndpointLifecycle::leave(const state::EndpointId &endpoint, std::uint64_t incarnation,
                          const EndpointContext &context)
 {
+    const auto fail = [&](state::ErrorCode code, const char *cause) {
+        return state::makeError(code, "endpoint.leave", cause, endpoint.value());
+    };
+    if (!isValid(endpoint))
+        return fail(state::ErrorCode::InvalidArgument, "id out of range");
+    if (incarnation == 0)
+        return fail(state::ErrorCode::NotFound, "not announced");
     const EndpointEntry *entry = context.table.find(endpoint);
-    if (entry == nullptr || entry->record.incarnation == 0)
-        return state::makeError(state::ErrorCode::NotFound, "endpoint.leave", "not announced",
-                                endpoint.value());
-    const EndpointRecord &known = entry->record;
-    if (incarnation != known.incarnation)
-        return state::makeError(state::ErrorCode::Conflict, "endpoint.leave",
-                                "another incarnation is known", endpoint.value());
+    const EndpointRecord known = entry ? entry->record : EndpointRecord{endpoint};
+    if (incarnation < known.incarnation)
+        return fail(state::ErrorCode::Conflict, "a higher incarnation is known");
     this->renewals.erase(endpoint);
-    if (known.phase == EndpointPhase::Left)
+    if (incarnation == known.incarnation && known.phase == EndpointPhase::Left)
         return std::optional<EndpointRecord>();
-    return std::optional(nextVersion(known, EndpointPhase::Left, this->self));
+    EndpointRecord left = nextVersion(known, EndpointPhase::Left, this->self);
+    // An announcement of this incarnation may still arrive.
+    left.incarnation = incarnation;
+    return std::optional(std::move(left));
 }
 
 std::vector<EndpointRecord> EndpointLifecycle::tick(const EndpointContext &context,
--- a/src/coordination/endpoints/EndpointLifecycle.h
+++ b/src/coordination/endpoints/EndpointLifecycle.h
@@ -47,8 +47,9 @@
     state::Result<std::optional<EndpointRecord>>
     announce(const state::EndpointDescription &description, const EndpointContext &context,
              state::Instant now, std::optional<state::Duration> coldLeft = {});
-    // Deregisters the endpoint; returns the record to publish unless it had left already. Errors,
-    // step "endpoint.leave": NotFound; Conflict if `incarnation` is not the known one.
+    // Deregisters the endpoint, also one that was not announced here; returns the record to publish
+    // unless it had left already. Errors, step "endpoint.leave": NotFound for incarnation 0;
+    // Conflict if a higher incarnation is known; InvalidArgument.
     state::Result<std::optional<EndpointRecord>> leave(const state::EndpointId &endpoint,
                                                        std::uint64_t incarnation,
                                                        const EndpointContext &context);
--- a/src/coordination/endpoints/EndpointRecord.cpp
+++ b/src/coordination/endpoints/EndpointRecord.cpp
@@ -75,6 +75,9 @@
                 update.description != nullptr
                 && std::tuple(update.incarnation, update.descriptionVersion)
                            != std::tuple(known.incarnation, known.descriptionVersion);
+        const bool hadLeft =
+                known.incarnation == update.incarnation && known.phase == EndpointPhase::Left;
+        result.left = update.phase == EndpointPhase::Left && !hadLeft;
         copyLifecycle(result.record, update);
         result.changed = true;
     }
--- a/src/coordination/endpoints/EndpointRecord.h
+++ b/src/coordination/endpoints/EndpointRecord.h
@@ -102,6 +102,7 @@
     bool updateIsOlder = false; // the sender should be sent `known`
     bool descriptionChanged = false;
     bool coldChanged = false; // the endpoint became cold
+    bool left = false;        // the incarnation has left, which was not known before
 };
 
 // A short-form `update` is applied only to the description version that it was made from; otherwise
--- a/src/coordination/endpoints/EndpointTable.cpp
+++ b/src/coordination/endpoints/EndpointTable.cpp
@@ -54,8 +54,12 @@
         this->records.emplace(update.id, EndpointEntry{first, endpointKey(update.id),
                                                        endpoints::fingerprint(first), now,
                                                        coldUntil(first.cold, now)});
-        return MergeResult{first, true, false, first.description != nullptr,
-                           first.cold.incarnation != 0};
+        return MergeResult{first,
+                           true,
+                           false,
+                           first.description != nullptr,
+                           first.cold.incarnation != 0,
+                           isDeregistration};
     }
     MergeResult merged = merge(found->second.record, update);
     if (merged.changed) {
--- a/src/coordination/membership/Deregistrations.cpp
+++ b/src/coordination/membership/Deregistrations.cpp
@@ -1,4 +1,5 @@
-// The part of Membership that makes every live member confirm the deregistration of an endpoint.
+// The part of Membership that makes every live member confirm the deregistration of an endpoint. A
+// member that stores deregistrations confirms them once they are durable.
 #include "coordination/membership/Membership.h"
 
 #include <algorithm>
@@ -41,12 +42,53 @@
         pending.push_back(key);
 }
 
+void Membership::restore(const std::vector<state::Deregistration> &deregistrations,
+                         state::Instant now)
+{
+    for (const state::Deregistration &each : deregistrations) {
+        endpoints::EndpointRecord record{each.endpoint, each.incarnation};
+        record.phase = endpoints::EndpointPhase::Left;
+        record.home = this->settings.self;
+        this->endpointRecords.apply(record, now);
+    }
+}
+
+void Membership::storeDeregistration(const endpoints::MergeResult &merged, GossipActions &actions)
+{
+    if (!this->settings.storesDeregistrations || !merged.left)
+        return;
+    const endpoints::EndpointRecord &record = merged.record;
+    this->unstoredDeregistrations.insert(deregistrationKey(record.id, record.incarnation));
+    actions.deregistrations.push_back({record.id, record.incarnation});
+}
+
+void Membership::recordStored(const std::vector<state::Deregistration> &deregistrations)
+{
+    for (const state::Deregistration &each : deregistrations)
+        this->unstoredDeregistrations.erase(deregistrationKey(each.endpoint, each.incarnation));
+}
+
+bool Membership::isDeregistrationStored(const state::EndpointId &endpoint) const
+{
+    const auto *entry = this->endpointRecords.find(endpoint);
+    return entry == nullptr
+           || !this->unstoredDeregistrations.contains(
+                   deregistrationKey(endpoint, entry->record.incarnation));
+}
+
 void Membership::sendConfirmations(GossipActions &actions)
 {
     for (auto &[waitingMember, keys] : std::exchange(this->pendingConfirmations, {})) {
         const MemberEntry *member = this->memberTable.find(waitingMember);
         if (member == nullptr || member->record.description == nullptr)
             continue;
+        const auto unstored =
+                std::stable_partition(keys.begin(), keys.end(), [this](std::uint64_t key) {
+                    return !this->unstoredDeregistrations.contains(key);
+                });
+        if (unstored != keys.end())
+            this->pendingConfirmations[waitingMember] = {unstored, keys.end()};
+        keys.erase(unstored, keys.end());
         GossipMessage message = this->makeMessage(GossipKind::Confirm);
         for (auto next = keys.begin(); next != keys.end();) {
             const auto left = static_cast<std::size_t>(keys.end() - next);
--- a/src/coordination/membership/Membership.cpp
+++ b/src/coordination/membership/Membership.cpp
@@ -321,6 +321,7 @@
     actions.endpointsChanged = true;
     if (merged.record.phase == endpoints::EndpointPhase::Left)
         this->deregistrationTracker.track(merged.record, now);
+    this->storeDeregistration(merged, actions);
     const bool full = merged.descriptionChanged;
     const NewsForm form = full ? NewsForm::Full : NewsForm::Short;
     const endpoints::EndpointRecord news = inForm(merged.record, form);
--- a/src/coordination/membership/Membership.h
+++ b/src/coordination/membership/Membership.h
@@ -16,6 +16,7 @@
 
 #include <optional>
 #include <random>
+#include <unordered_set>
 
 namespace lavenderthread::coordination::membership {
 
@@ -42,6 +43,9 @@
     bool membersChanged = false; // a record changed; status changes don't count
     bool endpointsChanged = false;
     std::vector<state::LoadReport> loads; // received in a Load message
+    // To be stored durably and then reported by recordStored(). Empty unless
+    // MembershipSettings::storesDeregistrations.
+    std::vector<state::Deregistration> deregistrations;
 };
 
 // The part of this member's own record and status that the process sets.
@@ -101,6 +105,14 @@
     // collects the confirmations instead.
     void handleRepeatedDeregistration(const state::EndpointId &endpoint, state::Instant now);
 
+    // Takes deregistrations that were stored before the start of this process, so that no late
+    // announcement puts the endpoint into use again. Call before the first tick.
+    void restore(const std::vector<state::Deregistration> &deregistrations, state::Instant now);
+    void recordStored(const std::vector<state::Deregistration> &deregistrations);
+    // Whether the present incarnation's deregistration is durable here, or need not be: this member
+    // stores none.
+    bool isDeregistrationStored(const state::EndpointId &endpoint) const;
+
     const MemberTable &members() const { return this->memberTable; }
     const endpoints::EndpointTable &endpointTable() const { return this->endpointRecords; }
     const state::VmId &self() const { return this->settings.self; }
@@ -142,6 +154,7 @@
     void resendBroadcasts(GossipActions &actions, state::Instant now);
     void resendDeregistrations(GossipActions &actions, state::Instant now);
     void sendConfirmations(GossipActions &actions);
+    void storeDeregistration(const endpoints::MergeResult &merged, GossipActions &actions);
     void queueConfirmation(const GossipMessage &message, const endpoints::EndpointRecord &news,
                            const endpoints::MergeResult &merged);
     void exchange(GossipActions &actions, state::Instant now);
@@ -197,9 +210,10 @@
     NewsQueue news;
     // The deregistrations for which this member collects confirmations.
     DeregistrationTracker deregistrationTracker;
-    // Keys of deregistrations received since the last tick, by the member that waits for the
-    // confirmation.
+    // Keys of deregistrations, by the member that waits for the confirmation: received since the
+    // last tick, or not stored yet.
     std::map<state::VmId, std::vector<std::uint64_t>> pendingConfirmations;
+    std::unordered_set<std::uint64_t> unstoredDeregistrations; // their keys
     BroadcastTracker broadcastTracker;
     FailureDetector failureDetector;
     state::ByteBudget budget;
--- a/src/coordination/membership/MembershipReceive.cpp
+++ b/src/coordination/membership/MembershipReceive.cpp
@@ -85,6 +85,7 @@
     std::vector<endpoints::EndpointRecord> started;
     for (const endpoints::EndpointRecord &record : message.endpointRecords) {
         const endpoints::MergeResult merged = this->endpointRecords.apply(record, now);
+        this->storeDeregistration(merged, actions);
         this->queueConfirmation(message, record, merged);
         if (merged.updateIsOlder)
             keysOutdatedAtSender.push_back(endpoints::endpointKey(record.id));
--- a/src/coordination/membership/MembershipSettings.h
+++ b/src/coordination/membership/MembershipSettings.h
@@ -55,6 +55,8 @@
     // about 50,000 bytes for each member; at bytesPerSecond alone, the last members would learn of
     // it after 16 s.
     double burstBytes = 60'000;
+    // This member stores deregistrations durably; see GossipActions::deregistrations.
+    bool storesDeregistrations = false;
     // Further bytes for the starts of endpoints alone, in a minute. A failure domain of 21
     // endpoints that starts again costs each member about 30,000 bytes.
     double endpointStartBytesPerMinute = 150'000;
--- a/src/program/Cluster.cpp
+++ b/src/program/Cluster.cpp
@@ -75,7 +75,9 @@
 
 void logLeave(const LeaveOutcome &leave)
 {
-    logEvent(leave.knownToAll ? LogLevel::Info : LogLevel::Warning, "endpoint.leave-acknowledged",
+    const bool expected = leave.knownToAll && leave.stored;
+    logEvent(expected ? LogLevel::Info : LogLevel::Warning,
+             leave.stored ? "endpoint.leave-acknowledged" : "endpoint.leave-refused",
              {{"endpoint", leave.endpoint.value()},
               {"known_to_all", leave.knownToAll ? "yes" : "no"},
               {"took_us", std::int64_t(leave.took.count())}});
@@ -138,9 +140,15 @@
     serviceHooks.endOfWorkReported = logEndOfWork;
     serviceHooks.leaveAcknowledged = logLeave;
     serviceHooks.refused = [](const state::Error &error) { logError("gossip.refused", error); };
-    BOOST_OUTCOME_TRY(this->membership,
-                      MembershipService::create(membershipSettings(this->settings, self), context,
-                                                std::move(serviceHooks)));
+    MembershipServiceSettings chosen = membershipSettings(this->settings, self);
+    if (this->settings.controlListen) {
+        chosen.deregistrations = this->openDeregistrations();
+        serviceHooks.store = [this](const std::vector<state::Deregistration> &left) {
+            this->deregistrations->submit(left);
+        };
+    }
+    BOOST_OUTCOME_TRY(this->membership, MembershipService::create(std::move(chosen), context,
+                                                                  std::move(serviceHooks)));
     // UDP on the port of the entry's listener: peers know it without another setting.
     BOOST_OUTCOME_TRY(this->newsSocket,
                       transport::GossipSocket::create(
@@ -154,6 +162,28 @@
     return state::outcome::success();
 }
 
+std::vector<state::Deregistration> Cluster::openDeregistrations()
+{
+    transport::storage::DeregistrationFileSettings fileSettings;
+    fileSettings.folder = this->settings.dataFolder;
+    auto opened =
+            transport::storage::DeregistrationFile::open(std::move(fileSettings), monotonicNow());
+    if (opened.problem)
+        logError("deregistrations.unreadable", *opened.problem);
+    logEvent(LogLevel::Info, "deregistrations.recovered",
+             {{"endpoints", std::uint64_t(opened.recovered.size())}});
+    transport::storage::DeregistrationWriter::Hooks writerHooks;
+    writerHooks.stored = [this](std::vector<state::Deregistration> stored) {
+        this->membership->deregistrationsStored(std::move(stored));
+    };
+    writerHooks.failed = [](const state::Error &error) {
+        logError("deregistrations.store-failed", error);
+    };
+    this->deregistrations = std::make_unique<transport::storage::DeregistrationWriter>(
+            std::move(opened.file), std::move(writerHooks));
+    return std::move(opened.recovered);
+}
+
 void Cluster::start()
 {
     if (!this->membership)
@@ -209,14 +239,6 @@
     co_return co_await transport::awaitCallback<state::Result<AnnounceAnswer>>(std::move(start));
 }
 
-void Cluster::leave(const state::EndpointId &endpoint, std::uint64_t incarnation)
-{
-    if (this->membership)
-        this->membership->leave(endpoint, incarnation);
-    else if (this->registry->leave(endpoint, incarnation))
-        this->hooks.endpointsChanged();
-}
-
 asio::awaitable<state::Result<void>> Cluster::drain(state::EndpointDescription endpoint)
 {
     using Done = MembershipService::LeaveHandler;
@@ -241,9 +263,11 @@
                                                        std::optional<std::uint64_t> incarnation)
 {
     using Done = MembershipService::LeaveHandler;
-    if (!this->membership)
-        co_return state::makeError(state::ErrorCode::Unavailable, "endpoint.withdraw",
-                                   "this node stands alone");
+    if (!this->membership) {
+        if (incarnation && this->registry->leave(endpoint, *incarnation))
+            this->hooks.endpointsChanged();
+        co_return state::outcome::success();
+    }
     std::function<void(Done)> start = [service = this->membership, endpoint,
                                        incarnation](Done done) {
         service->leave(endpoint, incarnation, std::move(done));
--- a/src/program/Cluster.h
+++ b/src/program/Cluster.h
@@ -14,6 +14,7 @@
 #include "program/Settings.h"
 #include "protocol/PeerUpdate.h"
 #include "transport/GossipSocket.h"
+#include "transport/storage/DeregistrationWriter.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -64,12 +65,12 @@
     DirectoryAnswer directory(const state::ClientAccountId &account) const;
     boost::asio::awaitable<state::Result<AnnounceAnswer>>
     announce(state::EndpointDescription endpoint, std::optional<state::Duration> coldLeft = {});
-    void leave(const state::EndpointId &endpoint, std::uint64_t incarnation);
     // Complete when the deregistration is acknowledged; see MembershipService::leave. Errors as
     // EndpointLifecycle::leave.
     boost::asio::awaitable<state::Result<void>> drain(state::EndpointDescription endpoint);
     // The same without waiting, for an endpoint that says so in an answer to this node.
     void endpointLeaves(const state::EndpointDescription &endpoint);
+    // Without an incarnation, the known one leaves.
     boost::asio::awaitable<state::Result<void>> withdraw(state::EndpointId endpoint,
                                                          std::optional<std::uint64_t> incarnation);
     // Addresses of relay nodes for callers in that failure domain.
@@ -110,6 +111,9 @@
             coordination::directory::Directory directory);
 
     state::Result<void> join(boost::asio::io_context &context, const Self &self);
+    // Returns the deregistrations that this process has stored before its start; none if they can't
+    // be read.
+    std::vector<state::Deregistration> openDeregistrations();
     void viewChanged(const MembershipView &view);
     void logEndpointChanges(const EndpointsView &endpoints);
     void handlePeerUpdates(std::string_view datagram);
@@ -145,6 +149,9 @@
     std::mt19937_64 random;              // on the strand
     std::uint64_t loggedLostUpdates = 0; // the count in the last log line
     state::Instant lostNewsLoggedAt{};
+    // Null unless this process has a data folder. Declared last so that it is destroyed first: its
+    // thread calls membership.
+    std::unique_ptr<transport::storage::DeregistrationWriter> deregistrations;
 };
 
 } // namespace lavenderthread::program
--- a/src/program/Entry.cpp
+++ b/src/program/Entry.cpp
@@ -200,6 +200,9 @@
         answer = co_await this->announce(request);
     else if (slash == std::string_view::npos)
         answer = simpleProblem(404, "not-found", "no such path");
+    else if (path.substr(slash + 1) == "leave")
+        answer = co_await this->leave(request,
+                                      state::EndpointId(std::string(path.substr(0, slash))));
     else
         answer = this->handleEndpointUpdate(request,
                                             state::EndpointId(std::string(path.substr(0, slash))),
@@ -240,23 +243,33 @@
         this->hooks.loadReported(report.value());
         return noContent;
     }
-    if (call != "cache-events" && call != "leave")
+    if (call != "cache-events")
         return simpleProblem(404, "not-found", "no such path");
-    const bool isCache = call == "cache-events";
-    const auto batch =
-            isCache ? protocol::parseCacheEvents(request.body) : protocol::parseLeave(request.body);
+    const auto batch = protocol::parseCacheEvents(request.body);
     if (!batch)
         return toResponse(invalidRequest(batch.error()));
-    if (isCache) {
-        if (this->registry->table()->find(id, batch.value().incarnation) == nullptr)
-            return unknown();
-        this->hooks.cacheChanged(id, batch.value());
-    } else {
-        this->hooks.left(id, batch.value().incarnation);
-    }
+    if (this->registry->table()->find(id, batch.value().incarnation) == nullptr)
+        return unknown();
+    this->hooks.cacheChanged(id, batch.value());
     return noContent;
 }
 
+// An endpoint of which only a later start is known has nothing more to say.
+asio::awaitable<protocol::HttpResponse> Entry::leave(const protocol::HttpRequest &request,
+                                                     state::EndpointId id)
+{
+    const auto batch = protocol::parseLeave(request.body);
+    if (!batch)
+        co_return toResponse(invalidRequest(batch.error()));
+    const auto left = co_await this->hooks.left(std::move(id), batch.value().incarnation);
+    if (left || left.error().code == state::ErrorCode::Conflict
+        || left.error().code == state::ErrorCode::NotFound)
+        co_return protocol::HttpResponse{204, {}, {}};
+    if (left.error().code == state::ErrorCode::InvalidArgument)
+        co_return toResponse(invalidRequest(left.error()));
+    co_return simpleProblem(503, "leave-not-stored", left.error().cause);
+}
+
 protocol::HttpResponse Entry::directoryAnswer(const protocol::HttpRequest &request) const
 {
     const DirectoryAnswer answer =
--- a/src/program/Entry.h
+++ b/src/program/Entry.h
@@ -53,7 +53,10 @@
         std::function<boost::asio::awaitable<state::Result<AnnounceAnswer>>(
                 state::EndpointDescription)>
                 announce;
-        std::function<void(const state::EndpointId &, std::uint64_t incarnation)> left;
+        // Complete when the others know it, too; see Cluster::withdraw.
+        std::function<boost::asio::awaitable<state::Result<void>>(state::EndpointId,
+                                                                  std::uint64_t incarnation)>
+                left;
         std::function<void(const state::LoadReport &)> loadReported;
         std::function<void(const state::EndpointId &, const protocol::CacheEventBatch &)>
                 cacheChanged;
@@ -98,6 +101,8 @@
     boost::asio::awaitable<void> handleEndpointCall(transport::HttpExchange &exchange,
                                                     std::string_view path);
     boost::asio::awaitable<protocol::HttpResponse> announce(const protocol::HttpRequest &request);
+    boost::asio::awaitable<protocol::HttpResponse> leave(const protocol::HttpRequest &request,
+                                                         state::EndpointId id);
     protocol::HttpResponse handleEndpointUpdate(const protocol::HttpRequest &request,
                                                 const state::EndpointId &id, std::string_view call);
     protocol::HttpResponse directoryAnswer(const protocol::HttpRequest &request) const;
--- a/src/program/MembershipService.cpp
+++ b/src/program/MembershipService.cpp
@@ -50,8 +50,10 @@
                               }));
     if (settings.gossip.description.gossip.port == 0)
         settings.gossip.description.gossip.port = socket->address().port;
+    settings.gossip.storesDeregistrations = hooks.store != nullptr;
     const state::Instant now = monotonicNow();
     BOOST_OUTCOME_TRY(auto membership, Membership::create(settings.gossip, now));
+    membership.restore(std::exchange(settings.deregistrations, {}), now);
     BOOST_OUTCOME_TRY(auto initialLifecycle, EndpointLifecycle::create(settings.endpointLifecycle,
                                                                        settings.gossip.self, now));
     std::shared_ptr<MembershipService> created(
@@ -151,37 +153,49 @@
     });
 }
 
-// Answers at once if no confirmation is outstanding. Otherwise answers when all live members have
-// confirmed, or after a timeout: by then all reachable members know of it, and the endpoint has not
-// yet tried another member.
+// Answers at once if nothing is outstanding. Otherwise answers when the deregistration is settled,
+// or after a timeout: by then all reachable members know of it, and the endpoint has not yet tried
+// another member.
 void MembershipService::acknowledgeLeave(const state::EndpointId &endpoint,
                                          const state::Result<void> &left, const LeaveHandler &done,
                                          state::Instant now)
 {
     if (!done)
         return;
-    if (!left || this->membership.isDeregisteredEverywhere(endpoint))
+    if (!left || this->isSettled(endpoint))
         done(left);
     else
         this->pendingLeaves.push_back({endpoint, now, done});
 }
 
+// Whether all live members have confirmed that the endpoint has left, and it is durable here.
+bool MembershipService::isSettled(const state::EndpointId &endpoint) const
+{
+    return this->membership.isDeregisteredEverywhere(endpoint)
+           && this->membership.isDeregistrationStored(endpoint);
+}
+
 void MembershipService::completePendingLeaves(state::Instant now)
 {
     const auto waits = [&](const PendingLeave &each) {
-        return now - each.since < acknowledgementTimeout
-               && !this->membership.isDeregisteredEverywhere(each.endpoint);
+        return now - each.since < acknowledgementTimeout && !this->isSettled(each.endpoint);
     };
     const auto answered =
             std::stable_partition(this->pendingLeaves.begin(), this->pendingLeaves.end(), waits);
     const std::vector<PendingLeave> due(answered, this->pendingLeaves.end());
     this->pendingLeaves.erase(answered, this->pendingLeaves.end());
     for (const PendingLeave &each : due) {
+        const bool stored = this->membership.isDeregistrationStored(each.endpoint);
         if (this->hooks.leaveAcknowledged)
-            this->hooks.leaveAcknowledged(
-                    {each.endpoint, now - each.since,
-                     this->membership.isDeregisteredEverywhere(each.endpoint)});
-        each.done(state::outcome::success());
+            this->hooks.leaveAcknowledged({each.endpoint, now - each.since,
+                                           this->membership.isDeregisteredEverywhere(each.endpoint),
+                                           stored});
+        // After a kill of all processes, nobody would know of it.
+        if (stored)
+            each.done(state::outcome::success());
+        else
+            each.done(state::makeError(state::ErrorCode::Unavailable, "endpoint.leave",
+                                       "not stored in time", each.endpoint.value()));
     }
 }
 
@@ -205,6 +219,15 @@
     return state::outcome::success();
 }
 
+void MembershipService::deregistrationsStored(std::vector<state::Deregistration> deregistrations)
+{
+    asio::post(this->strand,
+               [self = this->shared_from_this(), deregistrations = std::move(deregistrations)] {
+                   self->membership.recordStored(deregistrations);
+                   self->completePendingLeaves(monotonicNow());
+               });
+}
+
 void MembershipService::reportLoad(const state::LoadReport &report)
 {
     asio::post(this->strand, [self = this->shared_from_this(), report] {
@@ -301,6 +324,8 @@
 {
     this->membersDirty |= actions.membersChanged;
     this->endpointsDirty |= actions.endpointsChanged;
+    if (!actions.deregistrations.empty())
+        this->hooks.store(actions.deregistrations);
     for (const coordination::membership::GossipSend &send : actions.sends) {
         const auto datagram = protocol::sealGossip(this->settings.keys, send.message);
         if (datagram)
--- a/src/program/MembershipService.h
+++ b/src/program/MembershipService.h
@@ -27,6 +27,8 @@
     // If the port of the gossip address in the description is 0, the bound port is announced.
     state::Address listen;
     coordination::endpoints::EndpointLifecycleSettings endpointLifecycle;
+    // Stored before the start of this process.
+    std::vector<state::Deregistration> deregistrations;
     state::Duration loadInterval = std::chrono::seconds(3);
     // The longest time until every member has confirmed a table and its status has arrived.
     state::Duration tableSpreadTime = std::chrono::seconds(30);
@@ -47,7 +49,8 @@
 {
     state::EndpointId endpoint;
     state::Duration took{};
-    bool knownToAll = false; // false: acknowledged before all live members had confirmed it
+    bool knownToAll = false; // false: answered before all live members had confirmed it
+    bool stored = true;      // false: refused, since it was not durable here in time
 };
 
 class MembershipService : public std::enable_shared_from_this<MembershipService>
@@ -61,6 +64,9 @@
         std::function<void(const state::LoadReport &)> loadArrived;
         std::function<void(const coordination::membership::EndOfWorkReport &)> endOfWorkReported;
         std::function<void(const LeaveOutcome &)> leaveAcknowledged;
+        // Stores deregistrations durably; answered by deregistrationsStored(). If it is empty,
+        // they are kept in memory only.
+        std::function<void(const std::vector<state::Deregistration> &)> store;
         std::function<void()> superseded; // the process must stop; called once
         // A datagram was refused; `peer` is its sender.
         std::function<void(const state::Error &)> refused;
@@ -79,12 +85,14 @@
     void announce(const state::EndpointDescription &endpoint, AnnounceHandler done = {},
                   std::optional<state::Duration> coldLeft = {});
     using LeaveHandler = std::function<void(state::Result<void>)>;
-    // Without an incarnation, the known one leaves. `done` is called on the strand when all live
-    // members have confirmed it, or after a time limit. Errors as EndpointLifecycle::leave.
+    // Without an incarnation, the known one leaves. `done` is called on the strand when it is
+    // durable here and all live members have confirmed it, or after a time limit. Errors as
+    // EndpointLifecycle::leave, and Unavailable if it is not durable by then.
     void leave(const state::EndpointId &endpoint, std::optional<std::uint64_t> incarnation,
                LeaveHandler done = {});
     // Takes a leave notice of an endpoint, also of one that is not known here yet.
     void drain(const state::EndpointDescription &endpoint, LeaveHandler done = {});
+    void deregistrationsStored(std::vector<state::Deregistration> deregistrations);
     // Load of an endpoint announced here; forwarded to the entries that watch it.
     void reportLoad(const state::LoadReport &report);
     // A committed drain or undrain, with its position in the replicated log. May be repeated.
@@ -107,6 +115,7 @@
     void acknowledgeLeave(const state::EndpointId &endpoint, const state::Result<void> &left,
                           const LeaveHandler &done, state::Instant now);
     void completePendingLeaves(state::Instant now);
+    bool isSettled(const state::EndpointId &endpoint) const;
     state::Result<void> leaveNow(const state::EndpointId &endpoint,
                                  std::optional<std::uint64_t> incarnation, state::Instant now);
     void tickEndpoints(state::Instant now);
@@ -147,7 +156,7 @@
         state::Instant since;
         LeaveHandler done;
     };
-    // Answered when all live members have confirmed, or after a time limit.
+    // Answered when they are settled, or after a time limit.
     std::vector<PendingLeave> pendingLeaves;
     // Ascending; the first may be old enough to be required.
     std::deque<TableVersionAt> tableVersions;
--- a/src/program/Node.cpp
+++ b/src/program/Node.cpp
@@ -444,8 +444,8 @@
         hooks.announce = [this](state::EndpointDescription endpoint) {
             return this->cluster->announce(std::move(endpoint));
         };
-        hooks.left = [this](const state::EndpointId &id, std::uint64_t incarnation) {
-            this->cluster->leave(id, incarnation);
+        hooks.left = [this](state::EndpointId id, std::uint64_t incarnation) {
+            return this->cluster->withdraw(std::move(id), incarnation);
         };
         hooks.loadReported = [this](const state::LoadReport &report) {
             this->policy->post(coordination::admission::LoadReported{report});
--- a/src/state/Endpoint.h
+++ b/src/state/Endpoint.h
@@ -39,6 +39,21 @@
     }
 };
 
+// That an endpoint gets no more work: this start of it, and earlier ones, have left.
+struct Deregistration
+{
+    EndpointId endpoint;
+    std::uint64_t incarnation = 0;
+
+    auto operator<=>(const Deregistration &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->endpoint, this->incarnation);
+    }
+};
+
 // Load as reported by an endpoint: delayed by the endpoint's report lag, and sometimes missing.
 struct LoadReport
 {
--- a/tests/coordination/endpoints/EndpointLifecycleTest.cpp
+++ b/tests/coordination/endpoints/EndpointLifecycleTest.cpp
@@ -102,6 +102,7 @@
     CPPUNIT_TEST(renewalsPublishNothing);
     CPPUNIT_TEST(deregistrationIsFinalForTheIncarnation);
     CPPUNIT_TEST(deregistrationWinsOverConcurrentRenewals);
+    CPPUNIT_TEST(deregistrationMayPrecedeTheAnnouncement);
     CPPUNIT_TEST(restartUnderTheSameIdReplacesTheIncarnation);
     CPPUNIT_TEST(drainPersistsAcrossARestart);
     CPPUNIT_TEST(flappingEndpointIsHeldAndReleased);
@@ -156,7 +157,7 @@
         cluster.announce(0, 3);
         CPPUNIT_ASSERT(cluster.lifecycles[1].leave(engine, 2, cluster.view(1)).has_error());
         CPPUNIT_ASSERT(cluster.lifecycles[1]
-                               .leave(state::EndpointId("x"), 2, cluster.view(1))
+                               .leave(state::EndpointId("x"), 0, cluster.view(1))
                                .has_error());
         cluster.publish(*cluster.lifecycles[1].leave(engine, 3, cluster.view(1)).value());
         CPPUNIT_ASSERT(!cluster.announce(2, 3));
@@ -166,6 +167,24 @@
         CPPUNIT_ASSERT(cluster.record().isUsable());
     }
 
+    // Guards against a late announcement that puts an endpoint into use after its deregistration,
+    // which came to an entry that had just started or knew an earlier incarnation only.
+    void deregistrationMayPrecedeTheAnnouncement()
+    {
+        for (const bool knowsEarlier : {false, true}) {
+            TestCluster cluster;
+            if (knowsEarlier)
+                cluster.announce(0, 2);
+            cluster.publish(*cluster.lifecycles[1].leave(engine, 3, cluster.view(1)).value());
+            CPPUNIT_ASSERT(cluster.record().phase == EndpointPhase::Left);
+            CPPUNIT_ASSERT(!cluster.announce(0, 3));
+            CPPUNIT_ASSERT(!cluster.announce(2, 2));
+            CPPUNIT_ASSERT(!cluster.record().isUsable());
+            CPPUNIT_ASSERT(cluster.announce(2, 4));
+            CPPUNIT_ASSERT(cluster.record().isUsable());
+        }
+    }
+
     void deregistrationWinsOverConcurrentRenewals()
     {
         // Guards against callers being sent to an endpoint seconds after it deregistered. The
--- a/tests/system/fleet-tests.sh
+++ b/tests/system/fleet-tests.sh
@@ -210,3 +210,25 @@
     stop_fleet || ok=1
     return "$ok"
 }
+
+# Guards against an endpoint that gets work again after its deregistration was acknowledged: all
+# processes are killed, and then an announcement arrives that was on its way.
+test_leave_outlasts_a_kill_of_all() {
+    local ok=0 n announcement
+    announcement='{"id":"late","address":"127.77.2.9:18090","kind":"plain-service","failure_domain":"domain-0",
+        "service":"ledger","models":[],"incarnation":5,"kv_capacity_tokens":0,"prefill_tokens_per_second":0,
+        "decode_tokens_per_second":0,"honours_fencing":false}'
+    start_fleet 1 || return 1
+    expect "announced" 200 "$(status_of -d "$announcement" "http://$(entry_address 4)/v1/endpoints/announce")" || ok=1
+    expect "left" 204 "$(status_of -d '{"incarnation":5}' "http://$(entry_address 4)/v1/endpoints/late/leave")" || ok=1
+    for n in $(seq 1 "$fleet_entries"); do crash "vm$n"; done
+    for n in $(seq 1 "$fleet_entries"); do start_entry "$n"; done
+    for n in $(seq 1 "$fleet_entries"); do await_up "$n" || ok=1; done
+    await_directory 4 3 || ok=1
+    for n in 4 1; do
+        expect "a late announcement at entry $n" 409 \
+            "$(status_of -d "$announcement" "http://$(entry_address "$n")/v1/endpoints/announce")" || ok=1
+    done
+    stop_fleet || ok=1
+    return "$ok"
+}
