Platform: a heartbeat without a version names no endpoint

What callers saw: an answer of the wrong service. Cause: a heartbeat of another writer, under a sound endpoint's id and address but without Version, was taken; the protocol lists the field, and the codec never read it.

--- a/tests/platform/EndpointNewsCodecTest.cpp
+++ b/tests/platform/EndpointNewsCodecTest.cpp
@@ -66,6 +66,7 @@
         CPPUNIT_ASSERT(heartbeat.description.models.empty());
     }
 
+    // Guards against a heartbeat of another writer that moves an endpoint to another service.
     void unusableHeartbeatsAreRejected()
     {
         struct Case
@@ -77,6 +78,7 @@
                 {"Service", nullptr}, {"Service", 7},     {"Address", nullptr}, {"Address", "no"},
                 {"Zone", nullptr},    {"Slots", "many"},  {"State", nullptr},   {"State", "odd"},
                 {"Seq", nullptr},     {"Seq", 1.5},       {"born", nullptr},    {"born", 0},
+                {"Version", nullptr}, {"Version", 7},     {"Version", {"v1"}},  {"Version", true},
                 {"born", 12.5},       {"born", "always"}, {"Models", "m"},      {"Models", {1}},
         };
         for (const Case &each : cases) {
