Endpoints: a deregistration ahead of its announcement spreads as one

Reading the diff: the record of a start that nobody had announced kept the description of an earlier start, and a record with a description counts as ordinary news, which gossip rounds spread late. Cause: nextVersion() copies the description. Now it has none, which the test asks for.

Measured: EndpointLifecycleTest and the unit tests named Deregistration pass.

--- a/src/coordination/endpoints/EndpointLifecycle.cpp
+++ b/src/coordination/endpoints/EndpointLifecycle.cpp
@@ -155,8 +155,11 @@
     if (incarnation == known.incarnation && known.phase == EndpointPhase::Left)
         return std::optional<EndpointRecord>();
     EndpointRecord left = nextVersion(known, EndpointPhase::Left, this->self);
-    // An announcement of this incarnation may still arrive.
-    left.incarnation = incarnation;
+    // An announcement of this incarnation may still arrive; the description is an earlier one's.
+    if (incarnation > known.incarnation) {
+        left.incarnation = incarnation;
+        left.description = nullptr;
+    }
     return std::optional(std::move(left));
 }
 
--- a/tests/coordination/endpoints/EndpointLifecycleTest.cpp
+++ b/tests/coordination/endpoints/EndpointLifecycleTest.cpp
@@ -175,7 +175,10 @@
             TestCluster cluster;
             if (knowsEarlier)
                 cluster.announce(0, 2);
-            cluster.publish(*cluster.lifecycles[1].leave(engine, 3, cluster.view(1)).value());
+            const EndpointRecord left =
+                    *cluster.lifecycles[1].leave(engine, 3, cluster.view(1)).value();
+            CPPUNIT_ASSERT(!left.description); // with one it would count as ordinary news
+            cluster.publish(left);
             CPPUNIT_ASSERT(cluster.record().phase == EndpointPhase::Left);
             CPPUNIT_ASSERT(!cluster.announce(0, 3));
             CPPUNIT_ASSERT(!cluster.announce(2, 2));
