Relay: what a failed connection tells stands beside the other readings of an attempt

The two readings of an error move into RelayAttempt; no behaviour changes but one reason text, which repeated what status and answer_status say. 1,414 lines. The thread tests named Relay, SmuggledRequest and RefusalStatus pass.

--- a/src/program/RelayAttempt.cpp
+++ b/src/program/RelayAttempt.cpp
@@ -1,5 +1,6 @@
 #include "program/RelayAttempt.h"
 
+#include "program/Log.h"
 #include "transport/HttpClient.h"
 
 namespace lavenderthread::program {
@@ -11,6 +12,7 @@
 
 // A connection that is not made in this time tells something about the path.
 constexpr std::chrono::milliseconds conclusiveConnectTime{300};
+constexpr std::chrono::milliseconds refusedConnectionTime{50};
 
 } // namespace
 
@@ -32,6 +34,20 @@
     return error.code != state::ErrorCode::Cancelled && error.step != transport::encodeStep;
 }
 
+bool isRefusedConnection(const state::Error &error, state::Duration after)
+{
+    return error.step == transport::connectStep && error.code == state::ErrorCode::Unavailable
+           && after <= refusedConnectionTime;
+}
+
+bool isUnwritableHead(const state::Error &error)
+{
+    const bool unwritable = error.step == transport::encodeStep;
+    if (unwritable)
+        logError("relay.head-unwritable", error);
+    return unwritable;
+}
+
 coordination::relay::StreamHead streamHeadOf(unsigned status, const protocol::HttpHeaders &headers)
 {
     return coordination::relay::StreamHead::of(status, headers.find("Content-Type"));
--- a/src/program/RelayAttempt.h
+++ b/src/program/RelayAttempt.h
@@ -6,6 +6,7 @@
 #include "coordination/routing/EndpointHealth.h"
 #include "protocol/HttpMessage.h"
 #include "state/Error.h"
+#include "state/Time.h"
 
 #include <chrono>
 
@@ -18,6 +19,14 @@
 // Whether a call that could not be opened, with so much time left, tells that the path is lost.
 bool isPathFailure(const state::Error &error, std::chrono::milliseconds timeLeft);
 
+// Whether a connection that failed after so long was refused or reset at once, which has cost the
+// caller nothing.
+bool isRefusedConnection(const state::Error &error, state::Duration after);
+
+// Whether the request's head could not be written, which is logged. The endpoint, which may be
+// sound, has no part in it.
+bool isUnwritableHead(const state::Error &error);
+
 coordination::relay::StreamHead streamHeadOf(unsigned status, const protocol::HttpHeaders &headers);
 
 } // namespace lavenderthread::program
--- a/src/program/RouteRelay.cpp
+++ b/src/program/RouteRelay.cpp
@@ -68,8 +68,6 @@
 constexpr milliseconds peerConnectTimeout{300}; // entries are as near as endpoints
 // Peers that can't take a request say so within a round trip.
 constexpr std::size_t maxPeersAsked = 12;
-// A connection that fails within this time was refused or reset: it has cost the caller nothing.
-constexpr milliseconds refusedConnectionTime{50};
 // If sent bytes stay unacknowledged for this long, the endpoint's machine is considered lost.
 constexpr milliseconds unacknowledgedTimeout{1'500};
 
@@ -972,15 +970,10 @@
     {
         this->outcome.reason = error.step + ": " + error.cause;
         const bool unseen = transport::isUnseen(error);
-        const bool unwritable = error.step == transport::encodeStep;
-        // The endpoint, which may be sound, has no part in it.
-        this->withheld = this->withheld || unwritable;
-        if (unwritable)
-            logError("relay.head-unwritable", error);
+        this->withheld = this->withheld || isUnwritableHead(error);
         this->progress.connectionEnded = !unseen && error.code == state::ErrorCode::Unavailable;
         this->connectionRefused =
-                error.step == transport::connectStep && error.code == state::ErrorCode::Unavailable
-                && monotonicNow() - this->progress.sentAt <= refusedConnectionTime;
+                isRefusedConnection(error, monotonicNow() - this->progress.sentAt);
         return unseen ? AttemptResult::NeverSent : AttemptResult::Lost;
     }
 
@@ -1114,8 +1107,6 @@
             this->outcome.reason = "the endpoint answered " + std::to_string(answer.status);
             if (mayPassOn)
                 this->endpointAnswer = std::move(answer);
-            else
-                this->outcome.reason += ", but may have run the request";
             co_return AttemptResult::Failed;
         }
         co_await this->respond(std::move(answer));
@@ -1359,8 +1350,7 @@
     PeerResult refusalResult = PeerResult::NotRun; // of a 503, for the peer
     PeerResult peerResult = PeerResult::Unknown;   // of the last attempt through a peer
     ConnectionFailures failures;
-    // The last attempt was not sent: its endpoint rests, or its head could not be written.
-    bool withheld = false;
+    bool withheld = false;     // the last attempt was not sent, for no fault of its endpoint
     bool askedForRest = false; // the endpoint of the last attempt has
     // No peer could take the request: the fault is at endpoints, of which some may be left.
     bool peersHaveNoPath = false;
